--- /dev/null
+++ b/balance/input_test.go
@@ -0,0 +1,120 @@
+package balance
+
+import (
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// An event that cannot be is an error that says what was wrong, and leaves the balancer as it was.
+func TestImpossibleEventsAreErrors(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	id, _ := g.ask(safeClass)
+	before, r := *g.b, *g.b.reqs[id]
+	for _, c := range []struct {
+		ev   Event
+		says string
+	}{
+		{Request{ID: 50, Class: 99}, "unknown class 99"},
+		{Request{ID: 50, Class: -1}, "unknown class -1"},
+		{Request{ID: id, Class: unsafeClass, Remaining: 100}, "in use"},
+		{Outcome{Request: 77}, "request 77, attempt 0"},
+		{Outcome{Request: id, Attempt: -1}, "attempt -1"},
+		{Outcome{Request: id, Attempt: 1}, "attempt 1"},
+	} {
+		acts, err := g.b.Handle(g.now, c.ev)
+		if err == nil || !strings.Contains(err.Error(), c.says) || len(acts) > 0 {
+			t.Errorf("%+v: error %v, actions %v", c.ev, err, acts)
+		}
+		after := *g.b
+		after.out = before.out
+		if !reflect.DeepEqual(after, before) || !reflect.DeepEqual(*g.b.reqs[id], r) {
+			t.Errorf("%+v changed the balancer", c.ev)
+		}
+	}
+}
+
+func TestEventsForTheUnknownAreIgnored(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	for _, ev := range []Event{
+		HangUp{Request: 9}, Timer{Token: 9}, ProbeResult{Server: 99, Result: TimedOut}, Started{Request: 9},
+		Message{From: 7, Data: []byte("\x01wrong")}, Message{From: -1},
+		ServerList{Kind: ListDelta, Servers: []Server{{ID: 99, State: Gone}}},
+	} {
+		if acts := g.do(ev); len(acts) > 0 {
+			t.Errorf("%+v: %+v", ev, acts)
+		}
+	}
+	acts := g.do(Request{ID: 1, Tenant: 50, Remaining: 100}) // an unknown tenant counts as none
+	if !has(acts, Send) || g.b.tenants[len(g.b.tenants)-1].asked != 2 {
+		t.Fatalf("a request of an unknown tenant: %+v", acts)
+	}
+}
+
+// Numbers that are not finite or below zero, in settings, lists, reports and times, reach no weight and no timer.
+func TestOddNumbersDoNotSpread(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+		cfg := probeConfig()
+		cfg.Quantum, cfg.ColdFrom, cfg.ColdTime, cfg.FallMultiple, cfg.FallTime = odd, odd, odd, odd, odd
+		cfg.AskWithin, cfg.Prices.CrossZone, cfg.Prices.Probe, cfg.Goal.WorstClass = odd, odd, odd, odd
+		cfg.Tenants = []Tenant{{Share: odd, Allowance: odd}}
+		for i := range cfg.Classes {
+			c := &cfg.Classes[i]
+			c.Aim, c.Deadline, c.Worth, c.LateWorth, c.Window = odd, odd, odd, odd, odd
+		}
+		servers := fleet(4)
+		for i := range servers {
+			servers[i].Rating, servers[i].StartedAt = odd, odd
+		}
+		g := newRig(t, cfg, servers...)
+		for i := range 40 {
+			id, acts := g.ask(i % len(cfg.Classes))
+			if i%2 == 0 {
+				acts = g.do(Request{ID: RequestID(1000 + i), Class: i % len(cfg.Classes), Remaining: odd})
+			}
+			acts = append(acts, g.probes(acts, float32(odd), nil)...)
+			if r := g.b.reqs[id]; r != nil && r.live > 0 {
+				acts = append(acts, g.answer(id, 0, OK, odd)...)
+			}
+			for _, a := range acts {
+				if !(a.At >= 0) || math.IsInf(a.At, 0) {
+					t.Fatalf("%v: action %+v", odd, a)
+				}
+			}
+			g.now += 10
+		}
+		if _, err := g.b.Handle(odd, Timer{}); err != nil || g.b.now != g.now-10 {
+			t.Fatalf("%v as the time: now %v, error %v", odd, g.b.now, err)
+		}
+		for _, s := range g.b.servers {
+			if w := g.b.weight(s); !(w > 0) || math.IsInf(w, 0) || math.IsNaN(s.running) {
+				t.Errorf("%v: server %d has weight %v, running value %v", odd, s.ID, w, s.running)
+			}
+		}
+	}
+}
+
+// An empty list, one server, all draining: each request still gets one final answer in time.
+func TestEveryRequestIsAnsweredWhateverTheList(t *testing.T) {
+	draining := fleet(3)
+	for i := range draining {
+		draining[i].State = Draining
+	}
+	for name, servers := range map[string][]Server{"empty": nil, "one": fleet(1), "all draining": draining} {
+		g := newRig(t, baseConfig(), servers...)
+		for class := range g.b.cfg.Classes {
+			id, _ := g.ask(class)
+			finals := 0
+			for end := g.b.reqs[id].deadline; g.now <= end && finals == 0; g.now += 5 {
+				acts := g.do(Timer{Token: uint64(id)})
+				if has(acts, Refuse) || has(acts, Fail) {
+					finals++
+				}
+			}
+			if finals != 1 {
+				t.Errorf("%s, class %d: %d answers in time", name, class, finals)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/balance/paper_test.go
@@ -0,0 +1,69 @@
+package balance
+
+import "testing"
+
+// The six behaviours that the paper asks tests for. The floor, recovery with time and the re-route to the healthiest
+// have theirs in rotation_test.go as well, with the exact values.
+
+func shares(t *testing.T, errs float64, n int) map[ServerID]int {
+	t.Helper()
+	g := newRig(t, baseConfig(), fleet(4)...)
+	hits := map[ServerID]int{}
+	for range n {
+		g.b.servers[0].errs, g.b.servers[0].lastErr = errs, g.now // a success resets the count
+		hits[sequence(g, 1)[0]]++
+	}
+	return hits
+}
+
+func TestPaperFairBaseline(t *testing.T) {
+	for id, n := range shares(t, 0, 40) {
+		if n != 10 {
+			t.Errorf("server %d got %d of 40", id, n)
+		}
+	}
+}
+
+func TestPaperPenaltyReducesShareAndTheFloorHolds(t *testing.T) {
+	none, some, many := shares(t, 0, 400)[1], shares(t, 2, 400)[1], shares(t, 1000, 400)[1]
+	if !(none > some && some > many && many > 0) {
+		t.Fatalf("shares of 400 with none, two and very many errors: %d, %d, %d", none, some, many)
+	}
+}
+
+func TestPaperTimeRecovery(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	s := g.b.servers[0]
+	g.b.fault(s, false)
+	last := g.b.health(s)
+	for range 5 {
+		g.b.now += halfLife / 2
+		m := g.b.health(s)
+		if m <= last {
+			t.Fatalf("m went from %v to %v without errors", last, m)
+		}
+		last = m
+	}
+}
+
+func TestPaperRetryRecoversToBest(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	g.b.servers[1].errs, g.b.servers[1].lastErr = 2, g.now
+	id, _ := g.ask(safeClass)
+	g.b.servers[1].running = 1e6 // next in turn, and not the healthiest
+	if s, ok := sentTo(g.answer(id, 0, Full, 1)); !ok || s != 3 {
+		t.Fatalf("re-routed to %d", s)
+	}
+}
+
+func TestPaperIsolation(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	for range 5 {
+		g.b.fault(g.b.servers[0], false)
+	}
+	for _, s := range g.b.servers[1:] {
+		if g.b.health(s) != 1 || g.b.resting(s) {
+			t.Errorf("server %d pays for the errors of server 1, of its cell and kind", s.ID)
+		}
+	}
+}
--- /dev/null
+++ b/balance/property_test.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// world feeds one balancer random but legal events and checks rules 1 to 3 at every action.
+type world struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	b       *Balancer
+	cfg     Config
+	now     float64
+	servers map[ServerID]*Server
+	told    map[ServerID]bool // may be sent to
+	open    map[RequestID]*openRequest
+	timers  []pendingTimer
+	probes  []ServerID
+}
+
+type openRequest struct {
+	class    int
+	deadline float64
+	answered bool
+	tries    []openAttempt
+}
+
+type openAttempt struct {
+	server Server
+	sent   float64
+	live   bool
+	clean  bool
+}
+
+type pendingTimer struct {
+	at    float64
+	token uint64
+}
+
+func newWorld(t *testing.T, rnd *rand.Rand, cfg Config) *world {
+	w := &world{
+		t: t, rnd: rnd, b: New(cfg), cfg: cfg, now: 5000, servers: map[ServerID]*Server{},
+		told: map[ServerID]bool{}, open: map[RequestID]*openRequest{},
+	}
+	w.apply(w.b.Start(w.now))
+	return w
+}
+
+func TestRandomEventsKeepTheRules(t *testing.T) {
+	for seed := range int64(40) {
+		rnd := rand.New(rand.NewSource(seed))
+		cfg := baseConfig()
+		cfg.Seed = uint64(seed)
+		cfg.Parallel, cfg.Cancel = seed%2 == 0, seed%3 != 0
+		cfg.MaxAttempts = 1 + int(seed%4)
+		cfg.Subscribe = seed%5 == 0
+		if seed%4 == 1 {
+			cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight, FieldQueue, FieldUtil}
+		}
+		w := newWorld(t, rnd, cfg)
+		w.list(ListCached)
+		for id := RequestID(1); id <= 1500; id++ {
+			w.now += rnd.ExpFloat64() * 8
+			w.fireTimers()
+			w.anything(id)
+		}
+		for w.now += 10; len(w.timers) > 0 && w.anyOpen(); w.now += 10 {
+			w.fireTimers()
+		}
+		if w.anyOpen() {
+			t.Fatalf("seed %d: a request was never answered", seed)
+		}
+	}
+}
+
+func (w *world) anything(id RequestID) {
+	switch n := w.rnd.Intn(20); {
+	case n < 9:
+		class := w.rnd.Intn(len(w.cfg.Classes))
+		left := w.cfg.Classes[class].Deadline * w.rnd.Float64()
+		if w.rnd.Intn(20) == 0 {
+			left = 0
+		}
+		w.open[id] = &openRequest{class: class, deadline: w.now + left}
+		w.handle(Request{ID: id, Class: class, Remaining: left})
+	case n < 17:
+		w.endOne(id)
+	case n < 18:
+		w.list([]ListKind{ListFull, ListDelta, ListCached}[w.rnd.Intn(3)])
+	case n < 19:
+		if len(w.probes) > 0 {
+			s := w.probes[0]
+			w.probes = w.probes[1:]
+			w.handle(ProbeResult{Server: s, Took: 1, Report: []float32{float32(w.rnd.Intn(6)), 0, 0.5}})
+		}
+	default:
+		gone := id - RequestID(w.rnd.Intn(20)) // may never have been or have ended: ignored then
+		if o := w.open[gone]; o != nil {
+			o.answered = true
+		}
+		w.handle(HangUp{Request: gone})
+	}
+}
+
+// endOne ends one live attempt of some request at random.
+func (w *world) endOne(before RequestID) {
+	for id := before; id > 0 && id+60 > before; id-- {
+		o := w.open[id]
+		if o == nil {
+			continue
+		}
+		for i := range o.tries {
+			if a := &o.tries[i]; a.live && w.rnd.Intn(3) > 0 {
+				res := []Result{OK, OK, OK, OK, Failed, Full, ConnectFailed, Reset, TimedOut}[w.rnd.Intn(9)]
+				a.live, a.clean = false, res.NeverRan()
+				o.answered = o.answered || res == OK
+				w.handle(Outcome{
+					Request: id, Attempt: i, Server: a.server.ID, Result: res, Took: w.now - a.sent, Finished: o.answered,
+				})
+				return
+			}
+		}
+	}
+}
+
+func (w *world) list(kind ListKind) {
+	var entries []Server
+	for i := range 10 {
+		id := ServerID(i + 1)
+		s := w.servers[id]
+		if s == nil || w.rnd.Intn(4) == 0 {
+			s = &Server{ID: id, State: State(w.rnd.Intn(3) % 2), Rating: 1, Cell: i % 3, Zone: i % 2, Kind: i % 2}
+			if w.rnd.Intn(3) == 0 {
+				s.StartedAt = w.now
+			}
+			w.servers[id] = s
+		}
+		if kind == ListDelta && w.rnd.Intn(2) == 0 {
+			continue
+		}
+		if kind != ListDelta && w.rnd.Intn(8) == 0 {
+			w.told[id] = false
+			continue
+		}
+		w.told[id] = s.State == Ready
+		entries = append(entries, *s)
+	}
+	w.handle(ServerList{Kind: kind, Servers: entries})
+}
+
+func (w *world) handle(ev Event) {
+	acts, err := w.b.Handle(w.now, ev)
+	if err != nil {
+		w.t.Fatalf("%#v: %v", ev, err)
+	}
+	w.apply(acts)
+}
+
+func (w *world) apply(acts []Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case SetTimer:
+			w.timers = append(w.timers, pendingTimer{w.now + a.At, a.Token})
+		case Probe:
+			if !w.cfg.Probes {
+				w.t.Fatal("probed where probes are not allowed")
+			}
+			w.probes = append(w.probes, a.Server)
+		case Send:
+			w.send(a)
+		case Refuse, Fail:
+			w.final(a)
+		case Cancel:
+			if !w.cfg.Cancel || a.Attempt >= len(w.open[a.Request].tries) {
+				w.t.Fatalf("cancel of %+v", a)
+			}
+		}
+	}
+}
+
+func (w *world) send(a Action) {
+	o, c := w.open[a.Request], w.cfg.Classes[w.open[a.Request].class]
+	switch {
+	case o.answered:
+		w.t.Fatalf("request %d was sent after its answer", a.Request)
+	case !w.told[a.Server]:
+		w.t.Fatalf("request %d was sent to server %d, which drains or is gone", a.Request, a.Server)
+	case len(o.tries) >= w.cfg.MaxAttempts:
+		w.t.Fatalf("request %d was sent too often", a.Request)
+	}
+	to := *w.servers[a.Server]
+	for _, p := range o.tries {
+		if p.live && !w.cfg.Parallel {
+			w.t.Fatalf("request %d is out twice", a.Request)
+		}
+		if p.clean || c.Effect == Safe {
+			continue
+		}
+		apart := c.Group == GroupCell && p.server.Cell != to.Cell || c.Group == GroupZone && p.server.Zone != to.Zone
+		if c.Effect == Unsafe || apart || w.now >= p.sent+c.Window {
+			w.t.Fatalf("request %d may have run and was sent again", a.Request)
+		}
+	}
+	o.tries = append(o.tries, openAttempt{server: to, sent: w.now, live: true})
+}
+
+func (w *world) final(a Action) {
+	o, c := w.open[a.Request], w.cfg.Classes[w.open[a.Request].class]
+	if o.answered || w.now > o.deadline+w.cfg.AnswerSlack {
+		w.t.Fatalf("request %d: a second or late answer at %v, deadline %v", a.Request, w.now, o.deadline)
+	}
+	o.answered = true
+	if a.Kind == Fail || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
+		return
+	}
+	for _, p := range o.tries {
+		if !p.clean {
+			w.t.Fatalf("request %d may have run and was refused", a.Request)
+		}
+	}
+}
+
+// fireTimers brings the alarms that are due, each at its own time.
+func (w *world) fireTimers() {
+	end := w.now
+	for {
+		next := -1
+		for i, p := range w.timers {
+			if p.at <= end && (next < 0 || p.at < w.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		p := w.timers[next]
+		w.timers = append(w.timers[:next], w.timers[next+1:]...)
+		w.now = p.at
+		w.handle(Timer{Token: p.token})
+	}
+	w.now = end
+}
+
+func (w *world) anyOpen() bool {
+	for _, o := range w.open {
+		if !o.answered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/balance/rules_test.go
@@ -0,0 +1,300 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// What may follow the end of a first attempt, for each effect, group and result, within the
+// window and after it: another send, a refusal, a failure.
+func TestWhatMayFollowAnAttempt(t *testing.T) {
+	for _, class := range []int{safeClass, unsafeClass, cellClass, allClass, zoneClass} {
+		for _, res := range []Result{Failed, Full, TimedOut, ConnectFailed, Reset, Cancelled} {
+			for _, late := range []bool{false, true} {
+				t.Run(fmt.Sprintf("class%d/result%d/late=%v", class, res, late), func(t *testing.T) {
+					followAttempt(t, class, res, late)
+				})
+			}
+		}
+	}
+}
+
+func followAttempt(t *testing.T, class int, res Result, late bool) {
+	cfg := baseConfig()
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim = cfg.Classes[i].Deadline // a re-route is worth its while to the end
+		cfg.Classes[i].Window = 200
+	}
+	g := newRig(t, cfg, fleet(8)...)
+	id, acts := g.ask(class)
+	first, ok := sentTo(acts)
+	if !ok {
+		t.Fatal("the request was not sent")
+	}
+	if g.now += 100; late {
+		g.now += 200
+	}
+	acts = g.answer(id, 0, res, 100)
+	c := cfg.Classes[class]
+	mayResend := c.Effect == Safe || res.NeverRan() || c.Effect == Keyed && !late
+	second, sent := sentTo(acts)
+	if sent != mayResend {
+		t.Fatalf("sent again: %v, want %v (%+v)", sent, mayResend, acts)
+	}
+	if !sent {
+		mayRefuse := c.Effect == Keyed && c.Group == GroupAll
+		if has(acts, Refuse) != mayRefuse || has(acts, Fail) == mayRefuse {
+			t.Fatalf("refusal allowed: %v, got %+v", mayRefuse, acts)
+		}
+		return
+	}
+	a, b := g.b.byID[first], g.b.byID[second]
+	dirty := !res.NeverRan()
+	if a == b || dirty && class == cellClass && a.Cell != b.Cell || dirty && class == zoneClass && a.Zone != b.Zone {
+		t.Fatalf("sent to %+v after %+v", b.Server, a.Server)
+	}
+}
+
+func TestNothingIsRefusedThatMayHaveRun(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	for _, class := range []int{unsafeClass, cellClass, zoneClass} {
+		id, _ := g.ask(class)
+		g.now = g.b.reqs[id].deadline
+		acts := g.do(Timer{Token: uint64(id)})
+		if has(acts, Refuse) || !has(acts, Fail) {
+			t.Errorf("class %d at its deadline with an attempt out: %+v", class, acts)
+		}
+	}
+}
+
+func TestNoTimeLeftIsAnsweredAtOnce(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	acts := g.do(Request{ID: 1, Class: unsafeClass, Remaining: 0})
+	if !has(acts, Refuse) || has(acts, Send) {
+		t.Fatalf("a request without time left: %+v", acts)
+	}
+}
+
+func TestNobodyToSendTo(t *testing.T) {
+	drained := fleet(3)
+	for i := range drained {
+		drained[i].State = Draining
+	}
+	for name, servers := range map[string][]Server{"empty": nil, "draining": drained} {
+		g := newRig(t, baseConfig(), servers...)
+		id, acts := g.ask(unsafeClass)
+		if has(acts, Send) || !has(acts, SetTimer) {
+			t.Fatalf("%s: %+v", name, acts)
+		}
+		refused := false
+		for g.now < 1000+baseConfig().Classes[unsafeClass].Deadline {
+			g.now += 10
+			refused = refused || has(g.do(Timer{Token: uint64(id)}), Refuse)
+		}
+		if !refused || len(g.b.reqs) != 0 {
+			t.Fatalf("%s: refused %v, %d requests left", name, refused, len(g.b.reqs))
+		}
+	}
+}
+
+func TestDrainingGetsNothingNew(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	gone := fleet(1)[0]
+	gone.State = Draining
+	g.do(ServerList{Kind: ListDelta, Servers: []Server{gone}})
+	for range 20 {
+		id, acts := g.ask(safeClass)
+		if s, _ := sentTo(acts); s != 2 {
+			t.Fatalf("sent to %d", s)
+		}
+		g.answer(id, 0, OK, 10)
+	}
+	gone.State = Ready
+	g.do(ServerList{Kind: ListFull, Servers: []Server{gone}}) // the other is left out: it has gone
+	id, acts := g.ask(safeClass)
+	if s, _ := sentTo(acts); s != 1 {
+		t.Fatalf("sent to %d of request %d", s, id)
+	}
+}
+
+func TestAttemptLimit(t *testing.T) {
+	cfg := baseConfig()
+	cfg.MaxAttempts = 1
+	g := newRig(t, cfg, fleet(4)...)
+	id, _ := g.ask(safeClass)
+	if acts := g.answer(id, 0, Full, 1); has(acts, Send) || !has(acts, Refuse) {
+		t.Fatalf("after the only attempt allowed: %+v", acts)
+	}
+}
+
+// In overload an alarm came a rounding error before its time and was not set again, so that the
+// request got no answer at its deadline.
+func TestEarlyAlarmIsSetAgain(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	id, _ := g.ask(unsafeClass)
+	g.now = g.b.reqs[id].wakeAt - 1e-4
+	if acts := g.do(Timer{Token: uint64(id)}); !has(acts, SetTimer) {
+		t.Fatalf("no timer after an early alarm: %+v", acts)
+	}
+}
+
+// A cold server was pushed over when the budget followed what clients asked, repeats included; and by many
+// sidecars that each knew of few answers. Whatever their number, all together stay under the multiple.
+func TestColdBudgetHoldsForAllSidecars(t *testing.T) {
+	for _, c := range []struct{ sidecars, servers, perSecond int }{{4, 5, 150}, {40, 10, 15}, {300, 60, 2}} {
+		cfg := baseConfig()
+		cfg.Peers = c.sidecars
+		toCold, later := 0, 0
+		for n := range c.sidecars {
+			cfg.Seed, cfg.Number = uint64(n+1), n
+			servers := fleet(c.servers)
+			g := newRig(t, cfg, servers...)
+			g.now += 1000 * g.b.random() / float64(c.perSecond)
+			start := g.now
+			for told := false; g.now < start+6000; g.now += 1000 / float64(c.perSecond) {
+				if !told && g.now >= start+3000 { // half-way one server restarts
+					told, servers[0].StartedAt = true, g.now
+					g.do(ServerList{Kind: ListDelta, Servers: servers[:1]})
+				}
+				id, acts := g.ask(safeClass)
+				if s, ok := sentTo(acts); !ok {
+					t.Fatal("nothing sent")
+				} else if s == 1 && told && g.now < start+4000 {
+					toCold++
+				} else if s == 1 && told {
+					later++
+				}
+				g.answer(id, 0, OK, 10)
+			}
+		}
+		// A warm server gets its part of the traffic; the cold one can do ColdFrom of that and a little
+		// more as it warms, and falls at FallMultiple times what it can do.
+		limit := float64(c.sidecars*c.perSecond) / float64(c.servers) * cfg.FallMultiple * (cfg.ColdFrom + 0.05)
+		if later == 0 || float64(toCold) > limit {
+			t.Errorf("%+v: %d sends to a cold server in its first second, at most %.0f wanted; %d later", c, toCold, limit, later)
+		}
+	}
+}
+
+// A server that lost a connection and then answers has restarted, whatever the list says. One that took no
+// connection need not have: healthy servers with full tables were given a cold server's share.
+func TestBackFromTheDeadIsCold(t *testing.T) {
+	for lost, cold := range map[Result]bool{Reset: true, ConnectFailed: false} {
+		g := newRig(t, baseConfig(), fleet(2)...)
+		id, acts := g.ask(unsafeClass)
+		s, _ := sentTo(acts)
+		g.answer(id, 0, lost, 150)
+		if rests := g.b.resting(g.b.byID[s]); rests != (lost == ConnectFailed) {
+			t.Errorf("result %d: rests %v", lost, rests)
+		}
+		g.now += 60000
+		for range 8 {
+			id, acts = g.ask(safeClass)
+			g.answer(id, 0, OK, 10)
+			if again, _ := sentTo(acts); again == s {
+				break
+			}
+		}
+		if g.b.cold(g.b.byID[s]) != cold {
+			t.Errorf("result %d: held to be cold %v", lost, !cold)
+		}
+	}
+}
+
+// Once a streamed answer has begun the client owns it: no deadline, no repeat, no answer of ours.
+func TestStartedStreamIsLeftAlone(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Classes[safeClass].Stream = true
+	g := newRig(t, cfg, fleet(3)...)
+	id, acts := g.ask(safeClass)
+	s, _ := sentTo(acts)
+	g.do(Started{Request: id, Server: s, Took: 20})
+	g.now += 5000
+	if acts := g.do(Timer{Token: uint64(id)}); has(acts, Fail) || has(acts, Refuse) || has(acts, Send) {
+		t.Fatalf("a running stream got %+v", acts)
+	}
+	g.do(Outcome{Request: id, Server: s, Result: Reset, Took: 5000, Finished: true})
+	if len(g.b.reqs) != 0 {
+		t.Fatal("an ended stream is remembered")
+	}
+}
+
+// Failed list calls keep the old list and are made again, ever later, within the limit.
+func TestListCallsBackOff(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Subscribe = true
+	g := newRig(t, cfg, fleet(3)...)
+	if !has(g.acts, Watch) {
+		t.Fatal("not subscribed at once")
+	}
+	var pauses []float64
+	for range 6 {
+		acts := g.do(ServerList{Kind: ListFailed})
+		if len(acts) != 1 || acts[0].Token != listTimer || acts[0].At > cfg.AskWithin/3 {
+			t.Fatalf("after a failed call: %+v", acts)
+		}
+		pauses = append(pauses, acts[0].At)
+		g.now += acts[0].At
+		if !has(g.do(Timer{Token: listTimer}), Watch) {
+			t.Fatal("not asked again")
+		}
+	}
+	if pauses[5] < 2*pauses[0] || len(g.b.servers) != 3 {
+		t.Fatalf("pauses %v, %d servers", pauses, len(g.b.servers))
+	}
+}
+
+// Answers assumed for small sidecars counted in the budget of cold servers too, and together
+// they pushed one over. A sidecar that has seen no answers may hardly send anything to a cold server.
+func TestAssumedAnswersGiveNoColdBudget(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	entry := g.b.servers[0].Server
+	entry.StartedAt = g.now
+	g.do(ServerList{Kind: ListDelta, Servers: []Server{entry}})
+	g.now += 2000
+	g.ask(safeClass) // sets the weights
+	s := g.b.servers[0]
+	s.tokens, s.tokensAt = 0, g.now-2000
+	if g.b.coldBudget(s); s.tokens > 0.2 { // with ten assumed: 1
+		t.Fatalf("%.2f sends in two seconds", s.tokens)
+	}
+	g.b.answers.rate(g.b, 400, 0) // of two hundred answers a second it may have its part
+	s.tokens, s.tokensAt = 0, g.now-2000
+	if g.b.coldBudget(s); s.tokens < 0.5 {
+		t.Fatalf("%.2f sends in two seconds for a busy sidecar", s.tokens)
+	}
+}
+
+// All other servers failed, and every sidecar's re-routes went to the one that had just started, as it had no errors.
+func TestReroutesKeepTheColdBudget(t *testing.T) {
+	toCold, limit := 0, 0.0
+	const sidecars, requests = 40, 20
+	for n := range sidecars {
+		cfg := baseConfig()
+		cfg.Seed = uint64(n + 1)
+		g := newRig(t, cfg, fleet(5)...)
+		entry := g.b.servers[0].Server
+		entry.StartedAt = g.now
+		g.do(ServerList{Kind: ListDelta, Servers: []Server{entry}})
+		for range requests {
+			id, acts := g.ask(safeClass)
+			for i := 0; ; i++ {
+				s, ok := sentTo(acts)
+				if !ok {
+					break
+				}
+				if s == 1 {
+					toCold++
+				}
+				g.now++
+				acts = g.answer(id, i, Failed, 1)
+			}
+			g.now += 50
+		}
+	}
+	// In this second a warm server's part of the requests is a fifth.
+	limit = sidecars * requests / 5 * 2.5 * (0.2 + 0.05)
+	if float64(toCold) > limit {
+		t.Fatalf("%d sends to the cold server, at most %.0f wanted", toCold, limit)
+	}
+}
--- /dev/null
+++ b/balance/subset_test.go
@@ -0,0 +1,109 @@
+package balance
+
+import (
+	"math"
+	"testing"
+)
+
+// members returns the subset of sidecar n of peers over a fleet.
+func members(t *testing.T, n, peers int, servers []Server) map[ServerID]bool {
+	t.Helper()
+	cfg := baseConfig()
+	cfg.Number, cfg.Peers = n, peers
+	got := map[ServerID]bool{}
+	for _, s := range newRig(t, cfg, servers...).b.subset() {
+		got[s.ID] = true
+	}
+	return got
+}
+
+// A thousand sidecars that each used every server filled the servers' connection tables, and most
+// attempts got no connection.
+func TestSubsetsAreSmallEvenAndStable(t *testing.T) {
+	const peers, servers = 800, 100
+	all, fewer := fleet(servers), fleet(servers)[:servers-1]
+	held := map[ServerID]int{}
+	changed := 0
+	for n := range peers {
+		before, after := members(t, n, peers, all), members(t, n, peers, fewer)
+		if len(before) != leastWidth {
+			t.Fatalf("sidecar %d uses %d servers", n, len(before))
+		}
+		for id := range before {
+			held[id]++
+			if !after[id] {
+				changed++
+			}
+		}
+	}
+	mean := float64(peers*leastWidth) / servers
+	for id, n := range held {
+		if math.Abs(float64(n)-mean) > mean/4 {
+			t.Errorf("server %d is used by %d sidecars, on average %.0f", id, n, mean)
+		}
+	}
+	// One of a hundred servers left: of five members about one moves at the edge of the window.
+	if len(held) != servers || changed > peers {
+		t.Errorf("%d servers used; %d places changed as one server left", len(held), changed)
+	}
+}
+
+func TestFewSidecarsUseTheWholeFleet(t *testing.T) {
+	for _, peers := range []int{1, 3, perServer} {
+		if got := members(t, 0, peers, fleet(60)); len(got) != 60 {
+			t.Errorf("of %d sidecars one uses %d servers of 60", peers, len(got))
+		}
+	}
+}
+
+// A sidecar that turned hot must not crowd the few servers of its subset.
+func TestBusySidecarSpreadsWider(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Peers = 1000
+	g := newRig(t, cfg, fleet(100)...)
+	for range 1000 {
+		id, acts := g.ask(safeClass)
+		if has(acts, Send) {
+			g.answer(id, 0, OK, 5)
+		}
+		g.now += 4
+	}
+	if n := len(g.b.subset()); n < 40 {
+		t.Fatalf("250 requests a second go over %d servers of 100", n)
+	}
+}
+
+// Most of a subset failed at once, and its sidecar had nobody left to send to.
+func TestFailedMembersWidenTheSubset(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Peers = 1000
+	g := newRig(t, cfg, fleet(100)...)
+	before := append([]*server(nil), g.b.subset()...)
+	for _, s := range before[:leastWidth-1] {
+		g.b.fault(s, true)
+	}
+	if after := g.b.subset(); len(after) != 2*leastWidth-1 || after[0] != before[0] {
+		t.Fatalf("%d members with all but one of %d down", len(after), len(before))
+	}
+	g.now += 1e6
+	g.do(Timer{Token: 12345})
+	if after := g.b.subset(); len(after) != leastWidth {
+		t.Fatalf("%d members after the rests", len(after))
+	}
+}
+
+// A keyed request that may have run could go nowhere, as no other member of the subset was of its cell.
+func TestAKeyBoundToACellSeesTheWholeFleet(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Peers = 1000
+	for n := range 20 {
+		cfg.Number = n
+		g := newRig(t, cfg, fleet(100)...)
+		id, acts := g.ask(cellClass)
+		first, _ := sentTo(acts)
+		second, ok := sentTo(g.answer(id, 0, Failed, 10))
+		if !ok || first == second || g.b.byID[first].Cell != g.b.byID[second].Cell {
+			t.Fatalf("sidecar %d: sent to %d, then %d (%v)", n, first, second, ok)
+		}
+	}
+}
--- /dev/null
+++ b/balance/trouble_test.go
@@ -0,0 +1,646 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func probeConfig() Config {
+	cfg := baseConfig()
+	cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
+	return cfg
+}
+
+// probes answers the probes of acts: servers in dark give no answer, the others hold n requests.
+func (g *rig) probes(acts []Action, n float32, dark map[ServerID]bool) []Action {
+	var after []Action
+	for _, a := range acts {
+		if a.Kind != Probe {
+			continue
+		}
+		res := ProbeResult{Server: a.Server, Report: []float32{n}}
+		if dark[a.Server] {
+			res = ProbeResult{Server: a.Server, Result: TimedOut}
+		}
+		after = append(after, g.do(res)...)
+	}
+	return after
+}
+
+// Links were cut and most probes lost, and the servers next in turn, which nobody could use,
+// were probed again for every request.
+func TestServersOutOfReachRestAndComeBack(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(3)...)
+	dark := map[ServerID]bool{1: true, 2: true}
+	for i := range 4 {
+		id, acts := g.ask(safeClass)
+		if asked := len(acts) - 1; i > 0 && asked > 1 {
+			t.Fatalf("request %d: %d servers probed though two are out of reach", id, asked)
+		}
+		if s, ok := sentTo(g.probes(acts, 0, dark)); !ok || s != 3 {
+			t.Fatalf("request %d went to %d", id, s)
+		}
+		g.answer(id, 0, OK, 10)
+	}
+	g.now += 10000 // their rest is over and they answer again
+	used := map[ServerID]bool{}
+	for range 6 {
+		id, acts := g.ask(safeClass)
+		s, _ := sentTo(g.probes(acts, 0, nil))
+		used[s] = true
+		g.answer(id, 0, OK, 10)
+	}
+	if !used[1] || !used[2] {
+		t.Fatalf("used %v after they came back", used)
+	}
+}
+
+// A sidecar with little traffic cannot know from its own requests what others fill.
+func TestProbedQueueIsPassedOver(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(3)...)
+	g.b.servers[0].running = 1000 // its turn
+	id, acts := g.ask(safeClass)
+	if has(acts, Send) {
+		t.Fatal("sent before the probes were answered")
+	}
+	g.do(ProbeResult{Server: 1, Report: []float32{5}})
+	g.do(ProbeResult{Server: 2, Report: []float32{0}})
+	if s, ok := sentTo(g.do(ProbeResult{Server: 3, Report: []float32{4}})); !ok || s != 2 {
+		t.Fatalf("request %d went to %d, want the empty server", id, s)
+	}
+}
+
+func TestARequestDoesNotWaitLongForProbes(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(3)...)
+	id, _ := g.ask(safeClass)
+	g.now = g.b.reqs[id].wakeAt
+	if acts := g.do(Timer{Token: uint64(id)}); !has(acts, Send) || g.now > 1000+0.1*300 {
+		t.Fatalf("at %v: %+v", g.now, acts)
+	}
+}
+
+// A hung server is passed over at once, for what it holds, and rested after several strikes;
+// what is stuck there must not look like overload of the whole fleet.
+func TestHungServerIsNoOverload(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(6)...)
+	hung := 0
+	for range 900 {
+		g.now += 5
+		for _, a := range g.due() {
+			g.do(a)
+		}
+		id, acts := g.ask(safeClass)
+		s, ok := sentTo(acts)
+		if !ok {
+			t.Fatalf("request %d was refused: shed %v", id, g.b.steady)
+		}
+		if s == 1 {
+			hung++
+			continue
+		}
+		g.now++
+		g.answer(id, 0, OK, 10)
+	}
+	if hung > 40 {
+		t.Fatalf("the hung server got %d of 900", hung)
+	}
+}
+
+// due returns the timers of open requests that have come.
+func (g *rig) due() []Timer {
+	var list []Timer
+	for id := RequestID(1); id <= g.next; id++ {
+		if r := g.b.reqs[id]; r != nil && r.wakeAt <= g.now && !r.done {
+			list = append(list, Timer{Token: uint64(id)})
+		}
+	}
+	return list
+}
+
+// In overload every queue filled and all answers came late. What cannot be answered in time is
+// refused before it is sent, least worth first.
+func TestOverloadIsShedLeastWorthFirst(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	refused := map[int]int{}
+	var open []RequestID
+	for i := range 2000 {
+		g.now += 2
+		class := []int{safeClass, unsafeClass}[i%2]
+		id, acts := g.ask(class)
+		if has(acts, Refuse) {
+			refused[class]++
+			continue
+		}
+		open = append(open, id)
+		if len(open) > 150 { // answers take 300 ms and more
+			g.answer(open[0], 0, OK, 300)
+			open = open[1:]
+		}
+	}
+	if refused[safeClass] < 100 || refused[unsafeClass] >= refused[safeClass] {
+		t.Fatalf("refused %d of low worth and %d of high worth", refused[safeClass], refused[unsafeClass])
+	}
+}
+
+// In a congested fleet all answers are late, and that is no server's fault: once the class is
+// known to take long, an attempt of 430 ms with an aim of 300 is no error.
+func TestLateInACongestedFleetIsNoError(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	times := []float64{370, 430, 400}
+	for i := range 60 {
+		id, acts := g.ask(unsafeClass)
+		if !has(acts, Send) {
+			continue
+		}
+		end := g.now + times[i%3]
+		for r := g.b.reqs[id]; !r.done && r.wakeAt < end; {
+			g.now = r.wakeAt
+			g.do(Timer{Token: uint64(id)})
+		}
+		g.now = end
+		if i > 30 && g.b.reqs[id].tries[0].overdue {
+			t.Fatalf("attempt %d of %v ms is held to be overdue after %v", i, times[i%3], g.b.overdueAfter(g.b.reqs[id]))
+		}
+		g.answer(id, 0, OK, times[i%3])
+	}
+	id, _ := g.ask(unsafeClass)
+	r := g.b.reqs[id]
+	if g.now = r.wakeAt; g.now >= r.deadline {
+		t.Fatal("nothing looks at the attempt before its deadline")
+	}
+	if g.do(Timer{Token: uint64(id)}); !r.tries[0].overdue || r.tries[0].s.errs != 1 {
+		t.Fatal("an attempt far beyond all others is no error")
+	}
+}
+
+// What hangs at a resting server is that server's trouble and must not shed load. But as a whole fleet broke
+// down all servers rested, nothing in flight counted, and the shedding stopped when it was needed most.
+func TestRestingServersAreNoLoadUnlessMostRest(t *testing.T) {
+	for _, c := range []struct {
+		rested, steady float64
+		sheds          bool
+	}{{20, 0.1, true}, {0.4, 0.5, false}} {
+		g := newRig(t, baseConfig(), fleet(2)...)
+		g.b.answers.rate(g.b, 2, 0)
+		g.b.pressure = 1
+		g.b.servers[0].load, g.b.servers[1].load = c.rested, c.steady
+		g.b.rest(g.b.servers[0])
+		for range 20 {
+			g.ask(unsafeClass)
+			g.b.servers[0].load, g.b.servers[1].load = c.rested, c.steady
+		}
+		if g.b.steady > 0 != c.sheds {
+			t.Errorf("%+v: lasting part %.2f", c, g.b.steady)
+		}
+	}
+}
+
+// crowd sets the lasting part to shed and fills the fleet so that answers take the given part of the
+// aim longer than they may.
+func (g *rig) crowd(lasting, over float64) {
+	full := g.b.quickest + spareAim*(1-g.b.quickest)
+	g.b.steady = lasting
+	g.b.servers[0].load += (full+over)*g.b.answers.rate(g.b, 0, fewAnswers)/trustLoad - g.load()
+	g.b.pressure = 1
+}
+
+// shedding brings 4000 requests, drawn from turns of (class, tenant), of which 0.4 of the work is to be shed,
+// and returns the part refused of each class and of each tenant.
+func shedding(t *testing.T, cfg Config, turns ...[2]int) (byClass, byTenant [5]float64) {
+	t.Helper()
+	g := newRig(t, cfg, fleet(4)...)
+	var asked [2][5]float64
+	draw := rand.New(rand.NewPCG(1, 2))
+	for i := range 4000 {
+		turn := turns[draw.IntN(len(turns))]
+		g.now++
+		g.crowd(0.4, 0)
+		asked[0][turn[0]]++
+		asked[1][turn[1]]++
+		id := RequestID(i + 1)
+		acts := g.do(Request{ID: id, Class: turn[0], Tenant: turn[1], Remaining: cfg.Classes[turn[0]].Deadline})
+		if has(acts, Refuse) {
+			byClass[turn[0]]++
+			byTenant[turn[1]]++
+		} else {
+			g.answer(id, 0, OK, 50)
+		}
+	}
+	for i := range 5 {
+		byClass[i] /= max(1, asked[0][i])
+		byTenant[i] /= max(1, asked[1][i])
+	}
+	return byClass, byTenant
+}
+
+// Busy sidecars let queues grow for seconds before enough was shed, and crowded servers
+// stayed slow. What is shed follows the load at once, between nothing and twice the lasting part; a
+// sidecar that has not shed lately refuses nothing, as its few requests may crowd by chance.
+func TestShedFollowsTheLoadAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		lasting, over float64 // over: of the aim, beyond what answers may take
+		least, most   float64 // part refused
+	}{{0, 0.5, 0, 0.1}, {0.4, 0, 0.3, 0.5}, {0.4, 0.5, 0.7, 0.9}, {0.4, -0.3, 0, 0}} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		for range 100 {
+			id, _ := g.ask(safeClass)
+			g.now += 5
+			g.answer(id, 0, OK, 50)
+		}
+		refused := 0.0
+		for range 200 {
+			g.crowd(c.lasting, c.over)
+			if _, acts := g.ask(safeClass); has(acts, Refuse) {
+				refused++
+			}
+		}
+		if refused /= 200; refused < c.least || refused > c.most {
+			t.Errorf("%+v: %.2f were refused", c, refused)
+		}
+	}
+}
+
+// Of two tenants with equal shares the one that asks three times as much loses what is beyond its
+// share; when both ask for the same they lose the same.
+func TestTenantsBeyondTheirShareAreRefusedFirst(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Tenants = []Tenant{{Share: 0.5}, {Share: 0.5}}
+	_, refused := shedding(t, cfg, [2]int{0, 0}, [2]int{0, 0}, [2]int{0, 0}, [2]int{0, 1})
+	if refused[0] < 0.4 || refused[1] > 0.1 {
+		t.Fatalf("refused %.2f of the tenant with much traffic, %.2f of the other", refused[0], refused[1])
+	}
+	_, refused = shedding(t, cfg, [2]int{0, 0}, [2]int{0, 1})
+	if math.Abs(refused[0]-refused[1]) > 0.15 {
+		t.Fatalf("of equal tenants %.2f and %.2f are refused", refused[0], refused[1])
+	}
+}
+
+// The class of least worth was refused wholly although the worst-served class weighs much
+// in the goal. Then the classes come near each other; without such a weight the least goes first.
+func TestGoalOfTheWorstClassKeepsItServed(t *testing.T) {
+	cfg := baseConfig()
+	turns := [][2]int{{safeClass, 0}, {unsafeClass, 0}}
+	cfg.Goal = Goal{Whole: 1}
+	if refused, _ := shedding(t, cfg, turns...); refused[safeClass] < 0.7 || refused[unsafeClass] > 0.1 {
+		t.Fatalf("without the weight %.2f and %.2f are refused", refused[safeClass], refused[unsafeClass])
+	}
+	cfg.Goal = Goal{Whole: 0.3, WorstClass: 0.7}
+	if refused, _ := shedding(t, cfg, turns...); refused[safeClass] > 0.5 || refused[unsafeClass] < 0.3 {
+		t.Fatalf("with the weight %.2f and %.2f are refused", refused[safeClass], refused[unsafeClass])
+	}
+}
+
+// A tenant beyond its share is not starved where the worst-served tenant weighs in the goal.
+func TestGoalOfTheWorstTenantKeepsItServed(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Tenants = []Tenant{{Share: 0.8}, {Share: 0.2}}
+	turns := [][2]int{{0, 0}, {0, 1}}
+	cfg.Goal = Goal{Whole: 1}
+	if _, refused := shedding(t, cfg, turns...); refused[0] > 0.1 || refused[1] < 0.7 {
+		t.Fatalf("without the weight %.2f and %.2f are refused", refused[0], refused[1])
+	}
+	cfg.Goal = Goal{Whole: 0.3, WorstTenant: 0.7}
+	if _, refused := shedding(t, cfg, turns...); math.Abs(refused[0]-refused[1]) > 0.15 {
+		t.Fatalf("with the weight %.2f and %.2f are refused", refused[0], refused[1])
+	}
+}
+
+// A restarted server starts afresh: nothing of its rests, nor that it was dark, is left.
+func TestRestartClearsWhatWasHeldAgainstAServer(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	s := g.b.servers[0]
+	g.do(ProbeResult{Server: s.ID, Result: TimedOut})
+	if !s.dark || !g.b.resting(s) {
+		t.Fatal("a probe without answer does not rest the server")
+	}
+	entry := s.Server
+	entry.StartedAt = g.now
+	g.do(ServerList{Kind: ListDelta, Servers: []Server{entry}})
+	if s.dark || s.rests != 0 || g.b.resting(s) {
+		t.Fatalf("after the restart: dark %v, rests %d", s.dark, s.rests)
+	}
+}
+
+// Twice as fast a server is found to be larger, and its kind with it.
+func TestSizesAreLearned(t *testing.T) {
+	servers := fleet(4)
+	servers[2].Kind, servers[3].Kind = 1, 1
+	g := newRig(t, baseConfig(), servers...)
+	hits := map[ServerID]int{}
+	for range 1500 {
+		id, acts := g.ask(safeClass)
+		s, _ := sentTo(acts)
+		hits[s]++
+		g.now += 5
+		g.answer(id, 0, OK, map[bool]float64{true: 20, false: 40}[s > 2])
+	}
+	if hits[3]+hits[4] < 3*(hits[1]+hits[2])/2 {
+		t.Fatalf("hits %v", hits)
+	}
+	if g.b.kinds[1] <= g.b.kinds[0] {
+		t.Fatalf("kinds %v", g.b.kinds)
+	}
+}
+
+// Half the fleet was gone and clients' later tries, too late to be worth anything, took what was
+// left of it.
+func TestLateTriesAreRefusedFirst(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Classes[safeClass].LateWorth = 0.3
+	for _, c := range []struct {
+		shed, remaining float64
+		refused         bool
+	}{
+		{0.5, 1000, true},   // 500 ms gone, the aim of 300 has passed
+		{0.2, 1000, false},  // the load to shed is less than what a late answer is worth
+		{0.5, 1300, false},  // 200 ms gone, it can still be in time
+		{0.99, 1500, false}, // a first try
+	} {
+		g := newRig(t, cfg, fleet(4)...)
+		g.ask(safeClass)
+		g.b.steady = c.shed
+		r := &request{
+			Request: Request{Remaining: c.remaining}, class: &g.b.cfg.Classes[safeClass], stats: &g.b.classes[safeClass],
+		}
+		if got := g.b.late(r) && g.b.steady >= r.class.LateWorth; got != c.refused {
+			t.Errorf("%+v: refused %v", c, got)
+		}
+		if !c.refused {
+			continue
+		}
+		g.b.steady = c.shed
+		if acts := g.do(Request{ID: 77, Remaining: c.remaining}); !has(acts, Refuse) {
+			t.Errorf("%+v: %+v", c, acts)
+		}
+	}
+}
+
+// A server that leaves several attempts unanswered is rested, and used again after an answer.
+func TestStrikesRestAServer(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	s := g.b.servers[0]
+	for range strikes - 1 {
+		g.b.fault(s, false)
+	}
+	if g.b.resting(s) {
+		t.Fatal("rested before the last strike")
+	}
+	g.b.fault(s, false)
+	if !g.b.resting(s) {
+		t.Fatal("not rested after the last strike")
+	}
+	for range 12 {
+		id, acts := g.ask(safeClass)
+		if to, _ := sentTo(acts); to == s.ID {
+			t.Fatal("a resting server got a request")
+		}
+		g.answer(id, 0, OK, 10)
+	}
+	g.now = s.restUntil
+	for range 12 {
+		id, acts := g.ask(safeClass)
+		to, _ := sentTo(acts)
+		if g.answer(id, 0, OK, 10); to == s.ID && s.restUntil == 0 && s.errs == 0 {
+			return
+		}
+	}
+	t.Fatal("the server was not tried after its rest")
+}
+
+// When all servers rest the cause is hardly theirs.
+func TestAllRestingAreUsed(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	for _, s := range g.b.servers {
+		g.b.fault(s, true)
+	}
+	if _, acts := g.ask(safeClass); !has(acts, Send) {
+		t.Fatalf("nothing was sent: %+v", acts)
+	}
+}
+
+// Probes cost: in quiet hours a few find an idle server, in busy ones all are asked.
+func TestProbesFollowHowBusyServersAre(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(12)...)
+	asked := func(holds float32) int {
+		n := 0
+		for range 60 {
+			g.now += 10
+			id, acts := g.ask(safeClass)
+			n = 0
+			for _, a := range acts {
+				if a.Kind == Probe {
+					n++
+				}
+			}
+			g.probes(acts, holds, nil)
+			g.answer(id, 0, OK, 10)
+		}
+		return n
+	}
+	idle := asked(0)
+	if busy := asked(1); idle > 3 || busy != 12 {
+		t.Fatalf("%d servers probed when all are idle, %d when all are busy", idle, busy)
+	}
+}
+
+// Where crossing zones has a price, the own zone gets more, and others still take their part.
+func TestOwnZoneIsFavouredWhereCrossingCosts(t *testing.T) {
+	for price, least := range map[float64]int{0: 10, 0.05: 25} {
+		cfg := baseConfig()
+		cfg.Prices.CrossZone, cfg.Zone = price, 1
+		g := newRig(t, cfg, fleet(8)...)
+		own := 0
+		for _, s := range sequence(g, 40) {
+			if s > 4 {
+				own++
+			}
+		}
+		if own < least || own > 38 || price == 0 && own != 20 {
+			t.Errorf("price %v: %d of 40 in the own zone", price, own)
+		}
+	}
+}
+
+// Traffic grew sevenfold within seconds on an enlarged fleet; answers stayed fast, but the attempts
+// in flight were set against the rate of answers of some time before, and half was refused.
+func TestFastGrowthIsNoOverload(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(12)...)
+	var open []RequestID
+	refused := 0
+	for gap := 20.0; gap > 2; gap *= 0.998 { // tenfold in some nine seconds
+		g.now += gap
+		id, acts := g.ask(safeClass)
+		if has(acts, Refuse) {
+			refused++
+			continue
+		}
+		open = append(open, id)
+		for len(open) > 0 && g.b.reqs[open[0]].arrived <= g.now-80 { // each answer takes about 80 ms
+			g.answer(open[0], 0, OK, 80)
+			open = open[1:]
+		}
+	}
+	if refused > 0 {
+		t.Fatalf("%d requests were refused", refused)
+	}
+}
+
+// A restarted sidecar with few requests used slow servers as much as fast ones for a minute.
+func TestSizesAreLearnedFastAtFirst(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	fast, slow := g.b.servers[0], g.b.servers[1]
+	for range 20 {
+		g.b.learn(fast, 0.5)
+		g.b.learn(slow, 1.5)
+	}
+	early := fast.size - slow.size
+	for range 2000 { // much later, of two servers alike, one turns fast
+		g.b.learn(fast, 1)
+		g.b.learn(slow, 1)
+	}
+	before := fast.size - slow.size
+	for range 20 {
+		g.b.learn(fast, 0.5)
+		g.b.learn(slow, 1.5)
+	}
+	if late := fast.size - slow.size - before; early < 3*late || late <= 0 {
+		t.Fatalf("learned %.3f at first and %.3f later", early, late)
+	}
+}
+
+// A request that must not run twice was lost for good at a server that had just failed, while others did well.
+func TestUnrepeatableRequestsAvoidSuspects(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	suspect := g.b.servers[2]
+	suspect.errs, suspect.lastErr = 1, g.now
+	hits := map[int]int{}
+	for i := range 40 {
+		class := []int{safeClass, unsafeClass}[i%2]
+		id, acts := g.ask(class)
+		if s, _ := sentTo(acts); s == suspect.ID {
+			hits[class]++
+		}
+		g.b.reqs[id].stats.n = 0
+		g.answer(id, 0, OK, 10)
+		suspect.errs, suspect.lastErr = 1, g.now
+	}
+	if hits[unsafeClass] != 0 || hits[safeClass] == 0 {
+		t.Fatalf("the suspect got %d that must not repeat, %d that may", hits[unsafeClass], hits[safeClass])
+	}
+	for _, s := range g.b.servers { // with all suspect the rotation goes on over all of them
+		s.errs, s.lastErr = 1, g.now
+	}
+	if _, acts := g.ask(unsafeClass); !has(acts, Send) {
+		t.Fatal("nothing was sent with all suspect")
+	}
+}
+
+// Every request of a failing fleet was sent twice, which doubled the load. Repeats come out of a budget.
+func TestRepeatsAreHeldByABudget(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(6)...)
+	repeats := 0
+	const requests = 200
+	for range requests {
+		id, acts := g.ask(safeClass)
+		if !has(acts, Send) {
+			continue
+		}
+		g.now++
+		if has(g.answer(id, 0, Failed, 1), Send) {
+			repeats++
+			g.answer(id, 1, Failed, 1)
+		}
+	}
+	if most := int(repeatBurst + repeatShare*requests); repeats < most/2 || repeats > most {
+		t.Fatalf("%d of %d requests were repeated, at most %d wanted", repeats, requests, most)
+	}
+}
+
+// A safe request that failed after its aim was refused though a late answer was still worth something.
+func TestLateAnswersOfWorthAreStillSought(t *testing.T) {
+	for worth, sent := range map[float64]bool{0: false, 0.5: true} {
+		cfg := baseConfig()
+		cfg.Classes[safeClass].LateWorth = worth
+		g := newRig(t, cfg, fleet(3)...)
+		id, _ := g.ask(safeClass)
+		g.now += cfg.Classes[safeClass].Aim + 1
+		if acts := g.answer(id, 0, Failed, 301); has(acts, Send) != sent || has(acts, Refuse) == sent {
+			t.Errorf("worth %v of late answers: %+v", worth, acts)
+		}
+	}
+}
+
+// A few requests of a quiet sidecar often meet by chance; they were taken for a crowd and some refused. While
+// answers come quickly nothing is shed, whatever is in flight.
+func TestQuickAnswersShedNothing(t *testing.T) {
+	for quick, refuses := range map[bool]bool{true: false, false: true} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		for range 60 {
+			id, _ := g.ask(safeClass)
+			g.now += 5
+			g.answer(id, 0, OK, map[bool]float64{true: 30, false: 290}[quick])
+		}
+		refused := false
+		for range 60 {
+			g.b.servers[0].load++
+			_, acts := g.ask(safeClass)
+			refused = refused || has(acts, Refuse)
+		}
+		if refused != refuses {
+			t.Errorf("quick answers %v: refused %v", quick, refused)
+		}
+	}
+}
+
+// The own data centre had more traffic than its servers could carry, while the other stood idle: where
+// answers turn slow the favour that the price of crossing earns the own zone ends.
+func TestSlowAnswersEndTheFavourForTheOwnZone(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Prices.CrossZone, cfg.Zone = 0.05, 1
+	g := newRig(t, cfg, fleet(8)...)
+	near, far := g.b.servers[7], g.b.servers[0]
+	if g.b.weight(near) < 10*g.b.weight(far) {
+		t.Error("the own zone is not favoured in quiet times")
+	}
+	g.b.quickest, g.b.slowness = 0.2, 0.6
+	if g.b.weight(near) != g.b.weight(far) {
+		t.Error("the own zone is favoured though answers are slow")
+	}
+}
+
+// Of the same crowd a sidecar of few requests must take in as much as a busy one within some aims: it went on
+// sending until servers that stay slow once crowded had choked.
+func TestFewRequestsFollowTheLoadToo(t *testing.T) {
+	steady := map[float64]float64{}
+	for _, gap := range []float64{300, 3} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		for range 8 {
+			g.now += gap
+			g.b.asked.rate(g.b, 1, 0)
+		}
+		g.crowd(0.1, 0.5)
+		g.ask(safeClass)
+		steady[gap] = g.b.steady - 0.1
+	}
+	if steady[300] < 2*steady[3] || steady[3] <= 0 {
+		t.Fatalf("a request moved the lasting part by %v", steady)
+	}
+}
+
+func (g *rig) load() float64 {
+	steady, _ := g.b.openLoad()
+	return steady
+}
+
+// Where nothing was answered before the clients gave up, only the quick answers counted and all seemed well.
+func TestTimeOutsCountAsSlowAnswers(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	for range 10 {
+		id, _ := g.ask(unsafeClass)
+		g.answer(id, 0, TimedOut, 600)
+	}
+	if g.b.pressure < 1 {
+		t.Fatalf("pressure %.2f after ten time-outs", g.b.pressure)
+	}
+}
--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strings"
+	"testing"
+)
+
+// script builds frames for the adapter.
+type script struct{ bytes.Buffer }
+
+func (s *script) frame(clock float64, records ...[]byte) {
+	size := 16
+	for _, r := range records {
+		size += len(r)
+	}
+	binary.Write(s, binary.BigEndian, []uint32{uint32(len(records)), uint32(size)})
+	binary.Write(s, binary.BigEndian, clock)
+	for _, r := range records {
+		s.Write(r)
+	}
+}
+
+// record packs its fields big-endian.
+func record(fields ...any) []byte {
+	var b bytes.Buffer
+	for _, f := range fields {
+		binary.Write(&b, binary.BigEndian, f)
+	}
+	return b.Bytes()
+}
+
+const settings = `{"classes": [{"effect": "read_like", "on_time_ms": 300, "hard_limit_ms": 1500}],
+	"limits": {"max_attempts": 3}}`
+
+func begin(instance uint16, seed uint64, profile string) []byte {
+	return record(uint16(1070), instance, seed, uint32(len(profile)), []byte(profile))
+}
+
+func sheet(n int) []byte {
+	b := record(uint16(1000), uint16(0), uint32(n))
+	for i := range n {
+		b = append(b, record(0.0, uint8(0), uint32(i+1), uint16(80), float32(1), uint16(i), uint8(0), uint8(0))...)
+	}
+	return b
+}
+
+func cached(instance uint16) []byte {
+	return record(uint16(1040), instance, uint8(1), uint32(1), uint16(0))
+}
+
+func ask(instance uint16, id uint64) []byte {
+	return record(uint16(1010), instance, id, uint16(0), 0.0, uint16(0), uint64(0), 1500.0, uint16(0))
+}
+
+func mustRun(t *testing.T, s *script) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := run(&s.Buffer, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// sends counts the records of code 1000 in replies whose records are sends and timers only.
+func sends(t *testing.T, replies []byte) map[uint16]int {
+	t.Helper()
+	n := map[uint16]int{}
+	for len(replies) > 0 {
+		size := binary.BigEndian.Uint32(replies)
+		for p := replies[4:size]; len(p) > 0; {
+			switch binary.BigEndian.Uint16(p) {
+			case 1000:
+				n[binary.BigEndian.Uint16(p[2:])]++
+				p = p[26:]
+			case 1040:
+				p = p[20:]
+			default:
+				t.Fatalf("unexpected action %d", binary.BigEndian.Uint16(p))
+			}
+		}
+		replies = replies[size:]
+	}
+	return n
+}
+
+func TestSameActionsInOneProcessAndInThree(t *testing.T) {
+	play := func(instances ...uint16) []byte {
+		s := &script{}
+		var first [][]byte
+		for _, i := range instances {
+			first = append(first, begin(i, uint64(i)*7, settings), sheet(5), cached(i))
+		}
+		s.frame(1000, first...)
+		for id := range uint64(60) {
+			for _, i := range instances {
+				s.frame(1001+float64(id), ask(i, id))
+			}
+		}
+		return mustRun(t, s)
+	}
+	together := play(1, 2, 3)
+	for _, i := range []uint16{1, 2, 3} {
+		apart := play(i)
+		if n, m := sends(t, together)[i], sends(t, apart)[i]; n != 60 || m != 60 {
+			t.Fatalf("instance %d sent %d together, %d alone", i, n, m)
+		}
+		if !bytes.Equal(actionsOf(together, i), actionsOf(apart, i)) {
+			t.Fatalf("instance %d acts differently in one process and in three", i)
+		}
+	}
+}
+
+// actionsOf picks one instance's sends and timers out of replies.
+func actionsOf(replies []byte, instance uint16) []byte {
+	var out []byte
+	for len(replies) > 0 {
+		size := binary.BigEndian.Uint32(replies)
+		for p := replies[4:size]; len(p) > 0; {
+			n := 20
+			if binary.BigEndian.Uint16(p) == 1000 {
+				n = 26
+			}
+			if binary.BigEndian.Uint16(p[2:]) == instance {
+				out = append(out, p[:n]...)
+			}
+			p = p[n:]
+		}
+		replies = replies[size:]
+	}
+	return out
+}
+
+func TestRestartWithinABatch(t *testing.T) {
+	s := &script{}
+	s.frame(1000, begin(1, 7, settings), sheet(3), cached(1), ask(1, 5),
+		record(uint16(1060), uint16(1)), begin(1, 8, settings), cached(1), ask(1, 6))
+	s.frame(1001, record(uint16(1020), uint16(1), uint64(5))) // a timer of the life before: ignored
+	if n := sends(t, mustRun(t, s)); n[1] != 2 {
+		t.Fatalf("%d sends, want one in each life", n[1])
+	}
+}
+
+func TestUnusableSettingsAreReported(t *testing.T) {
+	s := &script{}
+	s.frame(1000, begin(1, 7, `{"classes": []}`), sheet(1), cached(1))
+	out := mustRun(t, s)
+	if len(out) < 8 || binary.BigEndian.Uint16(out[4:]) != 1090 || !strings.Contains(string(out), "no classes") {
+		t.Fatalf("reply %q", out)
+	}
+}
+
+func TestWrongInputEndsTheAdapter(t *testing.T) {
+	notBegun := &script{}
+	notBegun.frame(1000, ask(4, 1))
+	short := &script{}
+	short.frame(math.Inf(1))
+	for name, s := range map[string]*script{"instance not begun": notBegun, "clock": short} {
+		var out bytes.Buffer
+		if err := run(&s.Buffer, &out); err == nil || out.Len() > 0 {
+			t.Errorf("%s: error %v, %d bytes of reply", name, err, out.Len())
+		}
+	}
+}
+
+// Frames that cannot be read end the adapter with an error and without a reply; an end of input is a clean end.
+func TestUnreadableFramesEndTheAdapter(t *testing.T) {
+	whole := &script{}
+	whole.frame(1000, begin(1, 7, settings), sheet(3), cached(1))
+	cut := append([]byte(nil), whole.Bytes()[:whole.Len()-5]...)
+	long := append([]byte(nil), whole.Bytes()...)
+	binary.BigEndian.PutUint32(long[4:], 1<<31)
+	unknown := &script{}
+	unknown.frame(1000, record(uint16(77), uint16(1)))
+	count := &script{}
+	count.frame(1000, record(uint16(1000), uint16(0), uint32(math.MaxUint32)))
+	for name, in := range map[string][]byte{
+		"cut short": cut, "over-long": long, "unknown code": unknown.Bytes(), "count past the frame": count.Bytes(),
+	} {
+		var out bytes.Buffer
+		if err := run(bytes.NewReader(in), &out); err == nil || out.Len() > 0 {
+			t.Errorf("%s: error %v, %d bytes of reply", name, err, out.Len())
+		}
+	}
+	var out bytes.Buffer
+	if err := run(bytes.NewReader(nil), &out); err != nil || out.Len() > 0 {
+		t.Errorf("no input: error %v, %d bytes of reply", err, out.Len())
+	}
+}
+
+// Settings that cannot be read fault one instance; the others of the process go on.
+func TestUnusableSettingsLeaveOtherInstancesAlone(t *testing.T) {
+	s := &script{}
+	s.frame(1000, begin(1, 7, `{"classes": 5}`), begin(2, 7, settings), sheet(2), cached(1), cached(2), ask(1, 5), ask(2, 6))
+	out := mustRun(t, s)
+	if binary.BigEndian.Uint16(out[4:]) != 1090 || binary.BigEndian.Uint16(out[6:]) != 1 {
+		t.Fatalf("no fault of instance 1: %x", out)
+	}
+	text := int(binary.BigEndian.Uint16(out[8:]))
+	rest := append(binary.BigEndian.AppendUint32(nil, uint32(len(out)-6-text)), out[10+text:]...)
+	if n := sends(t, rest); n[2] != 1 || n[1] != 0 {
+		t.Fatalf("sends %v", n)
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,163 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"barleytack/balance"
+)
+
+// settings mirrors the profile; keys that are not here are skipped.
+type settings struct {
+	Classes []struct {
+		Effect     string   `json:"effect"`
+		Group      string   `json:"group"`
+		Window     *float64 `json:"window_ms"`
+		Aim        float64  `json:"on_time_ms"`
+		AimStretch float64  `json:"aim_stretch"`
+		Deadline   float64  `json:"hard_limit_ms"`
+		Worth      *float64 `json:"worth"`
+		LateWorth  float64  `json:"late_worth"`
+		Stream     bool     `json:"stream"`
+	} `json:"classes"`
+	Tenants []struct {
+		Allowance float64 `json:"allowance_per_s"`
+		Share     float64 `json:"share"`
+	} `json:"tenants"`
+	Discovery string   `json:"discovery"`
+	Me        int      `json:"my_number"`
+	Peers     int      `json:"peers_total"`
+	Zone      int      `json:"zone"`
+	OverShare *float64 `json:"over_share_worth"`
+	Quantum   float64  `json:"quantum_ms"`
+	Report    struct {
+		Via    string   `json:"via"`
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Limits struct {
+		Cancel         bool    `json:"cancel"`
+		ConnectTimeout float64 `json:"connect_timeout_ms"`
+		MaxAttempts    *int    `json:"max_attempts"`
+		MaxRetryAfter  float64 `json:"max_retry_after_ms"`
+		MayTell        bool    `json:"may_tell"`
+		Parallel       bool    `json:"parallel_tries"`
+		Probes         bool    `json:"probes"`
+		RetryAfter     bool    `json:"retry_after"`
+	} `json:"limits"`
+	Rules struct {
+		AnswerSlack  float64  `json:"answer_slack_ms"`
+		AskWithin    float64  `json:"ask_within_ms"`
+		ColdFrom     *float64 `json:"cold_from"`
+		ColdTime     float64  `json:"cold_ms"`
+		DrainGrace   float64  `json:"drain_grace_ms"`
+		FallTime     float64  `json:"fall_ms"`
+		FallMultiple float64  `json:"fall_multiple"`
+	} `json:"rules"`
+	Goal struct { // in the order of balance.Goal, to which it converts; so is Prices
+		Whole       float64 `json:"whole"`
+		WorstWindow float64 `json:"worst_window"`
+		WorstClass  float64 `json:"worst_class"`
+		WorstTenant float64 `json:"worst_tenant"`
+	} `json:"result_mix"`
+	Prices struct {
+		CrossZone float64 `json:"cross_zone"`
+		Waste     float64 `json:"waste"`
+		Handshake float64 `json:"handshake"`
+		Probe     float64 `json:"probe"`
+		Peer      float64 `json:"peer"`
+		LateFail  float64 `json:"late_fail"`
+	} `json:"penalties"`
+}
+
+var effects = map[string]balance.Effect{
+	"read_like": balance.Safe, "idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe,
+}
+
+var groups = map[string]balance.Group{
+	"": balance.GroupAll, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
+}
+
+var reportWays = map[string]balance.ReportVia{
+	"": balance.ReportNone, "silent": balance.ReportNone,
+	"piggyback": balance.ReportPiggyback, "pull": balance.ReportProbe,
+}
+
+var reportFields = map[string]balance.Field{
+	"rif": balance.FieldInFlight, "q": balance.FieldQueue, "busy": balance.FieldUtil,
+	"lat_ms": balance.FieldLatency, "rate": balance.FieldRate, "fail_rate": balance.FieldErrorRate,
+}
+
+// ParseSettings turns the profile of a Begin into a Config.
+func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
+	var s settings
+	if err := json.Unmarshal(profile, &s); err != nil {
+		return balance.Config{}, fmt.Errorf("settings: %w", err)
+	}
+	cfg := balance.Config{
+		Seed: seed, Number: s.Me, Peers: max(s.Peers, 1), Zone: s.Zone,
+		OverShareWorth: or(s.OverShare, 1), Quantum: s.Quantum,
+		Parallel: s.Limits.Parallel, Cancel: s.Limits.Cancel, Probes: s.Limits.Probes,
+		Messages: s.Limits.MayTell, RetryAfter: s.Limits.RetryAfter,
+		MaxRetryAfter: s.Limits.MaxRetryAfter, ConnectTimeout: s.Limits.ConnectTimeout,
+		MaxAttempts: or(s.Limits.MaxAttempts, 1),
+		DrainGrace:  s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
+		FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime,
+		AskWithin: s.Rules.AskWithin, AnswerSlack: s.Rules.AnswerSlack,
+		Goal:   balance.Goal(s.Goal),
+		Prices: balance.Prices(s.Prices),
+	}
+	switch s.Discovery {
+	case "", "automatic":
+	case "subscribe":
+		cfg.Subscribe = true
+	default:
+		return cfg, fmt.Errorf("settings: unknown discovery %q", s.Discovery)
+	}
+	var ok bool
+	if cfg.Reports, ok = reportWays[s.Report.Via]; !ok {
+		return cfg, fmt.Errorf("settings: unknown report.via %q", s.Report.Via)
+	}
+	for _, name := range s.Report.Fields {
+		cfg.Fields = append(cfg.Fields, reportFields[name])
+	}
+	for _, t := range s.Tenants {
+		cfg.Tenants = append(cfg.Tenants, balance.Tenant{Allowance: t.Allowance, Share: t.Share})
+	}
+	return cfg, s.addClasses(&cfg)
+}
+
+func (s *settings) addClasses(cfg *balance.Config) error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("settings: no classes")
+	}
+	for i, c := range s.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
+		}
+		group, ok := groups[c.Group]
+		if !ok {
+			return fmt.Errorf("settings: class %d: unknown group %q", i, c.Group)
+		}
+		if !(c.Deadline > 0) || c.Aim < 0 {
+			return fmt.Errorf("settings: class %d: aim %v ms, deadline %v ms", i, c.Aim, c.Deadline)
+		}
+		aim := c.Aim
+		if aim == 0 {
+			aim = c.Deadline
+		}
+		cfg.Classes = append(cfg.Classes, balance.Class{
+			Effect: effect, Group: group, Window: or(c.Window, math.Inf(1)), Aim: aim, AimStretch: c.AimStretch,
+			Deadline: c.Deadline, Worth: or(c.Worth, 1), LateWorth: c.LateWorth, Stream: c.Stream,
+		})
+	}
+	return nil
+}
+
+func or[T any](v *T, otherwise T) T {
+	if v == nil {
+		return otherwise
+	}
+	return *v
+}
