--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,7 +2,7 @@
 // request, when it is tried again, when it is refused. What goes in and out (Config, events,
 // Action) is in api.go; what is remembered, and Handle, which calls the functions below, in state.go.
 //
-// The mechanism is AWRR (docs/design.md): each server has a multiplier m that falls with its
+// The mechanism is AWRR (health-weighted round robin): each server has a multiplier m that falls with its
 // consecutive errors and recovers with time; smooth weighted round robin over size × m picks
 // the server; a failed repeatable request goes to the untried server of highest m.
 package balance
--- /dev/null
+++ b/cmd/petrelhook/main.go
@@ -0,0 +1,58 @@
+// Command petrelhook is the sidecar: it takes the application's requests and has them served.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"barleytack/internal/sidecar"
+)
+
+// memoryPart of the limit is what the Go runtime keeps to: stacks of C and kernel buffers come on top.
+const memoryPart = 0.7
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "petrelhook:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer release()
+	raw, err := os.ReadFile(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	cfg, err := sidecar.ParseConfig(raw)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	loop := sidecar.NewLoop(sidecar.NewClock(), &cfg, log)
+	alive, end := context.WithCancel(context.Background())
+	defer end()
+	go loop.Run(alive)
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
+	if err := sidecar.NewServer(loop, log).Serve(stop, ln); err != nil {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -11,6 +11,7 @@
 // settings mirrors the profile; keys that are not here are skipped.
 type settings struct {
 	Classes []struct {
+		Name       string   `json:"name"`
 		Effect     string   `json:"effect"`
 		Group      string   `json:"group"`
 		Window     *float64 `json:"window_ms"`
@@ -22,9 +23,12 @@
 		Stream     bool     `json:"stream"`
 	} `json:"classes"`
 	Tenants []struct {
+		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance_per_s"`
 		Share     float64 `json:"share"`
 	} `json:"tenants"`
+	Zones     []string `json:"zones"`
+	Kinds     []string `json:"kinds"`
 	Discovery string   `json:"discovery"`
 	Me        int      `json:"my_number"`
 	Peers     int      `json:"peers_total"`
@@ -37,6 +41,7 @@
 	} `json:"report"`
 	Limits struct {
 		Cancel         bool    `json:"cancel"`
+		ConnIdle       float64 `json:"conn_idle_ms"`
 		ConnectTimeout float64 `json:"connect_timeout_ms"`
 		MaxAttempts    *int    `json:"max_attempts"`
 		MaxRetryAfter  float64 `json:"max_retry_after_ms"`
@@ -88,12 +93,38 @@
 	"lat_ms": balance.FieldLatency, "rate": balance.FieldRate, "fail_rate": balance.FieldErrorRate,
 }
 
-// ParseSettings turns the profile of a Begin into a Config.
-func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
+// Profile is the settings in full: what the module is told, and what only sockets need: the names that
+// stand for positions there, and how long servers keep an idle connection (0: not told).
+type Profile struct {
+	Config                                 balance.Config
+	Classes, Tenants, Zones, Kinds, Fields []string
+	ConnIdle                               float64
+}
+
+// ParseProfile reads the settings for a sidecar on sockets.
+func ParseProfile(seed uint64, profile []byte) (Profile, error) {
 	var s settings
 	if err := json.Unmarshal(profile, &s); err != nil {
-		return balance.Config{}, fmt.Errorf("settings: %w", err)
+		return Profile{}, fmt.Errorf("settings: %w", err)
+	}
+	cfg, err := s.config(seed)
+	p := Profile{Config: cfg, Zones: s.Zones, Kinds: s.Kinds, Fields: s.Report.Fields, ConnIdle: s.Limits.ConnIdle}
+	for i := range s.Classes {
+		p.Classes = append(p.Classes, s.Classes[i].Name)
+	}
+	for i := range s.Tenants {
+		p.Tenants = append(p.Tenants, s.Tenants[i].Name)
 	}
+	return p, err
+}
+
+// ParseSettings turns the profile of a Begin into a Config.
+func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
+	p, err := ParseProfile(seed, profile)
+	return p.Config, err
+}
+
+func (s *settings) config(seed uint64) (balance.Config, error) {
 	cfg := balance.Config{
 		Seed: seed, Number: s.Me, Peers: max(s.Peers, 1), Zone: s.Zone,
 		OverShareWorth: or(s.OverShare, 1), Quantum: s.Quantum,
