--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,234 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"barleytack/balance"
+)
+
+func testUpstream(t *testing.T, most int) *upstream {
+	t.Helper()
+	c, err := ParseConfig([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":` + testSettings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newUpstream(NewClock(), &c, most)
+}
+
+func (u *upstream) call(e *endpoint) *call {
+	return &call{to: e, message: message{method: "GET", target: "/look"}, expires: u.clock.Now() + 30000, begin: math.Inf(1)}
+}
+
+func (u *upstream) opened() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
+// Rule 2 rests on what an outcome proves: only these ends tell that nothing ran, and only a whole 200 is served.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   balance.Result
+		reused bool
+	}{
+		"served":              {okAnswer, balance.OK, true},
+		"served in chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.OK, true},
+		"after a 100":         {"HTTP/1.1 100 Continue\r\n\r\n" + okAnswer, balance.OK, true},
+		"served, then closed": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", balance.OK, false},
+		"bytes left over":     {okAnswer + "HTTP", balance.OK, false},
+		"error":               {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", balance.Failed, true},
+		"turned away":         {"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
+		"over already":        {"HTTP/1.1 504 Late\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balance.Full, true},
+		"503 without a word":  {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", balance.Failed, true},
+		"500 with the word":   {"HTTP/1.1 500 Oops\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balance.Failed, true},
+		"not an answer":       {"\x16\x03\x01nonsense\r\n\r\n", balance.Reset, false},
+		"too large":           {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), balance.Failed, false},
+		"broken off":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", balance.Reset, false},
+		"of unknown length":   {"HTTP/1.1 200 OK\r\n\r\nhi", balance.Reset, false},
+		"nothing":             {"", balance.Reset, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ends := name == "broken off" || name == "of unknown length" || name == "nothing"
+			p := newPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+				io.WriteString(conn, c.answer)
+				return !ends
+			})
+			u := testUpstream(t, 9)
+			e := &endpoint{addr: p.addr}
+			r := u.send(context.Background(), u.call(e))
+			if r.result != c.want {
+				t.Fatalf("result %v (%v), want %v", r.result, r.err, c.want)
+			}
+			if r.result == balance.OK && string(r.body) != "hi" {
+				t.Errorf("body %q", r.body)
+			}
+			if c.reused {
+				u.send(context.Background(), u.call(e))
+				if n := p.conns.Load(); n != 1 {
+					t.Errorf("%d connections for two requests", n)
+				}
+			} else {
+				eventually(t, "the connection is closed", func() bool { return u.opened() == 0 })
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	u := testUpstream(t, 9)
+	if r := u.send(context.Background(), u.call(&endpoint{addr: deadAddr(t)})); r.result != balance.ConnectFailed {
+		t.Errorf("result %v", r.result)
+	}
+	if u.opened() != 0 {
+		t.Error("the place is not given back")
+	}
+}
+
+// A dial takes time: what became too late meanwhile must not leave, and has not run.
+func TestTooLateToBegin(t *testing.T) {
+	for name, spoil := range map[string]func(*upstream, *call){
+		"the grace is over":      func(u *upstream, c *call) { c.to.offSince.Store(math.Float64bits(u.clock.Now() - u.grace)) },
+		"the key's time is over": func(u *upstream, c *call) { c.begin = u.clock.Now() },
+		"the client's is":        func(u *upstream, c *call) { c.expires = u.clock.Now() },
+	} {
+		p := newPeer(t, says(okAnswer))
+		u := testUpstream(t, 9)
+		c := u.call(&endpoint{addr: p.addr})
+		spoil(u, c)
+		if r := u.send(context.Background(), c); r.result != balance.Moot {
+			t.Errorf("%s: result %v", name, r.result)
+		}
+		if p.requests.Load() != 0 {
+			t.Errorf("%s: sent", name)
+		}
+	}
+}
+
+// Giving an attempt up closes its connection, which is how the server learns of it.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	got := make(chan struct{}, 1)
+	p := newPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
+	u := testUpstream(t, 9)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan reply, 1)
+	go func() { done <- u.send(ctx, u.call(&endpoint{addr: p.addr})) }()
+	wait(t, got)
+	cancel()
+	if r := wait(t, done); r.result != balance.Cancelled {
+		t.Errorf("result %v", r.result)
+	}
+	wait(t, p.ended)
+	eventually(t, "the place is given back", func() bool { return u.opened() == 0 })
+}
+
+// An attempt given up just as its answer came must not close the connection, which may carry another by now.
+func TestGivingUpSparesTheNextExchange(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	u := testUpstream(t, 9)
+	e := &endpoint{addr: p.addr}
+	x := &exchange{method: "GET", done: make(chan reply, 1)}
+	c, err := u.connect(context.Background(), e, x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.park(c, x)
+	u.giveUp(c, x)
+	if r := u.send(context.Background(), u.call(e)); r.result != balance.OK || p.conns.Load() != 1 {
+		t.Errorf("result %v, %d connections", r.result, p.conns.Load())
+	}
+}
+
+// We close an idle connection before the server does: a request written to one that it closed is lost.
+func TestIdleConnectionsAreClosedByUs(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	u := testUpstream(t, 9)
+	if u.idle != 8*time.Second {
+		t.Errorf("idle for %v where the server closes after 10 s", u.idle)
+	}
+	u.idle = 10 * time.Millisecond
+	u.send(context.Background(), u.call(&endpoint{addr: p.addr}))
+	wait(t, p.ended)
+	eventually(t, "the place is given back", func() bool { return u.opened() == 0 })
+}
+
+// A server's close is noticed while the connection is idle, so that no request is written to it.
+func TestAPeersCloseIsNoticedWhileIdle(t *testing.T) {
+	conns := make(chan net.Conn, 2)
+	p := newPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		io.WriteString(c, okAnswer)
+		conns <- c
+		return true
+	})
+	u := testUpstream(t, 9)
+	e := &endpoint{addr: p.addr}
+	u.send(context.Background(), u.call(e))
+	wait(t, conns).Close()
+	eventually(t, "the close is noticed", func() bool { return u.opened() == 0 })
+	if r := u.send(context.Background(), u.call(e)); r.result != balance.OK {
+		t.Errorf("result %v", r.result)
+	}
+}
+
+func TestTheNewestConnectionIsUsedFirst(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	u := testUpstream(t, 9)
+	e := &endpoint{addr: p.addr}
+	var conns []*conn
+	var xs []*exchange
+	for range 2 {
+		x := &exchange{method: "GET", done: make(chan reply, 1)}
+		c, err := u.connect(context.Background(), e, x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns, xs = append(conns, c), append(xs, x)
+	}
+	u.park(conns[0], xs[0])
+	u.park(conns[1], xs[1])
+	if c, _ := u.connect(context.Background(), e, xs[0]); c != conns[1] {
+		t.Error("not the newest")
+	}
+}
+
+// At the bound on sockets an attempt is a failed connect, unless another server's idle connection can make room.
+func TestTheBoundOnConnections(t *testing.T) {
+	got := make(chan struct{}, 1)
+	busy := newPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
+	p := newPeer(t, says(okAnswer))
+	u := testUpstream(t, 1)
+	first, second := &endpoint{addr: p.addr}, &endpoint{addr: busy.addr}
+	u.send(context.Background(), u.call(first))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan reply, 1)
+	go func() { done <- u.send(ctx, u.call(second)) }()
+	wait(t, got)     // it took the place ...
+	wait(t, p.ended) // ... of the idle one
+	if r := u.send(context.Background(), u.call(first)); r.result != balance.ConnectFailed {
+		t.Errorf("result %v", r.result)
+	}
+	cancel()
+	wait(t, done)
+	eventually(t, "the count is right again", func() bool { return u.opened() == 0 })
+}
+
+func TestParseReport(t *testing.T) {
+	fields := []string{"busy", "rate", "q"}
+	r := parseReport("TEXT rate=12.5, new=3, busy=0.61, q=", fields)
+	if len(r) != 3 || r[0] != 0.61 || r[1] != 12.5 || r[2] == r[2] {
+		t.Errorf("%v", r)
+	}
+	for _, none := range []string{"", "TEXT", "TEXT other=1", "busy", "=", "busy=x"} {
+		if r := parseReport(none, fields); r != nil {
+			t.Errorf("%q: %v", none, r)
+		}
+	}
+}
