Ask discovery for what came after the known list; refuse large bodies promptly

Seen: two new loopback tests failed. The first watch asked after=0, so discovery sent the whole list: Loop.Run called Start, which begins the watch, before list() set the generation. A POST that announces 65,537 bytes and waits got its 413 only when the body came: net/http reads on before it answers, unless the connection is to be closed (Server.ServeHTTP, the error branch). Ruled out: parsing and the class checks, which the same test covers.

--- /dev/null
+++ b/internal/sidecar/discovery_test.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// However a watch goes wrong, it ends with an error, and what came before was told.
+func TestWatchEnds(t *testing.T) {
+	list := catalog(7, true, instance("s", "127.0.0.1:1", "up"))
+	for name, c := range map[string]struct {
+		answer string
+		stays  bool
+		told   int
+	}{
+		"refused":         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false, 0},
+		"ended":           {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n\n", false, 1},
+		"silent":          {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n", true, 1},
+		"no JSON":         {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n{", false, 1},
+		"another object":  {"HTTP/1.1 200 OK\r\n\r\n{}\n", false, 0},
+		"unknown state":   {"HTTP/1.1 200 OK\r\n\r\n" + strings.Replace(list, `"up"`, `"odd"`, 1) + "\n", false, 0},
+		"no address":      {"HTTP/1.1 200 OK\r\n\r\n" + strings.Replace(list, `127.0.0.1:1`, ``, 1) + "\n", false, 0},
+		"nothing":         {"", false, 0},
+		"not even a head": {"nonsense", false, 0},
+	} {
+		p := newPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(conn, c.answer)
+			return c.stays
+		})
+		d := newDiscovery(p.addr)
+		d.silence = 20 * time.Millisecond
+		told := 0
+		err := d.watch(context.Background(), 1, func(got Catalog) {
+			if told++; got.Generation != 7 || !got.Reset || len(got.Instances) != 1 {
+				t.Errorf("%s: %+v", name, got)
+			}
+		})
+		if err == nil || told != c.told {
+			t.Errorf("%s: error %v, %d lists", name, err, told)
+		}
+	}
+}
+
+// A dead watch must be given up, and the next one begun, before its news counts as told after 6 s.
+func TestSilenceIsNoticedInTime(t *testing.T) {
+	if watchSilence <= 2*time.Second || watchSilence > 4*time.Second {
+		t.Errorf("%v, where an empty line comes every 2 s", watchSilence)
+	}
+}
+
+func TestFetch(t *testing.T) {
+	text := catalog(9, true, instance("s", "127.0.0.1:1", "up"))
+	p := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text)
+		return false
+	})
+	if c, err := newDiscovery(p.addr).fetch(context.Background()); err != nil || c.Generation != 9 || len(c.Instances) != 1 {
+		t.Errorf("%+v %v", c, err)
+	}
+	text = "{"
+	if _, err := newDiscovery(p.addr).fetch(context.Background()); err == nil {
+		t.Error("garbage is taken for a list")
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -92,6 +92,7 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.ended)
 	l.ctx = ctx
+	l.generation = l.profile.Known.Generation // the first watch, begun by Start, asks for what came after it
 	l.carryOut(l.b.Start(l.clock.Now()))
 	l.list(l.profile.Known, balance.ListCached)
 	tick := time.NewTimer(0)
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -102,11 +102,13 @@
 
 // rig is a whole sidecar.
 type rig struct {
-	t     *testing.T
-	loop  *Loop
-	addr  string
-	stop  context.CancelFunc
-	ended chan error
+	t    *testing.T
+	loop *Loop
+	// lingered ends the time in which the listener stays open after stop.
+	lingered chan time.Time
+	addr     string
+	stop     context.CancelFunc
+	ended    chan error
 }
 
 func newRig(t *testing.T, discovery, known string) *rig {
@@ -121,12 +123,19 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.DiscardHandler)
-	r := &rig{t: t, loop: NewLoop(NewClock(), &cfg, log), addr: ln.Addr().String(), ended: make(chan error, 1)}
+	r := &rig{lingered: make(chan time.Time, 1), t: t, loop: NewLoop(NewClock(), &cfg, log), addr: ln.Addr().String(), ended: make(chan error, 1)}
 	alive, end := context.WithCancel(context.Background())
 	stop, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	go r.loop.Run(alive)
-	go func() { r.ended <- NewServer(r.loop, log).Serve(stop, ln) }()
+	server := NewServer(r.loop, log)
+	server.after = func(d time.Duration) <-chan time.Time {
+		if d < 500*time.Millisecond { // new connections come for 0.4 s
+			t.Errorf("the listener stays open for %v", d)
+		}
+		return r.lingered
+	}
+	go func() { r.ended <- server.Serve(stop, ln) }()
 	t.Cleanup(func() { cancel(); end() })
 	return r
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -57,11 +57,12 @@
 	http     *http.Server
 	longest  time.Duration // the longest deadline
 	draining atomic.Bool
+	after    func(time.Duration) <-chan time.Time // time.After
 }
 
 // NewServer makes a server; Serve runs it.
 func NewServer(l *Loop, log *slog.Logger) *Server {
-	s := &Server{loop: l, classes: map[string]int{}}
+	s := &Server{loop: l, classes: map[string]int{}, after: time.After}
 	for i, name := range l.profile.Profile.Classes {
 		s.classes[name] = i
 		s.longest = max(s.longest, duration(l.profile.Profile.Config.Classes[i].Deadline))
@@ -88,7 +89,7 @@
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
-	case <-time.After(lingering):
+	case <-s.after(lingering):
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.longest)
 	defer cancel()
@@ -108,6 +109,9 @@
 	}
 	in, status, err := s.parse(w, req)
 	if err != nil {
+		if req.ContentLength != 0 { // else the answer would wait for a body that may never come
+			w.Header().Set("Connection", "close")
+		}
 		http.Error(w, err.Error(), status)
 		return
 	}
