Never send an attempt that was given up before its first byte

Seen, by reading and by a loopback test: an attempt given up while its connection came up could still be written after the request's answer (send, between connect and Write), and one that timed out on a connection that never came up was told as a time-out, so that an unsafe request ended 502 though nothing ran. Now loop and writer claim the first byte; the first to claim wins. TestNoConnectionInTimeNeverRan gives 502 without the change, 503 with it. Ruled out: dial time-outs, which were ConnectFailed already. Also: a "known": null in the configuration is no list, not an error.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -57,7 +57,7 @@
 	if c.Profile, err = wire.ParseProfile(seed, file.Settings); err != nil {
 		return c, fmt.Errorf("config: %w", err)
 	}
-	if len(file.Known) > 0 {
+	if len(file.Known) > 0 && string(file.Known) != "null" {
 		if c.Known, err = parseCatalog(file.Known); err != nil {
 			return c, fmt.Errorf("config: known: %w", err)
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"slices"
@@ -59,6 +60,7 @@
 	to     *server
 	id     balance.ServerID
 	sent   float64
+	call   *call
 	clean  bool // it is certain that it never ran
 	done   bool
 	cancel context.CancelFunc
@@ -250,7 +252,7 @@
 		l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Moot}) })
 		return
 	}
-	c.to = &at.to.end
+	c.to, at.call = &at.to.end, c
 	l.timers.add(timer{due: c.expires, attempt: at})
 	go func() {
 		rep := l.up.send(ctx, c)
@@ -265,6 +267,9 @@
 	}
 	at.done = true
 	at.cancel()
+	if rep.result == balance.TimedOut && at.call != nil && at.call.claim() { // its connection never came up
+		rep = reply{result: balance.ConnectFailed, err: errors.New("no connection in time")}
+	}
 	r := at.r
 	r.out--
 	at.clean = rep.result.NeverRan()
@@ -293,6 +298,7 @@
 		return
 	}
 	at := r.attempts[a.Attempt]
+	at.call.claim()
 	at.cancel()
 	l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Cancelled}) })
 }
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,6 +89,42 @@
 	})
 }
 
+// An attempt whose connection never came up has not run, also when its time ends first: the client may try again.
+func TestNoConnectionInTimeNeverRan(t *testing.T) {
+	r := withServers(t, cutOff(t))
+	if resp, _ := r.ask(strings.Replace(once("t"), "9000m", "50m", 1)); resp.StatusCode != 503 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// cutOff is the address of a listener whose backlog is full, so that connections to it never come up.
+func cutOff(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for { // until one does not come up
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
 // The time-out of an attempt comes before the module's own timer of the same moment, and is told as one.
 func TestATimeOutComesBeforeTheModulesTimer(t *testing.T) {
 	cfg, err := ParseConfig([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":` + testSettings + `}`))
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -87,8 +87,13 @@
 	message message
 	expires float64 // clock time at which we stop waiting
 	begin   float64 // clock time before which the first byte must leave
+	claimed atomic.Bool
 }
 
+// claim decides once and for all between the first byte of an attempt and its being given up before that. The first
+// to claim wins: a request that is over is not sent, and one that was not sent is known never to have run.
+func (c *call) claim() bool { return c.claimed.CompareAndSwap(false, true) }
+
 // message is a request as it goes on to a server.
 type message struct {
 	method, target string
@@ -154,7 +159,7 @@
 	// time or the time in which its key is known may have passed. Nothing was sent yet, so nothing ran.
 	now := u.clock.Now()
 	if off := math.Float64frombits(c.to.offSince.Load()); now >= c.begin || now >= c.expires ||
-		off > 0 && now >= off+0.9*u.grace {
+		off > 0 && now >= off+0.9*u.grace || !c.claim() {
 		u.park(cn, x)
 		return reply{result: balance.Moot, err: errors.New("too late to begin")}
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -98,6 +98,7 @@
 		"the grace is over":      func(u *upstream, c *call) { c.to.offSince.Store(math.Float64bits(u.clock.Now() - u.grace)) },
 		"the key's time is over": func(u *upstream, c *call) { c.begin = u.clock.Now() },
 		"the client's is":        func(u *upstream, c *call) { c.expires = u.clock.Now() },
+		"it was given up":        func(u *upstream, c *call) { c.claim() },
 	} {
 		p := newPeer(t, says(okAnswer))
 		u := testUpstream(t, 9)
