Name results in the log; a send to an unknown server cannot end the process

Seen, by reading: cancelAttempt used the call of an attempt that had none, so a send to a server outside the table that is cancelled in the same breath would have crashed the loop (send, the branch for at.to == nil). TestASendToAnUnknownServer crashes without the change. Also tested now: a server that moves, probes. Logs said result=3; they name results now. Ruled out: other nil paths (probe, CloseIdle and hang-ups check). Conclusion: a crash less.

--- a/balance/api.go
+++ b/balance/api.go
@@ -183,6 +183,15 @@
 	Moot
 )
 
+// String names the result, for logs.
+func (r Result) String() string {
+	names := [...]string{"served", "error", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // NeverRan reports whether the result proves that the attempt was not executed.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -236,8 +236,8 @@
 	}
 	now := l.clock.Now()
 	ctx, cancel := context.WithCancel(l.ctx)
-	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], sent: now, cancel: cancel}
 	c := &call{message: r.message, expires: r.deadline, begin: math.Inf(1)}
+	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: now, cancel: cancel}
 	if a.At > 0 {
 		c.expires = math.Min(c.expires, a.At)
 	}
@@ -252,7 +252,7 @@
 		l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Moot}) })
 		return
 	}
-	c.to, at.call = &at.to.end, c
+	c.to = &at.to.end
 	l.timers.add(timer{due: c.expires, attempt: at})
 	go func() {
 		rep := l.up.send(ctx, c)
@@ -267,7 +267,7 @@
 	}
 	at.done = true
 	at.cancel()
-	if rep.result == balance.TimedOut && at.call != nil && at.call.claim() { // its connection never came up
+	if rep.result == balance.TimedOut && at.call.claim() { // its connection never came up
 		rep = reply{result: balance.ConnectFailed, err: errors.New("no connection in time")}
 	}
 	r := at.r
@@ -283,7 +283,7 @@
 		if at.to != nil {
 			name = at.to.name
 		}
-		l.log.Info("attempt", "trace", r.trace, "n", at.number, "server", name, "result", rep.result, "took", took, "err", rep.err)
+		l.log.Info("attempt", "trace", r.trace, "n", at.number, "server", name, "result", rep.result.String(), "took", took, "err", rep.err)
 	}
 	l.tell(balance.Outcome{
 		Request: r.id, Attempt: at.number, Server: at.id, Result: rep.result, Took: took, Finished: r.closed,
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -197,3 +197,22 @@
 	}
 	close(more)
 }
+
+// A send to a server that is not in the table, given up at once, is told as never sent and does no harm.
+func TestASendToAnUnknownServer(t *testing.T) {
+	p := newPeer(t, silent)
+	r := withServers(t, p.addr)
+	c, _ := r.open()
+	io.WriteString(c, look("t"))
+	eventually(t, "the request is in", func() bool { return p.requests.Load() == 1 })
+	r.within(func() {
+		for id, req := range r.loop.requests {
+			r.loop.carryOut([]balance.Action{
+				{Kind: balance.Send, Request: id, Server: 12345}, {Kind: balance.Cancel, Request: id, Attempt: 1},
+			})
+			if len(req.attempts) != 2 || len(r.loop.later) != 2 {
+				t.Errorf("%d attempts, %d outcomes", len(req.attempts), len(r.loop.later))
+			}
+		}
+	})
+}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -233,3 +233,36 @@
 		}
 	}
 }
+
+// A server that moves is met at its new address, and its old connections are closed. One that drains gets nothing new,
+// so its idle connections are of no use either.
+func TestAServerThatMoves(t *testing.T) {
+	first, second := newPeer(t, says(okAnswer)), newPeer(t, says(okAnswer))
+	u := testUpstream(t, 9)
+	e := &endpoint{}
+	u.turn(e, first.addr, false)
+	u.send(context.Background(), u.call(e))
+	u.turn(e, second.addr, false)
+	wait(t, first.ended)
+	if r := u.send(context.Background(), u.call(e)); r.result != balance.OK || second.requests.Load() != 1 {
+		t.Errorf("result %v, %d requests", r.result, second.requests.Load())
+	}
+	u.turn(e, "", true)
+	wait(t, second.ended)
+	eventually(t, "all are closed", func() bool { return u.opened() == 0 })
+}
+
+// Probes are requests of their own; the report is the body or the header.
+func TestProbe(t *testing.T) {
+	paths := make(chan string, 1)
+	p := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		paths <- req.RequestURI
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nTEXT busy=0.25")
+		return true
+	})
+	u := testUpstream(t, 9)
+	r := u.probe(context.Background(), &endpoint{addr: p.addr}, "/_load")
+	if path := wait(t, paths); path != "/_load" || r.result != balance.OK || len(r.report) != 2 || r.report[0] != 0.25 {
+		t.Errorf("%s: %+v", path, r)
+	}
+}
