Bound the hold-off by a quarter of the aim

To blame: leastHold; 2 to 7 ms calls clients back sooner than their own pause of 10 to 80 ms, into the same crowd. Conclusion: keep the bound; next a floor like the clients' own pause.

--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -51,7 +51,7 @@
 	if n := a.requests.Load() + b.requests.Load(); resp.StatusCode != 503 || n != 3 {
 		t.Errorf("safe: status %d, %d attempts in all", resp.StatusCode, n)
 	}
-	if after := resp.Header.Get("Retry-After"); after != "0.100" {
+	if after := resp.Header.Get("Retry-After"); after != "0.050" {
 		t.Errorf("Retry-After %q", after)
 	}
 }
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -22,7 +22,7 @@
 	{"name": "once", "effect": "non_idempotent", "on_time_ms": 8000, "hard_limit_ms": 10000}],
 	"tenants": [{"name": "acme", "share": 1}], "zones": ["a", "b"], "kinds": ["m1", "m2"], "discovery": "subscribe",
 	"report": {"via": "piggyback", "fields": ["busy", "rate"]},
-	"limits": {"cancel": true, "conn_idle_ms": 10000, "connect_timeout_ms": 5000, "max_attempts": 4, "retry_after": true, "max_retry_after_ms": 100},
+	"limits": {"cancel": true, "conn_idle_ms": 10000, "connect_timeout_ms": 5000, "max_attempts": 4, "retry_after": true, "max_retry_after_ms": 50},
 	"rules": {"drain_grace_ms": 250}}`
 
 // peer is a server or a discovery on loopback: each request is answered by handle; false ends the connection.
