--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,7 +48,7 @@
 	allBusy      = 0.01 // chance that all probed servers are busy, at which no more are probed
 	zoneFavour   = 400  // weight added to a server of the own zone, times the price of crossing zones
 	eager        = 8    // times faster that sizes are learned at first: restarted sidecars know none
-	leastHold    = 0.01 // part of the aim for which a refused client is to hold off at least
+	leastHold    = 0.05 // part of the aim for which a refused client is to hold off at least
 	mostHold     = 0.25 // ... and at most: else its later try is too late
 	askPause     = 500  // ms before a failed list call is made again; doubles each time
 )
