Keep ids until their time is up; no request waits for an outcome that is not known

An id was free again as soon as its request was over (loop.go, remove), so a copy that came late went on.

--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -26,7 +26,7 @@
 
 var readers = sync.Pool{New: func() any {
 	limit := &io.LimitedReader{}
-	return &answers{bufio.NewReaderSize(limit, 4<<10), limit}
+	return &answers{Reader: bufio.NewReaderSize(limit, 4<<10), limit: limit}
 }}
 
 func newAnswers(c net.Conn) *answers {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -33,7 +33,7 @@
 	disc       *discovery
 	timers     timerHeap
 	requests   map[balance.RequestID]*request
-	traces     map[string]bool // of the requests in the table
+	traces     map[string]bool // of the requests in the table, and of those whose time is not up yet
 	lastID     balance.RequestID
 	servers    map[balance.ServerID]*server
 	generation uint64
@@ -223,7 +223,8 @@
 
 func (l *Loop) remove(r *request) {
 	delete(l.requests, r.id)
-	delete(l.traces, r.trace)
+	// A copy that comes late must not run either. Ids are never used again, so they are kept no longer than that.
+	l.timers.add(timer{due: r.deadline, trace: r.trace})
 }
 
 // send starts an attempt.
@@ -284,10 +285,13 @@
 		}
 		l.log.Info("attempt", "trace", r.trace, "n", at.number, "server", name, "result", rep.result.String(), "took", took, "err", rep.err)
 	}
-	l.tell(balance.Outcome{
+	err := l.tell(balance.Outcome{
 		Request: r.id, Attempt: at.number, Server: at.id, Result: rep.result, Took: took, Finished: r.closed,
 		Report: rep.report,
 	})
+	if err != nil && r.out == 0 { // the module does not know of it, so nothing more would come
+		l.finish(r.id, answer{kind: balance.Failed})
+	}
 	l.removeIfOver(r)
 }
 
@@ -429,15 +433,20 @@
 			l.attemptEnded(t.attempt, reply{result: balance.TimedOut})
 			continue
 		}
+		if t.trace != "" {
+			delete(l.traces, t.trace)
+			continue
+		}
 		l.tell(balance.Timer{Token: t.token})
 	}
 }
 
-// timer is one of the module's, or the end of an attempt's time.
+// timer is one of the module's, or the end of an attempt's or of a request's time.
 type timer struct {
 	due     float64
 	token   uint64
 	attempt *attempt
+	trace   string
 }
 
 type timerHeap []timer
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -61,8 +61,8 @@
 	full := newPeer(t, says("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"))
 	good := newPeer(t, says(okAnswer))
 	r := withServers(t, deadAddr(t), full.addr, good.addr)
-	for range 9 { // whatever the rotation begins with, a dead or a full server is followed by another try
-		resp, body := r.ask(once("t"))
+	for i := range 9 { // whatever the rotation begins with, a dead or a full server is followed by another try
+		resp, body := r.ask(once(fmt.Sprint("t", i)))
 		if resp.StatusCode == 200 && body == "hi" {
 			return
 		}
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -8,11 +8,18 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
 )
 
+// lines is a log that hands out its lines as they are written.
+type lines chan string
+
+func (l lines) Write(text []byte) (int, error) {
+	l <- string(text)
+	return len(text), nil
+}
+
 // After a reload the new discovery is asked for its whole list at once, the old one is left and counts no more, and
 // requests go on. A file that cannot be read changes nothing.
 func TestReload(t *testing.T) {
@@ -52,14 +59,16 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var log strings.Builder
+	log := make(lines, 9)
 	ended := make(chan struct{})
 	go func() {
-		r.loop.Reload(ctx, path, hup, slog.New(slog.NewTextHandler(&log, nil)))
+		r.loop.Reload(ctx, path, hup, slog.New(slog.NewTextHandler(log, nil)))
 		close(ended)
 	}()
 	hup <- syscall.SIGHUP // there is no file
+	wait(t, log)
 	write("{")
+	wait(t, log)
 	write(`{"listen":"127.0.0.1:0","discovery":"` + next.addr + `","seed":"1f","settings":` + testSettings + `}`)
 	if after := wait(t, asked); after != "0" {
 		t.Errorf("the new watch is after %s", after)
@@ -80,7 +89,7 @@
 	if n := len(asked); n != 0 {
 		t.Errorf("%d more calls", n)
 	}
-	if n := strings.Count(log.String(), "\n"); n != 2 {
-		t.Errorf("%d lines for two bad files: %s", n, log.String())
+	if n := len(log); n != 0 {
+		t.Errorf("%d more lines", n)
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -107,6 +107,9 @@
 	if resp, _ := r.answer(in); resp.StatusCode != 200 || p.requests.Load() != 1 {
 		t.Errorf("status %d, %d requests", resp.StatusCode, p.requests.Load())
 	}
+	if resp, _ := r.ask(look("same")); resp.StatusCode != http.StatusConflict || p.requests.Load() != 1 {
+		t.Errorf("afterwards: status %d, %d requests", resp.StatusCode, p.requests.Load())
+	}
 }
 
 // A client that goes away ends its attempts, and nothing is left in the tables.
@@ -115,7 +118,7 @@
 	p := newPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
 	r := withServers(t, p.addr)
 	c, _ := r.open()
-	io.WriteString(c, look("t"))
+	io.WriteString(c, strings.Replace(look("t"), "9000m", "500m", 1))
 	wait(t, got)
 	c.Close()
 	wait(t, p.ended)
