Take out answers that end their connections; errors count whole as repeats

Answers that ended their connections (accept.go, server.go) made usual clients open new ones just when silent ones held all places.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -491,7 +491,10 @@
 // cost is what a failed attempt took of the servers, as a part of an answer: one that broke off at once took
 // next to nothing, and to make it again does no harm. A full queue, or a wait in vain, counts whole.
 func (b *Balancer) cost(r *request, ev Outcome) float64 {
-	if ev.Result == Full || ev.Result == TimedOut || r.stats.n == 0 {
+	switch {
+	case ev.Result == Full || ev.Result == TimedOut || r.stats.n == 0:
+		return 1
+	case ev.Result == Failed: // an error may be the request's own: it must not go round all servers
 		return 1
 	}
 	return bound(ev.Took/math.Max(r.stats.mean, 1e-3), 0, 1)
--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -107,18 +107,6 @@
 	return false
 }
 
-// scarce reports whether places are about to run out: two fifths are left at most, and those that could be closed to
-// make room will soon be gone.
-func (b *bounded) scarce() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if 5*(b.open-b.leaving.Len()) < 3*b.most {
-		return false
-	}
-	e := b.idle.Front()
-	return e == nil || time.Since(e.Value.(*client).since) < 2*b.rest
-}
-
 // enter files a connection under a list, or none. The caller holds mu.
 func (b *bounded) enter(c *client, in *list.List) {
 	if c.in != nil {
@@ -166,13 +154,6 @@
 	return context.WithValue(ctx, clientKey{}, c)
 }
 
-// mayStay reports whether the request's connection may be kept for the next one. Where places are scarce it ends with
-// its answer: the client knows, and its place is free at once and not after the time for which idle ones are left alone.
-func mayStay(ctx context.Context) bool {
-	c, ok := ctx.Value(clientKey{}).(*client)
-	return !ok || !c.b.scarce()
-}
-
 // dueTime is when the request must be in.
 func dueTime(ctx context.Context) time.Time {
 	c, ok := ctx.Value(clientKey{}).(*client)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -135,9 +135,6 @@
 	}
 	select {
 	case a := <-answers:
-		if !mayStay(req.Context()) {
-			w.Header().Set("Connection", "close")
-		}
 		write(w, a)
 	case <-req.Context().Done():
 		s.loop.post(func() { s.loop.hangUp(r) })
