--- a/cmd/petrelctl/load.go
+++ b/cmd/petrelctl/load.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/load"
-	"petrelhook/internal/rehearse"
+	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/rehearse"
 )
 
 func loadCommand() *cobra.Command {
--- a/cmd/petrelctl/main_test.go
+++ b/cmd/petrelctl/main_test.go
@@ -16,7 +16,7 @@
 
 	"go.uber.org/goleak"
 
-	"petrelhook/internal/rehearse"
+	"petrelhook/internal/rig/rehearse"
 )
 
 // call runs petrelctl in this process.
--- a/cmd/petrelctl/options.go
+++ b/cmd/petrelctl/options.go
@@ -11,10 +11,10 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/load"
-	"petrelhook/internal/rehearse"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/rehearse"
+	"petrelhook/internal/rig/scenario"
 )
 
 // reserveFiles is how many descriptors a rehearsal keeps for itself; the rest is for connections of clients.
--- a/cmd/petrelctl/rehearse.go
+++ b/cmd/petrelctl/rehearse.go
@@ -9,10 +9,10 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/load"
-	"petrelhook/internal/rehearse"
-	"petrelhook/internal/scenario"
-	"petrelhook/internal/standin"
+	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/rehearse"
+	"petrelhook/internal/rig/scenario"
+	"petrelhook/internal/rig/standin"
 )
 
 // defaultScenario is played where none is named: it has drains and cold starts.
--- a/cmd/petrelctl/standin.go
+++ b/cmd/petrelctl/standin.go
@@ -10,9 +10,9 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/rehearse"
-	"petrelhook/internal/standin"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/rehearse"
+	"petrelhook/internal/rig/standin"
 )
 
 func standinCommand() *cobra.Command {
--- a/internal/audit/audit.go
+++ b/internal/rig/audit/audit.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Rule names what was broken.
--- a/internal/audit/audit_test.go
+++ b/internal/rig/audit/audit_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 const ms = time.Millisecond
--- a/internal/audit/fleet.go
+++ b/internal/rig/audit/fleet.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // since gives the state of a server that a sidecar was told last at a time, and when; ok: it was told of it at all.
--- a/internal/audit/records.go
+++ b/internal/rig/audit/records.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Never is the time of what did not happen.
--- /dev/null
+++ b/internal/rig/doc.go
@@ -0,0 +1,15 @@
+// Package rig is the map of the rehearsal rig, which holds no code of its own. The rig answers one question: do the
+// sidecars keep the four rules, and what do clients get, when a fleet goes wrong in a stated way? It is no part of the
+// product: nothing outside internal/rig, but the operators' tool, imports it.
+//
+//	scenario   what is rehearsed: a text file's fleet, classes, arrivals and faults. Imports nothing of the rig.
+//	standin    servers and discovery that go wrong as a scenario says, and that write down what they saw
+//	load       arrivals on schedule, whatever comes back; latency counts from when a request was due
+//	audit      the four rules, judged from the records of all sides: a pure function of scenario and records
+//	rehearse   one run: stand-ins, sidecars (processes, or this process's own), load, faults, verdict, report
+//	memnet     a network in memory, for whole runs in virtual time
+//
+// Imports point from rehearse to the others, and from all of them to scenario; memnet knows none of them. A run needs
+// two things from outside: a network (loopback or memnet) and a starter of sidecars. Who adds a kind of fault touches
+// scenario (its words), standin (what happens) and, where a rule is judged by it, audit.
+package rig
--- a/internal/load/client.go
+++ b/internal/rig/load/client.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/audit"
+	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/sock"
 )
 
--- a/internal/load/crowd.go
+++ b/internal/rig/load/crowd.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 	"petrelhook/internal/sock"
 )
 
--- a/internal/load/result.go
+++ b/internal/rig/load/result.go
@@ -7,8 +7,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Latencies are kept in microseconds, up to an hour, to 3 digits.
--- a/internal/load/run.go
+++ b/internal/rig/load/run.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Runner sends a scenario's load.
--- a/internal/load/run_test.go
+++ b/internal/rig/load/run_test.go
@@ -8,10 +8,10 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/memnet"
-	"petrelhook/internal/scenario"
-	"petrelhook/internal/standin"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/rig/scenario"
+	"petrelhook/internal/rig/standin"
 )
 
 const (
--- a/internal/load/schedule.go
+++ b/internal/rig/load/schedule.go
@@ -15,7 +15,7 @@
 	"math/rand/v2"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Arrival is one request that is due. Where the schedule leaves something open, the mix draws it.
--- a/internal/load/schedule_test.go
+++ b/internal/rig/load/schedule_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 func all(t *testing.T, s Schedule) (due []time.Duration) {
--- a/internal/load/trace.go
+++ b/internal/rig/load/trace.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // A trace is a text file of JSON objects, one a line, in order of their due times; equal times are allowed:
--- a/internal/rehearse/bubble_test.go
+++ b/internal/rig/rehearse/bubble_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/memnet"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/rig/scenario"
 )
 
 const latency = 200 * time.Microsecond
--- a/internal/rehearse/compare_test.go
+++ b/internal/rig/rehearse/compare_test.go
@@ -18,9 +18,9 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/load"
-	"petrelhook/internal/standin"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/standin"
 )
 
 // child is set in the processes that a benchmark starts of its own program.
@@ -94,7 +94,7 @@
 // through the sidecar, each in a process of its own on one core (GOMAXPROCS=1). It reports, for 1,000 requests a second
 // on schedule, p50 and p99 and the CPU of the process for each; and for 32 clients that never wait, the requests a second.
 //
-//	go test ./internal/rehearse -run - -bench Proxies -benchtime 1x
+//	go test ./internal/rig/rehearse -run - -bench Proxies -benchtime 1x
 func BenchmarkProxies(b *testing.B) {
 	dir := b.TempDir()
 	program := filepath.Join(dir, "petrelhook")
@@ -212,7 +212,7 @@
 // over 2 s, against a plain server in a process of its own, and the CPU of the generator for each request; beside it a
 // loop of net/http's client over 32 connections does the same as fast as it can.
 //
-//	go test ./internal/rehearse -run - -bench Generator -benchtime 1x
+//	go test ./internal/rig/rehearse -run - -bench Generator -benchtime 1x
 func BenchmarkGenerator(b *testing.B) {
 	p := proxyUnderTest{"plain", os.Args[0], []string{child + "=plain"}}
 	start := func(b *testing.B) (addr string, stop func()) {
--- a/internal/rehearse/crowd_test.go
+++ b/internal/rig/rehearse/crowd_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // crowded is ordinary clients that need about a tenth of the places of two sidecars with 128 descriptors.
--- a/internal/rehearse/page.go
+++ b/internal/rig/rehearse/page.go
@@ -16,7 +16,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"petrelhook/internal/load"
+	"petrelhook/internal/rig/load"
 )
 
 // Sizes of a plot on the page.
--- a/internal/rehearse/proxy_test.go
+++ b/internal/rig/rehearse/proxy_test.go
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 )
 
 // sin is a rule that a proxy breaks on purpose.
--- a/internal/rehearse/random_test.go
+++ b/internal/rig/rehearse/random_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // randomScripts is how many scripts TestRandomFaults plays, unless -rapid.checks says otherwise.
@@ -80,7 +80,7 @@
 }
 
 // Whatever goes wrong, the real core breaks no rule. A failure prints the smallest script that still fails, and the seed
-// that plays it again: go test ./internal/rehearse -run TestRandomFaults -rapid.seed=SEED. The script, saved in a file,
+// that plays it again: go test ./internal/rig/rehearse -run TestRandomFaults -rapid.seed=SEED. The script, saved in a file,
 // is played alone with REHEARSE_SCRIPT=FILE, or on sockets with petrelctl rehearse FILE.
 func TestRandomFaults(t *testing.T) {
 	if path := os.Getenv("REHEARSE_SCRIPT"); path != "" {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rig/rehearse/rehearse.go
@@ -11,10 +11,10 @@
 	"net/http"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/load"
-	"petrelhook/internal/scenario"
-	"petrelhook/internal/standin"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/scenario"
+	"petrelhook/internal/rig/standin"
 )
 
 // Network is what a rehearsal runs on.
--- a/internal/rehearse/report.go
+++ b/internal/rig/rehearse/report.go
@@ -11,8 +11,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/load"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/load"
 )
 
 // Report is an outcome as it is shown. Its JSON is an interface: names stay, and all durations are milliseconds.
--- a/internal/standin/discovery.go
+++ b/internal/rig/standin/discovery.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 )
 
 // member is one entry of discovery's list.
--- a/internal/standin/exchange.go
+++ b/internal/rig/standin/exchange.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 	"petrelhook/internal/sock"
 )
 
--- a/internal/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 )
 
 // Network is what a fleet listens on.
--- a/internal/standin/server.go
+++ b/internal/rig/standin/server.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/scenario"
 	"petrelhook/internal/sock"
 )
 
--- a/internal/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -16,9 +16,9 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/audit"
-	"petrelhook/internal/memnet"
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/rig/scenario"
 )
 
 const (
--- a/internal/standin/work.go
+++ b/internal/rig/standin/work.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/scenario"
+	"petrelhook/internal/rig/scenario"
 )
 
 // cores are those of one life of a server. Requests beyond them wait in the order in which they came.
