--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -12,7 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"petrelhook/internal/sidecar"
+	"petrelhook/internal/config"
+	"petrelhook/internal/wiring"
 )
 
 // memoryPart of the limit is what the Go runtime keeps to: stacks of C and kernel buffers come on top.
@@ -31,7 +32,7 @@
 	reload := make(chan os.Signal, 1) // one is enough: the file is read after the last of them
 	signal.Notify(reload, syscall.SIGHUP)
 	path := os.Getenv("LB_CONFIG")
-	cfg, err := sidecar.ReadConfig(path)
+	cfg, err := config.Read(path)
 	if err != nil {
 		return err
 	}
@@ -44,13 +45,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	loop := sidecar.NewLoop(sidecar.NewClock(), &cfg, sidecar.TCP(), log)
-	alive, end := context.WithCancel(context.Background())
-	defer end()
-	go loop.Run(alive)
-	go loop.Reload(alive, path, reload, log)
+	sidecar := wiring.New(&cfg, wiring.TCP(), log)
+	go sidecar.Reload(stop, path, reload)
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String())
-	if err := sidecar.NewServer(loop, log).Serve(stop, ln); err != nil {
+	if err := sidecar.Run(stop, ln); err != nil {
 		return err
 	}
 	log.Info("stopped")
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,21 @@
+package config
+
+// reserved descriptors are kept for discovery, the listener, the runtime and turning clients away.
+const reserved = 32
+
+// Clients is how many connections clients may have. They hold up to a third of the descriptors with requests, so servers
+// get as many; connections of clients that ask for nothing, which can be closed to make room, take what is left.
+func (l Limits) Clients() int {
+	if l.Sockets <= 0 {
+		return 1 << 20
+	}
+	return max(1, l.Sockets-reserved-l.Servers())
+}
+
+// Servers is how many connections to servers there may be.
+func (l Limits) Servers() int {
+	if l.Sockets <= 0 {
+		return 1 << 20
+	}
+	return max(1, l.Sockets/3)
+}
--- /dev/null
+++ b/internal/core/fakes_test.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"petrelhook/balance"
+	"petrelhook/internal/front"
+	"petrelhook/internal/member"
+	"petrelhook/internal/upstream"
+)
+
+// fakeSource tells what a test has it tell.
+type fakeSource struct{ lists chan member.List }
+
+func (s *fakeSource) Watch(ctx context.Context, _ uint64, tell func(member.List)) error {
+	for {
+		select {
+		case l := <-s.lists:
+			tell(l)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *fakeSource) Fetch(ctx context.Context) (member.List, error) { return <-s.lists, ctx.Err() }
+func (s *fakeSource) Name() string                                   { return "fake" }
+
+// fakeServers hands each exchange to the test, which ends it, whether or not it was given up meanwhile.
+type fakeServers struct {
+	sent   chan *exchange
+	cutOff atomic.Bool // connections never come up
+}
+
+type exchange struct {
+	ctx  context.Context
+	addr string
+	call *upstream.Call
+	end  chan upstream.Outcome
+}
+
+type fakeEndpoint struct {
+	s    *fakeServers
+	addr string
+}
+
+func (s *fakeServers) Endpoint() upstream.Endpoint                 { return &fakeEndpoint{s: s} }
+func (e *fakeEndpoint) CloseIdle()                                 {}
+func (e *fakeEndpoint) Probe(context.Context) (o upstream.Outcome) { return o }
+func (e *fakeEndpoint) Turn(addr string, _ bool)                   { e.addr = addr }
+func (e *fakeEndpoint) Send(ctx context.Context, c *upstream.Call) upstream.Outcome {
+	if e.s.cutOff.Load() {
+		<-ctx.Done()
+	}
+	if !c.Claim() {
+		return upstream.Outcome{Result: upstream.Moot}
+	}
+	x := &exchange{ctx, e.addr, c, make(chan upstream.Outcome)}
+	e.s.sent <- x
+	return <-x.end
+}
+
+// rig is a core with its fakes, in virtual time; the test's own goroutines are the front.
+type rig struct {
+	*Loop
+	t       *testing.T
+	source  *fakeSource
+	servers *fakeServers
+	end     context.CancelFunc
+	ended   chan struct{}
+}
+
+// asked is one request that a fake front has handed in.
+type asked struct {
+	answer front.Answer
+	err    error
+	done   chan struct{}
+	hangUp context.CancelFunc
+}
+
+// in runs a test in virtual time with a core that knows these servers.
+func in(t *testing.T, names []string, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		class := func(e balance.Effect) balance.Class {
+			return balance.Class{Effect: e, Window: 500, Aim: 500, Deadline: 1000, Worth: 1}
+		}
+		r := &rig{
+			t: t, source: &fakeSource{make(chan member.List)}, servers: &fakeServers{sent: make(chan *exchange)}, ended: make(chan struct{}),
+		}
+		r.Loop = New(Config{
+			Module: balance.Config{
+				Seed: 1, Classes: []balance.Class{class(balance.Safe), class(balance.Keyed), class(balance.Unsafe)},
+				Subscribe: true, Cancel: true, MaxAttempts: 4, DrainGrace: 250,
+			},
+			Known: list(1, true, names...),
+		}, r.source, r.servers, slog.New(slog.DiscardHandler))
+		ctx, end := context.WithCancel(t.Context())
+		r.end = end
+		go func() { r.Run(ctx); close(r.ended) }()
+		test(r)
+		end()
+		<-r.ended
+	})
+}
+
+func list(generation uint64, whole bool, names ...string) member.List {
+	l := member.List{Generation: generation, Whole: whole}
+	for _, name := range names {
+		l.Instances = append(l.Instances, member.Instance{ID: name, Addr: name, Weight: 1})
+	}
+	return l
+}
+
+// ask hands a request in, as a front does.
+func (r *rig) ask(trace string, class int) *asked {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	a := &asked{done: make(chan struct{}), hangUp: cancel}
+	go func() {
+		defer close(a.done)
+		a.answer, a.err = r.Answer(ctx, front.Request{
+			Trace: trace, Class: class, Tenant: -1, Arrived: time.Now(), Wait: time.Second,
+		})
+	}()
+	return a
+}
+
+// is checks the one answer to a request.
+func (r *rig) is(a *asked, want front.Verdict, err error) {
+	r.t.Helper()
+	<-a.done
+	if a.err != err || err == nil && a.answer.Verdict != want {
+		r.t.Errorf("verdict %v, error %v; want %v, %v", a.answer.Verdict, a.err, want, err)
+	}
+}
+
+// empty checks that nothing of any request is left; with forgotten, nor of their ids.
+func (r *rig) empty(ids int) {
+	r.t.Helper()
+	synctest.Wait()
+	if s := r.Stats(); s.Requests != 0 || s.IDs != ids {
+		r.t.Errorf("%d requests and %d ids are held, want 0 and %d", s.Requests, s.IDs, ids)
+	}
+}
+
+func (x *exchange) serve() { x.end <- upstream.Outcome{Result: upstream.Served} }
--- a/internal/sidecar/loop.go
+++ b/internal/core/loop.go
@@ -1,4 +1,12 @@
-package sidecar
+// Package core is the life of a request, from 'taken' to 'its last attempt has ended': one goroutine, the loop, owns the
+// decision module, its timers, and the tables of requests and servers, and carries out what the module decides. It takes
+// no decision of its own, and it knows neither HTTP nor sockets: fronts hand requests in, sources tell of servers, and
+// the servers' side carries out exchanges, each through the seam of its own package.
+//
+// Invariants: only the loop's goroutine reaches the module and the tables; a request gets one answer, and stays in its
+// table until its last attempt has ended; an attempt has one end, told to the module once; an id is not taken again
+// before the time of the request that had it is up.
+package core
 
 import (
 	"container/heap"
@@ -6,33 +14,41 @@
 	"errors"
 	"log/slog"
 	"math"
-	"net"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"petrelhook/balance"
+	"petrelhook/internal/front"
+	"petrelhook/internal/member"
+	"petrelhook/internal/upstream"
 )
 
 // answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
-const answerMargin = 4 // ms
+const answerMargin = 4 * time.Millisecond
+
+// Config is what the core is told.
+type Config struct {
+	Module       balance.Config
+	Zones, Kinds []string    // the names that stand for positions in the module
+	Known        member.List // the list of servers as last had; it may be old
+}
 
 // Loop owns the decision module, its timers, and the tables of requests and servers. One goroutine runs it;
 // others hand it functions to run there.
 type Loop struct {
-	clock   Clock
-	profile *Config
-	b       *balance.Balancer
-	dial    Dial
-	log     *slog.Logger
-	events  chan func()
-	ended   chan struct{}
-	healthy atomic.Bool // requests can be served
+	clock  clock
+	config Config
+	b      *balance.Balancer
+	up     upstream.Servers
+	log    *slog.Logger
+	events chan func()
+	ended  chan struct{}
+	ready  atomic.Bool // requests can be served
 
 	// Owned by the loop's goroutine.
 	ctx        context.Context
-	up         *upstream
-	disc       *discovery
+	source     member.Source
 	timers     timerHeap
 	memories   timerHeap // ends of the time for which traces are kept
 	requests   map[balance.RequestID]*request
@@ -46,11 +62,11 @@
 
 // request is a client's request until it is answered and its last attempt has ended.
 type request struct {
-	inbound
+	front.Request
 	id       balance.RequestID
 	effect   balance.Effect
-	window   float64
-	deadline float64
+	window   float64 // ms
+	deadline time.Time
 	answer   chan answer // takes one
 	closed   bool
 	attempts []*attempt
@@ -62,8 +78,8 @@
 	number int
 	to     *server
 	id     balance.ServerID
-	sent   float64
-	call   *call
+	sent   time.Time
+	call   *upstream.Call
 	clean  bool // it is certain that it never ran
 	done   bool
 	cancel context.CancelFunc
@@ -72,31 +88,14 @@
 // server is one instance of the list, kept while it is listed or attempts need it.
 type server struct {
 	name string
-	end  endpoint
+	end  upstream.Endpoint
 }
 
-// answer is what the client gets.
-type answer struct {
-	kind       balance.Result // OK: served. Full: refused. Failed
-	reply      reply
-	retryAfter float64 // ms; 0: no advice
-}
-
-// Dial opens a connection to a server or to discovery, as net.Dialer.DialContext does. It is handed in so that a whole
-// sidecar can run on a network in memory.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// TCP is the Dial of a sidecar on sockets. Go's own keep-alive probes tell nothing here; attempts have deadlines.
-func TCP() Dial { return (&net.Dialer{KeepAlive: -1}).DialContext }
-
-// NewLoop makes a loop; Run runs it.
-func NewLoop(clock Clock, c *Config, dial Dial, log *slog.Logger) *Loop {
+// New makes a loop; Run runs it.
+func New(c Config, source member.Source, up upstream.Servers, log *slog.Logger) *Loop {
 	return &Loop{
-		dial: dial,
-
-		clock: clock, profile: c, b: balance.New(c.Profile.Config), log: log,
+		clock: newClock(), config: c, b: balance.New(c.Module), up: up, source: source, log: log,
 		events: make(chan func(), 1024), ended: make(chan struct{}),
-		up: newUpstream(clock, c, dial, c.Limits.upstream()), disc: newDiscovery(c.Discovery, dial),
 		requests: map[balance.RequestID]*request{}, traces: map[string]bool{},
 		servers: map[balance.ServerID]*server{},
 	}
@@ -106,9 +105,9 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.ended)
 	l.ctx = ctx
-	l.generation = l.profile.Known.Generation // the first watch, begun by Start, asks for what came after it
-	l.carryOut(l.b.Start(l.clock.Now()))
-	l.list(l.profile.Known, balance.ListCached)
+	l.generation = l.config.Known.Generation // the first watch, begun by Start, asks for what came after it
+	l.carryOut(l.b.Start(l.clock.now()))
+	l.list(l.config.Known, balance.ListCached)
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
@@ -138,7 +137,7 @@
 		heap.Pop(&l.timers)
 	}
 	if len(l.timers) > 0 {
-		wait = min(wait, max(0, duration(l.timers[0].due-l.clock.Now())))
+		wait = min(wait, max(0, time.Until(l.timers[0].due)))
 	}
 	return wait
 }
@@ -158,7 +157,7 @@
 
 // tell hands the module an event and carries out what it decides.
 func (l *Loop) tell(ev balance.Event) error {
-	actions, err := l.b.Handle(l.clock.Now(), ev)
+	actions, err := l.b.Handle(l.clock.now(), ev)
 	if err != nil {
 		l.log.Warn("the module refuses an event", "err", err)
 		return err
@@ -179,19 +178,19 @@
 		case balance.Send:
 			l.send(a)
 		case balance.Refuse:
-			l.finish(a.Request, answer{kind: balance.Full, retryAfter: a.At})
+			l.finish(a.Request, front.Answer{Verdict: front.Refused, RetryAfter: duration(a.At)})
 		case balance.Fail:
-			l.finish(a.Request, answer{kind: balance.Failed})
+			l.finish(a.Request, front.Answer{Verdict: front.Failed})
 		case balance.Cancel:
 			l.cancelAttempt(a)
 		case balance.SetTimer:
 			// A hair later: an attempt that times out at the same moment comes first, as the module expects.
-			l.timers.add(timer{due: l.clock.Now() + a.At + 0.02, token: a.Token, request: a.Request})
+			l.timers.add(timer{due: time.Now().Add(duration(a.At) + 20*time.Microsecond), token: a.Token, request: a.Request})
 		case balance.Probe:
 			l.probe(a.Server)
 		case balance.CloseIdle:
 			if s := l.servers[a.Server]; s != nil {
-				l.up.closeIdle(&s.end)
+				s.end.CloseIdle()
 			}
 		case balance.Watch:
 			if l.stopWatch == nil { // else one is open or on its way, and would lose its turn
@@ -205,34 +204,39 @@
 	}
 }
 
-// accept takes a request in. It returns nil where its id is in use or the module cannot take it.
-func (l *Loop) accept(in inbound, out chan answer) *request {
-	if l.traces[in.trace] {
-		return nil
+// accept takes a request in, unless its id is in use or the module cannot take it.
+func (l *Loop) accept(r *request) {
+	if l.traces[r.Trace] {
+		l.reject(r, front.ErrInUse)
+		return
+	}
+	if r.Class < 0 || r.Class >= len(l.config.Module.Classes) {
+		l.reject(r, front.ErrInvalid)
+		return
 	}
-	class := l.profile.Profile.Config.Classes[in.class]
+	class := &l.config.Module.Classes[r.Class]
 	l.lastID++
-	r := &request{
-		inbound: in, id: l.lastID, effect: class.Effect, window: class.Window,
-		deadline: in.arrived + in.remaining - math.Min(answerMargin, in.remaining/10), answer: out,
-	}
-	l.requests[r.id], l.traces[r.trace] = r, true
-	err := l.tell(balance.Request{
-		ID: r.id, Class: in.class, Tenant: in.tenant, WorkHint: in.hint, Key: in.key,
-		Remaining: math.Max(r.deadline-l.clock.Now(), 1e-3), Repeat: in.repeat,
-	})
-	if err != nil {
+	r.id, r.effect, r.window = l.lastID, class.Effect, class.Window
+	r.deadline = r.Arrived.Add(r.Wait - min(answerMargin, r.Wait/10))
+	l.requests[r.id], l.traces[r.Trace] = r, true
+	ev := balance.Request{
+		ID: r.id, Class: r.Class, Tenant: r.Tenant, WorkHint: millis(r.Hint),
+		Remaining: math.Max(millis(time.Until(r.deadline)), 1e-3), Repeat: r.Repeat,
+	}
+	if r.Subject != "" {
+		ev.Key = stableHash(r.Subject)
+	}
+	if err := l.tell(ev); err != nil {
 		l.remove(r)
-		return nil
+		l.reject(r, front.ErrInvalid)
 	}
-	return r
 }
 
 // finish gives a request its one answer. Later ones are dropped.
-func (l *Loop) finish(id balance.RequestID, a answer) {
+func (l *Loop) finish(id balance.RequestID, a front.Answer) {
 	if r := l.requests[id]; r != nil && !r.closed {
 		r.closed = true
-		r.answer <- a
+		r.answer <- answer{Answer: a}
 		l.removeIfOver(r)
 	}
 }
@@ -256,7 +260,7 @@
 func (l *Loop) remove(r *request) {
 	delete(l.requests, r.id)
 	// A copy that comes late must not run either. Ids are never used again, so they are kept no longer than that.
-	l.memories.add(timer{due: r.deadline, trace: r.trace})
+	l.memories.add(timer{due: r.deadline, trace: r.Trace})
 }
 
 // send starts an attempt.
@@ -266,63 +270,68 @@
 		l.log.Error("the module sends for a request that is over", "request", a.Request)
 		return
 	}
-	now := l.clock.Now()
 	ctx, cancel := context.WithCancel(l.ctx)
-	c := &call{message: r.message, expires: r.deadline, begin: math.Inf(1)}
-	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: now, cancel: cancel}
+	c := &upstream.Call{Message: r.Message, Expires: r.deadline}
+	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: time.Now(), cancel: cancel}
 	if a.At > 0 {
-		c.expires = math.Min(c.expires, a.At)
+		c.Expires = earlier(c.Expires, l.clock.time(a.At))
 	}
-	for _, earlier := range r.attempts { // a keyed request must not go out after its key may be forgotten
-		if r.effect == balance.Keyed && !earlier.clean {
-			c.begin = math.Min(c.begin, earlier.sent+r.window)
+	for _, before := range r.attempts { // a keyed request must not go out after its key may be forgotten
+		if r.effect == balance.Keyed && !before.clean && !math.IsInf(r.window, 1) {
+			c.Begin = earlier(c.Begin, before.sent.Add(duration(r.window)))
 		}
 	}
 	r.attempts = append(r.attempts, at)
 	r.out++
 	if at.to == nil || r.closed {
-		l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Moot}) })
+		l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Moot}) })
 		return
 	}
-	c.to = &at.to.end
-	l.timers.add(timer{due: c.expires, attempt: at})
+	l.timers.add(timer{due: c.Expires, attempt: at})
 	go func() {
-		rep := l.up.send(ctx, c)
-		l.post(func() { l.attemptEnded(at, rep) })
+		out := at.to.end.Send(ctx, c)
+		l.post(func() { l.attemptEnded(at, out) })
 	}()
 }
 
+// results are the module's names for the ends of exchanges.
+var results = [...]balance.Result{
+	upstream.Served: balance.OK, upstream.Failed: balance.Failed, upstream.TurnedAway: balance.Full,
+	upstream.TimedOut: balance.TimedOut, upstream.ConnectFailed: balance.ConnectFailed, upstream.Reset: balance.Reset,
+	upstream.Cancelled: balance.Cancelled, upstream.Moot: balance.Moot,
+}
+
 // attemptEnded reports the first end of an attempt to the module. Others are dropped.
-func (l *Loop) attemptEnded(at *attempt, rep reply) {
+func (l *Loop) attemptEnded(at *attempt, out upstream.Outcome) {
 	if at.done {
 		return
 	}
 	at.done = true
 	at.cancel()
-	if rep.result == balance.TimedOut && at.call.claim() { // its connection never came up
-		rep = reply{result: balance.ConnectFailed, err: errors.New("no connection in time")}
+	if out.Result == upstream.TimedOut && at.call.Claim() { // its connection never came up
+		out = upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.New("no connection in time")}
 	}
 	r := at.r
 	r.out--
-	at.clean = rep.result.NeverRan()
-	if rep.result == balance.OK && !r.closed {
+	at.clean = out.Result.NeverRan()
+	if out.Result == upstream.Served && !r.closed {
 		r.closed = true
-		r.answer <- answer{kind: balance.OK, reply: rep}
+		r.answer <- answer{Answer: front.Answer{Verdict: front.Served, Reply: out.Reply}}
 	}
-	took := l.clock.Now() - at.sent
-	if rep.result != balance.OK && rep.result != balance.Cancelled {
+	took := time.Since(at.sent)
+	if out.Result != upstream.Served && out.Result != upstream.Cancelled {
 		name := ""
 		if at.to != nil {
 			name = at.to.name
 		}
-		l.log.Info("attempt", "trace", r.trace, "n", at.number, "server", name, "result", rep.result.String(), "took", took, "err", rep.err)
+		l.log.Info("attempt", "trace", r.Trace, "n", at.number, "server", name, "result", out.Result.String(), "took", millis(took), "err", out.Err)
 	}
 	err := l.tell(balance.Outcome{
-		Request: r.id, Attempt: at.number, Server: at.id, Result: rep.result, Took: took, Finished: r.closed,
-		Report: rep.report,
+		Request: r.id, Attempt: at.number, Server: at.id, Result: results[out.Result], Took: millis(took), Finished: r.closed,
+		Report: out.Report,
 	})
 	if err != nil && r.out == 0 { // the module does not know of it, so nothing more would come
-		l.finish(r.id, answer{kind: balance.Failed})
+		l.finish(r.id, front.Answer{Verdict: front.Failed})
 	}
 	l.removeIfOver(r)
 }
@@ -333,9 +342,9 @@
 		return
 	}
 	at := r.attempts[a.Attempt]
-	at.call.claim()
+	at.call.Claim()
 	at.cancel()
-	l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Cancelled}) })
+	l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Cancelled}) })
 }
 
 func (l *Loop) probe(id balance.ServerID) {
@@ -344,14 +353,11 @@
 		l.later = append(l.later, func() { l.tell(balance.ProbeResult{Server: id, Result: balance.ConnectFailed}) })
 		return
 	}
-	path, began := "/ping", l.clock.Now()
-	if l.profile.Profile.Config.Reports != balance.ReportNone {
-		path = "/_load"
-	}
+	began := time.Now()
 	go func() {
-		rep := l.up.probe(l.ctx, &s.end, path)
+		out := s.end.Probe(l.ctx)
 		l.post(func() {
-			l.tell(balance.ProbeResult{Server: id, Result: rep.result, Took: l.clock.Now() - began, Report: rep.report})
+			l.tell(balance.ProbeResult{Server: id, Result: results[out.Result], Took: millis(time.Since(began)), Report: out.Report})
 		})
 	}()
 }
@@ -363,9 +369,9 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	after, disc := l.generation, l.disc
+	after, source := l.generation, l.source
 	go func() {
-		err := disc.watch(ctx, after, func(c Catalog) {
+		err := source.Watch(ctx, after, func(c member.List) {
 			l.post(func() {
 				if ctx.Err() == nil {
 					l.called(c, nil)
@@ -376,41 +382,44 @@
 			if ctx.Err() == nil { // not replaced
 				stop()
 				l.stopWatch = nil
-				l.called(Catalog{}, err)
+				l.called(member.List{}, err)
 			}
 		})
 	}()
 }
 
-// fetch asks for the whole list once. What it brings counts unless discovery has moved or told something newer.
+// fetch asks for the whole list once. What it brings counts unless the source was replaced or told something newer.
 func (l *Loop) fetch() {
-	disc := l.disc
+	source := l.source
 	go func() {
-		c, err := disc.fetch(l.ctx)
+		c, err := source.Fetch(l.ctx)
 		l.post(func() {
-			if disc == l.disc && (err != nil || c.Generation >= l.generation) {
+			if source == l.source && (err != nil || c.Generation >= l.generation) {
 				l.called(c, err)
 			}
 		})
 	}()
 }
 
-// called takes in what a call to discovery brought.
-func (l *Loop) called(c Catalog, err error) {
+// called takes in what a call to the source brought.
+func (l *Loop) called(c member.List, err error) {
 	if err != nil {
 		l.log.Info("discovery", "err", err)
 		l.tell(balance.ServerList{Kind: balance.ListFailed})
 		return
 	}
 	kind := balance.ListDelta
-	if c.Reset {
+	if c.Whole {
 		kind = balance.ListFull
 	}
 	l.list(c, kind)
 }
 
+// states are the module's names for the states of servers.
+var states = [...]balance.State{member.Up: balance.Ready, member.Draining: balance.Draining, member.Removed: balance.Gone}
+
 // list takes in news of the servers.
-func (l *Loop) list(c Catalog, kind balance.ListKind) {
+func (l *Loop) list(c member.List, kind balance.ListKind) {
 	l.generation = c.Generation
 	listed := map[balance.ServerID]bool{}
 	ev := balance.ServerList{Kind: kind}
@@ -419,15 +428,12 @@
 		id := balance.ServerID(stableHash(in.ID))
 		listed[id] = true
 		entry := balance.Server{
-			ID: id, StartedAt: in.StartedAt, Rating: in.Weight, Cell: in.Cell,
-			Zone: max(0, slices.Index(l.profile.Profile.Zones, in.Zone)),
-			Kind: max(0, slices.Index(l.profile.Profile.Kinds, in.Kind)),
+			ID: id, State: states[in.State], Rating: in.Weight, Cell: in.Cell,
+			Zone: max(0, slices.Index(l.config.Zones, in.Zone)),
+			Kind: max(0, slices.Index(l.config.Kinds, in.Kind)),
 		}
-		switch in.Lifecycle {
-		case "draining":
-			entry.State = balance.Draining
-		case "removed":
-			entry.State = balance.Gone
+		if !in.Started.IsZero() {
+			entry.StartedAt = l.clock.at(in.Started)
 		}
 		ev.Servers = append(ev.Servers, entry)
 		s := l.servers[id]
@@ -435,21 +441,21 @@
 			continue
 		}
 		if s == nil {
-			s = &server{name: in.ID}
+			s = &server{name: in.ID, end: l.up.Endpoint()}
 			l.servers[id] = s
 		}
-		l.up.turn(&s.end, in.HostPort, entry.State != balance.Ready)
+		s.end.Turn(in.Addr, entry.State == balance.Ready)
 		if entry.State == balance.Gone { // attempts that are out keep what they need
 			delete(l.servers, id)
 		}
 		if entry.State == balance.Ready {
-			l.healthy.Store(true)
+			l.ready.Store(true)
 		}
 	}
 	if kind != balance.ListDelta { // what the whole list does not name is gone
 		for id, s := range l.servers {
 			if !listed[id] {
-				l.up.turn(&s.end, "", true)
+				s.end.Turn("", false)
 				delete(l.servers, id)
 			}
 		}
@@ -459,14 +465,14 @@
 
 // fire hands out the timers that are due.
 func (l *Loop) fire() {
-	for now := l.clock.Now(); len(l.memories) > 0 && l.memories[0].due <= now; {
+	for now := time.Now(); len(l.memories) > 0 && !l.memories[0].due.After(now); {
 		delete(l.traces, heap.Pop(&l.memories).(timer).trace)
 	}
-	for now := l.clock.Now(); len(l.timers) > 0 && l.timers[0].due <= now; now = l.clock.Now() {
+	for now := time.Now(); len(l.timers) > 0 && !l.timers[0].due.After(now); now = time.Now() {
 		switch t := heap.Pop(&l.timers).(timer); {
 		case l.stale(&t):
 		case t.attempt != nil:
-			l.attemptEnded(t.attempt, reply{result: balance.TimedOut})
+			l.attemptEnded(t.attempt, upstream.Outcome{Result: upstream.TimedOut})
 		default:
 			l.tell(balance.Timer{Token: t.token})
 		}
@@ -475,7 +481,7 @@
 
 // timer is one of the module's, or the end of an attempt's time or of that for which a trace is kept.
 type timer struct {
-	due     float64
+	due     time.Time
 	token   uint64
 	request balance.RequestID // whose it is, 0: nobody's
 	attempt *attempt
@@ -486,7 +492,7 @@
 
 func (h *timerHeap) add(t timer)       { heap.Push(h, t) }
 func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h timerHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
 func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 func (h *timerHeap) Push(t any)        { *h = append(*h, t.(timer)) }
 func (h *timerHeap) Pop() any {
--- a/internal/sidecar/accept.go
+++ b/internal/door/door.go
@@ -1,4 +1,10 @@
-package sidecar
+// Package door bounds the connections of a listener: places for clients, and who makes room when there are none. It
+// knows of a connection whether a request is open on it, not what is in it.
+//
+// Invariants: no more than the given number of connections are open, besides some that are being turned away; Accept
+// never waits for any of them; a connection with a request open, one with bytes unread, and one that was used a moment
+// ago are never closed to make room.
+package door
 
 import (
 	"container/list"
@@ -9,22 +15,25 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/message"
 	"petrelhook/internal/sock"
 )
 
 const (
-	turnedAway   = 8 // connections that are being turned away at once
+	// TurnedAway is how many connections are being turned away at once.
+	TurnedAway   = 8
 	turnAwayTime = 500 * time.Millisecond
 	// mayClose is how long a connection without an open request is left alone: the client's next request may be on its way.
 	mayClose = 2 * time.Second
 )
 
-// bounded limits a listener's open connections: the descriptors are needed elsewhere. One too many takes the place of
+// Door limits a listener's open connections: the descriptors are needed elsewhere. One too many takes the place of
 // one that is over but for its last bytes, else of the one that has been idle the longest. Where there is neither it
 // gets a prompt 503. Accept never waits for any of them: clients that say nothing must not stop the others.
-type bounded struct {
+type Door struct {
 	net.Listener
 	most int
+	in   time.Duration // within which a request must be in
 	rest time.Duration // mayClose
 	away chan struct{}
 
@@ -37,9 +46,9 @@
 // client is a connection of the application.
 type client struct {
 	net.Conn
-	b *bounded
+	b *Door
 
-	// Guarded by bounded.mu:
+	// Guarded by Door.mu:
 	in     *list.List // idle, leaving or neither
 	at     *list.Element
 	since  time.Time
@@ -48,14 +57,17 @@
 	closed bool
 }
 
-func newBounded(ln net.Listener, most int) *bounded {
-	return &bounded{
-		Listener: ln, most: most, rest: mayClose, away: make(chan struct{}, turnedAway),
+// New bounds a listener to a number of connections; a request must be in within a time of its connection's start, or of
+// its own first byte.
+func New(ln net.Listener, most int, in time.Duration) *Door {
+	return &Door{
+		Listener: ln, most: most, in: in, rest: mayClose, away: make(chan struct{}, TurnedAway),
 		idle: list.New(), leaving: list.New(),
 	}
 }
 
-func (b *bounded) Accept() (net.Conn, error) {
+// Accept gives the next connection that has a place.
+func (b *Door) Accept() (net.Conn, error) {
 	for {
 		nc, err := b.Listener.Accept()
 		if err != nil {
@@ -77,20 +89,20 @@
 }
 
 // place finds a place for a connection; nil: there is none.
-func (b *bounded) place(nc net.Conn) *client {
+func (b *Door) place(nc net.Conn) *client {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.open >= b.most && !b.makeRoom() {
 		return nil
 	}
 	b.open++
-	c := &client{Conn: nc, b: b, due: time.Now().Add(bodyTime)}
+	c := &client{Conn: nc, b: b, due: time.Now().Add(b.in)}
 	b.enter(c, b.idle)
 	return c
 }
 
 // makeRoom closes a connection that is of no further use, or that can be done without. The caller holds mu.
-func (b *bounded) makeRoom() bool {
+func (b *Door) makeRoom() bool {
 	if e := b.leaving.Front(); e != nil {
 		b.close(e.Value.(*client))
 		return true
@@ -109,7 +121,7 @@
 }
 
 // enter files a connection under a list, or none. The caller holds mu.
-func (b *bounded) enter(c *client, in *list.List) {
+func (b *Door) enter(c *client, in *list.List) {
 	if c.in != nil {
 		c.in.Remove(c.at)
 	}
@@ -119,7 +131,7 @@
 }
 
 // close closes a connection and frees its place. The caller holds mu.
-func (b *bounded) close(c *client) error {
+func (b *Door) close(c *client) error {
 	if c.closed {
 		return nil
 	}
@@ -129,8 +141,8 @@
 	return c.Conn.Close()
 }
 
-// state follows the connections, as http.Server.ConnState tells.
-func (b *bounded) state(nc net.Conn, s http.ConnState) {
+// State follows the connections, as http.Server.ConnState tells.
+func (b *Door) State(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*client)
 	if !ok {
 		return
@@ -140,7 +152,7 @@
 	switch s {
 	case http.StateActive:
 		if b.enter(c, nil); c.asked {
-			c.due = time.Now().Add(bodyTime)
+			c.due = time.Now().Add(b.in)
 		}
 		c.asked = true
 	case http.StateIdle:
@@ -150,22 +162,23 @@
 
 type clientKey struct{}
 
-// withClient lets a handler know the request's connection.
-func withClient(ctx context.Context, c net.Conn) context.Context {
+// Context lets a handler know the request's connection; it is for http.Server.ConnContext.
+func (b *Door) Context(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, clientKey{}, c)
 }
 
-// dueTime is when the request must be in.
-func dueTime(ctx context.Context) time.Time {
+// Due is when the request of a handler's context must be in.
+func (b *Door) Due(ctx context.Context) time.Time {
 	c, ok := ctx.Value(clientKey{}).(*client)
 	if !ok {
-		return time.Now().Add(bodyTime)
+		return time.Now().Add(b.in)
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
 	return c.due
 }
 
+// Close gives the connection's place free.
 func (c *client) Close() error {
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
@@ -194,5 +207,5 @@
 	if t, ok := c.(closeWriter); ok {
 		t.CloseWrite()
 	}
-	io.Copy(io.Discard, io.LimitReader(c, maxBody))
+	io.Copy(io.Discard, io.LimitReader(c, message.MaxBody))
 }
--- a/internal/sidecar/accept_test.go
+++ b/internal/door/door_test.go
@@ -1,23 +1,51 @@
-package sidecar
+package door
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"petrelhook/internal/peertest"
 )
 
+// rig is a client of a server behind a door.
+type rig struct {
+	t    *testing.T
+	addr string
+}
+
+func (r *rig) open() (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	return peertest.Open(r.t, r.addr)
+}
+
+func (r *rig) ask(request string) (*http.Response, string) {
+	r.t.Helper()
+	c, in := r.open()
+	io.WriteString(c, request)
+	return r.answer(in)
+}
+
+func (r *rig) answer(in *bufio.Reader) (*http.Response, string) {
+	r.t.Helper()
+	return peertest.Answer(r.t, in)
+}
+
+func get(path string) string { return "GET /" + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
 // boundedRig serves requests behind a bounded listener; those for /slow are answered when release is closed.
-func boundedRig(t *testing.T, most int, rest time.Duration) (r *rig, ln *bounded, release chan struct{}) {
+func boundedRig(t *testing.T, most int, rest time.Duration) (r *rig, ln *Door, release chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, release = newBounded(inner, most), make(chan struct{})
+	ln, release = New(inner, most, time.Second), make(chan struct{})
 	ln.rest = rest
-	server := &http.Server{ConnState: ln.state, Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+	server := &http.Server{ConnState: ln.State, Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		if req.URL.Path == "/slow" {
 			select {
 			case <-release:
@@ -30,7 +58,7 @@
 	return &rig{t: t, addr: inner.Addr().String()}, ln, release
 }
 
-func (b *bounded) idling() int {
+func (b *Door) idling() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.idle.Len()
@@ -42,21 +70,21 @@
 	defer close(release)
 	first, _ := r.open()
 	io.WriteString(first, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
-	eventually(t, "it is served", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 1 && ln.idle.Len() == 0 })
-	for range 3 * turnedAway { // whatever those do that were turned away, the next is dealt with
+	peertest.Eventually(t, "it is served", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 1 && ln.idle.Len() == 0 })
+	for range 3 * TurnedAway { // whatever those do that were turned away, the next is dealt with
 		if c, err := net.Dial("tcp", r.addr); err == nil {
 			defer c.Close()
 		}
 	}
-	eventually(t, "some are dealt with", func() bool { return len(ln.away) < turnedAway })
+	peertest.Eventually(t, "some are dealt with", func() bool { return len(ln.away) < TurnedAway })
 	second, in := r.open()
-	io.WriteString(second, look("2"))
+	io.WriteString(second, get("2"))
 	if resp, err := http.ReadResponse(in, nil); err == nil && (resp.StatusCode != 503 || !resp.Close) {
 		t.Errorf("%+v", resp)
 	}
 	first.Close()
-	eventually(t, "the place is free", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 0 })
-	if resp, _ := r.ask(look("3")); resp.StatusCode != 200 {
+	peertest.Eventually(t, "the place is free", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 0 })
+	if resp, _ := r.ask(get("3")); resp.StatusCode != 200 {
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
@@ -66,16 +94,16 @@
 	r, ln, release := boundedRig(t, 3, 0)
 	busy, busyIn := r.open()
 	io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
-	eventually(t, "it is served", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 1 && ln.idle.Len() == 0 })
+	peertest.Eventually(t, "it is served", func() bool { ln.mu.Lock(); defer ln.mu.Unlock(); return ln.open == 1 && ln.idle.Len() == 0 })
 	stays, staysIn := r.open()
-	io.WriteString(stays, look("1"))
+	io.WriteString(stays, get("1"))
 	r.answer(staysIn)
-	eventually(t, "it is idle", func() bool { return ln.idling() == 1 })
+	peertest.Eventually(t, "it is idle", func() bool { return ln.idling() == 1 })
 	_, silentIn := r.open()
-	eventually(t, "both are idle", func() bool { return ln.idling() == 2 })
+	peertest.Eventually(t, "both are idle", func() bool { return ln.idling() == 2 })
 	for range 2 {
 		c, in := r.open()
-		io.WriteString(c, look("2"))
+		io.WriteString(c, get("2"))
 		if resp, _ := r.answer(in); resp.StatusCode != 200 {
 			t.Errorf("status %d", resp.StatusCode)
 		}
@@ -96,13 +124,13 @@
 	r, ln, release := boundedRig(t, 1, time.Hour)
 	defer close(release)
 	first, in := r.open()
-	io.WriteString(first, look("1"))
+	io.WriteString(first, get("1"))
 	r.answer(in)
-	eventually(t, "it is idle", func() bool { return ln.idling() == 1 })
-	if resp, _ := r.ask(look("2")); resp.StatusCode != 503 {
+	peertest.Eventually(t, "it is idle", func() bool { return ln.idling() == 1 })
+	if resp, _ := r.ask(get("2")); resp.StatusCode != 503 {
 		t.Errorf("status %d", resp.StatusCode)
 	}
-	io.WriteString(first, look("3"))
+	io.WriteString(first, get("3"))
 	if resp, _ := r.answer(in); resp.StatusCode != 200 {
 		t.Errorf("status %d", resp.StatusCode)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/front/platform/platform.go
@@ -1,4 +1,9 @@
-package sidecar
+// Package platform is the front that the platform's protocol describes: the application's requests over HTTP/1.1, with
+// class, tenant and id in headers. It reads a request, hands it to the core, and writes the one answer that comes back.
+//
+// It decides nothing about a request that makes sense, and answers itself only what does not: an error of the client,
+// which reaches no server and ends its connection.
+package platform
 
 import (
 	"context"
@@ -14,12 +19,13 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/balance"
+	"petrelhook/internal/door"
+	"petrelhook/internal/front"
+	"petrelhook/internal/message"
 )
 
 const (
 	healthPath = "/_health"
-	reserved   = 32 // descriptors kept for discovery, the listener, the runtime and turning clients away
 	// lingering: after SIGTERM new connections come for up to 0.4 s.
 	lingering = 600 * time.Millisecond
 	// A client that sends no whole request is owed an error or a close within 3 s of connecting.
@@ -28,54 +34,35 @@
 	idleTime = 20 * time.Second
 )
 
-// Clients hold up to a third of the descriptors with requests, so servers get as many; connections of clients that
-// ask for nothing, which can be closed to make room, take what is left.
-func (l Limits) inbound() int {
-	if l.Sockets <= 0 {
-		return 1 << 20
-	}
-	return max(1, l.Sockets-reserved-l.upstream())
-}
-
-func (l Limits) upstream() int {
-	if l.Sockets <= 0 {
-		return 1 << 20
-	}
-	return max(1, l.Sockets/3)
-}
-
-// inbound is a client's request as read.
-type inbound struct {
-	message
-	trace         string
-	class, tenant int
-	hint          float64
-	key           uint64
-	repeat        bool
-	arrived       float64
-	remaining     float64
+// Settings are what the front is told.
+type Settings struct {
+	Classes []front.Class
+	Tenants []string
+	Places  int // connections of clients at once
 }
 
 // Server is the application's side.
 type Server struct {
-	loop     *Loop
+	core     front.Core
+	settings Settings
 	classes  map[string]int
 	http     *http.Server
+	clients  *door.Door
 	longest  time.Duration // the longest deadline
 	draining atomic.Bool
 	after    func(time.Duration) <-chan time.Time // time.After
 }
 
-// NewServer makes a server; Serve runs it.
-func NewServer(l *Loop, log *slog.Logger) *Server {
-	s := &Server{loop: l, classes: map[string]int{}, after: time.After}
-	for i, name := range l.profile.Profile.Classes {
-		s.classes[name] = i
-		s.longest = max(s.longest, duration(l.profile.Profile.Config.Classes[i].Deadline))
+// New makes a server; Serve runs it.
+func New(c Settings, core front.Core, log *slog.Logger) *Server {
+	s := &Server{core: core, settings: c, classes: map[string]int{}, after: time.After}
+	for i, class := range c.Classes {
+		s.classes[class.Name] = i
+		s.longest = max(s.longest, class.Deadline)
 	}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, WriteTimeout: bodyTime + s.longest + time.Second,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		MaxHeaderBytes: message.MaxHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
 	return s
 }
@@ -83,9 +70,9 @@
 // Serve serves until stop ends, then drains, and returns when all that was taken is answered.
 func (s *Server) Serve(stop context.Context, ln net.Listener) error {
 	failed := make(chan error, 1)
-	clients := newBounded(ln, s.loop.profile.Limits.inbound())
-	s.http.ConnState, s.http.ConnContext = clients.state, withClient
-	go func() { failed <- s.http.Serve(clients) }()
+	s.clients = door.New(ln, s.settings.Places, bodyTime)
+	s.http.ConnState, s.http.ConnContext = s.clients.State, s.clients.Context
+	go func() { failed <- s.http.Serve(s.clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -107,10 +94,11 @@
 	return nil // what the time-out found was a connection without a request
 }
 
+// ServeHTTP answers one request of the application.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	arrived := s.loop.clock.Now()
+	arrived := time.Now()
 	if req.URL.Path == healthPath {
-		if !s.loop.healthy.Load() || s.draining.Load() {
+		if !s.core.Ready() || s.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -120,27 +108,18 @@
 		reject(w, err.Error(), status)
 		return
 	}
-	in.arrived = arrived
-	answers := make(chan answer, 1)
-	taken := make(chan *request, 1)
-	s.loop.post(func() { taken <- s.loop.accept(in, answers) })
-	var r *request
-	select {
-	case r = <-taken:
-	case <-s.loop.ended:
-	}
-	if r == nil {
-		reject(w, "trace id in use", http.StatusConflict)
-		return
-	}
-	select {
-	case a := <-answers:
+	in.Arrived = arrived
+	switch a, err := s.core.Answer(req.Context(), in); {
+	case err == nil:
 		write(w, a)
-	case <-req.Context().Done():
-		s.loop.post(func() { s.loop.hangUp(r) })
+	case errors.Is(err, front.ErrInUse):
+		reject(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, front.ErrInvalid):
+		reject(w, err.Error(), http.StatusBadRequest)
+	case errors.Is(err, front.ErrEnded): // what became of it is not known
+		write(w, front.Answer{Verdict: front.Failed})
+	default: // the client has gone
 		panic(http.ErrAbortHandler) // else an empty 200 would be written
-	case <-s.loop.ended:
-		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -157,7 +136,7 @@
 
 // parse reads a request and says what is wrong with it. The method must fit the class: a keyed request without
 // its key could not be repeated.
-func (s *Server) parse(w http.ResponseWriter, req *http.Request) (in inbound, status int, err error) {
+func (s *Server) parse(w http.ResponseWriter, req *http.Request) (in front.Request, status int, err error) {
 	h := req.Header
 	// net/http drops a Content-Length that comes beside it: where the body ends is in doubt then. Clients send none.
 	if len(req.TransferEncoding) > 0 {
@@ -172,45 +151,43 @@
 	if !known {
 		return in, http.StatusBadRequest, fmt.Errorf("unknown class %q", h.Get("X-Qos"))
 	}
-	in.class, in.trace = class, h.Get("X-Trace-Id")
-	in.tenant = slices.Index(s.loop.profile.Profile.Tenants, h.Get("X-Customer")) // -1: none
-	in.method, in.target = req.Method, req.RequestURI
-	key, effect := h.Get("Idempotency-Key"), s.loop.profile.Profile.Config.Classes[class].Effect
+	in.Class, in.Trace = class, h.Get("X-Trace-Id")
+	in.Tenant = slices.Index(s.settings.Tenants, h.Get("X-Customer")) // -1: none
+	in.Message.Method, in.Message.Target = req.Method, req.RequestURI
+	key, effect := h.Get("Idempotency-Key"), s.settings.Classes[class].Effect
 	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	switch {
-	case req.ContentLength > maxBody:
+	case req.ContentLength > message.MaxBody:
 		return in, http.StatusRequestEntityTooLarge, errors.New("body over 64 KiB")
-	case effect == balance.Safe && req.ContentLength != 0:
+	case effect == front.Safe && req.ContentLength != 0:
 		return in, http.StatusBadRequest, errors.New("a GET has no body")
-	case in.trace == "":
+	case in.Trace == "":
 		return in, http.StatusBadRequest, errors.New("no X-Trace-Id")
-	case !strings.HasPrefix(in.target, "/") || first != h.Get("X-Qos"):
+	case !strings.HasPrefix(in.Message.Target, "/") || first != h.Get("X-Qos"):
 		return in, http.StatusBadRequest, errors.New("the path does not fit the class")
-	case (effect == balance.Safe) != (in.method == http.MethodGet), effect != balance.Safe && in.method != http.MethodPost,
-		(effect == balance.Keyed) != (key != ""):
+	case (effect == front.Safe) != (req.Method == http.MethodGet), effect != front.Safe && req.Method != http.MethodPost,
+		(effect == front.Keyed) != (key != ""):
 		return in, http.StatusBadRequest, errors.New("method and key do not fit the class")
 	}
-	in.remaining = s.loop.profile.Profile.Config.Classes[class].Deadline
+	in.Wait = s.settings.Classes[class].Deadline
 	if text := h.Get("X-Expires-In"); text != "" {
 		wait, err := parseWait(text)
 		if err != nil {
 			return in, http.StatusBadRequest, err
 		}
-		in.remaining = min(in.remaining, wait)
+		in.Wait = min(in.Wait, wait)
 	}
 	if text := h.Get("X-Size-Hint"); text != "" {
-		if us, err := strconv.ParseFloat(text, 64); err == nil && us > 0 {
-			in.hint = us / 1000
+		if us, err := strconv.ParseFloat(text, 64); err == nil && us > 0 && us < 1e12 {
+			in.Hint = time.Duration(us * float64(time.Microsecond))
 		}
 	}
-	if sid := req.URL.Query().Get("sid"); sid != "" {
-		in.key = stableHash(sid)
-	}
-	in.repeat = h.Get("X-Second-Try") == "1"
+	in.Subject = req.URL.Query().Get("sid")
+	in.Repeat = h.Get("X-Second-Try") == "1"
 	if req.ContentLength != 0 {
 		control := http.NewResponseController(w)
-		control.SetReadDeadline(dueTime(req.Context()))
-		in.body, err = io.ReadAll(req.Body)
+		control.SetReadDeadline(s.clients.Due(req.Context()))
+		in.Message.Body, err = io.ReadAll(req.Body)
 		control.SetReadDeadline(time.Time{})
 		if err != nil {
 			return in, http.StatusBadRequest, err
@@ -218,39 +195,39 @@
 	}
 	for _, name := range []string{"X-Trace-Id", "Idempotency-Key", "X-Qos", "X-Customer", "Content-Type"} {
 		if v := h.Get(name); v != "" {
-			in.header = append(in.header, [2]string{name, v})
+			in.Message.Header = append(in.Message.Header, [2]string{name, v})
 		}
 	}
 	return in, 0, nil
 }
 
 // parseWait reads a time such as 480m (milliseconds) or 1500u (microseconds).
-func parseWait(text string) (float64, error) {
-	digits, unit := strings.TrimRight(text, "mu"), 1.0
+func parseWait(text string) (time.Duration, error) {
+	digits, unit := strings.TrimRight(text, "mu"), float64(time.Millisecond)
 	if digits+"u" == text {
-		unit = 1e-3
+		unit = float64(time.Microsecond)
 	} else if digits+"m" != text {
 		return 0, fmt.Errorf("X-Expires-In: %q", text)
 	}
 	v, err := strconv.ParseFloat(digits, 64)
-	if err != nil || !(v > 0) || v > 1e12 {
+	if err != nil || !(v > 0) || v > 1e9 {
 		return 0, fmt.Errorf("X-Expires-In: %q", text)
 	}
-	return v * unit, nil
+	return time.Duration(v * unit), nil
 }
 
 // write passes the answer on: whole, with its length.
-func write(w http.ResponseWriter, a answer) {
-	switch a.kind {
-	case balance.OK:
+func write(w http.ResponseWriter, a front.Answer) {
+	switch a.Verdict {
+	case front.Served:
 		for _, name := range []string{"Content-Type", "Content-Encoding"} {
-			w.Header()[name] = a.reply.header[name] // nil: none, and none is guessed
+			w.Header()[name] = a.Reply.Header[name] // nil: none, and none is guessed
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.reply.body)))
-		w.Write(a.reply.body)
-	case balance.Full:
-		if a.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter/1000, 'f', 3, 64))
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
+		w.Write(a.Reply.Body)
+	case front.Refused:
+		if a.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 		}
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 	default:
--- /dev/null
+++ b/internal/front/platform/platform_test.go
@@ -0,0 +1,221 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"petrelhook/internal/front"
+	"petrelhook/internal/message"
+	"petrelhook/internal/peertest"
+)
+
+// fakeCore answers each request with a function.
+type fakeCore struct {
+	taken  atomic.Int32
+	answer func(ctx context.Context, r front.Request) (front.Answer, error)
+}
+
+func (c *fakeCore) Ready() bool { return true }
+
+func (c *fakeCore) Answer(ctx context.Context, r front.Request) (front.Answer, error) {
+	c.taken.Add(1)
+	return c.answer(ctx, r)
+}
+
+func served(context.Context, front.Request) (front.Answer, error) {
+	return front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte("hi")}}, nil
+}
+
+// rig is the front alone.
+type rig struct {
+	t    *testing.T
+	core *fakeCore
+	// lingered ends the time in which the listener stays open after stop.
+	lingered chan time.Time
+	addr     string
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func newRig(t *testing.T, answer func(context.Context, front.Request) (front.Answer, error)) *rig {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), ended: make(chan error, 1)}
+	long := 10 * time.Second
+	server := New(Settings{Places: 100, Tenants: []string{"acme"}, Classes: []front.Class{
+		{Name: "look", Effect: front.Safe, Deadline: long}, {Name: "book", Effect: front.Keyed, Deadline: long}, {Name: "once", Effect: front.Unsafe, Deadline: long},
+	}}, r.core, slog.New(slog.DiscardHandler))
+	server.after = func(d time.Duration) <-chan time.Time {
+		if d < 500*time.Millisecond { // new connections come for 0.4 s
+			t.Errorf("the listener stays open for %v", d)
+		}
+		return r.lingered
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- server.Serve(stop, ln) }()
+	t.Cleanup(cancel)
+	return r
+}
+
+func (r *rig) ask(request string) (status int, body string, closes bool) {
+	r.t.Helper()
+	c, in := peertest.Open(r.t, r.addr)
+	io.WriteString(c, request)
+	resp, body := peertest.Answer(r.t, in)
+	return resp.StatusCode, body, resp.Close
+}
+
+func look(trace string) string {
+	return "GET /look?sid=7f HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + trace + "\r\nX-Qos: look\r\nX-Customer: acme\r\nX-Expires-In: 9000m\r\n\r\n"
+}
+
+// Bad input is the client's fault and reaches no server.
+func TestBadRequests(t *testing.T) {
+	r := newRig(t, served)
+	head := " HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: t\r\n"
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"unknown class":      {"GET /odd" + head + "X-Qos: odd\r\n\r\n", 400},
+		"no class":           {"GET /look" + head + "\r\n", 400},
+		"another path":       {"GET /book" + head + "X-Qos: look\r\n\r\n", 400},
+		"no id":              {"GET /look HTTP/1.1\r\nHost: app.svc\r\nX-Qos: look\r\n\r\n", 400},
+		"a safe POST":        {"POST /look" + head + "X-Qos: look\r\nContent-Length: 0\r\n\r\n", 400},
+		"a keyed GET":        {"GET /book" + head + "X-Qos: book\r\nIdempotency-Key: k\r\n\r\n", 400},
+		"no key":             {"POST /book" + head + "X-Qos: book\r\nContent-Length: 0\r\n\r\n", 400},
+		"a time without end": {"GET /look" + head + "X-Qos: look\r\nX-Expires-In: 9\r\n\r\n", 400},
+		"a negative time":    {"GET /look" + head + "X-Qos: look\r\nX-Expires-In: -9m\r\n\r\n", 400},
+		"no number":          {"GET /look" + head + "X-Qos: look\r\nX-Expires-In: NaNm\r\n\r\n", 400},
+		"a large body":       {"POST /once" + head + "X-Qos: once\r\nContent-Length: 65537\r\n\r\n", 413},
+		"a chunked body":     {"POST /once" + head + "X-Qos: once\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 501},
+		"two classes":        {"GET /look" + head + "X-Qos: look\r\nX-Qos: once\r\n\r\n", 400},
+		"two ids":            {"GET /look" + head + "X-Trace-Id: u\r\nX-Qos: look\r\n\r\n", 400},
+		"two lengths":        {"POST /once" + head + "X-Qos: once\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi", 400},
+		"a negative length":  {"POST /once" + head + "X-Qos: once\r\nContent-Length: -1\r\n\r\n", 400},
+		"a huge length":      {"POST /once" + head + "X-Qos: once\r\nContent-Length: 99999999999999999999\r\n\r\n", 400},
+		"a GET with a body":  {"GET /look" + head + "X-Qos: look\r\nContent-Length: 2\r\n\r\nhi", 400},
+		"a head without end": {"GET /look" + head + strings.Repeat("X: 1\r\n", 9000), 431},
+		"no HTTP":            {"nonsense\r\n\r\n", 400},
+	} {
+		// Each ends its connection: nothing behind it is read as a request.
+		conn, in := peertest.Open(t, r.addr)
+		io.WriteString(conn, c.request+look("hidden"))
+		if resp, _ := peertest.Answer(t, in); resp.StatusCode != c.status || !resp.Close {
+			t.Errorf("%s: %d, want %d; close %v", name, resp.StatusCode, c.status, resp.Close)
+		}
+		if more, _ := io.ReadAll(in); len(more) > 0 {
+			t.Errorf("%s: %q follows", name, more)
+		}
+	}
+	if n := r.core.taken.Load(); n != 0 {
+		t.Errorf("%d requests went on", n)
+	}
+	if status, _, _ := r.ask(look("t")); status != 200 {
+		t.Errorf("afterwards: %d", status)
+	}
+}
+
+// A client that is refused is told when to come back; a failure promises nothing.
+func TestFinalAnswers(t *testing.T) {
+	for _, c := range []struct {
+		a      front.Answer
+		status int
+		retry  string
+	}{
+		{front.Answer{Verdict: front.Refused, RetryAfter: 250 * time.Millisecond}, 503, "0.250"},
+		{front.Answer{Verdict: front.Refused}, 503, ""},
+		{front.Answer{Verdict: front.Failed}, 502, ""},
+	} {
+		w := httptest.NewRecorder()
+		write(w, c.a)
+		if w.Code != c.status || w.Header().Get("Retry-After") != c.retry {
+			t.Errorf("%+v: %d, Retry-After %q", c.a, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+}
+
+// After SIGTERM the listener stays open while connections still come, idle ones are closed meanwhile, and what
+// was taken is answered before the end.
+func TestStopping(t *testing.T) {
+	got, release := make(chan struct{}, 2), make(chan struct{})
+	r := newRig(t, func(ctx context.Context, req front.Request) (front.Answer, error) {
+		if req.Trace == "slow" {
+			got <- struct{}{}
+			<-release
+		}
+		return served(ctx, req)
+	})
+	idle, idleIn := peertest.Open(t, r.addr)
+	io.WriteString(idle, look("before"))
+	peertest.Answer(t, idleIn)
+	slow, slowIn := peertest.Open(t, r.addr)
+	io.WriteString(slow, look("slow"))
+	peertest.Wait(t, got)
+	r.stop()
+	if _, err := idleIn.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	if status, _, closes := r.ask(look("late")); status != 200 || !closes {
+		t.Errorf("on a new connection: %d, close %v", status, closes)
+	}
+	r.lingered <- time.Now()
+	peertest.Eventually(t, "the listener closes", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	select {
+	case err := <-r.ended:
+		t.Fatalf("stopped with a request unanswered: %v", err)
+	default:
+	}
+	close(release)
+	if resp, body := peertest.Answer(t, slowIn); resp.StatusCode != 200 || body != "hi" || !resp.Close {
+		t.Errorf("what was taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	if err := peertest.Wait(t, r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// What the front makes of a request, and what it answers where the core took none or has ended.
+func TestRequestsAsTheCoreSeesThem(t *testing.T) {
+	var got front.Request
+	var give error
+	r := newRig(t, func(_ context.Context, req front.Request) (front.Answer, error) {
+		got = req
+		return front.Answer{}, give
+	})
+	request := "POST /book/1?sid=7f HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t\r\nX-Qos: book\r\nX-Customer: acme\r\nX-Expires-In: 1500u\r\n" +
+		"X-Second-Try: 1\r\nX-Size-Hint: 2500\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi"
+	for err, want := range map[error]int{nil: 200, front.ErrInUse: 409, front.ErrInvalid: 400, front.ErrEnded: 502} {
+		give = err
+		if status, _, _ := r.ask(request); status != want {
+			t.Errorf("%v: status %d, want %d", err, status, want)
+		}
+	}
+	if got.Class != 1 || got.Tenant != 0 || got.Subject != "7f" || got.Wait != 1500*time.Microsecond || !got.Repeat ||
+		got.Hint != 2500*time.Microsecond || got.Message.Target != "/book/1?sid=7f" || string(got.Message.Body) != "hi" {
+		t.Errorf("%+v", got)
+	}
+	give = context.Canceled // as where the client has gone: no answer is made up
+	c, in := peertest.Open(t, r.addr)
+	io.WriteString(c, request)
+	if more, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("%q, %v", more, err)
+	}
+}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/member/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package discovery
 
 import (
 	"context"
@@ -8,11 +8,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"petrelhook/internal/member"
+	"petrelhook/internal/peertest"
 )
 
 // However a watch goes wrong, it ends with an error, and what came before was told.
 func TestWatchEnds(t *testing.T) {
-	list := catalog(7, true, instance("s", "127.0.0.1:1", "up"))
+	list := peertest.Catalog(7, true, peertest.Instance("s", "127.0.0.1:1", "up"))
 	for name, c := range map[string]struct {
 		answer string
 		stays  bool
@@ -28,15 +31,15 @@
 		"nothing":         {"", false, 0},
 		"not even a head": {"nonsense", false, 0},
 	} {
-		p := newPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		p := peertest.NewPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
 			io.WriteString(conn, c.answer)
 			return c.stays
 		})
-		d := newDiscovery(p.addr, TCP())
+		d := New(p.Addr, (&net.Dialer{}).DialContext)
 		d.silence = 20 * time.Millisecond
 		told := 0
-		err := d.watch(context.Background(), 1, func(got Catalog) {
-			if told++; got.Generation != 7 || !got.Reset || len(got.Instances) != 1 {
+		err := d.Watch(context.Background(), 1, func(got member.List) {
+			if told++; got.Generation != 7 || !got.Whole || len(got.Instances) != 1 {
 				t.Errorf("%s: %+v", name, got)
 			}
 		})
@@ -54,16 +57,16 @@
 }
 
 func TestFetch(t *testing.T) {
-	text := catalog(9, true, instance("s", "127.0.0.1:1", "up"))
-	p := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+	text := peertest.Catalog(9, true, peertest.Instance("s", "127.0.0.1:1", "up"))
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text)
 		return false
 	})
-	if c, err := newDiscovery(p.addr, TCP()).fetch(context.Background()); err != nil || c.Generation != 9 || len(c.Instances) != 1 {
+	if c, err := New(p.Addr, (&net.Dialer{}).DialContext).Fetch(context.Background()); err != nil || c.Generation != 9 || len(c.Instances) != 1 {
 		t.Errorf("%+v %v", c, err)
 	}
 	text = "{"
-	if _, err := newDiscovery(p.addr, TCP()).fetch(context.Background()); err == nil {
+	if _, err := New(p.Addr, (&net.Dialer{}).DialContext).Fetch(context.Background()); err == nil {
 		t.Error("garbage is taken for a list")
 	}
 }
--- a/internal/rig/rehearse/inprocess.go
+++ b/internal/rig/rehearse/inprocess.go
@@ -5,7 +5,8 @@
 	"errors"
 	"log/slog"
 
-	"petrelhook/internal/sidecar"
+	"petrelhook/internal/config"
+	"petrelhook/internal/wiring"
 )
 
 // InProcess is sidecars that run in this process, on a network that is handed in: the core as it is, without its
@@ -18,14 +19,13 @@
 }
 
 type inProcess struct {
-	stop, end context.CancelFunc
-	ended     chan error
-	loop      chan struct{}
+	stop  context.CancelFunc
+	ended chan error
 }
 
 // Start starts a sidecar.
-func (p *InProcess) Start(_ int, config []byte) (addr string, err error) {
-	cfg, err := sidecar.ParseConfig(config)
+func (p *InProcess) Start(_ int, text []byte) (addr string, err error) {
+	cfg, err := config.Parse(text)
 	if err != nil {
 		return "", err
 	}
@@ -37,17 +37,11 @@
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
-	loop := sidecar.NewLoop(sidecar.NewClock(), &cfg, p.Network.Dial, log)
-	one := inProcess{ended: make(chan error, 1), loop: make(chan struct{})}
-	var stop, alive context.Context
-	alive, one.end = context.WithCancel(context.Background())
+	one := inProcess{ended: make(chan error, 1)}
+	var stop context.Context
 	stop, one.stop = context.WithCancel(context.Background())
-	go func() {
-		defer close(one.loop)
-		loop.Run(alive)
-	}()
-	server := sidecar.NewServer(loop, log)
-	go func() { one.ended <- server.Serve(stop, ln) }()
+	sidecar := wiring.New(&cfg, p.Network.Dial, log)
+	go func() { one.ended <- sidecar.Run(stop, ln) }()
 	p.running = append(p.running, one)
 	return ln.Addr().String(), nil
 }
@@ -60,8 +54,6 @@
 	}
 	for _, one := range p.running {
 		all = append(all, <-one.ended)
-		one.end()
-		<-one.loop
 	}
 	p.running = nil
 	return errors.Join(all...)
--- a/internal/sidecar/answers.go
+++ b/internal/upstream/http1/answers.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
@@ -8,14 +8,11 @@
 	"net/http"
 	"sync"
 
-	"petrelhook/balance"
+	"petrelhook/internal/message"
+	"petrelhook/internal/upstream"
 )
 
-const (
-	maxBody    = 64 << 10
-	maxHead    = 32 << 10
-	loadHeader = "Endpoint-Load-Metrics"
-)
+const loadHeader = "Endpoint-Load-Metrics"
 
 // answers reads what a server sends on a connection. No more than a bound is read of it, whatever it says of its
 // length: what a server sends beyond that stays unread, and its connection is closed.
@@ -45,8 +42,8 @@
 // read reads one answer, behind any 1xx ones, and says whether the connection can be used again. Only a whole 200 is
 // served; only a server's word proves that nothing ran. What was spoilt on its way has come from a server that is
 // there: that is an error. A reset is the connection's end.
-func (a *answers) read(method string, fields []string) (r reply, keep bool) {
-	a.limit.N = maxHead // for all heads together
+func (a *answers) read(method string, fields []string) (r upstream.Outcome, keep bool) {
+	a.limit.N = message.MaxHead // for all heads together
 	resp, err := http.ReadResponse(a.Reader, &http.Request{Method: method})
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(a.Reader, &http.Request{Method: method})
@@ -54,39 +51,39 @@
 	if err != nil {
 		return a.broken(err), false
 	}
-	if resp.ContentLength > maxBody {
-		return reply{result: balance.Failed, err: errors.New("an answer over 64 KiB")}, false
+	if resp.ContentLength > message.MaxBody {
+		return upstream.Outcome{Result: upstream.Failed, Err: errors.New("an answer over 64 KiB")}, false
 	}
 	whole := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	a.limit.N += maxBody + maxHead // chunks have heads too
+	a.limit.N += message.MaxBody + message.MaxHead // chunks have heads too
 	// The body is not closed: that would read it to its end.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
 	if err != nil {
 		return a.broken(err), false
 	}
-	r = reply{result: balance.Failed, report: parseReport(resp.Header.Get(loadHeader), fields)}
-	keep = whole && !resp.Close && len(body) <= maxBody
+	r = upstream.Outcome{Result: upstream.Failed, Report: parseReport(resp.Header.Get(loadHeader), fields)}
+	keep = whole && !resp.Close && len(body) <= message.MaxBody
 	switch {
 	case !whole:
-		r.result, r.err = balance.Reset, errors.New("an answer of unknown length")
-	case len(body) > maxBody:
-		r.err = errors.New("an answer over 64 KiB")
+		r.Result, r.Err = upstream.Reset, errors.New("an answer of unknown length")
+	case len(body) > message.MaxBody:
+		r.Err = errors.New("an answer over 64 KiB")
 	case resp.StatusCode == http.StatusOK:
-		r.result, r.body, r.header = balance.OK, body, resp.Header
+		r.Result, r.Reply = upstream.Served, message.Reply{Header: resp.Header, Body: body}
 	case (resp.StatusCode == 503 || resp.StatusCode == 504) && resp.Header.Get("X-Never-Ran") == "1":
-		r.result, r.err = balance.Full, errors.New(resp.Status)
+		r.Result, r.Err = upstream.TurnedAway, errors.New(resp.Status)
 	default:
-		r.err = errors.New(resp.Status)
+		r.Err = errors.New(resp.Status)
 	}
 	return r, keep
 }
 
 // broken tells how an answer that cannot be read went wrong.
-func (a *answers) broken(err error) reply {
+func (a *answers) broken(err error) upstream.Outcome {
 	var failed net.Error
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 	if errors.As(err, &failed) || ended && a.limit.N > 0 {
-		return reply{result: balance.Reset, err: err}
+		return upstream.Outcome{Result: upstream.Reset, Err: err}
 	}
-	return reply{result: balance.Failed, err: err}
+	return upstream.Outcome{Result: upstream.Failed, Err: err}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/upstream/http1/pool.go
@@ -1,4 +1,9 @@
-package sidecar
+// Package http1 is the servers' side over HTTP/1.1 and plain TCP: connections that carry one request at a time, kept
+// while they are of use, within a bound for all servers together. It is an upstream.Servers.
+//
+// It does not send again what was lost, nor use a connection on which anything came that nobody asked for. What Go's
+// own client would do by itself (repeat a request on a new connection, follow a redirect) is why it is not used here.
+package http1
 
 import (
 	"bytes"
@@ -15,26 +20,32 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/balance"
+	"petrelhook/internal/message"
 	"petrelhook/internal/sock"
+	"petrelhook/internal/upstream"
 )
 
-const (
-	idlePart     = 0.8 // of the time after which a server closes an idle connection: we close it first
-	defaultIdle  = 10000
-	defaultDial  = 1000
-	probeTimeout = 1000
-)
+// probeTimeout bounds a probe.
+const probeTimeout = time.Second
+
+// Settings are what the deployment says of connections to servers.
+type Settings struct {
+	Most   int           // connections at once
+	Within time.Duration // the longest that one may take to come up
+	Idle   time.Duration // ... that one is kept while it carries nothing
+	Grace  time.Duration // for which something may still go to a server after it was told to take nothing
+	Fields []string      // of load reports, in the order of a report's figures
+	Probe  string        // path of a probe
+}
+
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// upstream holds the connections to servers. They carry one request at a time.
-type upstream struct {
-	clock  Clock
-	dial   Dial
-	within time.Duration // the longest that a connection may take to come up
-	idle   time.Duration
-	most   int // connections at once
-	grace  float64
-	fields []string
+// Pool holds the connections to servers. It is safe for concurrent use.
+type Pool struct {
+	Settings
+	dial  Dial
+	epoch time.Time // moments are counted from here where they must be atomic
 
 	mu     sync.Mutex
 	opened int
@@ -43,9 +54,10 @@
 
 // endpoint is one server as the I/O goroutines see it.
 type endpoint struct {
-	// offSince is when we were told that it drains or is gone, as bits of clock time; 0: it takes requests.
-	offSince atomic.Uint64
-	addr     string  // guarded by upstream.mu, as is idle
+	u *Pool
+	// offSince is when we were told that it drains or is gone, as time since the pool's epoch; 0: it takes requests.
+	offSince atomic.Int64
+	addr     string  // guarded by Pool.mu, as is idle
 	idle     []*conn // newest last
 }
 
@@ -57,63 +69,35 @@
 	used  bool // it carried an exchange before
 	timer *time.Timer
 
-	// Guarded by upstream.mu:
+	// Guarded by Pool.mu:
 	last    time.Time // when it became idle
 	counted bool      // it has a place among the open ones
 }
 
-// reply is what came back for an attempt.
-type reply struct {
-	result balance.Result
-	body   []byte
-	header http.Header
-	report []float32
-	err    error
+// New makes a pool; it has nothing to run and nothing to end but its connections.
+func New(s Settings, dial Dial) *Pool {
+	return &Pool{Settings: s, dial: dial, epoch: time.Now().Add(-1), all: map[*endpoint]struct{}{}}
 }
 
-// call is one attempt to carry out.
-type call struct {
-	to      *endpoint
-	message message
-	expires float64 // clock time at which we stop waiting
-	begin   float64 // clock time before which the first byte must leave
-	claimed atomic.Bool
-}
+// Endpoint makes an endpoint, which takes requests once Turn has told where it is.
+func (u *Pool) Endpoint() upstream.Endpoint { return &endpoint{u: u} }
 
-// claim decides once and for all between the first byte of an attempt and its being given up before that. The first
-// to claim wins: a request that is over is not sent, and one that was not sent is known never to have run.
-func (c *call) claim() bool { return c.claimed.CompareAndSwap(false, true) }
+// CloseIdle closes the connections that carry nothing.
+func (e *endpoint) CloseIdle() { e.u.closeIdle(e) }
 
-// message is a request as it goes on to a server.
-type message struct {
-	method, target string
-	header         [][2]string
-	body           []byte
+// Send carries out a call, as upstream.Endpoint says.
+func (e *endpoint) Send(ctx context.Context, c *upstream.Call) upstream.Outcome {
+	return e.u.send(ctx, e, c)
 }
 
-func newUpstream(clock Clock, c *Config, dial Dial, most int) *upstream {
-	return &upstream{
-		clock: clock, dial: dial, most: most, grace: c.Profile.Config.DrainGrace, fields: c.Profile.Fields,
-		within: duration(or(c.Profile.Config.ConnectTimeout, defaultDial)),
-		idle:   duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)),
-		all:    map[*endpoint]struct{}{},
-	}
-}
-
-func or(v, otherwise float64) float64 {
-	if v > 0 {
-		return v
-	}
-	return otherwise
-}
-
-// turn tells an endpoint where it listens and whether it takes requests. Idle connections that are of no more use
+// Turn tells an endpoint where it listens and whether it takes requests. Idle connections that are of no more use
 // are closed.
-func (u *upstream) turn(e *endpoint, addr string, off bool) {
-	if !off {
+func (e *endpoint) Turn(addr string, takes bool) {
+	u := e.u
+	if takes {
 		e.offSince.Store(0)
 	} else if e.offSince.Load() == 0 {
-		e.offSince.Store(math.Float64bits(u.clock.Now()))
+		e.offSince.Store(int64(time.Since(u.epoch)))
 	}
 	u.mu.Lock()
 	moved := addr != "" && addr != e.addr
@@ -121,12 +105,12 @@
 		e.addr = addr
 	}
 	u.mu.Unlock()
-	if moved || off {
+	if moved || !takes {
 		u.closeIdle(e)
 	}
 }
 
-func (u *upstream) closeIdle(e *endpoint) {
+func (u *Pool) closeIdle(e *endpoint) {
 	u.mu.Lock()
 	idle := e.idle
 	e.idle = nil
@@ -143,21 +127,20 @@
 
 // send carries out an attempt. It returns when the attempt has ended, or soon after ctx has, which gives the
 // attempt up and closes its connection.
-func (u *upstream) send(ctx context.Context, c *call) reply {
-	cn, err := u.connect(ctx, c.to)
+func (u *Pool) send(ctx context.Context, e *endpoint, c *upstream.Call) upstream.Outcome {
+	cn, err := u.connect(ctx, e)
 	if errors.Is(err, errBusy) {
-		return reply{result: balance.Moot, err: err}
+		return upstream.Outcome{Result: upstream.Moot, Err: err}
 	}
 	if err != nil {
-		return reply{result: balance.ConnectFailed, err: err}
+		return upstream.Outcome{Result: upstream.ConnectFailed, Err: err}
 	}
 	// A connection may take long to come up: meanwhile the server may have begun to drain, the request's
 	// time or the time in which its key is known may have passed. Nothing was sent yet, so nothing ran.
-	now := u.clock.Now()
-	if off := math.Float64frombits(c.to.offSince.Load()); now >= c.begin || now >= c.expires ||
-		off > 0 && now >= off+0.9*u.grace || !c.claim() {
+	now := time.Now()
+	if e.over(now) || !c.Begin.IsZero() && !now.Before(c.Begin) || !now.Before(c.Expires) || !c.Claim() {
 		u.park(cn)
-		return reply{result: balance.Moot, err: errors.New("too late to begin")}
+		return upstream.Outcome{Result: upstream.Moot, Err: errors.New("too late to begin")}
 	}
 	giveUp := context.AfterFunc(ctx, func() { cn.Close() })
 	r, keep := u.exchange(cn, c, now)
@@ -166,36 +149,42 @@
 	} else {
 		u.drop(cn)
 	}
-	if r.result != balance.OK && ctx.Err() != nil {
-		return reply{result: balance.Cancelled, err: ctx.Err()}
+	if r.Result != upstream.Served && ctx.Err() != nil {
+		return upstream.Outcome{Result: upstream.Cancelled, Err: ctx.Err()}
 	}
 	return r
 }
 
+// over reports whether the grace is over, with a tenth of it left for the first byte to leave.
+func (e *endpoint) over(now time.Time) bool {
+	off := e.offSince.Load()
+	return off > 0 && now.Sub(e.u.epoch) >= time.Duration(off)+e.u.Grace*9/10
+}
+
 // exchange writes the request and reads the answer, and says whether the connection can be used again.
-func (u *upstream) exchange(cn *conn, c *call, now float64) (r reply, keep bool) {
-	cn.SetWriteDeadline(u.clock.Time(c.expires)) // reading ends when the attempt is given up
-	text := c.message.encode(cn.addr, c.expires-now)
+func (u *Pool) exchange(cn *conn, c *upstream.Call, now time.Time) (r upstream.Outcome, keep bool) {
+	cn.SetWriteDeadline(c.Expires) // reading ends when the attempt is given up
+	text := encode(&c.Message, cn.addr, c.Expires.Sub(now))
 	if n, err := cn.Write(text); err != nil {
 		switch {
 		case n == len(text):
-			return reply{result: balance.Reset, err: err}, false
+			return upstream.Outcome{Result: upstream.Reset, Err: err}, false
 		case cn.used: // the server closed it just now: that says nothing of whether it can be reached
-			return reply{result: balance.Moot, err: err}, false
+			return upstream.Outcome{Result: upstream.Moot, Err: err}, false
 		default: // the server begins with the last byte
-			return reply{result: balance.ConnectFailed, err: err}, false
+			return upstream.Outcome{Result: upstream.ConnectFailed, Err: err}, false
 		}
 	}
 	// The reader starts empty: connect has seen that nothing had come before the request left.
 	in := newAnswers(cn)
 	defer in.free()
-	r, keep = in.read(c.message.method, u.fields)
+	r, keep = in.read(c.Message.Method, u.Fields)
 	return r, keep && in.Buffered() == 0
 }
 
 // connect takes the newest idle connection, which is the least likely to be closed by the server, or opens one.
 // A connection that the server has closed, or on which anything came that nobody asked for, carries nothing more.
-func (u *upstream) connect(ctx context.Context, e *endpoint) (*conn, error) {
+func (u *Pool) connect(ctx context.Context, e *endpoint) (*conn, error) {
 	for {
 		c := u.take(e)
 		if c == nil {
@@ -209,7 +198,7 @@
 }
 
 // take takes an idle connection out of the pool.
-func (u *upstream) take(e *endpoint) *conn {
+func (u *Pool) take(e *endpoint) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := len(e.idle)
@@ -222,7 +211,7 @@
 }
 
 // unpool takes out the idle connection at position i of its endpoint. The caller holds mu.
-func (u *upstream) unpool(c *conn, i int) {
+func (u *Pool) unpool(c *conn, i int) {
 	c.to.idle = slices.Delete(c.to.idle, i, i+1)
 	if len(c.to.idle) == 0 {
 		delete(u.all, c.to)
@@ -231,11 +220,11 @@
 }
 
 // open opens a connection. At the bound, room is made by the one that was idle the longest.
-func (u *upstream) open(ctx context.Context, e *endpoint) (*conn, error) {
+func (u *Pool) open(ctx context.Context, e *endpoint) (*conn, error) {
 	u.mu.Lock()
 	addr := e.addr
 	var spare *conn
-	if u.opened >= u.most {
+	if u.opened >= u.Most {
 		for other := range u.all {
 			if spare == nil || other.idle[0].last.Before(spare.last) {
 				spare = other.idle[0]
@@ -254,7 +243,7 @@
 	if spare != nil {
 		u.drop(spare)
 	}
-	ctx, cancel := context.WithTimeout(ctx, u.within)
+	ctx, cancel := context.WithTimeout(ctx, u.Within)
 	defer cancel()
 	nc, err := u.dial(ctx, "tcp", addr)
 	if err != nil {
@@ -267,7 +256,7 @@
 }
 
 // drop closes a connection that is not in the pool.
-func (u *upstream) drop(c *conn) {
+func (u *Pool) drop(c *conn) {
 	c.Close()
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -278,7 +267,7 @@
 }
 
 // park makes a connection idle, if it is of further use. It is closed before the server closes it.
-func (u *upstream) park(c *conn) {
+func (u *Pool) park(c *conn) {
 	u.mu.Lock()
 	if c.addr != c.to.addr || c.to.offSince.Load() != 0 {
 		u.mu.Unlock()
@@ -290,17 +279,17 @@
 	c.to.idle = append(c.to.idle, c)
 	u.all[c.to] = struct{}{}
 	if c.timer == nil {
-		c.timer = time.AfterFunc(u.idle, func() { u.expire(c) })
+		c.timer = time.AfterFunc(u.Idle, func() { u.expire(c) })
 	} else {
-		c.timer.Reset(u.idle)
+		c.timer.Reset(u.Idle)
 	}
 }
 
 // expire closes a connection that has been idle for too long, unless it was taken meanwhile.
-func (u *upstream) expire(c *conn) {
+func (u *Pool) expire(c *conn) {
 	u.mu.Lock()
 	i := slices.Index(c.to.idle, c)
-	if i < 0 || time.Since(c.last) < u.idle {
+	if i < 0 || time.Since(c.last) < u.Idle {
 		u.mu.Unlock()
 		return
 	}
@@ -309,16 +298,15 @@
 	u.drop(c)
 }
 
-// probe asks a server how it is.
-func (u *upstream) probe(ctx context.Context, e *endpoint, path string) reply {
-	ctx, cancel := context.WithTimeout(ctx, duration(probeTimeout))
+// Probe asks a server how it is.
+func (e *endpoint) Probe(ctx context.Context) upstream.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r := u.send(ctx, &call{
-		to: e, message: message{method: http.MethodGet, target: path},
-		expires: u.clock.Now() + probeTimeout, begin: math.Inf(1),
+	r := e.Send(ctx, &upstream.Call{
+		Message: message.Request{Method: http.MethodGet, Target: e.u.Settings.Probe}, Expires: time.Now().Add(probeTimeout),
 	})
-	if r.result == balance.OK && len(r.report) == 0 {
-		r.report = parseReport(string(r.body), u.fields)
+	if r.Result == upstream.Served && len(r.Report) == 0 {
+		r.Report = parseReport(string(r.Reply.Body), e.u.Fields)
 	}
 	return r
 }
@@ -342,17 +330,17 @@
 	return report
 }
 
-// encode writes the message as HTTP/1.1, all at once.
-func (m *message) encode(host string, left float64) []byte {
+// encode writes a message as HTTP/1.1, all at once.
+func encode(m *message.Request, host string, left time.Duration) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Expires-In: %du\r\n", m.method, m.target, host, int64(left*1000))
-	for _, h := range m.header {
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Expires-In: %du\r\n", m.Method, m.Target, host, left.Microseconds())
+	for _, h := range m.Header {
 		fmt.Fprintf(&b, "%s: %s\r\n", h[0], h[1])
 	}
-	if len(m.body) > 0 || m.method != http.MethodGet {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(m.body))
+	if len(m.Body) > 0 || m.Method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(m.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(m.body)
+	b.Write(m.Body)
 	return b.Bytes()
 }
--- /dev/null
+++ b/internal/upstream/http1/pool_test.go
@@ -0,0 +1,301 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"petrelhook/internal/message"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/sock"
+	"petrelhook/internal/upstream"
+)
+
+func testPool(most int) *Pool {
+	return New(Settings{
+		Most: most, Within: 5 * time.Second, Idle: 8 * time.Second, Grace: 250 * time.Millisecond,
+		Fields: []string{"busy", "rate"}, Probe: "/_load",
+	}, (&net.Dialer{}).DialContext)
+}
+
+// at is an endpoint that listens at an address.
+func (u *Pool) at(addr string) *endpoint { return &endpoint{u: u, addr: addr} }
+
+func look() *upstream.Call {
+	return &upstream.Call{Message: message.Request{Method: "GET", Target: "/look"}, Expires: time.Now().Add(30 * time.Second)}
+}
+
+func (u *Pool) held() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.opened
+}
+
+// Rule 2 rests on what an outcome proves: only these ends tell that nothing ran, and only a whole 200 is served.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   upstream.Result
+		reused bool
+	}{
+		"served":              {peertest.OKAnswer, upstream.Served, true},
+		"served in chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", upstream.Served, true},
+		"after a 100":         {"HTTP/1.1 100 Continue\r\n\r\n" + peertest.OKAnswer, upstream.Served, true},
+		"served, then closed": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", upstream.Served, false},
+		"bytes left over":     {peertest.OKAnswer + "HTTP", upstream.Served, false},
+		"error":               {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", upstream.Failed, true},
+		"turned away":         {"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", upstream.TurnedAway, true},
+		"over already":        {"HTTP/1.1 504 Late\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", upstream.TurnedAway, true},
+		"503 without a word":  {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", upstream.Failed, true},
+		"500 with the word":   {"HTTP/1.1 500 Oops\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", upstream.Failed, true},
+		"not an answer":       {"\x16\x03\x01nonsense\r\n\r\n", upstream.Failed, false},
+		"two lengths":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi", upstream.Failed, false},
+		"a negative length":   {"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi", upstream.Failed, false},
+		"a report unread":     {"HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: \xff{],=;\r\nContent-Length: 2\r\n\r\nhi", upstream.Served, true},
+		"too large":           {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), upstream.Failed, false},
+		"broken off":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", upstream.Reset, false},
+		"of unknown length":   {"HTTP/1.1 200 OK\r\n\r\nhi", upstream.Reset, false},
+		"nothing":             {"", upstream.Reset, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ends := name == "broken off" || name == "of unknown length" || name == "nothing"
+			p := peertest.NewPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+				io.WriteString(conn, c.answer)
+				return !ends
+			})
+			u := testPool(9)
+			e := u.at(p.Addr)
+			r := e.Send(context.Background(), look())
+			if r.Result != c.want {
+				t.Fatalf("result %v (%v), want %v", r.Result, r.Err, c.want)
+			}
+			if r.Result == upstream.Served && string(r.Reply.Body) != "hi" {
+				t.Errorf("body %q", r.Reply.Body)
+			}
+			if c.reused {
+				e.Send(context.Background(), look())
+				if n := p.Conns.Load(); n != 1 {
+					t.Errorf("%d connections for two requests", n)
+				}
+			} else {
+				peertest.Eventually(t, "the connection is closed", func() bool { return u.held() == 0 })
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	u := testPool(9)
+	if r := u.at(peertest.DeadAddr(t)).Send(context.Background(), look()); r.Result != upstream.ConnectFailed {
+		t.Errorf("result %v", r.Result)
+	}
+	if u.held() != 0 {
+		t.Error("the place is not given back")
+	}
+}
+
+// A dial takes time: what became too late meanwhile must not leave, and has not run.
+func TestTooLateToBegin(t *testing.T) {
+	for name, spoil := range map[string]func(*endpoint, *upstream.Call){
+		"the grace is over":      func(e *endpoint, c *upstream.Call) { e.offSince.Store(int64(time.Since(e.u.epoch) - e.u.Grace)) },
+		"the key's time is over": func(_ *endpoint, c *upstream.Call) { c.Begin = time.Now() },
+		"the client's is":        func(_ *endpoint, c *upstream.Call) { c.Expires = time.Now() },
+		"it was given up":        func(_ *endpoint, c *upstream.Call) { c.Claim() },
+	} {
+		p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+		u := testPool(9)
+		e, c := u.at(p.Addr), look()
+		u.epoch = u.epoch.Add(-time.Minute)
+		spoil(e, c)
+		if r := e.Send(context.Background(), c); r.Result != upstream.Moot {
+			t.Errorf("%s: result %v", name, r.Result)
+		}
+		if p.Requests.Load() != 0 {
+			t.Errorf("%s: sent", name)
+		}
+	}
+}
+
+// Giving an attempt up closes its connection, which is how the server learns of it.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	got := make(chan struct{}, 1)
+	p := peertest.NewPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
+	u := testPool(9)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan upstream.Outcome, 1)
+	go func() { done <- u.at(p.Addr).Send(ctx, look()) }()
+	peertest.Wait(t, got)
+	cancel()
+	if r := peertest.Wait(t, done); r.Result != upstream.Cancelled {
+		t.Errorf("result %v", r.Result)
+	}
+	peertest.Wait(t, p.Ended)
+	peertest.Eventually(t, "the place is given back", func() bool { return u.held() == 0 })
+}
+
+// We close an idle connection before the server does: a request written to one that it closed is lost.
+func TestIdleConnectionsAreClosedByUs(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	u := testPool(9)
+	u.Idle = 10 * time.Millisecond
+	u.at(p.Addr).Send(context.Background(), look())
+	peertest.Wait(t, p.Ended)
+	peertest.Eventually(t, "the place is given back", func() bool { return u.held() == 0 })
+}
+
+// What came of a server's close, or of bytes that nobody asked for, is seen before a request is written: such a
+// connection carries nothing more, and the server is not to blame.
+func TestAnIdleConnectionThatIsNotCleanIsNotUsed(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"closed":                 func(c net.Conn) { c.Close() },
+		"reset":                  func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"a second copy":          func(c net.Conn) { io.WriteString(c, strings.Replace(peertest.OKAnswer, "hi", "no", 1)) },
+		"a copy and then an end": func(c net.Conn) { io.WriteString(c, peertest.OKAnswer); c.Close() },
+	} {
+		conns := make(chan net.Conn, 2)
+		p := peertest.NewPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(c, peertest.OKAnswer)
+			conns <- c
+			return true
+		})
+		u := testPool(9)
+		e := u.at(p.Addr)
+		e.Send(context.Background(), look())
+		spoil(peertest.Wait(t, conns))
+		peertest.Eventually(t, "it has arrived", func() bool { return !sock.Quiet(e.idle[0].Conn) })
+		if r := e.Send(context.Background(), look()); r.Result != upstream.Served || string(r.Reply.Body) != "hi" || p.Conns.Load() != 2 {
+			t.Errorf("%s: result %v, %q, %d connections", name, r.Result, r.Reply.Body, p.Conns.Load())
+		}
+		if n := u.held(); n != 1 {
+			t.Errorf("%s: %d connections are held", name, n)
+		}
+	}
+}
+
+// An answer costs a bounded number of bytes, whatever it says of itself; the rest is not read to its end.
+func TestAnswersAreBounded(t *testing.T) {
+	for name, head := range map[string]string{
+		"a head without end":   "HTTP/1.1 200 OK\r\n",
+		"a line without end":   "HTTP/1.1 200 OK\r\nX: ",
+		"3 GB":                 "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+		"chunks without end":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"until it is closed":   "HTTP/1.1 200 OK\r\n\r\n",
+		"1xx without end":      "",
+		"an error without end": "HTTP/1.1 500 Oops\r\nContent-Length: 3000000000\r\n\r\n",
+	} {
+		more := map[string]string{
+			"a head without end": "X: 1\r\n", "chunks without end": "1\r\nx\r\n", "1xx without end": "HTTP/1.1 102 Wait\r\n\r\n",
+		}[name]
+		if more == "" {
+			more = "xxxxxxxx"
+		}
+		block := strings.Repeat(more, 1000)
+		p := peertest.NewPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(c, head)
+			for {
+				if _, err := io.WriteString(c, block); err != nil {
+					return false // closed by the other side
+				}
+			}
+		})
+		u := testPool(9)
+		r := u.at(p.Addr).Send(context.Background(), look())
+		if r.Result == upstream.Served || r.Result.NeverRan() {
+			t.Errorf("%s: result %v", name, r.Result)
+		}
+		if n := u.held(); n != 0 {
+			t.Errorf("%s: %d connections are held", name, n)
+		}
+	}
+}
+
+func TestTheNewestConnectionIsUsedFirst(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	u := testPool(9)
+	e := u.at(p.Addr)
+	var conns []*conn
+	for range 2 {
+		c, err := u.connect(context.Background(), e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	u.park(conns[0])
+	u.park(conns[1])
+	if c, _ := u.connect(context.Background(), e); c != conns[1] {
+		t.Error("not the newest")
+	}
+}
+
+// At the bound on sockets an attempt does not begin, by no fault of its server, unless another server's idle connection can make room.
+func TestTheBoundOnConnections(t *testing.T) {
+	got := make(chan struct{}, 1)
+	busy := peertest.NewPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
+	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	u := testPool(1)
+	first, second := u.at(p.Addr), u.at(busy.Addr)
+	first.Send(context.Background(), look())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan upstream.Outcome, 1)
+	go func() { done <- second.Send(ctx, look()) }()
+	peertest.Wait(t, got)     // it took the place ...
+	peertest.Wait(t, p.Ended) // ... of the idle one
+	if r := first.Send(context.Background(), look()); r.Result != upstream.Moot {
+		t.Errorf("result %v", r.Result)
+	}
+	cancel()
+	peertest.Wait(t, done)
+	peertest.Eventually(t, "the count is right again", func() bool { return u.held() == 0 })
+}
+
+func TestParseReport(t *testing.T) {
+	fields := []string{"busy", "rate", "q"}
+	r := parseReport("TEXT rate=12.5, new=3, busy=0.61, q=", fields)
+	if len(r) != 3 || r[0] != 0.61 || r[1] != 12.5 || r[2] == r[2] {
+		t.Errorf("%v", r)
+	}
+	for _, none := range []string{"", "TEXT", "TEXT other=1", "busy", "=", "busy=x", "busy=NaN", "busy=-1", "rate=+Inf"} {
+		if r := parseReport(none, fields); r != nil {
+			t.Errorf("%q: %v", none, r)
+		}
+	}
+}
+
+// A server that moves is met at its new address, and its old connections are closed. One that drains gets nothing new,
+// so its idle connections are of no use either.
+func TestAServerThatMoves(t *testing.T) {
+	first, second := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer)), peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	u := testPool(9)
+	e := u.at("")
+	e.Turn(first.Addr, true)
+	e.Send(context.Background(), look())
+	e.Turn(second.Addr, true)
+	peertest.Wait(t, first.Ended)
+	if r := e.Send(context.Background(), look()); r.Result != upstream.Served || second.Requests.Load() != 1 {
+		t.Errorf("result %v, %d requests", r.Result, second.Requests.Load())
+	}
+	e.Turn("", false)
+	peertest.Wait(t, second.Ended)
+	peertest.Eventually(t, "all are closed", func() bool { return u.held() == 0 })
+}
+
+// Probes are requests of their own; the report is the body or the header.
+func TestProbe(t *testing.T) {
+	paths := make(chan string, 1)
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		paths <- req.RequestURI
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nTEXT busy=0.25")
+		return true
+	})
+	u := testPool(9)
+	r := u.at(p.Addr).Probe(context.Background())
+	if path := peertest.Wait(t, paths); path != "/_load" || r.Result != upstream.Served || len(r.Report) != 2 || r.Report[0] != 0.25 {
+		t.Errorf("%s: %+v", path, r)
+	}
+}
--- /dev/null
+++ b/internal/wiring/loop_test.go
@@ -0,0 +1,124 @@
+package wiring
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"petrelhook/internal/peertest"
+)
+
+// breaks reads a request and ends the connection: it may have run.
+func breaks(net.Conn, *http.Request, string) bool { return false }
+
+// What may have run is repeated only where its class permits that.
+func TestWhatMayHaveRunIsNotRepeated(t *testing.T) {
+	a, b := peertest.NewPeer(t, breaks), peertest.NewPeer(t, breaks)
+	r := withServers(t, a.Addr, b.Addr)
+	resp, _ := r.ask(once("t1"))
+	if n := a.Requests.Load() + b.Requests.Load(); resp.StatusCode != 502 || n != 1 {
+		t.Errorf("unsafe: status %d after %d attempts", resp.StatusCode, n)
+	}
+	r = withServers(t, a.Addr, b.Addr)
+	resp, _ = r.ask(look("t2"))
+	if n := a.Requests.Load() + b.Requests.Load(); resp.StatusCode != 503 || n != 3 {
+		t.Errorf("safe: status %d, %d attempts in all", resp.StatusCode, n)
+	}
+	if after := resp.Header.Get("Retry-After"); after != "0.050" {
+		t.Errorf("Retry-After %q", after)
+	}
+}
+
+// What never ran goes to another server, also where it must not run twice.
+func TestWhatNeverRanIsRepeated(t *testing.T) {
+	full := peertest.NewPeer(t, peertest.Says("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"))
+	good := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	r := withServers(t, peertest.DeadAddr(t), full.Addr, good.Addr)
+	for i := range 9 { // whatever the rotation begins with, a dead or a full server is followed by another try
+		resp, body := r.ask(once(fmt.Sprint("t", i)))
+		if resp.StatusCode == 200 && body == "hi" {
+			return
+		}
+		if resp.StatusCode != 503 { // refused, since nothing ran
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	t.Error("never served")
+}
+
+// A server that never answers does not hold the client past its time, and its attempt is closed.
+func TestASilentServer(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Silent)
+	r := withServers(t, p.Addr)
+	resp, _ := r.ask(strings.Replace(once("t"), "9000m", "50m", 1))
+	if resp.StatusCode != 502 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	peertest.Wait(t, p.Ended)
+	if n := r.side.core.Stats().Requests; n != 0 {
+		t.Errorf("%d requests in the table", n)
+	}
+}
+
+// An attempt whose connection never came up has not run, also when its time ends first: the client may try again.
+func TestNoConnectionInTimeNeverRan(t *testing.T) {
+	r := withServers(t, peertest.CutOff(t))
+	if resp, _ := r.ask(strings.Replace(once("t"), "9000m", "50m", 1)); resp.StatusCode != 503 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// Servers come from discovery; a list call that fails is told once, and the module asks again.
+func TestDiscovery(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	calls := make(chan string, 9)
+	more := make(chan string)
+	disc := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		calls <- req.RequestURI
+		if len(req.URL.Query()["watch"]) == 0 {
+			return false
+		}
+		select {
+		case line := <-more:
+			if line == "" {
+				io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+				return false
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+line+"\n\n")
+			for line := range more {
+				io.WriteString(c, line+"\n")
+			}
+		case <-time.After(peertest.Patience):
+		}
+		return false
+	})
+	r := newRig(t, disc.Addr, peertest.Catalog(41, true, peertest.Instance("old", peertest.DeadAddr(t), "up")), slog.New(slog.DiscardHandler))
+	if uri := peertest.Wait(t, calls); uri != "/catalog/members?after=41&watch=1" {
+		t.Errorf("first call %s", uri)
+	}
+	more <- "" // it fails
+	peertest.Wait(t, calls)
+	more <- peertest.Catalog(42, true, peertest.Instance("new", p.Addr, "up"))
+	listed := func(names ...string) func() bool {
+		return func() bool { return slices.Equal(r.side.core.Stats().Servers, names) }
+	}
+	peertest.Eventually(t, "a whole list replaces the old one", listed("new"))
+	if resp, _ := r.ask(look("t1")); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	more <- peertest.Catalog(43, false, peertest.Instance("other", peertest.DeadAddr(t), "draining"))
+	peertest.Eventually(t, "changes add to the list", listed("new", "other"))
+	more <- peertest.Catalog(44, false, peertest.Instance("new", "", "removed"))
+	peertest.Wait(t, p.Ended) // its idle connection is of no more use
+	peertest.Eventually(t, "what is removed is gone", listed("other"))
+	if resp, _ := r.ask(strings.Replace(look("t2"), "9000m", "50m", 1)); resp.StatusCode == 200 {
+		t.Error("served by a server that is gone")
+	}
+	close(more)
+}
--- /dev/null
+++ b/internal/wiring/reload.go
@@ -0,0 +1,26 @@
+package wiring
+
+import (
+	"context"
+	"os"
+
+	"petrelhook/internal/config"
+	"petrelhook/internal/member/discovery"
+)
+
+// Reload reads the configuration again whenever asked to, until ctx ends. What cannot be read changes nothing.
+func (s *Sidecar) Reload(ctx context.Context, path string, asked <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		c, err := config.Read(path)
+		if err != nil {
+			s.log.Error("the configuration stays as it was", "err", err)
+			continue
+		}
+		s.core.Replace(discovery.New(c.Discovery, discovery.Dial(s.dial)))
+	}
+}
--- a/internal/sidecar/reload_test.go
+++ b/internal/wiring/reload_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package wiring
 
 import (
 	"context"
@@ -8,8 +8,12 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
+
+	"petrelhook/internal/peertest"
 )
 
 // lines is a log that hands out its lines as they are written.
@@ -20,35 +24,43 @@
 	return len(text), nil
 }
 
+// until reads lines up to one that holds a text.
+func (l lines) until(t *testing.T, text string) {
+	t.Helper()
+	for !strings.Contains(peertest.Wait(t, l), text) {
+	}
+}
+
 // After a reload the new discovery is asked for its whole list at once, the old one is left and counts no more, and
 // requests go on. A file that cannot be read changes nothing.
 func TestReload(t *testing.T) {
 	got, release := make(chan struct{}, 1), make(chan struct{})
-	p := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
 		if req.Header.Get("X-Trace-Id") == "open" {
 			got <- struct{}{}
 			<-release
 		}
-		io.WriteString(c, okAnswer)
+		io.WriteString(c, peertest.OKAnswer)
 		return true
 	})
 	asked := make(chan string, 9)
-	lister := func(list string) *peer {
-		return newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+	lister := func(list string) *peertest.Peer {
+		return peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
 			asked <- req.URL.Query().Get("after")
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+list+"\n")
 			return true
 		})
 	}
-	old := lister(catalog(900, true, instance("s-0", p.addr, "up")))
-	next := lister(catalog(3, true, instance("s-1", p.addr, "up")))
-	r := newRig(t, old.addr, catalog(899, true, instance("s-0", p.addr, "up")))
-	if after := wait(t, asked); after != "899" {
+	old := lister(peertest.Catalog(900, true, peertest.Instance("s-0", p.Addr, "up")))
+	next := lister(peertest.Catalog(3, true, peertest.Instance("s-1", p.Addr, "up")))
+	log := make(lines, 99)
+	r := newRig(t, old.Addr, peertest.Catalog(899, true, peertest.Instance("s-0", p.Addr, "up")), slog.New(slog.NewTextHandler(log, nil)))
+	if after := peertest.Wait(t, asked); after != "899" {
 		t.Errorf("the first watch is after %s", after)
 	}
 	c, in := r.open()
 	io.WriteString(c, look("open"))
-	wait(t, got)
+	peertest.Wait(t, got)
 
 	path, hup := filepath.Join(t.TempDir(), "config.json"), make(chan os.Signal)
 	write := func(text string) {
@@ -59,37 +71,34 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log := make(lines, 9)
 	ended := make(chan struct{})
 	go func() {
-		r.loop.Reload(ctx, path, hup, slog.New(slog.NewTextHandler(log, nil)))
+		r.side.Reload(ctx, path, hup)
 		close(ended)
 	}()
 	hup <- syscall.SIGHUP // there is no file
-	wait(t, log)
+	log.until(t, "stays as it was")
 	write("{")
-	wait(t, log)
-	write(`{"listen":"127.0.0.1:0","discovery":"` + next.addr + `","seed":"1f","settings":` + testSettings + `}`)
-	if after := wait(t, asked); after != "0" {
+	log.until(t, "stays as it was")
+	write(`{"listen":"127.0.0.1:0","discovery":"` + next.Addr + `","seed":"1f","settings":` + peertest.Settings + `}`)
+	if after := peertest.Wait(t, asked); after != "0" {
 		t.Errorf("the new watch is after %s", after)
 	}
-	wait(t, old.ended)
-	eventually(t, "the new list holds", func() (ok bool) {
-		r.within(func() { ok = len(r.loop.servers) == 1 && r.loop.servers[0] == nil && r.loop.generation == 3 })
-		return ok
+	peertest.Wait(t, old.Ended)
+	peertest.Eventually(t, "the new list holds", func() bool {
+		s := r.side.core.Stats()
+		return slices.Equal(s.Servers, []string{"s-1"}) && s.Generation == 3
 	})
 	close(release)
 	if resp, _ := r.answer(in); resp.StatusCode != 200 {
 		t.Errorf("the open request: %d", resp.StatusCode)
 	}
 	hup <- syscall.SIGHUP // the same file again: the watch stays
+	log.until(t, "moved=false")
 	cancel()
-	wait(t, ended)
-	r.within(func() {})
+	peertest.Wait(t, ended)
+	r.side.core.Stats()
 	if n := len(asked); n != 0 {
 		t.Errorf("%d more calls", n)
 	}
-	if n := len(log); n != 0 {
-		t.Errorf("%d more lines", n)
-	}
 }
--- /dev/null
+++ b/internal/wiring/rig_test.go
@@ -0,0 +1,79 @@
+package wiring
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+
+	"petrelhook/internal/config"
+	"petrelhook/internal/peertest"
+)
+
+// rig is a whole sidecar.
+type rig struct {
+	t     *testing.T
+	side  *Sidecar
+	addr  string
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newRig(t *testing.T, discovery, known string, log *slog.Logger) *rig {
+	t.Helper()
+	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
+		discovery, known, peertest.Settings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, side: New(&cfg, TCP(), log), addr: ln.Addr().String(), ended: make(chan error, 1)}
+	stop, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- r.side.Run(stop, ln) }()
+	t.Cleanup(cancel)
+	return r
+}
+
+// withServers is a sidecar that knows these servers; discovery is down.
+func withServers(t *testing.T, addrs ...string) *rig {
+	var list []string
+	for i, addr := range addrs {
+		list = append(list, peertest.Instance(fmt.Sprint("s-", i), addr, "up"))
+	}
+	return newRig(t, peertest.DeadAddr(t), peertest.Catalog(1, true, list...), slog.New(slog.DiscardHandler))
+}
+
+// open connects to the sidecar as a client.
+func (r *rig) open() (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	return peertest.Open(r.t, r.addr)
+}
+
+// ask sends a request on a connection of its own and reads the answer.
+func (r *rig) ask(request string) (*http.Response, string) {
+	r.t.Helper()
+	c, in := r.open()
+	io.WriteString(c, request)
+	return r.answer(in)
+}
+
+func (r *rig) answer(in *bufio.Reader) (*http.Response, string) {
+	r.t.Helper()
+	return peertest.Answer(r.t, in)
+}
+
+func look(trace string) string {
+	return "GET /look?sid=7f HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + trace + "\r\nX-Qos: look\r\nX-Customer: acme\r\nX-Expires-In: 9000m\r\n\r\n"
+}
+
+func once(trace string) string {
+	return "POST /once HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + trace + "\r\nX-Qos: once\r\nX-Expires-In: 9000m\r\nContent-Length: 0\r\n\r\n"
+}
