--- /dev/null
+++ b/balance/list.go
@@ -0,0 +1,57 @@
+package balance
+
+import "math"
+
+// The list of servers: when to ask for it, and what its news change.
+
+// ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists.
+func (b *Balancer) ask() { b.emit(Action{Kind: Watch}) }
+
+func (b *Balancer) onList(ev ServerList) {
+	switch ev.Kind {
+	case ListFailed:
+		b.askAgain()
+		return
+	case ListFull, ListCached:
+		b.markUnlisted(ev.Servers)
+	}
+	b.asks = 0
+	for i := range ev.Servers {
+		b.update(&ev.Servers[i])
+	}
+	b.dropGone()
+}
+
+// update takes in one entry. A restart clears what was held against the server.
+func (b *Balancer) update(entry *Server) {
+	s := b.byID[entry.ID]
+	if s == nil {
+		if entry.State == Gone {
+			return
+		}
+		// A random start keeps sidecars that begin together from choosing in step.
+		s = &server{running: 100 * b.random(), coldSince: math.Inf(-1)}
+		s.place = mix(uint64(entry.ID) + mix(uint64(b.cfg.Number%rounds)+1))
+		b.byID[entry.ID] = s
+		b.servers = append(b.servers, s)
+	}
+	if entry.StartedAt > s.StartedAt {
+		s.pardon()
+		s.running = 0
+		b.chill(s, math.Min(entry.StartedAt, b.now))
+	}
+	s.Server = *entry
+	if !(s.Rating > 0) || math.IsInf(s.Rating, 1) {
+		s.Rating = 1
+	}
+}
+
+// askAgain calls again after a growing, jittered pause, within the limit on sidecars not subscribed.
+func (b *Balancer) askAgain() {
+	pause := askPause * float64(int(1)<<min(b.asks, 4))
+	if b.cfg.AskWithin > 0 {
+		pause = math.Min(pause, b.cfg.AskWithin/3)
+	}
+	b.asks++
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.random()/2)})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -218,7 +218,8 @@
 func New(cfg Config) *Balancer {
 	cfg = cfg.withDefaults()
 	b := &Balancer{
-		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
+		cfg: cfg, rng: cfg.Seed,
+		byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
 		spare: repeatBurst / 2,
