The module teaches itself: the life of a request, 25 conversations, random numbers by PCG

Need: to follow one decision, a reader had to know all of the module. And its random numbers were made by hand.

Change: doc.go draws the life of a request and says of each rule where it is kept and which tests show it. 25 text files hold conversations with the module: events in, actions out, the reasons beside them; each rule, each outcome, cold start, drain, shedding, subset, probes. They run as a test (cockroachdb/datadriven, in tests only). Random numbers come from a seeded PCG of math/rand/v2.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,4 +1,3 @@
-// Package balance takes the decisions of one sidecar's load balancer. What goes in and out is in api.go.
 package balance
 
 import (
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -20,5 +20,5 @@
 // chill begins a server's warm-up. The first budget is random, so that the first sends of all
 // sidecars do not meet.
 func (b *Balancer) chill(s *server, since float64) {
-	s.coldSince, s.tokens, s.tokensAt = since, b.random(), b.now
+	s.coldSince, s.tokens, s.tokensAt = since, b.rng.Float64(), b.now
 }
--- /dev/null
+++ b/balance/conversation_test.go
@@ -0,0 +1,393 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestConversations plays the conversations in testdata: events go in, and what the module does stands below each. They
+// are meant to be read; go test ./balance -run TestConversations -rewrite writes what the module does now in its place.
+//
+//	begin [attempts=N] [peers=N] [cancel=no] [retry-after=MS] [probes] [cold=PART,MS] [fall=MULTIPLE,MS] ...
+//	      with a line for each class: NAME safe|keyed|unsafe [group=all|zone|cell] [window=MS] aim=MS deadline=MS ...
+//	list  [full|cached|changes|failed], with a line for each server: NAME [draining|gone] [cell=N] [age=MS] [size=X]
+//	ask   ID CLASS [left=MS] [again]
+//	end   ID.ATTEMPT served|error|full|timed-out|no-connection|reset|cancelled|moot
+//	hangup ID
+//	wait  MS: time passes, and the timers that come due are brought back
+//	busy  N CLASS every=MS took=MS: N requests come evenly, each answered by whoever gets it; prints by whom
+//	probed NAME served|no-connection [holds=N]
+//	show  prints what the module holds of each server
+func TestConversations(t *testing.T) {
+	conversations := 0
+	datadriven.Walk(t, "testdata/conversations", func(t *testing.T, path string) {
+		conversations++
+		c := &conversation{t: t}
+		datadriven.RunTest(t, path, c.line)
+	})
+	if conversations < 15 {
+		t.Errorf("%d conversations", conversations)
+	}
+}
+
+var (
+	effectWords = map[string]Effect{"safe": Safe, "keyed": Keyed, "unsafe": Unsafe}
+	groupWords  = map[string]Group{"all": GroupAll, "zone": GroupZone, "cell": GroupCell}
+	resultWords = map[string]Result{
+		"served": OK, "error": Failed, "full": Full, "timed-out": TimedOut, "no-connection": ConnectFailed,
+		"reset": Reset, "cancelled": Cancelled, "moot": Moot,
+	}
+	stateWords = map[string]State{"up": Ready, "draining": Draining, "gone": Gone}
+)
+
+// conversation is one module and what is going on around it. Times are told from its beginning.
+type conversation struct {
+	t       *testing.T
+	b       *Balancer
+	now     float64
+	classes []string
+	names   []string // of servers, by ID less 1
+	timers  []timer
+	sent    map[RequestID][]ServerID
+	began   map[string]float64 // attempts
+	over    map[RequestID]bool
+	next    RequestID // of busy's own requests
+	noted   map[RequestID]bool
+}
+
+type timer struct {
+	due   float64
+	token uint64
+}
+
+const conversationStart = 1_000_000 // ms
+
+func (c *conversation) name(id ServerID) string { return c.names[id-1] }
+
+func (c *conversation) id(name string) ServerID {
+	for i, n := range c.names {
+		if n == name {
+			return ServerID(i + 1)
+		}
+	}
+	c.names = append(c.names, name)
+	return ServerID(len(c.names))
+}
+
+// number is an argument's value, or another where it is not given.
+func number(d *datadriven.TestData, key string, otherwise float64) float64 {
+	for _, a := range d.CmdArgs {
+		if a.Key == key {
+			return value(d, a.Vals[0])
+		}
+	}
+	return otherwise
+}
+
+func value(d *datadriven.TestData, text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic(fmt.Sprintf("%s: %v", d.Pos, err))
+	}
+	return v
+}
+
+// words splits a line into its plain words and its key=value ones.
+func words(line string) (plain []string, set map[string]string) {
+	set = map[string]string{}
+	for _, w := range strings.Fields(line) {
+		if key, v, ok := strings.Cut(w, "="); ok {
+			set[key] = v
+		} else {
+			plain = append(plain, w)
+		}
+	}
+	return plain, set
+}
+
+func setNumber(set map[string]string, key string, otherwise float64) float64 {
+	if v, err := strconv.ParseFloat(set[key], 64); err == nil {
+		return v
+	}
+	return otherwise
+}
+
+func (c *conversation) line(t *testing.T, d *datadriven.TestData) string {
+	var out strings.Builder
+	arg := func(i int) string { return d.CmdArgs[i].Key }
+	switch d.Cmd {
+	case "begin":
+		c.begin(d, &out)
+	case "list":
+		kind := ListFull
+		if len(d.CmdArgs) > 0 {
+			kind = map[string]ListKind{"full": ListFull, "cached": ListCached, "changes": ListDelta, "failed": ListFailed}[arg(0)]
+		}
+		ev := ServerList{Kind: kind}
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			plain, set := words(line)
+			if len(plain) == 0 {
+				continue
+			}
+			s := Server{ID: c.id(plain[0]), Rating: setNumber(set, "size", 1), Cell: int(setNumber(set, "cell", 0))}
+			if len(plain) > 1 {
+				s.State = stateWords[plain[1]]
+			}
+			if age, ok := set["age"]; ok {
+				s.StartedAt = c.now - value(d, age)
+			}
+			ev.Servers = append(ev.Servers, s)
+		}
+		c.tell(ev, &out)
+	case "ask":
+		class := c.class(arg(1))
+		ev := Request{ID: RequestID(value(d, arg(0))), Class: class, Tenant: -1, Remaining: number(d, "left", c.b.cfg.Classes[class].Deadline)}
+		for _, a := range d.CmdArgs {
+			ev.Repeat = ev.Repeat || a.Key == "again"
+		}
+		c.tell(ev, &out)
+	case "end":
+		request, attempt, _ := strings.Cut(arg(0), ".")
+		c.end(RequestID(value(d, request)), int(value(d, attempt)), resultWords[arg(1)], &out)
+	case "hangup":
+		c.over[RequestID(value(d, arg(0)))] = true
+		c.tell(HangUp{RequestID(value(d, arg(0)))}, &out)
+	case "wait":
+		c.wait(value(d, arg(0)), &out)
+	case "busy":
+		c.busy(d, &out)
+	case "probed":
+		ev := ProbeResult{Server: c.id(arg(0)), Result: resultWords[arg(1)]}
+		if holds := number(d, "holds", -1); holds >= 0 {
+			ev.Report = []float32{float32(holds)}
+		}
+		c.tell(ev, &out)
+	case "show":
+		c.show(&out)
+	default:
+		d.Fatalf(t, "unknown word %q", d.Cmd)
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func (c *conversation) begin(d *datadriven.TestData, out *strings.Builder) {
+	cfg := Config{Seed: 1, Peers: int(number(d, "peers", 1)), MaxAttempts: int(number(d, "attempts", 4)), Cancel: true, DrainGrace: 250, Subscribe: true}
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "cold":
+			cfg.ColdFrom, cfg.ColdTime = value(d, a.Vals[0]), value(d, a.Vals[1])
+		case "fall":
+			cfg.FallMultiple, cfg.FallTime = value(d, a.Vals[0]), value(d, a.Vals[1])
+		case "retry-after":
+			cfg.RetryAfter, cfg.MaxRetryAfter = true, value(d, a.Vals[0])
+		case "cancel":
+			cfg.Cancel = a.Vals[0] != "no"
+		case "number":
+			cfg.Number = int(value(d, a.Vals[0]))
+		case "probes":
+			cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
+		}
+	}
+	c.classes = nil
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		plain, set := words(line)
+		c.classes = append(c.classes, plain[0])
+		cfg.Classes = append(cfg.Classes, Class{
+			Effect: effectWords[plain[1]], Group: groupWords[set["group"]], Window: setNumber(set, "window", math.Inf(1)),
+			Aim: setNumber(set, "aim", 0), Deadline: setNumber(set, "deadline", 0), Worth: setNumber(set, "worth", 1),
+			LateWorth: setNumber(set, "late", 0),
+		})
+	}
+	c.b, c.now, c.next = New(cfg), conversationStart, 1000
+	c.sent, c.began, c.over = map[RequestID][]ServerID{}, map[string]float64{}, map[RequestID]bool{}
+	c.noted = map[RequestID]bool{}
+	c.carryOut(c.b.Start(c.now), out)
+}
+
+func (c *conversation) class(name string) int {
+	for i, n := range c.classes {
+		if n == name {
+			return i
+		}
+	}
+	panic("no class " + name)
+}
+
+func (c *conversation) tell(ev Event, out *strings.Builder) {
+	actions, err := c.b.Handle(c.now, ev)
+	if err != nil {
+		fmt.Fprintf(out, "error: %v\n", err)
+	}
+	c.carryOut(actions, out)
+}
+
+// carryOut notes what the module asks for, and writes it down but for its looks at requests.
+func (c *conversation) carryOut(actions []Action, out *strings.Builder) {
+	for _, a := range actions {
+		switch a.Kind {
+		case Send:
+			n := len(c.sent[a.Request])
+			c.sent[a.Request] = append(c.sent[a.Request], a.Server)
+			c.began[fmt.Sprint(a.Request, ".", n)] = c.now
+			fmt.Fprintf(out, "send %d.%d to %s\n", a.Request, n, c.name(a.Server))
+		case Refuse:
+			c.over[a.Request] = true
+			if a.At > 0 {
+				fmt.Fprintf(out, "refuse %d, back in %.0f ms\n", a.Request, a.At)
+			} else {
+				fmt.Fprintf(out, "refuse %d\n", a.Request)
+			}
+		case Fail:
+			c.over[a.Request] = true
+			fmt.Fprintf(out, "fail %d\n", a.Request)
+		case Cancel:
+			fmt.Fprintf(out, "cancel %d.%d\n", a.Request, a.Attempt)
+		case SetTimer:
+			c.timers = append(c.timers, timer{c.now + a.At, a.Token})
+			if a.Token == listTimer {
+				fmt.Fprintf(out, "ask again in %.0f ms\n", a.At)
+			}
+		case Probe:
+			fmt.Fprintf(out, "probe %s\n", c.name(a.Server))
+		case Watch:
+			fmt.Fprintln(out, "watch the list")
+		default:
+			fmt.Fprintf(out, "%+v\n", a)
+		}
+	}
+}
+
+func (c *conversation) end(request RequestID, attempt int, result Result, out *strings.Builder) {
+	if attempt >= len(c.sent[request]) {
+		fmt.Fprintf(out, "error: %d.%d was not sent\n", request, attempt)
+		return
+	}
+	c.over[request] = c.over[request] || result == OK
+	c.tell(Outcome{
+		Request: request, Attempt: attempt, Server: c.sent[request][attempt], Result: result,
+		Took: c.now - c.began[fmt.Sprint(request, ".", attempt)], Finished: c.over[request],
+	}, out)
+}
+
+// wait lets time pass; what happens meanwhile is written with the time since it began.
+func (c *conversation) wait(ms float64, out *strings.Builder) {
+	start, until := c.now, c.now+ms
+	for {
+		sort.SliceStable(c.timers, func(i, j int) bool { return c.timers[i].due < c.timers[j].due })
+		if len(c.timers) == 0 || c.timers[0].due > until {
+			break
+		}
+		t := c.timers[0]
+		c.timers = c.timers[1:]
+		c.now = math.Max(c.now, t.due)
+		var said strings.Builder
+		c.tell(Timer{Token: t.token}, &said)
+		for _, line := range strings.Split(strings.TrimSpace(said.String()), "\n") {
+			if line != "" {
+				fmt.Fprintf(out, "after %.0f ms: %s\n", c.now-start, line)
+			}
+		}
+	}
+	c.now = until
+}
+
+// spread varies how long answers take, by a fifth and less.
+var spread5 = [...]float64{0.8, 1.1, 0.9, 1.2, 1}
+
+// busy has requests come at an even pace, each answered some time after it was sent, and writes how many each server
+// answered and what the others met.
+func (c *conversation) busy(d *datadriven.TestData, out *strings.Builder) {
+	class, every, took := c.class(d.CmdArgs[1].Key), number(d, "every", 100), number(d, "took", 20)
+	n, start := int(value(d, d.CmdArgs[0].Key)), c.now
+	first := c.next + 1
+	ends := map[string]float64{} // of attempts that are out
+	met := map[string]int{}
+	for i, left := 0, n; left > 0 || len(ends) > 0; {
+		at, ending := math.Inf(1), ""
+		for attempt, end := range ends {
+			if end < at || end == at && attempt < ending {
+				at, ending = end, attempt
+			}
+		}
+		arrival := i < n && start+float64(i)*every <= at
+		if arrival {
+			at = start + float64(i)*every
+		}
+		var said strings.Builder
+		c.wait(math.Min(at, c.now+every)-c.now, &said)
+		switch {
+		case c.now < at: // what was waited for may have been sent meanwhile
+		case arrival:
+			i++
+			c.next++
+			c.tell(Request{ID: c.next, Class: class, Tenant: -1, Remaining: c.b.cfg.Classes[class].Deadline}, &said)
+		default:
+			var request RequestID
+			var attempt int
+			fmt.Sscanf(ending, "%d.%d", &request, &attempt)
+			met["by "+c.name(c.sent[request][attempt])]++
+			c.end(request, attempt, OK, &said)
+			left--
+		}
+		for id := first; id <= c.next; id++ {
+			for k := range c.sent[id] {
+				name := fmt.Sprint(id, ".", k)
+				if c.over[id] {
+					delete(ends, name)
+				} else {
+					ends[name] = c.began[name] + took*spread5[int(id)%len(spread5)]
+				}
+			}
+			if _, counted := c.noted[id]; c.over[id] && !counted {
+				c.noted[id] = true
+				if k := len(c.sent[id]); k == 0 || !strings.Contains(ending, fmt.Sprint(id, ".")) {
+					met["not served"]++
+					left--
+				}
+			}
+		}
+	}
+	var keys []string
+	for k := range met {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		fmt.Fprintf(out, "%s: %d\n", k, met[k])
+	}
+}
+
+func (c *conversation) show(out *strings.Builder) {
+	c.tell(Timer{Token: 0}, out) // nobody's: only the time is told
+	for _, s := range c.b.servers {
+		fmt.Fprintf(out, "%s: m %.2f", c.name(s.ID), c.b.health(s))
+		if s.State != Ready {
+			fmt.Fprint(out, ", draining")
+		}
+		if s.errs > 0 {
+			fmt.Fprintf(out, ", %.0f errors in a row", s.errs)
+		}
+		if c.b.resting(s) {
+			fmt.Fprintf(out, ", rests for %.0f ms", s.restUntil-c.now)
+		}
+		if c.b.cold(s) {
+			fmt.Fprintf(out, ", cold at %.0f%%", 100*c.b.warmth(s))
+		}
+		if s.inFlight > 0 {
+			fmt.Fprintf(out, ", holds %d", s.inFlight)
+		}
+		fmt.Fprintln(out)
+	}
+	if c.b.steady > 0.005 {
+		fmt.Fprintf(out, "sheds %.0f%% lastingly\n", 100*c.b.steady)
+	}
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -30,7 +30,7 @@
 			return
 		}
 		// A random start keeps sidecars that begin together from choosing in step.
-		s = &server{running: 100 * b.random(), coldSince: math.Inf(-1)}
+		s = &server{running: 100 * b.rng.Float64(), coldSince: math.Inf(-1)}
 		s.place = mix(uint64(entry.ID) + mix(uint64(b.cfg.Number%rounds)+1))
 		b.byID[entry.ID] = s
 		b.servers = append(b.servers, s)
@@ -53,5 +53,5 @@
 		pause = math.Min(pause, b.cfg.AskWithin/3)
 	}
 	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.random()/2)})
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.rng.Float64()/2)})
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -160,7 +160,7 @@
 			cfg.Seed, cfg.Number = uint64(n+1), n
 			servers := fleet(c.servers)
 			g := newRig(t, cfg, servers...)
-			g.now += 1000 * g.b.random() / float64(c.perSecond)
+			g.now += 1000 * g.b.rng.Float64() / float64(c.perSecond)
 			start := g.now
 			for told := false; g.now < start+6000; g.now += 1000 / float64(c.perSecond) {
 				if !told && g.now >= start+3000 { // half-way one server restarts
--- a/balance/shed.go
+++ b/balance/shed.go
@@ -21,7 +21,7 @@
 	if b.late(r) && b.steady >= r.class.LateWorth {
 		return false
 	}
-	return shed == 0 || b.random() >= b.shedPart(r, shed)
+	return shed == 0 || b.rng.Float64() >= b.shedPart(r, shed)
 }
 
 // late: a client's later try whose aim has passed already, as the time left tells: first tries have more.
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"sort"
 )
 
@@ -14,7 +15,7 @@
 // Balancer is one sidecar's decision maker. It is not safe for concurrent use.
 type Balancer struct {
 	cfg        Config
-	rng        uint64
+	rng        *rand.Rand
 	now        float64
 	started    float64
 	longestAim float64 // of all classes
@@ -218,7 +219,7 @@
 func New(cfg Config) *Balancer {
 	cfg = cfg.withDefaults()
 	b := &Balancer{
-		cfg: cfg, rng: cfg.Seed,
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Number))),
 		byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
@@ -276,12 +277,7 @@
 
 func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
-// random is splitmix64 from the seed.
-func (b *Balancer) random() float64 {
-	b.rng += 0x9e3779b97f4a7c15
-	return float64(mix(b.rng)>>11) / (1 << 53)
-}
-
+// mix scatters a number over all 64 bits, the same at every sidecar (the finalizer of splitmix64).
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
