--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"petrelhook/balance"
+	"petrelhook/internal/front"
+	"petrelhook/internal/upstream"
+)
+
+// attempt is one exchange for a request, from the decision to its end.
+type attempt struct {
+	r      *request
+	number int
+	to     *server
+	id     balance.ServerID
+	sent   time.Time
+	call   *upstream.Call
+	clean  bool // it is certain that it never ran
+	done   bool
+	cancel context.CancelFunc
+}
+
+// send starts an attempt.
+func (l *Loop) send(a *balance.Action) {
+	r := l.requests[a.Request]
+	if r == nil {
+		l.log.Error("the module sends for a request that is over", "request", a.Request)
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	c := &upstream.Call{Message: r.Message, Expires: r.deadline}
+	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: time.Now(), cancel: cancel}
+	if a.At > 0 {
+		c.Expires = earlier(c.Expires, l.clock.time(a.At))
+	}
+	for _, before := range r.attempts { // a keyed request must not go out after its key may be forgotten
+		if r.effect == balance.Keyed && !before.clean && !math.IsInf(r.window, 1) {
+			c.Begin = earlier(c.Begin, before.sent.Add(duration(r.window)))
+		}
+	}
+	r.attempts = append(r.attempts, at)
+	r.out++
+	if at.to == nil || r.closed {
+		l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Moot}) })
+		return
+	}
+	l.timers.add(timer{due: c.Expires, attempt: at})
+	go func() {
+		out := at.to.end.Send(ctx, c)
+		l.post(func() { l.attemptEnded(at, out) })
+	}()
+}
+
+// results are the module's names for the ends of exchanges.
+var results = [...]balance.Result{
+	upstream.Served: balance.OK, upstream.Failed: balance.Failed, upstream.TurnedAway: balance.Full,
+	upstream.TimedOut: balance.TimedOut, upstream.ConnectFailed: balance.ConnectFailed, upstream.Reset: balance.Reset,
+	upstream.Cancelled: balance.Cancelled, upstream.Moot: balance.Moot,
+}
+
+// attemptEnded reports the first end of an attempt to the module. Others are dropped.
+func (l *Loop) attemptEnded(at *attempt, out upstream.Outcome) {
+	if at.done {
+		return
+	}
+	at.done = true
+	at.cancel()
+	if out.Result == upstream.TimedOut && at.call.Claim() { // its connection never came up
+		out = upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.New("no connection in time")}
+	}
+	r := at.r
+	r.out--
+	at.clean = out.Result.NeverRan()
+	if out.Result == upstream.Served && !r.closed {
+		r.closed = true
+		r.answer <- answer{Answer: front.Answer{Verdict: front.Served, Reply: out.Reply}}
+	}
+	took := time.Since(at.sent)
+	if out.Result != upstream.Served && out.Result != upstream.Cancelled {
+		name := ""
+		if at.to != nil {
+			name = at.to.name
+		}
+		l.log.Info("attempt", "trace", r.Trace, "n", at.number, "server", name, "result", out.Result.String(), "took", millis(took), "err", out.Err)
+	}
+	err := l.tell(balance.Outcome{
+		Request: r.id, Attempt: at.number, Server: at.id, Result: results[out.Result], Took: millis(took), Finished: r.closed,
+		Report: out.Report,
+	})
+	if err != nil && r.out == 0 { // the module does not know of it, so nothing more would come
+		l.finish(r.id, front.Answer{Verdict: front.Failed})
+	}
+	l.removeIfOver(r)
+}
+
+func (l *Loop) cancelAttempt(a *balance.Action) {
+	r := l.requests[a.Request]
+	if r == nil || a.Attempt < 0 || a.Attempt >= len(r.attempts) || r.attempts[a.Attempt].done {
+		return
+	}
+	at := r.attempts[a.Attempt]
+	at.call.Claim()
+	at.cancel()
+	l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Cancelled}) })
+}
+
+func (l *Loop) probe(id balance.ServerID) {
+	s := l.servers[id]
+	if s == nil {
+		l.later = append(l.later, func() { l.tell(balance.ProbeResult{Server: id, Result: balance.ConnectFailed}) })
+		return
+	}
+	began := time.Now()
+	go func() {
+		out := s.end.Probe(l.ctx)
+		l.post(func() {
+			l.tell(balance.ProbeResult{Server: id, Result: results[out.Result], Took: millis(time.Since(began)), Report: out.Report})
+		})
+	}()
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"petrelhook/balance"
+	"petrelhook/internal/front"
+)
+
+// answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
+const answerMargin = 4 * time.Millisecond
+
+// request is a client's request until it is answered and its last attempt has ended.
+type request struct {
+	front.Request
+	id       balance.RequestID
+	effect   balance.Effect
+	window   float64 // ms
+	deadline time.Time
+	answer   chan answer // takes one
+	closed   bool
+	attempts []*attempt
+	out      int
+}
+
+// answer is what a front gets: an answer, or why the request was not taken.
+type answer struct {
+	front.Answer
+	err error
+}
+
+// Answer hands a request in and waits for its answer, as front.Core says.
+func (l *Loop) Answer(ctx context.Context, in front.Request) (front.Answer, error) {
+	r := &request{Request: in, answer: make(chan answer, 1)}
+	l.post(func() { l.accept(r) })
+	select {
+	case a := <-r.answer:
+		return a.Answer, a.err
+	case <-ctx.Done():
+		l.post(func() { l.hangUp(r) })
+		return front.Answer{}, ctx.Err()
+	case <-l.ended:
+	}
+	select {
+	case a := <-r.answer: // given before the end
+		return a.Answer, a.err
+	default:
+		return front.Answer{}, front.ErrEnded
+	}
+}
+
+// Ready reports whether any server was listed that takes requests.
+func (l *Loop) Ready() bool { return l.ready.Load() }
+
+// reject turns down what was not taken.
+func (l *Loop) reject(r *request, err error) {
+	r.closed = true
+	r.answer <- answer{err: err}
+}
+
+// accept takes a request in, unless its id is in use or the module cannot take it.
+func (l *Loop) accept(r *request) {
+	if l.traces[r.Trace] {
+		l.reject(r, front.ErrInUse)
+		return
+	}
+	if r.Class < 0 || r.Class >= len(l.config.Module.Classes) {
+		l.reject(r, front.ErrInvalid)
+		return
+	}
+	class := &l.config.Module.Classes[r.Class]
+	l.lastID++
+	r.id, r.effect, r.window = l.lastID, class.Effect, class.Window
+	r.deadline = r.Arrived.Add(r.Wait - min(answerMargin, r.Wait/10))
+	l.requests[r.id], l.traces[r.Trace] = r, true
+	ev := balance.Request{
+		ID: r.id, Class: r.Class, Tenant: r.Tenant, WorkHint: millis(r.Hint),
+		Remaining: math.Max(millis(time.Until(r.deadline)), 1e-3), Repeat: r.Repeat,
+	}
+	if r.Subject != "" {
+		ev.Key = stableHash(r.Subject)
+	}
+	if err := l.tell(ev); err != nil {
+		l.remove(r)
+		l.reject(r, front.ErrInvalid)
+	}
+}
+
+// finish gives a request its one answer. Later ones are dropped.
+func (l *Loop) finish(id balance.RequestID, a front.Answer) {
+	if r := l.requests[id]; r != nil && !r.closed {
+		r.closed = true
+		r.answer <- answer{Answer: a}
+		l.removeIfOver(r)
+	}
+}
+
+// hangUp: the client has gone away.
+func (l *Loop) hangUp(r *request) {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	l.tell(balance.HangUp{Request: r.id})
+	l.removeIfOver(r)
+}
+
+func (l *Loop) removeIfOver(r *request) {
+	if r.closed && r.out == 0 {
+		l.remove(r)
+	}
+}
+
+func (l *Loop) remove(r *request) {
+	delete(l.requests, r.id)
+	// A copy that comes late must not run either. Ids are never used again, so they are kept no longer than that.
+	l.memories.add(timer{due: r.deadline, trace: r.Trace})
+}
