--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -147,7 +147,7 @@
 	s := &script{}
 	s.frame(1000, begin(1, 7, `{"classes": []}`), sheet(1), cached(1))
 	out := mustRun(t, s)
-	if len(out) < 8 || binary.BigEndian.Uint16(out[4:]) != 1090 || !strings.Contains(string(out), "no classes") {
+	if len(out) < 8 || binary.BigEndian.Uint16(out[4:]) != 1090 || !strings.Contains(string(out), "classes: missing") {
 		t.Fatalf("reply %q", out)
 	}
 }
--- /dev/null
+++ b/cmd/petrelhook/main_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+ "known": {"generation": 1, "reset": true, "instances": [
+  {"instanceId": "s-1", "hostPort": "127.0.0.1:2", "lifecycle": "up", "weight": 1}]},
+ "settings": {"classes": [{"name": "look", "effect": "read_like", "hard_limit_ms": 1000}]}}
+`
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Each call ends with its code and says what it has to say on the right output, in one line where something is wrong.
+func TestCommandLine(t *testing.T) {
+	path := file(t, good)
+	bad := file(t, strings.Replace(good, `"read_like"`, `"odd"`, 1))
+	t.Setenv("LB_CONFIG", "")
+	for _, c := range []struct {
+		args      []string
+		code      int
+		out, errs string
+	}{
+		{[]string{"--help"}, 0, "usage: petrelhook", ""},
+		{[]string{"-h"}, 0, "Exit codes", ""},
+		{[]string{"--version"}, 0, "go1.", ""},
+		{nil, 2, "", "no configuration: give --config FILE"},
+		{[]string{"--odd"}, 2, "", "not defined: -odd"},
+		{[]string{"--check", "now"}, 2, "", `"now" is no flag`},
+		{[]string{"--log-format", "xml", "--check", "--config", path}, 2, "", "text and json"},
+		{[]string{"--log-level", "loud", "--check", "--config", path}, 2, "", "loud"},
+		{[]string{"--check", "--config", path}, 0, "good: 1 classes, 1 servers known", ""},
+		{[]string{"--check", "--config", bad}, 1, "", bad + `:4:54: settings.classes[0].effect: unknown effect "odd"; write`},
+		{[]string{"--config", bad}, 1, "", "settings.classes[0].effect"},
+		{[]string{"--check", "--config", bad + ".none"}, 1, "", "cannot be read"},
+	} {
+		var out, errs bytes.Buffer
+		code := run(c.args, &out, &errs)
+		if code != c.code || !strings.Contains(out.String(), c.out) || !strings.Contains(errs.String(), c.errs) {
+			t.Errorf("%q: code %d, %q, %q", c.args, code, &out, &errs)
+		}
+		if code != 0 && (out.Len() > 0 || strings.Count(errs.String(), "\n") != 1) {
+			t.Errorf("%q: %q, %q", c.args, &out, &errs)
+		}
+	}
+}
+
+// The flag goes before the variable, and the variable serves where there is no flag.
+func TestWhichFile(t *testing.T) {
+	env := func(name string) string { return map[string]string{"LB_CONFIG": "from-env"}[name] }
+	for want, args := range map[string][]string{"from-env": nil, "given": {"--config", "given"}} {
+		if c, err := parseArgs(args, env, io.Discard); err != nil || c.path != want {
+			t.Errorf("%q: %q, %v", args, c.path, err)
+		}
+	}
+}
+
+// What is below the level stays out, and JSON lines hold the fields by name.
+func TestLogger(t *testing.T) {
+	var out bytes.Buffer
+	log := command{format: "json", level: slog.LevelWarn}.logger(&out)
+	log.Info("quiet")
+	log.Warn("loud", "server", "s-1")
+	if got := out.String(); strings.Contains(got, "quiet") || !strings.Contains(got, `"msg":"loud","server":"s-1"`) {
+		t.Error(got)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,6 @@
 // Package config is what the deployment tells a sidecar: the platform's JSON, read and checked as a whole before
-// anything uses it. It starts nothing and looks at nothing but the file.
+// anything uses it. It starts nothing and looks at nothing but the file. Names that it does not know are skipped: the
+// platform adds some from time to time.
 package config
 
 import (
@@ -30,17 +31,17 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// Read reads the configuration file at path.
+// Read reads the configuration file at path. What is wrong with its text is an *Error.
 func Read(path string) (Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, fmt.Errorf("the configuration cannot be read: %w", err)
 	}
-	return Parse(raw)
+	return Parse(path, raw)
 }
 
-// Parse takes in the text of a configuration file.
-func Parse(raw []byte) (Config, error) {
+// Parse takes in the text of a configuration file; name is what errors call it. An error is an *Error.
+func Parse(name string, raw []byte) (Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -50,25 +51,37 @@
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
+	t := text{name, raw}
 	if err := json.Unmarshal(raw, &file); err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, t.wrap(err, 0, "")
 	}
 	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits}
-	for _, addr := range []string{c.Listen, c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return c, fmt.Errorf("config: address %q: %w", addr, err)
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+			return Config{}, t.in(a.field, fmt.Sprintf("%q is no address", a.addr), "write host:port, as 127.0.0.1:8081")
+		}
+	}
+	for _, limit := range []struct {
+		field string
+		is    float64
+	}{{"cores", c.Limits.Cores}, {"memory_mb", float64(c.Limits.MemoryMB)}, {"sockets", float64(c.Limits.Sockets)}} {
+		if limit.is < 0 {
+			return Config{}, t.in("limits."+limit.field, fmt.Sprintf("%v is below 0", limit.is), "0 is no limit")
 		}
 	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
-		return c, fmt.Errorf("config: seed: %w", err)
+		return Config{}, t.in("seed", fmt.Sprintf("%q is no seed", file.Seed), "write 1 to 16 hexadecimal digits")
+	}
+	if len(file.Settings) == 0 {
+		return Config{}, t.in("settings", "missing", "write an object with the classes at least")
 	}
 	if c.Profile, err = wire.ParseProfile(seed, file.Settings); err != nil {
-		return c, fmt.Errorf("config: %w", err)
+		return Config{}, t.wrap(err, t.start("settings"), "settings")
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		if c.Known, err = discovery.Parse(file.Known); err != nil {
-			return c, fmt.Errorf("config: known: %w", err)
+			return Config{}, t.wrap(err, t.start("known"), "known")
 		}
 	}
 	return c, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"fmt"
+	"errors"
 	"strings"
 	"testing"
 
@@ -19,17 +19,63 @@
 	}
 }
 
-func TestBadConfig(t *testing.T) {
-	good := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c","settings":` + peertest.Settings + `}`
-	if _, err := Parse([]byte(good)); err != nil {
+// Each slip gets one line that names file, line, column and field, and what would be right.
+func TestErrorsHaveAPlace(t *testing.T) {
+	const good = `{"listen": "127.0.0.1:0",
+ "discovery": "127.0.0.1:1", "seed": "8c", "limits": {"cores": 1, "sockets": 1024},
+ "known": {"generation": 4, "reset": true, "instances": [
+  {"instanceId": "a", "hostPort": "127.0.0.1:2", "lifecycle": "up"},
+  {"instanceId": "b", "hostPort": "127.0.0.1:3", "lifecycle": "up"}]},
+ "settings": {"report": {"via": "piggyback", "fields": ["busy"]}, "discovery": "subscribe",
+  "classes": [
+   {"name": "look", "effect": "read_like", "on_time_ms": 80, "hard_limit_ms": 100},
+   {"name": "book", "effect": "idempotency_key", "group": "cell", "hard_limit_ms": 100}]}}`
+	if _, err := Parse("f", []byte(good)); err != nil {
 		t.Fatal(err)
 	}
-	for _, bad := range []string{
-		"", "[]", "{}", strings.Replace(good, `"8c"`, `"no"`, 1), strings.Replace(good, "127.0.0.1:0", "nowhere", 1),
-		strings.Replace(good, "read_like", "odd", 1), strings.Replace(good, `"seed"`, `"known":{"instances":7},"seed"`, 1),
+	for _, c := range []struct{ from, to, want string }{
+		{good, "", "f:1:1: no JSON: unexpected end of JSON input"},
+		{good, "[]", "f:1:1: is a list; write an object in braces"},
+		{`"seed": "8c",`, `"seed": "8c"`, `f:2:43: no JSON: invalid character '"' after object key:value pair`},
+		{`"seed": "8c"`, `"seed": 8`, "f:2:38: seed: is a number; write a string"},
+		{`"seed": "8c"`, `"seed": "none"`, `f:2:38: seed: "none" is no seed; write 1 to 16 hexadecimal digits`},
+		{`"seed": "8c", `, ``, `f:1:1: seed: "" is no seed`},
+		{`"127.0.0.1:0"`, `"nowhere"`, `f:1:12: listen: "nowhere" is no address; write host:port`},
+		{`"cores": 1`, `"cores": "1"`, "f:2:64: limits.cores: is a string; write a number"},
+		{`"sockets": 1024`, `"sockets": 10.5`, "f:2:78: limits.sockets: is the number 10.5; write a whole number"},
+		{`"sockets": 1024`, `"sockets": -1`, "f:2:78: limits.sockets: -1 is below 0"},
+		{`"127.0.0.1:3"`, `"127.0.0.1"`, `f:5:35: known.instances[1].hostPort: "127.0.0.1" is no address`},
+		{`"b", "hostPort"`, `"", "hostPort"`, `f:5:18: known.instances[1].instanceId: empty`},
+		{`"127.0.0.1:3", "lifecycle": "up"`, `"127.0.0.1:3", "lifecycle": "odd"`, `f:5:63: known.instances[1].lifecycle: unknown lifecycle "odd"; write up, draining or removed`},
+		{`"generation": 4`, `"generation": -4`, "f:3:26: known.generation: is the number -4; write a whole number of at least 0"},
+		{`, "instances": [`, `, "others": [`, "f:3:11: known.instances: missing"},
+		{`"hard_limit_ms": 100}]`, `"hard_limit_ms": "1 s"}]`, "f:9:84: settings.classes[1].hard_limit_ms: is a string; write a number"},
+		{`"on_time_ms": 80`, `"on_time_ms": -80`, "f:8:58: settings.classes[0].on_time_ms: -80 ms; write"},
+		{`, "hard_limit_ms": 100},`, `},`, "f:8:4: settings.classes[0].hard_limit_ms: 0 ms; write"},
+		{`"cell"`, `"pod"`, `f:9:59: settings.classes[1].group: unknown group "pod"; write all, zone or cell`},
+		{`"read_like"`, `"odd"`, `f:8:31: settings.classes[0].effect: unknown effect "odd"`},
+		{`"subscribe"`, `"dns"`, `f:6:80: settings.discovery: unknown discovery "dns"`},
+		{`"piggyback"`, `"post"`, `f:6:33: settings.report.via: unknown way "post"`},
+		{`"classes"`, `"other"`, "f:6:14: settings.classes: missing"},
+		{` "settings": {`, ` "other": {`, "f:1:1: settings: missing"},
 	} {
-		if _, err := Parse([]byte(bad)); err == nil || strings.Contains(fmt.Sprint(err), "\n") {
-			t.Errorf("%q: %v", bad, err)
+		bad := strings.Replace(good, c.from, c.to, 1)
+		_, err := Parse("f", []byte(bad))
+		if bad == good || err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s -> %s:\n got %v\nwant %s", c.from, c.to, err, c.want)
 		}
 	}
 }
+
+// Whatever a file holds, it is taken or there is one line about it.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c","known":{"instances":[{"instanceId":"a"}]},"settings":` + peertest.Settings + `}`))
+	f.Add([]byte(`{"seed":[{"a":[1,{"b":`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		_, err := Parse("f", raw)
+		var placed *Error
+		if err != nil && (!errors.As(err, &placed) || placed.Line < 1 || placed.Column < 1 || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%q", err)
+		}
+	})
+}
--- a/internal/member/discovery/list.go
+++ b/internal/member/discovery/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -29,6 +28,15 @@
 	StartedAt float64 `json:"startedAtMs"`
 }
 
+// EntryError is what is wrong with a message.
+type EntryError struct {
+	Field   string // as instances[3].hostPort
+	Problem string
+	Remedy  string // what would be right; "" where the problem says it
+}
+
+func (e *EntryError) Error() string { return fmt.Sprintf("catalog: %s: %s", e.Field, e.Problem) }
+
 var lifecycles = map[string]member.State{"up": member.Up, "draining": member.Draining, "removed": member.Removed}
 
 // Parse reads one message. One bad entry spoils it all: half a list would be worse than none.
@@ -38,17 +46,20 @@
 		return member.List{}, fmt.Errorf("catalog: %w", err)
 	}
 	if c.Instances == nil {
-		return member.List{}, errors.New("catalog: no instances")
+		return member.List{}, &EntryError{"instances", "missing", "write a list in brackets, which may be empty"}
 	}
 	list := member.List{Generation: c.Generation, Whole: c.Reset}
-	for _, in := range c.Instances {
+	for i, in := range c.Instances {
+		at := fmt.Sprintf("instances[%d].", i)
 		state, known := lifecycles[in.Lifecycle]
 		if !known {
-			return member.List{}, fmt.Errorf("catalog: %q: unknown lifecycle %q", in.ID, in.Lifecycle)
+			return member.List{}, &EntryError{at + "lifecycle", fmt.Sprintf("unknown lifecycle %q", in.Lifecycle), "write up, draining or removed"}
+		}
+		if in.ID == "" {
+			return member.List{}, &EntryError{at + "instanceId", "empty", "write the server's name"}
 		}
-		_, _, err := net.SplitHostPort(in.HostPort)
-		if in.ID == "" || err != nil && state != member.Removed {
-			return member.List{}, fmt.Errorf("catalog: %q: bad entry, address %q", in.ID, in.HostPort)
+		if _, _, err := net.SplitHostPort(in.HostPort); err != nil && state != member.Removed {
+			return member.List{}, &EntryError{at + "hostPort", fmt.Sprintf("%q is no address", in.HostPort), "write host:port"}
 		}
 		m := member.Instance{
 			ID: in.ID, Addr: in.HostPort, Zone: in.Zone, Kind: in.Kind, Cell: in.Cell, State: state, Weight: in.Weight,
--- a/internal/rig/rehearse/inprocess.go
+++ b/internal/rig/rehearse/inprocess.go
@@ -25,7 +25,7 @@
 
 // Start starts a sidecar.
 func (p *InProcess) Start(_ int, text []byte) (addr string, err error) {
-	cfg, err := config.Parse(text)
+	cfg, err := config.Parse("config", text)
 	if err != nil {
 		return "", err
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -93,6 +93,26 @@
 	"lat_ms": balance.FieldLatency, "rate": balance.FieldRate, "fail_rate": balance.FieldErrorRate,
 }
 
+// FieldError is a setting that makes no sense.
+type FieldError struct {
+	Field   string // as classes[2].effect
+	Problem string
+	Remedy  string // what to write instead
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("settings: %s: %s; %s", e.Field, e.Problem, e.Remedy)
+}
+
+// oneOf looks a word up among those that a field may hold.
+func oneOf[T any](field, what, word string, all map[string]T, listed string) (T, error) {
+	v, ok := all[word]
+	if !ok {
+		return v, &FieldError{field, fmt.Sprintf("unknown %s %q", what, word), "write " + listed}
+	}
+	return v, nil
+}
+
 // Profile is the settings in full: what the module is told, and what only sockets need: the names that
 // stand for positions there, and how long servers keep an idle connection (0: not told).
 type Profile struct {
@@ -143,11 +163,11 @@
 	case "subscribe":
 		cfg.Subscribe = true
 	default:
-		return cfg, fmt.Errorf("settings: unknown discovery %q", s.Discovery)
+		return cfg, &FieldError{"discovery", fmt.Sprintf("unknown discovery %q", s.Discovery), "write automatic or subscribe"}
 	}
-	var ok bool
-	if cfg.Reports, ok = reportWays[s.Report.Via]; !ok {
-		return cfg, fmt.Errorf("settings: unknown report.via %q", s.Report.Via)
+	var err error
+	if cfg.Reports, err = oneOf("report.via", "way", s.Report.Via, reportWays, "silent, piggyback or pull"); err != nil {
+		return cfg, err
 	}
 	for _, name := range s.Report.Fields {
 		cfg.Fields = append(cfg.Fields, reportFields[name])
@@ -160,19 +180,23 @@
 
 func (s *settings) addClasses(cfg *balance.Config) error {
 	if len(s.Classes) == 0 {
-		return fmt.Errorf("settings: no classes")
+		return &FieldError{"classes", "missing", "list one class at least"}
 	}
 	for i, c := range s.Classes {
-		effect, ok := effects[c.Effect]
-		if !ok {
-			return fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
+		at := fmt.Sprintf("classes[%d].", i)
+		effect, err := oneOf(at+"effect", "effect", c.Effect, effects, "read_like, idempotency_key or non_idempotent")
+		if err != nil {
+			return err
+		}
+		group, err := oneOf(at+"group", "group", c.Group, groups, "all, zone or cell")
+		if err != nil {
+			return err
 		}
-		group, ok := groups[c.Group]
-		if !ok {
-			return fmt.Errorf("settings: class %d: unknown group %q", i, c.Group)
+		if !(c.Deadline > 0) {
+			return &FieldError{at + "hard_limit_ms", fmt.Sprintf("%v ms", c.Deadline), "write how long clients wait, above 0"}
 		}
-		if !(c.Deadline > 0) || c.Aim < 0 {
-			return fmt.Errorf("settings: class %d: aim %v ms, deadline %v ms", i, c.Aim, c.Deadline)
+		if c.Aim < 0 {
+			return &FieldError{at + "on_time_ms", fmt.Sprintf("%v ms", c.Aim), "write the time wanted for an answer, or leave it out"}
 		}
 		aim := c.Aim
 		if aim == 0 {
--- a/internal/wiring/rig_test.go
+++ b/internal/wiring/rig_test.go
@@ -25,7 +25,7 @@
 
 func newRig(t *testing.T, discovery, known string, log *slog.Logger) *rig {
 	t.Helper()
-	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
+	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
 		discovery, known, peertest.Settings)))
 	if err != nil {
 		t.Fatal(err)
