--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -22,6 +22,7 @@
 	clean  bool // it is certain that it never ran
 	done   bool
 	cancel context.CancelFunc
+	timer  *timer // the end of its time
 }
 
 // send starts an attempt.
@@ -48,7 +49,8 @@
 		l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Moot}) })
 		return
 	}
-	l.timers.add(timer{due: c.Expires, attempt: at})
+	at.timer = &timer{due: c.Expires, attempt: at}
+	l.timers.set(at.timer)
 	go func() {
 		out := at.to.end.Send(ctx, c)
 		l.post(func() { l.attemptEnded(at, out) })
@@ -69,6 +71,7 @@
 	}
 	at.done = true
 	at.cancel()
+	l.timers.stop(at.timer)
 	if out.Result == upstream.TimedOut && at.call.Claim() { // its connection never came up
 		out = upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.New("no connection in time")}
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -249,13 +249,8 @@
 		}
 		r.empty(20) // ids are kept until their time is up
 		r.post(func() {
-			if r.idle(); len(r.timers) > 0 && r.stale(&r.timers[0]) {
-				t.Error("it sleeps until a timer from which nothing comes")
-			}
 			for _, timer := range r.timers {
-				if own := timer.request == 0 && timer.attempt == nil; !own && !r.stale(&timer) {
-					t.Errorf("it would wake in %v for %+v", time.Until(timer.due), timer)
-				}
+				t.Errorf("it would wake in %v for %+v", time.Until(timer.due), timer)
 			}
 		})
 	})
@@ -267,7 +262,7 @@
 		r.post(func() {
 			at := &attempt{}
 			r.carryOut([]balance.Action{{Kind: balance.SetTimer, Token: 7, At: 100}})
-			r.timers.add(timer{due: time.Now().Add(100 * time.Millisecond), attempt: at})
+			r.timers.set(&timer{due: time.Now().Add(100 * time.Millisecond), attempt: at})
 			if r.timers[0].attempt != at {
 				t.Error("the module's timer comes first")
 			}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -9,7 +9,6 @@
 package core
 
 import (
-	"container/heap"
 	"context"
 	"log/slog"
 	"sync/atomic"
@@ -43,10 +42,9 @@
 	// Owned by the loop's goroutine.
 	ctx        context.Context
 	source     member.Source
-	timers     timerHeap
-	memories   timerHeap // ends of the time for which traces are kept
+	timers     timers
 	requests   map[balance.RequestID]*request
-	traces     map[string]bool // of the requests in the table, and of those whose time is not up yet
+	ids        ids
 	lastID     balance.RequestID
 	servers    map[balance.ServerID]*server
 	generation uint64
@@ -59,8 +57,7 @@
 	return &Loop{
 		clock: newClock(), config: c, b: balance.New(c.Module), up: up, source: source, log: log,
 		events: make(chan func(), 1024), ended: make(chan struct{}),
-		requests: map[balance.RequestID]*request{}, traces: map[string]bool{},
-		servers: map[balance.ServerID]*server{},
+		requests: map[balance.RequestID]*request{}, ids: newIDs(), servers: map[balance.ServerID]*server{},
 	}
 }
 
@@ -86,30 +83,21 @@
 	}
 }
 
-// forgetEvery is how often traces are forgotten where nothing else happens: an idle sidecar sleeps.
+// forgetEvery is how often ids are forgotten where nothing else happens: an idle sidecar sleeps.
 const forgetEvery = time.Second
 
-// idle is how long nothing is due. Timers whose cause is gone are dropped, not woken up for: most attempts end long
-// before their time is up, and to wake for each of their timers took a third of an idle process's work.
+// idle is how long nothing is due.
 func (l *Loop) idle() time.Duration {
 	wait := time.Hour
-	if len(l.memories) > 0 {
+	if !l.ids.next.IsZero() {
 		wait = forgetEvery
 	}
-	for len(l.timers) > 0 && l.stale(&l.timers[0]) {
-		heap.Pop(&l.timers)
-	}
 	if len(l.timers) > 0 {
 		wait = min(wait, max(0, time.Until(l.timers[0].due)))
 	}
 	return wait
 }
 
-// stale: nothing would come of a timer.
-func (l *Loop) stale(t *timer) bool {
-	return t.attempt != nil && t.attempt.done || t.request != 0 && l.requests[t.request] == nil
-}
-
 // post has f run in the loop.
 func (l *Loop) post(f func()) {
 	select {
@@ -147,8 +135,7 @@
 		case balance.Cancel:
 			l.cancelAttempt(a)
 		case balance.SetTimer:
-			// A hair later: an attempt that times out at the same moment comes first, as the module expects.
-			l.timers.add(timer{due: time.Now().Add(duration(a.At) + 20*time.Microsecond), token: a.Token, request: a.Request})
+			l.setTimer(a)
 		case balance.Probe:
 			l.probe(a.Server)
 		case balance.CloseIdle:
@@ -167,17 +154,38 @@
 	}
 }
 
+// setTimer sets one of the module's timers. It need not come back once the request that it is for is over.
+func (l *Loop) setTimer(a *balance.Action) {
+	r := l.requests[a.Request]
+	if r == nil && a.Request != 0 {
+		return
+	}
+	// A hair later: an attempt that times out at the same moment comes first, as the module expects.
+	due := time.Now().Add(duration(a.At) + 20*time.Microsecond)
+	if r == nil {
+		l.timers.set(&timer{due: due, token: a.Token})
+		return
+	}
+	for _, t := range r.timers {
+		if t.at < 0 { // it has been handed out
+			t.due, t.token = due, a.Token
+			l.timers.set(t)
+			return
+		}
+	}
+	t := &timer{due: due, token: a.Token}
+	r.timers = append(r.timers, t)
+	l.timers.set(t)
+}
+
 // fire hands out the timers that are due.
 func (l *Loop) fire() {
-	for now := time.Now(); len(l.memories) > 0 && !l.memories[0].due.After(now); {
-		delete(l.traces, heap.Pop(&l.memories).(timer).trace)
-	}
-	for now := time.Now(); len(l.timers) > 0 && !l.timers[0].due.After(now); now = time.Now() {
-		switch t := heap.Pop(&l.timers).(timer); {
-		case l.stale(&t):
-		case t.attempt != nil:
+	now := time.Now()
+	l.ids.forget(now)
+	for t := l.timers.due(now); t != nil; t = l.timers.due(time.Now()) {
+		if t.attempt != nil {
 			l.attemptEnded(t.attempt, upstream.Outcome{Result: upstream.TimedOut})
-		default:
+		} else {
 			l.tell(balance.Timer{Token: t.token})
 		}
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -22,6 +22,7 @@
 	answer   chan answer // takes one
 	closed   bool
 	attempts []*attempt
+	timers   []*timer // the module's
 	out      int
 }
 
@@ -62,19 +63,19 @@
 
 // accept takes a request in, unless its id is in use or the module cannot take it.
 func (l *Loop) accept(r *request) {
-	if l.traces[r.Trace] {
-		l.reject(r, front.ErrInUse)
-		return
-	}
 	if r.Class < 0 || r.Class >= len(l.config.Module.Classes) {
 		l.reject(r, front.ErrInvalid)
 		return
 	}
+	if !l.ids.take(r.Trace) {
+		l.reject(r, front.ErrInUse)
+		return
+	}
 	class := &l.config.Module.Classes[r.Class]
 	l.lastID++
 	r.id, r.effect, r.window = l.lastID, class.Effect, class.Window
 	r.deadline = r.Arrived.Add(r.Wait - min(answerMargin, r.Wait/10))
-	l.requests[r.id], l.traces[r.Trace] = r, true
+	l.requests[r.id] = r
 	ev := balance.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, WorkHint: millis(r.Hint),
 		Remaining: math.Max(millis(time.Until(r.deadline)), 1e-3), Repeat: r.Repeat,
@@ -116,5 +117,6 @@
 func (l *Loop) remove(r *request) {
 	delete(l.requests, r.id)
 	// A copy that comes late must not run either. Ids are never used again, so they are kept no longer than that.
-	l.memories.add(timer{due: r.deadline, trace: r.Trace})
+	l.ids.until(r.Trace, r.deadline)
+	l.timers.stop(r.timers...)
 }
