--- a/cmd/petrelctl/options.go
+++ b/cmd/petrelctl/options.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/rig/arrival"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
 	"petrelhook/internal/rig/rehearse"
@@ -65,7 +66,7 @@
 	}
 	for _, a := range s.Arrivals { // a bad trace is found before anything starts
 		if a.Shape == scenario.Trace {
-			if err := load.CheckTrace(a.File, s); err != nil {
+			if err := arrival.CheckTrace(a.File, s); err != nil {
 				return nil, runError{err}
 			}
 		}
@@ -90,7 +91,7 @@
 }
 
 // recorder opens the file of --record, if it was given; end closes it.
-func (o *options) recorder() (w *load.TraceWriter, end func() error, err error) {
+func (o *options) recorder() (w *arrival.TraceWriter, end func() error, err error) {
 	if o.record == "" {
 		return nil, func() error { return nil }, nil
 	}
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, nil, runError{err}
 	}
-	w = load.NewTraceWriter(f)
+	w = arrival.NewTraceWriter(f)
 	return w, func() error {
 		if err := w.Flush(); err != nil {
 			f.Close()
--- a/cmd/petrelctl/rehearse.go
+++ b/cmd/petrelctl/rehearse.go
@@ -10,9 +10,9 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/loopback"
 	"petrelhook/internal/rig/rehearse"
 	"petrelhook/internal/rig/scenario"
-	"petrelhook/internal/rig/standin"
 )
 
 // defaultScenario is played where none is named: it has drains and cold starts.
@@ -84,7 +84,7 @@
 	}
 	// Connections of clients, and those that sidecars open to servers, end in this process too.
 	r := &rehearse.Rehearsal{
-		Scenario: s, Network: standin.NewLoopback(), Connections: max(1, room/2), MaxLag: o.maxLag, Wait: load.WaitPrecisely, Trace: trace,
+		Scenario: s, Network: loopback.New(), Connections: max(1, room/2), MaxLag: o.maxLag, Wait: load.WaitPrecisely, Trace: trace,
 	}
 	against := "the servers, without sidecars"
 	processes := &rehearse.Processes{Program: program}
--- a/cmd/petrelctl/standin.go
+++ b/cmd/petrelctl/standin.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/loopback"
 	"petrelhook/internal/rig/rehearse"
 	"petrelhook/internal/rig/standin"
 )
@@ -41,7 +42,7 @@
 				return runError{fmt.Errorf("%s: sidecars: there are none to configure", s.Name)}
 			}
 			rec := &audit.Recorder{}
-			fleet, err := standin.Start(s, standin.NewLoopback(), rec, time.Now())
+			fleet, err := standin.Start(s, loopback.New(), rec, time.Now())
 			if err != nil {
 				return runError{err}
 			}
--- a/internal/rig/load/norace_test.go
+++ b/internal/rig/arrival/norace_test.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package load
+package arrival
 
 const raceEnabled = false
--- a/internal/rig/load/schedule.go
+++ b/internal/rig/arrival/schedule.go
@@ -1,12 +1,6 @@
-// Package load sends arrivals on schedule, whether or not earlier answers have come, as an open system's clients do.
-//
-// Latency counts from when a request was due, not from when it was sent: what waits because a server stalls is counted
-// in full. The generator watches itself. Where its own sending falls behind the schedule, or it has no room for one
-// more connection, the result says that it is not valid, whatever figures it has.
-//
-// Memory does not grow with the length of a run: latencies go to HDR histograms, the course of a run to a fixed number
-// of slices, and a trace is read as it is played.
-package load
+// Package arrival says what is due when: the shapes of a scenario's load, merged, and traces that are played or recorded.
+// It sends nothing and waits for nothing; a schedule of any length is drawn as it is read.
+package arrival
 
 import (
 	"errors"
--- a/internal/rig/load/trace.go
+++ b/internal/rig/arrival/trace.go
@@ -1,4 +1,4 @@
-package load
+package arrival
 
 import (
 	"bufio"
--- a/internal/rig/load/run.go
+++ b/internal/rig/load/run.go
@@ -1,3 +1,11 @@
+// Package load sends arrivals on schedule, whether or not earlier answers have come, as an open system's clients do.
+//
+// Latency counts from when a request was due, not from when it was sent: what waits because a server stalls is counted
+// in full. The generator watches itself. Where its own sending falls behind the schedule, or it has no room for one
+// more connection, the result says that it is not valid, whatever figures it has.
+//
+// Memory does not grow with the length of a run: latencies go to HDR histograms, the course of a run to a fixed number
+// of slices, and a trace is read as it is played.
 package load
 
 import (
@@ -11,6 +19,7 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/rig/arrival"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/scenario"
 )
@@ -18,13 +27,13 @@
 // Runner sends a scenario's load.
 type Runner struct {
 	Scenario *scenario.Scenario
-	Schedule Schedule // nil: the scenario's
-	Targets  []string // one address for each sidecar; arrivals are dealt out to them in turn
+	Schedule arrival.Schedule // nil: the scenario's
+	Targets  []string         // one address for each sidecar; arrivals are dealt out to them in turn
 	Dial     Dial
 
-	Zero  time.Time       // of all recorded times
-	Calls *audit.Recorder // gets every try; nil: none is kept, so that memory stays bounded
-	Trace *TraceWriter    // gets every arrival as it was drawn; may be nil
+	Zero  time.Time            // of all recorded times
+	Calls *audit.Recorder      // gets every try; nil: none is kept, so that memory stays bounded
+	Trace *arrival.TraceWriter // gets every arrival as it was drawn; may be nil
 
 	// Wait waits until a time, or for ctx; nil: a timer's wait. See WaitPrecisely.
 	Wait func(ctx context.Context, until time.Time)
@@ -66,7 +75,7 @@
 	schedule := r.Schedule
 	if schedule == nil {
 		var err error
-		if schedule, err = NewSchedule(r.Scenario); err != nil {
+		if schedule, err = arrival.NewSchedule(r.Scenario); err != nil {
 			return nil, err
 		}
 	}
@@ -97,7 +106,7 @@
 	return x.result, err
 }
 
-func (x *run) arrivals(ctx context.Context, schedule Schedule) error {
+func (x *run) arrivals(ctx context.Context, schedule arrival.Schedule) error {
 	wait := x.Wait
 	if wait == nil {
 		wait = waitForTimer
@@ -228,13 +237,13 @@
 
 // drawn is an arrival with nothing left open.
 type drawn struct {
-	Arrival
+	arrival.Arrival
 	s     *scenario.Scenario
 	n     int
 	class int
 }
 
-func (m *mix) draw(n int, a Arrival) drawn {
+func (m *mix) draw(n int, a arrival.Arrival) drawn {
 	o := drawn{Arrival: a, s: m.s, n: n}
 	if o.class = m.s.Class(a.Class); o.class < 0 {
 		u := o.u("class") * m.shares[len(m.shares)-1]
--- a/internal/rig/load/run_test.go
+++ b/internal/rig/load/run_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"petrelhook/internal/rig/arrival"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/scenario"
@@ -227,7 +228,7 @@
 func TestTraceWithAnHoursGap(t *testing.T) {
 	text := strings.Replace(oneServer, "length 10s", "length 2h", 1) + "arrive constant 1/s"
 	result, records := direct(t, text, func(r *Runner, _ func()) {
-		r.Schedule = NewTrace("t", strings.NewReader("{\"due_us\":1000}\n{\"due_us\":1000}\n{\"due_us\":3600001000}\n"))
+		r.Schedule = arrival.NewTrace("t", strings.NewReader("{\"due_us\":1000}\n{\"due_us\":1000}\n{\"due_us\":3600001000}\n"))
 	})
 	if all := &result.Classes[0]; all.Counts.Served != 3 || all.Percentile(100) > 2*rtt {
 		t.Errorf("%+v, slowest %v", all.Counts, all.Percentile(100))
@@ -248,7 +249,7 @@
 		s := &scenario.Scenario{Seed: 3, Classes: []scenario.Class{{Name: "read", Share: 1}}, Clients: scenario.Clients{Keys: 100, Skew: skew}}
 		m, seen := newMix(s), map[string]int{}
 		for i := range 10_000 {
-			seen[m.draw(i, Arrival{}).About]++
+			seen[m.draw(i, arrival.Arrival{}).About]++
 		}
 		for _, count := range seen {
 			n = max(n, count)
--- a/internal/rig/standin/loopback.go
+++ b/internal/rig/loopback/loopback.go
@@ -1,4 +1,6 @@
-package standin
+// Package loopback is a network of sockets on 127.0.0.0/8 on which machines can be cut off, for stand-ins and sidecars in
+// processes. Package memnet is its counterpart in memory.
+package loopback
 
 import (
 	"context"
@@ -11,21 +13,21 @@
 	"petrelhook/internal/sock"
 )
 
-// Loopback is sockets on 127.0.0.0/8, with machines that can be cut off. It refuses every other address.
+// Network is sockets on 127.0.0.0/8, with machines that can be cut off. It refuses every other address.
 //
 // No packet can be dropped without privileges. A machine that is cut off leaves its connections open, reads nothing
 // that anyone hears of and writes nothing, and its listener is left with a full queue: Linux then drops what asks for
 // a connection, and who dials it waits.
-type Loopback struct {
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*cutListener
 }
 
-// NewLoopback makes a network of loopback sockets.
-func NewLoopback() *Loopback { return &Loopback{listeners: map[string]*cutListener{}} }
+// New makes a network of loopback sockets.
+func New() *Network { return &Network{listeners: map[string]*cutListener{}} }
 
 // Dial connects, as net.Dialer.DialContext does.
-func (n *Loopback) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+func (n *Network) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if err := isLoopback(addr); err != nil {
 		return nil, err
 	}
@@ -45,7 +47,7 @@
 }
 
 // Listen listens at an address; port 0 takes a free one.
-func (n *Loopback) Listen(addr string) (net.Listener, error) {
+func (n *Network) Listen(addr string) (net.Listener, error) {
 	if err := isLoopback(addr); err != nil {
 		return nil, err
 	}
@@ -61,21 +63,21 @@
 	return c, nil
 }
 
-func (n *Loopback) at(addr string) *cutListener {
+func (n *Network) at(addr string) *cutListener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.listeners[addr]
 }
 
 // Silence cuts off the machine that listens at addr.
-func (n *Loopback) Silence(addr string) {
+func (n *Network) Silence(addr string) {
 	if l := n.at(addr); l != nil {
 		l.cutOff()
 	}
 }
 
 // Restore brings it back: the connections that it had are reset.
-func (n *Loopback) Restore(addr string) {
+func (n *Network) Restore(addr string) {
 	if l := n.at(addr); l != nil {
 		l.restore()
 	}
@@ -84,7 +86,7 @@
 // cutListener is a listener whose machine can be cut off.
 type cutListener struct {
 	*net.TCPListener
-	n *Loopback
+	n *Network
 
 	mu      sync.Mutex
 	changed sync.Cond
--- a/internal/rig/rehearse/compare_test.go
+++ b/internal/rig/rehearse/compare_test.go
@@ -20,6 +20,7 @@
 
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
+	"petrelhook/internal/rig/loopback"
 	"petrelhook/internal/rig/standin"
 )
 
@@ -165,7 +166,7 @@
 func measure(b *testing.B, p proxyUnderTest, arrive string, loop func([]string) (int, error)) (m measured) {
 	b.Helper()
 	s := parse(b, compared+arrive)
-	network, rec, zero := standin.NewLoopback(), &audit.Recorder{}, time.Now()
+	network, rec, zero := loopback.New(), &audit.Recorder{}, time.Now()
 	fleet, err := standin.Start(s, network, rec, zero)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/rig/rehearse/rehearse.go
+++ b/internal/rig/rehearse/rehearse.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"petrelhook/internal/rig/arrival"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
 	"petrelhook/internal/rig/scenario"
@@ -40,7 +41,7 @@
 	Connections int // of clients at once; 0: no bound
 	MaxLag      time.Duration
 	Wait        func(ctx context.Context, until time.Time)
-	Trace       *load.TraceWriter
+	Trace       *arrival.TraceWriter
 	Live        func(load.Operation)
 	Began       func() // the load begins now
 }
@@ -68,7 +69,7 @@
 // An error means that there is no outcome; whatever was started has ended in any case.
 func (r *Rehearsal) Run(ctx context.Context) (out *Outcome, err error) {
 	s := r.Scenario
-	schedule, err := load.NewSchedule(s)
+	schedule, err := arrival.NewSchedule(s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/scenario/crowd.go
+++ b/internal/rig/scenario/crowd.go
@@ -1,6 +1,10 @@
 package scenario
 
-import "time"
+import (
+	"time"
+
+	"petrelhook/internal/rig/statement"
+)
 
 // CrowdKind is what strange clients do: those beside the application's own, who take places and ask for little.
 type CrowdKind string
@@ -28,18 +32,18 @@
 }
 
 // crowd reads "at TIME crowd KIND COUNT for TIME [over=TIME]".
-func (p *parser) crowd(l *line, at time.Duration) error {
-	c := Crowd{At: at, Line: l.no}
-	c.Kind = oneOf(l, "crowd", l.word("what they do"), crowdKinds...)
-	c.Count = l.parseInteger("crowd", l.word("how many they are"), 1, 1e5)
-	if !l.literal("for") {
-		l.fail("crowd", "for how long is missing, such as for 5s")
-	} else if c.For = l.parseDuration("for", l.word("a duration")); c.For == 0 {
-		l.fail("for", "must be over 0")
+func (p *parser) crowd(l *statement.Line, at time.Duration) error {
+	c := Crowd{At: at, Line: l.No}
+	c.Kind = statement.OneOf(l, "crowd", l.Word("what they do"), crowdKinds...)
+	c.Count = l.ParseInteger("crowd", l.Word("how many they are"), 1, 1e5)
+	if !l.Literal("for") {
+		l.Fail("crowd", "for how long is missing, such as for 5s")
+	} else if c.For = l.ParseDuration("for", l.Word("a duration")); c.For == 0 {
+		l.Fail("for", "must be over 0")
 	}
-	if l.duration("over", &c.Over); c.Over > c.For {
-		l.fail("over", "they come within %v and are gone after %v", c.Over, c.For)
+	if l.Duration("over", &c.Over); c.Over > c.For {
+		l.Fail("over", "they come within %v and are gone after %v", c.Over, c.For)
 	}
 	p.s.Crowds = append(p.s.Crowds, c)
-	return l.end("over")
+	return l.End("over")
 }
--- a/internal/rig/scenario/faults.go
+++ b/internal/rig/scenario/faults.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"petrelhook/internal/rig/statement"
 )
 
 // serverFaults and discoveryFaults are the kinds by what they befall.
@@ -15,44 +17,44 @@
 )
 
 // fault reads "at TIME TARGETS KIND [AMOUNT] [for TIME] [options]".
-func (p *parser) fault(l *line) error {
-	f := Fault{Line: l.no}
-	f.At = l.parseDuration("at", l.word("a time"))
-	target := l.word("a target, such as s1, s2..s4, cell:0, all, discovery or crowd")
+func (p *parser) fault(l *statement.Line) error {
+	f := Fault{Line: l.No}
+	f.At = l.ParseDuration("at", l.Word("a time"))
+	target := l.Word("a target, such as s1, s2..s4, cell:0, all, discovery or crowd")
 	switch {
-	case l.err != nil:
-		return l.err
+	case l.Err != nil:
+		return l.Err
 	case target == "crowd":
 		return p.crowd(l, f.At)
 	}
-	kind := l.word("what happens")
+	kind := l.Word("what happens")
 	known := []string{}
 	var targets []string
 	if target == DiscoveryTarget {
 		targets = []string{target}
-		f.Kind = oneOf(l, "fault", kind, discoveryFaults...)
+		f.Kind = statement.OneOf(l, "fault", kind, discoveryFaults...)
 	} else {
 		targets = p.targets(l, target)
-		f.Kind = oneOf(l, "fault", kind, serverFaults...)
+		f.Kind = statement.OneOf(l, "fault", kind, serverFaults...)
 	}
 	lasts := true
 	batch, every := 1, time.Second
 	switch f.Kind {
 	case Slow:
-		factor, ok := strings.CutPrefix(l.word("a factor, such as x4"), "x")
+		factor, ok := strings.CutPrefix(l.Word("a factor, such as x4"), "x")
 		if !ok {
-			l.fail("slow", "needs a factor, such as x4")
+			l.Fail("slow", "needs a factor, such as x4")
 		}
-		f.Factor = l.parseNumber("slow", factor, 1, 1e4)
+		f.Factor = l.ParseNumber("slow", factor, 1, 1e4)
 	case Fail, Garble, ResetIn, ResetOut:
 		f.Part = 1
-		if len(l.words) > 0 && l.words[0] != "for" {
-			f.Part = l.parseNumber(kind, l.word(""), 0, 1)
+		if len(l.Words) > 0 && l.Words[0] != "for" {
+			f.Part = l.ParseNumber(kind, l.Word(""), 0, 1)
 		}
 	case DiscoveryLate:
 		known = append(known, "by")
-		if l.duration("by", &f.By); f.By == 0 {
-			l.fail("by", "missing: how late, such as by=3s")
+		if l.Duration("by", &f.By); f.By == 0 {
+			l.Fail("by", "missing: how late, such as by=3s")
 		}
 	case Drain:
 		lasts = false
@@ -61,19 +63,19 @@
 		known = append(known, p.ending(l, &f)...)
 	}
 	if f.Kind == Roll {
-		l.integer("batch", &batch, 1, 1000)
-		l.duration("every", &every)
+		l.Integer("batch", &batch, 1, 1000)
+		l.Duration("every", &every)
 		known = append(known, "batch", "every")
 	}
-	if l.literal("for") {
-		f.For = l.parseDuration("for", l.word("a duration"))
+	if l.Literal("for") {
+		f.For = l.ParseDuration("for", l.Word("a duration"))
 		if !lasts {
-			l.fail("for", "%s does not end", kind)
+			l.Fail("for", "%s does not end", kind)
 		}
 	} else if lasts {
-		l.fail(kind, "for how long is missing, such as for 2s")
+		l.Fail(kind, "for how long is missing, such as for 2s")
 	}
-	if err := l.end(known...); err != nil {
+	if err := l.End(known...); err != nil {
 		return err
 	}
 	for i, name := range targets {
@@ -107,7 +109,7 @@
 			if before.Kind != Gone {
 				until = "until " + before.End().String()
 			}
-			return &Error{File: p.file, Line: f.Line, Field: string(f.Kind), Msg: fmt.Sprintf(
+			return &statement.Error{File: p.file, Line: f.Line, Field: string(f.Kind), Msg: fmt.Sprintf(
 				"at %v %s is under %s from line %d on, %s; two of a kind may not overlap", f.At, f.Target, before.Kind, before.Line, until)}
 		}
 		last[k] = f
@@ -119,9 +121,9 @@
 func (f Fault) ends() bool { return f.Kind == Gone || f.Kind == Restart || f.Kind == Replace }
 
 // ending reads how a process ends and comes back.
-func (p *parser) ending(l *line, f *Fault) (known []string) {
+func (p *parser) ending(l *statement.Line, f *Fault) (known []string) {
 	if f.Kind != Restart {
-		l.duration("drain", &f.Drain)
+		l.Duration("drain", &f.Drain)
 		known = append(known, "drain")
 	}
 	if f.Kind == Gone {
@@ -129,18 +131,18 @@
 	}
 	f.Down = 200 * time.Millisecond
 	f.Cold = Cold{From: p.s.Rules.ColdFrom, Warm: p.s.Rules.ColdTime}
-	l.duration("down", &f.Down)
-	l.number("cold", &f.Cold.From, 0.01, 1)
-	l.duration("warm", &f.Cold.Warm)
+	l.Duration("down", &f.Down)
+	l.Number("cold", &f.Cold.From, 0.01, 1)
+	l.Duration("warm", &f.Cold.Warm)
 	if f.Cold.From < p.s.Rules.ColdFrom || f.Cold.Warm > p.s.Rules.ColdTime {
-		l.fail("cold", "a server that is colder than the rules say (cold-from %v, cold-time %v) is no fair test",
+		l.Fail("cold", "a server that is colder than the rules say (cold-from %v, cold-time %v) is no fair test",
 			p.s.Rules.ColdFrom, p.s.Rules.ColdTime)
 	}
 	return append(known, "down", "cold", "warm")
 }
 
 // targets reads s1, s2..s4, cell:0, zone:a, all, and lists of these with commas.
-func (p *parser) targets(l *line, text string) (names []string) {
+func (p *parser) targets(l *statement.Line, text string) (names []string) {
 	add := func(match func(Server) bool) {
 		for _, s := range p.s.Servers {
 			if match(s) && !slices.Contains(names, s.Name) {
@@ -167,7 +169,7 @@
 			add(func(s Server) bool { return s.Name == part })
 		}
 		if len(names) == before {
-			l.fail(part, "no such server; there are s1 to s%d", len(p.s.Servers))
+			l.Fail(part, "no such server; there are s1 to s%d", len(p.s.Servers))
 		}
 	}
 	return names
--- a/internal/rig/scenario/parse.go
+++ b/internal/rig/scenario/parse.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"petrelhook/internal/rig/statement"
 )
 
 // Read reads the file at path.
@@ -60,7 +62,7 @@
 	open   func(name string) (io.ReadCloser, error)
 	depth  int
 	s      *Scenario
-	faults []*line // read last: they name servers
+	faults []*statement.Line // read last: they name servers
 }
 
 func (p *parser) lines(file string, r io.Reader) error {
@@ -68,9 +70,9 @@
 	no := 0
 	for lines.Scan() {
 		no++
-		if l := newLine(file, no, lines.Text()); l != nil {
-			if l.err != nil {
-				return l.err
+		if l := statement.New(file, no, lines.Text()); l != nil {
+			if l.Err != nil {
+				return l.Err
 			}
 			if err := p.statement(l, lines.Text()); err != nil {
 				return err
@@ -78,225 +80,225 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return &Error{File: file, Line: no + 1, Field: "line", Msg: err.Error()}
+		return &statement.Error{File: file, Line: no + 1, Field: "line", Msg: err.Error()}
 	}
 	return nil
 }
 
 // include reads another file's statements in place of this one.
-func (p *parser) include(l *line) error {
-	name := l.word("a file")
-	if err := l.end(); err != nil {
+func (p *parser) include(l *statement.Line) error {
+	name := l.Word("a file")
+	if err := l.End(); err != nil {
 		return err
 	}
 	if p.depth++; p.depth > deepest {
-		l.fail(name, "files include one another more than %d deep", deepest)
-		return l.err
+		l.Fail(name, "files include one another more than %d deep", deepest)
+		return l.Err
 	}
 	defer func() { p.depth-- }()
 	f, err := p.open(name)
 	if err != nil {
-		l.fail(name, "%v", err)
-		return l.err
+		l.Fail(name, "%v", err)
+		return l.Err
 	}
 	defer f.Close()
 	return p.lines(name, f)
 }
 
-func (p *parser) statement(l *line, text string) error {
+func (p *parser) statement(l *statement.Line, text string) error {
 	s := p.s
-	switch l.verb {
+	switch l.Verb {
 	case "include":
 		return p.include(l)
 	case "name":
-		s.Name = l.word("a name")
-		return l.end()
+		s.Name = l.Word("a name")
+		return l.End()
 	case "about":
 		_, text, _ = strings.Cut(strings.TrimSpace(text), "about")
 		s.About = strings.TrimSpace(text)
 		return nil
 	case "seed":
-		v := l.word("a number")
+		v := l.Word("a number")
 		n, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
-			l.fail(v, "a seed is a whole number of at least 0")
+			l.Fail(v, "a seed is a whole number of at least 0")
 		}
 		s.Seed = n
-		return l.end()
+		return l.End()
 	case "length":
-		if s.Length = l.parseDuration("length", l.word("a duration")); s.Length == 0 {
-			l.fail("length", "must be over 0")
+		if s.Length = l.ParseDuration("length", l.Word("a duration")); s.Length == 0 {
+			l.Fail("length", "must be over 0")
 		}
-		return l.end()
+		return l.End()
 	case "sidecars":
-		s.Sidecars.Count = l.parseInteger("sidecars", l.word("a number"), 0, 1000)
-		l.number("cores", &s.Sidecars.Cores, 0.01, 64)
-		l.integer("memory", &s.Sidecars.MemoryMB, 8, 1<<20)
-		l.integer("sockets", &s.Sidecars.Sockets, 64, 1<<20)
-		return l.end("cores", "memory (MB)", "sockets")
+		s.Sidecars.Count = l.ParseInteger("sidecars", l.Word("a number"), 0, 1000)
+		l.Number("cores", &s.Sidecars.Cores, 0.01, 64)
+		l.Integer("memory", &s.Sidecars.MemoryMB, 8, 1<<20)
+		l.Integer("sockets", &s.Sidecars.Sockets, 64, 1<<20)
+		return l.End("cores", "memory (MB)", "sockets")
 	case "fleet":
 		return p.fleet(l)
 	case "class":
 		return p.class(l)
 	case "tenant":
-		t := Tenant{Name: l.word("a name"), Share: 1}
-		l.number("share", &t.Share, 0, 1e6)
+		t := Tenant{Name: l.Word("a name"), Share: 1}
+		l.Number("share", &t.Share, 0, 1e6)
 		s.Tenants = append(s.Tenants, t)
-		return l.end("share")
+		return l.End("share")
 	case "clients":
 		return p.clients(l)
 	case "discovery":
-		l.duration("late", &s.Discovery.Late)
-		return l.end("late")
+		l.Duration("late", &s.Discovery.Late)
+		return l.End("late")
 	case "rules":
 		r := &s.Rules
-		l.duration("drain-grace", &r.DrainGrace)
-		l.number("cold-from", &r.ColdFrom, 0, 1)
-		l.duration("cold-time", &r.ColdTime)
-		l.number("fall-multiple", &r.FallMultiple, 0, 1000)
-		l.duration("fall-time", &r.FallTime)
-		l.duration("ask-within", &r.AskWithin)
-		l.duration("slack", &r.Slack)
-		return l.end("drain-grace", "cold-from", "cold-time", "fall-multiple", "fall-time", "ask-within", "slack")
+		l.Duration("drain-grace", &r.DrainGrace)
+		l.Number("cold-from", &r.ColdFrom, 0, 1)
+		l.Duration("cold-time", &r.ColdTime)
+		l.Number("fall-multiple", &r.FallMultiple, 0, 1000)
+		l.Duration("fall-time", &r.FallTime)
+		l.Duration("ask-within", &r.AskWithin)
+		l.Duration("slack", &r.Slack)
+		return l.End("drain-grace", "cold-from", "cold-time", "fall-multiple", "fall-time", "ask-within", "slack")
 	case "limits":
 		m := &s.Limits
-		l.integer("attempts", &m.Attempts, 1, 100)
-		l.duration("connect", &m.Connect)
-		l.duration("idle", &m.Idle)
-		l.duration("retry-after", &m.RetryAfter)
-		l.yes("probes", &m.Probes)
-		l.yes("parallel", &m.Parallel)
-		l.yes("reports", &m.Reports)
-		return l.end("attempts", "connect", "idle", "retry-after", "probes", "parallel", "reports")
+		l.Integer("attempts", &m.Attempts, 1, 100)
+		l.Duration("connect", &m.Connect)
+		l.Duration("idle", &m.Idle)
+		l.Duration("retry-after", &m.RetryAfter)
+		l.Yes("probes", &m.Probes)
+		l.Yes("parallel", &m.Parallel)
+		l.Yes("reports", &m.Reports)
+		return l.End("attempts", "connect", "idle", "retry-after", "probes", "parallel", "reports")
 	case "arrive":
 		return p.arrive(l)
 	case "at":
 		p.faults = append(p.faults, l)
 		return nil
 	}
-	l.fail(l.verb, "unknown statement; those are include, name, about, seed, length, sidecars, fleet, class, tenant, clients, "+
+	l.Fail(l.Verb, "unknown statement; those are include, name, about, seed, length, sidecars, fleet, class, tenant, clients, "+
 		"discovery, rules, limits, arrive, at")
-	return l.err
+	return l.Err
 }
 
-func (p *parser) fleet(l *line) error {
-	n := l.parseInteger("fleet", l.word("a number of servers"), 1, 10000)
-	server := Server{Zone: "a", Kind: "std", Cores: 2, Speed: 1, Queue: 64, Line: l.no}
+func (p *parser) fleet(l *statement.Line) error {
+	n := l.ParseInteger("fleet", l.Word("a number of servers"), 1, 10000)
+	server := Server{Zone: "a", Kind: "std", Cores: 2, Speed: 1, Queue: 64, Line: l.No}
 	cells := 1
-	if v, ok := l.opt("zone"); ok {
+	if v, ok := l.Opt("zone"); ok {
 		server.Zone = v
 	}
-	if v, ok := l.opt("kind"); ok {
+	if v, ok := l.Opt("kind"); ok {
 		server.Kind = v
 	}
-	l.integer("cells", &cells, 1, 1000)
-	l.integer("cores", &server.Cores, 1, 100000)
-	l.number("speed", &server.Speed, 1e-3, 1e3)
-	l.integer("queue", &server.Queue, 0, 1<<20)
+	l.Integer("cells", &cells, 1, 1000)
+	l.Integer("cores", &server.Cores, 1, 100000)
+	l.Number("speed", &server.Speed, 1e-3, 1e3)
+	l.Integer("queue", &server.Queue, 0, 1<<20)
 	for i := range n {
 		server.Name = fmt.Sprint("s", len(p.s.Servers)+1)
 		server.Cell = i % cells
 		p.s.Servers = append(p.s.Servers, server)
 	}
-	return l.end("zone", "kind", "cells", "cores", "speed", "queue")
+	return l.End("zone", "kind", "cells", "cores", "speed", "queue")
 }
 
-func (p *parser) class(l *line) error {
-	c := Class{Name: l.word("a name"), Share: 1, Effect: Safe, Group: GroupAll, Worth: 1, Line: l.no}
+func (p *parser) class(l *statement.Line) error {
+	c := Class{Name: l.Word("a name"), Share: 1, Effect: Safe, Group: GroupAll, Worth: 1, Line: l.No}
 	if p.s.Class(c.Name) >= 0 {
-		l.fail(c.Name, "there is a class of that name already")
+		l.Fail(c.Name, "there is a class of that name already")
 	}
 	if strings.ContainsAny(c.Name, "/?%: ") {
-		l.fail(c.Name, "a class's name is the first part of a path: letters, digits and dashes")
+		l.Fail(c.Name, "a class's name is the first part of a path: letters, digits and dashes")
 	}
-	if v, ok := l.opt("effect"); ok {
-		c.Effect = oneOf(l, "effect", v, Safe, Keyed, Unsafe)
+	if v, ok := l.Opt("effect"); ok {
+		c.Effect = statement.OneOf(l, "effect", v, Safe, Keyed, Unsafe)
 	}
-	if v, ok := l.opt("group"); ok {
-		c.Group = oneOf(l, "group", v, GroupAll, GroupZone, GroupCell)
+	if v, ok := l.Opt("group"); ok {
+		c.Group = statement.OneOf(l, "group", v, GroupAll, GroupZone, GroupCell)
 	}
-	l.number("share", &c.Share, 0, 1e6)
-	l.duration("window", &c.Window)
-	l.span("work", &c.Work)
-	l.span("io", &c.IO)
-	l.duration("aim", &c.Aim)
-	l.duration("deadline", &c.Deadline)
-	l.number("worth", &c.Worth, 0, 1e6)
-	l.number("late", &c.Late, 0, 1)
-	if err := l.end("share", "effect", "group", "window", "work", "io", "aim", "deadline", "worth", "late"); err != nil {
+	l.Number("share", &c.Share, 0, 1e6)
+	l.Duration("window", &c.Window)
+	l.Span("work", &c.Work.From, &c.Work.To)
+	l.Span("io", &c.IO.From, &c.IO.To)
+	l.Duration("aim", &c.Aim)
+	l.Duration("deadline", &c.Deadline)
+	l.Number("worth", &c.Worth, 0, 1e6)
+	l.Number("late", &c.Late, 0, 1)
+	if err := l.End("share", "effect", "group", "window", "work", "io", "aim", "deadline", "worth", "late"); err != nil {
 		return err
 	}
 	switch {
 	case c.Deadline == 0:
-		l.fail("deadline", "missing: how long a client waits, such as deadline=1s")
+		l.Fail("deadline", "missing: how long a client waits, such as deadline=1s")
 	case c.Aim > c.Deadline:
-		l.fail("aim", "%v is after the deadline, %v", c.Aim, c.Deadline)
+		l.Fail("aim", "%v is after the deadline, %v", c.Aim, c.Deadline)
 	case c.Effect == Keyed && c.Window == 0:
-		l.fail("window", "missing: how long repeats of a key are dropped, such as window=2s")
+		l.Fail("window", "missing: how long repeats of a key are dropped, such as window=2s")
 	case c.Effect != Keyed && (c.Window != 0 || c.Group != GroupAll):
-		l.fail("effect", "only a keyed class has a group and a window")
+		l.Fail("effect", "only a keyed class has a group and a window")
 	}
 	if c.Aim == 0 {
 		c.Aim = c.Deadline
 	}
 	p.s.Classes = append(p.s.Classes, c)
-	return l.err
+	return l.Err
 }
 
-func (p *parser) clients(l *line) error {
+func (p *parser) clients(l *statement.Line) error {
 	c := &p.s.Clients
-	if v, ok := l.opt("patience"); ok {
+	if v, ok := l.Opt("patience"); ok {
 		from, to, isRange := strings.Cut(v, "..")
-		c.Patience[0] = l.parseNumber("patience", from, 0.01, 1)
+		c.Patience[0] = l.ParseNumber("patience", from, 0.01, 1)
 		if c.Patience[1] = c.Patience[0]; isRange {
-			c.Patience[1] = l.parseNumber("patience", to, c.Patience[0], 1)
+			c.Patience[1] = l.ParseNumber("patience", to, c.Patience[0], 1)
 		}
 	}
-	l.integer("retries", &c.Retries, 0, 100)
-	l.duration("wait", &c.Wait)
-	l.duration("obey", &c.Obey)
-	l.yes("marks", &c.Marks)
-	l.integer("keys", &c.Keys, 1, 1<<30)
-	l.number("skew", &c.Skew, 1.0001, 100)
-	return l.end("patience", "retries", "wait", "obey", "marks", "keys", "skew")
+	l.Integer("retries", &c.Retries, 0, 100)
+	l.Duration("wait", &c.Wait)
+	l.Duration("obey", &c.Obey)
+	l.Yes("marks", &c.Marks)
+	l.Integer("keys", &c.Keys, 1, 1<<30)
+	l.Number("skew", &c.Skew, 1.0001, 100)
+	return l.End("patience", "retries", "wait", "obey", "marks", "keys", "skew")
 }
 
-func (p *parser) arrive(l *line) error {
-	a := Arrival{Line: l.no}
-	shape := l.word("a shape")
+func (p *parser) arrive(l *statement.Line) error {
+	a := Arrival{Line: l.No}
+	shape := l.Word("a shape")
 	if a.Poisson = shape == "poisson"; a.Poisson {
 		a.Shape = Constant
 	} else {
-		a.Shape = oneOf(l, "shape", shape, Constant, Ramp, Step, Wave, Bursts, Trace, "poisson")
+		a.Shape = statement.OneOf(l, "shape", shape, Constant, Ramp, Step, Wave, Bursts, Trace, "poisson")
 	}
 	switch a.Shape {
 	case Trace:
-		if a.File = l.word("a file"); !filepath.IsAbs(a.File) {
+		if a.File = l.Word("a file"); !filepath.IsAbs(a.File) {
 			a.File = filepath.Join(filepath.Dir(p.file), a.File)
 		}
 	case Bursts:
-		a.Size = l.parseInteger("bursts", l.word("a number at once"), 1, 1e6)
+		a.Size = l.ParseInteger("bursts", l.Word("a number at once"), 1, 1e6)
 	default:
-		rate := l.word("a rate")
+		rate := l.Word("a rate")
 		from, to, isRange := strings.Cut(rate, "..")
 		if isRange {
 			from, _ = strings.CutSuffix(from, "/s")
 			from += "/s"
-			a.To = l.perSecond(to)
+			a.To = l.PerSecond(to)
 		}
-		a.From = l.perSecond(from)
+		a.From = l.PerSecond(from)
 		if isRange == (a.Shape == Constant) {
-			l.fail(rate, "%s takes %s", shape, map[bool]string{true: "one rate, such as 200/s", false: "two, such as 100/s..400/s"}[isRange])
+			l.Fail(rate, "%s takes %s", shape, map[bool]string{true: "one rate, such as 200/s", false: "two, such as 100/s..400/s"}[isRange])
 		}
-		if l.literal("poisson") {
+		if l.Literal("poisson") {
 			a.Poisson = true
 		}
 	}
 	known := []string{}
 	need := func(name string, into *time.Duration) {
 		known = append(known, name)
-		if l.duration(name, into); *into == 0 {
-			l.fail(name, "missing: %s needs it, such as %s=2s", shape, name)
+		if l.Duration(name, into); *into == 0 {
+			l.Fail(name, "missing: %s needs it, such as %s=2s", shape, name)
 		}
 	}
 	switch a.Shape {
@@ -308,13 +310,13 @@
 		need("every", &a.Every)
 	}
 	p.s.Arrivals = append(p.s.Arrivals, a)
-	return l.end(known...)
+	return l.End(known...)
 }
 
 // finish reads the faults and looks at the whole.
 func (p *parser) finish() (*Scenario, error) {
 	s := p.s
-	missing := func(field, msg string) error { return &Error{File: p.file, Field: field, Msg: msg} }
+	missing := func(field, msg string) error { return &statement.Error{File: p.file, Field: field, Msg: msg} }
 	switch {
 	case len(s.Servers) == 0:
 		return nil, missing("fleet", "missing: how many servers there are, such as fleet 10")
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"hash/fnv"
 	"time"
+
+	"petrelhook/internal/rig/statement"
 )
 
 // Scenario is one rehearsal. Times of arrivals and faults count from the first arrival's due time.
@@ -251,3 +253,6 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return float64((x^x>>31)>>11) / (1 << 53)
 }
+
+// Error is what is wrong with a file, and where.
+type Error = statement.Error
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -30,6 +30,8 @@
 	{"internal/wiring", "balance internal/*"},
 	{"internal/rig", ""},
 	{"internal/rig/memnet", "internal/sock"},
+	{"internal/rig/loopback", "internal/sock"},
+	{"internal/rig/statement", ""},
 	{"internal/rig/*", "balance internal/*"},
 	{"internal/peertest", ""},
 	{"cmd/petrelhook", "balance internal/*"},
