Tests of the core that fail without each of its guards

Need: taking guards out of the core one by one showed four that no test missed: the second end of an attempt, a request that must stay until its last attempt has ended, news of a source that was just replaced, and a copy's hang-up.

Change: a warning on the log fails a test, for the core must never tell the module what can't be; tests of a request whose attempt can't be given up, of news that crosses a replacement, and of a copy that is turned down and hangs up.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -103,6 +103,7 @@
 // attempt is told as never sent.
 func TestASendToAServerThatIsGone(t *testing.T) {
 	in(t, []string{"a"}, func(r *rig) {
+		r.forged.Store(true)
 		a := r.ask("1", safe)
 		x := <-r.servers.sent
 		r.post(func() {
@@ -141,6 +142,45 @@
 	})
 }
 
+// Where attempts can't be given up, a request whose client has gone stays in the table until the server has ended it, and
+// its id with it.
+func TestARequestStaysUntilItsLastAttemptEnds(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		a := r.ask("1", safe)
+		x := <-r.servers.sent
+		a.hangUp()
+		<-a.done
+		synctest.Wait()
+		if s := r.Stats(); s.Requests != 1 || s.IDs != 1 {
+			t.Errorf("%+v", s)
+		}
+		x.serve()
+		r.empty(1)
+	}, func(c *balance.Config) { c.Cancel = false })
+}
+
+// A copy that is turned down, and whose client goes away in the same moment, takes nothing from the request that has its
+// id.
+func TestACopyThatIsTurnedDownAndHangsUp(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		a := r.ask("1", unsafe)
+		x := <-r.servers.sent
+		hold := make(chan struct{})
+		r.post(func() { <-hold })
+		b := r.ask("1", unsafe)
+		synctest.Wait()
+		b.hangUp()
+		<-b.done
+		close(hold)
+		time.Sleep(2 * batch)
+		if s := r.Stats(); s.Requests != 1 || s.IDs != 1 {
+			t.Errorf("%+v", s)
+		}
+		x.serve()
+		r.is(a, front.Served, nil)
+	})
+}
+
 // Where the time of an attempt ends before anything of it has left, it never ran, and the client may try again.
 func TestAnAttemptThatNeverLeft(t *testing.T) {
 	in(t, []string{"a"}, func(r *rig) {
@@ -215,7 +255,7 @@
 func TestReplace(t *testing.T) {
 	in(t, []string{"a"}, func(r *rig) {
 		r.Replace(&fakeSource{make(chan member.List)})
-		next := &otherSource{fakeSource{make(chan member.List)}}
+		next := &otherSource{fakeSource: fakeSource{make(chan member.List)}}
 		r.Replace(next)
 		synctest.Wait()
 		if s := r.Stats(); len(s.Servers) != 1 || s.Generation != 0 {
@@ -226,6 +266,17 @@
 		if s := r.Stats(); len(s.Servers) != 1 || s.Servers[0] != "c" || s.Generation != 7 {
 			t.Errorf("%+v", s)
 		}
+		// What the old source tells as it is replaced counts no more.
+		hold, last := make(chan struct{}), &otherSource{fakeSource: fakeSource{make(chan member.List)}}
+		last.name = "last"
+		r.post(func() { <-hold })
+		r.Replace(last)
+		next.lists <- list(8, true, "d")
+		close(hold)
+		synctest.Wait()
+		if s := r.Stats(); len(s.Servers) != 1 || s.Servers[0] != "c" || s.Generation != 0 {
+			t.Errorf("%+v", s)
+		}
 		select {
 		case r.source.lists <- list(8, true, "a"):
 			t.Error("the old source is still asked")
@@ -234,9 +285,12 @@
 	})
 }
 
-type otherSource struct{ fakeSource }
+type otherSource struct {
+	fakeSource
+	name string
+}
 
-func (*otherSource) Name() string { return "other" }
+func (s *otherSource) Name() string { return "other" + s.name }
 
 // What is answered leaves no timer behind that wakes an idle sidecar: neither the end of its attempt's time nor the
 // module's next look at it.
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -65,6 +65,19 @@
 	return <-x.end
 }
 
+// noWarnings is a log on which a warning is a failure: the core never tells the module what can't be.
+type noWarnings struct {
+	t   *testing.T
+	off *atomic.Bool // the test itself puts words in the module's mouth
+}
+
+func (w noWarnings) Write(line []byte) (int, error) {
+	if !w.off.Load() {
+		w.t.Errorf("logged: %s", line)
+	}
+	return len(line), nil
+}
+
 // rig is a core with its fakes, in virtual time; the test's own goroutines are the front.
 type rig struct {
 	*Loop
@@ -73,6 +86,7 @@
 	servers *fakeServers
 	end     context.CancelFunc
 	ended   chan struct{}
+	forged  atomic.Bool // the test carries out actions that the module did not ask for
 }
 
 // asked is one request that a fake front has handed in.
@@ -84,7 +98,7 @@
 }
 
 // in runs a test in virtual time with a core that knows these servers.
-func in(t *testing.T, names []string, test func(r *rig)) {
+func in(t *testing.T, names []string, test func(r *rig), change ...func(*balance.Config)) {
 	synctest.Test(t, func(t *testing.T) {
 		class := func(e balance.Effect) balance.Class {
 			return balance.Class{Effect: e, Window: 500, Aim: 500, Deadline: 1000, Worth: 1}
@@ -92,13 +106,15 @@
 		r := &rig{
 			t: t, source: &fakeSource{make(chan member.List)}, servers: &fakeServers{sent: make(chan *exchange)}, ended: make(chan struct{}),
 		}
-		r.Loop = New(Config{
-			Module: balance.Config{
-				Seed: 1, Classes: []balance.Class{class(balance.Safe), class(balance.Keyed), class(balance.Unsafe)},
-				Subscribe: true, Cancel: true, MaxAttempts: 4, DrainGrace: 250,
-			},
-			Known: list(1, true, names...),
-		}, r.source, r.servers, slog.New(slog.DiscardHandler))
+		module := balance.Config{
+			Seed: 1, Classes: []balance.Class{class(balance.Safe), class(balance.Keyed), class(balance.Unsafe)},
+			Subscribe: true, Cancel: true, MaxAttempts: 4, DrainGrace: 250,
+		}
+		for _, f := range change {
+			f(&module)
+		}
+		log := slog.New(slog.NewTextHandler(noWarnings{t, &r.forged}, &slog.HandlerOptions{Level: slog.LevelWarn}))
+		r.Loop = New(Config{Module: module, Known: list(1, true, names...)}, r.source, r.servers, log)
 		ctx, end := context.WithCancel(t.Context())
 		r.end = end
 		go func() { r.Run(ctx); close(r.ended) }()
