The door waits 200 ms for a first request; random crowds break no rule

Change: a connection that never asked makes room only after 200 ms; who comes is turned away with an answer instead. A test plays 20 random crowds (CROWDS=N for more).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -84,6 +84,10 @@
 	return victim, true
 }
 
+// FirstCall is how long a connection is waited for that has never asked. Its client's first request may be on its way, and
+// on a new connection not every client sends again what crossed with a close.
+const FirstCall = 200 * time.Millisecond
+
 // victim is the connection whose place is worth the least. One that was answered more than once makes room only if what is
 // expected of it within the horizon is less than the one request of who comes: what is known of it is its own.
 func (d *Door) victim(now time.Time, quiet func(*Conn) bool) *Conn {
@@ -103,7 +107,11 @@
 			if tried[h] == nil {
 				continue
 			}
-			v := d.rates.soon(h, now.Sub(tried[h].Value.(*Conn).since), d.Horizon) * worth[h]
+			silent := now.Sub(tried[h].Value.(*Conn).since)
+			if h == never && silent < FirstCall {
+				continue
+			}
+			v := d.rates.soon(h, silent, d.Horizon) * worth[h]
 			if v < least && (h <= once || v < most) {
 				least, from = v, h
 			}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -182,6 +182,20 @@
 	}
 }
 
+// Who has just come is waited for, whoever comes then; who never asks for longer than that makes room.
+func TestTheFirstCall(t *testing.T) {
+	r := newRig(t, 1)
+	first := r.come()
+	r.wait(FirstCall - 1)
+	if _, taken := r.d.Come(&Conn{}, r.now, always); taken {
+		t.Error("it was not waited for")
+	}
+	r.wait(1)
+	if victim, taken := r.d.Come(&Conn{}, r.now, always); victim != first || !taken {
+		t.Errorf("victim %v, taken %v", victim, taken)
+	}
+}
+
 // Of two of the same history the one that has been silent for longer goes first.
 func TestTheLongestSilentGoesFirst(t *testing.T) {
 	r := newRig(t, 2)
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -45,7 +45,8 @@
 		t.Fatal(err)
 	}
 	ln, release = New(inner, admit.Config{Places: most, Horizon: time.Second}, time.Second), make(chan struct{})
-	server := &http.Server{ConnState: ln.State, Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+	server := &http.Server{ConnState: ln.State, ConnContext: ln.Context, Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		defer ln.Answers(req.Context())
 		if req.URL.Path == "/slow" {
 			select {
 			case <-release:
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -33,9 +33,8 @@
 	headTime = 2500 * time.Millisecond
 	bodyTime = 2700 * time.Millisecond // for head and body
 	idleTime = 20 * time.Second
-	// A sidecar that ends waits for a connection's first request for this long, and looks for such connections so often.
-	// net/http's Shutdown waits for them for 5 s.
-	lastCall  = 200 * time.Millisecond
+	// lookAgain is how often a sidecar that ends looks for connections that never asked. net/http's Shutdown waits for them
+	// for 5 s.
 	lookAgain = 50 * time.Millisecond
 )
 
@@ -105,7 +104,7 @@
 			}
 			return nil // what the time-out found was a connection without a request
 		case <-look.C:
-			s.clients.CloseIdlers(lastCall)
+			s.clients.CloseIdlers(admit.FirstCall)
 		}
 	}
 }
--- a/internal/rig/rehearse/crowd_test.go
+++ b/internal/rig/rehearse/crowd_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 
 	"petrelhook/internal/rig/scenario"
@@ -64,3 +67,36 @@
 		})
 	}
 }
+
+// randomCrowds is how many scripts TestRandomCrowds plays; CROWDS says otherwise.
+const randomCrowds = 20
+
+// One or two crowds of any kind and size at random: no rule is broken, and ordinary clients are served.
+func TestRandomCrowds(t *testing.T) {
+	n := randomCrowds
+	if raceEnabled {
+		n = 3
+	}
+	if given, err := strconv.Atoi(os.Getenv("CROWDS")); err == nil {
+		n = given
+	}
+	rnd := rand.New(rand.NewPCG(7, 7))
+	kinds := []scenario.CrowdKind{
+		scenario.Idlers, scenario.Onces, scenario.Heads, scenario.Bodies, scenario.Stormer, scenario.Passers, scenario.Aborts,
+	}
+	for i := range n {
+		text := fmt.Sprintf("seed %d\n", i+1) + crowded
+		for range 1 + rnd.IntN(2) {
+			k := rnd.IntN(len(kinds))
+			count := 20 + rnd.IntN(200)
+			if k > 3 { // those who come back at once
+				count = 5 + rnd.IntN(40)
+			}
+			text += fmt.Sprintf("at %dms crowd %s %d over=%dms for 3s\n", 500+rnd.IntN(1500), kinds[k], count, 100+rnd.IntN(1500))
+		}
+		out := play(t, parse(t, text))
+		if part := inAim(out); len(out.Audit.Breaches) > 0 || part < 0.95 {
+			t.Errorf("%.3f in aim, %d breaches %.3v\n%s", part, len(out.Audit.Breaches), out.Audit.Breaches, text)
+		}
+	}
+}
