The door waits 200 ms only for who has not asked at all

Need: read once more, the wait for a first request also covered connections that had asked, for their health or for nonsense, since these were never answered a request: 450 a second that ask for /_health held ninety places so.

Change: a connection knows whether it asked at all, and only one that did not is waited for.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -23,6 +23,7 @@
 
 	state    state
 	at       *list.Element
+	asked    bool          // at all, also for what has no answer of worth
 	answered int           // requests
 	since    time.Time     // its last answer, or when it came
 	seen     time.Duration // how much of the time since then was taken in
@@ -107,8 +108,9 @@
 			if tried[h] == nil {
 				continue
 			}
-			silent := now.Sub(tried[h].Value.(*Conn).since)
-			if h == never && silent < FirstCall {
+			c := tried[h].Value.(*Conn)
+			silent := now.Sub(c.since)
+			if !c.asked && silent < FirstCall {
 				continue
 			}
 			v := d.rates.soon(h, silent, d.Horizon) * worth[h]
@@ -141,6 +143,7 @@
 // Asks is the first byte of a request on a connection.
 func (d *Door) Asks(c *Conn, now time.Time) {
 	if c.state == silent {
+		c.asked = true
 		d.take(c)
 		d.put(c, busy, now)
 	}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -191,9 +191,15 @@
 		t.Error("it was not waited for")
 	}
 	r.wait(1)
-	if victim, taken := r.d.Come(&Conn{}, r.now, always); victim != first || !taken {
+	second := &Conn{}
+	if victim, taken := r.d.Come(second, r.now, always); victim != first || !taken {
 		t.Errorf("victim %v, taken %v", victim, taken)
 	}
+	r.d.Asks(second, r.now) // for what has no answer of worth, such as its health
+	r.d.Answered(second, r.now)
+	if victim, taken := r.d.Come(&Conn{}, r.now, always); victim != second || !taken {
+		t.Errorf("who has asked: victim %v, taken %v", victim, taken)
+	}
 }
 
 // Of two of the same history the one that has been silent for longer goes first.
