Watch the discovery agent where lists are pushed

Ruled out: the servers' side holding sends back (the module had decided them after the news), the source's parser, and the reload, which opened a watch and therefore healed it.

Change: the loop opens a watch where lists are pushed, and after a reload always. How soon a watch that ended is opened again stays the module's to say (askAgain): a tenth of the grace for drains there, and no growing pause, for the agent is beside the sidecar and what it has counts as told.

Tests: TestAPushedListIsWatched, TestAnAgentIsAskedAgainSoon, and two faults of TestFaultsBreakNoRule with 'discovery pushed=yes', a new word of scenarios; all fail without the code.

--- a/balance/list.go
+++ b/balance/list.go
@@ -46,10 +46,13 @@
 	}
 }
 
-// askAgain calls again after a growing, jittered pause, within the limit on sidecars not subscribed.
+// askAgain calls again after a growing, jittered pause, within the limit on sidecars not subscribed. Where
+// lists are pushed, an agent beside the sidecar has them: to ask costs nothing, what it has counts as told.
 func (b *Balancer) askAgain() {
 	pause := askPause * float64(int(1)<<min(b.asks, 4))
-	if b.cfg.AskWithin > 0 {
+	if !b.cfg.Subscribe {
+		pause = bound(b.cfg.DrainGrace/10, agentPause, askPause)
+	} else if b.cfg.AskWithin > 0 {
 		pause = math.Min(pause, b.cfg.AskWithin/3)
 	}
 	b.asks++
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -258,6 +258,26 @@
 	}
 }
 
+// Where lists are pushed, what the agent has been sent counts as told: it is asked again well within the grace
+// for drains, however often it has failed, and not without a pause.
+func TestAnAgentIsAskedAgainSoon(t *testing.T) {
+	for _, grace := range []float64{0, 250, 2500, 1e6} {
+		cfg := baseConfig()
+		cfg.Subscribe, cfg.DrainGrace = false, grace
+		g := newRig(t, cfg, fleet(3)...)
+		for range 9 {
+			acts := g.do(ServerList{Kind: ListFailed})
+			if len(acts) != 1 || acts[0].At < agentPause/2 || acts[0].At > math.Max(agentPause, math.Min(grace/10, askPause)) {
+				t.Fatalf("grace %v: %+v", grace, acts)
+			}
+			g.now += acts[0].At
+			if !has(g.do(Timer{Token: listTimer}), Watch) {
+				t.Fatal("not asked again")
+			}
+		}
+	}
+}
+
 // Answers assumed for small sidecars counted in the budget of cold servers too, and together
 // they pushed one over. A sidecar that has seen no answers may hardly send anything to a cold server.
 func TestAssumedAnswersGiveNoColdBudget(t *testing.T) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -254,8 +254,8 @@
 // same name changes nothing.
 func TestReplace(t *testing.T) {
 	in(t, []string{"a"}, func(r *rig) {
-		r.Replace(&fakeSource{make(chan member.List)})
-		next := &otherSource{fakeSource: fakeSource{make(chan member.List)}}
+		r.Replace(&fakeSource{lists: make(chan member.List)})
+		next := &otherSource{fakeSource: fakeSource{lists: make(chan member.List)}}
 		r.Replace(next)
 		synctest.Wait()
 		if s := r.Stats(); len(s.Servers) != 1 || s.Generation != 0 {
@@ -267,7 +267,7 @@
 			t.Errorf("%+v", s)
 		}
 		// What the old source tells as it is replaced counts no more.
-		hold, last := make(chan struct{}), &otherSource{fakeSource: fakeSource{make(chan member.List)}}
+		hold, last := make(chan struct{}), &otherSource{fakeSource: fakeSource{lists: make(chan member.List)}}
 		last.name = "last"
 		r.post(func() { <-hold })
 		r.Replace(last)
@@ -347,3 +347,29 @@
 		t.Errorf("%#x", id)
 	}
 }
+
+// Where lists are pushed, an agent beside the sidecar holds what it has been sent, and that counts as told: the agent is
+// watched though the module did not ask for it, and is asked again so soon after a watch has ended that drains are kept.
+func TestAPushedListIsWatched(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		for generation := uint64(2); generation < 12; generation++ { // the tenth end is followed as soon as the first
+			began := time.Now()
+			r.source.ends <- errors.New("gone away")
+			r.source.lists <- list(generation, true, "b")
+			synctest.Wait()
+			if s := r.Stats(); len(s.Servers) != 1 || s.Servers[0] != "b" || s.Generation != generation {
+				t.Fatalf("%+v", s)
+			}
+			if took := time.Since(began); took == 0 || took > 100*time.Millisecond {
+				t.Errorf("heard %v after the watch had ended", took)
+			}
+		}
+		a := r.ask("1", unsafe)
+		x := <-r.servers.sent
+		if x.addr != "b" {
+			t.Errorf("sent to %s", x.addr)
+		}
+		x.serve()
+		r.is(a, front.Served, nil)
+	}, func(c *balance.Config) { c.Subscribe = false })
+}
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -15,13 +15,18 @@
 )
 
 // fakeSource tells what a test has it tell.
-type fakeSource struct{ lists chan member.List }
+type fakeSource struct {
+	lists chan member.List
+	ends  chan error // of watches
+}
 
 func (s *fakeSource) Watch(ctx context.Context, _ uint64, tell func(member.List)) error {
 	for {
 		select {
 		case l := <-s.lists:
 			tell(l)
+		case err := <-s.ends:
+			return err
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -104,7 +109,7 @@
 			return balance.Class{Effect: e, Window: 500, Aim: 500, Deadline: 1000, Worth: 1}
 		}
 		r := &rig{
-			t: t, source: &fakeSource{make(chan member.List)}, servers: &fakeServers{sent: make(chan *exchange)}, ended: make(chan struct{}),
+			t: t, source: &fakeSource{make(chan member.List), make(chan error)}, servers: &fakeServers{sent: make(chan *exchange)}, ended: make(chan struct{}),
 		}
 		module := balance.Config{
 			Seed: 1, Classes: []balance.Class{class(balance.Safe), class(balance.Keyed), class(balance.Unsafe)},
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -68,6 +68,9 @@
 	l.generation = l.config.Known.Generation // the first watch, begun by Start, asks for what came after it
 	l.carryOut(l.b.Start(l.clock.now()))
 	l.list(l.config.Known, balance.ListCached)
+	if !l.config.Module.Subscribe { // news comes unasked: the module does not call for what brings it
+		l.watch()
+	}
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -127,9 +127,7 @@
 			return
 		}
 		l.source, l.generation = source, 0
-		if l.stopWatch != nil || l.config.Module.Subscribe {
-			l.watch()
-		}
+		l.watch()
 	})
 }
 
--- a/internal/rig/rehearse/bubble_test.go
+++ b/internal/rig/rehearse/bubble_test.go
@@ -102,6 +102,8 @@
 		{"at 1s all roll batch=1 every=600ms drain=500ms cold=12% warm=4s", colds},
 		{"at 1s discovery down for 2s\nat 1500ms s1 gone drain=1s", drains},
 		{"at 1s discovery mute for 2s", stays},
+		{"discovery pushed=yes\nat 1s discovery down for 2s\nat 1500ms s1 gone drain=1s", drains},
+		{"discovery pushed=yes\nat 1s all roll batch=1 every=600ms drain=500ms cold=12% warm=4s", drains},
 		{"at 0s discovery late by=9s for 5s\nat 1s s1 gone drain=2s", unheard},
 	} {
 		t.Run(c.fault, func(t *testing.T) {
--- a/internal/rig/scenario/parse.go
+++ b/internal/rig/scenario/parse.go
@@ -149,7 +149,8 @@
 		return p.clients(l)
 	case "discovery":
 		l.Duration("late", &s.Discovery.Late)
-		return l.End("late")
+		l.Yes("pushed", &s.Discovery.Pushed)
+		return l.End("late", "pushed")
 	case "rules":
 		r := &s.Rules
 		l.Duration("drain-grace", &r.DrainGrace)
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -114,7 +114,8 @@
 
 // Discovery says how servers become known.
 type Discovery struct {
-	Late time.Duration // a change is told this long after it came about
+	Late   time.Duration // a change is told this long after it came about
+	Pushed bool          // sidecars are told to expect news unasked, from an agent beside them
 }
 
 // Rules are the figures of the four rules.
--- a/internal/rig/scenario/settings.go
+++ b/internal/rig/scenario/settings.go
@@ -37,9 +37,13 @@
 	if s.Limits.Reports {
 		report = object{"via": "piggyback", "fields": ReportFields}
 	}
+	discovery := "subscribe"
+	if s.Discovery.Pushed {
+		discovery = "automatic"
+	}
 	text, err := json.Marshal(object{
 		"classes": classes, "tenants": tenants, "zones": zones, "kinds": kinds, "zone": 0,
-		"discovery": "subscribe", "my_number": number, "peers_total": max(s.Sidecars.Count, 1), "quantum_ms": 2,
+		"discovery": discovery, "my_number": number, "peers_total": max(s.Sidecars.Count, 1), "quantum_ms": 2,
 		"over_share_worth": 0.2, "report": report,
 		"limits": object{
 			"cancel": true, "conn_idle_ms": ms(s.Limits.Idle), "connect_timeout_ms": ms(s.Limits.Connect),
