Lead keys to one server, and do not begin again what has run out of time

The settings say that servers keep keys warm (27 to 68% less work); the report shows 18% of a key's requests on its commonest server of 22.

A key adds a favour to each server's turn in the rotation, the same at all sidecars, in proportion to size; turns had ahead are owed, and home may hold one request beyond its share. A marked repeat of what timed out within the last aim, with less than twice its time, is refused at once where waste costs more than a late answer earns. Both follow the settings: where they say neither, nothing changes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -96,6 +96,7 @@
 	Cancel         bool    // attempts may be cancelled
 	Probes         bool    // servers may be probed
 	Messages       bool    // sidecars may message each other
+	WarmKeys       bool    // a server that had a key lately does less work for it
 	RetryAfter     bool    // clients are told how long to hold off
 	MaxRetryAfter  float64 // the longest hold-off a client obeys
 	ConnectTimeout float64
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -18,6 +18,7 @@
 //	   │  ─ none has room yet: SetTimer, step again
 //	   ▼
 //	 Send ─ pick: the rotation, or for a repeat the healthiest                 pick.go
+//	   │    a key goes home, ahead of its turn                                 keys.go
 //	   │    cold servers within their budget                                   cold.go
 //	   ▼
 //	Outcome ─ what it says of server and load                                  health.go
--- a/balance/health.go
+++ b/balance/health.go
@@ -102,6 +102,7 @@
 	default:
 		if ev.Result == TimedOut { // else the slowest answers of all would never be seen
 			b.time(ev.Took / r.class.Aim)
+			b.overran(r, ev.Took)
 		}
 		s.down = s.down || ev.Result == Reset // a full connection table refuses too, but loses no connection
 		if away := ev.Result == ConnectFailed; away || !a.overdue {
--- /dev/null
+++ b/balance/keys_test.go
@@ -0,0 +1,186 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// askKey brings a request about a subject and returns where it was sent; it is answered at once.
+func (g *rig) askKey(key uint64) ServerID {
+	g.t.Helper()
+	g.next++
+	s, ok := sentTo(g.do(Request{ID: g.next, Class: allClass, Key: key, Remaining: 2000}))
+	if !ok {
+		g.t.Fatal("nothing was sent")
+	}
+	g.now += 10
+	g.answer(g.next, 0, OK, 10)
+	return s
+}
+
+// homes asks for keys in no order and returns for each the server that had it most, and the part of all requests that went there.
+func homes(g *rig, keys, rounds int) (most map[uint64]ServerID, part float64) {
+	counts := map[uint64]map[ServerID]int{}
+	for i := range keys * rounds {
+		key := 1 + mix(uint64(i))%uint64(keys)
+		if counts[key] == nil {
+			counts[key] = map[ServerID]int{}
+		}
+		counts[key][g.askKey(key)]++
+	}
+	most, home := map[uint64]ServerID{}, 0
+	for key, by := range counts {
+		for s, n := range by {
+			if n > by[most[key]] || n == by[most[key]] && s < most[key] {
+				most[key] = s
+			}
+		}
+		home += by[most[key]]
+	}
+	return most, float64(home) / float64(keys*rounds)
+}
+
+func warmConfig(seed uint64, number int) Config {
+	cfg := baseConfig()
+	cfg.WarmKeys, cfg.Seed, cfg.Number = true, seed, number
+	return cfg
+}
+
+// A key goes to one server mostly, the same from all sidecars, so that it is warm there. Where servers do not keep keys
+// warm, keys change nothing. Large servers are home to more keys.
+func TestAKeyHasOneHome(t *testing.T) {
+	const keys = 60
+	servers := fleet(8)
+	for i := range 4 {
+		servers[i].Rating = 3
+	}
+	one, part := homes(newRig(t, warmConfig(1, 0), servers...), keys, 30)
+	two, _ := homes(newRig(t, warmConfig(2, 2), servers...), keys, 30)
+	same, large := 0, 0
+	for key, s := range one {
+		if two[key] == s {
+			same++
+		}
+		if s <= 4 {
+			large++
+		}
+	}
+	if same < keys*9/10 || part < 0.6 || large < keys*6/10 || large > keys*9/10 {
+		t.Errorf("%d of %d homes are the same, %.2f of the requests go home, %d homes are large servers", same, keys, part, large)
+	}
+	cold := warmConfig(1, 0)
+	cold.WarmKeys = false
+	if _, part := homes(newRig(t, cold, servers...), keys, 30); part > 0.4 {
+		t.Errorf("%.2f of the requests go to one server though no server keeps keys warm", part)
+	}
+}
+
+// The rotation goes on under the keys: servers get their shares, and what is busy at home goes elsewhere.
+func TestKeysKeepTheShares(t *testing.T) {
+	g := newRig(t, warmConfig(1, 0), fleet(6)...)
+	got := map[ServerID]int{}
+	for i := range 3000 {
+		got[g.askKey(1+mix(uint64(i))%500)]++
+	}
+	for s, n := range got {
+		if math.Abs(float64(n)-500) > 150 {
+			t.Errorf("server %d had %d of 3000 requests, its share is 500", s, n)
+		}
+	}
+	busy := map[ServerID]int{}
+	for range 12 { // all for one key, none answered
+		g.next++
+		s, ok := sentTo(g.do(Request{ID: g.next, Class: allClass, Key: 7, Remaining: 2000}))
+		if !ok {
+			t.Fatal("nothing was sent")
+		}
+		busy[s]++
+	}
+	for s, n := range busy {
+		if n > 2+keyRoom {
+			t.Errorf("server %d holds %d of 12 requests for one key", s, n)
+		}
+	}
+}
+
+// The rules go before the keys: a home that drains gets nothing, and its keys go to the same next server from all sidecars.
+func TestAKeyLeavesAHomeThatDrains(t *testing.T) {
+	one, two := newRig(t, warmConfig(1, 0), fleet(8)...), newRig(t, warmConfig(2, 2), fleet(8)...)
+	before, _ := homes(one, 40, 20)
+	drained := fleet(8)[:1]
+	drained[0].State = Draining
+	for _, g := range []*rig{one, two} {
+		g.do(ServerList{Kind: ListDelta, Servers: drained})
+	}
+	a, _ := homes(one, 40, 20)
+	b, _ := homes(two, 40, 20)
+	stayed, agreed := 0, 0
+	for key := range before {
+		if a[key] == 1 || b[key] == 1 {
+			t.Errorf("key %d still goes to the server that drains", key)
+		}
+		if before[key] == a[key] || before[key] == 1 {
+			stayed++
+		}
+		if a[key] == b[key] {
+			agreed++
+		}
+	}
+	if stayed < 34 || agreed < 34 {
+		t.Errorf("of 40 keys %d stayed where they were and %d agree", stayed, agreed)
+	}
+}
+
+// A client's repeat of what has just run out of time here is refused at once where it would cost more than it can earn.
+func TestARepeatOfWhatRanOutOfTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Config, *rig, *Request)
+		sent   bool
+	}{
+		{"the same", func(*Config, *rig, *Request) {}, false},
+		{"not marked", func(_ *Config, _ *rig, r *Request) { r.Repeat = false }, true},
+		{"another key", func(_ *Config, _ *rig, r *Request) { r.Key = 8 }, true},
+		{"without a key", func(_ *Config, _ *rig, r *Request) { r.Key = 0 }, true},
+		{"another class", func(_ *Config, _ *rig, r *Request) { r.Class = safeClass }, true},
+		{"with more time", func(_ *Config, _ *rig, r *Request) { r.Remaining = 1700 }, true},
+		{"long after", func(_ *Config, g *rig, _ *Request) { g.now += 401 }, true},
+		{"waste is cheap", func(c *Config, _ *rig, _ *Request) { c.Prices.Waste = 0.001 }, true},
+		{"late answers are worth much", func(c *Config, _ *rig, _ *Request) { c.Classes[allClass].LateWorth = 50 }, true},
+	} {
+		g := newRig(t, baseConfig(), fleet(6)...)
+		g.b.cfg.Prices.Waste, g.b.cfg.Classes[allClass].LateWorth = 0.3, 0.3
+		for range 20 { // answers take 10 ms
+			g.askKey(1)
+		}
+		g.next++
+		first := g.next
+		g.do(Request{ID: first, Class: allClass, Key: 7, Remaining: 800})
+		g.now += 800
+		if acts := g.answer(first, 0, TimedOut, 800); !has(acts, Refuse) {
+			t.Fatalf("%s: %+v", c.name, acts)
+		}
+		g.next++
+		again := Request{ID: g.next, Class: allClass, Key: 7, Remaining: 800, Repeat: true}
+		c.change(&g.b.cfg, g, &again)
+		acts := g.do(again)
+		if _, sent := sentTo(acts); sent != c.sent || !sent && !has(acts, Refuse) {
+			t.Errorf("%s: %+v", c.name, acts)
+		}
+	}
+}
+
+// What ran out of time is forgotten: what is held does not grow with how many there were.
+func TestOverrunsAreForgotten(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	r := &request{class: &g.b.cfg.Classes[allClass]}
+	for i := range 20000 {
+		r.Key = uint64(i + 1)
+		g.b.now += 4 // 100 within an aim of 400 ms
+		g.b.overran(r, 800)
+		if len(g.b.overruns) > 400 {
+			t.Fatal(fmt.Sprint(len(g.b.overruns), " are held after ", i))
+		}
+	}
+}
--- a/balance/parameters.go
+++ b/balance/parameters.go
@@ -36,6 +36,9 @@
 	probeAims    = 0.05 // part of the aim that a first send waits for probes, and that reports are believed
 	allBusy      = 0.01 // chance that all probed servers are busy, at which no more are probed
 	zoneFavour   = 400  // weight added to a server of the own zone, times the price of crossing zones
+	keyFavour    = 3    // rotations that a key may go ahead of its home's turn, times a variate around 1
+	keyDebt      = 6    // ... and the most that a server owes for it
+	keyRoom      = 1    // requests a key's home may hold beyond its share
 	eager        = 8    // times faster that sizes are learned at first: restarted sidecars know none
 	leastHold    = 0.05 // part of the aim for which a refused client is to hold off at least
 	mostHold     = 0.25 // ... and at most: else its later try is too late
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -24,20 +24,24 @@
 		}
 	}
 	var best *server
-	bestOver := false
+	bestOver, home := false, b.home(pool, r, repeat)
 	for _, s := range pool {
 		if s.weight == 0 || b.cold(s) && !b.coldBudget(s) {
 			continue
 		}
 		// Bounded load: a server that holds more than its share is slow, hung or filled by others,
 		// whatever its errors say. It is passed over and keeps its running value for later.
-		over := !s.known || b.holds(s)+1 > math.Ceil(headroom*held*s.weight/shares)
+		most := math.Ceil(headroom * held * s.weight / shares)
+		if s == home {
+			most += keyRoom
+		}
+		over := !s.known || b.holds(s)+1 > most
 		if best == nil || bestOver && !over || over == bestOver && b.before(s, best, repeat, over) {
 			best, bestOver = s, over
 		}
 	}
 	if best != nil {
-		best.running = math.Max(best.running-total, -total)
+		best.running = math.Max(best.running-total, -total*b.owes(r))
 	}
 	return best
 }
@@ -72,7 +76,7 @@
 		if !b.allowed(r, s) || !all && (b.resting(s) || r.class.Effect == Unsafe && b.health(s) < trusted) {
 			continue
 		}
-		s.weight = b.weight(s)
+		s.weight, s.favour = b.weight(s), b.favour(r, s)
 		total += s.weight
 		s.known = b.fresh(s)
 		fresh = fresh || s.known
@@ -95,7 +99,8 @@
 		return (b.holds(s)+1)*best.weight < (b.holds(best)+1)*s.weight
 	}
 	ms, mb := b.health(s), b.health(best)
-	return repeat && ms > mb || (!repeat || ms == mb) && s.running > best.running
+	turn, first := s.running+s.favour*b.pool, best.running+best.favour*b.pool
+	return repeat && ms > mb || (!repeat || ms == mb) && turn > first
 }
 
 // allowed: the rules let this request go to this server now.
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -53,6 +53,7 @@
 		cfg := baseConfig()
 		cfg.Seed = uint64(seed)
 		cfg.Parallel, cfg.Cancel = seed%2 == 0, seed%3 != 0
+		cfg.WarmKeys, cfg.Prices.Waste = seed%5 < 2, float64(seed%4)/10
 		cfg.MaxAttempts = 1 + int(seed%4)
 		cfg.Subscribe = seed%5 == 0
 		if seed%4 == 1 {
@@ -83,7 +84,7 @@
 			left = 0
 		}
 		w.open[id] = &openRequest{class: class, deadline: w.now + left}
-		w.handle(Request{ID: id, Class: class, Remaining: left})
+		w.handle(Request{ID: id, Class: class, Remaining: left, Key: uint64(id % 7), Repeat: id%3 == 0})
 	case n < 17:
 		w.endOne(id)
 	case n < 18:
--- a/balance/settings_test.go
+++ b/balance/settings_test.go
@@ -20,6 +20,7 @@
 		"probes, dear":     func(c *Config, _ *int) { c.Probes, c.Reports, c.Prices.Probe = true, ReportProbe, 10 },
 		"probes, no field": func(c *Config, _ *int) { c.Probes, c.Reports, c.Fields = true, ReportProbe, []Field{FieldUnknown} },
 		"piggyback":        func(c *Config, _ *int) { c.Reports, c.Fields = ReportPiggyback, []Field{FieldUtil, FieldRate} },
+		"warm keys":        func(c *Config, _ *int) { c.WarmKeys, c.Prices.Waste = true, 0.3 },
 		"aims of zero":     func(c *Config, _ *int) { c.Classes[safeClass].Aim, c.Classes[unsafeClass].Worth = 0, 0 },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -37,7 +38,7 @@
 				w.fireTimers()
 				class := int(id) % len(cfg.Classes)
 				w.open[id] = &openRequest{class: class, deadline: w.now + 300}
-				w.handle(Request{ID: id, Class: class, Tenant: int(id) % 5, Remaining: 300})
+				w.handle(Request{ID: id, Class: class, Tenant: int(id) % 5, Remaining: 300, Key: uint64(id % 9), Repeat: id%2 == 0})
 				for len(w.probes) > 0 {
 					s := w.probes[0]
 					w.probes = w.probes[1:]
--- a/balance/shed.go
+++ b/balance/shed.go
@@ -18,7 +18,7 @@
 	hurry := bound(fewInAim/(b.asked.rate(b, 0, 0)*b.longestAim), 1, fewInAim)
 	b.steady = bound(b.steady+shedRate*hurry*over, 0, maxShed)
 	shed := bound(b.steady+shedNow*over, 0, math.Min(maxShed, 2*b.steady)) // not by chance alone
-	if b.late(r) && b.steady >= r.class.LateWorth {
+	if b.futile(r) || b.late(r) && b.steady >= r.class.LateWorth {
 		return false
 	}
 	return shed == 0 || b.rng.Float64() >= b.shedPart(r, shed)
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,6 +44,9 @@
 	asked, answers            meter
 	pressure                  float64 // the same of the last few
 	spare                     float64 // repeats left in the budget
+
+	overruns map[subject]overrun // what ran out of time lately
+	sweepAt  int                 // ... and when to look for what is past
 }
 
 // meter counts requests or answers. It holds decayed counts of the last few of the longest aims and of
@@ -80,6 +83,7 @@
 	place    uint64  // in the ring
 	running  float64 // SWRR running value
 	weight   float64 // in the current pick; 0: not in it
+	favour   float64 // in the current pick, in rotations; see keys.go
 	known    bool    // in the current pick: what it holds is known as well as can be
 	size     float64 // learned logarithm of size, beyond its kind's and zone's
 	inFlight int     // own attempts
@@ -223,7 +227,7 @@
 		byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
-		spare: repeatBurst / 2,
+		spare: repeatBurst / 2, overruns: map[subject]overrun{},
 	}
 	for i := range cfg.Classes {
 		b.longestAim = math.Max(b.longestAim, cfg.Classes[i].Aim)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -50,6 +50,9 @@
 		Probes         bool    `json:"probes"`
 		RetryAfter     bool    `json:"retry_after"`
 	} `json:"limits"`
+	Family struct {
+		WarmKeys bool `json:"warm_keys"`
+	} `json:"family_info"`
 	Rules struct {
 		AnswerSlack  float64  `json:"answer_slack_ms"`
 		AskWithin    float64  `json:"ask_within_ms"`
@@ -155,8 +158,9 @@
 		DrainGrace:  s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
 		FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime,
 		AskWithin: s.Rules.AskWithin, AnswerSlack: s.Rules.AnswerSlack,
-		Goal:   balance.Goal(s.Goal),
-		Prices: balance.Prices(s.Prices),
+		WarmKeys: s.Family.WarmKeys,
+		Goal:     balance.Goal(s.Goal),
+		Prices:   balance.Prices(s.Prices),
 	}
 	switch s.Discovery {
 	case "", "automatic":
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -140,7 +140,7 @@
 	cfg, err := ParseSettings(9, []byte(`{"classes": [
 		{"effect": "read_like", "on_time_ms": 300, "hard_limit_ms": 1500, "worth": 2, "late_worth": 0.3},
 		{"effect": "idempotency_key", "group": "cell", "hard_limit_ms": 600, "window_ms": 700}],
-		"a_new_key": {"x": [1]}, "discovery": "subscribe", "my_number": 2, "peers_total": 5,
+		"a_new_key": {"x": [1]}, "family_info": {"warm_keys": true, "passes_deadline": true}, "discovery": "subscribe", "my_number": 2, "peers_total": 5,
 		"limits": {"parallel_tries": true, "probes": true, "max_attempts": 4},
 		"report": {"via": "pull", "fields": ["q", "new", "rif"]},
 		"rules": {"cold_from": 0.2, "cold_ms": 9000}, "result_mix": {"whole": 0.4, "worst_window": 0.3, "worst_class": 0.2, "worst_tenant": 0.1},
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	if cfg.Seed != 9 || !cfg.Subscribe || cfg.Number != 2 || cfg.Peers != 5 || !cfg.Parallel || !cfg.Probes ||
-		cfg.Cancel || cfg.MaxAttempts != 4 || cfg.ColdFrom != 0.2 || cfg.Tenants[0].Share != 0.4 {
+		cfg.Cancel || !cfg.WarmKeys || cfg.MaxAttempts != 4 || cfg.ColdFrom != 0.2 || cfg.Tenants[0].Share != 0.4 {
 		t.Errorf("%+v", cfg)
 	}
 	if want := (balance.Goal{Whole: 0.4, WorstWindow: 0.3, WorstClass: 0.2, WorstTenant: 0.1}); cfg.Goal != want {
