Pass on answers over 64 KiB, within a quarter of the memory

Wrong were the two checks in answers.read.

Change: answers up to 1 MiB; those over 64 KiB are counted in a room of a quarter of limits.memory_mb from before they are read until they are written or dropped (Reply.Done).

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -19,3 +19,7 @@
 	}
 	return max(1, l.Sockets/3)
 }
+
+// Answers is how many bytes of large answers there may be at once: a quarter of the memory. Most of the rest is for requests and
+// answers up to 64 KiB, of which there are as many as connections, and for what is garbage.
+func (l Limits) Answers() int64 { return int64(l.MemoryMB) << 20 / 4 }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -67,6 +67,7 @@
 // attemptEnded reports the first end of an attempt to the module. Others are dropped.
 func (l *Loop) attemptEnded(at *attempt, out upstream.Outcome) {
 	if at.done {
+		out.Reply.Done()
 		return
 	}
 	at.done = true
@@ -81,9 +82,12 @@
 	if out.Result == upstream.Served && !r.closed {
 		r.closed = true
 		r.answer <- answer{Answer: front.Answer{Verdict: front.Served, Reply: out.Reply}}
+	} else {
+		out.Reply.Done()
 	}
 	took := time.Since(at.sent)
-	if out.Result != upstream.Served && out.Result != upstream.Cancelled {
+	givenUp := out.Result == upstream.Cancelled && (out.Err == nil || errors.Is(out.Err, context.Canceled))
+	if out.Result != upstream.Served && !givenUp {
 		name := ""
 		if at.to != nil {
 			name = at.to.name
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -10,6 +10,7 @@
 	"petrelhook/balance"
 	"petrelhook/internal/front"
 	"petrelhook/internal/member"
+	"petrelhook/internal/message"
 	"petrelhook/internal/upstream"
 )
 
@@ -373,3 +374,39 @@
 		r.is(a, front.Served, nil)
 	}, func(c *balance.Config) { c.Subscribe = false })
 }
+
+// The memory that a reply is counted in is given back once: by the front that writes it, or by the core where nobody does,
+// for its client went away before it came, or as it came.
+func TestRepliesGiveTheirMemoryBack(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		for _, when := range []string{"written", "before", "as it comes"} {
+			released := 0
+			a := r.ask(when, safe)
+			x := <-r.servers.sent
+			reply := upstream.Outcome{Result: upstream.Served, Reply: message.Reply{Release: func() { released++ }}}
+			switch when {
+			case "written":
+				x.end <- reply
+				<-a.done
+				a.answer.Reply.Done()
+			case "before":
+				a.hangUp()
+				synctest.Wait()
+				x.end <- reply
+			default: // both are on their way when the loop wakes
+				r.post(func() { time.Sleep(time.Millisecond) })
+				x.end <- reply
+				a.hangUp()
+			}
+			<-a.done
+			synctest.Wait()
+			time.Sleep(time.Second)
+			if a.err == nil && when != "written" {
+				a.answer.Reply.Done()
+			}
+			if released != 1 {
+				t.Errorf("%s: given back %d times", when, released)
+			}
+		}
+	})
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -101,6 +101,11 @@
 // hangUp: the client has gone away.
 func (l *Loop) hangUp(r *request) {
 	if r.closed {
+		select {
+		case a := <-r.answer: // it crossed with the hang-up, and nobody takes it any more
+			a.Reply.Done()
+		default:
+		}
 		return
 	}
 	r.closed = true
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -236,6 +236,7 @@
 
 // write passes the answer on: whole, with its length.
 func write(w http.ResponseWriter, a front.Answer) {
+	defer a.Reply.Done()
 	switch a.Verdict {
 	case front.Served:
 		for _, name := range []string{"Content-Type", "Content-Encoding"} {
--- a/internal/upstream/http1/answers.go
+++ b/internal/upstream/http1/answers.go
@@ -42,7 +42,7 @@
 // read reads one answer, behind any 1xx ones, and says whether the connection can be used again. Only a whole 200 is
 // served; only a server's word proves that nothing ran. What was spoilt on its way has come from a server that is
 // there: that is an error. A reset is the connection's end.
-func (a *answers) read(method string, fields []string) (r upstream.Outcome, keep bool) {
+func (a *answers) read(method string, fields []string, room *room) (r upstream.Outcome, keep bool) {
 	a.limit.N = message.MaxHead // for all heads together
 	resp, err := http.ReadResponse(a.Reader, &http.Request{Method: method})
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
@@ -51,30 +51,34 @@
 	if err != nil {
 		return a.broken(err), false
 	}
-	if resp.ContentLength > message.MaxBody {
-		return upstream.Outcome{Result: upstream.Failed, Err: errors.New("an answer over 64 KiB")}, false
-	}
 	whole := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	a.limit.N += message.MaxBody + message.MaxHead // chunks have heads too
 	// The body is not closed: that would read it to its end.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
-	if err != nil {
+	body, release, err := a.body(resp, room)
+	switch err {
+	case nil:
+	case errTooLarge:
+		return upstream.Outcome{Result: upstream.Failed, Err: err}, false
+	case errNoRoom:
+		return upstream.Outcome{Result: upstream.Cancelled, Err: err}, false
+	default:
 		return a.broken(err), false
 	}
 	r = upstream.Outcome{Result: upstream.Failed, Report: parseReport(resp.Header.Get(loadHeader), fields)}
-	keep = whole && !resp.Close && len(body) <= message.MaxBody
+	keep = whole && !resp.Close
 	switch {
 	case !whole:
 		r.Result, r.Err = upstream.Reset, errors.New("an answer of unknown length")
-	case len(body) > message.MaxBody:
-		r.Err = errors.New("an answer over 64 KiB")
 	case resp.StatusCode == http.StatusOK:
-		r.Result, r.Reply = upstream.Served, message.Reply{Header: resp.Header, Body: body}
+		r.Result, r.Reply = upstream.Served, message.Reply{Header: resp.Header, Body: body, Release: release}
+		return r, keep
 	case (resp.StatusCode == 503 || resp.StatusCode == 504) && resp.Header.Get("X-Never-Ran") == "1":
 		r.Result, r.Err = upstream.TurnedAway, errors.New(resp.Status)
 	default:
 		r.Err = errors.New(resp.Status)
 	}
+	if release != nil { // it is not passed on
+		release()
+	}
 	return r, keep
 }
 
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -46,7 +46,7 @@
 	module := &c.Profile.Config
 	up := http1.New(http1.Settings{
 		Most: c.Limits.Servers(), Within: duration(or(module.ConnectTimeout, defaultDial)),
-		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace),
+		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace), Answers: c.Limits.Answers(),
 		Fields: c.Profile.Fields, Probe: probePath(module),
 	}, http1.Dial(dial))
 	loop := core.New(core.Config{
