--- a/balance/conversation_test.go
+++ b/balance/conversation_test.go
@@ -14,14 +14,14 @@
 // TestConversations plays the conversations in testdata: events go in, and what the module does stands below each. They
 // are meant to be read; go test ./balance -run TestConversations -rewrite writes what the module does now in its place.
 //
-//	begin [attempts=N] [peers=N] [cancel=no] [retry-after=MS] [probes] [cold=PART,MS] [fall=MULTIPLE,MS] ...
+//	begin [attempts=N] [peers=N] [cancel=no] [retry-after=MS] [probes] [warm-keys] [waste=PRICE] [cold=PART,MS] [fall=MULTIPLE,MS] ...
 //	      with a line for each class: NAME safe|keyed|unsafe [group=all|zone|cell] [window=MS] aim=MS deadline=MS ...
 //	list  [full|cached|changes|failed], with a line for each server: NAME [draining|gone] [cell=N] [age=MS] [size=X]
-//	ask   ID CLASS [left=MS] [again]
+//	ask   ID CLASS [left=MS] [again] [key=N]
 //	end   ID.ATTEMPT served|error|full|timed-out|no-connection|reset|cancelled|moot
 //	hangup ID
 //	wait  MS: time passes, and the timers that come due are brought back
-//	busy  N CLASS every=MS took=MS: N requests come evenly, each answered by whoever gets it; prints by whom
+//	busy  N CLASS every=MS took=MS [key=N]: N requests come evenly, each answered by whoever gets it; prints by whom
 //	probed NAME served|no-connection [holds=N]
 //	show  prints what the module holds of each server
 func TestConversations(t *testing.T) {
@@ -148,6 +148,7 @@
 	case "ask":
 		class := c.class(arg(1))
 		ev := Request{ID: RequestID(value(d, arg(0))), Class: class, Tenant: -1, Remaining: number(d, "left", c.b.cfg.Classes[class].Deadline)}
+		ev.Key = uint64(number(d, "key", 0))
 		for _, a := range d.CmdArgs {
 			ev.Repeat = ev.Repeat || a.Key == "again"
 		}
@@ -191,6 +192,10 @@
 			cfg.RetryAfter, cfg.MaxRetryAfter = true, value(d, a.Vals[0])
 		case "cancel":
 			cfg.Cancel = a.Vals[0] != "no"
+		case "warm-keys":
+			cfg.WarmKeys = true
+		case "waste":
+			cfg.Prices.Waste = value(d, a.Vals[0])
 		case "number":
 			cfg.Number = int(value(d, a.Vals[0]))
 		case "probes":
@@ -329,7 +334,7 @@
 		case arrival:
 			i++
 			c.next++
-			c.tell(Request{ID: c.next, Class: class, Tenant: -1, Remaining: c.b.cfg.Classes[class].Deadline}, &said)
+			c.tell(Request{ID: c.next, Class: class, Tenant: -1, Remaining: c.b.cfg.Classes[class].Deadline, Key: uint64(number(d, "key", 0))}, &said)
 		default:
 			var request RequestID
 			var attempt int
--- a/internal/upstream/http1/stale_test.go
+++ b/internal/upstream/http1/stale_test.go
@@ -32,12 +32,12 @@
 	broke := 0
 	for range 20 {
 		e.Send(context.Background(), look())
-		age(100 * time.Millisecond)
+		age(20 * time.Second)
 		u.mu.Lock()
-		u.ages.Ended(time.Now(), 100*time.Millisecond, true) // what other endpoints saw of such ages
+		u.ages.Ended(time.Now(), 20*time.Second, true) // what other endpoints saw of such ages
 		most := u.ages.Most(time.Now())
 		u.mu.Unlock()
-		if most < 100*time.Millisecond {
+		if most < 20*time.Second {
 			break
 		}
 		broke++
