Long work only where its server answered others; keyless requests forgive no debt

Seen on reading the change again: a request that a silent server held until it timed out counted as long work, and its client's repeat was refused; a request without a key raised a server that owed up to six rotations to one; TestConnectionsThatWentStale fed the learner by hand and did not notice when the pool reported nothing.

Change: overran asks that the server answered something since the attempt was sent; owes goes by the settings. The test's connections now break under real requests, and it fails when the pool does not report, or does not ask for the bound.

--- a/balance/health.go
+++ b/balance/health.go
@@ -88,6 +88,7 @@
 			b.chill(s, b.now)
 		}
 		s.pardon()
+		s.answered = b.now
 		b.answers.rate(b, 1, 0)
 		b.time(ev.Took / r.class.Aim)
 		if b.now <= r.arrived+r.class.Aim {
@@ -102,7 +103,7 @@
 	default:
 		if ev.Result == TimedOut { // else the slowest answers of all would never be seen
 			b.time(ev.Took / r.class.Aim)
-			b.overran(r, ev.Took)
+			b.overran(r, a, ev.Took)
 		}
 		s.down = s.down || ev.Result == Reset // a full connection table refuses too, but loses no connection
 		if away := ev.Result == ConnectFailed; away || !a.overdue {
--- a/balance/keys.go
+++ b/balance/keys.go
@@ -33,8 +33,8 @@
 }
 
 // owes is the most turns that a server can have had ahead, in rotations.
-func (b *Balancer) owes(r *request) float64 {
-	if b.warms(r) {
+func (b *Balancer) owes() float64 {
+	if b.cfg.WarmKeys {
 		return keyDebt
 	}
 	return 1
@@ -54,9 +54,10 @@
 	return home
 }
 
-// overran keeps in mind what ran out of time, for as long as its client may come again with it.
-func (b *Balancer) overran(r *request, took float64) {
-	if r.Key == 0 {
+// overran keeps in mind what ran out of time, as long as its client may come again with it. Only where its
+// server answered others meanwhile was it the work: a silent server does none.
+func (b *Balancer) overran(r *request, a *attempt, took float64) {
+	if r.Key == 0 || a.s.answered <= a.sent {
 		return
 	}
 	if len(b.overruns) >= b.sweepAt { // what is past goes when there is twice as much as was left
--- a/balance/keys_test.go
+++ b/balance/keys_test.go
@@ -146,6 +146,7 @@
 		{"another class", func(_ *Config, _ *rig, r *Request) { r.Class = safeClass }, true},
 		{"with more time", func(_ *Config, _ *rig, r *Request) { r.Remaining = 1700 }, true},
 		{"long after", func(_ *Config, g *rig, _ *Request) { g.now += 401 }, true},
+		{"its server is silent", nil, true},
 		{"waste is cheap", func(c *Config, _ *rig, _ *Request) { c.Prices.Waste = 0.001 }, true},
 		{"late answers are worth much", func(c *Config, _ *rig, _ *Request) { c.Classes[allClass].LateWorth = 50 }, true},
 	} {
@@ -158,12 +159,17 @@
 		first := g.next
 		g.do(Request{ID: first, Class: allClass, Key: 7, Remaining: 800})
 		g.now += 800
+		if c.change != nil { // its server works: it has answered another meanwhile
+			g.b.reqs[first].tries[0].s.answered = g.now - 1
+		}
 		if acts := g.answer(first, 0, TimedOut, 800); !has(acts, Refuse) {
 			t.Fatalf("%s: %+v", c.name, acts)
 		}
 		g.next++
 		again := Request{ID: g.next, Class: allClass, Key: 7, Remaining: 800, Repeat: true}
-		c.change(&g.b.cfg, g, &again)
+		if c.change != nil {
+			c.change(&g.b.cfg, g, &again)
+		}
 		acts := g.do(again)
 		if _, sent := sentTo(acts); sent != c.sent || !sent && !has(acts, Refuse) {
 			t.Errorf("%s: %+v", c.name, acts)
@@ -175,12 +181,27 @@
 func TestOverrunsAreForgotten(t *testing.T) {
 	g := newRig(t, baseConfig(), fleet(3)...)
 	r := &request{class: &g.b.cfg.Classes[allClass]}
+	a := &attempt{s: &server{answered: 1}}
 	for i := range 20000 {
 		r.Key = uint64(i + 1)
 		g.b.now += 4 // 100 within an aim of 400 ms
-		g.b.overran(r, 800)
+		g.b.overran(r, a, 800)
 		if len(g.b.overruns) > 400 {
 			t.Fatal(fmt.Sprint(len(g.b.overruns), " are held after ", i))
 		}
 	}
 }
+
+// What a server owes for keys is not forgiven by a request without one.
+func TestDebtsOutlastRequestsWithoutAKey(t *testing.T) {
+	g := newRig(t, warmConfig(1, 0), fleet(4)...)
+	for i, s := range g.b.servers {
+		s.running = -1500 - 1000*float64(i)
+	}
+	if s, _ := sentTo(g.do(Request{ID: 1, Class: safeClass, Remaining: 1500})); s != 1 {
+		t.Fatalf("sent to %d", s)
+	}
+	if got := g.b.servers[0].running; got > -1500 {
+		t.Errorf("it owed 1500 and is at %v", got)
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -41,7 +41,7 @@
 		}
 	}
 	if best != nil {
-		best.running = math.Max(best.running-total, -total*b.owes(r))
+		best.running = math.Max(best.running-total, -total*b.owes())
 	}
 	return best
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -92,6 +92,7 @@
 	errs      float64 // consecutive errors
 	lastErr   float64
 	restUntil float64 // 0: not rested
+	answered  float64 // when it answered last
 	rests     int
 	dark      bool // the last probe got no answer
 	down      bool // a connection was lost, and no answer came since
--- a/internal/upstream/http1/stale_test.go
+++ b/internal/upstream/http1/stale_test.go
@@ -2,54 +2,58 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/upstream"
-	"petrelhook/internal/upstream/reuse"
 )
 
-// After a few connections of an age have broken under their requests, those of that age are not used any more; younger ones
-// still are.
+// A server that breaks connections which were idle for long, and says nothing of it before the next request: after a few such ends no
+// more requests are written to connections of that age; young ones still carry them.
 func TestConnectionsThatWentStale(t *testing.T) {
-	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	var breaks atomic.Bool
+	p := peertest.NewPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		if breaks.Load() {
+			return false
+		}
+		io.WriteString(c, peertest.OKAnswer)
+		return true
+	})
 	u := testPool(9)
 	e := u.at(p.Addr)
-	for range 100 { // as the idle ones of a pool come to be: their age is set, not waited for
-		u.mu.Lock()
-		u.ages.Ended(time.Now(), reuse.Fresh, false)
-		u.ages.Ended(time.Now(), 10*time.Millisecond, false)
-		u.mu.Unlock()
-	}
-	age := func(by time.Duration) {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		for _, c := range e.idle {
-			c.last = c.last.Add(-by)
+	send := func(want upstream.Result) {
+		t.Helper()
+		if r := e.Send(context.Background(), look()); r.Result != want {
+			t.Fatalf("%v (%v), want %v", r.Result, r.Err, want)
 		}
 	}
-	broke := 0
-	for range 20 {
-		e.Send(context.Background(), look())
-		age(20 * time.Second)
+	for n := 0; ; n++ {
+		for range 9 {
+			send(upstream.Served)
+		}
 		u.mu.Lock()
-		u.ages.Ended(time.Now(), 20*time.Second, true) // what other endpoints saw of such ages
-		most := u.ages.Most(time.Now())
+		e.idle[0].last = e.idle[0].last.Add(-20 * time.Second) // no test waits so long
+		bound := u.ages.Most(time.Now())
 		u.mu.Unlock()
-		if most < 20*time.Second {
+		if bound < 20*time.Second {
 			break
 		}
-		broke++
-	}
-	if broke > 10 {
-		t.Errorf("after %d breaks there is no bound", broke)
+		if n == 10 {
+			t.Fatal("ten have broken and there is no bound")
+		}
+		breaks.Store(true)
+		send(upstream.Reset)
+		breaks.Store(false)
 	}
 	before := p.Conns.Load()
-	if r := e.Send(context.Background(), look()); r.Result != upstream.Served || p.Conns.Load() != before+1 {
-		t.Errorf("%v (%v), %d new connections", r.Result, r.Err, p.Conns.Load()-before)
-	}
-	if r := e.Send(context.Background(), look()); r.Result != upstream.Served || p.Conns.Load() != before+1 {
-		t.Errorf("a young one: %v (%v), %d new connections", r.Result, r.Err, p.Conns.Load()-before)
+	send(upstream.Served)
+	send(upstream.Served)
+	if opened := p.Conns.Load() - before; opened != 1 {
+		t.Errorf("%d connections for a request that finds an old one and one that finds a young one", opened)
 	}
 }
