One client for the tests' rigs, in peertest; one way of asking in the door's tests

The same lines opened a connection, sent a request and read its answer in the rigs of the door, the platform's front and the wiring; peertest.Ask does. The door's tests asked in two ways that differed by a wait.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -35,22 +35,10 @@
 	return c
 }
 
-// ask has a connection ask once, and gives whether the answer ended it.
-func (r *rig) ask(c *Conn) bool {
-	r.d.Asks(c, r.now)
-	r.wait(20 * time.Millisecond)
-	if r.d.Answers(c, r.now) {
-		r.d.Leaves(c, r.now)
-		r.d.Gone(c, r.now)
-		return true
-	}
-	r.d.Answered(c, r.now)
-	return false
-}
-
-// serve has a connection ask and get its answer at once; it reports whether that ended the connection.
-func (r *rig) serve(c *Conn) bool {
+// serve has a connection ask once and get its answer after a time; it reports whether that ended the connection.
+func (r *rig) serve(c *Conn, after time.Duration) bool {
 	r.d.Asks(c, r.now)
+	r.wait(after)
 	if r.d.Answers(c, r.now) {
 		r.d.Leaves(c, r.now)
 		r.d.Gone(c, r.now)
@@ -86,7 +74,7 @@
 			}
 			o.conns[i] = c
 		}
-		o.r.serve(c)
+		o.r.serve(c, 0)
 	}
 }
 
@@ -105,7 +93,7 @@
 				o.step()
 				if c := (&Conn{}); true {
 					if _, taken := r.d.Come(c, r.now, always); taken && asks {
-						r.serve(c)
+						r.serve(c, 0)
 					}
 				}
 			}
@@ -126,7 +114,7 @@
 	}
 	ended := 0
 	for range 200 {
-		if r.ask(r.come()) {
+		if r.serve(r.come(), 20*time.Millisecond) {
 			ended++
 		}
 	}
@@ -141,7 +129,7 @@
 	for range 20 {
 		c := r.come()
 		for range 5 {
-			if c.state == out || r.ask(c) {
+			if c.state == out || r.serve(c, 20*time.Millisecond) {
 				break
 			}
 			r.wait(80 * time.Millisecond)
@@ -159,7 +147,7 @@
 func TestPlentyOfPlaces(t *testing.T) {
 	r := newRig(t, 10000)
 	for range 400 {
-		if r.ask(r.come()) {
+		if r.serve(r.come(), 20*time.Millisecond) {
 			t.Fatal("ended")
 		}
 	}
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -71,9 +71,7 @@
 
 func (r *rig) ask(request string) (status int, body string, closes bool) {
 	r.t.Helper()
-	c, in := peertest.Open(r.t, r.addr)
-	io.WriteString(c, request)
-	resp, body := peertest.Answer(r.t, in)
+	resp, body := peertest.Ask(r.t, r.addr, request)
 	return resp.StatusCode, body, resp.Close
 }
 
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -121,6 +121,14 @@
 	return c, bufio.NewReader(c)
 }
 
+// Ask sends a request on a connection of its own and reads the answer.
+func Ask(t *testing.T, addr, request string) (*http.Response, string) {
+	t.Helper()
+	c, in := Open(t, addr)
+	io.WriteString(c, request)
+	return Answer(t, in)
+}
+
 // Answer reads one answer.
 func Answer(t *testing.T, in *bufio.Reader) (*http.Response, string) {
 	t.Helper()
--- a/internal/wiring/rig_test.go
+++ b/internal/wiring/rig_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -60,14 +59,7 @@
 // ask sends a request on a connection of its own and reads the answer.
 func (r *rig) ask(request string) (*http.Response, string) {
 	r.t.Helper()
-	c, in := r.open()
-	io.WriteString(c, request)
-	return r.answer(in)
-}
-
-func (r *rig) answer(in *bufio.Reader) (*http.Response, string) {
-	r.t.Helper()
-	return peertest.Answer(r.t, in)
+	return peertest.Ask(r.t, r.addr, request)
 }
 
 func look(trace string) string {
--- a/internal/wiring/sidecar_test.go
+++ b/internal/wiring/sidecar_test.go
@@ -56,7 +56,7 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 	close(release)
-	if resp, _ := r.answer(in); resp.StatusCode != 200 || p.Requests.Load() != 1 {
+	if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 || p.Requests.Load() != 1 {
 		t.Errorf("status %d, %d requests", resp.StatusCode, p.Requests.Load())
 	}
 	if resp, _ := r.ask(look("same")); resp.StatusCode != http.StatusConflict || p.Requests.Load() != 1 {
