A door for operators, one lifecycle, and clients sent away without an end of the process

Change: internal/lifecycle, pure, is what a sidecar is about to do with its clients; health, operators, SIGTERM all tell and ask it. internal/admin listens at admin_addr or LB_ADMIN_ADDR with a bound and goroutines of its own, and the longest silent caller makes room. While clients are sent away answers end their connections and silent ones are closed, unless something of a request has been read (net/http calls a connection idle until the whole head is in). Where there is a door for operators the listener is shared with the next process (SO_REUSEPORT). Ways not taken: an enumeration of states with a table of transitions, which needs a state for each pair of conditions; net/http for the operators, which cannot give up a silent caller; Shutdown, which closes without looking what has come in.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"petrelhook/internal/config"
+	"petrelhook/internal/sock"
 	"petrelhook/internal/wiring"
 )
 
@@ -44,6 +45,10 @@
 		fmt.Fprintln(errs, "petrelhook:", err)
 		return exitFailed
 	}
+	if err := cfg.SetAdmin("LB_ADMIN_ADDR", os.Getenv("LB_ADMIN_ADDR")); err != nil {
+		fmt.Fprintln(errs, "petrelhook:", err)
+		return exitFailed
+	}
 	if c.check {
 		fmt.Fprintf(out, "%s: good: %d classes, %d servers known\n", c.path, len(cfg.Profile.Classes), len(cfg.Known.Instances))
 		return 0
@@ -65,16 +70,35 @@
 	if cfg.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, calls, err := listen(cfg)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	sidecar := wiring.New(cfg, wiring.TCP(), log)
 	go sidecar.Reload(stop, path, reload)
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String())
-	if err := sidecar.Run(stop, ln); err != nil {
+	if err := sidecar.Run(stop, ln, calls); err != nil {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
+
+// listen listens for clients, and for operators where there is an address for them: calls is nil where there is none. With
+// operators there are upgrades, in which the next process listens for clients at the same address.
+func listen(cfg *config.Config) (clients, calls net.Listener, err error) {
+	if cfg.Admin == "" {
+		if clients, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return nil, nil, fmt.Errorf("listen: %w", err)
+		}
+		return clients, nil, nil
+	}
+	if calls, err = net.Listen("tcp", cfg.Admin); err != nil {
+		return nil, nil, fmt.Errorf("listen at admin_addr: %w", err)
+	}
+	if clients, err = sock.ListenShared(cfg.Listen); err != nil {
+		calls.Close()
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	return clients, calls, nil
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,131 @@
+package admin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/peertest"
+)
+
+// door is the operators' door on loopback.
+func door(t *testing.T) (addr string, m *lifecycle.Machine) { return patientDoor(t, unheard) }
+
+// patientDoor is one that waits for a caller for a time before he makes room.
+func patientDoor(t *testing.T, unheard time.Duration) (addr string, m *lifecycle.Machine) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = lifecycle.New()
+	ended := make(chan error, 1)
+	s := New(m)
+	s.unheard = unheard
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ln.Close()
+		if err := peertest.Wait(t, ended); err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String(), m
+}
+
+func line(method, path string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: admin\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Each call in the order of a day, with its status and what it says; every answer ends its connection.
+func TestCalls(t *testing.T) {
+	addr, m := door(t)
+	for _, c := range []struct {
+		before []lifecycle.Event
+		call   string
+		status int
+		says   string
+	}{
+		{nil, line("GET", "/api/ready"), 503, "starting"},
+		{nil, line("PUT", "/api/rejoin"), 503, "starting"},
+		{[]lifecycle.Event{lifecycle.Listed}, line("GET", "/api/ready"), 200, "ready"},
+		{nil, line("PUT", "/api/evacuate"), 200, "evacuating"},
+		{nil, line("PUT", "/api/evacuate"), 200, "evacuating"},
+		{[]lifecycle.Event{lifecycle.Emptied}, line("PUT", "/api/evacuate?x=1"), 200, "away"},
+		{nil, line("GET", "/api/ready"), 200, "away"},
+		{nil, "PUT /api/rejoin HTTP/1.0\r\n\r\n", 200, "ready"},
+		{nil, "PUT /api/evacuate HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\n{}\r\n0\r\nA: b\r\n\r\n", 200, "evacuating"},
+		{nil, line("PUT", "/api/rejoin"), 200, "ready"},
+		{nil, line("GET", "/api/evacuate"), 405, "PUT"},
+		{nil, line("PUT", "/api/ready"), 405, "GET"},
+		{nil, line("GET", "/"), 404, "there are GET /api/ready"},
+		{nil, "nonsense\r\n\r\n", 400, ""},
+		{nil, "PUT /api/evacuate HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nodd\r\n", 400, ""},
+		{nil, "PUT /api/evacuate HTTP/1.1\r\nHost: a\r\nContent-Length: 9999\r\n\r\n", 413, ""},
+		{nil, "GET /api/ready HTTP/1.1\r\nX: " + strings.Repeat("x", maxHead) + "\r\n\r\n", 431, ""},
+		{nil, line("GET", "/api/ready"), 200, "ready"}, // none of these changed anything
+		{[]lifecycle.Event{lifecycle.Terminate}, line("PUT", "/api/evacuate"), 409, "stopping"},
+		{nil, line("PUT", "/api/rejoin"), 409, "stopping"},
+		{nil, line("GET", "/api/ready"), 503, "stopping"},
+	} {
+		for _, e := range c.before {
+			m.Tell(e)
+		}
+		resp, body := peertest.Ask(t, addr, c.call)
+		if resp.StatusCode != c.status || !strings.Contains(body, c.says) || !resp.Close || strings.Count(body, "\n") != 1 {
+			t.Errorf("%.40q: %d %q, want %d %q; close %v", c.call, resp.StatusCode, body, c.status, c.says, resp.Close)
+		}
+		if c.status == 405 && resp.Header.Get("Allow") != c.says {
+			t.Errorf("%.40q: Allow %q", c.call, resp.Header.Get("Allow"))
+		}
+	}
+}
+
+// A caller that says nothing, half a call, or all but the last byte of one holds up nobody and changes nothing.
+func TestSilentCallersHoldUpNobody(t *testing.T) {
+	addr, m := door(t)
+	m.Tell(lifecycle.Listed)
+	half := "PUT /api/evacuate HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+	said := []string{"", "GET /api/re", half, half + "{"}
+	slowest := time.Duration(0)
+	for i := range 200 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, said[i%len(said)])
+		if i%20 == 19 {
+			began := time.Now()
+			resp, body := peertest.Ask(t, addr, line("GET", "/api/ready"))
+			if resp.StatusCode != http.StatusOK || body != "ready\n" {
+				t.Errorf("after %d: %d %q", i, resp.StatusCode, body)
+			}
+			slowest = max(slowest, time.Since(began))
+		}
+	}
+	if slowest >= time.Second {
+		t.Errorf("an answer took %v", slowest)
+	}
+}
+
+// 200 callers who say nothing come at the same moment, and one who calls in their midst and speaks a little later.
+func TestACallInACrowdIsHeardOut(t *testing.T) {
+	addr, m := patientDoor(t, peertest.Patience)
+	m.Tell(lifecycle.Listed)
+	call, in := peertest.Open(t, addr)
+	for range 200 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	io.WriteString(call, line("GET", "/api/ready"))
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -205,13 +205,20 @@
 	}
 }
 
-// Idlers gives those that have been silent for a time, so that a sidecar that ends need not wait for them. They keep their
-// places until they are Gone.
+// Held is how many places are taken.
+func (d *Door) Held() int { return d.held }
+
+// Idlers gives those that have been silent for a time, so that a sidecar that ends need not wait for them; for one that never
+// asked it is FirstCall at least. They keep their places until they are Gone.
 func (d *Door) Idlers(now time.Time, silent time.Duration) (all []*Conn) {
 	for h := range d.silent {
 		for e := d.silent[h].Front(); e != nil; e = e.Next() {
 			c := e.Value.(*Conn)
-			if now.Sub(c.since) < silent {
+			least := silent
+			if !c.asked {
+				least = max(silent, FirstCall)
+			}
+			if now.Sub(c.since) < least {
 				break
 			}
 			all = append(all, c)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name              string
 	Listen, Discovery string
+	Admin             string // where operators call; "": nowhere
 	Limits            Limits
 	Known             member.List // the list of servers as last had
 	Profile           wire.Profile
@@ -46,6 +47,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Admin     string          `json:"admin_addr"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
@@ -55,12 +57,15 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, t.wrap(err, 0, "")
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits}
+	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, Limits: file.Limits}
 	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
 			return Config{}, t.in(a.field, fmt.Sprintf("%q is no address", a.addr), "write host:port, as 127.0.0.1:8081")
 		}
 	}
+	if problem, remedy := c.admin(); problem != "" {
+		return Config{}, t.in("admin_addr", problem, remedy)
+	}
 	for _, limit := range []struct {
 		field string
 		is    float64
@@ -86,3 +91,29 @@
 	}
 	return c, nil
 }
+
+// admin says what is wrong with the operators' address, and what would be right; "": nothing is.
+func (c *Config) admin() (problem, remedy string) {
+	if c.Admin == "" {
+		return "", ""
+	}
+	switch _, port, err := net.SplitHostPort(c.Admin); {
+	case err != nil || port == "":
+		return fmt.Sprintf("%q is no address", c.Admin), "write host:port, as 127.0.0.1:9600"
+	case c.Admin == c.Listen && port != "0":
+		return fmt.Sprintf("%q is the address of listen", c.Admin), "write another port"
+	}
+	return "", ""
+}
+
+// SetAdmin puts an operators' address in place of the file's; source is what errors call it. "" changes nothing.
+func (c *Config) SetAdmin(source, addr string) error {
+	if addr == "" {
+		return nil
+	}
+	c.Admin = addr
+	if problem, remedy := c.admin(); problem != "" {
+		return fmt.Errorf("%s: %s; %s", source, problem, remedy)
+	}
+	return nil
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -29,7 +29,8 @@
  "settings": {"report": {"via": "piggyback", "fields": ["busy"]}, "discovery": "subscribe",
   "classes": [
    {"name": "look", "effect": "read_like", "on_time_ms": 80, "hard_limit_ms": 100},
-   {"name": "book", "effect": "idempotency_key", "group": "cell", "hard_limit_ms": 100}]}}`
+   {"name": "book", "effect": "idempotency_key", "group": "cell", "hard_limit_ms": 100}]},
+ "admin_addr": "127.0.0.1:9600"}`
 	if _, err := Parse("f", []byte(good)); err != nil {
 		t.Fatal(err)
 	}
@@ -56,6 +57,9 @@
 		{`"read_like"`, `"odd"`, `f:8:31: settings.classes[0].effect: unknown effect "odd"`},
 		{`"subscribe"`, `"dns"`, `f:6:80: settings.discovery: unknown discovery "dns"`},
 		{`"piggyback"`, `"post"`, `f:6:33: settings.report.via: unknown way "post"`},
+		{`"127.0.0.1:9600"`, `"9600"`, `f:10:16: admin_addr: "9600" is no address; write host:port`},
+		{`"127.0.0.1:9600"`, `9600`, `f:10:16: admin_addr: is a number; write a string`},
+		{`"127.0.0.1:0"`, `"127.0.0.1:9600"`, `f:10:16: admin_addr: "127.0.0.1:9600" is the address of listen; write another port`},
 		{`"classes"`, `"other"`, "f:6:14: settings.classes: missing"},
 		{` "settings": {`, ` "other": {`, "f:1:1: settings: missing"},
 	} {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"petrelhook/balance"
@@ -25,6 +24,7 @@
 	Module       balance.Config
 	Zones, Kinds []string    // the names that stand for positions in the module
 	Known        member.List // the list of servers as last had; it may be old
+	Listed       func()      // called, in the loop, when a server is first known that takes requests; nil: nobody is told
 }
 
 // Loop owns the decision module, its timers, and the tables of requests and servers. One goroutine runs it;
@@ -37,7 +37,6 @@
 	log    *slog.Logger
 	events chan func()
 	ended  chan struct{}
-	ready  atomic.Bool // requests can be served
 
 	// Owned by the loop's goroutine.
 	ctx        context.Context
@@ -48,6 +47,7 @@
 	lastID     balance.RequestID
 	servers    map[balance.ServerID]*server
 	generation uint64
+	ready      bool // a server was known that takes requests
 	stopWatch  context.CancelFunc
 	later      []func() // outcomes that an action had at once
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -75,7 +75,7 @@
 // list takes in news of the servers.
 func (l *Loop) list(c member.List, kind balance.ListKind) {
 	l.generation = c.Generation
-	listed := map[balance.ServerID]bool{}
+	listed, before := map[balance.ServerID]bool{}, l.ready
 	ev := balance.ServerList{Kind: kind}
 	for i := range c.Instances {
 		in := &c.Instances[i]
@@ -103,7 +103,7 @@
 			delete(l.servers, id)
 		}
 		if entry.State == balance.Ready {
-			l.ready.Store(true)
+			l.ready = true
 		}
 	}
 	if kind != balance.ListDelta { // what the whole list does not name is gone
@@ -115,6 +115,9 @@
 		}
 	}
 	l.tell(ev)
+	if l.ready && !before && l.config.Listed != nil {
+		l.config.Listed()
+	}
 }
 
 // Replace has another source tell of servers from now on. The list held stays until that one answers; requests and
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -52,9 +52,6 @@
 	}
 }
 
-// Ready reports whether any server was listed that takes requests.
-func (l *Loop) Ready() bool { return l.ready.Load() }
-
 // reject turns down what was not taken.
 func (l *Loop) reject(r *request, err error) {
 	r.closed = true
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/admit"
@@ -45,6 +46,8 @@
 	due    time.Time // when its present request must be in: the first counts from the connection's start
 	asked  bool
 	closed bool
+
+	begun atomic.Bool // something has come since its last answer; a whole head is told by State
 }
 
 // New bounds a listener; a request must be in within a time of its connection's start, or of its own first byte.
@@ -104,13 +107,21 @@
 	return b.admit.Answers(&c.place, time.Now())
 }
 
-// CloseIdlers closes connections that have been silent for a time and on which nothing has come in.
+// Open is how many connections hold a place.
+func (b *Door) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.admit.Held()
+}
+
+// CloseIdlers closes connections that have been silent for a time and on which nothing has come in. Those that never asked
+// are given admit.FirstCall at least.
 func (b *Door) CloseIdlers(silent time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	for _, p := range b.admit.Idlers(now, silent) {
-		if c := p.Owner.(*client); sock.Quiet(c.Conn) {
+		if c := p.Owner.(*client); !c.begun.Load() && sock.Quiet(c.Conn) {
 			c.closed = true
 			b.admit.Gone(p, now)
 			c.Conn.Close()
@@ -141,7 +152,18 @@
 		c.asked = true
 	case http.StateIdle:
 		b.admit.Answered(&c.place, now)
+		c.begun.Store(false)
+	}
+}
+
+// Read notes a request's first byte at once: net/http tells of one when it has read the whole head, and until then a
+// connection would pass for one that asks for nothing and can be closed at no loss.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.begun.Load() {
+		c.begun.Store(true)
 	}
+	return n, err
 }
 
 type clientKey struct{}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -65,8 +65,6 @@
 	// request, and the error is the context's. ErrInUse and ErrInvalid mean that the request was not taken, so nothing
 	// of it ran; ErrEnded that the core has ended, and nothing is known of it. Whoever has written a Reply calls its Done.
 	Answer(ctx context.Context, r Request) (Answer, error)
-	// Ready reports whether any server is known that takes requests.
-	Ready() bool
 }
 
 // What Answer reports.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -6,7 +6,6 @@
 package platform
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,12 +15,12 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/admit"
 	"petrelhook/internal/door"
 	"petrelhook/internal/front"
+	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/message"
 )
 
@@ -33,9 +32,11 @@
 	headTime = 2500 * time.Millisecond
 	bodyTime = 2700 * time.Millisecond // for head and body
 	idleTime = 20 * time.Second
-	// lookAgain is how often a sidecar that ends looks for connections that never asked. net/http's Shutdown waits for them
-	// for 5 s.
+	// lookAgain is how often a sidecar that sends its clients away looks for connections that carry no request.
 	lookAgain = 50 * time.Millisecond
+	// silentEnough is after what silence one of those is closed while clients are sent away: there is time, and until
+	// then its client may have its next request on the way, whose answer ends it.
+	silentEnough = 200 * time.Millisecond
 )
 
 // Settings are what the front is told.
@@ -53,13 +54,13 @@
 	http     *http.Server
 	clients  *door.Door
 	longest  time.Duration // the longest deadline
-	draining atomic.Bool
+	life     *lifecycle.Machine
 	after    func(time.Duration) <-chan time.Time // time.After
 }
 
 // New makes a server; Serve runs it.
-func New(c Settings, core front.Core, log *slog.Logger) *Server {
-	s := &Server{core: core, settings: c, classes: map[string]int{}, after: time.After}
+func New(c Settings, core front.Core, life *lifecycle.Machine, log *slog.Logger) *Server {
+	s := &Server{core: core, life: life, settings: c, classes: map[string]int{}, after: time.After}
 	for i, class := range c.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -71,40 +72,64 @@
 	return s
 }
 
-// Serve serves until stop ends, then drains, and returns when all that was taken is answered.
-func (s *Server) Serve(stop context.Context, ln net.Listener) error {
+// Serve serves until the lifecycle ends, then finishes what it has, and returns when all that was taken is answered. While
+// clients are sent away it goes on.
+func (s *Server) Serve(ln net.Listener) error {
 	failed := make(chan error, 1)
 	s.clients = door.New(ln, s.settings.Door, bodyTime)
 	s.http.ConnState, s.http.ConnContext = s.clients.State, s.clients.Context
 	go func() { failed <- s.http.Serve(s.clients) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
-	}
-	// Idle connections are closed while the listener still accepts, so that clients come again on new ones.
-	s.draining.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-s.after(lingering):
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.longest)
-	defer cancel()
-	ended := make(chan error, 1)
-	go func() { ended <- s.http.Shutdown(ctx) }()
+	for {
+		now, over := s.life.Now()
+		if now.State() == lifecycle.Stopping {
+			break
+		}
+		var look <-chan time.Time
+		if now.Out() { // until they come back: who was let in late is sent away too
+			s.clients.CloseIdlers(silentEnough)
+			if s.clients.Open() == 0 {
+				s.life.Tell(lifecycle.Emptied)
+			}
+			look = time.After(lookAgain)
+		}
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve: %w", err)
+		case <-over:
+		case <-look:
+		}
+	}
+	return s.finish(failed)
+}
+
+// finish ends the connections, each when it carries no request, and returns when all have ended. New ones are taken while
+// they may come, unless the next process takes them.
+func (s *Server) finish(failed <-chan error) error {
+	defer s.http.Close()
+	lingered, last := s.after(lingering), s.after(lingering+s.longest)
 	look := time.NewTicker(lookAgain)
 	defer look.Stop()
-	for {
+	for accepting := true; ; {
+		s.clients.CloseIdlers(0)
+		if now, _ := s.life.Now(); accepting && !now.Accepts() {
+			accepting = false
+			s.clients.Listener.Close()
+		}
+		if !accepting && s.clients.Open() == 0 {
+			return nil
+		}
 		select {
-		case err := <-ended:
-			if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-				return fmt.Errorf("shutdown: %w", err)
-			}
-			return nil // what the time-out found was a connection without a request
+		case <-lingered:
+			accepting, lingered = false, nil
+			s.clients.Listener.Close()
+		case <-last: // what is left has no request
+			return nil
 		case <-look.C:
-			s.clients.CloseIdlers(admit.FirstCall)
+		case err := <-failed:
+			if accepting {
+				return fmt.Errorf("serve: %w", err)
+			}
+			failed = nil
 		}
 	}
 }
@@ -113,7 +138,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
 	if req.URL.Path == healthPath {
-		if !s.core.Ready() || s.draining.Load() {
+		if s.leaves(w); !s.life.Status().Healthy() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -126,7 +151,7 @@
 	in.Arrived = arrived
 	switch a, err := s.core.Answer(req.Context(), in); {
 	case err == nil:
-		if s.clients.Answers(req.Context()) {
+		if !s.leaves(w) && s.clients.Answers(req.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
@@ -141,6 +166,15 @@
 	}
 }
 
+// leaves has an answer end its connection where clients are sent away, and says whether it does.
+func (s *Server) leaves(w http.ResponseWriter) bool {
+	if s.life.Status().Keeps() {
+		return false
+	}
+	w.Header().Set("Connection", "close")
+	return true
+}
+
 // reject answers what cannot be served and ends the connection: what else comes on it is not read, neither the rest of
 // a body, which may never come, nor a request, which may be a part of one.
 func reject(w http.ResponseWriter, text string, status int) {
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -13,6 +13,7 @@
 
 	"petrelhook/internal/admit"
 	"petrelhook/internal/front"
+	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
 )
@@ -23,8 +24,6 @@
 	answer func(ctx context.Context, r front.Request) (front.Answer, error)
 }
 
-func (c *fakeCore) Ready() bool { return true }
-
 func (c *fakeCore) Answer(ctx context.Context, r front.Request) (front.Answer, error) {
 	c.taken.Add(1)
 	return c.answer(ctx, r)
@@ -41,7 +40,7 @@
 	// lingered ends the time in which the listener stays open after stop.
 	lingered chan time.Time
 	addr     string
-	stop     context.CancelFunc
+	life     *lifecycle.Machine
 	ended    chan error
 }
 
@@ -51,24 +50,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), ended: make(chan error, 1)}
+	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), life: lifecycle.New(), ended: make(chan error, 1)}
 	long := 10 * time.Second
 	server := New(Settings{Door: admit.Config{Places: 100, Horizon: time.Second}, Tenants: []string{"acme"}, Classes: []front.Class{
 		{Name: "look", Effect: front.Safe, Deadline: long}, {Name: "book", Effect: front.Keyed, Deadline: long}, {Name: "once", Effect: front.Unsafe, Deadline: long},
-	}}, r.core, slog.New(slog.DiscardHandler))
+	}}, r.core, r.life, slog.New(slog.DiscardHandler))
 	server.after = func(d time.Duration) <-chan time.Time {
+		if d > long {
+			return nil // the end, whatever is open
+		}
 		if d < 500*time.Millisecond { // new connections come for 0.4 s
 			t.Errorf("the listener stays open for %v", d)
 		}
 		return r.lingered
 	}
-	stop, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	go func() { r.ended <- server.Serve(stop, ln) }()
-	t.Cleanup(cancel)
+	r.life.Tell(lifecycle.Listed)
+	go func() { r.ended <- server.Serve(ln) }()
+	t.Cleanup(r.stop)
 	return r
 }
 
+func (r *rig) stop() { r.life.Tell(lifecycle.Terminate) }
+
 func (r *rig) ask(request string) (status int, body string, closes bool) {
 	r.t.Helper()
 	resp, body := peertest.Ask(r.t, r.addr, request)
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,109 @@
+package lifecycle
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Each row is what happens and what holds then: the state, the answer to health checks, to operators, whether connections
+// are kept, and whether new ones are taken.
+func TestWhatHolds(t *testing.T) {
+	all := func(e ...Event) []Event { return e }
+	for _, c := range []struct {
+		events []Event
+		want   string
+	}{
+		{nil, "starting no no keeps accepts"},
+		{all(Listed), "ready yes yes keeps accepts"},
+		{all(Listed, Evacuate), "evacuating no yes closes accepts"},
+		{all(Listed, Evacuate, Evacuate), "evacuating no yes closes accepts"},
+		{all(Listed, Evacuate, Emptied), "away no yes closes accepts"},
+		{all(Listed, Evacuate, Emptied, Evacuate), "away no yes closes accepts"},
+		{all(Listed, Emptied), "ready yes yes keeps accepts"},
+		{all(Listed, Evacuate, Rejoin), "ready yes yes keeps accepts"},
+		{all(Listed, Evacuate, Emptied, Rejoin, Rejoin), "ready yes yes keeps accepts"},
+		{all(Listed, Evacuate, Emptied, Rejoin, Evacuate), "evacuating no yes closes accepts"},
+		{all(Evacuate), "evacuating no no closes accepts"}, // during a start
+		{all(Evacuate, Listed), "evacuating no yes closes accepts"},
+		{all(Evacuate, Rejoin), "rejoining no no keeps accepts"},
+		{all(Evacuate, Rejoin, Listed), "ready yes yes keeps accepts"},
+		{all(Rejoin), "starting no no keeps accepts"},
+		{all(Listed, Succeeded), "handing over yes yes keeps accepts"},
+		{all(Listed, Succeeded, Deserted), "ready yes yes keeps accepts"},
+		{all(Listed, Succeeded, Terminate), "stopping yes no closes leaves"},
+		{all(Listed, Succeeded, Terminate, Deserted), "stopping yes no closes leaves"},
+		{all(Listed, Terminate), "stopping no no closes accepts"},
+		{all(Listed, Terminate, Succeeded), "stopping yes no closes leaves"}, // the signal came first
+		{all(Listed, Terminate, Rejoin), "stopping no no closes accepts"},
+		{all(Listed, Evacuate, Terminate, Rejoin), "stopping no no closes accepts"},
+		{all(Listed, Succeeded, Evacuate), "evacuating no yes closes accepts"},
+		{all(Listed, Succeeded, Evacuate, Terminate), "stopping no no closes leaves"},
+	} {
+		var s Status
+		for _, e := range c.events {
+			s = s.After(e)
+		}
+		word := func(holds bool, yes, no string) string {
+			if holds {
+				return yes
+			}
+			return no
+		}
+		got := fmt.Sprint(s.State(), " ", word(s.Healthy(), "yes", "no"), " ", word(s.Ready(), "yes", "no"), " ",
+			word(s.Keeps(), "keeps", "closes"), " ", word(s.Accepts(), "accepts", "leaves"))
+		if got != c.want {
+			t.Errorf("%v: %s, want %s", c.events, got, c.want)
+		}
+	}
+}
+
+// In any order of events: each may come twice, nothing leads out of Stopping, and nobody is told to come who would be sent
+// away.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Status
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			e := Event(rapid.IntRange(int(Listed), int(Terminate)).Draw(t, "event"))
+			before := s
+			s = s.After(e)
+			if s != s.After(e) {
+				t.Fatalf("%v twice: %v, then %v", e, s, s.After(e))
+			}
+			if before.State() == Stopping && s.State() != Stopping {
+				t.Fatalf("%v after %v", e, before)
+			}
+			if s.Healthy() && !s.Keeps() && !s.Succeeded() {
+				t.Fatalf("%v is healthy and sends clients away", s)
+			}
+			if s.State() == Ready && !(s.Healthy() && s.Ready() && s.Keeps() && s.Accepts()) {
+				t.Fatalf("%v is ready, but not for all", s)
+			}
+		}
+	})
+}
+
+// Who waits for a change hears of each that is one, and of no other.
+func TestChangesAreTold(t *testing.T) {
+	m := New()
+	var heard []bool
+	for _, e := range []Event{Listed, Listed, Emptied, Evacuate, Evacuate, Rejoin, Terminate, Rejoin} {
+		_, over := m.Now()
+		now, changed := m.Tell(e)
+		closed := false
+		select {
+		case <-over:
+			closed = true
+		default:
+		}
+		if closed != changed || now != m.Status() {
+			t.Errorf("%v: told %v, changed %v", e, closed, changed)
+		}
+		heard = append(heard, changed)
+	}
+	if !slices.Equal(heard, []bool{true, false, false, true, false, true, true, false}) {
+		t.Error(heard)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -3,6 +3,7 @@
 package sock
 
 import (
+	"context"
 	"net"
 	"syscall"
 )
@@ -29,6 +30,22 @@
 	return err == nil && open
 }
 
+// reusePort is SO_REUSEPORT, which package syscall does not name on every architecture; it is the same on those of Linux
+// that Go runs on but MIPS, where the option is refused and its port is one process's.
+const reusePort = 0xf
+
+// ListenShared listens at an address that another process of the same user may listen at too, if it does so in this way.
+func ListenShared(addr string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if failed := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1) }); failed != nil {
+			return failed
+		}
+		return err
+	}}
+	return c.Listen(context.Background(), "tcp", addr)
+}
+
 // Abort closes a connection with a reset.
 func Abort(c net.Conn) error {
 	if t, ok := c.(interface{ SetLinger(int) error }); ok {
--- /dev/null
+++ b/internal/wiring/service_test.go
@@ -0,0 +1,184 @@
+package wiring
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"petrelhook/internal/config"
+	"petrelhook/internal/peertest"
+)
+
+const health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// inService is a sidecar that operators can call at calls.
+func inService(t *testing.T, addrs ...string) (r *rig, calls string) {
+	t.Helper()
+	var list []string
+	for i, addr := range addrs {
+		list = append(list, peertest.Instance(fmt.Sprint("s-", i), addr, "up"))
+	}
+	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
+		peertest.DeadAddr(t), peertest.Catalog(1, true, list...), peertest.Settings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listeners [2]net.Listener
+	for i := range listeners {
+		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r = &rig{t: t, side: New(&cfg, TCP(), slog.New(slog.DiscardHandler)), addr: listeners[0].Addr().String(), ended: make(chan error, 1)}
+	stop, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- r.side.Run(stop, listeners[0], listeners[1]) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := peertest.Wait(t, r.ended); err != nil {
+			t.Error(err)
+		}
+	})
+	calls = listeners[1].Addr().String()
+	peertest.Eventually(t, "ready", func() bool { return call(t, calls, "GET /api/ready") == 200 })
+	return r, calls
+}
+
+// call makes a call of operators and returns the status.
+func call(t *testing.T, addr, what string) int {
+	t.Helper()
+	resp, _ := peertest.Ask(t, addr, what+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+	return resp.StatusCode
+}
+
+// Clients are sent away and taken again, round after round: health says so at once, what was taken is answered, an answer ends
+// its connection, a connection that carries nothing is closed, and one that comes late is served. The process stays.
+func TestEvacuateAndRejoin(t *testing.T) {
+	got, release := make(chan struct{}, 1), make(chan struct{})
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		if req.Header.Get("X-Qos") == "once" {
+			got <- struct{}{}
+			<-release
+		}
+		io.WriteString(c, peertest.OKAnswer)
+		return true
+	})
+	r, calls := inService(t, p.Addr)
+	for round := range 3 {
+		idle, idleIn := r.open()
+		io.WriteString(idle, look(fmt.Sprint("idle", round)))
+		if resp, _ := peertest.Answer(t, idleIn); resp.StatusCode != 200 || resp.Close {
+			t.Fatalf("before: %d, close %v", resp.StatusCode, resp.Close)
+		}
+		slow, slowIn := r.open()
+		io.WriteString(slow, once(fmt.Sprint("slow", round)))
+		peertest.Wait(t, got)
+
+		if status := call(t, calls, "PUT /api/evacuate"); status != 200 {
+			t.Fatalf("evacuate: %d", status)
+		}
+		if resp, _ := r.ask(health); resp.StatusCode != 503 || !resp.Close {
+			t.Errorf("health while away: %d, close %v", resp.StatusCode, resp.Close)
+		}
+		if resp, body := r.ask(look(fmt.Sprint("late", round))); resp.StatusCode != 200 || body != "hi" || !resp.Close {
+			t.Errorf("on a new connection: %d %q, close %v", resp.StatusCode, body, resp.Close)
+		}
+		if _, err := idleIn.ReadByte(); err != io.EOF {
+			t.Errorf("an idle connection: %v", err)
+		}
+		release <- struct{}{}
+		if resp, body := peertest.Answer(t, slowIn); resp.StatusCode != 200 || body != "hi" || !resp.Close {
+			t.Errorf("what was taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
+		}
+		peertest.Eventually(t, "away", func() bool { return r.side.life.Status().State().String() == "away" })
+		if status := call(t, calls, "PUT /api/rejoin"); status != 200 {
+			t.Fatalf("rejoin: %d", status)
+		}
+		if resp, _ := r.ask(health); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("health afterwards: %d, close %v", resp.StatusCode, resp.Close)
+		}
+	}
+}
+
+// Rejoin in the midst of an evacuation: who is still here stays.
+func TestRejoinBeforeAllHaveGone(t *testing.T) {
+	got, release := make(chan struct{}, 1), make(chan struct{})
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		got <- struct{}{}
+		<-release
+		io.WriteString(c, peertest.OKAnswer)
+		return true
+	})
+	r, calls := inService(t, p.Addr)
+	c, in := r.open()
+	io.WriteString(c, look("slow"))
+	peertest.Wait(t, got)
+	for _, what := range []string{"PUT /api/evacuate", "PUT /api/rejoin"} {
+		if status := call(t, calls, what); status != 200 {
+			t.Fatalf("%s: %d", what, status)
+		}
+	}
+	close(release)
+	if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("%d, close %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// A request whose first bytes are in when its clients are sent away is served, however long the rest takes, and its connection is
+// not taken for an idle one.
+func TestARequestHalfWrittenIsNotSentAway(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Says(peertest.OKAnswer))
+	r, calls := inService(t, p.Addr)
+	c, in := r.open()
+	io.WriteString(c, look("whole"))
+	peertest.Answer(t, in)
+	text := look("half")
+	io.WriteString(c, text[:40])
+	idle, idleIn := r.open()
+	io.WriteString(idle, look("other"))
+	peertest.Answer(t, idleIn)
+	if status := call(t, calls, "PUT /api/evacuate"); status != 200 {
+		t.Fatal(status)
+	}
+	if _, err := idleIn.ReadByte(); err != io.EOF { // those that carry nothing have been closed
+		t.Errorf("an idle connection: %v", err)
+	}
+	time.AfterFunc(2*silentFor, func() { io.WriteString(c, text[40:]) })
+	if resp, body := peertest.Answer(t, in); resp.StatusCode != 200 || body != "hi" || !resp.Close {
+		t.Errorf("%d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+}
+
+// silentFor is longer than an idle connection is kept while clients are sent away.
+const silentFor = 250 * time.Millisecond
+
+// Operators call a process that ends: it can't be told to come back.
+func TestCallsWhileItEnds(t *testing.T) {
+	got, release := make(chan struct{}, 1), make(chan struct{})
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		got <- struct{}{}
+		<-release
+		io.WriteString(c, peertest.OKAnswer)
+		return true
+	})
+	r, calls := inService(t, p.Addr)
+	c, in := r.open()
+	io.WriteString(c, look("slow"))
+	peertest.Wait(t, got)
+	r.stop()
+	peertest.Eventually(t, "stopping", func() bool { return call(t, calls, "GET /api/ready") == 503 })
+	for _, what := range []string{"PUT /api/evacuate", "PUT /api/rejoin"} {
+		if status := call(t, calls, what); status != 409 {
+			t.Errorf("%s: %d", what, status)
+		}
+	}
+	close(release)
+	if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%d, close %v", resp.StatusCode, resp.Close)
+	}
+}
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -8,14 +8,17 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"petrelhook/balance"
+	"petrelhook/internal/admin"
 	"petrelhook/internal/admit"
 	"petrelhook/internal/config"
 	"petrelhook/internal/core"
 	"petrelhook/internal/front"
 	"petrelhook/internal/front/platform"
+	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/member/discovery"
 	"petrelhook/internal/upstream/http1"
 )
@@ -37,13 +40,14 @@
 type Sidecar struct {
 	core  *core.Loop
 	front *platform.Server
+	life  *lifecycle.Machine
 	dial  Dial
 	log   *slog.Logger
 }
 
 // New puts a sidecar together; Run runs it.
 func New(c *config.Config, dial Dial, log *slog.Logger) *Sidecar {
-	module := &c.Profile.Config
+	module, life := &c.Profile.Config, lifecycle.New()
 	up := http1.New(http1.Settings{
 		Most: c.Limits.Servers(), Within: duration(or(module.ConnectTimeout, defaultDial)),
 		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace), Answers: c.Limits.Answers(),
@@ -51,15 +55,19 @@
 	}, http1.Dial(dial))
 	loop := core.New(core.Config{
 		Module: *module, Zones: c.Profile.Zones, Kinds: c.Profile.Kinds, Known: c.Known,
+		Listed: func() { life.Tell(lifecycle.Listed) },
 	}, discovery.New(c.Discovery, discovery.Dial(dial)), up, log)
 	settings := platform.Settings{Tenants: c.Profile.Tenants, Door: admit.Config{Places: c.Limits.Clients()}}
+	if c.Admin != "" && c.Limits.Sockets > 0 { // operators' calls are counted too
+		settings.Door.Places = max(1, settings.Door.Places-admin.MaxCalls)
+	}
 	for i, class := range module.Classes {
 		settings.Door.Horizon = max(settings.Door.Horizon, duration(class.Deadline))
 		settings.Classes = append(settings.Classes, front.Class{
 			Name: c.Profile.Classes[i], Effect: effects[class.Effect], Deadline: duration(class.Deadline),
 		})
 	}
-	return &Sidecar{core: loop, front: platform.New(settings, loop, log), dial: dial, log: log}
+	return &Sidecar{core: loop, front: platform.New(settings, loop, life, log), life: life, dial: dial, log: log}
 }
 
 var effects = [...]front.Effect{balance.Safe: front.Safe, balance.Keyed: front.Keyed, balance.Unsafe: front.Unsafe}
@@ -72,20 +80,52 @@
 	return "/ping"
 }
 
-// Run serves on ln until stop ends, then drains. It returns when all that was taken is answered and the core has ended.
-func (s *Sidecar) Run(stop context.Context, ln net.Listener) error {
+// Run serves clients on ln, and operators on calls where that is not nil, until stop ends, then drains. It returns when all
+// that was taken is answered and the core has ended.
+func (s *Sidecar) Run(stop context.Context, ln, calls net.Listener) error {
+	terminated := context.AfterFunc(stop, func() { s.life.Tell(lifecycle.Terminate) })
+	defer terminated()
+	var sides sync.WaitGroup
+	defer sides.Wait()
+	if calls != nil {
+		sides.Go(func() {
+			if err := admin.New(s.life).Serve(calls); err != nil {
+				s.log.Error("operators are not heard any more", "err", err)
+			}
+		})
+		defer calls.Close()
+	}
+	told, untold := context.WithCancel(context.Background())
+	defer untold()
+	sides.Go(func() { s.tellStates(told) })
 	alive, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		s.core.Run(alive)
 	}()
-	err := s.front.Serve(stop, ln)
+	err := s.front.Serve(ln)
 	end()
 	<-ended
 	return err
 }
 
+// tellStates logs each change of the lifecycle, until ctx ends.
+func (s *Sidecar) tellStates(ctx context.Context) {
+	for last := lifecycle.Starting; ; {
+		now, over := s.life.Now()
+		if now.State() != last {
+			last = now.State()
+			s.log.Info("state", "now", last.String())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-over:
+		}
+	}
+}
+
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func or(v, otherwise float64) float64 {
