Long bodies and answers are passed on as they come, in any framing of HTTP/1.1

The log had 200 answers 'over 1024 KiB' and 60 'of unknown length' of servers that were well, the report 425 slow requests that the sidecar cut off: 413 over 64 KiB, 501 for chunks, 2.7 s for head and body together. Ruled out: CPU (0.08 of a core), memory (17 of 64 MB), descriptors (192 of 1,024). At fault: parse in front/platform, body in upstream/http1/room.go, MaxBody and MaxReply.

Change: beyond 64 KiB a body is pumped piece by piece to one exchange at a time; the module hears that a request is open, when its last byte has left (its time begins then) and whether its body is spent. The door keeps each head as it came, and ambiguous framing is refused: net/http drops a length beside chunks and joins folded lines. A pure pace ends who does not move. Ways not taken: everything in memory or in a file that counts as memory; everything as it comes, which gives up the second try for all; interrupting reads by deadlines, which loses the piece on its way and ends net/http's context.

Found by the tests: a server's end right at a body's last byte counted as 'never ran' where it may have; an attempt out of time was given up before it was claimed. The framing fuzz target found 'Content-Length :'.

--- a/balance/api.go
+++ b/balance/api.go
@@ -167,6 +167,7 @@
 	Remaining     float64 // time until the client gives this try up
 	Repeat        bool    // the client says that it tried before
 	Write         bool
+	Open          bool // its body is still coming and is passed on as it comes: its time begins with Written
 }
 
 // Result is how an attempt or a probe ended.
@@ -204,9 +205,16 @@
 	Result   Result
 	Took     float64
 	Finished bool      // the request needs no answer (any more)
+	Spent    bool      // its body is gone: the request cannot be sent again
 	Report   []float32 // load report, empty if none; not kept
 }
 
+// Written says that the last byte of an open request has left: its server can begin now, and so does its client's time.
+type Written struct {
+	Request RequestID
+	Attempt int
+}
+
 // Started says that a streamed answer has begun; the client owns the attempt now.
 type Started struct {
 	Request RequestID
@@ -239,6 +247,7 @@
 func (Request) event()     {}
 func (Outcome) event()     {}
 func (Started) event()     {}
+func (Written) event()     {}
 func (HangUp) event()      {}
 func (Timer) event()       {}
 func (ProbeResult) event() {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 
 // step looks at a request afresh: it sends, answers or waits.
 func (b *Balancer) step(r *request) {
-	if r.done || r.stream {
+	if r.done || r.stream || r.uploading() {
 		return
 	}
 	b.markOverdue(r)
@@ -49,7 +49,9 @@
 	}
 	if r.live == 0 && !b.held(r) {
 		if s := b.pick(r, len(r.tries) > 0); s != nil {
-			b.send(r, s)
+			if b.send(r, s); r.Open {
+				return
+			}
 		} else if !b.sendable(r) {
 			b.answer(r)
 			return
@@ -60,7 +62,7 @@
 
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
-	if len(r.tries) >= b.cfg.MaxAttempts || r.spent > maxRepeats || b.spare < r.lost {
+	if r.bodyGone || len(r.tries) >= b.cfg.MaxAttempts || r.spent > maxRepeats || b.spare < r.lost {
 		return true
 	}
 	for i := range r.tries {
--- a/balance/health.go
+++ b/balance/health.go
@@ -59,6 +59,7 @@
 	r.ended(a, ev.Result)
 	r.lost = b.cost(r, ev)
 	r.spent += r.lost
+	r.bodyGone = r.bodyGone || ev.Spent
 	b.judge(r, a, ev)
 	if r.done || ev.Finished || r.stream {
 		b.close(r)
--- /dev/null
+++ b/balance/open_test.go
@@ -0,0 +1,82 @@
+package balance
+
+import "testing"
+
+// open brings a request of a class whose body is still coming.
+func (g *rig) open(class int) (RequestID, []Action) {
+	g.t.Helper()
+	g.next++
+	return g.next, g.do(Request{ID: g.next, Class: class, Remaining: g.b.cfg.Classes[class].Deadline, Open: true})
+}
+
+// However long a body takes to come, its request is not late, its server is not blamed, and the fleet is not held to be full.
+// Its time begins with the last byte.
+func TestABodyThatTakesLong(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	id, acts := g.open(safeClass)
+	to, sent := sentTo(acts)
+	if !sent || has(acts, SetTimer) {
+		t.Fatalf("%+v", acts)
+	}
+	s := g.b.byID[to]
+	g.now += 60_000
+	if acts := g.do(Timer{Token: uint64(id)}); len(acts) != 0 {
+		t.Errorf("after a minute: %+v", acts)
+	}
+	if s.errs != 0 || s.load != 0 || s.inFlight != 0 {
+		t.Errorf("the server is blamed or counted: %+v", s)
+	}
+	if acts = g.do(Written{Request: id}); !has(acts, SetTimer) || s.inFlight != 1 || s.load == 0 {
+		t.Errorf("its time begins: %+v, in flight %d", acts, s.inFlight)
+	}
+	if again := g.do(Written{Request: id}); len(again) != 0 || s.inFlight != 1 {
+		t.Errorf("twice: %+v", again)
+	}
+	g.now += g.b.cfg.Classes[safeClass].Deadline + 1
+	if acts = g.do(Timer{Token: uint64(id)}); !has(acts, Refuse) {
+		t.Errorf("at its deadline: %+v", acts)
+	}
+	g.answer(id, 0, TimedOut, g.b.cfg.Classes[safeClass].Deadline)
+	if s.load != 0 || s.inFlight != 0 || len(g.b.reqs) != 0 {
+		t.Errorf("afterwards: load %v, %d in flight, %d requests", s.load, s.inFlight, len(g.b.reqs))
+	}
+}
+
+// Before the last byte an attempt that ends has not run, of any class. It is made again while the body can be sent again,
+// and else answered at once: refused, for nothing ran.
+func TestABodyThatIsGone(t *testing.T) {
+	for class := range baseConfig().Classes {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		id, acts := g.open(class)
+		first, _ := sentTo(acts)
+		g.now += 5
+		acts = g.answer(id, 0, ConnectFailed, 5)
+		second, sent := sentTo(acts)
+		if !sent || second == first {
+			t.Fatalf("class %d: the body is whole, and it goes to another: %+v", class, acts)
+		}
+		g.now += 5
+		if acts = g.do(Outcome{Request: id, Attempt: 1, Server: second, Result: ConnectFailed, Took: 5, Spent: true}); !has(acts, Refuse) || has(acts, Send) {
+			t.Errorf("class %d: the body is gone: %+v", class, acts)
+		}
+		for _, s := range g.b.servers {
+			if s.inFlight != 0 || s.load != 0 {
+				t.Errorf("class %d: %+v", class, s)
+			}
+		}
+	}
+}
+
+// What may have run and cannot be sent again is failed where a client's retry might do harm, and refused where it cannot.
+func TestABodyThatIsGoneAndMayHaveRun(t *testing.T) {
+	for class, want := range map[int]ActionKind{safeClass: Refuse, unsafeClass: Fail, cellClass: Fail, allClass: Refuse} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		id, acts := g.open(class)
+		to, _ := sentTo(acts)
+		g.do(Written{Request: id})
+		g.now += 20
+		if acts = g.do(Outcome{Request: id, Server: to, Result: Reset, Took: 20, Spent: true}); !has(acts, want) || has(acts, Send) {
+			t.Errorf("class %d: %+v", class, acts)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -107,6 +107,13 @@
 	sentSince  float64 // own sends since
 }
 
+// takes counts an attempt that is work for the server now, or one less.
+func (s *server) takes(one int, r *request) {
+	s.inFlight += one
+	s.load += float64(one) / r.class.Aim
+	s.sentSince += float64(max(0, one))
+}
+
 // pardon clears what was held against a server.
 func (s *server) pardon() {
 	s.errs, s.rests, s.restUntil, s.down, s.dark = 0, 0, 0, false, false
@@ -136,6 +143,7 @@
 	holdUntil float64
 	lost      float64 // cost of the last attempt
 	spent     float64 // ... and of all
+	bodyGone  bool    // it cannot be sent again
 }
 
 // count takes the request into the counts of its class and tenant.
@@ -156,8 +164,9 @@
 // ended counts an attempt as no longer out.
 func (r *request) ended(a *attempt, res Result) {
 	a.live, a.clean = false, res.NeverRan()
-	a.s.inFlight--
-	a.s.load -= 1 / r.class.Aim
+	if !r.Open {
+		a.s.takes(-1, r)
+	}
 	r.live--
 }
 
@@ -276,6 +285,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Written:
+		b.onWritten(ev)
 	}
 	return b.out, err
 }
@@ -307,6 +318,22 @@
 	}
 }
 
+// onWritten: the time of an open request, and of its attempt, begins.
+func (b *Balancer) onWritten(ev Written) {
+	r := b.reqs[ev.Request]
+	if r == nil || !r.Open || ev.Attempt < 0 || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].live {
+		return
+	}
+	r.Open = false
+	r.arrived, r.deadline = b.now, b.now+finite(r.Remaining, r.class.Deadline)
+	r.tries[ev.Attempt].sent = b.now
+	r.tries[ev.Attempt].s.takes(1, r)
+	b.step(r)
+}
+
+// uploading: an attempt of an open request is out. Nothing is late before its last byte has left.
+func (r *request) uploading() bool { return r.Open && r.live > 0 }
+
 // warmth is the least fraction of its capacity that a cold server has.
 func (b *Balancer) warmth(s *server) float64 {
 	age := math.Max(0, b.now-s.coldSince) / b.cfg.ColdTime
@@ -387,9 +414,9 @@
 func (b *Balancer) send(r *request, s *server) {
 	b.spare -= r.lost
 	s.tokens--
-	s.inFlight++
-	s.sentSince++
-	s.load += 1 / r.class.Aim
+	if !r.Open { // else it is no work before its last byte
+		s.takes(1, r)
+	}
 	r.live++
 	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true})
 	b.emit(Action{Kind: Send, Request: r.ID, Server: s.ID})
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -21,6 +21,7 @@
 	call   *upstream.Call
 	clean  bool // it is certain that it never ran
 	done   bool
+	begun  bool // its answer is passed on as it comes; the exchange goes on
 	cancel context.CancelFunc
 	timer  *timer // the end of its time
 }
@@ -34,6 +35,9 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	c := &upstream.Call{Message: r.Message, Expires: r.deadline}
+	if r.Message.Rest != nil {
+		c.Expires, c.Wait = time.Time{}, r.Wait
+	}
 	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: time.Now(), cancel: cancel}
 	if a.At > 0 {
 		c.Expires = earlier(c.Expires, l.clock.time(a.At))
@@ -49,8 +53,13 @@
 		l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Moot}) })
 		return
 	}
-	at.timer = &timer{due: c.Expires, attempt: at}
-	l.timers.set(at.timer)
+	if c.Expires.IsZero() {
+		c.Written = func() { l.post(func() { l.written(at) }) }
+	} else {
+		at.timer = &timer{due: c.Expires, attempt: at}
+		l.timers.set(at.timer)
+	}
+	c.Begun = func(out upstream.Outcome) { l.post(func() { l.begun(at, out) }) }
 	go func() {
 		out := at.to.end.Send(ctx, c)
 		l.post(func() { l.attemptEnded(at, out) })
@@ -64,18 +73,34 @@
 	upstream.Cancelled: balance.Cancelled, upstream.Moot: balance.Moot,
 }
 
+// begun: the server's answer is there and is passed on as it comes. For the module the attempt has ended with it, since what
+// is left is no work of the server's; its connection is in use until the rest has ended too.
+func (l *Loop) begun(at *attempt, out upstream.Outcome) {
+	if at.done {
+		out.Reply.Done()
+		return
+	}
+	at.begun = true
+	l.attemptEnded(at, out)
+}
+
 // attemptEnded reports the first end of an attempt to the module. Others are dropped.
 func (l *Loop) attemptEnded(at *attempt, out upstream.Outcome) {
 	if at.done {
+		if at.begun {
+			at.cancel()
+		}
 		out.Reply.Done()
 		return
 	}
 	at.done = true
-	at.cancel()
 	l.timers.stop(at.timer)
-	if out.Result == upstream.TimedOut && at.call.Claim() { // its connection never came up
+	if out.Result == upstream.TimedOut && at.call.Claim() { // its connection never came up; claimed before it is given up
 		out = upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.New("no connection in time")}
 	}
+	if !at.begun {
+		at.cancel()
+	}
 	r := at.r
 	r.out--
 	at.clean = out.Result.NeverRan()
@@ -96,7 +121,7 @@
 	}
 	err := l.tell(balance.Outcome{
 		Request: r.id, Attempt: at.number, Server: at.id, Result: results[out.Result], Took: millis(took), Finished: r.closed,
-		Report: out.Report,
+		Report: out.Report, Spent: out.Spent,
 	})
 	if err != nil && r.out == 0 { // the module does not know of it, so nothing more would come
 		l.finish(r.id, front.Answer{Verdict: front.Failed})
--- /dev/null
+++ b/internal/core/long_test.go
@@ -0,0 +1,127 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"petrelhook/balance"
+	"petrelhook/internal/front"
+	"petrelhook/internal/message"
+	"petrelhook/internal/upstream"
+)
+
+// askLong hands in a request whose body is still coming.
+func (r *rig) askLong(trace string, class int) *asked {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	a := &asked{done: make(chan struct{}), hangUp: cancel}
+	go func() {
+		defer close(a.done)
+		a.answer, a.err = r.Answer(ctx, front.Request{
+			Trace: trace, Class: class, Tenant: -1, Arrived: time.Now(), Wait: time.Second,
+			Message: message.Request{Rest: message.NewUpload(10)},
+		})
+	}()
+	return a
+}
+
+// rest is the rest of a reply; closing it is noted.
+type rest struct {
+	io.Reader
+	closed int
+}
+
+func (r *rest) Close() error { r.closed++; return nil }
+
+// A request's time begins with its last byte, however long that takes to come.
+func TestTheTimeOfALongRequest(t *testing.T) {
+	in(t, []string{"a", "b"}, func(r *rig) {
+		a := r.askLong("long", int(balance.Keyed))
+		x := <-r.servers.sent
+		if !x.call.Expires.IsZero() || x.call.Wait != time.Second {
+			t.Errorf("expires %v, wait %v", x.call.Expires, x.call.Wait)
+		}
+		time.Sleep(time.Minute) // of virtual time
+		synctest.Wait()
+		select {
+		case <-a.done:
+			t.Fatal("answered while its body comes")
+		default:
+		}
+		x.call.Written()
+		began := time.Now()
+		<-a.done
+		if took := time.Since(began); took < 950*time.Millisecond || took > time.Second {
+			t.Errorf("answered %v after the last byte", took)
+		}
+		if a.answer.Verdict != front.Failed { // it may have run
+			t.Errorf("verdict %v", a.answer.Verdict)
+		}
+		<-x.ctx.Done()
+		x.end <- upstream.Outcome{Result: upstream.Cancelled, Spent: true}
+		r.empty(1)
+	})
+}
+
+// What cannot be sent again is not, and is refused where nothing ran; what can be goes to another server.
+func TestALongRequestThatBreaksOff(t *testing.T) {
+	in(t, []string{"a", "b", "c"}, func(r *rig) {
+		a := r.askLong("whole", int(balance.Unsafe))
+		first := <-r.servers.sent
+		first.end <- upstream.Outcome{Result: upstream.ConnectFailed}
+		second := <-r.servers.sent
+		if second.addr == first.addr {
+			t.Error("the same server again")
+		}
+		second.end <- upstream.Outcome{Result: upstream.ConnectFailed, Spent: true}
+		r.is(a, front.Refused, nil)
+	})
+}
+
+// An answer that has begun is the client's: one outcome for the module, no other try, no deadline; the exchange goes on
+// until its rest has ended, and is not given up by the answer.
+func TestAnAnswerThatHasBegun(t *testing.T) {
+	in(t, []string{"a", "b"}, func(r *rig) {
+		a := r.ask("t", int(balance.Safe))
+		x := <-r.servers.sent
+		body := &rest{Reader: strings.NewReader("more")}
+		x.call.Begun(upstream.Outcome{Result: upstream.Served, Reply: message.Reply{Rest: body, Size: 4}})
+		r.is(a, front.Served, nil)
+		if a.answer.Reply.Rest != body {
+			t.Error("the reply has another rest")
+		}
+		time.Sleep(time.Minute) // past its deadline
+		synctest.Wait()
+		if x.ctx.Err() != nil || body.closed != 0 {
+			t.Errorf("given up: %v, closed %d times", x.ctx.Err(), body.closed)
+		}
+		if s := r.Stats(); s.Requests != 0 {
+			t.Errorf("%d requests", s.Requests)
+		}
+		x.end <- upstream.Outcome{Result: upstream.Reset, Err: errors.New("broken off")}
+		<-x.ctx.Done()
+		r.empty(0)
+	})
+}
+
+// An answer that begins when nobody waits for it any more is dropped, so that its exchange ends.
+func TestABeginningThatComesTooLate(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		a := r.ask("t", int(balance.Safe))
+		x := <-r.servers.sent
+		a.hangUp()
+		<-x.ctx.Done()
+		body := &rest{Reader: strings.NewReader("more")}
+		x.call.Begun(upstream.Outcome{Result: upstream.Served, Reply: message.Reply{Rest: body}})
+		synctest.Wait()
+		if body.closed != 1 {
+			t.Errorf("closed %d times", body.closed)
+		}
+		x.end <- upstream.Outcome{Result: upstream.Served}
+		r.empty(1)
+	})
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -12,6 +12,22 @@
 // answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
 const answerMargin = 4 * time.Millisecond
 
+// longestUpload is for how long the id of a request is held whose body is still coming: as long as the largest takes from a
+// client of a pace that is served.
+const longestUpload = 15 * time.Minute
+
+// written: the last byte of a request whose body was passed on has left for its server.
+func (l *Loop) written(at *attempt) {
+	r := at.r
+	if at.done || r.closed || r.Message.Rest == nil {
+		return
+	}
+	r.deadline = time.Now().Add(r.Wait - min(answerMargin, r.Wait/10))
+	at.timer = &timer{due: r.deadline, attempt: at}
+	l.timers.set(at.timer)
+	l.tell(balance.Written{Request: r.id, Attempt: at.number})
+}
+
 // request is a client's request until it is answered and its last attempt has ended.
 type request struct {
 	front.Request
@@ -71,11 +87,18 @@
 	class := &l.config.Module.Classes[r.Class]
 	l.lastID++
 	r.id, r.effect, r.window = l.lastID, class.Effect, class.Window
+	open := r.Message.Rest != nil
 	r.deadline = r.Arrived.Add(r.Wait - min(answerMargin, r.Wait/10))
+	if open { // its time begins with its last byte
+		r.deadline = r.Arrived.Add(longestUpload)
+	}
 	l.requests[r.id] = r
 	ev := balance.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, WorkHint: millis(r.Hint),
-		Remaining: math.Max(millis(time.Until(r.deadline)), 1e-3), Repeat: r.Repeat,
+		Remaining: math.Max(millis(time.Until(r.deadline)), 1e-3), Repeat: r.Repeat, Open: open,
+	}
+	if open {
+		ev.Remaining = math.Max(millis(r.Wait-min(answerMargin, r.Wait/10)), 1e-3)
 	}
 	if r.Subject != "" {
 		ev.Key = stableHash(r.Subject)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -6,6 +6,7 @@
 package door
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -48,6 +49,7 @@
 	closed bool
 
 	begun atomic.Bool // something has come since its last answer; a whole head is told by State
+	head  head
 }
 
 // New bounds a listener; a request must be in within a time of its connection's start, or of its own first byte.
@@ -152,7 +154,7 @@
 		c.asked = true
 	case http.StateIdle:
 		b.admit.Answered(&c.place, now)
-		c.begun.Store(false)
+		c.begun.Store(c.head.next())
 	}
 }
 
@@ -163,9 +165,59 @@
 	if n > 0 && !c.begun.Load() {
 		c.begun.Store(true)
 	}
+	if n > 0 {
+		c.head.add(p[:n], len(p) == 1)
+	}
 	return n, err
 }
 
+// head is the head of the present request as it came, unless the request came in one piece with the one before it.
+type head struct {
+	mu    sync.Mutex
+	text  []byte
+	whole bool
+	ahead []byte // what net/http read of the next request while this one was in work: it does so byte by byte
+}
+
+// next begins with another request.
+func (h *head) next() (begun bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.text, h.whole = append(h.text[:0], h.ahead...), false
+	h.ahead = h.ahead[:0]
+	return len(h.text) > 0
+}
+
+func (h *head) add(p []byte, single bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.whole && single {
+		h.ahead = append(h.ahead, p...)
+	}
+	if h.whole || len(h.text) > message.MaxHead {
+		return
+	}
+	before := max(0, len(h.text)-3) // the end may lie across two reads
+	h.text = append(h.text, p...)
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(h.text[before:], []byte(end)); i >= 0 {
+			h.text, h.whole = h.text[:before+i+len(end)], true
+		}
+	}
+}
+
+// Head is the head of a handler's request as it came; nil where it did not come on its own.
+func (b *Door) Head(ctx context.Context) []byte {
+	if c, ok := ctx.Value(clientKey{}).(*client); ok {
+		c.head.mu.Lock()
+		defer c.head.mu.Unlock()
+		if c.head.whole {
+			return c.head.text
+		}
+	}
+	return nil
+}
+
 type clientKey struct{}
 
 // Context lets a handler know the request's connection; it is for http.Server.ConnContext.
@@ -218,5 +270,5 @@
 	if t, ok := c.(closeWriter); ok {
 		t.CloseWrite()
 	}
-	io.Copy(io.Discard, io.LimitReader(c, message.MaxBody))
+	io.Copy(io.Discard, io.LimitReader(c, message.Short))
 }
--- /dev/null
+++ b/internal/front/platform/body.go
@@ -0,0 +1,147 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"petrelhook/internal/message"
+	"petrelhook/internal/pace"
+)
+
+const (
+	// A client's body moves by a quarter of 64 kB a second at least, in pieces of up to 2 s.
+	leastBody  = 32 << 10
+	bodyWindow = 2 * time.Second
+	// stall is for how long a client may take nothing of its answer.
+	stall = 10 * time.Second
+)
+
+var errHalted = errors.New("the rest of the body is not wanted any more")
+
+// body reads a request's body at the pace that its client owes.
+type body struct {
+	io.Reader
+	control *http.ResponseController
+	first   time.Time // the pace counts from here on
+	pace    pace.Pace
+	halted  atomic.Bool
+	ended   atomic.Bool // it was read to its end
+	rest    *message.Upload
+	pumped  chan struct{} // closed when nobody reads it any more; nil: nobody else does
+}
+
+func newBody(w http.ResponseWriter, req *http.Request, due time.Time) *body {
+	b := &body{Reader: req.Body, control: http.NewResponseController(w), first: due, pace: pace.Pace{Least: leastBody, Within: bodyWindow}}
+	b.pace.Start(time.Now())
+	return b
+}
+
+// Read reads on until the client's time for it is up.
+func (b *body) Read(p []byte) (int, error) {
+	due := b.pace.Due()
+	if due.Before(b.first) {
+		due = b.first
+	}
+	b.control.SetReadDeadline(due)
+	if b.halted.Load() { // only now: Halt sets a deadline of its own
+		return 0, errHalted
+	}
+	n, err := b.Reader.Read(p)
+	b.pace.Moved(n, time.Now())
+	switch {
+	case err == io.EOF:
+		b.ended.Store(true)
+		b.control.SetReadDeadline(time.Time{})
+	case err != nil && b.halted.Load():
+		err = errHalted
+	}
+	return n, err
+}
+
+// halt ends the reading: what is left of the body stays unread.
+func (b *body) halt() {
+	b.halted.Store(true)
+	b.control.SetReadDeadline(time.Unix(1, 0))
+	if b.rest != nil {
+		b.rest.Close()
+	}
+	if b.pumped != nil {
+		<-b.pumped
+	}
+}
+
+// pump passes the rest on as it comes. Where it breaks off, failed is called with the reason.
+func (b *body) pump(failed func(error)) {
+	b.pumped = make(chan struct{})
+	go func() {
+		defer close(b.pumped)
+		b.rest.Pump(&bounded{b, message.Long, failed})
+	}()
+}
+
+// status is the answer to a body that could not be read to its end; 0: there is nobody to answer.
+func status(err error) int {
+	var failed net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	case errors.Is(err, context.Canceled) || errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return 0
+	}
+	return http.StatusBadRequest
+}
+
+// take takes a body in: whole where it is short, else with a rest that is passed on.
+func (b *body) take(req *http.Request, m *message.Request) error {
+	size := req.ContentLength
+	if size > message.Short {
+		b.rest = message.NewUpload(size)
+		m.Rest = b.rest
+		return nil
+	}
+	var err error
+	if size >= 0 {
+		m.Body = make([]byte, 0, min(size, 4<<10))
+	}
+	buffer := make([]byte, min(max(size, 512), 4<<10))
+	for err == nil {
+		if len(m.Body) > message.Short { // chunks, and more of them
+			b.rest = message.NewUpload(-1)
+			m.Rest = b.rest
+			return nil
+		}
+		var n int
+		n, err = b.Read(buffer)
+		m.Body = append(m.Body, buffer[:n]...)
+	}
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+var errTooLong = errors.New("body over 40 MiB")
+
+// bounded reads no more than a bound, and tells of what is no end.
+type bounded struct {
+	*body
+	left   int64
+	failed func(error)
+}
+
+func (r *bounded) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if r.left -= int64(n); r.left < 0 && err != errHalted {
+		err = errTooLong
+	}
+	if err != nil && err != io.EOF && err != errHalted {
+		r.failed(err)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/message/upload_test.go
@@ -0,0 +1,88 @@
+package message
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+)
+
+// Piece after piece comes in order, in any size in which it is read, and then the end.
+func TestPieces(t *testing.T) {
+	body := strings.Repeat("0123456789", 10_000)
+	for name, r := range map[string]io.Reader{
+		"at once": strings.NewReader(body), "by bytes": iotest.OneByteReader(strings.NewReader(body[:3000])), "with the end": iotest.DataErrReader(strings.NewReader(body)),
+	} {
+		u := NewUpload(-1)
+		go u.Pump(r)
+		var got strings.Builder
+		for {
+			p, err := u.Next(nil)
+			got.Write(p)
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !strings.HasPrefix(body, got.String()) || got.Len() < 3000 {
+			t.Errorf("%s: %d bytes", name, got.Len())
+		}
+		if _, err := u.Next(nil); err != io.EOF {
+			t.Errorf("%s: after the end: %v", name, err)
+		}
+	}
+}
+
+// One exchange waits and is stopped: the next has what comes then. A piece that is there is not taken by one that is stopped.
+func TestWhatOneHasNotTakenIsForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in, out := io.Pipe()
+		u := NewUpload(10)
+		go u.Pump(in)
+		stop, stopped := make(chan struct{}), make(chan error, 1)
+		go func() {
+			_, err := u.Next(stop)
+			stopped <- err
+		}()
+		synctest.Wait()
+		close(stop)
+		if err := <-stopped; err != ErrStopped {
+			t.Errorf("%v", err)
+		}
+		go io.WriteString(out, "0123")
+		synctest.Wait()
+		if p, err := u.Next(stop); err != ErrStopped {
+			t.Errorf("%q, %v", p, err)
+		}
+		if p, err := u.Next(nil); string(p) != "0123" || err != nil {
+			t.Errorf("%q, %v", p, err)
+		}
+		out.CloseWithError(errors.New("broken off"))
+		if _, err := u.Next(nil); err == nil || err == io.EOF {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// Close ends whoever waits on either side.
+func TestCloseEndsBothSides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u, pumped, waited := NewUpload(10), make(chan struct{}), make(chan error, 1)
+		go func() { u.Pump(strings.NewReader("0123")); close(pumped) }()
+		synctest.Wait()
+		u.Close()
+		u.Close()
+		<-pumped
+		u = NewUpload(10)
+		go func() { _, err := u.Next(nil); waited <- err }()
+		synctest.Wait()
+		u.Close()
+		if err := <-waited; err != ErrClosed {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/upstream/http1/pass.go
@@ -0,0 +1,120 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"petrelhook/internal/message"
+	"petrelhook/internal/upstream"
+)
+
+// passing is a request whose body is passed on as it comes from the client.
+type passing struct {
+	cn   *conn
+	call *upstream.Call
+
+	read      int64 // bytes of the rest
+	whole     bool  // the last byte has left
+	client    error // why the body does not go on, where that is not our doing
+	server    error // why the server takes no more
+	unchunked bool
+}
+
+// pass carries out a call whose body is passed on as it comes. The answer is read at the same time: a server may give one
+// before it has the body, and then the rest of that is of no use.
+func (u *Pool) pass(cn *conn, c *upstream.Call) (r upstream.Outcome, keep, broke bool) {
+	p := &passing{cn: cn, call: c, unchunked: c.Message.Rest.Size >= 0}
+	ended, stop := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		if p.run(stop); p.whole {
+			if c.Written != nil {
+				c.Written()
+			}
+		} else if p.client != nil { // nothing more comes of it, and the server must not wait for it
+			cn.Close()
+		}
+	}()
+	in := newAnswers(cn)
+	defer in.free()
+	r, keep = in.read(c.Message.Method, u.Fields, &u.room, c.Begun)
+	close(stop)
+	<-ended
+	r.Spent = p.read > 0
+	keep = keep && p.whole && in.Buffered() == 0
+	if p.whole || r.Result != upstream.Reset {
+		return r, keep, r.Result == upstream.Reset
+	}
+	// A server begins with the last byte, which it never had.
+	switch {
+	case p.client != nil:
+		return upstream.Outcome{Result: upstream.Moot, Err: fmt.Errorf("the client: %w", p.client), Spent: r.Spent}, false, false
+	case cn.used && p.read == 0:
+		return upstream.Outcome{Result: upstream.Moot, Err: r.Err}, false, true
+	}
+	return upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.Join(r.Err, p.server), Spent: r.Spent}, false, true
+}
+
+// run writes the request to its end, or to that of the client or the server.
+func (p *passing) run(stop <-chan struct{}) {
+	c := p.call
+	wait := c.Wait
+	if !c.Expires.IsZero() {
+		wait = time.Until(c.Expires)
+	}
+	if !p.write(encode(&c.Message, p.cn.addr, wait)) {
+		return
+	}
+	left := c.Message.Rest.Size - int64(len(c.Message.Body)) // where there is a size
+	for {
+		text, err := c.Message.Rest.Next(stop)
+		n := len(text)
+		if n > 0 {
+			p.read += int64(n)
+			if !p.unchunked {
+				text = chunk(text)
+			}
+			if !p.write(text) {
+				return
+			}
+		}
+		// With the last byte the server can begin, whether or not the client's end has been seen.
+		if left -= int64(n); p.unchunked && left <= 0 {
+			p.whole = true
+			return
+		}
+		if err == io.EOF {
+			break
+		}
+		if err == message.ErrStopped { // the server has answered, or its connection has ended
+			return
+		}
+		if err != nil {
+			p.client = err
+			return
+		}
+	}
+	if p.unchunked { // it ended before its length
+		p.client = io.ErrUnexpectedEOF
+		return
+	}
+	p.whole = p.write([]byte("0\r\n\r\n"))
+}
+
+// write writes a text whole, or says why not in p.server. What has left whole has left, whatever came of it.
+func (p *passing) write(text []byte) bool {
+	p.cn.SetWriteDeadline(time.Now().Add(stall))
+	n, err := p.cn.Write(text)
+	if n < len(text) {
+		p.server = err
+	}
+	return n == len(text)
+}
+
+// chunk frames some bytes, of which there is at least one.
+func chunk(p []byte) []byte {
+	text := fmt.Appendf(make([]byte, 0, len(p)+16), "%x\r\n", len(p))
+	return append(append(text, p...), "\r\n"...)
+}
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -142,7 +142,7 @@
 	// A connection may take long to come up: meanwhile the server may have begun to drain, the request's
 	// time or the time in which its key is known may have passed. Nothing was sent yet, so nothing ran.
 	now := time.Now()
-	if e.over(now) || !c.Begin.IsZero() && !now.Before(c.Begin) || !now.Before(c.Expires) || !c.Claim() {
+	if e.over(now) || !c.Begin.IsZero() && !now.Before(c.Begin) || !c.Expires.IsZero() && !now.Before(c.Expires) || !c.Claim() {
 		u.park(cn)
 		return upstream.Outcome{Result: upstream.Moot, Err: errors.New("too late to begin")}
 	}
@@ -176,6 +176,9 @@
 
 // exchange writes the request and reads the answer, and says whether the connection can be used again, and whether it broke.
 func (u *Pool) exchange(cn *conn, c *upstream.Call, now time.Time) (r upstream.Outcome, keep, broke bool) {
+	if c.Message.Rest != nil {
+		return u.pass(cn, c)
+	}
 	cn.SetWriteDeadline(c.Expires) // reading ends when the attempt is given up
 	text := encode(&c.Message, cn.addr, c.Expires.Sub(now))
 	if n, err := cn.Write(text); err != nil {
@@ -191,7 +194,7 @@
 	// The reader starts empty: connect has seen that nothing had come before the request left.
 	in := newAnswers(cn)
 	defer in.free()
-	r, keep = in.read(c.Message.Method, u.Fields, &u.room)
+	r, keep = in.read(c.Message.Method, u.Fields, &u.room, c.Begun)
 	return r, keep && in.Buffered() == 0, r.Result == upstream.Reset
 }
 
@@ -352,14 +355,23 @@
 	return report
 }
 
-// encode writes a message as HTTP/1.1, all at once.
+// encode writes a message as HTTP/1.1, all at once, or as much of it as there is where more follows.
 func encode(m *message.Request, host string, left time.Duration) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Expires-In: %du\r\n", m.Method, m.Target, host, left.Microseconds())
 	for _, h := range m.Header {
 		fmt.Fprintf(&b, "%s: %s\r\n", h[0], h[1])
 	}
-	if len(m.Body) > 0 || m.Method != http.MethodGet {
+	switch {
+	case m.Rest != nil && m.Rest.Size < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if len(m.Body) > 0 {
+			b.Write(chunk(m.Body))
+		}
+		return b.Bytes()
+	case m.Rest != nil:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", m.Rest.Size)
+	case len(m.Body) > 0 || m.Method != http.MethodGet:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(m.Body))
 	}
 	b.WriteString("\r\n")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,7 +1,10 @@
 // Package upstream is the seam between the core and the servers' side: one exchange on one connection, one outcome, and
 // a certain answer to 'has it run?'. What carries it out neither chooses a server nor tries anything again.
 //
-// Invariants: Send returns exactly once for each call. What Call.Claim has been won for by somebody else never leaves.
+// A long request is passed on as it comes from its client, and a long answer as it comes from the server: that one has
+// begun is told when it has, and from then on it is the client's.
+//
+// Invariants: Send returns exactly once for each call, and tells of a beginning at most once and before that. What Call.Claim has been won for by somebody else never leaves.
 // A result whose NeverRan is true proves that the server did not execute the call; in doubt it is another result.
 package upstream
 
@@ -46,14 +49,23 @@
 	Reply  message.Reply // where it was served
 	Report []float32     // load report in the order of the settings' fields, NaN for one that is missing; nil: none
 	Err    error         // why it was not served
+	// Spent: of the rest of the request's body something has been read, so that it cannot be sent again.
+	Spent bool
 }
 
 // Call is one exchange to carry out.
 type Call struct {
 	Message message.Request
-	Expires time.Time // the answer is waited for until then
-	Begin   time.Time // the first byte must leave before; zero: no bound of its own
+	Expires time.Time     // the answer is waited for until then; zero: until the call is given up
+	Wait    time.Duration // what the server is told where Expires is zero: how long from the last byte of the request on
+	Begin   time.Time     // the first byte must leave before; zero: no bound of its own
 	claimed atomic.Bool
+
+	// Written is called when the last byte of a request with a rest has left; nil: nobody asks.
+	Written func()
+	// Begun is called with a served outcome when the answer is passed on before it is whole. Its reply has a rest, which has
+	// to be read or closed for Send to return; what Send returns says then how the rest ended. nil: all answers are short.
+	Begun func(Outcome)
 }
 
 // Claim decides once and for all between the first byte of an exchange and its being given up before that. The first
--- /dev/null
+++ b/internal/wiring/cost_test.go
@@ -0,0 +1,61 @@
+package wiring
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"petrelhook/internal/peertest"
+)
+
+// BenchmarkSmallRequest is a request of the usual size through the whole sidecar, on a kept connection; client and server are
+// in the same process and count too.
+func BenchmarkSmallRequest(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					io.WriteString(c, peertest.OKAnswer)
+				}
+			}()
+		}
+	}()
+	t := &testing.T{}
+	r := withServers(t, ln.Addr().String())
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	b.ReportAllocs()
+	epoch := time.Now().UnixNano()
+	for i := range b.N {
+		fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %d-%d\r\nX-Qos: once\r\nX-Expires-In: 90m\r\nContent-Length: 212\r\n\r\n%212d", epoch, i, i)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			b.Fatal(resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	r.stop()
+}
--- /dev/null
+++ b/internal/wiring/long_test.go
@@ -0,0 +1,172 @@
+package wiring
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"petrelhook/internal/peertest"
+)
+
+// blob is the same bytes at every call, however it is read.
+func blob(size int64) io.Reader { return io.LimitReader(&counting{}, size) }
+
+type counting struct{ n byte }
+
+func (c *counting) Read(p []byte) (int, error) {
+	for i := range p {
+		c.n = c.n*5 + 1
+		p[i] = c.n
+	}
+	return len(p), nil
+}
+
+func digest(r io.Reader) (sum string, size int64) {
+	h := sha256.New()
+	size, _ = io.Copy(h, r)
+	return fmt.Sprintf("%x", h.Sum(nil)), size
+}
+
+// longServer reads each body as it comes, and answers with a blob, framed as the request's path asks.
+func longServer(t *testing.T, got func(sum string, size int64)) (addr string) {
+	t.Helper()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		sum, size := digest(req.Body)
+		if req.Method == http.MethodPost {
+			got(sum, size)
+		}
+		if req.URL.Query().Get("framing") == "length" {
+			w.Header().Set("Content-Length", req.URL.Query().Get("size"))
+		}
+		var want int64
+		fmt.Sscan(req.URL.Query().Get("size"), &want)
+		io.Copy(w, io.LimitReader(blob(1<<40), want))
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String()
+}
+
+// Through the whole sidecar: bodies and answers of up to 32 MB, both framings, many at once, come through unchanged.
+func TestLongMessagesBothWays(t *testing.T) {
+	const size = 32 << 20
+	want, _ := digest(blob(size))
+	var mu sync.Mutex
+	bodies := 0
+	r := withServers(t, longServer(t, func(sum string, n int64) {
+		mu.Lock()
+		defer mu.Unlock()
+		if bodies++; sum != want || n != size {
+			t.Errorf("a server got %d bytes, digest %s", n, sum)
+		}
+	}))
+	var all sync.WaitGroup
+	for i := range 6 {
+		all.Go(func() {
+			chunked, framing := i%2 == 0, []string{"length", "chunks"}[i/2%2]
+			req, err := http.NewRequest("POST", fmt.Sprintf("http://%s/once?framing=%s&size=%d", r.addr, framing, size), blob(size))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if req.ContentLength = size; chunked {
+				req.ContentLength = -1
+			}
+			for name, value := range map[string]string{"X-Trace-Id": fmt.Sprint("t", i), "X-Qos": "once", "X-Expires-In": "9000m"} {
+				req.Header.Set(name, value)
+			}
+			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+			if err != nil {
+				t.Errorf("%d: %v", i, err)
+				return
+			}
+			defer resp.Body.Close()
+			if sum, n := digest(resp.Body); resp.StatusCode != 200 || sum != want || n != size {
+				t.Errorf("%d: status %d, %d bytes, digest %s", i, resp.StatusCode, n, sum)
+			}
+		})
+	}
+	all.Wait()
+	if bodies != 6 {
+		t.Errorf("%d bodies", bodies)
+	}
+	peertest.Eventually(t, "the tables are empty", func() bool { return r.side.core.Stats().Requests == 0 })
+}
+
+// A server that breaks off before the last byte never ran the request; as the body is gone it is refused, once, and runs nowhere.
+func TestALongBodyWhoseServerGoes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(c, make([]byte, 300_000))
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	r := withServers(t, ln.Addr().String())
+	c, in := r.open()
+	io.WriteString(c, strings.Replace(once("t"), "Content-Length: 0", "Content-Length: 1000000", 1))
+	io.WriteString(c, strings.Repeat("x", 400_000))
+	if resp, _ := peertest.Answer(t, in); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// A server that turns a request away before its body has come leaves the body to another, which has all of it.
+func TestALongBodyGoesToAnother(t *testing.T) {
+	const size = 500_000
+	want, _ := digest(blob(size))
+	turned := make(chan struct{}, 10)
+	full, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { full.Close() })
+	go func() {
+		for {
+			c, err := full.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil && req.Method == http.MethodPost {
+				io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+				turned <- struct{}{}
+			}
+			c.Close()
+		}
+	}()
+	sums := make(chan string, 10)
+	r := withServers(t, full.Addr().String(), longServer(t, func(sum string, _ int64) { sums <- sum }))
+	for i := range 6 { // one of the two in turn
+		c, in := r.open()
+		io.WriteString(c, strings.Replace(once(fmt.Sprint("t", i)), "Content-Length: 0", fmt.Sprint("Content-Length: ", size), 1))
+		if i == 0 || len(turned) == 0 { // the body comes once a server has had the head
+			peertest.Eventually(t, "a server has the head", func() bool { return len(turned) > 0 || r.side.core.Stats().Requests > 0 })
+		}
+		io.Copy(c, blob(size))
+		if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 || peertest.Wait(t, sums) != want {
+			t.Fatalf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+	if len(turned) == 0 {
+		t.Error("the first server was never asked")
+	}
+}
