--- a/balance/api.go
+++ b/balance/api.go
@@ -138,6 +138,32 @@
 	Cell, Zone, Kind int
 }
 
+// Memory is what a balancer has learned and may go on with in another process of the same sidecar: nothing of single requests.
+// Moments are of the clock that all events have.
+type Memory struct {
+	Started                              float64
+	Servers                              []ServerMemory
+	Kinds, Zones                         map[int]float64 // learned sizes
+	Classes                              []ClassMemory
+	Steady, Slowness, Seen, Quickest     float64
+	Learned, Drift, Spare                float64
+	AskedRecent, AskedLatest, AskedAt    float64
+	ServedRecent, ServedLatest, ServedAt float64
+}
+
+// ServerMemory is what is held of one server.
+type ServerMemory struct {
+	ID                                   ServerID
+	Size, Errors, LastError              float64
+	RestUntil, Answered                  float64
+	Rests                                int
+	Dark, Down, Cold                     bool
+	ColdSince, Tokens, TokensAt, Running float64
+}
+
+// ClassMemory is how long answers of a class take.
+type ClassMemory struct{ Count, Mean, Deviation, Longest float64 }
+
 // Event is anything that a sidecar is told: one of the types below.
 type Event interface{ event() }
 
--- /dev/null
+++ b/balance/memory_test.go
@@ -0,0 +1,109 @@
+package balance
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+)
+
+// learnedRig is a balancer that has served for some seconds, with a bad server, a slow one and a cold one.
+func learnedRig(t *testing.T) *rig {
+	g := newRig(t, baseConfig(), fleet(5)...)
+	for i := range 400 {
+		g.now += 20
+		id, acts := g.ask(i % 3)
+		to, sent := sentTo(acts)
+		if !sent {
+			continue
+		}
+		switch {
+		case to == 2 && i < 200:
+			g.answer(id, 0, Reset, 5)
+			for _, a := range g.acts {
+				if r := g.b.reqs[id]; a.Kind == Send && a.Request == id && r != nil && len(r.tries) > 1 && r.tries[1].live {
+					g.answer(id, 1, OK, 20)
+				}
+			}
+		case to == 3:
+			g.answer(id, 0, OK, 90)
+		default:
+			g.answer(id, 0, OK, 20)
+		}
+	}
+	list := fleet(5)
+	list[4].StartedAt = g.now - 100
+	g.do(ServerList{Kind: ListFull, Servers: list})
+	return g
+}
+
+// The next process goes on as the one before would have: the same choices for the same events, also after the memory went
+// through its text.
+func TestTheNextProcessGoesOn(t *testing.T) {
+	g := learnedRig(t)
+	text, err := json.Marshal(g.b.Memory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(text, &m); err != nil {
+		t.Fatal(err)
+	}
+	list := fleet(5)
+	list[4].StartedAt = g.now - 100
+	next := &rig{t: t, b: New(baseConfig()), now: g.now, next: g.next}
+	next.b.Start(next.now)
+	next.do(ServerList{Kind: ListCached, Servers: list})
+	next.b.Recall(m)
+	if !reflect.DeepEqual(next.b.Memory(), g.b.Memory()) {
+		t.Errorf("%+v\n%+v", next.b.Memory(), g.b.Memory())
+	}
+	for i := range 300 {
+		g.now, next.now = g.now+15, next.now+15
+		id, acts := g.ask(i % 3)
+		_, nextActs := next.ask(i % 3)
+		to, _ := sentTo(acts)
+		if nextTo, _ := sentTo(nextActs); to != nextTo {
+			t.Fatalf("request %d: to %d, the next process to %d", i, to, nextTo)
+		}
+		if to != 0 {
+			g.answer(id, 0, OK, 25)
+			next.answer(id, 0, OK, 25)
+		}
+	}
+}
+
+// A cold server has one budget: what the process before has used of it is used, and one that only it knows to have restarted
+// is cold for the next as well.
+func TestAColdServerHasOneBudget(t *testing.T) {
+	g := learnedRig(t)
+	s := g.b.byID[1]
+	g.b.chill(s, g.now)
+	s.tokens = 0
+	next := &rig{t: t, b: New(baseConfig()), now: g.now}
+	next.b.Start(next.now)
+	next.do(ServerList{Kind: ListCached, Servers: fleet(5)})
+	if next.b.cold(next.b.byID[1]) {
+		t.Fatal("cold without being told")
+	}
+	next.b.Recall(g.b.Memory())
+	if one := next.b.byID[1]; !next.b.cold(one) || one.tokens != 0 || one.coldSince != g.now {
+		t.Errorf("%+v", one)
+	}
+}
+
+// What does not fit is left out: a server that is not listed, more classes than there are.
+func TestAMemoryThatDoesNotFit(t *testing.T) {
+	g := learnedRig(t)
+	cfg := baseConfig()
+	cfg.Classes = cfg.Classes[:1]
+	next := New(cfg)
+	next.Start(g.now)
+	next.Handle(g.now, ServerList{Kind: ListCached, Servers: fleet(2)})
+	next.Recall(g.b.Memory())
+	if len(next.servers) != 2 || len(next.classes) != 1 {
+		t.Errorf("%d servers, %d classes", len(next.servers), len(next.classes))
+	}
+	if acts, err := next.Handle(g.now, Request{ID: 1, Remaining: 1500}); err != nil || !has(acts, Send) {
+		t.Errorf("%+v, %v", acts, err)
+	}
+}
--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -13,8 +13,10 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"petrelhook/internal/config"
+	"petrelhook/internal/handover"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/wiring"
 )
@@ -67,38 +69,64 @@
 	reload := make(chan os.Signal, 1) // one is enough: the file is read after the last of them
 	signal.Notify(reload, syscall.SIGHUP)
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	memory := func(shared bool) { // with another process of this sidecar
+		if cfg.Limits.MemoryMB > 0 {
+			most := memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)
+			if shared {
+				most /= 2
+			}
+			debug.SetMemoryLimit(int64(most))
+		}
 	}
-	ln, calls, err := listen(cfg)
+	memory(false)
+	s, err := begin(cfg, log)
 	if err != nil {
 		return err
 	}
-	sidecar := wiring.New(cfg, wiring.TCP(), log)
+	sidecar, ln := wiring.NewFrom(cfg, s.from, wiring.TCP(), log), s.clients
+	sidecar.OnShare = memory
 	go sidecar.Reload(stop, path, reload)
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String())
-	if err := sidecar.Run(stop, ln, calls); err != nil {
+	if err := sidecar.Run(stop, ln, s.calls, s.succession); err != nil {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
 
-// listen listens for clients, and for operators where there is an address for them: calls is nil where there is none. With
-// operators there are upgrades, in which the next process listens for clients at the same address.
-func listen(cfg *config.Config) (clients, calls net.Listener, err error) {
+// start is what a sidecar begins with.
+type start struct {
+	clients, calls net.Listener // calls is nil where there is no address for operators
+	succession     *wiring.Succession
+	from           *wiring.Inheritance // nil: from nothing
+}
+
+// takeTime is how long the process in service may take to hand over.
+const takeTime = time.Second
+
+// begin listens for clients, and for operators where there is an address for them. With operators there are upgrades: then
+// it takes over from the process in service, or listens beside it.
+func begin(cfg *config.Config, log *slog.Logger) (s start, err error) {
 	if cfg.Admin == "" {
-		if clients, err = net.Listen("tcp", cfg.Listen); err != nil {
-			return nil, nil, fmt.Errorf("listen: %w", err)
+		if s.clients, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return s, fmt.Errorf("listen: %w", err)
 		}
-		return clients, nil, nil
+		return s, nil
 	}
-	if calls, err = net.Listen("tcp", cfg.Admin); err != nil {
-		return nil, nil, fmt.Errorf("listen at admin_addr: %w", err)
+	if s.calls, err = net.Listen("tcp", cfg.Admin); err != nil {
+		return s, fmt.Errorf("listen at admin_addr: %w", err)
 	}
-	if clients, err = sock.ListenShared(cfg.Listen); err != nil {
-		calls.Close()
-		return nil, nil, fmt.Errorf("listen: %w", err)
+	if _, port, _ := net.SplitHostPort(cfg.Listen); port != "0" { // else there is no address to share
+		s.clients, s.from, s.succession, err = wiring.Take(handover.At(os.TempDir(), cfg.Name, cfg.Listen), cfg.Listen, takeTime)
+		if err != nil {
+			log.Warn("nothing is taken over", "err", err)
+		}
+	}
+	if s.clients == nil {
+		if s.clients, err = sock.ListenShared(cfg.Listen); err != nil {
+			s.calls.Close()
+			return s, fmt.Errorf("listen: %w", err)
+		}
 	}
-	return clients, calls, nil
+	return s, nil
 }
--- /dev/null
+++ b/cmd/petrelhook/upgrade_test.go
@@ -0,0 +1,343 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"petrelhook/internal/peertest"
+)
+
+// The test's program is the sidecar's as well.
+func TestMain(m *testing.M) {
+	if os.Getenv("PETRELHOOK_TEST_RUN") != "" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a server that counts how often each key ran, and clients that never stop asking.
+type fleet struct {
+	t      *testing.T
+	listen string // of the sidecar
+	dir    string // its $TMPDIR
+	config string
+
+	mu  sync.Mutex
+	ran map[string]int
+
+	served, unread atomic.Int64
+	kills          atomic.Bool // processes are killed: what one had taken is lost with it
+}
+
+// longBody is the size of the answers and bodies that are passed on as they come.
+const longBody = 300_000
+
+func newFleet(t *testing.T, settings string) *fleet {
+	f := &fleet{t: t, listen: peertest.DeadAddr(t), dir: t.TempDir(), ran: map[string]int{}}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		n, err := io.Copy(io.Discard, req.Body)
+		if err != nil {
+			return
+		}
+		if key := req.Header.Get("X-Trace-Id"); key != "" {
+			f.mu.Lock()
+			f.ran[key]++
+			f.mu.Unlock()
+		}
+		if n == longBody {
+			w.Write(make([]byte, longBody))
+			return
+		}
+		io.WriteString(w, "hi")
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	f.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":384},"known":%s,"settings":%s}`,
+		f.listen, peertest.DeadAddr(t), peertest.Catalog(1, true, peertest.Instance("s-1", ln.Addr().String(), "up")), settings)
+	return f
+}
+
+// sidecar is a process of the sidecar.
+type sidecar struct {
+	f     *fleet
+	cmd   *exec.Cmd
+	admin string
+	log   *syncBuffer
+	ended chan error
+}
+
+// start starts a process beside those that run.
+func (f *fleet) start() *sidecar {
+	f.t.Helper()
+	path := filepath.Join(f.dir, "config.json")
+	if err := os.WriteFile(path, []byte(f.config), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	s := &sidecar{f: f, cmd: exec.Command(os.Args[0]), admin: peertest.DeadAddr(f.t), log: &syncBuffer{}, ended: make(chan error, 1)}
+	s.cmd.Env = append(os.Environ(), "PETRELHOOK_TEST_RUN=1", "LB_CONFIG="+path, "LB_ADMIN_ADDR="+s.admin, "TMPDIR="+f.dir)
+	s.cmd.Stderr = s.log
+	if err := s.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { s.ended <- s.cmd.Wait() }()
+	f.t.Cleanup(func() {
+		s.cmd.Process.Kill()
+		if f.t.Failed() {
+			f.t.Logf("log of process %d:\n%s", s.cmd.Process.Pid, s.log)
+		}
+	})
+	peertest.Eventually(f.t, "ready", func() bool { return s.call("GET /api/ready") == 200 })
+	return s
+}
+
+// call makes a call of operators; 0: there is no answer.
+func (s *sidecar) call(what string) int {
+	c, err := net.Dial("tcp", s.admin)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(peertest.Patience))
+	io.WriteString(c, what+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// end tells a process to end and waits until it has.
+func (s *sidecar) end() {
+	s.f.t.Helper()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	if err := peertest.Wait(s.f.t, s.ended); err != nil {
+		s.f.t.Errorf("a process ended with %v", err)
+	}
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Builder.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Builder.String()
+}
+
+// kinds are the requests: one of each class, and one that is long both ways.
+var kinds = []func(id string) string{
+	func(id string) string { return request("GET", "look", id, "", 0) },
+	func(id string) string { return request("POST", "book", id, "Idempotency-Key: "+id+"\r\n", 212) },
+	func(id string) string { return request("POST", "once", id, "", 0) },
+	func(id string) string { return request("POST", "once", id, "", longBody) },
+}
+
+func request(method, class, id, more string, size int) string {
+	length := ""
+	if method == "POST" {
+		length = fmt.Sprintf("Content-Length: %d\r\n", size)
+	}
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: 9000m\r\n%s%s\r\n%s",
+		method, class, id, class, more, length, strings.Repeat("x", size))
+}
+
+// client asks without a pause until stop, on kept connections or on a new one each time. A connection that is ended before any
+// byte of an answer was not read by the sidecar, as the platform's protocol allows between requests; it is counted.
+func (f *fleet) client(name string, keeps bool, stop <-chan struct{}) {
+	var c net.Conn
+	var in *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id := fmt.Sprint(name, "-", i)
+		for again := true; again; {
+			if again = false; c == nil {
+				var err error
+				if c, err = net.Dial("tcp", f.listen); err != nil {
+					f.t.Errorf("%s: refused: %v", id, err)
+					return
+				}
+				in = bufio.NewReader(c)
+			}
+			c.SetDeadline(time.Now().Add(peertest.Patience))
+			io.WriteString(c, kinds[i%len(kinds)](id))
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil { // nothing of it ran, or it is lost
+				f.mu.Lock()
+				ran := f.ran[id]
+				f.mu.Unlock()
+				if f.unread.Add(1); ran > 0 && !f.kills.Load() {
+					f.t.Errorf("%s: lost, and it ran: %v", id, err)
+				}
+				c.Close()
+				c, again = nil, ran == 0
+				continue
+			}
+			n, err := io.Copy(io.Discard, resp.Body)
+			if want := map[bool]int64{false: 2, true: longBody}[i%len(kinds) == 3]; err != nil || resp.StatusCode != 200 || n != want {
+				f.t.Errorf("%s: status %d, %d bytes, %v", id, resp.StatusCode, n, err)
+			}
+			f.served.Add(1)
+			if resp.Close || !keeps {
+				c.Close()
+				c = nil
+			}
+		}
+	}
+}
+
+// under runs clients while something is done, and judges: every request answered, none run twice.
+func (f *fleet) under(do func()) {
+	f.t.Helper()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range 6 {
+		clients.Go(func() { f.client(fmt.Sprint("c", i), i%2 == 0, stop) })
+	}
+	do()
+	close(stop)
+	clients.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.ran {
+		if n > 1 {
+			f.t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	f.t.Logf("%d requests served, %d met a connection that ended unread", f.served.Load(), f.unread.Load())
+}
+
+// rounds is how many upgrades a test makes: UPGRADES in the environment, else a few.
+func rounds() int {
+	n := 4
+	fmt.Sscan(os.Getenv("UPGRADES"), &n)
+	return n
+}
+
+// more waits until some more requests have been served: what is done next is done under load.
+func (f *fleet) more(n int64) {
+	f.t.Helper()
+	want := f.served.Load() + n
+	peertest.Eventually(f.t, "more requests", func() bool { return f.served.Load() >= want || f.t.Failed() })
+}
+
+// Upgrade after upgrade under load, each process taking over from the one before: nothing is lost or refused, nothing runs twice.
+func TestUpgradesUnderLoad(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	now := f.start()
+	f.under(func() {
+		for range rounds() {
+			f.more(100)
+			next := f.start()
+			now.end()
+			now = next
+		}
+		f.more(100)
+	})
+	if strings.Contains(now.log.String(), "nothing is taken over") {
+		t.Error("the last process started from nothing")
+	}
+	now.end()
+}
+
+// Clients are sent away and taken again, round after round, with requests that come all the same: as above.
+func TestEvacuationsUnderLoad(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	now := f.start()
+	f.under(func() {
+		for range rounds() {
+			for _, call := range []string{"PUT /api/evacuate", "PUT /api/rejoin"} {
+				f.more(50)
+				if status := now.call(call); status != 200 {
+					t.Errorf("%s: %d", call, status)
+				}
+			}
+		}
+		f.more(50)
+	})
+	now.end()
+}
+
+// Operators' calls in the middle of an upgrade hold for both processes, and one that was evacuated before is for the next.
+func TestEvacuatedAcrossAnUpgrade(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	health := func() int {
+		resp, _ := peertest.Ask(t, f.listen, "GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		return resp.StatusCode
+	}
+	first := f.start()
+	if first.call("PUT /api/evacuate") != 200 || health() != 503 {
+		t.Fatal("not evacuated")
+	}
+	second := f.start()
+	if health() != 503 {
+		t.Error("the next process takes clients")
+	}
+	if second.call("PUT /api/rejoin") != 200 {
+		t.Error("no")
+	}
+	peertest.Eventually(t, "both take clients", func() bool { return health() == 200 && health() == 200 && health() == 200 && health() == 200 })
+	if first.call("PUT /api/evacuate") != 200 {
+		t.Error("no")
+	}
+	peertest.Eventually(t, "the second heard of it", func() bool {
+		log := second.log.String()
+		return strings.LastIndex(log, "now=ready") < max(strings.LastIndex(log, "now=evacuating"), strings.LastIndex(log, "now=away"))
+	})
+	first.end()
+	if health() != 503 {
+		t.Error("the second takes clients")
+	}
+	second.end()
+}
+
+// A next process that dies, before its yes or just after it, leaves the one in service as it was; one that is in service and is
+// killed leaves the next all connections in the queue.
+func TestProcessesThatDie(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	f.kills.Store(true)
+	now := f.start()
+	f.under(func() {
+		for range 2 {
+			next := f.start()
+			next.cmd.Process.Signal(syscall.SIGSTOP) // it takes no connection that it would lose
+			f.more(20)
+			next.cmd.Process.Kill()
+			peertest.Wait(t, next.ended)
+			peertest.Eventually(t, "alone again", func() bool { return strings.Count(now.log.String(), "now=ready") > 0 })
+			f.more(50)
+		}
+		next := f.start()
+		now.end()
+		now = next
+		f.more(50)
+	})
+	now.end()
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -20,6 +20,6 @@
 	return max(1, l.Sockets/3)
 }
 
-// Answers is how many bytes of large answers there may be at once: a quarter of the memory. Most of the rest is for requests and
-// answers up to 64 KiB, of which there are as many as connections, and for what is garbage.
-func (l Limits) Answers() int64 { return int64(l.MemoryMB) << 20 / 4 }
+// Messages is how many bytes of bodies and answers may be held at once: a quarter of the memory. Most of the rest is for heads
+// and what is under 4 KiB, of which there are as many as connections, for pieces of what is passed on, and for garbage.
+func (l Limits) Messages() int64 { return int64(l.MemoryMB) << 20 / 4 }
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -36,6 +36,17 @@
 
 func (i *ids) end(n int64) time.Time { return i.start.Add(time.Duration(n) * batch) }
 
+// all is the ids that are no request's any more, with the moment until which they are held.
+func (i *ids) all() map[string]time.Time {
+	all := map[string]time.Time{}
+	for n, batch := range i.batches {
+		for _, id := range batch {
+			all[id] = i.end(n)
+		}
+	}
+	return all
+}
+
 // forget drops what is due.
 func (i *ids) forget(now time.Time) {
 	if i.next.IsZero() || now.Before(i.next) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -24,6 +24,7 @@
 	Module       balance.Config
 	Zones, Kinds []string    // the names that stand for positions in the module
 	Known        member.List // the list of servers as last had; it may be old
+	Legacy       *Legacy     // of the process before; nil: there was none. Its list counts where it is of the same source
 	Listed       func()      // called, in the loop, when a server is first known that takes requests; nil: nobody is told
 }
 
@@ -46,6 +47,7 @@
 	ids        ids
 	lastID     balance.RequestID
 	servers    map[balance.ServerID]*server
+	listed     map[string]member.Instance // by id, all that are not gone
 	generation uint64
 	ready      bool // a server was known that takes requests
 	stopWatch  context.CancelFunc
@@ -58,6 +60,7 @@
 		clock: newClock(), config: c, b: balance.New(c.Module), up: up, source: source, log: log,
 		events: make(chan func(), 1024), ended: make(chan struct{}),
 		requests: map[balance.RequestID]*request{}, ids: newIDs(), servers: map[balance.ServerID]*server{},
+		listed: map[string]member.Instance{},
 	}
 }
 
@@ -65,9 +68,17 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.ended)
 	l.ctx = ctx
+	legacy := l.config.Legacy
+	if legacy != nil && legacy.Source == l.source.Name() {
+		l.config.Known = legacy.List
+	}
 	l.generation = l.config.Known.Generation // the first watch, begun by Start, asks for what came after it
 	l.carryOut(l.b.Start(l.clock.now()))
 	l.list(l.config.Known, balance.ListCached)
+	if legacy != nil {
+		l.inherit(legacy)
+		l.config.Legacy = nil
+	}
 	if !l.config.Module.Subscribe { // news comes unasked: the module does not call for what brings it
 		l.watch()
 	}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -81,6 +81,9 @@
 		in := &c.Instances[i]
 		id := balance.ServerID(stableHash(in.ID))
 		listed[id] = true
+		if l.listed[in.ID] = *in; in.State == member.Removed {
+			delete(l.listed, in.ID)
+		}
 		entry := balance.Server{
 			ID: id, State: states[in.State], Rating: in.Weight, Cell: in.Cell,
 			Zone: max(0, slices.Index(l.config.Zones, in.Zone)),
@@ -107,6 +110,11 @@
 		}
 	}
 	if kind != balance.ListDelta { // what the whole list does not name is gone
+		for id := range l.listed {
+			if !listed[balance.ServerID(stableHash(id))] {
+				delete(l.listed, id)
+			}
+		}
 		for id, s := range l.servers {
 			if !listed[id] {
 				s.end.Turn("", false)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/admit"
@@ -47,9 +46,8 @@
 	due    time.Time // when its present request must be in: the first counts from the connection's start
 	asked  bool
 	closed bool
-
-	begun atomic.Bool // something has come since its last answer; a whole head is told by State
-	head  head
+	begun  bool // something has come since its last answer; a whole head is told by State
+	head   head
 }
 
 // New bounds a listener; a request must be in within a time of its connection's start, or of its own first byte.
@@ -86,7 +84,7 @@
 	now := time.Now()
 	c := &client{Conn: nc, b: b, due: now.Add(b.in)}
 	c.place.Owner = c
-	victim, taken := b.admit.Come(&c.place, now, func(p *admit.Conn) bool { return sock.Quiet(p.Owner.(*client).Conn) })
+	victim, taken := b.admit.Come(&c.place, now, func(p *admit.Conn) bool { return p.Owner.(*client).spare() })
 	if victim != nil {
 		v := victim.Owner.(*client)
 		v.closed = true
@@ -116,6 +114,13 @@
 	return b.admit.Held()
 }
 
+// SetPlaces bounds the connections anew. Those above it stay until they end.
+func (b *Door) SetPlaces(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.admit.Places = n
+}
+
 // CloseIdlers closes connections that have been silent for a time and on which nothing has come in. Those that never asked
 // are given admit.FirstCall at least.
 func (b *Door) CloseIdlers(silent time.Duration) {
@@ -123,7 +128,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	for _, p := range b.admit.Idlers(now, silent) {
-		if c := p.Owner.(*client); !c.begun.Load() && sock.Quiet(c.Conn) {
+		if c := p.Owner.(*client); c.idle() {
 			c.closed = true
 			b.admit.Gone(p, now)
 			c.Conn.Close()
@@ -154,26 +159,36 @@
 		c.asked = true
 	case http.StateIdle:
 		b.admit.Answered(&c.place, now)
-		c.begun.Store(c.head.next())
+		c.begun = c.head.next()
 	}
 }
 
 // Read notes a request's first byte at once: net/http tells of one when it has read the whole head, and until then a
-// connection would pass for one that asks for nothing and can be closed at no loss.
+// connection would pass for one that asks for nothing and can be closed at no loss. What was read at the moment at which the
+// door closed the connection is dropped: nothing may come of a request that cannot be answered any more.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.begun.Load() {
-		c.begun.Store(true)
-	}
 	if n > 0 {
+		c.b.mu.Lock()
+		defer c.b.mu.Unlock()
+		if c.closed {
+			return 0, net.ErrClosed
+		}
+		c.begun = true
 		c.head.add(p[:n], len(p) == 1)
 	}
 	return n, err
 }
 
-// head is the head of the present request as it came, unless the request came in one piece with the one before it.
+// idle reports whether nothing of a request has come. The caller holds Door.mu.
+func (c *client) idle() bool { return !c.begun && sock.Quiet(c.Conn) }
+
+// spare reports whether no whole head has come: what there is may be given up for another. The caller holds Door.mu.
+func (c *client) spare() bool { return !c.head.whole && sock.Quiet(c.Conn) }
+
+// head is the head of the present request as it came, unless the request came in one piece with the one before it. It is
+// guarded by Door.mu.
 type head struct {
-	mu    sync.Mutex
 	text  []byte
 	whole bool
 	ahead []byte // what net/http read of the next request while this one was in work: it does so byte by byte
@@ -181,16 +196,12 @@
 
 // next begins with another request.
 func (h *head) next() (begun bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.text, h.whole = append(h.text[:0], h.ahead...), false
 	h.ahead = h.ahead[:0]
 	return len(h.text) > 0
 }
 
 func (h *head) add(p []byte, single bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if h.whole && single {
 		h.ahead = append(h.ahead, p...)
 	}
@@ -209,8 +220,8 @@
 // Head is the head of a handler's request as it came; nil where it did not come on its own.
 func (b *Door) Head(ctx context.Context) []byte {
 	if c, ok := ctx.Value(clientKey{}).(*client); ok {
-		c.head.mu.Lock()
-		defer c.head.mu.Unlock()
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		if c.head.whole {
 			return c.head.text
 		}
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,3 +95,91 @@
 		t.Errorf("the one with a request: %d", resp.StatusCode)
 	}
 }
+
+// crossing is a connection on which a request comes at the very moment at which the door looks whether any has.
+type crossing struct {
+	net.Conn
+	arrives, read chan struct{}
+	closed        chan struct{}
+	once          sync.Once
+}
+
+func (c *crossing) Read(p []byte) (int, error) {
+	select {
+	case <-c.arrives:
+		defer func() { c.read <- struct{}{} }()
+		return copy(p, get("crossing")), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *crossing) Quiet() bool {
+	c.arrives <- struct{}{} // nothing had come when it was looked at
+	<-c.read
+	return true
+}
+
+func (c *crossing) Close() error { c.once.Do(func() { close(c.closed) }); return nil }
+
+// A request that crosses with our close is never read: nothing may come of it, for its client is told that it was not taken
+// and sends it again.
+func TestARequestThatCrossesWithOurClose(t *testing.T) {
+	for name, closes := range map[string]func(b *Door){
+		"clients are sent away": func(b *Door) { b.CloseIdlers(0) },
+		"room is made":          func(b *Door) { b.place(&crossing{}) },
+	} {
+		b := New(nil, admit.Config{Places: 1, Horizon: time.Second}, time.Second)
+		conn := &crossing{arrives: make(chan struct{}), read: make(chan struct{}, 1), closed: make(chan struct{})}
+		c := b.place(conn)
+		b.mu.Lock() // it has asked before
+		b.admit.Asks(&c.place, time.Now())
+		b.admit.Answered(&c.place, time.Now())
+		b.mu.Unlock()
+		type result struct {
+			n   int
+			err error
+		}
+		got := make(chan result, 1)
+		go func() {
+			n, err := c.Read(make([]byte, 4096))
+			got <- result{n, err}
+		}()
+		closes(b)
+		if r := peertest.Wait(t, got); r.n != 0 || r.err == nil {
+			t.Errorf("%s: %d bytes, %v: the request would be served", name, r.n, r.err)
+		}
+		select {
+		case <-conn.closed:
+		default:
+			t.Errorf("%s: the connection is not closed", name)
+		}
+	}
+}
+
+// A connection of which a whole head has been read is not given up for another, although net/http has yet to tell of it; one
+// that has sent half a head is, and what comes of it later is not read.
+func TestWhoMakesRoom(t *testing.T) {
+	for text, stays := range map[string]bool{get("whole"): true, "GET /half HTTP/1.1\r\nHost": false} {
+		b := New(nil, admit.Config{Places: 1, Horizon: time.Second}, time.Second)
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		c := b.place(quiet{ours})
+		b.mu.Lock()
+		b.admit.Asks(&c.place, time.Now())
+		b.admit.Answered(&c.place, time.Now())
+		b.mu.Unlock()
+		go io.WriteString(theirs, text)
+		if n, err := c.Read(make([]byte, 4096)); n != len(text) || err != nil {
+			t.Fatal(n, err)
+		}
+		if placed := b.place(quiet{nil}) != nil; placed == stays {
+			t.Errorf("%q: another has its place: %v", text, placed)
+		}
+	}
+}
+
+// quiet is a connection on which nothing waits.
+type quiet struct{ net.Conn }
+
+func (quiet) Quiet() bool { return true }
--- a/internal/front/platform/body.go
+++ b/internal/front/platform/body.go
@@ -12,6 +12,7 @@
 
 	"petrelhook/internal/message"
 	"petrelhook/internal/pace"
+	"petrelhook/internal/room"
 )
 
 const (
@@ -33,6 +34,8 @@
 	halted  atomic.Bool
 	ended   atomic.Bool // it was read to its end
 	rest    *message.Upload
+	room    *room.Room
+	taken   int64         // of the room
 	pumped  chan struct{} // closed when nobody reads it any more; nil: nobody else does
 }
 
@@ -91,6 +94,8 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
+	case err == errNoRoom:
+		return http.StatusServiceUnavailable
 	case errors.Is(err, context.Canceled) || errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return 0
 	}
@@ -109,7 +114,7 @@
 	if size >= 0 {
 		m.Body = make([]byte, 0, min(size, 4<<10))
 	}
-	buffer := make([]byte, min(max(size, 512), 4<<10))
+	buffer := make([]byte, min(max(size, 512), bodyPiece))
 	for err == nil {
 		if len(m.Body) > message.Short { // chunks, and more of them
 			b.rest = message.NewUpload(-1)
@@ -118,6 +123,9 @@
 		}
 		var n int
 		n, err = b.Read(buffer)
+		if !b.hold(req.Context(), len(m.Body)+n) {
+			return errNoRoom
+		}
 		m.Body = append(m.Body, buffer[:n]...)
 	}
 	if err == io.EOF {
@@ -126,6 +134,42 @@
 	return err
 }
 
+// freeSize is how much of every body is held without being counted: nearly all have no more.
+const freeSize = 4 << 10
+
+// bodyPiece is the most that is read at once of a body that is held.
+const bodyPiece = 4 << 10
+
+// roomTime is how long a body waits for room before it is refused. Nothing of it ran, and those who hold room and do not move
+// are ended in about the same time.
+const roomTime = time.Second
+
+var errNoRoom = errors.New("no room for the body")
+
+// hold waits until so many bytes may be held.
+func (b *body) hold(ctx context.Context, n int) bool {
+	if n <= freeSize || int64(n) <= b.taken {
+		return true
+	}
+	want := int64(min(2*n, message.Short+bodyPiece))
+	ctx, cancel := context.WithTimeout(ctx, roomTime)
+	defer cancel()
+	if !b.room.Take(ctx, want-b.taken) {
+		return false
+	}
+	b.taken = want
+	b.pace.Start(time.Now()) // the wait was not the client's
+	return true
+}
+
+// give holds nothing any more.
+func (b *body) give() {
+	if b.taken > 0 {
+		b.room.Give(b.taken)
+	}
+	b.taken = 0
+}
+
 var errTooLong = errors.New("body over 40 MiB")
 
 // bounded reads no more than a bound, and tells of what is no end.
--- a/internal/front/platform/long_test.go
+++ b/internal/front/platform/long_test.go
@@ -158,6 +158,49 @@
 	}
 }
 
+// Bodies are counted while their requests are in work, and given back by their answers. One that finds no room waits for it, and
+// is refused in a second; nothing of it went on, and small ones are served meanwhile.
+func TestRoomForBodies(t *testing.T) {
+	got, release := make(chan struct{}, 9), make(chan struct{})
+	r := newRig(t, func(_ context.Context, req front.Request) (front.Answer, error) {
+		if len(req.Message.Body) > 1000 {
+			got <- struct{}{}
+			<-release
+		}
+		return front.Answer{Verdict: front.Served}, nil
+	})
+	const size = 60_000
+	ask := func(trace string) (net.Conn, *bufio.Reader) {
+		c, in := peertest.Open(t, r.addr)
+		io.WriteString(c, onceHead(trace, fmt.Sprint("Content-Length: ", size))+strings.Repeat("x", size))
+		return c, in
+	}
+	var held []*bufio.Reader
+	for i := range roomOfTests / (message.Short + bodyPiece) {
+		_, in := ask(fmt.Sprint(i))
+		peertest.Wait(t, got)
+		held = append(held, in)
+	}
+	if n := r.room.Held(); n < int64(len(held))*size || n > roomOfTests {
+		t.Errorf("%d bytes are held for %d bodies", n, len(held))
+	}
+	_, refused := ask("refused")
+	if status, _, _ := r.ask(onceHead("small", "Content-Length: 2") + "hi"); status != 200 {
+		t.Errorf("a small one: %d", status)
+	}
+	if resp, _ := peertest.Answer(t, refused); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("without room: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	_, waits := ask("waits")
+	close(release)
+	for _, in := range append(held, waits) {
+		if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 {
+			t.Errorf("%d", resp.StatusCode)
+		}
+	}
+	peertest.Eventually(t, "nothing is held", func() bool { return r.room.Held() == 0 })
+}
+
 // An answer that breaks off after its beginning ends its connection so that the client can tell, whatever its form.
 func TestAnAnswerThatBreaksOff(t *testing.T) {
 	for _, size := range []int64{10, -1} {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -24,6 +24,7 @@
 	"petrelhook/internal/front"
 	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/message"
+	"petrelhook/internal/room"
 )
 
 const (
@@ -39,6 +40,9 @@
 	// silentEnough is after what silence one of those is closed while clients are sent away: there is time, and until
 	// then its client may have its next request on the way, whose answer ends it.
 	silentEnough = 200 * time.Millisecond
+	// silentAtEnd is the same for a sidecar that ends, whose clients should come again while it still accepts. One that asks
+	// more often is not closed between two requests, where the next is likely on its way.
+	silentAtEnd = 100 * time.Millisecond
 )
 
 // Settings are what the front is told.
@@ -46,6 +50,7 @@
 	Classes []front.Class
 	Tenants []string
 	Door    admit.Config
+	Room    *room.Room // the account of bodies; they share it with answers
 }
 
 // Server is the application's side.
@@ -63,6 +68,7 @@
 // New makes a server; Serve runs it.
 func New(c Settings, core front.Core, life *lifecycle.Machine, log *slog.Logger) *Server {
 	s := &Server{core: core, life: life, settings: c, classes: map[string]int{}, after: time.After}
+	s.clients = door.New(nil, c.Door, bodyTime)
 	for i, class := range c.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -78,7 +84,7 @@
 // clients are sent away it goes on.
 func (s *Server) Serve(ln net.Listener) error {
 	failed := make(chan error, 1)
-	s.clients = door.New(ln, s.settings.Door, bodyTime)
+	s.clients.Listener = ln
 	s.http.ConnState, s.http.ConnContext = s.clients.State, s.clients.Context
 	go func() { failed <- s.http.Serve(s.clients) }()
 	for {
@@ -112,7 +118,7 @@
 	look := time.NewTicker(lookAgain)
 	defer look.Stop()
 	for accepting := true; ; {
-		s.clients.CloseIdlers(0)
+		s.clients.CloseIdlers(silentAtEnd)
 		if now, _ := s.life.Now(); accepting && !now.Accepts() {
 			accepting = false
 			s.clients.Listener.Close()
@@ -136,6 +142,12 @@
 	}
 }
 
+// Open is how many connections of clients there are.
+func (s *Server) Open() int { return s.clients.Open() }
+
+// SetPlaces bounds the connections of clients anew.
+func (s *Server) SetPlaces(n int) { s.clients.SetPlaces(n) }
+
 // ServeHTTP answers one request of the application.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
@@ -155,6 +167,7 @@
 	ctx := req.Context()
 	if b != nil {
 		in.Arrived = time.Now() // its last byte, if it is whole
+		defer b.give()
 	}
 	if in.Message.Rest != nil {
 		var cancel context.CancelCauseFunc
@@ -300,11 +313,14 @@
 	in.Repeat = h.Get("X-Second-Try") == "1"
 	if req.ContentLength != 0 {
 		b = newBody(w, req, s.clients.Due(req.Context()))
-		if err := b.take(req, &in.Message); err != nil {
-			return bad(max(status(err), http.StatusBadRequest), err.Error())
+		b.room = s.settings.Room
+		err := b.take(req, &in.Message)
+		if err == nil && effect == front.Safe && (len(in.Message.Body) > 0 || in.Message.Rest != nil) {
+			err = errors.New("a GET has no body")
 		}
-		if effect == front.Safe && (len(in.Message.Body) > 0 || in.Message.Rest != nil) {
-			return bad(http.StatusBadRequest, "a GET has no body")
+		if err != nil {
+			b.give()
+			return bad(max(status(err), http.StatusBadRequest), err.Error())
 		}
 	}
 	for _, name := range []string{"X-Trace-Id", "Idempotency-Key", "X-Qos", "X-Customer", "Content-Type"} {
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -16,6 +16,7 @@
 	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/room"
 )
 
 // fakeCore answers each request with a function.
@@ -33,6 +34,9 @@
 	return front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte("hi")}}, nil
 }
 
+// roomOfTests is some bodies of the longest that are held.
+const roomOfTests = 300_000
+
 // rig is the front alone.
 type rig struct {
 	t    *testing.T
@@ -41,6 +45,7 @@
 	lingered chan time.Time
 	addr     string
 	life     *lifecycle.Machine
+	room     *room.Room
 	ended    chan error
 }
 
@@ -50,9 +55,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), life: lifecycle.New(), ended: make(chan error, 1)}
+	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), life: lifecycle.New(), room: room.New(roomOfTests), ended: make(chan error, 1)}
 	long := 10 * time.Second
-	server := New(Settings{Door: admit.Config{Places: 100, Horizon: time.Second}, Tenants: []string{"acme"}, Classes: []front.Class{
+	server := New(Settings{Room: r.room, Door: admit.Config{Places: 100, Horizon: time.Second}, Tenants: []string{"acme"}, Classes: []front.Class{
 		{Name: "look", Effect: front.Safe, Deadline: long}, {Name: "book", Effect: front.Keyed, Deadline: long}, {Name: "once", Effect: front.Unsafe, Deadline: long},
 	}}, r.core, r.life, slog.New(slog.DiscardHandler))
 	server.after = func(d time.Duration) <-chan time.Time {
--- a/internal/rig/rehearse/inprocess.go
+++ b/internal/rig/rehearse/inprocess.go
@@ -41,7 +41,7 @@
 	var stop context.Context
 	stop, one.stop = context.WithCancel(context.Background())
 	sidecar := wiring.New(&cfg, p.Network.Dial, log)
-	go func() { one.ended <- sidecar.Run(stop, ln, nil) }()
+	go func() { one.ended <- sidecar.Run(stop, ln, nil, nil) }()
 	p.running = append(p.running, one)
 	return ln.Addr().String(), nil
 }
--- a/internal/upstream/http1/held.go
+++ b/internal/upstream/http1/held.go
@@ -4,12 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"sync"
 	"time"
 
 	"petrelhook/internal/message"
+	"petrelhook/internal/room"
 	"petrelhook/internal/upstream"
 )
 
@@ -31,16 +31,16 @@
 // reads the answer; whoever the beginning was handed to reads the rest on his own.
 type held struct {
 	answers *answers
-	room    *room
-	most    int // bytes that are held back
+	room    *room.Room
+	most    int // bytes that are held back at most
 	begun   func(upstream.Outcome)
 	outcome upstream.Outcome
 	header  http.Header
 	size    int64 // of the whole; -1: not known
 
-	body    []byte
-	release func() // nil: the body is counted in no room
-	rest    *io.PipeWriter
+	body  []byte
+	taken int64 // of the room
+	rest  *io.PipeWriter
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
@@ -53,14 +53,7 @@
 	case h.size > holdSize:
 		h.most = 0
 	case h.size > message.Short:
-		if release, ok := h.room.take(h.size); ok {
-			h.release, h.most = release, int(h.size)
-		} else {
-			h.most = 0
-		}
-	}
-	if h.size > 0 && h.size <= int64(h.most) {
-		h.body = make([]byte, 0, min(h.size, message.Short))
+		h.most = int(h.size)
 	}
 	h.answers.limit.N = message.Long + message.MaxHead // chunks have heads too
 	if h.begun == nil {
@@ -97,7 +90,7 @@
 
 // add takes in what has come. What goes beyond what is held back begins the answer.
 func (h *held) add(p []byte) error {
-	if h.rest == nil && len(h.body)+len(p) <= h.most {
+	if h.rest == nil && h.hold(len(h.body)+len(p)) {
 		h.body = append(h.body, p...)
 		return nil
 	}
@@ -109,6 +102,38 @@
 	return err
 }
 
+// freeSize is how much of every answer is held without being counted: nearly all have no more.
+const freeSize = 4 << 10
+
+// hold reports whether so many bytes of the body may be held. The room is asked for as they come; of a long answer for all
+// of them at once, which may leave no room.
+func (h *held) hold(n int) bool {
+	if n > h.most {
+		return false
+	}
+	if n <= freeSize || int64(n) <= h.taken {
+		return true
+	}
+	want := int64(min(h.most, max(2*n, 4*freeSize)))
+	if h.size > message.Short {
+		want = h.size
+	}
+	if !h.room.Try(want - h.taken) {
+		return h.begun == nil // which is short, and nobody can take it in pieces
+	}
+	h.taken = want
+	return true
+}
+
+// release is what gives the held bytes free; nil: none are counted.
+func (h *held) release() func() {
+	n := h.taken
+	if h.taken = 0; n == 0 {
+		return nil
+	}
+	return sync.OnceFunc(func() { h.room.Give(n) })
+}
+
 // begin hands the answer on as far as it has come.
 func (h *held) begin() {
 	if h.rest != nil {
@@ -118,8 +143,8 @@
 	var rest *io.PipeReader
 	rest, h.rest = io.Pipe()
 	out := h.outcome
-	out.Result, out.Reply = upstream.Served, message.Reply{Header: h.header, Body: h.body, Rest: rest, Size: h.size, Release: h.release}
-	h.body, h.release = nil, nil
+	out.Result, out.Reply = upstream.Served, message.Reply{Header: h.header, Body: h.body, Rest: rest, Size: h.size, Release: h.release()}
+	h.body = nil
 	h.begun(out)
 }
 
@@ -131,7 +156,7 @@
 		h.rest.Close()
 		return out
 	}
-	out.Reply = message.Reply{Header: h.header, Body: h.body, Release: h.release}
+	out.Reply = message.Reply{Header: h.header, Body: h.body, Release: h.release()}
 	return out
 }
 
@@ -140,35 +165,7 @@
 	if h.rest != nil {
 		h.rest.CloseWithError(err)
 	}
-	if h.release != nil {
-		h.release()
-	}
-}
-
-// room is the memory for answers over message.Short that are held back, all of them together: a few hundred of the largest
-// at once would be more than a sidecar has. The others are small enough for their number, which is bounded by connections,
-// to bound them.
-type room struct {
-	most int64 // bytes; 0: no bound
-	mu   sync.Mutex
-	held int64
-}
-
-// take holds n bytes until release is called, which may be more than once; ok is false where there is no room.
-func (r *room) take(n int64) (release func(), ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	most := r.most
-	if most <= 0 {
-		most = math.MaxInt64
-	}
-	if n > most-r.held {
-		return nil, false
+	if release := h.release(); release != nil {
+		release()
 	}
-	r.held += n
-	return sync.OnceFunc(func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.held -= n
-	}), true
 }
--- a/internal/upstream/http1/pass.go
+++ b/internal/upstream/http1/pass.go
@@ -39,7 +39,7 @@
 	}()
 	in := newAnswers(cn)
 	defer in.free()
-	r, keep = in.read(c.Message.Method, u.Fields, &u.room, c.Begun)
+	r, keep = in.read(c.Message.Method, u.Fields, u.Room, c.Begun)
 	close(stop)
 	<-ended
 	r.Spent = p.read > 0
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"petrelhook/internal/message"
+	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 	"petrelhook/internal/upstream/reuse"
@@ -31,13 +32,13 @@
 
 // Settings are what the deployment says of connections to servers.
 type Settings struct {
-	Most    int           // connections at once
-	Within  time.Duration // the longest that one may take to come up
-	Idle    time.Duration // ... that one is kept while it carries nothing
-	Grace   time.Duration // for which something may still go to a server after it was told to take nothing
-	Answers int64         // bytes of answers over 64 KiB that are held at once; 0: no bound
-	Fields  []string      // of load reports, in the order of a report's figures
-	Probe   string        // path of a probe
+	Most   int           // connections at once
+	Within time.Duration // the longest that one may take to come up
+	Idle   time.Duration // ... that one is kept while it carries nothing
+	Grace  time.Duration // for which something may still go to a server after it was told to take nothing
+	Room   *room.Room    // the account of answers that are held back
+	Fields []string      // of load reports, in the order of a report's figures
+	Probe  string        // path of a probe
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -47,7 +48,6 @@
 type Pool struct {
 	Settings
 	dial  Dial
-	room  room
 	epoch time.Time // moments are counted from here where they must be atomic
 
 	mu     sync.Mutex
@@ -80,7 +80,21 @@
 
 // New makes a pool; it has nothing to run and nothing to end but its connections.
 func New(s Settings, dial Dial) *Pool {
-	return &Pool{Settings: s, room: room{most: s.Answers}, dial: dial, epoch: time.Now().Add(-1), all: map[*endpoint]struct{}{}}
+	return &Pool{Settings: s, dial: dial, epoch: time.Now().Add(-1), all: map[*endpoint]struct{}{}}
+}
+
+// Open is how many connections there are.
+func (u *Pool) Open() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.opened
+}
+
+// SetMost bounds the connections anew. Those above it stay until they end.
+func (u *Pool) SetMost(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Most = n
 }
 
 // Endpoint makes an endpoint, which takes requests once Turn has told where it is.
@@ -194,7 +208,7 @@
 	// The reader starts empty: connect has seen that nothing had come before the request left.
 	in := newAnswers(cn)
 	defer in.free()
-	r, keep = in.read(c.Message.Method, u.Fields, &u.room, c.Begun)
+	r, keep = in.read(c.Message.Method, u.Fields, u.Room, c.Begun)
 	return r, keep && in.Buffered() == 0, r.Result == upstream.Reset
 }
 
--- a/internal/upstream/http1/room_test.go
+++ b/internal/upstream/http1/room_test.go
@@ -11,6 +11,7 @@
 
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/room"
 	"petrelhook/internal/upstream"
 )
 
@@ -33,7 +34,9 @@
 			room int64
 			held bool
 		}{
-			{message.Short, 1, true}, // counts as none
+			{freeSize, 1, true}, // counts as none
+			{message.Short, message.Short, true},
+			{message.Short, freeSize, false},
 			{message.Short + 1, holdSize, !chunked},
 			{400_000, holdSize, !chunked},
 			{holdSize, holdSize, !chunked},
@@ -45,19 +48,19 @@
 			t.Run(fmt.Sprint(c.size, " in ", c.room, " chunked ", chunked), func(t *testing.T) {
 				p := peertest.NewPeer(t, peertest.Says(large(c.size, chunked)))
 				u := testPool(9)
-				u.room.most = c.room
+				u.Room = room.New(c.room)
 				e := u.at(p.Addr)
 				for range 3 {
 					got := send(e, look())
 					if got.err != nil || got.Result != upstream.Served || got.size != c.size || got.begun == c.held {
 						t.Fatalf("%v (%v), %d bytes, begun %v, rest %v", got.Result, got.Err, got.size, got.begun, got.err)
 					}
-					if held := u.room.now(); c.held && c.size > message.Short && held < int64(c.size) {
+					if held := u.Room.Held(); c.held && c.size > message.Short && held < int64(c.size) {
 						t.Errorf("%d bytes are held", held)
 					}
 					got.Reply.Done()
 					got.Reply.Done() // gives back once
-					if held := u.room.now(); held != 0 {
+					if held := u.Room.Held(); held != 0 {
 						t.Fatalf("%d bytes are still held", held)
 					}
 				}
@@ -98,13 +101,6 @@
 	return g
 }
 
-// now is how many bytes are held.
-func (r *room) now() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.held
-}
-
 // Nothing stays counted of a large answer that breaks off, or that is no success.
 func TestLargeAnswersThatComeToNothing(t *testing.T) {
 	whole := large(400_000, false)
@@ -123,8 +119,9 @@
 		})
 		u := testPool(9)
 		r := send(u.at(p.Addr), look())
-		if r.ended.Result != c.want || r.begun && r.err == nil || u.room.now() != 0 {
-			t.Errorf("%s: %v (%v), rest %v, %d bytes are held", name, r.ended.Result, r.ended.Err, r.err, u.room.now())
+		r.Reply.Done()
+		if r.ended.Result != c.want || r.begun && r.err == nil || u.Room.Held() != 0 {
+			t.Errorf("%s: %v (%v), rest %v, %d bytes are held", name, r.ended.Result, r.ended.Err, r.err, u.Room.Held())
 		}
 	}
 }
--- a/internal/wiring/rig_test.go
+++ b/internal/wiring/rig_test.go
@@ -36,7 +36,7 @@
 	r := &rig{t: t, side: New(&cfg, TCP(), log), addr: ln.Addr().String(), ended: make(chan error, 1)}
 	stop, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.ended <- r.side.Run(stop, ln, nil) }()
+	go func() { r.ended <- r.side.Run(stop, ln, nil, nil) }()
 	t.Cleanup(cancel)
 	return r
 }
--- a/internal/wiring/service_test.go
+++ b/internal/wiring/service_test.go
@@ -37,7 +37,7 @@
 	r = &rig{t: t, side: New(&cfg, TCP(), slog.New(slog.DiscardHandler)), addr: listeners[0].Addr().String(), ended: make(chan error, 1)}
 	stop, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.ended <- r.side.Run(stop, listeners[0], listeners[1]) }()
+	go func() { r.ended <- r.side.Run(stop, listeners[0], listeners[1], nil) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := peertest.Wait(t, r.ended); err != nil {
--- /dev/null
+++ b/internal/wiring/succession.go
@@ -0,0 +1,216 @@
+package wiring
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"petrelhook/internal/core"
+	"petrelhook/internal/handover"
+	"petrelhook/internal/lifecycle"
+)
+
+// Succession is a sidecar's place among its processes: the one before, and the next, which comes to the place.
+type Succession struct {
+	Place handover.Place
+	From  *handover.Link // to the process before; nil: there is none
+	Room  *Room          // what the process before leaves for as long as it lives; nil: all
+}
+
+// Room is a part of what one sidecar may hold.
+type Room struct {
+	Clients int `json:"clients"` // connections
+	Servers int `json:"servers"`
+}
+
+// Inheritance is what one process hands to the next.
+type Inheritance struct {
+	Out  bool        `json:"out"` // operators want no clients here
+	Room Room        `json:"room"`
+	Core core.Legacy `json:"core"`
+}
+
+// The lines of a link. Each side tells the other what operators asked of it.
+const (
+	lineReady    = "ready" // of the next process: it serves as soon as it is heard
+	lineHeard    = "heard" // the answer to it
+	lineEvacuate = "evacuate"
+	lineRejoin   = "rejoin"
+)
+
+// heardTime is how long the next process waits to be heard before it serves all the same: the one before may hang.
+const heardTime = 500 * time.Millisecond
+
+// Take asks the process in service for its listening socket and all that it hands over, if there is one. Where that fails
+// the sidecar starts from nothing; why is told by err, which is nil where nobody was there.
+func Take(place handover.Place, listen string, within time.Duration) (ln net.Listener, from *Inheritance, su *Succession, err error) {
+	su = &Succession{Place: place}
+	ln, state, link, err := place.Take(within)
+	if errors.Is(err, handover.ErrNobody) {
+		return nil, nil, su, nil
+	}
+	if err != nil {
+		return nil, nil, su, err
+	}
+	from = &Inheritance{}
+	if ln.Addr().String() != listen {
+		err = fmt.Errorf("the socket is that of %s", ln.Addr())
+	} else if err = json.Unmarshal(state, from); err == nil && (from.Room.Clients < 0 || from.Room.Servers < 0) {
+		err = errors.New("the room is below 0")
+	}
+	if err != nil {
+		ln.Close()
+		link.Close()
+		return nil, nil, su, err
+	}
+	su.From, su.Room = link, &from.Room
+	return ln, from, su, nil
+}
+
+// succeed serves the links to the processes before and after, until ctx ends.
+func (s *Sidecar) succeed(ctx context.Context, su *Succession, ln net.Listener) {
+	var links sync.WaitGroup
+	defer links.Wait()
+	if su.From != nil {
+		s.share(*su.Room)
+		links.Go(func() {
+			defer context.AfterFunc(ctx, func() { su.From.Close() })()
+			s.keep(su.From, false)
+			s.unshare()
+		})
+	}
+	for { // nobody comes for what does not serve yet
+		now, over := s.life.Now()
+		if now.Ready() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-over:
+		}
+	}
+	file, ok := ln.(interface{ File() (*os.File, error) })
+	if !ok {
+		return
+	}
+	offer := &handover.Offer{
+		Give:   func() (*os.File, []byte, error) { return s.give(file.File) },
+		Met:    func(l *handover.Link) { s.keep(l, true) },
+		Failed: func(err error) { s.log.Warn("nothing is handed over", "err", err) },
+	}
+	if err := offer.Open(su.Place); err != nil {
+		s.log.Warn("nobody can take over", "err", err)
+		return
+	}
+	defer offer.Close()
+	<-ctx.Done()
+}
+
+// give is what the next process gets. From here on this one holds no more than it does, or half.
+func (s *Sidecar) give(file func() (*os.File, error)) (*os.File, []byte, error) {
+	out := Inheritance{Out: s.life.Status().Out()}
+	var state []byte
+	var err error
+	own := Room{max(s.whole.Clients/2, s.front.Open()), max(s.whole.Servers/2, s.up.Open())}
+	out.Room = Room{max(0, s.whole.Clients-own.Clients), max(0, s.whole.Servers-own.Servers)}
+	if !s.core.Legacy(func(l core.Legacy) {
+		out.Core = l
+		state, err = json.Marshal(out)
+	}) {
+		err = errors.New("this process has ended")
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	socket, err := file()
+	if err != nil {
+		return nil, nil, err
+	}
+	s.share(own)
+	return socket, state, nil
+}
+
+// keep follows a link until the other process has ended. Calls of operators to one hold for both.
+func (s *Sidecar) keep(l *handover.Link, next bool) {
+	var mu sync.Mutex
+	told := s.life.Status().Out() // what the other process holds, as far as is known
+	ctx, end := context.WithCancel(context.Background())
+	var sides sync.WaitGroup
+	sides.Go(func() {
+		for {
+			now, over := s.life.Now()
+			mu.Lock()
+			changed := now.Out() != told && now.State() != lifecycle.Stopping
+			told = now.Out()
+			mu.Unlock()
+			if changed && now.Out() {
+				l.Say(lineEvacuate)
+			} else if changed {
+				l.Say(lineRejoin)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-over:
+			}
+		}
+	})
+	l.Listen(func(line string) {
+		switch line {
+		case lineReady:
+			if next {
+				s.life.Tell(lifecycle.Succeeded)
+				l.Say(lineHeard)
+			}
+		case lineHeard:
+			s.heardOnce()
+		case lineEvacuate, lineRejoin:
+			event := map[string]lifecycle.Event{lineEvacuate: lifecycle.Evacuate, lineRejoin: lifecycle.Rejoin}[line]
+			mu.Lock()
+			told = event == lifecycle.Evacuate
+			mu.Unlock()
+			s.life.Tell(event)
+		}
+	})
+	end()
+	sides.Wait()
+	if next {
+		s.life.Tell(lifecycle.Deserted)
+		s.unshare()
+	}
+}
+
+// announce says that this process serves, first to the one before, which must not take it for dead when it is told to end, and
+// then to everybody.
+func (s *Sidecar) announce(su *Succession) {
+	if su != nil && su.From != nil && su.From.Say(lineReady) == nil {
+		select {
+		case <-s.heard:
+		case <-time.After(heardTime):
+		}
+	}
+	s.life.Tell(lifecycle.Listed)
+}
+
+// share bounds what this process holds while there are two; unshare ends that.
+func (s *Sidecar) share(r Room) {
+	s.front.SetPlaces(max(1, r.Clients))
+	s.up.SetMost(max(1, r.Servers))
+	if s.OnShare != nil {
+		s.OnShare(true)
+	}
+}
+
+func (s *Sidecar) unshare() {
+	s.front.SetPlaces(s.whole.Clients)
+	s.up.SetMost(s.whole.Servers)
+	if s.OnShare != nil {
+		s.OnShare(false)
+	}
+}
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -20,6 +20,7 @@
 	"petrelhook/internal/front/platform"
 	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/member/discovery"
+	"petrelhook/internal/room"
 	"petrelhook/internal/upstream/http1"
 )
 
@@ -41,23 +42,44 @@
 	core  *core.Loop
 	front *platform.Server
 	life  *lifecycle.Machine
+	up    *http1.Pool
 	dial  Dial
 	log   *slog.Logger
+	whole Room // what it may hold when there is one process
+
+	listed    chan struct{} // closed when a server is known
+	heard     chan struct{} // closed when the process before knows that this one serves
+	heardOnce func()
+
+	// OnShare is told when memory is shared with another process of the sidecar and when that has ended; nil: nobody is.
+	OnShare func(shared bool)
 }
 
 // New puts a sidecar together; Run runs it.
-func New(c *config.Config, dial Dial, log *slog.Logger) *Sidecar {
+func New(c *config.Config, dial Dial, log *slog.Logger) *Sidecar { return NewFrom(c, nil, dial, log) }
+
+// NewFrom puts a sidecar together that goes on where another process of it was.
+func NewFrom(c *config.Config, from *Inheritance, dial Dial, log *slog.Logger) *Sidecar {
 	module, life := &c.Profile.Config, lifecycle.New()
+	s := &Sidecar{life: life, dial: dial, log: log, listed: make(chan struct{}), heard: make(chan struct{})}
+	s.heardOnce = sync.OnceFunc(func() { close(s.heard) })
+	var legacy *core.Legacy
+	if from != nil {
+		if legacy = &from.Core; from.Out {
+			life.Tell(lifecycle.Evacuate)
+		}
+	}
+	account := room.New(c.Limits.Messages())
 	up := http1.New(http1.Settings{
 		Most: c.Limits.Servers(), Within: duration(or(module.ConnectTimeout, defaultDial)),
-		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace), Answers: c.Limits.Answers(),
+		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace), Room: account,
 		Fields: c.Profile.Fields, Probe: probePath(module),
 	}, http1.Dial(dial))
 	loop := core.New(core.Config{
 		Module: *module, Zones: c.Profile.Zones, Kinds: c.Profile.Kinds, Known: c.Known,
-		Listed: func() { life.Tell(lifecycle.Listed) },
+		Legacy: legacy, Listed: func() { close(s.listed) },
 	}, discovery.New(c.Discovery, discovery.Dial(dial)), up, log)
-	settings := platform.Settings{Tenants: c.Profile.Tenants, Door: admit.Config{Places: c.Limits.Clients()}}
+	settings := platform.Settings{Tenants: c.Profile.Tenants, Room: account, Door: admit.Config{Places: c.Limits.Clients()}}
 	if c.Admin != "" && c.Limits.Sockets > 0 { // operators' calls are counted too
 		settings.Door.Places = max(1, settings.Door.Places-admin.MaxCalls)
 	}
@@ -67,7 +89,9 @@
 			Name: c.Profile.Classes[i], Effect: effects[class.Effect], Deadline: duration(class.Deadline),
 		})
 	}
-	return &Sidecar{core: loop, front: platform.New(settings, loop, life, log), life: life, dial: dial, log: log}
+	s.core, s.up, s.front = loop, up, platform.New(settings, loop, life, log)
+	s.whole = Room{settings.Door.Places, c.Limits.Servers()}
+	return s
 }
 
 var effects = [...]front.Effect{balance.Safe: front.Safe, balance.Keyed: front.Keyed, balance.Unsafe: front.Unsafe}
@@ -81,8 +105,8 @@
 }
 
 // Run serves clients on ln, and operators on calls where that is not nil, until stop ends, then drains. It returns when all
-// that was taken is answered and the core has ended.
-func (s *Sidecar) Run(stop context.Context, ln, calls net.Listener) error {
+// that was taken is answered and the core has ended. Where su is not nil it gives way to a next process.
+func (s *Sidecar) Run(stop context.Context, ln, calls net.Listener, su *Succession) error {
 	terminated := context.AfterFunc(stop, func() { s.life.Tell(lifecycle.Terminate) })
 	defer terminated()
 	var sides sync.WaitGroup
@@ -98,6 +122,16 @@
 	told, untold := context.WithCancel(context.Background())
 	defer untold()
 	sides.Go(func() { s.tellStates(told) })
+	if su != nil {
+		sides.Go(func() { s.succeed(told, su, ln) })
+	}
+	sides.Go(func() {
+		select {
+		case <-s.listed:
+			s.announce(su)
+		case <-told.Done():
+		}
+	})
 	alive, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
