Tests of the hard cases in service; a call to discovery owns its dial; one address for operators

Need: cases of an upgrade and of the operators' door without a test; a random fault script left a goroutine behind, seen as a deadlock of the virtual clock once a sidecar ended sooner than its last call to discovery.

Cause of the latter: net/http's transport goes on to dial after its call has been given up. Checked with the failing script and a dump of all goroutines; the only one left was that dial. Change: the call's context ends its dial. Also: in an upgrade both processes may have the same admin_addr; the next one listens there when the old one lets go.

Tests: the list, drains and ids handed over; the one in service hangs; a request half written; all places taken with the loop stuck; an answer that outlasts the drain.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -113,7 +113,9 @@
 		}
 		return s, nil
 	}
-	if s.calls, err = net.Listen("tcp", cfg.Admin); err != nil {
+	s.calls, err = net.Listen("tcp", cfg.Admin)
+	taken := sock.Taken(err)
+	if err != nil && !taken {
 		return s, fmt.Errorf("listen at admin_addr: %w", err)
 	}
 	if _, port, _ := net.SplitHostPort(cfg.Listen); port != "0" { // else there is no address to share
@@ -122,6 +124,12 @@
 			log.Warn("nothing is taken over", "err", err)
 		}
 	}
+	if taken { // in an upgrade the process in service may have the same address; operators call that one until it ends
+		if s.from == nil {
+			return s, fmt.Errorf("listen at admin_addr: %s is taken, and no process in service hands over", cfg.Admin)
+		}
+		s.calls = sock.ListenLater(cfg.Admin, 50*time.Millisecond)
+	}
 	if s.clients == nil {
 		if s.clients, err = sock.ListenShared(cfg.Listen); err != nil {
 			s.calls.Close()
--- a/cmd/petrelhook/main_test.go
+++ b/cmd/petrelhook/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -59,6 +60,29 @@
 	}
 }
 
+// The operators' address of the variable goes before that of the file, and is judged like it.
+func TestWhereOperatorsCall(t *testing.T) {
+	path := file(t, good)
+	for addr, want := range map[string]string{"127.0.0.1:9600": "", "9600": `LB_ADMIN_ADDR: "9600" is no address; write host:port`} {
+		t.Setenv("LB_ADMIN_ADDR", addr)
+		var out, errs bytes.Buffer
+		if code := run([]string{"--check", "--config", path}, &out, &errs); (code == 0) != (want == "") || !strings.Contains(errs.String(), want) {
+			t.Errorf("%s: code %d, %q", addr, code, &errs)
+		}
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	t.Setenv("LB_ADMIN_ADDR", taken.Addr().String())
+	t.Setenv("TMPDIR", t.TempDir())
+	var out, errs bytes.Buffer
+	if code := run([]string{"--config", path}, &out, &errs); code != 1 || !strings.Contains(errs.String(), "is taken") || strings.Count(errs.String(), "\n") != 1 {
+		t.Errorf("code %d, %q", code, &errs)
+	}
+}
+
 // The flag goes before the variable, and the variable serves where there is no flag.
 func TestWhichFile(t *testing.T) {
 	env := func(name string) string { return map[string]string{"LB_CONFIG": "from-env"}[name] }
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -82,14 +82,16 @@
 	ended chan error
 }
 
-// start starts a process beside those that run.
-func (f *fleet) start() *sidecar {
+// start starts a process beside those that run, with an address of its own for operators.
+func (f *fleet) start() *sidecar { return f.startAt(peertest.DeadAddr(f.t)) }
+
+func (f *fleet) startAt(admin string) *sidecar {
 	f.t.Helper()
 	path := filepath.Join(f.dir, "config.json")
 	if err := os.WriteFile(path, []byte(f.config), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	s := &sidecar{f: f, cmd: exec.Command(os.Args[0]), admin: peertest.DeadAddr(f.t), log: &syncBuffer{}, ended: make(chan error, 1)}
+	s := &sidecar{f: f, cmd: exec.Command(os.Args[0]), admin: admin, log: &syncBuffer{}, ended: make(chan error, 1)}
 	s.cmd.Env = append(os.Environ(), "PETRELHOOK_TEST_RUN=1", "LB_CONFIG="+path, "LB_ADMIN_ADDR="+s.admin, "TMPDIR="+f.dir)
 	s.cmd.Stderr = s.log
 	if err := s.cmd.Start(); err != nil {
@@ -201,6 +203,11 @@
 				continue
 			}
 			n, err := io.Copy(io.Discard, resp.Body)
+			if err != nil && f.kills.Load() { // it broke off with its process, and the client can tell
+				c.Close()
+				c = nil
+				continue
+			}
 			if want := map[bool]int64{false: 2, true: longBody}[i%len(kinds) == 3]; err != nil || resp.StatusCode != 200 || n != want {
 				f.t.Errorf("%s: status %d, %d bytes, %v", id, resp.StatusCode, n, err)
 			}
@@ -341,3 +348,80 @@
 	})
 	now.end()
 }
+
+// The process in service hangs: the next one waits for it no longer than it must, starts from nothing beside it, and serves. A
+// third takes over from the second.
+func TestTheOneInServiceHangs(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	first := f.start()
+	first.cmd.Process.Signal(syscall.SIGSTOP)
+	began := time.Now()
+	second := f.start()
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	if !strings.Contains(second.log.String(), "nothing is taken over") {
+		t.Error("no word of it in the log")
+	}
+	first.cmd.Process.Kill()
+	peertest.Wait(t, first.ended)
+	f.under(func() {
+		f.more(50)
+		third := f.start()
+		second.end()
+		if strings.Contains(third.log.String(), "nothing is taken over") {
+			t.Error("the third started from nothing")
+		}
+		second = third
+		f.more(50)
+	})
+	second.end()
+}
+
+// A request that is half written when the next process takes over is finished by the process that has its first half, in whose
+// time it also comes to its end.
+func TestARequestHalfWrittenInAnUpgrade(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	first := f.start()
+	var halves []net.Conn
+	for i := range kinds {
+		c, in := peertest.Open(t, f.listen)
+		io.WriteString(c, kinds[0](fmt.Sprint("before", i))) // so that it is the first process that has the connection
+		peertest.Answer(t, in)
+		text := kinds[i](fmt.Sprint("half", i))
+		io.WriteString(c, text[:len(text)/2])
+		defer func() {
+			if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 {
+				t.Errorf("request %d: %d", i, resp.StatusCode)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if n := f.ran[fmt.Sprint("half", i)]; n != 1 {
+				t.Errorf("request %d ran %d times", i, n)
+			}
+		}()
+		halves = append(halves, c)
+	}
+	second := f.start()
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	peertest.Eventually(t, "it stops", func() bool { return strings.Contains(first.log.String(), "now=stopping") })
+	for i, c := range halves {
+		text := kinds[i](fmt.Sprint("half", i))
+		io.WriteString(c, text[len(text)/2:])
+	}
+	if err := peertest.Wait(t, first.ended); err != nil {
+		t.Error(err)
+	}
+	second.end()
+}
+
+// An upgrade in which both processes have the same address for operators: they call the first until it ends, then the next.
+func TestOneAddressForOperators(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	first := f.start()
+	second := f.startAt(first.admin)
+	peertest.Eventually(t, "the second has taken over", func() bool { return strings.Contains(first.log.String(), "handing over") })
+	first.end()
+	peertest.Eventually(t, "the second hears operators", func() bool { return second.call("GET /api/ready") == 200 })
+	second.end()
+}
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -11,6 +11,7 @@
 	"petrelhook/balance"
 	"petrelhook/internal/front"
 	"petrelhook/internal/member"
+	"petrelhook/internal/message"
 	"petrelhook/internal/upstream"
 )
 
@@ -138,13 +139,15 @@
 }
 
 // ask hands a request in, as a front does.
-func (r *rig) ask(trace string, class int) *asked {
+func (r *rig) ask(trace string, class int) *asked { return r.askWith(trace, class, message.Request{}) }
+
+func (r *rig) askWith(trace string, class int, m message.Request) *asked {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	a := &asked{done: make(chan struct{}), hangUp: cancel}
 	go func() {
 		defer close(a.done)
 		a.answer, a.err = r.Answer(ctx, front.Request{
-			Trace: trace, Class: class, Tenant: -1, Arrived: time.Now(), Wait: time.Second,
+			Trace: trace, Class: class, Tenant: -1, Arrived: time.Now(), Wait: time.Second, Message: m,
 		})
 	}()
 	return a
--- /dev/null
+++ b/internal/core/legacy_test.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"petrelhook/internal/front"
+	"petrelhook/internal/member"
+)
+
+// legacy is what a core hands over, through its text.
+func (r *rig) legacy() (l Legacy) {
+	r.t.Helper()
+	var text []byte
+	var err error
+	if !r.Legacy(func(l Legacy) { text, err = json.Marshal(l) }) || err != nil {
+		r.t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, &l); err != nil {
+		r.t.Fatal(err)
+	}
+	return l
+}
+
+// successor runs a core that goes on where another was; stop ends it.
+func (r *rig) successor(from Legacy) (next *rig, stop func()) {
+	next = &rig{t: r.t, source: &fakeSource{make(chan member.List), make(chan error)}, servers: &fakeServers{sent: make(chan *exchange)}, ended: make(chan struct{})}
+	next.Loop = New(Config{Module: r.config.Module, Known: list(1, true, "outdated"), Legacy: &from}, next.source, next.servers, r.log)
+	ctx, cancel := context.WithCancel(r.t.Context())
+	go func() { next.Run(ctx); close(next.ended) }()
+	return next, func() { cancel(); <-next.ended }
+}
+
+// The next process has the list as the one before was told it: changes, drains, servers that are gone, and the generation after
+// which it asks on. Nothing goes to a server that drains, from its first moment on.
+func TestTheListIsHandedOver(t *testing.T) {
+	in(t, []string{"a", "b", "c", "d"}, func(r *rig) {
+		r.source.lists <- member.List{Generation: 7, Instances: []member.Instance{
+			{ID: "a", Addr: "a", Weight: 1, State: member.Draining}, {ID: "b", State: member.Removed},
+			{ID: "c", Addr: "c2", Weight: 2, Zone: "z", Cell: 3, Started: time.Now()},
+		}}
+		synctest.Wait()
+		from := r.legacy()
+		if from.List.Generation != 7 || len(from.List.Instances) != 3 {
+			t.Fatalf("%+v", from.List)
+		}
+		next, stop := r.successor(from)
+		defer stop()
+		if again := next.legacy(); !reflect.DeepEqual(again.List, from.List) {
+			t.Errorf("%+v\n%+v", again.List, from.List)
+		}
+		for range 20 {
+			a := next.ask(time.Now().String(), safe)
+			x := <-next.servers.sent
+			if x.addr != "c2" && x.addr != "d" {
+				t.Errorf("sent to %q", x.addr)
+			}
+			x.serve()
+			next.is(a, front.Served, nil)
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
+// An id that is open, or whose time is not up, is taken for the next process too, and free again when its time is.
+func TestIDsAreHandedOver(t *testing.T) {
+	in(t, []string{"a"}, func(r *rig) {
+		answered := r.ask("answered", unsafe)
+		(<-r.servers.sent).serve()
+		r.is(answered, front.Served, nil)
+		open := r.ask("open", unsafe)
+		x := <-r.servers.sent
+		next, stop := r.successor(r.legacy())
+		defer stop()
+		next.is(next.ask("open", unsafe), 0, front.ErrInUse)
+		next.is(next.ask("answered", unsafe), 0, front.ErrInUse)
+		x.serve()
+		r.is(open, front.Served, nil)
+		time.Sleep(time.Second + 2*batch)
+		again := next.ask("open", unsafe)
+		(<-next.servers.sent).serve()
+		next.is(again, front.Served, nil)
+	})
+}
--- a/internal/core/long_test.go
+++ b/internal/core/long_test.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"context"
 	"errors"
 	"io"
 	"strings"
@@ -17,16 +16,7 @@
 
 // askLong hands in a request whose body is still coming.
 func (r *rig) askLong(trace string, class int) *asked {
-	ctx, cancel := context.WithCancel(r.t.Context())
-	a := &asked{done: make(chan struct{}), hangUp: cancel}
-	go func() {
-		defer close(a.done)
-		a.answer, a.err = r.Answer(ctx, front.Request{
-			Trace: trace, Class: class, Tenant: -1, Arrived: time.Now(), Wait: time.Second,
-			Message: message.Request{Rest: message.NewUpload(10)},
-		})
-	}()
-	return a
+	return r.askWith(trace, class, message.Request{Rest: message.NewUpload(10)})
 }
 
 // rest is the rest of a reply; closing it is noted.
--- a/internal/member/discovery/discovery.go
+++ b/internal/member/discovery/discovery.go
@@ -49,6 +49,10 @@
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(ctx, dialTime)
 				defer cancel()
+				// The transport goes on to dial for whoever may come next; here nobody does, and the call owns it.
+				if call, ok := ctx.Value(callKey{}).(context.Context); ok {
+					defer context.AfterFunc(call, cancel)()
+				}
 				return dial(ctx, network, addr)
 			},
 			DisableKeepAlives:  true, // a reused connection would make the transport send a call twice
@@ -59,8 +63,12 @@
 	}
 }
 
+// callKey is the key of a call's context in that of its dial.
+type callKey struct{}
+
 // get begins a call and returns the open answer.
 func (d *Source) get(ctx context.Context, query url.Values) (io.ReadCloser, error) {
+	ctx = context.WithValue(ctx, callKey{}, ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, err
--- a/internal/member/discovery/discovery_test.go
+++ b/internal/member/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/member"
@@ -70,3 +71,28 @@
 		t.Error("garbage is taken for a list")
 	}
 }
+
+// A call that is given up while its connection comes up ends that too: nobody else would.
+func TestACallOwnsItsDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		dialling := make(chan struct{})
+		d := New("discovery:1", func(ctx context.Context, _, _ string) (net.Conn, error) {
+			close(dialling)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		ctx, giveUp := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Watch(ctx, 1, func(member.List) {}) }()
+		<-dialling
+		giveUp()
+		if err := <-ended; err == nil {
+			t.Error("no error")
+		}
+		synctest.Wait()
+		if took := time.Since(began); took != 0 {
+			t.Errorf("it took %v", took)
+		}
+	}) // which fails where the dial goes on
+}
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -73,6 +73,29 @@
 	return p
 }
 
+// NewRaw starts a peer that is handed each connection as it is, and closes it when handle returns.
+func NewRaw(t testing.TB, handle func(net.Conn)) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // Says answers each request with a text.
 func Says(text string) func(net.Conn, *http.Request, string) bool {
 	return func(c net.Conn, _ *http.Request, _ string) bool {
--- /dev/null
+++ b/internal/sock/later_test.go
@@ -0,0 +1,56 @@
+package sock
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// The address is had once the other process lets it go; a close ends the wait, and one that listens.
+func TestListenLater(t *testing.T) {
+	first, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := first.Addr().String()
+	if _, err := net.Listen("tcp", addr); !Taken(err) {
+		t.Errorf("%v", err)
+	}
+	type accepted struct {
+		c   net.Conn
+		err error
+	}
+	accept := func(ln net.Listener) chan accepted {
+		got := make(chan accepted, 1)
+		go func() { c, err := ln.Accept(); got <- accepted{c, err} }()
+		return got
+	}
+	waits := ListenLater(addr, time.Millisecond)
+	got := accept(waits)
+	waits.Close()
+	if a := <-got; !errors.Is(a.err, net.ErrClosed) {
+		t.Errorf("closed while it waits: %v", a.err)
+	}
+	ln := ListenLater(addr, time.Millisecond)
+	got = accept(ln)
+	first.Close()
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			defer c.Close()
+			break
+		}
+	}
+	if a := <-got; a.err != nil || ln.Addr().String() != addr {
+		t.Errorf("%v at %v", a.err, ln.Addr())
+	}
+	got = accept(ln)
+	ln.Close()
+	if a := <-got; !errors.Is(a.err, net.ErrClosed) {
+		t.Errorf("closed: %v", a.err)
+	}
+	if a := <-accept(ListenLater("127.0.0.1:none", time.Millisecond)); a.err == nil {
+		t.Error("no address")
+	}
+}
--- a/internal/upstream/http1/pass_test.go
+++ b/internal/upstream/http1/pass_test.go
@@ -19,24 +19,7 @@
 // server answers each connection with a function that has the connection and what comes on it.
 func server(t *testing.T, handle func(net.Conn, *bufio.Reader)) (addr string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				handle(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	return peertest.NewRaw(t, func(c net.Conn) { handle(c, bufio.NewReader(c)) })
 }
 
 // client writes a body piece by piece, as a test says.
--- a/internal/wiring/cost_test.go
+++ b/internal/wiring/cost_test.go
@@ -15,32 +15,18 @@
 // BenchmarkSmallRequest is a request of the usual size through the whole sidecar, on a kept connection; client and server are
 // in the same process and count too.
 func BenchmarkSmallRequest(b *testing.B) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer ln.Close()
-	go func() {
-		for {
-			c, err := ln.Accept()
+	addr := peertest.NewRaw(b, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					io.WriteString(c, peertest.OKAnswer)
-				}
-			}()
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, peertest.OKAnswer)
 		}
-	}()
+	})
 	t := &testing.T{}
-	r := withServers(t, ln.Addr().String())
+	r := withServers(t, addr)
 	c, err := net.Dial("tcp", r.addr)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/wiring/long_test.go
+++ b/internal/wiring/long_test.go
@@ -105,23 +105,11 @@
 
 // A server that breaks off before the last byte never ran the request; as the body is gone it is refused, once, and runs nowhere.
 func TestALongBodyWhoseServerGoes(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			io.ReadFull(c, make([]byte, 300_000))
-			c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-		}
-	}()
-	r := withServers(t, ln.Addr().String())
+	addr := peertest.NewRaw(t, func(c net.Conn) {
+		io.ReadFull(c, make([]byte, 300_000))
+		c.(*net.TCPConn).SetLinger(0)
+	})
+	r := withServers(t, addr)
 	c, in := r.open()
 	io.WriteString(c, strings.Replace(once("t"), "Content-Length: 0", "Content-Length: 1000000", 1))
 	io.WriteString(c, strings.Repeat("x", 400_000))
@@ -135,32 +123,30 @@
 	const size = 500_000
 	want, _ := digest(blob(size))
 	turned := make(chan struct{}, 10)
-	full, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { full.Close() })
-	go func() {
-		for {
-			c, err := full.Accept()
+	full := peertest.NewRaw(t, func(c net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil && req.Method == http.MethodPost {
+			io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+			turned <- struct{}{}
+		}
+	})
+	heads, sums := make(chan struct{}, 10), make(chan string, 10)
+	well := peertest.NewRaw(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil && req.Method == http.MethodPost {
-				io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
-				turned <- struct{}{}
-			}
-			c.Close()
+			heads <- struct{}{}
+			sum, _ := digest(req.Body)
+			sums <- sum
+			io.WriteString(c, peertest.OKAnswer)
 		}
-	}()
-	sums := make(chan string, 10)
-	r := withServers(t, full.Addr().String(), longServer(t, func(sum string, _ int64) { sums <- sum }))
+	})
+	r := withServers(t, full, well)
 	for i := range 6 { // one of the two in turn
 		c, in := r.open()
 		io.WriteString(c, strings.Replace(once(fmt.Sprint("t", i)), "Content-Length: 0", fmt.Sprint("Content-Length: ", size), 1))
-		if i == 0 || len(turned) == 0 { // the body comes once a server has had the head
-			peertest.Eventually(t, "a server has the head", func() bool { return len(turned) > 0 || r.side.core.Stats().Requests > 0 })
-		}
+		peertest.Wait(t, heads) // whoever turned it away has done so
 		io.Copy(c, blob(size))
 		if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 || peertest.Wait(t, sums) != want {
 			t.Fatalf("request %d: status %d", i, resp.StatusCode)
--- a/internal/wiring/service_test.go
+++ b/internal/wiring/service_test.go
@@ -7,10 +7,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"petrelhook/internal/admin"
 	"petrelhook/internal/config"
+	"petrelhook/internal/core"
+	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/peertest"
 )
 
@@ -23,7 +27,8 @@
 	for i, addr := range addrs {
 		list = append(list, peertest.Instance(fmt.Sprint("s-", i), addr, "up"))
 	}
-	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
+	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":%q,"seed":"1f",
+		"limits":{"sockets":120},"known":%s,"settings":%s}`,
 		peertest.DeadAddr(t), peertest.Catalog(1, true, list...), peertest.Settings)))
 	if err != nil {
 		t.Fatal(err)
@@ -182,3 +187,89 @@
 		t.Errorf("%d, close %v", resp.StatusCode, resp.Close)
 	}
 }
+
+// Operators are answered in time while clients hold all places, callers who say nothing all of the operators', and the loop is
+// stuck: nothing of these is asked.
+func TestOperatorsAreHeardUnderAnyLoad(t *testing.T) {
+	p := peertest.NewPeer(t, peertest.Silent)
+	r, calls := inService(t, p.Addr)
+	var all []net.Conn
+	defer func() {
+		for _, c := range all {
+			c.Close()
+		}
+	}()
+	for i := range r.side.whole.Clients {
+		c, _ := r.open()
+		io.WriteString(c, look(fmt.Sprint(i)))
+		all = append(all, c)
+	}
+	peertest.Eventually(t, "all places are taken", func() bool { return r.side.front.Open() == r.side.whole.Clients })
+	if resp, _ := r.ask(health); resp.StatusCode != 503 {
+		t.Errorf("a place was left: %d", resp.StatusCode)
+	}
+	for range 2 * admin.MaxCalls {
+		c, err := net.Dial("tcp", calls)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+		io.WriteString(c, "PUT /api/evac")
+	}
+	stuck, release := make(chan struct{}), make(chan struct{})
+	go r.side.core.Legacy(func(core.Legacy) { close(stuck); <-release })
+	peertest.Wait(t, stuck)
+	defer close(release)
+	for _, what := range []string{"GET /api/ready", "PUT /api/evacuate", "GET /api/ready", "PUT /api/rejoin"} {
+		began := time.Now()
+		if status := call(t, calls, what); status != 200 || time.Since(began) > time.Second {
+			t.Errorf("%s: %d after %v", what, status, time.Since(began))
+		}
+	}
+}
+
+// An answer that is passed on for longer than clients are sent away is passed on to its end, and its connection ends with it;
+// requests that came with one before are not read after an answer that ends the connection.
+func TestAStreamThatOutlastsTheDrain(t *testing.T) {
+	more := make(chan struct{})
+	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		if req.Header.Get("X-Trace-Id") != "stream" {
+			io.WriteString(c, peertest.OKAnswer)
+			return true
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"+strings.Repeat("a", 1_000_000))
+		<-more
+		io.WriteString(c, strings.Repeat("b", 1_000_000))
+		return true
+	})
+	r, calls := inService(t, p.Addr)
+	c, in := r.open()
+	io.WriteString(c, look("stream")+look("behind"))
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status := call(t, calls, "PUT /api/evacuate"); status != 200 {
+		t.Fatal(status)
+	}
+	idle, idleIn := r.open()
+	io.WriteString(idle, look("other")+look("with it"))
+	if resp, _ := peertest.Answer(t, idleIn); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%d, close %v", resp.StatusCode, resp.Close)
+	}
+	if rest, _ := io.ReadAll(idleIn); len(rest) > 0 { // the client sends it again
+		t.Errorf("%q after the last answer", rest)
+	}
+	if now := r.side.life.Status().State(); now != lifecycle.Evacuating {
+		t.Errorf("%v while an answer is passed on", now)
+	}
+	close(more)
+	if n, err := io.Copy(io.Discard, resp.Body); n != 2_000_000 || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	c.Close() // its answer had begun before: it says nothing of the end of its connection
+	peertest.Eventually(t, "away", func() bool { return r.side.life.Status().State() == lifecycle.Away })
+	if n := p.Requests.Load(); n > 3 {
+		t.Errorf("%d requests went on", n)
+	}
+}
