A body that has ended leaves no deadline behind; a yes is said once a next process can take over

Ruled out: the close of idle connections, the hand-over. At fault: halt in front/platform/body.go set a read deadline in the past also when the body had been read to its end; net/http, which waits there for the client by then, takes it for the client's end and cancels all requests to come on the connection. Also seen: a next process started right after the yes of the one before found nobody and listened beside it; its death reset what was in its queue. At fault: the order in wiring/succession.go; and a place taken by a process that died stayed lost.

Change: no deadline once a body has ended; the place is taken before the yes, and again when a next process has died. The tests reserve the addresses of their processes, which other tests could be given.

--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -45,7 +45,7 @@
 const longBody = 300_000
 
 func newFleet(t *testing.T, settings string) *fleet {
-	f := &fleet{t: t, listen: peertest.DeadAddr(t), dir: t.TempDir(), ran: map[string]int{}}
+	f := &fleet{t: t, listen: peertest.Reserved(t), dir: t.TempDir(), ran: map[string]int{}}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		n, err := io.Copy(io.Discard, req.Body)
 		if err != nil {
@@ -83,7 +83,7 @@
 }
 
 // start starts a process beside those that run, with an address of its own for operators.
-func (f *fleet) start() *sidecar { return f.startAt(peertest.DeadAddr(f.t)) }
+func (f *fleet) start() *sidecar { return f.startAt(peertest.Reserved(f.t)) }
 
 func (f *fleet) startAt(admin string) *sidecar {
 	f.t.Helper()
@@ -195,6 +195,7 @@
 				f.mu.Lock()
 				ran := f.ran[id]
 				f.mu.Unlock()
+				f.t.Logf("%s: %v at %s, from %s", id, err, time.Now().Format("05.000000"), c.LocalAddr())
 				if f.unread.Add(1); ran > 0 && !f.kills.Load() {
 					f.t.Errorf("%s: lost, and it ran: %v", id, err)
 				}
@@ -346,6 +347,9 @@
 		now = next
 		f.more(50)
 	})
+	if log := now.log.String(); !strings.Contains(log, "now=ready") || strings.Contains(log, "nothing is taken over") {
+		t.Error("the last process did not take over")
+	}
 	now.end()
 }
 
--- a/internal/front/platform/body.go
+++ b/internal/front/platform/body.go
@@ -67,10 +67,13 @@
 	return n, err
 }
 
-// halt ends the reading: what is left of the body stays unread.
+// halt ends the reading: what is left of the body stays unread. Where nothing is left the connection is not touched: net/http
+// waits on it for the client already, and would take the deadline for the client's end and give up the next request.
 func (b *body) halt() {
-	b.halted.Store(true)
-	b.control.SetReadDeadline(time.Unix(1, 0))
+	if !b.ended.Load() {
+		b.halted.Store(true)
+		b.control.SetReadDeadline(time.Unix(1, 0))
+	}
 	if b.rest != nil {
 		b.rest.Close()
 	}
--- a/internal/front/platform/long_test.go
+++ b/internal/front/platform/long_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"petrelhook/internal/front"
 	"petrelhook/internal/message"
@@ -336,3 +337,26 @@
 	}
 	return length, chunked
 }
+
+// deadlines notes the deadlines of reading.
+type deadlines struct {
+	http.ResponseWriter
+	set []time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error { d.set = append(d.set, t); return nil }
+
+// A body that was read to its end leaves no deadline behind, whenever it is given up: the connection is the next request's.
+func TestAnEndedBodyLeavesNoDeadline(t *testing.T) {
+	w := &deadlines{}
+	b := newBody(w, &http.Request{Body: io.NopCloser(strings.NewReader("whole"))}, time.Now())
+	b.rest = message.NewUpload(-1)
+	b.pump(func(error) {})
+	if _, err := readAll(b.rest); err != nil {
+		t.Fatal(err)
+	}
+	b.halt()
+	if last := w.set[len(w.set)-1]; !last.IsZero() {
+		t.Errorf("a deadline of %v is left", last)
+	}
+}
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -121,6 +121,31 @@
 	return ln.Addr().String()
 }
 
+// Reserved is an address that a process may listen at, and that nobody else is given until the test ends: a socket is bound
+// to it that does not listen.
+func Reserved(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	const reusePort = 0xf
+	for _, option := range []int{syscall.SO_REUSEADDR, reusePort} {
+		if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, option, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
 // Instance is an entry of a list, in discovery's form.
 func Instance(name, addr, lifecycle string) string {
 	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"a","machineType":"m2","cell":3,"lifecycle":%q,"weight":1.0,"startedAtMs":0}`,
--- a/internal/wiring/succession.go
+++ b/internal/wiring/succession.go
@@ -84,32 +84,35 @@
 			s.unshare()
 		})
 	}
-	for { // nobody comes for what does not serve yet
-		now, over := s.life.Now()
-		if now.Ready() {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-over:
-		}
-	}
+	offered := sync.OnceFunc(func() { close(s.offered) })
+	defer offered()
 	file, ok := ln.(interface{ File() (*os.File, error) })
 	if !ok {
 		return
 	}
-	offer := &handover.Offer{
-		Give:   func() (*os.File, []byte, error) { return s.give(file.File) },
-		Met:    func(l *handover.Link) { s.keep(l, true) },
-		Failed: func(err error) { s.log.Warn("nothing is handed over", "err", err) },
-	}
-	if err := offer.Open(su.Place); err != nil {
-		s.log.Warn("nobody can take over", "err", err)
+	select { // the one before has its place until this one can serve
+	case <-s.listed:
+	case <-ctx.Done():
 		return
 	}
-	defer offer.Close()
-	<-ctx.Done()
+	for { // again where a next process that died has taken the place with it
+		offer := &handover.Offer{
+			Give:   func() (*os.File, []byte, error) { return s.give(file.File) },
+			Met:    func(l *handover.Link) { s.keep(l, true) },
+			Failed: func(err error) { s.log.Warn("nothing is handed over", "err", err) },
+		}
+		if err := offer.Open(su.Place); err != nil {
+			s.log.Warn("nobody can take over", "err", err)
+		} else {
+			defer offer.Close()
+		}
+		offered()
+		select {
+		case <-s.deserted:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // give is what the next process gets. From here on this one holds no more than it does, or half.
@@ -181,8 +184,13 @@
 	end()
 	sides.Wait()
 	if next {
-		s.life.Tell(lifecycle.Deserted)
 		s.unshare()
+		if now, _ := s.life.Tell(lifecycle.Deserted); now.State() != lifecycle.Stopping {
+			select {
+			case s.deserted <- struct{}{}:
+			default: // the place is about to be taken already
+			}
+		}
 	}
 }
 
@@ -195,6 +203,9 @@
 		case <-time.After(heardTime):
 		}
 	}
+	if su != nil { // who sees that this one serves may start the next
+		<-s.offered
+	}
 	s.life.Tell(lifecycle.Listed)
 }
 
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -48,6 +48,8 @@
 	whole Room // what it may hold when there is one process
 
 	listed    chan struct{} // closed when a server is known
+	offered   chan struct{} // closed when a next process can take over
+	deserted  chan struct{} // a next process has died
 	heard     chan struct{} // closed when the process before knows that this one serves
 	heardOnce func()
 
@@ -61,7 +63,8 @@
 // NewFrom puts a sidecar together that goes on where another process of it was.
 func NewFrom(c *config.Config, from *Inheritance, dial Dial, log *slog.Logger) *Sidecar {
 	module, life := &c.Profile.Config, lifecycle.New()
-	s := &Sidecar{life: life, dial: dial, log: log, listed: make(chan struct{}), heard: make(chan struct{})}
+	s := &Sidecar{life: life, dial: dial, log: log, listed: make(chan struct{}), heard: make(chan struct{}),
+		offered: make(chan struct{}), deserted: make(chan struct{}, 1)}
 	s.heardOnce = sync.OnceFunc(func() { close(s.heard) })
 	var legacy *core.Legacy
 	if from != nil {
