A body that was taken from is never sent again; early answers and slow bodies are answered at once

Found by reading the whole change again, each with a test that fails without its code: - whether a body is spent was told by the exchange, so an end given by the core itself left it out, and what was left of a body in chunks could go to another server as a whole one. Derived from the body now, and refused once more where an exchange begins; - a server that answered early and read no more held the answer back for 10 s (virtual time), as the upload was stuck in its write; - the time to write a short answer counted from the head: a body of more than 15 s lost its answer, and /_health had no bound at all. Also: the end of a sidecar waits for the listener's last connection; operators' wishes between hand-over and link are passed on; the division of limits is a pure function with a table; tests share one way to put a sidecar together.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -121,7 +121,7 @@
 	}
 	err := l.tell(balance.Outcome{
 		Request: r.id, Attempt: at.number, Server: at.id, Result: results[out.Result], Took: millis(took), Finished: r.closed,
-		Report: out.Report, Spent: out.Spent,
+		Report: out.Report, Spent: r.Message.Rest != nil && r.Message.Rest.Taken(),
 	})
 	if err != nil && r.out == 0 { // the module does not know of it, so nothing more would come
 		l.finish(r.id, front.Answer{Verdict: front.Failed})
--- a/internal/core/long_test.go
+++ b/internal/core/long_test.go
@@ -52,24 +52,30 @@
 			t.Errorf("verdict %v", a.answer.Verdict)
 		}
 		<-x.ctx.Done()
-		x.end <- upstream.Outcome{Result: upstream.Cancelled, Spent: true}
+		x.end <- upstream.Outcome{Result: upstream.Cancelled}
 		r.empty(1)
 	})
 }
 
-// What cannot be sent again is not, and is refused where nothing ran; what can be goes to another server.
+// What was taken of a body by one exchange is no longer there for another, whatever came of the first: the request is answered,
+// refused where nothing ran and failed where it may have. What was not taken goes to another server.
 func TestALongRequestThatBreaksOff(t *testing.T) {
-	in(t, []string{"a", "b", "c"}, func(r *rig) {
-		a := r.askLong("whole", int(balance.Unsafe))
-		first := <-r.servers.sent
-		first.end <- upstream.Outcome{Result: upstream.ConnectFailed}
-		second := <-r.servers.sent
-		if second.addr == first.addr {
-			t.Error("the same server again")
-		}
-		second.end <- upstream.Outcome{Result: upstream.ConnectFailed, Spent: true}
-		r.is(a, front.Refused, nil)
-	})
+	for result, want := range map[upstream.Result]front.Verdict{upstream.ConnectFailed: front.Refused, upstream.Reset: front.Failed} {
+		in(t, []string{"a", "b", "c"}, func(r *rig) {
+			a := r.askLong("long", unsafe)
+			first := <-r.servers.sent
+			first.end <- upstream.Outcome{Result: upstream.ConnectFailed}
+			second := <-r.servers.sent
+			if second.addr == first.addr {
+				t.Error("the same server again")
+			}
+			go second.call.Message.Rest.Pump(strings.NewReader("half"))
+			second.call.Message.Rest.Next(nil)
+			defer second.call.Message.Rest.Close()
+			second.end <- upstream.Outcome{Result: result}
+			r.is(a, want, nil)
+		})
+	}
 }
 
 // An answer that has begun is the client's: one outcome for the module, no other try, no deadline; the exchange goes on
--- a/internal/front/platform/long_test.go
+++ b/internal/front/platform/long_test.go
@@ -7,15 +7,21 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"petrelhook/internal/admit"
 	"petrelhook/internal/front"
+	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/room"
 )
 
 func onceHead(trace, framing string) string {
@@ -360,3 +366,69 @@
 		t.Errorf("a deadline of %v is left", last)
 	}
 }
+
+// In virtual time: a body that comes at 64 kB a second for a minute is served, also with a short answer, and so is a client that
+// takes nothing of a long answer for some seconds; one that takes nothing any more is ended.
+func TestSlowClients(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(time.Millisecond)
+		ln, err := n.Listen("127.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		const size = 64_000 * 60
+		life := lifecycle.New()
+		core := &fakeCore{answer: func(_ context.Context, r front.Request) (front.Answer, error) {
+			a := front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte("hi")}}
+			if r.Message.Rest != nil {
+				reader{r.Message.Rest}.WriteTo(io.Discard)
+			} else {
+				a.Reply.Rest, a.Reply.Size = io.NopCloser(io.LimitReader(zeros{}, size-2)), size
+			}
+			return a, nil
+		}}
+		server := New(Settings{Room: room.New(0), Door: admit.Config{Places: 9, Horizon: time.Second}, Classes: []front.Class{
+			{Name: "look", Effect: front.Safe, Deadline: time.Second}, {Name: "book"}, {Name: "once", Effect: front.Unsafe, Deadline: time.Second},
+		}}, core, life, slog.New(slog.DiscardHandler))
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(ln) }()
+		dial := func() (net.Conn, *bufio.Reader) {
+			c, err := n.Dial(t.Context(), "tcp", "127.0.0.1:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c, bufio.NewReader(c)
+		}
+		c, in := dial()
+		io.WriteString(c, onceHead("slow", fmt.Sprint("Content-Length: ", size)))
+		for range 60 {
+			time.Sleep(time.Second)
+			c.Write(make([]byte, 64_000))
+		}
+		if resp, body := peertest.Answer(t, in); resp.StatusCode != 200 || body != "hi" {
+			t.Errorf("a slow body: %d %q", resp.StatusCode, body)
+		}
+		c.Close()
+		for pause, whole := range map[time.Duration]bool{stall / 2: true, 2 * stall: false} {
+			c, in := dial()
+			io.WriteString(c, look("t"))
+			time.Sleep(pause)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, _ := io.Copy(io.Discard, resp.Body); (got == size) != whole {
+				t.Errorf("a pause of %v: %d bytes", pause, got)
+			}
+			c.Close()
+		}
+		life.Tell(lifecycle.Terminate)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -123,7 +123,7 @@
 			accepting = false
 			s.clients.Listener.Close()
 		}
-		if !accepting && s.clients.Open() == 0 {
+		if !accepting && failed == nil && s.clients.Open() == 0 { // what was accepted last has its place by then
 			return nil
 		}
 		select {
@@ -151,13 +151,13 @@
 // ServeHTTP answers one request of the application.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
+	http.NewResponseController(w).SetWriteDeadline(arrived.Add(bodyTime + s.longest + stall))
 	if req.URL.Path == healthPath {
 		if s.leaves(w); !s.life.Status().Healthy() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	http.NewResponseController(w).SetWriteDeadline(arrived.Add(bodyTime + s.longest + stall))
 	in, b, code, err := s.parse(w, req)
 	if err != nil {
 		reject(w, err.Error(), code)
@@ -184,7 +184,8 @@
 		defer b.halt()
 	}
 	a, err := s.core.Answer(ctx, in)
-	if b != nil && !b.ended.Load() { // an answer that is passed on may end after the body; else what is left is not read
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stall)) // its body may have come for long
+	if b != nil && !b.ended.Load() {                                      // an answer that is passed on may end after the body; else what is left is not read
 		w.Header().Set("Connection", "close")
 		if gone := context.Cause(ctx); err != nil && gone != nil && status(gone) != 0 {
 			reject(w, gone.Error(), status(gone))
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -107,3 +107,14 @@
 		t.Error(heard)
 	}
 }
+
+// Whatever is held: the parts are the whole together, and nobody has to give up what he holds.
+func TestTheDivisionOfRoom(t *testing.T) {
+	for held, want := range map[Room][2]Room{
+		{0, 0}: {{50, 20}, {50, 20}}, {80, 10}: {{80, 20}, {20, 20}}, {100, 40}: {{100, 40}, {0, 0}}, {120, 41}: {{100, 40}, {0, 0}},
+	} {
+		if own, next := (Room{100, 40}).Divide(held); own != want[0] || next != want[1] {
+			t.Errorf("%v held: %v and %v", held, own, next)
+		}
+	}
+}
--- a/internal/message/upload.go
+++ b/internal/message/upload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // Upload is the rest of a body that is passed on as it comes: whoever has the client's connection pumps, and one exchange at a
@@ -15,6 +16,7 @@
 	ended  chan struct{}
 	end    func()
 	over   error // the body's end, once it was taken; owned by the one who takes
+	taken  atomic.Bool
 }
 
 type piece struct {
@@ -58,6 +60,9 @@
 	}
 }
 
+// Taken reports whether anything has been taken: then the body cannot be sent again.
+func (u *Upload) Taken() bool { return u.taken.Load() }
+
 // Close ends the pump once its reader returns, and whoever waits for a piece. It may be called more than once.
 func (u *Upload) Close() { u.end() }
 
@@ -74,6 +79,7 @@
 	}
 	select {
 	case p := <-u.pieces:
+		u.taken.Store(true)
 		u.over = p.err
 		return p.data, p.err
 	case <-stop:
--- a/internal/upstream/http1/pass.go
+++ b/internal/upstream/http1/pass.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/message"
@@ -15,11 +16,11 @@
 	cn   *conn
 	call *upstream.Call
 
-	read      int64 // bytes of the rest
 	whole     bool  // the last byte has left
 	client    error // why the body does not go on, where that is not our doing
 	server    error // why the server takes no more
 	unchunked bool
+	over      atomic.Bool // nothing more is to be written
 }
 
 // pass carries out a call whose body is passed on as it comes. The answer is read at the same time: a server may give one
@@ -41,8 +42,9 @@
 	defer in.free()
 	r, keep = in.read(c.Message.Method, u.Fields, u.Room, c.Begun)
 	close(stop)
+	p.over.Store(true) // a server that has answered need not read on
+	cn.SetWriteDeadline(time.Unix(1, 0))
 	<-ended
-	r.Spent = p.read > 0
 	keep = keep && p.whole && in.Buffered() == 0
 	if p.whole || r.Result != upstream.Reset {
 		return r, keep, r.Result == upstream.Reset
@@ -50,11 +52,11 @@
 	// A server begins with the last byte, which it never had.
 	switch {
 	case p.client != nil:
-		return upstream.Outcome{Result: upstream.Moot, Err: fmt.Errorf("the client: %w", p.client), Spent: r.Spent}, false, false
-	case cn.used && p.read == 0:
+		return upstream.Outcome{Result: upstream.Moot, Err: fmt.Errorf("the client: %w", p.client)}, false, false
+	case cn.used && !c.Message.Rest.Taken():
 		return upstream.Outcome{Result: upstream.Moot, Err: r.Err}, false, true
 	}
-	return upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.Join(r.Err, p.server), Spent: r.Spent}, false, true
+	return upstream.Outcome{Result: upstream.ConnectFailed, Err: errors.Join(r.Err, p.server)}, false, true
 }
 
 // run writes the request to its end, or to that of the client or the server.
@@ -72,7 +74,6 @@
 		text, err := c.Message.Rest.Next(stop)
 		n := len(text)
 		if n > 0 {
-			p.read += int64(n)
 			if !p.unchunked {
 				text = chunk(text)
 			}
@@ -106,6 +107,9 @@
 // write writes a text whole, or says why not in p.server. What has left whole has left, whatever came of it.
 func (p *passing) write(text []byte) bool {
 	p.cn.SetWriteDeadline(time.Now().Add(stall))
+	if p.over.Load() { // only now: whoever sets it sets a deadline of its own
+		p.cn.SetWriteDeadline(time.Unix(1, 0))
+	}
 	n, err := p.cn.Write(text)
 	if n < len(text) {
 		p.server = err
--- a/internal/upstream/http1/pass_test.go
+++ b/internal/upstream/http1/pass_test.go
@@ -8,10 +8,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 )
@@ -73,8 +76,8 @@
 			}()
 			r := send(e, call)
 			peertest.Wait(t, written)
-			if r.Result != upstream.Served || !r.Spent || peertest.Wait(t, got) != "head,"+rest {
-				t.Fatalf("%s: %v (%v), spent %v", name, r.Result, r.Err, r.Spent)
+			if r.Result != upstream.Served || !c.rest.Taken() || peertest.Wait(t, got) != "head,"+rest {
+				t.Fatalf("%s: %v (%v), spent %v", name, r.Result, r.Err, c.rest.Taken())
 			}
 		}
 		if n := p.Conns.Load(); n != 1 {
@@ -120,7 +123,7 @@
 		"the server is full at once":       {after(0, says("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")), func(c *client) {}, upstream.TurnedAway, false},
 		"the server fails early":           {after(5, says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")), func(c *client) {}, upstream.Failed, false},
 		"the client goes a byte before":    {readAll, func(c *client) { io.WriteString(c, "0123"); c.CloseWithError(io.ErrUnexpectedEOF) }, upstream.Moot, true},
-		"the client goes":                  {readAll, func(c *client) { c.CloseWithError(io.ErrUnexpectedEOF) }, upstream.Moot, false},
+		"the client goes":                  {readAll, func(c *client) { c.CloseWithError(io.ErrUnexpectedEOF) }, upstream.Moot, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			u := testPool(9)
@@ -128,8 +131,8 @@
 			call, written := upload(cl)
 			go c.client(cl)
 			r := send(u.at(server(t, c.server)), call)
-			if r.Result != c.want || r.Spent != c.spent {
-				t.Errorf("%v (%v), spent %v; want %v, %v", r.Result, r.Err, r.Spent, c.want, c.spent)
+			if r.Result != c.want || cl.rest.Taken() != c.spent {
+				t.Errorf("%v (%v), spent %v; want %v, %v", r.Result, r.Err, cl.rest.Taken(), c.want, c.spent)
 			}
 			if whole := len(written) == 1; whole == r.Result.NeverRan() && r.Result != upstream.Failed {
 				t.Errorf("%v, and written %v", r.Result, whole)
@@ -139,6 +142,47 @@
 	}
 }
 
+// A server that answers early and reads no more holds up nobody: its answer counts at once, although the body is stuck. What was
+// taken of that body never begins another exchange.
+func TestAnEarlyAnswerFromAServerThatReadsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(time.Millisecond)
+		ln, err := n.Listen("127.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			http.ReadRequest(bufio.NewReaderSize(c, 16))
+			time.Sleep(time.Second) // all that is on its way to it is stuck
+			io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+		}()
+		u := New(Settings{Most: 9, Within: time.Second, Idle: time.Second, Room: room.New(0)}, n.Dial)
+		rest := message.NewUpload(1 << 30)
+		go rest.Pump(neverEnding{})
+		defer rest.Close()
+		call := func() *upstream.Call {
+			return &upstream.Call{Message: message.Request{Method: "POST", Target: "/once", Rest: rest}, Wait: time.Second}
+		}
+		began := time.Now()
+		if r := u.at("127.0.0.1:80").Send(t.Context(), call()); r.Result != upstream.TurnedAway || time.Since(began) > 2*time.Second {
+			t.Errorf("%v (%v) after %v", r.Result, r.Err, time.Since(began))
+		}
+		go ln.Accept()
+		if r := u.at("127.0.0.1:80").Send(t.Context(), call()); r.Result != upstream.Moot {
+			t.Errorf("half a body is sent: %v", r.Result)
+		}
+	})
+}
+
+type neverEnding struct{}
+
+func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
+
 // A call with a body that comes is given up: the server does not get its end.
 func TestAPassedBodyIsGivenUp(t *testing.T) {
 	got, ended := make(chan struct{}, 1), make(chan error, 1)
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -191,6 +191,9 @@
 // exchange writes the request and reads the answer, and says whether the connection can be used again, and whether it broke.
 func (u *Pool) exchange(cn *conn, c *upstream.Call, now time.Time) (r upstream.Outcome, keep, broke bool) {
 	if c.Message.Rest != nil {
+		if c.Message.Rest.Taken() { // half of it is gone: what is left is another request
+			return upstream.Outcome{Result: upstream.Moot, Err: errors.New("the body is gone")}, true, false
+		}
 		return u.pass(cn, c)
 	}
 	cn.SetWriteDeadline(c.Expires) // reading ends when the attempt is given up
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,8 +49,6 @@
 	Reply  message.Reply // where it was served
 	Report []float32     // load report in the order of the settings' fields, NaN for one that is missing; nil: none
 	Err    error         // why it was not served
-	// Spent: of the rest of the request's body something has been read, so that it cannot be sent again.
-	Spent bool
 }
 
 // Call is one exchange to carry out.
--- a/internal/wiring/rig_test.go
+++ b/internal/wiring/rig_test.go
@@ -23,9 +23,14 @@
 }
 
 func newRig(t *testing.T, discovery, known string, log *slog.Logger) *rig {
+	return rigWith(t, discovery, known, "", nil, log)
+}
+
+// rigWith is one with more in its configuration, that operators can call on a listener.
+func rigWith(t *testing.T, discovery, known, more string, calls net.Listener, log *slog.Logger) *rig {
 	t.Helper()
-	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
-		discovery, known, peertest.Settings)))
+	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",%s"known":%s,"settings":%s}`,
+		discovery, more, known, peertest.Settings)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,18 +41,23 @@
 	r := &rig{t: t, side: New(&cfg, TCP(), log), addr: ln.Addr().String(), ended: make(chan error, 1)}
 	stop, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.ended <- r.side.Run(stop, ln, nil, nil) }()
+	go func() { r.ended <- r.side.Run(stop, ln, calls, nil) }()
 	t.Cleanup(cancel)
 	return r
 }
 
 // withServers is a sidecar that knows these servers; discovery is down.
 func withServers(t *testing.T, addrs ...string) *rig {
+	return newRig(t, peertest.DeadAddr(t), listed(addrs), slog.New(slog.DiscardHandler))
+}
+
+// listed is the list of servers at these addresses.
+func listed(addrs []string) string {
 	var list []string
 	for i, addr := range addrs {
 		list = append(list, peertest.Instance(fmt.Sprint("s-", i), addr, "up"))
 	}
-	return newRig(t, peertest.DeadAddr(t), peertest.Catalog(1, true, list...), slog.New(slog.DiscardHandler))
+	return peertest.Catalog(1, true, list...)
 }
 
 // open connects to the sidecar as a client.
--- a/internal/wiring/service_test.go
+++ b/internal/wiring/service_test.go
@@ -1,7 +1,7 @@
 package wiring
 
 import (
-	"context"
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,7 +12,6 @@
 	"time"
 
 	"petrelhook/internal/admin"
-	"petrelhook/internal/config"
 	"petrelhook/internal/core"
 	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/peertest"
@@ -23,33 +22,18 @@
 // inService is a sidecar that operators can call at calls.
 func inService(t *testing.T, addrs ...string) (r *rig, calls string) {
 	t.Helper()
-	var list []string
-	for i, addr := range addrs {
-		list = append(list, peertest.Instance(fmt.Sprint("s-", i), addr, "up"))
-	}
-	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":%q,"seed":"1f",
-		"limits":{"sockets":120},"known":%s,"settings":%s}`,
-		peertest.DeadAddr(t), peertest.Catalog(1, true, list...), peertest.Settings)))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var listeners [2]net.Listener
-	for i := range listeners {
-		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-			t.Fatal(err)
-		}
-	}
-	r = &rig{t: t, side: New(&cfg, TCP(), slog.New(slog.DiscardHandler)), addr: listeners[0].Addr().String(), ended: make(chan error, 1)}
-	stop, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	go func() { r.ended <- r.side.Run(stop, listeners[0], listeners[1], nil) }()
+	r = rigWith(t, peertest.DeadAddr(t), listed(addrs), `"admin_addr":"127.0.0.1:0","limits":{"sockets":120},`, ln, slog.New(slog.DiscardHandler))
 	t.Cleanup(func() {
-		cancel()
+		r.stop()
 		if err := peertest.Wait(t, r.ended); err != nil {
 			t.Error(err)
 		}
 	})
-	calls = listeners[1].Addr().String()
+	calls = ln.Addr().String()
 	peertest.Eventually(t, "ready", func() bool { return call(t, calls, "GET /api/ready") == 200 })
 	return r, calls
 }
@@ -110,19 +94,27 @@
 	}
 }
 
-// Rejoin in the midst of an evacuation: who is still here stays.
-func TestRejoinBeforeAllHaveGone(t *testing.T) {
-	got, release := make(chan struct{}, 1), make(chan struct{})
+// withASlowRequest is a sidecar with a request that is answered when release is closed.
+func withASlowRequest(t *testing.T) (r *rig, calls string, in *bufio.Reader, release chan struct{}) {
+	t.Helper()
+	got := make(chan struct{}, 1)
+	release = make(chan struct{})
 	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
 		got <- struct{}{}
 		<-release
 		io.WriteString(c, peertest.OKAnswer)
 		return true
 	})
-	r, calls := inService(t, p.Addr)
+	r, calls = inService(t, p.Addr)
 	c, in := r.open()
 	io.WriteString(c, look("slow"))
 	peertest.Wait(t, got)
+	return r, calls, in, release
+}
+
+// Rejoin in the midst of an evacuation: who is still here stays.
+func TestRejoinBeforeAllHaveGone(t *testing.T) {
+	_, calls, in, release := withASlowRequest(t)
 	for _, what := range []string{"PUT /api/evacuate", "PUT /api/rejoin"} {
 		if status := call(t, calls, what); status != 200 {
 			t.Fatalf("%s: %d", what, status)
@@ -164,17 +156,7 @@
 
 // Operators call a process that ends: it can't be told to come back.
 func TestCallsWhileItEnds(t *testing.T) {
-	got, release := make(chan struct{}, 1), make(chan struct{})
-	p := peertest.NewPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
-		got <- struct{}{}
-		<-release
-		io.WriteString(c, peertest.OKAnswer)
-		return true
-	})
-	r, calls := inService(t, p.Addr)
-	c, in := r.open()
-	io.WriteString(c, look("slow"))
-	peertest.Wait(t, got)
+	r, calls, in, release := withASlowRequest(t)
 	r.stop()
 	peertest.Eventually(t, "stopping", func() bool { return call(t, calls, "GET /api/ready") == 503 })
 	for _, what := range []string{"PUT /api/evacuate", "PUT /api/rejoin"} {
--- a/internal/wiring/succession.go
+++ b/internal/wiring/succession.go
@@ -18,21 +18,16 @@
 // Succession is a sidecar's place among its processes: the one before, and the next, which comes to the place.
 type Succession struct {
 	Place handover.Place
-	From  *handover.Link // to the process before; nil: there is none
-	Room  *Room          // what the process before leaves for as long as it lives; nil: all
-}
-
-// Room is a part of what one sidecar may hold.
-type Room struct {
-	Clients int `json:"clients"` // connections
-	Servers int `json:"servers"`
+	From  *handover.Link  // to the process before; nil: there is none
+	Out   bool            // what it said of operators' wishes
+	Room  *lifecycle.Room // what the process before leaves for as long as it lives; nil: all
 }
 
 // Inheritance is what one process hands to the next.
 type Inheritance struct {
-	Out  bool        `json:"out"` // operators want no clients here
-	Room Room        `json:"room"`
-	Core core.Legacy `json:"core"`
+	Out  bool           `json:"out"` // operators want no clients here
+	Room lifecycle.Room `json:"room"`
+	Core core.Legacy    `json:"core"`
 }
 
 // The lines of a link. Each side tells the other what operators asked of it.
@@ -68,7 +63,7 @@
 		link.Close()
 		return nil, nil, su, err
 	}
-	su.From, su.Room = link, &from.Room
+	su.From, su.Room, su.Out = link, &from.Room, from.Out
 	return ln, from, su, nil
 }
 
@@ -80,7 +75,7 @@
 		s.share(*su.Room)
 		links.Go(func() {
 			defer context.AfterFunc(ctx, func() { su.From.Close() })()
-			s.keep(su.From, false)
+			s.keep(su.From, false, su.Out)
 			s.unshare()
 		})
 	}
@@ -98,7 +93,7 @@
 	for { // again where a next process that died has taken the place with it
 		offer := &handover.Offer{
 			Give:   func() (*os.File, []byte, error) { return s.give(file.File) },
-			Met:    func(l *handover.Link) { s.keep(l, true) },
+			Met:    func(l *handover.Link) { s.keep(l, true, s.gave.Load()) },
 			Failed: func(err error) { s.log.Warn("nothing is handed over", "err", err) },
 		}
 		if err := offer.Open(su.Place); err != nil {
@@ -118,10 +113,11 @@
 // give is what the next process gets. From here on this one holds no more than it does, or half.
 func (s *Sidecar) give(file func() (*os.File, error)) (*os.File, []byte, error) {
 	out := Inheritance{Out: s.life.Status().Out()}
+	s.gave.Store(out.Out)
 	var state []byte
 	var err error
-	own := Room{max(s.whole.Clients/2, s.front.Open()), max(s.whole.Servers/2, s.up.Open())}
-	out.Room = Room{max(0, s.whole.Clients-own.Clients), max(0, s.whole.Servers-own.Servers)}
+	own, next := s.whole.Divide(lifecycle.Room{Clients: s.front.Open(), Servers: s.up.Open()})
+	out.Room = next
 	if !s.core.Legacy(func(l core.Legacy) {
 		out.Core = l
 		state, err = json.Marshal(out)
@@ -139,10 +135,10 @@
 	return socket, state, nil
 }
 
-// keep follows a link until the other process has ended. Calls of operators to one hold for both.
-func (s *Sidecar) keep(l *handover.Link, next bool) {
+// keep follows a link until the other process has ended. Calls of operators to one hold for both; told is what the other
+// holds, as far as is known.
+func (s *Sidecar) keep(l *handover.Link, next, told bool) {
 	var mu sync.Mutex
-	told := s.life.Status().Out() // what the other process holds, as far as is known
 	ctx, end := context.WithCancel(context.Background())
 	var sides sync.WaitGroup
 	sides.Go(func() {
@@ -210,7 +206,7 @@
 }
 
 // share bounds what this process holds while there are two; unshare ends that.
-func (s *Sidecar) share(r Room) {
+func (s *Sidecar) share(r lifecycle.Room) {
 	s.front.SetPlaces(max(1, r.Clients))
 	s.up.SetMost(max(1, r.Servers))
 	if s.OnShare != nil {
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"petrelhook/balance"
@@ -45,11 +46,12 @@
 	up    *http1.Pool
 	dial  Dial
 	log   *slog.Logger
-	whole Room // what it may hold when there is one process
+	whole lifecycle.Room // what it may hold when there is one process
 
 	listed    chan struct{} // closed when a server is known
 	offered   chan struct{} // closed when a next process can take over
 	deserted  chan struct{} // a next process has died
+	gave      atomic.Bool   // what the last one was told of operators' wishes
 	heard     chan struct{} // closed when the process before knows that this one serves
 	heardOnce func()
 
@@ -93,7 +95,7 @@
 		})
 	}
 	s.core, s.up, s.front = loop, up, platform.New(settings, loop, life, log)
-	s.whole = Room{settings.Door.Places, c.Limits.Servers()}
+	s.whole = lifecycle.Room{Clients: settings.Door.Places, Servers: c.Limits.Servers()}
 	return s
 }
 
