Upgrades watch discovery once and lose no queue when a hand-over fails; drains end in 4 s

Change: internal/member/relay, the next process watches and tells the one before, which watches by itself after 150 ms without a word (a stopped next process costs nobody his news). sock.Yield names the second listener of the group by a filter of the kernel's; MPTCP listeners take none, so the shared listener is plain TCP. From 3.7 s of a drain any silence closes a connection.

--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -429,3 +429,199 @@
 	peertest.Eventually(t, "the second hears operators", func() bool { return second.call("GET /api/ready") == 200 })
 	second.end()
 }
+
+// The hand-over fails, and both processes listen at one address: when the first ends, no connection is lost in its queue.
+func TestAFailedHandOverLosesNoConnection(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	now := f.start()
+	f.under(func() {
+		for range rounds() {
+			f.more(50)
+			now.cmd.Process.Signal(syscall.SIGSTOP) // it does not hand over in time
+			next := f.start()
+			now.cmd.Process.Signal(syscall.SIGCONT)
+			if !strings.Contains(next.log.String(), "nothing is taken over") {
+				t.Error("there was a hand-over")
+			}
+			f.more(100)
+			now.cmd.Process.Signal(syscall.SIGTERM)
+			peertest.Eventually(t, "it stops", func() bool { return strings.Contains(now.log.String(), "now=stopping") })
+			now.cmd.Process.Signal(syscall.SIGSTOP) // what comes to its queue now stays there
+			f.more(300)
+			now.cmd.Process.Signal(syscall.SIGCONT)
+			now.end()
+			now = next
+		}
+		f.more(50)
+	})
+	if n := f.unread.Load(); n > 0 {
+		t.Errorf("%d connections ended unread", n)
+	}
+	now.end()
+}
+
+// lists is a discovery that is watched: a list that is told goes to all that watch.
+type lists struct {
+	mu    sync.Mutex
+	now   string
+	open  map[net.Conn]struct{}
+	calls int
+}
+
+func newLists(t *testing.T, first string) (l *lists, addr string) {
+	l = &lists{now: first, open: map[net.Conn]struct{}{}}
+	return l, peertest.NewRaw(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.calls++
+		if req.URL.Query().Get("watch") == "" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(l.now), l.now)
+			l.mu.Unlock()
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s\n", l.now)
+		l.open[c] = struct{}{}
+		l.mu.Unlock()
+		in.ReadByte() // until it is closed
+		l.mu.Lock()
+		delete(l.open, c)
+		l.mu.Unlock()
+	})
+}
+
+func (l *lists) tell(list string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.now = list
+	for c := range l.open {
+		io.WriteString(c, list+"\n")
+	}
+}
+
+func (l *lists) watches() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// Two processes have one watch of discovery between them, and both have its news; a next process that is stopped does not cost
+// the first its news, and one that dies leaves it with a watch of its own.
+func TestOneWatchOfDiscovery(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	server := func(name string) string {
+		return peertest.Instance(name, peertest.NewPeer(t, peertest.Says(strings.Replace(peertest.OKAnswer, "hi", name, 1))).Addr, "up")
+	}
+	names := []string{"s1", "s2", "s3", "s4"}
+	var servers []string
+	for _, name := range names {
+		servers = append(servers, server(name))
+	}
+	generation := 1
+	l, addr := newLists(t, peertest.Catalog(generation, true, servers[0]))
+	f.config = strings.Replace(f.config, `"discovery":"`, `"discovery":"`+addr+`","x":"`, 1)
+	tell := func(i int) string { // this server alone
+		generation++
+		l.tell(peertest.Catalog(generation, true, servers[i]))
+		return names[i]
+	}
+	first := f.start()
+	type conn struct {
+		net.Conn
+		in *bufio.Reader
+	}
+	asked := 0
+	ask := func(c conn) string {
+		asked++
+		io.WriteString(c, kinds[0](fmt.Sprint("w", asked)))
+		_, body := peertest.Answer(t, c.in)
+		return body
+	}
+	serves := func(c conn, name string) {
+		t.Helper()
+		peertest.Eventually(t, "it serves by "+name, func() bool { return ask(c) == name })
+	}
+	c, in := peertest.Open(t, f.listen)
+	old := conn{c, in}
+	serves(old, "s1")
+	second := f.start()
+	peertest.Eventually(t, "one watch", func() bool { return l.watches() == 1 && strings.Contains(first.log.String(), "handing over") })
+	was := l.calls
+	serves(old, tell(1)) // by way of the second
+	if l.watches() != 1 || l.calls != was {
+		t.Errorf("%d watches, %d calls", l.watches(), l.calls-was)
+	}
+	second.cmd.Process.Signal(syscall.SIGSTOP)
+	serves(old, tell(2))
+	second.cmd.Process.Signal(syscall.SIGCONT)
+	serves(old, tell(3))
+	second.cmd.Process.Kill()
+	peertest.Wait(t, second.ended)
+	peertest.Eventually(t, "its own watch", func() bool { return l.watches() == 1 })
+	serves(old, tell(1))
+	third := f.start()
+	first.end()
+	peertest.Eventually(t, "the third watches", func() bool { return l.watches() == 1 })
+	c, in = peertest.Open(t, f.listen)
+	tell(2)
+	serves(conn{c, in}, "s3")
+	third.end()
+}
+
+// A keyed request is out with its server when the sidecar is upgraded; its client gives up and comes again, by then to the next
+// process, which sends the key to a server of the group that drops repeats. It runs once, and the first process sends nothing
+// more for it.
+func TestAKeyedRequestThatComesAgainToTheNextProcess(t *testing.T) {
+	var mu sync.Mutex
+	ran, sent := map[string]int{}, map[string]int{} // by key, by trace
+	release, got := make(chan struct{}), make(chan string, 9)
+	handle := func(c net.Conn, req *http.Request, _ string) bool {
+		mu.Lock()
+		key, trace := req.Header.Get("Idempotency-Key"), req.Header.Get("X-Trace-Id")
+		sent[trace]++
+		known := ran[key] > 0
+		if !known {
+			ran[key]++
+		}
+		mu.Unlock()
+		if !known {
+			got <- trace
+			<-release
+			return false // its answer is lost
+		}
+		io.WriteString(c, peertest.OKAnswer)
+		return true
+	}
+	// both servers are of one group, which knows a key together
+	a, b := peertest.NewPeer(t, handle), peertest.NewPeer(t, handle)
+	f := newFleet(t, peertest.Settings)
+	before, rest, _ := strings.Cut(f.config, `"known":`)
+	_, rest, _ = strings.Cut(rest, `,"settings"`)
+	f.config = before + `"known":` + peertest.Catalog(1, true, peertest.Instance("a", a.Addr, "up"), peertest.Instance("b", b.Addr, "up")) + `,"settings"` + rest
+	first := f.start()
+	book := func(trace string) string { return request("POST", "book", trace, "Idempotency-Key: k\r\n", 9) }
+	c, _ := peertest.Open(t, f.listen)
+	io.WriteString(c, book("one"))
+	peertest.Wait(t, got)
+	second := f.start()
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	peertest.Eventually(t, "it stops", func() bool { return strings.Contains(first.log.String(), "now=stopping") })
+	c.Close() // the client gives up
+	resp, _ := peertest.Ask(t, f.listen, book("two"))
+	if resp.StatusCode != 200 {
+		t.Errorf("come again: %d", resp.StatusCode)
+	}
+	close(release)
+	if err := peertest.Wait(t, first.ended); err != nil {
+		t.Error(err)
+	}
+	mu.Lock()
+	if ran["k"] != 1 || sent["one"] != 1 {
+		t.Errorf("it ran %d times; the first process sent it %d times", ran["k"], sent["one"])
+	}
+	mu.Unlock()
+	second.end()
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -40,6 +40,9 @@
 	// silentEnough is after what silence one of those is closed while clients are sent away: there is time, and until
 	// then its client may have its next request on the way, whose answer ends it.
 	silentEnough = 200 * time.Millisecond
+	// hurry is how long after that the last of them are closed at any silence: at 4 s none may be left, and a client whose request
+	// meets the close sends it to another sidecar.
+	hurry = 3700 * time.Millisecond
 	// silentAtEnd is the same for a sidecar that ends, whose clients should come again while it still accepts. One that asks
 	// more often is not closed between two requests, where the next is likely on its way.
 	silentAtEnd = 100 * time.Millisecond
@@ -87,14 +90,21 @@
 	s.clients.Listener = ln
 	s.http.ConnState, s.http.ConnContext = s.clients.State, s.clients.Context
 	go func() { failed <- s.http.Serve(s.clients) }()
+	var late <-chan time.Time
+	silent := silentEnough
 	for {
 		now, over := s.life.Now()
 		if now.State() == lifecycle.Stopping {
 			break
 		}
 		var look <-chan time.Time
-		if now.Out() { // until they come back: who was let in late is sent away too
-			s.clients.CloseIdlers(silentEnough)
+		if !now.Out() {
+			late, silent = nil, silentEnough
+		} else { // until they come back: who was let in late is sent away too
+			if late == nil {
+				late = s.after(hurry)
+			}
+			s.clients.CloseIdlers(silent)
 			if s.clients.Open() == 0 {
 				s.life.Tell(lifecycle.Emptied)
 			}
@@ -105,6 +115,8 @@
 			return fmt.Errorf("serve: %w", err)
 		case <-over:
 		case <-look:
+		case <-late:
+			silent = 0
 		}
 	}
 	return s.finish(failed)
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -13,6 +13,8 @@
 	// maxState is more than the largest fleets need.
 	maxState = 64 << 20
 	maxLine  = 128
+	// maxSaid is the longest line of a link: a whole list of the largest fleets.
+	maxSaid = 8 << 20
 )
 
 // hello is what the next process says first.
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -34,12 +34,19 @@
 
 // Listen hands each line of the other process to heard, until that process has ended, or Close.
 func (l *Link) Listen(heard func(line string)) {
+	var line []byte
 	for {
-		line, err := l.in.ReadSlice('\n')
+		part, err := l.in.ReadSlice('\n')
+		if line = append(line, part...); errors.Is(err, bufio.ErrBufferFull) && len(line) < maxSaid {
+			continue
+		}
 		if err != nil {
 			return
 		}
 		heard(strings.TrimSuffix(string(line), "\n"))
+		if line = line[:0]; cap(line) > 1<<16 {
+			line = nil
+		}
 	}
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -127,6 +127,10 @@
 // from the moment on at which this one ends.
 func (s Status) Accepts() bool { return !s.ending || !s.succeeded }
 
+// Yields reports whether new connections are to go to whoever else listens at the address: to the next process, where the
+// hand-over to it failed.
+func (s Status) Yields() bool { return s.ending && !s.succeeded }
+
 // Succeeded reports whether the next process has the listener.
 func (s Status) Succeeded() bool { return s.succeeded }
 
--- a/internal/member/discovery/discovery.go
+++ b/internal/member/discovery/discovery.go
@@ -33,6 +33,9 @@
 
 // Source makes calls to the discovery service. Each call ends with one error or, for a fetch, one list.
 type Source struct {
+	// Opened is called when a watch is open; nil: nobody is told.
+	Opened func()
+
 	addr    string
 	base    string
 	client  *http.Client
@@ -114,6 +117,9 @@
 		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 	}
 	defer body.Close()
+	if d.Opened != nil {
+		d.Opened()
+	}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1<<16), maxMessage)
 	for lines.Scan() {
--- /dev/null
+++ b/internal/member/relay/doc.go
@@ -0,0 +1,66 @@
+// Package relay has two processes of one sidecar share a watch of discovery. The next process watches, and tells the one before
+// each list as it comes; the one before closes its own watch once it hears that the other's is open, and opens it again as soon
+// as it hears nothing for Fresh. It knows neither links nor sockets: words go out and come in.
+//
+// Invariants: one of the two watches at any time, but for the moments of a change, in which both may; what a process takes in
+// comes in the order in which discovery told it, and nothing is left out, for a watch asks for all that came after the list
+// held; a process that hears nothing is no worse off than one that is alone, but for Fresh; nobody waits for the other process.
+package relay
+
+import (
+	"time"
+
+	"petrelhook/internal/member"
+)
+
+const (
+	// Fresh is how long a process goes by the last word of the other. With the time in which a watch opens it is less than the
+	// grace for drains: a next process that is stopped must not cost the one before its news.
+	Fresh = 150 * time.Millisecond
+	// Every is how often the one that watches says so.
+	Every = 40 * time.Millisecond
+	// Again is how long a process that stopped going by the other watches by itself: each change is a call to discovery.
+	Again = 2 * time.Second
+	// most is how many lists may wait for the other side.
+	most = 64
+)
+
+// Word is what the process that watches tells the other: that its watch is open and, where List is not nil, what it was told.
+type Word struct {
+	Source string       `json:"source"` // the name of what is watched
+	List   *member.List `json:"list,omitempty"`
+}
+
+// follower decides whether a process goes by another's watch. It is pure.
+type follower struct {
+	source string // whose watch that is; "": nobody's
+	until  time.Time
+	barred time.Time // before it, it watches by itself
+}
+
+// hear takes in a word.
+func (f *follower) hear(source string, now time.Time) {
+	if now.Before(f.barred) {
+		return
+	}
+	f.source, f.until = source, now.Add(Fresh)
+}
+
+// follows reports whether to go by the other's watch of a source, and until when if nothing more is heard.
+func (f *follower) follows(source string, now time.Time) (until time.Time, ok bool) {
+	if f.source == "" {
+		return until, false
+	}
+	if !now.Before(f.until) {
+		f.lose(now)
+		return until, false
+	}
+	return f.until, f.source == source
+}
+
+// lose: the other is silent, or what it said did not get through.
+func (f *follower) lose(now time.Time) { f.source, f.barred = "", now.Add(Again) }
+
+// news reports whether a list from the other is news to one that holds a generation: the other's watch may have begun before
+// what this one was told by its own. A whole list counts anew.
+func news(l *member.List, held uint64) bool { return l.Whole || l.Generation > held }
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
+	"unsafe"
 )
 
 // Quiet reports whether a connection is open and nothing has come in on it that is still unread. It does not wait.
@@ -43,7 +45,56 @@
 		}
 		return err
 	}}
-	return c.Listen(context.Background(), "tcp", addr)
+	c.SetMultipathTCP(false) // its listeners take no filter, which Yield needs
+	ln, err := c.Listen(context.Background(), "tcp", addr)
+	if err == nil {
+		unyield(ln) // an error says that there was nothing to end
+	}
+	return ln, err
+}
+
+const (
+	attachReusePortCBPF = 0x33 // SO_ATTACH_REUSEPORT_CBPF and SO_DETACH_REUSEPORT_BPF, likewise
+	detachReusePortBPF  = 0x44
+)
+
+// Yield has connections that come from now on go to the process that listens at the same address beside this one, both by
+// ListenShared, this one first; what is in this one's queue is still to be accepted. A queue that is closed with something in it
+// resets that. Where nobody listens beside it all goes on as before.
+//
+// The kernel asks a filter which socket of the group takes a connection; this one names the second. Where there is none the
+// kernel falls back on its own choice.
+func Yield(ln net.Listener) error {
+	return control(ln, func(fd int) error {
+		second := []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K, K: 1}}
+		prog := syscall.SockFprog{Len: uint16(len(second)), Filter: &second[0]}
+		_, _, errno := syscall.Syscall6(syscall.SYS_SETSOCKOPT, uintptr(fd), syscall.SOL_SOCKET, attachReusePortCBPF,
+			uintptr(unsafe.Pointer(&prog)), unsafe.Sizeof(prog), 0)
+		if errno != 0 {
+			return errno
+		}
+		return nil
+	})
+}
+
+// unyield ends what an earlier process of the address left behind: the filter is the group's, and outlives it.
+func unyield(ln net.Listener) error {
+	return control(ln, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, detachReusePortBPF, 0) })
+}
+
+func control(ln net.Listener, f func(fd int) error) error {
+	c, ok := ln.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if failed := raw.Control(func(fd uintptr) { err = f(int(fd)) }); failed != nil {
+		return failed
+	}
+	return err
 }
 
 // Abort closes a connection with a reset.
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -5,7 +5,6 @@
 	"os"
 
 	"petrelhook/internal/config"
-	"petrelhook/internal/member/discovery"
 )
 
 // Reload reads the configuration again whenever asked to, until ctx ends. What cannot be read changes nothing.
@@ -21,6 +20,6 @@
 			s.log.Error("the configuration stays as it was", "err", err)
 			continue
 		}
-		s.core.Replace(discovery.New(c.Discovery, discovery.Dial(s.dial)))
+		s.core.Replace(s.source(c.Discovery))
 	}
 }
--- a/internal/wiring/succession.go
+++ b/internal/wiring/succession.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
 	"petrelhook/internal/core"
 	"petrelhook/internal/handover"
 	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/member/relay"
 )
 
 // Succession is a sidecar's place among its processes: the one before, and the next, which comes to the place.
@@ -36,6 +38,8 @@
 	lineHeard    = "heard" // the answer to it
 	lineEvacuate = "evacuate"
 	lineRejoin   = "rejoin"
+	lineFollows  = "follows" // of the process before: it would go by the next one's watch of discovery
+	lineWatch    = "watch "  // of the next process, which watches: a relay.Word in JSON; only to one that follows
 )
 
 // heardTime is how long the next process waits to be heard before it serves all the same: the one before may hang.
@@ -160,15 +164,29 @@
 			}
 		}
 	})
+	leads := false
 	l.Listen(func(line string) {
+		if text, is := strings.CutPrefix(line, lineWatch); is {
+			var w relay.Word
+			if err := json.Unmarshal([]byte(text), &w); next && err == nil {
+				s.lists.Hear(w)
+			}
+			return
+		}
 		switch line {
 		case lineReady:
 			if next {
 				s.life.Tell(lifecycle.Succeeded)
 				l.Say(lineHeard)
+				l.Say(lineFollows)
 			}
 		case lineHeard:
 			s.heardOnce()
+		case lineFollows:
+			if !next && !leads {
+				leads = true
+				sides.Go(func() { s.lists.Lead(ctx, func(w relay.Word) error { return sayWord(l, w) }) })
+			}
 		case lineEvacuate, lineRejoin:
 			event := map[string]lifecycle.Event{lineEvacuate: lifecycle.Evacuate, lineRejoin: lifecycle.Rejoin}[line]
 			mu.Lock()
@@ -180,6 +198,7 @@
 	end()
 	sides.Wait()
 	if next {
+		s.lists.Leave()
 		s.unshare()
 		if now, _ := s.life.Tell(lifecycle.Deserted); now.State() != lifecycle.Stopping {
 			select {
@@ -190,6 +209,15 @@
 	}
 }
 
+// sayWord tells the process before what this one's watch is told.
+func sayWord(l *handover.Link, w relay.Word) error {
+	text, err := json.Marshal(w)
+	if err != nil {
+		return err
+	}
+	return l.Say(lineWatch + string(text))
+}
+
 // announce says that this process serves, first to the one before, which must not take it for dead when it is told to end, and
 // then to everybody.
 func (s *Sidecar) announce(su *Succession) {
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -20,8 +20,11 @@
 	"petrelhook/internal/front"
 	"petrelhook/internal/front/platform"
 	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/member"
 	"petrelhook/internal/member/discovery"
+	"petrelhook/internal/member/relay"
 	"petrelhook/internal/room"
+	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream/http1"
 )
 
@@ -45,6 +48,7 @@
 	life  *lifecycle.Machine
 	up    *http1.Pool
 	dial  Dial
+	lists *relay.Hub
 	log   *slog.Logger
 	whole lifecycle.Room // what it may hold when there is one process
 
@@ -65,7 +69,7 @@
 // NewFrom puts a sidecar together that goes on where another process of it was.
 func NewFrom(c *config.Config, from *Inheritance, dial Dial, log *slog.Logger) *Sidecar {
 	module, life := &c.Profile.Config, lifecycle.New()
-	s := &Sidecar{life: life, dial: dial, log: log, listed: make(chan struct{}), heard: make(chan struct{}),
+	s := &Sidecar{life: life, dial: dial, lists: relay.New(), log: log, listed: make(chan struct{}), heard: make(chan struct{}),
 		offered: make(chan struct{}), deserted: make(chan struct{}, 1)}
 	s.heardOnce = sync.OnceFunc(func() { close(s.heard) })
 	var legacy *core.Legacy
@@ -83,7 +87,7 @@
 	loop := core.New(core.Config{
 		Module: *module, Zones: c.Profile.Zones, Kinds: c.Profile.Kinds, Known: c.Known,
 		Legacy: legacy, Listed: func() { close(s.listed) },
-	}, discovery.New(c.Discovery, discovery.Dial(dial)), up, log)
+	}, s.source(c.Discovery), up, log)
 	settings := platform.Settings{Tenants: c.Profile.Tenants, Room: account, Door: admit.Config{Places: c.Limits.Clients()}}
 	if c.Admin != "" && c.Limits.Sockets > 0 { // operators' calls are counted too
 		settings.Door.Places = max(1, settings.Door.Places-admin.MaxCalls)
@@ -99,6 +103,13 @@
 	return s
 }
 
+// source is the discovery at an address, whose watch two processes of the sidecar share.
+func (s *Sidecar) source(addr string) member.Source {
+	d := discovery.New(addr, discovery.Dial(s.dial))
+	d.Opened = func() { s.lists.Opened(addr) }
+	return s.lists.Wrap(d)
+}
+
 var effects = [...]front.Effect{balance.Safe: front.Safe, balance.Keyed: front.Keyed, balance.Unsafe: front.Unsafe}
 
 // probePath is the cheapest question that is answered with the load report, where there are any.
@@ -112,7 +123,14 @@
 // Run serves clients on ln, and operators on calls where that is not nil, until stop ends, then drains. It returns when all
 // that was taken is answered and the core has ended. Where su is not nil it gives way to a next process.
 func (s *Sidecar) Run(stop context.Context, ln, calls net.Listener, su *Succession) error {
-	terminated := context.AfterFunc(stop, func() { s.life.Tell(lifecycle.Terminate) })
+	terminated := context.AfterFunc(stop, func() {
+		if su != nil && s.life.Status().After(lifecycle.Terminate).Yields() {
+			if err := sock.Yield(ln); err != nil {
+				s.log.Warn("new connections may still come to this process", "err", err)
+			}
+		}
+		s.life.Tell(lifecycle.Terminate)
+	})
 	defer terminated()
 	var sides sync.WaitGroup
 	defer sides.Wait()
