--- /dev/null
+++ b/internal/lease/clock.go
@@ -0,0 +1,101 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Clock is the granting side's view of time: until when each session, and each grant that was broken, has to be left alone. It
+// belongs to one term of one leader; nothing of it is in the log. All instants are of the leader's own steady clock.
+type Clock struct {
+	state   *State
+	began   Instant
+	alone   map[SessionID]Instant // not to be ended before
+	ending  map[SessionID]bool    // Expire is proposed
+	broken  map[string]broken
+	embargo Instant
+}
+
+type broken struct {
+	token Token
+	until Instant
+}
+
+// Lead begins a term, at an instant at which this leader has applied all that was in the log before it. Whoever it inherits
+// lives a whole time more: the leader before may have said yes just before it was succeeded.
+func Lead(s *State, now Instant) *Clock {
+	c := &Clock{state: s, began: now, alone: map[SessionID]Instant{}, ending: map[SessionID]bool{}, broken: map[string]broken{}}
+	c.embargo = now.Add(s.embargo)
+	for id := range s.sessions {
+		c.Heard(id, now)
+	}
+	for name := range s.leases {
+		c.see(name, now)
+	}
+	return c
+}
+
+// Heard is a yes that is given now: the session lives its time from now on.
+func (c *Clock) Heard(id SessionID, now Instant) {
+	if own := c.state.sessions[id]; own != nil && !c.ending[id] {
+		c.alone[id] = now.Add(own.ttl)
+	}
+}
+
+// Alive reports whether a yes may still be said to a session.
+func (c *Clock) Alive(id SessionID) bool {
+	_, ok := c.state.sessions[id]
+	return ok && !c.ending[id]
+}
+
+// Due are the commands that are due. They come again until they are in the state: a proposal may get lost.
+func (c *Clock) Due(now Instant) (all []Command) {
+	for _, id := range slices.Sorted(maps.Keys(c.alone)) {
+		own := c.state.sessions[id]
+		if own == nil {
+			delete(c.alone, id)
+			delete(c.ending, id)
+			continue
+		}
+		if c.alone[id] <= now {
+			c.ending[id] = true
+			all = append(all, Command{Kind: Expire, Session: id})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.broken)) {
+		if l := c.state.leases[name]; l == nil || !l.broken || l.token != c.broken[name].token {
+			delete(c.broken, name)
+		} else if c.broken[name].until <= now {
+			all = append(all, Command{Kind: Free, Name: name, Token: l.token})
+		}
+	}
+	if c.state.embargo > 0 && c.embargo <= now {
+		all = append(all, Command{Kind: EndEmbargo})
+	}
+	return all
+}
+
+// Applied is told of each command of this term as it is applied, with its answer.
+func (c *Clock) Applied(cmd Command, a Answer, now Instant) {
+	switch cmd.Kind {
+	case Open:
+		if _, known := c.alone[a.Session]; a.Status == OK && !known {
+			c.Heard(a.Session, now)
+		}
+	case Break:
+		c.see(cmd.Name, now)
+	}
+}
+
+// see begins the time after which a broken grant is free: its holder may have been told yes until now.
+func (c *Clock) see(name string, now Instant) {
+	l := c.state.leases[name]
+	if l == nil || !l.broken || l.holder == 0 || c.broken[name].token == l.token {
+		return
+	}
+	c.broken[name] = broken{l.token, now.Add(c.state.sessions[l.holder].ttl)}
+}
+
+// EmbargoLeft is how long nothing is granted yet, if nothing happens.
+func (c *Clock) EmbargoLeft(now Instant) time.Duration { return max(0, c.embargo.Sub(now)) }
--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,80 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Holder is what a client believes: which leases its session holds, and until when by its own steady clock. Every answer is taken in
+// with the instant at which the client had begun to ask, never with that at which the answer came.
+type Holder struct {
+	Session SessionID
+	ttl     time.Duration
+	until   Instant // of the session
+	version uint64
+	held    map[string]*held
+}
+
+type held struct {
+	token  Token
+	until  Instant
+	since  Instant // when the grant was heard of
+	broken bool
+}
+
+// Opened begins to believe in a session.
+func Opened(asked Instant, id SessionID, ttl time.Duration) *Holder {
+	return &Holder{Session: id, ttl: ttl, until: Until(asked, ttl), held: map[string]*held{}}
+}
+
+// Renewed takes in a yes to a question whether the session lives, with what it holds, or nil where that is as in version.
+func (h *Holder) Renewed(asked Instant, grants []Grant, version uint64) {
+	until := Until(asked, h.ttl)
+	h.until = max(h.until, until)
+	if grants != nil && version > h.version {
+		h.version = version
+		here := map[string]Grant{}
+		for _, g := range grants {
+			here[g.Name] = g
+		}
+		for _, name := range slices.Sorted(maps.Keys(h.held)) {
+			l := h.held[name]
+			if g, ok := here[name]; ok && g.Token == l.token {
+				l.broken = l.broken || g.Broken
+			} else if l.since <= asked { // what was granted while the question was out is not in the answer
+				delete(h.held, name)
+			}
+		}
+	}
+	for _, l := range h.held {
+		if !l.broken {
+			l.until = max(l.until, until)
+		}
+	}
+}
+
+// Granted takes in a grant, heard of now.
+func (h *Holder) Granted(now Instant, name string, token Token) {
+	if l := h.held[name]; l == nil || l.token < token {
+		h.held[name] = &held{token: token, until: h.until, since: now}
+	}
+}
+
+// Drop stops to believe in a lease. A release is sent after it.
+func (h *Holder) Drop(name string) { delete(h.held, name) }
+
+// Lost stops to believe in anything: the session is gone.
+func (h *Holder) Lost() { h.until, h.held = -1<<62, map[string]*held{} }
+
+// Alive is until when the session is believed to live.
+func (h *Holder) Alive() Instant { return h.until }
+
+// Held is the token of a lease and until when it is believed to be held; ok is false where it is not.
+func (h *Holder) Held(name string, now Instant) (token Token, until Instant, ok bool) {
+	l := h.held[name]
+	if l == nil || now >= l.until {
+		return 0, 0, false
+	}
+	return l.token, l.until, true
+}
