--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -14,6 +14,7 @@
 	until   Instant // of the session
 	version uint64
 	held    map[string]*held
+	wants   map[string]Instant // what it waits for, and since when
 }
 
 type held struct {
@@ -25,11 +26,15 @@
 
 // Opened begins to believe in a session.
 func Opened(asked Instant, id SessionID, ttl time.Duration) *Holder {
-	return &Holder{Session: id, ttl: ttl, until: Until(asked, ttl), held: map[string]*held{}}
+	return &Holder{Session: id, ttl: ttl, until: Until(asked, ttl), held: map[string]*held{}, wants: map[string]Instant{}}
 }
 
-// Renewed takes in a yes to a question whether the session lives, with what it holds, or nil where that is as in version.
-func (h *Holder) Renewed(asked Instant, grants []Grant, version uint64) {
+// Wants begins to wait for a lease. Every release of it has been answered by now: a grant that a later question is told of is new.
+func (h *Holder) Wants(name string, now Instant) { h.wants[name] = now }
+
+// Renewed takes in a yes to a question whether the session lives, with what it holds, or nil where that is as in version. It gives what
+// it has waited for and holds by now.
+func (h *Holder) Renewed(asked Instant, grants []Grant, version uint64) (granted []Grant) {
 	until := Until(asked, h.ttl)
 	h.until = max(h.until, until)
 	if grants != nil && version > h.version {
@@ -47,25 +52,36 @@
 			}
 		}
 	}
+	for _, g := range grants { // whatever the version: what is waited for may have been granted before the wait was known of
+		if since, waits := h.wants[g.Name]; waits && since <= asked && !g.Broken {
+			h.Granted(asked, g.Name, g.Token)
+			granted = append(granted, g)
+		}
+	}
 	for _, l := range h.held {
 		if !l.broken {
 			l.until = max(l.until, until)
 		}
 	}
+	return granted
 }
 
 // Granted takes in a grant, heard of now.
 func (h *Holder) Granted(now Instant, name string, token Token) {
+	delete(h.wants, name)
 	if l := h.held[name]; l == nil || l.token < token {
 		h.held[name] = &held{token: token, until: h.until, since: now}
 	}
 }
 
-// Drop stops to believe in a lease. A release is sent after it.
-func (h *Holder) Drop(name string) { delete(h.held, name) }
+// Drop stops to believe in a lease, or to wait for it. A release is sent after it.
+func (h *Holder) Drop(name string) {
+	delete(h.held, name)
+	delete(h.wants, name)
+}
 
 // Lost stops to believe in anything: the session is gone.
-func (h *Holder) Lost() { h.until, h.held = -1<<62, map[string]*held{} }
+func (h *Holder) Lost() { h.until, h.held, h.wants = -1<<62, map[string]*held{}, map[string]Instant{} }
 
 // Alive is until when the session is believed to live.
 func (h *Holder) Alive() Instant { return h.until }
--- /dev/null
+++ b/internal/replica/core.go
@@ -0,0 +1,563 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"petrelhook/internal/lease"
+)
+
+const (
+	// ElectionTicks is after how many ticks without a leader's word a replica stands for election, at the soonest; twice as many
+	// at the latest.
+	ElectionTicks  = 10
+	heartbeatTicks = 1
+	// maxWaiting is how many questions wait at once.
+	maxWaiting = 20_000
+	// confirmTicks is for how long a majority's confirmation is waited for.
+	confirmTicks = 2 * ElectionTicks
+)
+
+// Member is a replica of the group.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Addr    string `json:"addr"`
+	Life    string `json:"life,omitempty"` // of its disk; "": not known yet
+	Learner bool   `json:"learner,omitempty"`
+}
+
+// entry is the data of one entry of the log.
+type entry struct {
+	From   uint64         `json:"f,omitempty"` // the replica that was asked
+	Number uint64         `json:"n,omitempty"` // its number for it
+	Lease  *lease.Command `json:"c,omitempty"`
+	Member *Member        `json:"m,omitempty"` // what became known of one
+}
+
+// image is the state of a snapshot.
+type image struct {
+	Members []Member        `json:"members"`
+	Lease   json.RawMessage `json:"lease"`
+}
+
+// Question is what a replica is asked; one of its fields says what.
+type Question struct {
+	Command *lease.Command
+	Alive   *Alive
+	Read    bool    // the state as of now
+	Add     *Member // as a learner; it votes once it has caught up
+	Remove  uint64
+	Done    func(Reply) // called once, from a call of Core
+}
+
+// Alive asks whether a session lives, with the version of its grants that the client knows.
+type Alive struct {
+	Session lease.SessionID
+	Known   uint64
+}
+
+// Reply is the answer. State is the core's own and good until Done returns.
+type Reply struct {
+	Err     error
+	Leader  uint64 // with ErrNotLeader, if it is known
+	Answer  lease.Answer
+	Alive   bool
+	Grants  []lease.Grant
+	Version uint64
+	State   *lease.State
+	Members []Member
+}
+
+// Options are the bounds of a replica.
+type Options struct {
+	ID            uint64
+	Rand          func(n int) int // below n
+	SnapshotEvery uint64          // entries; 0: 20,000
+	Keep          uint64          // entries that stay in the log behind a snapshot; 0: 5,000
+}
+
+// Core is one replica.
+type Core struct {
+	Options
+	raw     *raft.RawNode
+	store   *raft.MemoryStorage
+	state   *lease.State
+	members map[uint64]Member
+	conf    *pb.ConfState
+	applied uint64
+	saved   uint64 // the index of the last snapshot
+	bytes   uint64 // of entries since
+
+	term    uint64 // of the last hard state
+	leads   bool
+	leader  uint64
+	clock   *lease.Clock // while it leads and has applied what was before
+	quiet   int          // ticks without a leader's word
+	patient int          // how many it bears
+	number  uint64
+
+	changing bool // a change of the members is proposed
+	waiting  map[uint64]func(Reply)
+	asked    []Question // for the next confirmation
+	confirm  *confirmation
+}
+
+// confirmation is questions that wait for a majority to confirm that this replica leads.
+type confirmation struct {
+	number uint64
+	index  uint64 // above 0: confirmed, and to be applied up to there
+	age    int
+	asks   []Question
+}
+
+// Kept is what a disk holds of a replica.
+type Kept struct {
+	Hard     *pb.HardState
+	Snapshot *pb.Snapshot // nil: none; a replica that is to be added begins with nothing
+	Entries  []*pb.Entry
+}
+
+// First is what the disks of all replicas of a new group begin with, each with the same.
+func First(members []Member, state *lease.State) *Kept {
+	conf := &pb.ConfState{}
+	for _, m := range members {
+		conf.Voters = append(conf.Voters, m.ID)
+	}
+	slices.Sort(conf.Voters)
+	return &Kept{
+		Hard:     &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)},
+		Snapshot: &pb.Snapshot{Data: encode(members, state), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
+	}
+}
+
+func encode(members []Member, state *lease.State) []byte {
+	text, err := json.Marshal(image{members, state.Snapshot()})
+	if err != nil {
+		panic(err) // no field can fail
+	}
+	return text
+}
+
+// New makes a replica from what its disk holds.
+func New(o Options, k *Kept) (*Core, error) {
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = 20_000
+	}
+	if o.Keep == 0 {
+		o.Keep = 5_000
+	}
+	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
+	if k.Snapshot != nil {
+		if err := c.store.ApplySnapshot(k.Snapshot); err != nil {
+			return nil, err
+		}
+		if err := c.restore(k.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	if k.Hard != nil {
+		hard := proto.Clone(k.Hard).(*pb.HardState)
+		if hard.GetCommit() < c.applied { // a commit alone is not written at once, and a snapshot is of what was committed
+			hard.Commit = proto.Uint64(c.applied)
+		}
+		c.store.SetHardState(hard)
+		c.term = hard.GetTerm()
+	}
+	if err := c.store.Append(k.Entries); err != nil {
+		return nil, err
+	}
+	var err error
+	c.raw, err = raft.NewRawNode(&raft.Config{
+		ID: o.ID, ElectionTick: ElectionTicks, HeartbeatTick: heartbeatTicks, Storage: c.store, Applied: c.applied,
+		MaxSizePerMsg: 1 << 20, MaxCommittedSizePerReady: 4 << 20, MaxUncommittedEntriesSize: 64 << 20, MaxInflightMsgs: 64,
+		CheckQuorum: true, PreVote: true, DisableProposalForwarding: true,
+		Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.calm()
+	return c, nil
+}
+
+// restore takes a snapshot in.
+func (c *Core) restore(s *pb.Snapshot) error {
+	var im image
+	if err := json.Unmarshal(s.Data, &im); err != nil {
+		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
+	}
+	state, err := lease.Restore(im.Lease)
+	if err != nil {
+		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
+	}
+	c.state, c.members, c.clock = state, map[uint64]Member{}, nil
+	for _, m := range im.Members {
+		c.members[m.ID] = m
+	}
+	c.conf = s.Metadata.ConfState
+	c.applied, c.saved, c.bytes = s.Metadata.GetIndex(), s.Metadata.GetIndex(), 0
+	return nil
+}
+
+// calm begins to wait for a leader's word again.
+func (c *Core) calm() { c.quiet, c.patient = 0, ElectionTicks+c.Rand(ElectionTicks) }
+
+// Tick is a step of time. A leader proposes what is due by its clock.
+func (c *Core) Tick(now lease.Instant) {
+	if c.leads {
+		c.raw.Tick()
+		c.due(now)
+	} else {
+		c.raw.TickQuiesced()
+		if c.quiet++; c.quiet >= c.patient {
+			c.calm()
+			c.raw.Campaign()
+		}
+	}
+	if c.confirm != nil && c.confirm.index == 0 {
+		if c.confirm.age++; c.confirm.age > confirmTicks {
+			c.fail(c.confirm.asks, ErrNoLeader)
+			c.confirm = nil
+		}
+	}
+}
+
+func (c *Core) due(now lease.Instant) {
+	if c.clock == nil {
+		return
+	}
+	for _, cmd := range c.clock.Due(now) {
+		if c.propose(entry{Lease: &cmd}) != nil {
+			return // it comes again
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		if m := c.members[id]; m.Learner && c.caughtUp(id) {
+			c.change(m, pb.ConfChangeAddNode)
+			return
+		}
+	}
+}
+
+// caughtUp reports whether a learner has nearly all of the log.
+func (c *Core) caughtUp(id uint64) bool {
+	s := c.raw.Status()
+	p, ok := s.Progress[id]
+	return ok && p.Match > 0 && p.Match+100 >= s.GetCommit()
+}
+
+func (c *Core) propose(e entry) error {
+	text, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	return c.raw.Propose(text)
+}
+
+// Step takes in a message of another replica.
+func (c *Core) Step(m *pb.Message) {
+	switch m.GetType() {
+	case pb.MessageType_MsgApp, pb.MessageType_MsgHeartbeat, pb.MessageType_MsgSnap:
+		if m.GetTerm() >= c.term {
+			c.calm()
+		}
+	}
+	c.raw.Step(m) // an error says that it is of no use here
+}
+
+// Ask takes in a question.
+func (c *Core) Ask(q Question) {
+	if !c.leads {
+		err := ErrNotLeader
+		if c.leader == 0 {
+			err = ErrNoLeader
+		}
+		q.Done(Reply{Err: err, Leader: c.leader})
+		return
+	}
+	if len(c.waiting)+len(c.asked) > maxWaiting {
+		q.Done(Reply{Err: ErrBusy})
+		return
+	}
+	switch {
+	case q.Command != nil:
+		c.number++
+		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command}); err != nil {
+			q.Done(Reply{Err: ErrBusy})
+			return
+		}
+		c.waiting[c.number] = q.Done
+	case q.Add != nil || q.Remove != 0:
+		m, kind := Member{ID: q.Remove}, pb.ConfChangeRemoveNode
+		if q.Add != nil {
+			m, kind = *q.Add, pb.ConfChangeAddLearnerNode
+			m.Learner = true
+		}
+		number, err := c.change(m, kind)
+		if err != nil {
+			q.Done(Reply{Err: err})
+			return
+		}
+		c.waiting[number] = q.Done
+	default:
+		c.asked = append(c.asked, q)
+	}
+}
+
+// change proposes a change of the members, one at a time.
+func (c *Core) change(m Member, kind pb.ConfChangeType) (number uint64, err error) {
+	if c.changing || c.clock == nil {
+		return 0, ErrChanging
+	}
+	c.number++
+	text, err := json.Marshal(entry{From: c.ID, Number: c.number, Member: &m})
+	if err != nil {
+		return 0, err
+	}
+	err = c.raw.ProposeConfChange(&pb.ConfChange{Type: kind.Enum(), NodeId: proto.Uint64(m.ID), Context: text})
+	c.changing = err == nil
+	return c.number, err
+}
+
+// Lives tells of the disk of a member, as it said itself. It is kept in the log: another disk under the same id is refused.
+func (c *Core) Lives(id uint64, life string) {
+	if m, ok := c.members[id]; ok && m.Life == "" && c.leads && c.clock != nil {
+		m.Life = life
+		c.propose(entry{Member: &m})
+	}
+}
+
+// Unreachable tells that a message to a replica did not get there.
+func (c *Core) Unreachable(id uint64) { c.raw.ReportUnreachable(id) }
+
+// Sent tells what became of a snapshot that was sent.
+func (c *Core) Sent(id uint64, ok bool) {
+	status := raft.SnapshotFinish
+	if !ok {
+		status = raft.SnapshotFailure
+	}
+	c.raw.ReportSnapshot(id, status)
+}
+
+// Work is what is to be done now, in this order: keep Kept (durably, if Sync), send Messages, call Done.
+type Work struct {
+	Kept
+	Sync     bool
+	Messages []*pb.Message
+	ready    raft.Ready
+}
+
+// Ready is what is to be done, if anything is.
+func (c *Core) Ready() (w Work, ok bool) {
+	if c.confirm == nil && len(c.asked) > 0 && c.clock != nil {
+		c.number++
+		c.confirm = &confirmation{number: c.number, asks: c.asked}
+		c.asked = nil
+		c.raw.ReadIndex(fmt.Appendf(nil, "%d", c.number))
+	}
+	if !c.raw.HasReady() {
+		return w, false
+	}
+	rd := c.raw.Ready()
+	w = Work{ready: rd, Messages: rd.Messages, Sync: rd.MustSync}
+	w.Hard, w.Entries = rd.HardState, rd.Entries
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		w.Snapshot, w.Sync = rd.Snapshot, true
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		c.store.SetHardState(rd.HardState)
+		c.term = rd.HardState.GetTerm()
+	}
+	return w, true
+}
+
+// Done takes in that a work was done: what is committed is applied, and answered. If it is time for a snapshot, own is one that is to
+// be kept before the log is cut before compact.
+func (c *Core) Done(w Work, now lease.Instant) (own *pb.Snapshot, compact uint64, err error) {
+	rd := w.ready
+	if w.Snapshot != nil {
+		if err := c.store.ApplySnapshot(w.Snapshot); err != nil {
+			return nil, 0, err
+		}
+		if err := c.restore(w.Snapshot); err != nil {
+			return nil, 0, err
+		}
+	}
+	if err := c.store.Append(rd.Entries); err != nil {
+		return nil, 0, err
+	}
+	if rd.SoftState != nil {
+		c.softState(rd.SoftState)
+	}
+	for _, e := range rd.CommittedEntries {
+		if err := c.apply(e, now); err != nil {
+			return nil, 0, err
+		}
+	}
+	for _, r := range rd.ReadStates {
+		if c.confirm != nil && string(r.RequestCtx) == fmt.Sprint(c.confirm.number) {
+			c.confirm.index = r.Index
+		}
+	}
+	c.raw.Advance(rd)
+	c.confirmed(now)
+	if c.applied-c.saved < c.SnapshotEvery {
+		return nil, 0, nil
+	}
+	return c.snapshot()
+}
+
+// softState takes in who leads.
+func (c *Core) softState(s *raft.SoftState) {
+	leads := s.RaftState == raft.StateLeader
+	if s.Lead != c.leader && s.Lead != 0 {
+		c.calm()
+	}
+	c.leader = s.Lead
+	if leads == c.leads {
+		return
+	}
+	c.leads, c.clock, c.changing = leads, nil, false
+	c.lose()
+}
+
+// lose answers all that waits: another replica leads, or this one begins anew.
+func (c *Core) lose() {
+	all := c.asked
+	if c.asked = nil; c.confirm != nil {
+		all = append(all, c.confirm.asks...)
+		c.confirm = nil
+	}
+	c.fail(all, ErrMoved)
+	for _, n := range slices.Sorted(maps.Keys(c.waiting)) {
+		done := c.waiting[n]
+		delete(c.waiting, n)
+		done(Reply{Err: ErrMoved})
+	}
+}
+
+func (c *Core) fail(asks []Question, err error) {
+	for _, q := range asks {
+		q.Done(Reply{Err: err, Leader: c.leader})
+	}
+}
+
+// apply carries out a committed entry.
+func (c *Core) apply(e *pb.Entry, now lease.Instant) error {
+	c.applied = e.GetIndex()
+	c.bytes += uint64(len(e.Data))
+	var in entry
+	data := e.Data
+	var change *pb.ConfChange
+	if e.GetType() == pb.EntryType_EntryConfChange {
+		change = &pb.ConfChange{}
+		if err := proto.Unmarshal(e.Data, change); err != nil {
+			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
+		}
+		c.conf, c.changing = c.raw.ApplyConfChange(change), false
+		data = change.Context
+	}
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &in); err != nil {
+			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
+		}
+	}
+	var r Reply
+	switch {
+	case change != nil && change.GetType() == pb.ConfChangeRemoveNode:
+		delete(c.members, change.GetNodeId())
+	case change != nil && in.Member != nil:
+		in.Member.Learner = change.GetType() == pb.ConfChangeAddLearnerNode
+		in.Member.Life = c.members[in.Member.ID].Life
+		c.members[in.Member.ID] = *in.Member
+	case in.Member != nil:
+		if m, ok := c.members[in.Member.ID]; ok && m.Life == "" {
+			m.Life = in.Member.Life
+			c.members[m.ID] = m
+		}
+	case in.Lease != nil:
+		r.Answer = c.state.Apply(*in.Lease)
+		if c.clock != nil {
+			c.clock.Applied(*in.Lease, r.Answer, now)
+		}
+	}
+	if c.leads && c.clock == nil && e.GetTerm() == c.term {
+		c.clock = lease.Lead(c.state, now)
+	}
+	if done := c.waiting[in.Number]; in.From == c.ID && done != nil && e.GetTerm() == c.term {
+		delete(c.waiting, in.Number)
+		r.Members = c.Members()
+		done(r)
+	}
+	return nil
+}
+
+// confirmed answers what a majority has confirmed, once all is applied that was committed when it was asked.
+func (c *Core) confirmed(now lease.Instant) {
+	if c.confirm == nil || c.confirm.index == 0 || c.applied < c.confirm.index || c.clock == nil {
+		return
+	}
+	asks := c.confirm.asks
+	c.confirm = nil
+	for _, q := range asks {
+		var r Reply
+		if q.Alive != nil {
+			if r.Alive = c.clock.Alive(q.Alive.Session); r.Alive {
+				c.clock.Heard(q.Alive.Session, now)
+				r.Grants, r.Version = c.state.Grants(q.Alive.Session, q.Alive.Known)
+			}
+		} else {
+			r.State, r.Members = c.state, c.Members()
+		}
+		q.Done(r)
+	}
+}
+
+// snapshot makes one of what is applied.
+func (c *Core) snapshot() (own *pb.Snapshot, compact uint64, err error) {
+	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state))
+	if err != nil {
+		return nil, 0, err
+	}
+	c.saved, c.bytes = c.applied, 0
+	if first, _ := c.store.FirstIndex(); c.applied > c.Keep+first {
+		compact = c.applied - c.Keep
+		err = c.store.Compact(compact)
+	}
+	return own, compact, err
+}
+
+// Members are the replicas, in order.
+func (c *Core) Members() (all []Member) {
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		all = append(all, c.members[id])
+	}
+	return all
+}
+
+// Status is what a replica knows of itself, without asking others.
+type Status struct {
+	ID, Leader, Term, Applied, Log uint64
+	Leads                          bool
+	Sessions, Leases               int
+	Token                          lease.Token
+	Members                        []Member
+}
+
+// Status is what the replica knows.
+func (c *Core) Status() Status {
+	s := Status{ID: c.ID, Leader: c.leader, Term: c.term, Applied: c.applied, Leads: c.leads && c.clock != nil, Members: c.Members()}
+	first, _ := c.store.FirstIndex()
+	last, _ := c.store.LastIndex()
+	s.Log = last + 1 - first
+	s.Sessions, s.Leases, s.Token = c.state.Counts()
+	return s
+}
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -26,6 +26,7 @@
 	{"internal/handover", ""},
 	{"internal/lifecycle", ""},
 	{"internal/lease", ""},
+	{"internal/replica", "internal/lease"},
 	{"internal/admin", "internal/lifecycle"},
 	{"internal/door", "internal/admit internal/message internal/sock"},
 	{"internal/front/*", "internal/front internal/message internal/door internal/admit internal/sock internal/lifecycle internal/pace internal/room"},
