--- /dev/null
+++ b/cmd/petrelfleet/main.go
@@ -0,0 +1,126 @@
+// Command petrelfleet is a coordinator: one, three or five of them keep the leases of a fleet.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/lease"
+	"petrelhook/internal/replica"
+	"petrelhook/internal/replica/disk"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1 // the file is bad, or it could not serve
+	exitUsage  = 2 // the command line is wrong
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// failed is an error of a command line that was right.
+type failed struct{ error }
+
+func run(args []string, out, errs io.Writer) int {
+	var path, data, addr, restore string
+	var check bool
+	var above uint64
+	cmd := &cobra.Command{
+		Use: "petrelfleet [--config FILE | --data FOLDER]", Short: "A coordinator of petrelhook's fleet: who holds which lease",
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var c *fleet.Config
+			var err error
+			switch {
+			case (path == "") == (data == ""):
+				return errors.New("write --config FILE, or --data FOLDER for the one coordinator of this machine")
+			case path != "":
+				c, err = fleet.Read(path)
+			default:
+				c = fleet.Single(data, addr)
+			}
+			if err != nil {
+				return failed{err}
+			}
+			log := slog.New(slog.NewTextHandler(errs, nil))
+			for _, w := range c.Warnings {
+				log.Warn("settings", "warning", w)
+			}
+			switch {
+			case check:
+				fmt.Fprintf(out, "%s: good: replica %d of %d\n", path, c.ID, len(c.Replicas))
+				return nil
+			case restore != "":
+				return restored(c, restore, lease.Token(above), out)
+			}
+			return serve(c, log)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&path, "config", "", "the settings' `FILE` (YAML)")
+	f.StringVar(&data, "data", "", "`FOLDER` of the one coordinator of a machine; it needs no file")
+	f.StringVar(&addr, "listen", fleet.DefaultAddr, "with --data: `HOST:PORT`")
+	f.BoolVar(&check, "check", false, "say whether the file is good, and end")
+	f.StringVar(&restore, "restore", "", "begin a new group from a back-up `FILE`, and end; the same for each replica")
+	f.Uint64Var(&above, "above", 0, "with --restore: the largest `TOKEN` that is known to have been given since")
+	cmd.SetArgs(args)
+	cmd.SetOut(out)
+	cmd.SetErr(errs)
+	err := cmd.Execute()
+	var ran failed
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &ran):
+		fmt.Fprintln(errs, "petrelfleet:", err)
+		return exitFailed
+	}
+	fmt.Fprintln(errs, "petrelfleet:", err)
+	return exitUsage
+}
+
+func restored(c *fleet.Config, path string, above lease.Token, out io.Writer) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return failed{err}
+	}
+	state, err := lease.Restored(text, above, c.LongestTTL)
+	if err == nil {
+		err = disk.Create(c.Data, c.ID, replica.First(c.Replicas, state))
+	}
+	if err != nil {
+		return failed{fmt.Errorf("%s: %w", path, err)}
+	}
+	fmt.Fprintf(out, "%s: restored; start it, and it grants nothing for %v\n", c.Data, c.LongestTTL)
+	return nil
+}
+
+// serve runs until SIGTERM or an interrupt.
+func serve(c *fleet.Config, log *slog.Logger) error {
+	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer release()
+	s, err := fleet.Open(c, log)
+	if err != nil {
+		return failed{err}
+	}
+	ln, err := net.Listen("tcp", c.Addr())
+	if err != nil {
+		return failed{fmt.Errorf("listen: %w", err)}
+	}
+	log.Info("serving", "id", c.ID, "listen", ln.Addr().String(), "replicas", len(c.Replicas))
+	if err := s.Run(ctx, ln); err != nil {
+		return failed{err}
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,314 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"petrelhook/internal/lease"
+	"petrelhook/internal/replica"
+	"petrelhook/internal/replica/disk"
+	"petrelhook/internal/steady"
+)
+
+// Server is one coordinator.
+type Server struct {
+	config *Config
+	log    *slog.Logger
+	disk   *disk.Disk
+	core   *replica.Core
+	events chan func()
+	ended  chan struct{}
+	peers  map[uint64]*peer
+	fatal  chan error // takes one
+}
+
+const (
+	maxBatch = 512 // events that are taken in before one write
+	// restStep is for how long a peer that could not be reached is left alone.
+	restStep = 50 * time.Millisecond
+)
+
+// Open opens what the coordinator has kept, or begins with nothing.
+func Open(c *Config, log *slog.Logger) (*Server, error) {
+	if !disk.Exists(c.Data) {
+		first := &replica.Kept{}
+		if !c.Join {
+			first = replica.First(c.Replicas, lease.NewState())
+		}
+		if err := disk.Create(c.Data, c.ID, first); err != nil {
+			return nil, err
+		}
+		log.Info("new", "data", c.Data, "join", c.Join)
+	}
+	d, kept, err := disk.Open(c.Data)
+	if err != nil {
+		return nil, err
+	}
+	if d.ID != c.ID {
+		d.Close()
+		return nil, fmt.Errorf("%s: it is of replica %d, and the file says id %d", c.Data, d.ID, c.ID)
+	}
+	core, err := replica.New(replica.Options{ID: c.ID, Rand: rand.IntN}, kept)
+	if err != nil {
+		d.Close()
+		return nil, err
+	}
+	return &Server{config: c, log: log, disk: d, core: core, events: make(chan func(), 4096), ended: make(chan struct{}),
+		peers: map[uint64]*peer{}, fatal: make(chan error, 1)}, nil
+}
+
+// Run serves until ctx ends, or until it cannot go on.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	defer s.disk.Close()
+	mux := http.NewServeMux()
+	handle(mux, PathAsk, maxAsk, s.ask)
+	handle(mux, PathStatus, maxAsk, s.status)
+	handle(mux, PathStep, MaxMessage+1<<20, s.step)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+	var sides sync.WaitGroup
+	defer sides.Wait()
+	sides.Go(func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			s.fail(err)
+		}
+	})
+	defer server.Close()
+	peers, endPeers := context.WithCancel(context.Background())
+	defer endPeers()
+	defer close(s.ended)
+	tick := time.NewTicker(s.config.Tick)
+	defer tick.Stop()
+	leads := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-s.fatal:
+			return err
+		case <-tick.C:
+			s.core.Tick(steady.Now())
+		case f := <-s.events:
+			f()
+			for n := 0; n < maxBatch; n++ {
+				select {
+				case f := <-s.events:
+					f()
+					continue
+				default:
+				}
+				break
+			}
+		}
+		if err := s.pump(peers, &sides); err != nil {
+			return err
+		}
+		if now := s.core.Status(); now.Leads != leads {
+			leads = now.Leads
+			s.log.Info("leads", "now", leads, "term", now.Term, "sessions", now.Sessions, "leases", now.Leases)
+			s.core.Lives(s.config.ID, s.disk.Life)
+		}
+	}
+}
+
+// pump does what is to be done: first the disk, then the network, then the answers.
+func (s *Server) pump(peers context.Context, sides *sync.WaitGroup) error {
+	for {
+		w, ok := s.core.Ready()
+		if !ok {
+			return nil
+		}
+		if w.Sync {
+			if err := s.disk.Save(w); err != nil {
+				return fmt.Errorf("the disk: %w", err) // what is on it is not known: only a new start can tell
+			}
+		}
+		for _, m := range w.Messages {
+			s.peer(peers, sides, m.GetTo()).send(m)
+		}
+		own, compact, err := s.core.Done(w, steady.Now())
+		if err != nil {
+			return err
+		}
+		if own != nil {
+			if err := s.disk.Snapshot(own, compact); err != nil {
+				return fmt.Errorf("the disk: %w", err)
+			}
+		}
+	}
+}
+
+func (s *Server) fail(err error) {
+	select {
+	case s.fatal <- err:
+	default:
+	}
+}
+
+// post has f run by the goroutine that owns the replica; false: it has ended.
+func (s *Server) post(f func()) bool {
+	select {
+	case s.events <- f:
+		return true
+	case <-s.ended:
+		return false
+	}
+}
+
+// addr is where a replica is: as the file says, else as the log does.
+func (s *Server) addr(id uint64) string {
+	for _, m := range s.config.Replicas {
+		if m.ID == id {
+			return m.Addr
+		}
+	}
+	for _, m := range s.core.Members() {
+		if m.ID == id {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+var errEnds = connect.NewError(connect.CodeUnavailable, errors.New("this coordinator ends"))
+
+// ask answers a question of a client.
+func (s *Server) ask(ctx context.Context, in *Ask) (*Told, error) {
+	if err := CheckVersion(in.Version); err != nil {
+		return nil, err
+	}
+	q, err := s.question(in)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	told := make(chan *Told, 1)
+	q.Done = func(r replica.Reply) { told <- s.told(in, r) }
+	if !s.post(func() { s.core.Ask(q) }) {
+		return nil, errEnds
+	}
+	select {
+	case t := <-told:
+		return t, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.ended:
+		return nil, errEnds
+	}
+}
+
+// question is a client's, checked.
+func (s *Server) question(in *Ask) (q replica.Question, err error) {
+	switch {
+	case in.Command != nil:
+		q.Command = in.Command
+		if err = in.Command.Check(); err == nil && in.Command.Kind == lease.Open && in.Command.TTL > s.config.LongestTTL {
+			err = fmt.Errorf("ttl: %v is longer than these coordinators allow; write %v at most (longest_ttl)", in.Command.TTL, s.config.LongestTTL)
+		}
+	case in.Alive != nil:
+		q.Alive = in.Alive
+	case in.Add != nil:
+		if _, _, bad := net.SplitHostPort(in.Add.Addr); in.Add.ID == 0 || bad != nil {
+			err = fmt.Errorf("add: %d, %q: write an id from 1 on and host:port", in.Add.ID, in.Add.Addr)
+		}
+		q.Add = &replica.Member{ID: in.Add.ID, Addr: in.Add.Addr}
+	case in.Remove != 0:
+		q.Remove = in.Remove
+	case in.List != nil || in.Backup:
+		q.Read = true
+	default:
+		err = errors.New("nothing is asked")
+	}
+	return q, err
+}
+
+// told is the answer; it is made by the goroutine that owns the replica.
+func (s *Server) told(in *Ask, r replica.Reply) *Told {
+	t := &Told{Answer: r.Answer, Alive: r.Alive, Grants: r.Grants, Version: r.Version, Members: r.Members}
+	if r.Err != nil {
+		t.Err, t.Moved, t.Leader = r.Err.Error(), errors.Is(r.Err, replica.ErrMoved), s.addr(r.Leader)
+		t.Again = int(s.config.Tick.Milliseconds() * replica.ElectionTicks / 2)
+		if t.Leader != "" {
+			t.Again = int(s.config.Tick.Milliseconds())
+		}
+	}
+	if r.State != nil && in.List != nil {
+		t.Holdings = r.State.Holdings(*in.List)
+	}
+	if r.State != nil && in.Backup {
+		t.Backup = r.State.Snapshot()
+	}
+	return t
+}
+
+// Status is what a coordinator says of itself.
+type Status struct {
+	replica.Status
+	Addr string `json:"addr"`
+}
+
+func (s *Server) status(ctx context.Context, in *Nothing) (*Status, error) {
+	if err := CheckVersion(in.Version); err != nil {
+		return nil, err
+	}
+	now := make(chan Status, 1)
+	if !s.post(func() { now <- Status{s.core.Status(), s.config.Addr()} }) {
+		return nil, errEnds
+	}
+	select {
+	case st := <-now:
+		return &st, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.ended:
+		return nil, errEnds
+	}
+}
+
+// step takes in messages of another replica. One whose disk is another than the log knows is refused, and one that was removed.
+func (s *Server) step(ctx context.Context, in *Steps) (*Nothing, error) {
+	if err := CheckVersion(in.Version); err != nil {
+		return nil, err
+	}
+	if in.To != s.config.ID {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("this is replica %d, not %d", s.config.ID, in.To))
+	}
+	all := make([]*pb.Message, len(in.Messages))
+	for i, text := range in.Messages {
+		all[i] = &pb.Message{}
+		if err := proto.Unmarshal(text, all[i]); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	done := make(chan error, 1)
+	ok := s.post(func() {
+		err := s.core.Knows(in.From, in.Life)
+		for _, m := range all {
+			if err == nil {
+				s.core.Step(m)
+			}
+		}
+		done <- err
+	})
+	if !ok {
+		return nil, errEnds
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		}
+		return &Nothing{Version}, nil
+	case <-s.ended:
+		return nil, errEnds
+	}
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -335,6 +335,20 @@
 	}
 }
 
+// Knows says why nothing is to be taken from a replica whose disk has a life: it is another disk than the one whose votes and
+// entries the group counts on, or the group has removed it. A leader keeps in the log what it hears first.
+func (c *Core) Knows(id uint64, life string) error {
+	m, member := c.members[id]
+	switch {
+	case member && m.Life != "" && m.Life != life:
+		return fmt.Errorf("replica %d has lost its disk, and may not come back under its id: remove it, and add it with an id that was never used", id)
+	case !member && c.leads && c.clock != nil:
+		return fmt.Errorf("replica %d is none of this group: it was removed, or is not added yet", id)
+	}
+	c.Lives(id, life)
+	return nil
+}
+
 // Unreachable tells that a message to a replica did not get there.
 func (c *Core) Unreachable(id uint64) { c.raw.ReportUnreachable(id) }
 
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,132 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/lease"
+)
+
+// coordinator is one in this process, for examples and small tests.
+func coordinator() (addr string, stop func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	dir, err := os.MkdirTemp("", "lease")
+	if err != nil {
+		panic(err)
+	}
+	s, err := fleet.Open(fleet.Single(dir, ln.Addr().String()), slog.New(slog.DiscardHandler))
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, ln) }()
+	return ln.Addr().String(), sync.OnceFunc(func() {
+		cancel()
+		<-ended
+		os.RemoveAll(dir)
+	})
+}
+
+func Example() {
+	addr, stop := coordinator()
+	defer stop()
+	c, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "n1"})
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	held, err := c.Hold(context.Background(), "nightly-report")
+	if err != nil {
+		panic(err)
+	}
+	var table lease.Guard // of what the lease protects
+	fmt.Println(table.Admit(held.Token, func() error { fmt.Println("written"); return held.Context().Err() }))
+	fmt.Println(held.Release(context.Background()))
+	// Output:
+	// written
+	// <nil>
+	// <nil>
+}
+
+func TestOneHolder(t *testing.T) {
+	addr, stop := coordinator()
+	defer stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	client := func() *lease.Client {
+		c, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "same", TTL: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	a, b := client(), client()
+	first, err := a.Hold(ctx, "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Try(ctx, "x"); !errors.Is(err, lease.ErrTaken) {
+		t.Errorf("%v", err)
+	}
+	got := make(chan *lease.Held, 1)
+	go func() {
+		h, err := b.Hold(ctx, "x")
+		if err != nil {
+			t.Error(err)
+		}
+		got <- h
+	}()
+	if err := first.Release(ctx); err != nil {
+		t.Error(err)
+	}
+	if context.Cause(first.Context()) != lease.ErrReleased || first.Valid() {
+		t.Error("it still believes")
+	}
+	second := <-got
+	if second.Token <= first.Token || !second.Valid() {
+		t.Errorf("token %d after %d", second.Token, first.Token)
+	}
+	var g lease.Guard
+	if err := g.Admit(second.Token, func() error { return nil }); err != nil {
+		t.Error(err)
+	}
+	if err := g.Admit(first.Token, func() error { t.Error("it acts"); return nil }); !errors.Is(err, lease.ErrOld) {
+		t.Errorf("%v", err)
+	}
+	// the session ends with the client, and what it held is free at once
+	if err := b.Close(); err != nil {
+		t.Error(err)
+	}
+	third, err := a.Hold(ctx, "x")
+	if err != nil || third.Token <= second.Token {
+		t.Errorf("%v", err)
+	}
+	// out of reach, the context ends within the lease's time
+	stop()
+	select {
+	case <-third.Context().Done():
+		if context.Cause(third.Context()) != lease.ErrLost {
+			t.Errorf("%v", context.Cause(third.Context()))
+		}
+	case <-ctx.Done():
+		t.Error("it believes for ever")
+	}
+	short, end := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer end()
+	if _, err := a.Try(short, "y"); err == nil {
+		t.Error("a grant from nobody")
+	}
+	a.Close()
+}
