--- /dev/null
+++ b/cmd/petrelctl/lease.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/fleet"
+	core "petrelhook/internal/lease"
+	"petrelhook/lease"
+)
+
+// asking is what the commands that ask coordinators have in common.
+type asking struct {
+	addrs  []string
+	output string
+	within time.Duration
+}
+
+func (a *asking) flags(cmd *cobra.Command) {
+	addrs := []string{fleet.DefaultAddr}
+	if text := os.Getenv("PETRELFLEET_ADDRS"); text != "" {
+		addrs = strings.Split(text, ",")
+	}
+	cmd.PersistentFlags().StringSliceVar(&a.addrs, "addrs", addrs, "`HOST:PORT,...` of the coordinators; else $PETRELFLEET_ADDRS")
+	cmd.PersistentFlags().StringVar(&a.output, "output", "text", "text or json")
+	cmd.PersistentFlags().DurationVar(&a.within, "within", 10*time.Second, "how long an answer may take")
+}
+
+func (a *asking) operator() (*fleet.Operator, error) {
+	if a.output != "text" && a.output != "json" {
+		return nil, fmt.Errorf("--output: %q: write text or json", a.output)
+	}
+	o := &fleet.Operator{Addrs: a.addrs}
+	return o, o.Check()
+}
+
+// ask asks whoever leads.
+func (a *asking) ask(cmd *cobra.Command, in fleet.Ask) (*fleet.Told, error) {
+	o, err := a.operator()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), a.within)
+	defer cancel()
+	told, err := o.Ask(ctx, in)
+	if err != nil {
+		return nil, runError{err}
+	}
+	return told, nil
+}
+
+// print writes a result as JSON, or as lines of text.
+func (a *asking) print(cmd *cobra.Command, v any, text func(w *tabwriter.Writer)) error {
+	if a.output == "json" {
+		e := json.NewEncoder(cmd.OutOrStdout())
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+func leaseCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{Use: "lease", Short: "Leases for tasks of the fleet: who holds them, hold one while a command runs"}
+	a.flags(cmd)
+	list := func(use, short string, args cobra.PositionalArgs, show bool) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: args, RunE: func(cmd *cobra.Command, args []string) error {
+			prefix := strings.Join(args, "")
+			told, err := a.ask(cmd, fleet.Ask{List: &prefix})
+			if err != nil {
+				return err
+			}
+			all := told.Holdings
+			if show {
+				all = nil
+				for _, h := range told.Holdings {
+					if h.Name == prefix {
+						all = append(all, h)
+					}
+				}
+				if all == nil {
+					return runError{fmt.Errorf("%s: nobody holds it, and nobody waits for it", prefix)}
+				}
+			}
+			return a.print(cmd, all, func(w *tabwriter.Writer) { writeHoldings(w, all, show) })
+		}}
+	}
+	cmd.AddCommand(
+		list("list [PREFIX]", "Who holds which lease, and how many wait", cobra.MaximumNArgs(1), false),
+		list("show NAME", "Who holds a lease, and who waits for it", cobra.ExactArgs(1), true),
+		a.breakCommand("break NAME", "Have a lease renewed no more: its holder lets go, or it is free when its time is up", false),
+		a.breakCommand("release NAME", "As break, and wait until the holder has let go", true),
+		a.runCommand())
+	return cmd
+}
+
+func writeHoldings(w *tabwriter.Writer, all []core.Holding, waiters bool) {
+	fmt.Fprintln(w, "LEASE\tHOLDER\tSESSION\tTOKEN\tTTL\tWAIT\t")
+	for _, h := range all {
+		more := ""
+		if h.Broken {
+			more = "broken"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%d\t%s\n", h.Name, h.Owner, h.Session, h.Token, h.TTL, len(h.Queue), more)
+		if waiters {
+			for _, q := range h.Queue {
+				fmt.Fprintf(w, "\twaits: %s\t%d\t\t\t\t\n", q.Owner, q.Session)
+			}
+		}
+	}
+}
+
+func (a *asking) breakCommand(use, short string, wait bool) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		told, err := a.ask(cmd, fleet.Ask{Command: &core.Command{Kind: core.Break, Name: args[0]}})
+		if err != nil {
+			return err
+		}
+		if told.Answer.Status != core.OK {
+			return runError{fmt.Errorf("%s: nobody holds it", args[0])}
+		}
+		for broken := told.Answer.Token; wait; {
+			told, err := a.ask(cmd, fleet.Ask{List: &args[0]})
+			if err != nil {
+				return err
+			}
+			held := false
+			for _, h := range told.Holdings {
+				held = held || h.Name == args[0] && h.Token == broken
+			}
+			if !held {
+				break
+			}
+			select {
+			case <-cmd.Context().Done():
+				return runError{cmd.Context().Err()}
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		return a.print(cmd, told.Answer, func(w *tabwriter.Writer) {
+			fmt.Fprintf(w, "%s: the grant %d of %s is broken\n", args[0], told.Answer.Token, told.Answer.Holder)
+		})
+	}}
+}
+
+// The exit codes of lease run beside the command's own.
+const (
+	exitNoLease = 69 // it was not had
+	exitLost    = 75 // it was lost, and the command ended when it was told to
+	exitKilled  = 76 // it was lost, and the command had to be killed
+)
+
+// exitCode is a code that a subcommand ends with.
+type exitCode int
+
+func (e exitCode) Error() string { return fmt.Sprint("exit ", int(e)) }
+
+func (a *asking) runCommand() *cobra.Command {
+	var ttl, grace time.Duration
+	var owner string
+	var try bool
+	cmd := &cobra.Command{
+		Use: "run NAME -- COMMAND [ARG...]", Short: "Hold a lease while a command runs", Args: cobra.MinimumNArgs(2),
+		Long: "Waits for the lease, runs the command with LEASE_NAME and LEASE_TOKEN in its environment, and lets go when it ends.\n" +
+			"Where the lease is about to be lost the command and its children get TERM, and KILL before it can be another's.\n" +
+			"It ends with the command's code; 69: no lease; 75: lost, and the command ended on TERM; 76: lost, and killed.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if grace <= 0 || grace > ttl/2 {
+				return fmt.Errorf("--grace: %v: write a time up to half of --ttl", grace)
+			}
+			if owner == "" {
+				host, _ := os.Hostname()
+				owner = fmt.Sprintf("%s/%d", host, os.Getpid())
+			}
+			c, err := lease.New(lease.Options{Addrs: a.addrs, Owner: owner, TTL: ttl})
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			hold := c.Hold
+			if try {
+				hold = c.Try
+			}
+			held, err := hold(cmd.Context(), args[0])
+			if err != nil {
+				fmt.Fprintln(cmd.ErrOrStderr(), "petrelctl:", err)
+				return exitCode(exitNoLease)
+			}
+			return under(cmd, held, args[1:], grace)
+		},
+	}
+	cmd.Flags().DurationVar(&ttl, "ttl", 10*time.Second, "for how long the lease outlives its holder")
+	cmd.Flags().DurationVar(&grace, "grace", 2*time.Second, "how long before the end of the lease the command gets TERM")
+	cmd.Flags().StringVar(&owner, "owner", "", "a name for people; else host and process")
+	cmd.Flags().BoolVar(&try, "try", false, "do not wait where somebody else holds it")
+	return cmd
+}
+
+// under runs a command under a lease.
+func under(cmd *cobra.Command, held *lease.Held, args []string, grace time.Duration) error {
+	child := exec.Command(args[0], args[1:]...)
+	child.Stdin, child.Stdout, child.Stderr = cmd.InOrStdin(), cmd.OutOrStdout(), cmd.ErrOrStderr()
+	child.Env = append(os.Environ(), "LEASE_NAME="+held.Name, fmt.Sprint("LEASE_TOKEN=", held.Token))
+	child.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // not even a killed petrelctl leaves it behind
+	if err := child.Start(); err != nil {
+		return runError{errors.Join(err, held.Release(context.Background()))}
+	}
+	all := func(s syscall.Signal) { syscall.Kill(-child.Process.Pid, s) }
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	look := time.NewTicker(min(grace/10, 50*time.Millisecond))
+	defer look.Stop()
+	told, code, interrupted := false, 0, cmd.Context().Done()
+	for {
+		select {
+		case err := <-ended:
+			all(syscall.SIGKILL) // what it left behind
+			release, cancel := context.WithTimeout(context.Background(), grace)
+			defer cancel()
+			held.Release(release)
+			var exit *exec.ExitError
+			switch {
+			case code != 0:
+				fmt.Fprintf(cmd.ErrOrStderr(), "petrelctl: %s: the lease is lost\n", held.Name)
+				return exitCode(code)
+			case errors.As(err, &exit) && exit.ExitCode() >= 0:
+				return exitCode(exit.ExitCode())
+			case errors.As(err, &exit):
+				return exitCode(128 + int(exit.Sys().(syscall.WaitStatus).Signal()))
+			case err != nil:
+				return runError{err}
+			}
+			return nil
+		case <-interrupted:
+			interrupted = nil
+			all(syscall.SIGTERM)
+		case <-look.C:
+			switch left := held.Left(); {
+			case left <= grace/5:
+				all(syscall.SIGKILL)
+				code = exitKilled
+			case left <= grace && !told:
+				all(syscall.SIGTERM)
+				told, code = true, exitLost
+			}
+		}
+	}
+}
--- a/cmd/petrelctl/main.go
+++ b/cmd/petrelctl/main.go
@@ -36,17 +36,20 @@
 		Use: "petrelctl", Short: "The operators' tool of petrelhook", SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
 	}
-	root.AddCommand(rehearseCommand(), loadCommand(), standinCommand())
+	root.AddCommand(rehearseCommand(), loadCommand(), standinCommand(), leaseCommand(), fleetCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	err := root.ExecuteContext(ctx)
 	var ran runError
+	var exit exitCode
 	switch {
 	case err == nil:
 		return 0
 	case errors.Is(err, errBad):
 		return 1
+	case errors.As(err, &exit):
+		return int(exit)
 	case errors.As(err, &ran):
 		fmt.Fprintln(stderr, "petrelctl:", err)
 		return 1
--- a/cmd/petrelfleet/main.go
+++ b/cmd/petrelfleet/main.go
@@ -15,9 +15,6 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/replica/disk"
 )
 
 // The exit codes.
@@ -32,9 +29,8 @@
 type failed struct{ error }
 
 func run(args []string, out, errs io.Writer) int {
-	var path, data, addr, restore string
+	var path, data, addr string
 	var check bool
-	var above uint64
 	cmd := &cobra.Command{
 		Use: "petrelfleet [--config FILE | --data FOLDER]", Short: "A coordinator of petrelhook's fleet: who holds which lease",
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
@@ -56,12 +52,9 @@
 			for _, w := range c.Warnings {
 				log.Warn("settings", "warning", w)
 			}
-			switch {
-			case check:
+			if check {
 				fmt.Fprintf(out, "%s: good: replica %d of %d\n", path, c.ID, len(c.Replicas))
 				return nil
-			case restore != "":
-				return restored(c, restore, lease.Token(above), out)
 			}
 			return serve(c, log)
 		},
@@ -71,8 +64,6 @@
 	f.StringVar(&data, "data", "", "`FOLDER` of the one coordinator of a machine; it needs no file")
 	f.StringVar(&addr, "listen", fleet.DefaultAddr, "with --data: `HOST:PORT`")
 	f.BoolVar(&check, "check", false, "say whether the file is good, and end")
-	f.StringVar(&restore, "restore", "", "begin a new group from a back-up `FILE`, and end; the same for each replica")
-	f.Uint64Var(&above, "above", 0, "with --restore: the largest `TOKEN` that is known to have been given since")
 	cmd.SetArgs(args)
 	cmd.SetOut(out)
 	cmd.SetErr(errs)
@@ -89,22 +80,6 @@
 	return exitUsage
 }
 
-func restored(c *fleet.Config, path string, above lease.Token, out io.Writer) error {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return failed{err}
-	}
-	state, err := lease.Restored(text, above, c.LongestTTL)
-	if err == nil {
-		err = disk.Create(c.Data, c.ID, replica.First(c.Replicas, state))
-	}
-	if err != nil {
-		return failed{fmt.Errorf("%s: %w", path, err)}
-	}
-	fmt.Fprintf(out, "%s: restored; start it, and it grants nothing for %v\n", c.Data, c.LongestTTL)
-	return nil
-}
-
 // serve runs until SIGTERM or an interrupt.
 func serve(c *fleet.Config, log *slog.Logger) error {
 	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- /dev/null
+++ b/internal/fleet/operator.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"petrelhook/internal/lease"
+	"petrelhook/internal/replica"
+	"petrelhook/internal/replica/disk"
+)
+
+// Operator asks coordinators on behalf of people.
+type Operator struct {
+	Addrs []string
+	over  http.Client
+}
+
+// ErrUnanswered says that no coordinator that leads has answered in time.
+var ErrUnanswered = errors.New("no answer")
+
+const operatorPause = 50 * time.Millisecond
+
+// Ask asks until a coordinator that leads has answered, or ctx ends.
+func (o *Operator) Ask(ctx context.Context, in Ask) (*Told, error) {
+	in.Version = Version
+	last := errors.New("no address")
+	for at := 0; ; at++ {
+		addr := o.Addrs[at%len(o.Addrs)]
+		res, err := Client[Ask, Told](&o.over, addr, PathAsk).CallUnary(ctx, connect.NewRequest(&in))
+		switch {
+		case err == nil && res.Msg.Err == "":
+			return res.Msg, nil
+		case err == nil && res.Msg.Err == replica.ErrChanging.Error(), err == nil && res.Msg.Moved && (in.Add != nil || in.Remove != 0):
+			return nil, fmt.Errorf("%s: %s", addr, res.Msg.Err)
+		case err == nil:
+			last = fmt.Errorf("%s: %s", addr, res.Msg.Err)
+		case connect.CodeOf(err) == connect.CodeInvalidArgument || connect.CodeOf(err) == connect.CodeFailedPrecondition:
+			return nil, fmt.Errorf("%s: %w", addr, err)
+		default:
+			last = fmt.Errorf("%s: %w", addr, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", ErrUnanswered, last)
+		case <-time.After(operatorPause):
+		}
+	}
+}
+
+// Status asks one coordinator for what it knows of itself.
+func (o *Operator) Status(ctx context.Context, addr string) (*Status, error) {
+	res, err := Client[Nothing, Status](&o.over, addr, PathStatus).CallUnary(ctx, connect.NewRequest(&Nothing{Version}))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// Check says what is wrong with the addresses.
+func (o *Operator) Check() error {
+	if len(o.Addrs) == 0 {
+		return errors.New("--addrs: write the address of a coordinator")
+	}
+	for _, a := range o.Addrs {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("--addrs: %q: write host:port", a)
+		}
+	}
+	return nil
+}
+
+// RestoreTo begins a replica of a new group from a back-up; each of the group is begun with the same.
+func RestoreTo(c *Config, path string, above lease.Token) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	state, err := lease.Restored(text, above, c.LongestTTL)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return disk.Create(c.Data, c.ID, replica.First(c.Replicas, state))
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -94,3 +94,6 @@
 	}
 	return l.token, l.until, true
 }
+
+// Broken reports whether operators want a lease that is held to be let go.
+func (h *Holder) Broken(name string) bool { return h.held[name] != nil && h.held[name].broken }
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -45,11 +45,13 @@
 	{"internal/rig", ""},
 	{"internal/rig/memnet", "internal/sock"},
 	{"internal/rig/loopback", "internal/sock"},
+	{"internal/rig/link", "internal/sock"},
+	{"internal/rig/belief", ""},
 	{"internal/rig/statement", ""},
 	{"internal/rig/*", "balance internal/*"},
 	{"internal/peertest", ""},
 	{"cmd/petrelhook", "balance internal/*"},
-	{"cmd/petrelctl", "balance internal/*"},
+	{"cmd/petrelctl", "balance internal/* lease"},
 	{"cmd/adapter", "balance internal/wire"},
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -30,8 +30,9 @@
 // What Hold and Held.Err may say.
 var (
 	ErrTaken    = errors.New("somebody else holds it")
-	ErrLost     = errors.New("the lease is lost: the coordinators were out of reach for too long, or it was broken")
+	ErrLost     = errors.New("the lease is lost: the coordinators were out of reach for too long")
 	ErrReleased = errors.New("the lease was released")
+	ErrBroken   = errors.New("operators broke the lease")
 	ErrClosed   = errors.New("the client is closed")
 )
 
@@ -121,6 +122,17 @@
 	return false
 }
 
+// Left is for how long the lease is held if nothing more is heard: 0, it is lost.
+func (h *Held) Left() time.Duration {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	if !h.valid() {
+		return 0
+	}
+	_, until, _ := h.c.holder.Held(h.Name, h.c.o.clock())
+	return until.Sub(h.c.o.clock())
+}
+
 // drop ends what is believed of a lease. The caller holds Client.mu.
 func (c *Client) drop(h *Held, why error) {
 	if c.held[h.Name] != h {
@@ -450,7 +462,11 @@
 	}
 	holder.Renewed(asked, grants, told.Version)
 	for _, h := range c.held {
-		if h.valid() {
+		if holder.Broken(h.Name) { // let go at once: who is next need not wait for the whole time
+			name, token := h.Name, h.Token
+			c.drop(h, ErrBroken)
+			c.sides.Go(func() { c.carryOut(lease.Command{Kind: lease.Release, Name: name, Token: token}) })
+		} else if h.valid() {
 			c.arm(h)
 		}
 	}
