--- /dev/null
+++ b/cmd/petrelfleet/hard_test.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"petrelhook/internal/fleet"
+	core "petrelhook/internal/lease"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/replica"
+	"petrelhook/internal/rig/link"
+	"petrelhook/lease"
+)
+
+func client(t *testing.T, g *group) *lease.Client {
+	t.Helper()
+	c, err := lease.New(lease.Options{Addrs: g.addrs(), Owner: "same", TTL: ttl})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func must(t *testing.T, c *lease.Client, name string) *lease.Held {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), peertest.Patience)
+	defer cancel()
+	h, err := c.Hold(ctx, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// ask asks whoever leads as an operator.
+func (g *group) ask(in fleet.Ask) (*fleet.Told, error) {
+	ctx, cancel := context.WithTimeout(g.t.Context(), peertest.Patience)
+	defer cancel()
+	return (&fleet.Operator{Addrs: g.addrs()}).Ask(ctx, in)
+}
+
+// A holder is stopped between its look and its act, for longer than its lease, and goes on when another has acted: the guard
+// refuses it.
+func TestStoppedBetweenLookAndAct(t *testing.T) {
+	g, r := newGroup(t, 1), &resource{}
+	guarded := peertest.NewRaw(t, r.serve)
+	out := &buffer{}
+	first := start(t, "stops", out, guarded, strings.Join(g.addrs(), ","))
+	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && stopped(first) })
+	other := must(t, client(t, g), "task") // its time is up
+	if err := r.guard.Admit(other.Token, func() error { return nil }); err != nil {
+		t.Error(err)
+	}
+	first.cmd.Process.Signal(syscall.SIGCONT)
+	peertest.Eventually(t, "it acts", func() bool { return strings.Count(out.String(), "\n") == 2 })
+	if !strings.Contains(out.String(), "old") {
+		t.Error("its act was admitted")
+	}
+}
+
+func stopped(p *process) bool {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return strings.HasPrefix(rest, "T")
+}
+
+// A replica that lost its disk may not come back under its id: it ends and says what to do. Under a new id it is added, learns and
+// votes; the lost one is removed. One that was removed and comes back ends too, and disturbs nobody.
+func TestLostDisk(t *testing.T) {
+	g := newGroup(t, 3)
+	held := must(t, client(t, g), "x")
+	peertest.Eventually(t, "all disks are known", func() bool {
+		told, err := g.ask(fleet.Ask{Backup: true})
+		known := 0
+		if err == nil {
+			for _, m := range told.Members {
+				if m.Life != "" {
+					known++
+				}
+			}
+		}
+		return known == 3
+	})
+	c := g.all[(g.leader()+1)%3]
+	c.kill()
+	if err := os.RemoveAll(filepath.Join(g.dir, fmt.Sprintf("data%d", c.i+1))); err != nil {
+		t.Fatal(err)
+	}
+	c.start()
+	if err := peertest.Wait(t, c.ended); err == nil || !strings.Contains(c.log.String(), "has lost its disk") {
+		t.Errorf("%v: %s", err, c.log)
+	}
+	if _, err := g.ask(fleet.Ask{Remove: uint64(c.i + 1)}); err != nil {
+		t.Fatal(err)
+	}
+	way, err := link.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(way.Close)
+	text, _ := os.ReadFile(g.file(c.i))
+	joins := strings.Replace(string(text), fmt.Sprintf("id: %d\ndata: data%d", c.i+1, c.i+1), "id: 4\njoin: true\ndata: data4", 1)
+	joins += fmt.Sprintf("  - {id: 4, address: %q}\n", way.Addr)
+	path := filepath.Join(g.dir, "c4.yaml")
+	os.WriteFile(path, []byte(joins), 0o600)
+	fourth := start(t, "coordinator", nil, "--config", path)
+	var found []string
+	peertest.Eventually(t, "it serves", func() bool { found = serving.FindStringSubmatch(fourth.log.String()); return found != nil })
+	way.To(found[1])
+	if _, err := g.ask(fleet.Ask{Add: &replica.Member{ID: 4, Addr: way.Addr}}); err != nil {
+		t.Fatal(err)
+	}
+	peertest.Eventually(t, "it votes", func() bool {
+		told, err := g.ask(fleet.Ask{Backup: true})
+		return err == nil && len(told.Members) == 3 && !told.Members[2].Learner && told.Members[2].ID == 4
+	})
+	// with it there is a majority without the leader
+	leader := g.leader()
+	g.all[leader].kill()
+	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader || fourthLeads(found[1]) })
+	if !held.Valid() {
+		t.Error("a lease that could be renewed was lost")
+	}
+}
+
+func fourthLeads(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s, err := (&fleet.Operator{}).Status(ctx, addr)
+	return err == nil && s.Leads
+}
+
+// The leader is removed: it ends, another leads, and it cannot come back. Leases live on.
+func TestRemovedLeader(t *testing.T) {
+	g := newGroup(t, 3)
+	held := must(t, client(t, g), "x")
+	var leader int
+	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
+	if _, err := g.ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
+		t.Fatal(err)
+	}
+	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
+	was := must(t, client(t, g), "y").Token
+	if peertest.Wait(t, g.all[leader].ended); !strings.Contains(g.all[leader].log.String(), "none of this group") {
+		t.Errorf("%s", g.all[leader].log)
+	}
+	g.all[leader].start()
+	peertest.Wait(t, g.all[leader].ended)
+	if now := must(t, client(t, g), "z").Token; now != was+1 || !held.Valid() {
+		t.Errorf("token %d after %d", now, was)
+	}
+}
+
+// A disk that takes no more ends the process, which says so; the others go on, and with room it comes back.
+func TestDiskFull(t *testing.T) {
+	g := newGroup(t, 3)
+	var leader int
+	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
+	c := g.all[leader]
+	if err := unix.Prlimit(c.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: unix.RLIM_INFINITY}, nil); err != nil {
+		t.Fatal(err)
+	}
+	must(t, client(t, g), "x")
+	if err := peertest.Wait(t, c.ended); err == nil {
+		t.Error("it ended well")
+	}
+	if !strings.Contains(c.log.String(), "the disk") {
+		t.Errorf("%s", c.log)
+	}
+	c.start()
+	g.all[(leader+1)%3].kill() // a majority needs it
+	must(t, client(t, g), "y")
+}
+
+// A back-up is restored onto a new group while a holder of the old one still believes: nothing is granted until that is over, and
+// tokens go on beyond.
+func TestRestoredWhileAHolderLives(t *testing.T) {
+	g := newGroup(t, 1)
+	backup, err := g.ask(fleet.Ask{Backup: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := must(t, client(t, g), "x") // after the back-up
+	c := g.all[0]
+	c.kill()
+	path := filepath.Join(g.dir, "backup")
+	os.WriteFile(path, backup.Backup, 0o600)
+	os.RemoveAll(filepath.Join(g.dir, "data1"))
+	text, _ := os.ReadFile(g.file(0))
+	os.WriteFile(g.file(0), append(text, "longest_ttl: 2s\n"...), 0o600)
+	cfg, err := fleet.Read(g.file(0))
+	if err == nil {
+		err = fleet.RestoreTo(cfg, path, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.start()
+	peertest.Eventually(t, "it leads", func() bool { return g.leader() == 0 })
+	a, err := g.ask(fleet.Ask{Command: &core.Command{Kind: core.Open, Nonce: "another client", Owner: "o", TTL: ttl}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err = g.ask(fleet.Ask{Command: &core.Command{Kind: core.Acquire, Session: a.Answer.Session, Seq: 1, Name: "x"}})
+	if err != nil || a.Answer.Status != core.Embargoed {
+		t.Errorf("%v, %+v", err, a)
+	}
+	next := must(t, client(t, g), "x")
+	if old.Valid() || next.Token <= old.Token {
+		t.Errorf("token %d, and %d is believed: %v", next.Token, old.Token, old.Valid())
+	}
+}
+
+// A waiter is killed just as its turn comes: the next has the lease within one session's time.
+func TestWaiterDies(t *testing.T) {
+	g, r := newGroup(t, 1), &resource{}
+	first := must(t, client(t, g), "task")
+	out := &buffer{}
+	waiter := start(t, "holder", out, "w", peertest.NewRaw(t, r.serve), strings.Join(g.addrs(), ","))
+	name := "task"
+	queue := func() int {
+		told, err := g.ask(fleet.Ask{List: &name})
+		if err != nil || len(told.Holdings) == 0 {
+			return -1
+		}
+		return len(told.Holdings[0].Queue)
+	}
+	peertest.Eventually(t, "it waits", func() bool { return queue() == 1 })
+	got := make(chan *lease.Held, 1)
+	second := client(t, g)
+	go func() { h, _ := second.Hold(t.Context(), "task"); got <- h }()
+	peertest.Eventually(t, "both wait", func() bool { return queue() == 2 })
+	waiter.cmd.Process.Signal(syscall.SIGSTOP)
+	if err := first.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	waiter.cmd.Process.Kill()
+	if h := peertest.Wait(t, got); h == nil || time.Since(began) > 2*ttl {
+		t.Errorf("%v after %v", h, time.Since(began))
+	}
+}
+
+// Without a majority there is no grant, and a clear answer with a time to come back, at once; another version is refused.
+func TestNoMajority(t *testing.T) {
+	g := newGroup(t, 3)
+	held := must(t, client(t, g), "x")
+	for _, c := range g.all[:2] {
+		c.kill()
+	}
+	o := fleet.Operator{}
+	peertest.Eventually(t, "the last one knows", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		res, err := call(ctx, g.clients[2].Addr, fleet.Ask{Version: fleet.Version, Command: &core.Command{Kind: core.Open, Nonce: "12345678", Owner: "o", TTL: ttl}})
+		return err == nil && strings.Contains(res.Err, "majority is out of reach") && res.Again > 0
+	})
+	peertest.Wait(t, held.Context().Done())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, err := call(ctx, g.clients[2].Addr, fleet.Ask{Version: 99}); err == nil || !strings.Contains(err.Error(), "version 99") {
+		t.Errorf("%v", err)
+	}
+	if _, err := o.Status(ctx, g.clients[2].Addr); err != nil {
+		t.Error(err)
+	}
+}
+
+// Bad input is one clear error, with its place, and nothing is begun.
+func TestBadFiles(t *testing.T) {
+	dir := t.TempDir()
+	good := "id: 1\ndata: d\nreplicas:\n  - {id: 1, address: 127.0.0.1:7001}\n"
+	for want, text := range map[string]string{
+		"c.yaml:1:1: id: missing":                                 strings.Replace(good, "id: 1\n", "", 1),
+		"c.yaml:2:1: port: unknown field; known are allow_remote": strings.Replace(good, "data: d", "port: 1", 1),
+		"c.yaml:3:1: id: comes twice":                             strings.Replace(good, "replicas:", "id: 2\nreplicas:", 1),
+		`c.yaml:1:5: id: "one"; write a number`:                   strings.Replace(good, "id: 1\n", "id: one\n", 1),
+		"c.yaml:5:5: replicas[1].id: 1 is that of line 4":         good + "  - {id: 1, address: 127.0.0.1:7002}\n",
+		"c.yaml:5:5: replicas[1].address: 127.0.0.1:7001 is that": good + "  - {id: 2, address: 127.0.0.1:7001}\n",
+		`c.yaml:4:22: replicas[0].address: "x" is no address`:     strings.Replace(good, "127.0.0.1:7001", "x", 1),
+		"replicas[0].address: 10.0.0.1:7001 is not of loopback":   strings.Replace(good, "127.0.0.1", "10.0.0.1", 1),
+		"c.yaml:4:3: replicas: id 7 is not among them":            strings.Replace(good, "id: 1\n", "id: 7\n", 1),
+		`longest_ttl: "1d"; write a time from`:                    good + "longest_ttl: 1d\n",
+		"c.yaml: line 1: did not find expected":                   "id: [1\n",
+		"c.yaml:1:1: write fields":                                "",
+	} {
+		path := filepath.Join(dir, "c.yaml")
+		os.WriteFile(path, []byte(text), 0o600)
+		var out, errs strings.Builder
+		if code := run([]string{"--config", path}, &out, &errs); code != exitFailed || !strings.Contains(errs.String(), want) || strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%d: %q, want %q", code, errs.String(), want)
+		}
+	}
+	if left, _ := os.ReadDir(dir); len(left) != 1 {
+		t.Errorf("%v", left)
+	}
+	path := filepath.Join(dir, "c.yaml")
+	os.WriteFile(path, []byte(good+"  - {id: 2, address: 127.0.0.1:7002}\n"), 0o600)
+	var out, errs strings.Builder
+	if code := run([]string{"--config", path, "--check"}, &out, &errs); code != 0 || !strings.Contains(errs.String(), "2 bear no more failures than 1") {
+		t.Errorf("%d: %q %q", code, out.String(), errs.String())
+	}
+	if code := run(nil, &out, &errs); code != exitUsage {
+		t.Errorf("%d", code)
+	}
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	if code := run([]string{"--data", filepath.Join(dir, "d"), "--listen", ln.Addr().String()}, &out, &errs); code != exitFailed || !strings.Contains(errs.String(), "address already in use") {
+		t.Errorf("%d: %q", code, errs.String())
+	}
+}
+
+// All coordinators are killed at once, right after a grant was answered: it is there again, the session lives on, and no token is
+// given twice.
+func TestAllKilledAtOnce(t *testing.T) {
+	g := newGroup(t, 3)
+	c := client(t, g)
+	var last lease.Token
+	for round := range 3 {
+		h := must(t, c, fmt.Sprint("x", round))
+		for _, c := range g.all {
+			c.cmd.Process.Kill()
+		}
+		for _, c := range g.all {
+			peertest.Wait(t, c.ended)
+		}
+		for _, c := range g.all {
+			c.start()
+		}
+		next := must(t, client(t, g), fmt.Sprint("y", round))
+		if h.Token <= last || next.Token <= h.Token {
+			t.Errorf("tokens %d, %d, %d", last, h.Token, next.Token)
+		}
+		last = next.Token
+	}
+}
--- a/cmd/petrelfleet/process_test.go
+++ b/cmd/petrelfleet/process_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,8 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/belief"
@@ -32,6 +35,8 @@
 	switch os.Getenv("PETRELFLEET_TEST") {
 	case "coordinator":
 		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	case "stops":
+		stops(os.Args[1], strings.Split(os.Args[2], ","))
 	case "holder":
 		hold(os.Args[1], os.Args[2], strings.Split(os.Args[3], ","))
 	}
@@ -75,6 +80,37 @@
 	}
 }
 
+// stops is a holder that is stopped between its look and its act.
+func stops(resource string, addrs []string) {
+	c, err := lease.New(lease.Options{Addrs: addrs, Owner: "same", TTL: ttl})
+	if err != nil {
+		panic(err)
+	}
+	h, err := c.Hold(context.Background(), "task")
+	if err != nil {
+		panic(err)
+	}
+	conn, err := net.Dial("tcp", resource)
+	if err != nil || !h.Valid() {
+		panic(err)
+	}
+	fmt.Println("looked")
+	syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+	fmt.Fprintf(conn, "stops %d\n", h.Token)
+	answer, _ := bufio.NewReader(conn).ReadString('\n')
+	fmt.Print(answer)
+	os.Exit(0)
+}
+
+// call makes one call to one coordinator.
+func call(ctx context.Context, addr string, in fleet.Ask) (*fleet.Told, error) {
+	res, err := fleet.Client[fleet.Ask, fleet.Told](http.DefaultClient, addr, fleet.PathAsk).CallUnary(ctx, connect.NewRequest(&in))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
 // process is one that is started, stopped and killed.
 type process struct {
 	cmd   *exec.Cmd
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,7 @@
 	s     *Server
 	id    uint64
 	queue chan *pb.Message
+	life  atomic.Pointer[string] // of its disk, as the log has it
 }
 
 const (
@@ -29,7 +31,7 @@
 func (s *Server) peer(ctx context.Context, sides *sync.WaitGroup, id uint64) *peer {
 	p := s.peers[id]
 	if p == nil {
-		p = &peer{s, id, make(chan *pb.Message, peerQueue)}
+		p = &peer{s: s, id: id, queue: make(chan *pb.Message, peerQueue)}
 		s.peers[id] = p
 		addr := s.addr(id)
 		sides.Go(func() { p.run(ctx, addr) })
@@ -38,6 +40,8 @@
 }
 
 func (p *peer) send(m *pb.Message) {
+	life := p.s.core.Life(p.id)
+	p.life.Store(&life)
 	select {
 	case p.queue <- m:
 	default: // it is slow, or gone
@@ -85,7 +89,7 @@
 }
 
 func (p *peer) call(ctx context.Context, client *connect.Client[Steps, Nothing], batch []*pb.Message) error {
-	steps, within, snap := &Steps{Version: Version, From: p.s.config.ID, To: p.id, Life: p.s.disk.Life}, stepTime, false
+	steps, within, snap := &Steps{Version: Version, From: p.s.config.ID, To: p.id, Life: p.s.disk.Life, ToLife: *p.life.Load()}, stepTime, false
 	for _, m := range batch {
 		text, err := proto.Marshal(m)
 		if err != nil {
--- a/internal/fleet/rpc.go
+++ b/internal/fleet/rpc.go
@@ -64,7 +64,8 @@
 type Steps struct {
 	Version  int `json:"version"`
 	From, To uint64
-	Life     string   `json:"life"`
+	Life     string   `json:"life"`              // of the disk that they come from
+	ToLife   string   `json:"to_life,omitempty"` // of the one that they are for, if it is known
 	Messages [][]byte `json:"messages"`
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -89,7 +89,7 @@
 	defer close(s.ended)
 	tick := time.NewTicker(s.config.Tick)
 	defer tick.Stop()
-	leads := false
+	leads, removed := false, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,6 +98,11 @@
 			return err
 		case <-tick.C:
 			s.core.Tick(steady.Now())
+			if s.core.Removed() {
+				if removed++; removed > 2*replica.ElectionTicks { // by then who asked for it has his answer
+					return fmt.Errorf("replica %d: %w", s.config.ID, replica.ErrRemoved)
+				}
+			}
 		case f := <-s.events:
 			f()
 			for n := 0; n < maxBatch; n++ {
@@ -282,6 +287,10 @@
 	if in.To != s.config.ID {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("this is replica %d, not %d", s.config.ID, in.To))
 	}
+	if in.ToLife != "" && in.ToLife != s.disk.Life { // what they rest on is not here
+		s.fail(fmt.Errorf("replica %d: %w", s.config.ID, replica.ErrLostDisk))
+		return nil, errEnds
+	}
 	all := make([]*pb.Message, len(in.Messages))
 	for i, text := range in.Messages {
 		all[i] = &pb.Message{}
