--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -344,3 +344,56 @@
 		last = next.Token
 	}
 }
+
+// The leader is cut off from the others, not from clients: a change that it is asked for does not happen, and it says that it does not
+// know; the others go on and remove it. When it is heard again it ends.
+func TestChangesWhileTheLeaderIsCutOff(t *testing.T) {
+	g := newGroup(t, 3)
+	held := must(t, client(t, g), "x")
+	var leader int
+	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
+	c := g.all[leader]
+	hold := func(held bool) {
+		for j, other := range g.all {
+			if j != leader {
+				for _, l := range []*link.Link{c.links[j], other.links[leader]} {
+					l.Hold(link.Forth, held)
+					l.Hold(link.Back, held)
+				}
+			}
+		}
+	}
+	hold(true)
+	other := (leader + 1) % 3
+	ctx, cancel := context.WithTimeout(t.Context(), peertest.Patience)
+	defer cancel()
+	told, err := call(ctx, g.clients[leader].Addr, fleet.Ask{Version: fleet.Version, Remove: uint64(other + 1)})
+	if err != nil || !told.Moved {
+		t.Errorf("%v, %+v", err, told)
+	}
+	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
+	if _, err := g.ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
+		t.Fatal(err)
+	}
+	hold(false)
+	peertest.Wait(t, c.ended)
+	told, err = g.ask(fleet.Ask{Backup: true})
+	if err != nil || len(told.Members) != 2 || !held.Valid() {
+		t.Errorf("%v, %+v, valid %v", err, told, held.Valid())
+	}
+}
+
+// A message that is too large is an error at once, for an application too.
+func TestTooLarge(t *testing.T) {
+	g := newGroup(t, 1)
+	c := client(t, g)
+	must(t, c, "x")
+	ctx, cancel := context.WithTimeout(t.Context(), peertest.Patience)
+	defer cancel()
+	for name, want := range map[string]string{strings.Repeat("x", 100_000): "larger than configured max", strings.Repeat("x", 201): "lease: 201 bytes; write 1 to 200"} {
+		if _, err := c.Hold(ctx, name); err == nil || !strings.Contains(err.Error(), want) || ctx.Err() != nil {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	must(t, c, "y") // the session goes on
+}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -25,6 +25,15 @@
 // ErrUnanswered says that no coordinator that leads has answered in time.
 var ErrUnanswered = errors.New("no answer")
 
+// Final reports whether an error of a call says that it is wrong, so that it need not be made again.
+func Final(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented, connect.CodeResourceExhausted:
+		return true
+	}
+	return false
+}
+
 const operatorPause = 50 * time.Millisecond
 
 // Ask asks until a coordinator that leads has answered, or ctx ends.
@@ -41,7 +50,7 @@
 			return nil, fmt.Errorf("%s: %s", addr, res.Msg.Err)
 		case err == nil:
 			last = fmt.Errorf("%s: %s", addr, res.Msg.Err)
-		case connect.CodeOf(err) == connect.CodeInvalidArgument || connect.CodeOf(err) == connect.CodeFailedPrecondition:
+		case Final(err):
 			return nil, fmt.Errorf("%s: %w", addr, err)
 		default:
 			last = fmt.Errorf("%s: %w", addr, err)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -75,7 +75,7 @@
 	handle(mux, PathAsk, maxAsk, s.ask)
 	handle(mux, PathStatus, maxAsk, s.status)
 	handle(mux, PathStep, MaxMessage+1<<20, s.step)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: snapTime, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	var sides sync.WaitGroup
 	defer sides.Wait()
 	sides.Go(func() {
--- a/internal/replica/disk/disk_test.go
+++ b/internal/replica/disk/disk_test.go
@@ -24,6 +24,9 @@
 func filled(t *testing.T) (dir, life string) {
 	t.Helper()
 	dir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, fileName+".new"), []byte("half written"), 0o600); err != nil { // by one that died
+		t.Fatal(err)
+	}
 	if err := Create(dir, 3, replica.First([]replica.Member{{ID: 3}}, lease.NewState())); err != nil {
 		t.Fatal(err)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -495,7 +495,7 @@
 		case err == nil:
 			last = fmt.Errorf("%s: %s", addr, res.Msg.Err)
 			wait = time.Duration(res.Msg.Again) * time.Millisecond
-		case connect.CodeOf(err) == connect.CodeInvalidArgument, connect.CodeOf(err) == connect.CodeFailedPrecondition, connect.CodeOf(err) == connect.CodeUnimplemented:
+		case fleet.Final(err):
 			return nil, fmt.Errorf("%s: %w", addr, err)
 		default:
 			last = fmt.Errorf("%s: %w", addr, err)
