--- /dev/null
+++ b/internal/judge/judge.go
@@ -0,0 +1,208 @@
+package judge
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Counts are how many of some requests something happened to.
+type Counts struct{ Hit, Of float64 }
+
+// Cell is what is compared by itself.
+type Cell struct{ Class, Zone, Metric string }
+
+func (c Cell) String() string {
+	return fmt.Sprintf("%s of class %s in zone %s", c.Metric, c.Class, c.Zone)
+}
+
+// Plan is what a judgement is held to.
+type Plan struct {
+	FalseStop float64 // the probability that equal releases are ever said to be worse, over all cells and looks
+	Missed    float64 // the probability that a release worse by Effect is said to be no worse, a cell
+	Effect    float64 // the smallest difference of a rate that matters
+	Cells     int     // how many cells there may be, all stages together
+	Bunch     float64 // how many requests share a fate; 0: 1
+}
+
+// Check says what is wrong with a plan.
+func (p *Plan) Check() error {
+	switch {
+	case !(p.FalseStop > 0 && p.FalseStop < 1):
+		return fmt.Errorf("false_stops: %v; write a share between 0 and 1, such as 0.01", p.FalseStop)
+	case !(p.Missed > 0 && p.Missed < 1):
+		return fmt.Errorf("missed_stops: %v; write a share between 0 and 1, such as 0.05", p.Missed)
+	case !(p.Effect > 0 && p.Effect < 1):
+		return fmt.Errorf("effect: %v; write the smallest difference of a rate that matters, between 0 and 1", p.Effect)
+	case p.Cells < 1:
+		return fmt.Errorf("cells: %d; write how many there may be, 1 or more", p.Cells)
+	case p.Bunch != 0 && !(p.Bunch >= 1):
+		return fmt.Errorf("bunch: %v; write 1 or more", p.Bunch)
+	}
+	return nil
+}
+
+// Kind is the kind of a verdict.
+type Kind uint8
+
+// The verdicts.
+const (
+	NotEnough Kind = iota // evidence
+	NoWorse
+	Worse
+)
+
+func (k Kind) String() string { return [...]string{"not enough evidence", "no worse", "worse"}[k] }
+
+// Verdict is what holds now. Cell is the one that is worse, or that lacks evidence most.
+type Verdict struct {
+	Kind         Kind
+	Cell         Cell
+	New, Control float64 // the rates seen
+	Odds         float64 // Worse: the evidence, at least 1 over the cell's part of FalseStop
+	Most         float64 // the largest difference that the new one may have, by its confidence
+}
+
+func (v Verdict) String() string {
+	return fmt.Sprintf("%v: %v: %.4f, control %.4f (odds %.3g, at most %.4f more)", v.Kind, v.Cell, v.New, v.Control, v.Odds, v.Most)
+}
+
+// Judge is one judgement.
+type Judge struct {
+	plan  Plan
+	cells map[Cell]*cell
+}
+
+type cell struct {
+	new, control Counts
+	log          float64 // of the product of all windows
+	worse        bool    // it has been; evidence that was there does not go away
+}
+
+// New begins a judgement.
+func New(p Plan) (*Judge, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	if p.Bunch == 0 {
+		p.Bunch = 1
+	}
+	return &Judge{plan: p, cells: map[Cell]*cell{}}, nil
+}
+
+// Add takes in a window of a cell.
+func (j *Judge) Add(at Cell, new, control Counts) error {
+	for _, c := range []Counts{new, control} {
+		if !(c.Hit >= 0 && c.Hit <= c.Of) || math.IsInf(c.Of, 0) {
+			return fmt.Errorf("%v: %v of %v", at, c.Hit, c.Of)
+		}
+	}
+	c := j.cells[at]
+	if c == nil {
+		if len(j.cells) == j.plan.Cells {
+			return fmt.Errorf("%v: the plan has %d cells, and this is one more", at, j.plan.Cells)
+		}
+		c = &cell{}
+		j.cells[at] = c
+	}
+	new, control = new.over(j.plan.Bunch), control.over(j.plan.Bunch)
+	if new.Of > 0 && control.Of > 0 {
+		c.log += c.window(new, control, j.plan.Effect)
+	}
+	c.new, c.control = c.new.plus(new), c.control.plus(control)
+	c.worse = c.worse || c.log >= math.Log(float64(j.plan.Cells)/j.plan.FalseStop)
+	return nil
+}
+
+func (c Counts) over(b float64) Counts { return Counts{c.Hit / b, c.Of / b} }
+func (c Counts) plus(o Counts) Counts  { return Counts{c.Hit + o.Hit, c.Of + o.Of} }
+func (c Counts) rate() float64         { return c.Hit / max(c.Of, 1e-300) }
+func (c Counts) likelihood(p float64) float64 {
+	return xlog(c.Hit, p) + xlog(c.Of-c.Hit, 1-p)
+}
+
+func xlog(x, p float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	return x * math.Log(p)
+}
+
+// window is the logarithm of a window's part of the e-process.
+func (c *cell) window(new, control Counts, effect float64) float64 {
+	base, worse := c.guess(effect)
+	pooled := (new.Of*worse + control.Of*base) / (new.Of + control.Of)
+	return new.likelihood(worse) + control.likelihood(base) - new.likelihood(pooled) - control.likelihood(pooled)
+}
+
+// guess is the alternative that a window is judged by, from those before it alone: the control's rate, and one that is larger by the
+// smallest effect, or by what was seen if that is more.
+func (c *cell) guess(effect float64) (base, worse float64) {
+	const few = 1 // a request that was never seen, at a rate of half the effect
+	base = (c.control.Hit + few*effect/2) / (c.control.Of + few)
+	worse = (c.new.Hit + few*(base+effect)) / (c.new.Of + few)
+	worse = math.Min(max(worse, base+effect), (1+base)/2)
+	return base, max(worse, base)
+}
+
+// Verdict is what holds now: worse where one cell is, no worse where all are.
+func (j *Judge) Verdict() Verdict {
+	v := Verdict{Kind: NotEnough}
+	first := true
+	for _, at := range slices.SortedFunc(maps.Keys(j.cells), func(a, b Cell) int {
+		return cmp.Or(cmp.Compare(a.Metric, b.Metric), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Zone, b.Zone))
+	}) {
+		c := j.cells[at]
+		own := Verdict{NotEnough, at, c.new.rate(), c.control.rate(), math.Exp(c.log), c.most(j.plan.Missed)}
+		switch {
+		case c.worse:
+			own.Kind = Worse
+		case own.Most < j.plan.Effect:
+			own.Kind = NoWorse
+		}
+		if first || worst(own, v) {
+			v, first = own, false
+		}
+	}
+	return v
+}
+
+// worst orders verdicts: worse, then what lacks evidence, then no worse.
+func worst(a, b Verdict) bool {
+	order := [...]int{NotEnough: 1, NoWorse: 0, Worse: 2}
+	if a.Kind != b.Kind {
+		return order[a.Kind] > order[b.Kind]
+	}
+	if a.Kind == Worse {
+		return a.Odds > b.Odds
+	}
+	return a.Most > b.Most
+}
+
+// most is by how much the new rate may be larger than the control's, at a confidence that holds at all times together.
+func (c *cell) most(missed float64) float64 {
+	return upper(c.new, missed/2) - (1 - upper(Counts{c.control.Of - c.control.Hit, c.control.Of}, missed/2))
+}
+
+// upper is the upper end of a confidence sequence of a rate.
+func upper(c Counts, alpha float64) float64 {
+	a, _ := math.Lgamma(c.Hit + 1)
+	b, _ := math.Lgamma(c.Of - c.Hit + 1)
+	ab, _ := math.Lgamma(c.Of + 2)
+	bar := a + b - ab - math.Log(1/alpha) // the mixture's likelihood, less the bar
+	lo, hi := c.rate(), 1.0
+	if c.Of == 0 {
+		return 1
+	}
+	for range 60 {
+		mid := (lo + hi) / 2
+		if c.likelihood(mid) > bar {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return hi
+}
--- /dev/null
+++ b/internal/judge/judge_test.go
@@ -0,0 +1,185 @@
+package judge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+)
+
+// draw is how many of n requests something happens to.
+func draw(r *rand.Rand, n int, p float64) (c Counts) {
+	c.Of = float64(n)
+	for range n {
+		if r.Float64() < p {
+			c.Hit++
+		}
+	}
+	return c
+}
+
+// change is one change of a release over classes, zones and windows, looked at after each.
+type change struct {
+	classes, zones, windows int
+	news, controls          int // requests a window and cell
+	rate                    func(window, class, zone int, new bool) float64
+}
+
+var plan = Plan{FalseStop: 0.01, Missed: 0.05, Effect: 0.02, Cells: 18}
+
+// judge plays a change until it is worse, or all windows are over; at is when, NoWorse has to last to the end.
+func (c change) judge(t testing.TB, r *rand.Rand, p Plan) (v Verdict, at int) {
+	j, err := New(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for w := range c.windows {
+		for class := range c.classes {
+			for zone := range c.zones {
+				cell := Cell{fmt.Sprint("c", class), fmt.Sprint("z", zone), "failed"}
+				err := j.Add(cell, draw(r, c.news, c.rate(w, class, zone, true)), draw(r, c.controls, c.rate(w, class, zone, false)))
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if v = j.Verdict(); v.Kind == Worse {
+			return v, w + 1
+		}
+	}
+	return v, c.windows
+}
+
+// changes are how many a test plays: CHANGES in the environment, or a few.
+func changes(few int) int {
+	n := few
+	fmt.Sscan(os.Getenv("CHANGES"), &n)
+	return n
+}
+
+func steady(p float64) func(int, int, int, bool) float64 {
+	return func(int, int, int, bool) float64 { return p }
+}
+
+// Equal releases, looked at after every window: stopped no more often than said, whatever befalls both; and said to be no worse once
+// there is evidence for it.
+func TestEqualReleases(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for name, c := range map[string]change{
+		"quiet":                    {3, 3, 120, 20, 40, steady(0.002)},
+		"nothing fails":            {3, 3, 120, 20, 40, steady(0)},
+		"much fails":               {3, 3, 120, 20, 40, steady(0.3)},
+		"few requests":             {3, 3, 120, 1, 1, steady(0.02)},
+		"one has half the traffic": {3, 3, 120, 60, 5, steady(0.01)},
+		"servers fail for a while": {3, 3, 120, 20, 40, func(w, _, zone int, _ bool) float64 {
+			if zone == 1 && w > 30 && w < 60 {
+				return 0.4
+			}
+			return 0.002
+		}},
+	} {
+		n, stops, fine := changes(150), 0, 0
+		for range n {
+			v, _ := c.judge(t, r, plan)
+			switch v.Kind {
+			case Worse:
+				stops++
+			case NoWorse:
+				fine++
+			}
+		}
+		if allowed := max(2, 3*n/100); stops > allowed {
+			t.Errorf("%s: %d of %d stopped", name, stops, n)
+		}
+		t.Logf("%s: %d of %d stopped, %d said to be no worse", name, stops, n, fine)
+	}
+}
+
+// Worse releases: stopped, the sooner the larger the effect, also where one class in one zone alone is worse, and never said to be
+// no worse more often than said.
+func TestWorseReleases(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	in := func(base, more float64) func(int, int, int, bool) float64 {
+		return func(_, class, zone int, new bool) float64 {
+			if new && class == 1 && zone == 2 {
+				return base + more
+			}
+			return base
+		}
+	}
+	last := 1 << 30
+	for _, c := range []struct {
+		more    float64
+		windows int
+	}{{0.02, 600}, {0.05, 300}, {0.2, 120}, {1 - 0.002, 30}} {
+		n, stopped, wrong, sum := changes(60), 0, 0, 0
+		for range n {
+			v, at := change{3, 3, c.windows, 20, 40, in(0.002, c.more)}.judge(t, r, plan)
+			if v.Kind == Worse && v.Cell == (Cell{"c1", "z2", "failed"}) {
+				stopped++
+				sum += at
+			}
+			if v.Kind == NoWorse {
+				wrong++
+			}
+		}
+		mean := sum / max(stopped, 1)
+		t.Logf("worse by %.3f: %d of %d stopped, after %d windows of 20 requests; %d said to be no worse", c.more, stopped, n, mean, wrong)
+		if stopped < n*95/100 || wrong > n*5/100 || mean > last {
+			t.Errorf("worse by %.3f: %d of %d stopped after %d windows, %d said to be no worse", c.more, stopped, n, mean, wrong)
+		}
+		last = mean
+	}
+}
+
+// Almost no traffic is no evidence, for either verdict; counts that come in bunches are worth less.
+func TestLittleEvidence(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	for range 100 {
+		if v, _ := (change{1, 1, 6, 1, 1, steady(0.01)}).judge(t, r, plan); v.Kind != NotEnough {
+			t.Fatalf("%v", v)
+		}
+	}
+	evidence := func(bunch float64) float64 {
+		p := plan
+		p.Bunch = bunch
+		j, _ := New(p)
+		for range 10 {
+			j.Add(Cell{}, Counts{10, 100}, Counts{2, 100})
+		}
+		return j.Verdict().Odds
+	}
+	if alone, bunched := evidence(1), evidence(10); bunched >= alone/10 {
+		t.Errorf("odds %g, and in bunches %g", alone, bunched)
+	}
+	if j, _ := New(plan); j.Verdict().Kind != NotEnough {
+		t.Error("a verdict without a window")
+	}
+}
+
+// Bad plans and counts are errors that say what to write.
+func TestBadInput(t *testing.T) {
+	for want, change := range map[string]func(*Plan){
+		"false_stops: 0;":  func(p *Plan) { p.FalseStop = 0 },
+		"missed_stops: 1;": func(p *Plan) { p.Missed = 1 },
+		"effect: -1;":      func(p *Plan) { p.Effect = -1 },
+		"cells: 0;":        func(p *Plan) { p.Cells = 0 },
+		"bunch: 0.5;":      func(p *Plan) { p.Bunch = 0.5 },
+	} {
+		p := plan
+		change(&p)
+		if _, err := New(p); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	p := plan
+	p.Cells = 1
+	j, _ := New(p)
+	if err := j.Add(Cell{"a", "b", "c"}, Counts{2, 1}, Counts{0, 1}); err == nil {
+		t.Error("2 of 1")
+	}
+	if j.Add(Cell{"a", "b", "c"}, Counts{0, 1}, Counts{0, 1}); j.Add(Cell{"a", "b", "d"}, Counts{0, 1}, Counts{0, 1}) == nil {
+		t.Error("a cell beyond the plan's")
+	}
+}
