Rolling changes: releases by their content, and which settings may differ side by side

Need: before anything moves, a change is checked and compared. Change: internal/release (a store that adds whole releases or none; rules for every field that the program reads), petrelctl rollout plan. Found: what a process hands to the next is by place in the lists of classes, zones and kinds, so another order is refused. Tests: TestCompare (21 changes), TestEveryFieldHasARule, TestStore, TestRolloutPlan.

--- /dev/null
+++ b/cmd/petrelctl/rollout.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/config"
+	"petrelhook/internal/release"
+)
+
+// checkTime is for how long a new program may check its settings.
+const checkTime = 10 * time.Second
+
+func rolloutCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "rollout", Short: "Rolling changes: what a change of settings means while old and new run side by side"}
+	cmd.AddCommand(rolloutPlanCommand())
+	return cmd
+}
+
+// rolloutPlan is what rollout plan found.
+type rolloutPlan struct {
+	Verdict  string            `json:"verdict"`
+	Findings []release.Finding `json:"findings"`
+}
+
+func rolloutPlanCommand() *cobra.Command {
+	a := &asking{}
+	var from, to, program string
+	cmd := &cobra.Command{
+		Use: "plan --from FILE --to FILE", Args: cobra.NoArgs, Short: "Say which fields may differ side by side, which need two steps, and which are refused",
+		Long: "Checks both configurations, the new one also by the new program where --program names it, and compares them field by\n" +
+			"field. Nothing is changed. 0: all may differ side by side; 1: something needs two steps, or is refused, or is bad.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if a.output != "text" && a.output != "json" {
+				return fmt.Errorf("--output: %q: write text or json", a.output)
+			}
+			texts := [2][]byte{}
+			for i, f := range []struct{ flag, path string }{{"--from", from}, {"--to", to}} {
+				if f.path == "" {
+					return fmt.Errorf("%s: missing: a configuration", f.flag)
+				}
+				text, err := os.ReadFile(f.path)
+				if err != nil {
+					return runError{err}
+				}
+				if _, err := config.Parse(f.path, text); err != nil {
+					return runError{err}
+				}
+				texts[i] = text
+			}
+			if program != "" {
+				if err := checkBy(cmd.Context(), program, to); err != nil {
+					return runError{err}
+				}
+			}
+			all, err := release.Compare(texts[0], texts[1])
+			if err != nil {
+				return runError{err}
+			}
+			worst := release.Worst(all)
+			err = a.print(cmd, rolloutPlan{worst.String(), all}, func(w *tabwriter.Writer) {
+				for _, f := range all {
+					fmt.Fprintf(w, "%s\t%s -> %s\t%s\t%s\n", f.Field, f.Old, f.New, f.Verdict, f.Why)
+				}
+				fmt.Fprintln(w, "the change:", worst)
+			})
+			if err == nil && worst != release.SideBySide {
+				return errBad
+			}
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&from, "from", "", "the configuration in use, a `FILE`")
+	cmd.Flags().StringVar(&to, "to", "", "the new one, a `FILE`")
+	cmd.Flags().StringVar(&program, "program", "", "the new sidecar, a `FILE`: it checks the new configuration")
+	cmd.Flags().StringVar(&a.output, "output", "text", "text or json")
+	return cmd
+}
+
+// checkBy has a program check a configuration.
+func checkBy(ctx context.Context, program, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTime)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, program, "--check", "--config", path).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%s does not take %s: %w: %s", program, path, err, strings.TrimSpace(string(out)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/release/release_test.go
@@ -0,0 +1,166 @@
+package release
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+const base = `{"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1", "limits": {"memory_mb": 64},
+ "known": {"generation": 1},
+ "settings": {"classes": [
+  {"name": "look", "effect": "read_like", "hard_limit_ms": 1000, "worth": 1},
+  {"name": "book", "effect": "idempotency_key", "group": "zone", "window_ms": 500, "hard_limit_ms": 800},
+  {"name": "once", "effect": "non_idempotent", "hard_limit_ms": 800}],
+ "tenants": [{"name": "acme", "share": 1}], "zones": ["a", "b"], "peers_total": 4,
+ "limits": {"probes": false, "conn_idle_ms": 9000}, "rules": {"drain_grace_ms": 250, "cold_from": 0.1, "cold_ms": 8000, "fall_multiple": 3}}}`
+
+// Each change of one field, with what it means and a word of why.
+func TestCompare(t *testing.T) {
+	for name, c := range map[string]struct {
+		from, to, field string
+		kind            Kind
+		why             string
+	}{
+		"freely repeatable":        {`"non_idempotent"`, `"idempotency_key"`, "settings.classes[once].effect", Refused, "freely repeatable"},
+		"wholly repeatable":        {`"idempotency_key"`, `"read_like"`, "settings.classes[book].effect", Refused, "freely repeatable"},
+		"less repeatable":          {`"idempotency_key"`, `"non_idempotent"`, "settings.classes[book].effect", TwoSteps, "another name"},
+		"a window shrinks":         {`"window_ms": 500`, `"window_ms": 400`, "settings.classes[book].window_ms", Refused, "longer window"},
+		"a window grows":           {`"window_ms": 500`, `"window_ms": 600`, "settings.classes[book].window_ms", TwoSteps, "first servers"},
+		"a window for ever":        {`"window_ms": 500, `, ``, "settings.classes[book].window_ms", TwoSteps, "first servers"},
+		"keys go further":          {`"group": "zone"`, `"group": "all"`, "settings.classes[book].group", TwoSteps, "wider group"},
+		"keys go less far":         {`"group": "zone"`, `"group": "cell"`, "settings.classes[book].group", SideBySide, "fewer"},
+		"a grace shrinks":          {`"drain_grace_ms": 250`, `"drain_grace_ms": 200`, "settings.rules.drain_grace_ms", Refused, "longer grace"},
+		"a deadline grows":         {`"hard_limit_ms": 1000`, `"hard_limit_ms": 1001`, "settings.classes[look].hard_limit_ms", Refused, "clients wait no longer"},
+		"a deadline shrinks":       {`"hard_limit_ms": 1000`, `"hard_limit_ms": 900`, "settings.classes[look].hard_limit_ms", SideBySide, "sooner"},
+		"a worth":                  {`"worth": 1`, `"worth": 2`, "settings.classes[look].worth", SideBySide, "sheds"},
+		"a class more":             {`"hard_limit_ms": 800}],`, `"hard_limit_ms": 800}, {"name": "more", "effect": "read_like", "hard_limit_ms": 1}],`, "settings.classes[more]", TwoSteps, "first change all sidecars"},
+		"classes in another order": {`"name": "look", "effect": "read_like", "hard_limit_ms": 1000, "worth": 1},`, `"name": "other", "effect": "read_like", "hard_limit_ms": 1000},`, "settings.classes", Refused, "by place"},
+		"fewer peers":              {`"peers_total": 4`, `"peers_total": 2`, "settings.peers_total", TwoSteps, "larger part"},
+		"probes":                   {`"probes": false`, `"probes": true`, "settings.limits.probes", TwoSteps, "answer them first"},
+		"cold budgets":             {`"fall_multiple": 3`, `"fall_multiple": 9`, "settings.rules (cold budgets)", Refused, "smaller steps"},
+		"warm sooner":              {`"cold_ms": 8000`, `"cold_ms": 100`, "settings.rules.cold_ms", Refused, "for warm"},
+		"another listener":         {`127.0.0.1:1`, `127.0.0.1:9`, "listen", Refused, "find the sidecar"},
+		"another limit":            {`"memory_mb": 64`, `"memory_mb": 32`, "limits.memory_mb", SideBySide, "its own"},
+		"what nobody reads":        {`"peers_total": 4`, `"peers_total": 4, "later": {"x": 1}`, "settings.later.x", SideBySide, "does not read it"},
+	} {
+		all, err := Compare([]byte(base), []byte(strings.Replace(base, c.from, c.to, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := false
+		for _, f := range all {
+			found = found || f.Field == c.field && f.Kind == c.kind && strings.Contains(f.Why, c.why)
+		}
+		if !found || Worst(all) != c.kind {
+			t.Errorf("%s: %v", name, all)
+		}
+	}
+	if all, err := Compare([]byte(base), []byte(strings.Replace(base, `"generation": 1`, `"generation": 2`, 1))); err != nil || len(all) > 0 {
+		t.Errorf("nothing differs: %v, %v", all, err)
+	}
+	if _, err := Compare([]byte(base), []byte("{")); err == nil || !strings.HasPrefix(err.Error(), "the new settings: ") {
+		t.Errorf("%v", err)
+	}
+}
+
+// Every setting that the program reads has a rule: none is taken for one that nobody reads.
+func TestEveryFieldHasARule(t *testing.T) {
+	text, err := os.ReadFile("../wire/settings.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := []string{"settings"}
+	open := regexp.MustCompile(`(?:\[\])?struct \{`)
+	tag := regexp.MustCompile("json:\"(\\w+)\"")
+	n := 0
+	body := string(text)
+	body = body[strings.Index(body, "type settings struct"):]
+	body = body[:strings.Index(body, "\n}\n")]
+	lines := strings.Split(body, "\n")[1:]
+	for i, line := range lines {
+		name := tag.FindStringSubmatch(line)
+		switch {
+		case open.MatchString(line): // its name comes at its end
+			for _, end := range lines[i+1:] {
+				if strings.HasPrefix(strings.TrimSpace(end), "}") {
+					part := tag.FindStringSubmatch(end)[1]
+					if strings.Contains(line, "[]struct") {
+						part += "[x]"
+					}
+					at = append(at, part)
+					break
+				}
+			}
+		case strings.HasPrefix(strings.TrimSpace(line), "}"):
+			at = at[:len(at)-1]
+		case name != nil:
+			field := strings.Join(append(append([]string{}, at...), name[1]), ".")
+			if strings.HasSuffix(field, "].name") {
+				continue
+			}
+			if n++; find(field) == nil {
+				t.Errorf("%s: no rule", field)
+			}
+		}
+	}
+	if n < 40 {
+		t.Errorf("%d fields were found", n)
+	}
+}
+
+// A store adds whole releases or none, names them by their content, and gives none that was changed.
+func TestStore(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "releases")
+	s, err := NewStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	add := func(program, settings string) Release {
+		t.Helper()
+		r, err := s.Add(strings.NewReader(program), strings.NewReader(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	a, again, b := add("program", "{}"), add("program", "{}"), add("program", "{ }")
+	if a != again || a.ID == b.ID {
+		t.Errorf("%v, %v, %v", a, again, b)
+	}
+	if info, err := os.Stat(a.Program); err != nil || info.Mode().Perm() != 0o500 {
+		t.Errorf("%v, %v", info, err)
+	}
+	if _, err := s.Add(io.MultiReader(strings.NewReader("half"), broken{}), strings.NewReader("{}")); err == nil {
+		t.Error("half a program was added")
+	}
+	os.Mkdir(filepath.Join(dir, adding+"died"), 0o700)
+	if s, err = NewStore(dir); err != nil {
+		t.Fatal(err)
+	}
+	if entries, _ := os.ReadDir(dir); len(entries) != 2 {
+		t.Errorf("%v", entries)
+	}
+	os.Chmod(b.Settings, 0o600)
+	os.WriteFile(b.Settings, []byte("{x}"), 0o600)
+	if _, err := s.Open(b.ID); err == nil || !strings.Contains(err.Error(), "damaged") {
+		t.Errorf("%v", err)
+	}
+	if err := s.Remove(a.ID); err != nil {
+		t.Error(err)
+	}
+	if _, err := s.Open(a.ID); !errors.Is(err, ErrNone) {
+		t.Errorf("%v", err)
+	}
+	if _, err := s.Open("../x"); err == nil || !strings.Contains(err.Error(), "32 hexadecimal digits") {
+		t.Errorf("%v", err)
+	}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- /dev/null
+++ b/internal/release/store.go
@@ -0,0 +1,152 @@
+package release
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// ID names a release by its content: the hash of the hashes of its program and its settings.
+type ID string
+
+// Release is one that a store holds.
+type Release struct {
+	ID       ID
+	Program  string // the path of the executable
+	Settings string // the path of its settings
+}
+
+const (
+	programName, settingsName = "program", "settings.json"
+	adding                    = ".adding-"
+)
+
+// Store is a folder of releases.
+type Store struct{ dir string }
+
+// NewStore is the store in a folder, which is made if it is not there. What an earlier process had begun to add is removed.
+func NewStore(dir string) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), adding) {
+			if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return &Store{dir}, nil
+}
+
+func name(program, settings []byte) ID {
+	sum := sha256.Sum256(append(append([]byte("petrelhook release 1\n"), program...), settings...))
+	return ID(hex.EncodeToString(sum[:16]))
+}
+
+// Add copies a program and its settings into the store: beside, synced, and then renamed. One that is there already is checked and
+// left as it is.
+func (s *Store) Add(program, settings io.Reader) (Release, error) {
+	beside, err := os.MkdirTemp(s.dir, adding)
+	if err != nil {
+		return Release{}, err
+	}
+	defer os.RemoveAll(beside)
+	p, err := write(filepath.Join(beside, programName), program, 0o500)
+	if err != nil {
+		return Release{}, err
+	}
+	c, err := write(filepath.Join(beside, settingsName), settings, 0o400)
+	if err != nil {
+		return Release{}, err
+	}
+	id := name(p, c)
+	if err := syncDir(beside); err != nil {
+		return Release{}, err
+	}
+	if err := os.Rename(beside, filepath.Join(s.dir, string(id))); err != nil {
+		if r, failed := s.Open(id); failed == nil { // it was there
+			return r, nil
+		}
+		return Release{}, err
+	}
+	if err := syncDir(s.dir); err != nil {
+		return Release{}, err
+	}
+	return s.Open(id)
+}
+
+// write writes a file and gives the hash of what it holds. A failure leaves nothing that is taken for whole.
+func write(path string, from io.Reader, mode os.FileMode) (sum []byte, err error) {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return nil, err
+	}
+	h := sha256.New()
+	_, err = io.Copy(io.MultiWriter(f, h), from)
+	if err == nil {
+		err = f.Sync()
+	}
+	return h.Sum(nil), errors.Join(err, f.Close())
+}
+
+func syncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// ErrNone says that a release is not in the store.
+var ErrNone = errors.New("there is no such release here")
+
+// Open gives a release whose content is what its name says.
+func (s *Store) Open(id ID) (Release, error) {
+	if text, err := hex.DecodeString(string(id)); err != nil || len(text) != 16 {
+		return Release{}, fmt.Errorf("%q is no name of a release: write 32 hexadecimal digits", string(id))
+	}
+	dir := filepath.Join(s.dir, string(id))
+	r := Release{id, filepath.Join(dir, programName), filepath.Join(dir, settingsName)}
+	var sums [2][]byte
+	for i, path := range []string{r.Program, r.Settings} {
+		f, err := os.Open(path)
+		if errors.Is(err, os.ErrNotExist) && i == 0 {
+			return Release{}, fmt.Errorf("%s: %w", id, ErrNone)
+		}
+		if err != nil {
+			return Release{}, err
+		}
+		h := sha256.New()
+		_, err = io.Copy(h, f)
+		if err := errors.Join(err, f.Close()); err != nil {
+			return Release{}, err
+		}
+		sums[i] = h.Sum(nil)
+	}
+	if got := name(sums[0], sums[1]); got != id {
+		return Release{}, fmt.Errorf("%s: damaged: its content is that of %s; add it again", dir, got)
+	}
+	return r, nil
+}
+
+// Remove removes a release. It is renamed first: nobody sees half of one.
+func (s *Store) Remove(id ID) error {
+	if _, err := s.Open(id); errors.Is(err, ErrNone) {
+		return err
+	}
+	away := filepath.Join(s.dir, adding+string(id))
+	if err := os.Rename(filepath.Join(s.dir, string(id)), away); err != nil {
+		return err
+	}
+	return errors.Join(os.RemoveAll(away), syncDir(s.dir))
+}
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -29,6 +29,8 @@
 	{"internal/replica", "internal/lease"},
 	{"internal/replica/disk", "internal/lease internal/replica"},
 	{"internal/steady", "internal/lease"},
+	{"internal/judge", ""},
+	{"internal/release", ""},
 	{"internal/fleet", "internal/lease internal/replica internal/replica/disk internal/steady"},
 	{"lease", "internal/fleet internal/lease internal/replica internal/replica/disk internal/steady"},
 	{"cmd/petrelfleet", "internal/fleet internal/lease internal/replica internal/replica/disk internal/steady"},
