Rolling changes: the pure plan, state and orders; leases are handed to a session that waits

Need: stages, stops and taking back as decisions that a log can keep. Change: internal/rollout (stages by name, zone, count and share, controls that are restarted beside, limits on what is out of service, stop and taking back within them, drivers that take over, a fence for agents); lease.Held.Transfer. Tests: TestAnything (rapid: late, doubled and false reports; limits hold, nobody goes forward after a stop, each order is carried out once), TestAGoodChange, TestStops, TestBadPlans, TestTransfer, TestTornTail.

--- a/internal/replica/disk/disk_test.go
+++ b/internal/replica/disk/disk_test.go
@@ -97,3 +97,34 @@
 		}
 	}
 }
+
+// A last write that was torn, its header half written, is cut: what was there before it is there, and the replica starts.
+func TestTornTail(t *testing.T) {
+	dir, _ := filled(t)
+	whole, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := 0
+	for page := range 2 { // headers are written in turn
+		dir := t.TempDir()
+		text := append([]byte(nil), whole...)
+		for i := range 40 {
+			text[page*os.Getpagesize()+16+i] = 0
+		}
+		if err := os.WriteFile(filepath.Join(dir, fileName), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d, kept, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Close()
+		if kept.Entries[len(kept.Entries)-1].GetIndex() == 250 { // as it was before the last write
+			before++
+		}
+	}
+	if before != 1 {
+		t.Errorf("%d headers are of before the last write", before)
+	}
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,292 @@
+package rollout
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func members(n int) (all []Member, now []Report) {
+	for i := range n {
+		name := fmt.Sprintf("n%02d", i)
+		all = append(all, Member{name, string(rune('a' + i%3))})
+		now = append(now, Report{Sidecar: name, Release: "old", Ready: true})
+	}
+	return all, now
+}
+
+func plan() Plan {
+	return Plan{Application: "app", From: "old", To: "new", AtOnce: 2, Unavailable: 3, Patience: time.Hour, Stages: []Stage{
+		{Select: Select{Count: 1}, Control: 1, Least: time.Minute}, {Select: Select{Share: 0.25}, Control: 2}, {Select: Select{Share: 1}}}}
+}
+
+// fleet is agents that carry orders out.
+type fleet struct {
+	t     testing.TB
+	s     *State
+	fence map[string]*Fence
+	run   map[string]string // what each runs
+	out   int               // the most that were out of service
+	went  map[string]int    // orders to the new release that were carried out after the stop
+}
+
+func begin(t testing.TB, p Plan, n int) *fleet {
+	all, now := members(n)
+	s, err := New(p, all, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, s: s, run: map[string]string{}}
+	for _, m := range all {
+		f.run[m.Name] = "old"
+	}
+	return f
+}
+
+// apply takes in an event and carries all orders out, until there are none; fails says why one fails.
+func (f *fleet) apply(e Event, fails func(Order) string) {
+	todo := f.s.Apply(e)
+	for len(todo) > 0 {
+		if len(f.s.Orders()) > f.s.Plan.AtOnce {
+			f.t.Errorf("%d change at once", len(f.s.Orders()))
+		}
+		o := todo[0]
+		todo = todo[1:]
+		r := Report{Sidecar: o.Sidecar, Ready: true, Done: o.Number}
+		if r.Failed = fails(o); r.Failed == "" {
+			f.run[o.Sidecar] = o.Release
+		}
+		r.Release = f.run[o.Sidecar]
+		todo = append(todo, f.s.Apply(Event{Report: &r})...)
+	}
+}
+
+func never(Order) string { return "" }
+
+func (f *fleet) running(release string) (n int) {
+	for _, r := range f.run {
+		if r == release {
+			n++
+		}
+	}
+	return n
+}
+
+// A good change goes through its stages, each once its time is watched and the judge has said that it is no worse.
+func TestAGoodChange(t *testing.T) {
+	f := begin(t, plan(), 12)
+	f.apply(Event{Elapsed: time.Second}, never)
+	if c, control := f.s.Groups(); f.running("new") != 1 || len(c) != 1 || len(control) != 1 {
+		t.Fatalf("%d changed; %v, %v", f.running("new"), c, control)
+	}
+	f.apply(Event{Verdict: &Verdict{Stage: 1, Fine: true}}, never)
+	if f.s.Stage != 1 {
+		t.Error("its time was not watched")
+	}
+	f.apply(Event{Elapsed: time.Minute}, never)
+	if f.s.Stage != 2 || f.running("new") != 4 {
+		t.Fatalf("stage %d, %d changed", f.s.Stage, f.running("new"))
+	}
+	f.apply(Event{Verdict: &Verdict{Stage: 1, Worse: true}}, never) // late
+	f.apply(Event{Verdict: &Verdict{Stage: 2, Fine: true}}, never)
+	f.apply(Event{Verdict: &Verdict{Stage: 3, Fine: true}}, never)
+	if f.s.Phase != Done || f.running("new") != 12 {
+		t.Errorf("%v, %d changed", f.s.Phase, f.running("new"))
+	}
+}
+
+// What stops a change, and what becomes of what was changed.
+func TestStops(t *testing.T) {
+	failsTo := func(release string, n int) func(Order) string {
+		return func(o Order) string {
+			if n--; o.Release == release && n < 0 {
+				return "not ready in time"
+			}
+			return ""
+		}
+	}
+	for name, c := range map[string]struct {
+		hold   bool
+		events []Event
+		fails  func(Order) string
+		phase  Phase
+		new    int
+		why    string
+		alone  int
+	}{
+		"worse":                {false, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Worse: true, Why: "failed"}}}, never, Stopped, 0, "failed", 0},
+		"worse, and held":      {true, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Worse: true, Why: "failed"}}}, never, Stopped, 1, "failed", 0},
+		"never ready":          {false, []Event{{Elapsed: 1}}, failsTo("new", 0), Stopped, 0, "not ready in time", 0},
+		"a control fails":      {false, []Event{{Elapsed: 1}}, failsTo("old", 1), Paused, 1, "restarted as it was", 1},
+		"no evidence":          {false, []Event{{Elapsed: 1}, {Elapsed: time.Hour}, {Elapsed: time.Hour}}, never, Paused, 1, "not enough evidence", 0},
+		"aborted":              {false, []Event{{Elapsed: 1}, {Abort: "by hand"}}, never, Stopped, 0, "by hand", 0},
+		"paused, then aborted": {false, []Event{{Elapsed: 1}, {Pause: "lunch"}, {Abort: "by hand"}, {Resume: true}}, never, Stopped, 0, "by hand", 0},
+		"taking back fails":    {false, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Worse: true, Why: "w"}}, {Abort: "again"}, {Elapsed: 1}}, failsTo("old", 2), Stopped, 1, "w", 1},
+	} {
+		p := plan()
+		p.Hold = c.hold
+		f := begin(t, p, 12)
+		for _, e := range c.events {
+			f.apply(e, c.fails)
+		}
+		alone := 0
+		for _, s := range f.s.Sidecars() {
+			if s.Alone != "" {
+				alone++
+			}
+		}
+		if f.s.Phase != c.phase || f.running("new") != c.new || !strings.Contains(f.s.Why, c.why) || alone != c.alone || len(f.s.Orders()) > 0 {
+			t.Errorf("%s: %v (%s), %d new, %d left alone, open %v", name, f.s.Phase, f.s.Why, f.running("new"), alone, f.s.Orders())
+		}
+	}
+}
+
+// Any reports, late, doubled, lost and false, any calls, and drivers that take over: the limits hold, nobody is ordered forward after
+// a stop, an agent carries an order out once, and a state that was replayed goes on equally.
+func TestAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := plan()
+		p.AtOnce = rapid.IntRange(1, 3).Draw(t, "at once")
+		p.Unavailable = p.AtOnce + rapid.IntRange(0, 2).Draw(t, "unavailable")
+		all, now := members(9)
+		s, err := New(p, all, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		twin, _ := New(p, all, now)
+		ready := map[string]bool{}
+		for _, m := range all {
+			ready[m.Name] = true
+		}
+		fences, done := map[string]*Fence{}, map[uint64]int{}
+		var known []Order
+		stopped := false
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			var e Event
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				e.Verdict = &Verdict{Stage: rapid.IntRange(1, 3).Draw(t, "stage"), Worse: rapid.IntRange(0, 9).Draw(t, "worse") == 0, Fine: rapid.Bool().Draw(t, "fine"), Why: "w"}
+			case 1:
+				e.Elapsed = time.Minute
+			case 2:
+				e.Pause = "p"
+			case 3:
+				e.Resume = true
+			case 4:
+				if rapid.IntRange(0, 5).Draw(t, "abort") == 0 {
+					e.Abort = "a"
+				} else {
+					e.Elapsed = time.Second
+				}
+			default:
+				r := Report{Sidecar: rapid.SampledFrom(all).Draw(t, "sidecar").Name, Release: rapid.SampledFrom([]string{"old", "new"}).Draw(t, "release"), Ready: rapid.IntRange(0, 4).Draw(t, "ready") > 0}
+				if len(known) > 0 && rapid.IntRange(0, 3).Draw(t, "done") > 0 {
+					o := rapid.SampledFrom(known).Draw(t, "order")
+					r.Sidecar, r.Done = o.Sidecar, o.Number
+					if rapid.IntRange(0, 5).Draw(t, "fails") == 0 {
+						r.Failed = "f"
+					} else {
+						r.Release = o.Release
+					}
+				}
+				ready[r.Sidecar] = r.Ready
+				e.Report = &r
+			}
+			orders := s.Apply(e)
+			if again := twin.Apply(e); !slices.Equal(orders, again) || !reflect.DeepEqual(s.Sidecars(), twin.Sidecars()) || s.Phase != twin.Phase {
+				t.Fatalf("%v, and replayed %v", orders, again)
+			}
+			open := s.Orders()
+			if len(open) > p.AtOnce {
+				t.Fatalf("%d change at once, of %d", len(open), p.AtOnce)
+			}
+			if len(orders) > 0 {
+				out := map[string]bool{}
+				for _, o := range open {
+					out[o.Sidecar] = true
+				}
+				for name, r := range ready {
+					if !r {
+						out[name] = true
+					}
+				}
+				if len(out) > p.Unavailable {
+					t.Fatalf("%d are out of service, of %d, and one more was ordered", len(out), p.Unavailable)
+				}
+			}
+			for _, o := range orders {
+				if stopped && o.Release == p.To {
+					t.Fatalf("%v after the stop", o)
+				}
+				known = append(known, o)
+			}
+			stopped = stopped || s.Phase == TakingBack || s.Phase == Stopped
+			for _, o := range append(orders, open...) { // and said again, by this driver or the next
+				if fences[o.Sidecar] == nil {
+					fences[o.Sidecar] = &Fence{}
+				}
+				known, err := fences[o.Sidecar].Admit(1, o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !known {
+					done[o.Number]++
+				}
+				if done[o.Number] != 1 {
+					t.Fatalf("order %d is carried out %d times", o.Number, done[o.Number])
+				}
+			}
+		}
+	})
+}
+
+// An agent refuses orders of an older driver, and older orders; what it refuses changes nothing.
+func TestFence(t *testing.T) {
+	var f Fence
+	admit := func(token, number uint64, want string, known bool) {
+		t.Helper()
+		got, err := f.Admit(token, Order{number, "n", "new"})
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) || got != known {
+			t.Errorf("%d/%d: %v, %v", token, number, got, err)
+		}
+	}
+	admit(5, 1, "", false)
+	admit(5, 1, "", true)
+	admit(4, 2, "one with 5 was heard", false)
+	admit(6, 2, "", false)
+	admit(5, 3, "one with 6 was heard", false)
+	admit(6, 1, "order 2 came after it", false)
+}
+
+// Plans that do not add up are errors that name the field, before anything moves.
+func TestBadPlans(t *testing.T) {
+	all, now := members(6)
+	for want, change := range map[string]func(*Plan){
+		"from, to: write both":                   func(p *Plan) { p.To = "" },
+		"to: old is what is there":               func(p *Plan) { p.To = "old" },
+		"stages: write one":                      func(p *Plan) { p.Stages = nil },
+		"at_once: 0":                             func(p *Plan) { p.AtOnce = 0 },
+		"unavailable: 1":                         func(p *Plan) { p.Unavailable = 1 },
+		"patience: 0s":                           func(p *Plan) { p.Patience = 0 },
+		"stages[0]: write one of":                func(p *Plan) { p.Stages[0].Select = Select{Count: 1, Zone: "a"} },
+		"stages[0]: share: 2":                    func(p *Plan) { p.Stages[0].Select = Select{Share: 2} },
+		"stages[0]: count: 9, and 6":             func(p *Plan) { p.Stages[0].Select = Select{Count: 9} },
+		"stages[0]: names: x is no":              func(p *Plan) { p.Stages[0].Select = Select{Names: []string{"x"}} },
+		"stages[0]: it takes nobody":             func(p *Plan) { p.Stages[0].Select = Select{Zone: "z"} },
+		"stages[2].control: 1, and 0":            func(p *Plan) { p.Stages[2].Control = 1 },
+		"stages[0].least: 2h0m0s":                func(p *Plan) { p.Stages[0].Least = 2 * time.Hour },
+		"stages: 3 of 6 sidecars are in none":    func(p *Plan) { p.Stages = p.Stages[:2] },
+		`n00 runs "old", and the change is from`: func(p *Plan) { p.From = "older" },
+	} {
+		p := plan()
+		change(&p)
+		if _, err := New(p, all, now); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/state.go
@@ -0,0 +1,324 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Phase is what a change does.
+type Phase uint8
+
+// The phases.
+const (
+	Running Phase = iota
+	Paused
+	TakingBack
+	Done    // all are changed
+	Stopped // and what was changed is taken back, held, or left alone
+)
+
+func (p Phase) String() string {
+	return [...]string{"running", "paused", "taking back", "done", "stopped"}[p]
+}
+
+// Over reports whether nothing will follow.
+func (p Phase) Over() bool { return p == Done || p == Stopped }
+
+// Sidecar is what is known of one.
+type Sidecar struct {
+	Name    string `json:"name"`
+	Release string `json:"release"` // as its agent reported last
+	Ready   bool   `json:"ready"`
+	Order   uint64 `json:"order,omitempty"` // the one that is open; 0: none
+	To      string `json:"to,omitempty"`    // what that one wants
+	Alone   string `json:"alone,omitempty"` // why it is left alone; "": it is not
+	Control int    `json:"control"`         // the last stage for which it was restarted, counted from 1
+}
+
+// Order is what an agent is to do: run a release, by a start anew. An agent that has done an order of this number does nothing.
+type Order struct {
+	Number  uint64 `json:"number"`
+	Sidecar string `json:"sidecar"`
+	Release string `json:"release"`
+}
+
+// Event is what happens. One field says what.
+type Event struct {
+	Report  *Report       `json:"report,omitempty"`
+	Verdict *Verdict      `json:"verdict,omitempty"`
+	Elapsed time.Duration `json:"elapsed,omitempty"` // that the driver has watched since it told last
+	Pause   string        `json:"pause,omitempty"`   // why
+	Resume  bool          `json:"resume,omitempty"`
+	Abort   string        `json:"abort,omitempty"` // why
+}
+
+// Report is what an agent says of one sidecar.
+type Report struct {
+	Sidecar, Release string
+	Ready            bool
+	Done             uint64 // the number of the last order that was carried out, well or not
+	Failed           string // why that one failed; the sidecar runs what Release says
+}
+
+// Verdict is the judge's, of the stage that is watched.
+type Verdict struct {
+	Stage int // counted from 1; one of another stage is late
+	Worse bool
+	Fine  bool // no worse; neither: not enough evidence
+	Why   string
+}
+
+// State is a change so far.
+type State struct {
+	Plan     Plan
+	Phase    Phase
+	Why      string // of the pause or the stop
+	Stage    int    // counted from 1
+	Watched  time.Duration
+	Fine     bool // the judge says so of this stage
+	stages   [][]string
+	sidecars map[string]*Sidecar
+	names    []string // in the order of stages
+	number   uint64
+}
+
+// New begins a change of sidecars that all run its From, or says why not.
+func New(p Plan, members []Member, now []Report) (*State, error) {
+	stages, err := p.resolve(members)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{Plan: p, Stage: 1, stages: stages, sidecars: map[string]*Sidecar{}}
+	for _, all := range stages {
+		for _, name := range all {
+			s.sidecars[name] = &Sidecar{Name: name}
+			s.names = append(s.names, name)
+		}
+	}
+	for _, r := range now {
+		if c := s.sidecars[r.Sidecar]; c != nil {
+			c.Release, c.Ready = r.Release, r.Ready
+		}
+	}
+	for _, name := range s.names {
+		if c := s.sidecars[name]; c.Release != p.From {
+			return nil, fmt.Errorf("%s runs %q, and the change is from %s: bring it there first, or leave it out", name, c.Release, p.From)
+		}
+	}
+	return s, nil
+}
+
+// Apply takes in what happened, and gives the orders that are new.
+func (s *State) Apply(e Event) []Order {
+	switch {
+	case e.Report != nil:
+		s.report(*e.Report)
+	case e.Verdict != nil:
+		if v := e.Verdict; s.Phase == Running && v.Stage == s.Stage {
+			if s.Fine = v.Fine; v.Worse {
+				s.stop(v.Why)
+			}
+		}
+	case e.Pause != "" && s.Phase == Running:
+		s.Phase, s.Why = Paused, e.Pause
+	case e.Resume && s.Phase == Paused:
+		s.Phase, s.Why, s.Watched = Running, "", 0
+	case e.Abort != "" && (s.Phase == Running || s.Phase == Paused):
+		s.stop(e.Abort)
+	case e.Elapsed > 0 && s.Phase == Running && s.changed():
+		s.Watched += e.Elapsed
+	}
+	return s.next()
+}
+
+// stop ends a change: what was changed goes back, unless it is to be held.
+func (s *State) stop(why string) {
+	s.Phase, s.Why = TakingBack, why
+	if s.Plan.Hold {
+		s.Phase = Stopped
+	}
+}
+
+func (s *State) report(r Report) {
+	c := s.sidecars[r.Sidecar]
+	if c == nil {
+		return
+	}
+	c.Release, c.Ready = r.Release, r.Ready
+	if c.Order == 0 || r.Done != c.Order {
+		return
+	}
+	to := c.To
+	c.Order, c.To = 0, ""
+	switch {
+	case r.Failed == "" && r.Release == to:
+	case s.Phase == Running && to == s.Plan.To:
+		s.stop(fmt.Sprintf("%s: %s", c.Name, r.Failed))
+		if c.Release != s.Plan.From { // it is neither here nor there
+			c.Alone = r.Failed
+		}
+	case s.Phase == Running: // a control that does not come back is no fault of the release
+		s.Phase, s.Why = Paused, fmt.Sprintf("%s, restarted as it was: %s", c.Name, r.Failed)
+		c.Alone = r.Failed
+	case c.Release != s.Plan.From || r.Failed != "":
+		c.Alone = fmt.Sprintf("order %d: %s", r.Done, r.Failed)
+	}
+}
+
+// changed reports whether all of the stage are changed, and its control is restarted.
+func (s *State) changed() bool {
+	for _, name := range s.stages[s.Stage-1] {
+		if c := s.sidecars[name]; c.Alone == "" && (c.Release != s.Plan.To || c.Order != 0 || !c.Ready) {
+			return false
+		}
+	}
+	for _, c := range s.controls() {
+		if c.Alone == "" && (c.Order != 0 || c.Control != s.Stage || !c.Ready) {
+			return false
+		}
+	}
+	return true
+}
+
+// controls are the sidecars that are restarted beside a stage: of later ones, the last first, for they are old the longest.
+func (s *State) controls() (all []*Sidecar) {
+	var later []string
+	for _, stage := range s.stages[s.Stage:] {
+		later = append(later, stage...)
+	}
+	for _, name := range slices.Backward(later) {
+		if len(all) < s.Plan.Stages[s.Stage-1].Control {
+			all = append(all, s.sidecars[name])
+		}
+	}
+	return all
+}
+
+// next decides what follows, and gives the orders that are new.
+func (s *State) next() (orders []Order) {
+	for s.Phase == Running && s.changed() {
+		last := s.Stage == len(s.stages)
+		least := s.Plan.Stages[s.Stage-1].Least
+		if !s.Fine && s.Watched >= s.Plan.Patience {
+			s.Phase, s.Why = Paused, fmt.Sprintf("stage %d: not enough evidence after %v", s.Stage, s.Watched)
+		}
+		if !s.Fine || s.Watched < least {
+			break
+		}
+		if last {
+			s.Phase = Done
+			return nil
+		}
+		s.Stage, s.Watched, s.Fine = s.Stage+1, 0, false
+	}
+	switch s.Phase {
+	case Running:
+		for _, name := range s.stages[s.Stage-1] {
+			if c := s.sidecars[name]; c.Release != s.Plan.To {
+				orders = s.order(orders, c, s.Plan.To)
+			}
+		}
+		for _, c := range s.controls() {
+			if c.Control != s.Stage {
+				before := len(orders)
+				if orders = s.order(orders, c, s.Plan.From); len(orders) > before {
+					c.Control = s.Stage
+				}
+			}
+		}
+	case TakingBack:
+		open := false
+		for _, name := range slices.Backward(s.names) {
+			c := s.sidecars[name]
+			if c.Alone == "" && c.Release != s.Plan.From {
+				orders = s.order(orders, c, s.Plan.From)
+			}
+			open = open || c.Order != 0 || c.Alone == "" && c.Release != s.Plan.From
+		}
+		if !open {
+			s.Phase = Stopped
+		}
+	}
+	return orders
+}
+
+// order orders a sidecar to change, if the plan's limits allow one more now.
+func (s *State) order(orders []Order, c *Sidecar, to string) []Order {
+	if c.Alone != "" || c.Order != 0 {
+		return orders
+	}
+	changing, out := 0, 0
+	for _, o := range s.sidecars {
+		if o.Order != 0 {
+			changing++
+		}
+		if o != c && (o.Order != 0 || !o.Ready) {
+			out++
+		}
+	}
+	if changing >= s.Plan.AtOnce || out+1 > s.Plan.Unavailable {
+		return orders
+	}
+	s.number++
+	c.Order, c.To = s.number, to
+	return append(orders, Order{s.number, c.Name, to})
+}
+
+// Orders are those that are open: a driver that takes over says them once more.
+func (s *State) Orders() (all []Order) {
+	for _, name := range s.names {
+		if c := s.sidecars[name]; c.Order != 0 {
+			all = append(all, Order{c.Order, name, c.To})
+		}
+	}
+	slices.SortFunc(all, func(a, b Order) int { return int(a.Number) - int(b.Number) })
+	return all
+}
+
+// Sidecars are what is known of each, by name.
+func (s *State) Sidecars() (all []Sidecar) {
+	for _, name := range slices.Sorted(maps.Keys(s.sidecars)) {
+		all = append(all, *s.sidecars[name])
+	}
+	return all
+}
+
+// Groups are the sidecars whose counts the judge compares in this stage: those that are changed, and their control.
+func (s *State) Groups() (changed, control []string) {
+	for _, name := range s.stages[s.Stage-1] {
+		changed = append(changed, name)
+	}
+	for _, c := range s.controls() {
+		control = append(control, c.Name)
+	}
+	return changed, control
+}
+
+// Fence is what an agent keeps of the drivers that it heard: orders of an older one are refused, and an order is carried out once.
+type Fence struct {
+	Token uint64            `json:"token"`
+	Last  map[string]uint64 `json:"last"` // the number of the last order, of each sidecar
+}
+
+// Admit says why an order is refused; known: it has been carried out, or is about to be.
+func (f *Fence) Admit(token uint64, o Order) (known bool, err error) {
+	if token < f.Token {
+		return false, fmt.Errorf("order %d of the driver with token %d: one with %d was heard", o.Number, token, f.Token)
+	}
+	if token > f.Token {
+		f.Token = token
+	}
+	if f.Last == nil {
+		f.Last = map[string]uint64{}
+	}
+	if last := f.Last[o.Sidecar]; o.Number <= last {
+		if o.Number < last {
+			return false, fmt.Errorf("order %d: order %d came after it", o.Number, last)
+		}
+		return true, nil
+	}
+	f.Last[o.Sidecar] = o.Number
+	return false, nil
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -280,6 +280,38 @@
 	return err
 }
 
+// Session is the client's in the coordinators' words; 0: there is none yet. Others name it to hand a lease to it.
+func (c *Client) Session() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder == nil {
+		return 0
+	}
+	return uint64(c.holder.Session)
+}
+
+// ErrNotWaiting says that a lease was not handed over: the other session does not wait for it. It is let go of all the same.
+var ErrNotWaiting = errors.New("that session does not wait for it")
+
+// Transfer hands the lease to a session that waits for it, before all others. Its context has ended when Transfer begins to ask.
+func (h *Held) Transfer(ctx context.Context, to uint64) error {
+	h.c.mu.Lock()
+	if !h.valid() {
+		h.c.mu.Unlock()
+		return ErrLost
+	}
+	h.c.drop(h, ErrReleased)
+	h.c.mu.Unlock()
+	a, _, err := h.c.command(ctx, lease.Command{Kind: lease.Transfer, Name: h.Name, Token: h.Token, To: lease.SessionID(to)})
+	if err != nil || a.Status == lease.OK {
+		return err
+	}
+	if _, _, err := h.c.command(ctx, lease.Command{Kind: lease.Release, Name: h.Name, Token: h.Token}); err != nil {
+		return err
+	}
+	return ErrNotWaiting
+}
+
 // Close ends the session and all that it holds.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -165,3 +165,48 @@
 	}
 	a.Close()
 }
+
+// A lease is handed to the last of those who wait; to one that does not wait it cannot be, and the next has it.
+func TestTransfer(t *testing.T) {
+	addr, stop := coordinator()
+	defer stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	var clients []*lease.Client
+	got := make([]chan *lease.Held, 4)
+	for i := range got {
+		c, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "same", TTL: 2 * time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		clients = append(clients, c)
+		got[i] = make(chan *lease.Held, 1)
+		go func() {
+			h, err := c.Hold(ctx, "x")
+			if err == nil {
+				got[i] <- h
+			}
+		}()
+		for waits := -1; waits != i-1; { // in this order
+			o := fleet.Operator{Addrs: []string{addr}}
+			name := "x"
+			if told, err := o.Ask(ctx, fleet.Ask{List: &name}); err == nil && len(told.Holdings) == 1 {
+				waits = len(told.Holdings[0].Queue)
+			} else if ctx.Err() != nil {
+				t.Fatal("it waits in vain")
+			}
+		}
+	}
+	first := <-got[0]
+	if err := first.Transfer(ctx, clients[3].Session()); err != nil || first.Valid() {
+		t.Errorf("%v", err)
+	}
+	last := <-got[3]
+	if err := last.Transfer(ctx, clients[0].Session()); !errors.Is(err, lease.ErrNotWaiting) {
+		t.Errorf("%v", err)
+	}
+	if next := <-got[1]; next.Token != last.Token+1 {
+		t.Errorf("token %d after %d", next.Token, last.Token)
+	}
+}
