--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -188,11 +188,11 @@
 				got[i] <- h
 			}
 		}()
-		for waits := -1; waits != i-1; { // in this order
+		for there := 0; there != i+1; { // in this order
 			o := fleet.Operator{Addrs: []string{addr}}
 			name := "x"
 			if told, err := o.Ask(ctx, fleet.Ask{List: &name}); err == nil && len(told.Holdings) == 1 {
-				waits = len(told.Holdings[0].Queue)
+				there = 1 + len(told.Holdings[0].Queue)
 			} else if ctx.Err() != nil {
 				t.Fatal("it waits in vain")
 			}
