Rolling changes: one sidecar's processes on a machine, as a pure machine

Need: an agent starts, changes and takes back a sidecar, and may be killed at any moment. Change: internal/agent (start beside, yes in time, trial, end of the one before; pauses that double; back to the confirmed release where the fleet is out of reach; taken up again from what was kept). Tests: changes that fail in one way each with no moment unserved and two processes at most; TestKilledAgents (rapid).

--- /dev/null
+++ b/internal/agent/sidecar.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+)
+
+// Phase is what goes on.
+type Phase uint8
+
+// The phases.
+const (
+	Idle Phase = iota
+	Starting
+	Trial
+	Ending
+)
+
+func (p Phase) String() string { return [...]string{"idle", "starting", "trial", "ending"}[p] }
+
+// Process is one that runs. A number is used again by the system; with the time of its start it is one process's.
+type Process struct {
+	PID     int    `json:"pid"`
+	Began   uint64 `json:"began"` // as the system says it
+	Release string `json:"release"`
+}
+
+// Limits are how long things may take.
+type Limits struct {
+	Ready  time.Duration // from the start to the first yes
+	Trial  time.Duration // for which a new process has to live beside the one before
+	End    time.Duration // from TERM to KILL
+	CutOff time.Duration // without the fleet, until what is not confirmed goes back
+	Pause  time.Duration // after the first crash; it doubles
+	Most   time.Duration // the longest such pause
+}
+
+// Kept is what survives the agent: it is written before what it says is done.
+type Kept struct {
+	Confirmed string   `json:"confirmed"` // the release that a change may go back to
+	Now       *Process `json:"now,omitempty"`
+	Next      *Process `json:"next,omitempty"`
+	To        string   `json:"to,omitempty"`    // Starting: the release that is wanted
+	Order     uint64   `json:"order,omitempty"` // of the change that goes on, 0: its own
+	Phase     Phase    `json:"phase"`
+	Done      uint64   `json:"done,omitempty"` // the last order that is over
+	Failed    string   `json:"failed,omitempty"`
+}
+
+// Do is something to be done.
+type Do struct {
+	Start string // a release
+	Term  *Process
+	Kill  *Process
+}
+
+// Sidecar is the machine. Kept is saved whenever it has changed, before anything is done.
+type Sidecar struct {
+	Kept
+	limits  Limits
+	ready   bool // the one that serves said yes last
+	yes     bool // the next one did
+	due     time.Duration
+	crashes int
+	cutOff  time.Duration // since when; below 0: it is not
+	asked   bool          // a start was asked for, and nothing was heard of it yet
+}
+
+// New is a sidecar that nothing was ever done for.
+func New(confirmed string, l Limits) *Sidecar {
+	return &Sidecar{Kept: Kept{Confirmed: confirmed}, limits: l, cutOff: -1}
+}
+
+// Again is a sidecar as an agent before had kept it, with which of its processes still live. A start that was asked for may have
+// been made: an unknown process that the place of the hand-over knows is found as found.
+func Again(k Kept, l Limits, now time.Duration, lives func(Process) bool, found *Process) (s *Sidecar, todo []Do) {
+	s = &Sidecar{Kept: k, limits: l, cutOff: -1}
+	if s.Phase == Starting && s.Next == nil && found != nil {
+		s.Next = found
+	}
+	s.due = now + s.limits.Ready
+	switch s.Phase {
+	case Trial:
+		s.due = now + s.limits.Trial // it is watched anew, as a whole
+	case Ending:
+		s.due = now
+	}
+	for _, p := range []*Process{s.Now, s.Next} {
+		if p != nil && !lives(*p) {
+			todo = append(todo, s.Died(now, *p)...)
+		}
+	}
+	if s.Phase == Starting && s.Next == nil { // it was never begun, or died unseen
+		todo = append(todo, s.fail(now, "the agent ended before it was started")...)
+	}
+	return s, append(todo, s.Tick(now)...)
+}
+
+// Change is an order to run a release, by a start anew.
+func (s *Sidecar) Change(now time.Duration, order uint64, release string) ([]Do, error) {
+	switch {
+	case order != 0 && (order == s.Order || order <= s.Done):
+		return nil, nil // it goes on, or is over
+	case s.Phase != Idle:
+		return nil, fmt.Errorf("order %d: order %d is not over: %v", order, s.Order, s.Phase)
+	}
+	return s.change(now, order, release), nil
+}
+
+func (s *Sidecar) change(now time.Duration, order uint64, release string) []Do {
+	s.Order, s.To, s.Phase, s.Failed = order, release, Starting, ""
+	s.due, s.yes, s.asked = now+s.limits.Ready, false, true
+	return []Do{{Start: release}}
+}
+
+// Confirm says that a change is over for the fleet: what runs is what to go back to.
+func (s *Sidecar) Confirm(release string) {
+	if s.Now != nil && s.Now.Release == release {
+		s.Confirmed = release
+	}
+}
+
+// Began tells of a process that was started.
+func (s *Sidecar) Began(now time.Duration, p Process) []Do {
+	s.asked = false
+	switch {
+	case s.Phase == Starting && s.Next == nil && p.Release == s.To:
+		s.Next = &p
+	case s.Phase == Idle && s.Now == nil:
+		s.Now, s.ready, s.due = &p, false, now+s.limits.Ready
+	default: // nobody waits for it any more
+		return []Do{{Kill: &p}}
+	}
+	return nil
+}
+
+// NotBegun tells that a start did not work.
+func (s *Sidecar) NotBegun(now time.Duration, why string) []Do {
+	s.asked = false
+	if s.Phase == Starting && s.Next == nil {
+		return s.fail(now, why)
+	}
+	s.crash(now)
+	return nil
+}
+
+// Answered tells what the operators' door of a process said.
+func (s *Sidecar) Answered(now time.Duration, p Process, yes bool) []Do {
+	switch {
+	case s.Now != nil && *s.Now == p:
+		if s.ready = yes; yes {
+			s.crashes = 0
+		}
+	case s.Next != nil && *s.Next == p:
+		if s.yes = yes; yes && s.Phase == Starting {
+			s.Phase, s.due = Trial, now+s.limits.Trial
+		}
+	}
+	return nil
+}
+
+// Died tells that a process has ended, of whatever.
+func (s *Sidecar) Died(now time.Duration, p Process) []Do {
+	switch {
+	case s.Next != nil && *s.Next == p:
+		s.Next = nil
+		switch s.Phase {
+		case Starting:
+			return s.fail(now, "it ended before it was ready")
+		case Trial:
+			return s.fail(now, "it ended in its trial")
+		case Ending: // the new one dies as the one before ends: that one is all there is, or nobody
+			s.Phase = Idle
+			s.over("it ended as the one before was told to")
+			if s.Now == nil {
+				s.crash(now)
+			}
+		}
+	case s.Now != nil && *s.Now == p:
+		s.Now, s.ready = nil, false
+		switch s.Phase {
+		case Idle:
+			s.crash(now)
+		case Ending:
+			s.promote()
+		}
+	}
+	return s.Tick(now)
+}
+
+// promote makes the next process the one that serves.
+func (s *Sidecar) promote() {
+	s.Now, s.Next, s.ready, s.Phase = s.Next, nil, s.yes, Idle
+	s.over("")
+}
+
+func (s *Sidecar) over(why string) {
+	if s.Order != 0 {
+		s.Done = s.Order
+	}
+	s.Failed, s.Order, s.To = why, 0, ""
+}
+
+// fail ends a change that did not work: the one that served goes on.
+func (s *Sidecar) fail(now time.Duration, why string) (todo []Do) {
+	if s.Next != nil {
+		todo = append(todo, Do{Kill: s.Next})
+		s.Next = nil
+	}
+	s.Phase = Idle
+	s.over(why)
+	if s.Now == nil {
+		s.crash(now)
+	}
+	return append(todo, s.Tick(now)...)
+}
+
+// crash begins the pause before the next start.
+func (s *Sidecar) crash(now time.Duration) {
+	pause := s.limits.Pause << min(s.crashes, 30)
+	if pause <= 0 || pause > s.limits.Most {
+		pause = s.limits.Most
+	}
+	s.crashes++
+	s.due, s.asked = now+pause, false
+}
+
+// Cut tells whether the fleet is out of reach.
+func (s *Sidecar) Cut(now time.Duration, cut bool) {
+	if !cut {
+		s.cutOff = -1
+	} else if s.cutOff < 0 {
+		s.cutOff = now
+	}
+}
+
+// Tick gives what is due.
+func (s *Sidecar) Tick(now time.Duration) []Do {
+	switch s.Phase {
+	case Idle:
+		if s.Now == nil && now >= s.due && !s.asked {
+			s.asked = true
+			return []Do{{Start: s.Confirmed}}
+		}
+		if s.Now != nil && s.cutOff >= 0 && now-s.cutOff >= s.limits.CutOff && s.Now.Release != s.Confirmed && s.ready {
+			return s.change(now, 0, s.Confirmed)
+		}
+	case Starting:
+		if now >= s.due {
+			return s.fail(now, fmt.Sprintf("not ready in %v", s.limits.Ready))
+		}
+	case Trial:
+		if now < s.due {
+			return nil
+		}
+		if !s.yes {
+			return s.fail(now, "it said no at the end of its trial")
+		}
+		if s.Now == nil {
+			s.promote()
+			return nil
+		}
+		s.Phase, s.due = Ending, now+s.limits.End
+		return []Do{{Term: s.Now}}
+	case Ending:
+		if now >= s.due && s.Now != nil {
+			s.due = now + s.limits.End
+			return []Do{{Kill: s.Now}}
+		}
+	}
+	return nil
+}
+
+// Serves reports whether a process serves, and of which release.
+func (s *Sidecar) Serves() (release string, ready bool) {
+	switch {
+	case s.Now != nil:
+		return s.Now.Release, s.ready
+	case s.Next != nil:
+		return s.Next.Release, s.yes
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/agent/sidecar_test.go
@@ -0,0 +1,237 @@
+package agent
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{Ready: 6 * time.Second, Trial: 5 * time.Second, End: 4 * time.Second, CutOff: time.Minute, Pause: time.Second, Most: 30 * time.Second}
+
+// machine carries out what a sidecar says, in a world of processes.
+type machine struct {
+	t     testing.TB
+	s     *Sidecar
+	now   time.Duration
+	pid   int
+	alive []Process
+	deaf  bool            // TERM does nothing
+	no    map[string]bool // releases that never say yes
+	most  int             // processes at once
+	unser int             // moments without a process that serves, after the first
+}
+
+func newMachine(t testing.TB) *machine {
+	m := &machine{t: t, s: New("old", limits), no: map[string]bool{}}
+	m.do(m.s.Tick(0))
+	m.pass(time.Second)
+	return m
+}
+
+func (m *machine) do(todo []Do) {
+	for _, d := range todo {
+		switch {
+		case d.Start != "":
+			m.pid++
+			p := Process{m.pid, uint64(m.pid), d.Start}
+			m.alive = append(m.alive, p)
+			m.most = max(m.most, len(m.alive))
+			m.do(m.s.Began(m.now, p))
+		case d.Term != nil && !m.deaf:
+			m.die(*d.Term)
+		case d.Kill != nil:
+			m.die(*d.Kill)
+		}
+	}
+}
+
+func (m *machine) die(p Process) {
+	if i := slices.Index(m.alive, p); i >= 0 {
+		m.alive = slices.Delete(m.alive, i, i+1)
+		m.do(m.s.Died(m.now, p))
+	}
+}
+
+// pass lets time pass, and has the doors answer.
+func (m *machine) pass(d time.Duration) {
+	for end := m.now + d; m.now < end; {
+		m.now += 500 * time.Millisecond
+		for _, p := range slices.Clone(m.alive) {
+			m.do(m.s.Answered(m.now, p, !m.no[p.Release]))
+		}
+		m.do(m.s.Tick(m.now))
+		if len(m.alive) == 0 {
+			m.unser++
+		}
+	}
+}
+
+func (m *machine) change(order uint64, release string) {
+	m.t.Helper()
+	todo, err := m.s.Change(m.now, order, release)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.do(todo)
+}
+
+func (m *machine) check(what, release string, done uint64, failed string) {
+	m.t.Helper()
+	got, ready := m.s.Serves()
+	if got != release || !ready || m.s.Done != done || !strings.Contains(m.s.Failed, failed) || failed == "" && m.s.Failed != "" || m.s.Phase != Idle || len(m.alive) != 1 {
+		m.t.Errorf("%s: %s, ready %v, order %d over (%s), %v, %d processes", what, got, ready, m.s.Done, m.s.Failed, m.s.Phase, len(m.alive))
+	}
+}
+
+// Changes that work, and those that fail in one way each: somebody serves all the time, and never more than two live.
+func TestChanges(t *testing.T) {
+	m := newMachine(t)
+	m.change(1, "new")
+	m.pass(2 * time.Second)
+	if len(m.alive) != 2 || m.s.Phase != Trial {
+		t.Fatalf("%v, %v", m.s.Phase, m.alive)
+	}
+	m.change(1, "new") // said again
+	if _, err := m.s.Change(m.now, 2, "other"); err == nil {
+		t.Error("two changes at once")
+	}
+	m.pass(6 * time.Second)
+	m.check("changed", "new", 1, "")
+	m.change(1, "new") // and once more, late
+	m.check("changed", "new", 1, "")
+
+	m.no["bad"] = true
+	m.change(2, "bad")
+	m.pass(7 * time.Second)
+	m.check("never ready", "new", 2, "not ready in 6s")
+
+	m.change(3, "dies")
+	m.pass(3 * time.Second)
+	m.die(m.alive[1])
+	m.check("dies in its trial", "new", 3, "in its trial")
+
+	m.deaf = true
+	m.change(4, "old")
+	m.pass(11 * time.Second)
+	m.check("the one before hears no TERM", "old", 4, "")
+	m.deaf = false
+
+	m.change(5, "new")
+	m.pass(2 * time.Second)
+	m.die(m.alive[0]) // the one in service dies: the next one is all there is
+	m.pass(6 * time.Second)
+	m.check("the one before died", "new", 5, "")
+	if m.most != 2 || m.unser != 0 {
+		t.Errorf("%d processes at once; %d moments with none", m.most, m.unser)
+	}
+}
+
+// A change while nobody serves: the new release is started alone, and where it does not work the confirmed one is.
+func TestAChangeWhileNobodyServes(t *testing.T) {
+	m := newMachine(t)
+	m.no["bad"] = true
+	m.die(m.alive[0])
+	m.change(1, "new")
+	m.pass(12 * time.Second)
+	m.check("changed", "new", 1, "")
+	m.die(m.alive[0])
+	m.change(2, "bad")
+	m.pass(12 * time.Second)
+	m.check("it did not work", "old", 2, "not ready in 6s")
+}
+
+// A process that crashes again and again is started after pauses that double; one that serves ends that.
+func TestCrashes(t *testing.T) {
+	m := newMachine(t)
+	var starts []time.Duration
+	m.no["old"] = true
+	m.pass(time.Second)
+	for range 8 {
+		m.die(m.alive[0])
+		for at := m.now; len(m.alive) == 0; {
+			m.pass(500 * time.Millisecond)
+			if len(m.alive) > 0 {
+				starts = append(starts, m.now-at)
+			}
+		}
+	}
+	want := []time.Duration{1, 2, 4, 8, 16, 30, 30, 30}
+	for i := range want {
+		if starts[i] != want[i]*time.Second {
+			t.Fatalf("%v", starts)
+		}
+	}
+	m.no["old"] = false
+	m.pass(time.Second)
+	m.die(m.alive[0])
+	m.pass(time.Second)
+	if len(m.alive) != 1 {
+		t.Error("the pause is as long as before")
+	}
+}
+
+// Cut off from the fleet: what is confirmed stays, what is not goes back after the stated time.
+func TestCutOff(t *testing.T) {
+	m := newMachine(t)
+	m.change(1, "new")
+	m.pass(10 * time.Second)
+	m.s.Cut(m.now, true)
+	m.pass(50 * time.Second)
+	m.check("not yet", "new", 1, "")
+	m.pass(25 * time.Second)
+	m.check("back", "old", 1, "")
+	m.s.Cut(m.now, false)
+	m.change(2, "new")
+	m.pass(10 * time.Second)
+	m.s.Confirm("new")
+	m.s.Cut(m.now, true)
+	m.pass(2 * time.Minute)
+	m.check("confirmed", "new", 2, "")
+}
+
+// The agent is killed after any step, and begins again with what it kept and what lives: never a third process, somebody serves, and
+// an order is over once, with the same end.
+func TestKilledAgents(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m := newMachine(t)
+		for order := uint64(1); order < 6; order++ {
+			todo, err := m.s.Change(m.now, order, []string{"old", "new"}[order%2])
+			if err != nil {
+				r.Fatal(err)
+			}
+			m.do(todo)
+			for range rapid.IntRange(0, 3).Draw(r, "kills") {
+				m.pass(time.Duration(rapid.IntRange(0, 16).Draw(r, "half seconds")) * 500 * time.Millisecond)
+				kept, err := json.Marshal(m.s.Kept)
+				if err != nil {
+					r.Fatal(err)
+				}
+				if rapid.IntRange(0, 3).Draw(r, "one dies") == 0 && len(m.alive) > 0 { // meanwhile
+					i := rapid.IntRange(0, len(m.alive)-1).Draw(r, "which")
+					m.alive = slices.Delete(m.alive, i, i+1)
+				}
+				var k Kept
+				if err := json.Unmarshal(kept, &k); err != nil {
+					r.Fatal(err)
+				}
+				s, todo := Again(k, limits, m.now, func(p Process) bool { return slices.Contains(m.alive, p) }, nil)
+				m.s = s
+				m.do(todo)
+			}
+			m.pass(90 * time.Second)
+			if m.s.Done != order || len(m.alive) != 1 || m.s.Phase != Idle {
+				r.Fatalf("order %d: %d over, %v, %v", order, m.s.Done, m.s.Phase, m.alive)
+			}
+			if release, _ := m.s.Serves(); m.s.Failed == "" && release != []string{"old", "new"}[order%2] && m.s.Confirmed == release {
+				r.Logf("order %d was done, and its process died after it", order)
+			}
+		}
+		if m.most > 2 {
+			r.Fatalf("%d processes at once", m.most)
+		}
+	})
+}
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -30,6 +30,7 @@
 	{"internal/replica/disk", "internal/lease internal/replica"},
 	{"internal/steady", "internal/lease"},
 	{"internal/judge", ""},
+	{"internal/agent", ""},
 	{"internal/rollout", ""},
 	{"internal/release", ""},
 	{"internal/fleet", "internal/lease internal/replica internal/replica/disk internal/steady"},
