A renewal tells what a session holds only where that is new to its client

Change: Holder.Known names the version, and asks for all while something is waited for. Checked: TestKnown, schedules, mutations, lease tests.

--- a/cmd/petrelfleet/figures_test.go
+++ b/cmd/petrelfleet/figures_test.go
@@ -112,8 +112,9 @@
 			}
 			_, g50, g99 := timed(1, 2*time.Second, grant)
 			grants, _, _ := timed(8, 2*time.Second, grant)
+			each := uint64(max(1, size[0]/size[1])) // grants, and so the version, of each session
 			renew := func(w, n int) {
-				ask(fleet.Ask{Alive: &replica.Alive{Session: sessions[(w*7919+n)%len(sessions)], Known: 1 << 40}})
+				ask(fleet.Ask{Alive: &replica.Alive{Session: sessions[(w*7919+n)%len(sessions)], Known: each}})
 			}
 			_, r50, r99 := timed(1, 2*time.Second, func(w, n int) { renew(0, n) })
 			renewals, _, _ := timed(32, 2*time.Second, renew)
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -95,5 +95,14 @@
 	return l.token, l.until, true
 }
 
+// Known is the version of what the session holds that a question need not be answered with again. While something is waited for all is
+// asked for: it may have been granted before the wait was known of.
+func (h *Holder) Known() uint64 {
+	if len(h.wants) > 0 {
+		return 0
+	}
+	return h.version
+}
+
 // Broken reports whether operators want a lease that is held to be let go.
 func (h *Holder) Broken(name string) bool { return h.held[name] != nil && h.held[name].broken }
--- a/internal/lease/state_test.go
+++ b/internal/lease/state_test.go
@@ -77,6 +77,32 @@
 	}
 }
 
+// A renewal tells what a session holds only where that is new to it, or while it waits for something.
+func TestKnown(t *testing.T) {
+	s := opened(1)
+	h := Opened(0, 1, time.Second)
+	s.Apply(Command{Kind: Acquire, Session: 1, Seq: 1, Name: "x"})
+	h.Wants("x", 1)
+	if h.Known() != 0 {
+		t.Error("it waits, and asks for less than all")
+	}
+	grants, version := s.Grants(1, h.Known())
+	if got := h.Renewed(2, grants, version); len(got) != 1 || got[0].Name != "x" || h.Known() != version {
+		t.Errorf("%v, known %d of %d", got, h.Known(), version)
+	}
+	if grants, same := s.Grants(1, h.Known()); grants != nil || same != version {
+		t.Errorf("told again: %v, %d", grants, same)
+	}
+	h.Renewed(Instant(time.Second/2), nil, version)
+	if _, until, ok := h.Held("x", Instant(time.Second)); !ok || until <= Instant(time.Second) {
+		t.Errorf("not renewed: %v, %v", until, ok)
+	}
+	s.Apply(Command{Kind: Expire, Session: 1})
+	if _, version := s.Grants(1, h.Known()); version != h.Known() {
+		t.Errorf("%d of a session that is gone", version)
+	}
+}
+
 // What operators break is free a whole TTL later, in this term or counted anew in the next, and no sooner; other leases of the
 // session go on, and a grant that was broken is not renewed.
 func TestBreak(t *testing.T) {
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -353,9 +353,9 @@
 	if c.holder == nil {
 		return
 	}
-	asked, holder := c.clock(), c.holder
+	asked, holder, known := c.clock(), c.holder, c.holder.Known()
 	c.to(func(r *simReplica, reply func(func())) {
-		r.core.Ask(Question{Alive: &Alive{holder.Session, 0}, Done: func(a Reply) {
+		r.core.Ask(Question{Alive: &Alive{holder.Session, known}, Done: func(a Reply) {
 			reply(func() {
 				if c.holder != holder || a.Err != nil {
 					return
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -476,7 +476,10 @@
 	ctx, cancel := context.WithTimeout(c.ctx, c.o.TTL)
 	defer cancel()
 	asked := c.o.clock()
-	told, err := c.ask1(ctx, &fleet.Ask{Alive: &replica.Alive{Session: holder.Session}}, func() { asked = c.o.clock() })
+	c.mu.Lock()
+	known := holder.Known()
+	c.mu.Unlock()
+	told, err := c.ask1(ctx, &fleet.Ask{Alive: &replica.Alive{Session: holder.Session, Known: known}}, func() { asked = c.o.clock() })
 	if err != nil {
 		return
 	}
@@ -490,8 +493,8 @@
 		return
 	}
 	grants := told.Grants
-	if grants == nil {
-		grants = []lease.Grant{}
+	if grants == nil && told.Version != known {
+		grants = []lease.Grant{} // it holds nothing
 	}
 	holder.Renewed(asked, grants, told.Version)
 	for _, h := range c.held {
