A holder that stops itself is stopped before it acts

Cause of a test that failed now and then: SIGSTOP to a process is taken by any of its threads, and the one that sent it went on to act before the stop. Seen in the log: ok before the other held.

--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -61,7 +61,7 @@
 	guarded := peertest.NewRaw(t, r.serve)
 	out := &buffer{}
 	first := start(t, "stops", out, guarded, strings.Join(g.addrs(), ","))
-	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && stopped(first) })
+	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && first.state() == "T" })
 	other := must(t, client(t, g), "task") // its time is up
 	if err := r.guard.Admit(other.Token, func() error { return nil }); err != nil {
 		t.Error(err)
@@ -73,12 +73,6 @@
 	}
 }
 
-func stopped(p *process) bool {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	_, rest, _ := strings.Cut(string(text), ") ")
-	return strings.HasPrefix(rest, "T")
-}
-
 // A replica that lost its disk may not come back under its id: it ends and says what to do. Under a new id it is added, learns and
 // votes; the lost one is removed. One that was removed and comes back ends too, and disturbs nobody.
 func TestLostDisk(t *testing.T) {
--- a/cmd/petrelfleet/process_test.go
+++ b/cmd/petrelfleet/process_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sys/unix"
 
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/peertest"
@@ -99,7 +101,8 @@
 		}
 	}
 	fmt.Println("looked")
-	syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+	runtime.LockOSThread() // sent to this thread it takes effect before the next line; another would let this one go on for a moment
+	unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGSTOP)
 	fmt.Fprintf(conn, "stops %d\n", h.Token)
 	answer, _ := bufio.NewReader(conn).ReadString('\n')
 	fmt.Print(answer)
@@ -168,10 +171,22 @@
 		t.Fatal(err)
 	}
 	go func() { p.ended <- p.cmd.Wait() }()
-	t.Cleanup(func() { p.cmd.Process.Kill() })
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		if t.Failed() && role != "coordinator" {
+			t.Logf("%s, state %s:\n%s", role, p.state(), p.log)
+		}
+	})
 	return p
 }
 
+// state is the system's word for what the process does: T, it is stopped.
+func (p *process) state() string {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return rest[:min(1, len(rest))]
+}
+
 // group is coordinators, each reached by links only: of each other one, and of clients.
 type group struct {
 	t       *testing.T
