The logs of test processes are written under their lock

Cause: an embedded bytes.Buffer has a ReadFrom of its own, which os/exec uses and which goes round the lock; the race detector saw it in all tests of coordinators. No code of the program changed.

--- a/cmd/petrelfleet/process_test.go
+++ b/cmd/petrelfleet/process_test.go
@@ -140,21 +140,22 @@
 	input io.Closer
 }
 
+// buffer is not embedded: its ReadFrom would go round the lock.
 type buffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu   sync.Mutex
+	text bytes.Buffer
 }
 
 func (b *buffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.text.Write(p)
 }
 
 func (b *buffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.String()
+	return b.text.String()
 }
 
 func start(t *testing.T, role string, out io.Writer, args ...string) *process {
