--- a/internal/member/relay/relay_test.go
+++ b/internal/member/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 // scripted is a discovery: a list is told to whoever watches; a watch asks for what came after a generation.
 type scripted struct {
+	mu      sync.Mutex // a timer that wakes who writes orders nothing
 	watches int
 	asked   []uint64
 	told    chan member.List
@@ -24,9 +26,15 @@
 	return member.List{}, errors.New("none")
 }
 func (s *scripted) Watch(ctx context.Context, after uint64, tell func(member.List)) error {
-	s.watches++
-	defer func() { s.watches-- }()
-	s.asked = append(s.asked, after)
+	count := func(n int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.watches += n; n > 0 {
+			s.asked = append(s.asked, after)
+		}
+	}
+	count(1)
+	defer count(-1)
 	s.hub.Opened("d")
 	for {
 		select {
@@ -48,14 +56,21 @@
 		var had []uint64
 		ended := make(chan error, 1)
 		go func() {
-			ended <- h.Wrap(d).Watch(ctx, 7, func(l member.List) { had = append(had, l.Generation) })
+			ended <- h.Wrap(d).Watch(ctx, 7, func(l member.List) {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				had = append(had, l.Generation)
+			})
 		}()
 		synctest.Wait()
 		d.told <- member.List{Generation: 9}
 		word := func(g uint64) { h.Hear(Word{"d", &member.List{Generation: g}}); synctest.Wait() }
 		check := func(what string, watches int, want ...uint64) {
 			t.Helper()
-			if synctest.Wait(); d.watches != watches || !slices.Equal(had, want) {
+			synctest.Wait()
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.watches != watches || !slices.Equal(had, want) {
 				t.Fatalf("%s: %d watches, had %v, want %d, %v", what, d.watches, had, watches, want)
 			}
 		}
