--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -68,3 +71,85 @@
 		}
 	}
 }
+
+// recorder notes when calls begin.
+type recorder struct {
+	http.RoundTripper
+	mu    sync.Mutex
+	calls []time.Duration
+	began time.Time
+}
+
+func (r *recorder) RoundTrip(req *http.Request) (*http.Response, error) {
+	r.mu.Lock()
+	r.calls = append(r.calls, time.Since(r.began))
+	r.mu.Unlock()
+	return r.RoundTripper.RoundTrip(req)
+}
+
+// Clients that begin within half a second do not renew in step: of their sixth renewals no tenth of a second has a third.
+func TestRenewalsAreNotInStep(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := fleet.Open(fleet.Single(t.TempDir(), ln.Addr().String()), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	serve, end := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(serve, ln) }()
+	const clients, renewals = 200, 6
+	began := time.Now()
+	var all []*Client
+	var recorders []*recorder
+	for i := range clients {
+		c, err := New(Options{Addrs: []string{ln.Addr().String()}, Owner: "o", TTL: 3 * time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &recorder{RoundTripper: c.over.Transport, began: began}
+		c.over.Transport = r
+		all, recorders = append(all, c), append(recorders, r)
+		if _, err := c.Hold(ctx, fmt.Sprint("x", i)); err != nil {
+			t.Fatal(err)
+		}
+		r.mu.Lock()
+		r.calls = nil // what follows are renewals
+		r.mu.Unlock()
+	}
+	bins := map[time.Duration]int{}
+	for _, r := range recorders {
+		for {
+			r.mu.Lock()
+			n := len(r.calls)
+			if n >= renewals {
+				bins[r.calls[renewals-1]/(100*time.Millisecond)]++
+			}
+			r.mu.Unlock()
+			if n >= renewals {
+				break
+			}
+			if ctx.Err() != nil {
+				t.Fatal("renewals are missing")
+			}
+			time.Sleep(time.Millisecond) // between looks
+		}
+	}
+	// six waits of 0.5 to 1 s each end within 3 s, a normal distribution of 0.35 s: at most 0.11 of all in a tenth of a second
+	for bin, n := range bins {
+		if n > clients*33/100 {
+			t.Errorf("%d of %d renew in the tenth of a second after %v", n, clients, bin*100*time.Millisecond)
+		}
+	}
+	var closes sync.WaitGroup
+	for _, c := range all {
+		closes.Go(func() { c.Close() })
+	}
+	closes.Wait()
+	end()
+	<-ended
+}
