Tests leave processors to each other, and the door's waits until a connection counts as idle

Cause of a door test that failed on a busy machine: an answer is read before the connection's idleness is told, and the next client came between. The long tests of leases take two processors at most, so that process tests beside them keep time.

--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -86,6 +86,7 @@
 		if resp, _ := peertest.Answer(t, in); resp.StatusCode != 200 {
 			t.Errorf("status %d", resp.StatusCode)
 		}
+		peertest.Eventually(t, "it is idle too", func() bool { return ln.idling() == 2 }) // its answer is read before that is told
 	}
 	if f := ln.Figures(); f.MadeRoom[0]+f.MadeRoom[1] != 2 || f.TurnedAway != 0 {
 		t.Errorf("%+v", f)
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -350,10 +350,13 @@
 func TestExploration(t *testing.T) {
 	var all atomic.Int64
 	var sides sync.WaitGroup
+	turn := make(chan struct{}, 2) // others test processes meanwhile
 	for _, rates := range [][5]Instant{
 		{slow, slow, fast, fast, fast}, {fast, fast, slow, slow, slow}, {slow, fast, fast, slow, fast}, {fast, slow, slow, fast, slow},
 	} {
+		turn <- struct{}{}
 		sides.Go(func() {
+			defer func() { <-turn }()
 			states, held, two := explore(rates, leftOut{})
 			if two || held == 0 {
 				t.Errorf("rates %v: two hold: %v; in %d of %d states one holds", rates, two, held, states)
