Commands of a lease client keep the order in which they were asked

Found on reading the change again: a command took its number when it got a mutex. A release, or a wait that was given up, whose caller did not wait for it could be overtaken by the client's next acquire, which was told of the grant that the release then ended: the client believed in a lease that was another's. Now a command takes its place before its caller goes on, and one call at a time asks for a name (a second one got a context that never ended).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,15 +46,16 @@
 
 // Client is a session, and what it holds.
 type Client struct {
-	o       Options
-	over    *http.Client
-	ctx     context.Context
-	end     context.CancelFunc
-	sides   sync.WaitGroup
-	ordered sync.Mutex // one command of the session at a time
+	o     Options
+	over  *http.Client
+	ctx   context.Context
+	end   context.CancelFunc
+	sides sync.WaitGroup
 
 	mu      sync.Mutex
-	holder  *lease.Holder // nil: there is no session
+	last    chan struct{}   // closed when the last command in the line is over
+	asking  map[string]bool // names that a call of Hold or Try is about
+	holder  *lease.Holder   // nil: there is no session
 	seq     uint64
 	leader  int
 	held    map[string]*Held
@@ -81,7 +82,9 @@
 	if err := check.Check(); err != nil {
 		return nil, err
 	}
-	c := &Client{o: o, held: map[string]*Held{}, changed: make(chan struct{}), over: &http.Client{Transport: &http.Transport{
+	first := make(chan struct{})
+	close(first)
+	c := &Client{o: o, last: first, asking: map[string]bool{}, held: map[string]*Held{}, changed: make(chan struct{}), over: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: o.TTL / 4}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	c.sides.Go(c.live)
@@ -164,16 +167,24 @@
 }
 
 func (c *Client) hold(ctx context.Context, name string, wait bool) (*Held, error) {
+	c.mu.Lock()
+	busy := c.asking[name] || c.held[name] != nil
+	if !busy {
+		c.asking[name] = true
+	}
+	c.mu.Unlock()
+	if busy {
+		return nil, fmt.Errorf("%s: this client holds it already, or asks for it", name)
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.asking, name)
+	}()
 	for {
 		if err := c.session(ctx); err != nil {
 			return nil, err
 		}
-		c.mu.Lock()
-		if c.held[name] != nil {
-			c.mu.Unlock()
-			return nil, fmt.Errorf("%s: this client holds it already", name)
-		}
-		c.mu.Unlock()
 		a, holder, err := c.command(ctx, lease.Command{Kind: lease.Acquire, Name: name, Wait: wait})
 		switch {
 		case err != nil:
@@ -256,11 +267,7 @@
 	}
 	c.mu.Unlock()
 	if same {
-		c.sides.Go(func() {
-			ctx, cancel := context.WithTimeout(c.ctx, c.o.TTL)
-			defer cancel()
-			c.command(ctx, lease.Command{Kind: lease.Cancel, Name: name})
-		})
+		c.begin(lease.Command{Kind: lease.Cancel, Name: name})
 	}
 }
 
@@ -333,21 +340,39 @@
 
 var errNoSession = errors.New("there is no session")
 
-// command asks for something in the session until there is an answer, also where the caller has stopped to wait: what comes after
-// it has to know what became of it. It ends with the session.
-func (c *Client) command(ctx context.Context, cmd lease.Command) (lease.Answer, *lease.Holder, error) {
-	type result struct {
-		a      lease.Answer
-		holder *lease.Holder
-		err    error
-	}
-	done := make(chan result, 1)
+// turn takes the next place in the line of commands: wait ends when all before are over, done says that this one is.
+func (c *Client) turn() (wait <-chan struct{}, done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, mine := c.last, make(chan struct{})
+	c.last = mine
+	return before, func() { close(mine) }
+}
+
+type result struct {
+	a      lease.Answer
+	holder *lease.Holder
+	err    error
+}
+
+// begin asks for something in the session until there is an answer, also where the caller does not wait for it. Its place in the
+// line is taken when begin returns: a grant that is asked for later must not be ended by what was asked before.
+func (c *Client) begin(cmd lease.Command) <-chan result {
+	wait, done := c.turn()
+	out := make(chan result, 1)
 	c.sides.Go(func() {
+		defer done()
+		<-wait
 		a, holder, err := c.carryOut(cmd)
-		done <- result{a, holder, err}
+		out <- result{a, holder, err}
 	})
+	return out
+}
+
+// command begins a command and waits for its answer.
+func (c *Client) command(ctx context.Context, cmd lease.Command) (lease.Answer, *lease.Holder, error) {
 	select {
-	case r := <-done:
+	case r := <-c.begin(cmd):
 		return r.a, r.holder, r.err
 	case <-ctx.Done():
 		c.mu.Lock()
@@ -356,9 +381,8 @@
 	}
 }
 
+// carryOut asks until there is an answer, or the session is over. It is this command's turn.
 func (c *Client) carryOut(cmd lease.Command) (lease.Answer, *lease.Holder, error) {
-	c.ordered.Lock()
-	defer c.ordered.Unlock()
 	c.mu.Lock()
 	holder := c.holder
 	if holder == nil {
@@ -367,8 +391,11 @@
 	}
 	c.seq++
 	cmd.Session, cmd.Seq = holder.Session, c.seq
-	if cmd.Kind == lease.Acquire {
+	switch cmd.Kind {
+	case lease.Acquire:
 		holder.Wants(cmd.Name, c.o.clock())
+	case lease.Cancel: // what the command before it began to want, or has been granted
+		holder.Drop(cmd.Name)
 	}
 	c.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(c.ctx)
@@ -395,8 +422,14 @@
 
 // session opens one where there is none.
 func (c *Client) session(ctx context.Context) error {
-	c.ordered.Lock()
-	defer c.ordered.Unlock()
+	wait, done := c.turn()
+	select {
+	case <-wait:
+		defer done()
+	case <-ctx.Done(): // its place in the line stays its own
+		c.sides.Go(func() { <-wait; done() })
+		return ctx.Err()
+	}
 	c.mu.Lock()
 	alive := c.holder != nil && c.holder.Alive() > c.o.clock()
 	c.mu.Unlock()
