--- a/cmd/petrelctl/lease.go
+++ b/cmd/petrelctl/lease.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"runtime"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -214,6 +215,8 @@
 	child.Stdin, child.Stdout, child.Stderr = cmd.InOrStdin(), cmd.OutOrStdout(), cmd.ErrOrStderr()
 	child.Env = append(os.Environ(), "LEASE_NAME="+held.Name, fmt.Sprint("LEASE_TOKEN=", held.Token))
 	child.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // not even a killed petrelctl leaves it behind
+	runtime.LockOSThread()                                                              // that signal comes when the thread that started the child ends
+	defer runtime.UnlockOSThread()
 	if err := child.Start(); err != nil {
 		return runError{errors.Join(err, held.Release(context.Background()))}
 	}
--- a/internal/lease/clock.go
+++ b/internal/lease/clock.go
@@ -3,14 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"time"
 )
 
 // Clock is the granting side's view of time: until when each session, and each grant that was broken, has to be left alone. It
 // belongs to one term of one leader; nothing of it is in the log. All instants are of the leader's own steady clock.
 type Clock struct {
 	state   *State
-	began   Instant
 	alone   map[SessionID]Instant // not to be ended before
 	ending  map[SessionID]bool    // Expire is proposed
 	broken  map[string]broken
@@ -25,7 +23,7 @@
 // Lead begins a term, at an instant at which this leader has applied all that was in the log before it. Whoever it inherits
 // lives a whole time more: the leader before may have said yes just before it was succeeded.
 func Lead(s *State, now Instant) *Clock {
-	c := &Clock{state: s, began: now, alone: map[SessionID]Instant{}, ending: map[SessionID]bool{}, broken: map[string]broken{}}
+	c := &Clock{state: s, alone: map[SessionID]Instant{}, ending: map[SessionID]bool{}, broken: map[string]broken{}}
 	c.embargo = now.Add(s.embargo)
 	for id := range s.sessions {
 		c.Heard(id, now)
@@ -96,6 +94,3 @@
 	}
 	c.broken[name] = broken{l.token, now.Add(c.state.sessions[l.holder].ttl)}
 }
-
-// EmbargoLeft is how long nothing is granted yet, if nothing happens.
-func (c *Clock) EmbargoLeft(now Instant) time.Duration { return max(0, c.embargo.Sub(now)) }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -27,14 +26,6 @@
 	confirmTicks = 2 * ElectionTicks
 )
 
-// Member is a replica of the group.
-type Member struct {
-	ID      uint64 `json:"id"`
-	Addr    string `json:"addr"`
-	Life    string `json:"life,omitempty"` // of its disk; "": not known yet
-	Learner bool   `json:"learner,omitempty"`
-}
-
 // entry is the data of one entry of the log.
 type entry struct {
 	From   uint64         `json:"f,omitempty"` // the replica that was asked
@@ -49,34 +40,6 @@
 	Lease   json.RawMessage `json:"lease"`
 }
 
-// Question is what a replica is asked; one of its fields says what.
-type Question struct {
-	Command *lease.Command
-	Alive   *Alive
-	Read    bool    // the state as of now
-	Add     *Member // as a learner; it votes once it has caught up
-	Remove  uint64
-	Done    func(Reply) // called once, from a call of Core
-}
-
-// Alive asks whether a session lives, with the version of its grants that the client knows.
-type Alive struct {
-	Session lease.SessionID
-	Known   uint64
-}
-
-// Reply is the answer. State is the core's own and good until Done returns.
-type Reply struct {
-	Err     error
-	Leader  uint64 // with ErrNotLeader, if it is known
-	Answer  lease.Answer
-	Alive   bool
-	Grants  []lease.Grant
-	Version uint64
-	State   *lease.State
-	Members []Member
-}
-
 // Options are the bounds of a replica.
 type Options struct {
 	ID            uint64
@@ -95,7 +58,6 @@
 	conf    *pb.ConfState
 	applied uint64
 	saved   uint64 // the index of the last snapshot
-	bytes   uint64 // of entries since
 
 	term    uint64 // of the last hard state
 	leads   bool
@@ -113,14 +75,6 @@
 	confirm  *confirmation
 }
 
-// confirmation is questions that wait for a majority to confirm that this replica leads.
-type confirmation struct {
-	number uint64
-	index  uint64 // above 0: confirmed, and to be applied up to there
-	age    int
-	asks   []Question
-}
-
 // Kept is what a disk holds of a replica.
 type Kept struct {
 	Hard     *pb.HardState
@@ -208,7 +162,7 @@
 	_, member := c.members[c.ID]
 	c.removed = !member // it had seen its end before it was started again
 	c.conf = s.Metadata.ConfState
-	c.applied, c.saved, c.bytes = s.Metadata.GetIndex(), s.Metadata.GetIndex(), 0
+	c.applied, c.saved = s.Metadata.GetIndex(), s.Metadata.GetIndex()
 	return nil
 }
 
@@ -252,13 +206,6 @@
 	}
 }
 
-// caughtUp reports whether a learner has nearly all of the log.
-func (c *Core) caughtUp(id uint64) bool {
-	s := c.raw.Status()
-	p, ok := s.Progress[id]
-	return ok && p.Match > 0 && p.Match+100 >= s.GetCommit()
-}
-
 func (c *Core) propose(e entry) error {
 	text, err := json.Marshal(e)
 	if err != nil {
@@ -278,98 +225,6 @@
 	c.raw.Step(m) // an error says that it is of no use here
 }
 
-// Ask takes in a question.
-func (c *Core) Ask(q Question) {
-	if !c.leads {
-		err := ErrNotLeader
-		if c.leader == 0 {
-			err = ErrNoLeader
-		}
-		q.Done(Reply{Err: err, Leader: c.leader})
-		return
-	}
-	if len(c.waiting)+len(c.asked) > maxWaiting {
-		q.Done(Reply{Err: ErrBusy})
-		return
-	}
-	switch {
-	case q.Command != nil:
-		c.number++
-		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command}); err != nil {
-			q.Done(Reply{Err: ErrBusy})
-			return
-		}
-		c.waiting[c.number] = q.Done
-	case q.Add != nil || q.Remove != 0:
-		m, kind := Member{ID: q.Remove}, pb.ConfChangeRemoveNode
-		if q.Add != nil {
-			m, kind = *q.Add, pb.ConfChangeAddLearnerNode
-			m.Learner = true
-		}
-		if _, member := c.members[m.ID]; c.clock != nil && member == (q.Add != nil) { // asked again
-			q.Done(Reply{Members: c.Members()})
-			return
-		}
-		number, err := c.change(m, kind)
-		if err != nil {
-			q.Done(Reply{Err: err})
-			return
-		}
-		c.waiting[number] = q.Done
-	default:
-		c.asked = append(c.asked, q)
-	}
-}
-
-// change proposes a change of the members, one at a time.
-func (c *Core) change(m Member, kind pb.ConfChangeType) (number uint64, err error) {
-	if c.changing || c.clock == nil {
-		return 0, ErrChanging
-	}
-	c.number++
-	text, err := json.Marshal(entry{From: c.ID, Number: c.number, Member: &m})
-	if err != nil {
-		return 0, err
-	}
-	err = c.raw.ProposeConfChange(&pb.ConfChange{Type: kind.Enum(), NodeId: proto.Uint64(m.ID), Context: text})
-	c.changing = err == nil
-	return c.number, err
-}
-
-// Lives tells of the disk of a member, as it said itself. It is kept in the log: another disk under the same id is refused.
-func (c *Core) Lives(id uint64, life string) {
-	if m, ok := c.members[id]; ok && m.Life == "" && c.leads && c.clock != nil {
-		m.Life = life
-		c.propose(entry{Member: &m})
-	}
-}
-
-// ErrLostDisk says that a replica's disk is another than the one whose votes and entries the group counts on.
-var ErrLostDisk = errors.New("it has lost its disk, and may not come back under its id: remove it, and add it with an id that was never used")
-
-// ErrRemoved says that a replica is none of the group.
-var ErrRemoved = errors.New("it is none of this group: it was removed, or is not added yet")
-
-// Removed reports whether this replica has been removed.
-func (c *Core) Removed() bool { return c.removed }
-
-// Life is that of a member's disk, as the log has it; "": it is not known.
-func (c *Core) Life(id uint64) string { return c.members[id].Life }
-
-// Knows says why nothing is to be taken from a replica whose disk has a life: it is another disk than the log knows, or the group
-// has removed it. A leader keeps in the log what it hears first.
-func (c *Core) Knows(id uint64, life string) error {
-	m, member := c.members[id]
-	switch {
-	case member && m.Life != "" && m.Life != life:
-		return fmt.Errorf("replica %d: %w", id, ErrLostDisk)
-	case !member && c.leads && c.clock != nil:
-		return fmt.Errorf("replica %d: %w", id, ErrRemoved)
-	}
-	c.Lives(id, life)
-	return nil
-}
-
 // Unreachable tells that a message to a replica did not get there.
 func (c *Core) Unreachable(id uint64) { c.raw.ReportUnreachable(id) }
 
@@ -464,31 +319,9 @@
 	c.lose()
 }
 
-// lose answers all that waits: another replica leads, or this one begins anew.
-func (c *Core) lose() {
-	all := c.asked
-	if c.asked = nil; c.confirm != nil {
-		all = append(all, c.confirm.asks...)
-		c.confirm = nil
-	}
-	c.fail(all, ErrMoved)
-	for _, n := range slices.Sorted(maps.Keys(c.waiting)) {
-		done := c.waiting[n]
-		delete(c.waiting, n)
-		done(Reply{Err: ErrMoved})
-	}
-}
-
-func (c *Core) fail(asks []Question, err error) {
-	for _, q := range asks {
-		q.Done(Reply{Err: err, Leader: c.leader})
-	}
-}
-
 // apply carries out a committed entry.
 func (c *Core) apply(e *pb.Entry, now lease.Instant) error {
 	c.applied = e.GetIndex()
-	c.bytes += uint64(len(e.Data))
 	var in entry
 	data := e.Data
 	var change *pb.ConfChange
@@ -536,34 +369,13 @@
 	return nil
 }
 
-// confirmed answers what a majority has confirmed, once all is applied that was committed when it was asked.
-func (c *Core) confirmed(now lease.Instant) {
-	if c.confirm == nil || c.confirm.index == 0 || c.applied < c.confirm.index || c.clock == nil {
-		return
-	}
-	asks := c.confirm.asks
-	c.confirm = nil
-	for _, q := range asks {
-		var r Reply
-		if q.Alive != nil {
-			if r.Alive = c.clock.Alive(q.Alive.Session); r.Alive {
-				c.clock.Heard(q.Alive.Session, now)
-				r.Grants, r.Version = c.state.Grants(q.Alive.Session, q.Alive.Known)
-			}
-		} else {
-			r.State, r.Members = c.state, c.Members()
-		}
-		q.Done(r)
-	}
-}
-
 // snapshot makes one of what is applied.
 func (c *Core) snapshot() (own *pb.Snapshot, compact uint64, err error) {
 	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state))
 	if err != nil {
 		return nil, 0, err
 	}
-	c.saved, c.bytes, c.fresh = c.applied, 0, false
+	c.saved, c.fresh = c.applied, false
 	if first, _ := c.store.FirstIndex(); c.applied > c.Keep+first {
 		compact = c.applied - c.Keep
 		err = c.store.Compact(compact)
@@ -571,14 +383,6 @@
 	return own, compact, err
 }
 
-// Members are the replicas, in order.
-func (c *Core) Members() (all []Member) {
-	for _, id := range slices.Sorted(maps.Keys(c.members)) {
-		all = append(all, c.members[id])
-	}
-	return all
-}
-
 // Status is what a replica knows of itself, without asking others.
 type Status struct {
 	ID, Leader, Term, Applied, Log uint64
