--- a/cmd/petrelctl/lease_test.go
+++ b/cmd/petrelctl/lease_test.go
@@ -3,37 +3,26 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"petrelhook/internal/fleet"
 	core "petrelhook/internal/lease"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/coordinator"
 )
 
-// coordinator is one in this process.
-func coordinator(t *testing.T) (addr string, stop func()) {
+// started is a coordinator of this test.
+func started(t *testing.T) (addr string, stop func()) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, stop, err := coordinator.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := fleet.Open(fleet.Single(t.TempDir(), ln.Addr().String()), slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx, ln) }()
-	stop = sync.OnceFunc(func() { cancel(); <-ended })
 	t.Cleanup(stop)
-	return ln.Addr().String(), stop
+	return addr, stop
 }
 
 // What lease run ends with, and that the command is gone by then: its own code, no lease, lost and told, lost and killed, broken.
@@ -59,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			addr, stop := coordinator(t)
+			addr, stop := started(t)
 			pid := filepath.Join(t.TempDir(), "pid")
 			type result struct {
 				code int
@@ -96,7 +85,7 @@
 
 // What operators ask, and what they are told where it is wrong.
 func TestLeaseAndFleet(t *testing.T) {
-	addr, _ := coordinator(t)
+	addr, _ := started(t)
 	backup := filepath.Join(t.TempDir(), "backup")
 	for _, c := range []struct {
 		args, want string
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,28 +12,22 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/fleet"
 	"petrelhook/internal/lease"
+	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/steady"
 )
 
 // A machine that sleeps: Go's timers stand still, the clock does not. The first look after it says no, and ends the context.
 func TestAsleep(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := fleet.Open(fleet.Single(t.TempDir(), ln.Addr().String()), slog.New(slog.DiscardHandler))
+	addr, stop, err := coordinator.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	serve, end := context.WithCancel(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(serve, ln) }()
 	var slept atomic.Int64
-	c, err := New(Options{Addrs: []string{ln.Addr().String()}, Owner: "o", TTL: 30 * time.Second,
+	c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 30 * time.Second,
 		clock: func() lease.Instant { return steady.Now() + lease.Instant(slept.Load()) }})
 	if err != nil {
 		t.Fatal(err)
@@ -48,8 +40,7 @@
 	if h.Valid() || h.Left() != 0 || context.Cause(h.Context()) != ErrLost {
 		t.Errorf("valid %v, %v", h.Valid(), context.Cause(h.Context()))
 	}
-	end()
-	<-ended
+	stop()
 	c.Close()
 }
 
@@ -89,25 +80,19 @@
 
 // Clients that begin within half a second do not renew in step: of their sixth renewals no tenth of a second has a third.
 func TestRenewalsAreNotInStep(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := fleet.Open(fleet.Single(t.TempDir(), ln.Addr().String()), slog.New(slog.DiscardHandler))
+	addr, stop, err := coordinator.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
-	serve, end := context.WithCancel(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(serve, ln) }()
 	const clients, renewals = 200, 6
 	began := time.Now()
 	var all []*Client
 	var recorders []*recorder
 	for i := range clients {
-		c, err := New(Options{Addrs: []string{ln.Addr().String()}, Owner: "o", TTL: 3 * time.Second})
+		c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 3 * time.Second})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,6 +135,4 @@
 		closes.Go(func() { c.Close() })
 	}
 	closes.Wait()
-	end()
-	<-ended
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,44 +4,31 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
-	"net"
-	"os"
-	"sync"
 	"testing"
 	"time"
 
 	"petrelhook/internal/fleet"
 	core "petrelhook/internal/lease"
+	"petrelhook/internal/rig/coordinator"
 	"petrelhook/lease"
 )
 
-// coordinator is one in this process, for examples and small tests.
-func coordinator() (addr string, stop func()) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// started is a coordinator of this test.
+func started(t *testing.T) (addr string, stop func()) {
+	t.Helper()
+	addr, stop, err := coordinator.Start()
 	if err != nil {
-		panic(err)
-	}
-	dir, err := os.MkdirTemp("", "lease")
-	if err != nil {
-		panic(err)
-	}
-	s, err := fleet.Open(fleet.Single(dir, ln.Addr().String()), slog.New(slog.DiscardHandler))
-	if err != nil {
-		panic(err)
+		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx, ln) }()
-	return ln.Addr().String(), sync.OnceFunc(func() {
-		cancel()
-		<-ended
-		os.RemoveAll(dir)
-	})
+	t.Cleanup(stop)
+	return addr, stop
 }
 
 func Example() {
-	addr, stop := coordinator()
+	addr, stop, err := coordinator.Start()
+	if err != nil {
+		panic(err)
+	}
 	defer stop()
 	c, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "n1"})
 	if err != nil {
@@ -63,8 +50,7 @@
 
 // Operators break a lease: its holder is told within a renewal, still holds it, and lets go; nobody else has it before.
 func TestBroken(t *testing.T) {
-	addr, stop := coordinator()
-	defer stop()
+	addr, _ := started(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	a, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "a", TTL: 2 * time.Second})
@@ -96,8 +82,7 @@
 }
 
 func TestOneHolder(t *testing.T) {
-	addr, stop := coordinator()
-	defer stop()
+	addr, stop := started(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	client := func() *lease.Client {
@@ -168,8 +153,7 @@
 
 // A lease is handed to the last of those who wait; to one that does not wait it cannot be, and the next has it.
 func TestTransfer(t *testing.T) {
-	addr, stop := coordinator()
-	defer stop()
+	addr, _ := started(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	var clients []*lease.Client
--- a/lease/order_test.go
+++ b/lease/order_test.go
@@ -11,8 +11,7 @@
 // A caller that no longer waits for its release, or for its turn, asks again at once: what it had asked for comes before, and does not
 // end the new grant behind its back. Only one caller of a client asks for a name at a time.
 func TestCommandsKeepTheirOrder(t *testing.T) {
-	addr, stop := coordinator()
-	defer stop()
+	addr, _ := started(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	client := func() *lease.Client {
