When a replica has to end is decided by the replica; a file without its records is refused

Two decisions stood in the process around it: whether messages are for this disk, and how long a removed replica stays. Both are in internal/replica now. A file that lacks its format, id or life was taken; TestMissingRecords.

--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -40,7 +40,7 @@
 }
 
 func (p *peer) send(m *pb.Message) {
-	life := p.s.core.Life(p.id)
+	life := p.s.core.LifeOf(p.id)
 	p.life.Store(&life)
 	select {
 	case p.queue <- m:
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -59,7 +59,7 @@
 		d.Close()
 		return nil, fmt.Errorf("%s: it is of replica %d, and the file says id %d", c.Data, d.ID, c.ID)
 	}
-	core, err := replica.New(replica.Options{ID: c.ID, Rand: rand.IntN}, kept)
+	core, err := replica.New(replica.Options{ID: c.ID, Life: d.Life, Rand: rand.IntN}, kept)
 	if err != nil {
 		d.Close()
 		return nil, err
@@ -89,7 +89,7 @@
 	defer close(s.ended)
 	tick := time.NewTicker(s.config.Tick)
 	defer tick.Stop()
-	leads, removed := false, 0
+	leads := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,10 +98,8 @@
 			return err
 		case <-tick.C:
 			s.core.Tick(steady.Now())
-			if s.core.Removed() {
-				if removed++; removed > 2*replica.ElectionTicks { // by then who asked for it has his answer
-					return fmt.Errorf("replica %d: %w", s.config.ID, replica.ErrRemoved)
-				}
+			if err := s.core.Over(); err != nil {
+				return err
 			}
 		case f := <-s.events:
 			f()
@@ -287,10 +285,6 @@
 	if in.To != s.config.ID {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("this is replica %d, not %d", s.config.ID, in.To))
 	}
-	if in.ToLife != "" && in.ToLife != s.disk.Life { // what they rest on is not here
-		s.fail(fmt.Errorf("replica %d: %w", s.config.ID, replica.ErrLostDisk))
-		return nil, errEnds
-	}
 	all := make([]*pb.Message, len(in.Messages))
 	for i, text := range in.Messages {
 		all[i] = &pb.Message{}
@@ -300,7 +294,15 @@
 	}
 	done := make(chan error, 1)
 	ok := s.post(func() {
+		if err := s.core.Mine(in.ToLife); err != nil {
+			s.fail(err)
+			done <- errEnds
+			return
+		}
 		err := s.core.Knows(in.From, in.Life)
+		if err != nil {
+			err = connect.NewError(connect.CodeFailedPrecondition, err)
+		}
 		for _, m := range all {
 			if err == nil {
 				s.core.Step(m)
@@ -314,7 +316,7 @@
 	select {
 	case err := <-done:
 		if err != nil {
-			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+			return nil, err
 		}
 		return &Nothing{Version}, nil
 	case <-s.ended:
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -43,6 +43,7 @@
 // Options are the bounds of a replica.
 type Options struct {
 	ID            uint64
+	Life          string          // of its disk
 	Rand          func(n int) int // below n
 	SnapshotEvery uint64          // entries; 0: 20,000
 	Keep          uint64          // entries that stay in the log behind a snapshot; 0: 5,000
@@ -69,7 +70,7 @@
 
 	changing bool // a change of the members is proposed
 	fresh    bool // a snapshot is due: one of before a change is of no use to a replica that is added
-	removed  bool // this replica is none of the group any more
+	removed  int  // above 0: this replica is none of the group any more, for so many ticks
 	waiting  map[uint64]func(Reply)
 	asked    []Question // for the next confirmation
 	confirm  *confirmation
@@ -159,8 +160,9 @@
 	for _, m := range im.Members {
 		c.members[m.ID] = m
 	}
-	_, member := c.members[c.ID]
-	c.removed = !member // it had seen its end before it was started again
+	if _, member := c.members[c.ID]; !member { // it had seen its end before it was started again
+		c.removed = 1
+	}
 	c.conf = s.Metadata.ConfState
 	c.applied, c.saved = s.Metadata.GetIndex(), s.Metadata.GetIndex()
 	return nil
@@ -171,6 +173,9 @@
 
 // Tick is a step of time. A leader proposes what is due by its clock.
 func (c *Core) Tick(now lease.Instant) {
+	if c.removed > 0 {
+		c.removed++
+	}
 	if c.leads {
 		c.raw.Tick()
 		c.due(now)
@@ -342,7 +347,9 @@
 	switch {
 	case change != nil && change.GetType() == pb.ConfChangeRemoveNode:
 		delete(c.members, change.GetNodeId())
-		c.removed = c.removed || change.GetNodeId() == c.ID
+		if change.GetNodeId() == c.ID {
+			c.removed = 1
+		}
 	case change != nil && in.Member != nil:
 		in.Member.Learner = change.GetType() == pb.ConfChangeAddLearnerNode
 		in.Member.Life = c.members[in.Member.ID].Life
--- a/internal/replica/disk/disk.go
+++ b/internal/replica/disk/disk.go
@@ -159,7 +159,13 @@
 			return nil
 		},
 		string(keyLife): func(v []byte) error { d.Life = string(v); return nil },
-		string(keyID):   func(v []byte) error { d.ID = binary.BigEndian.Uint64(v); return nil },
+		string(keyID): func(v []byte) error {
+			if len(v) != 8 {
+				return fmt.Errorf("%d bytes", len(v))
+			}
+			d.ID = binary.BigEndian.Uint64(v)
+			return nil
+		},
 		string(keyHard): func(v []byte) error { kept.Hard = &pb.HardState{}; return proto.Unmarshal(v, kept.Hard) },
 		string(keySnapshot): func(v []byte) error {
 			kept.Snapshot = &pb.Snapshot{}
@@ -167,8 +173,11 @@
 		},
 	} {
 		v, err := d.checked([]byte(key), meta.Get([]byte(key)))
-		if err == nil && v != nil {
+		switch {
+		case err == nil && v != nil:
 			err = take(v)
+		case err == nil && key != string(keyHard) && key != string(keySnapshot): // one that is to be added has neither yet
+			err = errors.New("missing: this is not all of a replica")
 		}
 		if err != nil {
 			return fmt.Errorf("%s: %s: %w", d.path, key, err)
--- a/internal/replica/disk/disk_test.go
+++ b/internal/replica/disk/disk_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"go.etcd.io/bbolt"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -98,6 +99,24 @@
 	}
 }
 
+// A file without one of the records that every replica has is refused.
+func TestMissingRecords(t *testing.T) {
+	for _, key := range [][]byte{keyFormat, keyID, keyLife} {
+		dir, _ := filled(t)
+		db, err := bbolt.Open(filepath.Join(dir, fileName), 0o600, options())
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketMeta).Delete(key) })
+		if db.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(dir); err == nil || !strings.Contains(err.Error(), string(key)+": missing") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
 // A last write that was torn, its header half written, is cut: what was there before it is there, and the replica starts.
 func TestTornTail(t *testing.T) {
 	dir, _ := filled(t)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -55,11 +55,27 @@
 // ErrRemoved says that a replica is none of the group.
 var ErrRemoved = errors.New("it is none of this group: it was removed, or is not added yet")
 
-// Removed reports whether this replica has been removed.
-func (c *Core) Removed() bool { return c.removed }
+// farewell is for how many ticks a removed replica stays: who asked for its end has his answer by then.
+const farewell = 2 * ElectionTicks
 
-// Life is that of a member's disk, as the log has it; "": it is not known.
-func (c *Core) Life(id uint64) string { return c.members[id].Life }
+// Over says why this replica has to end; nil: it goes on.
+func (c *Core) Over() error {
+	if c.removed > farewell {
+		return fmt.Errorf("replica %d: %w", c.ID, ErrRemoved)
+	}
+	return nil
+}
+
+// Mine says why this replica has to end that is sent messages for a disk of another life: what they rest on is not here.
+func (c *Core) Mine(life string) error {
+	if life != "" && life != c.Options.Life {
+		return fmt.Errorf("replica %d: %w", c.ID, ErrLostDisk)
+	}
+	return nil
+}
+
+// LifeOf is that of a member's disk, as the log has it; "": it is not known.
+func (c *Core) LifeOf(id uint64) string { return c.members[id].Life }
 
 // Knows says why nothing is to be taken from a replica whose disk has a life: it is another disk than the log knows, or the group
 // has removed it. A leader keeps in the log what it hears first.
