One way of asking coordinators, for applications and for operators

lease and the operators' commands had a loop each that follows the leader: fleet.Caller is both. A change of the replicas is asked once, all else until it is answered. Checked: lease with the race detector, petrelctl, all process tests of the coordinators.

--- /dev/null
+++ b/internal/fleet/caller.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"petrelhook/internal/replica"
+)
+
+// Caller asks coordinators, from the one that answered last on, until one that leads has answered. What is asked must do no harm if
+// it is asked twice; a change of the replicas is asked once.
+type Caller struct {
+	Addrs  []string
+	Over   *http.Client
+	Within time.Duration // for one call; 0: what the context leaves
+	Pause  time.Duration // at most, before the next coordinator is asked; once all have been, they say how long
+
+	mu sync.Mutex
+	at int
+}
+
+// Ask asks until there is an answer, the question is found to be wrong, or ctx ends. begin is called before each try; nil: nothing is.
+func (c *Caller) Ask(ctx context.Context, in *Ask, begin func()) (*Told, error) {
+	in.Version = Version
+	last := errors.New("no coordinator was asked")
+	for tries := 1; ; tries++ {
+		c.mu.Lock()
+		addr := c.Addrs[c.at]
+		c.mu.Unlock()
+		if begin != nil {
+			begin()
+		}
+		told, err := c.try(ctx, addr, in)
+		if err == nil && told.Err == "" {
+			return told, nil
+		}
+		wait, leader := c.Pause, ""
+		if err == nil {
+			err = errors.New(told.Err)
+			if once(in) && (told.Moved || told.Err == replica.ErrChanging.Error()) {
+				return nil, fmt.Errorf("%s: %w", addr, err)
+			}
+			if leader = told.Leader; tries%len(c.Addrs) == 0 {
+				wait = time.Duration(told.Again) * time.Millisecond
+			}
+		} else if Final(err) {
+			return nil, fmt.Errorf("%s: %w", addr, err)
+		}
+		last = fmt.Errorf("%s: %w", addr, err)
+		c.mu.Lock()
+		if i := slices.Index(c.Addrs, leader); i >= 0 {
+			c.at = i
+		} else {
+			c.at = (c.at + 1) % len(c.Addrs)
+		}
+		c.mu.Unlock()
+		pause := time.NewTimer(wait/2 + rand.N(wait/2+1)) // not all at the same moment
+		select {
+		case <-ctx.Done():
+			pause.Stop()
+			return nil, fmt.Errorf("%w: %w", last, context.Cause(ctx))
+		case <-pause.C:
+		}
+	}
+}
+
+func (c *Caller) try(ctx context.Context, addr string, in *Ask) (*Told, error) {
+	if c.Within > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Within)
+		defer cancel()
+	}
+	res, err := Client[Ask, Told](c.Over, addr, PathAsk).CallUnary(ctx, connect.NewRequest(in))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// once reports whether a question is not asked again where nothing is known of its answer.
+func once(in *Ask) bool { return in.Add != nil || in.Remove != 0 }
+
+// Final reports whether an error of a call says that it is wrong, so that it need not be made again.
+func Final(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented, connect.CodeResourceExhausted:
+		return true
+	}
+	return false
+}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -25,42 +25,15 @@
 // ErrUnanswered says that no coordinator that leads has answered in time.
 var ErrUnanswered = errors.New("no answer")
 
-// Final reports whether an error of a call says that it is wrong, so that it need not be made again.
-func Final(err error) bool {
-	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented, connect.CodeResourceExhausted:
-		return true
-	}
-	return false
-}
-
 const operatorPause = 50 * time.Millisecond
 
 // Ask asks until a coordinator that leads has answered, or ctx ends.
 func (o *Operator) Ask(ctx context.Context, in Ask) (*Told, error) {
-	in.Version = Version
-	last := errors.New("no address")
-	for at := 0; ; at++ {
-		addr := o.Addrs[at%len(o.Addrs)]
-		res, err := Client[Ask, Told](&o.over, addr, PathAsk).CallUnary(ctx, connect.NewRequest(&in))
-		switch {
-		case err == nil && res.Msg.Err == "":
-			return res.Msg, nil
-		case err == nil && res.Msg.Err == replica.ErrChanging.Error(), err == nil && res.Msg.Moved && (in.Add != nil || in.Remove != 0):
-			return nil, fmt.Errorf("%s: %s", addr, res.Msg.Err)
-		case err == nil:
-			last = fmt.Errorf("%s: %s", addr, res.Msg.Err)
-		case Final(err):
-			return nil, fmt.Errorf("%s: %w", addr, err)
-		default:
-			last = fmt.Errorf("%s: %w", addr, err)
-		}
-		select {
-		case <-ctx.Done():
-			return nil, fmt.Errorf("%w: %w", ErrUnanswered, last)
-		case <-time.After(operatorPause):
-		}
+	told, err := (&Caller{Addrs: o.Addrs, Over: &o.over, Pause: operatorPause}).Ask(ctx, &in, nil)
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ErrUnanswered, err)
 	}
+	return told, err
 }
 
 // Status asks one coordinator for what it knows of itself.
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -96,8 +96,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := &recorder{RoundTripper: c.over.Transport, began: began}
-		c.over.Transport = r
+		r := &recorder{RoundTripper: c.caller.Over.Transport, began: began}
+		c.caller.Over.Transport = r
 		all, recorders = append(all, c), append(recorders, r)
 		if _, err := c.Hold(ctx, fmt.Sprint("x", i)); err != nil {
 			t.Fatal(err)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/fleet"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/steady"
 )
@@ -41,18 +42,17 @@
 
 // Client is a session, and what it holds.
 type Client struct {
-	o     Options
-	over  *http.Client
-	ctx   context.Context
-	end   context.CancelFunc
-	sides sync.WaitGroup
+	o      Options
+	caller fleet.Caller
+	ctx    context.Context
+	end    context.CancelFunc
+	sides  sync.WaitGroup
 
 	mu      sync.Mutex
 	last    chan struct{}   // closed when the last command in the line is over
 	asking  map[string]bool // names that a call of Hold or Try is about
 	holder  *lease.Holder   // nil: there is no session
 	seq     uint64
-	leader  int
 	held    map[string]*Held
 	changed chan struct{} // closed when a grant has come or the session has changed
 }
@@ -79,8 +79,11 @@
 	}
 	first := make(chan struct{})
 	close(first)
-	c := &Client{o: o, last: first, asking: map[string]bool{}, held: map[string]*Held{}, changed: make(chan struct{}), over: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: o.TTL / 4}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}}
+	c := &Client{o: o, last: first, asking: map[string]bool{}, held: map[string]*Held{}, changed: make(chan struct{}), caller: fleet.Caller{
+		Addrs: o.Addrs, Within: max(o.TTL/4, 250*time.Millisecond), Pause: o.TTL / 100,
+		Over: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: o.TTL / 4}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}},
+	}}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	c.sides.Go(c.live)
 	return c, nil
@@ -223,7 +226,7 @@
 	cancel()
 	c.end()
 	c.sides.Wait()
-	c.over.CloseIdleConnections()
+	c.caller.Over.CloseIdleConnections()
 	if errors.Is(err, errNoSession) {
 		return nil
 	}
--- a/lease/line.go
+++ b/lease/line.go
@@ -68,7 +68,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	told, err := c.ask1(ctx, &fleet.Ask{Command: &cmd}, func() {
+	told, err := c.caller.Ask(ctx, &fleet.Ask{Command: &cmd}, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.holder != holder || holder.Alive() <= c.o.clock() {
@@ -79,6 +79,9 @@
 		c.lost(holder)
 		return lease.Answer{Status: lease.Gone}, holder, nil
 	}
+	if c.ctx.Err() != nil && err != nil {
+		err = ErrClosed
+	}
 	if err != nil {
 		return lease.Answer{}, holder, err
 	}
--- a/lease/session.go
+++ b/lease/session.go
@@ -28,10 +28,13 @@
 	if alive {
 		return nil
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(c.ctx, func() { cancel(ErrClosed) })()
 	cmd := lease.Command{Kind: lease.Open, TTL: c.o.TTL, Owner: c.o.Owner, Nonce: rand.Text()}
 	for {
 		asked := c.o.clock()
-		told, err := c.ask(ctx, &fleet.Ask{Command: &cmd})
+		told, err := c.caller.Ask(ctx, &fleet.Ask{Command: &cmd}, nil)
 		if err != nil {
 			return err
 		}
@@ -104,7 +107,7 @@
 	c.mu.Lock()
 	known := holder.Known()
 	c.mu.Unlock()
-	told, err := c.ask1(ctx, &fleet.Ask{Alive: &replica.Alive{Session: holder.Session, Known: known}}, func() { asked = c.o.clock() })
+	told, err := c.caller.Ask(ctx, &fleet.Ask{Alive: &replica.Alive{Session: holder.Session, Known: known}}, func() { asked = c.o.clock() })
 	if err != nil {
 		return
 	}
