One harness for tests of several processes: internal/rig/process, and groups of coordinators

Need: the next tests of several processes (rolling changes) start, stop and break them in the same way. Moved out of cmd/petrelfleet's tests, each with its doc comment; the tests are the same.

--- a/cmd/petrelfleet/figures_test.go
+++ b/cmd/petrelfleet/figures_test.go
@@ -22,6 +22,8 @@
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/replica"
 	"petrelhook/internal/replica/disk"
+	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rig/process"
 	"petrelhook/lease"
 )
 
@@ -33,21 +35,21 @@
 }
 
 // raw asks the leader of a group.
-func (g *group) raw() func(fleet.Ask) *fleet.Told {
+func raw(g *coordinator.Group) func(fleet.Ask) *fleet.Told {
 	over := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 64}}
 	var at atomic.Int64
 	return func(in fleet.Ask) *fleet.Told {
 		in.Version = fleet.Version
 		for {
 			i := at.Load()
-			res, err := fleet.Client[fleet.Ask, fleet.Told](over, g.clients[i].Addr, fleet.PathAsk).CallUnary(context.Background(), connect.NewRequest(&in))
+			res, err := fleet.Client[fleet.Ask, fleet.Told](over, g.Clients[i].Addr, fleet.PathAsk).CallUnary(context.Background(), connect.NewRequest(&in))
 			if err == nil && res.Msg.Err == "" {
 				return res.Msg
 			}
 			if err != nil && fleet.Final(err) {
 				panic(err)
 			}
-			at.CompareAndSwap(i, (i+1)%int64(len(g.clients)))
+			at.CompareAndSwap(i, (i+1)%int64(len(g.Clients)))
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
@@ -82,7 +84,7 @@
 	figures(t)
 	for _, n := range []int{1, 3, 5} {
 		g := newGroup(t, n)
-		ask := g.raw()
+		ask := raw(g)
 		for _, size := range [][2]int{{10, 10}, {10_000, 10}, {10_000, 2000}} { // leases, sessions
 			var sessions []core.SessionID
 			var opened sync.Mutex
@@ -121,8 +123,8 @@
 			t.Logf("%d replicas, %5d leases, %4d sessions: grant p50 %v p99 %v, %.0f/s; renewal p50 %v p99 %v, %.0f/s", n, size[0], size[1],
 				g50.Round(10*time.Microsecond), g99.Round(10*time.Microsecond), grants, r50.Round(10*time.Microsecond), r99.Round(10*time.Microsecond), renewals)
 		}
-		for _, c := range g.all {
-			c.kill()
+		for _, c := range g.All {
+			c.Die()
 		}
 	}
 }
@@ -136,10 +138,10 @@
 		var longest, sum time.Duration
 		const times = 10
 		for i := range times {
-			out := &buffer{}
-			holder := start(t, "keeps", out, guarded, fmt.Sprintf("%s,%s,%s", g.clients[0].Addr, g.clients[1].Addr, g.clients[2].Addr), fmt.Sprint(what, i))
+			out := &process.Log{}
+			holder := start(t, "keeps", out, guarded, fmt.Sprintf("%s,%s,%s", g.Clients[0].Addr, g.Clients[1].Addr, g.Clients[2].Addr), fmt.Sprint(what, i))
 			peertest.Eventually(t, "it holds", func() bool { return out.String() != "" })
-			next, err := lease.New(lease.Options{Addrs: g.addrs(), Owner: "next", TTL: ttl})
+			next, err := lease.New(lease.Options{Addrs: g.Addrs(), Owner: "next", TTL: ttl})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -150,19 +152,19 @@
 				}
 			}()
 			<-time.After(time.Duration(rand.IntN(int(ttl)))) // at any moment of a renewal
-			leader := g.leader()
+			leader := g.Leader()
 			began := time.Now()
 			if what != "leader" {
-				holder.cmd.Process.Kill()
+				holder.Kill()
 			}
 			if what != "holder" && leader >= 0 {
-				g.all[leader].cmd.Process.Kill()
+				g.All[leader].Kill()
 			}
 			if what == "leader" { // until a renewal is answered again: the holder keeps it
-				peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
+				g.NewLeader(leader)
 				took := time.Since(began)
 				longest, sum = max(longest, took), sum+took
-				holder.cmd.Process.Kill()
+				holder.Kill()
 				peertest.Wait(t, got)
 			} else {
 				took := peertest.Wait(t, got).Sub(began)
@@ -170,8 +172,8 @@
 			}
 			next.Close()
 			if what != "holder" && leader >= 0 {
-				peertest.Wait(t, g.all[leader].ended)
-				g.all[leader].start()
+				g.All[leader].Wait()
+				g.All[leader].Start()
 			}
 		}
 		t.Logf("kill of %s: mean %v, longest %v; a session lives %v, an election takes 200 to 400 ms and more", what, (sum / times).Round(time.Millisecond), longest.Round(time.Millisecond), ttl)
@@ -195,7 +197,7 @@
 		limit <- struct{}{}
 		sides.Go(func() {
 			defer func() { <-limit }()
-			c, err := lease.New(lease.Options{Addrs: g.addrs(), Owner: "many", TTL: long})
+			c, err := lease.New(lease.Options{Addrs: g.Addrs(), Owner: "many", TTL: long})
 			if err != nil {
 				t.Error(err)
 				return
@@ -213,9 +215,9 @@
 		})
 	}
 	sides.Wait()
-	leader := g.leader()
-	g.all[leader].kill()
-	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
+	leader := g.Leader()
+	g.All[leader].Die()
+	g.NewLeader(leader)
 	<-time.After(long + long/2) // all have to have been renewed by the new leader
 	for _, hs := range all {
 		for _, h := range hs {
--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,18 +16,21 @@
 	core "petrelhook/internal/lease"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/replica"
-	"petrelhook/internal/rig/link"
+	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rig/process"
 	"petrelhook/lease"
 )
 
-func client(t *testing.T, g *group) *lease.Client { return clientFor(t, g, ttl) }
+func client(t *testing.T, g *coordinator.Group) *lease.Client { return clientFor(t, g, ttl) }
 
 // patient is a client whose session outlives a few elections, on a slow machine too.
-func patient(t *testing.T, g *group) *lease.Client { return clientFor(t, g, 20*time.Second) }
+func patient(t *testing.T, g *coordinator.Group) *lease.Client {
+	return clientFor(t, g, 20*time.Second)
+}
 
-func clientFor(t *testing.T, g *group, ttl time.Duration) *lease.Client {
+func clientFor(t *testing.T, g *coordinator.Group, ttl time.Duration) *lease.Client {
 	t.Helper()
-	c, err := lease.New(lease.Options{Addrs: g.addrs(), Owner: "same", TTL: ttl})
+	c, err := lease.New(lease.Options{Addrs: g.Addrs(), Owner: "same", TTL: ttl})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,26 +49,19 @@
 	return h
 }
 
-// ask asks whoever leads as an operator.
-func (g *group) ask(in fleet.Ask) (*fleet.Told, error) {
-	ctx, cancel := context.WithTimeout(g.t.Context(), peertest.Patience)
-	defer cancel()
-	return (&fleet.Operator{Addrs: g.addrs()}).Ask(ctx, in)
-}
-
 // A holder is stopped between its look and its act, for longer than its lease, and goes on when another has acted: the guard
 // refuses it.
 func TestStoppedBetweenLookAndAct(t *testing.T) {
 	g, r := newGroup(t, 1), &resource{}
 	guarded := peertest.NewRaw(t, r.serve)
-	out := &buffer{}
-	first := start(t, "stops", out, guarded, strings.Join(g.addrs(), ","))
-	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && first.state() == "T" })
+	out := &process.Log{}
+	first := start(t, "stops", out, guarded, strings.Join(g.Addrs(), ","))
+	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && first.State() == "T" })
 	other := must(t, client(t, g), "task") // its time is up
 	if err := r.guard.Admit(other.Token, func() error { return nil }); err != nil {
 		t.Error(err)
 	}
-	first.cmd.Process.Signal(syscall.SIGCONT)
+	first.Continue()
 	peertest.Eventually(t, "it acts", func() bool { return strings.Count(out.String(), "\n") == 2 })
 	if !strings.Contains(out.String(), "old") {
 		t.Error("its act was admitted")
@@ -79,7 +74,7 @@
 	g := newGroup(t, 3)
 	held := must(t, patient(t, g), "x")
 	peertest.Eventually(t, "all disks are known", func() bool {
-		told, err := g.ask(fleet.Ask{Backup: true})
+		told, err := g.Ask(fleet.Ask{Backup: true})
 		known := 0
 		if err == nil {
 			for _, m := range told.Members {
@@ -90,71 +85,58 @@
 		}
 		return known == 3
 	})
-	c := g.all[(g.leader()+1)%3]
-	c.kill()
-	if err := os.RemoveAll(filepath.Join(g.dir, fmt.Sprintf("data%d", c.i+1))); err != nil {
+	c := g.All[(g.Leader()+1)%3]
+	c.Die()
+	if err := os.RemoveAll(filepath.Join(g.Dir, fmt.Sprintf("data%d", c.I+1))); err != nil {
 		t.Fatal(err)
 	}
-	c.start()
-	if err := peertest.Wait(t, c.ended); err == nil || !strings.Contains(c.log.String(), "has lost its disk") {
-		t.Errorf("%v: %s", err, c.log)
+	c.Start()
+	if err := c.Wait(); err == nil || !strings.Contains(c.Log.String(), "has lost its disk") {
+		t.Errorf("%v: %s", err, c.Log)
 	}
-	if _, err := g.ask(fleet.Ask{Remove: uint64(c.i + 1)}); err != nil {
+	if _, err := g.Ask(fleet.Ask{Remove: uint64(c.I + 1)}); err != nil {
 		t.Fatal(err)
 	}
-	way, err := link.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(way.Close)
-	text, _ := os.ReadFile(g.file(c.i))
-	joins := strings.Replace(string(text), fmt.Sprintf("id: %d\ndata: data%d", c.i+1, c.i+1), "id: 4\njoin: true\ndata: data4", 1)
+	way := g.Link()
+	text, _ := os.ReadFile(g.File(c.I))
+	joins := strings.Replace(string(text), fmt.Sprintf("id: %d\ndata: data%d", c.I+1, c.I+1), "id: 4\njoin: true\ndata: data4", 1)
 	joins += fmt.Sprintf("  - {id: 4, address: %q}\n", way.Addr)
-	path := filepath.Join(g.dir, "c4.yaml")
+	path := filepath.Join(g.Dir, "c4.yaml")
 	os.WriteFile(path, []byte(joins), 0o600)
 	fourth := start(t, "coordinator", nil, "--config", path)
-	var found []string
-	peertest.Eventually(t, "it serves", func() bool { found = serving.FindStringSubmatch(fourth.log.String()); return found != nil })
-	way.To(found[1])
-	if _, err := g.ask(fleet.Ask{Add: &replica.Member{ID: 4, Addr: way.Addr}}); err != nil {
+	fourthAddr := g.Serves(fourth)
+	way.To(fourthAddr)
+	if _, err := g.Ask(fleet.Ask{Add: &replica.Member{ID: 4, Addr: way.Addr}}); err != nil {
 		t.Fatal(err)
 	}
 	peertest.Eventually(t, "it votes", func() bool {
-		told, err := g.ask(fleet.Ask{Backup: true})
+		told, err := g.Ask(fleet.Ask{Backup: true})
 		return err == nil && len(told.Members) == 3 && !told.Members[2].Learner && told.Members[2].ID == 4
 	})
 	// with it there is a majority without the leader
-	leader := g.leader()
-	g.all[leader].kill()
-	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader || fourthLeads(found[1]) })
+	leader := g.Leader()
+	g.All[leader].Die()
+	peertest.Eventually(t, "another leads", func() bool { l := g.Leader(); return l >= 0 && l != leader || coordinator.Leads(fourthAddr) })
 	if !held.Valid() {
 		t.Error("a lease that could be renewed was lost")
 	}
 }
 
-func fourthLeads(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	s, err := (&fleet.Operator{}).Status(ctx, addr)
-	return err == nil && s.Leads
-}
-
 // The leader is removed: it ends, another leads, and it cannot come back. Leases live on.
 func TestRemovedLeader(t *testing.T) {
 	g := newGroup(t, 3)
 	held := must(t, patient(t, g), "x")
-	var leader int
-	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
-	if _, err := g.ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
+	leader := g.NewLeader(-1)
+	if _, err := g.Ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
 		t.Fatal(err)
 	}
-	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
+	g.NewLeader(leader)
 	was := must(t, client(t, g), "y").Token
-	if peertest.Wait(t, g.all[leader].ended); !strings.Contains(g.all[leader].log.String(), "none of this group") {
-		t.Errorf("%s", g.all[leader].log)
+	if g.All[leader].Wait(); !strings.Contains(g.All[leader].Log.String(), "none of this group") {
+		t.Errorf("%s", g.All[leader].Log)
 	}
-	g.all[leader].start()
-	peertest.Wait(t, g.all[leader].ended)
+	g.All[leader].Start()
+	g.All[leader].Wait()
 	if now := must(t, client(t, g), "z").Token; now != was+1 || !held.Valid() {
 		t.Errorf("token %d after %d", now, was)
 	}
@@ -163,21 +145,20 @@
 // A disk that takes no more ends the process, which says so; the others go on, and with room it comes back.
 func TestDiskFull(t *testing.T) {
 	g := newGroup(t, 3)
-	var leader int
-	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
-	c := g.all[leader]
-	if err := unix.Prlimit(c.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: unix.RLIM_INFINITY}, nil); err != nil {
+	leader := g.NewLeader(-1)
+	c := g.All[leader]
+	if err := unix.Prlimit(c.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: unix.RLIM_INFINITY}, nil); err != nil {
 		t.Fatal(err)
 	}
 	must(t, client(t, g), "x")
-	if err := peertest.Wait(t, c.ended); err == nil {
+	if err := c.Wait(); err == nil {
 		t.Error("it ended well")
 	}
-	if !strings.Contains(c.log.String(), "the disk") {
-		t.Errorf("%s", c.log)
+	if !strings.Contains(c.Log.String(), "the disk") {
+		t.Errorf("%s", c.Log)
 	}
-	c.start()
-	g.all[(leader+1)%3].kill() // a majority needs it
+	c.Start()
+	g.All[(leader+1)%3].Die() // a majority needs it
 	must(t, client(t, g), "y")
 }
 
@@ -185,32 +166,32 @@
 // tokens go on beyond.
 func TestRestoredWhileAHolderLives(t *testing.T) {
 	g := newGroup(t, 1)
-	backup, err := g.ask(fleet.Ask{Backup: true})
+	backup, err := g.Ask(fleet.Ask{Backup: true})
 	if err != nil {
 		t.Fatal(err)
 	}
 	old := must(t, client(t, g), "x") // after the back-up
-	c := g.all[0]
-	c.kill()
-	path := filepath.Join(g.dir, "backup")
+	c := g.All[0]
+	c.Die()
+	path := filepath.Join(g.Dir, "backup")
 	os.WriteFile(path, backup.Backup, 0o600)
-	os.RemoveAll(filepath.Join(g.dir, "data1"))
-	text, _ := os.ReadFile(g.file(0))
-	os.WriteFile(g.file(0), append(text, "longest_ttl: 2s\n"...), 0o600)
-	cfg, err := fleet.Read(g.file(0))
+	os.RemoveAll(filepath.Join(g.Dir, "data1"))
+	text, _ := os.ReadFile(g.File(0))
+	os.WriteFile(g.File(0), append(text, "longest_ttl: 2s\n"...), 0o600)
+	cfg, err := fleet.Read(g.File(0))
 	if err == nil {
 		err = fleet.RestoreTo(cfg, path, 0)
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.start()
-	peertest.Eventually(t, "it leads", func() bool { return g.leader() == 0 })
-	a, err := g.ask(fleet.Ask{Command: &core.Command{Kind: core.Open, Nonce: "another client", Owner: "o", TTL: ttl}})
+	c.Start()
+	peertest.Eventually(t, "it leads", func() bool { return g.Leader() == 0 })
+	a, err := g.Ask(fleet.Ask{Command: &core.Command{Kind: core.Open, Nonce: "another client", Owner: "o", TTL: ttl}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err = g.ask(fleet.Ask{Command: &core.Command{Kind: core.Acquire, Session: a.Answer.Session, Seq: 1, Name: "x"}})
+	a, err = g.Ask(fleet.Ask{Command: &core.Command{Kind: core.Acquire, Session: a.Answer.Session, Seq: 1, Name: "x"}})
 	if err != nil || a.Answer.Status != core.Embargoed {
 		t.Errorf("%v, %+v", err, a)
 	}
@@ -224,11 +205,11 @@
 func TestWaiterDies(t *testing.T) {
 	g, r := newGroup(t, 1), &resource{}
 	first := must(t, client(t, g), "task")
-	out := &buffer{}
-	waiter := start(t, "holder", out, "w", peertest.NewRaw(t, r.serve), strings.Join(g.addrs(), ","))
+	out := &process.Log{}
+	waiter := start(t, "holder", out, "w", peertest.NewRaw(t, r.serve), strings.Join(g.Addrs(), ","))
 	name := "task"
 	queue := func() int {
-		told, err := g.ask(fleet.Ask{List: &name})
+		told, err := g.Ask(fleet.Ask{List: &name})
 		if err != nil || len(told.Holdings) == 0 {
 			return -1
 		}
@@ -239,12 +220,12 @@
 	second := client(t, g)
 	go func() { h, _ := second.Hold(t.Context(), "task"); got <- h }()
 	peertest.Eventually(t, "both wait", func() bool { return queue() == 2 })
-	waiter.cmd.Process.Signal(syscall.SIGSTOP)
+	waiter.Stop()
 	if err := first.Release(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	began := time.Now()
-	waiter.cmd.Process.Kill()
+	waiter.Kill()
 	if h := peertest.Wait(t, got); h == nil || time.Since(began) > 3*ttl {
 		t.Errorf("%v after %v", h, time.Since(began))
 	}
@@ -254,23 +235,23 @@
 func TestNoMajority(t *testing.T) {
 	g := newGroup(t, 3)
 	held := must(t, client(t, g), "x")
-	for _, c := range g.all[:2] {
-		c.kill()
+	for _, c := range g.All[:2] {
+		c.Die()
 	}
 	o := fleet.Operator{}
 	peertest.Eventually(t, "the last one knows", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		res, err := call(ctx, g.clients[2].Addr, fleet.Ask{Version: fleet.Version, Command: &core.Command{Kind: core.Open, Nonce: "12345678", Owner: "o", TTL: ttl}})
+		res, err := call(ctx, g.Clients[2].Addr, fleet.Ask{Version: fleet.Version, Command: &core.Command{Kind: core.Open, Nonce: "12345678", Owner: "o", TTL: ttl}})
 		return err == nil && strings.Contains(res.Err, "majority is out of reach") && res.Again > 0
 	})
 	peertest.Wait(t, held.Context().Done())
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	if _, err := call(ctx, g.clients[2].Addr, fleet.Ask{Version: 99}); err == nil || !strings.Contains(err.Error(), "version 99") {
+	if _, err := call(ctx, g.Clients[2].Addr, fleet.Ask{Version: 99}); err == nil || !strings.Contains(err.Error(), "version 99") {
 		t.Errorf("%v", err)
 	}
-	if _, err := o.Status(ctx, g.clients[2].Addr); err != nil {
+	if _, err := o.Status(ctx, g.Clients[2].Addr); err != nil {
 		t.Error(err)
 	}
 }
@@ -327,15 +308,7 @@
 	var last lease.Token
 	for round := range 3 {
 		h := must(t, c, fmt.Sprint("x", round))
-		for _, c := range g.all {
-			c.cmd.Process.Kill()
-		}
-		for _, c := range g.all {
-			peertest.Wait(t, c.ended)
-		}
-		for _, c := range g.all {
-			c.start()
-		}
+		g.KillAll()
 		next := must(t, client(t, g), fmt.Sprint("y", round))
 		if h.Token <= last || next.Token <= h.Token {
 			t.Errorf("tokens %d, %d, %d", last, h.Token, next.Token)
@@ -349,34 +322,23 @@
 func TestChangesWhileTheLeaderIsCutOff(t *testing.T) {
 	g := newGroup(t, 3)
 	held := must(t, patient(t, g), "x")
-	var leader int
-	peertest.Eventually(t, "somebody leads", func() bool { leader = g.leader(); return leader >= 0 })
-	c := g.all[leader]
-	hold := func(held bool) {
-		for j, other := range g.all {
-			if j != leader {
-				for _, l := range []*link.Link{c.links[j], other.links[leader]} {
-					l.Hold(link.Forth, held)
-					l.Hold(link.Back, held)
-				}
-			}
-		}
-	}
-	hold(true)
+	leader := g.NewLeader(-1)
+	c := g.All[leader]
+	c.Cut(true, true, true)
 	other := (leader + 1) % 3
 	ctx, cancel := context.WithTimeout(t.Context(), peertest.Patience)
 	defer cancel()
-	told, err := call(ctx, g.clients[leader].Addr, fleet.Ask{Version: fleet.Version, Remove: uint64(other + 1)})
+	told, err := call(ctx, g.Clients[leader].Addr, fleet.Ask{Version: fleet.Version, Remove: uint64(other + 1)})
 	if err != nil || !told.Moved {
 		t.Errorf("%v, %+v", err, told)
 	}
-	peertest.Eventually(t, "another leads", func() bool { l := g.leader(); return l >= 0 && l != leader })
-	if _, err := g.ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
+	g.NewLeader(leader)
+	if _, err := g.Ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
 		t.Fatal(err)
 	}
-	hold(false)
-	peertest.Wait(t, c.ended)
-	told, err = g.ask(fleet.Ask{Backup: true})
+	c.Cut(false, true, true)
+	c.Wait()
+	told, err = g.Ask(fleet.Ask{Backup: true})
 	if err != nil || len(told.Members) != 2 || !held.Valid() {
 		t.Errorf("%v, %+v, valid %v", err, told, held.Valid())
 	}
--- a/cmd/petrelfleet/process_test.go
+++ b/cmd/petrelfleet/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,12 +11,9 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"regexp"
 	"runtime"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,14 +23,18 @@
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/belief"
+	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/link"
+	"petrelhook/internal/rig/process"
 	"petrelhook/internal/steady"
 	"petrelhook/lease"
 )
 
+const roleVariable = "PETRELFLEET_TEST"
+
 // The test's program is a coordinator's and a holder's as well.
 func TestMain(m *testing.M) {
-	switch os.Getenv("PETRELFLEET_TEST") {
+	switch os.Getenv(roleVariable) {
 	case "coordinator":
 		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 	case "keeps":
@@ -132,159 +132,17 @@
 	return res.Msg, nil
 }
 
-// process is one that is started, stopped and killed.
-type process struct {
-	cmd   *exec.Cmd
-	log   *buffer
-	ended chan error
-	input io.Closer
-}
-
-// buffer is not embedded: its ReadFrom would go round the lock.
-type buffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
-func start(t *testing.T, role string, out io.Writer, args ...string) *process {
+// start starts this program in a role.
+func start(t *testing.T, role string, out io.Writer, args ...string) *process.Process {
 	t.Helper()
-	p := &process{cmd: exec.Command(os.Args[0], args...), log: &buffer{}, ended: make(chan error, 1)}
-	p.cmd.Env = append(os.Environ(), "PETRELFLEET_TEST="+role)
-	p.cmd.Stdout, p.cmd.Stderr = out, p.log
-	input, err := p.cmd.StdinPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.input = input
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() { p.ended <- p.cmd.Wait() }()
-	t.Cleanup(func() {
-		p.cmd.Process.Kill()
-		if t.Failed() && role != "coordinator" {
-			t.Logf("%s, state %s:\n%s", role, p.state(), p.log)
-		}
-	})
-	return p
-}
-
-// state is the system's word for what the process does: T, it is stopped.
-func (p *process) state() string {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	_, rest, _ := strings.Cut(string(text), ") ")
-	return rest[:min(1, len(rest))]
-}
-
-// group is coordinators, each reached by links only: of each other one, and of clients.
-type group struct {
-	t       *testing.T
-	dir     string
-	all     []*coordinator
-	clients []*link.Link // to each
-}
-
-type coordinator struct {
-	g     *group
-	i     int
-	links []*link.Link // from it to each other
-	*process
-}
-
-func newGroup(t *testing.T, n int) *group {
-	g := &group{t: t, dir: t.TempDir()}
-	newLink := func() *link.Link {
-		l, err := link.New()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(l.Close)
-		return l
-	}
-	for i := range n {
-		g.clients = append(g.clients, newLink())
-		c := &coordinator{g: g, i: i}
-		for range n {
-			c.links = append(c.links, newLink())
-		}
-		g.all = append(g.all, c)
-	}
-	for _, c := range g.all {
-		text := fmt.Sprintf("id: %d\ndata: data%d\nlisten: 127.0.0.1:0\ntick: 20ms\nreplicas:\n", c.i+1, c.i+1)
-		for j := range n {
-			addr := c.links[j].Addr
-			if j == c.i {
-				addr = g.clients[j].Addr
-			}
-			text += fmt.Sprintf("  - {id: %d, address: %q}\n", j+1, addr)
-		}
-		if err := os.WriteFile(g.file(c.i), []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		c.start()
-	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, c := range g.all {
-				t.Logf("coordinator %d:\n%s", c.i+1, c.log)
-			}
-		}
-	})
-	return g
-}
-
-func (g *group) file(i int) string { return filepath.Join(g.dir, fmt.Sprintf("c%d.yaml", i+1)) }
-
-var serving = regexp.MustCompile(`msg=serving id=\d+ listen=(\S+)`)
-
-// start starts the process, on its disk as it is, and leads the links to it.
-func (c *coordinator) start() {
-	c.g.t.Helper()
-	c.process = start(c.g.t, "coordinator", nil, "--config", c.g.file(c.i))
-	var found []string
-	peertest.Eventually(c.g.t, "it serves", func() bool { found = serving.FindStringSubmatch(c.log.String()); return found != nil })
-	c.g.clients[c.i].To(found[1])
-	for _, other := range c.g.all {
-		other.links[c.i].To(found[1])
-	}
+	cmd := process.Again(roleVariable, role, args...)
+	cmd.Stdout = out
+	return process.Start(t, cmd)
 }
 
-func (c *coordinator) kill() {
-	c.cmd.Process.Kill()
-	peertest.Wait(c.g.t, c.ended)
-}
-
-func (g *group) addrs() (all []string) {
-	for _, l := range g.clients {
-		all = append(all, l.Addr)
-	}
-	return all
-}
-
-// leader is who leads, as it says itself; -1: nobody.
-func (g *group) leader() int {
-	o := &fleet.Operator{Addrs: g.addrs()}
-	for i, addr := range o.Addrs {
-		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-		s, err := o.Status(ctx, addr)
-		cancel()
-		if err == nil && s.Leads {
-			return i
-		}
-	}
-	return -1
+func newGroup(t *testing.T, n int) *coordinator.Group {
+	t.Helper()
+	return coordinator.NewGroup(t, n, func(args ...string) *exec.Cmd { return process.Again(roleVariable, "coordinator", args...) })
 }
 
 // resource is guarded by the lease, and logs each act.
@@ -335,12 +193,12 @@
 func underFaults(t *testing.T, n, rounds int, random *rand.Rand) {
 	g, r := newGroup(t, n), &resource{}
 	guarded := peertest.NewRaw(t, r.serve)
-	var holders []*process
-	var outs []*buffer
+	var holders []*process.Process
+	var outs []*process.Log
 	for i := range 8 {
-		out := &buffer{}
+		out := &process.Log{}
 		outs = append(outs, out)
-		holders = append(holders, start(t, "holder", out, fmt.Sprint("h", i), guarded, strings.Join(g.addrs(), ",")))
+		holders = append(holders, start(t, "holder", out, fmt.Sprint("h", i), guarded, strings.Join(g.Addrs(), ",")))
 	}
 	progress := func() {
 		t.Helper()
@@ -355,8 +213,8 @@
 		progress() // the fault is over, and the fleet goes on
 	}
 	for _, h := range holders {
-		h.input.Close()
-		peertest.Wait(t, h.ended)
+		h.Input.Close()
+		h.Wait()
 	}
 	var looks []belief.Look
 	for i, out := range outs {
@@ -378,76 +236,53 @@
 }
 
 // faultOnce does one thing, waits, and undoes it.
-func faultOnce(g *group, holders []*process, random *rand.Rand) (what string) {
-	c := g.all[random.IntN(len(g.all))]
-	if i := g.leader(); i >= 0 && random.IntN(3) > 0 {
-		c = g.all[i]
+func faultOnce(g *coordinator.Group, holders []*process.Process, random *rand.Rand) (what string) {
+	c := g.All[random.IntN(len(g.All))]
+	if i := g.Leader(); i >= 0 && random.IntN(3) > 0 {
+		c = g.All[i]
 	}
 	long := time.Duration(random.IntN(int(2 * ttl)))
 	wait := func() { <-time.After(long) } // how long a fault lasts is part of it
 	both := func(l *link.Link, held bool) { l.Hold(link.Forth, held); l.Hold(link.Back, held) }
-	peers := func(held, in, out bool) {
-		for j, other := range g.all {
-			if j == c.i {
-				continue
-			}
-			if out { // what it sends
-				c.links[j].Hold(link.Forth, held)
-				other.links[c.i].Hold(link.Back, held)
-			}
-			if in {
-				c.links[j].Hold(link.Back, held)
-				other.links[c.i].Hold(link.Forth, held)
-			}
-		}
-	}
 	switch what = []string{"kill", "kill all", "stop", "cut", "cut in", "cut out", "clients cut", "slow", "reset", "holders stopped"}[random.IntN(10)]; what {
 	case "kill":
-		c.kill()
+		c.Die()
 		wait()
-		c.start()
+		c.Start()
 	case "kill all":
-		for _, c := range g.all {
-			c.cmd.Process.Kill()
-		}
-		for _, c := range g.all {
-			peertest.Wait(g.t, c.ended)
-		}
-		for _, c := range g.all {
-			c.start()
-		}
+		g.KillAll()
 	case "stop":
-		c.cmd.Process.Signal(syscall.SIGSTOP)
+		c.Stop()
 		wait()
-		c.cmd.Process.Signal(syscall.SIGCONT)
+		c.Continue()
 	case "cut", "cut in", "cut out": // from the others, not from clients; what is held back comes late
-		peers(true, what != "cut out", what != "cut in")
+		c.Cut(true, what != "cut out", what != "cut in")
 		wait()
-		peers(false, true, true)
+		c.Cut(false, true, true)
 	case "clients cut":
-		both(g.clients[c.i], true)
+		both(g.Clients[c.I], true)
 		wait()
-		both(g.clients[c.i], false)
+		both(g.Clients[c.I], false)
 	case "slow":
-		for _, l := range c.links {
+		for _, l := range c.Links {
 			l.Slow(30 * time.Millisecond)
 		}
 		wait()
-		for _, l := range c.links {
+		for _, l := range c.Links {
 			l.Slow(0)
 		}
 	case "reset":
-		for _, l := range append(c.links, g.clients...) {
+		for _, l := range append(c.Links, g.Clients...) {
 			l.Reset()
 		}
 	case "holders stopped": // for longer than the lease, in the middle of whatever it does
 		for _, h := range holders[:len(holders)/2] {
-			h.cmd.Process.Signal(syscall.SIGSTOP)
+			h.Stop()
 		}
 		long += ttl
 		wait()
 		for _, h := range holders[:len(holders)/2] {
-			h.cmd.Process.Signal(syscall.SIGCONT)
+			h.Continue()
 		}
 	}
 	return what
--- /dev/null
+++ b/internal/rig/process/process.go
@@ -0,0 +1,119 @@
+// Package process is a process that a test starts, stops, kills and reads the log of. Each test program that plays several roles
+// starts itself again, with its role in a variable of its environment.
+package process
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Process is one that runs, until the test ends at the latest.
+type Process struct {
+	*os.Process
+	Log   *Log       // what it wrote to standard error
+	Ended chan error // takes what it ended with
+	Input io.Closer  // its standard input
+	t     testing.TB
+}
+
+// Again is this test's program, with a role.
+func Again(variable, role string, args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), variable+"="+role)
+	return cmd
+}
+
+// Start starts a process. Where the test fails its log is shown.
+func Start(t testing.TB, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p := &Process{Log: &Log{}, Ended: make(chan error, 1), t: t}
+	cmd.Stderr = p.Log
+	input, err := cmd.StdinPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Process, p.Input = cmd.Process, input
+	go func() { p.Ended <- cmd.Wait() }()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("process %d, state %q:\n%s", p.Pid, p.State(), p.Log)
+		}
+		cmd.Process.Kill()
+	})
+	return p
+}
+
+// Die kills the process and waits until it is gone.
+func (p *Process) Die() {
+	p.t.Helper()
+	p.Kill()
+	p.Wait()
+}
+
+// patience bounds a wait for what must come.
+const patience = 20 * time.Second
+
+// Wait is what the process ends with.
+func (p *Process) Wait() error {
+	p.t.Helper()
+	select {
+	case err := <-p.Ended:
+		return err
+	case <-time.After(patience):
+		p.t.Fatalf("process %d does not end", p.Pid)
+		return nil
+	}
+}
+
+// Stop and Continue stop the process and have it go on.
+func (p *Process) Stop()     { p.Signal(syscall.SIGSTOP) }
+func (p *Process) Continue() { p.Signal(syscall.SIGCONT) }
+
+// State is the system's word for what the process does: T, it is stopped.
+func (p *Process) State() string {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return rest[:min(1, len(rest))]
+}
+
+// Log is what a process writes. Its buffer is not embedded: ReadFrom would go round the lock.
+type Log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// Has reports whether the log holds a text by now.
+func (l *Log) Has(text string) bool { return strings.Contains(l.String(), text) }
+
+// Until waits for a state that nothing announces.
+func Until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
