--- a/cmd/petrelhook/limits_test.go
+++ b/cmd/petrelhook/limits_test.go
@@ -14,7 +14,7 @@
 
 // descriptors is how many a process holds.
 func (s *sidecar) descriptors() int {
-	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.cmd.Process.Pid))
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.Pid))
 	if err != nil {
 		s.f.t.Fatal(err)
 	}
--- a/cmd/petrelhook/streams_test.go
+++ b/cmd/petrelhook/streams_test.go
@@ -28,7 +28,7 @@
 
 // peak is the most memory that a process ever had, in bytes.
 func (s *sidecar) peak() (bytes int64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.Pid))
 	if err != nil {
 		s.f.t.Fatal(err)
 	}
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"time"
 
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/process"
 )
 
 // The test's program is the sidecar's as well.
@@ -76,11 +76,9 @@
 
 // sidecar is a process of the sidecar.
 type sidecar struct {
+	*process.Process
 	f     *fleet
-	cmd   *exec.Cmd
 	admin string
-	log   *syncBuffer
-	ended chan error
 }
 
 // start starts a process beside those that run, with an address of its own for operators.
@@ -92,19 +90,9 @@
 	if err := os.WriteFile(path, []byte(f.config), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	s := &sidecar{f: f, cmd: exec.Command(os.Args[0]), admin: admin, log: &syncBuffer{}, ended: make(chan error, 1)}
-	s.cmd.Env = append(os.Environ(), "PETRELHOOK_TEST_RUN=1", "LB_CONFIG="+path, "LB_ADMIN_ADDR="+s.admin, "TMPDIR="+f.dir)
-	s.cmd.Stderr = s.log
-	if err := s.cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	go func() { s.ended <- s.cmd.Wait() }()
-	f.t.Cleanup(func() {
-		s.cmd.Process.Kill()
-		if f.t.Failed() {
-			f.t.Logf("log of process %d:\n%s", s.cmd.Process.Pid, s.log)
-		}
-	})
+	cmd := process.Again("PETRELHOOK_TEST_RUN", "1")
+	cmd.Env = append(cmd.Env, "LB_CONFIG="+path, "LB_ADMIN_ADDR="+admin, "TMPDIR="+f.dir)
+	s := &sidecar{process.Start(f.t, cmd), f, admin}
 	peertest.Eventually(f.t, "ready", func() bool { return s.call("GET /api/ready") == 200 })
 	return s
 }
@@ -128,29 +116,12 @@
 // end tells a process to end and waits until it has.
 func (s *sidecar) end() {
 	s.f.t.Helper()
-	s.cmd.Process.Signal(syscall.SIGTERM)
-	if err := peertest.Wait(s.f.t, s.ended); err != nil {
+	s.Signal(syscall.SIGTERM)
+	if err := s.Wait(); err != nil {
 		s.f.t.Errorf("a process ended with %v", err)
 	}
 }
 
-type syncBuffer struct {
-	mu sync.Mutex
-	strings.Builder
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Builder.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Builder.String()
-}
-
 // kinds are the requests: one of each class, and one that is long both ways.
 var kinds = []func(id string) string{
 	func(id string) string { return request("GET", "look", id, "", 0) },
@@ -275,7 +246,7 @@
 		}
 		f.more(100)
 	})
-	if strings.Contains(now.log.String(), "nothing is taken over") {
+	if now.Log.Has("nothing is taken over") {
 		t.Error("the last process started from nothing")
 	}
 	now.end()
@@ -322,7 +293,7 @@
 		t.Error("no")
 	}
 	peertest.Eventually(t, "the second heard of it", func() bool {
-		log := second.log.String()
+		log := second.Log.String()
 		return strings.LastIndex(log, "now=ready") < max(strings.LastIndex(log, "now=evacuating"), strings.LastIndex(log, "now=away"))
 	})
 	first.end()
@@ -341,11 +312,11 @@
 	f.under(func() {
 		for range 2 {
 			next := f.start()
-			next.cmd.Process.Signal(syscall.SIGSTOP) // it takes no connection that it would lose
+			next.Stop() // it takes no connection that it would lose
 			f.more(20)
-			next.cmd.Process.Kill()
-			peertest.Wait(t, next.ended)
-			peertest.Eventually(t, "alone again", func() bool { return strings.Count(now.log.String(), "now=ready") > 0 })
+			next.Kill()
+			next.Wait()
+			peertest.Eventually(t, "alone again", func() bool { return strings.Count(now.Log.String(), "now=ready") > 0 })
 			f.more(50)
 		}
 		next := f.start()
@@ -353,7 +324,7 @@
 		now = next
 		f.more(50)
 	})
-	if log := now.log.String(); !strings.Contains(log, "now=ready") || strings.Contains(log, "nothing is taken over") {
+	if log := now.Log.String(); !strings.Contains(log, "now=ready") || strings.Contains(log, "nothing is taken over") {
 		t.Error("the last process did not take over")
 	}
 	now.end()
@@ -364,22 +335,22 @@
 func TestTheOneInServiceHangs(t *testing.T) {
 	f := newFleet(t, peertest.Settings)
 	first := f.start()
-	first.cmd.Process.Signal(syscall.SIGSTOP)
+	first.Stop()
 	began := time.Now()
 	second := f.start()
 	if took := time.Since(began); took > 5*time.Second {
 		t.Errorf("ready after %v", took)
 	}
-	if !strings.Contains(second.log.String(), "nothing is taken over") {
+	if !second.Log.Has("nothing is taken over") {
 		t.Error("no word of it in the log")
 	}
-	first.cmd.Process.Kill()
-	peertest.Wait(t, first.ended)
+	first.Kill()
+	first.Wait()
 	f.under(func() {
 		f.more(50)
 		third := f.start()
 		second.end()
-		if strings.Contains(third.log.String(), "nothing is taken over") {
+		if third.Log.Has("nothing is taken over") {
 			t.Error("the third started from nothing")
 		}
 		second = third
@@ -413,13 +384,13 @@
 		halves = append(halves, c)
 	}
 	second := f.start()
-	first.cmd.Process.Signal(syscall.SIGTERM)
-	peertest.Eventually(t, "it stops", func() bool { return strings.Contains(first.log.String(), "now=stopping") })
+	first.Signal(syscall.SIGTERM)
+	peertest.Eventually(t, "it stops", func() bool { return first.Log.Has("now=stopping") })
 	for i, c := range halves {
 		text := kinds[i](fmt.Sprint("half", i))
 		io.WriteString(c, text[len(text)/2:])
 	}
-	if err := peertest.Wait(t, first.ended); err != nil {
+	if err := first.Wait(); err != nil {
 		t.Error(err)
 	}
 	second.end()
@@ -430,7 +401,7 @@
 	f := newFleet(t, peertest.Settings)
 	first := f.start()
 	second := f.startAt(first.admin)
-	peertest.Eventually(t, "the second has taken over", func() bool { return strings.Contains(first.log.String(), "handing over") })
+	peertest.Eventually(t, "the second has taken over", func() bool { return first.Log.Has("handing over") })
 	first.end()
 	peertest.Eventually(t, "the second hears operators", func() bool { return second.call("GET /api/ready") == 200 })
 	second.end()
@@ -443,23 +414,23 @@
 	f.under(func() {
 		for round := range rounds() {
 			f.more(50)
-			now.cmd.Process.Signal(syscall.SIGSTOP) // it does not hand over in time
+			now.Stop() // it does not hand over in time
 			next := f.start()
-			now.cmd.Process.Signal(syscall.SIGCONT)
-			if !strings.Contains(next.log.String(), "nothing is taken over") {
+			now.Continue()
+			if !next.Log.Has("nothing is taken over") {
 				t.Error("there was a hand-over")
 			}
 			f.more(100)
-			now.cmd.Process.Signal(syscall.SIGTERM)
-			peertest.Eventually(t, "it stops", func() bool { return strings.Contains(now.log.String(), "now=stopping") })
-			now.cmd.Process.Signal(syscall.SIGSTOP) // what comes to its queue now stays there
+			now.Signal(syscall.SIGTERM)
+			peertest.Eventually(t, "it stops", func() bool { return now.Log.Has("now=stopping") })
+			now.Stop() // what comes to its queue now stays there
 			for i := range 40 {
 				id := fmt.Sprint("beside-", round, "-", i)
 				if resp, _ := peertest.Ask(t, f.listen, kinds[0](id)); resp.StatusCode != 200 {
 					t.Errorf("%s: %d", id, resp.StatusCode)
 				}
 			}
-			now.cmd.Process.Signal(syscall.SIGCONT)
+			now.Continue()
 			now.end()
 			now = next
 		}
@@ -559,18 +530,18 @@
 	old := conn{c, in}
 	serves(old, "s1")
 	second := f.start()
-	peertest.Eventually(t, "one watch", func() bool { return l.watches() == 1 && strings.Contains(first.log.String(), "handing over") })
+	peertest.Eventually(t, "one watch", func() bool { return l.watches() == 1 && first.Log.Has("handing over") })
 	was := l.calls
 	serves(old, tell(1)) // by way of the second
 	if l.watches() != 1 || l.calls != was {
 		t.Errorf("%d watches, %d calls", l.watches(), l.calls-was)
 	}
-	second.cmd.Process.Signal(syscall.SIGSTOP)
+	second.Stop()
 	serves(old, tell(2))
-	second.cmd.Process.Signal(syscall.SIGCONT)
+	second.Continue()
 	serves(old, tell(3))
-	second.cmd.Process.Kill()
-	peertest.Wait(t, second.ended)
+	second.Kill()
+	second.Wait()
 	peertest.Eventually(t, "its own watch", func() bool { return l.watches() == 1 })
 	serves(old, tell(1))
 	third := f.start()
@@ -618,15 +589,15 @@
 	io.WriteString(c, book("one"))
 	peertest.Wait(t, got)
 	second := f.start()
-	first.cmd.Process.Signal(syscall.SIGTERM)
-	peertest.Eventually(t, "it stops", func() bool { return strings.Contains(first.log.String(), "now=stopping") })
+	first.Signal(syscall.SIGTERM)
+	peertest.Eventually(t, "it stops", func() bool { return first.Log.Has("now=stopping") })
 	c.Close() // the client gives up
 	resp, _ := peertest.Ask(t, f.listen, book("two"))
 	if resp.StatusCode != 200 {
 		t.Errorf("come again: %d", resp.StatusCode)
 	}
 	close(release)
-	if err := peertest.Wait(t, first.ended); err != nil {
+	if err := first.Wait(); err != nil {
 		t.Error(err)
 	}
 	mu.Lock()
