The simulated group of replicas is a package of the rig, with its model tested by itself

Need: tests of what the coordinators' log will keep next play whole groups too. Checked: all tests of internal/replica, with its ten mutations.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -390,6 +390,9 @@
 	return own, compact, err
 }
 
+// Leads reports whether the log has this replica for its leader; it may not have applied all that was before.
+func (c *Core) Leads() bool { return c.leads }
+
 // Status is what a replica knows of itself, without asking others.
 type Status struct {
 	ID, Leader, Term, Applied, Log uint64
--- a/internal/replica/mutation_test.go
+++ b/internal/replica/mutation_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package replica
+package replica_test
 
 import (
 	"encoding/json"
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -51,6 +51,7 @@
 	{"internal/rig/loopback", "internal/sock"},
 	{"internal/rig/link", "internal/sock"},
 	{"internal/rig/belief", ""},
+	{"internal/rig/group", "internal/lease internal/replica"},
 	{"internal/rig/statement", ""},
 	{"internal/rig/*", "balance internal/*"},
 	{"internal/peertest", ""},
