--- a/internal/rig/group/group.go
+++ b/internal/rig/group/group.go
@@ -6,7 +6,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
