--- a/cmd/petrelctl/lease_test.go
+++ b/cmd/petrelctl/lease_test.go
@@ -14,17 +14,6 @@
 	"petrelhook/internal/rig/coordinator"
 )
 
-// started is a coordinator of this test.
-func started(t *testing.T) (addr string, stop func()) {
-	t.Helper()
-	addr, stop, err := coordinator.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(stop)
-	return addr, stop
-}
-
 // What lease run ends with, and that the command is gone by then: its own code, no lease, lost and told, lost and killed, broken.
 func TestLeaseRun(t *testing.T) {
 	held := func(addr string) bool {
@@ -48,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			addr, stop := started(t)
+			addr, stop := coordinator.For(t)
 			pid := filepath.Join(t.TempDir(), "pid")
 			type result struct {
 				code int
@@ -85,7 +74,7 @@
 
 // What operators ask, and what they are told where it is wrong.
 func TestLeaseAndFleet(t *testing.T) {
-	addr, _ := started(t)
+	addr, _ := coordinator.For(t)
 	backup := filepath.Join(t.TempDir(), "backup")
 	for _, c := range []struct {
 		args, want string
--- a/internal/rig/coordinator/coordinator.go
+++ b/internal/rig/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"testing"
 
 	"petrelhook/internal/fleet"
 )
@@ -35,3 +36,14 @@
 		os.RemoveAll(dir)
 	}), nil
 }
+
+// For is one for a test; stop may be called before its end.
+func For(t testing.TB) (addr string, stop func()) {
+	t.Helper()
+	addr, stop, err := Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return addr, stop
+}
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -19,11 +19,7 @@
 
 // A machine that sleeps: Go's timers stand still, the clock does not. The first look after it says no, and ends the context.
 func TestAsleep(t *testing.T) {
-	addr, stop, err := coordinator.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer stop()
+	addr, stop := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	var slept atomic.Int64
@@ -80,11 +76,7 @@
 
 // Clients that begin within half a second do not renew in step: of their sixth renewals no tenth of a second has a third.
 func TestRenewalsAreNotInStep(t *testing.T) {
-	addr, stop, err := coordinator.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer stop()
+	addr, _ := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
 	const clients, renewals = 200, 6
--- a/lease/held.go
+++ b/lease/held.go
@@ -73,15 +73,22 @@
 	h.timer.Reset(max(0, until.Sub(c.o.clock())))
 }
 
-// Release lets go of the lease. Its context has ended when Release begins to ask.
-func (h *Held) Release(ctx context.Context) error {
+// end stops to believe in the lease, before it is let go of; false: it was lost already.
+func (h *Held) end() bool {
 	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
 	if !h.valid() {
-		h.c.mu.Unlock()
-		return ErrLost
+		return false
 	}
 	h.c.drop(h, ErrReleased)
-	h.c.mu.Unlock()
+	return true
+}
+
+// Release lets go of the lease. Its context has ended when Release begins to ask.
+func (h *Held) Release(ctx context.Context) error {
+	if !h.end() {
+		return ErrLost
+	}
 	a, _, err := h.c.command(ctx, lease.Command{Kind: lease.Release, Name: h.Name, Token: h.Token})
 	if err == nil && a.Status != lease.OK {
 		err = ErrLost
@@ -94,13 +101,9 @@
 
 // Transfer hands the lease to a session that waits for it, before all others. Its context has ended when Transfer begins to ask.
 func (h *Held) Transfer(ctx context.Context, to uint64) error {
-	h.c.mu.Lock()
-	if !h.valid() {
-		h.c.mu.Unlock()
+	if !h.end() {
 		return ErrLost
 	}
-	h.c.drop(h, ErrReleased)
-	h.c.mu.Unlock()
 	a, _, err := h.c.command(ctx, lease.Command{Kind: lease.Transfer, Name: h.Name, Token: h.Token, To: lease.SessionID(to)})
 	if err != nil || a.Status == lease.OK {
 		return err
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,17 +13,6 @@
 	"petrelhook/lease"
 )
 
-// started is a coordinator of this test.
-func started(t *testing.T) (addr string, stop func()) {
-	t.Helper()
-	addr, stop, err := coordinator.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(stop)
-	return addr, stop
-}
-
 func Example() {
 	addr, stop, err := coordinator.Start()
 	if err != nil {
@@ -50,7 +39,7 @@
 
 // Operators break a lease: its holder is told within a renewal, still holds it, and lets go; nobody else has it before.
 func TestBroken(t *testing.T) {
-	addr, _ := started(t)
+	addr, _ := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	a, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "a", TTL: 2 * time.Second})
@@ -82,7 +71,7 @@
 }
 
 func TestOneHolder(t *testing.T) {
-	addr, stop := started(t)
+	addr, stop := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	client := func() *lease.Client {
@@ -153,7 +142,7 @@
 
 // A lease is handed to the last of those who wait; to one that does not wait it cannot be, and the next has it.
 func TestTransfer(t *testing.T) {
-	addr, _ := started(t)
+	addr, _ := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	var clients []*lease.Client
--- a/lease/order_test.go
+++ b/lease/order_test.go
@@ -5,13 +5,14 @@
 	"testing"
 	"time"
 
+	"petrelhook/internal/rig/coordinator"
 	"petrelhook/lease"
 )
 
 // A caller that no longer waits for its release, or for its turn, asks again at once: what it had asked for comes before, and does not
 // end the new grant behind its back. Only one caller of a client asks for a name at a time.
 func TestCommandsKeepTheirOrder(t *testing.T) {
-	addr, _ := started(t)
+	addr, _ := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	client := func() *lease.Client {
@@ -50,7 +51,7 @@
 
 // A caller gives up while its client asks: what was asked for is let go of, and another has it. (Without Cancel the session keeps it.)
 func TestWhoGivesUpKeepsNothing(t *testing.T) {
-	addr, _ := started(t)
+	addr, _ := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	var clients []*lease.Client
