A lease that is lost by the clock is not kept by its session

Found on reading again: a client that lost a lease by its own clock (asleep, or cut off for a moment) forgot it, and its session, if it was renewed later, went on to hold it at the coordinators: nobody acted and nobody else got it. TestAsleep: the other client waited in vain; now what is lost is let go of, in the line before whatever is asked next.

--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -17,13 +17,14 @@
 	"petrelhook/internal/steady"
 )
 
-// A machine that sleeps: Go's timers stand still, the clock does not. The first look after it says no, and ends the context.
+// A machine that sleeps: Go's timers stand still, the clock does not. The first look after it says no, and ends the context. Its session
+// may live on; the lease is let go of all the same, and another has it within the session's time.
 func TestAsleep(t *testing.T) {
 	addr, stop := coordinator.For(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	var slept atomic.Int64
-	c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 30 * time.Second,
+	c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 2 * time.Second,
 		clock: func() lease.Instant { return steady.Now() + lease.Instant(slept.Load()) }})
 	if err != nil {
 		t.Fatal(err)
@@ -36,6 +37,14 @@
 	if h.Valid() || h.Left() != 0 || context.Cause(h.Context()) != ErrLost {
 		t.Errorf("valid %v, %v", h.Valid(), context.Cause(h.Context()))
 	}
+	other, err := New(Options{Addrs: []string{addr}, Owner: "other", TTL: 2 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Hold(ctx, "x"); err != nil {
+		t.Errorf("the lease stays with a session that does not know of it: %v", err)
+	}
+	other.Close()
 	stop()
 	c.Close()
 }
--- a/lease/held.go
+++ b/lease/held.go
@@ -40,6 +40,9 @@
 		}
 	}
 	h.c.drop(h, ErrLost)
+	if h.c.holder != nil { // the session may live on: it must not keep what nobody knows of
+		h.c.begin(lease.Command{Kind: lease.Cancel, Name: h.Name})
+	}
 	return false
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -191,15 +191,12 @@
 	return h
 }
 
-// cancel waits no more for a lease.
+// cancel waits no more for a lease, or for its grant.
 func (c *Client) cancel(holder *lease.Holder, name string) {
 	c.mu.Lock()
-	same := holder != nil && c.holder == holder
-	if same {
+	defer c.mu.Unlock()
+	if holder != nil && c.holder == holder {
 		holder.Drop(name)
-	}
-	c.mu.Unlock()
-	if same {
 		c.begin(lease.Command{Kind: lease.Cancel, Name: name})
 	}
 }
--- a/lease/line.go
+++ b/lease/line.go
@@ -8,10 +8,9 @@
 	"petrelhook/internal/lease"
 )
 
-// turn takes the next place in the line of commands: wait ends when all before are over, done says that this one is.
+// turn takes the next place in the line of commands: wait ends when all before are over, done says that this one is. The caller holds
+// Client.mu.
 func (c *Client) turn() (wait <-chan struct{}, done func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	before, mine := c.last, make(chan struct{})
 	c.last = mine
 	return before, func() { close(mine) }
@@ -24,7 +23,8 @@
 }
 
 // begin asks for something in the session until there is an answer, also where the caller does not wait for it. Its place in the
-// line is taken when begin returns: a grant that is asked for later must not be ended by what was asked before.
+// line is taken when begin returns: a grant that is asked for later must not be ended by what was asked before. The caller holds
+// Client.mu.
 func (c *Client) begin(cmd lease.Command) <-chan result {
 	wait, done := c.turn()
 	out := make(chan result, 1)
@@ -39,8 +39,11 @@
 
 // command begins a command and waits for its answer.
 func (c *Client) command(ctx context.Context, cmd lease.Command) (lease.Answer, *lease.Holder, error) {
+	c.mu.Lock()
+	out := c.begin(cmd)
+	c.mu.Unlock()
 	select {
-	case r := <-c.begin(cmd):
+	case r := <-out:
 		return r.a, r.holder, r.err
 	case <-ctx.Done():
 		c.mu.Lock()
--- a/lease/session.go
+++ b/lease/session.go
@@ -14,7 +14,9 @@
 
 // session opens one where there is none.
 func (c *Client) session(ctx context.Context) error {
+	c.mu.Lock()
 	wait, done := c.turn()
+	c.mu.Unlock()
 	select {
 	case <-wait:
 		defer done()
