Logs of test processes are files: what a process wrote before it was seen ready is there

Seen: the harness read the log by a pipe and a goroutine of its own, which on a busy machine came later than the door's yes that the test waits for. Ruled out: the hand-over itself (all four processes had logged that nothing was taken over, before they served).

--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -18,7 +18,7 @@
 // Process is one that runs, until the test ends at the latest.
 type Process struct {
 	*os.Process
-	Log   *Log       // what it wrote to standard error
+	Log   Written    // what it wrote to standard error
 	Ended chan error // takes what it ended with
 	Input io.Closer  // its standard input
 	t     testing.TB
@@ -34,8 +34,13 @@
 // Start starts a process. Where the test fails its log is shown.
 func Start(t testing.TB, cmd *exec.Cmd) *Process {
 	t.Helper()
-	p := &Process{Log: &Log{}, Ended: make(chan error, 1), t: t}
-	cmd.Stderr = p.Log
+	log, err := os.CreateTemp(t.TempDir(), "log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close() // the process has it too
+	p := &Process{Log: Written(log.Name()), Ended: make(chan error, 1), t: t}
+	cmd.Stderr = log
 	input, err := cmd.StdinPipe()
 	if err == nil {
 		err = cmd.Start()
@@ -87,7 +92,19 @@
 	return rest[:min(1, len(rest))]
 }
 
-// Log is what a process writes. Its buffer is not embedded: ReadFrom would go round the lock.
+// Written is the file that a process writes its log to. What it wrote before it did something that a test saw is in there: no pipe
+// is between, whose reader in the test may be late.
+type Written string
+
+func (w Written) String() string {
+	text, _ := os.ReadFile(string(w))
+	return string(text)
+}
+
+// Has reports whether the log holds a text by now.
+func (w Written) Has(text string) bool { return strings.Contains(w.String(), text) }
+
+// Log is what something writes. Its buffer is not embedded: ReadFrom would go round the lock.
 type Log struct {
 	mu   sync.Mutex
 	text bytes.Buffer
@@ -105,9 +122,6 @@
 	return l.text.String()
 }
 
-// Has reports whether the log holds a text by now.
-func (l *Log) Has(text string) bool { return strings.Contains(l.String(), text) }
-
 // Until waits for a state that nothing announces.
 func Until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
