A sidecar counts how requests of each class end, and tells it at its operators' door

Need: a rolling change has to compare new sidecars with old ones, and nothing told of the requests. GET /api/counts: served, refused, failed, gone, and times in 64 steps, by class; a decorator of the core's seam, in place only where there is a door for operators. A process's begin and serve moved from cmd/petrelhook to internal/wiring, unchanged, so that tests can run a sidecar with other connections.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -7,23 +7,14 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
-	"time"
 
 	"petrelhook/internal/config"
-	"petrelhook/internal/handover"
-	"petrelhook/internal/sock"
 	"petrelhook/internal/wiring"
 )
 
-// memoryPart of the limit is what the Go runtime keeps to: stacks of C and kernel buffers come on top.
-const memoryPart = 0.7
-
 // The exit codes.
 const (
 	exitFailed = 1 // the configuration is bad, or the sidecar could not serve
@@ -68,73 +59,5 @@
 	defer release()
 	reload := make(chan os.Signal, 1) // one is enough: the file is read after the last of them
 	signal.Notify(reload, syscall.SIGHUP)
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	memory := func(shared bool) { // with another process of this sidecar
-		if cfg.Limits.MemoryMB > 0 {
-			most := memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)
-			if shared {
-				most /= 2
-			}
-			debug.SetMemoryLimit(int64(most))
-		}
-	}
-	memory(false)
-	s, err := begin(cfg, log)
-	if err != nil {
-		return err
-	}
-	sidecar, ln := wiring.NewFrom(cfg, s.from, wiring.TCP(), log), s.clients
-	sidecar.OnShare = memory
-	go sidecar.Reload(stop, path, reload)
-	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String())
-	if err := sidecar.Run(stop, ln, s.calls, s.succession); err != nil {
-		return err
-	}
-	log.Info("stopped")
-	return nil
-}
-
-// start is what a sidecar begins with.
-type start struct {
-	clients, calls net.Listener // calls is nil where there is no address for operators
-	succession     *wiring.Succession
-	from           *wiring.Inheritance // nil: from nothing
-}
-
-// takeTime is how long the process in service may take to hand over.
-const takeTime = time.Second
-
-// begin listens for clients, and for operators where there is an address for them. With operators there are upgrades: then
-// it takes over from the process in service, or listens beside it.
-func begin(cfg *config.Config, log *slog.Logger) (s start, err error) {
-	if cfg.Admin == "" {
-		if s.clients, err = net.Listen("tcp", cfg.Listen); err != nil {
-			return s, fmt.Errorf("listen: %w", err)
-		}
-		return s, nil
-	}
-	s.calls, err = net.Listen("tcp", cfg.Admin)
-	taken := sock.Taken(err)
-	if err != nil && !taken {
-		return s, fmt.Errorf("listen at admin_addr: %w", err)
-	}
-	if _, port, _ := net.SplitHostPort(cfg.Listen); port != "0" { // else there is no address to share
-		s.clients, s.from, s.succession, err = wiring.Take(handover.At(os.TempDir(), cfg.Name, cfg.Listen), cfg.Listen, takeTime)
-		if err != nil {
-			log.Warn("nothing is taken over", "err", err)
-		}
-	}
-	if taken { // in an upgrade the process in service may have the same address; operators call that one until it ends
-		if s.from == nil {
-			return s, fmt.Errorf("listen at admin_addr: %s is taken, and no process in service hands over", cfg.Admin)
-		}
-		s.calls = sock.ListenLater(cfg.Admin, 50*time.Millisecond)
-	}
-	if s.clients == nil {
-		if s.clients, err = sock.ListenShared(cfg.Listen); err != nil {
-			s.calls.Close()
-			return s, fmt.Errorf("listen: %w", err)
-		}
-	}
-	return s, nil
+	return wiring.Serve(stop, path, cfg, wiring.TCP(), reload, log)
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,6 +29,9 @@
 
 // Server answers operators.
 type Server struct {
+	// Counts gives what GET /api/counts tells, as JSON has it. It must not wait. nil: nothing is counted.
+	Counts func() any
+
 	machine *lifecycle.Machine
 	unheard time.Duration
 
@@ -219,7 +222,7 @@
 	case err != nil:
 		return answer{status: http.StatusBadRequest, text: "the body cannot be read"}, true
 	}
-	return call(s.machine, req.Method, req.URL.Path), true
+	return call(s, req.Method, req.URL.Path), true
 }
 
 // gone reports whether the caller said no more, rather than something that makes no sense.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -26,6 +26,7 @@
 	ended := make(chan error, 1)
 	s := New(m)
 	s.unheard = unheard
+	s.Counts = func() any { return []string{"counted"} }
 	go func() { ended <- s.Serve(ln) }()
 	t.Cleanup(func() {
 		ln.Close()
@@ -51,6 +52,7 @@
 	}{
 		{nil, line("GET", "/api/ready"), 503, "starting"},
 		{nil, line("PUT", "/api/rejoin"), 503, "starting"},
+		{nil, line("GET", "/api/counts"), 200, `["counted"]`},
 		{[]lifecycle.Event{lifecycle.Listed}, line("GET", "/api/ready"), 200, "ready"},
 		{nil, line("PUT", "/api/evacuate"), 200, "evacuating"},
 		{nil, line("PUT", "/api/evacuate"), 200, "evacuating"},
--- /dev/null
+++ b/internal/counts/counts_test.go
@@ -0,0 +1,48 @@
+package counts
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"petrelhook/internal/front"
+)
+
+type core func(context.Context) (front.Answer, error)
+
+func (c core) Answer(ctx context.Context, _ front.Request) (front.Answer, error) { return c(ctx) }
+
+// Each end of a request is counted once, under its own name, and what was not taken nowhere.
+func TestEnds(t *testing.T) {
+	var a front.Answer
+	var err error
+	f := New(core(func(context.Context) (front.Answer, error) { return a, err }), []front.Class{{Name: "a"}, {Name: "b"}})
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	for i, c := range []struct {
+		ctx context.Context
+		v   front.Verdict
+		err error
+	}{{t.Context(), front.Served, nil}, {t.Context(), front.Refused, nil}, {t.Context(), front.Refused, nil}, {t.Context(), front.Failed, nil},
+		{gone, 0, context.Canceled}, {t.Context(), 0, front.ErrInvalid}} {
+		a.Verdict, err = c.v, c.err
+		if _, got := f.Answer(c.ctx, front.Request{Class: 1, Arrived: time.Now().Add(-time.Second)}); !errors.Is(got, c.err) {
+			t.Errorf("%d: %v", i, got)
+		}
+		f.Answer(c.ctx, front.Request{Class: 7})
+	}
+	want := Class{Name: "b", Served: 1, Refused: 2, Failed: 1, Gone: 1}
+	want.Took[Step(time.Second)] = 1
+	if got := f.Now(); got[1] != want || got[0] != (Class{Name: "a"}) {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestStep(t *testing.T) {
+	for took, want := range map[time.Duration]int{0: 0, 250 * time.Microsecond: 0, 251 * time.Microsecond: 1, 500 * time.Microsecond: 4, time.Millisecond: 8, 2 * time.Millisecond: 12, time.Hour: Steps - 1} {
+		if got := Step(took); got != want {
+			t.Errorf("%v: %d, want %d", took, got, want)
+		}
+	}
+}
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -17,6 +17,7 @@
 	"petrelhook/internal/admit"
 	"petrelhook/internal/config"
 	"petrelhook/internal/core"
+	"petrelhook/internal/counts"
 	"petrelhook/internal/front"
 	"petrelhook/internal/front/platform"
 	"petrelhook/internal/lifecycle"
@@ -44,6 +45,7 @@
 // Sidecar is one sidecar.
 type Sidecar struct {
 	core  *core.Loop
+	count *counts.Front // nil: there are no operators who ask
 	front *platform.Server
 	life  *lifecycle.Machine
 	up    *http1.Pool
@@ -98,7 +100,12 @@
 			Name: c.Profile.Classes[i], Effect: effects[class.Effect], Deadline: duration(class.Deadline),
 		})
 	}
-	s.core, s.up, s.front = loop, up, platform.New(settings, loop, life, log)
+	var taker front.Core = loop
+	if c.Admin != "" {
+		s.count = counts.New(loop, settings.Classes)
+		taker = s.count
+	}
+	s.core, s.up, s.front = loop, up, platform.New(settings, taker, life, log)
 	s.whole = lifecycle.Room{Clients: settings.Door.Places, Servers: c.Limits.Servers()}
 	return s
 }
@@ -136,7 +143,11 @@
 	defer sides.Wait()
 	if calls != nil {
 		sides.Go(func() {
-			if err := admin.New(s.life).Serve(calls); err != nil {
+			door := admin.New(s.life)
+			if s.count != nil {
+				door.Counts = func() any { return s.count.Now() }
+			}
+			if err := door.Serve(calls); err != nil {
 				s.log.Error("operators are not heard any more", "err", err)
 			}
 		})
