--- a/cmd/petrelctl/rollout.go
+++ b/cmd/petrelctl/rollout.go
@@ -19,8 +19,9 @@
 const checkTime = 10 * time.Second
 
 func rolloutCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "rollout", Short: "Rolling changes: what a change of settings means while old and new run side by side"}
-	cmd.AddCommand(rolloutPlanCommand())
+	cmd := &cobra.Command{Use: "rollout", Short: "Rolling changes: check one, begin it, watch it, stop it"}
+	cmd.AddCommand(rolloutPlanCommand(), rolloutStartCommand(), rolloutStatusCommand(), rolloutHistoryCommand())
+	cmd.AddCommand(rolloutSayCommands()...)
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/petrelctl/rollout_run.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/driver"
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/release"
+	"petrelhook/internal/rollout"
+)
+
+func rolloutStartCommand() *cobra.Command {
+	a := &asking{}
+	var stepsDone bool
+	cmd := &cobra.Command{
+		Use: "start PLAN", Args: cobra.ExactArgs(1), Short: "Begin a change by a plan (YAML), once everything is checked",
+		Long: "Asks all agents whether they have both releases and whether the new program takes its settings, compares old and new\n" +
+			"settings, and has the coordinators begin the change. Where anything is wrong nothing has moved.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o, err := a.operator()
+			if err != nil {
+				return err
+			}
+			f, err := driver.ReadPlan(args[0])
+			if err != nil {
+				return runError{err}
+			}
+			b, err := driver.Begin(cmd.Context(), o, &http.Client{Timeout: 2 * checkTime}, f, stepsDone)
+			if err != nil {
+				return runError{err}
+			}
+			return a.print(cmd, b, func(w *tabwriter.Writer) {
+				fmt.Fprintf(w, "change %s of %s has begun: %d sidecars\n", b.Change, f.Plan.Application, b.Sidecars)
+			})
+		},
+	}
+	a.flags(cmd)
+	cmd.Flags().BoolVar(&stepsDone, "steps-done", false, "what plan says is to be done besides, in two steps, was done")
+	return cmd
+}
+
+// change asks for an application's changes.
+func (a *asking) change(cmd *cobra.Command, application string) (*rollout.Application, error) {
+	told, err := a.ask(cmd, fleet.Ask{Changes: &application})
+	if err != nil {
+		return nil, err
+	}
+	if len(told.Changes) == 0 {
+		return nil, runError{fmt.Errorf("%s: no change was ever begun", application)}
+	}
+	app := &rollout.Application{}
+	if err := json.Unmarshal(told.Changes, app); err != nil {
+		return nil, runError{err}
+	}
+	return app, nil
+}
+
+func rolloutStatusCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "status APPLICATION", Args: cobra.ExactArgs(1), Short: "Where the change stands, and why it waits; 1: it is paused or was stopped",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			app, err := a.change(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			s := app.Now.State
+			err = a.print(cmd, app.Now, func(w *tabwriter.Writer) { status(w, app.Now) })
+			if err == nil && (s.Phase == rollout.Paused || s.Phase == rollout.TakingBack || s.Phase == rollout.Stopped) {
+				return errBad
+			}
+			return err
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
+
+func status(w *tabwriter.Writer, c *rollout.Change) {
+	s := c.State
+	fmt.Fprintf(w, "%s\tchange %s\t%v\tstage %d of %d\t%s\n", s.Plan.Application, c.Name, s.Phase, s.Stage, len(s.Plan.Stages), s.Why)
+	if s.Phase == rollout.Running {
+		fmt.Fprintf(w, "waits for\t%s\n", s.Waits())
+	}
+	fmt.Fprintln(w, "SIDECAR\tSTAGE\tRELEASE\tREADY\tORDER\t")
+	for _, side := range s.Sidecars() {
+		order := ""
+		switch {
+		case side.Alone != "":
+			order = "left alone: " + side.Alone
+		case side.Order != 0:
+			order = fmt.Sprintf("%d: to %s", side.Order, side.To)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%v\t%s\t\n", side.Name, s.StageOf(side.Name), side.Release, side.Ready, order)
+	}
+}
+
+// rolloutSayCommand is one by which operators have their say.
+func rolloutSayCommand(use, short string, flags func(*cobra.Command), say func() rollout.Event) *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: use + " APPLICATION", Args: cobra.ExactArgs(1), Short: short,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			app, err := a.change(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			told, err := a.ask(cmd, fleet.Ask{Rollout: &rollout.Command{Application: args[0], Change: app.Now.Name, At: time.Now().UnixMilli(), Events: []rollout.Event{say()}}})
+			if err == nil && told.Rollout.Err != "" {
+				err = runError{errors.New(told.Rollout.Err)}
+			}
+			if err != nil {
+				return err
+			}
+			if app, err = a.change(cmd, args[0]); err != nil {
+				return err
+			}
+			return a.print(cmd, app.Now, func(w *tabwriter.Writer) { status(w, app.Now) })
+		},
+	}
+	a.flags(cmd)
+	flags(cmd)
+	return cmd
+}
+
+func rolloutSayCommands() []*cobra.Command {
+	var why, whyNot string
+	var accept bool
+	return []*cobra.Command{
+		rolloutSayCommand("pause", "Change no further sidecar for now", func(c *cobra.Command) {
+			c.Flags().StringVar(&why, "why", "an operator paused it", "what others read")
+		}, func() rollout.Event { return rollout.Event{Pause: why} }),
+		rolloutSayCommand("resume", "Go on after a pause; the stage is watched anew", func(c *cobra.Command) {
+			c.Flags().BoolVar(&accept, "accept", false, "take the stage for no worse, though there is not enough evidence")
+		}, func() rollout.Event { return rollout.Event{Resume: true, Accept: accept} }),
+		rolloutSayCommand("abort", "End the change: what was changed goes back, unless the plan says hold", func(c *cobra.Command) {
+			c.Flags().StringVar(&whyNot, "why", "an operator aborted it", "what others read")
+		}, func() rollout.Event { return rollout.Event{Abort: whyNot} }),
+	}
+}
+
+func rolloutHistoryCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "history APPLICATION", Args: cobra.ExactArgs(1), Short: "The steps of this change and of those before",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			app, err := a.change(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, app, func(w *tabwriter.Writer) {
+				line := func(name, plan string, all []rollout.Moment) {
+					fmt.Fprintf(w, "%s\t%s\n", name, plan)
+					for _, m := range all {
+						fmt.Fprintf(w, "\t%s\t%s\tstage %d\t%s\n", time.UnixMilli(m.At).UTC().Format(time.RFC3339), m.Phase, m.Stage, m.Why)
+					}
+				}
+				for _, p := range app.Past {
+					line(p.Name, p.Plan, p.Moments)
+				}
+				line(app.Now.Name, app.Now.State.Plan.String(), app.Now.Moments)
+			})
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
+
+func releaseCommand() *cobra.Command {
+	var dir, program, settings string
+	cmd := &cobra.Command{Use: "release", Short: "Releases: a program and its settings, named by their content"}
+	add := &cobra.Command{Use: "add --store FOLDER --program FILE --settings FILE", Args: cobra.NoArgs, Short: "Put a release into a machine's store, and say its name",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if dir == "" || program == "" || settings == "" {
+				return errors.New("write --store, --program and --settings")
+			}
+			r, err := addRelease(dir, program, settings)
+			if err != nil {
+				return runError{err}
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), r.ID)
+			return nil
+		}}
+	add.Flags().StringVar(&dir, "store", "", "the `FOLDER` of releases, as the agent's file names it")
+	add.Flags().StringVar(&program, "program", "", "the sidecar, a `FILE`")
+	add.Flags().StringVar(&settings, "settings", "", "its settings, a `FILE` (JSON) without what is one sidecar's own")
+	cmd.AddCommand(add)
+	return cmd
+}
+
+func addRelease(dir, program, settings string) (r release.Release, err error) {
+	p, err := os.Open(program)
+	if err != nil {
+		return r, err
+	}
+	defer p.Close()
+	s, err := os.Open(settings)
+	if err != nil {
+		return r, err
+	}
+	defer s.Close()
+	store, err := release.NewStore(dir)
+	if err != nil {
+		return r, err
+	}
+	return store.Add(p, s)
+}
--- a/cmd/petrelfleet/main.go
+++ b/cmd/petrelfleet/main.go
@@ -11,9 +11,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/driver"
 	"petrelhook/internal/fleet"
 )
 
@@ -80,6 +82,9 @@
 	return exitUsage
 }
 
+// driverTTL is for how long a driver of rolling changes is waited for that is silent.
+const driverTTL = 3 * time.Second
+
 // serve runs until SIGTERM or an interrupt.
 func serve(c *fleet.Config, log *slog.Logger) error {
 	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -92,6 +97,21 @@
 	if err != nil {
 		return failed{fmt.Errorf("listen: %w", err)}
 	}
+	if c.Drive {
+		drives := make(chan struct{})
+		driving, ended := context.WithCancel(ctx)
+		d := &driver.Driver{TTL: driverTTL, Every: c.DriveEvery, Log: log}
+		for _, m := range c.Replicas {
+			d.Addrs = append(d.Addrs, m.Addr)
+		}
+		go func() {
+			defer close(drives)
+			if err := d.Run(driving); err != nil {
+				log.Error("drives no changes", "err", err)
+			}
+		}()
+		defer func() { ended(); <-drives }()
+	}
 	log.Info("serving", "id", c.ID, "listen", ln.Addr().String(), "replicas", len(c.Replicas))
 	if err := s.Run(ctx, ln); err != nil {
 		return failed{err}
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -23,6 +23,7 @@
 	PID     int    `json:"pid"`
 	Began   uint64 `json:"began"` // as the system says it
 	Release string `json:"release"`
+	Door    string `json:"door,omitempty"` // where it hears operators
 }
 
 // Limits are how long things may take.
@@ -45,8 +46,16 @@
 	Phase     Phase    `json:"phase"`
 	Done      uint64   `json:"done,omitempty"` // the last order that is over
 	Failed    string   `json:"failed,omitempty"`
+	Starts    uint64   `json:"starts,omitempty"` // how many were asked for; the last one may have been made unseen
+	Fell      string   `json:"fell,omitempty"`   // why it went back to what is confirmed without an order, until the next order
 }
 
+// Why a sidecar went back without an order.
+const (
+	FellEnded  = "it ended"
+	FellCutOff = "its machine was cut off"
+)
+
 // Do is something to be done.
 type Do struct {
 	Start string // a release
@@ -75,8 +84,11 @@
 // been made: an unknown process that the place of the hand-over knows is found as found.
 func Again(k Kept, l Limits, now time.Duration, lives func(Process) bool, found *Process) (s *Sidecar, todo []Do) {
 	s = &Sidecar{Kept: k, limits: l, cutOff: -1}
-	if s.Phase == Starting && s.Next == nil && found != nil {
+	switch {
+	case s.Phase == Starting && s.Next == nil && found != nil:
 		s.Next = found
+	case s.Phase == Idle && s.Now == nil && found != nil:
+		s.Now = found
 	}
 	s.due = now + s.limits.Ready
 	switch s.Phase {
@@ -109,7 +121,17 @@
 
 func (s *Sidecar) change(now time.Duration, order uint64, release string) []Do {
 	s.Order, s.To, s.Phase, s.Failed = order, release, Starting, ""
-	s.due, s.yes, s.asked = now+s.limits.Ready, false, true
+	if order != 0 {
+		s.Fell = ""
+	}
+	s.due, s.yes = now+s.limits.Ready, false
+	return s.start(release)
+}
+
+// start asks for a start, which is counted: an agent that begins again can tell whether it was made.
+func (s *Sidecar) start(release string) []Do {
+	s.Starts++
+	s.asked = true
 	return []Do{{Start: release}}
 }
 
@@ -177,7 +199,9 @@
 			}
 		}
 	case s.Now != nil && *s.Now == p:
-		s.Now, s.ready = nil, false
+		if s.Now, s.ready = nil, false; s.Phase == Idle && p.Release != s.Confirmed {
+			s.Fell = FellEnded
+		}
 		switch s.Phase {
 		case Idle:
 			s.crash(now)
@@ -239,10 +263,10 @@
 	switch s.Phase {
 	case Idle:
 		if s.Now == nil && now >= s.due && !s.asked {
-			s.asked = true
-			return []Do{{Start: s.Confirmed}}
+			return s.start(s.Confirmed)
 		}
 		if s.Now != nil && s.cutOff >= 0 && now-s.cutOff >= s.limits.CutOff && s.Now.Release != s.Confirmed && s.ready {
+			s.Fell = FellCutOff
 			return s.change(now, 0, s.Confirmed)
 		}
 	case Starting:
--- /dev/null
+++ b/internal/driver/driver.go
@@ -0,0 +1,338 @@
+// Package driver carries a rolling change through: it looks at the agents, tells the coordinators' log what happened, has what was
+// counted judged, and brings the agents the orders that the log's state gives. It holds a lease, whose token goes with all it says;
+// coordinators and agents refuse an older one's. It keeps nothing: one that takes over begins with the log and with what agents report.
+//
+// Decisions are elsewhere: rollout.State what is ordered, judge.Judge what is worse, rollout.Fence what an agent takes.
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/machine"
+	"petrelhook/internal/rollout"
+	"petrelhook/internal/rpc"
+	"petrelhook/lease"
+)
+
+// Seen is what an agent has told of a sidecar.
+type Seen = machine.SidecarSeen
+
+// Lease is what a driver holds.
+const Lease = "rollout-driver"
+
+// The times.
+const (
+	agentTime = 2 * time.Second // for one call of an agent
+	calls     = 64              // of agents at once
+	rest      = 3               // agents are asked this much more seldom once a change is over
+)
+
+// Driver is one.
+type Driver struct {
+	Addrs []string // of the coordinators
+	TTL   time.Duration
+	Every time.Duration
+	Log   *slog.Logger
+
+	operator fleet.Operator
+	over     http.Client
+	changes  map[string]*drive
+}
+
+// drive is one application's change, as this driver knows it.
+type drive struct {
+	*rollout.Change
+	evidence Evidence
+	told     time.Time // when time was last told of
+	turn     int
+	missing  map[string]int // agents that were out of reach, for so many looks
+}
+
+// Run drives while it holds the lease, until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	d.operator = fleet.Operator{Addrs: d.Addrs}
+	d.over = http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 2}}
+	defer d.over.CloseIdleConnections()
+	client, err := lease.New(lease.Options{Addrs: d.Addrs, Owner: "rollout-driver", TTL: d.TTL})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	for ctx.Err() == nil {
+		h, err := client.Hold(ctx, Lease)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(d.Every):
+			}
+			continue
+		}
+		d.Log.Info("drives", "token", uint64(h.Token))
+		d.changes = map[string]*drive{}
+		err = d.drive(h)
+		d.Log.Info("drives no more", "token", uint64(h.Token), "err", err)
+		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), agentTime)
+		if ctx.Err() != nil || err != nil {
+			h.Release(release)
+		}
+		cancel()
+	}
+	return nil
+}
+
+// errOlder says that a newer driver was heard of.
+var errOlder = errors.New("a newer driver was heard")
+
+func (d *Driver) drive(h *lease.Held) error {
+	ctx := h.Context()
+	tick := time.NewTicker(d.Every)
+	defer tick.Stop()
+	for {
+		if err := d.turn(ctx, h); errors.Is(err, errOlder) {
+			return err
+		} else if err != nil && ctx.Err() == nil {
+			d.Log.Warn("a look at the changes has failed", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-tick.C:
+		}
+	}
+}
+
+// turn is one look at everything.
+func (d *Driver) turn(ctx context.Context, h *lease.Held) error {
+	var names []string
+	if err := d.read(ctx, "", &names); err != nil {
+		return err
+	}
+	var all []error
+	for _, name := range names {
+		if err := d.step(ctx, h, name); errors.Is(err, errOlder) {
+			return err
+		} else {
+			all = append(all, err)
+		}
+	}
+	return errors.Join(all...)
+}
+
+// read asks the coordinators for changes.
+func (d *Driver) read(ctx context.Context, application string, to any) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	told, err := d.operator.Ask(ctx, fleet.Ask{Changes: &application})
+	if err != nil {
+		return err
+	}
+	if len(told.Changes) == 0 {
+		return rollout.ErrNoChange
+	}
+	return json.Unmarshal(told.Changes, to)
+}
+
+// step is one look at one application: agents, log, judge, log, orders.
+func (d *Driver) step(ctx context.Context, h *lease.Held, application string) error {
+	c := d.changes[application]
+	if c == nil {
+		c = &drive{missing: map[string]int{}}
+		d.changes[application] = c
+	}
+	var kept rollout.Application // operators may have said something, or begun another
+	if err := d.read(ctx, application, &kept); err != nil {
+		return err
+	}
+	if c.Change == nil || c.Name != kept.Now.Name {
+		c.told = time.Time{}
+	}
+	c.Change = kept.Now
+	if c.turn++; c.State.Phase.Over() && c.turn%rest != 0 {
+		return nil
+	}
+	seen, err := d.look(ctx, application, uint64(h.Token), c)
+	if err != nil {
+		return err
+	}
+	if c.State.Phase.Over() {
+		return nil
+	}
+	events := c.Changed(reports(c, seen))
+	now, took := time.Now(), time.Duration(0)
+	if !c.told.IsZero() {
+		took = min(now.Sub(c.told), 3*d.Every)
+	}
+	v, err := c.evidence.Window(c.Change, seen, took)
+	if err != nil {
+		return err
+	}
+	if v != nil {
+		events = append(events, rollout.Event{Verdict: v})
+	}
+	if took > 0 && c.State.Phase == rollout.Running {
+		events = append(events, rollout.Event{Elapsed: took})
+	}
+	c.told = now
+	if err := d.tell(ctx, uint64(h.Token), application, c, events); err != nil {
+		return err
+	}
+	return d.order(ctx, h, application, c)
+}
+
+// tell puts events into the log, and follows it.
+func (d *Driver) tell(ctx context.Context, token uint64, application string, c *drive, events []rollout.Event) error {
+	for len(events) > 0 {
+		n := min(len(events), rollout.MaxEvents)
+		told, err := d.operator.Ask(ctx, fleet.Ask{Rollout: &rollout.Command{Application: application, Change: c.Name, Token: token,
+			After: c.Events, At: time.Now().UnixMilli(), Events: events[:n]}})
+		switch {
+		case err != nil:
+			return err
+		case told.Rollout.Err == rollout.ErrOlder.Error():
+			return errOlder
+		case told.Rollout.Err != "": // there were others meanwhile, or this came twice: the next look begins with what holds
+			return nil
+		}
+		was, why := c.State.Phase, c.State.Why
+		for _, e := range events[:n] {
+			c.State.Apply(e)
+			c.Events++
+		}
+		if c.State.Phase != was || c.State.Why != why {
+			d.Log.Info("rollout", "application", application, "change", c.Name, "phase", c.State.Phase.String(), "stage", c.State.Stage, "why", c.State.Why)
+		}
+		events = events[n:]
+	}
+	return nil
+}
+
+// look asks all agents what there is.
+func (d *Driver) look(ctx context.Context, application string, token uint64, c *drive) (map[string]Seen, error) {
+	in := machine.Look{Version: machine.Version, Application: application, Token: token}
+	switch {
+	case c.State.Phase == rollout.Done:
+		in.Confirmed = c.State.Plan.To
+	case c.State.Phase == rollout.Stopped && !c.State.Plan.Hold:
+		in.Confirmed = c.State.Plan.From
+	}
+	seen, errs := Look(ctx, &d.over, agents(c.Members), in)
+	for addr, err := range errs {
+		if connect.CodeOf(err) == connect.CodeAborted {
+			return nil, errOlder
+		}
+		if c.missing[addr]++; c.missing[addr] == unreached {
+			d.Log.Warn("an agent is out of reach", "agent", addr, "err", err)
+		}
+	}
+	for _, addr := range agents(c.Members) {
+		if errs[addr] == nil {
+			delete(c.missing, addr)
+		}
+	}
+	return seen, nil
+}
+
+// unreached is after how many looks without an answer the sidecars of an agent count as not ready.
+const unreached = 3
+
+// reports are what agents have said, and that nothing is known any more of those that are out of reach.
+func reports(c *drive, seen map[string]Seen) (all []rollout.Report) {
+	for _, m := range c.Members {
+		if s, ok := seen[m.Name]; ok {
+			all = append(all, s.Report)
+		} else if c.missing[m.Agent] >= unreached {
+			all = append(all, rollout.Report{Sidecar: m.Name, Unknown: true})
+		}
+	}
+	return all
+}
+
+func agents(members []rollout.Member) (all []string) {
+	known := map[string]bool{}
+	for _, m := range members {
+		if !known[m.Agent] {
+			known[m.Agent] = true
+			all = append(all, m.Agent)
+		}
+	}
+	return all
+}
+
+// Look asks agents, some at a time; what each has told, by sidecar, and who has not answered.
+func Look(ctx context.Context, over *http.Client, agents []string, in machine.Look) (map[string]Seen, map[string]error) {
+	var mu sync.Mutex
+	all, errs := map[string]Seen{}, map[string]error{}
+	each(agents, func(addr string) {
+		ctx, cancel := context.WithTimeout(ctx, agentTime)
+		defer cancel()
+		res, err := rpc.Client[machine.Look, machine.Seen](over, addr, machine.PathLook, machine.MaxAnswer).CallUnary(ctx, connect.NewRequest(&in))
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			errs[addr] = err
+			return
+		}
+		for _, s := range res.Msg.Sidecars {
+			all[s.Sidecar] = s
+		}
+	})
+	return all, errs
+}
+
+// each does something for all, some at a time.
+func each[T any](all []T, do func(T)) {
+	var sides sync.WaitGroup
+	limit := make(chan struct{}, calls)
+	for _, one := range all {
+		limit <- struct{}{}
+		sides.Go(func() {
+			defer func() { <-limit }()
+			do(one)
+		})
+	}
+	sides.Wait()
+}
+
+// order brings the orders that are open to their agents, each time anew until they are reported: an agent carries one out once.
+func (d *Driver) order(ctx context.Context, h *lease.Held, application string, c *drive) error {
+	where := map[string]string{}
+	for _, m := range c.Members {
+		where[m.Name] = m.Agent
+	}
+	var mu sync.Mutex
+	var older bool
+	each(c.State.Orders(), func(o rollout.Order) {
+		if !h.Valid() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, agentTime)
+		defer cancel()
+		res, err := rpc.Client[machine.Order, machine.Taken](&d.over, where[o.Sidecar], machine.PathOrder, machine.MaxAnswer).CallUnary(ctx,
+			connect.NewRequest(&machine.Order{Version: machine.Version, Application: application, Token: uint64(h.Token), Order: o}))
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err == nil && !res.Msg.Known:
+			d.Log.Info("ordered", "application", application, "order", o.Number, "sidecar", o.Sidecar, "release", o.Release)
+		case err != nil && connect.CodeOf(err) == connect.CodeAborted:
+			older = true
+			d.Log.Warn("refused", "order", o.Number, "sidecar", o.Sidecar, "err", err)
+		case err != nil:
+			d.Log.Info("not taken yet", "order", o.Number, "sidecar", o.Sidecar, "err", err)
+		}
+	})
+	if older {
+		return errOlder
+	}
+	return nil
+}
--- a/internal/fleet/rpc.go
+++ b/internal/fleet/rpc.go
@@ -1,17 +1,17 @@
 package fleet
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
 
 	"connectrpc.com/connect"
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/replica"
+	"petrelhook/internal/rollout"
+	"petrelhook/internal/rpc"
 )
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -26,18 +26,20 @@
 	PathStep   = "/petrelfleet.v1.Replica/Step"
 	// MaxMessage bounds a message: a snapshot of the largest state.
 	MaxMessage = 64 << 20
-	maxAsk     = 64 << 10
+	maxAsk     = 1 << 20 // the start of a change of the largest fleet
 )
 
 // Ask is a question of a client; one field says what.
 type Ask struct {
-	Version int             `json:"version"`
-	Command *lease.Command  `json:"command,omitempty"`
-	Alive   *replica.Alive  `json:"alive,omitempty"`
-	List    *string         `json:"list,omitempty"` // leases whose names begin so
-	Backup  bool            `json:"backup,omitempty"`
-	Add     *replica.Member `json:"add,omitempty"`
-	Remove  uint64          `json:"remove,omitempty"`
+	Version int              `json:"version"`
+	Command *lease.Command   `json:"command,omitempty"`
+	Alive   *replica.Alive   `json:"alive,omitempty"`
+	Rollout *rollout.Command `json:"rollout,omitempty"`
+	Changes *string          `json:"changes,omitempty"` // of an application; "": which applications there are
+	List    *string          `json:"list,omitempty"`    // leases whose names begin so
+	Backup  bool             `json:"backup,omitempty"`
+	Add     *replica.Member  `json:"add,omitempty"`
+	Remove  uint64           `json:"remove,omitempty"`
 }
 
 // Told is the answer. Again is when to ask again, in milliseconds, where Err says that nothing, or nothing certain, came of it.
@@ -53,6 +55,8 @@
 	Holdings []lease.Holding  `json:"holdings,omitempty"`
 	Backup   json.RawMessage  `json:"backup,omitempty"`
 	Members  []replica.Member `json:"members,omitempty"`
+	Rollout  rollout.Answer   `json:"rollout,omitzero"`
+	Changes  json.RawMessage  `json:"changes,omitempty"` // a rollout.Application, or names; empty: there is none
 }
 
 // Nothing is a message without content but its version.
@@ -69,27 +73,9 @@
 	Messages [][]byte `json:"messages"`
 }
 
-// codec is JSON of plain structs.
-type codec struct{}
-
-func (codec) Name() string                       { return "json" }
-func (codec) Marshal(m any) ([]byte, error)      { return json.Marshal(m) }
-func (codec) Unmarshal(text []byte, m any) error { return json.Unmarshal(text, m) }
-
 // Client makes calls of a kind to one coordinator.
 func Client[Req, Res any](over connect.HTTPClient, addr, path string) *connect.Client[Req, Res] {
-	return connect.NewClient[Req, Res](over, "http://"+addr+path, connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessage))
-}
-
-// handle answers calls of a kind.
-func handle[Req, Res any](mux *http.ServeMux, path string, most int, f func(context.Context, *Req) (*Res, error)) {
-	mux.Handle(path, connect.NewUnaryHandler(path, func(ctx context.Context, in *connect.Request[Req]) (*connect.Response[Res], error) {
-		out, err := f(ctx, in.Msg)
-		if err != nil {
-			return nil, err
-		}
-		return connect.NewResponse(out), nil
-	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(most)))
+	return rpc.Client[Req, Res](over, addr, path, MaxMessage)
 }
 
 // CheckVersion refuses another version.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"petrelhook/internal/lease"
 	"petrelhook/internal/replica"
 	"petrelhook/internal/replica/disk"
+	"petrelhook/internal/rpc"
 	"petrelhook/internal/steady"
 )
 
@@ -72,9 +74,9 @@
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	defer s.disk.Close()
 	mux := http.NewServeMux()
-	handle(mux, PathAsk, maxAsk, s.ask)
-	handle(mux, PathStatus, maxAsk, s.status)
-	handle(mux, PathStep, MaxMessage+1<<20, s.step)
+	rpc.Handle(mux, PathAsk, maxAsk, s.ask)
+	rpc.Handle(mux, PathStatus, maxAsk, s.status)
+	rpc.Handle(mux, PathStep, MaxMessage+1<<20, s.step)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: snapTime, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	var sides sync.WaitGroup
 	defer sides.Wait()
@@ -217,6 +219,8 @@
 		if err = in.Command.Check(); err == nil && in.Command.Kind == lease.Open && in.Command.TTL > s.config.LongestTTL {
 			err = fmt.Errorf("ttl: %v is longer than these coordinators allow; write %v at most (longest_ttl)", in.Command.TTL, s.config.LongestTTL)
 		}
+	case in.Rollout != nil:
+		q.Rollout, err = in.Rollout, in.Rollout.Check()
 	case in.Alive != nil:
 		q.Alive = in.Alive
 	case in.Add != nil:
@@ -226,7 +230,7 @@
 		q.Add = &replica.Member{ID: in.Add.ID, Addr: in.Add.Addr}
 	case in.Remove != 0:
 		q.Remove = in.Remove
-	case in.List != nil || in.Backup:
+	case in.List != nil || in.Backup || in.Changes != nil:
 		q.Read = true
 	default:
 		err = errors.New("nothing is asked")
@@ -247,6 +251,12 @@
 	if r.State != nil && in.List != nil {
 		t.Holdings = r.State.Holdings(*in.List)
 	}
+	t.Rollout = r.Rollout
+	if r.Changes != nil && in.Changes != nil {
+		if t.Changes = r.Changes.Application(*in.Changes); *in.Changes == "" {
+			t.Changes, _ = json.Marshal(r.Changes.Applications())
+		}
+	}
 	if r.State != nil && in.Backup {
 		t.Backup = r.State.Snapshot()
 	}
--- /dev/null
+++ b/internal/machine/config.go
@@ -0,0 +1,220 @@
+package machine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"petrelhook/internal/agent"
+	"petrelhook/internal/yamlfile"
+)
+
+// Config is what an agent is told.
+type Config struct {
+	Application string
+	Listen      string
+	Data        string // the folder for what is kept
+	Releases    string // the store
+	Release     string // what sidecars begin with for which nothing is kept yet
+	Limits      agent.Limits
+	Heard       time.Duration // without a driver's word for this long, the machine is cut off
+	Look        time.Duration // between two looks at the processes
+	Sidecars    []Sidecar
+}
+
+// Sidecar is one of the machine's.
+type Sidecar struct {
+	Name, Zone, Listen string
+	Doors              [2]string                  // for operators; two processes of a hand-over have one each
+	Set                map[string]json.RawMessage // fields of the settings that are this sidecar's own
+}
+
+// own are the fields of the settings that an agent writes for each sidecar.
+var own = []string{"name", "listen", "admin_addr"}
+
+// The defaults.
+const (
+	DefaultListen = "127.0.0.1:7500"
+	defaultHeard  = 5 * time.Second
+	defaultLook   = 200 * time.Millisecond
+)
+
+var defaultLimits = agent.Limits{Ready: 6 * time.Second, Trial: 10 * time.Second, End: 4 * time.Second, CutOff: 5 * time.Minute, Pause: time.Second, Most: time.Minute}
+
+// Read reads a file.
+func Read(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	for _, dir := range []*string{&c.Data, &c.Releases} {
+		if !filepath.IsAbs(*dir) {
+			*dir = filepath.Join(filepath.Dir(path), *dir)
+		}
+		if *dir, err = filepath.Abs(*dir); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Parse reads the text of a file. Every error names file, line, column and field, and says what to write.
+func Parse(file string, text []byte) (*Config, error) {
+	top, err := yamlfile.Mapping(file, text, "fields such as application: permits")
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Listen: DefaultListen, Limits: defaultLimits, Heard: defaultHeard, Look: defaultLook}
+	remote := false
+	var sidecars, limits *yaml.Node
+	text1 := func(to *string, what string) func(*yaml.Node) error {
+		return func(n *yaml.Node) error { return yamlfile.Decode(n, to, what) }
+	}
+	err = yamlfile.Fields(file, "", top, map[string]func(*yaml.Node) error{
+		"application":  text1(&c.Application, "a name"),
+		"listen":       func(n *yaml.Node) error { return yamlfile.Address(n, &c.Listen) },
+		"allow_remote": func(n *yaml.Node) error { return yamlfile.Decode(n, &remote, "true or false") },
+		"data":         text1(&c.Data, "a folder"),
+		"releases":     text1(&c.Releases, "a folder"),
+		"release":      text1(&c.Release, "the name of a release"),
+		"limits":       func(n *yaml.Node) error { limits = n; return nil },
+		"sidecars":     func(n *yaml.Node) error { sidecars = n; return nil },
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range []struct{ name, value, what string }{{"application", c.Application, "a name"}, {"data", c.Data, "the folder for what is kept"},
+		{"releases", c.Releases, "the folder of releases"}, {"release", c.Release, "the release to begin with, as petrelctl release add names it"}} {
+		if f.value == "" {
+			return nil, yamlfile.Problem(file, top, f.name, "missing; write "+f.what)
+		}
+	}
+	if host, _, _ := net.SplitHostPort(c.Listen); !remote && !yamlfile.Loopback(host) {
+		return nil, yamlfile.Problem(file, top, "listen", c.Listen+" is not of loopback; write allow_remote: true where everybody who reaches it may give orders")
+	}
+	if limits != nil {
+		if err := c.limits(file, limits); err != nil {
+			return nil, err
+		}
+	}
+	if sidecars == nil {
+		return nil, yamlfile.Problem(file, top, "sidecars", "missing; write a list")
+	}
+	lines := map[string]int{}
+	err = yamlfile.Each(file, "sidecars", sidecars, func(at string, n *yaml.Node) error {
+		s, err := sidecar(file, at, n)
+		if err != nil {
+			return err
+		}
+		for _, own := range []string{"name " + s.Name, s.Listen, s.Doors[0], s.Doors[1]} {
+			if lines[own] != 0 {
+				return yamlfile.Problem(file, n, at, fmt.Sprintf("%s is in line %d already", own, lines[own]))
+			}
+			lines[own] = n.Line
+		}
+		c.Sidecars = append(c.Sidecars, s)
+		return nil
+	})
+	return c, err
+}
+
+func (c *Config) limits(file string, n *yaml.Node) error {
+	if n.Kind != yaml.MappingNode {
+		return yamlfile.Problem(file, n, "limits", "write fields such as ready: 6s")
+	}
+	time1 := func(d *time.Duration, least time.Duration) func(*yaml.Node) error {
+		return func(n *yaml.Node) error { return yamlfile.Within(n, d, least, 24*time.Hour) }
+	}
+	return yamlfile.Fields(file, "limits.", n, map[string]func(*yaml.Node) error{
+		"ready": time1(&c.Limits.Ready, 100*time.Millisecond), "trial": time1(&c.Limits.Trial, 0), "end": time1(&c.Limits.End, 100*time.Millisecond),
+		"cut_off": time1(&c.Limits.CutOff, time.Second), "restart_pause": time1(&c.Limits.Pause, 10*time.Millisecond),
+		"restart_pause_most": time1(&c.Limits.Most, 10*time.Millisecond), "heard": time1(&c.Heard, 100*time.Millisecond),
+		"look": time1(&c.Look, 10*time.Millisecond),
+	})
+}
+
+func sidecar(file, at string, n *yaml.Node) (s Sidecar, err error) {
+	var doors []string
+	var set map[string]any
+	err = yamlfile.Fields(file, at+".", n, map[string]func(*yaml.Node) error{
+		"name":   func(n *yaml.Node) error { return yamlfile.Decode(n, &s.Name, "a name") },
+		"zone":   func(n *yaml.Node) error { return yamlfile.Decode(n, &s.Zone, "a name") },
+		"listen": func(n *yaml.Node) error { return yamlfile.Address(n, &s.Listen) },
+		"doors": func(n *yaml.Node) error {
+			if err := yamlfile.Decode(n, &doors, "two addresses"); err != nil {
+				return err
+			}
+			for _, one := range n.Content {
+				if err := yamlfile.Address(one, new(string)); err != nil {
+					return err
+				}
+			}
+			if len(doors) != 2 {
+				return fmt.Errorf("%d addresses; write two: both processes of a hand-over have one", len(doors))
+			}
+			return nil
+		},
+		"set": func(n *yaml.Node) error { return yamlfile.Decode(n, &set, "fields of the settings") },
+	})
+	switch {
+	case err != nil:
+		return s, err
+	case s.Name == "" || s.Name != filepath.Base(s.Name) || s.Name[0] == '.':
+		return s, yamlfile.Problem(file, n, at+".name", fmt.Sprintf("%q; write a name without slashes that begins with no dot", s.Name))
+	case s.Listen == "" || doors == nil:
+		return s, yamlfile.Problem(file, n, at, "write listen, and two doors")
+	}
+	s.Doors, s.Set = [2]string(doors), map[string]json.RawMessage{}
+	for name, v := range set {
+		text, err := json.Marshal(v)
+		if err != nil {
+			return s, yamlfile.Problem(file, n, at+".set."+name, err.Error())
+		}
+		s.Set[name] = text
+	}
+	for _, name := range own {
+		if s.Set[name] != nil {
+			return s, yamlfile.Problem(file, n, at+".set."+name, "the agent writes it; leave it out")
+		}
+	}
+	return s, nil
+}
+
+// settings are a release's for one sidecar. A name in Set may go into fields by dots: settings.my_number.
+func (s *Sidecar) settings(release []byte) ([]byte, error) {
+	fields := map[string]any{}
+	d := json.NewDecoder(bytes.NewReader(release))
+	d.UseNumber()
+	if err := d.Decode(&fields); err != nil {
+		return nil, fmt.Errorf("the settings of the release: %w", err)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Set)) {
+		at, parts := fields, strings.Split(name, ".")
+		for _, part := range parts[:len(parts)-1] {
+			in, ok := at[part].(map[string]any)
+			if !ok {
+				return nil, fmt.Errorf("set.%s: the settings of the release have no fields in %s", name, part)
+			}
+			at = in
+		}
+		at[parts[len(parts)-1]] = s.Set[name]
+	}
+	for _, name := range own {
+		delete(fields, name)
+	}
+	fields["name"], fields["listen"] = s.Name, s.Listen
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/internal/machine/door.go
@@ -0,0 +1,288 @@
+package machine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"petrelhook/internal/agent"
+	"petrelhook/internal/release"
+	"petrelhook/internal/rollout"
+)
+
+// Version is of the messages below. Another one is refused.
+const Version = 1
+
+// The calls.
+const (
+	PathLook  = "/petrelagent.v1.Agent/Look"
+	PathOrder = "/petrelagent.v1.Agent/Order"
+	PathCheck = "/petrelagent.v1.Agent/Check"
+	maxCall   = 64 << 10
+	// MaxAnswer bounds an answer: the counts of a machine full of sidecars.
+	MaxAnswer = 16 << 20
+)
+
+// Look asks what is. With a driver's token it also says that the fleet is in reach, and what is confirmed by it.
+type Look struct {
+	Version     int    `json:"version"`
+	Application string `json:"application"`
+	Token       uint64 `json:"token,omitempty"`
+	Confirmed   string `json:"confirmed,omitempty"`
+}
+
+// Seen is what there is.
+type Seen struct {
+	Sidecars []SidecarSeen `json:"sidecars"`
+}
+
+// SidecarSeen is one sidecar.
+type SidecarSeen struct {
+	rollout.Report
+	Zone      string          `json:"zone,omitempty"`
+	Phase     string          `json:"phase"`
+	Confirmed string          `json:"confirmed"`
+	Process   agent.Process   `json:"process"` // the one that the counts are of
+	Counts    json.RawMessage `json:"counts,omitempty"`
+	CPU       uint64          `json:"cpu,omitempty"`    // ticks of the system that it has used
+	Memory    uint64          `json:"memory,omitempty"` // bytes that it has resident
+}
+
+// Order is a driver's.
+type Order struct {
+	Version     int           `json:"version"`
+	Application string        `json:"application"`
+	Token       uint64        `json:"token"`
+	Order       rollout.Order `json:"order"`
+}
+
+// Taken says that an order is carried out, or was.
+type Taken struct {
+	Known bool `json:"known"`
+}
+
+// Check asks whether a release could be run here. Settings are the release's own.
+type Check struct {
+	Version int    `json:"version"`
+	Release string `json:"release"`
+}
+
+// Checked is the yes.
+type Checked struct {
+	Settings json.RawMessage `json:"settings"`
+}
+
+func (m *Machine) same(version int, application string) error {
+	if version != Version {
+		return connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("version %d; this agent speaks %d", version, Version))
+	}
+	if application != m.c.Application {
+		return connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("application %q; this agent is of %q", application, m.c.Application))
+	}
+	return nil
+}
+
+var errEnds = connect.NewError(connect.CodeUnavailable, errors.New("this agent ends"))
+
+// owned has f run by the owner, and waits for what it gives.
+func owned[T any](ctx context.Context, m *Machine, f func() (T, error)) (v T, err error) {
+	type result struct {
+		v   T
+		err error
+	}
+	done := make(chan result, 1)
+	if !m.post(func() error {
+		v, err := f()
+		done <- result{v, err}
+		var disk diskError
+		if errors.As(err, &disk) {
+			return disk.error
+		}
+		return nil
+	}) {
+		return v, errEnds
+	}
+	select {
+	case r := <-done:
+		return r.v, r.err
+	case <-ctx.Done():
+		return v, ctx.Err()
+	case <-m.ended:
+		return v, errEnds
+	}
+}
+
+// diskError ends the agent.
+type diskError struct{ error }
+
+func disk(err error) error {
+	if err == nil {
+		return nil
+	}
+	return diskError{err}
+}
+
+func (m *Machine) look(ctx context.Context, in *Look) (*Seen, error) {
+	if err := m.same(in.Version, in.Application); err != nil {
+		return nil, err
+	}
+	return owned(ctx, m, func() (*Seen, error) {
+		if in.Token != 0 {
+			if err := m.hear(in.Token); err != nil {
+				return nil, err
+			}
+		}
+		seen := &Seen{}
+		for _, u := range m.units {
+			if in.Token != 0 && in.Confirmed != "" {
+				u.Confirm(in.Confirmed)
+				if err := disk(m.after(u, nil)); err != nil {
+					return nil, err
+				}
+			}
+			seen.Sidecars = append(seen.Sidecars, u.seen())
+		}
+		return seen, nil
+	})
+}
+
+// hear takes in a driver's token: an older one's is refused from then on.
+func (m *Machine) hear(token uint64) error {
+	if err := m.fence.Hear(token); err != nil {
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	m.heard = m.now()
+	return disk(m.keepFence())
+}
+
+func (m *Machine) keepFence() error {
+	var was rollout.Fence
+	if _, err := m.read("fence", &was); err != nil || was.Equal(m.fence) {
+		return err
+	}
+	return m.keep("fence", m.fence)
+}
+
+func (u *unit) seen() SidecarSeen {
+	s := SidecarSeen{Zone: u.conf.Zone, Phase: u.Phase.String(), Confirmed: u.Confirmed}
+	s.Report = rollout.Report{Sidecar: u.conf.Name, Done: u.Done, Failed: u.Failed, Fell: rollout.Fall(u.Fell)}
+	s.Release, s.Ready = u.Serves()
+	if u.Now != nil {
+		s.Process, s.Counts = *u.Now, u.said[*u.Now]
+		s.CPU, s.Memory = usage(*u.Now)
+	}
+	return s
+}
+
+func (m *Machine) order(ctx context.Context, in *Order) (*Taken, error) {
+	if err := m.same(in.Version, in.Application); err != nil {
+		return nil, err
+	}
+	return owned(ctx, m, func() (*Taken, error) {
+		for _, u := range m.units {
+			if u.conf.Name != in.Order.Sidecar {
+				continue
+			}
+			if err := m.fence.Hear(in.Token); err != nil {
+				return nil, connect.NewError(connect.CodeAborted, err)
+			}
+			known, err := m.fence.Admit(in.Token, in.Order)
+			if err != nil {
+				return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+			}
+			m.heard = m.now()
+			if err := disk(m.keepFence()); err != nil {
+				return nil, err
+			}
+			todo, err := u.Change(m.now(), in.Order.Number, in.Order.Release) // once, whatever the fence has known
+			if err != nil {
+				return nil, connect.NewError(connect.CodeUnavailable, err)
+			}
+			return &Taken{known}, disk(m.after(u, todo))
+		}
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("there is no sidecar %q on this machine", in.Order.Sidecar))
+	})
+}
+
+// checkTime is for how long a program may check settings.
+const checkTime = 10 * time.Second
+
+// check has the program of a release check its settings, for each sidecar of the machine.
+func (m *Machine) check(ctx context.Context, in *Check) (*Checked, error) {
+	if err := m.same(in.Version, m.c.Application); err != nil {
+		return nil, err
+	}
+	bad := func(err error) error { return connect.NewError(connect.CodeFailedPrecondition, err) }
+	r, err := m.store.Open(release.ID(in.Release))
+	if err != nil {
+		return nil, bad(err)
+	}
+	settings, err := os.ReadFile(r.Settings)
+	if err != nil {
+		return nil, bad(err)
+	}
+	dir, err := os.MkdirTemp(m.c.Data, ".check-")
+	if err != nil {
+		return nil, bad(err)
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(ctx, checkTime)
+	defer cancel()
+	for i := range m.c.Sidecars {
+		path := filepath.Join(dir, m.c.Sidecars[i].Name+".json")
+		if err := m.write(&m.c.Sidecars[i], r, path); err != nil {
+			return nil, bad(err)
+		}
+		cmd := exec.CommandContext(ctx, r.Program, "--check", "--config", path)
+		cmd.WaitDelay = time.Second
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return nil, bad(fmt.Errorf("%s: its program does not take its settings for %s: %w: %s", r.ID, m.c.Sidecars[i].Name, err, strings.TrimSpace(string(out))))
+		}
+	}
+	return &Checked{settings}, nil
+}
+
+// askTime is for how long an operators' door is waited for.
+const askTime = time.Second
+
+var doors = &http.Client{Timeout: askTime, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// ask asks a process whether it is ready, and for its counts.
+func (m *Machine) ask(ctx context.Context, u *unit, p agent.Process) {
+	_, yes := call(ctx, p.Door, "/api/ready")
+	counts, counted := call(ctx, p.Door, "/api/counts")
+	m.post(func() error {
+		delete(u.asked, p)
+		if !u.has(p) {
+			return nil
+		}
+		if counted && json.Valid(counts) {
+			u.said[p] = counts
+		}
+		return m.after(u, u.Answered(m.now(), p, yes))
+	})
+}
+
+func call(ctx context.Context, door, path string) (text []byte, yes bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
+	if err != nil {
+		return nil, false
+	}
+	res, err := doors.Do(req)
+	if err != nil {
+		return nil, false
+	}
+	defer res.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	return text, err == nil && res.StatusCode == http.StatusOK
+}
--- a/internal/replica/ask.go
+++ b/internal/replica/ask.go
@@ -7,11 +7,13 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	"petrelhook/internal/lease"
+	"petrelhook/internal/rollout"
 )
 
 // Question is what a replica is asked; one of its fields says what.
 type Question struct {
 	Command *lease.Command
+	Rollout *rollout.Command
 	Alive   *Alive
 	Read    bool    // the state as of now
 	Add     *Member // as a learner; it votes once it has caught up
@@ -33,7 +35,9 @@
 	Alive   bool
 	Grants  []lease.Grant
 	Version uint64
+	Rollout rollout.Answer
 	State   *lease.State
+	Changes *rollout.Register // as State
 	Members []Member
 }
 
@@ -60,9 +64,9 @@
 		return
 	}
 	switch {
-	case q.Command != nil:
+	case q.Command != nil || q.Rollout != nil:
 		c.number++
-		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command}); err != nil {
+		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command, Rollout: q.Rollout}); err != nil {
 			q.Done(Reply{Err: ErrBusy})
 			return
 		}
@@ -124,7 +128,7 @@
 				r.Grants, r.Version = c.state.Grants(q.Alive.Session, q.Alive.Known)
 			}
 		} else {
-			r.State, r.Members = c.state, c.Members()
+			r.State, r.Changes, r.Members = c.state, c.changes, c.Members()
 		}
 		q.Done(r)
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"petrelhook/internal/lease"
+	"petrelhook/internal/rollout"
 )
 
 const (
@@ -28,16 +29,18 @@
 
 // entry is the data of one entry of the log.
 type entry struct {
-	From   uint64         `json:"f,omitempty"` // the replica that was asked
-	Number uint64         `json:"n,omitempty"` // its number for it
-	Lease  *lease.Command `json:"c,omitempty"`
-	Member *Member        `json:"m,omitempty"` // what became known of one
+	From    uint64           `json:"f,omitempty"` // the replica that was asked
+	Number  uint64           `json:"n,omitempty"` // its number for it
+	Lease   *lease.Command   `json:"c,omitempty"`
+	Rollout *rollout.Command `json:"r,omitempty"`
+	Member  *Member          `json:"m,omitempty"` // what became known of one
 }
 
 // image is the state of a snapshot.
 type image struct {
-	Members []Member        `json:"members"`
-	Lease   json.RawMessage `json:"lease"`
+	Members  []Member        `json:"members"`
+	Lease    json.RawMessage `json:"lease"`
+	Rollouts json.RawMessage `json:"rollouts,omitempty"` // a version before had none
 }
 
 // Options are the bounds of a replica.
@@ -55,6 +58,7 @@
 	raw     *raft.RawNode
 	store   *raft.MemoryStorage
 	state   *lease.State
+	changes *rollout.Register
 	members map[uint64]Member
 	conf    *pb.ConfState
 	applied uint64
@@ -92,12 +96,16 @@
 	slices.Sort(conf.Voters)
 	return &Kept{
 		Hard:     &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)},
-		Snapshot: &pb.Snapshot{Data: encode(members, state), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
+		Snapshot: &pb.Snapshot{Data: encode(members, state, rollout.NewRegister()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
 	}
 }
 
-func encode(members []Member, state *lease.State) []byte {
-	text, err := json.Marshal(image{members, state.Snapshot()})
+func encode(members []Member, state *lease.State, changes *rollout.Register) []byte {
+	im := image{Members: members, Lease: state.Snapshot()}
+	if len(changes.Applications()) > 0 {
+		im.Rollouts = changes.Snapshot()
+	}
+	text, err := json.Marshal(im)
 	if err != nil {
 		panic(err) // no field can fail
 	}
@@ -112,7 +120,7 @@
 	if o.Keep == 0 {
 		o.Keep = 5_000
 	}
-	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
+	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), changes: rollout.NewRegister(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
 	if k.Snapshot != nil {
 		if err := c.store.ApplySnapshot(k.Snapshot); err != nil {
 			return nil, err
@@ -156,6 +164,11 @@
 	if err != nil {
 		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
 	}
+	changes, err := rollout.RestoreRegister(im.Rollouts)
+	if err != nil {
+		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
+	}
+	c.changes = changes
 	c.state, c.members, c.clock = state, map[uint64]Member{}, nil
 	for _, m := range im.Members {
 		c.members[m.ID] = m
@@ -359,6 +372,8 @@
 			m.Life = in.Member.Life
 			c.members[m.ID] = m
 		}
+	case in.Rollout != nil:
+		r.Rollout = c.changes.Apply(*in.Rollout)
 	case in.Lease != nil:
 		r.Answer = c.state.Apply(*in.Lease)
 		if c.clock != nil {
@@ -378,7 +393,7 @@
 
 // snapshot makes one of what is applied.
 func (c *Core) snapshot() (own *pb.Snapshot, compact uint64, err error) {
-	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state))
+	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state, c.changes))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -35,6 +35,12 @@
 
 // NewGroup starts n coordinators of a program, a heartbeat every 20 ms.
 func NewGroup(t testing.TB, n int, program func(args ...string) *exec.Cmd) *Group {
+	t.Helper()
+	return NewGroupWith(t, n, "", program)
+}
+
+// NewGroupWith is one with further lines in all files.
+func NewGroupWith(t testing.TB, n int, lines string, program func(args ...string) *exec.Cmd) *Group {
 	t.Helper()
 	g := &Group{Dir: t.TempDir(), t: t, program: program}
 	for i := range n {
@@ -46,7 +52,7 @@
 		g.All = append(g.All, m)
 	}
 	for _, m := range g.All {
-		text := fmt.Sprintf("id: %d\ndata: data%d\nlisten: 127.0.0.1:0\ntick: 20ms\nreplicas:\n", m.I+1, m.I+1)
+		text := fmt.Sprintf("id: %d\ndata: data%d\nlisten: 127.0.0.1:0\ntick: 20ms\n%sreplicas:\n", m.I+1, m.I+1, lines)
 		for j := range n {
 			addr := m.Links[j].Addr
 			if j == m.I {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -9,7 +9,9 @@
 
 // Member is a sidecar that a plan may change.
 type Member struct {
-	Name, Zone string
+	Name  string `json:"name"`
+	Zone  string `json:"zone,omitempty"`
+	Agent string `json:"agent,omitempty"` // the address of the one that is in charge of it
 }
 
 // Select says which sidecars a stage takes of those that are left; one of its fields.
@@ -36,6 +38,13 @@
 	Unavailable int           // how many may be out of service, those that change counted
 	Patience    time.Duration // how long a stage waits for evidence; then the change pauses
 	Hold        bool          // a stop leaves what was changed
+	Judge       Judgement
+}
+
+// Judgement is what the judge of a change is held to, as package judge has it.
+type Judgement struct {
+	None                            bool // by the clock alone
+	FalseStops, MissedStops, Effect float64
 }
 
 // resolve is the members of each stage. It says what does not add up, and with what field.
--- /dev/null
+++ b/internal/rollout/register_test.go
@@ -0,0 +1,114 @@
+package rollout
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Commands of drivers and operators, in the order of a fleet's life: what each is answered, and that a register that was kept and
+// restored goes on as the first.
+func TestRegister(t *testing.T) {
+	all, now := members(4)
+	begin := func(change, from, to string) Command {
+		p := plan()
+		p.From, p.To, p.Stages = from, to, []Stage{{Select: Select{Count: 1}}, {Select: Select{Share: 1}}}
+		return Command{Application: "app", Change: change, Start: &Start{Plan: p, Members: all, Now: now}}
+	}
+	driver := func(change string, token, after uint64, e ...Event) Command {
+		return Command{Application: "app", Change: change, Token: token, After: after, Events: e}
+	}
+	done := func(name string, order uint64) Event {
+		return Event{Report: &Report{Sidecar: name, Release: "new", Ready: true, Done: order}}
+	}
+	r := NewRegister()
+	for i, c := range []struct {
+		Command
+		err    string
+		events uint64
+	}{
+		{driver("one", 5, 0, Event{Elapsed: 1}), "no such change", 0},
+		{begin("one", "old", "old"), "to: old is what is there", 0},
+		{begin("one", "old", "new"), "", 0},
+		{begin("one", "old", "new"), "", 0}, // asked again
+		{begin("two", "old", "new"), "change one of app is running", 0},
+		{driver("one", 5, 0, done("n00", 1), Event{Elapsed: 1}), "", 2},
+		{driver("one", 5, 0, done("n00", 1), Event{Elapsed: 1}), "other events", 2}, // asked again
+		{driver("one", 4, 2, Event{Elapsed: time.Hour}), "a newer driver", 2},
+		{driver("one", 6, 2, Event{Elapsed: 1}), "", 3},
+		{driver("one", 5, 3, Event{Elapsed: 1}), "a newer driver", 3},
+		{driver("one", 0, 0, Event{Pause: "lunch"}), "", 4},
+		{driver("one", 6, 3, Event{Elapsed: 1}), "other events", 4}, // it had not heard of the pause
+		{driver("one", 0, 0, Event{Abort: "enough"}), "", 5},
+		{begin("two", "old", "new"), "taking back", 0}, // a new one while the last is taken back
+		{driver("one", 6, 5, Event{Report: &Report{Sidecar: "n00", Release: "old", Ready: true, Done: 2}}), "", 6},
+		{begin("two", "old", "new"), "", 0},
+		{driver("one", 6, 6, Event{Elapsed: 1}), "no such change", 0},
+	} {
+		if err := c.Check(); err != nil {
+			t.Fatal(i, err)
+		}
+		if a := r.Apply(c.Command); (a.Err == "") != (c.err == "") || !strings.Contains(a.Err, c.err) || a.Events != c.events {
+			t.Errorf("%d: %+v, want %q, %d", i, a, c.err, c.events)
+		}
+		kept := r.Snapshot()
+		var err error
+		if r, err = RestoreRegister(kept); err != nil || !bytes.Equal(kept, r.Snapshot()) {
+			t.Fatalf("%d: %v: %s", i, err, kept)
+		}
+	}
+	two := r.all["app"].Now
+	if orders := two.State.Orders(); len(orders) != 1 || orders[0].Number <= 2 { // agents know 1 and 2
+		t.Errorf("%v", orders)
+	}
+	if past := r.all["app"].Past; len(past) != 1 || past[0].Phase != "stopped" || past[0].Why != "enough" || len(past[0].Moments) != 4 {
+		t.Errorf("%+v", past)
+	}
+	if got := r.Applications(); fmt.Sprint(got) != "[app]" {
+		t.Error(got)
+	}
+}
+
+// Commands that are none are refused before they come into the log.
+func TestCheck(t *testing.T) {
+	good := Command{Application: "a", Change: "c", Token: 1, Events: []Event{{Elapsed: 1}}}
+	for want, change := range map[string]func(*Command){
+		"application":      func(c *Command) { c.Application = "" },
+		"change":           func(c *Command) { c.Change = strings.Repeat("x", 200) },
+		"a start, or":      func(c *Command) { c.Events = nil },
+		"513 events":       func(c *Command) { c.Events = make([]Event, 513) },
+		"without a token":  func(c *Command) { c.Events[0] = Event{Abort: "a"} },
+		"all else is a dr": func(c *Command) { c.Token = 0 },
+	} {
+		c := good
+		c.Events = []Event{{Elapsed: 1}}
+		change(&c)
+		if err := c.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
+// What a driver has to tell: what differs, and orders that are over; sidecars whose agent is out of reach are not ready.
+func TestChanged(t *testing.T) {
+	all, now := members(3)
+	s, err := New(plan3(), all, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(Event{})
+	c := &Change{State: s}
+	same := now[2]
+	got := c.Changed([]Report{{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Failed: "f"}, {Sidecar: "n01", Unknown: true}, same, {Sidecar: "stranger"}})
+	if len(got) != 2 || got[0].Report.Failed != "f" || got[1].Report.Release != "old" || got[1].Report.Ready {
+		t.Errorf("%+v", got)
+	}
+}
+
+func plan3() Plan {
+	p := plan()
+	p.Stages = []Stage{{Select: Select{Count: 1}}, {Select: Select{Share: 1}}}
+	return p
+}
