--- a/cmd/petrelagent/faults_test.go
+++ b/cmd/petrelagent/faults_test.go
@@ -4,18 +4,22 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"petrelhook/internal/agent"
 	"petrelhook/internal/machine"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rollout"
+	"petrelhook/internal/rpc"
 )
 
 const twoStages = "at_once: 2\nunavailable: 3\npatience: 3m\njudge: {effect: 0.2}\nstages:\n  - {count: 2, control: 1}\n  - {share: 1}\n"
@@ -92,6 +96,13 @@
 	if starts != 6+6+1 { // first, changed, and the control
 		t.Errorf("%d starts", starts)
 	}
+	for _, token := range []uint64{1, 1 << 40} { // an older driver; a newer one that says an order once more
+		order := machine.Order{Version: machine.Version, Application: deployment.Application, Token: token, Order: rollout.Order{Number: 1, Sidecar: "n00", Release: string(s.old)}}
+		res, err := rpc.Client[machine.Order, machine.Taken](http.DefaultClient, s.Agents[0].Link.Addr, machine.PathOrder, 1<<20).CallUnary(t.Context(), connect.NewRequest(&order))
+		if token == 1 && connect.CodeOf(err) != connect.CodeAborted || token > 1 && (err != nil || !res.Msg.Known) {
+			t.Errorf("token %d: %v, %v", token, res, err)
+		}
+	}
 	s.check()
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -79,7 +79,7 @@
 		}
 		d.Log.Info("drives", "token", uint64(h.Token))
 		d.changes = map[string]*drive{}
-		err = d.drive(h)
+		err = d.drive(ctx, h)
 		d.Log.Info("drives no more", "token", uint64(h.Token), "err", err)
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), agentTime)
 		if ctx.Err() != nil || err != nil {
@@ -93,8 +93,11 @@
 // errOlder says that a newer driver was heard of.
 var errOlder = errors.New("a newer driver was heard")
 
-func (d *Driver) drive(h *lease.Held) error {
-	ctx := h.Context()
+// drive drives until the lease is lost, or stop ends.
+func (d *Driver) drive(stop context.Context, h *lease.Held) error {
+	ctx, cancel := context.WithCancelCause(h.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(stop, func() { cancel(context.Cause(stop)) })()
 	tick := time.NewTicker(d.Every)
 	defer tick.Stop()
 	for {
--- a/internal/driver/evidence.go
+++ b/internal/driver/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"petrelhook/internal/agent"
@@ -23,6 +24,8 @@
 	judge  *judge.Judge
 	last   map[string]reading // by sidecar
 	bounds map[bound]*quantile
+	base   group  // what all had counted before anything moved
+	olds   group  // what the old ones have since
 	lately [2]use // since the last comparison of what the new and the control have used
 	since  time.Duration
 }
@@ -92,12 +95,18 @@
 	g[c.Name] = sum
 }
 
+func (g group) sum(more group) {
+	for _, c := range more {
+		g.add(c)
+	}
+}
+
 // Window takes in what was seen since the last one, and says what holds now; nil: the stage is not watched yet.
 // took is how long the window was.
 func (e *Evidence) Window(c *rollout.Change, seen map[string]Seen, took time.Duration) (*rollout.Verdict, error) {
 	s := c.State
 	if s.Phase != rollout.Running {
-		e.stage = 0
+		e.stage, e.olds = 0, group{}
 		return nil, nil
 	}
 	if s.Plan.Judge.None {
@@ -107,6 +116,9 @@
 	if len(control) == 0 {
 		control = old(s)
 	}
+	if e.change != c.Name {
+		e.base, e.olds = group{}, group{}
+	}
 	if e.change != c.Name || e.stage != s.Stage {
 		e.change, e.stage, e.judge = c.Name, s.Stage, nil
 		e.last, e.bounds, e.lately, e.since = map[string]reading{}, map[bound]*quantile{}, [2]use{}, 0
@@ -115,6 +127,10 @@
 	for _, m := range c.Members {
 		zone[m.Name] = m.Zone
 	}
+	if s.Settled < s.Plan.Before {
+		e.base.sum(e.groups(names(s), zone, seen, s.Plan.From, &use{})[everyZone])
+		return nil, nil
+	}
 	news, olds := e.groups(changed, zone, seen, s.Plan.To, &e.lately[0]), e.groups(control, zone, seen, s.Plan.From, &e.lately[1])
 	if len(control) == 0 {
 		return &rollout.Verdict{Stage: s.Stage, Fine: true, Why: "none is left to compare with"}, nil
@@ -152,9 +168,50 @@
 		e.lately, e.since = [2]use{}, 0
 	}
 	v := e.judge.Verdict()
+	if e.olds.sum(olds[everyZone]); v.Kind != judge.Worse {
+		if why := e.before(s.Plan.Judge); why != "" {
+			return &rollout.Verdict{Stage: s.Stage, Old: true, Why: why}, nil
+		}
+	}
 	return &rollout.Verdict{Stage: s.Stage, Worse: v.Kind == judge.Worse, Fine: v.Kind == judge.NoWorse, Why: v.String()}, nil
 }
 
+// before says how the old ones do worse than all did before the change; "": it is not known that they do.
+func (e *Evidence) before(p rollout.Judgement) string {
+	for class, now := range e.olds {
+		was := e.base[class]
+		of := func(c counts.Class, hit uint64) judge.Counts {
+			return judge.Counts{Hit: float64(hit), Of: float64(c.Served + c.Refused + c.Failed)}
+		}
+		q := quantile{step: -1}
+		q.add(was)
+		for _, m := range []struct {
+			metric      string
+			now, before judge.Counts
+		}{
+			{"refused", of(now, now.Refused), of(was, was.Refused)}, {"failed", of(now, now.Failed), of(was, was.Failed)},
+			{"slow", slow(now, q.step), slow(was, q.step)},
+		} {
+			if m.before.Of < boundOf || m.metric == "slow" && q.step < 0 {
+				continue
+			}
+			least := judge.Least(m.now, m.before, p.FalseStops/float64(metrics*len(e.olds)))
+			if rate, was := m.now.Hit/max(m.now.Of, 1), m.before.Hit/m.before.Of; least > 0 && rate > was+p.Effect {
+				return fmt.Sprintf("old sidecars do worse than before the change: %s of class %s: %.4f, before %.4f (at least %.4f more)", m.metric, class, rate, was, least)
+			}
+		}
+	}
+	return ""
+}
+
+// names are all sidecars of a change.
+func names(s *rollout.State) (all []string) {
+	for _, c := range s.Sidecars() {
+		all = append(all, c.Name)
+	}
+	return all
+}
+
 // compare compares what the new and the control have used in the same time.
 func (e *Evidence) compare() error {
 	n, o := e.lately[0], e.lately[1]
@@ -253,12 +310,14 @@
 		q.add(o)
 		return e.judge.Add(at, judge.Counts{}, judge.Counts{}) // not judged yet, and so not fine
 	}
-	slow := func(c counts.Class) judge.Counts {
-		k := judge.Counts{Of: float64(c.Served)}
-		for i := q.step + 1; i < counts.Steps; i++ {
-			k.Hit += float64(c.Took[i])
-		}
-		return k
+	return e.judge.Add(at, slow(n, q.step), slow(o, q.step))
+}
+
+// slow is how many of those served took longer than a step.
+func slow(c counts.Class, step int) judge.Counts {
+	k := judge.Counts{Of: float64(c.Served)}
+	for i := step + 1; i < counts.Steps; i++ {
+		k.Hit += float64(c.Took[i])
 	}
-	return e.judge.Add(at, slow(n), slow(o))
+	return k
 }
--- a/internal/driver/evidence_test.go
+++ b/internal/driver/evidence_test.go
@@ -189,3 +189,27 @@
 		}
 	}
 }
+
+// The old ones do worse once the new are there: the change pauses, for it is not known why. What was as bad before is no news.
+func TestTheTimeBefore(t *testing.T) {
+	for name, c := range map[string]struct{ before, after uint64 }{"worse": {0, 6}, "as before": {6, 6}, "better": {6, 0}} {
+		w := newWorld(t, 2)
+		w.change.State.Plan.Before = time.Minute
+		var v *rollout.Verdict
+		count := func(failed uint64) func(string, string, *counts.Class) {
+			return func(_, _ string, k *counts.Class) { serve(k, 14, 10); k.Failed += failed }
+		}
+		for range 20 {
+			if v = w.window(t, count(c.before)); v != nil {
+				t.Fatalf("%+v", v)
+			}
+		}
+		w.change.State.Settled = time.Minute
+		for i := 0; i < 60 && (v == nil || !v.Old); i++ {
+			v = w.window(t, count(c.after))
+		}
+		if v == nil || v.Worse || v.Old != (name == "worse") || v.Old && !strings.Contains(v.Why, "failed of class look: 0.3000, before 0.0000") {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+}
--- a/internal/driver/planfile.go
+++ b/internal/driver/planfile.go
@@ -65,6 +65,7 @@
 		"application": word(&p.Application, "a name"), "from": word(&p.From, "a release"), "to": word(&p.To, "a release"),
 		"at_once":     func(n *yaml.Node) error { return yamlfile.Decode(n, &p.AtOnce, "a number from 1 on") },
 		"unavailable": func(n *yaml.Node) error { return yamlfile.Decode(n, &p.Unavailable, "a number from 1 on") },
+		"before":      func(n *yaml.Node) error { return yamlfile.Within(n, &p.Before, 0, 24*time.Hour) },
 		"patience":    func(n *yaml.Node) error { return yamlfile.Within(n, &p.Patience, time.Second, 7*24*time.Hour) },
 		"hold":        func(n *yaml.Node) error { return yamlfile.Decode(n, &p.Hold, "true or false") },
 		"agents":      note("agents", func(n *yaml.Node) error { return yamlfile.Decode(n, &f.Agents, "a list of host:port") }),
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -224,6 +224,12 @@
 	return upper(c.new, missed/2) - (1 - upper(Counts{c.control.Of - c.control.Hit, c.control.Of}, missed/2))
 }
 
+// Least is by how much the first rate is larger at least, at a confidence that holds at all times together. The counts need not be of one
+// time; then a difference says that something has changed, and not what.
+func Least(now, before Counts, alpha float64) float64 {
+	return 1 - upper(Counts{now.Of - now.Hit, now.Of}, alpha/2) - upper(before, alpha/2)
+}
+
 // upper is the upper end of a confidence sequence of a rate.
 func upper(c Counts, alpha float64) float64 {
 	a, _ := math.Lgamma(c.Hit + 1)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -34,6 +34,7 @@
 	Application string
 	From, To    string // releases
 	Stages      []Stage
+	Before      time.Duration // for which all are watched before anything moves
 	AtOnce      int           // how many sidecars change at the same time
 	Unavailable int           // how many may be out of service, those that change counted
 	Patience    time.Duration // how long a stage waits for evidence; then the change pauses
@@ -60,6 +61,8 @@
 		return nil, fmt.Errorf("at_once: %d; write 1 or more", p.AtOnce)
 	case p.Unavailable < p.AtOnce:
 		return nil, fmt.Errorf("unavailable: %d; write at_once (%d) or more: a sidecar that changes counts", p.Unavailable, p.AtOnce)
+	case p.Before < 0:
+		return nil, fmt.Errorf("before: %v; write how long all are watched before anything moves", p.Before)
 	case p.Patience <= 0:
 		return nil, fmt.Errorf("patience: %v; write how long a stage may wait for evidence", p.Patience)
 	}
--- a/internal/rollout/register.go
+++ b/internal/rollout/register.go
@@ -251,6 +251,7 @@
 	Phase    Phase         `json:"phase"`
 	Why      string        `json:"why,omitempty"`
 	Stage    int           `json:"stage"`
+	Settled  time.Duration `json:"settled,omitempty"`
 	Watched  time.Duration `json:"watched,omitempty"`
 	Waited   time.Duration `json:"waited,omitempty"`
 	Fine     bool          `json:"fine,omitempty"`
@@ -262,7 +263,7 @@
 
 // MarshalJSON is all of a state.
 func (s *State) MarshalJSON() ([]byte, error) {
-	im := stateImage{s.Plan, s.Phase, s.Why, s.Stage, s.Watched, s.Waited, s.Fine, s.Evidence, s.stages, nil, s.number}
+	im := stateImage{s.Plan, s.Phase, s.Why, s.Stage, s.Settled, s.Watched, s.Waited, s.Fine, s.Evidence, s.stages, nil, s.number}
 	for _, name := range s.names {
 		im.Sidecars = append(im.Sidecars, s.sidecars[name])
 	}
@@ -275,7 +276,7 @@
 	if err := json.Unmarshal(text, &im); err != nil {
 		return err
 	}
-	*s = State{Plan: im.Plan, Phase: im.Phase, Why: im.Why, Stage: im.Stage, Watched: im.Watched, Waited: im.Waited, Fine: im.Fine,
+	*s = State{Plan: im.Plan, Phase: im.Phase, Why: im.Why, Stage: im.Stage, Settled: im.Settled, Watched: im.Watched, Waited: im.Waited, Fine: im.Fine,
 		Evidence: im.Evidence, stages: im.Stages, sidecars: map[string]*Sidecar{}, number: im.Number}
 	for _, c := range im.Sidecars {
 		s.sidecars[c.Name] = c
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Nothing moves before the time before is watched.
+func TestBefore(t *testing.T) {
+	p := plan()
+	p.Before = time.Minute
+	f := begin(t, p, 12)
+	f.apply(Event{Elapsed: 59 * time.Second}, never)
+	if f.running("new") != 0 || f.s.Waits() != "what is before: 59s of 1m0s" {
+		t.Errorf("%d are changed; waits for %s", f.running("new"), f.s.Waits())
+	}
+	if f.apply(Event{Elapsed: time.Second}, never); f.running("new") != 1 {
+		t.Errorf("%d are changed", f.running("new"))
+	}
+}
+
 // back is that the first of a stage runs the old release again, without an order.
 func back(why Fall) Event {
 	return Event{Report: &Report{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Fell: why}}
@@ -134,6 +148,7 @@
 		"cut off":              {false, []Event{{Elapsed: 1}, back(CutOff)}, never, Paused, 1, "cut off", 0},
 		"nothing comes of it":  {false, []Event{{Elapsed: 1}, {Report: &Report{Sidecar: "n00", Release: "new"}}, {Elapsed: 59 * time.Minute}, {Elapsed: time.Minute}}, never, Paused, 1, "nothing came of it in 1h0m0s: n00", 0},
 		"accepted":             {false, []Event{{Elapsed: 1}, {Elapsed: time.Hour}, {Resume: true, Accept: true}, {Elapsed: time.Minute}}, never, Running, 4, "", 0},
+		"old ones worse":       {false, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Old: true, Why: "old"}}}, never, Paused, 1, "old", 0},
 		"aborted":              {false, []Event{{Elapsed: 1}, {Abort: "by hand"}}, never, Stopped, 0, "by hand", 0},
 		"paused, then aborted": {false, []Event{{Elapsed: 1}, {Pause: "lunch"}, {Abort: "by hand"}, {Resume: true}}, never, Stopped, 0, "by hand", 0},
 		"taking back fails":    {false, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Worse: true, Why: "w"}}, {Abort: "again"}, {Elapsed: 1}}, failsTo("old", 2), Stopped, 1, "w", 1},
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -80,6 +80,7 @@
 type Verdict struct {
 	Stage int    `json:"stage"` // counted from 1; one of another stage is late
 	Worse bool   `json:"worse,omitempty"`
+	Old   bool   `json:"old,omitempty"`  // it is the old ones that do worse than before the change
 	Fine  bool   `json:"fine,omitempty"` // no worse; neither: not enough evidence
 	Why   string `json:"why"`
 }
@@ -88,8 +89,9 @@
 type State struct {
 	Plan     Plan
 	Phase    Phase
-	Why      string // of the pause or the stop
-	Stage    int    // counted from 1
+	Why      string        // of the pause or the stop
+	Stage    int           // counted from 1
+	Settled  time.Duration // of the plan's Before
 	Watched  time.Duration
 	Waited   time.Duration // for sidecars of this stage that are not ready, since one last came or went
 	Fine     bool          // the judge says so of this stage
@@ -134,8 +136,11 @@
 		s.report(*e.Report)
 	case e.Verdict != nil:
 		if v := e.Verdict; s.Phase == Running && v.Stage == s.Stage {
-			if s.Fine, s.Evidence = v.Fine, v.Why; v.Worse {
+			switch s.Fine, s.Evidence = v.Fine, v.Why; {
+			case v.Worse:
 				s.stop(v.Why)
+			case v.Old: // the release may take what they need, or something else happens
+				s.Phase, s.Why = Paused, v.Why
 			}
 		}
 	case e.Pause != "" && s.Phase == Running:
@@ -145,6 +150,8 @@
 		s.Fine = s.Fine || e.Accept && s.changed()
 	case e.Abort != "" && (s.Phase == Running || s.Phase == Paused):
 		s.stop(e.Abort)
+	case e.Elapsed > 0 && s.Phase == Running && s.Settled < s.Plan.Before:
+		s.Settled += e.Elapsed
 	case e.Elapsed > 0 && s.Phase == Running && s.changed():
 		s.Watched += e.Elapsed
 	case e.Elapsed > 0 && s.Phase == Running:
@@ -242,6 +249,9 @@
 
 // next decides what follows, and gives the orders that are new.
 func (s *State) next() (orders []Order) {
+	if s.Phase == Running && s.Settled < s.Plan.Before {
+		return nil
+	}
 	for s.Phase == Running && s.changed() {
 		last := s.Stage == len(s.stages)
 		least := s.Plan.Stages[s.Stage-1].Least
@@ -339,6 +349,8 @@
 func (s *State) Waits() string {
 	least := s.Plan.Stages[s.Stage-1].Least
 	switch {
+	case s.Settled < s.Plan.Before:
+		return fmt.Sprintf("what is before: %v of %v", s.Settled.Round(time.Second), s.Plan.Before)
 	case !s.changed():
 		return "sidecars: " + s.missing()
 	case !s.Fine:
