--- /dev/null
+++ b/cmd/petrelctl/rollout_run_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rollout"
+)
+
+// What operators say of a change, and what they are shown, in the order of a bad day.
+func TestRolloutCommands(t *testing.T) {
+	addr, _ := coordinator.For(t)
+	start := &rollout.Start{Plan: rollout.Plan{Application: "permits", From: "old", To: "new", AtOnce: 1, Unavailable: 1, Patience: time.Hour,
+		Stages: []rollout.Stage{{Select: rollout.Select{Share: 1}}}}, Members: []rollout.Member{{Name: "n0"}}, Now: []rollout.Report{{Sidecar: "n0", Release: "old", Ready: true}}}
+	begin := func() {
+		told, err := (&fleet.Operator{Addrs: []string{addr}}).Ask(t.Context(), fleet.Ask{Rollout: &rollout.Command{Application: "permits", Change: "c1", Start: start}})
+		if err != nil || told.Rollout.Err != "" {
+			t.Fatal(err, told)
+		}
+	}
+	plan := write(t, "plan.yaml", "application: permits\nfrom: old\nto: new\nagents: [\""+peertest.DeadAddr(t)+"\"]\nstages: [{share: 1}]\n")
+	for i, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"status permits", 1, "permits: no change was ever begun"},
+		{"start " + write(t, "bad.yaml", "application: permits\nfrom: a\n"), 1, "bad.yaml:1:1: application, from, to: write all three"},
+		{"start " + plan, 1, "agent 127.0.0.1:"},
+		{"", 0, ""},
+		{"status permits", 0, "sidecars: n0"},
+		{"pause permits --why lunch", 0, "paused"},
+		{"status permits", 1, "lunch"},
+		{"resume permits", 0, "running"},
+		{"abort permits --why enough", 0, "taking back"},
+		{"status permits --output json", 1, `"why": "enough"`},
+		{"history permits", 0, "enough"},
+		{"abort permits --output xml", 2, "--output"},
+	} {
+		if c.args == "" {
+			begin()
+			continue
+		}
+		args := append(strings.Fields("rollout "+c.args), "--addrs", addr)
+		if code, out, errs := call(t.Context(), args...); code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%d: %s: %d %s%s, want %d %s", i, c.args, code, out, errs, c.code, c.want)
+		}
+	}
+}
+
+// A release has one name, whoever adds it and however often.
+func TestReleaseAdd(t *testing.T) {
+	program, settings, store := write(t, "p", "#!/bin/sh\n"), write(t, "s.json", "{}"), filepath.Join(t.TempDir(), "store")
+	var names []string
+	for range 2 {
+		code, out, errs := call(t.Context(), "release", "add", "--store", store, "--program", program, "--settings", settings)
+		if code != 0 || len(out) != 33 {
+			t.Fatal(code, out, errs)
+		}
+		names = append(names, out)
+	}
+	if names[0] != names[1] {
+		t.Error(names)
+	}
+	if code, _, errs := call(t.Context(), "release", "add", "--store", store, "--program", "/none", "--settings", settings); code != 1 || !strings.Contains(errs, "/none") {
+		t.Error(code, errs)
+	}
+}
