--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -98,7 +98,7 @@
 	if _, err := g.Ask(fleet.Ask{Remove: uint64(c.I + 1)}); err != nil {
 		t.Fatal(err)
 	}
-	fourthAddr := join(t, g, 4)
+	fourthAddr := join(t, g, c, 4)
 	// with it there is a majority without the leader
 	leader := g.Leader()
 	g.All[leader].Die()
@@ -108,12 +108,12 @@
 	}
 }
 
-// join starts a further coordinator, as a replica that the first's file does not know, adds it, and waits until it votes.
-func join(t *testing.T, g *coordinator.Group, id uint64) (addr string) {
+// join starts a further coordinator, which reaches the others by the links of one that is not cut off, adds it, and waits until it votes.
+func join(t *testing.T, g *coordinator.Group, by *coordinator.Member, id uint64) (addr string) {
 	t.Helper()
 	way := g.Link()
-	text, _ := os.ReadFile(g.File(0))
-	joins := strings.Replace(string(text), "id: 1\ndata: data1", fmt.Sprintf("id: %d\njoin: true\ndata: data%d", id, id), 1)
+	text, _ := os.ReadFile(g.File(by.I))
+	joins := strings.Replace(string(text), fmt.Sprintf("id: %d\ndata: data%d", by.I+1, by.I+1), fmt.Sprintf("id: %d\njoin: true\ndata: data%d", id, id), 1)
 	joins += fmt.Sprintf("  - {id: %d, address: %q}\n", id, way.Addr)
 	path := filepath.Join(g.Dir, fmt.Sprintf("c%d.yaml", id))
 	os.WriteFile(path, []byte(joins), 0o600)
@@ -340,7 +340,7 @@
 		t.Errorf("%v, %+v", err, told)
 	}
 	g.NewLeader(leader)
-	join(t, g, 4) // by the two that hear one another
+	join(t, g, g.All[other], 4) // by the two that hear one another
 	if _, err := g.Ask(fleet.Ask{Remove: uint64(leader + 1)}); err != nil {
 		t.Fatal(err)
 	}
