A test of large answers knows that one held back for 50 ms is begun

Failed once under the race detector beside other runs: an answer of 1 MiB that came in over 50 ms was passed on, as it has to be. The test counts that only where it came sooner.

--- a/internal/upstream/http1/room_test.go
+++ b/internal/upstream/http1/room_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
@@ -51,7 +52,12 @@
 				u.Room = room.New(c.room)
 				e := u.at(p.Addr)
 				for range 3 {
+					asked := time.Now()
 					got := send(e, look())
+					if c.held && got.begun && time.Since(asked) >= holdTime { // a busy machine: it was not there in time to be held
+						got.Reply.Done()
+						continue
+					}
 					if got.err != nil || got.Result != upstream.Served || got.size != c.size || got.begun == c.held {
 						t.Fatalf("%v (%v), %d bytes, begun %v, rest %v", got.Result, got.Err, got.size, got.begun, got.err)
 					}
