A change compares sidecars within their zones; what fails in a pause stops it

Found on reading again, each with a test that fails without its mend: new sidecars of one zone were compared with control of another, so that a zone whose servers fail for all stopped a change (internal/evidence: zones by themselves, and weighed alike together; control is taken from the stage's zones); a release that did not come up while the change was paused was left alone and the change went on; one that failed after the stop was called left alone where it should be; old sidecars that the change itself had restarted counted for the time before; requests that never fall into one window with the other side's were no evidence; a sidecar that went back after the end of a change was not shown. Decisions leave the driver: rollout.Watch (who is out of reach), State.Confirmed, and package evidence, pure and of its own. Why a sidecar fell back is said once (rollout.Fall).

--- a/cmd/petrelagent/faults_test.go
+++ b/cmd/petrelagent/faults_test.go
@@ -168,7 +168,7 @@
 	}
 	peertest.Eventually(t, "it goes back by itself", func() bool {
 		k := cut.Kept()
-		return k[0].Fell == agent.FellCutOff && k[0].Now != nil && k[0].Now.Release == string(s.old) && k[0].Phase == agent.Idle
+		return k[0].Fell == rollout.CutOff && k[0].Now != nil && k[0].Now.Release == string(s.old) && k[0].Phase == agent.Idle
 	})
 	cut.Link.Hold(link.Forth, false)
 	if c := s.Over(time.Minute); c.State.Phase != rollout.Stopped || running(c, s.old) != 6 || c.State.Why != "by hand" {
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"petrelhook/internal/rollout"
 )
 
 // Phase is what goes on.
@@ -38,24 +40,18 @@
 
 // Kept is what survives the agent: it is written before what it says is done.
 type Kept struct {
-	Confirmed string   `json:"confirmed"` // the release that a change may go back to
-	Now       *Process `json:"now,omitempty"`
-	Next      *Process `json:"next,omitempty"`
-	To        string   `json:"to,omitempty"`    // Starting: the release that is wanted
-	Order     uint64   `json:"order,omitempty"` // of the change that goes on, 0: its own
-	Phase     Phase    `json:"phase"`
-	Done      uint64   `json:"done,omitempty"` // the last order that is over
-	Failed    string   `json:"failed,omitempty"`
-	Starts    uint64   `json:"starts,omitempty"` // how many were asked for; the last one may have been made unseen
-	Fell      string   `json:"fell,omitempty"`   // why it went back to what is confirmed without an order, until the next order
+	Confirmed string       `json:"confirmed"` // the release that a change may go back to
+	Now       *Process     `json:"now,omitempty"`
+	Next      *Process     `json:"next,omitempty"`
+	To        string       `json:"to,omitempty"`    // Starting: the release that is wanted
+	Order     uint64       `json:"order,omitempty"` // of the change that goes on, 0: its own
+	Phase     Phase        `json:"phase"`
+	Done      uint64       `json:"done,omitempty"` // the last order that is over
+	Failed    string       `json:"failed,omitempty"`
+	Starts    uint64       `json:"starts,omitempty"` // how many were asked for; the last one may have been made unseen
+	Fell      rollout.Fall `json:"fell,omitempty"`   // why it went back to what is confirmed without an order, until the next order
 }
 
-// Why a sidecar went back without an order.
-const (
-	FellEnded  = "it ended"
-	FellCutOff = "its machine was cut off"
-)
-
 // Do is something to be done.
 type Do struct {
 	Start string // a release
@@ -200,7 +196,7 @@
 		}
 	case s.Now != nil && *s.Now == p:
 		if s.Now, s.ready = nil, false; s.Phase == Idle && p.Release != s.Confirmed {
-			s.Fell = FellEnded
+			s.Fell = rollout.Ended
 		}
 		switch s.Phase {
 		case Idle:
@@ -266,7 +262,7 @@
 			return s.start(s.Confirmed)
 		}
 		if s.Now != nil && s.cutOff >= 0 && now-s.cutOff >= s.limits.CutOff && s.Now.Release != s.Confirmed && s.ready {
-			s.Fell = FellCutOff
+			s.Fell = rollout.CutOff
 			return s.change(now, 0, s.Confirmed)
 		}
 	case Starting:
--- a/internal/agent/sidecar_test.go
+++ b/internal/agent/sidecar_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"petrelhook/internal/rollout"
 )
 
 var limits = Limits{Ready: 6 * time.Second, Trial: 5 * time.Second, End: 4 * time.Second, CutOff: time.Minute, Pause: time.Second, Most: 30 * time.Second}
@@ -176,7 +178,7 @@
 	m.pass(10 * time.Second)
 	m.die(m.alive[0])
 	m.pass(2 * time.Second)
-	if m.check("back", "old", 1, ""); m.s.Fell != FellEnded {
+	if m.check("back", "old", 1, ""); m.s.Fell != rollout.Ended {
 		t.Errorf("fell: %q", m.s.Fell)
 	}
 }
@@ -203,7 +205,7 @@
 	m.check("not yet", "new", 1, "")
 	m.pass(25 * time.Second)
 	m.check("back", "old", 1, "")
-	if m.s.Fell != FellCutOff {
+	if m.s.Fell != rollout.CutOff {
 		t.Errorf("fell: %q", m.s.Fell)
 	}
 	m.s.Cut(m.now, false)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,6 +17,7 @@
 
 	"connectrpc.com/connect"
 
+	"petrelhook/internal/evidence"
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/machine"
 	"petrelhook/internal/rollout"
@@ -52,10 +53,10 @@
 // drive is one application's change, as this driver knows it.
 type drive struct {
 	*rollout.Change
-	evidence Evidence
+	evidence evidence.Evidence
 	told     time.Time // when time was last told of
 	turn     int
-	missing  map[string]int // agents that were out of reach, for so many looks
+	watch    rollout.Watch
 }
 
 // Run drives while it holds the lease, until ctx ends.
@@ -82,9 +83,7 @@
 		err = d.drive(ctx, h)
 		d.Log.Info("drives no more", "token", uint64(h.Token), "err", err)
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), agentTime)
-		if ctx.Err() != nil || err != nil {
-			h.Release(release)
-		}
+		h.Release(release) // an error says that it is lost already
 		cancel()
 	}
 	return nil
@@ -149,7 +148,7 @@
 func (d *Driver) step(ctx context.Context, h *lease.Held, application string) error {
 	c := d.changes[application]
 	if c == nil {
-		c = &drive{missing: map[string]int{}}
+		c = &drive{}
 		d.changes[application] = c
 	}
 	var kept rollout.Application // operators may have said something, or begun another
@@ -163,19 +162,15 @@
 	if c.turn++; c.State.Phase.Over() && c.turn%rest != 0 {
 		return nil
 	}
-	seen, err := d.look(ctx, application, uint64(h.Token), c)
+	seen, events, err := d.look(ctx, application, uint64(h.Token), c)
 	if err != nil {
 		return err
 	}
-	if c.State.Phase.Over() {
-		return nil
-	}
-	events := c.Changed(reports(c, seen))
 	now, took := time.Now(), time.Duration(0)
 	if !c.told.IsZero() {
 		took = min(now.Sub(c.told), 3*d.Every)
 	}
-	v, err := c.evidence.Window(c.Change, seen, took)
+	v, err := c.evidence.Window(c.Change, readings(seen), took)
 	if err != nil {
 		return err
 	}
@@ -219,42 +214,32 @@
 	return nil
 }
 
-// look asks all agents what there is.
-func (d *Driver) look(ctx context.Context, application string, token uint64, c *drive) (map[string]Seen, error) {
-	in := machine.Look{Version: machine.Version, Application: application, Token: token}
-	switch {
-	case c.State.Phase == rollout.Done:
-		in.Confirmed = c.State.Plan.To
-	case c.State.Phase == rollout.Stopped && !c.State.Plan.Hold:
-		in.Confirmed = c.State.Plan.From
-	}
-	seen, errs := Look(ctx, &d.over, agents(c.Members), in)
-	for addr, err := range errs {
+// look asks all agents what there is, and tells them what is confirmed.
+func (d *Driver) look(ctx context.Context, application string, token uint64, c *drive) (map[string]Seen, []rollout.Event, error) {
+	seen, errs := Look(ctx, &d.over, agents(c.Members), machine.Look{Version: machine.Version, Application: application, Token: token, Confirmed: c.State.Confirmed()})
+	for _, err := range errs {
 		if connect.CodeOf(err) == connect.CodeAborted {
-			return nil, errOlder
-		}
-		if c.missing[addr]++; c.missing[addr] == unreached {
-			d.Log.Warn("an agent is out of reach", "agent", addr, "err", err)
+			return nil, nil, errOlder
 		}
 	}
-	for _, addr := range agents(c.Members) {
-		if errs[addr] == nil {
-			delete(c.missing, addr)
-		}
+	reports := map[string]rollout.Report{}
+	for name, s := range seen {
+		reports[name] = s.Report
+	}
+	events, lost := c.watch.Look(c.Change, reports, func(agent string) bool { return errs[agent] != nil })
+	for _, addr := range lost {
+		d.Log.Warn("an agent is out of reach", "agent", addr, "err", errs[addr])
 	}
-	return seen, nil
+	return seen, events, nil
 }
 
-// unreached is after how many looks without an answer the sidecars of an agent count as not ready.
-const unreached = 3
-
-// reports are what agents have said, and that nothing is known any more of those that are out of reach.
-func reports(c *drive, seen map[string]Seen) (all []rollout.Report) {
-	for _, m := range c.Members {
-		if s, ok := seen[m.Name]; ok {
-			all = append(all, s.Report)
-		} else if c.missing[m.Agent] >= unreached {
-			all = append(all, rollout.Report{Sidecar: m.Name, Unknown: true})
+// readings are what sidecars have counted; one whose counts cannot be read has none.
+func readings(seen map[string]Seen) map[string]evidence.Reading {
+	all := map[string]evidence.Reading{}
+	for name, s := range seen {
+		r := evidence.Reading{Process: s.Process, CPU: s.CPU, Memory: s.Memory}
+		if json.Unmarshal(s.Counts, &r.Classes) == nil {
+			all[name] = r
 		}
 	}
 	return all
--- a/internal/driver/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -1,7 +1,6 @@
-package driver
+package evidence
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -23,7 +22,7 @@
 }
 
 // newWorld is a change in its first stage, all of whose sidecars are where they should be.
-func newWorld(t *testing.T, control int) *world {
+func newWorld(t *testing.T, first rollout.Stage) *world {
 	var members []rollout.Member
 	var now []rollout.Report
 	w := &world{counts: map[string]*counts.Class{}, began: map[string]uint64{}, cpu: map[string]uint64{}, memory: map[string]uint64{}}
@@ -33,9 +32,8 @@
 		now = append(now, rollout.Report{Sidecar: name, Release: "old", Ready: true})
 		w.counts[name], w.began[name] = &counts.Class{Name: "look"}, 1
 	}
-	p := rollout.Plan{Application: "a", From: "old", To: "new", AtOnce: 4, Unavailable: 4, Patience: 1000 * time.Second, Judge: defaultJudge,
-		Stages: []rollout.Stage{{Select: rollout.Select{Count: 2}, Control: control}, {Select: rollout.Select{Share: 1}}}}
-	p.Judge.Effect = 0.1
+	p := rollout.Plan{Application: "a", From: "old", To: "new", AtOnce: 4, Unavailable: 4, Patience: 1000 * time.Second, Judge: rollout.Judgement{FalseStops: 0.01, MissedStops: 0.05, Effect: 0.1},
+		Stages: []rollout.Stage{first, {Select: rollout.Select{Share: 1}}}}
 	s, err := rollout.New(p, members, now)
 	if err != nil {
 		t.Fatal(err)
@@ -49,13 +47,12 @@
 
 // window has each sidecar count, and gives the verdict.
 func (w *world) window(t *testing.T, count func(name, release string, c *counts.Class)) *rollout.Verdict {
-	seen := map[string]Seen{}
+	read := map[string]Reading{}
 	for _, s := range w.change.State.Sidecars() {
 		count(s.Name, s.Release, w.counts[s.Name])
-		text, _ := json.Marshal([]counts.Class{*w.counts[s.Name]})
-		seen[s.Name] = Seen{Process: agent.Process{PID: 1, Began: w.began[s.Name], Release: s.Release}, Counts: text, CPU: w.cpu[s.Name], Memory: 20<<20 + w.memory[s.Name]}
+		read[s.Name] = Reading{Process: agent.Process{PID: 1, Began: w.began[s.Name], Release: s.Release}, Classes: []counts.Class{*w.counts[s.Name]}, CPU: w.cpu[s.Name], Memory: 20<<20 + w.memory[s.Name]}
 	}
-	v, err := w.e.Window(w.change, seen, 10*time.Second)
+	v, err := w.e.Window(w.change, read, 10*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,62 +66,83 @@
 	}
 }
 
+// zoneA is that a third of all requests fail in zone a, whatever serves them.
+func zoneA(_ *world, _ int, name, _ string, c *counts.Class) {
+	if serve(c, 20, 10); (name[1]-'0')%2 == 0 {
+		c.Failed += 10
+	}
+}
+
 // What is worse in one way is found, with what it is; what befalls both, what is slow because it is other, and a process that begins
 // anew with its counts are no evidence.
 func TestEvidence(t *testing.T) {
 	for name, c := range map[string]struct {
 		count   func(w *world, i int, name, release string, c *counts.Class)
 		verdict string // "": fine
+		stage   rollout.Stage
 	}{
-		"equal": {func(_ *world, _ int, _, _ string, c *counts.Class) { serve(c, 20, 10) }, ""},
+		"a zone where all fail more": {zoneA, "", rollout.Stage{Select: rollout.Select{Count: 1}, Control: 1}},
+		"the same, no control":       {zoneA, "", rollout.Stage{Select: rollout.Select{Count: 1}}},
+		"the same, more of the new":  {zoneA, "", rollout.Stage{Select: rollout.Select{Names: []string{"n0", "n2", "n1"}}}},
+		"equal":                      {func(_ *world, _ int, _, _ string, c *counts.Class) { serve(c, 20, 10) }, "", rollout.Stage{}},
 		"better": {func(_ *world, _ int, _, r string, c *counts.Class) {
 			serve(c, 20, map[string]int{"old": 12, "new": 8}[r])
-		}, ""},
+		}, "", rollout.Stage{}},
 		"slow": {func(_ *world, _ int, _, r string, c *counts.Class) {
 			serve(c, 20, map[string]int{"old": 10, "new": 14}[r])
-		}, "worse: slow of class look in zone"},
+		}, "worse: slow of class look in zone", rollout.Stage{}},
 		"failed": {func(_ *world, _ int, _, r string, c *counts.Class) {
 			if serve(c, 18, 10); r == "new" {
 				c.Failed += 3
 			}
-		}, "worse: failed of class look in zone"},
+		}, "worse: failed of class look in zone", rollout.Stage{}},
 		"in one zone, where the other hides it": {func(_ *world, _ int, name, r string, c *counts.Class) {
 			if serve(c, 14, 10); name == "n1" || name == "n4" { // the new one of zone b, the control of zone a
 				c.Refused += 6
 			} else {
 				serve(c, 6, 10)
 			}
-		}, "worse: refused of class look in zone b"},
+		}, "worse: refused of class look in zone b", rollout.Stage{}},
 		"servers fail for both": {func(_ *world, i int, _, _ string, c *counts.Class) {
 			if serve(c, 12, 10); i > 20 && i < 40 {
 				c.Failed += 8
 			} else {
 				serve(c, 8, 10)
 			}
-		}, ""},
+		}, "", rollout.Stage{}},
 		"a process begins anew": {func(w *world, i int, name, _ string, c *counts.Class) {
 			if i == 30 && name == "n0" { // all that the next one shows at first was counted at its start
 				*c = counts.Class{Name: "look", Failed: 5000}
 				w.began[name]++
 			}
 			serve(c, 20, 10)
-		}, ""},
+		}, "", rollout.Stage{}},
 		"leaks": {func(w *world, _ int, name, r string, c *counts.Class) {
 			if serve(c, 20, 10); r == "new" {
 				w.memory[name] += 400 << 10
 			}
-		}, "worse: growth of memory"},
+		}, "worse: growth of memory", rollout.Stage{}},
 		"both grow": {func(w *world, i int, name, _ string, c *counts.Class) {
 			serve(c, 20, 10)
 			w.memory[name] += uint64(400<<10 + i%7)
-		}, ""},
+		}, "", rollout.Stage{}},
 		"twice the processor": {func(w *world, _ int, name, r string, c *counts.Class) {
 			serve(c, 20, 10)
 			w.cpu[name] += map[string]uint64{"old": 10, "new": 20}[r]
-		}, "worse: processor time"},
-		"nobody asks": {func(*world, int, string, string, *counts.Class) {}, "none"},
+		}, "worse: processor time", rollout.Stage{}},
+		"failed, and never asked in one window": {func(_ *world, i int, _, r string, c *counts.Class) {
+			if r == "old" && i%2 == 0 {
+				c.Served++
+			} else if r == "new" && i%2 == 1 {
+				c.Failed++
+			}
+		}, "worse: failed of class look", rollout.Stage{}},
+		"nobody asks": {func(*world, int, string, string, *counts.Class) {}, "none", rollout.Stage{}},
 	} {
-		w := newWorld(t, 2)
+		if len(c.stage.Select.Names) == 0 && c.stage.Select.Count == 0 {
+			c.stage = rollout.Stage{Select: rollout.Select{Count: 2}, Control: 2}
+		}
+		w := newWorld(t, c.stage)
 		var v *rollout.Verdict
 		for i := 0; i < 200 && (v == nil || !v.Worse); i++ {
 			v = w.window(t, func(name, release string, k *counts.Class) { c.count(w, i, name, release, k) })
@@ -142,7 +160,7 @@
 
 // Where a plan has none restarted all old ones are the control; in the last stage there is none.
 func TestControl(t *testing.T) {
-	w := newWorld(t, 0)
+	w := newWorld(t, rollout.Stage{Select: rollout.Select{Count: 2}})
 	var v *rollout.Verdict
 	count := func(_, _ string, c *counts.Class) { serve(c, 20, 10) }
 	for range 100 {
@@ -163,41 +181,21 @@
 	}
 }
 
-// Slips in a plan's file are errors with their place.
-func TestBadPlanFiles(t *testing.T) {
-	good := "application: a\nfrom: x\nto: y\nagents: [\"127.0.0.1:1\"]\nstages:\n  - {count: 1}\n"
-	if f, err := ParsePlan("p", []byte(good)); err != nil || f.Plan.Unavailable != 1 || f.Plan.Patience != defaultPatience {
-		t.Fatal(f, err)
-	}
-	for text, want := range map[string]string{
-		"":                                 "p:1:1: write fields",
-		good + "x: 1\n":                    "p:7:1: x: unknown field",
-		good + "at_once: many\n":           `p:7:10: at_once: "many"`,
-		good + "patience: 1ms\n":           "p:7:11: patience: ",
-		good + "judge: {effect: 2}\n":      "p:7:8: judge: effect: 2",
-		good + "judge: 1\n":                "p:7:8: judge: write none, or fields",
-		good + "to: z\n":                   "p:7:1: to: comes twice",
-		good + "  - {cuont: 1}\n":          "p:7:6: stages[1].cuont: unknown field",
-		good + "  - {least: long}\n":       "p:7:13: stages[1].least: ",
-		"application: a\n":                 "p:1:1: application, from, to",
-		"application: a\nfrom: x\nto: y\n": "p:1:1: agents: missing",
-		strings.Replace(good, `["127.0.0.1:1"]`, "[here]", 1): `p:4:10: agents: "here" is no address`,
-		strings.Replace(good, "\n  - {count: 1}", " all", 1):  "p:5:9: stages: write a list",
-	} {
-		if _, err := ParsePlan("p", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
-			t.Errorf("%q: %v, want %q", text, err, want)
-		}
-	}
-}
-
 // The old ones do worse once the new are there: the change pauses, for it is not known why. What was as bad before is no news.
 func TestTheTimeBefore(t *testing.T) {
-	for name, c := range map[string]struct{ before, after uint64 }{"worse": {0, 6}, "as before": {6, 6}, "better": {6, 0}} {
-		w := newWorld(t, 2)
+	for name, c := range map[string]struct {
+		before, after uint64
+		restarted     bool // it befalls those alone that this change has started anew
+	}{"worse": {0, 6, false}, "as before": {6, 6, false}, "better": {6, 0, false}, "cold": {0, 6, true}} {
+		w := newWorld(t, rollout.Stage{Select: rollout.Select{Count: 2}, Control: 2})
 		w.change.State.Plan.Before = time.Minute
 		var v *rollout.Verdict
 		count := func(failed uint64) func(string, string, *counts.Class) {
-			return func(_, _ string, k *counts.Class) { serve(k, 14, 10); k.Failed += failed }
+			return func(name, _ string, k *counts.Class) {
+				if serve(k, 14, 10); !c.restarted || name != "n2" && name != "n3" {
+					k.Failed += failed
+				}
+			}
 		}
 		for range 20 {
 			if v = w.window(t, count(c.before)); v != nil {
--- a/internal/machine/door.go
+++ b/internal/machine/door.go
@@ -175,7 +175,7 @@
 
 func (u *unit) seen() SidecarSeen {
 	s := SidecarSeen{Zone: u.conf.Zone, Phase: u.Phase.String(), Confirmed: u.Confirmed}
-	s.Report = rollout.Report{Sidecar: u.conf.Name, Done: u.Done, Failed: u.Failed, Fell: rollout.Fall(u.Fell)}
+	s.Report = rollout.Report{Sidecar: u.conf.Name, Done: u.Done, Failed: u.Failed, Fell: u.Fell}
 	s.Release, s.Ready = u.Serves()
 	if u.Now != nil {
 		s.Process, s.Counts = *u.Now, u.said[*u.Now]
--- a/internal/rollout/register.go
+++ b/internal/rollout/register.go
@@ -66,23 +66,6 @@
 	Moments []Moment `json:"moments"`
 }
 
-// Changed are the events of those reports that tell something new.
-func (c *Change) Changed(all []Report) (events []Event) {
-	for _, r := range all {
-		s := c.State.sidecars[r.Sidecar]
-		if s == nil {
-			continue
-		}
-		if r.Unknown { // what it runs is as it was told last
-			r = Report{Sidecar: r.Sidecar, Release: s.Release}
-		}
-		if s.Release != r.Release || s.Ready != r.Ready || s.Order != 0 && r.Done == s.Order {
-			events = append(events, Event{Report: &r})
-		}
-	}
-	return events
-}
-
 // Summary is a change that is over.
 type Summary struct {
 	Name    string   `json:"name"`
--- a/internal/rollout/register_test.go
+++ b/internal/rollout/register_test.go
@@ -91,18 +91,30 @@
 	}
 }
 
-// What a driver has to tell: what differs, and orders that are over; sidecars whose agent is out of reach are not ready.
-func TestChanged(t *testing.T) {
+// What a driver has to tell: what differs, and orders that are over; sidecars are not ready once their agent was silent for some looks.
+func TestWatch(t *testing.T) {
 	all, now := members(3)
+	for i := range all {
+		all[i].Agent = "of " + all[i].Name
+	}
 	s, err := New(plan3(), all, now)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Apply(Event{})
-	c := &Change{State: s}
-	same := now[2]
-	got := c.Changed([]Report{{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Failed: "f"}, {Sidecar: "n01", Unknown: true}, same, {Sidecar: "stranger"}})
-	if len(got) != 2 || got[0].Report.Failed != "f" || got[1].Report.Release != "old" || got[1].Report.Ready {
+	c, w := &Change{State: s, Members: all}, Watch{}
+	seen := map[string]Report{"n00": {Sidecar: "n00", Release: "old", Ready: true, Done: 1, Failed: "f"}, "n02": now[2], "stranger": {Sidecar: "stranger"}}
+	for look := 1; look <= 4; look++ {
+		got, lost := w.Look(c, seen, func(agent string) bool { return agent == "of n01" })
+		if len(got) < 1 || got[0].Report.Failed != "f" || len(got) > 1 != (look >= unreached) || (look == unreached) != (len(lost) == 1) {
+			t.Errorf("look %d: %+v, %v", look, got, lost)
+		}
+		if look >= unreached && (got[1].Report.Release != "old" || got[1].Report.Ready || got[1].Report.Sidecar != "n01") {
+			t.Errorf("%+v", got[1].Report)
+		}
+	}
+	seen["n01"] = now[1]
+	if got, _ := w.Look(c, seen, func(string) bool { return false }); len(got) != 1 {
 		t.Errorf("%+v", got)
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -82,7 +82,7 @@
 func TestAGoodChange(t *testing.T) {
 	f := begin(t, plan(), 12)
 	f.apply(Event{Elapsed: time.Second}, never)
-	if c, control := f.s.Groups(); f.running("new") != 1 || len(c) != 1 || len(control) != 1 {
+	if c, control := f.s.Groups(); f.running("new") != 1 || len(c) != 1 || len(control) != 1 || control[0] != "n09" { // the last of its zone
 		t.Fatalf("%d changed; %v, %v", f.running("new"), c, control)
 	}
 	f.apply(Event{Verdict: &Verdict{Stage: 1, Fine: true}}, never)
@@ -115,6 +115,9 @@
 	}
 }
 
+// slow is agents that carry nothing out: the events tell all.
+var slow func(Order) string
+
 // back is that the first of a stage runs the old release again, without an order.
 func back(why Fall) Event {
 	return Event{Report: &Report{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Fell: why}}
@@ -148,6 +151,9 @@
 		"cut off":              {false, []Event{{Elapsed: 1}, back(CutOff)}, never, Paused, 1, "cut off", 0},
 		"nothing comes of it":  {false, []Event{{Elapsed: 1}, {Report: &Report{Sidecar: "n00", Release: "new"}}, {Elapsed: 59 * time.Minute}, {Elapsed: time.Minute}}, never, Paused, 1, "nothing came of it in 1h0m0s: n00", 0},
 		"accepted":             {false, []Event{{Elapsed: 1}, {Elapsed: time.Hour}, {Resume: true, Accept: true}, {Elapsed: time.Minute}}, never, Running, 4, "", 0},
+		"fails in a pause":     {false, []Event{{Pause: "lunch"}, {Report: &Report{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Failed: "not ready"}}}, slow, Stopped, 0, "not ready", 0},
+		"ends in a pause":      {false, []Event{{Elapsed: 1}, {Pause: "lunch"}, back(Ended)}, never, Stopped, 1, "it ended", 0},
+		"fails after the stop": {false, []Event{{Abort: "by hand"}, {Report: &Report{Sidecar: "n00", Release: "old", Ready: true, Done: 1, Failed: "not ready"}}}, slow, Stopped, 0, "by hand", 0},
 		"old ones worse":       {false, []Event{{Elapsed: 1}, {Verdict: &Verdict{Stage: 1, Old: true, Why: "old"}}}, never, Paused, 1, "old", 0},
 		"aborted":              {false, []Event{{Elapsed: 1}, {Abort: "by hand"}}, never, Stopped, 0, "by hand", 0},
 		"paused, then aborted": {false, []Event{{Elapsed: 1}, {Pause: "lunch"}, {Abort: "by hand"}, {Resume: true}}, never, Stopped, 0, "by hand", 0},
@@ -156,7 +162,15 @@
 		p := plan()
 		p.Hold = c.hold
 		f := begin(t, p, 12)
+		if c.fails == nil { // agents that have not done anything yet
+			f.s.Plan.Stages[0].Control = 0
+			f.s.Apply(Event{})
+		}
 		for _, e := range c.events {
+			if c.fails == nil {
+				f.s.Apply(e)
+				continue
+			}
 			f.apply(e, c.fails)
 		}
 		alone := 0
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -30,6 +30,7 @@
 // Sidecar is what is known of one.
 type Sidecar struct {
 	Name    string `json:"name"`
+	Zone    string `json:"zone,omitempty"`
 	Release string `json:"release"` // as its agent reported last
 	Ready   bool   `json:"ready"`
 	Order   uint64 `json:"order,omitempty"` // the one that is open; 0: none
@@ -64,7 +65,6 @@
 	Done    uint64 `json:"done,omitempty"`   // the number of the last order that was carried out, well or not
 	Failed  string `json:"failed,omitempty"` // why that one failed; the sidecar runs what Release says
 	Fell    Fall   `json:"fell,omitempty"`   // why it went to what is confirmed without an order, if it did
-	Unknown bool   `json:"-"`                // its agent is out of reach: nothing else of this is said
 }
 
 // Fall is why an agent brought a sidecar back to what is confirmed.
@@ -72,7 +72,7 @@
 
 // The kinds.
 const (
-	Ended  Fall = "it ended"                // as package agent says them
+	Ended  Fall = "it ended"
 	CutOff Fall = "its machine was cut off" // which is no fault of a release
 )
 
@@ -115,6 +115,9 @@
 			s.names = append(s.names, name)
 		}
 	}
+	for _, m := range members {
+		s.sidecars[m.Name].Zone = m.Zone
+	}
 	for _, r := range now {
 		if c := s.sidecars[r.Sidecar]; c != nil {
 			c.Release, c.Ready = r.Release, r.Ready
@@ -179,7 +182,8 @@
 	if c.Release, c.Ready = r.Release, r.Ready; r.Release != was {
 		s.Waited = 0
 	}
-	if c.Order == 0 && s.Phase == Running && was == s.Plan.To && r.Release != was {
+	goes := s.Phase == Running || s.Phase == Paused
+	if c.Order == 0 && goes && was == s.Plan.To && r.Release != was {
 		if r.Fell == CutOff {
 			s.Phase, s.Why = Paused, fmt.Sprintf("%s is back at %s: %s", c.Name, r.Release, r.Fell)
 		} else {
@@ -194,12 +198,13 @@
 	c.Order, c.To = 0, ""
 	switch {
 	case r.Failed == "" && r.Release == to:
-	case s.Phase == Running && to == s.Plan.To:
+	case goes && to == s.Plan.To:
 		s.stop(fmt.Sprintf("%s: %s", c.Name, r.Failed))
 		if c.Release != s.Plan.From { // it is neither here nor there
 			c.Alone = r.Failed
 		}
-	case s.Phase == Running: // a control that does not come back is no fault of the release
+	case to == s.Plan.To && c.Release == s.Plan.From: // ordered before the stop: it is where it is to be
+	case goes: // a control that does not come back is no fault of the release
 		s.Phase, s.Why = Paused, fmt.Sprintf("%s, restarted as it was: %s", c.Name, r.Failed)
 		c.Alone = r.Failed
 	case c.Release != s.Plan.From || r.Failed != "":
@@ -233,17 +238,30 @@
 	return strings.Join(all, ", ")
 }
 
-// controls are the sidecars that are restarted beside a stage: of later ones, the last first, for they are old the longest.
+// controls are the sidecars that are restarted beside a stage: of later ones, the last first, for they are old the longest; those of the
+// stage's own zones before others, for zones are not alike.
 func (s *State) controls() (all []*Sidecar) {
 	var later []string
 	for _, stage := range s.stages[s.Stage:] {
 		later = append(later, stage...)
 	}
-	for _, name := range slices.Backward(later) {
-		if len(all) < s.Plan.Stages[s.Stage-1].Control {
-			all = append(all, s.sidecars[name])
+	wanted := s.Plan.Stages[s.Stage-1].Control
+	take := func(zone string, any bool) {
+		for _, name := range slices.Backward(later) {
+			if c := s.sidecars[name]; len(all) < wanted && (any || c.Zone == zone) && !slices.Contains(all, c) {
+				if all = append(all, c); !any {
+					return
+				}
+			}
+		}
+	}
+	for before := -1; len(all) > before && len(all) < wanted; { // one for each of the stage, in turn
+		before = len(all)
+		for _, name := range s.stages[s.Stage-1] {
+			take(s.sidecars[name].Zone, false)
 		}
 	}
+	take("", true)
 	return all
 }
 
@@ -321,6 +339,17 @@
 	return append(orders, Order{s.number, c.Name, to})
 }
 
+// Confirmed is the release that agents may take for confirmed, now that a change is over; "": none.
+func (s *State) Confirmed() string {
+	switch {
+	case s.Phase == Done:
+		return s.Plan.To
+	case s.Phase == Stopped && !s.Plan.Hold:
+		return s.Plan.From
+	}
+	return ""
+}
+
 // Orders are those that are open: a driver that takes over says them once more.
 func (s *State) Orders() (all []Order) {
 	for _, name := range s.names {
