--- a/cmd/petrelagent/main.go
+++ b/cmd/petrelagent/main.go
@@ -3,45 +3,34 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/command"
 	"petrelhook/internal/machine"
 )
 
-// The exit codes.
-const (
-	exitFailed = 1 // the file is bad, or it could not go on
-	exitUsage  = 2 // the command line is wrong
-)
-
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// failed is an error of a command line that was right.
-type failed struct{ error }
-
 func run(args []string, out, errs io.Writer) int {
 	var path string
 	var check bool
 	cmd := &cobra.Command{
 		Use: "petrelagent --config FILE", Short: "The agent of one machine: starts its sidecars, and changes them as a rolling change orders",
-		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if path == "" {
 				return errors.New("write --config FILE")
 			}
 			c, err := machine.Read(path)
 			if err != nil {
-				return failed{err}
+				return command.Fail(err)
 			}
 			if check {
 				fmt.Fprintf(out, "%s: good: %d sidecars of %s\n", path, len(c.Sidecars), c.Application)
@@ -53,38 +42,27 @@
 	cmd.Flags().StringVar(&path, "config", "", "the settings' `FILE` (YAML)")
 	cmd.Flags().BoolVar(&check, "check", false, "say whether the file is good, and end")
 	cmd.AddCommand(&cobra.Command{Use: "once FILE PROGRAM", Hidden: true, DisableFlagParsing: true, Args: cobra.MinimumNArgs(2),
-		RunE: func(_ *cobra.Command, args []string) error { return failed{machine.Once(args[0], args[1], args[2:])} }})
-	cmd.SetArgs(args)
-	cmd.SetOut(out)
-	cmd.SetErr(errs)
-	err := cmd.Execute()
-	var ran failed
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &ran):
-		fmt.Fprintln(errs, "petrelagent:", err)
-		return exitFailed
-	}
-	fmt.Fprintln(errs, "petrelagent:", err)
-	return exitUsage
+		RunE: func(_ *cobra.Command, args []string) error {
+			return command.Fail(machine.Once(args[0], args[1], args[2:]))
+		}})
+	return command.Run(cmd, args, out, errs)
 }
 
 // serve is in charge until SIGTERM or an interrupt; the sidecars go on.
 func serve(c *machine.Config, log *slog.Logger) error {
-	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, release := command.Terminated()
 	defer release()
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return failed{fmt.Errorf("listen: %w", err)}
+		return command.Fail(fmt.Errorf("listen: %w", err))
 	}
 	m, err := machine.Open(c, log)
 	if err != nil {
-		return failed{err}
+		return command.Fail(err)
 	}
 	log.Info("serving", "application", c.Application, "listen", ln.Addr().String(), "sidecars", len(c.Sidecars))
 	if err := m.Run(ctx, ln); err != nil {
-		return failed{err}
+		return command.Fail(err)
 	}
 	log.Info("stopped; the sidecars go on")
 	return nil
--- a/cmd/petrelagent/main_test.go
+++ b/cmd/petrelagent/main_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"petrelhook/internal/command"
 )
 
 // Slips in an agent's file are errors with their place, and the example is good.
@@ -46,7 +48,7 @@
 			t.Errorf("%d %s, want %s", code, out, want)
 		}
 	}
-	if code, out := call(); code != exitUsage || !strings.Contains(out, "--config") {
+	if code, out := call(); code != command.ExitUsage || !strings.Contains(out, "--config") {
 		t.Errorf("%d %s", code, out)
 	}
 }
--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"petrelhook/internal/command"
 	"petrelhook/internal/fleet"
 	core "petrelhook/internal/lease"
 	"petrelhook/internal/peertest"
@@ -284,7 +285,7 @@
 		path := filepath.Join(dir, "c.yaml")
 		os.WriteFile(path, []byte(text), 0o600)
 		var out, errs strings.Builder
-		if code := run([]string{"--config", path}, &out, &errs); code != exitFailed || !strings.Contains(errs.String(), want) || strings.Count(errs.String(), "\n") != 1 {
+		if code := run([]string{"--config", path}, &out, &errs); code != command.ExitFailed || !strings.Contains(errs.String(), want) || strings.Count(errs.String(), "\n") != 1 {
 			t.Errorf("%d: %q, want %q", code, errs.String(), want)
 		}
 	}
@@ -297,12 +298,12 @@
 	if code := run([]string{"--config", path, "--check"}, &out, &errs); code != 0 || !strings.Contains(errs.String(), "2 bear no more failures than 1") {
 		t.Errorf("%d: %q %q", code, out.String(), errs.String())
 	}
-	if code := run(nil, &out, &errs); code != exitUsage {
+	if code := run(nil, &out, &errs); code != command.ExitUsage {
 		t.Errorf("%d", code)
 	}
 	ln, _ := net.Listen("tcp", "127.0.0.1:0")
 	defer ln.Close()
-	if code := run([]string{"--data", filepath.Join(dir, "d"), "--listen", ln.Addr().String()}, &out, &errs); code != exitFailed || !strings.Contains(errs.String(), "address already in use") {
+	if code := run([]string{"--data", filepath.Join(dir, "d"), "--listen", ln.Addr().String()}, &out, &errs); code != command.ExitFailed || !strings.Contains(errs.String(), "address already in use") {
 		t.Errorf("%d: %q", code, errs.String())
 	}
 }
--- a/cmd/petrelfleet/main.go
+++ b/cmd/petrelfleet/main.go
@@ -9,33 +9,23 @@
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/command"
 	"petrelhook/internal/driver"
 	"petrelhook/internal/fleet"
 )
 
-// The exit codes.
-const (
-	exitFailed = 1 // the file is bad, or it could not serve
-	exitUsage  = 2 // the command line is wrong
-)
-
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// failed is an error of a command line that was right.
-type failed struct{ error }
-
 func run(args []string, out, errs io.Writer) int {
 	var path, data, addr string
 	var check bool
 	cmd := &cobra.Command{
 		Use: "petrelfleet [--config FILE | --data FOLDER]", Short: "A coordinator of petrelhook's fleet: who holds which lease",
-		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var c *fleet.Config
 			var err error
@@ -48,7 +38,7 @@
 				c = fleet.Single(data, addr)
 			}
 			if err != nil {
-				return failed{err}
+				return command.Fail(err)
 			}
 			log := slog.New(slog.NewTextHandler(errs, nil))
 			for _, w := range c.Warnings {
@@ -66,20 +56,7 @@
 	f.StringVar(&data, "data", "", "`FOLDER` of the one coordinator of a machine; it needs no file")
 	f.StringVar(&addr, "listen", fleet.DefaultAddr, "with --data: `HOST:PORT`")
 	f.BoolVar(&check, "check", false, "say whether the file is good, and end")
-	cmd.SetArgs(args)
-	cmd.SetOut(out)
-	cmd.SetErr(errs)
-	err := cmd.Execute()
-	var ran failed
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &ran):
-		fmt.Fprintln(errs, "petrelfleet:", err)
-		return exitFailed
-	}
-	fmt.Fprintln(errs, "petrelfleet:", err)
-	return exitUsage
+	return command.Run(cmd, args, out, errs)
 }
 
 // driverTTL is for how long a driver of rolling changes is waited for that is silent.
@@ -87,15 +64,15 @@
 
 // serve runs until SIGTERM or an interrupt.
 func serve(c *fleet.Config, log *slog.Logger) error {
-	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, release := command.Terminated()
 	defer release()
 	s, err := fleet.Open(c, log)
 	if err != nil {
-		return failed{err}
+		return command.Fail(err)
 	}
 	ln, err := net.Listen("tcp", c.Addr())
 	if err != nil {
-		return failed{fmt.Errorf("listen: %w", err)}
+		return command.Fail(fmt.Errorf("listen: %w", err))
 	}
 	if c.Drive {
 		drives := make(chan struct{})
@@ -114,7 +91,7 @@
 	}
 	log.Info("serving", "id", c.ID, "listen", ln.Addr().String(), "replicas", len(c.Replicas))
 	if err := s.Run(ctx, ln); err != nil {
-		return failed{err}
+		return command.Fail(err)
 	}
 	log.Info("stopped")
 	return nil
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -216,7 +216,7 @@
 
 // look asks all agents what there is, and tells them what is confirmed.
 func (d *Driver) look(ctx context.Context, application string, token uint64, c *drive) (map[string]Seen, []rollout.Event, error) {
-	seen, errs := Look(ctx, &d.over, agents(c.Members), machine.Look{Version: machine.Version, Application: application, Token: token, Confirmed: c.State.Confirmed()})
+	seen, errs := d.ask(ctx, agents(c.Members), machine.Look{Version: machine.Version, Application: application, Token: token, Confirmed: c.State.Confirmed()})
 	for _, err := range errs {
 		if connect.CodeOf(err) == connect.CodeAborted {
 			return nil, nil, errOlder
@@ -256,36 +256,45 @@
 	return all
 }
 
-// Look asks agents, some at a time; what each has told, by sidecar, and who has not answered.
-func Look(ctx context.Context, over *http.Client, agents []string, in machine.Look) (map[string]Seen, map[string]error) {
+// call makes one call of an agent.
+func call[Req, Res any](ctx context.Context, over *http.Client, addr, path string, in *Req) (*Res, error) {
+	res, err := rpc.Client[Req, Res](over, addr, path, machine.MaxAnswer).CallUnary(ctx, connect.NewRequest(in))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// ask asks all agents, some at a time; what they have told, by sidecar, and who has not answered.
+func (d *Driver) ask(ctx context.Context, agents []string, in machine.Look) (map[string]Seen, map[string]error) {
 	var mu sync.Mutex
 	all, errs := map[string]Seen{}, map[string]error{}
-	each(agents, func(addr string) {
+	each(len(agents), func(i int) {
 		ctx, cancel := context.WithTimeout(ctx, agentTime)
 		defer cancel()
-		res, err := rpc.Client[machine.Look, machine.Seen](over, addr, machine.PathLook, machine.MaxAnswer).CallUnary(ctx, connect.NewRequest(&in))
+		seen, err := call[machine.Look, machine.Seen](ctx, &d.over, agents[i], machine.PathLook, &in)
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil {
-			errs[addr] = err
+			errs[agents[i]] = err
 			return
 		}
-		for _, s := range res.Msg.Sidecars {
+		for _, s := range seen.Sidecars {
 			all[s.Sidecar] = s
 		}
 	})
 	return all, errs
 }
 
-// each does something for all, some at a time.
-func each[T any](all []T, do func(T)) {
+// each does something n times, some at a time.
+func each(n int, do func(i int)) {
 	var sides sync.WaitGroup
 	limit := make(chan struct{}, calls)
-	for _, one := range all {
+	for i := range n {
 		limit <- struct{}{}
 		sides.Go(func() {
 			defer func() { <-limit }()
-			do(one)
+			do(i)
 		})
 	}
 	sides.Wait()
@@ -299,18 +308,20 @@
 	}
 	var mu sync.Mutex
 	var older bool
-	each(c.State.Orders(), func(o rollout.Order) {
+	orders := c.State.Orders()
+	each(len(orders), func(i int) {
+		o := orders[i]
 		if !h.Valid() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, agentTime)
 		defer cancel()
-		res, err := rpc.Client[machine.Order, machine.Taken](&d.over, where[o.Sidecar], machine.PathOrder, machine.MaxAnswer).CallUnary(ctx,
-			connect.NewRequest(&machine.Order{Version: machine.Version, Application: application, Token: uint64(h.Token), Order: o}))
+		taken, err := call[machine.Order, machine.Taken](ctx, &d.over, where[o.Sidecar], machine.PathOrder,
+			&machine.Order{Version: machine.Version, Application: application, Token: uint64(h.Token), Order: o})
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
-		case err == nil && !res.Msg.Known:
+		case err == nil && !taken.Known:
 			d.Log.Info("ordered", "application", application, "order", o.Number, "sidecar", o.Sidecar, "release", o.Release)
 		case err != nil && connect.CodeOf(err) == connect.CodeAborted:
 			older = true
--- a/internal/driver/planfile.go
+++ b/internal/driver/planfile.go
@@ -5,14 +5,11 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"maps"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.yaml.in/yaml/v3"
 
 	"petrelhook/internal/fleet"
@@ -20,7 +17,6 @@
 	"petrelhook/internal/machine"
 	"petrelhook/internal/release"
 	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
 	"petrelhook/internal/yamlfile"
 )
 
@@ -138,33 +134,43 @@
 // has both releases whole, the new program takes the new settings on every machine, no field differs that must not, stages add up, and
 // all sidecars run the release before. stepsDone: an operator says that what two steps need besides was done.
 func Begin(ctx context.Context, o *fleet.Operator, over *http.Client, f *File, stepsDone bool) (*Begun, error) {
-	seen, errs := Look(ctx, over, f.Agents, machine.Look{Version: machine.Version, Application: f.Plan.Application})
-	for _, addr := range slices.Sorted(maps.Keys(errs)) {
-		return nil, fmt.Errorf("agent %s: %w", addr, errs[addr])
+	type told struct {
+		sidecars []Seen
+		settings [2][]byte // of the releases before and after
+		err      error
 	}
-	start := &rollout.Start{Plan: f.Plan}
-	var settings [2][]byte
-	for _, addr := range f.Agents {
-		one, errs := Look(ctx, over, []string{addr}, machine.Look{Version: machine.Version, Application: f.Plan.Application})
-		if errs[addr] != nil {
-			return nil, fmt.Errorf("agent %s: %w", addr, errs[addr])
+	all := make([]told, len(f.Agents))
+	each(len(f.Agents), func(i int) {
+		t, addr := &all[i], f.Agents[i]
+		seen, err := call[machine.Look, machine.Seen](ctx, over, addr, machine.PathLook, &machine.Look{Version: machine.Version, Application: f.Plan.Application})
+		if t.err = err; err != nil {
+			return
 		}
-		for _, name := range slices.Sorted(maps.Keys(one)) {
-			if slices.ContainsFunc(start.Members, func(m rollout.Member) bool { return m.Name == name }) {
-				return nil, fmt.Errorf("agent %s: sidecar %s is another agent's too", addr, name)
+		t.sidecars = seen.Sidecars
+		for n, id := range []string{f.Plan.From, f.Plan.To} {
+			checked, err := call[machine.Check, machine.Checked](ctx, over, addr, machine.PathCheck, &machine.Check{Version: machine.Version, Release: id})
+			if t.err = err; err != nil {
+				return
 			}
-			start.Members = append(start.Members, rollout.Member{Name: name, Zone: seen[name].Zone, Agent: addr})
-			start.Now = append(start.Now, one[name].Report)
+			t.settings[n] = checked.Settings
 		}
-		for i, id := range []string{f.Plan.From, f.Plan.To} {
-			res, err := rpc.Client[machine.Check, machine.Checked](over, addr, machine.PathCheck, machine.MaxAnswer).CallUnary(ctx,
-				connect.NewRequest(&machine.Check{Version: machine.Version, Release: id}))
-			if err != nil {
-				return nil, fmt.Errorf("agent %s: %w", addr, err)
+	})
+	start, of := &rollout.Start{Plan: f.Plan}, map[string]string{}
+	for i, t := range all {
+		addr := f.Agents[i]
+		if t.err != nil {
+			return nil, fmt.Errorf("agent %s: %w", addr, t.err)
+		}
+		for _, s := range t.sidecars {
+			if other, twice := of[s.Sidecar]; twice {
+				return nil, fmt.Errorf("agent %s: sidecar %s is also that of agent %s", addr, s.Sidecar, other)
 			}
-			settings[i] = res.Msg.Settings
+			of[s.Sidecar] = addr
+			start.Members = append(start.Members, rollout.Member{Name: s.Sidecar, Zone: s.Zone, Agent: addr})
+			start.Now = append(start.Now, s.Report)
 		}
 	}
+	settings := all[0].settings // of equal releases
 	findings, err := release.Compare(settings[0], settings[1])
 	if err != nil {
 		return nil, err
@@ -180,9 +186,9 @@
 		return b, fmt.Errorf("old and new must not run side by side (%v): %s", worst, strings.Join(why, "; "))
 	}
 	b.Change = strings.ToLower(rand.Text()[:12])
-	told, err := o.Ask(ctx, fleet.Ask{Rollout: &rollout.Command{Application: f.Plan.Application, Change: b.Change, At: time.Now().UnixMilli(), Start: start}})
-	if err == nil && told.Rollout.Err != "" {
-		err = errors.New(told.Rollout.Err)
+	answer, err := o.Ask(ctx, fleet.Ask{Rollout: &rollout.Command{Application: f.Plan.Application, Change: b.Change, At: time.Now().UnixMilli(), Start: start}})
+	if err == nil && answer.Rollout.Err != "" {
+		err = errors.New(answer.Rollout.Err)
 	}
 	return b, err
 }
--- /dev/null
+++ b/internal/replica/changes_test.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"bytes"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"petrelhook/internal/lease"
+	"petrelhook/internal/rollout"
+)
+
+// Changes of releases are in the log, and in the snapshots that stand for it: a replica that begins from one of them alone has them.
+func TestChangesAreInSnapshots(t *testing.T) {
+	var last *pb.Snapshot
+	begin := func(k *Kept) (*Core, func()) {
+		c, err := New(Options{ID: 1, Rand: func(int) int { return 0 }, SnapshotEvery: 1, Keep: 1}, k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pump := func() {
+			for w, ok := c.Ready(); ok; w, ok = c.Ready() {
+				own, _, err := c.Done(w, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if own != nil {
+					last = own
+				}
+			}
+		}
+		for range 2 * ElectionTicks {
+			c.Tick(0)
+			pump()
+		}
+		return c, pump
+	}
+	kept := func(c *Core, pump func()) (text []byte) {
+		c.Ask(Question{Read: true, Done: func(r Reply) { text = r.Changes.Application("app") }})
+		pump()
+		return text
+	}
+	c, pump := begin(First([]Member{{ID: 1}}, lease.NewState()))
+	start := &rollout.Start{Plan: rollout.Plan{From: "old", To: "new", AtOnce: 1, Unavailable: 1, Patience: 1, Stages: []rollout.Stage{{Select: rollout.Select{Share: 1}}}},
+		Members: []rollout.Member{{Name: "n0"}}, Now: []rollout.Report{{Sidecar: "n0", Release: "old", Ready: true}}}
+	var a rollout.Answer
+	c.Ask(Question{Rollout: &rollout.Command{Application: "app", Change: "c", Start: start}, Done: func(r Reply) { a = r.Rollout }})
+	pump()
+	was := kept(c, pump)
+	if a.Err != "" || len(was) == 0 {
+		t.Fatalf("%+v: %s", a, was)
+	}
+	again, pump := begin(&Kept{Hard: First(nil, lease.NewState()).Hard, Snapshot: last})
+	if is := kept(again, pump); !bytes.Equal(is, was) {
+		t.Errorf("%s\nwas %s", is, was)
+	}
+}
