--- a/cmd/petrelagent/figures_test.go
+++ b/cmd/petrelagent/figures_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rollout"
 )
 
@@ -20,7 +21,7 @@
 	figures(t)
 	const horizon = 40 * time.Second
 	s := newSite(t, 12, 360, "", nil)
-	bad := badRelease(t, s.Deployment, "fails one class", s.settings)
+	bad := s.BadRelease("fails one class")
 	zero := time.Now()
 	var froms []time.Duration
 	names := []string{"judged", "by the clock", "at once"}
@@ -31,7 +32,7 @@
 	} {
 		from := time.Since(zero)
 		froms = append(froms, from)
-		if _, err := s.Begin(plan(s.old, bad, p)); err != nil {
+		if _, err := s.Begin(deployment.Plan(s.Old, bad, p)); err != nil {
 			t.Fatal(err)
 		}
 		<-time.After(horizon)
@@ -41,14 +42,14 @@
 			s.Say(rollout.Event{Abort: "measured"})
 		}
 		if c := s.Over(time.Minute); c.State.Phase == rollout.Done {
-			if _, err := s.Begin(plan(bad, s.old, "at_once: 12\njudge: none\nstages:\n  - {share: 1}\n")); err != nil {
+			if _, err := s.Begin(deployment.Plan(bad, s.Old, "at_once: 12\njudge: none\nstages:\n  - {share: 1}\n")); err != nil {
 				t.Fatal(err)
 			}
 			s.Over(time.Minute)
 		}
 	}
 	began := time.Since(zero)
-	out := s.check()
+	out := s.Check()
 	offset := out.Records.Calls[len(out.Records.Calls)-1].Due - began // of the records' clock from this one, about
 	for i, from := range froms {
 		all, hurt := 0, 0
@@ -68,10 +69,10 @@
 func TestFiguresOfGoodChanges(t *testing.T) {
 	figures(t)
 	s := newSite(t, 12, 360, "", nil)
-	now, next := s.old, s.Script("another-name", `exec $REAL "$@"`, s.settings)
+	now, next := s.Old, s.Script("another-name", `exec $REAL "$@"`, s.Settings)
 	for i := range 20 {
 		began := time.Now()
-		if _, err := s.Begin(plan(now, next, "at_once: 4\nunavailable: 4\npatience: 3m\njudge: {effect: 0.2}\nstages:\n  - {count: 2, control: 2}\n  - {count: 4, control: 2}\n  - {share: 1}\n")); err != nil {
+		if _, err := s.Begin(deployment.Plan(now, next, "at_once: 4\nunavailable: 4\npatience: 3m\njudge: {effect: 0.2}\nstages:\n  - {count: 2, control: 2}\n  - {count: 4, control: 2}\n  - {share: 1}\n")); err != nil {
 			t.Fatal(err)
 		}
 		c := s.Over(3 * time.Minute)
@@ -81,5 +82,5 @@
 		}
 		now, next = next, now
 	}
-	s.check()
+	s.Check()
 }
--- /dev/null
+++ b/internal/rig/deployment/bad.go
@@ -0,0 +1,139 @@
+package deployment
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"petrelhook/internal/config"
+	"petrelhook/internal/wiring"
+)
+
+// BadVariable of the environment says in which way a sidecar is bad.
+const BadVariable = "DEPLOYMENT_BAD"
+
+// Bad is a process of a bad sidecar: the sidecar's own, whose connections to servers go wrong in one way. A test's program calls it where
+// BadVariable is set. It is the one place that knows such ways: the product has no switch for them.
+func Bad(kind string) error {
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer release()
+	path := os.Getenv("LB_CONFIG")
+	cfg, err := config.Read(path)
+	if err != nil {
+		return err
+	}
+	if err := cfg.SetAdmin("LB_ADMIN_ADDR", os.Getenv("LB_ADMIN_ADDR")); err != nil {
+		return err
+	}
+	if kind == "leaks" {
+		go leak()
+	}
+	tcp, hammer := wiring.TCP(), sync.Once{}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := tcp(ctx, network, addr)
+		if err != nil || addr == cfg.Discovery {
+			return c, err
+		}
+		if kind == "takes from others" {
+			hammer.Do(func() { go takes(addr, cfg.Profile.Classes[0]) })
+		}
+		if kind == "serves nothing" {
+			c.Close()
+			return nil, errors.New("no way")
+		}
+		return &badConn{Conn: c, kind: kind, zone: zoneOf(cfg.Name)}, nil
+	}
+	return wiring.Serve(stop, path, &cfg, dial, nil, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
+
+// leak grows by 1 MiB a second.
+func leak() {
+	var kept [][]byte
+	for range time.Tick(100 * time.Millisecond) {
+		more := make([]byte, 100<<10)
+		for i := range more {
+			more[i] = byte(i)
+		}
+		kept = append(kept, more)
+	}
+	_ = kept
+}
+
+// takes sends a server what no client asked for, on some connections at once, for as long as it lives.
+func takes(addr, class string) {
+	for range 80 {
+		go func() {
+			for i := 0; ; i++ {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				in := bufio.NewReader(c)
+				for ; ; i++ {
+					fmt.Fprintf(c, "GET /%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t%d-%d\r\nX-Qos: %s\r\nX-Expires-In: 900m\r\n\r\n", class, os.Getpid(), i, class)
+					res, err := http.ReadResponse(in, nil)
+					if err != nil {
+						break
+					}
+					io.Copy(io.Discard, res.Body)
+				}
+				c.Close()
+			}
+		}()
+	}
+}
+
+// zoneOf is the zone that newSite gives a sidecar.
+func zoneOf(name string) string {
+	var n int
+	fmt.Sscanf(name, "n%d", &n)
+	return string(rune('a' + n%3))
+}
+
+// badConn is a connection to a server that goes wrong.
+type badConn struct {
+	net.Conn
+	kind string
+	zone string
+	sent time.Time
+	fail bool
+}
+
+func (c *badConn) Write(p []byte) (int, error) {
+	c.sent = time.Now()
+	if zone, ok := strings.CutPrefix(c.kind, "in zone "); ok {
+		c.fail = c.zone == zone && rand.N(2) == 0
+		return c.Conn.Write(p)
+	}
+	c.fail = c.kind == "fails one class" && strings.Contains(string(p), "/void")
+	return c.Conn.Write(p)
+}
+
+func (c *badConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.sent.IsZero() || err != nil {
+		return n, err
+	}
+	if c.kind == "twice as slow" {
+		time.Sleep(time.Since(c.sent))
+	}
+	c.sent = time.Time{}
+	if c.fail {
+		c.Close()
+		return 0, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -289,3 +289,37 @@
 	d.t.Helper()
 	return d.Until(within, "over", func(c *rollout.Change) bool { return c.State.Phase.Over() })
 }
+
+// Drives is the coordinator that drives; -1: none does.
+func (d *Deployment) Drives() int {
+	best, at := uint64(0), -1
+	for i, m := range d.All {
+		log := m.Log.String()
+		last := strings.LastIndex(log, "msg=drives token=")
+		if last < 0 || strings.LastIndex(log, `msg="drives no more"`) > last {
+			continue
+		}
+		var token uint64
+		fmt.Sscanf(log[last:], "msg=drives token=%d", &token)
+		if token > best {
+			best, at = token, i
+		}
+	}
+	return at
+}
+
+// Most is the largest number of processes that one sidecar of an agent has now, as the starts' files say.
+func (a *Agent) Most() (n int) {
+	files, _ := filepath.Glob(filepath.Join(a.Dir, "data", "start-*"))
+	by := map[string]int{}
+	for _, f := range files {
+		var p agent.Process
+		text, _ := os.ReadFile(f)
+		if got, _ := fmt.Sscan(string(text), &p.PID, &p.Began); got == 2 && machine.Lives(p) {
+			name := strings.Split(filepath.Base(f), "-")[1]
+			by[name]++
+			n = max(n, by[name])
+		}
+	}
+	return n
+}
