--- a/cmd/petrelfleet/figures_test.go
+++ b/cmd/petrelfleet/figures_test.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -15,14 +12,12 @@
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"petrelhook/internal/fleet"
 	core "petrelhook/internal/lease"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/replica"
 	"petrelhook/internal/replica/disk"
-	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rig/contend"
 	"petrelhook/internal/rig/process"
 	"petrelhook/lease"
 )
@@ -34,27 +29,6 @@
 	}
 }
 
-// raw asks the leader of a group.
-func raw(g *coordinator.Group) func(fleet.Ask) *fleet.Told {
-	over := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 64}}
-	var at atomic.Int64
-	return func(in fleet.Ask) *fleet.Told {
-		in.Version = fleet.Version
-		for {
-			i := at.Load()
-			res, err := fleet.Client[fleet.Ask, fleet.Told](over, g.Clients[i].Addr, fleet.PathAsk).CallUnary(context.Background(), connect.NewRequest(&in))
-			if err == nil && res.Msg.Err == "" {
-				return res.Msg
-			}
-			if err != nil && fleet.Final(err) {
-				panic(err)
-			}
-			at.CompareAndSwap(i, (i+1)%int64(len(g.Clients)))
-			time.Sleep(5 * time.Millisecond)
-		}
-	}
-}
-
 // timed calls f from some goroutines for a while, and gives how often, and the times.
 func timed(goroutines int, length time.Duration, f func(worker, n int)) (rate float64, p50, p99 time.Duration) {
 	var mu sync.Mutex
@@ -84,7 +58,7 @@
 	figures(t)
 	for _, n := range []int{1, 3, 5} {
 		g := newGroup(t, n)
-		ask := raw(g)
+		ask := g.Asker()
 		for _, size := range [][2]int{{10, 10}, {10_000, 10}, {10_000, 2000}} { // leases, sessions
 			var sessions []core.SessionID
 			var opened sync.Mutex
@@ -132,8 +106,8 @@
 // How long nobody holds after a kill, beside what the settings bound it by.
 func TestFiguresWithoutAHolder(t *testing.T) {
 	figures(t)
-	g, r := newGroup(t, 3), &resource{}
-	guarded := peertest.NewRaw(t, r.serve)
+	g, r := newGroup(t, 3), &contend.Resource{}
+	guarded := peertest.NewRaw(t, r.Serve)
 	for _, what := range []string{"holder", "leader", "both"} {
 		var longest, sum time.Duration
 		const times = 10
--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -18,6 +18,7 @@
 	core "petrelhook/internal/lease"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/replica"
+	"petrelhook/internal/rig/contend"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/process"
 	"petrelhook/lease"
@@ -54,13 +55,13 @@
 // A holder is stopped between its look and its act, for longer than its lease, and goes on when another has acted: the guard
 // refuses it.
 func TestStoppedBetweenLookAndAct(t *testing.T) {
-	g, r := newGroup(t, 1), &resource{}
-	guarded := peertest.NewRaw(t, r.serve)
+	g, r := newGroup(t, 1), &contend.Resource{}
+	guarded := peertest.NewRaw(t, r.Serve)
 	out := &process.Log{}
 	first := start(t, "stops", out, guarded, strings.Join(g.Addrs(), ","))
 	peertest.Eventually(t, "it has looked, and is stopped", func() bool { return strings.Contains(out.String(), "looked") && first.State() == "T" })
 	other := must(t, client(t, g), "task") // its time is up
-	if err := r.guard.Admit(other.Token, func() error { return nil }); err != nil {
+	if err := r.Guard.Admit(other.Token, func() error { return nil }); err != nil {
 		t.Error(err)
 	}
 	first.Continue()
@@ -211,10 +212,10 @@
 
 // A waiter is killed just as its turn comes: the next has the lease within one session's time.
 func TestWaiterDies(t *testing.T) {
-	g, r := newGroup(t, 1), &resource{}
+	g, r := newGroup(t, 1), &contend.Resource{}
 	first := must(t, client(t, g), "task")
 	out := &process.Log{}
-	waiter := start(t, "holder", out, "w", peertest.NewRaw(t, r.serve), strings.Join(g.Addrs(), ","))
+	waiter := start(t, "holder", out, "w", peertest.NewRaw(t, r.Serve), strings.Join(g.Addrs(), ","))
 	name := "task"
 	queue := func() int {
 		told, err := g.Ask(fleet.Ask{List: &name})
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -447,54 +447,6 @@
 	now.end()
 }
 
-// lists is a discovery that is watched: a list that is told goes to all that watch.
-type lists struct {
-	mu    sync.Mutex
-	now   string
-	open  map[net.Conn]struct{}
-	calls int
-}
-
-func newLists(t *testing.T, first string) (l *lists, addr string) {
-	l = &lists{now: first, open: map[net.Conn]struct{}{}}
-	return l, peertest.NewRaw(t, func(c net.Conn) {
-		in := bufio.NewReader(c)
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		l.mu.Lock()
-		l.calls++
-		if req.URL.Query().Get("watch") == "" {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(l.now), l.now)
-			l.mu.Unlock()
-			return
-		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s\n", l.now)
-		l.open[c] = struct{}{}
-		l.mu.Unlock()
-		in.ReadByte() // until it is closed
-		l.mu.Lock()
-		delete(l.open, c)
-		l.mu.Unlock()
-	})
-}
-
-func (l *lists) tell(list string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.now = list
-	for c := range l.open {
-		io.WriteString(c, list+"\n")
-	}
-}
-
-func (l *lists) watches() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open)
-}
-
 // Two processes have one watch of discovery between them, and both have its news; a next process that is stopped does not cost
 // the first its news, and one that dies leaves it with a watch of its own.
 func TestOneWatchOfDiscovery(t *testing.T) {
@@ -508,11 +460,11 @@
 		servers = append(servers, server(name))
 	}
 	generation := 1
-	l, addr := newLists(t, peertest.Catalog(generation, true, servers[0]))
+	l, addr := peertest.NewLists(t, peertest.Catalog(generation, true, servers[0]))
 	f.config = strings.Replace(f.config, `"discovery":"`, `"discovery":"`+addr+`","x":"`, 1)
 	tell := func(i int) string { // this server alone
 		generation++
-		l.tell(peertest.Catalog(generation, true, servers[i]))
+		l.Tell(peertest.Catalog(generation, true, servers[i]))
 		return names[i]
 	}
 	first := f.start()
@@ -535,11 +487,11 @@
 	old := conn{c, in}
 	serves(old, "s1")
 	second := f.start()
-	peertest.Eventually(t, "one watch", func() bool { return l.watches() == 1 && first.Log.Has("handing over") })
-	was := l.calls
+	peertest.Eventually(t, "one watch", func() bool { return l.Watches() == 1 && first.Log.Has("handing over") })
+	was := l.Calls()
 	serves(old, tell(1)) // by way of the second
-	if l.watches() != 1 || l.calls != was {
-		t.Errorf("%d watches, %d calls", l.watches(), l.calls-was)
+	if l.Watches() != 1 || l.Calls() != was {
+		t.Errorf("%d watches, %d calls", l.Watches(), l.Calls()-was)
 	}
 	second.Stop()
 	serves(old, tell(2))
@@ -547,11 +499,11 @@
 	serves(old, tell(3))
 	second.Kill()
 	second.Wait()
-	peertest.Eventually(t, "its own watch", func() bool { return l.watches() == 1 })
+	peertest.Eventually(t, "its own watch", func() bool { return l.Watches() == 1 })
 	serves(old, tell(1))
 	third := f.start()
 	first.end()
-	peertest.Eventually(t, "the third watches", func() bool { return l.watches() == 1 })
+	peertest.Eventually(t, "the third watches", func() bool { return l.Watches() == 1 })
 	c, in = peertest.Open(t, f.listen)
 	tell(2)
 	serves(conn{c, in}, "s3")
--- a/internal/driver/many_test.go
+++ b/internal/driver/many_test.go
@@ -1,68 +1,21 @@
-package driver
+package driver_test
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
 	"os"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
+	"petrelhook/internal/driver"
 	"petrelhook/internal/fleet"
-	"petrelhook/internal/machine"
 	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
 )
 
-// played is an agent with one sidecar that changes at once, and counts as time goes by.
-type played struct {
-	mu     sync.Mutex
-	fence  rollout.Fence
-	r      rollout.Report
-	starts uint64
-	began  time.Time
-}
-
-var looks, orders atomic.Int64
-
-func (p *played) look(_ context.Context, in *machine.Look) (*machine.Seen, error) {
-	looks.Add(1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.fence.Hear(max(in.Token, p.fence.Token)); err != nil || in.Token != 0 && in.Token < p.fence.Token {
-		return nil, connect.NewError(connect.CodeAborted, err)
-	}
-	c := counts.Class{Name: "look", Served: uint64(time.Since(p.began) / (20 * time.Millisecond))}
-	c.Took[10] = c.Served
-	text, _ := json.Marshal([]counts.Class{c})
-	return &machine.Seen{Sidecars: []Seen{{Report: p.r, Process: agent.Process{PID: 1, Began: p.starts, Release: p.r.Release}, Counts: text}}}, nil
-}
-
-func (p *played) order(_ context.Context, in *machine.Order) (*machine.Taken, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known, err := p.fence.Admit(in.Token, in.Order)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeAborted, err)
-	}
-	if !known {
-		orders.Add(1)
-		p.r.Release, p.r.Done, p.began = in.Order.Release, in.Order.Number, time.Now()
-		p.starts++
-	}
-	return &machine.Taken{Known: known}, nil
-}
-
 // A whole change of many agents, with the driver in this process: each is ordered once, and what the log and the agents are asked grows
 // with the agents that change, not with the time. FIGURES=1 has 2,000 of them.
 func TestManyAgents(t *testing.T) {
@@ -75,23 +28,18 @@
 		start := &rollout.Start{Plan: rollout.Plan{Application: "a", From: "old", To: "new", AtOnce: max(1, n/20), Unavailable: max(1, n/20), Patience: time.Minute,
 			Judge:  rollout.Judgement{FalseStops: 0.01, MissedStops: 0.05, Effect: 0.2},
 			Stages: []rollout.Stage{{Select: rollout.Select{Share: 0.05}, Control: max(1, n/20)}, {Select: rollout.Select{Share: 0.25}, Control: max(1, n/20)}, {Select: rollout.Select{Share: 1}}}}}
-		var listeners []net.Listener
+		var all []*deployment.Played
 		for i := range n {
-			p := &played{r: rollout.Report{Sidecar: fmt.Sprintf("n%04d", i), Release: "old", Ready: true}, began: time.Now()}
-			mux := http.NewServeMux()
-			rpc.Handle(mux, machine.PathLook, 1<<20, p.look)
-			rpc.Handle(mux, machine.PathOrder, 1<<20, p.order)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			p, err := deployment.Play(fmt.Sprintf("n%04d", i), "old")
 			if err != nil {
 				t.Fatal(err)
 			}
-			listeners = append(listeners, ln)
-			go http.Serve(ln, mux)
-			start.Members = append(start.Members, rollout.Member{Name: p.r.Sidecar, Agent: ln.Addr().String()})
-			start.Now = append(start.Now, p.r)
+			all = append(all, p)
+			start.Members = append(start.Members, rollout.Member{Name: p.Name, Agent: p.Addr})
+			start.Now = append(start.Now, p.Report())
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		d := &Driver{Addrs: []string{addr}, TTL: 3 * time.Second, Every: 200 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
+		d := &driver.Driver{Addrs: []string{addr}, TTL: 3 * time.Second, Every: 200 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
 		ended := make(chan error, 1)
 		go func() { ended <- d.Run(ctx) }()
 		o := &fleet.Operator{Addrs: []string{addr}}
@@ -99,8 +47,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		looks.Store(0)
-		orders.Store(0)
 		began := time.Now()
 		told, err := o.Ask(ctx, fleet.Ask{Rollout: &rollout.Command{Application: "a", Change: "c", Start: start}})
 		if err != nil || told.Rollout.Err != "" {
@@ -116,15 +62,26 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		took := time.Since(began)
+		looks, orders := 0, 0
+		for _, p := range all {
+			looks, orders = looks+p.Looks(), orders+p.Orders()
+		}
 		after, err := o.Status(ctx, addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Logf("%d agents: %v after %v; %d entries of the log (%.1f a second), %d events, %d looks at agents (%.0f a second), %d orders; state of %d bytes", n, app.Now.State.Phase,
-			took.Round(100*time.Millisecond), after.Applied-before.Applied, float64(after.Applied-before.Applied)/took.Seconds(), app.Now.Events, looks.Load(), float64(looks.Load())/took.Seconds(),
-			orders.Load(), len(must(json.Marshal(app.Now))))
-		if want := int64(n + 2*max(1, n/20)); app.Now.State.Phase != rollout.Done || orders.Load() != want {
-			t.Errorf("%v (%s), %d orders, want %d", app.Now.State.Phase, app.Now.State.Why, orders.Load(), want)
+			took.Round(100*time.Millisecond), after.Applied-before.Applied, float64(after.Applied-before.Applied)/took.Seconds(), app.Now.Events, looks, float64(looks)/took.Seconds(),
+			orders, len(must(json.Marshal(app.Now))))
+		if want := n + 2*max(1, n/20); app.Now.State.Phase != rollout.Done || orders != want {
+			t.Errorf("%v (%s), %d orders, want %d", app.Now.State.Phase, app.Now.State.Why, orders, want)
+		}
+		all[0].Fall("old") // after the end: it is shown, and nothing is done about it
+		for end := time.Now().Add(20 * time.Second); app.Now.State.Sidecars()[0].Release != "old"; time.Sleep(50 * time.Millisecond) {
+			told, err := o.Ask(ctx, fleet.Ask{Changes: &name})
+			if err != nil || json.Unmarshal(told.Changes, &app) != nil || time.Now().After(end) {
+				t.Fatal("it is not shown", err)
+			}
 		}
 		cancel()
 		select {
@@ -135,8 +92,8 @@
 		case <-time.After(10 * time.Second):
 			t.Fatal("the driver does not end")
 		}
-		for _, ln := range listeners {
-			ln.Close()
+		for _, p := range all {
+			p.Close()
 		}
 		stop()
 	}
--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rig/process"
@@ -173,3 +178,24 @@
 	defer cancel()
 	return (&fleet.Operator{Addrs: g.Addrs()}).Ask(ctx, in)
 }
+
+// Asker asks whoever leads, at once and again until there is an answer, with no other pause: for measurements.
+func (g *Group) Asker() func(fleet.Ask) *fleet.Told {
+	over := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 64}}
+	var at atomic.Int64
+	return func(in fleet.Ask) *fleet.Told {
+		in.Version = fleet.Version
+		for {
+			i := at.Load()
+			res, err := fleet.Client[fleet.Ask, fleet.Told](over, g.Clients[i].Addr, fleet.PathAsk).CallUnary(context.Background(), connect.NewRequest(&in))
+			if err == nil && res.Msg.Err == "" {
+				return res.Msg
+			}
+			if err != nil && fleet.Final(err) {
+				panic(err)
+			}
+			at.CompareAndSwap(i, (i+1)%int64(len(g.Clients)))
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
