An agent's fence is tested over its restarts, and is read once

Nothing would have noticed an agent that forgets the newest driver it heard (TestTheFenceIsKept fails without the write). Its file was read again at every look.

--- a/internal/machine/door.go
+++ b/internal/machine/door.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -166,11 +167,14 @@
 }
 
 func (m *Machine) keepFence() error {
-	var was rollout.Fence
-	if _, err := m.read("fence", &was); err != nil || was.Equal(m.fence) {
+	if m.kept.Equal(m.fence) {
+		return nil
+	}
+	if err := m.keep("fence", m.fence); err != nil {
 		return err
 	}
-	return m.keep("fence", m.fence)
+	m.kept = rollout.Fence{Token: m.fence.Token, Last: maps.Clone(m.fence.Last)}
+	return nil
 }
 
 func (u *unit) seen() SidecarSeen {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -34,6 +34,7 @@
 	began  time.Time
 	units  []*unit
 	fence  rollout.Fence
+	kept   rollout.Fence // as it is on the disk
 	heard  time.Duration // when a driver spoke last
 	events chan func() error
 	ended  chan struct{}
@@ -65,6 +66,9 @@
 	if m.store, err = release.NewStore(c.Releases); err == nil {
 		_, err = m.read("fence", &m.fence)
 	}
+	if err == nil {
+		_, err = m.read("fence", &m.kept)
+	}
 	for i := range c.Sidecars {
 		if err == nil {
 			err = m.take(&c.Sidecars[i])
--- a/internal/machine/start_test.go
+++ b/internal/machine/start_test.go
@@ -1,13 +1,22 @@
 package machine
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
+
+	"connectrpc.com/connect"
 
 	"petrelhook/internal/agent"
+	"petrelhook/internal/rpc"
 )
 
 // The test's program is the helper as well, and says so as the program that it becomes.
@@ -65,3 +74,37 @@
 		t.Error("another one's memory")
 	}
 }
+
+// An agent that is started again refuses a driver that is older than one that the agent before had heard; two have no machine at once.
+func TestTheFenceIsKept(t *testing.T) {
+	dir := t.TempDir()
+	c := &Config{Application: "a", Data: filepath.Join(dir, "data"), Releases: filepath.Join(dir, "releases"), Look: time.Second}
+	for _, call := range []struct {
+		token uint64
+		code  connect.Code
+	}{{5, 0}, {4, connect.CodeAborted}, {6, 0}, {5, connect.CodeAborted}} {
+		m, err := Open(c, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(c, m.log); err == nil || !strings.Contains(err.Error(), "another agent") {
+			t.Errorf("%v", err)
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- m.Run(ctx, ln) }()
+		in := &Look{Version: Version, Application: "a", Token: call.token}
+		_, err = rpc.Client[Look, Seen](http.DefaultClient, ln.Addr().String(), PathLook, MaxAnswer).CallUnary(ctx, connect.NewRequest(in))
+		if (err != nil) != (call.code != 0) || err != nil && connect.CodeOf(err) != call.code {
+			t.Errorf("token %d: %v", call.token, err)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
