--- a/cmd/petrelagent/figures_test.go
+++ b/cmd/petrelagent/figures_test.go
@@ -1,24 +1,18 @@
 package main
 
 import (
-	"os"
 	"testing"
 	"time"
 
+	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rollout"
 )
 
-func figures(t *testing.T) {
-	if os.Getenv("FIGURES") == "" {
-		t.Skip("FIGURES=1 measures")
-	}
-}
-
 // The harm of a bad release within some time of its begin: judged in stages, in stages by the clock, and all at once; 12 sidecars, one load.
 func TestFiguresOfHarm(t *testing.T) {
-	figures(t)
+	peertest.Figures(t)
 	const horizon = 40 * time.Second
 	s := newSite(t, 12, 360, "", nil)
 	bad := s.BadRelease("fails one class")
@@ -67,7 +61,7 @@
 
 // Good changes of 12 sidecars in three stages, one after the other, there and back: none is stopped, and no request meets them.
 func TestFiguresOfGoodChanges(t *testing.T) {
-	figures(t)
+	peertest.Figures(t)
 	s := newSite(t, 12, 360, "", nil)
 	now, next := s.Old, s.Script("another-name", `exec $REAL "$@"`, s.Settings)
 	for i := range 20 {
--- a/cmd/petrelfleet/figures_test.go
+++ b/cmd/petrelfleet/figures_test.go
@@ -22,13 +22,6 @@
 	"petrelhook/lease"
 )
 
-// figures skips a measurement unless it is asked for: they are no part of the checks.
-func figures(t *testing.T) {
-	if os.Getenv("FIGURES") == "" {
-		t.Skip("FIGURES=1 measures")
-	}
-}
-
 // timed calls f from some goroutines for a while, and gives how often, and the times.
 func timed(goroutines int, length time.Duration, f func(worker, n int)) (rate float64, p50, p99 time.Duration) {
 	var mu sync.Mutex
@@ -55,7 +48,7 @@
 
 // Grants and renewals of 1, 3 and 5 replicas in one run, and with how much they grow.
 func TestFigures(t *testing.T) {
-	figures(t)
+	peertest.Figures(t)
 	for _, n := range []int{1, 3, 5} {
 		g := newGroup(t, n)
 		ask := g.Asker()
@@ -105,7 +98,7 @@
 
 // How long nobody holds after a kill, beside what the settings bound it by.
 func TestFiguresWithoutAHolder(t *testing.T) {
-	figures(t)
+	peertest.Figures(t)
 	g, r := newGroup(t, 3), &contend.Resource{}
 	guarded := peertest.NewRaw(t, r.Serve)
 	for _, what := range []string{"holder", "leader", "both"} {
@@ -212,7 +205,7 @@
 
 // Memory of a lease, and disk, log and start after a million commands.
 func TestFiguresOfAMillionCommands(t *testing.T) {
-	figures(t)
+	peertest.Figures(t)
 	heap := func() float64 {
 		runtime.GC()
 		var m runtime.MemStats
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -240,3 +241,10 @@
 		t.Cleanup(func() { c.Close() })
 	}
 }
+
+// Figures skips a measurement unless it is asked for: they are no part of the checks.
+func Figures(t testing.TB) {
+	if os.Getenv("FIGURES") == "" {
+		t.Skip("FIGURES=1 measures")
+	}
+}
