Hand-over goes by names; recorded frames; effort and longer growth are compared

Issue: versions side by side had no recorded frames, and what was learned of classes, zones and kinds was handed over by position, so another order of the settings gave one class the times of another (only a plan's comparison stood against it). A leak was found by its processor time, not by its growth: memory grows in bursts, which short windows see badly, and a bet of half on each pair needs 22 in a row.

Change: a hand-over tells the names (core.Legacy.Names), the next process places what was learned by them; recordings of the version before and of this one are read, and every field they read must still be handed over. Sidecars count tries, connections and probes (GET /api/counts tells {classes, effort}; the older form is still read). Pairs are judged by a mixture of bets (gonum), growth also over five times as long.

TestRecordedHandOvers, TestLearnedByName fail without their code (watched).

--- /dev/null
+++ b/cmd/petrelhook/recorded_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+
+	"petrelhook/internal/handover"
+	"petrelhook/internal/peertest"
+)
+
+// recorded are what sidecars of some versions have handed over, byte for byte; the newest is this version's. A version that hands over
+// something else gets a recording of its own: HANDOVER_RECORD=NAME go test ./cmd/petrelhook -run TestRecordedHandOvers
+const recorded = "testdata/handover"
+
+// take has a process of the fleet's sidecar handed over to the test, as the next process would.
+func (f *fleet) take() (state []byte, link *handover.Link) {
+	f.t.Helper()
+	ln, state, link, err := handover.At(f.dir, "n0", f.listen).Take(peertest.Patience)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ln.Close()
+	return state, link
+}
+
+// value is what stands at a path of a state; nil: nothing.
+func value(state []byte, path ...string) (v any) {
+	if json.Unmarshal(state, &v) != nil {
+		return nil
+	}
+	for _, name := range path {
+		m, _ := v.(map[string]any)
+		v = m[name]
+	}
+	return v
+}
+
+// kinds of values by their path, lists by their first entry.
+func shape(v any, at string, all map[string]string) map[string]string {
+	all[at] = fmt.Sprintf("%T", v)
+	switch v := v.(type) {
+	case map[string]any:
+		if strings.HasSuffix(at, "IDs") || strings.HasSuffix(at, "Zones") || strings.HasSuffix(at, "Kinds") { // by names of their own
+			break
+		}
+		for name, one := range v {
+			shape(one, at+"."+name, all)
+		}
+	case []any:
+		if len(v) > 0 {
+			shape(v[0], at+"[]", all)
+		}
+	}
+	return all
+}
+
+// Versions side by side: this version goes on where each recorded one was, with its list and what it had learned, and hands over all
+// that each of them reads.
+func TestRecordedHandOvers(t *testing.T) {
+	f := newFleet(t, peertest.Settings)
+	s := f.start()
+	for i := range kinds {
+		resp, _ := peertest.Ask(t, f.listen, strings.Replace(kinds[i](fmt.Sprint("x", i)), "\r\n", "\r\nConnection: close\r\n", 1))
+		if resp.StatusCode != 200 {
+			t.Fatal(resp.Status)
+		}
+	}
+	own, link := f.take()
+	link.Close()
+	s.end()
+	if name := os.Getenv("HANDOVER_RECORD"); name != "" {
+		if err := os.WriteFile(filepath.Join(recorded, name+".json"), own, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(recorded, "*.json"))
+	if err != nil || len(files) < 2 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		state, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tells := shape(value(own), "", map[string]string{})
+		for at, kind := range shape(value(state), "", map[string]string{}) {
+			if tells[at] != kind {
+				t.Errorf("%s reads %s (%s), and this version hands over %q", file, at, kind, tells[at])
+			}
+		}
+		f := newFleet(t, peertest.Settings)
+		f.config = strings.Replace(f.config, `"discovery":"`+value([]byte(f.config), "discovery").(string), `"discovery":"`+value(state, "core", "Source").(string), 1)
+		ln, err := net.Listen("tcp", f.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := &handover.Offer{
+			Give: func() (*os.File, []byte, error) { file, err := ln.(*net.TCPListener).File(); return file, state, err },
+			Met: func(l *handover.Link) {
+				l.Listen(func(line string) {
+					if line == "ready" {
+						l.Say("heard")
+						l.Say("a line of a version to come")
+					}
+				})
+			},
+			Failed: func(err error) { t.Error(err) },
+		}
+		if err := before.Open(handover.At(f.dir, "n0", f.listen)); err != nil {
+			t.Fatal(err)
+		}
+		next := f.start()
+		ln.Close()
+		before.Close()
+		again, link := f.take()
+		for _, path := range [][]string{{"core", "List"}, {"core", "Module", "Classes"}, {"core", "Module", "Quickest"}} {
+			if was, is := value(state, path...), value(again, path...); was == nil || !reflect.DeepEqual(was, is) {
+				t.Errorf("%s: %v: %v, and then %v", file, path, was, is)
+			}
+		}
+		link.Close()
+		if next.Signal(syscall.SIGTERM); next.Wait() != nil || next.Log.Has("nothing is taken over") {
+			t.Errorf("%s: %s", file, next.Log)
+		}
+	}
+}
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	listen string // of the sidecar
 	dir    string // its $TMPDIR
 	config string
+	starts int
 
 	mu  sync.Mutex
 	ran map[string]int
@@ -92,6 +94,10 @@
 		f.t.Fatal(err)
 	}
 	cmd := process.Again("PETRELHOOK_TEST_RUN", "1")
+	if f.starts++; f.starts%2 == 1 && os.Getenv("OTHER_VERSION") != "" { // every other process is of that program
+		cmd = exec.Command(os.Getenv("OTHER_VERSION"))
+		cmd.Env = os.Environ()
+	}
 	cmd.Env = append(cmd.Env, "LB_CONFIG="+path, "LB_ADMIN_ADDR="+admin, "TMPDIR="+f.dir)
 	s := &sidecar{process.Start(f.t, cmd), f, admin}
 	peertest.Eventually(f.t, "ready", func() bool { return s.call("GET /api/ready") == 200 })
--- a/internal/core/legacy.go
+++ b/internal/core/legacy.go
@@ -16,6 +16,54 @@
 	List   member.List
 	IDs    map[string]time.Time // until when; those of open requests as well
 	Module balance.Memory
+	Names  *Names // that the positions in Module stand for; nil: of a version that does not tell
+}
+
+// Names are those of positions in the module.
+type Names struct{ Classes, Zones, Kinds []string }
+
+// placed is what was learned, at the positions that its names have in another process. What has no name there is left out. Where
+// a version before did not tell its names, positions stand for themselves if there are as many, and are left out if not.
+func placed(m balance.Memory, was *Names, now Names) balance.Memory {
+	if was == nil {
+		if len(m.Classes) != len(now.Classes) {
+			m.Classes, m.Zones, m.Kinds = nil, nil, nil
+		}
+		return m
+	}
+	if slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Zones, now.Zones) && slices.Equal(was.Kinds, now.Kinds) {
+		return m
+	}
+	classes := make([]balance.ClassMemory, len(now.Classes))
+	for i, c := range m.Classes {
+		if at, ok := place(i, was.Classes, now.Classes); ok && at < len(classes) {
+			classes[at] = c
+		}
+	}
+	m.Classes = classes
+	move := func(all map[int]float64, was, now []string) map[int]float64 {
+		moved := map[int]float64{}
+		for i, v := range all {
+			if at, ok := place(i, was, now); ok {
+				moved[at] = v
+			}
+		}
+		return moved
+	}
+	m.Zones, m.Kinds = move(m.Zones, was.Zones, now.Zones), move(m.Kinds, was.Kinds, now.Kinds)
+	return m
+}
+
+// place is where a position's name is now; position 0 stands for all where there are no names.
+func place(i int, was, now []string) (at int, ok bool) {
+	if len(was) == 0 && len(now) == 0 {
+		return i, i == 0
+	}
+	if i < 0 || i >= len(was) {
+		return 0, false
+	}
+	at = slices.Index(now, was[i])
+	return at, at >= 0
 }
 
 // Legacy is what the core would hand over now; ok is false where it has ended. It is read by encode in the loop, since some of
@@ -32,7 +80,7 @@
 		for _, r := range l.requests {
 			ids[r.Trace] = r.deadline
 		}
-		encode(Legacy{Source: l.source.Name(), List: whole, IDs: ids, Module: l.b.Memory()})
+		encode(Legacy{Source: l.source.Name(), List: whole, IDs: ids, Module: l.b.Memory(), Names: &l.config.Names})
 	})
 	select {
 	case <-done:
@@ -50,5 +98,5 @@
 			l.ids.until(id, until)
 		}
 	}
-	l.b.Recall(from.Module)
+	l.b.Recall(placed(from.Module, from.Names, l.config.Names))
 }
--- a/internal/core/legacy_test.go
+++ b/internal/core/legacy_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"petrelhook/balance"
 	"petrelhook/internal/front"
 	"petrelhook/internal/member"
 )
@@ -86,3 +87,26 @@
 		next.is(again, front.Served, nil)
 	})
 }
+
+// What was learned goes to where its name is in the next process, and not to another's place; what has no name there is left out. A
+// version that told no names is taken at its positions, unless there are others.
+func TestLearnedByName(t *testing.T) {
+	m := balance.Memory{Classes: []balance.ClassMemory{{Count: 1}, {Count: 2}, {Count: 3}}, Zones: map[int]float64{0: 10, 1: 11}, Kinds: map[int]float64{0: 7}}
+	was := &Names{Classes: []string{"a", "b", "c"}, Zones: []string{"x", "y"}}
+	for name, c := range map[string]struct {
+		was  *Names
+		now  Names
+		want balance.Memory
+	}{
+		"another order": {was, Names{[]string{"c", "a", "b"}, []string{"y", "x"}, nil},
+			balance.Memory{Classes: []balance.ClassMemory{{Count: 3}, {Count: 1}, {Count: 2}}, Zones: map[int]float64{1: 10, 0: 11}, Kinds: m.Kinds}},
+		"one gone, one new": {was, Names{[]string{"new", "b"}, []string{"z"}, []string{"k"}},
+			balance.Memory{Classes: []balance.ClassMemory{{}, {Count: 2}}, Zones: map[int]float64{}, Kinds: map[int]float64{}}},
+		"no names":             {nil, *was, m},
+		"no names, and others": {nil, Names{Classes: []string{"a"}}, balance.Memory{}},
+	} {
+		if got := placed(m, c.was, c.now); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -21,11 +21,11 @@
 
 // Config is what the core is told.
 type Config struct {
-	Module       balance.Config
-	Zones, Kinds []string    // the names that stand for positions in the module
-	Known        member.List // the list of servers as last had; it may be old
-	Legacy       *Legacy     // of the process before; nil: there was none. Its list counts where it is of the same source
-	Listed       func()      // called, in the loop, when a server is first known that takes requests; nil: nobody is told
+	Module balance.Config
+	Names              // that stand for positions in the module
+	Known  member.List // the list of servers as last had; it may be old
+	Legacy *Legacy     // of the process before; nil: there was none. Its list counts where it is of the same source
+	Listed func()      // called, in the loop, when a server is first known that takes requests; nil: nobody is told
 }
 
 // Loop owns the decision module, its timers, and the tables of requests and servers. One goroutine runs it;
--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -1,5 +1,5 @@
-// Package counts is what a sidecar tells of the requests that it took: how many of each class came to which end, and how long those
-// served took, from arrival. It compares nothing and decides nothing; who judges releases (package judge) reads it.
+// Package counts is what a sidecar tells of the requests that it took: how many of each class came to which end, how long those
+// served took, from arrival, and what was asked of servers for them all. It compares nothing and decides nothing; who judges releases (package judge) reads it.
 //
 // Counts are of one process since its start and only grow: who reads them takes differences, and begins anew with another process. A
 // request is counted once, when it ends. Times are counted in steps of a quarter of an octave, a fifth; the numbers of a class are
--- a/internal/counts/counts_test.go
+++ b/internal/counts/counts_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net"
+	"reflect"
 	"testing"
 	"time"
 
 	"petrelhook/internal/front"
+	"petrelhook/internal/upstream"
 )
 
 type core func(context.Context) (front.Answer, error)
@@ -46,3 +50,30 @@
 		}
 	}
 }
+
+type servers struct{}
+
+func (s servers) Endpoint() upstream.Endpoint                               { return s }
+func (servers) Turn(string, bool)                                           {}
+func (servers) CloseIdle()                                                  {}
+func (servers) Send(context.Context, *upstream.Call) (out upstream.Outcome) { return }
+func (servers) Probe(context.Context) (out upstream.Outcome)                { return }
+func dial(context.Context, string, string) (c net.Conn, err error)          { return }
+
+// What is asked of servers is counted by its kind; what a process tells is read again, and so is what one of an earlier version tells,
+// which has no effort rather than none used.
+func TestEffort(t *testing.T) {
+	s := &Servers{Servers: servers{}}
+	for range 3 {
+		s.Endpoint().Send(t.Context(), nil)
+	}
+	s.Endpoint().Probe(t.Context())
+	s.Dial(dial)(t.Context(), "tcp", "x")
+	text, _ := json.Marshal(Told{[]Class{{Name: "a", Served: 7}}, s.Now()})
+	for text, want := range map[string]*Effort{string(text): {3, 1, 1}, ` [{"name": "a", "served": 7}]`: nil} {
+		var got Told
+		if err := json.Unmarshal([]byte(text), &got); err != nil || len(got.Classes) != 1 || got.Classes[0].Served != 7 || !reflect.DeepEqual(got.Effort, want) {
+			t.Errorf("%s: %+v, %v", text, got, err)
+		}
+	}
+}
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -1,8 +1,8 @@
 // Package evidence turns what sidecars have counted into windows of new and control, and asks package judge. It is pure: no clock, no I/O.
 //
 // Compared, in each class, are three rates: of requests that were refused, that failed, and that were slow, which is to take longer than
-// a tenth of the control's first requests did; those that the bound is drawn from are not judged by it. And, of all together, the
-// processor time a request and the growth of memory, in pairs.
+// a tenth of the control's first requests did; those that the bound is drawn from are not judged by it. And, of all together and in pairs,
+// processor time, tries and new connections a request, probes, and the growth of memory over short times and longer ones.
 //
 // The new are those of this stage that run the new release. The control are the old sidecars that were restarted beside them, or all
 // that are left where the plan has none restarted. Zones are not alike: new is compared with control in each zone by itself, and over
@@ -29,19 +29,12 @@
 
 // Reading is what is known of one sidecar's process.
 type Reading struct {
-	Process     agent.Process
-	Classes     []counts.Class
+	Process agent.Process
+	counts.Told
 	CPU, Memory uint64 // ticks that it has used, bytes that it has resident
 }
 
-const (
-	everyZone = "*"
-	// What is used is compared some times in the plan's patience, and worse is what is larger by these parts: of the memory that there
-	// is, and of the processor time a request.
-	comparisons = 100
-	growthPart  = 0.01
-	cpuPart     = 0.25
-)
+const everyZone = "*"
 
 // Evidence is that of one change, as far as one driver has watched it.
 type Evidence struct {
@@ -53,8 +46,7 @@
 	open   map[place]*pair // counted, and one side of it has nothing yet
 	base   group           // what all had counted before anything moved
 	since  group           // what the old ones that nobody touches have counted since
-	lately [2]use          // since the last comparison, of new and control
-	length time.Duration   // of that
+	spans  [2]span         // what was used since the last comparisons, short and long
 }
 
 type place struct{ class, zone string }
@@ -86,9 +78,6 @@
 	}
 }
 
-// use is what some sidecars have used.
-type use struct{ growth, memory, cpu, requests float64 }
-
 func of(c counts.Class) float64 { return float64(c.Served + c.Refused + c.Failed) }
 
 // metric is a rate: how many of how many.
@@ -117,7 +106,7 @@
 	}
 	if e.change != c.Name || e.stage != s.Stage {
 		e.change, e.stage, e.judge = c.Name, s.Stage, nil
-		e.last, e.bounds, e.open, e.lately, e.length = map[string]Reading{}, map[place]*bound{}, map[place]*pair{}, [2]use{}, 0
+		e.last, e.bounds, e.open, e.spans = map[string]Reading{}, map[place]*bound{}, map[place]*pair{}, [2]span{}
 	}
 	steps := e.steps(read)
 	among := func(release string, is func(rollout.Sidecar) bool) (group, use) { return total(s, steps, release, is) }
@@ -136,13 +125,14 @@
 	} else if !slices.ContainsFunc(s.Sidecars(), func(one rollout.Sidecar) bool { return old(one) && one.Release == s.Plan.From }) {
 		return &rollout.Verdict{Stage: s.Stage, Fine: true, Why: "none is left to compare with"}, nil
 	}
-	news, used := among(s.Plan.To, is(changed))
-	e.lately[0].add(used)
-	olds, used := among(s.Plan.From, old)
-	e.lately[1].add(used)
+	news, newsUsed := among(s.Plan.To, is(changed))
+	olds, oldsUsed := among(s.Plan.From, old)
+	for i := range e.spans {
+		e.spans[i].add([2]use{newsUsed, oldsUsed}, took)
+	}
 	untouched, _ := among(s.Plan.From, func(one rollout.Sidecar) bool { return one.Order == 0 && one.Alone == "" && one.Control == 0 })
 	e.since.sum(untouched)
-	if err := e.judged(c, news, olds, took); err != nil || e.judge == nil {
+	if err := e.judged(c, news, olds); err != nil || e.judge == nil {
 		return nil, err
 	}
 	v := e.judge.Verdict()
@@ -170,7 +160,11 @@
 		if !known || was.Process != now.Process {
 			continue
 		}
-		one := step{release: now.Process.Release, use: use{growth: float64(now.Memory) - float64(was.Memory), memory: float64(now.Memory), cpu: float64(now.CPU - was.CPU)}}
+		one := step{release: now.Process.Release, use: use{growth: float64(now.Memory) - float64(was.Memory), memory: float64(now.Memory),
+			cpu: float64(now.CPU - was.CPU), windows: 1, untold: now.Effort == nil || was.Effort == nil}}
+		if !one.untold {
+			one.effort = counts.Effort{Tries: now.Effort.Tries - was.Effort.Tries, Connections: now.Effort.Connections - was.Effort.Connections, Probes: now.Effort.Probes - was.Effort.Probes}
+		}
 		for i, class := range now.Classes {
 			if i < len(was.Classes) && was.Classes[i].Name == class.Name {
 				d := since(class, was.Classes[i])
@@ -201,11 +195,6 @@
 	return all, used
 }
 
-func (u *use) add(more use) {
-	u.growth, u.cpu, u.requests = u.growth+more.growth, u.cpu+more.cpu, u.requests+more.requests
-	u.memory = more.memory // as it is now
-}
-
 // since is what was counted since a reading of the same process.
 func since(now, was counts.Class) counts.Class {
 	now.Served -= was.Served
@@ -218,7 +207,7 @@
 }
 
 // judged hands the judge what there is of both sides.
-func (e *Evidence) judged(c *rollout.Change, news, olds group, took time.Duration) error {
+func (e *Evidence) judged(c *rollout.Change, news, olds group) error {
 	classes := map[string]bool{}
 	for at, n := range news {
 		p := e.open[at]
@@ -254,12 +243,7 @@
 			return err
 		}
 	}
-	if e.length += took; e.length < c.State.Plan.Patience/comparisons {
-		return nil
-	}
-	err := e.compare()
-	e.lately, e.length = [2]use{}, 0
-	return err
+	return e.compare(c.State.Plan.Patience)
 }
 
 func sum(a, b counts.Class) counts.Class {
@@ -278,7 +262,7 @@
 		classes = max(classes, len(r.Classes))
 	}
 	e.judge, err = judge.New(judge.Plan{FalseStop: s.Plan.Judge.FalseStops, Missed: s.Plan.Judge.MissedStops, Effect: s.Plan.Judge.Effect,
-		Cells: ((len(ends)+1)*classes*(len(zones)+1) + 2) * len(s.Plan.Stages)})
+		Cells: ((len(ends)+1)*classes*(len(zones)+1) + pairs) * len(s.Plan.Stages)})
 	return err
 }
 
@@ -339,20 +323,3 @@
 	}
 	return new, control
 }
-
-// compare compares what the new and the control have used in the same time.
-func (e *Evidence) compare() error {
-	n, o := e.lately[0], e.lately[1]
-	if n.memory == 0 || o.memory == 0 {
-		return nil
-	}
-	at := judge.Cell{Class: everyZone, Zone: everyZone, Metric: "growth of memory"}
-	if err := e.judge.Pair(at, n.growth/n.memory > o.growth/o.memory+growthPart); err != nil {
-		return err
-	}
-	if n.requests == 0 || o.requests == 0 || o.cpu == 0 {
-		return nil
-	}
-	at.Metric = "processor time"
-	return e.judge.Pair(at, n.cpu/n.requests > (1+cpuPart)*o.cpu/o.requests)
-}
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -19,6 +19,14 @@
 	began  map[string]uint64
 	cpu    map[string]uint64
 	memory map[string]uint64
+	tries  map[string]uint64 // nil: this version does not tell
+}
+
+func (w *world) effort(name string) *counts.Effort {
+	if w.tries == nil {
+		return nil
+	}
+	return &counts.Effort{Tries: w.tries[name], Connections: 7, Probes: 7}
 }
 
 // newWorld is a change in its first stage, all of whose sidecars are where they should be.
@@ -50,7 +58,7 @@
 	read := map[string]Reading{}
 	for _, s := range w.change.State.Sidecars() {
 		count(s.Name, s.Release, w.counts[s.Name])
-		read[s.Name] = Reading{Process: agent.Process{PID: 1, Began: w.began[s.Name], Release: s.Release}, Classes: []counts.Class{*w.counts[s.Name]}, CPU: w.cpu[s.Name], Memory: 20<<20 + w.memory[s.Name]}
+		read[s.Name] = Reading{Process: agent.Process{PID: 1, Began: w.began[s.Name], Release: s.Release}, Told: counts.Told{Classes: []counts.Class{*w.counts[s.Name]}, Effort: w.effort(s.Name)}, CPU: w.cpu[s.Name], Memory: 20<<20 + w.memory[s.Name]}
 	}
 	v, err := w.e.Window(w.change, read, 10*time.Second)
 	if err != nil {
@@ -126,6 +134,21 @@
 			serve(c, 20, 10)
 			w.memory[name] += uint64(400<<10 + i%7)
 		}, "", rollout.Stage{}},
+		"grows in bursts": {func(w *world, i int, name, r string, c *counts.Class) {
+			if serve(c, 20, 10); r == "new" && i%4 == 3 {
+				w.memory[name] += 3 << 20
+			}
+		}, "worse: growth of memory over longer times", rollout.Stage{}},
+		"tries twice, and the class says nothing": {func(w *world, i int, name, r string, c *counts.Class) {
+			if serve(c, 20, 10); i == 0 {
+				w.tries = map[string]uint64{}
+			}
+			w.tries[name] += map[string]uint64{"old": 20, "new": 40}[r]
+		}, "worse: tries of class * in zone *", rollout.Stage{}},
+		"of a version that tells no tries": {func(w *world, _ int, _, r string, c *counts.Class) {
+			serve(c, 20, 10)
+			w.tries = map[string]map[string]uint64{"new": {"n0": 1 << 30}}[r]
+		}, "", rollout.Stage{}},
 		"twice the processor": {func(w *world, _ int, name, r string, c *counts.Class) {
 			serve(c, 20, 10)
 			w.cpu[name] += map[string]uint64{"old": 10, "new": 20}[r]
--- /dev/null
+++ b/internal/evidence/used.go
@@ -0,0 +1,107 @@
+package evidence
+
+import (
+	"time"
+
+	"petrelhook/internal/counts"
+	"petrelhook/internal/judge"
+)
+
+// What is used is compared some times in the plan's patience, and worse is what is larger by these parts.
+const (
+	comparisons = 100
+	growthPart  = 0.01 // of the memory that there is
+	cpuPart     = 0.25 // of the processor time a request
+	triesPart   = 0.1  // of the tries a request
+	openPart    = 0.5  // of the connections opened for a request, and of the probes
+	longer      = 5    // growth of memory comes in bursts, so it is compared over this many times as long as well
+	pairs       = 6    // cells that are judged by pairs
+)
+
+// use is what some sidecars have used.
+type use struct {
+	growth, memory, cpu, requests float64
+	windows                       float64 // of a sidecar
+	untold                        bool    // one of them does not tell its effort
+	effort                        counts.Effort
+}
+
+func (u *use) add(more use) {
+	u.growth, u.cpu, u.requests, u.windows = u.growth+more.growth, u.cpu+more.cpu, u.requests+more.requests, u.windows+more.windows
+	u.memory = more.memory // as it is now
+	u.untold = u.untold || more.untold
+	u.effort.Tries += more.effort.Tries
+	u.effort.Connections += more.effort.Connections
+	u.effort.Probes += more.effort.Probes
+}
+
+// span is what new and control have used since the last comparison.
+type span struct {
+	used   [2]use
+	length time.Duration
+}
+
+func (s *span) add(used [2]use, took time.Duration) {
+	for i := range used {
+		s.used[i].add(used[i])
+	}
+	s.length += took
+}
+
+// compare hands in what new and control have used in the same time, once that is long enough.
+func (e *Evidence) compare(patience time.Duration) error {
+	long := patience / comparisons
+	if s := &e.spans[1]; s.length >= longer*long {
+		if err := e.growth("growth of memory over longer times", s.used); err != nil {
+			return err
+		}
+		*s = span{}
+	}
+	s := &e.spans[0]
+	if s.length < long {
+		return nil
+	}
+	used := s.used
+	*s = span{}
+	if err := e.growth("growth of memory", used); err != nil {
+		return err
+	}
+	n, o := used[0], used[1]
+	larger := func(name string, new, old, part float64) error {
+		if old == 0 && new == 0 {
+			return nil
+		}
+		return e.judge.Pair(whole(name), new > (1+part)*old)
+	}
+	if n.requests > 0 && o.requests > 0 && o.cpu > 0 {
+		if err := larger("processor time", n.cpu/n.requests, o.cpu/o.requests, cpuPart); err != nil {
+			return err
+		}
+	}
+	if n.untold || o.untold || n.windows == 0 || o.windows == 0 {
+		return nil
+	}
+	if err := larger("probes", float64(n.effort.Probes)/n.windows, float64(o.effort.Probes)/o.windows, openPart); err != nil {
+		return err
+	}
+	if n.requests == 0 || o.requests == 0 {
+		return nil
+	}
+	if err := larger("tries", float64(n.effort.Tries)/n.requests, float64(o.effort.Tries)/o.requests, triesPart); err != nil {
+		return err
+	}
+	return larger("connections", float64(n.effort.Connections)/n.requests, float64(o.effort.Connections)/o.requests, openPart)
+}
+
+func (e *Evidence) growth(name string, used [2]use) error {
+	n, o := used[0], used[1]
+	if n.memory == 0 || o.memory == 0 {
+		return nil
+	}
+	return e.judge.Pair(whole(name), n.growth/n.memory > o.growth/o.memory+growthPart)
+}
+
+// whole is the cell of what is compared over all.
+func whole(metric string) judge.Cell {
+	return judge.Cell{Class: everyZone, Zone: everyZone, Metric: metric}
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -6,6 +6,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"gonum.org/v1/gonum/mathext"
 )
 
 // Counts are how many of some requests something happened to.
@@ -117,7 +119,10 @@
 
 // Pair takes in one comparison of a magnitude, such as growth of memory in the same window: whether the new one's was larger by more than
 // matters. Where new and control are alike neither is larger than the other more often than it is smaller, so half of the comparisons
-// at most; a bet of half of what there is on each wins on average nothing then. It may show that the new is worse, and is never waited for.
+// at most. It may show that the new is worse, and is never waited for.
+//
+// The evidence is a mixture of bets that the share is p, for all p from a half to one alike: each multiplies by 2p for what was larger
+// and by 2(1-p) for what was not, which is 1 on average at a half and less below, and so does their mean.
 func (j *Judge) Pair(at Cell, larger bool) error {
 	at.Part = true
 	c, err := j.cell(at)
@@ -125,11 +130,12 @@
 		return err
 	}
 	won := Counts{Of: 1}
-	if c.log += math.Log(0.5); larger {
-		c.log += math.Log(3) // 1.5 for what was won, 0.5 for what was lost
+	if larger {
 		won.Hit = 1
 	}
 	c.new, c.control = c.new.plus(won), c.control.plus(Counts{0.5, 1})
+	a, b := c.new.Hit+1, c.new.Of-c.new.Hit+1
+	c.log = c.new.Of*math.Ln2 + math.Ln2 + mathext.Lbeta(a, b) + math.Log(mathext.RegIncBeta(b, a, 0.5))
 	c.worse = c.worse || c.log >= j.bar()
 	return nil
 }
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -26,6 +26,7 @@
 	"petrelhook/internal/member/relay"
 	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
+	"petrelhook/internal/upstream"
 	"petrelhook/internal/upstream/http1"
 )
 
@@ -45,7 +46,8 @@
 // Sidecar is one sidecar.
 type Sidecar struct {
 	core  *core.Loop
-	count *counts.Front // nil: there are no operators who ask
+	count *counts.Front // nil, as asked is: there are no operators who ask
+	asked *counts.Servers
 	front *platform.Server
 	life  *lifecycle.Machine
 	up    *http1.Pool
@@ -81,15 +83,26 @@
 		}
 	}
 	account := room.New(c.Limits.Messages())
+	var asked *counts.Servers
+	serversDial := dial
+	if c.Admin != "" {
+		asked = &counts.Servers{}
+		serversDial = asked.Dial(dial)
+	}
 	up := http1.New(http1.Settings{
 		Most: c.Limits.Servers(), Within: duration(or(module.ConnectTimeout, defaultDial)),
 		Idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)), Grace: duration(module.DrainGrace), Room: account,
 		Fields: c.Profile.Fields, Probe: probePath(module),
-	}, http1.Dial(dial))
+	}, http1.Dial(serversDial))
+	var servers upstream.Servers = up
+	if asked != nil {
+		asked.Servers = up
+		servers = asked
+	}
 	loop := core.New(core.Config{
-		Module: *module, Zones: c.Profile.Zones, Kinds: c.Profile.Kinds, Known: c.Known,
+		Module: *module, Names: core.Names{Classes: c.Profile.Classes, Zones: c.Profile.Zones, Kinds: c.Profile.Kinds}, Known: c.Known,
 		Legacy: legacy, Listed: func() { close(s.listed) },
-	}, s.source(c.Discovery), up, log)
+	}, s.source(c.Discovery), servers, log)
 	settings := platform.Settings{Tenants: c.Profile.Tenants, Room: account, Door: admit.Config{Places: c.Limits.Clients()}}
 	if c.Admin != "" && c.Limits.Sockets > 0 { // operators' calls are counted too
 		settings.Door.Places = max(1, settings.Door.Places-admin.MaxCalls)
@@ -105,7 +118,7 @@
 		s.count = counts.New(loop, settings.Classes)
 		taker = s.count
 	}
-	s.core, s.up, s.front = loop, up, platform.New(settings, taker, life, log)
+	s.core, s.up, s.asked, s.front = loop, up, asked, platform.New(settings, taker, life, log)
 	s.whole = lifecycle.Room{Clients: settings.Door.Places, Servers: c.Limits.Servers()}
 	return s
 }
@@ -145,7 +158,7 @@
 		sides.Go(func() {
 			door := admin.New(s.life)
 			if s.count != nil {
-				door.Counts = func() any { return s.count.Now() }
+				door.Counts = func() any { return counts.Told{Classes: s.count.Now(), Effort: s.asked.Now()} }
 			}
 			if err := door.Serve(calls); err != nil {
 				s.log.Error("operators are not heard any more", "err", err)
