rollout explain, report (page and columns) and a live status; a failed start says why

Need: a change that waited or stopped said one line; what its stages had counted was gone with the driver.

A process that ends at its start or in its trial is reported with what it said last.

Checked: TestExplain, TestReport, TestRolloutCommands.

--- a/cmd/petrelctl/rollout.go
+++ b/cmd/petrelctl/rollout.go
@@ -20,7 +20,7 @@
 
 func rolloutCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "rollout", Short: "Rolling changes: check one, begin it, watch it, stop it"}
-	cmd.AddCommand(rolloutPlanCommand(), rolloutStartCommand(), rolloutStatusCommand(), rolloutHistoryCommand())
+	cmd.AddCommand(rolloutPlanCommand(), rolloutStartCommand(), rolloutStatusCommand(), rolloutHistoryCommand(), rolloutExplainCommand(), rolloutReportCommand())
 	cmd.AddCommand(rolloutSayCommands()...)
 	return cmd
 }
--- a/cmd/petrelctl/rollout_run.go
+++ b/cmd/petrelctl/rollout_run.go
@@ -47,9 +47,9 @@
 	return cmd
 }
 
-// change asks for an application's changes.
-func (a *asking) change(cmd *cobra.Command, application string) (*rollout.Application, error) {
-	told, err := a.ask(cmd, fleet.Ask{Changes: &application})
+// change asks for an application's changes, with what the stages of the last one were counted to have done or without.
+func (a *asking) change(cmd *cobra.Command, application string, results bool) (*rollout.Application, error) {
+	told, err := a.ask(cmd, fleet.Ask{Changes: &application, Results: results})
 	if err != nil {
 		return nil, err
 	}
@@ -65,10 +65,20 @@
 
 func rolloutStatusCommand() *cobra.Command {
 	a := &asking{}
+	var live bool
+	var every time.Duration
 	cmd := &cobra.Command{
 		Use: "status APPLICATION", Args: cobra.ExactArgs(1), Short: "Where the change stands, and why it waits; 1: it is paused or was stopped",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			app, err := a.change(cmd, args[0])
+			if live {
+				if every < 100*time.Millisecond {
+					return fmt.Errorf("--every: %v; write 100ms or more", every)
+				}
+				if err := a.watch(cmd, args[0], every); err != nil {
+					return err
+				}
+			}
+			app, err := a.change(cmd, args[0], false)
 			if err != nil {
 				return err
 			}
@@ -81,6 +91,8 @@
 		},
 	}
 	a.flags(cmd)
+	cmd.Flags().BoolVar(&live, "watch", false, "show it until it is over or paused: anew on a terminal, else a line for each step")
+	cmd.Flags().DurationVar(&every, "every", time.Second, "how often, with --watch")
 	return cmd
 }
 
@@ -109,7 +121,7 @@
 	cmd := &cobra.Command{
 		Use: use + " APPLICATION", Args: cobra.ExactArgs(1), Short: short,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			app, err := a.change(cmd, args[0])
+			app, err := a.change(cmd, args[0], false)
 			if err != nil {
 				return err
 			}
@@ -120,7 +132,7 @@
 			if err != nil {
 				return err
 			}
-			if app, err = a.change(cmd, args[0]); err != nil {
+			if app, err = a.change(cmd, args[0], false); err != nil {
 				return err
 			}
 			return a.print(cmd, app.Now, func(w *tabwriter.Writer) { status(w, app.Now) })
@@ -152,7 +164,7 @@
 	cmd := &cobra.Command{
 		Use: "history APPLICATION", Args: cobra.ExactArgs(1), Short: "The steps of this change and of those before",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			app, err := a.change(cmd, args[0])
+			app, err := a.change(cmd, args[0], false)
 			if err != nil {
 				return err
 			}
--- a/cmd/petrelctl/rollout_run_test.go
+++ b/cmd/petrelctl/rollout_run_test.go
@@ -24,6 +24,7 @@
 		}
 	}
 	plan := write(t, "plan.yaml", "application: permits\nfrom: old\nto: new\nagents: [\""+peertest.DeadAddr(t)+"\"]\nstages: [{share: 1}]\n")
+	page := filepath.Join(t.TempDir(), "page.html")
 	for i, c := range []struct {
 		args string
 		code int
@@ -36,10 +37,16 @@
 		{"status permits", 0, "sidecars: n0"},
 		{"pause permits --why lunch", 0, "paused"},
 		{"status permits", 1, "lunch"},
+		{"status permits --watch", 1, "permits: change c1 paused, stage 1 of 1 lunch"},
 		{"resume permits", 0, "running"},
 		{"abort permits --why enough", 0, "taking back"},
 		{"status permits --output json", 1, `"why": "enough"`},
 		{"history permits", 0, "enough"},
+		{"explain permits", 0, "taken back from stage 1: enough"},
+		{"report permits", 2, "write --html FILE, --parquet FILE, or both"},
+		{"report permits --html " + page, 0, ""},
+		{"report permits --parquet /none/x", 1, "/none/x"},
+		{"status permits --watch --every 1ms", 2, "--every: 1ms"},
 		{"abort permits --output xml", 2, "--output"},
 	} {
 		if c.args == "" {
--- /dev/null
+++ b/cmd/petrelctl/rollout_show.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/rollout"
+	"petrelhook/internal/rollout/report"
+)
+
+func rolloutExplainCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "explain APPLICATION", Args: cobra.ExactArgs(1), Short: "Why the change stands where it stands: limits, evidence and how much more of it, what to do",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			app, err := a.change(cmd, args[0], true)
+			if err != nil {
+				return err
+			}
+			lines := report.Explain(app.Now)
+			return a.print(cmd, lines, func(w *tabwriter.Writer) {
+				for _, l := range lines {
+					fmt.Fprintf(w, "%s\t%s\n", l.Rule, l.Text)
+				}
+			})
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
+
+func rolloutReportCommand() *cobra.Command {
+	a := &asking{}
+	var html, columns string
+	cmd := &cobra.Command{
+		Use: "report APPLICATION --html FILE | --parquet FILE", Args: cobra.ExactArgs(1), Short: "What each stage of the last change was counted to have done, as a page or as columns",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if html == "" && columns == "" {
+				return errors.New("write --html FILE, --parquet FILE, or both")
+			}
+			app, err := a.change(cmd, args[0], true)
+			if err != nil {
+				return err
+			}
+			for _, f := range []struct {
+				path  string
+				write func(io.Writer, *rollout.Change) error
+			}{{html, report.WritePage}, {columns, report.WriteParquet}} {
+				if f.path == "" {
+					continue
+				}
+				var text bytes.Buffer
+				err := f.write(&text, app.Now)
+				if err == nil {
+					err = os.WriteFile(f.path, text.Bytes(), 0o644)
+				}
+				if err != nil {
+					return runError{err}
+				}
+			}
+			return nil
+		},
+	}
+	a.flags(cmd)
+	cmd.Flags().StringVar(&html, "html", "", "one page that needs nothing else, a `FILE`")
+	cmd.Flags().StringVar(&columns, "parquet", "", "a row for each cell of each stage, and for each point of its course, a `FILE`")
+	return cmd
+}
+
+// watch shows a change until it is over or paused: anew on a terminal, else a line whenever its phase, stage or reason changes. Once it
+// has begun it goes on where coordinators are out of reach.
+func (a *asking) watch(cmd *cobra.Command, application string, every time.Duration) error {
+	out, terminal := cmd.ErrOrStderr(), false
+	if f, ok := out.(*os.File); ok {
+		terminal = isTerminal(f)
+	}
+	last := ""
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		app, err := a.change(cmd, application, true)
+		if err != nil && (last == "" || cmd.Context().Err() != nil) {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(out, "petrelctl:", err)
+		} else if stop := show(out, terminal, application, app.Now, &last); stop {
+			return nil
+		}
+		select {
+		case <-cmd.Context().Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// show shows a change; true: nothing follows by itself. last is the line that was shown last.
+func show(out io.Writer, terminal bool, application string, c *rollout.Change, last *string) bool {
+	s := c.State
+	line := fmt.Sprintf("%s: change %s %v, stage %d of %d %s", application, c.Name, s.Phase, s.Stage, len(s.Plan.Stages), s.Why)
+	switch {
+	case terminal:
+		var text bytes.Buffer
+		w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+		status(w, c)
+		for _, l := range report.Explain(c) {
+			fmt.Fprintf(w, "%s\t%s\n", l.Rule, l.Text)
+		}
+		w.Flush()
+		fmt.Fprintf(out, "\033[H\033[2J%s", text.Bytes())
+	case line != *last:
+		fmt.Fprintln(out, line)
+	}
+	*last = line
+	return s.Phase.Over() || s.Phase == rollout.Paused
+}
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -95,7 +95,7 @@
 	}
 	for _, p := range []*Process{s.Now, s.Next} {
 		if p != nil && !lives(*p) {
-			todo = append(todo, s.Died(now, *p)...)
+			todo = append(todo, s.Died(now, *p, "")...)
 		}
 	}
 	if s.Phase == Starting && s.Next == nil { // it was never begun, or died unseen
@@ -177,16 +177,16 @@
 	return nil
 }
 
-// Died tells that a process has ended, of whatever.
-func (s *Sidecar) Died(now time.Duration, p Process) []Do {
+// Died tells that a process has ended, of whatever, and what it said last.
+func (s *Sidecar) Died(now time.Duration, p Process, said string) []Do {
 	switch {
 	case s.Next != nil && *s.Next == p:
 		s.Next = nil
 		switch s.Phase {
 		case Starting:
-			return s.fail(now, "it ended before it was ready")
+			return s.fail(now, "it ended before it was ready"+quoted(said))
 		case Trial:
-			return s.fail(now, "it ended in its trial")
+			return s.fail(now, "it ended in its trial"+quoted(said))
 		case Ending: // the new one dies as the one before ends: that one is all there is, or nobody
 			s.Phase = Idle
 			s.over("it ended as the one before was told to")
@@ -301,3 +301,10 @@
 	}
 	return "", false
 }
+
+func quoted(said string) string {
+	if said == "" {
+		return ""
+	}
+	return ": " + said
+}
--- a/internal/agent/sidecar_test.go
+++ b/internal/agent/sidecar_test.go
@@ -54,7 +54,7 @@
 func (m *machine) die(p Process) {
 	if i := slices.Index(m.alive, p); i >= 0 {
 		m.alive = slices.Delete(m.alive, i, i+1)
-		m.do(m.s.Died(m.now, p))
+		m.do(m.s.Died(m.now, p, ""))
 	}
 }
 
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -47,6 +47,8 @@
 	base   group           // what all had counted before anything moved
 	since  group           // what the old ones that nobody touches have counted since
 	spans  [2]span         // what was used since the last comparisons, short and long
+	told   judge.Kind      // of the last tally
+	untold time.Duration   // since that
 }
 
 type place struct{ class, zone string }
@@ -107,6 +109,7 @@
 	if e.change != c.Name || e.stage != s.Stage {
 		e.change, e.stage, e.judge = c.Name, s.Stage, nil
 		e.last, e.bounds, e.open, e.spans = map[string]Reading{}, map[place]*bound{}, map[place]*pair{}, [2]span{}
+		e.told, e.untold = judge.NotEnough, 0
 	}
 	steps := e.steps(read)
 	among := func(release string, is func(rollout.Sidecar) bool) (group, use) { return total(s, steps, release, is) }
@@ -141,7 +144,36 @@
 			return &rollout.Verdict{Stage: s.Stage, Old: true, Why: why}, nil
 		}
 	}
-	return &rollout.Verdict{Stage: s.Stage, Worse: v.Kind == judge.Worse, Fine: v.Kind == judge.NoWorse, Why: v.String()}, nil
+	return &rollout.Verdict{Stage: s.Stage, Worse: v.Kind == judge.Worse, Fine: v.Kind == judge.NoWorse, Why: v.String(), Tally: e.tally(v.Kind, took, s.Plan.Patience)}, nil
+}
+
+// maxTally is how many cells a tally has.
+const maxTally = 256
+
+// tally is what a verdict was reached by, where it is another than before or the last tally is some time ago.
+func (e *Evidence) tally(kind judge.Kind, took, patience time.Duration) (all []rollout.Counted) {
+	if e.untold += took; kind == e.told && e.untold < patience/comparisons {
+		return nil
+	}
+	e.told, e.untold = kind, 0
+	cells := e.judge.Cells()
+	slices.SortStableFunc(cells, func(a, b judge.Verdict) int { // what is worse, then what is waited for
+		rank := func(v judge.Verdict) int {
+			switch {
+			case v.Kind == judge.Worse:
+				return 0
+			case !v.Cell.Part:
+				return 1
+			}
+			return 2
+		}
+		return cmp.Compare(rank(a), rank(b))
+	})
+	for _, v := range cells[:min(len(cells), maxTally)] {
+		all = append(all, rollout.Counted{Class: v.Cell.Class, Zone: v.Cell.Zone, Metric: v.Cell.Metric, Part: v.Cell.Part, Verdict: v.Kind.String(),
+			New: v.Counts[0].Hit, NewOf: v.Counts[0].Of, Control: v.Counts[1].Hit, ControlOf: v.Counts[1].Of, Odds: v.Odds, Most: v.Most})
+	}
+	return all
 }
 
 // step is what one process has counted and used between two readings.
--- a/internal/fleet/rpc.go
+++ b/internal/fleet/rpc.go
@@ -36,6 +36,7 @@
 	Alive   *replica.Alive   `json:"alive,omitempty"`
 	Rollout *rollout.Command `json:"rollout,omitempty"`
 	Changes *string          `json:"changes,omitempty"` // of an application; "": which applications there are
+	Results bool             `json:"results,omitempty"` // with what the stages of the change were counted to have done
 	List    *string          `json:"list,omitempty"`    // leases whose names begin so
 	Backup  bool             `json:"backup,omitempty"`
 	Add     *replica.Member  `json:"add,omitempty"`
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -253,7 +253,7 @@
 	}
 	t.Rollout = r.Rollout
 	if r.Changes != nil && in.Changes != nil {
-		if t.Changes = r.Changes.Application(*in.Changes); *in.Changes == "" {
+		if t.Changes = r.Changes.Application(*in.Changes, in.Results); *in.Changes == "" {
 			t.Changes, _ = json.Marshal(r.Changes.Applications())
 		}
 	}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -65,9 +65,10 @@
 type Verdict struct {
 	Kind         Kind
 	Cell         Cell
-	New, Control float64 // the rates seen
-	Odds         float64 // Worse: the evidence, at least 1 over the cell's part of FalseStop
-	Most         float64 // the largest difference that the new one may have, by its confidence
+	New, Control float64   // the rates seen
+	Counts       [2]Counts // they are of: new and control
+	Odds         float64   // Worse: the evidence, at least 1 over the cell's part of FalseStop
+	Most         float64   // the largest difference that the new one may have, by its confidence
 }
 
 func (v Verdict) String() string {
@@ -187,25 +188,33 @@
 	return base, max(worse, base)
 }
 
-// Verdict is what holds now: worse where one cell is, no worse where all are.
-func (j *Judge) Verdict() Verdict {
-	v := Verdict{Kind: NotEnough}
-	first, whole := true, false
+// Cells are the verdicts of all cells by themselves, in the order of metric, class and zone.
+func (j *Judge) Cells() (all []Verdict) {
 	for _, at := range slices.SortedFunc(maps.Keys(j.cells), func(a, b Cell) int {
 		return cmp.Or(cmp.Compare(a.Metric, b.Metric), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Zone, b.Zone))
 	}) {
 		c := j.cells[at]
-		own := Verdict{NotEnough, at, c.new.rate(), c.control.rate(), math.Exp(c.log), c.most(j.plan.Missed)}
+		own := Verdict{NotEnough, at, c.new.rate(), c.control.rate(), [2]Counts{c.new, c.control}, math.Exp(min(c.log, 700)), c.most(j.plan.Missed)}
 		switch {
 		case c.worse:
 			own.Kind = Worse
 		case at.Part || own.Most < j.plan.Effect:
 			own.Kind = NoWorse
 		}
-		if first || worst(own, v) {
-			v, first = own, false
+		all = append(all, own)
+	}
+	return all
+}
+
+// Verdict is what holds now: worse where one cell is, no worse where all are.
+func (j *Judge) Verdict() Verdict {
+	v := Verdict{Kind: NotEnough}
+	whole := false
+	for i, own := range j.Cells() {
+		if i == 0 || worst(own, v) {
+			v = own
 		}
-		whole = whole || !at.Part
+		whole = whole || !own.Cell.Part
 	}
 	if v.Kind == NoWorse && !whole { // nothing that had to be shown was
 		v.Kind = NotEnough
@@ -230,6 +239,33 @@
 	return upper(c.new, missed/2) - (1 - upper(Counts{c.control.Of - c.control.Hit, c.control.Of}, missed/2))
 }
 
+// Needs is how many more requests the new one has to have, and the control as many in proportion, until it is said to be no worse, if
+// the rates stay as they are; ok is false where that would not show it.
+func Needs(new, control Counts, missed, effect float64) (more float64, ok bool) {
+	holds := func(times float64) bool {
+		c := cell{new: Counts{new.Hit * times, new.Of * times}, control: Counts{control.Hit * times, control.Of * times}}
+		return c.most(missed) < effect
+	}
+	const most = 1 << 40
+	low, high := 1.0, 1.0
+	if new.Of == 0 || control.Of == 0 || new.rate()-control.rate() >= effect {
+		return 0, false
+	}
+	for ; !holds(high); high *= 2 {
+		if low = high; high > most {
+			return 0, false
+		}
+	}
+	for range 30 {
+		if mid := (low + high) / 2; holds(mid) {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return math.Ceil(new.Of * (high - 1)), true
+}
+
 // Least is by how much the first rate is larger at least, at a confidence that holds at all times together. The counts need not be of one
 // time; then a difference says that something has changed, and not what.
 func Least(now, before Counts, alpha float64) float64 {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -307,7 +307,11 @@
 		var todo []agent.Do
 		for _, p := range []*agent.Process{u.Now, u.Next} {
 			if p != nil && !Lives(*p) {
-				todo = append(todo, u.Died(m.now(), *p)...)
+				said := ""
+				if p == u.Next { // whose start was the last
+					said = lastWords(m.path(u, "log"))
+				}
+				todo = append(todo, u.Died(m.now(), *p, said)...)
 			}
 		}
 		u.Cut(m.now(), m.now()-m.heard >= m.c.Heard)
--- a/internal/machine/start.go
+++ b/internal/machine/start.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -148,3 +149,29 @@
 	}
 	return agent.Process{PID: cmd.Process.Pid, Began: began, Door: door}, nil
 }
+
+// maxWords is how much of a log is looked at for what a process said last, and of a line that is passed on.
+const maxWords, maxLine = 16 << 10, 240
+
+// lastWords is the line of a log that says best why its process ended: the panic, else the last one. "": it said nothing.
+func lastWords(log string) string {
+	f, err := os.Open(log)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	if end, err := f.Seek(0, io.SeekEnd); err == nil {
+		f.Seek(max(0, end-maxWords), io.SeekStart)
+	}
+	text, _ := io.ReadAll(io.LimitReader(f, maxWords))
+	said := ""
+	for line := range strings.Lines(string(text)) {
+		if line = strings.TrimSpace(line); strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			said = line
+			break
+		} else if line != "" {
+			said = line
+		}
+	}
+	return strings.ToValidUTF8(said[:min(len(said), maxLine)], "")
+}
--- a/internal/replica/changes_test.go
+++ b/internal/replica/changes_test.go
@@ -36,7 +36,7 @@
 		return c, pump
 	}
 	kept := func(c *Core, pump func()) (text []byte) {
-		c.Ask(Question{Read: true, Done: func(r Reply) { text = r.Changes.Application("app") }})
+		c.Ask(Question{Read: true, Done: func(r Reply) { text = r.Changes.Application("app", false) }})
 		pump()
 		return text
 	}
--- a/internal/rig/rehearse/page.go
+++ b/internal/rig/rehearse/page.go
@@ -1,7 +1,6 @@
 package rehearse
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
 	"image/color"
@@ -12,32 +11,21 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
+	"petrelhook/internal/chart"
 	"petrelhook/internal/rig/load"
 )
 
-// Sizes of a plot on the page.
+// Sizes of a plot on the page, in centimetres.
 const (
-	plotWidth  = 24 * vg.Centimeter
-	plotHeight = 8 * vg.Centimeter
+	plotWidth  = 24
+	plotHeight = 8
 )
 
-var (
-	green  = color.RGBA{0x2a, 0x7f, 0x3b, 0xff}
-	orange = color.RGBA{0xd9, 0x8b, 0x1a, 0xff}
-	red    = color.RGBA{0xb8, 0x2a, 0x2a, 0xff}
-	blue   = color.RGBA{0x2a, 0x55, 0xa0, 0xff}
-	shade  = color.NRGBA{0x60, 0x60, 0x60, 0x30} // of a fault band
-)
+var shade = color.NRGBA{0x60, 0x60, 0x60, 0x30} // of a fault band
 
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
-<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title><style>
-body{font:15px/1.45 system-ui,sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}
-pre{overflow-x:auto;background:#f6f6f4;padding:1em} svg{max-width:100%;height:auto}
-.kept{color:#2a7f3b}.broken{color:#b82a2a}</style></head><body>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title><style>{{.Style}}</style></head><body>
 <h1>{{.Title}}</h1>
 <p class="{{if .OK}}kept{{else}}broken{{end}}">{{.Verdict}}</p>
 <h2>Rate, by when operations were due</h2>{{.Rate}}
@@ -70,35 +58,16 @@
 		if err != nil {
 			return err
 		}
-		if plots[i], err = svg(p); err != nil {
+		if plots[i], err = chart.SVG(p, plotWidth, plotHeight); err != nil {
 			return err
 		}
 	}
 	return page.Execute(w, map[string]any{
-		"Title": "Rehearsal: " + r.Scenario, "OK": r.OK(), "Verdict": verdict, "Rate": plots[0], "Latency": plots[1],
+		"Style": chart.Style, "Title": "Rehearsal: " + r.Scenario, "OK": r.OK(), "Verdict": verdict, "Rate": plots[0], "Latency": plots[1],
 		"Percentiles": plots[2], "Faults": r.Faults, "Text": text.String(),
 	})
 }
 
-func svg(p *plot.Plot) (template.HTML, error) {
-	c := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
-		return "", err
-	}
-	_, body, _ := strings.Cut(b.String(), "<svg") // without the XML prologue
-	return template.HTML("<svg" + body), nil      // made here, of numbers and the scenario's escaped words
-}
-
-func newPlot(x, y string) *plot.Plot {
-	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = x, y
-	p.Legend.Top = true
-	p.Add(plotter.NewGrid())
-	return p
-}
-
 // shadeFaults draws the times in which any fault was on, up to a height.
 func (r *Report) shadeFaults(p *plot.Plot, low, high float64) error {
 	end := time.Duration(len(r.course.Slices)) * r.course.Width
@@ -126,35 +95,21 @@
 	return all
 }
 
-func addLine(p *plot.Plot, name string, c color.Color, points plotter.XYs) error {
-	if len(points) == 0 {
-		return nil
-	}
-	line, err := plotter.NewLine(points)
-	if err != nil {
-		return err
-	}
-	line.Color, line.Width = c, vg.Points(1.2)
-	p.Add(line)
-	p.Legend.Add(name, line)
-	return nil
-}
-
 // at is the middle of a slice, in seconds.
 func (r *Report) at(i int) float64 { return (float64(i) + 0.5) * r.course.Width.Seconds() }
 
 func (r *Report) ratePlot() (*plot.Plot, error) {
-	p := newPlot("s", "operations/s")
+	p := chart.New("s", "operations/s")
 	series := []struct {
 		name  string
 		color color.Color
 		count func(load.Counts) int
 		line  plotter.XYs
 	}{
-		{"due", blue, load.Counts.All, nil},
-		{"served", green, func(c load.Counts) int { return c.Served }, nil},
-		{"refused", orange, func(c load.Counts) int { return c.Refused }, nil},
-		{"failed, lost, unreached", red, func(c load.Counts) int { return c.Failed + c.Lost + c.Unreached }, nil},
+		{"due", chart.Blue, load.Counts.All, nil},
+		{"served", chart.Green, func(c load.Counts) int { return c.Served }, nil},
+		{"refused", chart.Orange, func(c load.Counts) int { return c.Refused }, nil},
+		{"failed, lost, unreached", chart.Red, func(c load.Counts) int { return c.Failed + c.Lost + c.Unreached }, nil},
 	}
 	top := 1.0
 	for i, slice := range r.course.Slices {
@@ -168,7 +123,7 @@
 		return nil, err
 	}
 	for _, s := range series {
-		if err := addLine(p, s.name, s.color, s.line); err != nil {
+		if err := chart.Line(p, s.name, s.color, s.line); err != nil {
 			return nil, err
 		}
 	}
@@ -180,13 +135,13 @@
 const legendRoom = 1.5
 
 func (r *Report) latencyPlot() (*plot.Plot, error) {
-	p := newPlot("s", "ms")
+	p := chart.New("s", "ms")
 	series := []struct {
 		name     string
 		color    color.Color
 		quantile float64
 		line     plotter.XYs
-	}{{"p50", green, 50, nil}, {"p99", orange, 99, nil}, {"max", red, 100, nil}}
+	}{{"p50", chart.Green, 50, nil}, {"p99", chart.Orange, 99, nil}, {"max", chart.Red, 100, nil}}
 	low, high := math.Inf(1), 0.0
 	for i, slice := range r.course.Slices {
 		if slice.Latency.TotalCount() == 0 {
@@ -205,7 +160,7 @@
 		return nil, err
 	}
 	for _, s := range series {
-		if err := addLine(p, s.name, s.color, s.line); err != nil {
+		if err := chart.Line(p, s.name, s.color, s.line); err != nil {
 			return nil, err
 		}
 	}
@@ -216,7 +171,7 @@
 
 // percentilePlot draws latency over 1/(1-percentile), so that each further nine takes as much room.
 func (r *Report) percentilePlot() (*plot.Plot, error) {
-	p := newPlot("percentile", "ms")
+	p := chart.New("percentile", "ms")
 	var points plotter.XYs
 	if r.overall.TotalCount() > 0 {
 		most := math.Min(float64(r.overall.TotalCount()), 1e6)
@@ -224,7 +179,7 @@
 			points = append(points, plotter.XY{X: x, Y: millis(load.Percentile(r.overall, 100*(1-1/x)))})
 		}
 	}
-	if err := addLine(p, "all classes", blue, points); err != nil {
+	if err := chart.Line(p, "all classes", chart.Blue, points); err != nil {
 		return nil, err
 	}
 	p.X.Scale = plot.LogScale{}
--- a/internal/rollout/register.go
+++ b/internal/rollout/register.go
@@ -58,12 +58,13 @@
 
 // Change is one change, kept.
 type Change struct {
-	Name    string   `json:"name"`
-	Events  uint64   `json:"events"`
-	Token   uint64   `json:"token"` // of the newest driver
-	Members []Member `json:"members"`
-	State   *State   `json:"state"`
-	Moments []Moment `json:"moments"`
+	Name    string        `json:"name"`
+	Events  uint64        `json:"events"`
+	Token   uint64        `json:"token"` // of the newest driver
+	Members []Member      `json:"members"`
+	State   *State        `json:"state"`
+	Moments []Moment      `json:"moments"`
+	Results []StageResult `json:"results,omitempty"` // of the stages so far; only where they are asked for
 }
 
 // Summary is a change that is over.
@@ -109,6 +110,9 @@
 		return fmt.Errorf("%d sidecars; %d at most", len(c.Start.Members), maxMembers)
 	}
 	for _, e := range c.Events {
+		if e.Verdict != nil && len(e.Verdict.Tally) > maxCells {
+			return fmt.Errorf("a tally of %d cells; %d at most", len(e.Verdict.Tally), maxCells)
+		}
 		if operators := e.Pause != "" || e.Resume || e.Abort != ""; operators != (c.Token == 0) {
 			return errors.New("operators pause, resume and abort, without a token; all else is a driver's, with one")
 		}
@@ -143,6 +147,7 @@
 	now.Token = max(now.Token, c.Token)
 	for _, e := range c.Events {
 		now.State.Apply(e)
+		now.note(c.At, e.Verdict, now.State.Watched)
 		now.Events++
 		now.moment(c.At)
 	}
@@ -191,12 +196,17 @@
 // Applications are the names of those that have changes, in order.
 func (r *Register) Applications() []string { return slices.Sorted(maps.Keys(r.all)) }
 
-// Application is what is kept of one as bytes; nil: nothing is.
-func (r *Register) Application(name string) json.RawMessage {
+// Application is what is kept of one as bytes; nil: nothing is. Results are large, and go with it where they are asked for.
+func (r *Register) Application(name string, results bool) json.RawMessage {
 	app := r.all[name]
 	if app == nil {
 		return nil
 	}
+	if !results {
+		now := *app.Now
+		now.Results = nil
+		app = &Application{&now, app.Past}
+	}
 	return must(app)
 }
 
--- /dev/null
+++ b/internal/rollout/report/report_test.go
@@ -0,0 +1,131 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+
+	"petrelhook/internal/rollout"
+)
+
+// change is one of four sidecars in two stages, driven to a moment by events, through the log's register.
+func change(t *testing.T, events ...rollout.Event) *rollout.Change {
+	t.Helper()
+	r := rollout.NewRegister()
+	start := &rollout.Start{Plan: rollout.Plan{Application: "a<b>", From: "old", To: "new", AtOnce: 1, Unavailable: 1, Patience: time.Hour, Judge: rollout.Judgement{FalseStops: 0.01, MissedStops: 0.05, Effect: 0.02},
+		Stages: []rollout.Stage{{Select: rollout.Select{Count: 2}, Control: 1, Least: time.Minute}, {Select: rollout.Select{Share: 1}}}}}
+	for i := range 4 {
+		start.Members = append(start.Members, rollout.Member{Name: fmt.Sprint("n", i)})
+		start.Now = append(start.Now, rollout.Report{Sidecar: fmt.Sprint("n", i), Release: "old", Ready: true})
+	}
+	command := rollout.Command{Application: "a<b>", Change: "c", Start: start}
+	for i := range len(events) + 1 {
+		if err := command.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if a := r.Apply(command); a.Err != "" {
+			t.Fatal(i, a.Err)
+		}
+		if i < len(events) {
+			command = rollout.Command{Application: "a<b>", Change: "c", After: uint64(i), At: int64(1e12 + 1000*i), Events: events[i : i+1]}
+			if e := events[i]; e.Abort == "" && e.Pause == "" && !e.Resume {
+				command.Token = 1
+			}
+		}
+	}
+	kept, err := rollout.RestoreRegister(r.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var app rollout.Application
+	if err := json.Unmarshal(kept.Application("a<b>", true), &app); err != nil {
+		t.Fatal(err)
+	}
+	return app.Now
+}
+
+func done(name, release string, order uint64) rollout.Event {
+	return rollout.Event{Report: &rollout.Report{Sidecar: name, Release: release, Ready: true, Done: order}}
+}
+
+// told is a verdict of the first stage with a tally: hits of 100 requests times n, new and control.
+func told(kind string, n, new, control float64) rollout.Event {
+	return rollout.Event{Verdict: &rollout.Verdict{Stage: 1, Worse: kind == "worse", Fine: kind == "no worse", Why: kind, Tally: []rollout.Counted{
+		{Class: "look", Zone: "*", Metric: "failed", Verdict: kind, New: new * n, NewOf: 100 * n, Control: control * n, ControlOf: 100 * n, Odds: 2, Most: 0.3},
+		{Class: "look", Zone: "z", Metric: "slow", Part: true, Verdict: "no worse", NewOf: 5, ControlOf: 5}}}}
+}
+
+var changed = []rollout.Event{done("n0", "new", 1), done("n1", "new", 2), done("n3", "old", 3)}
+
+func with(more ...rollout.Event) []rollout.Event { return append(slices.Clone(changed), more...) }
+
+// Each reason for which a change may stand still is said, with its rule and what is behind it.
+func TestExplain(t *testing.T) {
+	down := rollout.Event{Report: &rollout.Report{Sidecar: "n2", Release: "old"}}
+	for name, c := range map[string]struct {
+		events []rollout.Event
+		want   []string
+	}{
+		"begun":          {nil, []string{"ordered n0 carries out order 1, to new", "limit-at-once 1 more of this stage wait: at_once is 1, and n0 change", "evidence-none nothing was counted of stage 1"}},
+		"one is down":    {[]rollout.Event{down, done("n0", "new", 1)}, []string{"not-ready n2 runs old", "limit-unavailable 1 more of this stage wait: unavailable is 1, and out of service are n2"}},
+		"evidence":       {with(told("not enough evidence", 1, 1, 1)), []string{"evidence-missing failed of class look in zone *: new 1 of 100", "more requests of the new at these rates"}},
+		"never":          {with(told("not enough evidence", 1, 9, 1)), []string{"evidence-never failed of class look"}},
+		"time":           {with(told("no worse", 9, 0, 0)), []string{"time-least stage 1 is no worse; it is watched for 1m0s"}},
+		"worse":          {with(told("worse", 1, 50, 0)), []string{"taking-back taken back from stage 1: worse", "worse failed of class look in zone *: new 50 of 100, control 0 of 100: worse, odds 2"}},
+		"paused":         {with(rollout.Event{Pause: "lunch"}), []string{"paused paused in stage 1: lunch", "resume rollout resume a<b>"}},
+		"left alone":     {[]rollout.Event{done("n0", "new", 1), {Abort: "x"}, {Report: &rollout.Report{Sidecar: "n1", Release: "old", Ready: true, Done: 2}}, {Report: &rollout.Report{Sidecar: "n0", Release: "new", Done: 3, Failed: "no disk"}}}, []string{"stopped stopped in stage 1: x", "left-alone n0 is left alone at new: order 3: no disk"}},
+		"the last stage": {with(told("no worse", 9, 0, 0), rollout.Event{Elapsed: time.Minute}), []string{"ordered n2 carries out order 4", "no-control the last stage has nobody"}},
+	} {
+		var text strings.Builder
+		for _, l := range Explain(change(t, c.events...)) {
+			fmt.Fprintln(&text, l.Rule, l.Text)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(text.String(), want) {
+				t.Errorf("%s: no %q in\n%s", name, want, text.String())
+			}
+		}
+	}
+}
+
+// The page shows the moment and the cause of a stop, needs nothing else, and takes no name for markup; the columns are read again by a
+// reader of the format; what is kept of a long stage is bounded.
+func TestReport(t *testing.T) {
+	events := with()
+	for i := range 3000 {
+		events = append(events, told("not enough evidence", float64(1+i%2000), 2, 1), rollout.Event{Elapsed: time.Second / 4})
+	}
+	c := change(t, append(events, told("worse", 2001, 2, 1))...)
+	if n := len(c.Results[0].Course); n < 1000 || n > 2000 {
+		t.Errorf("%d points", n)
+	}
+	var text bytes.Buffer
+	if err := WritePage(&text, c); err != nil {
+		t.Fatal(err)
+	}
+	page := text.String()
+	for _, want := range []string{"taking back in stage 1 of 2: worse", "2001-09-09 03:26:", "a&lt;b&gt;", "0.0200 of 200100", "Restarted as they were, to compare with: n3", "<svg"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("no %q", want)
+		}
+	}
+	for _, never := range []string{"<b>", "src=", "href=", "NaN"} {
+		if strings.Contains(page, never) {
+			t.Errorf("%q is there", never)
+		}
+	}
+	text.Reset()
+	if err := WriteParquet(&text, c); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := parquet.Read[Row](bytes.NewReader(text.Bytes()), int64(text.Len()))
+	if want := Rows(c); err != nil || len(rows) != len(want) || !slices.Equal(rows, want) {
+		t.Errorf("%v, %d rows of %d: %+v, %+v", err, len(rows), len(want), rows[0], want[0])
+	}
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -78,11 +78,12 @@
 
 // Verdict is the judge's, of the stage that is watched.
 type Verdict struct {
-	Stage int    `json:"stage"` // counted from 1; one of another stage is late
-	Worse bool   `json:"worse,omitempty"`
-	Old   bool   `json:"old,omitempty"`  // it is the old ones that do worse than before the change
-	Fine  bool   `json:"fine,omitempty"` // no worse; neither: not enough evidence
-	Why   string `json:"why"`
+	Stage int       `json:"stage"` // counted from 1; one of another stage is late
+	Worse bool      `json:"worse,omitempty"`
+	Old   bool      `json:"old,omitempty"`  // it is the old ones that do worse than before the change
+	Fine  bool      `json:"fine,omitempty"` // no worse; neither: not enough evidence
+	Why   string    `json:"why"`
+	Tally []Counted `json:"tally,omitempty"` // what it was reached by, now and then
 }
 
 // State is a change so far.
@@ -321,17 +322,9 @@
 	if c.Alone != "" || c.Order != 0 {
 		return orders
 	}
-	changing, out := 0, 0
-	for _, o := range s.sidecars {
-		if o.Order != 0 {
-			changing++
-		}
-		if o != c && (o.Order != 0 || !o.Ready) {
-			out++
-		}
-	}
+	changing, out := s.Limits(c.Name)
 	mends := s.Phase == TakingBack && !c.Ready // it is out of service as it is
-	if changing >= s.Plan.AtOnce || out+1 > s.Plan.Unavailable && !mends {
+	if len(changing) >= s.Plan.AtOnce || len(out)+1 > s.Plan.Unavailable && !mends {
 		return orders
 	}
 	s.number++
@@ -339,6 +332,20 @@
 	return append(orders, Order{s.number, c.Name, to})
 }
 
+// Limits are what the plan's limits count when one sidecar is to change: those that do, and the others that are out of service.
+func (s *State) Limits(but string) (changing, out []string) {
+	for _, name := range s.names {
+		o := s.sidecars[name]
+		if o.Order != 0 {
+			changing = append(changing, name)
+		}
+		if name != but && (o.Order != 0 || !o.Ready) {
+			out = append(out, name)
+		}
+	}
+	return changing, out
+}
+
 // Confirmed is the release that agents may take for confirmed, now that a change is over; "": none.
 func (s *State) Confirmed() string {
 	switch {
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -40,6 +40,8 @@
 	{"internal/evidence", "internal/rollout internal/judge internal/agent internal/counts internal/front internal/message internal/upstream"},
 	{"internal/counts", "internal/front internal/message internal/upstream"},
 	{"internal/rollout", ""},
+	{"internal/rollout/report", "internal/rollout internal/judge internal/chart"},
+	{"internal/chart", ""},
 	{"internal/release", ""},
 	{"internal/fleet", "internal/rollout internal/yamlfile internal/rpc internal/lease internal/replica internal/replica/disk internal/steady"},
 	{"lease", "internal/rollout internal/yamlfile internal/rpc internal/fleet internal/lease internal/replica internal/replica/disk internal/steady"},
