An agent no longer takes a start for ended; what is worse late is found

Ruled out: its program, addresses in use, a claim of the start (each says so). The agent then killed a process that was well. TestAFirstThreadIsNotAProcess fails without it.

A release that is bad under load alone is stopped (TestAReleaseThatIsBadUnderLoad). A machine back after weeks takes the fleet's word where its own release is gone (TestAMachineThatIsBackAfterWeeks).

--- a/cmd/petrelagent/change_test.go
+++ b/cmd/petrelagent/change_test.go
@@ -100,3 +100,21 @@
 	s.Worse(s.Old, []deployment.Worse{worse("dies at start", "exit 1", "ended before it was ready"), worse("dies in its trial", `(sleep 0.5; kill -9 $$) & exec $REAL "$@"`, "ended in its trial"),
 		worse("dies later", `(sleep 4; kill -9 $$) & exec $REAL "$@"`, "it ended")})
 }
+
+// A release that is bad under load alone is not stopped while nothing happens, and is in its first stage as the load rises.
+func TestAReleaseThatIsBadUnderLoad(t *testing.T) {
+	began := time.Now()
+	const rises = 18 * time.Second // after the load's begin
+	s := newSite(t, 6, 240, "arrive step 1/s..600/s at=18s poisson\n", nil)
+	if _, err := s.Begin(deployment.Plan(s.Old, s.BadRelease("under load"), strings.Replace(short, "control: 2", "control: 2, least: 60s", 1))); err != nil {
+		t.Fatal(err)
+	}
+	s.Until(time.Minute, "it is stopped", func(c *rollout.Change) bool { return c.State.Phase > rollout.Paused })
+	stopped := time.Since(began)
+	c := s.Over(time.Minute)
+	t.Logf("stopped after %v, the load rose after %v: %s", stopped.Round(time.Second), rises, c.State.Why)
+	if stopped < rises || c.State.Stage != 1 || deployment.Running(c, s.Old) != 6 || !strings.Contains(c.State.Why, "worse") {
+		t.Errorf("%v in stage %d: %s", c.State.Phase, c.State.Stage, c.State.Why)
+	}
+	s.Check()
+}
--- a/cmd/petrelagent/faults_test.go
+++ b/cmd/petrelagent/faults_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,7 +48,11 @@
 			continue
 		}
 		s.All[i].Die()
+		died := time.Now()
 		peertest.Eventually(t, "another drives", func() bool { return s.Drives() != i && s.Drives() >= 0 })
+		events := s.Changes().Now.Events
+		s.Until(30*time.Second, "its word is taken", func(c *rollout.Change) bool { return c.Events > events || c.State.Phase.Over() })
+		t.Logf("%v from a driver's death to the word of the next", time.Since(died).Round(10*time.Millisecond))
 		s.All[i].Start()
 	}
 	c := s.Over(2 * time.Minute)
@@ -171,3 +177,42 @@
 		t.Errorf("%d are back; %s", deployment.Running(c, s.Old), a.Log)
 	}
 }
+
+// A machine is back after weeks: what its sidecar ran is no longer there. It takes the fleet's word for what is confirmed, and nothing
+// else; until it is told it starts nothing.
+func TestAMachineThatIsBackAfterWeeks(t *testing.T) {
+	s := newSite(t, 4, 60, "", func(d *deployment.Deployment) { d.PerAgent = 2 })
+	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
+	if _, err := s.Begin(deployment.Plan(s.Old, good, "at_once: 4\njudge: none\nstages: [{share: 1}]\n")); err != nil {
+		t.Fatal(err)
+	}
+	s.Over(time.Minute)
+	a := s.Agents[0]
+	a.Link.Hold(link.Forth, true)
+	a.Die()
+	for _, k := range a.Kept() {
+		syscall.Kill(k.Now.PID, syscall.SIGKILL)
+	}
+	for _, name := range []string{"n00", "n01"} {
+		text := `{"confirmed": "0123456789abcdef0123456789abcdef", "starts": 9}`
+		if err := os.WriteFile(filepath.Join(a.Dir, "data", "sidecar-"+name+".json"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Begin()
+	peertest.Eventually(t, "it finds nothing to start", func() bool { return strings.Count(a.Log.String(), "no such release here") > 2 })
+	a.Link.Hold(link.Forth, false)
+	peertest.Eventually(t, "it runs what is confirmed", func() bool {
+		k := a.Kept()
+		return k[0].Confirmed == string(good) && k[1].Confirmed == string(good) && k[0].Now != nil && k[1].Now != nil && k[0].Now.Release == string(good)
+	})
+	s.Until(time.Minute, "all are ready", func(c *rollout.Change) bool {
+		for _, one := range c.State.Sidecars() {
+			if !one.Ready || one.Release != string(good) {
+				return false
+			}
+		}
+		return true
+	})
+	s.End()
+}
--- a/cmd/petrelagent/main.go
+++ b/cmd/petrelagent/main.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 
 	"github.com/spf13/cobra"
 
@@ -16,6 +17,14 @@
 	"petrelhook/internal/machine"
 )
 
+// A start becomes its program from the process' first thread: from another one the first would be a zombie for a moment, and who looks
+// then takes the process for ended.
+func init() {
+	if len(os.Args) > 1 && os.Args[1] == "once" {
+		runtime.LockOSThread()
+	}
+}
+
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, out, errs io.Writer) int {
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -69,6 +69,7 @@
 	crashes int
 	cutOff  time.Duration // since when; below 0: it is not
 	asked   bool          // a start was asked for, and nothing was heard of it yet
+	lost    bool          // what is confirmed is not to be had
 }
 
 // New is a sidecar that nothing was ever done for.
@@ -133,11 +134,16 @@
 
 // Confirm says that a change is over for the fleet: what runs is what to go back to.
 func (s *Sidecar) Confirm(release string) {
-	if s.Now != nil && s.Now.Release == release {
-		s.Confirmed = release
+	if s.Now != nil && s.Now.Release == release || s.lost {
+		s.Confirmed, s.lost = release, false
 	}
 }
 
+// Lost tells that what is confirmed is not to be had on this machine any more: it was away for long. The fleet's word counts then.
+func (s *Sidecar) Lost(release string) {
+	s.lost = s.Phase == Idle && s.Now == nil && release == s.Confirmed
+}
+
 // Began tells of a process that was started.
 func (s *Sidecar) Began(now time.Duration, p Process) []Do {
 	s.asked = false
--- a/internal/judge/doc.go
+++ b/internal/judge/doc.go
@@ -7,7 +7,8 @@
 // Worse is judged by an e-process for two proportions (Turner, Ly, Grünwald: Generic E-variables for exact sequential k-sample tests that
 // allow for optional stopping, 2021): for each window the likelihood of the counts under what the windows before suggest, over that
 // under one rate for both. If the new rate is no larger, its product has expectation 1 at most at any time at which one may stop; by
-// Ville's inequality it ever reaches 1/a with probability a at most. Each of the plan's cells has an equal part of FalseStop.
+// Ville's inequality it ever reaches 1/a with probability a at most. What is worse may begin late: the process is a mixture over the window
+// at which it does. Each of the plan's cells has an equal part of FalseStop.
 //
 // No worse is judged by confidence sequences of both rates (Robbins' mixture of the binomial with a uniform prior), valid at all
 // times together: the largest rate that the new may have is less than the smallest of the control plus the smallest effect that matters.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -83,7 +83,9 @@
 
 type cell struct {
 	new, control Counts
-	log          float64 // of the product of all windows
+	windows      float64
+	log          float64 // of the evidence
+	begun        float64 // of the part of it that bets on a beginning in the windows so far
 	worse        bool    // it has been; evidence that was there does not go away
 }
 
@@ -111,7 +113,7 @@
 	}
 	new, control = new.over(j.plan.Bunch), control.over(j.plan.Bunch)
 	if new.Of > 0 && control.Of > 0 {
-		c.log += c.window(new, control, j.plan.Effect)
+		c.bet(c.window(new, control, j.plan.Effect))
 	}
 	c.new, c.control = c.new.plus(new), c.control.plus(control)
 	c.worse = c.worse || c.log >= j.bar()
@@ -171,6 +173,27 @@
 	return x * math.Log(p)
 }
 
+// bet takes in a window's part. What is worse may have begun at any window (a release may be bad under load alone, or after hours), and a
+// product over all would have lost by then whatever it was to win. So the evidence is a mixture of the products that begin at each window
+// n, with weights 1/n(n+1), which are 1 in all; those that have not begun stand at 1. A mean of what has expectation 1 at most has, too.
+func (c *cell) bet(log float64) {
+	if c.windows++; c.windows == 1 {
+		c.begun = math.Inf(-1)
+	}
+	n := c.windows
+	c.begun = plus(c.begun, -math.Log(n*(n+1))) + log
+	c.log = plus(c.begun, -math.Log(n+1))
+}
+
+// plus is the logarithm of a sum.
+func plus(a, b float64) float64 {
+	most := max(a, b)
+	if math.IsInf(most, -1) {
+		return most
+	}
+	return most + math.Log(math.Exp(a-most)+math.Exp(b-most))
+}
+
 // window is the logarithm of a window's part of the e-process.
 func (c *cell) window(new, control Counts, effect float64) float64 {
 	base, worse := c.guess(effect)
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -133,6 +133,33 @@
 	}
 }
 
+// A release that is as good as the old one for a long time, and then worse, is found about as soon as one that is worse from its begin.
+func TestWorseLate(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 8))
+	after := func(equal int) int {
+		sum := 0
+		const n = 40
+		for range n {
+			v, at := change{1, 1, equal + 400, 20, 40, func(w, _, _ int, new bool) float64 {
+				if new && w >= equal {
+					return 0.1
+				}
+				return 0.002
+			}}.judge(t, r, plan)
+			if v.Kind != Worse {
+				at = equal + 400
+			}
+			sum += at - equal
+		}
+		return sum / n
+	}
+	soon, late := after(0), after(3000)
+	t.Logf("worse by 0.1: after %d windows from the begin, after %d where 3,000 equal ones were before", soon, late)
+	if late > 4*soon {
+		t.Errorf("after %d windows, and %d", soon, late)
+	}
+}
+
 // Almost no traffic is no evidence, for either verdict; counts that come in bunches are worth less.
 func TestLittleEvidence(t *testing.T) {
 	r := rand.New(rand.NewPCG(5, 6))
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -233,6 +233,9 @@
 	p, err := m.start(u, id)
 	if err != nil {
 		m.log.Warn("not started", "sidecar", u.conf.Name, "release", id, "err", err)
+		if errors.Is(err, release.ErrNone) {
+			u.Lost(id)
+		}
 		return u.NotBegun(m.now(), err.Error())
 	}
 	p.Release = id
--- a/internal/machine/start.go
+++ b/internal/machine/start.go
@@ -105,7 +105,9 @@
 	if !ok || len(fields) < 22 {
 		return nil, fmt.Errorf("/proc/%d/stat: it cannot be read", pid)
 	}
-	if fields[0] == "Z" || fields[0] == "X" {
+	// A first thread that has ended is not the process: while another one of its threads becomes a new program, as Once does, the
+	// first is a zombie for a moment.
+	if threads := fields[17]; fields[0] == "X" || fields[0] == "Z" && (threads == "0" || threads == "1") {
 		return nil, os.ErrProcessDone
 	}
 	return fields, nil
--- a/internal/machine/start_test.go
+++ b/internal/machine/start_test.go
@@ -9,13 +9,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"petrelhook/internal/agent"
+	"petrelhook/internal/rig/process"
 	"petrelhook/internal/rpc"
 )
 
@@ -25,9 +28,31 @@
 		fmt.Println(Once(file, "/bin/echo", []string{"it", "runs"}))
 		os.Exit(1)
 	}
+	if os.Getenv("MACHINE_TEST_THREADS") != "" {
+		syscall.RawSyscall(syscall.SYS_EXIT, 0, 0, 0) // of this thread alone
+	}
 	os.Exit(m.Run())
 }
 
+func init() {
+	if os.Getenv("MACHINE_TEST_THREADS") != "" { // what ends is the first thread
+		runtime.LockOSThread()
+	}
+}
+
+// A process whose first thread has ended lives as long as another does: so it looks for a moment while it becomes its program. An agent
+// that took it for ended killed a sidecar that was well, and the change was stopped for what no release had done.
+func TestAFirstThreadIsNotAProcess(t *testing.T) {
+	s := process.Start(t, process.Again("MACHINE_TEST_THREADS", "1"))
+	process.Until(t, "its first thread has ended", func() bool { return s.State() == "Z" })
+	began, _ := startOf(s.Pid)
+	if p := (agent.Process{PID: s.Pid, Began: began}); !Lives(p) {
+		t.Error("it is taken for ended")
+	}
+	s.Kill()
+	process.Until(t, "it ends", func() bool { _, err := startOf(s.Pid); return err != nil })
+}
+
 // A start is made, or claimed, never both: one that was claimed is not made any more, and one that was made is found.
 func TestAStartIsMadeOnce(t *testing.T) {
 	helper := func(file string) (string, int) {
--- a/internal/rig/deployment/bad.go
+++ b/internal/rig/deployment/bad.go
@@ -114,6 +114,10 @@
 
 func (c *badConn) Write(p []byte) (int, error) {
 	c.sent = time.Now()
+	if c.kind == "under load" {
+		c.fail = busy()
+		return c.Conn.Write(p)
+	}
 	if zone, ok := strings.CutPrefix(c.kind, "in zone "); ok {
 		c.fail = c.zone == zone && rand.N(2) == 0
 		return c.Conn.Write(p)
@@ -137,3 +141,22 @@
 	}
 	return n, err
 }
+
+// sent are the times of what this process sent lately.
+var sent struct {
+	sync.Mutex
+	times []time.Time
+}
+
+// busy reports whether a process sends more than 100 requests a second.
+func busy() bool {
+	const most, within = 20, 200 * time.Millisecond
+	sent.Lock()
+	defer sent.Unlock()
+	sent.times = append(sent.times, time.Now())
+	if len(sent.times) <= most {
+		return false
+	}
+	sent.times = sent.times[1:]
+	return time.Since(sent.times[0]) < within
+}
--- a/internal/rig/deployment/site.go
+++ b/internal/rig/deployment/site.go
@@ -86,14 +86,21 @@
 	return s
 }
 
-// Check ends the load and judges: the four rules, and that no client met a refused connection or lost a request.
-func (s *Site) Check() *rehearse.Outcome {
+// End ends the load and all that serves it. It has to be called where a test has started an agent again.
+func (s *Site) End() *rehearse.Outcome {
 	s.t.Helper()
 	s.end()
 	out := <-s.outcome
 	if out == nil {
 		s.t.FailNow()
 	}
+	return out
+}
+
+// Check ends the load and judges: the four rules, and that no client met a refused connection or lost a request.
+func (s *Site) Check() *rehearse.Outcome {
+	s.t.Helper()
+	out := s.End()
 	if !out.Audit.OK() {
 		s.t.Errorf("rules: %v", out.Audit.Breaches)
 	}
