Whole changes are judged in virtual time: stages, control, evidence and judge together

The pure judge had its thousand changes; the chain around it (stages, controls that are restarted, windows, pairs of memory and effort) had none. TestWholeChanges plays 12 sidecars in 3 zones and 3 stages with a look after each window.

--- /dev/null
+++ b/internal/evidence/chain_test.go
@@ -0,0 +1,145 @@
+package evidence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"petrelhook/internal/agent"
+	"petrelhook/internal/counts"
+	"petrelhook/internal/rollout"
+)
+
+// side is a sidecar whose requests, processor and memory are drawn.
+type side struct {
+	r     *rand.Rand
+	now   Reading
+	order rollout.Order // that it carries out until the next window
+}
+
+// serve is a window of one class: n requests about, of which parts fail and are refused, with times about a step.
+func (s *side) serve(class, n int, failed, refused float64, step int) {
+	c := &s.now.Classes[class]
+	for range int(float64(n) * (0.5 + s.r.Float64())) {
+		s.now.CPU += uint64(s.r.IntN(7))
+		s.now.Effort.Tries++
+		switch p := s.r.Float64(); {
+		case p < failed:
+			c.Failed++
+			s.now.Effort.Tries++
+		case p < failed+refused:
+			c.Refused++
+		default:
+			c.Served++
+			c.Took[max(0, step+int(3*s.r.NormFloat64()))]++
+		}
+	}
+}
+
+func (s *side) begin(release string, number uint64) {
+	s.now = Reading{Process: agent.Process{PID: 1, Began: number, Release: release}, Told: counts.Told{Classes: []counts.Class{{Name: "look"}, {Name: "book"}, {Name: "void"}}, Effort: &counts.Effort{}}, Memory: 18 << 20}
+}
+
+// play is a whole change of 12 sidecars in 3 zones and 3 stages, with its control, from its begin to its end or pause: the state that the
+// log keeps, the evidence and the judge, by windows of 2 s, a look after each.
+func play(t *testing.T, r *rand.Rand, rate func(zone, window int, release string) (n int, failed float64, step int)) *rollout.Change {
+	p := rollout.Plan{Application: "a", From: "old", To: "new", AtOnce: 2, Unavailable: 2, Patience: 20 * time.Minute, Judge: rollout.Judgement{FalseStops: 0.01, MissedStops: 0.05, Effect: 0.05},
+		Stages: []rollout.Stage{{Select: rollout.Select{Count: 2}, Control: 2}, {Select: rollout.Select{Count: 4}, Control: 2}, {Select: rollout.Select{Share: 1}}}}
+	var members []rollout.Member
+	var now []rollout.Report
+	sides := map[string]*side{}
+	for i := range 12 {
+		name := fmt.Sprintf("n%02d", i)
+		members = append(members, rollout.Member{Name: name, Zone: string(rune('a' + i%3))})
+		now = append(now, rollout.Report{Sidecar: name, Release: "old", Ready: true})
+		sides[name] = &side{r: r}
+		sides[name].begin("old", 0)
+	}
+	s, err := rollout.New(p, members, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, e := &rollout.Change{Name: "c", Members: members, State: s}, Evidence{}
+	s.Apply(rollout.Event{})
+	const window = 2 * time.Second
+	for w := 0; w < 3000 && !s.Phase.Over() && s.Phase != rollout.Paused; w++ {
+		read := map[string]Reading{}
+		for i, m := range members {
+			one := sides[m.Name]
+			if o := one.order; o.Number != 0 {
+				one.begin(o.Release, o.Number)
+				one.order = rollout.Order{}
+				s.Apply(rollout.Event{Report: &rollout.Report{Sidecar: m.Name, Release: o.Release, Ready: true, Done: o.Number}})
+			}
+			n, failed, step := rate(i%3, w, one.now.Process.Release)
+			for class, part := range []int{10, 4, 2} {
+				one.serve(class, n*part, failed, 0.002, step)
+			}
+			if r.IntN(10) == 0 { // it grows in bursts, and gives some back
+				one.now.Memory += uint64(r.IntN(2<<20)) - 1<<20
+			}
+			read[m.Name] = one.now
+			read[m.Name] = Reading{one.now.Process, counts.Told{Classes: append([]counts.Class(nil), one.now.Classes...), Effort: &counts.Effort{Tries: one.now.Effort.Tries}}, one.now.CPU, one.now.Memory}
+		}
+		v, err := e.Window(c, read, window)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v != nil {
+			s.Apply(rollout.Event{Verdict: v})
+		}
+		s.Apply(rollout.Event{Elapsed: window})
+		for _, o := range s.Orders() {
+			if one := sides[o.Sidecar]; one.now.Process.Began != o.Number {
+				one.order = o
+			}
+		}
+	}
+	return c
+}
+
+// Whole changes of equal releases: none is stopped more often than the plan says, whatever befalls the servers meanwhile; of a release that
+// is worse by the smallest effect that matters, hardly any comes through. CHANGES in the environment says how many are played.
+func TestWholeChanges(t *testing.T) {
+	n := 6
+	fmt.Sscan(os.Getenv("CHANGES"), &n)
+	for name, rate := range map[string]func(zone, window int, release string) (int, float64, int){
+		"equal":                func(int, int, string) (int, float64, int) { return 2, 0.002, 12 },
+		"equal, nothing fails": func(int, int, string) (int, float64, int) { return 1, 0, 12 },
+		"equal, servers of a zone fail and are slow for a while": func(zone, w int, _ string) (int, float64, int) {
+			if zone == 1 && w > 20 && w < 60 {
+				return 2, 0.3, 16
+			}
+			return 2, 0.002, 12
+		},
+		"equal, load doubles": func(_, w int, _ string) (int, float64, int) {
+			if w > 30 {
+				return 4, 0.01, 14
+			}
+			return 2, 0.002, 12
+		},
+		"worse by the effect": func(_, _ int, release string) (int, float64, int) {
+			return 2, map[string]float64{"old": 0.002, "new": 0.052}[release], 12
+		},
+		"slower by an octave": func(_, _ int, release string) (int, float64, int) {
+			return 2, 0.002, map[string]int{"old": 12, "new": 16}[release]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, ends := rand.New(rand.NewPCG(11, uint64(len(name)))), map[string]int{}
+			for range n {
+				c := play(t, r, rate)
+				if ends[c.State.Phase.String()]++; name[:5] == "equal" && c.State.Phase == rollout.TakingBack {
+					t.Logf("%v in stage %d: %s", c.State.Phase, c.State.Stage, c.State.Why)
+				}
+			}
+			t.Logf("%d changes: %v", n, ends)
+			if equal := name[:5] == "equal"; equal && ends["stopped"] > max(1, n*2/100) || !equal && ends["stopped"] < n*95/100 {
+				t.Errorf("%v", ends)
+			}
+		})
+	}
+}
