--- /dev/null
+++ b/internal/share/taker.go
@@ -0,0 +1,123 @@
+package share
+
+import (
+	"slices"
+	"time"
+
+	"petrelhook/internal/lease"
+)
+
+// Taker is what one member believes it may spend of one limit. Instants are of its own steady clock.
+type Taker struct {
+	limit  Limit
+	name   string
+	weight float64
+	parts  []taken
+	over   []Spent
+	floor  lease.Instant // when its floor allows one use more
+	begun  bool          // the floor has begun to run
+}
+
+type taken struct {
+	Spent
+	units int
+	until lease.Instant
+}
+
+// NewTaker is a member that has nothing yet.
+func NewTaker(l Limit, name string, weight float64) *Taker {
+	return &Taker{limit: l, name: name, weight: weight}
+}
+
+// Ask is the question for what it would spend in the next period. What it wants no more of what it has comes back with it, and is not
+// spent from here on.
+func (t *Taker) Ask(want int, now lease.Instant) Ask {
+	t.expire(now)
+	for i := range t.parts { // the oldest ends first
+		p := &t.parts[i]
+		if left := p.units - p.Units; left > 0 && t.Left(now) > want {
+			p.units = p.Units // what was spent counts to its end
+			t.over = append(t.over, p.Spent)
+		}
+	}
+	over := t.over
+	if len(over) > maxOver {
+		over = over[len(over)-maxOver:]
+	}
+	return Ask{Member: t.name, Weight: t.weight, Want: max(0, want-t.Left(now)), Over: append([]Spent(nil), over...)}
+}
+
+const maxOver = 64 // what is not told comes back by itself
+
+// Told takes in the answer to a question asked at an instant.
+func (t *Taker) Told(asked lease.Instant, told Told, sent []Spent) {
+	t.over = keep(t.over, sent)
+	if told.Units > 0 {
+		t.parts = append(t.parts, taken{Spent{told.Part, 0}, told.Units, lease.Until(asked, t.limit.Period)})
+	}
+}
+
+// keep is all but what was told.
+func keep(all, told []Spent) (left []Spent) {
+	known := map[Part]bool{}
+	for _, s := range told {
+		known[s.Part] = true
+	}
+	for _, s := range all {
+		if !known[s.Part] {
+			left = append(left, s)
+		}
+	}
+	return left
+}
+
+// Spend reports whether one use is allowed now, and counts it.
+func (t *Taker) Spend(now lease.Instant) bool {
+	t.expire(now)
+	for i := range t.parts {
+		if p := &t.parts[i]; p.Units < p.units {
+			p.Units++
+			return true
+		}
+	}
+	return t.spendFloor(now)
+}
+
+// spendFloor spends of the floor, which is one use in a time; at first a whole such time passes.
+func (t *Taker) spendFloor(now lease.Instant) bool {
+	if t.limit.Floor == 0 {
+		return false
+	}
+	each := time.Duration(float64(t.limit.Period) * float64(t.limit.Members) / float64(t.limit.Floor) * (1 + lease.Drift))
+	if !t.begun {
+		t.begun, t.floor = true, now.Add(each)
+	}
+	if now < t.floor {
+		return false
+	}
+	t.floor = now.Add(each)
+	return true
+}
+
+// Believed is the units of all parts that have not ended, spent or not.
+func (t *Taker) Believed(now lease.Instant) (n int) {
+	t.expire(now)
+	for _, p := range t.parts {
+		n += p.units
+	}
+	return n
+}
+
+// Left is the units that it may still spend beside its floor.
+func (t *Taker) Left(now lease.Instant) (n int) {
+	t.expire(now)
+	for _, p := range t.parts {
+		n += p.units - p.Units
+	}
+	return n
+}
+
+// expire ends what is over by this clock. Answers may have crossed.
+func (t *Taker) expire(now lease.Instant) {
+	t.parts = slices.DeleteFunc(t.parts, func(p taken) bool { return p.until <= now })
+}
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -40,6 +40,7 @@
 	{"internal/evidence", "internal/rollout internal/judge internal/agent internal/counts internal/front internal/message internal/upstream"},
 	{"internal/counts", "internal/front internal/message internal/upstream"},
 	{"internal/rollout", ""},
+	{"internal/share", "internal/lease"},
 	{"internal/rollout/report", "internal/rollout internal/judge internal/chart"},
 	{"internal/chart", ""},
 	{"internal/release", ""},
