internal/duty: who of a fleet should do which task, by rendezvous with bounds

Need: one prober for a server and zone, one watcher for a machine, among thousands. Assignment is advice: each task's holder is whoever holds its lease.

--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -41,6 +41,7 @@
 	{"internal/counts", "internal/front internal/message internal/upstream"},
 	{"internal/rollout", ""},
 	{"internal/share", "internal/lease"},
+	{"internal/duty", ""},
 	{"internal/rollout/report", "internal/rollout internal/judge internal/chart"},
 	{"internal/chart", ""},
 	{"internal/release", ""},
