--- a/cmd/petrelagent/change_test.go
+++ b/cmd/petrelagent/change_test.go
@@ -118,3 +118,18 @@
 	}
 	s.Check()
 }
+
+// A good release is not stopped for what it did not do: while it is rolled out servers are deployed, discovery is out, and load doubles.
+func TestAGoodReleaseInBadTimes(t *testing.T) {
+	s := newSite(t, 6, 240, "at 3s all roll batch=2 every=3s drain=500ms down=500ms cold=50% warm=2s\nat 5s discovery down for 6s\narrive step 1/s..240/s at=8s poisson\n", nil)
+	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
+	if _, err := s.Begin(deployment.Plan(s.Old, good, short)); err != nil {
+		t.Fatal(err)
+	}
+	c := s.Over(90 * time.Second)
+	t.Logf("%v, %d events", c.State.Phase, c.Events)
+	if c.State.Phase != rollout.Done || deployment.Running(c, good) != 6 {
+		t.Errorf("%v: %s", c.State.Phase, c.State.Why)
+	}
+	s.Check()
+}
--- a/cmd/petrelctl/rollout_run_test.go
+++ b/cmd/petrelctl/rollout_run_test.go
@@ -8,8 +8,10 @@
 
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/replica"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rollout"
+	"petrelhook/internal/share"
 )
 
 // What operators say of a change, and what they are shown, in the order of a bad day.
@@ -78,3 +80,34 @@
 		t.Error(code, errs)
 	}
 }
+
+// A limit is made and changed, and what does not change is refused; a member that asks is shown with what it has.
+func TestShareCommands(t *testing.T) {
+	addr, _ := coordinator.For(t)
+	o := &fleet.Operator{Addrs: []string{addr}}
+	for i, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"set probes --units 0 --members 3", 2, "units: 0; write 1 to"},
+		{"set probes --units 10 --members 3 --floor 3 --period 2s", 0, ""},
+		{"set probes --units 20 --members 3 --floor 3 --period 2s", 0, ""},
+		{"set probes --units 20 --members 4 --floor 3 --period 2s", 1, "do not change"},
+		{"", 0, ""},
+		{"list", 0, "probes  5 of 20 out a period of 2s  floor 3 for 3 members"},
+		{"list", 0, "has 5, wants 5, is due 5.00 a period  weight 1, alone 1.00"},
+	} {
+		if c.args == "" {
+			peertest.Eventually(t, "a part is given", func() bool {
+				told, err := o.Ask(t.Context(), fleet.Ask{Share: &replica.Share{Limit: "probes", Ask: share.Ask{Member: "m1", Want: 5}}})
+				return err == nil && told.Share.Units > 0
+			})
+			continue
+		}
+		args := append(strings.Fields("share "+c.args), "--addrs", addr)
+		if code, out, errs := call(t.Context(), args...); code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%d: %s: %d %s%s, want %d %s", i, c.args, code, out, errs, c.code, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/petrelctl/share.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/share"
+)
+
+func shareCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "share", Short: "Limits of the whole fleet, divided into parts that end by themselves"}
+	cmd.AddCommand(shareSetCommand(), shareListCommand())
+	return cmd
+}
+
+func shareSetCommand() *cobra.Command {
+	a := &asking{}
+	var l share.Limit
+	cmd := &cobra.Command{
+		Use: "set NAME --units N --period D --members N [--floor N]", Args: cobra.ExactArgs(1), Short: "Make a limit, or change its units",
+		Long: "Period, floor and members of a limit never change: use another name. To end one, set its units to its floor.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if l.Name = args[0]; l.Check() != nil {
+				return l.Check()
+			}
+			told, err := a.ask(cmd, fleet.Ask{Limit: &share.Command{Set: l}})
+			if err == nil && told.Refused != "" {
+				err = runError{errors.New(told.Refused)}
+			}
+			return err
+		},
+	}
+	a.flags(cmd)
+	cmd.Flags().IntVar(&l.Units, "units", 0, "uses a period, of all members together")
+	cmd.Flags().DurationVar(&l.Period, "period", time.Second, "for how long a part is given")
+	cmd.Flags().IntVar(&l.Floor, "floor", 0, "of the units, those for members that reach no coordinator, all together")
+	cmd.Flags().IntVar(&l.Members, "members", 0, "how many there are at most")
+	return cmd
+}
+
+func shareListCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "list", Args: cobra.NoArgs, Short: "All limits: what is out, and who has what, wants what and is due what",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			told, err := a.ask(cmd, fleet.Ask{Limits: true})
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, told.Limits, func(w *tabwriter.Writer) {
+				for _, s := range told.Limits {
+					l, waits := s.Limit, ""
+					if s.Waits {
+						waits = "nothing is given yet: the leader is new"
+					}
+					fmt.Fprintf(w, "%s\t%d of %d out a period of %v\tfloor %d for %d members\t%s\n", l.Name, s.Out, l.Units, l.Period, l.Floor, l.Members, waits)
+					for _, m := range s.Members {
+						alone := 0.0 // what it has without a word of anybody
+						if l.Members > 0 {
+							alone = float64(l.Floor) / float64(l.Members)
+						}
+						fmt.Fprintf(w, "\t%s\thas %d, wants %d, is due %.2f a period\tweight %g, alone %.2f\n", m.Name, m.Out, m.Want, m.Fair, m.Weight, alone)
+					}
+				}
+			})
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmd/petrelfleet/share_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"petrelhook/internal/fleet"
+	"petrelhook/internal/lease"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/replica"
+	"petrelhook/internal/rig/contend"
+	"petrelhook/internal/rig/process"
+	"petrelhook/internal/share"
+)
+
+// Eight processes that want ten times what a limit allows, under faults between them and three coordinators: the leader is killed, one
+// is cut off, all are gone and come back, a member is stopped past its part. In no period do all together use more than what two periods
+// give; they use the limit while there are coordinators, and their floors while there are none; nobody has nothing.
+func TestSharesUnderFaults(t *testing.T) {
+	g := newGroup(t, 3)
+	const members = 8
+	l := share.Limit{Name: "cold/s-1", Units: 80, Floor: 16, Members: members, Period: 400 * time.Millisecond}
+	set := func(l share.Limit) string {
+		told, err := g.Ask(fleet.Ask{Limit: &share.Command{Set: l}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return told.Refused
+	}
+	other := l
+	other.Floor++
+	for _, one := range []share.Limit{l, l, other} {
+		if said := set(one); (said != "") != (one == other) {
+			t.Errorf("%+v: %q", one, said)
+		}
+	}
+	if told, err := g.Ask(fleet.Ask{Share: &replica.Share{Limit: "none", Ask: share.Ask{Member: "m"}}}); err != nil || !strings.Contains(told.Refused, "no such limit") {
+		t.Error(err, told)
+	}
+	limit, _ := json.Marshal(l)
+	var logs [members]process.Log
+	var all []*process.Process
+	for i := range members {
+		all = append(all, start(t, "spend", &logs[i], fmt.Sprint("m", i), "4ms", string(limit), strings.Join(g.Addrs(), ",")))
+	}
+	uses := func() (n int) {
+		for i := range logs {
+			n += len(contend.Uses(logs[i].String()))
+		}
+		return n
+	}
+	more := func(what string, n int) {
+		was := uses()
+		peertest.Eventually(t, what, func() bool { return uses() >= was+n })
+	}
+	full := func() float64 { // the part of the limit that is used while all is well, over ten periods
+		was, began := uses(), time.Now()
+		more("it is used", 10*l.Units*7/10)
+		return float64(uses()-was) / float64(l.Units) / (float64(time.Since(began)) / float64(l.Period))
+	}
+	more("it is used", 3*l.Units)
+	t.Logf("%.2f of the limit is used", full())
+	leader := g.NewLeader(-1)
+	g.All[leader].Die()
+	more("after the leader's death", 3*l.Units)
+	g.All[leader].Start()
+	i := g.NewLeader(-1)
+	g.All[i].Cut(true, true, true)
+	more("after the leader was cut off", 3*l.Units)
+	g.All[i].Cut(false, true, true)
+	all[0].Stop()
+	more("while one is stopped", 4*l.Units)
+	all[0].Continue()
+	for _, m := range g.All {
+		m.Die()
+	}
+	more("what they had", l.Floor)
+	was, began := uses(), time.Now()
+	more("floors", 2*l.Floor)
+	t.Logf("without coordinators %.2f of the floor is used", float64(uses()-was)/(float64(time.Since(began))/float64(l.Period))/float64(l.Floor))
+	for _, m := range g.All {
+		m.Start()
+	}
+	more("coordinators are back", 4*l.Units)
+	l.Units = 40
+	if said := set(l); said != "" {
+		t.Error(said)
+	}
+	more("a lower limit", 4*l.Units)
+	told, err := g.Ask(fleet.Ask{Limits: true})
+	if err != nil || len(told.Limits) != 1 || told.Limits[0].Limit != l || len(told.Limits[0].Members) != members || told.Limits[0].Out > 80 {
+		t.Errorf("%v: %+v", err, told.Limits)
+	}
+	var at []lease.Instant
+	for i, p := range all {
+		p.Input.Close()
+		p.Wait()
+		own := contend.Uses(logs[i].String())
+		if len(own) < 20 {
+			t.Errorf("member %d: %d uses", i, len(own))
+		}
+		at = append(at, own...)
+	}
+	slices.Sort(at)
+	most, first := 0, 0
+	for last := range at {
+		for at[last]-at[first] > lease.Instant(l.Period) {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	bound := 2*(80-l.Floor) + l.Floor + members
+	t.Logf("%d uses; in one period at most %d, %.2f of the limit; the bound is %d", len(at), most, float64(most)/80, bound)
+	if most > bound {
+		t.Errorf("%d uses in one period", most)
+	}
+}
--- a/internal/fleet/rpc.go
+++ b/internal/fleet/rpc.go
@@ -12,6 +12,7 @@
 	"petrelhook/internal/replica"
 	"petrelhook/internal/rollout"
 	"petrelhook/internal/rpc"
+	"petrelhook/internal/share"
 )
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -37,7 +38,10 @@
 	Rollout *rollout.Command `json:"rollout,omitempty"`
 	Changes *string          `json:"changes,omitempty"` // of an application; "": which applications there are
 	Results bool             `json:"results,omitempty"` // with what the stages of the change were counted to have done
-	List    *string          `json:"list,omitempty"`    // leases whose names begin so
+	Limit   *share.Command   `json:"limit,omitempty"`
+	Share   *replica.Share   `json:"share,omitempty"`
+	Limits  bool             `json:"limits,omitempty"` // how they stand
+	List    *string          `json:"list,omitempty"`   // leases whose names begin so
 	Backup  bool             `json:"backup,omitempty"`
 	Add     *replica.Member  `json:"add,omitempty"`
 	Remove  uint64           `json:"remove,omitempty"`
@@ -57,6 +61,9 @@
 	Backup   json.RawMessage  `json:"backup,omitempty"`
 	Members  []replica.Member `json:"members,omitempty"`
 	Rollout  rollout.Answer   `json:"rollout,omitzero"`
+	Refused  string           `json:"refused,omitempty"` // why a limit was not set, or no part of it is given
+	Share    share.Told       `json:"share,omitzero"`
+	Limits   []share.Standing `json:"limits,omitempty"`
 	Changes  json.RawMessage  `json:"changes,omitempty"` // a rollout.Application, or names; empty: there is none
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -223,6 +223,12 @@
 		q.Rollout, err = in.Rollout, in.Rollout.Check()
 	case in.Alive != nil:
 		q.Alive = in.Alive
+	case in.Limit != nil:
+		q.Limit, err = in.Limit, in.Limit.Set.Check()
+	case in.Share != nil:
+		if q.Share = in.Share; in.Share.Ask.Member == "" || len(in.Share.Ask.Member) > lease.MaxName {
+			err = fmt.Errorf("member: %q; write a name of 1 to %d bytes", in.Share.Ask.Member, lease.MaxName)
+		}
 	case in.Add != nil:
 		if _, _, bad := net.SplitHostPort(in.Add.Addr); in.Add.ID == 0 || bad != nil {
 			err = fmt.Errorf("add: %d, %q: write an id from 1 on and host:port", in.Add.ID, in.Add.Addr)
@@ -230,7 +236,7 @@
 		q.Add = &replica.Member{ID: in.Add.ID, Addr: in.Add.Addr}
 	case in.Remove != 0:
 		q.Remove = in.Remove
-	case in.List != nil || in.Backup || in.Changes != nil:
+	case in.List != nil || in.Backup || in.Changes != nil || in.Limits:
 		q.Read = true
 	default:
 		err = errors.New("nothing is asked")
@@ -251,7 +257,13 @@
 	if r.State != nil && in.List != nil {
 		t.Holdings = r.State.Holdings(*in.List)
 	}
-	t.Rollout = r.Rollout
+	t.Rollout, t.Share = r.Rollout, r.Share
+	if r.Refused != nil {
+		t.Refused = r.Refused.Error()
+	}
+	if in.Limits && r.Limits != nil {
+		t.Limits = r.Limits()
+	}
 	if r.Changes != nil && in.Changes != nil {
 		if t.Changes = r.Changes.Application(*in.Changes, in.Results); *in.Changes == "" {
 			t.Changes, _ = json.Marshal(r.Changes.Applications())
--- a/internal/machine/start_test.go
+++ b/internal/machine/start_test.go
@@ -127,6 +127,13 @@
 		if (err != nil) != (call.code != 0) || err != nil && connect.CodeOf(err) != call.code {
 			t.Errorf("token %d: %v", call.token, err)
 		}
+		in = &Look{Version: Version + 1, Application: "a"} // a driver of another version, or of another application
+		for want, in := range map[string]*Look{"version 2; this agent speaks 1": in, `this agent is of "a"`: {Version: Version, Application: "b"}} {
+			_, err = rpc.Client[Look, Seen](http.DefaultClient, ln.Addr().String(), PathLook, MaxAnswer).CallUnary(ctx, connect.NewRequest(in))
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%v, want %s", err, want)
+			}
+		}
 		cancel()
 		if err := <-ended; err != nil {
 			t.Error(err)
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -1,12 +1,17 @@
 package release
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -164,3 +169,31 @@
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("RELEASE_TEST_STORE"); dir != "" { // no file of this process may have more than 8 KiB
+		signal.Ignore(syscall.SIGXFSZ)
+		err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 8 << 10, Max: 8 << 10})
+		s, failed := NewStore(dir)
+		if err == nil && failed == nil {
+			_, err = s.Add(bytes.NewReader(make([]byte, 1<<20)), strings.NewReader("{}"))
+		}
+		fmt.Println(err, failed)
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// There is no room on the disk: nothing is added, and the error says which file.
+func TestNoRoom(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "releases")
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "RELEASE_TEST_STORE="+dir)
+	out, err := cmd.CombinedOutput()
+	if err != nil || !strings.Contains(string(out), programName+": file too large") {
+		t.Errorf("%v: %s", err, out)
+	}
+	if entries, _ := os.ReadDir(dir); len(entries) != 0 {
+		t.Errorf("%v", entries)
+	}
+}
--- a/internal/replica/ask.go
+++ b/internal/replica/ask.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"maps"
 	"slices"
 
@@ -8,12 +9,15 @@
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
+	"petrelhook/internal/share"
 )
 
 // Question is what a replica is asked; one of its fields says what.
 type Question struct {
 	Command *lease.Command
 	Rollout *rollout.Command
+	Limit   *share.Command
+	Share   *Share
 	Alive   *Alive
 	Read    bool    // the state as of now
 	Add     *Member // as a learner; it votes once it has caught up
@@ -27,6 +31,15 @@
 	Known   uint64
 }
 
+// Share asks for a part of a limit.
+type Share struct {
+	Limit string    `json:"limit"`
+	Ask   share.Ask `json:"ask"`
+}
+
+// ErrNoLimit: there is no limit of that name.
+var ErrNoLimit = errors.New("there is no such limit")
+
 // Reply is the answer. State is the core's own and good until Done returns.
 type Reply struct {
 	Err     error
@@ -38,6 +51,9 @@
 	Rollout rollout.Answer
 	State   *lease.State
 	Changes *rollout.Register // as State
+	Refused error             // why a limit was not set, or no part of it is given
+	Share   share.Told
+	Limits  func() []share.Standing // as State
 	Members []Member
 }
 
@@ -64,9 +80,9 @@
 		return
 	}
 	switch {
-	case q.Command != nil || q.Rollout != nil:
+	case q.Command != nil || q.Rollout != nil || q.Limit != nil:
 		c.number++
-		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command, Rollout: q.Rollout}); err != nil {
+		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command, Rollout: q.Rollout, Limit: q.Limit}); err != nil {
 			q.Done(Reply{Err: ErrBusy})
 			return
 		}
@@ -122,13 +138,20 @@
 	c.confirm = nil
 	for _, q := range asks {
 		var r Reply
-		if q.Alive != nil {
+		switch {
+		case q.Share != nil:
+			told, ok := c.shares.Ask(q.Share.Limit, q.Share.Ask, now)
+			if r.Share = told; !ok {
+				r.Refused = ErrNoLimit
+			}
+		case q.Alive != nil:
 			if r.Alive = c.clock.Alive(q.Alive.Session); r.Alive {
 				c.clock.Heard(q.Alive.Session, now)
 				r.Grants, r.Version = c.state.Grants(q.Alive.Session, q.Alive.Known)
 			}
-		} else {
+		default:
 			r.State, r.Changes, r.Members = c.state, c.changes, c.Members()
+			r.Limits = func() []share.Standing { return c.shares.Standings(now) }
 		}
 		q.Done(r)
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -14,6 +14,7 @@
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
+	"petrelhook/internal/share"
 )
 
 const (
@@ -33,6 +34,7 @@
 	Number  uint64           `json:"n,omitempty"` // its number for it
 	Lease   *lease.Command   `json:"c,omitempty"`
 	Rollout *rollout.Command `json:"r,omitempty"`
+	Limit   *share.Command   `json:"s,omitempty"`
 	Member  *Member          `json:"m,omitempty"` // what became known of one
 }
 
@@ -41,6 +43,7 @@
 	Members  []Member        `json:"members"`
 	Lease    json.RawMessage `json:"lease"`
 	Rollouts json.RawMessage `json:"rollouts,omitempty"` // a version before had none
+	Limits   json.RawMessage `json:"limits,omitempty"`   // the same
 }
 
 // Options are the bounds of a replica.
@@ -59,6 +62,7 @@
 	store   *raft.MemoryStorage
 	state   *lease.State
 	changes *rollout.Register
+	limits  *share.Register
 	members map[uint64]Member
 	conf    *pb.ConfState
 	applied uint64
@@ -67,9 +71,10 @@
 	term    uint64 // of the last hard state
 	leads   bool
 	leader  uint64
-	clock   *lease.Clock // while it leads and has applied what was before
-	quiet   int          // ticks without a leader's word
-	patient int          // how many it bears
+	clock   *lease.Clock    // while it leads and has applied what was before
+	shares  *share.Dividers // as clock
+	quiet   int             // ticks without a leader's word
+	patient int             // how many it bears
 	number  uint64
 
 	changing bool // a change of the members is proposed
@@ -96,12 +101,12 @@
 	slices.Sort(conf.Voters)
 	return &Kept{
 		Hard:     &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)},
-		Snapshot: &pb.Snapshot{Data: encode(members, state, rollout.NewRegister()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
+		Snapshot: &pb.Snapshot{Data: encode(members, state, rollout.NewRegister(), share.NewRegister()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
 	}
 }
 
-func encode(members []Member, state *lease.State, changes *rollout.Register) []byte {
-	im := image{Members: members, Lease: state.Snapshot()}
+func encode(members []Member, state *lease.State, changes *rollout.Register, limits *share.Register) []byte {
+	im := image{Members: members, Lease: state.Snapshot(), Limits: limits.Snapshot()}
 	if len(changes.Applications()) > 0 {
 		im.Rollouts = changes.Snapshot()
 	}
@@ -120,7 +125,7 @@
 	if o.Keep == 0 {
 		o.Keep = 5_000
 	}
-	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), changes: rollout.NewRegister(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
+	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), changes: rollout.NewRegister(), limits: share.NewRegister(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
 	if k.Snapshot != nil {
 		if err := c.store.ApplySnapshot(k.Snapshot); err != nil {
 			return nil, err
@@ -168,8 +173,12 @@
 	if err != nil {
 		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
 	}
-	c.changes = changes
-	c.state, c.members, c.clock = state, map[uint64]Member{}, nil
+	limits, err := share.RestoreRegister(im.Limits)
+	if err != nil {
+		return err
+	}
+	c.changes, c.limits = changes, limits
+	c.state, c.members, c.clock, c.shares = state, map[uint64]Member{}, nil, nil
 	for _, m := range im.Members {
 		c.members[m.ID] = m
 	}
@@ -333,7 +342,7 @@
 	if leads == c.leads {
 		return
 	}
-	c.leads, c.clock, c.changing = leads, nil, false
+	c.leads, c.clock, c.shares, c.changing = leads, nil, nil, false
 	c.lose()
 }
 
@@ -374,6 +383,10 @@
 		}
 	case in.Rollout != nil:
 		r.Rollout = c.changes.Apply(*in.Rollout)
+	case in.Limit != nil:
+		if r.Refused = c.limits.Apply(*in.Limit); r.Refused == nil && c.shares != nil {
+			c.shares.Applied(*in.Limit, now)
+		}
 	case in.Lease != nil:
 		r.Answer = c.state.Apply(*in.Lease)
 		if c.clock != nil {
@@ -382,6 +395,7 @@
 	}
 	if c.leads && c.clock == nil && e.GetTerm() == c.term {
 		c.clock = lease.Lead(c.state, now)
+		c.shares = share.LeadAll(c.limits, c.term, now)
 	}
 	if done := c.waiting[in.Number]; in.From == c.ID && done != nil && e.GetTerm() == c.term {
 		delete(c.waiting, in.Number)
@@ -393,7 +407,7 @@
 
 // snapshot makes one of what is applied.
 func (c *Core) snapshot() (own *pb.Snapshot, compact uint64, err error) {
-	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state, c.changes))
+	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state, c.changes, c.limits))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/rig/contend/contend.go
+++ b/internal/rig/contend/contend.go
@@ -36,6 +36,8 @@
 		hold(args[0], args[1], strings.Split(args[2], ","))
 	case "stops":
 		stops(args[0], strings.Split(args[1], ","))
+	case "spend":
+		spend(args[0], args[1], args[2], strings.Split(args[3], ","))
 	case "keeps":
 		keeps(strings.Split(args[1], ","), args[2])
 	}
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -14,11 +14,11 @@
 
 // Limit is what is divided.
 type Limit struct {
-	Name    string
-	Units   int           // a period, of all members together
-	Period  time.Duration // by the divider's clock
-	Floor   int           // of Units: what members use, all together, that have no other part
-	Members int           // that there are at most
+	Name    string        `json:"name"`
+	Units   int           `json:"units"`   // a period, of all members together
+	Period  time.Duration `json:"period"`  // by the divider's clock
+	Floor   int           `json:"floor"`   // of Units: what members use, all together, that have no other part
+	Members int           `json:"members"` // that there are at most
 }
 
 // The bounds of a limit.
@@ -50,23 +50,23 @@
 
 // Ask is a member's question.
 type Ask struct {
-	Member string
-	Weight float64 // 0: 1
-	Want   int     // units that it would spend in the next period
-	Over   []Spent // parts of which it spends no more
+	Member string  `json:"member"`
+	Weight float64 `json:"weight,omitempty"` // 0: 1
+	Want   int     `json:"want"`             // units that it would spend in the next period
+	Over   []Spent `json:"over,omitempty"`   // parts of which it spends no more
 }
 
 // Spent is what was spent of a part, at its end.
 type Spent struct {
-	Part  Part
-	Units int
+	Part  Part `json:"part"`
+	Units int  `json:"units"`
 }
 
 // Told is the answer.
 type Told struct {
-	Part  Part
-	Units int           // 0: none now
-	Again time.Duration // when more may be due; 0: whenever it wants
+	Part  Part          `json:"part,omitempty"`
+	Units int           `json:"units,omitempty"` // 0: none now
+	Again time.Duration `json:"again,omitempty"` // when more may be due; 0: whenever it wants
 }
 
 // Divider gives the parts of one limit, for one term of one leader. Instants are of its own steady clock.
@@ -127,7 +127,7 @@
 	if len(d.members) == 1 || now.Sub(d.divided) >= d.limit.Period/dividings {
 		d.divide(now)
 	}
-	fair := min(float64(m.want), d.level*m.weight)
+	fair := d.fair(m)
 	if m.asked == never { // it comes, and is due a whole period
 		m.asked, m.due = now, fair+first(a.Member, d.term)
 	}
@@ -201,6 +201,9 @@
 // dividings are how often in a period it is worked out what is fair.
 const dividings = 16
 
+// fair is what is due to a member a period.
+func (d *Divider) fair(m *member) float64 { return min(float64(m.want), d.level*m.weight) }
+
 // divide works out what is fair: all that is wanted where there is enough; else each as much for its weight, and none more than it wants.
 func (d *Divider) divide(now lease.Instant) {
 	d.divided, d.level = now, math.Inf(1)
--- /dev/null
+++ b/internal/share/register.go
@@ -0,0 +1,148 @@
+package share
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"petrelhook/internal/lease"
+)
+
+// Command is an entry of the replicated log: a limit is to be as it says. To say it twice does no harm.
+type Command struct {
+	Set Limit `json:"set"`
+}
+
+// MaxLimits is how many there may be.
+const MaxLimits = 10_000
+
+// What a command may meet.
+var (
+	ErrFixed = errors.New("period, floor and members of a limit do not change: members count by what they were told once; use another name")
+	ErrMany  = fmt.Errorf("there are %d limits already", MaxLimits)
+)
+
+// Register is the limits, as the log makes them. One that is not wanted any more stays, with no more units than its floor: what was
+// given of it ends, and its name is never another limit.
+type Register struct{ all map[string]Limit }
+
+// NewRegister is one without any.
+func NewRegister() *Register { return &Register{map[string]Limit{}} }
+
+// Apply carries out a command that was checked.
+func (r *Register) Apply(c Command) error {
+	l := c.Set
+	was, known := r.all[l.Name]
+	switch {
+	case known && (was.Period != l.Period || was.Floor != l.Floor || was.Members != l.Members):
+		return ErrFixed
+	case !known && len(r.all) >= MaxLimits:
+		return ErrMany
+	}
+	r.all[l.Name] = l
+	return nil
+}
+
+// Limits are all, by name.
+func (r *Register) Limits() (all []Limit) {
+	for _, name := range slices.Sorted(maps.Keys(r.all)) {
+		all = append(all, r.all[name])
+	}
+	return all
+}
+
+// Snapshot is the register as bytes; nil: there is nothing in it.
+func (r *Register) Snapshot() json.RawMessage {
+	if len(r.all) == 0 {
+		return nil
+	}
+	text, err := json.Marshal(r.Limits())
+	if err != nil {
+		panic(err) // no field can fail
+	}
+	return text
+}
+
+// RestoreRegister is the register of a snapshot; one of a version without any has none.
+func RestoreRegister(text []byte) (*Register, error) {
+	r, all := NewRegister(), []Limit{}
+	if len(text) == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, fmt.Errorf("limits: %w", err)
+	}
+	for _, l := range all {
+		if err := l.Check(); err != nil {
+			return nil, fmt.Errorf("limits: %w", err)
+		}
+		r.all[l.Name] = l
+	}
+	return r, nil
+}
+
+// Dividers are those of all limits, for one term of one leader.
+type Dividers struct {
+	term uint64
+	all  map[string]*Divider
+}
+
+// LeadAll begins to divide all limits.
+func LeadAll(r *Register, term uint64, now lease.Instant) *Dividers {
+	d := &Dividers{term, map[string]*Divider{}}
+	for _, l := range r.Limits() {
+		d.all[l.Name] = Lead(l, term, now)
+	}
+	return d
+}
+
+// Applied is told of a command of this term. A limit that is new waits a period too: a group that was restored may have forgotten it.
+func (d *Dividers) Applied(c Command, now lease.Instant) {
+	if one := d.all[c.Set.Name]; one != nil {
+		one.Change(c.Set.Units)
+		return
+	}
+	d.all[c.Set.Name] = Lead(c.Set, d.term, now)
+}
+
+// Ask is a question to one of them, confirmed; false: there is no such limit.
+func (d *Dividers) Ask(limit string, a Ask, now lease.Instant) (Told, bool) {
+	one := d.all[limit]
+	if one == nil {
+		return Told{}, false
+	}
+	return one.Ask(a, now), true
+}
+
+// Standing is how a limit stands.
+type Standing struct {
+	Limit   Limit   `json:"limit"`
+	Out     int     `json:"out"`
+	Waits   bool    `json:"waits,omitempty"` // nothing is given yet: the leader is new
+	Members []Stand `json:"members,omitempty"`
+}
+
+// Stand is how a member stands.
+type Stand struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"`
+	Want   int     `json:"want"` // units a period that it asked for last
+	Fair   float64 `json:"fair"` // units a period that are its due
+	Out    int     `json:"out"`  // units that it has or has spent
+}
+
+// Standings are how all limits stand.
+func (d *Dividers) Standings(now lease.Instant) (all []Standing) {
+	for _, name := range slices.Sorted(maps.Keys(d.all)) {
+		one := d.all[name]
+		s := Standing{Limit: one.limit, Out: one.Out(now), Waits: now < one.from}
+		for _, name := range slices.Sorted(maps.Keys(one.members)) {
+			m := one.members[name]
+			s.Members = append(s.Members, Stand{name, m.weight, m.want, min(one.fair(m), float64(one.limit.Units)), m.out})
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- a/internal/share/taker.go
+++ b/internal/share/taker.go
@@ -16,6 +16,11 @@
 	over   []Spent
 	floor  lease.Instant // when its floor allows one use more
 	begun  bool          // the floor has begun to run
+
+	since lease.Instant // when the count of tries below began
+	tries int
+	want  int           // tries of the period before
+	due   lease.Instant // when to ask again
 }
 
 type taken struct {
@@ -29,6 +34,25 @@
 	return &Taker{limit: l, name: name, weight: weight}
 }
 
+// Wants is how many uses a period are tried, by what was tried lately.
+func (t *Taker) Wants(now lease.Instant) int {
+	if past := now.Sub(t.since); past >= t.limit.Period {
+		if t.want = t.tries; past >= 2*t.limit.Period {
+			t.want = 0
+		}
+		t.since, t.tries = now, 0
+	}
+	return max(t.want, t.tries)
+}
+
+// Due is when to ask next; ok is false where nothing is wanted and nothing is to be told.
+func (t *Taker) Due(now lease.Instant) (at lease.Instant, ok bool) {
+	return t.due, t.Wants(now) > 0 || t.Left(now) > 0 || len(t.over) > 0
+}
+
+// Unanswered takes in that a question was not answered.
+func (t *Taker) Unanswered(now lease.Instant) { t.due = now.Add(t.limit.Period / 2) }
+
 // Ask is the question for what it would spend in the next period. What it wants no more of what it has comes back with it, and is not
 // spent from here on.
 func (t *Taker) Ask(want int, now lease.Instant) Ask {
@@ -52,6 +76,7 @@
 // Told takes in the answer to a question asked at an instant.
 func (t *Taker) Told(asked lease.Instant, told Told, sent []Spent) {
 	t.over = keep(t.over, sent)
+	t.due = asked.Add(max(told.Again, t.limit.Period/2))
 	if told.Units > 0 {
 		t.parts = append(t.parts, taken{Spent{told.Part, 0}, told.Units, lease.Until(asked, t.limit.Period)})
 	}
@@ -73,6 +98,8 @@
 
 // Spend reports whether one use is allowed now, and counts it.
 func (t *Taker) Spend(now lease.Instant) bool {
+	t.Wants(now)
+	t.tries++
 	t.expire(now)
 	for i := range t.parts {
 		if p := &t.parts[i]; p.Units < p.units {
