What a process uses is compared where both sides are asked about as much

Cause: the test's bad sidecar wraps its connections and hid whether one is quiet, so each was used once; the metric was right (internal/rig/deployment/bad.go). Seen on the way: processor time, growth and connections a request depend on how many requests share them, so a release whose sidecars had a tenth of the control's traffic was stopped for that (TestEvidence, watched fail). They are compared only where both sides' sidecars are asked about as much, within a quarter.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -2,7 +2,8 @@
 //
 // Compared, in each class, are three rates: of requests that were refused, that failed, and that were slow, which is to take longer than
 // a tenth of the control's first requests did; those that the bound is drawn from are not judged by it. And, of all together and in pairs,
-// processor time, tries and new connections a request, probes, and the growth of memory over short times and longer ones.
+// processor time, tries and new connections a request, probes, and the growth of memory over short times and longer ones, where the
+// sidecars of both sides are asked about as much.
 //
 // The new are those of this stage that run the new release. The control are the old sidecars that were restarted beside them, or all
 // that are left where the plan has none restarted. Zones are not alike: new is compared with control in each zone by itself, and over
@@ -327,17 +328,17 @@
 		for _, p := range zones {
 			all = append(all, m.of(p.new), m.of(p.control))
 		}
-		n, o := alike(all)
+		n, o := weighed(all)
 		if err := e.judge.Add(judge.Cell{Class: class, Zone: everyZone, Metric: m.name}, n, o); err != nil {
 			return err
 		}
 	}
-	n, o := alike(slow) // none yet: not judged, and so not fine
+	n, o := weighed(slow) // none yet: not judged, and so not fine
 	return e.judge.Add(judge.Cell{Class: class, Zone: everyZone, Metric: "slow"}, n, o)
 }
 
-// alike adds up zones, new and control in turn, with each zone's control weighed as its new is, at most as it is.
-func alike(zones []judge.Counts) (new, control judge.Counts) {
+// weighed adds up zones, new and control in turn, with each zone's control weighed as its new is, at most as it is.
+func weighed(zones []judge.Counts) (new, control judge.Counts) {
 	most := 0.0
 	for i := 0; i < len(zones); i += 2 {
 		if zones[i+1].Of > 0 {
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -145,6 +145,15 @@
 			}
 			w.tries[name] += map[string]uint64{"old": 20, "new": 40}[r]
 		}, "worse: tries of class * in zone *", rollout.Stage{}},
+		"the new have a tenth of the traffic": {func(w *world, i int, name, r string, c *counts.Class) {
+			n := map[string]int{"old": 40, "new": 4}[r]
+			serve(c, n, 10)
+			w.cpu[name] += uint64(40 + n)
+			w.memory[name] += uint64(i%7) << 10
+			if r == "new" {
+				w.memory[name] += 400 << 10 // it grows as it is warmed more slowly
+			}
+		}, "", rollout.Stage{}},
 		"of a version that tells no tries": {func(w *world, _ int, _, r string, c *counts.Class) {
 			serve(c, 20, 10)
 			w.tries = map[string]map[string]uint64{"new": {"n0": 1 << 30}}[r]
--- a/internal/evidence/used.go
+++ b/internal/evidence/used.go
@@ -16,6 +16,7 @@
 	openPart    = 0.5  // of the connections opened for a request, and of the probes
 	longer      = 5    // growth of memory comes in bursts, so it is compared over this many times as long as well
 	pairs       = 6    // cells that are judged by pairs
+	alikePart   = 0.25 // by how much more one side's sidecars may be asked for such a comparison
 )
 
 // use is what some sidecars have used.
@@ -35,6 +36,16 @@
 	u.effort.Probes += more.effort.Probes
 }
 
+// alike reports whether both sides' sidecars were asked about as much. What a process uses of itself is shared by its requests: where it has
+// fewer of them each costs more, and it grows otherwise, whatever its release is.
+func alike(n, o use) bool {
+	if n.windows == 0 || o.windows == 0 {
+		return false
+	}
+	a, b := n.requests/n.windows, o.requests/o.windows
+	return a <= (1+alikePart)*b && b <= (1+alikePart)*a
+}
+
 // span is what new and control have used since the last comparison.
 type span struct {
 	used   [2]use
@@ -67,6 +78,9 @@
 		return err
 	}
 	n, o := used[0], used[1]
+	if !alike(n, o) {
+		return nil
+	}
 	larger := func(name string, new, old, part float64) error {
 		if old == 0 && new == 0 {
 			return nil
@@ -78,7 +92,7 @@
 			return err
 		}
 	}
-	if n.untold || o.untold || n.windows == 0 || o.windows == 0 {
+	if n.untold || o.untold {
 		return nil
 	}
 	if err := larger("probes", float64(n.effort.Probes)/n.windows, float64(o.effort.Probes)/o.windows, openPart); err != nil {
@@ -95,7 +109,7 @@
 
 func (e *Evidence) growth(name string, used [2]use) error {
 	n, o := used[0], used[1]
-	if n.memory == 0 || o.memory == 0 {
+	if n.memory == 0 || o.memory == 0 || !alike(n, o) {
 		return nil
 	}
 	return e.judge.Pair(whole(name), n.growth/n.memory > o.growth/o.memory+growthPart)
--- a/internal/rig/deployment/bad.go
+++ b/internal/rig/deployment/bad.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"petrelhook/internal/config"
+	"petrelhook/internal/sock"
 	"petrelhook/internal/wiring"
 )
 
@@ -134,6 +135,9 @@
 	return c.Conn.Write(p)
 }
 
+// Quiet is the connection's own: without it each would be used once.
+func (c *badConn) Quiet() bool { return sock.Quiet(c.Conn) }
+
 func (c *badConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if c.sent.IsZero() || err != nil {
