Pairs that differ by nothing that matters are no evidence: a leak is found by its growth

Seen: a leak of 1 MiB a second went through 50 s of watching once the test's connections were mended. Cause: evidence.compare told a pair in which nothing moved as a loss of the new one, and memory stands still between its bursts. Such pairs are not told now (where both are alike each is the larger as often as the other). Ruled out: longer windows alone, which are 16 in that time where 17 are needed.

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -138,6 +138,11 @@
 			if serve(c, 20, 10); r == "new" && i%4 == 3 {
 				w.memory[name] += 3 << 20
 			}
+		}, "worse: growth of memory", rollout.Stage{}},
+		"grows slowly": {func(w *world, i int, name, r string, c *counts.Class) {
+			if serve(c, 20, 10); r == "new" {
+				w.memory[name] += 100 << 10
+			}
 		}, "worse: growth of memory over longer times", rollout.Stage{}},
 		"tries twice, and the class says nothing": {func(w *world, i int, name, r string, c *counts.Class) {
 			if serve(c, 20, 10); i == 0 {
--- a/internal/evidence/used.go
+++ b/internal/evidence/used.go
@@ -82,10 +82,7 @@
 		return nil
 	}
 	larger := func(name string, new, old, part float64) error {
-		if old == 0 && new == 0 {
-			return nil
-		}
-		return e.judge.Pair(whole(name), new > (1+part)*old)
+		return e.pair(name, new > (1+part)*old, old > (1+part)*new)
 	}
 	if n.requests > 0 && o.requests > 0 && o.cpu > 0 {
 		if err := larger("processor time", n.cpu/n.requests, o.cpu/o.requests, cpuPart); err != nil {
@@ -112,7 +109,16 @@
 	if n.memory == 0 || o.memory == 0 || !alike(n, o) {
 		return nil
 	}
-	return e.judge.Pair(whole(name), n.growth/n.memory > o.growth/o.memory+growthPart)
+	a, b := n.growth/n.memory, o.growth/o.memory
+	return e.pair(name, a > b+growthPart, b > a+growthPart)
+}
+
+// pair hands in a comparison. Where neither is larger by what matters it says nothing: memory stands still between its bursts.
+func (e *Evidence) pair(name string, new, old bool) error {
+	if new == old {
+		return nil
+	}
+	return e.judge.Pair(whole(name), new)
 }
 
 // whole is the cell of what is compared over all.
--- a/internal/judge/doc.go
+++ b/internal/judge/doc.go
@@ -13,7 +13,7 @@
 // No worse is judged by confidence sequences of both rates (Robbins' mixture of the binomial with a uniform prior), valid at all
 // times together: the largest rate that the new may have is less than the smallest of the control plus the smallest effect that matters.
 //
-// A magnitude, such as the growth of memory, is judged by pairs (Pair): how often the new one's is larger, by a mixture of bets that are fair at half.
+// A magnitude, such as the growth of memory, is judged by pairs (Pair): how often the new one's is the larger of two that differ, by a mixture of bets that are fair at half.
 //
 // Assumptions: requests of a window succeed or fail independently, at a rate that the cell's sidecars share. Where failures come in
 // bunches, Bunch divides the counts by the size of a bunch.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -120,9 +120,9 @@
 	return nil
 }
 
-// Pair takes in one comparison of a magnitude, such as growth of memory in the same window: whether the new one's was larger by more than
-// matters. Where new and control are alike neither is larger than the other more often than it is smaller, so half of the comparisons
-// at most. It may show that the new is worse, and is never waited for.
+// Pair takes in one comparison of a magnitude, such as growth of memory in the same window, in which one was larger by more than matters:
+// whether that was the new one. Where new and control are alike it is the one as often as the other, so half of the comparisons at most
+// that are told. It may show that the new is worse, and is never waited for.
 //
 // The evidence is a mixture of bets that the share is p, for all p from a half to one alike: each multiplies by 2p for what was larger
 // and by 2(1-p) for what was not, which is 1 on average at a half and less below, and so does their mean.
