Shares in whole groups of replicas; an answer heard twice is one part; lost releases

Shares were shown beside a leader that is simply there: what the log's leader adds (confirmation, a new leader's wait, crashes, doubled messages) was tested on processes alone, which would not have noticed the confirmation missing. TestSharesOfAGroup plays it in whole groups in virtual time, and found that an answer heard twice was two parts (internal/share/taker.go:Told).

--- a/cmd/petrelctl/rollout_run_test.go
+++ b/cmd/petrelctl/rollout_run_test.go
@@ -90,7 +90,8 @@
 		code int
 		want string
 	}{
-		{"set probes --units 0 --members 3", 2, "units: 0; write 1 to"},
+		{"set probes --members 3", 2, "units: -1; write 0 to"},
+		{"set ended --units 0 --members 3", 0, ""},
 		{"set probes --units 10 --members 3 --floor 3 --period 2s", 0, ""},
 		{"set probes --units 20 --members 3 --floor 3 --period 2s", 0, ""},
 		{"set probes --units 20 --members 4 --floor 3 --period 2s", 1, "do not change"},
--- a/cmd/petrelctl/share.go
+++ b/cmd/petrelctl/share.go
@@ -36,7 +36,7 @@
 		},
 	}
 	a.flags(cmd)
-	cmd.Flags().IntVar(&l.Units, "units", 0, "uses a period, of all members together")
+	cmd.Flags().IntVar(&l.Units, "units", -1, "uses a period, of all members together")
 	cmd.Flags().DurationVar(&l.Period, "period", time.Second, "for how long a part is given")
 	cmd.Flags().IntVar(&l.Floor, "floor", 0, "of the units, those for members that reach no coordinator, all together")
 	cmd.Flags().IntVar(&l.Members, "members", 0, "how many there are at most")
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -135,7 +135,7 @@
 // Confirm says that a change is over for the fleet: what runs is what to go back to.
 func (s *Sidecar) Confirm(release string) {
 	if s.Now != nil && s.Now.Release == release || s.lost {
-		s.Confirmed, s.lost = release, false
+		s.Confirmed, s.lost = release, false // one that is not to be had either is lost again
 	}
 }
 
@@ -146,7 +146,7 @@
 
 // Began tells of a process that was started.
 func (s *Sidecar) Began(now time.Duration, p Process) []Do {
-	s.asked = false
+	s.asked, s.lost = false, false
 	switch {
 	case s.Phase == Starting && s.Next == nil && p.Release == s.To:
 		s.Next = &p
--- a/internal/agent/sidecar_test.go
+++ b/internal/agent/sidecar_test.go
@@ -217,6 +217,32 @@
 	m.check("confirmed", "new", 2, "")
 }
 
+// What is confirmed is not to be had: the fleet's word counts, until something runs again.
+func TestLost(t *testing.T) {
+	m := newMachine(t)
+	m.s.Lost("old")
+	m.s.Confirm("x")
+	m.check("it runs", "old", 0, "")
+	s := New("gone", m.s.limits)
+	if todo := s.Tick(0); len(todo) != 1 || todo[0].Start != "gone" {
+		t.Fatal(todo)
+	}
+	s.Lost("another")
+	s.Confirm("x")
+	s.Lost("gone")
+	p := Process{PID: 7, Began: 7, Release: "gone"}
+	s.Began(0, p) // somebody has put it there again
+	s.Confirm("x")
+	if s.Confirmed != "gone" {
+		t.Errorf("%q is confirmed, and gone runs", s.Confirmed)
+	}
+	s.Died(0, p, "")
+	s.Lost("gone")
+	if s.Confirm("new"); s.Confirmed != "new" {
+		t.Errorf("%q is confirmed", s.Confirmed)
+	}
+}
+
 // The agent is killed after any step, and begins again with what it kept and what lives: never a third process, somebody serves, and
 // an order is over once, with the same end.
 func TestKilledAgents(t *testing.T) {
--- a/internal/replica/changes_test.go
+++ b/internal/replica/changes_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
+	"petrelhook/internal/share"
 )
 
 // Changes of releases are in the log, and in the snapshots that stand for it: a replica that begins from one of them alone has them.
@@ -46,6 +48,9 @@
 	var a rollout.Answer
 	c.Ask(Question{Rollout: &rollout.Command{Application: "app", Change: "c", Start: start}, Done: func(r Reply) { a = r.Rollout }})
 	pump()
+	limit := share.Limit{Name: "l", Units: 3, Period: time.Second, Members: 1}
+	c.Ask(Question{Limit: &share.Command{Set: limit}, Done: func(Reply) {}})
+	pump()
 	was := kept(c, pump)
 	if a.Err != "" || len(was) == 0 {
 		t.Fatalf("%+v: %s", a, was)
@@ -54,4 +59,9 @@
 	if is := kept(again, pump); !bytes.Equal(is, was) {
 		t.Errorf("%s\nwas %s", is, was)
 	}
+	var standings []share.Standing
+	again.Ask(Question{Read: true, Done: func(r Reply) { standings = r.Limits() }})
+	if pump(); len(standings) != 1 || standings[0].Limit != limit {
+		t.Errorf("%+v", standings)
+	}
 }
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -57,6 +57,28 @@
 	}
 }
 
+// Clients of a whole group take parts of a limit while leaders are cut off, crash and are succeeded: never more than the limit.
+func TestSharesOfAGroup(t *testing.T) {
+	largest := 0
+	for seed := range uint64(schedules(60)) {
+		var faults []int // the leader in one run, whatever comes in the other
+		for i := range 8 {
+			faults = append(faults, 2+i%2+7*(5+15*(14+int(seed+uint64(i))%16)))
+		}
+		if seed%2 == 0 {
+			faults = nil
+		}
+		s := group.Simulate(group.Options{Seed: seed, Replicas: 3, Length: 15 * time.Second, Faults: faults, Shares: true})
+		if s.Wrong != "" {
+			t.Fatalf("seed %d: %s", seed, s.Wrong)
+		}
+		largest = max(largest, s.Largest)
+	}
+	if largest < group.ShareLimit.Units {
+		t.Errorf("%d units at most: the limit is never used up", largest)
+	}
+}
+
 // Past the bound of clocks two may believe at once, and what the guard admits is in order all the same; without the guard it is not.
 func TestPastTheBound(t *testing.T) {
 	two, disorder := 0, 0
--- a/internal/rig/group/client.go
+++ b/internal/rig/group/client.go
@@ -8,6 +8,7 @@
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/replica"
+	"petrelhook/internal/share"
 )
 
 type simClient struct {
@@ -22,6 +23,7 @@
 	leader  int
 	token   lease.Token
 	stopped bool
+	taker   *share.Taker
 	begun   int64
 	round   int
 }
--- a/internal/rig/group/group.go
+++ b/internal/rig/group/group.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 
 	"petrelhook/internal/lease"
 	"petrelhook/internal/replica"
+	"petrelhook/internal/share"
 )
 
 // Options are what is played. The last three are left out of the world, to show that the judge can fail.
@@ -26,6 +28,8 @@
 	Faults   []int // in this order; nil: they are drawn
 
 	NoSync, NoGuard, PastTheBound bool
+
+	Shares bool // clients take parts of a limit as well
 }
 
 // Outcome is what came of it.
@@ -34,6 +38,7 @@
 	Events, Faults, Grants, Refused, Changes int    // Refused: acts that the guard refused; Changes: of holder, as it saw them
 	Acts                                     []Act
 	Admitted                                 []lease.Token // acts, as they came
+	Largest                                  int           // units of the limit that clients believed in at once, of ShareLimit
 	History                                  []porcupine.Operation
 }
 
@@ -147,6 +152,10 @@
 		}
 		s.clients = append(s.clients, c)
 		c.step()
+		if o.Shares {
+			c.taker = share.NewTaker(ShareLimit, fmt.Sprint(i), 1)
+			c.take()
+		}
 	}
 	s.trouble(o.Faults)
 	for s.now < o.Length && s.Wrong == "" && len(s.events) > 0 {
--- /dev/null
+++ b/internal/rig/group/shares.go
@@ -0,0 +1,48 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"petrelhook/internal/replica"
+	"petrelhook/internal/share"
+)
+
+// ShareLimit is what clients of a group take parts of.
+var ShareLimit = share.Limit{Name: "limit", Units: 20, Floor: 4, Members: 4, Period: 600 * time.Millisecond}
+
+// take is what a client does now and then: it asks for all of the limit, of whoever it takes for the leader, and the limit itself is set
+// again and again. What all believe together is judged whenever an answer is heard.
+func (c *simClient) take() {
+	s := c.s
+	s.after(s.between(5*time.Millisecond, 150*time.Millisecond), func() {
+		if !c.stopped {
+			c.to(func(r *simReplica, _ func(func())) {
+				r.core.Ask(replica.Question{Limit: &share.Command{Set: ShareLimit}, Done: func(replica.Reply) {}})
+			})
+			asked := c.clock()
+			q := c.taker.Ask(ShareLimit.Units, asked)
+			c.to(func(r *simReplica, reply func(func())) {
+				r.core.Ask(replica.Question{Share: &replica.Share{Limit: ShareLimit.Name, Ask: q}, Done: func(a replica.Reply) {
+					reply(func() {
+						if a.Err == nil && a.Refused == nil {
+							c.taker.Told(asked, a.Share, q.Over)
+						}
+						s.judgeShares()
+					})
+				}})
+			})
+		}
+		c.take()
+	})
+}
+
+func (s *sim) judgeShares() {
+	sum := ShareLimit.Floor
+	for _, c := range s.clients {
+		sum += c.taker.Believed(c.clock())
+	}
+	if s.Largest = max(s.Largest, sum); sum > ShareLimit.Units {
+		s.Wrong = fmt.Sprintf("at %v clients believe in %d of %d units", s.now, sum, ShareLimit.Units)
+	}
+}
--- a/internal/rollout/register.go
+++ b/internal/rollout/register.go
@@ -146,8 +146,9 @@
 	}
 	now.Token = max(now.Token, c.Token)
 	for _, e := range c.Events {
+		watched := now.State.Watched // a verdict may end its stage, and the next begins at 0
 		now.State.Apply(e)
-		now.note(c.At, e.Verdict, now.State.Watched)
+		now.note(c.At, e.Verdict, watched)
 		now.Events++
 		now.moment(c.At)
 	}
--- a/internal/rollout/report/report_test.go
+++ b/internal/rollout/report/report_test.go
@@ -105,6 +105,10 @@
 	if n := len(c.Results[0].Course); n < 1000 || n > 2000 {
 		t.Errorf("%d points", n)
 	}
+	passed := change(t, with(told("not enough evidence", 1, 0, 0), rollout.Event{Elapsed: 2 * time.Minute}, told("no worse", 9, 0, 0))...)
+	if course := passed.Results[0].Course; passed.State.Stage != 2 || course[len(course)-1].Watched != 2*time.Minute {
+		t.Errorf("stage %d: %+v", passed.State.Stage, course)
+	}
 	var text bytes.Buffer
 	if err := WritePage(&text, c); err != nil {
 		t.Fatal(err)
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -33,8 +33,8 @@
 	switch {
 	case l.Name == "" || len(l.Name) > lease.MaxName:
 		return fmt.Errorf("name: %q; write 1 to %d bytes", l.Name, lease.MaxName)
-	case l.Units < 1 || l.Units > MaxUnits:
-		return fmt.Errorf("units: %d; write 1 to %d", l.Units, MaxUnits)
+	case l.Units < 0 || l.Units > MaxUnits:
+		return fmt.Errorf("units: %d; write 0 to %d", l.Units, MaxUnits)
 	case l.Period < MinPeriod || l.Period > MaxPeriod:
 		return fmt.Errorf("period: %v; write %v to %v", l.Period, MinPeriod, MaxPeriod)
 	case l.Floor < 0 || l.Floor > l.Units:
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -302,7 +302,7 @@
 	if end := now + lease.Instant(time.Second); m.Left(end-lease.Instant(9*time.Millisecond)) != 0 {
 		t.Error("it believes as long as the leader counts")
 	}
-	for want, bad := range map[string]Limit{"name": {}, "units": {Name: "l"}, "period": {Name: "l", Units: 1}, "floor": {Name: "l", Units: 1, Period: time.Second, Floor: 2}, "members": {Name: "l", Units: 1, Period: time.Second}} {
+	for want, bad := range map[string]Limit{"name": {}, "units": {Name: "l", Units: -1}, "period": {Name: "l", Units: 1}, "floor": {Name: "l", Units: 1, Period: time.Second, Floor: 2}, "members": {Name: "l", Units: 1, Period: time.Second}} {
 		if err := bad.Check(); err == nil || err.Error()[:len(want)] != want {
 			t.Errorf("%v, want %s", err, want)
 		}
--- a/internal/share/taker.go
+++ b/internal/share/taker.go
@@ -77,7 +77,8 @@
 func (t *Taker) Told(asked lease.Instant, told Told, sent []Spent) {
 	t.over = keep(t.over, sent)
 	t.due = asked.Add(max(told.Again, t.limit.Period/2))
-	if told.Units > 0 {
+	known := slices.ContainsFunc(t.parts, func(p taken) bool { return p.Part == told.Part }) // heard twice it is one part
+	if told.Units > 0 && !known {
 		t.parts = append(t.parts, taken{Spent{told.Part, 0}, told.Units, lease.Until(asked, t.limit.Period)})
 	}
 }
