--- a/internal/share/doc.go
+++ b/internal/share/doc.go
@@ -12,13 +12,15 @@
 // are no more members than the limit says. As in package lease each moment is one of true time and each length is of the clock named.
 //
 //  1. A part is given by a leader that a majority has confirmed after the question came, and only as far as what it has given and has not
-//     ended leaves room beside the floors. (Divider.Ask; without the room TestNeverOverTheLimit finds more than the limit)
+//     ended leaves room beside the floors. (Divider.Ask; without the room TestNeverOverTheLimit finds more than the limit,
+//     without the confirmation TestSharesOfAGroup of package replica)
 //  2. The leader counts it for a period from when it gave it, which is after the member asked; the member, who counts from when it
 //     asked, believes for period/(1+Drift), hence for less. (Taker.Told; without the margin the same test finds it)
 //  3. A leader gives nothing in its first period: what the one before gave, until the confirmation that its last answer needed, has ended
 //     by then. (Lead; without the wait the same test finds it)
 //  4. What comes back is told as what was spent of a part, at the end: the member spends no more of it before it says so, and to hear it
 //     twice is to hear it once. (Taker.Ask, Divider.Ask; where it comes back before, the same test finds it)
+//     The member takes an answer that is heard twice for one part. (Taker.Told; TestSharesOfAGroup)
 //  5. A limit that gets lower counts from the next question on: what is out ends within a period, and nothing is given until what is out
 //     is below it. So the bound after a change is the larger of both limits for one period at most. (Divider.Change)
 //  6. Floors do not change under a name, and need no word of anybody: a member that is told nothing uses its floor, alone or with all.
