News of the servers are here in 6 s whatever failed before; a list may come over several lines

Need: whatever failed before, a change counts as told 6 s after discovery had it and could be reached. Seen (TestNewsComeInTime, a whole sidecar in virtual time, on the code before): six of ten plays are late: a watch that falls silent after a line, a call that is taken and never answered, one that opens without a list, half a list, an older list, and those after failures. A list over several lines ended the watch with 'unexpected end of JSON input', each time anew (TestWatchEnds/indented): nothing was ever told. Lines at fault: discovery.go, watchSilence 3.5 s and callTimeout 4 s, whose sum with the pause leaves no time for the answer, and bufio.Scanner, for which a message is a line; balance/list.go, a pause that grew to 8 s and began only after a call that had hung for 4 s; core/members.go took a list of any generation, and of any deployment. Change: silence is noticed after 2.5 s (an empty line comes every 2 s), a call is given up after 3.1 s (discovery does so after 3 s), the pause counts from the beginning of the failed call and grows to 1.5 s, and is 0.25 s at least, jittered, so that hundreds do not come together. The sum stands in package discovery. Messages are decoded from the stream; a part of one is no sign of life. member.Cursor (pure) says which lists count: an older one is passed over once, and all there is asked for then counts, for a source may count anew; one without a server of a zone or a kind that the settings name is another deployment's. The list held stays, and one line is logged. Ruled out: resets, 503s and dials that hang were in time before, at 2.4 s an answer, by luck of the capped pause (ask_within / 3). Not done: to send nothing new to servers that are not confirmed. Where discovery is down nobody is told anything, and a sidecar cannot tell that from a watch that failed; it would refuse all for as long as it is away.

--- a/balance/list.go
+++ b/balance/list.go
@@ -5,7 +5,10 @@
 // The list of servers: when to ask for it, and what its news change.
 
 // ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists.
-func (b *Balancer) ask() { b.emit(Action{Kind: Watch}) }
+func (b *Balancer) ask() {
+	b.askedAt = b.now
+	b.emit(Action{Kind: Watch})
+}
 
 func (b *Balancer) onList(ev ServerList) {
 	switch ev.Kind {
@@ -46,15 +49,20 @@
 	}
 }
 
-// askAgain calls again after a growing, jittered pause, within the limit on sidecars not subscribed. Where
-// lists are pushed, an agent beside the sidecar has them: to ask costs nothing, what it has counts as told.
+// askAgain calls again after a growing, jittered pause, which counts from the failed call on: one that hung
+// has been a pause. It is bounded, as news count as told 6 s after discovery is back, and within the limit on
+// sidecars not subscribed. Where lists are pushed, an agent beside the sidecar has them: to ask costs
+// nothing, what it has counts as told.
 func (b *Balancer) askAgain() {
-	pause := askPause * float64(int(1)<<min(b.asks, 4))
+	least, pause := float64(askPause), math.Min(askPause*float64(int(1)<<min(b.asks, 4)), mostPause)
 	if !b.cfg.Subscribe {
-		pause = bound(b.cfg.DrainGrace/10, agentPause, askPause)
+		least = bound(b.cfg.DrainGrace/10, agentPause, askPause)
+		pause = least
 	} else if b.cfg.AskWithin > 0 {
 		pause = math.Min(pause, b.cfg.AskWithin/3)
 	}
 	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.rng.Float64()/2)})
+	jitter := 0.5 + b.rng.Float64()/2
+	left := math.Max(pause*jitter-(b.now-b.askedAt), math.Min(least, pause)*jitter)
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: left})
 }
--- a/balance/parameters.go
+++ b/balance/parameters.go
@@ -43,5 +43,6 @@
 	leastHold    = 0.05 // part of the aim for which a refused client is to hold off at least
 	mostHold     = 0.25 // ... and at most: else its later try is too late
 	askPause     = 500  // ms before a failed list call is made again; doubles each time
+	mostPause    = 1500 // ... up to this
 	agentPause   = 50   // ... where lists are pushed, or a tenth of the grace for drains
 )
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,6 +31,7 @@
 	learned float64         // times learn was called
 	drift   float64         // mean step of learn
 	asks    int             // failed list calls in a row
+	askedAt float64         // when the last call was made
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
--- a/internal/core/legacy.go
+++ b/internal/core/legacy.go
@@ -72,7 +72,7 @@
 	done := make(chan struct{})
 	l.post(func() {
 		defer close(done)
-		whole := member.List{Generation: l.generation, Whole: true}
+		whole := member.List{Generation: l.cursor.Held(), Whole: true}
 		for _, id := range slices.Sorted(maps.Keys(l.listed)) {
 			whole.Instances = append(whole.Instances, l.listed[id])
 		}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -40,18 +40,18 @@
 	ended  chan struct{}
 
 	// Owned by the loop's goroutine.
-	ctx        context.Context
-	source     member.Source
-	timers     timers
-	requests   map[balance.RequestID]*request
-	ids        ids
-	lastID     balance.RequestID
-	servers    map[balance.ServerID]*server
-	listed     map[string]member.Instance // by id, all that are not gone
-	generation uint64
-	ready      bool // a server was known that takes requests
-	stopWatch  context.CancelFunc
-	later      []func() // outcomes that an action had at once
+	ctx       context.Context
+	source    member.Source
+	timers    timers
+	requests  map[balance.RequestID]*request
+	ids       ids
+	lastID    balance.RequestID
+	servers   map[balance.ServerID]*server
+	listed    map[string]member.Instance // by id, all that are not gone
+	cursor    member.Cursor
+	ready     bool // a server was known that takes requests
+	stopWatch context.CancelFunc
+	later     []func() // outcomes that an action had at once
 }
 
 // New makes a loop; Run runs it.
@@ -72,8 +72,13 @@
 	if legacy != nil && legacy.Source == l.source.Name() {
 		l.config.Known = legacy.List
 	}
-	l.generation = l.config.Known.Generation // the first watch, begun by Start, asks for what came after it
-	l.carryOut(l.b.Start(l.clock.now()))
+	l.cursor = member.Cursor{Zones: l.config.Zones, Kinds: l.config.Kinds}
+	l.config.Known.Whole = true
+	if err := l.cursor.Take(l.config.Known); err != nil {
+		l.log.Warn("the list last known is not taken", "err", err)
+		l.config.Known = member.List{}
+	}
+	l.carryOut(l.b.Start(l.clock.now())) // the first watch asks for what came after it
 	l.list(l.config.Known, balance.ListCached)
 	if legacy != nil {
 		l.inherit(legacy)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -23,7 +23,7 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	after, source := l.generation, l.source
+	after, source := l.cursor.After(), l.source
 	go func() {
 		err := source.Watch(ctx, after, func(c member.List) {
 			l.post(func() {
@@ -48,15 +48,21 @@
 	go func() {
 		c, err := source.Fetch(l.ctx)
 		l.post(func() {
-			if source == l.source && (err != nil || c.Generation >= l.generation) {
+			if source == l.source && (err != nil || c.Generation >= l.cursor.Held()) {
 				l.called(c, err)
 			}
 		})
 	}()
 }
 
-// called takes in what a call to the source brought.
+// called takes in what a call to the source brought. Where that does not count the list held stays, and the call has failed.
 func (l *Loop) called(c member.List, err error) {
+	if err == nil {
+		if err = l.cursor.Take(c); err != nil && l.stopWatch != nil { // else the next message would build on it
+			l.stopWatch()
+			l.stopWatch = nil
+		}
+	}
 	if err != nil {
 		l.log.Info("discovery", "err", err)
 		l.tell(balance.ServerList{Kind: balance.ListFailed})
@@ -72,9 +78,8 @@
 // states are the module's names for the states of servers.
 var states = [...]balance.State{member.Up: balance.Ready, member.Draining: balance.Draining, member.Removed: balance.Gone}
 
-// list takes in news of the servers.
+// list takes in news of the servers that count.
 func (l *Loop) list(c member.List, kind balance.ListKind) {
-	l.generation = c.Generation
 	listed, before := map[balance.ServerID]bool{}, l.ready
 	ev := balance.ServerList{Kind: kind}
 	for i := range c.Instances {
@@ -137,7 +142,8 @@
 		if !moved {
 			return
 		}
-		l.source, l.generation = source, 0
+		l.source = source
+		l.cursor.Restart()
 		l.watch()
 	})
 }
--- a/internal/member/discovery/discovery.go
+++ b/internal/member/discovery/discovery.go
@@ -1,11 +1,23 @@
 // Package discovery is the platform's discovery service as a source of members: a watch that tells changes, and calls
 // for the whole list, over HTTP. It decides neither when to call nor what to do about a failure. A message is taken
 // whole or not at all.
+//
+// What discovery has and could tell must be here 6 s later, whatever failed before. The worst cases, where the module pauses
+// for at most 0.5 s, or 1.5 s from the beginning of a call that failed soon, and an answer takes a:
+//
+//	a watch falls silent just after a line      2.5 s of silence + 0.5 s + a
+//	a call is taken and not answered            3.1 s until it is given up + 0.5 s + a
+//	a watch opens and says no first message     the same 3.1 s: they count to the first message
+//	discovery is back after a long time         1.5 s + a, dials that hang included
+//	another address by SIGHUP                   a: the call to the old one is given up
+//
+// so a may be 2.3 s in each of them, with 0.1 s to spare. TestNewsComeInTime plays them.
 package discovery
 
 import (
-	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,11 +33,10 @@
 
 const (
 	maxMessage = 4 << 20 // bytes of one message of discovery
-	// An empty line comes every 2 s. A watch that is silent for longer than this is dead: what it should have
-	// told counts as told after 6 s, and the next call takes its time.
-	watchSilence = 3500 * time.Millisecond
-	dialTime     = time.Second
-	callTimeout  = 4 * time.Second // discovery answers late, but gives a call up after 3 s itself
+	// watchSilence is after what silence a watch is taken for dead. An empty line comes every 2 s.
+	watchSilence = 2500 * time.Millisecond
+	dialTime     = time.Second             // of callTimeout
+	callTimeout  = 3100 * time.Millisecond // until the first list; discovery answers late, but gives a call up after 3 s itself
 )
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -106,11 +117,12 @@
 	return Parse(raw)
 }
 
-// Watch hands each message to tell until the watch ends, breaks, talks nonsense or falls silent.
+// Watch hands each message to tell until the watch ends, breaks, talks nonsense or falls silent. A message may take several
+// lines; it is taken when its last brace has come.
 func (d *Source) Watch(ctx context.Context, after uint64, tell func(member.List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(callTimeout, func() { cancel(errors.New("silent")) })
+	silent := time.AfterFunc(callTimeout, func() { cancel(errSilent) })
 	defer silent.Stop()
 	body, err := d.get(ctx, url.Values{"watch": {"1"}, "after": {strconv.FormatUint(after, 10)}})
 	if err != nil {
@@ -120,21 +132,44 @@
 	if d.Opened != nil {
 		d.Opened()
 	}
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 1<<16), maxMessage)
-	for lines.Scan() {
-		silent.Reset(d.silence)
-		if len(lines.Bytes()) == 0 {
-			continue
+	alive := func() { silent.Reset(d.silence) }
+	stream := &stream{body: body, empty: alive}
+	for messages := json.NewDecoder(stream); ; {
+		var raw json.RawMessage
+		if err := messages.Decode(&raw); err == io.EOF {
+			return errors.New("watch: ended")
+		} else if err != nil {
+			return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 		}
-		c, err := Parse(lines.Bytes())
+		stream.read = 0
+		c, err := Parse(raw)
 		if err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
+		alive()
 		tell(c)
 	}
-	if err := errors.Join(lines.Err(), context.Cause(ctx)); err != nil {
-		return fmt.Errorf("watch: %w", err)
+}
+
+var (
+	errSilent  = errors.New("silent")
+	errTooLong = fmt.Errorf("a message over %d MiB", maxMessage>>20)
+)
+
+// stream is a watch as it comes: messages with empty lines between them. A part of a message is no sign of life: one that
+// comes in drops would hide that nothing new arrives.
+type stream struct {
+	body  io.Reader
+	read  int    // bytes since the last whole message
+	empty func() // something came that is an empty line
+}
+
+func (s *stream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if n > 0 && len(bytes.TrimSpace(p[:n])) == 0 {
+		s.empty()
+	} else if s.read += n; s.read > maxMessage {
+		return 0, errTooLong
 	}
-	return errors.New("watch: ended")
+	return n, err
 }
--- a/internal/member/discovery/discovery_test.go
+++ b/internal/member/discovery/discovery_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +16,13 @@
 	"petrelhook/internal/peertest"
 )
 
+// indented is a list as some write it.
+func indented(list string) string {
+	var out bytes.Buffer
+	json.Indent(&out, []byte(list), "", "  ")
+	return out.String()
+}
+
 // However a watch goes wrong, it ends with an error, and what came before was told.
 func TestWatchEnds(t *testing.T) {
 	list := peertest.Catalog(7, true, peertest.Instance("s", "127.0.0.1:1", "up"))
@@ -23,6 +32,10 @@
 		told   int
 	}{
 		"refused":         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false, 0},
+		"indented":        {"HTTP/1.1 200 OK\r\n\r\n" + indented(list) + "\n\n", false, 1},
+		"two at once":     {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n\n" + indented(list) + "\n", false, 2},
+		"half a list":     {"HTTP/1.1 200 OK\r\n\r\n" + list[:len(list)/2], false, 0},
+		"half, silent":    {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n" + indented(list)[:len(list)/2], true, 1},
 		"ended":           {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n\n", false, 1},
 		"silent":          {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n", true, 1},
 		"no JSON":         {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n{", false, 1},
@@ -52,7 +65,7 @@
 
 // A dead watch must be given up, and the next one begun, before its news counts as told after 6 s.
 func TestSilenceIsNoticedInTime(t *testing.T) {
-	if watchSilence <= 2*time.Second || watchSilence > 4*time.Second {
+	if watchSilence <= 2*time.Second || watchSilence >= 3*time.Second {
 		t.Errorf("%v, where an empty line comes every 2 s", watchSilence)
 	}
 }
