Nothing begins for a client that has gone, and a close takes no answer with it

Change: whoever is about to write a request's first byte looks whether its client has gone (front.Request.Gone, one peek at the socket); what has not begun is claimed by the hang-up whatever the settings say. Connections with unacknowledged bytes are not closed for being idle, and one that ends with some waits up to 0.5 s for its client. Only HTTP/1.0 answers without a length end by reset. Ruled out: a late connection after its attempt's end (pooled clean, tested); a request read in the moment of a close by the door (dropped under the door's lock since before).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -34,7 +34,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	c := &upstream.Call{Message: r.Message, Expires: r.deadline}
+	c := &upstream.Call{Message: r.Message, Expires: r.deadline, Gone: r.gone}
 	if r.Message.Rest != nil {
 		c.Expires, c.Wait = time.Time{}, r.Wait
 	}
@@ -104,6 +104,10 @@
 	r := at.r
 	r.out--
 	at.clean = out.Result.NeverRan()
+	if errors.Is(out.Err, upstream.ErrGone) && !r.closed { // seen here before its front could tell
+		r.closed = true
+		r.answer <- answer{err: front.ErrGone}
+	}
 	if out.Result == upstream.Served && !r.closed {
 		r.closed = true
 		r.answer <- answer{Answer: front.Answer{Verdict: front.Served, Reply: out.Reply}}
@@ -111,7 +115,7 @@
 		out.Reply.Done()
 	}
 	took := time.Since(at.sent)
-	givenUp := out.Result == upstream.Cancelled && (out.Err == nil || errors.Is(out.Err, context.Canceled))
+	givenUp := errors.Is(out.Err, context.Canceled) || errors.Is(out.Err, upstream.ErrGone)
 	if out.Result != upstream.Served && !givenUp {
 		name := ""
 		if at.to != nil {
@@ -135,9 +139,12 @@
 		return
 	}
 	at := r.attempts[a.Attempt]
-	at.call.Claim()
+	result := upstream.Cancelled
+	if at.call.Claim() { // nothing of it has left
+		result = upstream.Moot
+	}
 	at.cancel()
-	l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: upstream.Cancelled}) })
+	l.later = append(l.later, func() { l.attemptEnded(at, upstream.Outcome{Result: result, Err: context.Canceled}) })
 }
 
 func (l *Loop) probe(id balance.ServerID) {
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -63,6 +63,9 @@
 	if e.s.cutOff.Load() {
 		<-ctx.Done()
 	}
+	if c.Gone() {
+		return upstream.Outcome{Result: upstream.Moot, Err: upstream.ErrGone}
+	}
 	if !c.Claim() {
 		return upstream.Outcome{Result: upstream.Moot}
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -7,6 +7,7 @@
 
 	"petrelhook/balance"
 	"petrelhook/internal/front"
+	"petrelhook/internal/upstream"
 )
 
 // answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
@@ -36,6 +37,7 @@
 	window   float64 // ms
 	deadline time.Time
 	answer   chan answer // takes one
+	gone     func() bool // its client has gone; whoever is about to send asks, for the hang-up may wait behind much else
 	closed   bool
 	attempts []*attempt
 	timers   []*timer // the module's
@@ -51,6 +53,7 @@
 // Answer hands a request in and waits for its answer, as front.Core says.
 func (l *Loop) Answer(ctx context.Context, in front.Request) (front.Answer, error) {
 	r := &request{Request: in, answer: make(chan answer, 1)}
+	r.gone = func() bool { return ctx.Err() != nil || in.Gone != nil && in.Gone() }
 	l.post(func() { l.accept(r) })
 	select {
 	case a := <-r.answer:
@@ -129,12 +132,18 @@
 		return
 	}
 	r.closed = true
+	for _, at := range r.attempts { // what has not begun does not begin any more, whether or not attempts may be cancelled
+		if !at.done && at.call.Claim() {
+			at.cancel()
+			l.attemptEnded(at, upstream.Outcome{Result: upstream.Moot, Err: upstream.ErrGone})
+		}
+	}
 	l.tell(balance.HangUp{Request: r.id})
 	l.removeIfOver(r)
 }
 
 func (l *Loop) removeIfOver(r *request) {
-	if r.closed && r.out == 0 {
+	if r.closed && r.out == 0 && l.requests[r.id] == r {
 		l.remove(r)
 	}
 }
--- /dev/null
+++ b/internal/door/close_test.go
@@ -0,0 +1,94 @@
+package door
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"petrelhook/internal/admit"
+	"petrelhook/internal/peertest"
+)
+
+// much is more than the client's socket takes of an answer that nobody reads, and all of it fits into the server's.
+const much = 2 << 20
+
+// slowReader serves answers of that length, each in one write, and a client with a small buffer that has asked for one and reads
+// nothing yet. With last the answer ends the connection. written is closed when the handler has returned.
+func slowReader(t *testing.T, last bool) (d *Door, c net.Conn, in *bufio.Reader, written chan struct{}) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, written = New(inner, admit.Config{Places: 1, Horizon: time.Second}, time.Second), make(chan struct{}, 9)
+	server := &http.Server{ConnState: func(nc net.Conn, s http.ConnState) {
+		if s == http.StateNew { // all of an answer fits into this side's buffer
+			nc.(*client).Conn.(*net.TCPConn).SetWriteBuffer(2 * much)
+		}
+		if d.State(nc, s); s == http.StateIdle || s == http.StateClosed {
+			written <- struct{}{}
+		}
+	}, ConnContext: d.Context, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		d.Answers(req.Context())
+		if last {
+			w.Header().Set("Connection", "close")
+		}
+		size, _ := strconv.Atoi(req.URL.Path[1:])
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		w.Write(make([]byte, size))
+	})}
+	go server.Serve(d)
+	t.Cleanup(func() { server.Close() })
+	c, in = peertest.Open(t, inner.Addr().String())
+	c.(*net.TCPConn).SetReadBuffer(256 << 10)
+	io.WriteString(c, get(strconv.Itoa(much)))
+	return d, c, in, written
+}
+
+// whole reads one answer to its end.
+func whole(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != resp.ContentLength || err != nil {
+		t.Fatalf("%d of %d bytes, %v", n, resp.ContentLength, err)
+	}
+}
+
+// A connection on which the client's machine lacks some of the last answer is not closed for having no request: the next may be
+// on its way, and would reset the rest away. Both orders: the close before the next request, and after the answer was taken.
+func TestAnAnswerOnItsWayIsNotResetAway(t *testing.T) {
+	d, c, in, written := slowReader(t, false)
+	peertest.Wait(t, written)
+	d.CloseIdlers(0)
+	if d.place(c) != nil { // nor to make room
+		t.Error("it made room")
+	}
+	io.WriteString(c, get("2"))
+	whole(t, in)
+	whole(t, in)
+	peertest.Wait(t, written)
+	peertest.Eventually(t, "it is closed when all has arrived", func() bool { d.CloseIdlers(0); return d.Open() == 0 })
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("%v", err)
+	}
+}
+
+// The last answer of a connection, with bytes of the client unread behind its request: they reset nothing away.
+func TestALastAnswerIsTakenWhole(t *testing.T) {
+	d, c, in, written := slowReader(t, true)
+	peertest.Wait(t, written)
+	io.WriteString(c, get("2"))
+	whole(t, in)
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("%v", err)
+	}
+	c.Close()
+	peertest.Eventually(t, "its place is free", func() bool { return d.Open() == 0 })
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -2,20 +2,26 @@
 // connection whether a request is open on it, not what is in it.
 //
 // Invariants: no more than the given number of connections are open, besides some that are being turned away; Accept
-// never waits for any of them; a connection with a request open or with bytes unread is never closed to make room.
+// never waits for any of them; a connection with a request open, with bytes unread, or with a part of an answer that the client's
+// machine does not have yet is never closed to make room. Of a request that is read after that nothing is passed on, and a close
+// over unread bytes takes no answer with it. A client that has gone is noticed whatever it sent before.
 package door
 
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/admit"
 	"petrelhook/internal/message"
+	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 )
 
@@ -29,6 +35,7 @@
 // or gets a prompt 503. Accept never waits for any of them: clients that say nothing must not stop the others.
 type Door struct {
 	net.Listener
+	Room *room.Room    // the account of what is held that clients send ahead; nil: no bound on all of them together
 	in   time.Duration // within which a request must be in
 	away chan struct{}
 
@@ -39,7 +46,12 @@
 // client is a connection of the application.
 type client struct {
 	net.Conn
-	b *Door
+	b      *Door
+	cancel context.CancelFunc // ends what is done for its requests
+	ahead  ahead
+	ended  atomic.Bool // the client's end has been seen
+
+	unfinished atomic.Bool // an end of it now would pass for that of an answer
 
 	// Guarded by Door.mu:
 	place  admit.Conn
@@ -82,7 +94,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	c := &client{Conn: nc, b: b, due: now.Add(b.in)}
+	c := &client{Conn: nc, b: b, due: now.Add(b.in), cancel: func() {}}
 	c.place.Owner = c
 	victim, taken := b.admit.Come(&c.place, now, func(p *admit.Conn) bool { return p.Owner.(*client).spare() })
 	if victim != nil {
@@ -104,7 +116,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.admit.Answers(&c.place, time.Now())
+	return b.admit.Answers(&c.place, time.Now()) || c.ahead.dropped()
 }
 
 // Open is how many connections hold a place.
@@ -149,6 +161,9 @@
 	if !ok {
 		return
 	}
+	if s == http.StateIdle {
+		c.ahead.next()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch now := time.Now(); s {
@@ -167,24 +182,66 @@
 // connection would pass for one that asks for nothing and can be closed at no loss. What was read at the moment at which the
 // door closed the connection is dropped: nothing may come of a request that cannot be answered any more.
 func (c *client) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.b.mu.Lock()
-		defer c.b.mu.Unlock()
-		if c.closed {
-			return 0, net.ErrClosed
+	n, err := c.ahead.take(p, c.b.free)
+	if n == 0 && err == nil {
+		if n, err = c.Conn.Read(p); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.ended.Store(true)
 		}
-		c.begun = true
-		c.head.add(p[:n], len(p) == 1)
+	}
+	if n == 0 {
+		return n, err
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.begun = true
+	if c.head.add(p[:n], len(p) == 1) { // net/http has seen that more follows, and looks no further
+		c.sawAhead()
 	}
 	return n, err
 }
 
+// gone: the client's end has been seen. What is done for it ends.
+func (c *client) gone() {
+	c.ended.Store(true)
+	c.cancel()
+}
+
+// Gone looks whether the client of a handler's request has gone, also where nobody was told yet.
+func (b *Door) Gone(ctx context.Context) bool {
+	c, ok := ctx.Value(clientKey{}).(*client)
+	return ok && (c.ended.Load() || sock.Ended(c.Conn))
+}
+
+// Unfinished says whether an answer is under way on the connection of a handler's request whose end is that of the connection:
+// one that breaks off then ends by a reset, for nobody may take it for whole.
+func (b *Door) Unfinished(ctx context.Context, is bool) {
+	if c, ok := ctx.Value(clientKey{}).(*client); ok {
+		c.unfinished.Store(is)
+	}
+}
+
+// hold asks for room for what comes ahead.
+func (b *Door) hold(n int64) bool { return b.Room == nil || b.Room.Try(n) }
+
+// free gives back what was held ahead.
+func (b *Door) free(n int64) {
+	if b.Room != nil && n > 0 {
+		b.Room.Give(n)
+	}
+}
+
 // idle reports whether nothing of a request has come. The caller holds Door.mu.
-func (c *client) idle() bool { return !c.begun && sock.Quiet(c.Conn) }
+func (c *client) idle() bool { return !c.begun && c.quiet() }
 
 // spare reports whether no whole head has come: what there is may be given up for another. The caller holds Door.mu.
-func (c *client) spare() bool { return !c.head.whole && sock.Quiet(c.Conn) }
+func (c *client) spare() bool { return !c.head.whole && c.quiet() }
+
+// quiet reports whether a close takes nothing with it: a request that comes in this moment resets the connection, and what the
+// client's machine does not have by then of an answer is lost.
+func (c *client) quiet() bool { return sock.Quiet(c.Conn) && !sock.Unsent(c.Conn) }
 
 // head is the head of the present request as it came, unless the request came in one piece with the one before it. It is
 // guarded by Door.mu.
@@ -201,12 +258,14 @@
 	return len(h.text) > 0
 }
 
-func (h *head) add(p []byte, single bool) {
+// add takes in what came, and reports whether it is a byte ahead.
+func (h *head) add(p []byte, single bool) (ahead bool) {
 	if h.whole && single {
 		h.ahead = append(h.ahead, p...)
+		return true
 	}
 	if h.whole || len(h.text) > message.MaxHead {
-		return
+		return false
 	}
 	before := max(0, len(h.text)-3) // the end may lie across two reads
 	h.text = append(h.text, p...)
@@ -215,6 +274,7 @@
 			h.text, h.whole = h.text[:before+i+len(end)], true
 		}
 	}
+	return false
 }
 
 // Head is the head of a handler's request as it came; nil where it did not come on its own.
@@ -232,8 +292,11 @@
 type clientKey struct{}
 
 // Context lets a handler know the request's connection; it is for http.Server.ConnContext.
-func (b *Door) Context(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientKey{}, c)
+func (b *Door) Context(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*client); ok {
+		ctx, c.cancel = context.WithCancel(ctx)
+	}
+	return context.WithValue(ctx, clientKey{}, nc)
 }
 
 // Due is when the request of a handler's context must be in.
@@ -247,7 +310,11 @@
 	return c.due
 }
 
-// Close gives the connection's place free.
+// lingerTime is how long a connection that has ended waits for its client to take the rest of its last answer.
+const lingerTime = 500 * time.Millisecond
+
+// Close gives the connection's place free, at once or when its client has its last answer: bytes that are unread, or still come,
+// would reset that away.
 func (c *client) Close() error {
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
@@ -255,8 +322,29 @@
 		return nil
 	}
 	c.closed = true
-	c.b.admit.Gone(&c.place, time.Now())
-	return c.Conn.Close()
+	c.cancel()
+	c.ahead.drop(c.b.free)
+	now := time.Now()
+	if c.unfinished.Load() {
+		c.b.admit.Gone(&c.place, now)
+		return sock.Abort(c.Conn)
+	}
+	t, half := c.Conn.(closeWriter)
+	if c.ended.Load() || !half || !sock.Unsent(c.Conn) {
+		c.b.admit.Gone(&c.place, now)
+		return c.Conn.Close()
+	}
+	c.b.admit.Leaves(&c.place, now)
+	t.CloseWrite()
+	c.Conn.SetReadDeadline(now.Add(lingerTime))
+	go func() {
+		io.Copy(io.Discard, c.Conn)
+		c.b.mu.Lock()
+		defer c.b.mu.Unlock()
+		c.b.admit.Gone(&c.place, time.Now())
+		c.Conn.Close()
+	}()
+	return nil
 }
 
 // CloseWrite ends the sending side, which net/http does some time before it closes: a close with bytes unread would
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,7 @@
 	Arrived       time.Time
 	Wait          time.Duration // for how long from Arrived the client waits
 	Message       message.Request
+	Gone          func() bool // looks whether its client has gone, which may not have been told yet; nil: nobody can look
 }
 
 // Verdict is the kind of an answer.
@@ -63,7 +64,7 @@
 type Core interface {
 	// Answer waits for a request's answer. Where ctx ends first the client has gone: nothing more is sent for the
 	// request, and the error is the context's. ErrInUse and ErrInvalid mean that the request was not taken, so nothing
-	// of it ran; ErrEnded that the core has ended, and nothing is known of it. Whoever has written a Reply calls its Done.
+	// of it ran; ErrEnded that the core has ended, and nothing is known of it; ErrGone is for Request.Gone. Whoever has written a Reply calls its Done.
 	Answer(ctx context.Context, r Request) (Answer, error)
 }
 
@@ -72,4 +73,5 @@
 	ErrInUse   = errors.New("trace id in use")
 	ErrInvalid = errors.New("the request cannot be taken")
 	ErrEnded   = errors.New("the sidecar has ended")
+	ErrGone    = errors.New("the client has gone")
 )
--- /dev/null
+++ b/internal/front/platform/gone_test.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"petrelhook/internal/front"
+	"petrelhook/internal/message"
+	"petrelhook/internal/peertest"
+)
+
+// ends are the ways in which a client goes.
+var ends = map[string]func(net.Conn){
+	"closes":      func(c net.Conn) { c.Close() },
+	"half-closes": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	"resets":      func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+}
+
+// A client that goes while its request is in work is noticed then, whatever it sent after the request: with one byte of a next
+// one net/http looks no further, and would tell with the answer.
+func TestAClientThatHasGoneIsNoticed(t *testing.T) {
+	for sent, text := range map[string]string{
+		"nothing more":       "",
+		"a byte more":        "G",
+		"another request":    look("next"),
+		"a hundred of them":  strings.Repeat(look("next"), 100),
+		"a flood of garbage": strings.Repeat("\x00garbage", 100_000),
+	} {
+		for how, end := range ends {
+			t.Run(sent+", "+how, func(t *testing.T) {
+				taken, noticed := make(chan front.Request, 1), make(chan struct{})
+				r := newRig(t, func(ctx context.Context, req front.Request) (front.Answer, error) {
+					if req.Trace == "first" {
+						taken <- req
+						<-ctx.Done()
+						close(noticed)
+					}
+					return front.Answer{}, ctx.Err()
+				})
+				c, _ := peertest.Open(t, r.addr)
+				io.WriteString(c, look("first"))
+				req := peertest.Wait(t, taken)
+				if req.Gone() {
+					t.Error("gone while it waits")
+				}
+				io.WriteString(c, text)
+				end(c)
+				peertest.Wait(t, noticed)
+				peertest.Eventually(t, "the loop can see it too", req.Gone)
+				peertest.Eventually(t, "nothing is held", func() bool { return r.room.Held() == 0 })
+			})
+		}
+	}
+}
+
+// What a client sends ahead of an answer is not lost by being read early: each is answered, in order.
+func TestRequestsAheadAreAnsweredInOrder(t *testing.T) {
+	taken, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(_ context.Context, req front.Request) (front.Answer, error) {
+		if req.Trace == "1" {
+			close(taken)
+			<-release
+		}
+		return front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte(req.Trace + string(req.Message.Body))}}, nil
+	})
+	c, in := peertest.Open(t, r.addr)
+	io.WriteString(c, look("1"))
+	peertest.Wait(t, taken)
+	io.WriteString(c, look("2")+strings.Replace(look("3"), "GET", "G", 1)[:1]) // a request, and a byte of the next
+	body := strings.Repeat("x", 40_000)
+	io.WriteString(c, look("3")[1:]+"POST /once HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 4\r\nX-Qos: once\r\nContent-Length: 40000\r\n\r\n"+body+look("5"))
+	peertest.Eventually(t, "they are read ahead", func() bool { return r.room.Held() > 40_000 })
+	close(release)
+	for _, want := range []string{"1", "2", "3", "4" + body, "5"} {
+		if resp, got := peertest.Answer(t, in); resp.StatusCode != 200 || got != want {
+			t.Fatalf("%d, %.20q, want %.20q", resp.StatusCode, got, want)
+		}
+	}
+	peertest.Eventually(t, "nothing is held", func() bool { return r.room.Held() == 0 })
+}
+
+// An answer that breaks off on its way is not taken for whole: over HTTP/1.0, where it says no length, by the reset alone.
+func TestACutAnswerIsNotWhole(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		for cut, rest := range map[bool]error{true: errors.New("reset"), false: io.EOF} {
+			r := newRig(t, func(context.Context, front.Request) (front.Answer, error) {
+				return front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte("hi"), Rest: &restOf{rest}, Size: -1}}, nil
+			})
+			c, in := peertest.Open(t, r.addr)
+			io.WriteString(c, strings.Replace(look("t"), "HTTP/1.1", "HTTP/"+version+"\r\nConnection: close", 1))
+			got, err := io.ReadAll(in)
+			whole := err == nil && (version == "1.0" || strings.HasSuffix(string(got), "0\r\n\r\n"))
+			if whole == cut || !whole && version == "1.0" && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("HTTP/%s, cut %v: %q, %v", version, cut, got, err)
+			}
+		}
+	}
+}
+
+// restOf is the rest of an answer that ends in some way.
+type restOf struct{ err error }
+
+func (f *restOf) Read([]byte) (int, error) { return 0, f.err }
+func (f *restOf) Close() error             { return nil }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -72,6 +72,7 @@
 func New(c Settings, core front.Core, life *lifecycle.Machine, log *slog.Logger) *Server {
 	s := &Server{core: core, life: life, settings: c, classes: map[string]int{}, after: time.After}
 	s.clients = door.New(nil, c.Door, bodyTime)
+	s.clients.Room = c.Room
 	for i, class := range c.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -177,6 +178,9 @@
 	}
 	in.Arrived = arrived
 	ctx := req.Context()
+	if in.Message.Rest == nil { // else what it sends may still be unread
+		in.Gone = func() bool { return s.clients.Gone(ctx) }
+	}
 	if b != nil {
 		in.Arrived = time.Now() // its last byte, if it is whole
 		defer b.give()
@@ -195,7 +199,9 @@
 		b.pump(cancel)
 		defer b.halt()
 	}
+	answered := s.clients.Follow(req.Context())
 	a, err := s.core.Answer(ctx, in)
+	answered()
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stall)) // its body may have come for long
 	if b != nil && !b.ended.Load() {                                      // an answer that is passed on may end after the body; else what is left is not read
 		w.Header().Set("Connection", "close")
@@ -209,7 +215,10 @@
 		if !s.leaves(w) && s.clients.Answers(req.Context()) {
 			w.Header().Set("Connection", "close")
 		}
+		bare := a.Reply.Rest != nil && a.Reply.Size < 0 && !req.ProtoAtLeast(1, 1) // only the connection's end says where it ends
+		s.clients.Unfinished(req.Context(), bare)
 		write(w, a)
+		s.clients.Unfinished(req.Context(), false)
 	case errors.Is(err, front.ErrInUse):
 		reject(w, err.Error(), http.StatusConflict)
 	case errors.Is(err, front.ErrInvalid):
--- a/internal/rig/memnet/conn.go
+++ b/internal/rig/memnet/conn.go
@@ -233,6 +233,14 @@
 		(len(c.segments) == 0 || !arrived(c.segments[0].due, now))
 }
 
+// Ended reports whether the peer's end, or a reset, has arrived behind everything else.
+func (c *Conn) Ended() bool {
+	c.wire.mu.Lock()
+	defer c.wire.mu.Unlock()
+	now := time.Now()
+	return c.closed || arrived(c.reset, now) || arrived(c.end, now) && len(c.segments) == 0
+}
+
 // LocalAddr is this side's address.
 func (c *Conn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -15,21 +15,48 @@
 	if q, ok := c.(interface{ Quiet() bool }); ok { // a connection that knows it itself, as those in memory do
 		return q.Quiet()
 	}
+	_, err := peek(c)
+	return err == syscall.EAGAIN
+}
+
+// Ended reports whether the peer has ended its sending, or the connection, and nothing before that is still unread. It does
+// not wait.
+func Ended(c net.Conn) bool {
+	if e, ok := c.(interface{ Ended() bool }); ok {
+		return e.Ended()
+	}
+	n, err := peek(c)
+	return n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR && err != errors.ErrUnsupported
+}
+
+// peek looks for a byte that is unread.
+func peek(c net.Conn) (n int, err error) {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
-	raw, err := t.SyscallConn()
-	if err != nil {
+	failed := control(t, func(fd int) error {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err
+	})
+	return n, failed
+}
+
+// Unsent reports whether the peer's machine lacks some of what was written; where that cannot be told it lacks nothing.
+func Unsent(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
 		return false
 	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
+	var n int32
+	failed := control(t, func(fd int) error {
+		if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n))); errno != 0 {
+			return errno
+		}
+		return nil
 	})
-	return err == nil && open
+	return failed == nil && n > 0
 }
 
 // reusePort is SO_REUSEPORT, which package syscall does not name on every architecture; it is the same on those of Linux
@@ -82,8 +109,9 @@
 	return control(ln, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, detachReusePortBPF, 0) })
 }
 
-func control(ln net.Listener, f func(fd int) error) error {
-	c, ok := ln.(syscall.Conn)
+// control has f called with the descriptor of what holds one.
+func control(of any, f func(fd int) error) error {
+	c, ok := of.(syscall.Conn)
 	if !ok {
 		return errors.ErrUnsupported
 	}
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -153,8 +153,12 @@
 	if err != nil {
 		return upstream.Outcome{Result: upstream.ConnectFailed, Err: err}
 	}
-	// A connection may take long to come up: meanwhile the server may have begun to drain, the request's
-	// time or the time in which its key is known may have passed. Nothing was sent yet, so nothing ran.
+	// A connection may take long to come up: meanwhile the client may have gone, the server may have begun to drain, the
+	// request's time or the time in which its key is known may have passed. Nothing was sent yet, so nothing ran.
+	if c.Gone != nil && c.Gone() {
+		u.park(cn)
+		return upstream.Outcome{Result: upstream.Moot, Err: upstream.ErrGone}
+	}
 	now := time.Now()
 	if e.over(now) || !c.Begin.IsZero() && !now.Before(c.Begin) || !c.Expires.IsZero() && !now.Before(c.Expires) || !c.Claim() {
 		u.park(cn)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 	Expires time.Time     // the answer is waited for until then; zero: until the call is given up
 	Wait    time.Duration // what the server is told where Expires is zero: how long from the last byte of the request on
 	Begin   time.Time     // the first byte must leave before; zero: no bound of its own
+	Gone    func() bool   // looked at last before the first byte leaves: whether nobody waits any more; nil: somebody does
 	claimed atomic.Bool
 
 	// Written is called when the last byte of a request with a rest has left; nil: nobody asks.
@@ -66,6 +68,9 @@
 	Begun func(Outcome)
 }
 
+// ErrGone is of a call that was not sent since nobody waited for it any more.
+var ErrGone = errors.New("the client has gone")
+
 // Claim decides once and for all between the first byte of an exchange and its being given up before that. The first
 // to claim wins: a request that is over is not sent, and one that was not sent is known never to have run.
 func (c *Call) Claim() bool { return c.claimed.CompareAndSwap(false, true) }
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -49,7 +49,7 @@
 	{"lease", "internal/share internal/rollout internal/yamlfile internal/rpc internal/fleet internal/lease internal/replica internal/replica/disk internal/steady"},
 	{"cmd/petrelfleet", "internal/share internal/command internal/evidence lease internal/driver internal/judge internal/machine internal/agent internal/release internal/counts internal/front internal/message internal/upstream internal/rollout internal/yamlfile internal/rpc internal/fleet internal/lease internal/replica internal/replica/disk internal/steady"},
 	{"internal/admin", "internal/lifecycle"},
-	{"internal/door", "internal/admit internal/message internal/sock"},
+	{"internal/door", "internal/admit internal/message internal/room internal/sock"},
 	{"internal/front/*", "internal/front internal/message internal/door internal/admit internal/sock internal/lifecycle internal/pace internal/room"},
 	{"internal/member/*", "internal/member internal/message"},
 	{"internal/upstream/reuse", ""},
--- a/internal/wiring/rig_test.go
+++ b/internal/wiring/rig_test.go
@@ -28,9 +28,15 @@
 
 // rigWith is one with more in its configuration, that operators can call on a listener.
 func rigWith(t *testing.T, discovery, known, more string, calls net.Listener, log *slog.Logger) *rig {
+	t.Helper()
+	return rigOn(t, TCP(), discovery, known, more, peertest.Settings, calls, log)
+}
+
+// rigOn is one that dials in a way of its own, with other settings.
+func rigOn(t *testing.T, dial Dial, discovery, known, more, settings string, calls net.Listener, log *slog.Logger) *rig {
 	t.Helper()
 	cfg, err := config.Parse("test", []byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",%s"known":%s,"settings":%s}`,
-		discovery, more, known, peertest.Settings)))
+		discovery, more, known, settings)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, side: New(&cfg, TCP(), log), addr: ln.Addr().String(), ended: make(chan error, 1)}
+	r := &rig{t: t, side: New(&cfg, dial, log), addr: ln.Addr().String(), ended: make(chan error, 1)}
 	stop, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	go func() { r.ended <- r.side.Run(stop, ln, calls, nil) }()
