--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -111,15 +111,11 @@
 // Silent reads a request and says nothing until the other side goes.
 func Silent(c net.Conn, _ *http.Request, _ string) bool { return true }
 
-// DeadAddr is an address at which nobody listens.
+// DeadAddr is an address at which nobody listens, nor does until the test ends: whoever calls it again and again would come to
+// the peer of another test.
 func DeadAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return Reserved(t)
 }
 
 // Reserved is an address that a process may listen at, and that nobody else is given until the test ends: a socket is bound
