What is read late in the end is answered before it; signals, files and starts at the wrong moment

At fault: platform.finish, which took for granted that what is left has no request. - SIGHUP while the configuration is read ended the process (main.go: signals were taken only after it). Change: lifecycle.Ending (pure) says how long what is read now may wait; the front hands that to the core as the request's time.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,6 +32,10 @@
 		fmt.Fprintln(errs, "petrelhook:", err)
 		return exitUsage
 	}
+	// One that comes while the configuration is read neither ends the process nor is lost.
+	reload := make(chan os.Signal, 1) // one is enough: the file is read after the last of them
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	cfg, err := config.Read(c.path)
 	if err != nil {
 		fmt.Fprintln(errs, "petrelhook:", err)
@@ -46,18 +49,11 @@
 		fmt.Fprintf(out, "%s: good: %d classes, %d servers known\n", c.path, len(cfg.Profile.Classes), len(cfg.Known.Instances))
 		return 0
 	}
-	if err := serve(c.path, &cfg, c.logger(errs)); err != nil {
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt) // until here nothing is taken
+	defer release()
+	if err := wiring.Serve(stop, c.path, &cfg, wiring.TCP(), reload, c.logger(errs)); err != nil {
 		fmt.Fprintln(errs, "petrelhook:", err)
 		return exitFailed
 	}
 	return 0
 }
-
-// serve runs the sidecar until SIGTERM or an interrupt, and then until all that it took is answered.
-func serve(path string, cfg *config.Config, log *slog.Logger) error {
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer release()
-	reload := make(chan os.Signal, 1) // one is enough: the file is read after the last of them
-	signal.Notify(reload, syscall.SIGHUP)
-	return wiring.Serve(stop, path, cfg, wiring.TCP(), reload, log)
-}
--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -67,7 +67,7 @@
 	}
 	c := &f.classes[r.Class]
 	switch {
-	case err != nil && ctx.Err() != nil:
+	case err != nil && ctx.Err() != nil, err == front.ErrGone:
 		c.gone.Add(1)
 	case err != nil: // it was not taken
 	case a.Verdict == front.Served:
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"petrelhook/internal/admit"
@@ -64,6 +65,7 @@
 	http     *http.Server
 	clients  *door.Door
 	longest  time.Duration // the longest deadline
+	ending   atomic.Pointer[lifecycle.Ending]
 	life     *lifecycle.Machine
 	after    func(time.Duration) <-chan time.Time // time.After
 }
@@ -127,7 +129,9 @@
 // they may come, unless the next process takes them.
 func (s *Server) finish(failed <-chan error) error {
 	defer s.http.Close()
-	lingered, last := s.after(lingering), s.after(lingering+s.longest)
+	end := &lifecycle.Ending{Began: time.Now(), Lingering: lingering, Longest: s.longest}
+	s.ending.Store(end)
+	lingered, last := s.after(lingering), s.after(end.Last())
 	look := time.NewTicker(lookAgain)
 	defer look.Stop()
 	for accepting := true; ; {
@@ -143,7 +147,7 @@
 		case <-lingered:
 			accepting, lingered = false, nil
 			s.clients.Listener.Close()
-		case <-last: // what is left has no request
+		case <-last: // what is left has no whole request, or has its answer and does not take it
 			return nil
 		case <-look.C:
 		case err := <-failed:
@@ -177,14 +181,17 @@
 		return
 	}
 	in.Arrived = arrived
-	ctx := req.Context()
-	if in.Message.Rest == nil { // else what it sends may still be unread
-		in.Gone = func() bool { return s.clients.Gone(ctx) }
-	}
 	if b != nil {
 		in.Arrived = time.Now() // its last byte, if it is whole
 		defer b.give()
 	}
+	ctx := req.Context()
+	if end := s.ending.Load(); end != nil {
+		in.Wait = end.Within(in.Arrived, in.Wait)
+	}
+	if in.Message.Rest == nil { // else what it sends may still be unread
+		in.Gone = func() bool { return s.clients.Gone(ctx) }
+	}
 	if in.Message.Rest != nil {
 		var cancel context.CancelCauseFunc
 		// net/http ends the request's context with any read that fails: until the body has ended the pump says why.
--- /dev/null
+++ b/internal/lifecycle/ending_test.go
@@ -0,0 +1,28 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+)
+
+// Whatever is read after the end has begun is answered before the last moment, however late it comes.
+func TestWhatIsReadLateIsAnsweredInTime(t *testing.T) {
+	began := time.Unix(1000, 0)
+	e := Ending{Began: began, Lingering: 600 * time.Millisecond, Longest: 3 * time.Second}
+	for _, c := range []struct{ read, wait, want time.Duration }{
+		{0, 3 * time.Second, 3 * time.Second},
+		{400 * time.Millisecond, 3 * time.Second, 3 * time.Second},
+		{700 * time.Millisecond, 3 * time.Second, 2800 * time.Millisecond},
+		{700 * time.Millisecond, time.Second, time.Second},
+		{3400 * time.Millisecond, time.Second, 100 * time.Millisecond},
+		{3550 * time.Millisecond, time.Second, 0},
+		{4 * time.Second, time.Second, 0},
+	} {
+		if got := e.Within(began.Add(c.read), c.wait); got != c.want {
+			t.Errorf("read after %v, waiting %v: %v, want %v", c.read, c.wait, got, c.want)
+		}
+	}
+	if e.Last() >= e.Longest+700*time.Millisecond { // when the platform may kill it
+		t.Errorf("it ends after %v", e.Last())
+	}
+}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -6,7 +6,7 @@
 // Five facts make up the state, each changed by its own events, so that no order of calls is left out:
 //
 //	fact        becomes true by   becomes false by
-//	listed      Listed            -                  a server is known that takes requests
+//	listed      Listed            -                  a server is known that takes requests, or was waited for long enough
 //	out         Evacuate          Rejoin             operators want no clients here
 //	empty       Emptied           Evacuate, Rejoin   no client is left of those that were sent away
 //	succeeded   Succeeded         Deserted           the next process has the listener too
@@ -52,7 +52,7 @@
 
 // The events.
 const (
-	Listed    Event = iota // a server is known that takes requests
+	Listed    Event = iota // a server is known that takes requests, or ReadyTime has passed without one
 	Evacuate               // operators want the clients to go elsewhere
 	Rejoin                 // operators want them back
 	Emptied                // the last client that was sent away has gone
--- a/internal/wiring/reload_test.go
+++ b/internal/wiring/reload_test.go
@@ -80,7 +80,10 @@
 	log.until(t, "stays as it was")
 	write("{")
 	log.until(t, "stays as it was")
-	write(`{"listen":"127.0.0.1:0","discovery":"` + next.Addr + `","seed":"1f","settings":` + peertest.Settings + `}`)
+	other := `{"listen":"127.0.0.1:0","discovery":"` + next.Addr + `","seed":"1f","settings":` + peertest.Settings + `}`
+	write(`{"name":"n9",` + other[1:]) // another sidecar's, of another customer perhaps
+	log.until(t, "stays as it was")
+	write(other)
 	if after := peertest.Wait(t, asked); after != "0" {
 		t.Errorf("the new watch is after %s", after)
 	}
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -45,6 +45,7 @@
 
 // Sidecar is one sidecar.
 type Sidecar struct {
+	name  string
 	core  *core.Loop
 	count *counts.Front // nil, as asked is: there are no operators who ask
 	asked *counts.Servers
@@ -73,7 +74,7 @@
 // NewFrom puts a sidecar together that goes on where another process of it was.
 func NewFrom(c *config.Config, from *Inheritance, dial Dial, log *slog.Logger) *Sidecar {
 	module, life := &c.Profile.Config, lifecycle.New()
-	s := &Sidecar{life: life, dial: dial, lists: relay.New(), log: log, listed: make(chan struct{}), heard: make(chan struct{}),
+	s := &Sidecar{name: c.Name, life: life, dial: dial, lists: relay.New(), log: log, listed: make(chan struct{}), heard: make(chan struct{}),
 		offered: make(chan struct{}), deserted: make(chan struct{}, 1)}
 	s.heardOnce = sync.OnceFunc(func() { close(s.heard) })
 	var legacy *core.Legacy
@@ -173,11 +174,18 @@
 		sides.Go(func() { s.succeed(told, su, ln) })
 	}
 	sides.Go(func() {
+		var late <-chan time.Time // a next process takes nothing over before it can serve
+		if su == nil {
+			late = time.After(lifecycle.ReadyTime)
+		}
 		select {
 		case <-s.listed:
-			s.announce(su)
+		case <-late:
+			s.log.Warn("ready without a server", "waited", lifecycle.ReadyTime)
 		case <-told.Done():
+			return
 		}
+		s.announce(su)
 	})
 	alive, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
