What a class's answers take is handed over only where its effect, group and window agree

Seen (TestLearnedByName, two rows that fail without it): a class of the same name whose effect, group or window is another got the times learned of the one before; core.placed went by names alone. Ruled out: zones and kinds (by name already), the list (taken only of the same source, and by member.Cursor only where a server of a zone and a kind in the settings is in it). A version that does not tell them is taken by names.

--- a/internal/core/legacy.go
+++ b/internal/core/legacy.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -20,10 +21,22 @@
 }
 
 // Names are those of positions in the module.
-type Names struct{ Classes, Zones, Kinds []string }
+type Names struct {
+	Classes, Zones, Kinds []string
+	Rules                 []string `json:",omitempty"` // of each class: its effect, group and window; none: of a version that does not tell
+}
+
+// rules are those of classes, as a text to be compared.
+func rules(classes []balance.Class) (all []string) {
+	for _, c := range classes {
+		all = append(all, fmt.Sprintf("%d/%d/%g", c.Effect, c.Group, c.Window))
+	}
+	return all
+}
 
-// placed is what was learned, at the positions that its names have in another process. What has no name there is left out. Where
-// a version before did not tell its names, positions stand for themselves if there are as many, and are left out if not.
+// placed is what was learned, at the positions that its names have in another process. What has no name there, or is of a class with
+// other rules, is left out. Where a version before did not tell its names, positions stand for themselves if there are as many,
+// and are left out if not.
 func placed(m balance.Memory, was *Names, now Names) balance.Memory {
 	if was == nil {
 		if len(m.Classes) != len(now.Classes) {
@@ -31,12 +44,16 @@
 		}
 		return m
 	}
-	if slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Zones, now.Zones) && slices.Equal(was.Kinds, now.Kinds) {
+	same := len(was.Rules) == 0 || slices.Equal(was.Rules, now.Rules)
+	if same && slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Zones, now.Zones) && slices.Equal(was.Kinds, now.Kinds) {
 		return m
 	}
+	alike := func(i, at int) bool {
+		return i >= len(was.Rules) || at < len(now.Rules) && was.Rules[i] == now.Rules[at]
+	}
 	classes := make([]balance.ClassMemory, len(now.Classes))
 	for i, c := range m.Classes {
-		if at, ok := place(i, was.Classes, now.Classes); ok && at < len(classes) {
+		if at, ok := place(i, was.Classes, now.Classes); ok && at < len(classes) && alike(i, at) {
 			classes[at] = c
 		}
 	}
@@ -80,7 +97,7 @@
 		for _, r := range l.requests {
 			ids[r.Trace] = r.deadline
 		}
-		encode(Legacy{Source: l.source.Name(), List: whole, IDs: ids, Module: l.b.Memory(), Names: &l.config.Names})
+		encode(Legacy{Source: l.source.Name(), List: whole, IDs: ids, Module: l.b.Memory(), Names: l.names()})
 	})
 	select {
 	case <-done:
@@ -90,13 +107,23 @@
 	}
 }
 
+// names are those of this process, with the rules of its classes.
+func (l *Loop) names() *Names {
+	n := l.config.Names
+	n.Rules = rules(l.config.Module.Classes)
+	return &n
+}
+
 // inherit goes on where the process before was, in the loop before anything else.
 func (l *Loop) inherit(from *Legacy) {
-	now := time.Now()
 	for id, until := range from.IDs {
-		if until.After(now) && l.ids.take(id) {
+		if until.After(time.Now()) && l.ids.take(id) {
 			l.ids.until(id, until)
 		}
 	}
-	l.b.Recall(placed(from.Module, from.Names, l.config.Names))
+	now := l.names()
+	if was := from.Names; was != nil && len(was.Rules) > 0 && !(slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Rules, now.Rules)) {
+		l.log.Info("other settings than before: learned times are taken where class, effect and window agree", "before", was.Classes, "now", now.Classes)
+	}
+	l.b.Recall(placed(from.Module, from.Names, *now))
 }
--- a/internal/core/legacy_test.go
+++ b/internal/core/legacy_test.go
@@ -98,11 +98,17 @@
 		now  Names
 		want balance.Memory
 	}{
-		"another order": {was, Names{[]string{"c", "a", "b"}, []string{"y", "x"}, nil},
+		"another order": {was, Names{Classes: []string{"c", "a", "b"}, Zones: []string{"y", "x"}},
 			balance.Memory{Classes: []balance.ClassMemory{{Count: 3}, {Count: 1}, {Count: 2}}, Zones: map[int]float64{1: 10, 0: 11}, Kinds: m.Kinds}},
-		"one gone, one new": {was, Names{[]string{"new", "b"}, []string{"z"}, []string{"k"}},
+		"one gone, one new": {was, Names{Classes: []string{"new", "b"}, Zones: []string{"z"}, Kinds: []string{"k"}},
 			balance.Memory{Classes: []balance.ClassMemory{{}, {Count: 2}}, Zones: map[int]float64{}, Kinds: map[int]float64{}}},
-		"no names":             {nil, *was, m},
+		"no names": {nil, *was, m},
+		"other rules of one": {&Names{Classes: []string{"a", "b", "c"}, Rules: []string{"0/0/500", "1/2/500", "2/0/500"}},
+			Names{Classes: []string{"b", "a", "c"}, Rules: []string{"1/2/900", "0/0/500", "2/0/500"}},
+			balance.Memory{Classes: []balance.ClassMemory{{}, {Count: 1}, {Count: 3}}, Zones: map[int]float64{0: 10}, Kinds: m.Kinds}},
+		"the same names, other rules": {&Names{Classes: []string{"a", "b", "c"}, Rules: []string{"0/0/500", "1/2/500", "2/0/500"}},
+			Names{Classes: []string{"a", "b", "c"}, Rules: []string{"0/0/500", "1/2/500", "1/0/500"}},
+			balance.Memory{Classes: []balance.ClassMemory{{Count: 1}, {Count: 2}, {}}, Zones: map[int]float64{0: 10}, Kinds: m.Kinds}},
 		"no names, and others": {nil, Names{Classes: []string{"a"}}, balance.Memory{}},
 	} {
 		if got := placed(m, c.was, c.now); !reflect.DeepEqual(got, c.want) {
