--- /dev/null
+++ b/cmd/petrelhook/crowd_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/process"
+)
+
+// Idle clients come until no descriptor is left for them, while discovery is down: health answers, servers are reached, and the watch
+// opens when discovery is back. The process has no more descriptors than its configuration says.
+func TestACrowdWhileDiscoveryIsDown(t *testing.T) {
+	const limit = 384
+	f := newFleet(t, peertest.Settings)
+	path := filepath.Join(f.dir, "config.json")
+	if err := os.WriteFile(path, []byte(f.config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, limit), os.Args[0])
+	cmd.Env = append(os.Environ(), "PETRELHOOK_TEST_RUN=1", "LB_CONFIG="+path, "LB_ADMIN_ADDR=")
+	process.Start(t, cmd)
+	health := "GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	ask := func(text string) int { // 0: no answer
+		c, err := net.Dial("tcp", f.listen)
+		if err != nil {
+			return 0
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(peertest.Patience))
+		io.WriteString(c, text)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return 0
+		}
+		return resp.StatusCode
+	}
+	process.Until(t, "it is ready", func() bool { return ask(health) == 200 })
+	for i := range 3 * limit { // idle ones that never ask, that have asked, and that stop in a head
+		c, err := net.Dial("tcp", f.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, []string{"", request("GET", "look", fmt.Sprint("i", i), "", 0), "GET /half HTTP/1.1\r\n"}[i%3])
+	}
+	n := 0
+	process.Until(t, "a request is served", func() bool { n++; return ask(request("GET", "look", fmt.Sprint("c", n), "", 0)) == 200 })
+	process.Until(t, "health answers", func() bool { return ask(health) == 200 })
+	addr := value([]byte(f.config), "discovery").(string)
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	began := time.Now()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if req, err := http.ReadRequest(bufio.NewReader(c)); err != nil || req.URL.Query().Get("watch") != "1" || time.Since(began) > 6*time.Second {
+		t.Errorf("%v, %v after %v", req, err, time.Since(began))
+	}
+}
