--- a/internal/door/ahead.go
+++ b/internal/door/ahead.go
@@ -134,6 +134,13 @@
 	a.text = nil
 }
 
+// empty reports whether nothing that was read ahead waits to be handed out.
+func (a *ahead) empty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.text) == 0
+}
+
 func (a *ahead) dropped() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/door/close_test.go
+++ b/internal/door/close_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
 
 	"petrelhook/internal/admit"
 	"petrelhook/internal/peertest"
+	"petrelhook/internal/room"
 )
 
 // much is more than the client's socket takes of an answer that nobody reads, and all of it fits into the server's.
@@ -92,3 +94,38 @@
 	c.Close()
 	peertest.Eventually(t, "its place is free", func() bool { return d.Open() == 0 })
 }
+
+// A request that was read ahead and not yet handed to net/http is no less on its way than one that is unread: its connection makes
+// no room, in the very moment between two requests.
+func TestARequestReadAheadKeepsItsPlace(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New(inner, admit.Config{Places: 1, Horizon: time.Second}, time.Second)
+	d.Room = room.New(0)
+	between, taken := make(chan bool, 9), make(chan struct{}, 9)
+	server := &http.Server{ConnContext: d.Context, ConnState: func(nc net.Conn, s http.ConnState) {
+		if d.State(nc, s); s == http.StateIdle {
+			between <- d.place(nc.(*client).Conn) != nil
+		}
+	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer d.Follow(req.Context())()
+		taken <- struct{}{}
+		for req.URL.Path == "/1" && d.Room.Held() <= 4<<10 { // until the next is read, beside the piece that is asked for
+			runtime.Gosched()
+		}
+		d.Answers(req.Context())
+	})}
+	go server.Serve(d)
+	t.Cleanup(func() { server.Close() })
+	c, in := peertest.Open(t, inner.Addr().String())
+	io.WriteString(c, get("1"))
+	peertest.Wait(t, taken)
+	io.WriteString(c, get("2"))
+	whole(t, in)
+	if peertest.Wait(t, between) {
+		t.Fatal("it made room")
+	}
+	whole(t, in)
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -241,7 +241,7 @@
 
 // quiet reports whether a close takes nothing with it: a request that comes in this moment resets the connection, and what the
 // client's machine does not have by then of an answer is lost.
-func (c *client) quiet() bool { return sock.Quiet(c.Conn) && !sock.Unsent(c.Conn) }
+func (c *client) quiet() bool { return c.ahead.empty() && sock.Quiet(c.Conn) && !sock.Unsent(c.Conn) }
 
 // head is the head of the present request as it came, unless the request came in one piece with the one before it. It is
 // guarded by Door.mu.
