--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -189,8 +189,10 @@
 	if end := s.ending.Load(); end != nil {
 		in.Wait = end.Within(in.Arrived, in.Wait)
 	}
-	if in.Message.Rest == nil { // else what it sends may still be unread
+	answered := func() {}
+	if in.Message.Rest == nil { // else what it sends is still read by others
 		in.Gone = func() bool { return s.clients.Gone(ctx) }
+		answered = s.clients.Follow(ctx)
 	}
 	if in.Message.Rest != nil {
 		var cancel context.CancelCauseFunc
@@ -206,7 +208,6 @@
 		b.pump(cancel)
 		defer b.halt()
 	}
-	answered := s.clients.Follow(req.Context())
 	a, err := s.core.Answer(ctx, in)
 	answered()
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stall)) // its body may have come for long
