Names: slow start and reset of health for chill and pardon

Readers of load balancers expect the field's terms: a server that warms up is in slow start, and what was held against it is reset. Nothing else changes; tests of balance pass.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -17,8 +17,8 @@
 	return s.tokens >= 1
 }
 
-// chill begins a server's warm-up. The first budget is random, so that the first sends of all
+// beginSlowStart begins a server's warm-up. The first budget is random, so that the first sends of all
 // sidecars do not meet.
-func (b *Balancer) chill(s *server, since float64) {
+func (b *Balancer) beginSlowStart(s *server, since float64) {
 	s.coldSince, s.tokens, s.tokensAt = since, b.rng.Float64(), b.now
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -86,9 +86,9 @@
 	case OK:
 		// It died and is back: a restart that the list has yet to tell. One connection lost is no death.
 		if s.down && s.errs > 1 && !b.cold(s) {
-			b.chill(s, b.now)
+			b.beginSlowStart(s, b.now)
 		}
-		s.pardon()
+		s.resetHealth()
 		s.answered = b.now
 		b.answers.rate(b, 1, 0)
 		b.time(ev.Took / r.class.Aim)
--- a/balance/list.go
+++ b/balance/list.go
@@ -39,9 +39,9 @@
 		b.servers = append(b.servers, s)
 	}
 	if entry.StartedAt > s.StartedAt {
-		s.pardon()
+		s.resetHealth()
 		s.running = 0
-		b.chill(s, math.Min(entry.StartedAt, b.now))
+		b.beginSlowStart(s, math.Min(entry.StartedAt, b.now))
 	}
 	s.Server = *entry
 	if !(s.Rating > 0) || math.IsInf(s.Rating, 1) {
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -77,7 +77,7 @@
 func TestAColdServerHasOneBudget(t *testing.T) {
 	g := learnedRig(t)
 	s := g.b.byID[1]
-	g.b.chill(s, g.now)
+	g.b.beginSlowStart(s, g.now)
 	s.tokens = 0
 	next := &rig{t: t, b: New(baseConfig()), now: g.now}
 	next.b.Start(next.now)
--- a/balance/state.go
+++ b/balance/state.go
@@ -115,8 +115,8 @@
 	s.sentSince += float64(max(0, one))
 }
 
-// pardon clears what was held against a server.
-func (s *server) pardon() {
+// resetHealth clears what was held against a server.
+func (s *server) resetHealth() {
 	s.errs, s.rests, s.restUntil, s.down, s.dark = 0, 0, 0, false, false
 }
 
