--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -17,10 +17,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"petrelhook/internal/lease"
+	"petrelhook/internal/monotonic"
 	"petrelhook/internal/replica"
 	"petrelhook/internal/replica/disk"
 	"petrelhook/internal/rpc"
-	"petrelhook/internal/steady"
 )
 
 // Server is one coordinator.
@@ -99,7 +99,7 @@
 		case err := <-s.fatal:
 			return err
 		case <-tick.C:
-			s.core.Tick(steady.Now())
+			s.core.Tick(monotonic.Now())
 			if err := s.core.Over(); err != nil {
 				return err
 			}
@@ -141,7 +141,7 @@
 		for _, m := range w.Messages {
 			s.peer(peers, sides, m.GetTo()).send(m)
 		}
-		own, compact, err := s.core.Done(w, steady.Now())
+		own, compact, err := s.core.Done(w, monotonic.Now())
 		if err != nil {
 			return err
 		}
--- a/internal/steady/steady.go
+++ b/internal/monotonic/monotonic.go
@@ -1,5 +1,5 @@
-// Package steady is a clock that nobody sets, and that counts the time for which the machine sleeps.
-package steady
+// Package monotonic is a clock that nobody sets, and that counts the time for which the machine sleeps.
+package monotonic
 
 import (
 	"golang.org/x/sys/unix"
--- a/internal/rig/contend/contend.go
+++ b/internal/rig/contend/contend.go
@@ -19,8 +19,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"petrelhook/internal/monotonic"
 	"petrelhook/internal/rig/belief"
-	"petrelhook/internal/steady"
 	"petrelhook/lease"
 )
 
@@ -72,11 +72,11 @@
 			continue
 		}
 		for range 5 + rand.IntN(40) {
-			from := steady.Now()
+			from := monotonic.Now()
 			if !h.Valid() {
 				break
 			}
-			fmt.Printf("%d %d %d\n", h.Token, from, steady.Now())
+			fmt.Printf("%d %d %d\n", h.Token, from, monotonic.Now())
 			fmt.Fprintf(conn, "%s %d\n", who, h.Token)
 			if answer, err := answers.ReadString('\n'); err != nil || answer == "old\n" {
 				break
--- a/internal/rig/contend/spend.go
+++ b/internal/rig/contend/spend.go
@@ -12,8 +12,8 @@
 
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/lease"
+	"petrelhook/internal/monotonic"
 	"petrelhook/internal/share"
-	"petrelhook/internal/steady"
 )
 
 // spend is a process that tries to use a limit's units all the time, and says when it was allowed to: just before it asked itself. Its
@@ -28,10 +28,10 @@
 	if err != nil {
 		panic(err)
 	}
-	s := fleet.NewShare(&fleet.Caller{Addrs: addrs, Over: &http.Client{}, Within: l.Period / 2, Pause: l.Period / 20}, l, name, 1, steady.Now)
+	s := fleet.NewShare(&fleet.Caller{Addrs: addrs, Over: &http.Client{}, Within: l.Period / 2, Pause: l.Period / 20}, l, name, 1, monotonic.Now)
 	go s.Run(context.Background())
 	for range time.Tick(every) {
-		if at := steady.Now(); s.Allow() {
+		if at := monotonic.Now(); s.Allow() {
 			fmt.Printf("%d\n", at)
 		}
 	}
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"petrelhook/internal/lease"
+	"petrelhook/internal/monotonic"
 	"petrelhook/internal/rig/coordinator"
-	"petrelhook/internal/steady"
 )
 
 // A machine that sleeps: Go's timers stand still, the clock does not. The first look after it says no, and ends the context. Its session
@@ -25,7 +25,7 @@
 	defer cancel()
 	var slept atomic.Int64
 	c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 2 * time.Second,
-		clock: func() lease.Instant { return steady.Now() + lease.Instant(slept.Load()) }})
+		clock: func() lease.Instant { return monotonic.Now() + lease.Instant(slept.Load()) }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 
 // Clocks that people set have no part in any of it: nothing that decides, or believes, reads one.
 func TestNoWallClocks(t *testing.T) {
-	for _, dir := range []string{"../internal/lease", "../internal/replica", "../internal/replica/disk", "../internal/steady", "."} {
+	for _, dir := range []string{"../internal/lease", "../internal/replica", "../internal/replica/disk", "../internal/monotonic", "."} {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatal(dir, err)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -17,7 +17,7 @@
 
 	"petrelhook/internal/fleet"
 	"petrelhook/internal/lease"
-	"petrelhook/internal/steady"
+	"petrelhook/internal/monotonic"
 )
 
 // Token is of one grant, and larger than that of every grant before it.
@@ -63,7 +63,7 @@
 		o.TTL = 10 * time.Second
 	}
 	if o.clock == nil {
-		o.clock = steady.Now
+		o.clock = monotonic.Now
 	}
 	if len(o.Addrs) == 0 {
 		return nil, errors.New("addrs: write the address of a coordinator")
