--- a/internal/front/platform/body.go
+++ b/internal/front/platform/body.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"petrelhook/internal/message"
-	"petrelhook/internal/pace"
+	"petrelhook/internal/progress"
 	"petrelhook/internal/room"
 )
 
@@ -28,26 +28,26 @@
 // body reads a request's body at the pace that its client owes.
 type body struct {
 	io.Reader
-	control *http.ResponseController
-	first   time.Time // the pace counts from here on
-	pace    pace.Pace
-	halted  atomic.Bool
-	ended   atomic.Bool // it was read to its end
-	rest    *message.Upload
-	room    *room.Room
-	taken   int64         // of the room
-	pumped  chan struct{} // closed when nobody reads it any more; nil: nobody else does
+	control  *http.ResponseController
+	first    time.Time // the pace counts from here on
+	progress progress.Deadline
+	halted   atomic.Bool
+	ended    atomic.Bool // it was read to its end
+	rest     *message.Upload
+	room     *room.Room
+	taken    int64         // of the room
+	pumped   chan struct{} // closed when nobody reads it any more; nil: nobody else does
 }
 
 func newBody(w http.ResponseWriter, req *http.Request, due time.Time) *body {
-	b := &body{Reader: req.Body, control: http.NewResponseController(w), first: due, pace: pace.Pace{Least: leastBody, Within: bodyWindow}}
-	b.pace.Start(time.Now())
+	b := &body{Reader: req.Body, control: http.NewResponseController(w), first: due, progress: progress.Deadline{Least: leastBody, Within: bodyWindow}}
+	b.progress.Start(time.Now())
 	return b
 }
 
 // Read reads on until the client's time for it is up.
 func (b *body) Read(p []byte) (int, error) {
-	due := b.pace.Due()
+	due := b.progress.Due()
 	if due.Before(b.first) {
 		due = b.first
 	}
@@ -56,7 +56,7 @@
 		return 0, errHalted
 	}
 	n, err := b.Reader.Read(p)
-	b.pace.Moved(n, time.Now())
+	b.progress.Moved(n, time.Now())
 	switch {
 	case err == io.EOF:
 		b.ended.Store(true)
@@ -161,7 +161,7 @@
 		return false
 	}
 	b.taken = want
-	b.pace.Start(time.Now()) // the wait was not the client's
+	b.progress.Start(time.Now()) // the wait was not the client's
 	return true
 }
 
--- a/internal/pace/pace_test.go
+++ b/internal/progress/progress_test.go
@@ -1,4 +1,4 @@
-package pace
+package progress
 
 import (
 	"testing"
@@ -19,7 +19,7 @@
 		{"half of the least", 500, 100 * time.Millisecond, 2 * time.Second},
 		{"nothing", 0, 100 * time.Millisecond, 2 * time.Second},
 	} {
-		p := Pace{Least: 32 << 10, Within: 2 * time.Second}
+		p := Deadline{Least: 32 << 10, Within: 2 * time.Second}
 		start := time.Unix(1000, 0)
 		p.Start(start)
 		ended := time.Duration(0)
