Names: a memory budget for a room

internal/room is internal/membudget, its Room a Budget with TryAcquire, Acquire and Release, as semaphores have them.

--- a/internal/door/close_test.go
+++ b/internal/door/close_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"petrelhook/internal/admit"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/peertest"
-	"petrelhook/internal/room"
 )
 
 // much is more than the client's socket takes of an answer that nobody reads, and all of it fits into the server's.
@@ -103,7 +103,7 @@
 		t.Fatal(err)
 	}
 	d := New(inner, admit.Config{Places: 1, Horizon: time.Second}, time.Second)
-	d.Room = room.New(0)
+	d.Memory = membudget.New(0)
 	between, taken := make(chan bool, 9), make(chan struct{}, 9)
 	server := &http.Server{ConnContext: d.Context, ConnState: func(nc net.Conn, s http.ConnState) {
 		if d.State(nc, s); s == http.StateIdle {
@@ -112,7 +112,7 @@
 	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		defer d.Follow(req.Context())()
 		taken <- struct{}{}
-		for req.URL.Path == "/1" && d.Room.Held() <= 4<<10 { // until the next is read, beside the piece that is asked for
+		for req.URL.Path == "/1" && d.Memory.Held() <= 4<<10 { // until the next is read, beside the piece that is asked for
 			runtime.Gosched()
 		}
 		d.Answers(req.Context())
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"petrelhook/internal/admit"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
-	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 )
 
@@ -35,9 +35,9 @@
 // or gets a prompt 503. Accept never waits for any of them: clients that say nothing must not stop the others.
 type Door struct {
 	net.Listener
-	Room *room.Room    // the account of what is held that clients send ahead; nil: no bound on all of them together
-	in   time.Duration // within which a request must be in
-	away chan struct{}
+	Memory *membudget.Budget // the account of what is held that clients send ahead; nil: no bound on all of them together
+	in     time.Duration     // within which a request must be in
+	away   chan struct{}
 
 	mu    sync.Mutex
 	admit *admit.Door
@@ -224,12 +224,12 @@
 }
 
 // hold asks for room for what comes ahead.
-func (b *Door) hold(n int64) bool { return b.Room == nil || b.Room.Try(n) }
+func (b *Door) hold(n int64) bool { return b.Memory == nil || b.Memory.TryAcquire(n) }
 
 // free gives back what was held ahead.
 func (b *Door) free(n int64) {
-	if b.Room != nil && n > 0 {
-		b.Room.Give(n)
+	if b.Memory != nil && n > 0 {
+		b.Memory.Release(n)
 	}
 }
 
--- a/internal/front/platform/body.go
+++ b/internal/front/platform/body.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/progress"
-	"petrelhook/internal/room"
 )
 
 const (
@@ -34,7 +34,7 @@
 	halted   atomic.Bool
 	ended    atomic.Bool // it was read to its end
 	rest     *message.Upload
-	room     *room.Room
+	room     *membudget.Budget
 	taken    int64         // of the room
 	pumped   chan struct{} // closed when nobody reads it any more; nil: nobody else does
 }
@@ -157,7 +157,7 @@
 	want := int64(min(2*n, message.Short+bodyPiece))
 	ctx, cancel := context.WithTimeout(ctx, roomTime)
 	defer cancel()
-	if !b.room.Take(ctx, want-b.taken) {
+	if !b.room.Acquire(ctx, want-b.taken) {
 		return false
 	}
 	b.taken = want
@@ -168,7 +168,7 @@
 // give holds nothing any more.
 func (b *body) give() {
 	if b.taken > 0 {
-		b.room.Give(b.taken)
+		b.room.Release(b.taken)
 	}
 	b.taken = 0
 }
--- a/internal/front/platform/long_test.go
+++ b/internal/front/platform/long_test.go
@@ -18,10 +18,10 @@
 	"petrelhook/internal/admit"
 	"petrelhook/internal/front"
 	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/memnet"
-	"petrelhook/internal/room"
 )
 
 func onceHead(trace, framing string) string {
@@ -387,7 +387,7 @@
 			}
 			return a, nil
 		}}
-		server := New(Settings{Room: room.New(0), Door: admit.Config{Places: 9, Horizon: time.Second}, Classes: []front.Class{
+		server := New(Settings{Room: membudget.New(0), Door: admit.Config{Places: 9, Horizon: time.Second}, Classes: []front.Class{
 			{Name: "look", Effect: front.Safe, Deadline: time.Second}, {Name: "book"}, {Name: "once", Effect: front.Unsafe, Deadline: time.Second},
 		}}, core, life, slog.New(slog.DiscardHandler))
 		ended := make(chan error, 1)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -24,8 +24,8 @@
 	"petrelhook/internal/door"
 	"petrelhook/internal/front"
 	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
-	"petrelhook/internal/room"
 )
 
 const (
@@ -54,7 +54,7 @@
 	Classes []front.Class
 	Tenants []string
 	Door    admit.Config
-	Room    *room.Room // the account of bodies; they share it with answers
+	Room    *membudget.Budget // the account of bodies; they share it with answers
 }
 
 // Server is the application's side.
@@ -74,7 +74,7 @@
 func New(c Settings, core front.Core, life *lifecycle.Machine, log *slog.Logger) *Server {
 	s := &Server{core: core, life: life, settings: c, classes: map[string]int{}, after: time.After}
 	s.clients = door.New(nil, c.Door, bodyTime)
-	s.clients.Room = c.Room
+	s.clients.Memory = c.Room
 	for i, class := range c.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -14,9 +14,9 @@
 	"petrelhook/internal/admit"
 	"petrelhook/internal/front"
 	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
-	"petrelhook/internal/room"
 )
 
 // fakeCore answers each request with a function.
@@ -45,7 +45,7 @@
 	lingered chan time.Time
 	addr     string
 	life     *lifecycle.Machine
-	room     *room.Room
+	room     *membudget.Budget
 	ended    chan error
 }
 
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), life: lifecycle.New(), room: room.New(roomOfTests), ended: make(chan error, 1)}
+	r := &rig{t: t, core: &fakeCore{answer: answer}, lingered: make(chan time.Time, 1), addr: ln.Addr().String(), life: lifecycle.New(), room: membudget.New(roomOfTests), ended: make(chan error, 1)}
 	long := 10 * time.Second
 	server := New(Settings{Room: r.room, Door: admit.Config{Places: 100, Horizon: time.Second}, Tenants: []string{"acme"}, Classes: []front.Class{
 		{Name: "look", Effect: front.Safe, Deadline: long}, {Name: "book", Effect: front.Keyed, Deadline: long}, {Name: "once", Effect: front.Unsafe, Deadline: long},
--- a/internal/room/room.go
+++ b/internal/membudget/membudget.go
@@ -1,10 +1,10 @@
-// Package room is the account of the bytes that a process holds of messages: bodies on their way in, answers that are held
+// Package membudget is the account of the bytes that a process holds of messages: bodies on their way in, answers that are held
 // back. Whoever wants to hold more asks first, and whoever finds no room passes on what he has, waits for a bounded time, or is
 // refused; nobody takes less than he asked for, so none waits while he holds a part of what he asked for in one call.
 //
 // Invariants: what is held never exceeds the bound; who waits is served in the order of coming, so that a large wish is not
 // overtaken for ever by small ones.
-package room
+package membudget
 
 import (
 	"container/list"
@@ -12,8 +12,8 @@
 	"sync"
 )
 
-// Room is an account. Its zero value has no bound.
-type Room struct {
+// Budget is an account. Its zero value has no bound.
+type Budget struct {
 	mu   sync.Mutex
 	most int64 // bytes; 0: no bound
 	held int64
@@ -26,12 +26,12 @@
 }
 
 // New makes an account with a bound; 0 is none.
-func New(most int64) *Room { return &Room{most: most} }
+func New(most int64) *Budget { return &Budget{most: most} }
 
-func (r *Room) fits(n int64) bool { return r.most <= 0 || n <= r.most-r.held }
+func (r *Budget) fits(n int64) bool { return r.most <= 0 || n <= r.most-r.held }
 
-// Try holds n bytes more, if there is room now and nobody waits for it.
-func (r *Room) Try(n int64) bool {
+// TryAcquire holds n bytes more, if there is room now and nobody waits for it.
+func (r *Budget) TryAcquire(n int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.wait.Len() > 0 || !r.fits(n) {
@@ -41,9 +41,9 @@
 	return true
 }
 
-// Take holds n bytes more, as soon as there is room. Where ctx ends first, or n is more than there ever is, it holds nothing
+// Acquire holds n bytes more, as soon as there is room. Where ctx ends first, or n is more than there ever is, it holds nothing
 // and is false.
-func (r *Room) Take(ctx context.Context, n int64) bool {
+func (r *Budget) Acquire(ctx context.Context, n int64) bool {
 	r.mu.Lock()
 	if r.wait.Len() == 0 && r.fits(n) {
 		r.held += n
@@ -74,8 +74,8 @@
 	return false
 }
 
-// Give holds n bytes less.
-func (r *Room) Give(n int64) {
+// Release holds n bytes less.
+func (r *Budget) Release(n int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held -= n
@@ -83,7 +83,7 @@
 }
 
 // serve lets in those that wait, in their order. The caller holds mu.
-func (r *Room) serve() {
+func (r *Budget) serve() {
 	for e := r.wait.Front(); e != nil && r.fits(e.Value.(*waiter).n); e = r.wait.Front() {
 		w := r.wait.Remove(e).(*waiter)
 		r.held += w.n
@@ -92,7 +92,7 @@
 }
 
 // Held is how many bytes are held.
-func (r *Room) Held() int64 {
+func (r *Budget) Held() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.held
--- a/internal/room/room_test.go
+++ b/internal/membudget/membudget_test.go
@@ -1,4 +1,4 @@
-package room
+package membudget
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 func TestTheOrderOfThoseWhoWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := New(10)
-		if !r.Try(8) || r.Try(3) {
+		if !r.TryAcquire(8) || r.TryAcquire(3) {
 			t.Fatal("the bound does not hold")
 		}
 		var mu sync.Mutex
@@ -24,7 +24,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(t.Context(), patience)
 				defer cancel()
-				if !r.Take(ctx, n) {
+				if !r.Acquire(ctx, n) {
 					name += " gives up"
 				}
 				mu.Lock()
@@ -36,23 +36,23 @@
 		wish("large", 9, time.Hour)
 		wish("hasty", 4, time.Second)
 		wish("small", 2, time.Hour)
-		if r.Try(1) {
+		if r.TryAcquire(1) {
 			t.Error("somebody overtook those who wait")
 		}
 		wish("too large", 11, time.Hour)
 		time.Sleep(time.Minute)
-		r.Give(8)
+		r.Release(8)
 		synctest.Wait()
 		if want := []string{"too large gives up", "hasty gives up", "large"}; !slices.Equal(served, want) || r.Held() != 9 {
 			t.Errorf("%q, %d held", served, r.Held())
 		}
-		r.Give(9)
+		r.Release(9)
 		synctest.Wait()
 		if len(served) != 4 || r.Held() != 2 {
 			t.Errorf("%q, %d held", served, r.Held())
 		}
-		r.Give(2)
-		if r.Held() != 0 || !r.Try(10) {
+		r.Release(2)
+		if r.Held() != 0 || !r.TryAcquire(10) {
 			t.Errorf("%d held", r.Held())
 		}
 	})
@@ -61,7 +61,7 @@
 // No bound is no bound.
 func TestNoBound(t *testing.T) {
 	r := New(0)
-	if !r.Try(1<<60) || !r.Take(context.Background(), 1<<60) {
+	if !r.TryAcquire(1<<60) || !r.Acquire(context.Background(), 1<<60) {
 		t.Error("refused")
 	}
 }
@@ -78,12 +78,12 @@
 					time.Sleep(time.Duration(i%7) * time.Millisecond)
 					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%5)*time.Millisecond)
 					defer cancel()
-					if r.Take(ctx, int64(n)) {
+					if r.Acquire(ctx, int64(n)) {
 						if held := r.Held(); held > 10 || held < int64(n) {
 							rt.Errorf("%d are held", held)
 						}
 						time.Sleep(time.Duration(n) * time.Millisecond)
-						r.Give(int64(n))
+						r.Release(int64(n))
 					}
 				})
 			}
--- a/internal/upstream/http1/answers.go
+++ b/internal/upstream/http1/answers.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
-	"petrelhook/internal/room"
 	"petrelhook/internal/upstream"
 )
 
@@ -78,7 +78,7 @@
 // served; only a server's word proves that nothing ran. What was spoilt on its way has come from a server that is
 // there: that is an error. A reset is the connection's end. Where begun is not nil a long 200 is handed to it once it has
 // begun, and what is returned says how the rest went.
-func (a *answers) read(method string, fields []string, account *room.Room, begun func(upstream.Outcome)) (r upstream.Outcome, keep bool) {
+func (a *answers) read(method string, fields []string, account *membudget.Budget, begun func(upstream.Outcome)) (r upstream.Outcome, keep bool) {
 	a.limit.N = message.MaxHead // for all heads together
 	resp, err := http.ReadResponse(a.Reader, &http.Request{Method: method})
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
--- a/internal/upstream/http1/held.go
+++ b/internal/upstream/http1/held.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
-	"petrelhook/internal/room"
 	"petrelhook/internal/upstream"
 )
 
@@ -31,7 +31,7 @@
 // reads the answer; whoever the beginning was handed to reads the rest on his own.
 type held struct {
 	answers *answers
-	room    *room.Room
+	room    *membudget.Budget
 	most    int // bytes that are held back at most
 	begun   func(upstream.Outcome)
 	outcome upstream.Outcome
@@ -118,7 +118,7 @@
 	if h.size > message.Short {
 		want = h.size
 	}
-	if !h.room.Try(want - h.taken) {
+	if !h.room.TryAcquire(want - h.taken) {
 		return h.begun == nil // which is short, and nobody can take it in pieces
 	}
 	h.taken = want
@@ -131,7 +131,7 @@
 	if h.taken = 0; n == 0 {
 		return nil
 	}
-	return sync.OnceFunc(func() { h.room.Give(n) })
+	return sync.OnceFunc(func() { h.room.Release(n) })
 }
 
 // begin hands the answer on as far as it has come.
--- a/internal/upstream/http1/pass_test.go
+++ b/internal/upstream/http1/pass_test.go
@@ -11,10 +11,10 @@
 	"testing/synctest"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
 	"petrelhook/internal/rig/memnet"
-	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 )
@@ -161,7 +161,7 @@
 			time.Sleep(time.Second) // all that is on its way to it is stuck
 			io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
 		}()
-		u := New(Settings{Most: 9, Within: time.Second, Idle: time.Second, Room: room.New(0)}, n.Dial)
+		u := New(Settings{Most: 9, Within: time.Second, Idle: time.Second, Room: membudget.New(0)}, n.Dial)
 		rest := message.NewUpload(1 << 30)
 		go rest.Pump(neverEnding{})
 		defer rest.Close()
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -20,8 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
-	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 	"petrelhook/internal/upstream/reuse"
@@ -32,13 +32,13 @@
 
 // Settings are what the deployment says of connections to servers.
 type Settings struct {
-	Most   int           // connections at once
-	Within time.Duration // the longest that one may take to come up
-	Idle   time.Duration // ... that one is kept while it carries nothing
-	Grace  time.Duration // for which something may still go to a server after it was told to take nothing
-	Room   *room.Room    // the account of answers that are held back
-	Fields []string      // of load reports, in the order of a report's figures
-	Probe  string        // path of a probe
+	Most   int               // connections at once
+	Within time.Duration     // the longest that one may take to come up
+	Idle   time.Duration     // ... that one is kept while it carries nothing
+	Grace  time.Duration     // for which something may still go to a server after it was told to take nothing
+	Room   *membudget.Budget // the account of answers that are held back
+	Fields []string          // of load reports, in the order of a report's figures
+	Probe  string            // path of a probe
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does.
--- a/internal/upstream/http1/pool_test.go
+++ b/internal/upstream/http1/pool_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
-	"petrelhook/internal/room"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 )
@@ -19,7 +19,7 @@
 func testPool(most int) *Pool {
 	return New(Settings{
 		Most: most, Within: 5 * time.Second, Idle: 8 * time.Second, Grace: 250 * time.Millisecond,
-		Fields: []string{"busy", "rate"}, Probe: "/_load", Room: room.New(0),
+		Fields: []string{"busy", "rate"}, Probe: "/_load", Room: membudget.New(0),
 	}, (&net.Dialer{}).DialContext)
 }
 
--- a/internal/upstream/http1/room_test.go
+++ b/internal/upstream/http1/room_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/message"
 	"petrelhook/internal/peertest"
-	"petrelhook/internal/room"
 	"petrelhook/internal/upstream"
 )
 
@@ -49,7 +49,7 @@
 			t.Run(fmt.Sprint(c.size, " in ", c.room, " chunked ", chunked), func(t *testing.T) {
 				p := peertest.NewPeer(t, peertest.Says(large(c.size, chunked)))
 				u := testPool(9)
-				u.Room = room.New(c.room)
+				u.Room = membudget.New(c.room)
 				e := u.at(p.Addr)
 				for range 3 {
 					asked := time.Now()
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -24,7 +24,7 @@
 	"petrelhook/internal/member"
 	"petrelhook/internal/member/discovery"
 	"petrelhook/internal/member/relay"
-	"petrelhook/internal/room"
+	"petrelhook/internal/membudget"
 	"petrelhook/internal/sock"
 	"petrelhook/internal/upstream"
 	"petrelhook/internal/upstream/http1"
@@ -83,7 +83,7 @@
 			life.Tell(lifecycle.Evacuate)
 		}
 	}
-	account := room.New(c.Limits.Messages())
+	account := membudget.New(c.Limits.Messages())
 	var asked *counts.Servers
 	serversDial := dial
 	if c.Admin != "" {
