--- a/internal/door/ahead.go
+++ b/internal/connlimit/ahead.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"context"
@@ -29,7 +29,7 @@
 
 // Follow notices the end of the client of a handler's request, whatever the client sends before it, until the request has its
 // answer and stop is called.
-func (b *Door) Follow(ctx context.Context) (stop func()) {
+func (b *Limiter) Follow(ctx context.Context) (stop func()) {
 	c, ok := ctx.Value(clientKey{}).(*client)
 	if !ok {
 		return func() {}
--- a/internal/door/close_test.go
+++ b/internal/connlimit/close_test.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"bufio"
@@ -20,7 +20,7 @@
 
 // slowReader serves answers of that length, each in one write, and a client with a small buffer that has asked for one and reads
 // nothing yet. With last the answer ends the connection. written is closed when the handler has returned.
-func slowReader(t *testing.T, last bool) (d *Door, c net.Conn, in *bufio.Reader, written chan struct{}) {
+func slowReader(t *testing.T, last bool) (d *Limiter, c net.Conn, in *bufio.Reader, written chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/door/door.go
+++ b/internal/connlimit/limiter.go
@@ -1,11 +1,11 @@
-// Package door is the listener of a front that speaks HTTP: it carries out what package admit decides. It knows of a
+// Package connlimit is the listener of a front that speaks HTTP: it carries out what package admit decides. It knows of a
 // connection whether a request is open on it, not what is in it.
 //
 // Invariants: no more than the given number of connections are open, besides some that are being turned away; Accept
 // never waits for any of them; a connection with a request open, with bytes unread, or with a part of an answer that the client's
 // machine does not have yet is never closed to make room. Of a request that is read after that nothing is passed on, and a close
 // over unread bytes takes no answer with it. A client that has gone is noticed whatever it sent before.
-package door
+package connlimit
 
 import (
 	"bytes"
@@ -31,9 +31,9 @@
 	turnAwayTime = 500 * time.Millisecond
 )
 
-// Door limits a listener's open connections: the descriptors are needed elsewhere. One too many takes the place of another,
+// Limiter bounds a listener's open connections: the descriptors are needed elsewhere. One too many takes the place of another,
 // or gets a prompt 503. Accept never waits for any of them: clients that say nothing must not stop the others.
-type Door struct {
+type Limiter struct {
 	net.Listener
 	Memory *membudget.Budget // the account of what is held that clients send ahead; nil: no bound on all of them together
 	in     time.Duration     // within which a request must be in
@@ -46,14 +46,14 @@
 // client is a connection of the application.
 type client struct {
 	net.Conn
-	b      *Door
+	b      *Limiter
 	cancel context.CancelFunc // ends what is done for its requests
 	ahead  ahead
 	ended  atomic.Bool // the client's end has been seen
 
 	unfinished atomic.Bool // an end of it now would pass for that of an answer
 
-	// Guarded by Door.mu:
+	// Guarded by Limiter.mu:
 	place  admit.Conn
 	due    time.Time // when its present request must be in: the first counts from the connection's start
 	asked  bool
@@ -63,12 +63,12 @@
 }
 
 // New bounds a listener; a request must be in within a time of its connection's start, or of its own first byte.
-func New(ln net.Listener, c admit.Config, in time.Duration) *Door {
-	return &Door{Listener: ln, in: in, away: make(chan struct{}, TurnedAway), admit: admit.New(c, time.Now())}
+func New(ln net.Listener, c admit.Config, in time.Duration) *Limiter {
+	return &Limiter{Listener: ln, in: in, away: make(chan struct{}, TurnedAway), admit: admit.New(c, time.Now())}
 }
 
 // Accept gives the next connection that has a place.
-func (b *Door) Accept() (net.Conn, error) {
+func (b *Limiter) Accept() (net.Conn, error) {
 	for {
 		nc, err := b.Listener.Accept()
 		if err != nil {
@@ -90,7 +90,7 @@
 }
 
 // place finds a place for a connection; nil: there is none.
-func (b *Door) place(nc net.Conn) *client {
+func (b *Limiter) place(nc net.Conn) *client {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -109,7 +109,7 @@
 }
 
 // Answers is the answer, now, to the request of a handler's context. It reports whether that should end the connection.
-func (b *Door) Answers(ctx context.Context) bool {
+func (b *Limiter) Answers(ctx context.Context) bool {
 	c, ok := ctx.Value(clientKey{}).(*client)
 	if !ok {
 		return false
@@ -120,14 +120,14 @@
 }
 
 // Open is how many connections hold a place.
-func (b *Door) Open() int {
+func (b *Limiter) Open() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.admit.Held()
 }
 
 // SetPlaces bounds the connections anew. Those above it stay until they end.
-func (b *Door) SetPlaces(n int) {
+func (b *Limiter) SetPlaces(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.admit.Places = n
@@ -135,7 +135,7 @@
 
 // CloseIdlers closes connections that have been silent for a time and on which nothing has come in. Those that never asked
 // are given admit.FirstCall at least.
-func (b *Door) CloseIdlers(silent time.Duration) {
+func (b *Limiter) CloseIdlers(silent time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -148,15 +148,15 @@
 	}
 }
 
-// Figures are what the door did and holds.
-func (b *Door) Figures() admit.Figures {
+// Figures are what the limiter did and holds.
+func (b *Limiter) Figures() admit.Figures {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.admit.Figures()
 }
 
 // State follows the connections, as http.Server.ConnState tells.
-func (b *Door) State(nc net.Conn, s http.ConnState) {
+func (b *Limiter) State(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*client)
 	if !ok {
 		return
@@ -180,7 +180,7 @@
 
 // Read notes a request's first byte at once: net/http tells of one when it has read the whole head, and until then a
 // connection would pass for one that asks for nothing and can be closed at no loss. What was read at the moment at which the
-// door closed the connection is dropped: nothing may come of a request that cannot be answered any more.
+// limiter closed the connection is dropped: nothing may come of a request that cannot be answered any more.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.ahead.take(p, c.b.free)
 	if n == 0 && err == nil {
@@ -210,33 +210,33 @@
 }
 
 // Gone looks whether the client of a handler's request has gone, also where nobody was told yet.
-func (b *Door) Gone(ctx context.Context) bool {
+func (b *Limiter) Gone(ctx context.Context) bool {
 	c, ok := ctx.Value(clientKey{}).(*client)
 	return ok && (c.ended.Load() || sock.Ended(c.Conn))
 }
 
 // Unfinished says whether an answer is under way on the connection of a handler's request whose end is that of the connection:
 // one that breaks off then ends by a reset, for nobody may take it for whole.
-func (b *Door) Unfinished(ctx context.Context, is bool) {
+func (b *Limiter) Unfinished(ctx context.Context, is bool) {
 	if c, ok := ctx.Value(clientKey{}).(*client); ok {
 		c.unfinished.Store(is)
 	}
 }
 
 // hold asks for room for what comes ahead.
-func (b *Door) hold(n int64) bool { return b.Memory == nil || b.Memory.TryAcquire(n) }
+func (b *Limiter) hold(n int64) bool { return b.Memory == nil || b.Memory.TryAcquire(n) }
 
 // free gives back what was held ahead.
-func (b *Door) free(n int64) {
+func (b *Limiter) free(n int64) {
 	if b.Memory != nil && n > 0 {
 		b.Memory.Release(n)
 	}
 }
 
-// idle reports whether nothing of a request has come. The caller holds Door.mu.
+// idle reports whether nothing of a request has come. The caller holds Limiter.mu.
 func (c *client) idle() bool { return !c.begun && c.quiet() }
 
-// spare reports whether no whole head has come: what there is may be given up for another. The caller holds Door.mu.
+// spare reports whether no whole head has come: what there is may be given up for another. The caller holds Limiter.mu.
 func (c *client) spare() bool { return !c.head.whole && c.quiet() }
 
 // quiet reports whether a close takes nothing with it: a request that comes in this moment resets the connection, and what the
@@ -244,7 +244,7 @@
 func (c *client) quiet() bool { return c.ahead.empty() && sock.Quiet(c.Conn) && !sock.Unsent(c.Conn) }
 
 // head is the head of the present request as it came, unless the request came in one piece with the one before it. It is
-// guarded by Door.mu.
+// guarded by Limiter.mu.
 type head struct {
 	text  []byte
 	whole bool
@@ -278,7 +278,7 @@
 }
 
 // Head is the head of a handler's request as it came; nil where it did not come on its own.
-func (b *Door) Head(ctx context.Context) []byte {
+func (b *Limiter) Head(ctx context.Context) []byte {
 	if c, ok := ctx.Value(clientKey{}).(*client); ok {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -292,7 +292,7 @@
 type clientKey struct{}
 
 // Context lets a handler know the request's connection; it is for http.Server.ConnContext.
-func (b *Door) Context(ctx context.Context, nc net.Conn) context.Context {
+func (b *Limiter) Context(ctx context.Context, nc net.Conn) context.Context {
 	if c, ok := nc.(*client); ok {
 		ctx, c.cancel = context.WithCancel(ctx)
 	}
@@ -300,7 +300,7 @@
 }
 
 // Due is when the request of a handler's context must be in.
-func (b *Door) Due(ctx context.Context) time.Time {
+func (b *Limiter) Due(ctx context.Context) time.Time {
 	c, ok := ctx.Value(clientKey{}).(*client)
 	if !ok {
 		return time.Now().Add(b.in)
--- a/internal/door/door_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"io"
@@ -15,7 +15,7 @@
 func get(path string) string { return "GET /" + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 
 // boundedRig serves requests behind a bounded listener; those for /slow are answered when release is closed.
-func boundedRig(t *testing.T, most int) (addr string, ln *Door, release chan struct{}) {
+func boundedRig(t *testing.T, most int) (addr string, ln *Limiter, release chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +36,7 @@
 	return inner.Addr().String(), ln, release
 }
 
-func (b *Door) idling() (n int) {
+func (b *Limiter) idling() (n int) {
 	for _, k := range b.Figures().Silent {
 		n += k
 	}
@@ -97,7 +97,7 @@
 	}
 }
 
-// crossing is a connection on which a request comes at the very moment at which the door looks whether any has.
+// crossing is a connection on which a request comes at the very moment at which the limiter looks whether any has.
 type crossing struct {
 	net.Conn
 	arrives, read chan struct{}
@@ -126,9 +126,9 @@
 // A request that crosses with our close is never read: nothing may come of it, for its client is told that it was not taken
 // and sends it again.
 func TestARequestThatCrossesWithOurClose(t *testing.T) {
-	for name, closes := range map[string]func(b *Door){
-		"clients are sent away": func(b *Door) { b.CloseIdlers(0) },
-		"room is made":          func(b *Door) { b.place(&crossing{}) },
+	for name, closes := range map[string]func(b *Limiter){
+		"clients are sent away": func(b *Limiter) { b.CloseIdlers(0) },
+		"room is made":          func(b *Limiter) { b.place(&crossing{}) },
 	} {
 		b := New(nil, admit.Config{Places: 1, Horizon: time.Second}, time.Second)
 		conn := &crossing{arrives: make(chan struct{}), read: make(chan struct{}, 1), closed: make(chan struct{})}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -21,7 +21,7 @@
 	"time"
 
 	"petrelhook/internal/admit"
-	"petrelhook/internal/door"
+	"petrelhook/internal/connlimit"
 	"petrelhook/internal/front"
 	"petrelhook/internal/lifecycle"
 	"petrelhook/internal/membudget"
@@ -63,7 +63,7 @@
 	settings Settings
 	classes  map[string]int
 	http     *http.Server
-	clients  *door.Door
+	clients  *connlimit.Limiter
 	longest  time.Duration // the longest deadline
 	ending   atomic.Pointer[lifecycle.Ending]
 	life     *lifecycle.Machine
@@ -73,7 +73,7 @@
 // New makes a server; Serve runs it.
 func New(c Settings, core front.Core, life *lifecycle.Machine, log *slog.Logger) *Server {
 	s := &Server{core: core, life: life, settings: c, classes: map[string]int{}, after: time.After}
-	s.clients = door.New(nil, c.Door, bodyTime)
+	s.clients = connlimit.New(nil, c.Door, bodyTime)
 	s.clients.Memory = c.Room
 	for i, class := range c.Classes {
 		s.classes[class.Name] = i
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -49,8 +49,8 @@
 	{"lease", "internal/share internal/rollout internal/yamlfile internal/rpc internal/fleet internal/lease internal/replica internal/replica/disk internal/monotonic"},
 	{"cmd/petrelfleet", "internal/share internal/command internal/evidence lease internal/driver internal/judge internal/machine internal/agent internal/release internal/counts internal/front internal/message internal/upstream internal/rollout internal/yamlfile internal/rpc internal/fleet internal/lease internal/replica internal/replica/disk internal/monotonic"},
 	{"internal/admin", "internal/lifecycle"},
-	{"internal/door", "internal/admit internal/message internal/membudget internal/sock"},
-	{"internal/front/*", "internal/front internal/message internal/door internal/admit internal/sock internal/lifecycle internal/progress internal/membudget"},
+	{"internal/connlimit", "internal/admit internal/message internal/membudget internal/sock"},
+	{"internal/front/*", "internal/front internal/message internal/connlimit internal/admit internal/sock internal/lifecycle internal/progress internal/membudget"},
 	{"internal/member/*", "internal/member internal/message"},
 	{"internal/upstream/reuse", ""},
 	{"internal/upstream/*", "internal/upstream internal/upstream/reuse internal/message internal/sock internal/membudget"},
@@ -169,7 +169,7 @@
 		{"internal/upstream/http1", "balance"}, {"internal/upstream/http1", "internal/front"},
 		{"internal/core", "internal/upstream/http1"}, {"internal/core", "internal/config"}, {"internal/core", "internal/wiring"},
 		{"internal/wiring", "internal/rig/standin"}, {"internal/config", "internal/core"}, {"balance", "internal/message"},
-		{"internal/rig/memnet", "internal/rig/standin"}, {"cmd/petrelhook", "internal/rig/load"}, {"internal/door", "internal/front"},
+		{"internal/rig/memnet", "internal/rig/standin"}, {"cmd/petrelhook", "internal/rig/load"}, {"internal/connlimit", "internal/front"},
 		{"internal/unheard-of", "balance"},
 	} {
 		if len(misplaced(c.from, []string{c.to})) == 0 {
--- a/internal/wiring/mutation_test.go
+++ b/internal/wiring/mutation_test.go
@@ -11,7 +11,7 @@
 // The guards of rare moments, each taken out: the test that forces its moment fails.
 func TestGuardsOfRareMoments(t *testing.T) {
 	const (
-		door      = "internal/door/door.go"
+		limiter   = "internal/connlimit/limiter.go"
 		request   = "internal/core/request.go"
 		attempt   = "internal/core/attempt.go"
 		front     = "internal/front/platform/platform.go"
@@ -19,10 +19,10 @@
 		cursor    = "internal/member/cursor.go"
 	)
 	mutate.Caught(t, "../..", map[string]mutate.Mutant{
-		"an answer on its way":     {door, " && !sock.Unsent(c.Conn) }", " }", "./internal/door", "TestAnAnswerOnItsWayIsNotResetAway"},
-		"a last answer":            {door, "!half || !sock.Unsent(c.Conn)", "!half || true", "./internal/door", "TestALastAnswerIsTakenWhole"},
-		"a request read ahead":     {door, "c.ahead.empty() && ", "", "./internal/door", "TestARequestReadAheadKeepsItsPlace"},
-		"an answer without length": {door, "c.unfinished.Store(is)", "c.unfinished.Store(false)", "./internal/front/platform", "TestACutAnswerIsNotWhole"},
+		"an answer on its way":     {limiter, " && !sock.Unsent(c.Conn) }", " }", "./internal/connlimit", "TestAnAnswerOnItsWayIsNotResetAway"},
+		"a last answer":            {limiter, "!half || !sock.Unsent(c.Conn)", "!half || true", "./internal/connlimit", "TestALastAnswerIsTakenWhole"},
+		"a request read ahead":     {limiter, "c.ahead.empty() && ", "", "./internal/connlimit", "TestARequestReadAheadKeepsItsPlace"},
+		"an answer without length": {limiter, "c.unfinished.Store(is)", "c.unfinished.Store(false)", "./internal/front/platform", "TestACutAnswerIsNotWhole"},
 		"late in the end":          {front, "in.Wait = end.Within(in.Arrived, in.Wait)", "", "./internal/wiring", "TestARequestReadLateInTheEndIsAnswered"},
 		"what has not begun":       {request, "if !at.done && at.call.Claim() {", "if false {", "./internal/core", "TestNothingBeginsOnceTheClientHasGone"},
 		"a queue before a hang-up": {request, "ctx.Err() != nil || in.Gone", "in.Gone", "./internal/core", "TestAHangUpBehindALongQueue"},
