A resting connection whose client lacks some of its answer is closed by an end that waits

Seen on reading again: since such connections were left open for being idle, a client's machine that had vanished could hold up the end of a drain, which has to be over at 4 s, until the connection's own end. Change: CloseIdlers ends them as an answer's last connection: sending ends, what still comes is dropped, and the close follows when the client has all, after 0.5 s at the latest. Only the making of room, which needs the descriptor at once, passes them over.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -142,8 +142,7 @@
 	for _, p := range b.admit.Idlers(now, silent) {
 		if c := p.Owner.(*client); c.idle() {
 			c.closed = true
-			b.admit.Gone(p, now)
-			c.Conn.Close()
+			c.end(now)
 		}
 	}
 }
@@ -236,12 +235,13 @@
 // idle reports whether nothing of a request has come. The caller holds Limiter.mu.
 func (c *client) idle() bool { return !c.begun && c.quiet() }
 
-// spare reports whether no whole head has come: what there is may be given up for another. The caller holds Limiter.mu.
-func (c *client) spare() bool { return !c.head.whole && c.quiet() }
+// spare reports whether no whole head has come: what there is may be given up for another, at once. A request that comes in this
+// moment resets the connection, and what the client's machine does not have by then of an answer is lost. The caller holds
+// Limiter.mu.
+func (c *client) spare() bool { return !c.head.whole && c.quiet() && !sock.Unsent(c.Conn) }
 
-// quiet reports whether a close takes nothing with it: a request that comes in this moment resets the connection, and what the
-// client's machine does not have by then of an answer is lost.
-func (c *client) quiet() bool { return c.ahead.empty() && sock.Quiet(c.Conn) && !sock.Unsent(c.Conn) }
+// quiet reports whether nothing of a request waits to be read.
+func (c *client) quiet() bool { return c.ahead.empty() && sock.Quiet(c.Conn) }
 
 // head is the head of the present request as it came, unless the request came in one piece with the one before it. It is
 // guarded by Limiter.mu.
@@ -329,6 +329,11 @@
 		c.b.admit.Gone(&c.place, now)
 		return sock.Abort(c.Conn)
 	}
+	return c.end(now)
+}
+
+// end closes the connection, at once or when its client has its last answer. The caller holds Limiter.mu.
+func (c *client) end(now time.Time) error {
 	t, half := c.Conn.(closeWriter)
 	if c.ended.Load() || !half || !sock.Unsent(c.Conn) {
 		c.b.admit.Gone(&c.place, now)
