--- a/internal/wiring/news_test.go
+++ b/internal/wiring/news_test.go
@@ -25,6 +25,51 @@
 // slowest is what an answer of discovery may take for its news to be here by then; see package discovery.
 const slowest = 2300 * time.Millisecond
 
+// play is discovery as a case plays it.
+type play struct {
+	hup func() // it moves to its second address
+
+	mu    sync.Mutex
+	could time.Time      // from when on the change could be told
+	calls map[string]int // by address
+	down  bool           // nobody answers a dial
+}
+
+// now: the change could be told from here on.
+func (p *play) now() { p.from(time.Now()) }
+
+// from says from when on the change could be told; until then nobody answers a dial where down is true.
+func (p *play) from(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.could = t
+}
+
+// since is for how long the change could have been told; below 0: it could not.
+func (p *play) since() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.could.IsZero() {
+		return -1
+	}
+	return time.Since(p.could)
+}
+
+func (p *play) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down && time.Now().Before(p.could)
+}
+
+// call counts a call to an address.
+func (p *play) call(addr string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n = p.calls[addr]
+	p.calls[addr]++
+	return n
+}
+
 // Whatever failed before, news are here in time. Each case plays discovery from its first call on and says from when on the
 // change could be told.
 func TestNewsComeInTime(t *testing.T) {
@@ -32,21 +77,15 @@
 	list := func(generation int) string {
 		return peertest.Catalog(generation, true, peertest.Instance("s", "127.0.0.1:80", "up")) + "\n"
 	}
-	type play struct {
-		could time.Time      // the change could be told
-		calls map[string]int // by address
-		hup   func()         // discovery moves to its second address
-		down  bool           // nobody answers a dial
-	}
 	answers := func(_ *play, c net.Conn) { time.Sleep(slowest); io.WriteString(c, head+list(42)); hold(c) }
-	silent := func(p *play, c net.Conn) { io.WriteString(c, head+list(41)); p.could = time.Now(); hold(c) }
-	taken := func(p *play, c net.Conn) { p.could = time.Now(); hold(c) }
-	noList := func(p *play, c net.Conn) { p.could = time.Now(); io.WriteString(c, head); hold(c) }
-	half := func(p *play, c net.Conn) { p.could = time.Now(); io.WriteString(c, head+list(42)[:40]); hold(c) }
+	silent := func(p *play, c net.Conn) { io.WriteString(c, head+list(41)); p.now(); hold(c) }
+	taken := func(p *play, c net.Conn) { p.now(); hold(c) }
+	noList := func(p *play, c net.Conn) { p.now(); io.WriteString(c, head); hold(c) }
+	half := func(p *play, c net.Conn) { p.now(); io.WriteString(c, head+list(42)[:40]); hold(c) }
 	busy := func(_ *play, c net.Conn) { io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") }
 	reset := func(_ *play, c net.Conn) { c.(interface{ SetLinger(int) error }).SetLinger(0) }
-	older := func(p *play, c net.Conn) { p.could = time.Now(); io.WriteString(c, head+list(3)); hold(c) }
-	moves := func(p *play, c net.Conn) { p.could = time.Now(); p.hup(); hold(c) }
+	older := func(p *play, c net.Conn) { p.now(); io.WriteString(c, head+list(3)); hold(c) }
+	moves := func(p *play, c net.Conn) { p.now(); p.hup(); hold(c) }
 	type call = func(*play, net.Conn)
 	cases := map[string][]call{
 		"silent after a line":         {silent, answers},
@@ -62,17 +101,15 @@
 		fail call
 	}{{"busy for long", busy}, {"resets for long", reset}, {"out of reach for long", nil}} {
 		cases[c.name] = []call{func(p *play, conn net.Conn) {
-			if c.fail == nil {
-				p.down = true
-			} else {
+			p.mu.Lock()
+			p.down = c.fail == nil
+			p.mu.Unlock()
+			p.from(time.Now().Add(time.Minute)) // it is back in a minute
+			if c.fail != nil {
 				c.fail(p, conn)
 			}
-			if p.could.IsZero() { // it is back in a minute
-				p.could = time.Now().Add(time.Minute)
-				time.AfterFunc(time.Minute, func() { p.down = false })
-			}
 		}, func(p *play, conn net.Conn) {
-			if time.Now().Before(p.could) {
+			if p.since() < 0 {
 				c.fail(p, conn)
 				return
 			}
@@ -102,9 +139,7 @@
 								if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 									return
 								}
-								at := min(p.calls[addr], len(script)-1)
-								p.calls[addr]++
-								script[at](p, c)
+								script[min(p.call(addr), len(script)-1)](p, c)
 							})
 						}
 					}()
@@ -112,7 +147,7 @@
 				discovery("127.0.0.1:82", script)
 				discovery("127.0.0.1:83", []call{answers})
 				dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-					if p.down {
+					if p.isDown() {
 						<-ctx.Done()
 						return nil, errors.Join(ctx.Err(), net.ErrClosed)
 					}
@@ -132,15 +167,15 @@
 				stop, end := context.WithCancel(t.Context())
 				defer func() { end(); <-ended; played.Wait() }()
 				go func() { ended <- side.Run(stop, ln, nil, nil) }()
-				for time.Sleep(time.Millisecond); p.could.IsZero() || time.Now().Before(p.could); time.Sleep(time.Millisecond) {
+				for time.Sleep(time.Millisecond); p.since() < 0; time.Sleep(time.Millisecond) {
 				}
 				for side.core.Stats().Generation != 42 {
-					if time.Since(p.could) > counted {
-						t.Fatalf("the news are not here after %v, %v calls", counted, p.calls)
+					if p.since() > counted {
+						t.Fatalf("the news are not here after %v", counted)
 					}
 					time.Sleep(10 * time.Millisecond)
 				}
-				t.Logf("after %v", time.Since(p.could).Round(10*time.Millisecond))
+				t.Logf("after %v", p.since().Round(10*time.Millisecond))
 			})
 		})
 	}
