--- a/balance/ramp_test.go
+++ b/balance/ramp_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -182,7 +181,8 @@
 	return most, float64(sent) / could
 }
 
-// The bound that doc.go derives, and that a cold server is used all the same: it gets at least half of what it can do, over its ramp.
+// The bound that doc.go derives, and that a cold server is used all the same: it gets at least half of what it can do, over
+// its ramp.
 func TestTheRampHoldsForTheFleet(t *testing.T) {
 	worst := 0.0
 	for _, sidecars := range []int{1, 3, 20, 30, 300} {
@@ -211,9 +211,11 @@
 				use, used = math.Max(use, most), used+part/seeds
 			}
 			worst = math.Max(worst, use)
-			t.Log(fmt.Sprintf("%3d sidecars, %-17s largest use %.2f of the bound, sent %.2f of what they could do", sidecars, name+":", use, used))
+			t.Logf("%3d sidecars, %-17s largest use %.2f of the bound, sent %.2f of what they could do",
+				sidecars, name+":", use, used)
 			if use > 1 || used < 0.5 {
-				t.Errorf("%d sidecars, %s: a cold server got %.2f times what it may get, and %.2f of what it could do", sidecars, name, use, used)
+				t.Errorf("%d sidecars, %s: a cold server got %.2f times what it may get, and %.2f of what it could do",
+					sidecars, name, use, used)
 			}
 		}
 	}
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -98,7 +98,8 @@
 		cmd = exec.Command(os.Getenv("OTHER_VERSION"))
 		cmd.Env = os.Environ()
 	}
-	cmd.Env = append(cmd.Env, "LB_CONFIG="+path, "LB_ADMIN_ADDR="+admin, "TMPDIR="+f.dir, "GORACE=atexit_sleep_ms=0") // its end is timed
+	cmd.Env = append(cmd.Env, "LB_CONFIG="+path, "LB_ADMIN_ADDR="+admin, "TMPDIR="+f.dir)
+	cmd.Env = append(cmd.Env, "GORACE=atexit_sleep_ms=0") // its end is timed
 	s := &sidecar{process.Start(f.t, cmd), f, admin}
 	peertest.Eventually(f.t, "ready", func() bool { return s.call("GET /api/ready") == 200 })
 	return s
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,15 @@
 	return Parse(path, raw)
 }
 
+// For says why a configuration that is read again is not that of the sidecar with a name; one that names nobody is everybody's. One
+// customer's servers must not come to another's clients by a file that was mixed up.
+func (c *Config) For(name string) error {
+	if c.Name == "" || c.Name == name {
+		return nil
+	}
+	return fmt.Errorf("the configuration is of %q, and this is %q", c.Name, name)
+}
+
 // Parse takes in the text of a configuration file; name is what errors call it. An error is an *Error.
 func Parse(name string, raw []byte) (Config, error) {
 	var file struct {
--- a/internal/core/legacy.go
+++ b/internal/core/legacy.go
@@ -23,7 +23,8 @@
 // Names are those of positions in the module.
 type Names struct {
 	Classes, Zones, Kinds []string
-	Rules                 []string `json:",omitempty"` // of each class: its effect, group and window; none: of a version that does not tell
+	// Rules are those of each class: its effect, group and window; none: of a version that does not tell.
+	Rules []string `json:",omitempty"`
 }
 
 // rules are those of classes, as a text to be compared.
@@ -122,8 +123,10 @@
 		}
 	}
 	now := l.names()
-	if was := from.Names; was != nil && len(was.Rules) > 0 && !(slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Rules, now.Rules)) {
-		l.log.Info("other settings than before: learned times are taken where class, effect and window agree", "before", was.Classes, "now", now.Classes)
+	was := from.Names
+	if was != nil && len(was.Rules) > 0 && !(slices.Equal(was.Classes, now.Classes) && slices.Equal(was.Rules, now.Rules)) {
+		l.log.Info("other settings than before: learned times are taken where class, effect and window agree",
+			"before", was.Classes, "now", now.Classes)
 	}
 	l.b.Recall(placed(from.Module, from.Names, *now))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -64,7 +64,8 @@
 type Core interface {
 	// Answer waits for a request's answer. Where ctx ends first the client has gone: nothing more is sent for the
 	// request, and the error is the context's. ErrInUse and ErrInvalid mean that the request was not taken, so nothing
-	// of it ran; ErrEnded that the core has ended, and nothing is known of it; ErrGone is for Request.Gone. Whoever has written a Reply calls its Done.
+	// of it ran; ErrEnded that the core has ended, and nothing is known of it; ErrGone is for Request.Gone.
+	// Whoever has written a Reply calls its Done.
 	Answer(ctx context.Context, r Request) (Answer, error)
 }
 
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
 	"petrelhook/internal/config"
@@ -17,8 +16,8 @@
 		case <-asked:
 		}
 		c, err := config.Read(path)
-		if err == nil && c.Name != s.name && c.Name != "" { // not one customer's servers for another's
-			err = fmt.Errorf("%s is of %q, and this is %q", path, c.Name, s.name)
+		if err == nil {
+			err = c.For(s.name)
 		}
 		if err != nil {
 			s.log.Error("the configuration stays as it was", "err", err)
