TestOneWatchOfDiscovery waits for the watch of the next process, not for any one

Cause: the next process says that it serves before its watch is open, and the one watch that was waited for was the first process's; the call came after.

--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -494,7 +494,9 @@
 	old := conn{c, in}
 	serves(old, "s1")
 	second := f.start()
-	peertest.Eventually(t, "one watch", func() bool { return l.Watches() == 1 && first.Log.Has("handing over") })
+	peertest.Eventually(t, "one watch, of the second", func() bool { // which says that it serves before its watch is open
+		return l.Calls() >= 2 && l.Watches() == 1 && first.Log.Has("handing over")
+	})
 	was := l.Calls()
 	serves(old, tell(1)) // by way of the second
 	if l.Watches() != 1 || l.Calls() != was {
