A list that comes in drops is played too; two more guards are taken out in a test

Seen on reading the change again: that a part of a list is no sign of life, and that the pause between calls has a bound, were noticed by no mutant; the first had no test at all. 'a list in drops' of TestNewsComeInTime fails without it; the bound was pinned by '... after failures'.

--- a/internal/wiring/mutation_test.go
+++ b/internal/wiring/mutation_test.go
@@ -29,6 +29,8 @@
 		"a queue before a hang-up": {request, "ctx.Err() != nil || in.Gone", "in.Gone", "./internal/core", "TestAHangUpBehindALongQueue"},
 		"an end seen by the send":  {attempt, "errors.Is(out.Err, upstream.ErrGone) && !r.closed", "false", "./internal/core", "TestAnEndThatIsSeenFirstByTheSender"},
 		"silence":                  {discovery, "watchSilence = 2500 *", "watchSilence = 3500 *", "./internal/wiring", "TestNewsComeInTime"},
+		"a part is no life":        {discovery, "len(bytes.TrimSpace(p[:n])) == 0", "len(bytes.TrimSpace(p[:n])) >= 0", "./internal/wiring", "TestNewsComeInTime"},
+		"a pause without end":      {"balance/parameters.go", "mostPause    = 1500", "mostPause    = 8000", "./internal/wiring", "TestNewsComeInTime"},
 		"a call that hangs":        {discovery, "callTimeout  = 3100 *", "callTimeout  = 4000 *", "./internal/wiring", "TestNewsComeInTime"},
 		"an older list":            {cursor, "if l.Generation < c.held && !c.anew {", "if false {", "./internal/member", "TestCursor"},
 		"another's list":           {cursor, "return l.Whole && len(known) > 0", "return false && len(known) > 0", "./internal/member", "TestCursor"},
--- a/internal/wiring/news_test.go
+++ b/internal/wiring/news_test.go
@@ -85,6 +85,16 @@
 	busy := func(_ *play, c net.Conn) { io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") }
 	reset := func(_ *play, c net.Conn) { c.(interface{ SetLinger(int) error }).SetLinger(0) }
 	older := func(p *play, c net.Conn) { p.now(); io.WriteString(c, head+list(3)); hold(c) }
+	drops := func(p *play, c net.Conn) { // it would take minutes
+		p.now()
+		io.WriteString(c, head)
+		for _, b := range []byte(list(42)) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+	}
 	moves := func(p *play, c net.Conn) { p.now(); p.hup(); hold(c) }
 	type call = func(*play, net.Conn)
 	cases := map[string][]call{
@@ -93,6 +103,7 @@
 		"... after failures":          {busy, reset, busy, reset, busy, taken, answers},
 		"opened without a list":       {noList, answers},
 		"half a list":                 {half, answers},
+		"a list in drops":             {drops, answers},
 		"an older list":               {silent, older, answers},
 		"silent, then moved by a HUP": {silent, moves},
 	}
