petrelctl chain: what a sidecar adds to a call, and what repeats do 1 to 15 deep

Need: calls go up to 15 deep. What a sidecar adds to a call at 250 and 2,500 a second, and how many attempts reach the leaf for one call at the top when the leaf fails, was not known.

Change: internal/rig/chain runs real sidecars behind one another, with applications between them in its own process; petrelctl chain prints tables and points for the capacity page. Counts are exact; where the generator lags the result says so.

--- /dev/null
+++ b/internal/rig/chain/discovery.go
@@ -0,0 +1,64 @@
+package chain
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// member is one entry of discovery's list.
+type member struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedAt int64   `json:"startedAtMs"`
+}
+
+// heartbeat is how often a watch gets an empty line.
+const heartbeat = 2 * time.Second
+
+// discovery tells one sidecar of a list that never changes.
+type discovery struct {
+	*port
+	list []byte // in discovery's form, on one line
+}
+
+// tell starts one.
+func tell(members []member) (*discovery, error) {
+	list, err := json.Marshal(map[string]any{"generation": 1, "reset": true, "instances": members})
+	if err != nil {
+		return nil, err
+	}
+	d := &discovery{list: list}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", d.members)
+	if d.port, err = serveAt(mux); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// members answers with the whole list, and goes on with empty lines where it is watched.
+func (d *discovery) members(w http.ResponseWriter, r *http.Request) {
+	w.Write(append(d.list[:len(d.list):len(d.list)], '\n'))
+	if r.URL.Query().Get("watch") == "" {
+		return
+	}
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for {
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-beat.C:
+			w.Write([]byte("\n"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/chain/report.go
@@ -0,0 +1,207 @@
+package chain
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"text/tabwriter"
+	"time"
+
+	"petrelhook/internal/capacity"
+)
+
+// Report is what came of a study.
+type Report struct {
+	Runs     []*Result         `json:"runs"`
+	Measured capacity.Measured `json:"measured"`
+}
+
+// Report sums up the runs that ended, begun at a time.
+func (s *Study) Report(began time.Time) *Report {
+	r := &Report{Runs: s.Runs, Measured: capacity.Measured{At: began, Commit: commit(), Machine: machine(), Seed: s.Seed}}
+	for _, run := range s.Runs {
+		r.Measured.Points = append(r.Measured.Points, run.points(r.beside(run))...)
+		r.Measured.Findings = append(r.Measured.Findings, run.findings()...)
+	}
+	return r
+}
+
+// OK reports whether all runs are whole and no rule was seen broken. Late answers are findings only: a busy machine
+// has them too.
+func (r *Report) OK() bool {
+	for _, run := range r.Runs {
+		if run.Partial || run.Extras > 0 || run.Repeats > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// beside is the run without sidecars that is to be compared with one; nil: there is none.
+func (r *Report) beside(with *Result) *Result {
+	for _, run := range r.Runs {
+		if run.Direct && !with.Direct && run.Depth == with.Depth && run.Rate == with.Rate && run.Fail == with.Fail {
+			return run
+		}
+	}
+	return nil
+}
+
+// points are the figures of a run. Those of the workload "calls" are of runs in which nothing fails, with the rate in
+// the metric's name; those of "chain" are of the others, with the part that fails. The role "leaf" has the times of
+// the path without sidecars.
+func (r *Result) points(beside *Result) (all []capacity.Point) {
+	workload, at := "calls", fmt.Sprintf("at_%g_s", r.Rate)
+	if r.Fail > 0 {
+		workload, at = "chain", fmt.Sprintf("fail_%g_pc", 100*r.Fail)
+	}
+	add := func(role, metric string, v float64) {
+		all = append(all, capacity.Point{
+			Workload: workload, Role: role, Metric: metric + "_" + at, Size: r.Depth, Run: 1, Value: v,
+		})
+	}
+	path := "sidecar"
+	if r.Direct {
+		path = "leaf"
+	}
+	for i, c := range r.Classes {
+		add(path, c.Name+"_p50_us", float64(c.P50))
+		add(path, c.Name+"_p99_us", float64(c.P99))
+		if beside != nil {
+			add(path, c.Name+"_added_p50_us", float64(c.P50-beside.Classes[i].P50))
+			add(path, c.Name+"_added_p99_us", float64(c.P99-beside.Classes[i].P99))
+		}
+		if r.Fail > 0 {
+			add("leaf", c.Name+"_attempts_call", c.PerCall)
+			add(path, c.Name+"_served_share", float64(c.Served)/float64(max(1, c.Calls)))
+		}
+	}
+	if u, calls := r.mean(); calls > 0 && r.Fail == 0 {
+		add("sidecar", "cpu_us_call", float64(u.CPU.Microseconds())/calls)
+		add("sidecar", "memory_bytes", float64(u.MaxMemory))
+		add("sidecar", "descriptors", float64(u.Descriptors))
+	}
+	return all
+}
+
+// mean is what one sidecar took, and how many calls came to it.
+func (r *Result) mean() (u Usage, calls float64) {
+	n := len(r.Usage)
+	if n == 0 {
+		return u, 0
+	}
+	for i, one := range r.Usage {
+		u.CPU += one.CPU / time.Duration(n)
+		u.Memory += one.Memory / int64(n)
+		u.MaxMemory += one.MaxMemory / int64(n)
+		u.Descriptors = max(u.Descriptors, one.Descriptors)
+		for _, class := range r.Levels[i] {
+			calls += float64(class.Calls) / float64(n)
+		}
+	}
+	return u, calls
+}
+
+// findings are what has to be said beside the figures.
+func (r *Result) findings() (all []string) {
+	name := fmt.Sprintf("depth %d, %g/s, %g%% fail, direct %v: ", r.Depth, r.Rate, 100*r.Fail, r.Direct)
+	say := func(format string, args ...any) { all = append(all, name+fmt.Sprintf(format, args...)) }
+	for _, why := range r.Invalid {
+		say("times are not valid: %s", why)
+	}
+	if r.Partial {
+		say("stopped early")
+	}
+	if r.Extras > 0 {
+		say("%d answers that nobody asked for", r.Extras)
+	}
+	if r.Repeats > 0 {
+		say("%d unsafe requests were sent again by one sidecar", r.Repeats)
+	}
+	for _, c := range r.Classes {
+		if c.Late+c.Lost > 0 {
+			say("%s: %d answers were late and %d never came", c.Name, c.Late, c.Lost)
+		}
+	}
+	return all
+}
+
+// WriteText writes the runs as tables.
+func (r *Report) WriteText(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "depth\trate/s\tfail\tclass\tcalls\tserved\trefused\tfailed\tlate\tlost\t"+
+		"leaf/call\ta level\tmost\tp50 ms\tp99 ms\tadded p50\tadded p99\t")
+	for _, run := range r.Runs {
+		beside := r.beside(run)
+		for i, c := range run.Classes {
+			depth, added := fmt.Sprint(run.Depth), "\t"
+			if run.Direct {
+				depth += " direct"
+			}
+			if beside != nil {
+				added = fmt.Sprintf("%.2f\t%.2f", ms(c.P50-beside.Classes[i].P50), ms(c.P99-beside.Classes[i].P99))
+			}
+			fmt.Fprintf(w, "%s\t%g\t%g%%\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t", depth, run.Rate, 100*run.Fail, c.Name,
+				c.Calls, c.Served, c.Refused, c.Failed, c.Late, c.Lost)
+			fmt.Fprintf(w, "%.3f\t%s\t%d\t%.2f\t%.2f\t%s\t\n", c.PerCall, run.factors(c.Name), c.Most,
+				ms(c.P50), ms(c.P99), added)
+		}
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "sidecars\trate/s\tfail\tcalls each\tcpu us/call\tmemory MiB\tdescriptors\t")
+	for _, run := range r.Runs {
+		if u, calls := run.mean(); calls > 0 {
+			fmt.Fprintf(w, "%d\t%g\t%g%%\t%.0f\t%.0f\t%.1f\t%d\t\n", run.Depth, run.Rate, 100*run.Fail, calls,
+				float64(u.CPU.Microseconds())/calls, float64(u.MaxMemory)/(1<<20), u.Descriptors)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, f := range r.Measured.Findings {
+		if _, err := fmt.Fprintln(to, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// factors are the least and the most attempts for a call that a level's sidecar made.
+func (r *Result) factors(class string) string {
+	least, most := 0.0, 0.0
+	for _, l := range r.Levels {
+		if n := l[class]; n.Calls > 0 {
+			f := float64(n.Attempts) / float64(n.Calls)
+			if most = max(most, f); least == 0 || f < least {
+				least = f
+			}
+		}
+	}
+	return fmt.Sprintf("%.2f..%.2f", least, most)
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
+
+// commit is what this program was built from.
+func commit() string {
+	info, _ := debug.ReadBuildInfo()
+	if info == nil {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return ""
+}
+
+// machine says what it runs on.
+func machine() string {
+	text, _ := os.ReadFile("/proc/meminfo")
+	line, _, _ := bytes.Cut(text, []byte("\n"))
+	return fmt.Sprintf("%d processors, %s", runtime.NumCPU(), bytes.Join(bytes.Fields(line), []byte(" ")))
+}
