Versions of a configuration: accepted once by the log, told by every coordinator

Need: nothing carries a configuration to all sidecars of a service. What exists is a staged change: a driver calls every agent, each sidecar is started anew where a plan says so, and the start of a change of 12,000 is larger than a coordinator takes (maxAsk).

--- a/cmd/petrelctl/lease.go
+++ b/cmd/petrelctl/lease.go
@@ -45,6 +45,11 @@
 	return o, o.Check()
 }
 
+// time is a call's.
+func (a *asking) time(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(cmd.Context(), a.within)
+}
+
 // ask asks whoever leads.
 func (a *asking) ask(cmd *cobra.Command, in fleet.Ask) (*fleet.Told, error) {
 	o, err := a.operator()
--- /dev/null
+++ b/cmd/petrelctl/revision.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/distribute"
+	"petrelhook/internal/fleet"
+)
+
+func revisionCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "revision", Short: "Versions of a service's configuration, brought to all its sidecars"}
+	cmd.AddCommand(revisionPublishCommand(), revisionStatusCommand(), revisionShowCommand())
+	return cmd
+}
+
+func revisionPublishCommand() *cobra.Command {
+	a := &asking{}
+	var wait time.Duration
+	var stepsDone bool
+	cmd := &cobra.Command{
+		Use: "publish SERVICE FILE", Args: cobra.ExactArgs(2),
+		Short: "Publish a service's configuration: a JSON object whose fields go over those of the sidecars' release",
+		Long: `Publish accepts the version once, prints its revision, and with --wait waits until it is in force on all sidecars of the
+service that the coordinators have heard of. 1: it was refused, or not in force everywhere in time.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o, err := a.operator()
+			if err != nil {
+				return err
+			}
+			service, file := args[0], args[1]
+			content, err := os.ReadFile(file)
+			if err != nil {
+				return runError{err}
+			}
+			ctx, cancel := a.time(cmd)
+			defer cancel()
+			revision, already, err := o.Publish(ctx, service, content, stepsDone)
+			switch {
+			case errors.Is(err, fleet.ErrOvertaken) || errors.Is(err, fleet.ErrUnanswered):
+				return runError{fmt.Errorf("%s: %w", service, err)}
+			case err != nil:
+				return runError{fmt.Errorf("%s: %w", file, err)}
+			}
+			if wait > 0 {
+				return a.awaitInForce(cmd, o, service, revision, wait)
+			}
+			return a.print(cmd, map[string]any{"service": service, "revision": revision, "already": already}, func(w *tabwriter.Writer) {
+				word := ""
+				if already {
+					word = "\tit is the newest already"
+				}
+				fmt.Fprintf(w, "%s\trevision %d%s\n", service, revision, word)
+			})
+		},
+	}
+	a.flags(cmd)
+	cmd.Flags().BoolVar(&stepsDone, "steps-done", false, "what has to be done elsewhere first was done (petrelctl rollout plan says what)")
+	cmd.Flags().DurationVar(&wait, "wait", 0, "how long to wait until it is in force everywhere; 0: do not")
+	return cmd
+}
+
+// lookTime is between two looks at what is in force.
+const lookTime = 500 * time.Millisecond
+
+func (a *asking) awaitInForce(cmd *cobra.Command, o *fleet.Operator, service string, revision distribute.Revision, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	tick := time.NewTicker(lookTime)
+	defer tick.Stop()
+	for late := false; ; {
+		of, all := o.InForce(cmd.Context(), service)
+		s := of[service]
+		if done := s.Newest >= revision && s.Known > 0 && s.InForce == s.Known; done || late {
+			err := a.printSummary(cmd, s, all)
+			if err == nil && !done {
+				err = errBad
+			}
+			return err
+		}
+		select {
+		case <-cmd.Context().Done():
+			return runError{cmd.Context().Err()}
+		case <-timer.C:
+			late = true
+		case <-tick.C:
+		}
+	}
+}
+
+func revisionStatusCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "status [SERVICE]", Args: cobra.MaximumNArgs(1),
+		Short: "What is in force, at how many sidecars, and at which not and why; 1: the newest is not in force everywhere",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o, err := a.operator()
+			if err != nil {
+				return err
+			}
+			if len(args) == 1 {
+				of, all := o.InForce(cmd.Context(), args[0])
+				s := of[args[0]]
+				if err := a.printSummary(cmd, s, all); err != nil {
+					return err
+				}
+				if s.InForce != s.Known {
+					return errBad
+				}
+				return nil
+			}
+			return a.printServices(cmd, o)
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
+
+// printServices prints a line for each service that has a version, and which coordinators can't tell.
+func (a *asking) printServices(cmd *cobra.Command, o *fleet.Operator) error {
+	of, coordinators := o.InForce(cmd.Context(), "")
+	all := make([]distribute.Summary, 0, len(of))
+	behind := false
+	for _, service := range slices.Sorted(maps.Keys(of)) {
+		s := of[service]
+		behind = behind || s.InForce != s.Known
+		s.Members = nil
+		all = append(all, s)
+	}
+	err := a.print(cmd, all, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "SERVICE\tREVISION\tIN FORCE\tDIGEST")
+		for _, s := range all {
+			fmt.Fprintf(w, "%s\t%d\t%d of %d\t%.12s\n", s.Service, s.Newest, s.InForce, s.Known, s.Digest)
+		}
+		printCoordinators(w, coordinators)
+	})
+	if err == nil && behind {
+		err = errBad
+	}
+	return err
+}
+
+// printCoordinators prints those that can't tell.
+func printCoordinators(w *tabwriter.Writer, all []fleet.Summarized) {
+	for _, c := range all {
+		switch {
+		case c.Err != nil:
+			fmt.Fprintf(w, "coordinator %s\t%v\n", c.Addr, c.Err)
+		case !c.Fresh:
+			fmt.Fprintf(w, "coordinator %s\tit reaches no leader, and tells agents nothing\n", c.Addr)
+		}
+	}
+}
+
+// printSummary prints how a service stands: the sum, and those where the newest is not in force.
+func (a *asking) printSummary(cmd *cobra.Command, s distribute.Summary, all []fleet.Summarized) error {
+	return a.print(cmd, s, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "%s\trevision %d\tin force at %d of %d\n", s.Service, s.Newest, s.InForce, s.Known)
+		for _, m := range s.Members {
+			if m.InForce == s.Newest {
+				continue
+			}
+			why := m.Why
+			if m.InForce > s.Newest {
+				why = "it holds what these coordinators have forgotten; publish once more"
+			}
+			fmt.Fprintf(w, "  %s\trevision %d\theard %v ago\t%s\n", m.Sidecar, m.InForce, m.Ago.Round(100*time.Millisecond), why)
+		}
+		printCoordinators(w, all)
+	})
+}
+
+func revisionShowCommand() *cobra.Command {
+	a := &asking{}
+	cmd := &cobra.Command{
+		Use: "show SERVICE", Args: cobra.ExactArgs(1), Short: "A service's newest version, with its content",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			told, err := a.ask(cmd, fleet.Ask{Versions: &args[0]})
+			if err == nil && len(told.Versions) == 0 {
+				err = runError{fmt.Errorf("%s: nothing was published for it", args[0])}
+			}
+			if err != nil {
+				return err
+			}
+			v := told.Versions[0]
+			return a.print(cmd, v, func(w *tabwriter.Writer) {
+				fmt.Fprintf(w, "%s\trevision %d\t%s\n%s\n", v.Service, v.Revision, v.Digest, v.Content)
+			})
+		},
+	}
+	a.flags(cmd)
+	return cmd
+}
--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -39,6 +39,8 @@
 	Revision Revision        `json:"revision"`
 	Digest   string          `json:"digest"` // of Content
 	Content  json.RawMessage `json:"content,omitempty"`
+	// StepsDone says that what has to be done elsewhere first, as servers that have to remember keys for longer, was done.
+	StepsDone bool `json:"steps_done,omitempty"`
 }
 
 // Digest names a content: SHA-256 of its bytes, in hexadecimal.
@@ -62,6 +64,8 @@
 	After   Revision        `json:"after,omitempty"`
 	Above   Revision        `json:"above,omitempty"`
 	Content json.RawMessage `json:"content"`
+
+	StepsDone bool `json:"steps_done,omitempty"`
 }
 
 // Answer is what became of a command.
@@ -108,7 +112,7 @@
 	Heard bool     `json:"heard,omitempty"` // this coordinator has the member's reports
 }
 
-// Summarize is a question for what is in force, as one coordinator has heard it. Service "": the sums of all services, without names.
+// Summarize is a question for what is in force, as one coordinator has heard it. Service "": of all services that have a version.
 type Summarize struct {
 	Version int    `json:"version"`
 	Service string `json:"service,omitempty"`
@@ -129,7 +133,7 @@
 	InForce int      `json:"in_force"` // sidecars that run the newest
 	Known   int      `json:"known"`    // sidecars that were heard of here
 	Ahead   Revision `json:"ahead,omitempty"`
-	Members []Heard  `json:"members,omitempty"` // each sidecar, where one service was asked for
+	Members []Heard  `json:"members,omitempty"` // each sidecar: one that moved has been heard at several coordinators
 }
 
 // Heard is a sidecar's last report at this coordinator, and how long ago its agent spoke.
--- /dev/null
+++ b/internal/distribute/subscriber_test.go
@@ -0,0 +1,276 @@
+package distribute
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func version(service string, r Revision, content string) Version {
+	return Version{service, r, Digest([]byte(content)), json.RawMessage(content), false}
+}
+
+func TestWhatIsTaken(t *testing.T) {
+	broken := version("a", 8, `{"n":8}`)
+	broken.Content = broken.Content[:4]
+	empty := version("a", 8, "")
+	for name, c := range map[string]struct {
+		told Version
+		want error
+	}{
+		"newer":           {version("a", 8, `{"n":8}`), nil},
+		"the same":        {version("a", 7, `{"n":8}`), ErrOlder},
+		"older":           {version("a", 6, `{"n":8}`), ErrOlder},
+		"another's":       {version("b", 8, `{"n":8}`), ErrForeign},
+		"half":            {broken, ErrBroken},
+		"without content": {empty, ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewSubscriber(DefaultSubscriber("a", "m", 3, rand.New(rand.NewPCG(1, 1)).Int64N), 7, 0)
+			call := s.Begin(time.Second)
+			v, err := s.Answered(2*time.Second, Told{Newer: &c.told})
+			if !errors.Is(err, c.want) || (v == nil) != (err != nil) {
+				t.Fatalf("%v %v", v, err)
+			}
+			at, ok := s.Due()
+			if !ok {
+				t.Fatal("a call is out")
+			}
+			next := s.Begin(at)
+			if err == nil && (s.Holds() != 8 || at != 2*time.Second || next.Server != call.Server || next.Watch.Holds != 8) {
+				t.Errorf("%d at %v, %+v", s.Holds(), at, next)
+			}
+			if err != nil && (s.Holds() != 7 || at <= 2*time.Second || next.Server == call.Server || next.Watch.Holds != 7) {
+				t.Errorf("%d at %v, %+v", s.Holds(), at, next)
+			}
+		})
+	}
+}
+
+// A version that a machine could not keep is asked for again, after a pause, and taken again.
+func TestNotKept(t *testing.T) {
+	s := NewSubscriber(DefaultSubscriber("a", "m", 3, func(n int64) int64 { return n / 2 }), 7, 0)
+	for range 3 {
+		now, _ := s.Due()
+		c := s.Begin(now)
+		v := version("a", 8, `{"n":8}`)
+		if got, err := s.Answered(now, Told{Newer: &v}); got == nil || err != nil || c.Watch.Holds != 7 {
+			t.Fatalf("%+v: %v %v", c, got, err)
+		}
+		s.NotKept(now, 7)
+		if at, ok := s.Due(); !ok || s.Holds() != 7 || at < now+s.o.Spread/2 || at > now+2*s.o.Spread {
+			t.Fatalf("holds %d, again at %v", s.Holds(), at-now)
+		}
+	}
+}
+
+// One call after the other: when, to whom, how long.
+func TestCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		servers := rapid.IntRange(1, 4).Draw(t, "servers")
+		now := time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "now"))
+		o := DefaultSubscriber("a", "m", servers, rnd.Int64N)
+		s := NewSubscriber(o, 0, now)
+		if at, ok := s.Due(); !ok || at < now || at >= now+o.Spread {
+			t.Fatalf("first at %v", at-now)
+		}
+		server, since, failed := -1, now, false
+		for range rapid.IntRange(1, 60).Draw(t, "calls") {
+			at, _ := s.Due()
+			now = max(now, at)
+			c := s.Begin(now)
+			if _, ok := s.Due(); ok {
+				t.Fatal("two calls")
+			}
+			if w := c.Watch; w.Check() != nil || w.Service != "a" || w.Member != "m" ||
+				w.Hold > o.Hold || w.Hold < o.Hold*3/4 || c.GiveUp != now+w.Hold+o.Answer {
+				t.Fatalf("%+v", c)
+			}
+			if c.Server < 0 || c.Server >= servers || failed && servers > 1 && c.Server == server {
+				t.Fatalf("%+v after %d", c, server)
+			}
+			if c.Server != server || failed {
+				if !failed && server >= 0 && now-since < o.Stay/2 {
+					t.Fatalf("left after %v", now-since)
+				}
+				since = now
+			} else if servers > 1 && now-since > o.Stay {
+				t.Fatalf("stays for %v", now-since)
+			}
+			server = c.Server
+			if failed = rapid.IntRange(0, 3).Draw(t, "fails") == 0; failed {
+				now += rapid.SampledFrom([]time.Duration{0, time.Millisecond, c.GiveUp - now}).Draw(t, "after")
+				s.Failed(now)
+				s.Failed(now) // said twice: nothing
+				if at, ok := s.Due(); !ok || at < now || at > now+o.Most {
+					t.Fatalf("pause of %v", at-now)
+				}
+				pause, _ := s.Due()
+				s.Answered(now, Told{}) // after it was given up
+				if at, _ := s.Due(); at != pause {
+					t.Fatalf("a pause to %v became one to %v", pause, at)
+				}
+				continue
+			}
+			now += c.Watch.Hold
+			if v, err := s.Answered(now, Told{}); v != nil || err != nil {
+				t.Fatal(v, err)
+			}
+			if at, ok := s.Due(); !ok || at != now {
+				t.Fatalf("again at %v", at-now)
+			}
+			if v, err := s.Answered(now, Told{}); v != nil || err != nil { // doubled
+				t.Fatal(v, err)
+			}
+		}
+	})
+}
+
+// Pauses grow to Most while nobody answers, and do not crowd: one in each window.
+func TestPausesGrow(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var late, early int
+	for range 1000 {
+		s := NewSubscriber(DefaultSubscriber("a", "m", 1, rnd.Int64N), 0, 0)
+		from, to := time.Duration(0), 2*time.Second
+		for n := range 40 {
+			at, _ := s.Due()
+			if at < from || at >= to {
+				t.Fatalf("ask %d at %v, want %v to %v", n, at, from, to)
+			}
+			if at-from > (to-from)*9/10 {
+				late++
+			}
+			if at-from < (to-from)/10 {
+				early++
+			}
+			s.Begin(at)
+			s.Failed(at)
+			if from, to = to, to+2500*time.Millisecond; n == 0 { // the first after a loss is within Spread
+				to = from + 2*time.Second
+			}
+		}
+	}
+	if late < 3500 || late > 4500 || early < 3500 || early > 4500 {
+		t.Errorf("%d of 40000 in the first tenth of their window, %d in the last", early, late)
+	}
+}
+
+// Load is spread over all coordinators again some time after one came back.
+func TestLoadSpreads(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	at := make([]int, 3)
+	for range 3000 {
+		s := NewSubscriber(DefaultSubscriber("a", "m", 3, rnd.Int64N), 0, 0)
+		var c Call
+		for now := time.Duration(0); now < 4*time.Minute; {
+			now, _ = s.Due()
+			if c = s.Begin(now); now < time.Minute && c.Server == 0 { // it is away for a minute
+				s.Failed(now)
+				continue
+			}
+			s.Answered(now+c.Watch.Hold, Told{})
+		}
+		at[c.Server]++
+	}
+	for server, n := range at {
+		if n < 850 || n > 1150 {
+			t.Errorf("%d ask coordinator %d: %v", n, server, at)
+		}
+	}
+}
+
+// Whatever is told, by whom and in whatever order, no older version is taken, none of another service and none that
+// is not whole. After coordinators were begun anew from a back-up, or from nothing, a version that was published
+// above what is held reaches all.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		services := []string{"a", "b"}
+		r := NewRegister()
+		snapshots := []json.RawMessage{nil}
+		versions := []Version{}
+		var subs []*Subscriber
+		for i := range 4 {
+			subs = append(subs, NewSubscriber(DefaultSubscriber(services[i%2], fmt.Sprint(i), 3,
+				rand.New(rand.NewPCG(uint64(i), 1)).Int64N), 0, 0))
+		}
+		content := 0
+		publish := func(service string, above Revision) Version {
+			newest, _ := r.Newest(service)
+			content++
+			a := r.Apply(Command{service, newest.Revision, above, json.RawMessage(fmt.Sprintf(`{"n":%d}`, content)), false})
+			if a.Refused != "" {
+				t.Fatal(a)
+			}
+			v, _ := r.Newest(service)
+			versions = append(versions, v)
+			snapshots = append(snapshots, r.Snapshot())
+			return v
+		}
+		tell := func(s *Subscriber, told Version) {
+			before := s.Holds()
+			late := rapid.Bool().Draw(t, "late")
+			var v *Version
+			var err error
+			if late {
+				v, err = s.Take(Told{Newer: &told})
+			} else {
+				s.Begin(0)
+				v, err = s.Answered(0, Told{Newer: &told})
+			}
+			good := told.Service == s.o.Service && told.Revision > before && told.Digest == Digest(told.Content)
+			if good != (v != nil) || good != (err == nil) || s.Holds() < before {
+				t.Fatalf("%s at %d: %+v, %v, holds %d", s.o.Service, before, told, err, s.Holds())
+			}
+			if good && (s.Holds() != v.Revision || v.Revision <= before) || !good && s.Holds() != before {
+				t.Fatalf("%d became %d by %+v", before, s.Holds(), told)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(*rapid.T) { publish(rapid.SampledFrom(services).Draw(t, "service"), 0) },
+			"restore": func(*rapid.T) {
+				var err error
+				if r, err = RestoreRegister(rapid.SampledFrom(snapshots).Draw(t, "back-up")); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"tell the newest": func(*rapid.T) {
+				s := rapid.SampledFrom(subs).Draw(t, "subscriber")
+				if v, ok := r.Newest(s.o.Service); ok {
+					tell(s, v)
+				}
+			},
+			"tell any": func(*rapid.T) {
+				if len(versions) == 0 {
+					return
+				}
+				v := rapid.SampledFrom(versions).Draw(t, "version")
+				if rapid.IntRange(0, 3).Draw(t, "half") == 0 {
+					v.Content = v.Content[:rapid.IntRange(0, len(v.Content)-1).Draw(t, "bytes")]
+				}
+				tell(rapid.SampledFrom(subs).Draw(t, "subscriber"), v)
+			},
+			"publish above": func(*rapid.T) {
+				service := rapid.SampledFrom(services).Draw(t, "service")
+				held := Revision(0)
+				for _, s := range subs {
+					held = max(held, s.Holds())
+				}
+				v := publish(service, held)
+				for _, s := range subs {
+					if s.o.Service == service {
+						if tell(s, v); s.Holds() != v.Revision {
+							t.Fatalf("%d is held, not %d", s.Holds(), v.Revision)
+						}
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleet/distribute.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"petrelhook/internal/distribute"
+	"petrelhook/internal/replica"
+)
+
+const (
+	// freshTicks is for how long a coordinator tells of versions without having confirmed that it knows them all: longer than an election
+	// takes, so that agents do not all leave at a change of the leader; confirmTicks is how often it does.
+	freshTicks   = 8 * replica.ElectionTicks
+	confirmTicks = replica.ElectionTicks
+	tickTime     = 100 * time.Millisecond // between two looks at the watches
+)
+
+// distributor is the part of a coordinator that tells agents of versions. Followers do it as well as the leader: what they know is
+// confirmed by asking the leader, not by the log's own messages, of which one direction may be cut.
+type distributor struct {
+	s       *Server
+	began   time.Time
+	watches *distribute.Watches
+	sums    *distribute.Sums
+	asked   time.Duration       // what pending was asked for
+	pending distribute.Revision // confirmed, once it is applied here; 0: nothing is
+	// ahead is the largest revision that an agent has said it holds, here or, at the leader, anywhere: a group that was restored has
+	// forgotten what it gave, and what is published next has to be above that.
+	ahead atomic.Uint64
+	last  atomic.Uint64 // of the versions that are applied here
+}
+
+// above is what the next revision has to be above where the group has forgotten what it gave; else 0.
+func (d *distributor) above() distribute.Revision {
+	if ahead := d.ahead.Load(); ahead > d.last.Load() {
+		return distribute.Revision(ahead)
+	}
+	return 0
+}
+
+// hold takes in a revision that is held somewhere. One that the log would not go up to is nobody's.
+func (d *distributor) hold(r distribute.Revision) {
+	if uint64(r) > d.last.Load()+distribute.MaxLeap {
+		return
+	}
+	for was := d.ahead.Load(); uint64(r) > was && !d.ahead.CompareAndSwap(was, uint64(r)); was = d.ahead.Load() {
+	}
+}
+
+func newDistributor(s *Server) *distributor {
+	d := &distributor{s: s, began: time.Now(), sums: distribute.NewSums()}
+	d.watches = distribute.NewWatches(func(service string) (distribute.Version, bool) {
+		return s.core.Versions().Newest(service)
+	}, freshTicks*s.config.Tick)
+	return d
+}
+
+func (d *distributor) now() time.Duration { return time.Since(d.began) }
+
+// applied tells those who wait what has changed.
+func (d *distributor) applied() {
+	d.last.Store(uint64(d.s.core.Versions().Last()))
+	if changed := d.s.core.Changed(); changed.All {
+		d.watches.ChangedAll(d.now())
+	} else {
+		for _, service := range changed.Services {
+			d.watches.Changed(d.now(), service)
+		}
+	}
+	d.catchUp()
+}
+
+// catchUp takes in a confirmation once all is applied that it is of.
+func (d *distributor) catchUp() {
+	if d.pending > 0 && d.s.core.Versions().Last() >= d.pending-1 {
+		d.watches.Confirmed(d.asked)
+		d.pending = 0
+	}
+}
+
+// tick ends what has waited for long.
+func (d *distributor) tick() {
+	d.watches.Tick(d.now())
+	d.sums.Tick(d.now())
+}
+
+// confirm asks the leader again and again which version is the last, until ctx ends.
+func (d *distributor) confirm(ctx context.Context) {
+	over := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1}}
+	defer over.CloseIdleConnections()
+	every := confirmTicks * d.s.config.Tick
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		addrs := make(chan []string, 1)
+		if !d.s.post(func() { addrs <- d.s.addrs() }) {
+			return
+		}
+		select {
+		case all := <-addrs:
+			if len(all) > 0 {
+				d.confirmOnce(ctx, &Caller{Addrs: all, Over: over, Within: 2 * every, Pause: every / 4}, 4*every)
+			}
+		case <-d.s.ended:
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *distributor) confirmOnce(ctx context.Context, c *Caller, within time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	var asked time.Duration
+	told, err := c.Ask(ctx, &Ask{Last: &Last{Held: distribute.Revision(d.ahead.Load())}}, func() { asked = d.now() })
+	if err != nil {
+		return // what is not confirmed ends by itself
+	}
+	d.s.post(func() {
+		d.asked, d.pending = asked, told.Last+1
+		d.catchUp()
+	})
+}
+
+// addrs are those of all replicas, the leader first if it is known.
+func (s *Server) addrs() (all []string) {
+	leader := s.core.Status().Leader
+	for _, m := range s.core.Members() {
+		if a := s.addr(m.ID); a != "" && m.ID == leader {
+			all = append([]string{a}, all...)
+		} else if a != "" {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// watch answers an agent that waits for a newer version.
+func (s *Server) watch(ctx context.Context, in *distribute.Watch) (*distribute.Told, error) {
+	if err := in.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	type result struct {
+		told distribute.Told
+		err  error
+	}
+	done, cancel := make(chan result, 1), make(chan func(), 1)
+	if !s.post(func() {
+		now, heard := s.distribute.now(), true
+		if len(in.Reports) > 0 {
+			s.distribute.sums.Heard(now, in.Service, in.Member, in.Reports)
+		} else {
+			heard = s.distribute.sums.Knows(in.Service, in.Member)
+			s.distribute.sums.Spoke(now, in.Service, in.Member)
+		}
+		s.distribute.hold(in.Holds)
+		s.distribute.sums.Holds(in.Service, in.Member, in.Holds)
+		cancel <- s.distribute.watches.Ask(now, *in, func(t distribute.Told, err error) {
+			t.Heard = heard
+			done <- result{t, err}
+		})
+	}) {
+		return nil, errEnds
+	}
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, r.err)
+		}
+		return &r.told, nil
+	case <-ctx.Done():
+		s.post(func() { (<-cancel)() })
+		return nil, ctx.Err()
+	case <-s.ended:
+		return nil, errEnds
+	}
+}
+
+// summary answers what is in force, as this coordinator has heard it.
+func (s *Server) summary(ctx context.Context, in *distribute.Summarize) (*distribute.Summaries, error) {
+	if in.Version != distribute.WireVersion {
+		return nil, CheckVersion(in.Version)
+	}
+	done := make(chan *distribute.Summaries, 1)
+	if !s.post(func() {
+		d, versions := s.distribute, s.core.Versions()
+		out := &distribute.Summaries{Last: versions.Last(), Fresh: d.watches.Fresh(d.now())}
+		if in.Service != "" {
+			newest, _ := versions.Newest(in.Service)
+			out.Of = []distribute.Summary{d.sums.Of(d.now(), in.Service, newest)}
+		} else {
+			for _, newest := range versions.Services() {
+				out.Of = append(out.Of, d.sums.Of(d.now(), newest.Service, newest))
+			}
+		}
+		done <- out
+	}) {
+		return nil, errEnds
+	}
+	select {
+	case out := <-done:
+		return out, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.ended:
+		return nil, errEnds
+	}
+}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,16 +21,32 @@
 type Operator struct {
 	Addrs []string
 	over  http.Client
+
+	mu     sync.Mutex
+	caller *Caller // it goes on from the coordinator that answered last
 }
 
 // ErrUnanswered says that no coordinator that leads has answered in time.
 var ErrUnanswered = errors.New("no answer")
 
-const operatorPause = 50 * time.Millisecond
+const (
+	operatorPause = 50 * time.Millisecond
+	// operatorTime is how long one coordinator is waited for: one that is stopped takes calls and answers none.
+	operatorTime = 3 * time.Second
+)
 
 // Ask asks until a coordinator that leads has answered, or ctx ends.
 func (o *Operator) Ask(ctx context.Context, in Ask) (*Told, error) {
-	told, err := (&Caller{Addrs: o.Addrs, Over: &o.over, Pause: operatorPause}).Ask(ctx, &in, nil)
+	o.mu.Lock()
+	if o.caller == nil {
+		o.caller = &Caller{Addrs: o.Addrs, Over: &o.over, Pause: operatorPause, Within: operatorTime}
+	}
+	c := o.caller
+	o.mu.Unlock()
+	if once(&in) { // it is not given up while it may be done
+		c = &Caller{Addrs: o.Addrs, Over: &o.over, Pause: operatorPause}
+	}
+	told, err := c.Ask(ctx, &in, nil)
 	if err != nil && ctx.Err() != nil {
 		err = fmt.Errorf("%w: %w", ErrUnanswered, err)
 	}
--- a/internal/fleet/rpc.go
+++ b/internal/fleet/rpc.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/replica"
 	"petrelhook/internal/rollout"
@@ -32,39 +33,50 @@
 
 // Ask is a question of a client; one field says what.
 type Ask struct {
-	Version int              `json:"version"`
-	Command *lease.Command   `json:"command,omitempty"`
-	Alive   *replica.Alive   `json:"alive,omitempty"`
-	Rollout *rollout.Command `json:"rollout,omitempty"`
-	Changes *string          `json:"changes,omitempty"` // of an application; "": which applications there are
-	Results bool             `json:"results,omitempty"` // with what the stages of the change were counted to have done
-	Limit   *share.Command   `json:"limit,omitempty"`
-	Share   *replica.Share   `json:"share,omitempty"`
-	Limits  bool             `json:"limits,omitempty"` // how they stand
-	List    *string          `json:"list,omitempty"`   // leases whose names begin so
-	Backup  bool             `json:"backup,omitempty"`
-	Add     *replica.Member  `json:"add,omitempty"`
-	Remove  uint64           `json:"remove,omitempty"`
+	Version  int                 `json:"version"`
+	Command  *lease.Command      `json:"command,omitempty"`
+	Alive    *replica.Alive      `json:"alive,omitempty"`
+	Rollout  *rollout.Command    `json:"rollout,omitempty"`
+	Changes  *string             `json:"changes,omitempty"` // of an application; "": which applications there are
+	Results  bool                `json:"results,omitempty"` // with what the stages of the change were counted to have done
+	Limit    *share.Command      `json:"limit,omitempty"`
+	Share    *replica.Share      `json:"share,omitempty"`
+	Limits   bool                `json:"limits,omitempty"` // how they stand
+	Publish  *distribute.Command `json:"publish,omitempty"`
+	Versions *string             `json:"versions,omitempty"` // the newest of a service, with its content; "": of all, without
+	Last     *Last               `json:"last,omitempty"`     // the revision of the last version of all
+	List     *string             `json:"list,omitempty"`     // leases whose names begin so
+	Backup   bool                `json:"backup,omitempty"`
+	Add      *replica.Member     `json:"add,omitempty"`
+	Remove   uint64              `json:"remove,omitempty"`
 }
 
 // Told is the answer. Again is when to ask again, in milliseconds, where Err says that nothing, or nothing certain, came of it.
 type Told struct {
-	Err      string           `json:"err,omitempty"`
-	Moved    bool             `json:"moved,omitempty"` // it may have been done
-	Leader   string           `json:"leader,omitempty"`
-	Again    int              `json:"again_ms,omitempty"`
-	Answer   lease.Answer     `json:"answer,omitzero"`
-	Alive    bool             `json:"alive,omitempty"`
-	Grants   []lease.Grant    `json:"grants,omitempty"`
-	Version  uint64           `json:"grants_version,omitempty"`
-	Holdings []lease.Holding  `json:"holdings,omitempty"`
-	Backup   json.RawMessage  `json:"backup,omitempty"`
-	Members  []replica.Member `json:"members,omitempty"`
-	Rollout  rollout.Answer   `json:"rollout,omitzero"`
-	Refused  string           `json:"refused,omitempty"` // why a limit was not set, or no part of it is given
-	Share    share.Told       `json:"share,omitzero"`
-	Limits   []share.Standing `json:"limits,omitempty"`
-	Changes  json.RawMessage  `json:"changes,omitempty"` // a rollout.Application, or names; empty: there is none
+	Err       string               `json:"err,omitempty"`
+	Moved     bool                 `json:"moved,omitempty"` // it may have been done
+	Leader    string               `json:"leader,omitempty"`
+	Again     int                  `json:"again_ms,omitempty"`
+	Answer    lease.Answer         `json:"answer,omitzero"`
+	Alive     bool                 `json:"alive,omitempty"`
+	Grants    []lease.Grant        `json:"grants,omitempty"`
+	Version   uint64               `json:"grants_version,omitempty"`
+	Holdings  []lease.Holding      `json:"holdings,omitempty"`
+	Backup    json.RawMessage      `json:"backup,omitempty"`
+	Members   []replica.Member     `json:"members,omitempty"`
+	Rollout   rollout.Answer       `json:"rollout,omitzero"`
+	Refused   string               `json:"refused,omitempty"` // why a limit was not set, or no part of it is given
+	Share     share.Told           `json:"share,omitzero"`
+	Limits    []share.Standing     `json:"limits,omitempty"`
+	Published distribute.Answer    `json:"published,omitzero"`
+	Versions  []distribute.Version `json:"versions,omitempty"`
+	Last      distribute.Revision  `json:"last,omitempty"`
+	Changes   json.RawMessage      `json:"changes,omitempty"` // a rollout.Application, or names; empty: there is none
+}
+
+// Last is a coordinator's question to the leader, with the largest revision that an agent has told it of.
+type Last struct {
+	Held distribute.Revision `json:"held,omitempty"`
 }
 
 // Nothing is a message without content but its version.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -16,6 +16,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/monotonic"
 	"petrelhook/internal/replica"
@@ -33,6 +34,8 @@
 	ended  chan struct{}
 	peers  map[uint64]*peer
 	fatal  chan error // takes one
+
+	distribute *distributor
 }
 
 const (
@@ -66,8 +69,10 @@
 		d.Close()
 		return nil, err
 	}
-	return &Server{config: c, log: log, disk: d, core: core, events: make(chan func(), 4096), ended: make(chan struct{}),
-		peers: map[uint64]*peer{}, fatal: make(chan error, 1)}, nil
+	s := &Server{config: c, log: log, disk: d, core: core, events: make(chan func(), 4096), ended: make(chan struct{}),
+		peers: map[uint64]*peer{}, fatal: make(chan error, 1)}
+	s.distribute = newDistributor(s)
+	return s, nil
 }
 
 // Run serves until ctx ends, or until it cannot go on.
@@ -77,6 +82,8 @@
 	rpc.Handle(mux, PathAsk, maxAsk, s.ask)
 	rpc.Handle(mux, PathStatus, maxAsk, s.status)
 	rpc.Handle(mux, PathStep, MaxMessage+1<<20, s.step)
+	rpc.Handle(mux, distribute.PathWatch, distribute.MaxWatch, s.watch)
+	rpc.Handle(mux, distribute.PathSummary, maxAsk, s.summary)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: snapTime, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	var sides sync.WaitGroup
 	defer sides.Wait()
@@ -89,8 +96,11 @@
 	peers, endPeers := context.WithCancel(context.Background())
 	defer endPeers()
 	defer close(s.ended)
+	sides.Go(func() { s.distribute.confirm(peers) })
 	tick := time.NewTicker(s.config.Tick)
 	defer tick.Stop()
+	look := time.NewTicker(tickTime)
+	defer look.Stop()
 	leads := false
 	for {
 		select {
@@ -103,6 +113,8 @@
 			if err := s.core.Over(); err != nil {
 				return err
 			}
+		case <-look.C:
+			s.distribute.tick()
 		case f := <-s.events:
 			f()
 			for n := 0; n < maxBatch; n++ {
@@ -118,6 +130,7 @@
 		if err := s.pump(peers, &sides); err != nil {
 			return err
 		}
+		s.distribute.applied()
 		if now := s.core.Status(); now.Leads != leads {
 			leads = now.Leads
 			s.log.Info("leads", "now", leads, "term", now.Term, "sessions", now.Sessions, "leases", now.Leases)
@@ -223,6 +236,10 @@
 		q.Rollout, err = in.Rollout, in.Rollout.Check()
 	case in.Alive != nil:
 		q.Alive = in.Alive
+	case in.Publish != nil:
+		command := *in.Publish
+		command.Above = max(command.Above, s.distribute.above())
+		q.Publish, err = &command, command.Check()
 	case in.Limit != nil:
 		q.Limit, err = in.Limit, in.Limit.Set.Check()
 	case in.Share != nil:
@@ -236,8 +253,10 @@
 		q.Add = &replica.Member{ID: in.Add.ID, Addr: in.Add.Addr}
 	case in.Remove != 0:
 		q.Remove = in.Remove
-	case in.List != nil || in.Backup || in.Changes != nil || in.Limits:
-		q.Read = true
+	case in.List != nil || in.Backup || in.Changes != nil || in.Limits || in.Last != nil || in.Versions != nil:
+		if q.Read = true; in.Last != nil {
+			s.distribute.hold(in.Last.Held)
+		}
 	default:
 		err = errors.New("nothing is asked")
 	}
@@ -257,7 +276,13 @@
 	if r.State != nil && in.List != nil {
 		t.Holdings = r.State.Holdings(*in.List)
 	}
-	t.Rollout, t.Share = r.Rollout, r.Share
+	t.Rollout, t.Share, t.Published = r.Rollout, r.Share, r.Published
+	if r.Versions != nil {
+		t.Last = r.Versions.Last()
+		if in.Versions != nil {
+			t.Versions = versions(r.Versions, *in.Versions)
+		}
+	}
 	if r.Refused != nil {
 		t.Refused = r.Refused.Error()
 	}
@@ -275,6 +300,17 @@
 	return t
 }
 
+// versions are the newest of a service, with its content; of all, without, where none is named.
+func versions(r *distribute.Register, service string) []distribute.Version {
+	if service == "" {
+		return r.Services()
+	}
+	if v, ok := r.Newest(service); ok {
+		return []distribute.Version{v}
+	}
+	return nil
+}
+
 // Status is what a coordinator says of itself.
 type Status struct {
 	replica.Status
--- a/internal/replica/ask.go
+++ b/internal/replica/ask.go
@@ -7,6 +7,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
 	"petrelhook/internal/share"
@@ -18,6 +19,7 @@
 	Rollout *rollout.Command
 	Limit   *share.Command
 	Share   *Share
+	Publish *distribute.Command
 	Alive   *Alive
 	Read    bool    // the state as of now
 	Add     *Member // as a learner; it votes once it has caught up
@@ -42,19 +44,21 @@
 
 // Reply is the answer. State is the core's own and good until Done returns.
 type Reply struct {
-	Err     error
-	Leader  uint64 // with ErrNotLeader, if it is known
-	Answer  lease.Answer
-	Alive   bool
-	Grants  []lease.Grant
-	Version uint64
-	Rollout rollout.Answer
-	State   *lease.State
-	Changes *rollout.Register // as State
-	Refused error             // why a limit was not set, or no part of it is given
-	Share   share.Told
-	Limits  func() []share.Standing // as State
-	Members []Member
+	Err       error
+	Leader    uint64 // with ErrNotLeader, if it is known
+	Answer    lease.Answer
+	Alive     bool
+	Grants    []lease.Grant
+	Version   uint64
+	Rollout   rollout.Answer
+	State     *lease.State
+	Changes   *rollout.Register // as State
+	Refused   error             // why a limit was not set, or no part of it is given
+	Share     share.Told
+	Limits    func() []share.Standing // as State
+	Published distribute.Answer
+	Versions  *distribute.Register // as State
+	Members   []Member
 }
 
 // confirmation is questions that wait for a majority to confirm that this replica leads.
@@ -80,9 +84,9 @@
 		return
 	}
 	switch {
-	case q.Command != nil || q.Rollout != nil || q.Limit != nil:
+	case q.Command != nil || q.Rollout != nil || q.Limit != nil || q.Publish != nil:
 		c.number++
-		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command, Rollout: q.Rollout, Limit: q.Limit}); err != nil {
+		if err := c.propose(entry{From: c.ID, Number: c.number, Lease: q.Command, Rollout: q.Rollout, Limit: q.Limit, Publish: q.Publish}); err != nil {
 			q.Done(Reply{Err: ErrBusy})
 			return
 		}
@@ -150,7 +154,7 @@
 				r.Grants, r.Version = c.state.Grants(q.Alive.Session, q.Alive.Known)
 			}
 		default:
-			r.State, r.Changes, r.Members = c.state, c.changes, c.Members()
+			r.State, r.Changes, r.Versions, r.Members = c.state, c.changes, c.versions, c.Members()
 			r.Limits = func() []share.Standing { return c.shares.Standings(now) }
 		}
 		q.Done(r)
--- a/internal/replica/changes_test.go
+++ b/internal/replica/changes_test.go
@@ -7,6 +7,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
 	"petrelhook/internal/share"
@@ -51,6 +52,20 @@
 	limit := share.Limit{Name: "l", Units: 3, Period: time.Second, Members: 1}
 	c.Ask(Question{Limit: &share.Command{Set: limit}, Done: func(Reply) {}})
 	pump()
+	versions := func(c *Core, pump func()) (v distribute.Version) {
+		c.Ask(Question{Read: true, Done: func(r Reply) { v, _ = r.Versions.Newest("svc") }})
+		pump()
+		return v
+	}
+	var published distribute.Answer
+	c.Changed()
+	c.Ask(Question{Publish: &distribute.Command{Service: "svc", Above: 41, Content: []byte(`{"discovery": "<127.0.0.1:1>"}`)},
+		Done: func(r Reply) { published = r.Published }})
+	pump()
+	newest := versions(c, pump)
+	if changed := c.Changed(); published.Revision != 42 || newest.Revision != 42 || len(changed.Services) != 1 || changed.Services[0] != "svc" {
+		t.Fatalf("%+v, %+v, %+v", published, newest, changed)
+	}
 	was := kept(c, pump)
 	if a.Err != "" || len(was) == 0 {
 		t.Fatalf("%+v: %s", a, was)
@@ -59,6 +74,12 @@
 	if is := kept(again, pump); !bytes.Equal(is, was) {
 		t.Errorf("%s\nwas %s", is, was)
 	}
+	if changed := again.Changed(); !changed.All {
+		t.Error("what a snapshot brings is not told")
+	}
+	if is := versions(again, pump); is.Revision != 42 || is.Digest != newest.Digest || !bytes.Equal(is.Content, newest.Content) {
+		t.Errorf("%+v, was %+v", is, newest)
+	}
 	var standings []share.Standing
 	again.Ask(Question{Read: true, Done: func(r Reply) { standings = r.Limits() }})
 	if pump(); len(standings) != 1 || standings[0].Limit != limit {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -12,6 +12,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/lease"
 	"petrelhook/internal/rollout"
 	"petrelhook/internal/share"
@@ -30,12 +31,13 @@
 
 // entry is the data of one entry of the log.
 type entry struct {
-	From    uint64           `json:"f,omitempty"` // the replica that was asked
-	Number  uint64           `json:"n,omitempty"` // its number for it
-	Lease   *lease.Command   `json:"c,omitempty"`
-	Rollout *rollout.Command `json:"r,omitempty"`
-	Limit   *share.Command   `json:"s,omitempty"`
-	Member  *Member          `json:"m,omitempty"` // what became known of one
+	From    uint64              `json:"f,omitempty"` // the replica that was asked
+	Number  uint64              `json:"n,omitempty"` // its number for it
+	Lease   *lease.Command      `json:"c,omitempty"`
+	Rollout *rollout.Command    `json:"r,omitempty"`
+	Limit   *share.Command      `json:"s,omitempty"`
+	Publish *distribute.Command `json:"v,omitempty"`
+	Member  *Member             `json:"m,omitempty"` // what became known of one
 }
 
 // image is the state of a snapshot.
@@ -44,6 +46,7 @@
 	Lease    json.RawMessage `json:"lease"`
 	Rollouts json.RawMessage `json:"rollouts,omitempty"` // a version before had none
 	Limits   json.RawMessage `json:"limits,omitempty"`   // the same
+	Versions json.RawMessage `json:"versions,omitempty"` // the same
 }
 
 // Options are the bounds of a replica.
@@ -58,15 +61,17 @@
 // Core is one replica.
 type Core struct {
 	Options
-	raw     *raft.RawNode
-	store   *raft.MemoryStorage
-	state   *lease.State
-	changes *rollout.Register
-	limits  *share.Register
-	members map[uint64]Member
-	conf    *pb.ConfState
-	applied uint64
-	saved   uint64 // the index of the last snapshot
+	raw      *raft.RawNode
+	store    *raft.MemoryStorage
+	state    *lease.State
+	changes  *rollout.Register
+	limits   *share.Register
+	versions *distribute.Register
+	changed  Changed
+	members  map[uint64]Member
+	conf     *pb.ConfState
+	applied  uint64
+	saved    uint64 // the index of the last snapshot
 
 	term    uint64 // of the last hard state
 	leads   bool
@@ -101,12 +106,12 @@
 	slices.Sort(conf.Voters)
 	return &Kept{
 		Hard:     &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)},
-		Snapshot: &pb.Snapshot{Data: encode(members, state, rollout.NewRegister(), share.NewRegister()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
+		Snapshot: &pb.Snapshot{Data: encode(members, state, rollout.NewRegister(), share.NewRegister(), distribute.NewRegister()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}},
 	}
 }
 
-func encode(members []Member, state *lease.State, changes *rollout.Register, limits *share.Register) []byte {
-	im := image{Members: members, Lease: state.Snapshot(), Limits: limits.Snapshot()}
+func encode(members []Member, state *lease.State, changes *rollout.Register, limits *share.Register, versions *distribute.Register) []byte {
+	im := image{Members: members, Lease: state.Snapshot(), Limits: limits.Snapshot(), Versions: versions.Snapshot()}
 	if len(changes.Applications()) > 0 {
 		im.Rollouts = changes.Snapshot()
 	}
@@ -125,7 +130,8 @@
 	if o.Keep == 0 {
 		o.Keep = 5_000
 	}
-	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), changes: rollout.NewRegister(), limits: share.NewRegister(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
+	c := &Core{Options: o, store: raft.NewMemoryStorage(), state: lease.NewState(), changes: rollout.NewRegister(), limits: share.NewRegister(),
+		versions: distribute.NewRegister(), members: map[uint64]Member{}, waiting: map[uint64]func(Reply){}}
 	if k.Snapshot != nil {
 		if err := c.store.ApplySnapshot(k.Snapshot); err != nil {
 			return nil, err
@@ -177,7 +183,11 @@
 	if err != nil {
 		return err
 	}
-	c.changes, c.limits = changes, limits
+	versions, err := distribute.RestoreRegister(im.Versions)
+	if err != nil {
+		return fmt.Errorf("snapshot at %d: %w", s.Metadata.GetIndex(), err)
+	}
+	c.changes, c.limits, c.versions, c.changed = changes, limits, versions, Changed{All: true}
 	c.state, c.members, c.clock, c.shares = state, map[uint64]Member{}, nil, nil
 	for _, m := range im.Members {
 		c.members[m.ID] = m
@@ -387,6 +397,11 @@
 		if r.Refused = c.limits.Apply(*in.Limit); r.Refused == nil && c.shares != nil {
 			c.shares.Applied(*in.Limit, now)
 		}
+	case in.Publish != nil:
+		before := c.versions.Last()
+		if r.Published = c.versions.Apply(*in.Publish); c.versions.Last() != before {
+			c.changed.Services = append(c.changed.Services, in.Publish.Service)
+		}
 	case in.Lease != nil:
 		r.Answer = c.state.Apply(*in.Lease)
 		if c.clock != nil {
@@ -407,7 +422,7 @@
 
 // snapshot makes one of what is applied.
 func (c *Core) snapshot() (own *pb.Snapshot, compact uint64, err error) {
-	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state, c.changes, c.limits))
+	own, err = c.store.CreateSnapshot(c.applied, c.conf, encode(c.Members(), c.state, c.changes, c.limits, c.versions))
 	if err != nil {
 		return nil, 0, err
 	}
@@ -419,6 +434,22 @@
 	return own, compact, err
 }
 
+// Versions are the newest versions of configurations as this replica has applied them; the core's own.
+func (c *Core) Versions() *distribute.Register { return c.versions }
+
+// Changed is which services have got a version.
+type Changed struct {
+	All      bool // any may have: a snapshot came in
+	Services []string
+}
+
+// Changed is what has changed since it was asked last.
+func (c *Core) Changed() Changed {
+	was := c.changed
+	c.changed = Changed{}
+	return was
+}
+
 // Leads reports whether the log has this replica for its leader; it may not have applied all that was before.
 func (c *Core) Leads() bool { return c.leads }
 
