docs/CAPACITY.md: what the size that is coming asks of each role, worked out by petrelctl capacity

Change: internal/capacity (pure): slopes from measured points, believed only where they predict a size that they were not fitted on; rows a role and time beside a budget; what does not fit, ranked; which assumption moves a verdict if it is wrong by two. Assumptions and the operators' terms are deploy/capacity.yaml. petrelctl capacity prints the tables and writes them into the page; a test fails where page and figures differ, or where the prose has a figure that no table has.

--- /dev/null
+++ b/internal/capacity/model_test.go
@@ -0,0 +1,408 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// with is the committed file with other values of some fields.
+func with(t *testing.T, values map[string]string) *Assumptions {
+	t.Helper()
+	path, text := theFile(t)
+	for name, value := range values {
+		section, field, _ := strings.Cut(name, ".")
+		re := regexp.MustCompile(`(?ms)(^` + section + `:.*?^  ` + field + `: )\S+`)
+		if !re.MatchString(text) {
+			t.Fatal(name)
+		}
+		text = re.ReplaceAllString(text, "${1}"+value)
+	}
+	a, err := Parse(path, []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// small is a fleet whose figures can be worked out by hand: 100 servers in 10 services of 10, each calling 2.
+func small(t *testing.T) *Assumptions {
+	return with(t, map[string]string{"target.servers": "100", "target.services": "10", "target.calls": "5000",
+		"target.changes_a_day": "86400",
+		"shape.largest":        "10", "shape.fan_out": "2", "places.rack": "6", "places.zone_share": "0.1",
+		"places.region_share": "0.5",
+		"lists.entry_bytes":   "100", "lists.line_bytes": "50", "lists.empty_line_every": "2s",
+		"lists.changes_a_failure": "1",
+		"lists.changes_a_restart": "2", "target.failed_a_day": "864", "target.restarted_a_day": "432",
+		"changes.busiest_minute": "10", "changes.bytes": "1000", "changes.head_bytes": "200",
+		"machines.cores": "10", "machines.used_share": "0.5", "machines.replicas": "3", "target.control_machines": "5",
+		"periods.lease_ttl": "10s", "periods.renewals_a_ttl": "4", "periods.back_within": "2s",
+		"periods.heard_within":            "6s",
+		"earlier.renewals_a_second_12000": "100", "earlier.grants_a_second": "50",
+		"earlier.start_bytes_12000": "1200000",
+		"earlier.staged_20":         "8s", "earlier.staged_200": "6s", "earlier.staged_2000": "96s",
+		"earlier.read":       "10ms",
+		"earlier.looks_2000": "2s",
+		"periods.look_rest":  "3", "periods.look_every": "1s", "limits.max_ask": "8000", "periods.ask_pause": "100ms"})
+}
+
+func row(t *testing.T, rows []Row, time, role, what string) Row {
+	t.Helper()
+	i := slices.IndexFunc(rows, func(r Row) bool { return r.Time == time && r.Role == role && r.What == what })
+	if i < 0 {
+		t.Fatalf("no row %s: %s: %s", time, role, what)
+	}
+	return rows[i]
+}
+
+// measuredSmall are points of straight lines, and single points of calls.
+func measuredSmall() *Measured {
+	m := &Measured{FitUpTo: 40}
+	sizes := []int{10, 20, 30, 40, 100}
+	line := func(workload, role, metric string, base, each float64) {
+		m.Points = append(m.Points, made(Key{workload, role, metric}, sizes,
+			func(n, _ int) float64 { return base + each*float64(n) })...)
+	}
+	line("renewals", "leader", "cpu_us_s", 1000, 20000)
+	line("watches", "leader", "cpu_us_s", 0, 30000)
+	line("renewals", "member", "cpu_us_s", 100, 0)
+	line("watches", "member", "cpu_us_s", 150, 0.5)
+	line("looks", "agent", "cpu_us_s", 300, 0)
+	m.Points = append(m.Points, made(Key{"publish", "member", "in_force_max_s"}, []int{100},
+		func(_, run int) float64 { return float64(run) })...)
+	m.Points = append(m.Points, Point{"looks", "agent", "in_force_s", 20, 1, 4},
+		Point{"looks", "agent", "in_force_p99_s", 20, 1, 3})
+	for _, p := range []struct {
+		role, metric string
+		depth        int
+		value        float64
+	}{
+		{"sidecar", "look_added_p99_us_at_50_s", 1, 150}, {"sidecar", "once_added_p99_us_at_50_s", 1, 200},
+		{"sidecar", "look_added_p99_us_at_500_s", 1, 600}, {"sidecar", "look_added_p99_us_at_5000_s", 1, 9000},
+		{"sidecar", "look_added_p99_us_at_60_s", 15, 2500}, {"sidecar", "look_added_p99_us_at_70_s", 15, 9000},
+		{"sidecar", "look_added_p99_us_at_10_s", 1, 9000}, {"leaf", "look_added_p99_us_at_50_s", 1, 9000},
+		{"sidecar", "look_p99_us_at_50_s", 1, 9000}, {"sidecar", "cpu_us_call_at_60_s", 1, 400},
+	} {
+		m.Points = append(m.Points, Point{"calls", p.role, p.metric, p.depth, 1, p.value})
+	}
+	m.Points = append(m.Points, Point{"chain", "leaf", "look_attempts_call_fail_50_pc", 15, 1, 1.6},
+		Point{"chain", "leaf", "look_attempts_call_fail_100_pc", 20, 1, 3},
+		Point{"chain", "leaf", "once_attempts_call_fail_100_pc", 15, 1, 1},
+		Point{"chain", "leaf", "look_attempts_call_fail_100_pc", 8, 1, 9})
+	return m
+}
+
+// What a small fleet needs is what it is by hand.
+func TestKnownResults(t *testing.T) {
+	rows := Evaluate(small(t), measuredSmall())
+	for _, c := range []struct {
+		time, role, what string
+		need             float64
+		verdict          string
+	}{
+		{Ordinary, Calls, "calls in the mean", 50, "no budget is stated"},
+		// the worse class at 60
+		{Ordinary, Calls, "added to a call for 99 in 100, in the mean", 0.0002, "fits by 2.5 times"},
+		// ... at 500
+		{Busiest, Calls, "added to a call for 99 in 100, at the busiest", 0.0006, "does not: 1.2 times over"},
+		// 55.6 calls, of which 60 were seen deeper
+		{Zone, Calls, "added to a call for 99 in 100, at those that are left", 0.0025, "does not: 5 times over"},
+		{Ordinary, Calls, "added over the deepest chain for 99 in 100, in the mean", 0.0025, "fits by 3 times"},
+		{Ordinary, Calls, "processor time for calls, in the mean", 50 * 400e-6, "no budget is stated"},
+		{Busiest, Calls, "attempts at the leaf of the deepest chain, a call, where some of them fail", 3,
+			"does not: 1.5 times over"},
+		{Busiest, Calls,
+			"attempts at the leaf of the deepest chain, a call, where all fail, as each sidecar's repeats allow",
+			math.Pow(1.2, 15), "does not: 7.8 times over"},
+		// 1,728 changes a day
+		{Ordinary, Control, "bytes of lists alone", 2*25 + 0.02*0.2*150, "fits by 170 times"},
+		// 20 servers
+		{Ordinary, Control, "lists held, as text", 2000, "fits by 120,000 times"},
+		{Ordinary, Leader, "renewals, by a trial with as many sessions", 40, "fits by 2.5 times"},
+		// of half of 10
+		{Ordinary, Leader, "processor time of renewals and watches", 5.001, "does not: 1.01 times over"},
+		{Ordinary, Leader, "snapshot: sessions, versions, changes of all", 100*56 + 10*1000 + 10000,
+			"fits by 2,600 times"},
+		{Ordinary, Driver, "a turn over all applications, each changed once", 0.1 + 100*0.001/3, "fits by 7.5 times"},
+		// as with 20
+		{Now, Driver, "staged, judged by the clock, in a mean service", 8, "fits by 1.75 times"},
+		// between 20 and 200
+		{Now, Driver, "staged, judged by the clock, of all sidecars, could it begin", 8 - 2*80./180,
+			"fits by 1.96 times"},
+		{Now, Leader, "message that begins a change of all", 10000, "does not: 1.25 times over"},
+		// the worst run
+		{After, Control, "in force everywhere", 3, "fits by 4.6 times"},
+		{Now, Driver, "all at once, without a judge, in the largest service", 4, "fits by 3.5 times"}, // as 20 had it
+		{Busiest, Leader, "changes of configuration", 10, "fits by 5 times"},
+		{Rack, Control, "bytes of lists, as they go, of a minute's budget", 6 * 0.2 * 150, "fits by 3,000 times"},
+		{Rack, Lists, "lines of lists out of a machine, each change a line", 6 * 20 / 6. / 2, "no budget is stated"},
+		{Region, Leader, "sessions opened as they are back", 25, "fits by 2 times"},
+		{Coordinators, Leader, "renewals, and watches that are back within their spread", 40 + 50/3.,
+			"fits by 1.76 times"},
+		{Coordinators, Leader, "sessions opened anew, one after the other", 2, "fits by 5 times"},
+		{Coordinators, Follower, "asks of sessions while nobody leads, beside what three replicas answered",
+			1000 / 3., "fits by 43 times"},
+	} {
+		r := row(t, rows, c.time, c.role, c.what)
+		if math.Abs(r.Need.Value-c.need) > 1e-9*math.Max(1, c.need) || r.Verdict != c.verdict ||
+			len(r.Need.Missing) > 0 {
+			t.Errorf("%s: %v, %s; missing %v; want %v, %s", r.Name(), r.Need.Value, r.Verdict, r.Need.Missing, c.need,
+				c.verdict)
+		}
+	}
+}
+
+// A sum of which a part is missing is judged only where what is known is over already.
+func TestWhatIsMissing(t *testing.T) {
+	m := measuredSmall()
+	r := row(t, Evaluate(small(t), m), Ordinary, Control, "processor time")
+	if r.Class != NotMeasured || !near(r.Need.Value, 600e-6) ||
+		!slices.Equal(r.Missing(), []string{"lists/sidecar/cpu_us_s"}) {
+		t.Errorf("%+v", r)
+	}
+	for i := range m.Points {
+		if m.Points[i].Workload == "watches" && m.Points[i].Role == "member" {
+			m.Points[i].Value *= 100
+		}
+	}
+	r = row(t, Evaluate(small(t), m), Ordinary, Control, "processor time")
+	if r.Class != FitsNot || r.Verdict != "does not: at least 1.57 times over" { // 20.4 of 13 ms a second
+		t.Errorf("%+v", r)
+	}
+}
+
+// A slope that is not believed gives no figure, and the row says why; a point of the size itself does.
+func TestASlopeThatIsNotBelieved(t *testing.T) {
+	m := measuredSmall()
+	grow := func(upTo int) {
+		for i, p := range m.Points {
+			if p.Workload == "watches" && p.Role == "leader" && p.Size > upTo {
+				m.Points[i].Value *= 2
+			}
+		}
+	}
+	grow(40)
+	r := row(t, Evaluate(small(t), m), Ordinary, Leader, "processor time of renewals and watches")
+	if r.Class != FitsNot || !slices.Contains(r.Need.From, "point watches/leader/cpu_us_s at 100") {
+		t.Errorf("%+v", r)
+	}
+	m.Points = slices.DeleteFunc(m.Points, func(p Point) bool {
+		return p.Workload == "watches" &&
+			p.Role == "leader" && p.Size == 100
+	})
+	r = row(t, Evaluate(small(t), m), Ordinary, Leader, "processor time of renewals and watches")
+	if r.Class != NotMeasured || len(r.Missing()) != 1 || !strings.HasPrefix(r.Missing()[0],
+		"watches/leader/cpu_us_s (its slope is not believed: no run above") {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Without any points no figure of a run is told, and each figure that is told has a source.
+func TestNothingMeasured(t *testing.T) {
+	for _, r := range Evaluate(theAssumptions(t), nil) {
+		for _, f := range r.Need.From {
+			if strings.HasPrefix(f, "slope") || strings.HasPrefix(f, "point") {
+				t.Errorf("%s: %s", r.Name(), f)
+			}
+		}
+		if len(r.Need.Missing) > 0 && r.Class == Fits {
+			t.Errorf("%s: %s, and %v is missing", r.Name(), r.Verdict, r.Need.Missing)
+		}
+		if r.Class == FitsNot && r.Breaks == "" {
+			t.Errorf("%s: it does not say what breaks", r.Name())
+		}
+	}
+}
+
+// A sidecar knows no more servers than there are.
+func TestKnownServers(t *testing.T) {
+	a, _ := small(t).Times("shape.fan_out", 20)
+	if m := newModel(newInputs(a, nil)); m.known.Value != 100 {
+		t.Error(m.known)
+	}
+}
+
+// A quotient of which the divisor is not known is not either; one of a least value is one.
+func TestQuotients(t *testing.T) {
+	some := Figure{Value: 6, Missing: []string{"x"}}
+	if f := div(some, Figure{Value: 2}); f.Value != 3 || len(f.Missing) != 1 {
+		t.Error(f)
+	}
+	if f := div(Figure{Value: 2}, some); f.Value != 0 || len(f.Missing) != 1 {
+		t.Error(f)
+	}
+}
+
+// Each row has a source, a mechanism, a time of the page and a name of its own; so has each figure that rows name.
+func TestEachRowIsWhole(t *testing.T) {
+	model := newModel(newInputs(theAssumptions(t), nil))
+	seen := map[string]bool{}
+	for _, r := range model.rows() {
+		if r.Mechanism == "" || len(r.Need.From)+len(r.Need.Missing) == 0 || !slices.Contains(Times(), r.Time) ||
+			seen[r.Name()] {
+			t.Errorf("%+v", r)
+		}
+		seen[r.Name()] = true
+	}
+	for _, time := range Times() {
+		if !slices.ContainsFunc(model.all, func(r Row) bool { return r.Time == time }) {
+			t.Errorf("%s: no row", time)
+		}
+	}
+	for _, d := range model.derived {
+		if len(d.From) == 0 {
+			t.Errorf("%+v", d)
+		}
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		need, budget float64
+		missing      []string
+		err          float64
+		want         string
+	}{
+		{5, 10, nil, 0, "fits by 2 times"},
+		{10, 10, nil, 0, "fits by 1 times"},
+		{0, 10, nil, 0, "fits"},
+		{10.01, 10, nil, 0, "does not: 1.01 times over"},
+		{9.99, 10, nil, 0.1, "fits by 1 times, within its slope's error of 10%"},
+		{10.5, 10, nil, 0.1, "does not: 1.05 times over, within its slope's error of 10%"},
+		{5, 10, []string{"x"}, 0, "not measured"},
+		{15, 10, []string{"x"}, 0, "does not: at least 1.5 times over"},
+		{1, 19.99, nil, 0, "fits by 19 times"},
+		{1999, 1, nil, 0, "does not: 2,000 times over"},
+	} {
+		r := Row{Need: Figure{Value: c.need, Missing: c.missing, Error: c.err}, Budget: &Figure{Value: c.budget}}
+		if r.judge(); r.Verdict != c.want {
+			t.Errorf("%v of %v: %s; want %s", c.need, c.budget, r.Verdict, c.want)
+		}
+	}
+}
+
+// What breaks a rule stands first, then what is further over.
+func TestRank(t *testing.T) {
+	rows := []Row{{What: "a", Class: FitsNot, Breaks: BreaksTime, Times: 9}, {What: "b", Class: Fits, Times: 99},
+		{What: "c", Class: FitsNot, Breaks: BreaksRule, Times: 2},
+		{What: "d", Class: FitsNot, Breaks: BreaksRule, Times: 3},
+		{What: "e", Class: FitsNot, Breaks: BreaksTime, Times: 9, Needs: []string{"x"}},
+		{What: "f", Class: NotMeasured}}
+	var order []string
+	for _, r := range Rank(rows) {
+		order = append(order, r.What)
+	}
+	if got := strings.Join(order, ""); got != "dcea" {
+		t.Error(got)
+	}
+}
+
+// The weights of assumptions are the verdicts that they move, and the file's own bounds hold.
+func TestWeights(t *testing.T) {
+	var moved []string
+	for _, w := range Weights(small(t), measuredSmall()) {
+		if w.Name == "earlier.start_bytes_12000" || w.Name == "changes.head_bytes" || w.Name == "earlier.staged_2000" {
+			for _, m := range w.Moves {
+				moved = append(moved, w.Name+" "+m.Times+": "+m.Row+": "+m.Before+" -> "+m.After)
+			}
+			if w.Double != 2 || w.Half != 0.5 {
+				t.Errorf("%+v", w)
+			}
+		}
+		// no service can have more than a mean of 10, with the largest below it
+		if w.Name == "shape.largest" && (w.Half != 1 || w.Double != 2) {
+			t.Errorf("%+v", w)
+		}
+	}
+	want := []string{
+		"earlier.start_bytes_12000 half: " + Now + ": " + Leader +
+			": message that begins a change of all: does not: 1.25 times over -> fits by 1.6 times",
+		"earlier.start_bytes_12000 half: " + Restarts + ": " + Leader +
+			": one change of all: the message that begins it: does not: 1.25 times over -> fits by 1.6 times",
+	}
+	if !slices.Equal(moved, want) {
+		t.Errorf("%s", strings.Join(moved, "\n"))
+	}
+	if _, times := small(t).Times("places.zone_share", 20); times != 5 { // the region's share
+		t.Error(times)
+	}
+}
+
+// A page keeps its prose, and gets each table between its marks.
+func TestPage(t *testing.T) {
+	r := Make(small(t), measuredSmall())
+	const page = "# Title\n\nprose\n\n<!-- tables: begin ranking -->\nof-before\n<!-- tables: end -->\n\n" +
+		"more\n<!-- tables: begin -->\n<!-- tables: end -->\nlast\n"
+	got, err := r.Page("f", page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(got, "# Title\n\nprose\n\n<!-- tables: begin ranking -->\n| time | role |") ||
+		strings.Contains(got, "of-before") ||
+		!strings.HasSuffix(got, "<!-- tables: end -->\nlast\n") || strings.Contains(got, "### What does not fit") ||
+		!strings.Contains(got, "### Slopes") {
+		t.Error(got)
+	}
+	if again, err := r.Page("f", got); err != nil || again != got {
+		t.Error("a page that is written twice is another", err)
+	}
+	for _, c := range []struct{ page, want string }{
+		{"no marks\n", "f: no marks; write a line"},
+		{"a\n<!-- tables: begin other -->\n<!-- tables: end -->\n", "f:2: other: no such table; write one of asked, "},
+		{"<!-- tables: begin asked -->\n", "f:1: no end; write a line <!-- tables: end -->"},
+		{"<!-- tables: begin asked -->\n<!-- tables: begin slopes -->\n<!-- tables: end -->\n",
+			"f:2: a begin before the end"},
+		{"<!-- tables: begin asked -->\n<!-- tables: end -->\n<!-- tables: begin asked -->\n<!-- tables: end -->\n",
+			"f:3: asked: comes twice"},
+	} {
+		if _, err := r.Page("f", c.page); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q: %v; want %s", c.page, err, c.want)
+		}
+	}
+}
+
+// All forms of a report tell all its rows.
+func TestForms(t *testing.T) {
+	r := Make(small(t), measuredSmall())
+	var text, markdown bytes.Buffer
+	if err := r.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.WriteMarkdown(&markdown); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range r.Rows {
+		for _, form := range []string{text.String(), markdown.String(), string(raw)} {
+			if !strings.Contains(form, row.What) {
+				t.Errorf("%s is missing", row.Name())
+			}
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for v, want := range map[float64]string{0: "0", 5: "5", 1234567: "1,234,567", 1234.56: "1,235",
+		123456.7: "123,500", 0.01234: "0.0123",
+		0.00001234: "1.23e-05", -12345: "-12,345", 999: "999", 0.5: "0.5", 67108864: "67,108,864"} {
+		if got := number(v); got != want {
+			t.Errorf("%v: %s; want %s", v, got, want)
+		}
+	}
+	for _, c := range []struct {
+		v          float64
+		unit, want string
+	}{{0.0005, "s", "500 us"}, {0.25, "s", "250 ms"}, {14, "s", "14 s"}, {0, "s", "0 s"},
+		{9000, "bytes/s", "9,000 bytes/s"}, {3, "", "3"}} {
+		if got := quantity(c.v, c.unit); got != c.want {
+			t.Errorf("%v %s: %s; want %s", c.v, c.unit, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,258 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Report is all that is said of a size.
+type Report struct {
+	Assumptions []Assumption `json:"assumptions"`
+	Measured    *Origin      `json:"measured,omitempty"` // nil: nothing was
+	Derived     []Derived    `json:"derived"`
+	Lines       []Line       `json:"lines,omitempty"`
+	Rows        []Row        `json:"rows"`
+	Ranking     []Row        `json:"ranking"`
+	Weights     []Weight     `json:"weights"`
+}
+
+// Origin is where points come from.
+type Origin struct {
+	At       time.Time `json:"at"`
+	Commit   string    `json:"commit"`
+	Machine  string    `json:"machine"`
+	Seed     uint64    `json:"seed"`
+	Points   int       `json:"points"`
+	FitUpTo  int       `json:"fit_up_to"`
+	Findings []string  `json:"findings,omitempty"`
+}
+
+// Make works out a report; m may be nil: nothing was measured.
+func Make(a *Assumptions, m *Measured) *Report {
+	r := &Report{Assumptions: a.All(), Weights: Weights(a, m)}
+	model := newModel(newInputs(a, m))
+	r.Rows, r.Derived = model.rows(), model.derived
+	r.Ranking = Rank(r.Rows)
+	if m != nil {
+		r.Measured = &Origin{m.At, m.Commit, m.Machine, m.Seed, len(m.Points), m.FitUpTo, m.Findings}
+		r.Lines = Fit(m)
+	}
+	return r
+}
+
+// Table is one of a report. Name is how a page asks for it.
+type Table struct {
+	Name  string
+	Title string
+	Head  []string
+	Rows  [][]string
+	Empty string // what is said in place of a table without rows
+}
+
+// Tables are all of a report, in the order of the page.
+func (r *Report) Tables() []Table {
+	all := []Table{r.asked(), r.counts(), r.derived(), r.slopes()}
+	all = append(all, r.times()...)
+	return append(all, r.ranking(), r.assumed(), r.missing(), r.findings())
+}
+
+func (r *Report) asked() Table {
+	t := Table{Name: "asked", Title: "Asked", Head: []string{"what", "how much", "of it"}}
+	for _, a := range r.Assumptions {
+		if rest, ok := strings.CutPrefix(a.Name, "target."); ok {
+			t.Rows = append(t.Rows, []string{strings.ReplaceAll(rest, "_", " "), quantity(a.Value, a.Unit), a.Why})
+		}
+	}
+	return t
+}
+
+func (r *Report) counts() Table {
+	t := Table{Name: "verdicts", Title: "Verdicts", Head: []string{"verdict", "rows"}}
+	for _, c := range []Class{Fits, FitsNot, NotMeasured, NoBudget} {
+		n := 0
+		for _, row := range r.Rows {
+			if row.Class == c {
+				n++
+			}
+		}
+		t.Rows = append(t.Rows, []string{string(c), number(float64(n))})
+	}
+	return t
+}
+
+func (r *Report) derived() Table {
+	t := Table{Name: "derived", Title: "Worked out, and named by other rows",
+		Head: []string{"what", "how much", "from"}}
+	for _, d := range r.Derived {
+		t.Rows = append(t.Rows, []string{d.Name, quantity(d.Value, d.Unit), strings.Join(d.From, ", ")})
+	}
+	return t
+}
+
+func (r *Report) slopes() Table {
+	t := Table{Name: "slopes", Title: "Slopes", Empty: "Not measured.",
+		Head: []string{"slope", "none of them", "each 1,000", "fitted on", "spread", "check: said", "seen", "believed"}}
+	for _, l := range r.Lines {
+		said, saw, believed := "", "", "no: "+l.Why
+		if l.Check != nil {
+			said, saw = number(l.Check.Predicted), number(l.Check.Seen)+" at "+number(float64(l.Check.Size))
+		}
+		if l.Believed {
+			believed = "yes: " + l.Why
+		}
+		t.Rows = append(t.Rows, []string{l.Key.String(), number(l.Base), number(1000 * l.Each), sizes(l.Sizes),
+			fmt.Sprintf("%.0f%%", 100*l.Spread), said, saw, believed})
+	}
+	return t
+}
+
+func sizes(all []int) string {
+	var texts []string
+	for _, n := range all {
+		texts = append(texts, number(float64(n)))
+	}
+	return strings.Join(texts, "; ")
+}
+
+func (r *Report) times() (all []Table) {
+	for i, time := range Times() {
+		t := Table{Name: fmt.Sprintf("time-%d", i+1), Title: strings.ToUpper(time[:1]) + time[1:],
+			Head: []string{"role", "what", "need", "budget", "verdict", "carried by", "from"}}
+		for _, row := range r.Rows {
+			if row.Time == time {
+				t.Rows = append(t.Rows, []string{row.Role, row.What, row.need(), row.budget(), row.Verdict,
+					row.Mechanism, row.from()})
+			}
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+// need writes what is needed; where a part is missing, what is known of it.
+func (r *Row) need() string {
+	switch text := quantity(r.Need.Value, r.Unit); {
+	case len(r.Need.Missing) == 0:
+		return text
+	case r.Need.Value > 0:
+		return "at least " + text
+	}
+	return ""
+}
+
+func (r *Row) budget() string {
+	if r.Budget == nil || len(r.Budget.Missing) > 0 {
+		return ""
+	}
+	return quantity(r.Budget.Value, r.Unit)
+}
+
+func (r *Row) from() string {
+	from := r.Need.From
+	if r.Budget != nil {
+		from = union(from, r.Budget.From)
+	}
+	return strings.Join(from, ", ")
+}
+
+func (r *Report) ranking() Table {
+	t := Table{Name: "ranking", Title: "What does not fit", Head: []string{"time", "role", "what", "over", "breaks",
+		"needed by", "carried by"},
+		Empty: "Nothing that could be judged is over."}
+	for _, row := range r.Ranking {
+		needs := append([]string{}, row.Needs...)
+		t.Rows = append(t.Rows, []string{row.Time, row.Role, row.What, strings.TrimPrefix(row.Verdict, "does not: "),
+			"a " + row.Breaks,
+			strings.Join(needs, "; "), row.Mechanism})
+	}
+	return t
+}
+
+func (r *Report) assumed() Table {
+	t := Table{Name: "assumptions", Title: "What is assumed, and its weight",
+		Head: []string{"field", "value", "why", "verdicts that move at twice or half of it"}}
+	for _, w := range r.Weights {
+		var moves []string
+		for _, m := range w.Moves {
+			moves = append(moves, fmt.Sprintf("%s: %s (%s -> %s)", m.Times, m.Row, m.Before, m.After))
+		}
+		t.Rows = append(t.Rows, []string{w.Name, quantity(w.Value, w.Unit), w.Why, strings.Join(moves, "; ")})
+	}
+	return t
+}
+
+func (r *Report) missing() Table {
+	t := Table{Name: "missing", Title: "What was not measured", Head: []string{"time", "role", "what", "missing"},
+		Empty: "Nothing is missing."}
+	for _, row := range r.Rows {
+		if len(row.Missing()) > 0 {
+			t.Rows = append(t.Rows, []string{row.Time, row.Role, row.What, strings.Join(row.Missing(), "; ")})
+		}
+	}
+	return t
+}
+
+func (r *Report) findings() Table {
+	t := Table{Name: "findings", Title: "The run", Head: []string{"what", "of the run"},
+		Empty: "Not measured: there is no file of points."}
+	if o := r.Measured; o != nil {
+		t.Rows = [][]string{{"at", o.At.UTC().Format(time.RFC3339)}, {"commit", o.Commit}, {"machine", o.Machine},
+			{"seed", fmt.Sprint(o.Seed)},
+			{"points", number(float64(o.Points))}, {"fitted up to", number(float64(o.FitUpTo))}}
+		for _, f := range o.Findings {
+			t.Rows = append(t.Rows, []string{"finding", f})
+		}
+	}
+	return t
+}
+
+// number writes whole numbers as they are, with commas, and others by three or four digits.
+func number(v float64) string {
+	switch a := math.Abs(v); {
+	case v == 0 || math.IsNaN(v) || math.IsInf(v, 0):
+		return fmt.Sprint(v)
+	case a >= 1000:
+		if v != math.Trunc(v) {
+			unit := math.Pow(10, math.Max(0, math.Floor(math.Log10(a))-3))
+			v = math.Round(v/unit) * unit
+		}
+		return commas(fmt.Sprintf("%.0f", v))
+	case v == math.Trunc(v):
+		return fmt.Sprintf("%.0f", v)
+	case a >= 0.001:
+		return fmt.Sprintf("%.3g", v)
+	}
+	return fmt.Sprintf("%.2e", v)
+}
+
+func commas(text string) string {
+	digits := strings.TrimPrefix(text, "-")
+	for i := len(digits) - 3; i > 0; i -= 3 {
+		digits = digits[:i] + "," + digits[i:]
+	}
+	if strings.HasPrefix(text, "-") {
+		return "-" + digits
+	}
+	return digits
+}
+
+// quantity writes a number with its unit.
+func quantity(v float64, unit string) string {
+	if unit == "s" {
+		switch {
+		case v == 0:
+			return "0 s"
+		case v < 1e-3:
+			return number(v*1e6) + " us"
+		case v < 1:
+			return number(v*1e3) + " ms"
+		}
+		return number(v) + " s"
+	}
+	if unit == "" {
+		return number(v)
+	}
+	return number(v) + " " + unit
+}
--- /dev/null
+++ b/internal/capacity/rows_change.go
@@ -0,0 +1,114 @@
+package capacity
+
+// busiest are the rows of the minute with the most changes of configuration.
+func (m *model) busiest() {
+	rate := mul(m.changed, m.is("changes.busiest_minute"))
+	m.put(Row{Time: Busiest, Role: Leader, What: "changes of configuration", Unit: "1/s", Need: rate,
+		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
+		Mechanism: "internal/distribute (Register), internal/replica"})
+	version := add(m.is("changes.bytes"), m.is("changes.head_bytes"))
+	m.put(Row{Time: Busiest, Role: Leader, What: "bytes of versions told, were it alone", Unit: "bytes/s",
+		Need: mul(rate, m.mean, version), Budget: to(m.used("machines.network")), Breaks: BreaksTime,
+		Mechanism: "internal/distribute (Watches)"})
+	m.put(Row{Time: Busiest, Role: Leader, What: "processor time with versions on their way", Unit: "cores",
+		Need: cores(add(m.at("renewals", "leader", "cpu_us_s", m.sessions),
+			m.at("publish", "leader", "cpu_us_s", m.machines))),
+		Budget: to(m.used("machines.cores")), Breaks: BreaksTime,
+		Mechanism: "internal/distribute (Watches), internal/replica"})
+	m.put(Row{Time: Busiest, Role: Follower, What: "processor time with versions on their way", Unit: "cores",
+		Need: cores(m.at("publish", "follower", "cpu_us_s", m.machines)), Budget: to(m.used("machines.cores")),
+		Breaks: BreaksTime, Mechanism: "internal/distribute (Watches), internal/replica"})
+	m.put(Row{Time: Busiest, Role: Control, What: "bytes of versions, in the service that changes most",
+		Unit: "bytes/s", Need: mul(rate, m.is("changes.most_changed_share"), version),
+		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/distribute"})
+	m.put(Row{Time: Ordinary, Role: Control, What: "bytes of one version", Unit: "bytes", Need: m.is("changes.bytes"),
+		Budget: to(m.is("limits.max_content")), Breaks: BreaksRule, Mechanism: "internal/distribute (MaxContent)",
+		Needs: []string{After}})
+}
+
+// staged is how long a staged change of so many sidecars takes, between the sizes that were measured.
+func (m *model) staged(n Figure) Figure {
+	type at struct {
+		size float64
+		took Figure
+	}
+	all := []at{{20, m.is("earlier.staged_20")}, {200, m.is("earlier.staged_200")}, {2000, m.is("earlier.staged_2000")}}
+	if n.Value <= all[0].size {
+		return all[0].took.with(n)
+	}
+	low := all[0]
+	for _, high := range all[1:] {
+		if n.Value <= high.size || high.size == 2000 { // beyond it, the last piece goes on
+			part := (n.Value - low.size) / (high.size - low.size)
+			return add(low.took.times(1-part), high.took.times(part)).with(n)
+		}
+		low = high
+	}
+	return low.took
+}
+
+// changesNow are the rows of a change as it was made before versions: staged, a new process for each sidecar.
+func (m *model) changesNow() {
+	const by = "internal/rollout, internal/driver, internal/machine"
+	for _, c := range []struct {
+		what string
+		of   Figure
+	}{{"staged, judged by the clock, in a mean service", m.mean},
+		{"staged, judged by the clock, in the largest service", m.is("shape.largest")},
+		{"staged, judged by the clock, of all sidecars, could it begin", m.servers}} {
+		m.put(Row{Time: Now, Role: Driver, What: c.what, Unit: "s", Need: m.staged(c.of),
+			Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: by,
+			Needs: []string{"each change of configuration"}})
+	}
+	for _, c := range []struct {
+		what string
+		of   Figure
+	}{{"all at once, without a judge, in the largest service", m.is("shape.largest")},
+		{"all at once, without a judge, at all agents, could it begin", m.machines}} {
+		m.put(Row{Time: Now, Role: Driver, What: c.what, Unit: "s", Need: m.inForce("looks", "agent", c.of),
+			Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: by,
+			Needs: []string{"each change of configuration"}})
+	}
+	m.put(Row{Time: Now, Role: Driver, What: "looks a second by which those times came about", Unit: "1/s",
+		Need: div(Figure{Value: 1}, m.is("earlier.staged_look")), Mechanism: "internal/driver (drive_every)"})
+	m.put(Row{Time: Now, Role: Driver, What: "looks a second where nothing else is said", Unit: "1/s",
+		Need: div(Figure{Value: 1}, m.is("periods.look_every")), Mechanism: "internal/fleet (drive_every)"})
+	m.put(Row{Time: Now, Role: Leader, What: "message that begins a change of all", Unit: "bytes",
+		Need: m.changeBytes(m.servers), Budget: to(m.is("limits.max_ask")), Breaks: BreaksRule,
+		Mechanism: "internal/fleet (maxAsk)", Needs: []string{Restarts, "a release for all"}})
+	most := mul(m.changed, m.is("changes.busiest_minute"), m.is("changes.most_changed_share"))
+	m.put(Row{Time: Now, Role: Leader,
+		What: "changes at once in the most changed service, were it the largest, of the one that may be", Unit: "",
+		Need: mul(most, m.staged(m.is("shape.largest"))), Budget: to(m.is("limits.changes_an_application")),
+		Breaks: BreaksRule, Mechanism: "internal/rollout (one change an application)",
+		Needs: []string{"each change of configuration"}})
+	rate := mul(m.changed, m.is("changes.busiest_minute"))
+	m.put(Row{Time: Now, Role: Driver, What: "changes under way at once, in mean services", Unit: "",
+		Need: mul(rate, m.staged(m.mean)), Mechanism: by})
+	m.put(Row{Time: Now, Role: Leader, What: "events of changes in the log", Unit: "1/s",
+		Need: mul(rate, m.mean, m.is("changes.events_a_sidecar")), Budget: to(m.is("earlier.grants_a_second")),
+		Breaks: BreaksTime, Mechanism: "internal/rollout (Register), internal/replica"})
+	m.put(Row{Time: Now, Role: Control, What: "processes started for changes, a sidecar and day", Unit: "",
+		Need:      div(m.is("target.changes_a_day"), m.is("target.services")),
+		Mechanism: "cmd/petrelhook (discovery alone is taken live), internal/handover"})
+}
+
+// changesAfter are the rows of a change as a version that agents watch for.
+func (m *model) changesAfter() {
+	const by = "internal/distribute"
+	for _, c := range []struct {
+		what string
+		took Figure
+	}{{"in force at half of the members", m.at("publish", "member", "in_force_p50_s", m.machines)},
+		{"in force at 99 in 100", m.at("publish", "member", "in_force_p99_s", m.machines)},
+		{"in force everywhere", m.inForce("publish", "member", m.machines)}} {
+		m.put(Row{Time: After, Role: Control, What: c.what, Unit: "s", Need: c.took,
+			Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: by,
+			Needs: []string{"each change of configuration"}})
+	}
+	m.put(Row{Time: After, Role: Leader, What: "watches that come to an end without news, of all", Unit: "1/s",
+		Need: div(m.machines, m.is("periods.watch_hold")), Mechanism: by})
+	m.put(Row{Time: After, Role: Leader, What: "watches that wait at a coordinator", Unit: "",
+		Need: div(m.machines, m.is("machines.replicas")), Budget: to(m.used("machines.descriptors")),
+		Breaks: BreaksRule, Mechanism: by, Needs: []string{Coordinators}})
+}
