GET /api/counts tells which configuration file the process has read last

Need: an agent that replaces the file of a running process and sends SIGHUP can't tell whether it was taken: a reload logs nothing where it worked, and a file that can't be read leaves the old one in force.

Change: config.Config has the digest of its text; wiring.Reload notes it, and how often a file was taken, and the operators' door tells both beside the counts. Where there is no operators' door, as in run, nothing but one digest at the start and each reload is added. TestTheFileIsTold fails without it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -23,6 +25,7 @@
 	Limits            Limits
 	Known             member.List // the list of servers as last had
 	Profile           wire.Profile
+	Digest            string // of the text: SHA-256 in hexadecimal
 }
 
 // Limits bound the process; 0 is no bound.
@@ -62,11 +65,12 @@
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
-	t := text{name, raw}
+	t, sum := text{name, raw}, sha256.Sum256(raw)
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, t.wrap(err, 0, "")
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, Limits: file.Limits}
+	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, Limits: file.Limits,
+		Digest: hex.EncodeToString(sum[:])}
 	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
 			return Config{}, t.in(a.field, fmt.Sprintf("%q is no address", a.addr), "write host:port, as 127.0.0.1:8081")
--- a/internal/counts/effort.go
+++ b/internal/counts/effort.go
@@ -23,6 +23,12 @@
 	Probes      uint64 `json:"probes"`
 }
 
+// File is the configuration that a process has read last. It is told beside Told.
+type File struct {
+	Digest  string `json:"digest"`  // of its text: SHA-256 in hexadecimal
+	Reloads uint64 `json:"reloads"` // how often it was read again, and taken
+}
+
 // UnmarshalJSON also reads what earlier versions tell: the classes alone.
 func (t *Told) UnmarshalJSON(text []byte) error {
 	if trimmed := bytes.TrimSpace(text); len(trimmed) > 0 && trimmed[0] == '[' {
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"petrelhook/internal/config"
+	"petrelhook/internal/counts"
 )
 
 // Reload reads the configuration again whenever asked to, until ctx ends. What cannot be read changes nothing.
@@ -24,5 +25,6 @@
 			continue
 		}
 		s.core.Replace(s.source(c.Discovery))
+		s.file.Store(&counts.File{Digest: c.Digest, Reloads: s.file.Load().Reloads + 1})
 	}
 }
--- a/internal/wiring/wiring.go
+++ b/internal/wiring/wiring.go
@@ -56,6 +56,7 @@
 	lists *relay.Hub
 	log   *slog.Logger
 	whole lifecycle.Room // what it may hold when there is one process
+	file  atomic.Pointer[counts.File]
 
 	listed    chan struct{} // closed when a server is known
 	offered   chan struct{} // closed when a next process can take over
@@ -76,6 +77,7 @@
 	module, life := &c.Profile.Config, lifecycle.New()
 	s := &Sidecar{name: c.Name, life: life, dial: dial, lists: relay.New(), log: log, listed: make(chan struct{}), heard: make(chan struct{}),
 		offered: make(chan struct{}), deserted: make(chan struct{}, 1)}
+	s.file.Store(&counts.File{Digest: c.Digest})
 	s.heardOnce = sync.OnceFunc(func() { close(s.heard) })
 	var legacy *core.Legacy
 	if from != nil {
@@ -159,7 +161,12 @@
 		sides.Go(func() {
 			door := admin.New(s.life)
 			if s.count != nil {
-				door.Counts = func() any { return counts.Told{Classes: s.count.Now(), Effort: s.asked.Now()} }
+				door.Counts = func() any {
+					return struct {
+						counts.Told
+						File *counts.File `json:"file"`
+					}{counts.Told{Classes: s.count.Now(), Effort: s.asked.Now()}, s.file.Load()}
+				}
 			}
 			if err := door.Serve(calls); err != nil {
 				s.log.Error("operators are not heard any more", "err", err)
