petrelctl scale: what coordinators cost beside thousands of hollow members, seen from outside

Need: figures at 12,000 members came of slopes that nobody had checked, or of trials by hand.

Change: internal/rig/scale starts real coordinators and hollow members, 1,000 to a process, that speak the same calls by the product's own client code: sessions of the lease client, agents that a driver looks at, subscribers of versions. It measures processor time, memory, descriptors, connections, bytes and messages a role at sizes from 250 on, and a larger one that the fit is checked with; versions at the ordinary and ten times the busiest rate, of all services at once, with a coordinator and then the leader killed. It reads the limit of descriptors and fails before it starts anything, keeps to a budget of memory and time, and leaves no process behind (TestKilled, TestBudgets, TestDescriptors). TestCounts is the run at some 200 hollow members; it checks counts, never times.

Not in it: real agents and sidecars beside the hollow ones (--real): sidecars outlive their agent, so that nothing is left behind needs a design first.

--- /dev/null
+++ b/cmd/petrelctl/scale.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/rig/scale"
+)
+
+func scaleCommand() *cobra.Command {
+	o := scale.Options{}
+	var output, file, memory string
+	cmd := &cobra.Command{
+		Use: "scale", Args: cobra.NoArgs,
+		Short: "Measure what a fleet of some sizes costs each role, with real coordinators and hollow members",
+		Long: "Starts petrelfleet processes and, beside them, hollow members that make and answer the calls of real ones,\n" +
+			"many to a process, and measures each role's processes from outside. Everything is on loopback, and has ended\n" +
+			"when it returns.\n\n" +
+			"Workloads:\n" +
+			"  renewals  sessions of the lease client (TTL 10s, its default), each with one lease\n" +
+			"  looks     a driver's looks at the agents of one change, and then a change of all of them at once\n" +
+			"  watches   agents that wait for versions of their service's configuration, at rest, for 8.75s at least\n" +
+			"  publish   the same with versions of 4 KiB on their way, for 8s or longer each: ordinary, as in the busiest\n" +
+			"            minute (busy_), for all services at once (all_); at 250 members and at --check also while a\n" +
+			"            coordinator that follows, and then the one that leads, is killed (killed_, leader_killed_)\n\n" +
+			"Figures are rates over a window of --steady; the table has the median of the runs, --json all of them. It\n" +
+			"ends with 1 where a run has failed or was not made; what the product refuses at a size is found, and is no\n" +
+			"failure.",
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if output != "text" && output != "json" {
+				return fmt.Errorf("--output: %q is neither text nor json", output)
+			}
+			if o.Memory, err = budget(memory); err != nil {
+				return err
+			}
+			if err := o.Check(); err != nil {
+				return err
+			}
+			if o.Bin, err = binaries(o.Bin); err != nil {
+				return runError{err}
+			}
+			if f, ok := cmd.ErrOrStderr().(*os.File); ok && isTerminal(f) {
+				o.Progress = func(what string) { fmt.Fprintf(f, "\r\033[K%s", what) }
+				defer fmt.Fprint(f, "\r\033[K")
+			}
+			return measure(cmd, o, output, file)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.Bin, "bin", "", "`FOLDER` of the programs (default: that of this program)")
+	f.StringSliceVar(&o.Workloads, "workloads", scale.Workloads, "what members do")
+	f.IntSliceVar(&o.Sizes, "sizes", []int{250, 500, 1000, 2000, 4000}, "members; a fit is made of these")
+	f.IntVar(&o.Beyond, "check", 12_000, "a larger size, with which a fit is checked; 0: none")
+	f.IntVar(&o.Runs, "runs", 3, "of each workload at each size")
+	f.DurationVar(&o.Steady, "steady", 4*time.Second, "for how long a fleet is measured once all have joined")
+	f.Uint64Var(&o.Seed, "seed", 1, "the same draws the same members")
+	f.StringVar(&memory, "memory", "", "memory of all processes together, such as 6G (default: a quarter of the machine's)")
+	f.DurationVar(&o.Within, "within", 40*time.Minute, "for how long it may run; the default sizes and runs take about 30m")
+	f.StringVar(&output, "output", "text", "form of what is measured: text or json")
+	f.StringVar(&file, "json", "", "also write what is measured to `FILE`")
+	cmd.AddCommand(&cobra.Command{Use: "members", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := scale.Members(cmd.Context(), cmd.InOrStdin(), cmd.OutOrStdout()); err != nil {
+				return runError{err}
+			}
+			return nil
+		}})
+	return cmd
+}
+
+// measure makes the runs and shows them; what was measured before an error is shown too.
+func measure(cmd *cobra.Command, o scale.Options, output, file string) error {
+	m, err := scale.Run(cmd.Context(), o)
+	if m == nil {
+		return runError{err}
+	}
+	text, bad := json.MarshalIndent(m, "", "  ")
+	text = append(text, '\n')
+	if bad == nil && file != "" {
+		bad = os.WriteFile(file, text, 0o644)
+	}
+	if bad == nil && output == "json" {
+		_, bad = cmd.OutOrStdout().Write(text)
+	} else if bad == nil {
+		bad = scale.WriteText(cmd.OutOrStdout(), m)
+	}
+	if err = errors.Join(err, bad); err != nil {
+		return runError{err}
+	}
+	return nil
+}
+
+// binaries is the folder with the programs.
+func binaries(given string) (string, error) {
+	if given == "" {
+		self, err := os.Executable()
+		return filepath.Dir(self), err
+	}
+	return filepath.Abs(given)
+}
+
+// budget reads a number of bytes; "": a quarter of the machine's memory.
+func budget(text string) (int64, error) {
+	if text == "" {
+		all, err := scale.Memory()
+		if err != nil {
+			return 0, runError{err}
+		}
+		return all / 4, nil
+	}
+	digits, unit := text, int64(1)
+	for i, suffix := range []string{"K", "M", "G"} {
+		if rest, ok := strings.CutSuffix(text, suffix); ok {
+			digits, unit = rest, 1<<(10*(i+1))
+		}
+	}
+	n, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || n < 1 || n > 1<<52/unit {
+		return 0, fmt.Errorf("--memory: %q; write a number of bytes, or with K, M or G, such as 6G", text)
+	}
+	return n * unit, nil
+}
--- a/internal/capacity/rows_change.go
+++ b/internal/capacity/rows_change.go
@@ -12,11 +12,11 @@
 		Mechanism: "internal/distribute (Watches)"})
 	m.put(Row{Time: Busiest, Role: Leader, What: "processor time with versions on their way", Unit: "cores",
 		Need: cores(add(m.at("renewals", "leader", "cpu_us_s", m.sessions),
-			m.at("publish", "leader", "cpu_us_s", m.machines))),
+			m.at("publish", "leader", "busy_cpu_us_s", m.machines))),
 		Budget: to(m.used("machines.cores")), Breaks: BreaksTime,
 		Mechanism: "internal/distribute (Watches), internal/replica"})
 	m.put(Row{Time: Busiest, Role: Follower, What: "processor time with versions on their way", Unit: "cores",
-		Need: cores(m.at("publish", "follower", "cpu_us_s", m.machines)), Budget: to(m.used("machines.cores")),
+		Need: cores(m.at("publish", "follower", "busy_cpu_us_s", m.machines)), Budget: to(m.used("machines.cores")),
 		Breaks: BreaksTime, Mechanism: "internal/distribute (Watches), internal/replica"})
 	m.put(Row{Time: Busiest, Role: Control, What: "bytes of versions, in the service that changes most",
 		Unit: "bytes/s", Need: mul(rate, m.is("changes.most_changed_share"), version),
--- /dev/null
+++ b/internal/rig/scale/counting.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// counter counts what one process's members exchange with one coordinator: connections are too short-lived for the
+// system's word of them (sockets). As traffic, it is the coordinator's side.
+type counter struct {
+	in, out                 atomic.Uint64 // bytes
+	messagesIn, messagesOut atomic.Uint64
+	open                    atomic.Int64 // connections
+	waiting                 atomic.Int64 // calls that are out
+}
+
+func (c *counter) carried() traffic {
+	return traffic{c.in.Load(), c.out.Load(), c.messagesIn.Load(), c.messagesOut.Load(), int(c.open.Load())}
+}
+
+// counters are those of some addresses. They are not changed once made.
+type counters map[string]*counter
+
+// counting is the transport of one member: that of a subscribe.Client of its own, with counters.
+type counting struct {
+	http.Transport
+	of       counters
+	answered func() // a call got its answer, and no error
+}
+
+func newCounting(of counters, answered func()) *counting {
+	t := &counting{of: of, answered: answered}
+	t.MaxIdleConnsPerHost, t.DisableCompression = 1, true // as a subscribe.Client has them
+	dialer := net.Dialer{Timeout: time.Second}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
+		if err != nil || of[addr] == nil {
+			return c, err
+		}
+		of[addr].open.Add(1)
+		return &memberConn{Conn: c, of: of[addr]}, nil
+	}
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	c := t.of[r.URL.Host]
+	if c == nil {
+		return t.Transport.RoundTrip(r)
+	}
+	c.waiting.Add(1)
+	defer c.waiting.Add(-1)
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		if i.Err == nil {
+			c.messagesIn.Add(1)
+		}
+	}}
+	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		c.messagesOut.Add(1)
+		if res.StatusCode == http.StatusOK {
+			t.answered()
+		}
+	}
+	return res, err
+}
+
+// memberConn is a member's connection to a coordinator.
+type memberConn struct {
+	net.Conn
+	of   *counter
+	once sync.Once
+}
+
+func (c *memberConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.of.out.Add(uint64(n))
+	return n, err
+}
+
+func (c *memberConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.of.in.Add(uint64(n))
+	return n, err
+}
+
+func (c *memberConn) Close() error {
+	c.once.Do(func() { c.of.open.Add(-1) })
+	return c.Conn.Close()
+}
