--- a/cmd/petrelagent/main_test.go
+++ b/cmd/petrelagent/main_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	good := string(example)
+	good := strings.Replace(string(example), "# configuration:", "configuration:", 1) // the example has it off
 	call := func(args ...string) (int, string) {
 		var out bytes.Buffer
 		return run(args, &out, &out), out.String()
@@ -38,6 +38,16 @@
 		"a.yaml:9:58: sidecars[0].doors: 1 addresses; write two": {`["127.0.0.1:9600", "127.0.0.1:9601"]`, `["127.0.0.1:9600"]`},
 		"a.yaml:9:5: sidecars[0].set.name: the agent writes it":  {`set: {seed: "1f"`, `set: {name: "1f"`},
 		"a.yaml:9:5: sidecars[0]: write listen, and two doors":   {`listen: "127.0.0.1:8100", `, ""},
+
+		"a.yaml:11:17: configuration.coordinator: unknown field":             {"{coordinators:", "{coordinator:"},
+		"a.yaml:11:16: configuration.coordinators: missing; write":           {`coordinators: ["127.0.0.1:7400"]`, ""},
+		"a.yaml:11:31: configuration.coordinators: 10.0.0.1:7400 is not of ": {`["127.0.0.1:7400"]`, `["10.0.0.1:7400"]`},
+		`a.yaml:11:31: configuration.coordinators: "here" is no address`:     {`["127.0.0.1:7400"]`, `["here"]`},
+		`a.yaml:11:31: configuration.coordinators: "here"; write a list`:     {`["127.0.0.1:7400"]`, `here`},
+		`a.yaml:11:16: configuration: write fields such as coordinators`:     {`{coordinators: ["127.0.0.1:7400"]}`, `["127.0.0.1:7400"]`},
+		`a.yaml:11:25: configuration.member: 0 bytes; write a name`:          {`{coordinators`, `{member: "", coordinators`},
+		`a.yaml:11:24: configuration.trial: "2"; write a time`:               {`{coordinators`, `{trial: 2, coordinators`},
+		`a.yaml:11:16: configuration: service: "per mits"; write printable`:  {`permits`, `per mits`},
 	} {
 		text := strings.Replace(good, c[0], c[1], 1)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -48,6 +58,13 @@
 			t.Errorf("%d %s, want %s", code, out, want)
 		}
 	}
+	remote := strings.Replace(strings.Replace(good, `["127.0.0.1:7400"]`, `["10.0.0.1:7400"]`, 1), "listen:", "allow_remote: true\nlisten:", 1)
+	if err := os.WriteFile(path, []byte(remote), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := call("--check", "--config", path); code != 0 {
+		t.Errorf("%d %s", code, out)
+	}
 	if code, out := call(); code != command.ExitUsage || !strings.Contains(out, "--config") {
 		t.Errorf("%d %s", code, out)
 	}
--- /dev/null
+++ b/cmd/petrelagent/version_test.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"petrelhook/internal/distribute"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/rig/deployment"
+	"petrelhook/internal/rig/link"
+	"petrelhook/internal/rollout"
+)
+
+// listed is a site whose servers are listed at two places, and whose agents take versions.
+type listed struct {
+	*deployment.Site
+	lists [2]*link.Link // both lead to the one list
+}
+
+func newListed(t *testing.T, sidecars, rate int) *listed {
+	s := &listed{}
+	s.Site = newSite(t, sidecars, rate, "", func(d *deployment.Deployment) {
+		d.Versions = true
+		d.Discovery = func(addr string) string {
+			for i := range s.lists {
+				s.lists[i] = d.Link()
+				s.lists[i].To(addr)
+			}
+			return s.lists[0].Addr
+		}
+	})
+	return s
+}
+
+// live is a version that sidecars take as they run; changed is one that takes a hand-over.
+func (s *listed) live(list int) string { return fmt.Sprintf(`{"discovery": %q}`, s.lists[list].Addr) }
+
+func (s *listed) changed(list int, from, to string) string {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(strings.Replace(string(s.Settings), from, to, 1)), &fields); err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf(`{"discovery": %q, "settings": %s}`, s.lists[list].Addr, fields["settings"])
+}
+
+func (s *listed) quantum(list, ms int) string {
+	return s.changed(list, `"quantum_ms":2`, fmt.Sprintf(`"quantum_ms":%d`, ms))
+}
+
+// serving is the processes that serve, of all sidecars.
+func (s *listed) serving() (all []int) {
+	for _, a := range s.Agents {
+		for _, k := range a.Kept() {
+			if k.Now != nil {
+				all = append(all, k.Now.PID)
+			}
+		}
+	}
+	return all
+}
+
+// A version is published once and is in force on all sidecars: one that they take as they run, without a new process, and one that takes a
+// hand-over. No request meets it.
+func TestAVersionInForceOnAll(t *testing.T) {
+	s := newListed(t, 6, 240)
+	end := s.NeverBack(t)
+	before := s.serving()
+	took := s.UntilInForce(20*time.Second, s.Publish(s.live(1)))
+	if after := s.serving(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("processes %v after %v", after, before)
+	}
+	t.Logf("as they run: %v", took.Round(10*time.Millisecond))
+	moved := fmt.Sprintf(`msg=reloaded discovery=%s moved=true`, s.lists[1].Addr)
+	s.lists[0].Hold(link.Back, true) // nobody needs it any more
+	for _, a := range s.Agents {
+		for _, name := range []string{"n00", "n01", "n02", "n03", "n04", "n05"} {
+			if text, err := os.ReadFile(filepath.Join(a.Dir, "data", "log-"+name+"-1")); err == nil && !strings.Contains(string(text), moved) {
+				t.Errorf("%s has not moved", name)
+			}
+		}
+	}
+	revision := s.Publish(s.quantum(1, 3))
+	t.Logf("by a hand-over: %v", s.UntilInForce(30*time.Second, revision).Round(10*time.Millisecond))
+	peertest.Eventually(t, "those before have ended", func() bool {
+		now := s.serving()
+		for i := range now {
+			if len(now) != len(before) || now[i] == before[i] {
+				return false
+			}
+		}
+		return true
+	})
+	for _, a := range s.Agents {
+		for _, k := range a.Kept() {
+			files, _ := filepath.Glob(filepath.Join(a.Dir, "data", fmt.Sprintf("config-*-%d", k.Now.Start)))
+			for _, f := range files {
+				if text, _ := os.ReadFile(f); !strings.Contains(string(text), `"quantum_ms":3`) || !strings.Contains(string(text), s.lists[1].Addr) {
+					t.Errorf("%s: %s", f, text)
+				}
+			}
+		}
+	}
+	end()
+	s.Check()
+}
+
+// A version that the sidecar's program does not take is refused by all, each with the program's own line; what is in force serves on, and
+// a later good one gets in.
+func TestAVersionThatTheSidecarRefuses(t *testing.T) {
+	s := newListed(t, 6, 120)
+	end := s.NeverBack(t)
+	first := s.Publish(s.live(1))
+	s.UntilInForce(20*time.Second, first)
+	before := s.serving()
+	bad := s.Publish(s.changed(1, `"effect":"read_like"`, `"effect":"odd"`))
+	s.UntilHeard(20*time.Second, "all have refused it", func(sum distribute.Summary) bool {
+		n := 0
+		for _, m := range sum.Members {
+			if m.Refused == bad {
+				n++
+			}
+		}
+		return n == 6
+	})
+	sum := s.InForce()
+	if sum.Newest != bad || sum.InForce != 0 || sum.Known != 6 {
+		t.Errorf("%+v", sum)
+	}
+	for _, m := range sum.Members {
+		place, rest, _ := strings.Cut(strings.TrimPrefix(m.Why, "petrelhook: "), ".json:")
+		var line, column int
+		fmt.Sscanf(rest, "%d:%d:", &line, &column)
+		text, _ := os.ReadFile(place + ".json")
+		lines := strings.Split(string(text), "\n")
+		if m.InForce != first || !strings.Contains(m.Why, `effect: unknown effect "odd"`) || strings.Contains(m.Why, "\n") || line < 1 || line > len(lines) ||
+			!strings.HasPrefix(lines[line-1][column-1:], `"odd"`) {
+			t.Errorf("%+v", m)
+		}
+	}
+	if after := s.serving(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("processes %v after %v", after, before)
+	}
+	s.UntilInForce(30*time.Second, s.Publish(s.quantum(1, 3)))
+	end()
+	s.Check()
+}
+
+// Two versions within a second: the newer one is in force on all, whichever way each goes in, and nothing goes back.
+func TestTwoVersionsWithinASecond(t *testing.T) {
+	s := newListed(t, 6, 200)
+	end := s.NeverBack(t)
+	for i, texts := range [][2]string{{s.quantum(0, 3), s.quantum(0, 4)}, {s.live(0), s.live(1)}, {s.live(0), s.quantum(1, 5)}, {s.quantum(0, 6), s.live(1)}} {
+		began := time.Now()
+		s.Publish(texts[0])
+		<-time.After(rand.N(700 * time.Millisecond)) // at any moment of the first one's way
+		newer := s.Publish(texts[1])
+		if gap := time.Since(began); gap > time.Second {
+			t.Logf("they are %v apart", gap)
+		}
+		t.Logf("pair %d: %v", i, s.UntilInForce(20*time.Second, newer).Round(10*time.Millisecond))
+	}
+	end()
+	for _, a := range s.Agents {
+		if n := strings.Count(a.Log.String(), "msg=started"); n > 3+2*3*4 {
+			t.Errorf("%d starts", n)
+		}
+	}
+	s.Check()
+}
+
+// A version that is published while a rollout goes on, and a rollout that begins while a version goes in: both come to their end on all
+// sidecars, and the rollout is not stopped for it.
+func TestAVersionAndARollout(t *testing.T) {
+	s := newListed(t, 6, 240)
+	end := s.NeverBack(t)
+	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
+	if _, err := s.Begin(deployment.Plan(s.Old, good, "at_once: 2\npatience: 3m\njudge: {effect: 0.2}\nstages:\n  - {count: 2, control: 2}\n  - {share: 1}\n")); err != nil {
+		t.Fatal(err)
+	}
+	s.Until(time.Minute, "it moves", func(c *rollout.Change) bool { return len(c.State.Orders()) > 0 })
+	during := s.Publish(s.quantum(1, 3))
+	c := s.Over(2 * time.Minute)
+	if c.State.Phase != rollout.Done || deployment.Running(c, good) != 6 {
+		t.Errorf("%v: %s", c.State.Phase, c.State.Why)
+	}
+	s.UntilInForce(30*time.Second, during)
+
+	before := s.Publish(s.quantum(0, 4))
+	third := s.Script("a-third-name", `exec $REAL "$@"`, s.Settings)
+	if _, err := s.Begin(deployment.Plan(good, third, "at_once: 3\nunavailable: 3\njudge: none\nstages: [{share: 1}]\n")); err != nil {
+		t.Fatal(err)
+	}
+	<-time.After(500 * time.Millisecond) // in the middle of both
+	newest := s.Publish(s.live(1))
+	if c = s.Over(2 * time.Minute); c.State.Phase != rollout.Done || deployment.Running(c, third) != 6 {
+		t.Errorf("%v: %s", c.State.Phase, c.State.Why)
+	}
+	s.UntilInForce(30*time.Second, newest)
+	if before >= newest {
+		t.Errorf("revision %d after %d", newest, before)
+	}
+	for _, a := range s.Agents {
+		for _, k := range a.Kept() {
+			if k.Now.Release != string(third) || k.InForce != newest || k.Failed != "" {
+				t.Errorf("%+v", k)
+			}
+		}
+	}
+	end()
+	s.Check()
+}
+
+// Coordinators are killed, stopped and cut off while versions are on their way: sidecars serve on, the newest is in force on all within a
+// bound of the moment at which two of three are back, and never an older one.
+func TestCoordinatorsThatDie(t *testing.T) {
+	const bound = 20 * time.Second
+	s := newListed(t, 6, 200)
+	end := s.NeverBack(t)
+	n := 0
+	publish := func() distribute.Revision {
+		n++
+		return s.Publish(s.live(n % 2))
+	}
+	s.UntilInForce(bound, publish())
+
+	leader := s.NewLeader(-1)
+	newest := publish()
+	s.All[leader].Die()
+	t.Logf("the leader is killed: %v", s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+	newest = publish() // by two
+	t.Logf("two are left: %v", s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+	s.All[leader].Start()
+
+	newest = publish()
+	for _, m := range s.All {
+		m.Kill()
+	}
+	for _, m := range s.All {
+		m.Wait()
+	}
+	<-time.After(3 * time.Second) // for some seconds there is nobody
+	for _, m := range s.All {
+		m.Start()
+	}
+	t.Logf("all were killed: %v", s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+
+	stopped := s.All[s.NewLeader(-1)]
+	stopped.Stop()
+	newest = publish()
+	s.UntilHeard(bound, "the others tell", func(sum distribute.Summary) bool { return sum.Newest == newest && sum.InForce > 0 })
+	stopped.Continue() // it knows an older one, and says nothing until it knows better
+	t.Logf("one was stopped: %v", s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+
+	for _, in := range []bool{true, false} {
+		cut := s.All[s.NewLeader(-1)]
+		cut.Cut(true, in, !in)
+		newest = publish()
+		t.Logf("one is cut off, in: %v: %v", in, s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+		cut.Cut(false, true, true)
+	}
+	leader = s.NewLeader(-1)
+	direct := []string{s.Serves(s.All[leader].Process)}
+	s.Clients[leader].Hold(link.Back, true) // what it says to agents does not come; it is asked by another way
+	n++
+	newest = s.PublishAt(direct, s.live(n%2))
+	t.Logf("one is not heard by agents: %v", s.UntilInForce(bound, newest).Round(10*time.Millisecond))
+	s.Clients[leader].Hold(link.Back, false)
+	s.UntilInForce(bound, newest)
+	end()
+	s.Check()
+}
+
+// Agents are killed at random moments while versions go in, by a hand-over and live: nothing goes back, no sidecar has a third process, and
+// the newest is in force on all.
+func TestAgentsKilledInAVersion(t *testing.T) {
+	s := newListed(t, 6, 200)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	kills := 0
+	go func() {
+		defer close(ended)
+		for {
+			for _, a := range s.Agents {
+				select {
+				case <-stop:
+					return
+				case <-time.After(rand.N(1500 * time.Millisecond)): // at any moment: which one it is must not matter
+				}
+				a.Die()
+				kills++
+				a.Begin()
+			}
+		}
+	}()
+	enough := sync.OnceFunc(func() { close(stop); <-ended })
+	t.Cleanup(enough)
+	end := s.NeverBack(t)
+	for i := range 6 {
+		text := s.live(i / 2 % 2)
+		if i%2 == 1 {
+			text = s.quantum(i/2%2, 3+i)
+		}
+		newest := s.Publish(text)
+		if i%3 == 2 {
+			s.UntilInForce(time.Minute, newest)
+			continue
+		}
+		<-time.After(rand.N(2 * time.Second))
+	}
+	newest := s.Publish(s.quantum(1, 20))
+	took := s.UntilInForce(time.Minute, newest)
+	enough()
+	t.Logf("%d kills of agents; the last version took %v", kills, took.Round(100*time.Millisecond))
+	end()
+	refused := 0
+	for _, m := range s.InForce().Members {
+		if m.Refused != 0 {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d have refused a good version", refused)
+	}
+	s.Check()
+}
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/rollout"
 )
 
@@ -25,17 +26,19 @@
 	PID     int    `json:"pid"`
 	Began   uint64 `json:"began"` // as the system says it
 	Release string `json:"release"`
-	Door    string `json:"door,omitempty"` // where it hears operators
+	Door    string `json:"door,omitempty"`  // where it hears operators
+	Start   uint64 `json:"start,omitempty"` // which of the sidecar's starts made it; 0: an agent that did not say
 }
 
 // Limits are how long things may take.
 type Limits struct {
-	Ready  time.Duration // from the start to the first yes
-	Trial  time.Duration // for which a new process has to live beside the one before
-	End    time.Duration // from TERM to KILL
-	CutOff time.Duration // without the fleet, until what is not confirmed goes back
-	Pause  time.Duration // after the first crash; it doubles
-	Most   time.Duration // the longest such pause
+	Ready   time.Duration // from the start to the first yes
+	Trial   time.Duration // for which a new process has to live beside the one before
+	Version time.Duration // as Trial, of a process with a new version of its configuration; 0: as Trial
+	End     time.Duration // from TERM to KILL
+	CutOff  time.Duration // without the fleet, until what is not confirmed goes back
+	Pause   time.Duration // after the first crash; it doubles
+	Most    time.Duration // the longest such pause
 }
 
 // Kept is what survives the agent: it is written before what it says is done.
@@ -43,20 +46,25 @@
 	Confirmed string       `json:"confirmed"` // the release that a change may go back to
 	Now       *Process     `json:"now,omitempty"`
 	Next      *Process     `json:"next,omitempty"`
-	To        string       `json:"to,omitempty"`    // Starting: the release that is wanted
-	Order     uint64       `json:"order,omitempty"` // of the change that goes on, 0: its own
+	Doomed    *Process     `json:"doomed,omitempty"` // of a change that failed: it is killed, and nothing is started until it is gone
+	To        string       `json:"to,omitempty"`     // Starting: the release that is wanted
+	Order     uint64       `json:"order,omitempty"`  // of the change that goes on, 0: its own
 	Phase     Phase        `json:"phase"`
 	Done      uint64       `json:"done,omitempty"` // the last order that is over
 	Failed    string       `json:"failed,omitempty"`
 	Starts    uint64       `json:"starts,omitempty"` // how many were asked for; the last one may have been made unseen
 	Fell      rollout.Fall `json:"fell,omitempty"`   // why it went back to what is confirmed without an order, until the next order
+	Configured
 }
 
 // Do is something to be done.
 type Do struct {
-	Start string // a release
-	Term  *Process
-	Kill  *Process
+	Start   string              // a release
+	Version distribute.Revision // of the configuration, that the start begins with or the process is told; 0: none
+	Term    *Process
+	Kill    *Process
+	Tell    *Process // its file is replaced by one with the version, and it is asked to read it
+	Check   *Check
 }
 
 // Sidecar is the machine. Kept is saved whenever it has changed, before anything is done.
@@ -70,6 +78,7 @@
 	cutOff  time.Duration // since when; below 0: it is not
 	asked   bool          // a start was asked for, and nothing was heard of it yet
 	lost    bool          // what is confirmed is not to be had
+	news
 }
 
 // New is a sidecar that nothing was ever done for.
@@ -81,6 +90,9 @@
 // been made: an unknown process that the place of the hand-over knows is found as found.
 func Again(k Kept, l Limits, now time.Duration, lives func(Process) bool, found *Process) (s *Sidecar, todo []Do) {
 	s = &Sidecar{Kept: k, limits: l, cutOff: -1}
+	if found != nil && s.Doomed != nil && found.PID == s.Doomed.PID && found.Began == s.Doomed.Began {
+		found = nil // it is known
+	}
 	switch {
 	case s.Phase == Starting && s.Next == nil && found != nil:
 		s.Next = found
@@ -90,17 +102,20 @@
 	s.due = now + s.limits.Ready
 	switch s.Phase {
 	case Trial:
-		s.due = now + s.limits.Trial // it is watched anew, as a whole
+		s.due = now + s.trial() // it is watched anew, as a whole
 	case Ending:
 		s.due = now
 	}
-	for _, p := range []*Process{s.Now, s.Next} {
+	for _, p := range []*Process{s.Now, s.Next, s.Doomed} {
 		if p != nil && !lives(*p) {
 			todo = append(todo, s.Died(now, *p, "")...)
 		}
 	}
+	if s.Doomed != nil {
+		todo = append(todo, Do{Kill: s.Doomed})
+	}
 	if s.Phase == Starting && s.Next == nil { // it was never begun, or died unseen
-		todo = append(todo, s.fail(now, "the agent ended before it was started")...)
+		todo = append(todo, s.fail(now, "the agent ended before it was started", false)...)
 	}
 	return s, append(todo, s.Tick(now)...)
 }
@@ -111,16 +126,26 @@
 	case order != 0 && (order == s.Order || order <= s.Done):
 		return nil, nil // it goes on, or is over
 	case s.Phase != Idle:
-		return nil, fmt.Errorf("order %d: order %d is not over: %v", order, s.Order, s.Phase)
+		s.held = now + s.limits.Ready // it is said again
+		return nil, s.occupied(order)
+	case s.Doomed != nil:
+		return nil, fmt.Errorf("order %d: process %d of the change before is not gone yet", order, s.Doomed.PID)
 	}
 	return s.change(now, order, release), nil
 }
 
 func (s *Sidecar) change(now time.Duration, order uint64, release string) []Do {
-	s.Order, s.To, s.Phase, s.Failed = order, release, Starting, ""
+	s.Order, s.Failed = order, ""
+	s.drop()
 	if order != 0 {
 		s.Fell = ""
 	}
+	return s.begin(now, release)
+}
+
+// begin begins a change: of an order, its own, or of the version that is on its way.
+func (s *Sidecar) begin(now time.Duration, release string) []Do {
+	s.To, s.Phase = release, Starting
 	s.due, s.yes = now+s.limits.Ready, false
 	return s.start(release)
 }
@@ -129,7 +154,7 @@
 func (s *Sidecar) start(release string) []Do {
 	s.Starts++
 	s.asked = true
-	return []Do{{Start: release}}
+	return []Do{{Start: release, Version: s.version()}}
 }
 
 // Confirm says that a change is over for the fleet: what runs is what to go back to.
@@ -152,6 +177,7 @@
 		s.Next = &p
 	case s.Phase == Idle && s.Now == nil:
 		s.Now, s.ready, s.due = &p, false, now+s.limits.Ready
+		s.another()
 	default: // nobody waits for it any more
 		return []Do{{Kill: &p}}
 	}
@@ -162,22 +188,32 @@
 func (s *Sidecar) NotBegun(now time.Duration, why string) []Do {
 	s.asked = false
 	if s.Phase == Starting && s.Next == nil {
-		return s.fail(now, why)
+		return s.fail(now, why, false)
 	}
 	s.crash(now)
 	return nil
 }
 
+// trial is for how long the next process is on trial.
+func (s *Sidecar) trial() time.Duration {
+	if s.Trying != 0 && s.limits.Version > 0 {
+		return s.limits.Version
+	}
+	return s.limits.Trial
+}
+
 // Answered tells what the operators' door of a process said.
 func (s *Sidecar) Answered(now time.Duration, p Process, yes bool) []Do {
 	switch {
 	case s.Now != nil && *s.Now == p:
 		if s.ready = yes; yes {
 			s.crashes = 0
+		} else if s.Phase == Ending && s.Trying != 0 && s.yes { // it takes no new connections: all are the next one's
+			s.InForce = s.Trying
 		}
 	case s.Next != nil && *s.Next == p:
 		if s.yes = yes; yes && s.Phase == Starting {
-			s.Phase, s.due = Trial, now+s.limits.Trial
+			s.Phase, s.due = Trial, now+s.trial()
 		}
 	}
 	return nil
@@ -186,16 +222,18 @@
 // Died tells that a process has ended, of whatever, and what it said last.
 func (s *Sidecar) Died(now time.Duration, p Process, said string) []Do {
 	switch {
+	case s.Doomed != nil && *s.Doomed == p:
+		s.Doomed = nil
 	case s.Next != nil && *s.Next == p:
 		s.Next = nil
 		switch s.Phase {
 		case Starting:
-			return s.fail(now, "it ended before it was ready"+quoted(said))
+			return s.fail(now, "it ended before it was ready"+quoted(said), true)
 		case Trial:
-			return s.fail(now, "it ended in its trial"+quoted(said))
+			return s.fail(now, "it ended in its trial"+quoted(said), true)
 		case Ending: // the new one dies as the one before ends: that one is all there is, or nobody
 			s.Phase = Idle
-			s.over("it ended as the one before was told to")
+			s.over("it ended as the one before was told to", true)
 			if s.Now == nil {
 				s.crash(now)
 			}
@@ -204,6 +242,7 @@
 		if s.Now, s.ready = nil, false; s.Phase == Idle && p.Release != s.Confirmed {
 			s.Fell = rollout.Ended
 		}
+		s.another()
 		switch s.Phase {
 		case Idle:
 			s.crash(now)
@@ -217,24 +256,34 @@
 // promote makes the next process the one that serves.
 func (s *Sidecar) promote() {
 	s.Now, s.Next, s.ready, s.Phase = s.Next, nil, s.yes, Idle
-	s.over("")
+	s.over("", true)
+	s.another()
 }
 
-func (s *Sidecar) over(why string) {
+// over ends a change. What came of a version's own is not what came of the last order.
+func (s *Sidecar) over(why string, fault bool) {
+	if s.Trying != 0 {
+		s.To = ""
+		s.tried(why, fault)
+		return
+	}
 	if s.Order != 0 {
 		s.Done = s.Order
 	}
 	s.Failed, s.Order, s.To = why, 0, ""
 }
 
-// fail ends a change that did not work: the one that served goes on.
-func (s *Sidecar) fail(now time.Duration, why string) (todo []Do) {
+// fail ends a change that did not work: the one that served goes on. A version that was at no fault is tried again.
+func (s *Sidecar) fail(now time.Duration, why string, fault bool) (todo []Do) {
 	if s.Next != nil {
 		todo = append(todo, Do{Kill: s.Next})
-		s.Next = nil
+		s.Next, s.Doomed = nil, s.Next
 	}
 	s.Phase = Idle
-	s.over(why)
+	if s.Trying != 0 && !fault {
+		s.putOff(now, why)
+	}
+	s.over(why, fault)
 	if s.Now == nil {
 		s.crash(now)
 	}
@@ -264,6 +313,9 @@
 func (s *Sidecar) Tick(now time.Duration) []Do {
 	switch s.Phase {
 	case Idle:
+		if s.Doomed != nil {
+			return nil
+		}
 		if s.Now == nil && now >= s.due && !s.asked {
 			return s.start(s.Confirmed)
 		}
@@ -271,20 +323,21 @@
 			s.Fell = rollout.CutOff
 			return s.change(now, 0, s.Confirmed)
 		}
+		return s.configure(now)
 	case Starting:
 		if now >= s.due {
-			return s.fail(now, fmt.Sprintf("not ready in %v", s.limits.Ready))
+			return s.fail(now, fmt.Sprintf("not ready in %v", s.limits.Ready), true)
 		}
 	case Trial:
 		if now < s.due {
 			return nil
 		}
 		if !s.yes {
-			return s.fail(now, "it said no at the end of its trial")
+			return s.fail(now, "it said no at the end of its trial", true)
 		}
 		if s.Now == nil {
 			s.promote()
-			return nil
+			return nil // what follows is for the next tick
 		}
 		s.Phase, s.due = Ending, now+s.limits.End
 		return []Do{{Term: s.Now}}
--- /dev/null
+++ b/internal/agent/trial_test.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"testing"
+	"time"
+)
+
+// A version's process has a trial of its own length, for it has to be in force within seconds; a release's has the longer one.
+func TestTrials(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		version bool
+		trial   time.Duration
+	}{"a version": {true, 2 * second}, "a release": {false, 50 * second}} {
+		s := New("r", Limits{Ready: 5 * second, Trial: 50 * second, Version: 2 * second, End: 4 * second, Pause: second, Most: second})
+		first, next := Process{PID: 1, Release: "r", Start: 1}, Process{PID: 2, Release: "r", Start: 2}
+		s.Tick(0)
+		s.Began(0, first)
+		s.Answered(0, first, true)
+		s.Runs(first, "d")
+		if c.version {
+			s.Want(5)
+			todo := s.Tick(second)
+			if len(todo) != 1 || todo[0].Check == nil {
+				t.Fatalf("%s: %+v", name, todo)
+			}
+			todo = s.Checked(second, *todo[0].Check, Verdict{})
+			if len(todo) != 1 || todo[0].Start != "r" || todo[0].Version != 5 {
+				t.Fatalf("%s: %+v", name, todo)
+			}
+		} else if _, err := s.Change(second, 1, "r"); err != nil {
+			t.Fatal(err)
+		}
+		s.Began(2*second, next)
+		s.Answered(3*second, next, true)
+		if todo := s.Tick(3*second + c.trial - 1); len(todo) != 0 {
+			t.Errorf("%s: within its trial: %+v", name, todo)
+		}
+		if todo := s.Tick(3*second + c.trial); len(todo) != 1 || todo[0].Term == nil || todo[0].Term.PID != 1 {
+			t.Errorf("%s: after its trial: %+v", name, todo)
+		}
+	}
+}
--- a/internal/machine/config.go
+++ b/internal/machine/config.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -15,6 +16,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"petrelhook/internal/agent"
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/yamlfile"
 )
 
@@ -29,6 +31,9 @@
 	Heard       time.Duration // without a driver's word for this long, the machine is cut off
 	Look        time.Duration // between two looks at the processes
 	Sidecars    []Sidecar
+
+	Coordinators []string // that tell versions of the application's configuration; none: nobody does
+	Member       string   // the agent's name for them
 }
 
 // Sidecar is one of the machine's.
@@ -46,6 +51,8 @@
 	DefaultListen = "127.0.0.1:7500"
 	defaultHeard  = 5 * time.Second
 	defaultLook   = 200 * time.Millisecond
+	// defaultVersion is the trial of a process with a new version: it has to be in force within seconds of its publication.
+	defaultVersion = 2 * time.Second
 )
 
 var defaultLimits = agent.Limits{Ready: 6 * time.Second, Trial: 10 * time.Second, End: 4 * time.Second, CutOff: 5 * time.Minute, Pause: time.Second, Most: time.Minute}
@@ -79,7 +86,7 @@
 	}
 	c := &Config{Listen: DefaultListen, Limits: defaultLimits, Heard: defaultHeard, Look: defaultLook}
 	remote := false
-	var sidecars, limits *yaml.Node
+	var sidecars, limits, configuration *yaml.Node
 	text1 := func(to *string, what string) func(*yaml.Node) error {
 		return func(n *yaml.Node) error { return yamlfile.Decode(n, to, what) }
 	}
@@ -92,6 +99,8 @@
 		"release":      text1(&c.Release, "the name of a release"),
 		"limits":       func(n *yaml.Node) error { limits = n; return nil },
 		"sidecars":     func(n *yaml.Node) error { sidecars = n; return nil },
+
+		"configuration": func(n *yaml.Node) error { configuration = n; return nil },
 	})
 	if err != nil {
 		return nil, err
@@ -110,6 +119,11 @@
 			return nil, err
 		}
 	}
+	if configuration != nil {
+		if err := c.configuration(file, configuration, remote); err != nil {
+			return nil, err
+		}
+	}
 	if sidecars == nil {
 		return nil, yamlfile.Problem(file, top, "sidecars", "missing; write a list")
 	}
@@ -128,6 +142,15 @@
 		c.Sidecars = append(c.Sidecars, s)
 		return nil
 	})
+	if err == nil && configuration != nil { // what coordinators would refuse
+		w := distribute.Watch{Version: distribute.WireVersion, Service: c.Application, Member: c.Member}
+		for _, s := range c.Sidecars {
+			w.Reports = append(w.Reports, distribute.Report{Sidecar: s.Name})
+		}
+		if err := w.Check(); err != nil {
+			return nil, yamlfile.Problem(file, configuration, "configuration", err.Error())
+		}
+	}
 	return c, err
 }
 
@@ -146,6 +169,50 @@
 	})
 }
 
+// configuration reads who tells versions of the configuration.
+func (c *Config) configuration(file string, n *yaml.Node, remote bool) error {
+	const at = "configuration"
+	if n.Kind != yaml.MappingNode {
+		return yamlfile.Problem(file, n, at, `write fields such as coordinators: ["127.0.0.1:7400"]`)
+	}
+	c.Limits.Version = min(defaultVersion, c.Limits.Trial)
+	err := yamlfile.Fields(file, at+".", n, map[string]func(*yaml.Node) error{
+		"trial": func(n *yaml.Node) error {
+			return yamlfile.Within(n, &c.Limits.Version, 10*time.Millisecond, 24*time.Hour)
+		},
+		"member": func(n *yaml.Node) error {
+			err := yamlfile.Decode(n, &c.Member, "a name")
+			if err == nil && (c.Member == "" || len(c.Member) > distribute.MaxName) {
+				err = fmt.Errorf("%d bytes; write a name of 1 to %d", len(c.Member), distribute.MaxName)
+			}
+			return err
+		},
+		"coordinators": func(n *yaml.Node) error {
+			if err := yamlfile.Decode(n, &c.Coordinators, `a list such as ["127.0.0.1:7400"]`); err != nil {
+				return err
+			}
+			for _, one := range n.Content {
+				var addr string
+				if err := yamlfile.Address(one, &addr); err != nil {
+					return err
+				}
+				if host, _, _ := net.SplitHostPort(addr); !remote && !yamlfile.Loopback(host) {
+					return fmt.Errorf("%s is not of loopback; write allow_remote: true where everybody who reaches it may give versions", addr)
+				}
+			}
+			return nil
+		},
+	})
+	if err == nil && len(c.Coordinators) == 0 {
+		err = yamlfile.Problem(file, n, at+".coordinators", "missing; write the coordinators' addresses")
+	}
+	if err == nil && c.Member == "" {
+		host, _ := os.Hostname() // "": the address is all there is
+		c.Member = host[:min(len(host), distribute.MaxName/2)] + "/" + c.Listen
+	}
+	return err
+}
+
 func sidecar(file, at string, n *yaml.Node) (s Sidecar, err error) {
 	var doors []string
 	var set map[string]any
@@ -193,14 +260,21 @@
 	return s, nil
 }
 
-// settings are a release's for one sidecar. A name in Set may go into fields by dots: settings.my_number.
-func (s *Sidecar) settings(release []byte) ([]byte, error) {
-	fields := map[string]any{}
-	d := json.NewDecoder(bytes.NewReader(release))
-	d.UseNumber()
-	if err := d.Decode(&fields); err != nil {
+// settings are a release's for one sidecar, with a version's over them; nil: there is none. The sidecar's own come last. A name in Set
+// may go into fields by dots: settings.my_number.
+func (s *Sidecar) settings(release, version []byte) ([]byte, error) {
+	fields, over := map[string]any{}, map[string]any{}
+	if err := decode(release, &fields); err != nil {
 		return nil, fmt.Errorf("the settings of the release: %w", err)
 	}
+	if version != nil {
+		if err := decode(version, &over); err != nil {
+			return nil, fmt.Errorf("the version of the configuration: %w", err)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(over)) {
+		put(fields, name, over[name])
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.Set)) {
 		at, parts := fields, strings.Split(name, ".")
 		for _, part := range parts[:len(parts)-1] {
@@ -210,11 +284,48 @@
 			}
 			at = in
 		}
-		at[parts[len(parts)-1]] = s.Set[name]
-	}
-	for _, name := range own {
-		delete(fields, name)
+		put(at, parts[len(parts)-1], s.Set[name])
 	}
+	maps.DeleteFunc(fields, func(name string, _ any) bool {
+		return slices.ContainsFunc(own, func(o string) bool { return strings.EqualFold(o, name) })
+	})
 	fields["name"], fields["listen"] = s.Name, s.Listen
 	return json.Marshal(fields)
 }
+
+func decode(text []byte, to *map[string]any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	return d.Decode(to)
+}
+
+// put sets a field. One of the same letters in another case is the same to whoever reads the text with package json: it is set.
+func put(fields map[string]any, name string, v any) {
+	same := slices.Sorted(func(yield func(string) bool) {
+		for other := range fields {
+			if strings.EqualFold(other, name) && !yield(other) {
+				return
+			}
+		}
+	})
+	for _, other := range same {
+		name = other
+		delete(fields, other)
+	}
+	fields[name] = v
+}
+
+// differing are the top fields of two settings of one sidecar that are not the same.
+func differing(a, b []byte) (all []string, err error) {
+	var one, other map[string]json.RawMessage
+	if err := errors.Join(json.Unmarshal(a, &one), json.Unmarshal(b, &other)); err != nil {
+		return nil, err
+	}
+	for name, v := range one {
+		if !bytes.Equal(v, other[name]) { // both were written by settings: equal values are equal texts
+			all = append(all, name)
+		}
+		delete(other, name)
+	}
+	return append(all, slices.Collect(maps.Keys(other))...), nil
+}
--- a/internal/machine/door.go
+++ b/internal/machine/door.go
@@ -235,6 +235,16 @@
 	if err != nil {
 		return nil, bad(err)
 	}
+	inForce, err := owned(ctx, m, func() ([]json.RawMessage, error) {
+		var all []json.RawMessage
+		for _, u := range m.units {
+			all = append(all, m.versions[u.InForce].Content)
+		}
+		return all, nil
+	})
+	if err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp(m.c.Data, ".check-")
 	if err != nil {
 		return nil, bad(err)
@@ -244,7 +254,7 @@
 	defer cancel()
 	for i := range m.c.Sidecars {
 		path := filepath.Join(dir, m.c.Sidecars[i].Name+".json")
-		if err := m.write(&m.c.Sidecars[i], r, path); err != nil {
+		if err := m.write(&m.c.Sidecars[i], r, inForce[i], path); err != nil {
 			return nil, bad(err)
 		}
 		cmd := exec.CommandContext(ctx, r.Program, "--check", "--config", path)
@@ -272,6 +282,7 @@
 		}
 		if counted && json.Valid(counts) {
 			u.said[p] = counts
+			u.Runs(p, digest(counts))
 		}
 		return m.after(u, u.Answered(m.now(), p, yes))
 	})
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -16,13 +16,19 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"petrelhook/internal/agent"
+	"petrelhook/internal/distribute"
 	"petrelhook/internal/release"
 	"petrelhook/internal/rollout"
 	"petrelhook/internal/rpc"
+	"petrelhook/internal/subscribe"
 )
 
 // Machine is the agent's process.
@@ -38,6 +44,19 @@
 	heard  time.Duration // when a driver spoke last
 	events chan func() error
 	ended  chan struct{}
+
+	ctx      context.Context // of Run, for what is begun beside
+	sides    sync.WaitGroup
+	checks   chan struct{} // one for each check that runs
+	versions map[distribute.Revision]distribute.Version
+	holds    distribute.Revision // the newest of them
+	tells    subscription        // nil: nobody does
+}
+
+// subscription tells of newer versions; a subscribe.Client is one.
+type subscription interface {
+	Run(context.Context)
+	Report(distribute.Report)
 }
 
 // unit is one sidecar.
@@ -47,10 +66,21 @@
 	saved agent.Kept
 	asked map[agent.Process]bool // its door is being asked
 	said  map[agent.Process]json.RawMessage
+
+	reported distribute.Report
 }
 
 // Open takes up the machine as it was left: what is kept, and what lives.
 func Open(c *Config, log *slog.Logger) (*Machine, error) {
+	return open(c, log, func(holds distribute.Revision, take func(distribute.Version) error) subscription {
+		if len(c.Coordinators) == 0 {
+			return nil
+		}
+		return subscribe.New(subscribe.Options{Addrs: c.Coordinators, Service: c.Application, Member: c.Member, Holds: holds, Take: take, Log: log})
+	})
+}
+
+func open(c *Config, log *slog.Logger, tells func(distribute.Revision, func(distribute.Version) error) subscription) (*Machine, error) {
 	if err := os.MkdirAll(filepath.Join(c.Data, "tmp"), 0o700); err != nil {
 		return nil, err
 	}
@@ -62,13 +92,18 @@
 		lock.Close()
 		return nil, fmt.Errorf("%s: another agent is in charge of it: %w", c.Data, err)
 	}
-	m := &Machine{c: c, log: log, lock: lock, began: time.Now(), events: make(chan func() error, 256), ended: make(chan struct{})}
+	m := &Machine{c: c, log: log, lock: lock, began: time.Now(), events: make(chan func() error, 256), ended: make(chan struct{}),
+		checks: make(chan struct{}, atOnce), versions: map[distribute.Revision]distribute.Version{}}
 	if m.store, err = release.NewStore(c.Releases); err == nil {
 		_, err = m.read("fence", &m.fence)
 	}
 	if err == nil {
 		_, err = m.read("fence", &m.kept)
 	}
+	if err == nil {
+		err = m.readVersions()
+	}
+	m.tells = tells(m.holds, m.taken)
 	for i := range c.Sidecars {
 		if err == nil {
 			err = m.take(&c.Sidecars[i])
@@ -96,15 +131,21 @@
 			return err
 		}
 		u.Sidecar = agent.New(m.c.Release, m.c.Limits)
+		m.want(u)
 		return m.after(u, nil)
 	}
+	for _, version := range []distribute.Revision{u.saved.InForce, u.saved.Trying} {
+		if _, known := m.versions[version]; version != 0 && !known {
+			return fmt.Errorf("%s: sidecar %s runs with it, and it is not there or damaged", m.versionFile(version), conf.Name)
+		}
+	}
 	var found *agent.Process
 	if u.saved.Starts > 0 && (u.saved.Now == nil || u.saved.Phase == agent.Starting && u.saved.Next == nil) {
 		if found, err = claim(m.numbered(u, "start", u.saved.Starts)); err != nil {
 			return err
 		}
 		if found != nil {
-			found.Release, found.Door = u.saved.To, u.door()
+			found.Release, found.Door, found.Start = u.saved.To, u.door(), u.saved.Starts
 			if u.saved.To == "" {
 				found.Release = u.saved.Confirmed
 			}
@@ -112,6 +153,7 @@
 	}
 	kept, todo := u.saved, []agent.Do(nil)
 	u.Sidecar, todo = agent.Again(kept, m.c.Limits, m.now(), Lives, found)
+	m.want(u)
 	m.log.Info("taken up", "sidecar", conf.Name, "phase", kept.Phase.String(), "now", u.Now, "next", u.Next, "found", found != nil)
 	return m.after(u, todo)
 }
@@ -155,7 +197,11 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(m.c.Data, name+".json")
+	return replace(filepath.Join(m.c.Data, name+".json"), text)
+}
+
+// replace replaces a file as a whole: whoever reads it has the one or the other, also after a failure of the machine.
+func replace(path string, text []byte) error {
 	f, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
@@ -170,7 +216,7 @@
 	if err := os.Rename(path+".new", path); err != nil {
 		return err
 	}
-	dir, err := os.Open(m.c.Data)
+	dir, err := os.Open(filepath.Dir(path))
 	if err != nil {
 		return err
 	}
@@ -190,14 +236,26 @@
 		todo = todo[1:]
 		switch {
 		case do.Start != "":
-			todo = append(todo, m.begin(u, do.Start)...)
+			todo = append(todo, m.begin(u, do.Start, do.Version)...)
 		case do.Term != nil:
 			signal(*do.Term, syscall.SIGTERM)
 		case do.Kill != nil:
 			signal(*do.Kill, syscall.SIGKILL)
+		case do.Tell != nil:
+			digest, err := m.tell(u, *do.Tell, do.Version)
+			u.Told(m.now(), *do.Tell, digest, err)
+		case do.Check != nil:
+			m.verify(u, *do.Check)
+		}
+	}
+	err := m.save(u)
+	if r := u.Report(u.conf.Name); err == nil && r != u.reported { // what is reported is on the disk
+		u.reported = r
+		if m.tells != nil {
+			m.tells.Report(r)
 		}
 	}
-	return m.save(u)
+	return err
 }
 
 func (m *Machine) save(u *unit) error {
@@ -212,12 +270,16 @@
 	if u.saved.Phase != u.Phase || u.saved.Done != u.Done {
 		m.log.Info("sidecar", "name", u.conf.Name, "phase", u.Phase.String(), "order", u.Order, "done", u.Done, "failed", u.Failed, "fell", u.Fell)
 	}
+	if was, is := u.saved.Configured, u.Configured; was != is {
+		m.log.Info("configuration", "sidecar", u.conf.Name, "in_force", uint64(is.InForce), "trying", uint64(is.Trying), "live", is.Live,
+			"refused", uint64(is.Refused), "why", is.Why)
+	}
 	u.saved = copied(u.Kept)
 	return nil
 }
 
 func copied(k agent.Kept) agent.Kept {
-	for _, p := range []**agent.Process{&k.Now, &k.Next} {
+	for _, p := range []**agent.Process{&k.Now, &k.Next, &k.Doomed} {
 		if *p != nil {
 			own := **p
 			*p = &own
@@ -228,9 +290,9 @@
 
 const keptStarts = 8 // for how many starts files are left for people
 
-// begin starts a release.
-func (m *Machine) begin(u *unit, id string) []agent.Do {
-	p, err := m.start(u, id)
+// begin starts a release, with a version of its configuration.
+func (m *Machine) begin(u *unit, id string, version distribute.Revision) []agent.Do {
+	p, err := m.start(u, id, version)
 	if err != nil {
 		m.log.Warn("not started", "sidecar", u.conf.Name, "release", id, "err", err)
 		if errors.Is(err, release.ErrNone) {
@@ -238,44 +300,69 @@
 		}
 		return u.NotBegun(m.now(), err.Error())
 	}
-	p.Release = id
+	p.Release, p.Start = id, u.Starts
 	m.log.Info("started", "sidecar", u.conf.Name, "release", id, "pid", p.PID)
 	return u.Began(m.now(), p)
 }
 
-func (m *Machine) start(u *unit, id string) (p agent.Process, err error) {
+func (m *Machine) start(u *unit, id string, version distribute.Revision) (p agent.Process, err error) {
 	r, err := m.store.Open(release.ID(id))
 	if err != nil {
 		return p, err
 	}
 	config := m.path(u, "config")
-	if err := m.write(u.conf, r, config); err != nil {
+	if err := m.write(u.conf, r, m.versions[version].Content, config); err != nil {
 		return p, err
 	}
-	if u.Starts > keptStarts {
+	m.forget(u)
+	return start(m.path(u, "start"), m.path(u, "log"), r.Program, config, filepath.Join(m.c.Data, "tmp"), u.door())
+}
+
+// forget removes the files of old starts, but not those of a process that lives: it reads its configuration again.
+func (m *Machine) forget(u *unit) {
+	entries, _ := os.ReadDir(m.c.Data)
+	for _, e := range entries {
 		for _, what := range []string{"start", "config", "log"} {
-			os.Remove(m.numbered(u, what, u.Starts-keptStarts))
+			rest, ok := strings.CutPrefix(e.Name(), what+"-"+u.conf.Name+"-")
+			n, err := strconv.ParseUint(rest, 10, 64)
+			if !ok || err != nil || n+keptStarts > u.Starts {
+				continue
+			}
+			if !slices.ContainsFunc([]*agent.Process{u.Now, u.Next}, func(p *agent.Process) bool { return p != nil && p.Start == n }) {
+				os.Remove(filepath.Join(m.c.Data, e.Name()))
+			}
 		}
 	}
-	return start(m.path(u, "start"), m.path(u, "log"), r.Program, config, filepath.Join(m.c.Data, "tmp"), u.door())
 }
 
-// write writes a release's settings for a sidecar.
-func (m *Machine) write(s *Sidecar, r release.Release, path string) error {
-	text, err := os.ReadFile(r.Settings)
-	if err == nil {
-		text, err = s.settings(text)
-	}
+// write writes a release's settings for a sidecar, with a version's over them.
+func (m *Machine) write(s *Sidecar, r release.Release, version []byte, path string) error {
+	text, err := merged(s, r, version)
 	if err != nil {
 		return err
 	}
 	return os.WriteFile(path, text, 0o600)
 }
 
+func merged(s *Sidecar, r release.Release, version []byte) ([]byte, error) {
+	text, err := os.ReadFile(r.Settings)
+	if err != nil {
+		return nil, err
+	}
+	return s.settings(text, version)
+}
+
 // Run is in charge until ctx ends. An error is one of the disk: what is kept is not known, and only a new start can tell.
 func (m *Machine) Run(ctx context.Context, ln net.Listener) error {
 	defer m.lock.Close()
+	defer m.sides.Wait()
 	defer close(m.ended)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.ctx = ctx
+	if m.tells != nil {
+		m.sides.Go(func() { m.tells.Run(ctx) })
+	}
 	mux := http.NewServeMux()
 	rpc.Handle(mux, PathLook, maxCall, m.look)
 	rpc.Handle(mux, PathOrder, maxCall, m.order)
@@ -308,7 +395,7 @@
 func (m *Machine) tick(ctx context.Context) error {
 	for _, u := range m.units {
 		var todo []agent.Do
-		for _, p := range []*agent.Process{u.Now, u.Next} {
+		for _, p := range []*agent.Process{u.Now, u.Next, u.Doomed} {
 			if p != nil && !Lives(*p) {
 				said := ""
 				if p == u.Next { // whose start was the last
@@ -329,7 +416,7 @@
 		for _, p := range []*agent.Process{u.Now, u.Next} {
 			if p != nil && !u.asked[*p] {
 				u.asked[*p] = true
-				go m.ask(ctx, u, *p)
+				m.sides.Go(func() { m.ask(ctx, u, *p) })
 			}
 		}
 	}
--- a/internal/machine/start_test.go
+++ b/internal/machine/start_test.go
@@ -31,11 +31,18 @@
 	if os.Getenv("MACHINE_TEST_THREADS") != "" {
 		syscall.RawSyscall(syscall.SYS_EXIT, 0, 0, 0) // of this thread alone
 	}
+	if os.Getenv(fakeVariable) != "" {
+		fake(os.Args[1:])
+	}
+	if len(os.Args) > 3 && os.Args[1] == "once" {
+		fmt.Fprintln(os.Stderr, Once(os.Args[2], os.Args[3], os.Args[4:]))
+		os.Exit(1)
+	}
 	os.Exit(m.Run())
 }
 
 func init() {
-	if os.Getenv("MACHINE_TEST_THREADS") != "" { // what ends is the first thread
+	if os.Getenv("MACHINE_TEST_THREADS") != "" || len(os.Args) > 1 && os.Args[1] == "once" { // what ends is the first thread; see cmd/petrelagent
 		runtime.LockOSThread()
 	}
 }
--- /dev/null
+++ b/internal/machine/version_test.go
@@ -0,0 +1,431 @@
+package machine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	signals "os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"petrelhook/internal/agent"
+	"petrelhook/internal/distribute"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/release"
+)
+
+const fakeVariable = "MACHINE_TEST_FAKE"
+
+// fake is a program of a release, as far as agents know one: it checks its settings, answers at its door and reads its file again.
+func fake(args []string) {
+	path := args[len(args)-1]
+	read := func() (text []byte, fields map[string]any) {
+		text, err := os.ReadFile(path)
+		if err == nil {
+			err = json.Unmarshal(text, &fields)
+		}
+		if err != nil {
+			panic(err)
+		}
+		return text, fields
+	}
+	text, fields := read()
+	if args[0] == "--check" {
+		if fields["bad"] != nil {
+			line := 1 + strings.Count(string(text[:strings.Index(string(text), `"bad"`)]), "\n")
+			fmt.Printf("fake: %s:%d:2: bad: is there; leave it out\n", path, line)
+			os.Exit(1)
+		}
+		if fields["one"] != nil && fields["other"] != nil {
+			fmt.Println("fake: one and other are no pair")
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	if fields["dies"] != nil {
+		os.Exit(1)
+	}
+	hup := make(chan os.Signal, 1)
+	signals.Notify(hup, syscall.SIGHUP)
+	var told atomic.Value
+	told.Store(fmt.Sprintf(`{"classes": [], "file": {"digest": %q}}`, distribute.Digest(text)))
+	go func() {
+		for range hup {
+			text, _ := read()
+			told.Store(fmt.Sprintf(`{"classes": [], "file": {"digest": %q, "reloads": 1}}`, distribute.Digest(text)))
+		}
+	}()
+	http.HandleFunc("/api/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if fields["never"] != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	http.HandleFunc("/api/counts", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, told.Load()) })
+	fmt.Fprintln(os.Stderr, http.ListenAndServe(os.Getenv("LB_ADMIN_ADDR"), nil))
+	os.Exit(1)
+}
+
+// reports is a subscription that a test plays: it takes what the machine reports.
+type reports struct {
+	holds distribute.Revision
+	take  func(distribute.Version) error
+
+	mu  sync.Mutex
+	all []distribute.Report
+}
+
+func (r *reports) Run(ctx context.Context) { <-ctx.Done() }
+
+func (r *reports) Report(one distribute.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, one)
+}
+
+func (r *reports) last() distribute.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all[len(r.all)-1]
+}
+
+// rig is a machine of one sidecar, whose agent a test starts again.
+type rig struct {
+	*reports
+	t   *testing.T
+	c   *Config
+	m   *Machine
+	end func()
+}
+
+func newRig(t *testing.T) *rig {
+	dir := t.TempDir()
+	store, err := release.NewStore(filepath.Join(dir, "releases"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	program := fmt.Sprintf("#!/bin/sh\n%s=1 exec %q \"$@\"\n", fakeVariable, os.Args[0])
+	r, err := store.Add(strings.NewReader(program), strings.NewReader(`{"discovery": "a", "settings": {"x": 1}, "third": 1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Config{Application: "app", Data: filepath.Join(dir, "data"), Releases: filepath.Join(dir, "releases"), Release: string(r.ID),
+		Look: 20 * time.Millisecond, Heard: time.Hour, Sidecars: []Sidecar{{Name: "n0", Listen: "127.0.0.1:1",
+			Doors: [2]string{peertest.Reserved(t), peertest.Reserved(t)}, Set: map[string]json.RawMessage{"settings.mine": []byte("7")}}},
+		Limits: agent.Limits{Ready: 5 * time.Second, Trial: 100 * time.Millisecond, End: 2 * time.Second, CutOff: time.Hour, Pause: 10 * time.Millisecond, Most: time.Second}}
+	g := &rig{t: t, c: c}
+	g.begin()
+	t.Cleanup(func() {
+		g.end()
+		for _, p := range []*agent.Process{g.kept().Now, g.kept().Next} {
+			if p != nil && Lives(*p) {
+				syscall.Kill(p.PID, syscall.SIGKILL)
+			}
+		}
+	})
+	peertest.Eventually(t, "it serves", func() bool { return g.kept().Now != nil && g.process() != nil })
+	return g
+}
+
+// begin starts the agent on its folder as it is.
+func (g *rig) begin() {
+	g.t.Helper()
+	m, err := open(g.c, slog.New(slog.DiscardHandler), func(holds distribute.Revision, take func(distribute.Version) error) subscription {
+		g.reports = &reports{holds: holds, take: take}
+		return g.reports
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- m.Run(ctx, ln) }()
+	g.m, g.end = m, sync.OnceFunc(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			g.t.Error(err)
+		}
+	})
+}
+
+// kept is what is on the disk.
+func (g *rig) kept() (k agent.Kept) {
+	text, _ := os.ReadFile(filepath.Join(g.c.Data, "sidecar-n0.json"))
+	json.Unmarshal(text, &k)
+	return k
+}
+
+// process is the one that serves, with what its file holds; nil: it does not answer.
+func (g *rig) process() map[string]any {
+	k := g.kept()
+	if k.Now == nil {
+		return nil
+	}
+	if _, yes := call(g.t.Context(), k.Now.Door, "/api/counts"); !yes {
+		return nil
+	}
+	text, _ := os.ReadFile(filepath.Join(g.c.Data, fmt.Sprintf("config-n0-%d", k.Now.Start)))
+	var fields map[string]any
+	json.Unmarshal(text, &fields)
+	return fields
+}
+
+func version(r distribute.Revision, content string) distribute.Version {
+	text, err := distribute.Canonical([]byte(content))
+	if err != nil {
+		panic(err)
+	}
+	return distribute.Version{Service: "app", Revision: r, Digest: distribute.Digest(text), Content: text}
+}
+
+// tell has the agent take a version, and waits until it has come to something.
+func (g *rig) tell(r distribute.Revision, content string) distribute.Report {
+	g.t.Helper()
+	if err := g.take(version(r, content)); err != nil {
+		g.t.Fatal(err)
+	}
+	if _, err := os.Stat(g.m.versionFile(r)); err != nil {
+		g.t.Errorf("it was taken and is not kept: %v", err)
+	}
+	peertest.Eventually(g.t, "it has come to something", func() bool {
+		last := g.last()
+		return last.InForce >= r || last.Refused >= r
+	})
+	return g.last()
+}
+
+// Versions go in by the process that serves or by a hand-over, or are refused by the program with the place in a file that is there; what
+// is in force and what was refused outlives the agent, and a process that dies is started with what is in force.
+func TestVersionsOnAMachine(t *testing.T) {
+	g := newRig(t)
+	first := g.kept().Now.PID
+	if r := g.tell(3, `{"discovery": "b"}`); r != (distribute.Report{Sidecar: "n0", InForce: 3}) {
+		t.Errorf("%+v", r)
+	}
+	if f := g.process(); f["discovery"] != "b" || f["third"] != 1.0 || f["name"] != "n0" || g.kept().Now.PID != first {
+		t.Errorf("%v, process %d after %d", f, g.kept().Now.PID, first)
+	}
+	if r := g.tell(5, `{"discovery": "b", "settings": {"y": 2}}`); r != (distribute.Report{Sidecar: "n0", InForce: 5}) {
+		t.Errorf("%+v", r)
+	}
+	peertest.Eventually(t, "the one before ends", func() bool { k := g.kept(); return k.Phase == agent.Idle && k.Now.PID != first })
+	if f := g.process(); fmt.Sprint(f["settings"]) != "map[mine:7 y:2]" {
+		t.Errorf("%v", f)
+	}
+
+	r := g.tell(6, `{"bad": 1, "discovery": "c"}`)
+	file, why, _ := strings.Cut(strings.TrimPrefix(r.Why, "fake: "), ":")
+	lines, _ := os.ReadFile(file)
+	if r.InForce != 5 || r.Refused != 6 || why != "2:2: bad: is there; leave it out" || !strings.Contains(strings.Split(string(lines), "\n")[1], `"bad"`) {
+		t.Errorf("%+v in %s", r, lines)
+	}
+	if r := g.tell(7, `{"never": 1}`); r.InForce != 5 || r.Refused != 7 || r.Why != "not ready in 5s" {
+		t.Errorf("%+v", r)
+	}
+	for _, v := range []distribute.Version{version(5, `{"x": 1}`), version(7, `{"x": 1}`), {Service: "other", Revision: 9, Content: []byte("{}"), Digest: distribute.Digest([]byte("{}"))},
+		{Service: "app", Revision: 9, Content: []byte("{}"), Digest: distribute.Digest([]byte("[]"))}} {
+		if err := g.take(v); !errors.Is(err, distribute.ErrOlder) && !errors.Is(err, distribute.ErrForeign) && !errors.Is(err, distribute.ErrBroken) {
+			t.Errorf("%+v: %v", v, err)
+		}
+	}
+
+	g.end()
+	serves := *g.kept().Now
+	syscall.Kill(serves.PID, syscall.SIGKILL)
+	peertest.Eventually(t, "it is gone", func() bool { return !Lives(serves) })
+	g.begin()
+	if g.holds != 7 || g.last().InForce != 5 || g.last().Refused != 7 {
+		t.Errorf("it holds %d: %+v", g.holds, g.last())
+	}
+	peertest.Eventually(t, "it is started again", func() bool { p := g.kept().Now; return p != nil && p.PID != serves.PID && g.process() != nil })
+	if f := g.process(); fmt.Sprint(f["settings"]) != "map[mine:7 y:2]" || f["discovery"] != "b" {
+		t.Errorf("%v", f)
+	}
+	starts := g.kept().Starts
+	if r := g.tell(8, `{}`); r.InForce != 8 || g.kept().Starts != starts+1 { // what was refused is not tried again meanwhile
+		t.Errorf("%+v, %d starts after %d", r, g.kept().Starts, starts)
+	}
+	peertest.Eventually(t, "old versions are removed", func() bool {
+		g.take(version(g.m.holds+1, `{"discovery": "d"}`))
+		files, _ := filepath.Glob(filepath.Join(g.c.Data, "version-*"))
+		return !slices.ContainsFunc(files, func(f string) bool { return strings.Contains(f, "version-5") || strings.Contains(f, "version-7") })
+	})
+}
+
+// What was told live and not taken before the agent was killed is told again; the file of the process is whole at any moment.
+func TestAVersionThatWasTold(t *testing.T) {
+	g := newRig(t)
+	pid := g.kept().Now.PID
+	g.tell(1, `{"discovery": "b"}`) // the process has told what it reads
+	syscall.Kill(pid, syscall.SIGSTOP)
+	if err := g.take(version(2, `{"discovery": "c"}`)); err != nil {
+		t.Fatal(err)
+	}
+	told := func() bool { k := g.kept(); return k.Trying == 2 && k.Live && k.InForce == 1 }
+	peertest.Eventually(t, "it is told", told)
+	g.end()
+	g.begin()
+	if !told() || g.holds != 2 {
+		t.Errorf("%+v, holds %d", g.kept(), g.holds)
+	}
+	syscall.Kill(pid, syscall.SIGCONT)
+	peertest.Eventually(t, "it is in force", func() bool { return g.last().InForce == 2 })
+	if k := g.kept(); k.Now.PID != pid || k.Starts != 1 {
+		t.Errorf("%+v", k)
+	}
+}
+
+// However many versions have failed, the file of the process that serves is there, and it reads it again. A driver that asks for another
+// release is answered for what would be started: that release with what is in force.
+func TestManyVersionsThatFail(t *testing.T) {
+	g := newRig(t)
+	pid := g.kept().Now.PID
+	for r := range distribute.Revision(keptStarts + 2) {
+		if told := g.tell(r+1, fmt.Sprintf(`{"dies": %d}`, r)); told.InForce != 0 || !strings.Contains(told.Why, "it ended before it was ready") {
+			t.Errorf("%+v", told)
+		}
+	}
+	if files, _ := filepath.Glob(filepath.Join(g.c.Data, "config-n0-*")); len(files) > keptStarts+1 {
+		t.Errorf("%d files are left", len(files))
+	}
+	starts := g.kept().Starts
+	if r := g.tell(20, `{"discovery": "b"}`); r.InForce != 20 || g.kept().Now.PID != pid || g.kept().Starts != starts {
+		t.Errorf("%+v, process %d after %d", r, g.kept().Now.PID, pid)
+	}
+	g.tell(21, `{"one": 1}`)
+	store, err := release.NewStore(g.c.Releases)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, err := store.Open(release.ID(g.c.Release))
+	if err != nil {
+		t.Fatal(err)
+	}
+	program, err := os.Open(was.Program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer program.Close()
+	other, err := store.Add(program, strings.NewReader(`{"settings": {}, "other": 1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := g.m.check(t.Context(), &Check{Version: Version, Release: string(other.ID)}); err == nil || !strings.Contains(err.Error(), "one and other are no pair") {
+		t.Errorf("%v", err)
+	}
+	if _, err := g.m.check(t.Context(), &Check{Version: Version, Release: g.c.Release}); err != nil {
+		t.Error(err)
+	}
+}
+
+// What is kept of versions: the newest whole one is held, whatever else lies there; what a sidecar runs with has to be there; another
+// service's is not run. Where nobody tells versions nothing goes in, and what is in force stays.
+func TestVersionsThatAreKept(t *testing.T) {
+	g := newRig(t)
+	g.tell(4, `{"discovery": "b"}`)
+	g.end()
+	write := func(name, text string) {
+		t.Helper()
+		if err := os.WriteFile(filepath.Join(g.c.Data, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	whole, _ := json.Marshal(version(9, `{"discovery": "c"}`))
+	write("version-9.json", string(whole[:len(whole)-3]))
+	write("version-8.json", string(whole)) // another's
+	write("version-6.json", strings.NewReplacer(`"c"`, `"d"`, ":9", ":6").Replace(string(whole)))
+	write("version-7.json.new", string(whole))
+	write("version-x.json", string(whole))
+	g.begin()
+	if g.holds != 4 {
+		t.Errorf("it holds %d", g.holds)
+	}
+	g.end()
+
+	write("version-9.json", string(whole))
+	m, err := Open(g.c, slog.New(slog.DiscardHandler)) // without coordinators
+	if err != nil || m.tells != nil {
+		t.Fatal(err)
+	}
+	if r := m.units[0].Report("n0"); r.InForce != 4 || r.Why != "" {
+		t.Errorf("%+v", r)
+	}
+	if todo := m.units[0].Tick(time.Hour); len(todo) != 0 {
+		t.Errorf("%+v", todo)
+	}
+	m.lock.Close()
+
+	kept, _ := os.ReadFile(filepath.Join(g.c.Data, "version-4.json"))
+	for text, want := range map[string]string{string(kept[:9]): "version-4.json: sidecar n0 runs with it, and it is not there or damaged",
+		strings.Replace(string(kept), `"app"`, `"else"`, 1): "it is of else, and this agent is of app"} {
+		write("version-4.json", text)
+		if _, err := Open(g.c, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	write("version-4.json", string(kept))
+}
+
+// A version's top fields replace those of the release; the sidecar's own come last, in whatever case they are written.
+func TestSettings(t *testing.T) {
+	s := &Sidecar{Name: "n0", Listen: "127.0.0.1:1", Set: map[string]json.RawMessage{"seed": []byte(`"1f"`), "settings.mine": []byte("7")}}
+	const release = `{"name": "x", "discovery": "a", "seed": "0", "settings": {"a": 1, "mine": 0}, "n": 12345678901234567890}`
+	for version, want := range map[string]string{
+		"":                                 `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"a":1,"mine":7}}`,
+		"{}":                               `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"a":1,"mine":7}}`,
+		`{"discovery":"b","n":1}`:          `{"discovery":"b","listen":"127.0.0.1:1","n":1,"name":"n0","seed":"1f","settings":{"a":1,"mine":7}}`,
+		`{"settings":{"b":2,"mine":9}}`:    `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"b":2,"mine":7}}`,
+		`{"Settings":{"MINE":9},"Seed":1}`: `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"MINE":7}}`,
+		`{"settings":{"MINE":9,"Mine":8}}`: `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"Mine":7}}`,
+		`{"li\u017ften":"x","NAME":"y"}`:   `{"discovery":"a","listen":"127.0.0.1:1","n":12345678901234567890,"name":"n0","seed":"1f","settings":{"a":1,"mine":7}}`,
+	} {
+		var over []byte
+		if version != "" {
+			over = []byte(version)
+		}
+		if got, err := s.settings([]byte(release), over); err != nil || string(got) != want {
+			t.Errorf("%s: %v\n got %s\nwant %s", version, err, got, want)
+		}
+	}
+	if _, err := s.settings([]byte(release), []byte(`{"settings": 1}`)); err == nil || !strings.Contains(err.Error(), "set.settings.mine") {
+		t.Errorf("%v", err)
+	}
+}
+
+// Only where the servers are listed is read by a process that serves.
+func TestLive(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f")
+	if err := os.WriteFile(path, []byte(`{"discovery":"a","settings":{"x":1},"seed":"1"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]bool{
+		`{"discovery":"a","settings":{"x":1},"seed":"1"}`:             true,
+		`{"discovery":"b","settings":{"x":1},"seed":"1"}`:             true,
+		`{"settings":{"x":1},"seed":"1"}`:                             true,
+		`{"discovery":"b","settings":{"x":2},"seed":"1"}`:             false,
+		`{"discovery":"b","settings":{"x":1}}`:                        false,
+		`{"discovery":"b","settings":{"x":1},"seed":"1","limits":{}}`: false,
+		`{`: false,
+	} {
+		if live(path, []byte(text)) != want {
+			t.Errorf("%s: %v", text, !want)
+		}
+	}
+	if live(path+"x", []byte(`{}`)) {
+		t.Error("no file")
+	}
+}
--- a/internal/rig/deployment/bad.go
+++ b/internal/rig/deployment/bad.go
@@ -31,6 +31,8 @@
 func Bad(kind string) error {
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer release()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	path := os.Getenv("LB_CONFIG")
 	cfg, err := config.Read(path)
 	if err != nil {
@@ -57,7 +59,7 @@
 		}
 		return &badConn{Conn: c, kind: kind, zone: zoneOf(cfg.Name)}, nil
 	}
-	return wiring.Serve(stop, path, &cfg, dial, nil, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return wiring.Serve(stop, path, &cfg, dial, reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 // leak grows by 1 MiB a second.
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -42,6 +42,11 @@
 	Reserved func() string
 	First    func(settings []byte) release.ID // the release to begin with, made of the first sidecar's settings
 
+	// Discovery says what the release tells all sidecars of where servers are listed, given the first one's address, so that a version of
+	// the configuration may say something else. nil: each is told its own, which no version changes.
+	Discovery func(addr string) string
+	Versions  bool // agents take versions of the configuration from the coordinators
+
 	t       testing.TB
 	bin     string
 	first   release.ID
@@ -107,7 +112,17 @@
 	json.Unmarshal(fields["settings"], &numbered)
 	addr = d.Reserved()
 	var set strings.Builder
+	if d.Discovery != nil && d.first == "" {
+		var addr string
+		if err := json.Unmarshal(fields["discovery"], &addr); err != nil {
+			return "", err
+		}
+		fields["discovery"], _ = json.Marshal(d.Discovery(addr))
+	}
 	for _, name := range own {
+		if name == "discovery" && d.Discovery != nil {
+			continue
+		}
 		fmt.Fprintf(&set, "%s: %s, ", name, fields[name])
 		delete(fields, name)
 	}
@@ -121,7 +136,12 @@
 		return addr, nil
 	}
 	a := &Agent{Link: d.Link(), Dir: d.t.TempDir(), d: d}
-	text := fmt.Sprintf("application: %s\nlisten: %q\ndata: data\nreleases: %q\nrelease: %s\nlimits: %s\nsidecars:\n%s", Application, d.Reserved(), d.Releases,
+	text := ""
+	if d.Versions {
+		coordinators, _ := json.Marshal(d.Addrs())
+		text = fmt.Sprintf("configuration: {coordinators: %s}\n", coordinators)
+	}
+	text += fmt.Sprintf("application: %s\nlisten: %q\ndata: data\nreleases: %q\nrelease: %s\nlimits: %s\nsidecars:\n%s", Application, d.Reserved(), d.Releases,
 		d.first, d.Limits, strings.Join(d.waiting, ""))
 	d.waiting = nil
 	if err := os.WriteFile(filepath.Join(a.Dir, "agent.yaml"), []byte(text), 0o600); err != nil {
@@ -163,7 +183,7 @@
 func (a *Agent) end() {
 	a.Die()
 	for _, k := range a.Kept() {
-		for _, p := range []*agent.Process{k.Now, k.Next} {
+		for _, p := range []*agent.Process{k.Now, k.Next, k.Doomed} {
 			if p != nil && machine.Lives(*p) {
 				syscall.Kill(p.PID, syscall.SIGKILL)
 			}
