--- a/cmd/petrelagent/version_test.go
+++ b/cmd/petrelagent/version_test.go
@@ -66,8 +66,8 @@
 	return all
 }
 
-// A version is published once and is in force on all sidecars: one that they take as they run, without a new process, and one that takes a
-// hand-over. No request meets it.
+// A version is published once and is in force on all sidecars: one that they take as they run, without a new process,
+// and one that takes a hand-over. No request meets it.
 func TestAVersionInForceOnAll(t *testing.T) {
 	s := newListed(t, 6, 240)
 	end := s.NeverBack(t)
@@ -111,8 +111,8 @@
 	s.Check()
 }
 
-// A version that the sidecar's program does not take is refused by all, each with the program's own line; what is in force serves on, and
-// a later good one gets in.
+// A version that the sidecar's program does not take is refused by all, each with the program's own line; what is in
+// force serves on, and a later good one gets in.
 func TestAVersionThatTheSidecarRefuses(t *testing.T) {
 	s := newListed(t, 6, 120)
 	end := s.NeverBack(t)
@@ -175,8 +175,8 @@
 	s.Check()
 }
 
-// A version that is published while a rollout goes on, and a rollout that begins while a version goes in: both come to their end on all
-// sidecars, and the rollout is not stopped for it.
+// A version that is published while a rollout goes on, and a rollout that begins while a version goes in: both come
+// to their end on all sidecars, and the rollout is not stopped for it.
 func TestAVersionAndARollout(t *testing.T) {
 	s := newListed(t, 6, 240)
 	end := s.NeverBack(t)
@@ -217,8 +217,8 @@
 	s.Check()
 }
 
-// Coordinators are killed, stopped and cut off while versions are on their way: sidecars serve on, the newest is in force on all within a
-// bound of the moment at which two of three are back, and never an older one.
+// Coordinators are killed, stopped and cut off while versions are on their way: sidecars serve on, the newest is in
+// force on all within a bound of the moment at which two of three are back, and never an older one.
 func TestCoordinatorsThatDie(t *testing.T) {
 	const bound = 20 * time.Second
 	s := newListed(t, 6, 200)
@@ -277,8 +277,8 @@
 	s.Check()
 }
 
-// Agents are killed at random moments while versions go in, by a hand-over and live: nothing goes back, no sidecar has a third process, and
-// the newest is in force on all.
+// Agents are killed at random moments while versions go in, by a hand-over and live: nothing goes back, no sidecar
+// has a third process, and the newest is in force on all.
 func TestAgentsKilledInAVersion(t *testing.T) {
 	s := newListed(t, 6, 200)
 	stop, ended := make(chan struct{}), make(chan struct{})
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -8,18 +8,18 @@
 	"petrelhook/internal/distribute"
 )
 
-// Configured is what survives the agent of a sidecar's configuration. Revisions are of versions of its service; 0: what its release says
-// by itself.
+// Configured is what survives the agent of a sidecar's configuration. Revisions are of versions of its service; 0:
+// what its release says by itself.
 type Configured struct {
-	InForce distribute.Revision `json:"in_force,omitempty"` // every start begins with it, but that of a version's own change
+	InForce distribute.Revision `json:"in_force,omitempty"` // every start begins with it, but a version's own change
 	Trying  distribute.Revision `json:"trying,omitempty"`   // on its way in; 0: none
-	Live    bool                `json:"live,omitempty"`     // by the process that serves, which reads it; else by a change that goes on
+	Live    bool                `json:"live,omitempty"`     // by the process that serves; else by a change that goes on
 	Refused distribute.Revision `json:"refused,omitempty"`  // the newest that was not put in force, for good
 	Why     string              `json:"why,omitempty"`      // and why
 }
 
-// Check is a question whether a version can go in: each release that may be started with it has to take it. Where a process serves, it is
-// also how it goes in: live, or by a change.
+// Check is a question whether a version can go in: each release that may be started with it has to take it. Where a
+// process serves, it is also how it goes in: live, or by a change.
 type Check struct {
 	Version  distribute.Revision
 	Releases [2]string // that runs, and that is confirmed where it is another; "": there is none
@@ -48,7 +48,8 @@
 	held     time.Duration // until then an order of a rollout that found no room comes first
 }
 
-// crashing is after how many ends in a row, without a yes between, a sidecar is taken not to come up with what is in force.
+// crashing is after how many ends in a row, without a yes between, a sidecar is taken not to come up with what is in
+// force.
 const crashing = 2
 
 // Want tells of the newest version that was taken. An older one is never wanted again.
@@ -69,8 +70,8 @@
 	return s.InForce
 }
 
-// configure gives what is due for the newest version, where no change goes on. A version whose turn has come is seen through or fails
-// before a newer one has its own.
+// configure gives what is due for the newest version, where no change goes on. A version whose turn has come is seen
+// through or fails before a newer one has its own.
 func (s *Sidecar) configure(now time.Duration) []Do {
 	switch {
 	case s.Trying != 0:
@@ -165,8 +166,8 @@
 	}
 }
 
-// tried ends what is on its way: "" puts it in force. What is in force stays so whatever comes after, and what is at no fault is tried
-// again.
+// tried ends what is on its way: "" puts it in force. What is in force stays so whatever comes after, and what is at
+// no fault is tried again.
 func (s *Sidecar) tried(why string, fault bool) {
 	switch {
 	case why == "":
--- a/internal/agent/configuration_test.go
+++ b/internal/agent/configuration_test.go
@@ -27,7 +27,8 @@
 	kinds
 )
 
-// site carries out what a sidecar says, in a world of processes that are started with versions. Its agent may be killed at any moment.
+// site carries out what a sidecar says, in a world of processes that are started with versions. Its agent may be
+// killed at any moment.
 type site struct {
 	t       testing.TB
 	s       *Sidecar
@@ -189,8 +190,8 @@
 	}
 }
 
-// Each way in which a version goes in or does not, one after the other: what is refused leaves what is in force as it is, and is not tried
-// again, and the next one gets in.
+// Each way in which a version goes in or does not, one after the other: what is refused leaves what is in force as it
+// is, and is not tried again, and the next one gets in.
 func TestVersions(t *testing.T) {
 	w := newSite(t)
 	starts := func() uint64 { return w.s.Starts }
@@ -280,7 +281,8 @@
 	}
 }
 
-// A version that was published before the one on its way is over has its turn then; one that was overtaken meanwhile has none.
+// A version that was published before the one on its way is over has its turn then; one that was overtaken meanwhile
+// has none.
 func TestVersionsInARow(t *testing.T) {
 	w := newSite(t)
 	w.publish(good)
@@ -316,8 +318,9 @@
 	w.stands("both were read", 2, 0, "")
 }
 
-// Orders of a rollout come first: one that finds a version on its way is carried out as soon as that is over, before the next; one that
-// goes on is not disturbed, and what came of it is not lost; a version that was told and not taken yet gives way.
+// Orders of a rollout come first: one that finds a version on its way is carried out as soon as that is over, before
+// the next; one that goes on is not disturbed, and what came of it is not lost; a version that was told and not taken
+// yet gives way.
 func TestVersionsAndOrders(t *testing.T) {
 	w := newSite(t)
 	w.publish(good)
@@ -375,7 +378,8 @@
 	return v
 }
 
-// A process that does not hear it is told again; one that began before the file was written tells another digest, which is no yes.
+// A process that does not hear it is told again; one that began before the file was written tells another digest,
+// which is no yes.
 func TestAProcessThatIsStopped(t *testing.T) {
 	w := newSite(t)
 	w.deaf = true
@@ -389,7 +393,8 @@
 	w.stands("it goes on", 1, 0, "")
 }
 
-// What is at no version's fault is tried again: a program that can't be asked, a file that can't be written, a start that fails.
+// What is at no version's fault is tried again: a program that can't be asked, a file that can't be written, a start
+// that fails.
 func TestWhatIsNoFault(t *testing.T) {
 	w := newSite(t)
 	w.unknown = true
@@ -445,7 +450,8 @@
 	}
 }
 
-// A sidecar that does not come up with what is in force gets a newer version all the same; one that ended once does not get it by that.
+// A sidecar that does not come up with what is in force gets a newer version all the same; one that ended once does
+// not get it by that.
 func TestAVersionThatMends(t *testing.T) {
 	w := newSite(t)
 	w.publish(good)
@@ -472,9 +478,10 @@
 	w.stands("mended", 3, 0, "")
 }
 
-// Whatever happens, with an agent that is killed at any moment: never more than two processes; what is in force never goes back; what was
-// refused is not tried again; a process that is started for no version's sake has what is in force; each order is carried out, and what
-// came of it stays known; and in the end the newest version is in force or refused.
+// Whatever happens, with an agent that is killed at any moment: never more than two processes; what is in force never
+// goes back; what was refused is not tried again; a process that is started for no version's sake has what is in
+// force; each order is carried out, and what came of it stays known; and in the end the newest version is in force or
+// refused.
 func TestVersionsWhateverHappens(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		w := newSite(t)
--- a/internal/agent/sidecar.go
+++ b/internal/agent/sidecar.go
@@ -46,7 +46,7 @@
 	Confirmed string       `json:"confirmed"` // the release that a change may go back to
 	Now       *Process     `json:"now,omitempty"`
 	Next      *Process     `json:"next,omitempty"`
-	Doomed    *Process     `json:"doomed,omitempty"` // of a change that failed: it is killed, and nothing is started until it is gone
+	Doomed    *Process     `json:"doomed,omitempty"` // of a change that failed: killed; nothing is started until it is gone
 	To        string       `json:"to,omitempty"`     // Starting: the release that is wanted
 	Order     uint64       `json:"order,omitempty"`  // of the change that goes on, 0: its own
 	Phase     Phase        `json:"phase"`
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -135,7 +135,7 @@
 			"fits by 1.96 times"},
 		{Now, Leader, "message that begins a change of all", 10000, "does not: 1.25 times over"},
 		// the worst run
-		{After, Control, "in force everywhere", 3, "fits by 4.6 times"},
+		{After, Control, "told everywhere", 3, "fits by 4.6 times"},
 		{Now, Driver, "all at once, without a judge, in the largest service", 4, "fits by 3.5 times"}, // as 20 had it
 		{Busiest, Leader, "changes of configuration", 10, "fits by 5 times"},
 		{Rack, Control, "bytes of lists, as they go, of a minute's budget", 6 * 0.2 * 150, "fits by 3,000 times"},
--- a/internal/capacity/rows_change.go
+++ b/internal/capacity/rows_change.go
@@ -99,9 +99,21 @@
 	for _, c := range []struct {
 		what string
 		took Figure
-	}{{"in force at half of the members", m.at("publish", "member", "in_force_p50_s", m.machines)},
-		{"in force at 99 in 100", m.at("publish", "member", "in_force_p99_s", m.machines)},
-		{"in force everywhere", m.inForce("publish", "member", m.machines)}} {
+	}{{"told at half of the members", m.at("publish", "member", "in_force_p50_s", m.machines)},
+		{"told at 99 in 100", m.at("publish", "member", "in_force_p99_s", m.machines)},
+		{"told everywhere", m.inForce("publish", "member", m.machines)},
+		{"told everywhere, at ten times the rate of the busiest minute",
+			m.at("publish", "member", "busy_in_force_max_s", m.machines)},
+		{"told everywhere, versions of all services at once",
+			m.at("publish", "member", "all_in_force_max_s", m.machines)},
+		{"told everywhere, a coordinator that follows killed meanwhile",
+			m.at("publish", "member", "killed_in_force_max_s", m.machines)},
+		{"told everywhere, the leader killed meanwhile",
+			m.at("publish", "member", "leader_killed_in_force_max_s", m.machines)},
+		{"in force everywhere, taken by processes as they run",
+			add(m.inForce("publish", "member", m.machines), m.is("earlier.version_live"))},
+		{"in force everywhere, by a hand-over", add(m.inForce("publish", "member", m.machines),
+			m.is("earlier.version_hand_over"), m.is("periods.version_trial"))}} {
 		m.put(Row{Time: After, Role: Control, What: c.what, Unit: "s", Need: c.took,
 			Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: by,
 			Needs: []string{"each change of configuration"}})
--- a/internal/machine/config.go
+++ b/internal/machine/config.go
@@ -197,7 +197,8 @@
 					return err
 				}
 				if host, _, _ := net.SplitHostPort(addr); !remote && !yamlfile.Loopback(host) {
-					return fmt.Errorf("%s is not of loopback; write allow_remote: true where everybody who reaches it may give versions", addr)
+					return fmt.Errorf("%s is not of loopback; "+
+						"write allow_remote: true where everybody who reaches it may give versions", addr)
 				}
 			}
 			return nil
@@ -260,8 +261,8 @@
 	return s, nil
 }
 
-// settings are a release's for one sidecar, with a version's over them; nil: there is none. The sidecar's own come last. A name in Set
-// may go into fields by dots: settings.my_number.
+// settings are a release's for one sidecar, with a version's over them; nil: there is none. The sidecar's own come
+// last. A name in Set may go into fields by dots: settings.my_number.
 func (s *Sidecar) settings(release, version []byte) ([]byte, error) {
 	fields, over := map[string]any{}, map[string]any{}
 	if err := decode(release, &fields); err != nil {
@@ -299,7 +300,8 @@
 	return d.Decode(to)
 }
 
-// put sets a field. One of the same letters in another case is the same to whoever reads the text with package json: it is set.
+// put sets a field. One of the same letters in another case is the same to whoever reads the text with package json:
+// it is set.
 func put(fields map[string]any, name string, v any) {
 	same := slices.Sorted(func(yield func(string) bool) {
 		for other := range fields {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -76,11 +76,15 @@
 		if len(c.Coordinators) == 0 {
 			return nil
 		}
-		return subscribe.New(subscribe.Options{Addrs: c.Coordinators, Service: c.Application, Member: c.Member, Holds: holds, Take: take, Log: log})
+		return subscribe.New(subscribe.Options{
+			Addrs: c.Coordinators, Service: c.Application, Member: c.Member, Holds: holds, Take: take, Log: log,
+		})
 	})
 }
 
-func open(c *Config, log *slog.Logger, tells func(distribute.Revision, func(distribute.Version) error) subscription) (*Machine, error) {
+func open(
+	c *Config, log *slog.Logger, tells func(distribute.Revision, func(distribute.Version) error) subscription,
+) (*Machine, error) {
 	if err := os.MkdirAll(filepath.Join(c.Data, "tmp"), 0o700); err != nil {
 		return nil, err
 	}
@@ -92,7 +96,8 @@
 		lock.Close()
 		return nil, fmt.Errorf("%s: another agent is in charge of it: %w", c.Data, err)
 	}
-	m := &Machine{c: c, log: log, lock: lock, began: time.Now(), events: make(chan func() error, 256), ended: make(chan struct{}),
+	m := &Machine{c: c, log: log, lock: lock, began: time.Now(),
+		events: make(chan func() error, 256), ended: make(chan struct{}),
 		checks: make(chan struct{}, atOnce), versions: map[distribute.Revision]distribute.Version{}}
 	if m.store, err = release.NewStore(c.Releases); err == nil {
 		_, err = m.read("fence", &m.fence)
@@ -271,8 +276,8 @@
 		m.log.Info("sidecar", "name", u.conf.Name, "phase", u.Phase.String(), "order", u.Order, "done", u.Done, "failed", u.Failed, "fell", u.Fell)
 	}
 	if was, is := u.saved.Configured, u.Configured; was != is {
-		m.log.Info("configuration", "sidecar", u.conf.Name, "in_force", uint64(is.InForce), "trying", uint64(is.Trying), "live", is.Live,
-			"refused", uint64(is.Refused), "why", is.Why)
+		m.log.Info("configuration", "sidecar", u.conf.Name, "in_force", uint64(is.InForce), "trying", uint64(is.Trying),
+			"live", is.Live, "refused", uint64(is.Refused), "why", is.Why)
 	}
 	u.saved = copied(u.Kept)
 	return nil
@@ -328,7 +333,8 @@
 			if !ok || err != nil || n+keptStarts > u.Starts {
 				continue
 			}
-			if !slices.ContainsFunc([]*agent.Process{u.Now, u.Next}, func(p *agent.Process) bool { return p != nil && p.Start == n }) {
+			lives := func(p *agent.Process) bool { return p != nil && p.Start == n }
+			if !slices.ContainsFunc([]*agent.Process{u.Now, u.Next, u.Doomed}, lives) {
 				os.Remove(filepath.Join(m.c.Data, e.Name()))
 			}
 		}
--- a/internal/machine/start_test.go
+++ b/internal/machine/start_test.go
@@ -42,7 +42,8 @@
 }
 
 func init() {
-	if os.Getenv("MACHINE_TEST_THREADS") != "" || len(os.Args) > 1 && os.Args[1] == "once" { // what ends is the first thread; see cmd/petrelagent
+	if os.Getenv("MACHINE_TEST_THREADS") != "" || len(os.Args) > 1 && os.Args[1] == "once" {
+		// What ends, or becomes the program, is the first thread: see cmd/petrelagent.
 		runtime.LockOSThread()
 	}
 }
--- a/internal/machine/version.go
+++ b/internal/machine/version.go
@@ -21,8 +21,9 @@
 	"petrelhook/internal/release"
 )
 
-// Versions are kept each in a file of its own, as it was told: version-N.json, N the revision. A sidecar's own file says by revision which
-// it runs with. The newest is what this machine holds: an older one never gets in again, also after a new start of the agent.
+// Versions are kept each in a file of its own, as it was told: version-N.json, N the revision. A sidecar's own file
+// says by revision which it runs with. The newest is what this machine holds: an older one never gets in again, also
+// after a new start of the agent.
 
 const versionName = "version-"
 
@@ -30,7 +31,8 @@
 	return filepath.Join(m.c.Data, fmt.Sprintf("%s%d.json", versionName, r))
 }
 
-// readVersions reads what is kept. A damaged file counts as none: what it held is told again, and a sidecar that runs with it says so.
+// readVersions reads what is kept. A damaged file counts as none: what it held is told again, and a sidecar that runs
+// with it says so.
 func (m *Machine) readVersions() error {
 	files, err := filepath.Glob(filepath.Join(m.c.Data, versionName+"*.json"))
 	if err != nil {
@@ -48,7 +50,8 @@
 			err = json.Unmarshal(text, &v)
 		}
 		if err == nil && v.Service != m.c.Application {
-			return fmt.Errorf("%s: it is of %s, and this agent is of %s; write another folder for data", path, v.Service, m.c.Application)
+			return fmt.Errorf("%s: it is of %s, and this agent is of %s; write another folder for data",
+				path, v.Service, m.c.Application)
 		}
 		if err == nil && (v.Revision != distribute.Revision(n) || distribute.Digest(v.Content) != v.Digest) {
 			err = distribute.ErrBroken
@@ -91,7 +94,8 @@
 	return err
 }
 
-// want has a sidecar brought to the newest version. Where nobody tells versions any more what is in force stays, and nothing else goes in.
+// want has a sidecar brought to the newest version. Where nobody tells versions any more what is in force stays, and
+// nothing else goes in.
 func (m *Machine) want(u *unit) {
 	if m.tells != nil {
 		u.Want(m.holds)
@@ -159,7 +163,9 @@
 }
 
 // verdict asks the program of each release, and looks how the version goes in.
-func (m *Machine) verdict(ctx context.Context, u *unit, c agent.Check, was []byte, is distribute.Version) (v agent.Verdict) {
+func (m *Machine) verdict(
+	ctx context.Context, u *unit, c agent.Check, was []byte, is distribute.Version,
+) (v agent.Verdict) {
 	ctx, cancel := context.WithTimeout(ctx, checkTime)
 	defer cancel()
 	for i, id := range c.Releases {
@@ -215,8 +221,8 @@
 	return v
 }
 
-// apart says why two settings must not be in use side by side; "": they may. While a version goes in they are, at each sidecar for the
-// time of a trial and over all of them for longer.
+// apart says why two settings must not be in use side by side; "": they may. While a version goes in they are, at
+// each sidecar for the time of a trial and over all of them for longer.
 func apart(old, new []byte, stepsDone bool) string {
 	findings, err := release.Compare(old, new)
 	if err != nil { // the program says where
@@ -233,7 +239,8 @@
 	return ""
 }
 
-// live reports whether a process that began with a file takes other settings as it runs: no more differs than where its servers are listed.
+// live reports whether a process that began with a file takes other settings as it runs: no more differs than where
+// its servers are listed.
 func live(file string, settings []byte) bool {
 	was, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/machine/version_test.go
+++ b/internal/machine/version_test.go
@@ -27,7 +27,8 @@
 
 const fakeVariable = "MACHINE_TEST_FAKE"
 
-// fake is a program of a release, as far as agents know one: it checks its settings, answers at its door and reads its file again.
+// fake is a program of a release, as far as agents know one: it checks its settings, answers at its door and reads
+// its file again.
 func fake(args []string) {
 	path := args[len(args)-1]
 	read := func() (text []byte, fields map[string]any) {
@@ -208,8 +209,9 @@
 	return g.last()
 }
 
-// Versions go in by the process that serves or by a hand-over, or are refused by the program with the place in a file that is there; what
-// is in force and what was refused outlives the agent, and a process that dies is started with what is in force.
+// Versions go in by the process that serves or by a hand-over, or are refused by the program with the place in a file
+// that is there; what is in force and what was refused outlives the agent, and a process that dies is started with
+// what is in force.
 func TestVersionsOnAMachine(t *testing.T) {
 	g := newRig(t)
 	first := g.kept().Now.PID
@@ -266,7 +268,8 @@
 	})
 }
 
-// What was told live and not taken before the agent was killed is told again; the file of the process is whole at any moment.
+// What was told live and not taken before the agent was killed is told again; the file of the process is whole at any
+// moment.
 func TestAVersionThatWasTold(t *testing.T) {
 	g := newRig(t)
 	pid := g.kept().Now.PID
@@ -289,8 +292,8 @@
 	}
 }
 
-// However many versions have failed, the file of the process that serves is there, and it reads it again. A driver that asks for another
-// release is answered for what would be started: that release with what is in force.
+// However many versions have failed, the file of the process that serves is there, and it reads it again. A driver
+// that asks for another release is answered for what would be started: that release with what is in force.
 func TestManyVersionsThatFail(t *testing.T) {
 	g := newRig(t)
 	pid := g.kept().Now.PID
@@ -332,8 +335,8 @@
 	}
 }
 
-// What is kept of versions: the newest whole one is held, whatever else lies there; what a sidecar runs with has to be there; another
-// service's is not run. Where nobody tells versions nothing goes in, and what is in force stays.
+// What is kept of versions: the newest whole one is held, whatever else lies there; what a sidecar runs with has to
+// be there; another service's is not run. Where nobody tells versions nothing goes in, and what is in force stays.
 func TestVersionsThatAreKept(t *testing.T) {
 	g := newRig(t)
 	g.tell(4, `{"discovery": "b"}`)
@@ -380,7 +383,8 @@
 	write("version-4.json", string(kept))
 }
 
-// A version's top fields replace those of the release; the sidecar's own come last, in whatever case they are written.
+// A version's top fields replace those of the release; the sidecar's own come last, in whatever case they are
+// written.
 func TestSettings(t *testing.T) {
 	s := &Sidecar{Name: "n0", Listen: "127.0.0.1:1", Set: map[string]json.RawMessage{"seed": []byte(`"1f"`), "settings.mine": []byte("7")}}
 	const release = `{"name": "x", "discovery": "a", "seed": "0", "settings": {"a": 1, "mine": 0}, "n": 12345678901234567890}`
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -42,8 +42,8 @@
 	Reserved func() string
 	First    func(settings []byte) release.ID // the release to begin with, made of the first sidecar's settings
 
-	// Discovery says what the release tells all sidecars of where servers are listed, given the first one's address, so that a version of
-	// the configuration may say something else. nil: each is told its own, which no version changes.
+	// Discovery says what the release tells all sidecars of where servers are listed, given the first one's address, so
+	// that a version of the configuration may say something else. nil: each is told its own, which no version changes.
 	Discovery func(addr string) string
 	Versions  bool // agents take versions of the configuration from the coordinators
 
--- a/internal/rig/deployment/version.go
+++ b/internal/rig/deployment/version.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// NeverBack watches what the agents keep, until the function that it gives is called: that what is in force never goes back, and that no
-// sidecar has more than two processes.
+// NeverBack watches what the agents keep, until the function that it gives is called: that what is in force never
+// goes back, and that no sidecar has more than two processes.
 func (d *Deployment) NeverBack(t testing.TB) (end func()) {
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/internal/wiring/file_test.go
+++ b/internal/wiring/file_test.go
@@ -18,7 +18,8 @@
 	"petrelhook/internal/peertest"
 )
 
-// The process tells which file it has read last, at its start and after each time that it has taken it again, beside its counts.
+// The process tells which file it has read last, at its start and after each time that it has taken it again, beside
+// its counts.
 func TestTheFileIsTold(t *testing.T) {
 	calls, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
