The coordinators' time for reading is longer than a watch may wait

A call's deadline for reading goes on while it waits for its answer; at 30 s it would have ended a watch that waits as long as it may (read in net/http; agents wait 5 s, so none met it).

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -84,7 +84,8 @@
 	rpc.Handle(mux, PathStep, MaxMessage+1<<20, s.step)
 	rpc.Handle(mux, distribute.PathWatch, distribute.MaxWatch, s.watch)
 	rpc.Handle(mux, distribute.PathSummary, maxAsk, s.summary)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: snapTime, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+	// The time for reading goes on while a call waits for its answer, and would end it: it is longer than distribute.MaxHold.
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: snapTime + 5*time.Second, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	var sides sync.WaitGroup
 	defer sides.Wait()
 	sides.Go(func() {
