TestEvacuatedAcrossAnUpgrade waits until the first process has heard of the rejoin

The logs of that run: the second is ready at .802, the first goes to handing over at .805, and never away again although its evacuation was answered with 200. Cause: the test takes four healthy answers for a proof that both take clients; behind a shared socket all four may be the second's. Then the first is told to evacuate while it is still away, which changes nothing, and the rejoin that is on its way comes after it.

--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -297,6 +297,10 @@
 	if second.call("PUT /api/rejoin") != 200 {
 		t.Error("no")
 	}
+	peertest.Eventually(t, "the first has heard that clients are taken again", func() bool { // health may be the second's each time
+		log := first.Log.String()
+		return strings.LastIndex(log, `now="handing over"`) > strings.LastIndex(log, "now=away")
+	})
 	peertest.Eventually(t, "both take clients", func() bool { return health() == 200 && health() == 200 && health() == 200 && health() == 200 })
 	if first.call("PUT /api/evacuate") != 200 {
 		t.Error("no")
