--- a/cmd/petrelagent/version_test.go
+++ b/cmd/petrelagent/version_test.go
@@ -197,7 +197,7 @@
 	if _, err := s.Begin(deployment.Plan(good, third, "at_once: 3\nunavailable: 3\njudge: none\nstages: [{share: 1}]\n")); err != nil {
 		t.Fatal(err)
 	}
-	<-time.After(500 * time.Millisecond) // in the middle of both
+	s.Until(time.Minute, "both go on", func(c *rollout.Change) bool { return len(c.State.Orders()) > 0 })
 	newest := s.Publish(s.live(1))
 	if c = s.Over(2 * time.Minute); c.State.Phase != rollout.Done || deployment.Running(c, third) != 6 {
 		t.Errorf("%v: %s", c.State.Phase, c.State.Why)
