What a coordinator knows of versions beside its register is pure: distribute.Knowledge

Read again: internal/fleet decided which word of the leader counts and what the next revision is above, in a shell, with two atomics and a copy of the register's last revision. A word that waited for what it was of was replaced by each later one, so that a follower that is always a second behind would never have been confirmed, though its bound is four.

Change: distribute.Knowledge decides both; the shell asks it from the goroutine that owns the replica, and keeps nothing of its own. The older word stays until it is confirmed. TestAWordWaitsForWhatItIsOf, TestWhatIsHeld; three more guards in TestTheChecksCanFail (21).

Taken out by hand, on processes: what was forgotten (TestPublish fails), freshness (TestAStaleCoordinatorTellsNothing), an agent's time for a call and an operator's time for a coordinator (TestCoordinatorsThatFailToTell, both).

--- a/internal/distribute/mutation_test.go
+++ b/internal/distribute/mutation_test.go
@@ -34,6 +34,9 @@
 		"asked again":          {register, "known && newest.Digest == digest", "false", pkg, "TestApply"},
 		"bytes that stay": {register,
 			"r.last, digest, content, c.StepsDone}", "r.last, Digest(c.Content), c.Content, c.StepsDone}", pkg, "TestApply"},
+		"what a word is of":            {dir + "knowledge.go", "applied < k.last", "false", pkg, "TestAWordWaitsForWhatItIsOf"},
+		"the older word stays":         {dir + "knowledge.go", "!k.waits || last < k.last", "true", pkg, "TestAWordWaitsForWhatItIsOf"},
+		"what was forgotten":           {dir + "knowledge.go", "k.held > applied", "false", pkg, "TestWhatIsHeld"},
 		"all again to one that forgot": {dir + "reports.go", "delete(o.heard, server)", "_ = 0", pkg, sim},
 		"set while a call is out":      {dir + "reports.go", "max(o.heard[server], mark)", "o.mark", pkg, sim},
 	})
--- a/internal/fleet/distribute.go
+++ b/internal/fleet/distribute.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,29 +27,7 @@
 	began   time.Time
 	watches *distribute.Watches
 	sums    *distribute.Sums
-	asked   time.Duration       // what pending was asked for
-	pending distribute.Revision // confirmed, once it is applied here; 0: nothing is
-	// ahead is the largest revision that an agent has said it holds, here or, at the leader, anywhere: a group that was restored has
-	// forgotten what it gave, and what is published next has to be above that.
-	ahead atomic.Uint64
-	last  atomic.Uint64 // of the versions that are applied here
-}
-
-// above is what the next revision has to be above where the group has forgotten what it gave; else 0.
-func (d *distributor) above() distribute.Revision {
-	if ahead := d.ahead.Load(); ahead > d.last.Load() {
-		return distribute.Revision(ahead)
-	}
-	return 0
-}
-
-// hold takes in a revision that is held somewhere. One that the log would not go up to is nobody's.
-func (d *distributor) hold(r distribute.Revision) {
-	if uint64(r) > d.last.Load()+distribute.MaxLeap {
-		return
-	}
-	for was := d.ahead.Load(); uint64(r) > was && !d.ahead.CompareAndSwap(was, uint64(r)); was = d.ahead.Load() {
-	}
+	knows   distribute.Knowledge
 }
 
 func newDistributor(s *Server) *distributor {
@@ -65,7 +42,6 @@
 
 // applied tells those who wait what has changed.
 func (d *distributor) applied() {
-	d.last.Store(uint64(d.s.core.Versions().Last()))
 	if changed := d.s.core.Changed(); changed.All {
 		d.watches.ChangedAll(d.now())
 	} else {
@@ -76,11 +52,23 @@
 	d.catchUp()
 }
 
-// catchUp takes in a confirmation once all is applied that it is of.
+// catchUp takes in what the leader's word confirms.
 func (d *distributor) catchUp() {
-	if d.pending > 0 && d.s.core.Versions().Last() >= d.pending-1 {
-		d.watches.Confirmed(d.asked)
-		d.pending = 0
+	if asked, ok := d.knows.Applied(d.s.core.Versions().Last()); ok {
+		d.watches.Confirmed(asked)
+	}
+}
+
+// prepare makes a client's question one that the log can take.
+func (d *distributor) prepare(q *replica.Question, in *Ask) {
+	last := d.s.core.Versions().Last()
+	if in.Last != nil {
+		d.knows.Hold(in.Last.Held, last)
+	}
+	if q.Publish != nil {
+		command := *q.Publish
+		command.Above = max(command.Above, d.knows.Above(last))
+		q.Publish = &command
 	}
 }
 
@@ -98,14 +86,18 @@
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
-		addrs := make(chan []string, 1)
-		if !d.s.post(func() { addrs <- d.s.addrs() }) {
+		type state struct {
+			addrs []string
+			held  distribute.Revision
+		}
+		now := make(chan state, 1)
+		if !d.s.post(func() { now <- state{d.s.addrs(), d.knows.Held()} }) {
 			return
 		}
 		select {
-		case all := <-addrs:
-			if len(all) > 0 {
-				d.confirmOnce(ctx, &Caller{Addrs: all, Over: over, Within: 2 * every, Pause: every / 4}, 4*every)
+		case st := <-now:
+			if len(st.addrs) > 0 {
+				d.confirmOnce(ctx, &Caller{Addrs: st.addrs, Over: over, Within: 2 * every, Pause: every / 4}, 4*every, st.held)
 			}
 		case <-d.s.ended:
 			return
@@ -118,16 +110,16 @@
 	}
 }
 
-func (d *distributor) confirmOnce(ctx context.Context, c *Caller, within time.Duration) {
+func (d *distributor) confirmOnce(ctx context.Context, c *Caller, within time.Duration, held distribute.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var asked time.Duration
-	told, err := c.Ask(ctx, &Ask{Last: &Last{Held: distribute.Revision(d.ahead.Load())}}, func() { asked = d.now() })
+	told, err := c.Ask(ctx, &Ask{Last: &Last{Held: held}}, func() { asked = d.now() })
 	if err != nil {
 		return // what is not confirmed ends by itself
 	}
 	d.s.post(func() {
-		d.asked, d.pending = asked, told.Last+1
+		d.knows.Word(asked, told.Last)
 		d.catchUp()
 	})
 }
@@ -163,7 +155,7 @@
 			heard = s.distribute.sums.Knows(in.Service, in.Member)
 			s.distribute.sums.Spoke(now, in.Service, in.Member)
 		}
-		s.distribute.hold(in.Holds)
+		s.distribute.knows.Hold(in.Holds, s.core.Versions().Last())
 		s.distribute.sums.Holds(in.Service, in.Member, in.Holds)
 		cancel <- s.distribute.watches.Ask(now, *in, func(t distribute.Told, err error) {
 			t.Heard = heard
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -212,7 +212,7 @@
 	}
 	told := make(chan *Told, 1)
 	q.Done = func(r replica.Reply) { told <- s.told(in, r) }
-	if !s.post(func() { s.core.Ask(q) }) {
+	if !s.post(func() { s.distribute.prepare(&q, in); s.core.Ask(q) }) {
 		return nil, errEnds
 	}
 	select {
@@ -238,9 +238,7 @@
 	case in.Alive != nil:
 		q.Alive = in.Alive
 	case in.Publish != nil:
-		command := *in.Publish
-		command.Above = max(command.Above, s.distribute.above())
-		q.Publish, err = &command, command.Check()
+		q.Publish, err = in.Publish, in.Publish.Check()
 	case in.Limit != nil:
 		q.Limit, err = in.Limit, in.Limit.Set.Check()
 	case in.Share != nil:
@@ -255,9 +253,7 @@
 	case in.Remove != 0:
 		q.Remove = in.Remove
 	case in.List != nil || in.Backup || in.Changes != nil || in.Limits || in.Last != nil || in.Versions != nil:
-		if q.Read = true; in.Last != nil {
-			s.distribute.hold(in.Last.Held)
-		}
+		q.Read = true
 	default:
 		err = errors.New("nothing is asked")
 	}
