The scale and chain runs share what the rig has: one look at a process, the link that tests break

Read again: chain and scale each read /proc for a process's use; scale had a relay of its own beside internal/rig/link, and two connections that count. Change: internal/rig/usage is one look (the process's clock of processor time, for ticks are too coarse), link.Observe lets who counts see what is carried, and one counted connection serves both sides.

--- a/cmd/petrelctl/scale.go
+++ b/cmd/petrelctl/scale.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/rig/scale"
+	"petrelhook/internal/rig/usage"
 )
 
 func scaleCommand() *cobra.Command {
@@ -110,7 +111,7 @@
 // budget reads a number of bytes; "": a quarter of the machine's memory.
 func budget(text string) (int64, error) {
 	if text == "" {
-		all, err := scale.Memory()
+		all, err := usage.Memory()
 		if err != nil {
 			return 0, runError{err}
 		}
--- a/internal/rig/chain/report.go
+++ b/internal/rig/chain/report.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"petrelhook/internal/capacity"
+	"petrelhook/internal/rig/usage"
 )
 
 // Report is what came of a study.
@@ -88,7 +89,7 @@
 }
 
 // mean is what one sidecar took, and how many calls came to it.
-func (r *Result) mean() (u Usage, calls float64) {
+func (r *Result) mean() (u usage.Usage, calls float64) {
 	n := len(r.Usage)
 	if n == 0 {
 		return u, 0
--- a/internal/rig/chain/run.go
+++ b/internal/rig/chain/run.go
@@ -14,6 +14,7 @@
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
 	"petrelhook/internal/rig/scenario"
+	"petrelhook/internal/rig/usage"
 )
 
 // The classes of calls.
@@ -34,7 +35,7 @@
 	Pass    Pass                `json:"pass"`
 	Classes []Class             `json:"classes"`
 	Levels  []map[string]Counts `json:"levels"`          // by class, from the top
-	Usage   []Usage             `json:"usage,omitempty"` // of each sidecar from the top; CPU is that of the load
+	Usage   []usage.Usage       `json:"usage,omitempty"` // of each sidecar from the top; CPU is that of the load
 	Took    time.Duration       `json:"took_ns"`
 	Partial bool                `json:"partial,omitempty"`
 	Invalid []string            `json:"invalid,omitempty"` // why the times are not what they seem
@@ -107,22 +108,22 @@
 			took[op.Class].RecordValue(min(max(op.Latency.Microseconds(), 1), int64(time.Minute/time.Microsecond)))
 		},
 	}
-	before := c.usage()
+	before := c.taken()
 	watched := c.watch()
 	result, err := runner.Run(ctx)
-	usage := watched()
+	taken := watched()
 	if err = errors.Join(err, c.close()); err != nil {
 		return nil, err
 	}
-	for i := range usage {
-		usage[i].CPU -= before[i].CPU
+	for i := range taken {
+		taken[i].CPU -= before[i].CPU
 	}
-	return c.result(result, calls.Records().Calls, took, usage), nil
+	return c.result(result, calls.Records().Calls, took, taken), nil
 }
 
 // result puts together what all sides have seen. Nothing runs any more.
 func (c *chain) result(
-	result *load.Result, calls []audit.Call, took []*hdrhistogram.Histogram, usage []Usage,
+	result *load.Result, calls []audit.Call, took []*hdrhistogram.Histogram, taken []usage.Usage,
 ) *Result {
 	cfg := c.cfg
 	late := map[string]int{}
@@ -132,7 +133,7 @@
 		}
 	}
 	r := &Result{
-		Depth: cfg.Depth, Direct: cfg.Program == "", Fail: cfg.Fail, Rate: cfg.Rate, Pass: cfg.Pass, Usage: usage,
+		Depth: cfg.Depth, Direct: cfg.Program == "", Fail: cfg.Fail, Rate: cfg.Rate, Pass: cfg.Pass, Usage: taken,
 		Took: result.Took, Partial: result.Partial, Invalid: result.Invalid, Extras: result.Extras,
 	}
 	leaf := c.levels[len(c.levels)-1]
@@ -181,10 +182,11 @@
 	return r
 }
 
-// usage is what the sidecars have taken by now, from the top.
-func (c *chain) usage() (all []Usage) {
+// taken is what the sidecars have taken by now, from the top.
+func (c *chain) taken() (all []usage.Usage) {
 	for i := len(c.sidecars) - 1; i >= 0; i-- {
-		all = append(all, use(c.sidecars[i].cmd.Process.Pid))
+		u, _ := usage.Of(c.sidecars[i].cmd.Process.Pid) // one that has ended has taken nothing more
+		all = append(all, u)
 	}
 	return all
 }
@@ -194,12 +196,12 @@
 
 // watch looks at the sidecars now and then until its result is called, which gives the last look, with the most
 // descriptors and memory of all.
-func (c *chain) watch() func() []Usage {
-	stop, done := make(chan struct{}), make(chan []Usage)
+func (c *chain) watch() func() []usage.Usage {
+	stop, done := make(chan struct{}), make(chan []usage.Usage)
 	go func() {
 		ticker := time.NewTicker(sampleEvery)
 		defer ticker.Stop()
-		most := c.usage()
+		most := c.taken()
 		for {
 			over := false
 			select {
@@ -207,7 +209,7 @@
 				over = true
 			case <-ticker.C:
 			}
-			for i, u := range c.usage() {
+			for i, u := range c.taken() {
 				u.Memory, u.Descriptors = max(u.Memory, most[i].Memory), max(u.Descriptors, most[i].Descriptors)
 				most[i] = u
 			}
@@ -217,7 +219,7 @@
 			}
 		}
 	}()
-	return func() []Usage {
+	return func() []usage.Usage {
 		close(stop)
 		return <-done
 	}
--- a/internal/rig/doc.go
+++ b/internal/rig/doc.go
@@ -9,6 +9,7 @@
 //	load       sends it on schedule, whatever comes back; latency counts from when a request was due
 //	audit      the four rules, judged from the records of all sides: a pure function of scenario and records
 //	chain      sidecars behind one another, up to 15 deep: what one adds to a call, and what repeats do over a depth
+//	usage      what a process has taken, as the system says
 //	scale      what a fleet of some size costs each role: real coordinators beside hollow members
 //	rehearse   one run: stand-ins, sidecars (processes, or this process's own), load, faults, verdict, report
 //	loopback   a network of sockets on 127.0.0.0/8, with machines that can be cut off
--- a/internal/rig/link/link.go
+++ b/internal/rig/link/link.go
@@ -32,6 +32,19 @@
 	conns  map[net.Conn]struct{}
 	closed bool
 	pumps  sync.WaitGroup
+
+	observe func(Direction, []byte)
+}
+
+// Observe has a function see each piece that is carried, before it is passed on; it is called from several goroutines. It is set
+// before the link leads anywhere.
+func (l *Link) Observe(f func(Direction, []byte)) { l.change(func() { l.observe = f }) }
+
+// Open is how many connections it carries.
+func (l *Link) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) / 2
 }
 
 // New makes a link that leads nowhere yet: who dials it waits.
@@ -152,6 +165,9 @@
 			return
 		}
 		if n > 0 {
+			if l.observe != nil {
+				l.observe(d, b[:n])
+			}
 			time.Sleep(delay)
 			if _, err := to.Write(b[:n]); err != nil {
 				return
--- a/internal/rig/scale/agents.go
+++ b/internal/rig/scale/agents.go
@@ -235,28 +235,5 @@
 		return nil, err
 	}
 	l.a.open.Add(1)
-	return &countedConn{Conn: c, a: l.a}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	a    *agents
-	once sync.Once
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.a.in.Add(uint64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.a.out.Add(uint64(n))
-	return n, err
-}
-
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.a.open.Add(-1) })
-	return c.Conn.Close()
+	return &countedConn{Conn: c, read: &l.a.in, written: &l.a.out, open: &l.a.open}, nil
 }
--- a/internal/rig/scale/counting.go
+++ b/internal/rig/scale/counting.go
@@ -43,7 +43,7 @@
 			return c, err
 		}
 		of[addr].open.Add(1)
-		return &memberConn{Conn: c, of: of[addr]}, nil
+		return &countedConn{Conn: c, read: &of[addr].out, written: &of[addr].in, open: &of[addr].open}, nil
 	}
 	return t
 }
@@ -71,26 +71,27 @@
 	return res, err
 }
 
-// memberConn is a member's connection to a coordinator.
-type memberConn struct {
+// countedConn counts what goes through a connection, and its end.
+type countedConn struct {
 	net.Conn
-	of   *counter
-	once sync.Once
+	read, written *atomic.Uint64 // bytes
+	open          *atomic.Int64  // connections
+	once          sync.Once
 }
 
-func (c *memberConn) Read(p []byte) (int, error) {
+func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.of.out.Add(uint64(n))
+	c.read.Add(uint64(n))
 	return n, err
 }
 
-func (c *memberConn) Write(p []byte) (int, error) {
+func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.of.in.Add(uint64(n))
+	c.written.Add(uint64(n))
 	return n, err
 }
 
-func (c *memberConn) Close() error {
-	c.once.Do(func() { c.of.open.Add(-1) })
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
 	return c.Conn.Close()
 }
--- a/internal/rig/scale/doc.go
+++ b/internal/rig/scale/doc.go
@@ -10,7 +10,7 @@
 //	sessions, agents  the members: of the lease client, and of machines with a sidecar each
 //	watchers          members that wait for versions of a configuration, by the client of agents
 //	published         how long versions took to all members, and that each got its own, in order (pure)
-//	usage, relay      what is seen from outside: processor time, memory, descriptors, and the bytes between coordinators
+//	relay             what is seen from outside: processor time, memory, descriptors, and the bytes between coordinators
 //
 // Figures are rates over a window of some seconds that begins when all members have joined. Of the roles that are
 // processes of their own (leader, driver, follower) a figure is of one process, or the mean of the two followers; of
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -13,6 +13,7 @@
 
 	"petrelhook/internal/capacity"
 	"petrelhook/internal/fleet"
+	"petrelhook/internal/rig/usage"
 )
 
 // Run does all runs. What was measured until an error is given with it; Findings say what was not.
@@ -249,7 +250,7 @@
 	for {
 		sum := int64(0)
 		for _, pid := range append(f.pids(), os.Getpid()) {
-			if n, err := resident(pid); err == nil { // one that has ended meanwhile has none
+			if n, err := usage.Resident(pid); err == nil { // one that has ended meanwhile has none
 				sum += n
 			}
 		}
@@ -285,7 +286,7 @@
 }
 
 func machineWords() string {
-	memory, _ := Memory()
+	memory, _ := usage.Memory()
 	return fmt.Sprintf("%d processors, %.1f GiB of memory, %s/%s", runtime.NumCPU(), float64(memory)/(1<<30),
 		runtime.GOOS, runtime.GOARCH)
 }
--- a/internal/rig/scale/window.go
+++ b/internal/rig/scale/window.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"time"
+
+	"petrelhook/internal/rig/usage"
 )
 
 // seen is all that is seen from outside at one moment.
 type seen struct {
 	coordinators [coordinators]struct {
-		usage
+		usage.Usage
 		peers traffic
 		log   uint64 // entries that were ever applied
 	}
-	crew    []usage
+	crew    []usage.Usage
 	samples []*sample
 }
 
@@ -29,12 +31,12 @@
 	for i, c := range r.group.all {
 		at := &s.coordinators[i]
 		at.peers = r.group.carried(i)
-		if at.usage, err = usageOf(c.Pid); err != nil {
+		if at.Usage, err = usage.Of(c.Pid); err != nil {
 			return nil, err
 		}
 	}
 	for _, m := range r.crew.all {
-		u, err := usageOf(m.Pid)
+		u, err := usage.Of(m.Pid)
 		if err != nil {
 			return nil, err
 		}
@@ -63,10 +65,10 @@
 // between is the rates of a coordinator, whose traffic with members goes by a name in their samples.
 func between(a, b *seen, i int, name string) rates {
 	was, is := &a.coordinators[i], &b.coordinators[i]
-	took := seconds(is.at - was.at)
+	took := seconds(is.At - was.At)
 	peers := is.peers.minus(was.peers)
-	v := rates{cpu: float64((is.cpu-was.cpu)/time.Microsecond) / took, memory: float64(is.memory),
-		descriptors: float64(is.descriptors), open: float64(is.connections),
+	v := rates{cpu: float64((is.CPU-was.CPU)/time.Microsecond) / took, memory: float64(is.Memory),
+		descriptors: float64(is.Descriptors), open: float64(is.Connections),
 		peerIn: float64(peers.In) / took, peerOut: float64(peers.Out) / took,
 		messagesIn: float64(peers.MessagesIn) / took, messagesOut: float64(peers.MessagesOut) / took,
 		log: float64(is.log-was.log) / took}
@@ -86,11 +88,11 @@
 func betweenMembers(a, b *seen, members int) (v rates) {
 	of := 1 / float64(members)
 	for n := range b.crew {
-		took := seconds(b.crew[n].at - a.crew[n].at)
-		v.cpu += of * float64((b.crew[n].cpu-a.crew[n].cpu)/time.Microsecond) / took
-		v.memory += of * float64(b.crew[n].memory)
-		v.descriptors += of * float64(b.crew[n].descriptors)
-		v.open += of * float64(b.crew[n].connections)
+		took := seconds(b.crew[n].At - a.crew[n].At)
+		v.cpu += of * float64((b.crew[n].CPU-a.crew[n].CPU)/time.Microsecond) / took
+		v.memory += of * float64(b.crew[n].Memory)
+		v.descriptors += of * float64(b.crew[n].Descriptors)
+		v.open += of * float64(b.crew[n].Connections)
 		took = seconds(b.samples[n].At - a.samples[n].At)
 		for name := range b.samples[n].Of {
 			t := b.samples[n].Of[name].minus(a.samples[n].Of[name])
--- /dev/null
+++ b/internal/rig/usage/usage.go
@@ -0,0 +1,95 @@
+// Package usage is what a process has taken, as the system says: seen from outside, without the process' help. Linux only.
+package usage
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"petrelhook/internal/monotonic"
+)
+
+// Usage is of one process at one moment.
+type Usage struct {
+	At          int64         `json:"-"`                // ns of the machine's monotonic clock
+	CPU         time.Duration `json:"cpu_ns"`           // since its start, user and system, of all its threads
+	Memory      int64         `json:"memory_bytes"`     // resident
+	MaxMemory   int64         `json:"max_memory_bytes"` // ... at most
+	Descriptors int           `json:"descriptors"`
+	Connections int           `json:"connections"` // sockets that are descriptors, listeners with them
+}
+
+// Of looks at a process. An error says what could not be seen; what was seen before it is given.
+func Of(pid int) (u Usage, err error) {
+	if u.CPU, err = processorTime(pid); err != nil {
+		return u, err
+	}
+	u.At = int64(monotonic.Now())
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u, err
+	}
+	if u.Memory, err = kilobytes(status, "VmRSS:"); err != nil {
+		return u, err
+	}
+	if u.MaxMemory, err = kilobytes(status, "VmHWM:"); err != nil {
+		return u, err
+	}
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return u, err
+	}
+	u.Descriptors = len(files)
+	for _, f := range files {
+		if to, err := os.Readlink(filepath.Join(dir, f.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+			u.Connections++
+		}
+	}
+	return u, nil
+}
+
+// processorTime is a process's clock of processor time, in ns: the ticks of its stat are too coarse for a window of seconds.
+func processorTime(pid int) (time.Duration, error) {
+	var t unix.Timespec
+	clock := int32(^pid)<<3 | 2 // clock_getcpuclockid(3): the clock of all threads of a process, by its number
+	if err := unix.ClockGettime(clock, &t); err != nil {
+		return 0, fmt.Errorf("processor time of process %d: %w", pid, err)
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// Resident is the memory of a process, in bytes.
+func Resident(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	return kilobytes(status, "VmRSS:")
+}
+
+// Memory is what the machine has, in bytes.
+func Memory() (int64, error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, err
+	}
+	return kilobytes(text, "MemTotal:")
+}
+
+// kilobytes reads a line of such a file, in bytes.
+func kilobytes(text []byte, name string) (int64, error) {
+	_, rest, _ := bytes.Cut(text, []byte(name))
+	line, _, ok := bytes.Cut(rest, []byte("kB"))
+	kb, err := strconv.ParseInt(string(bytes.TrimSpace(line)), 10, 64)
+	if !ok || err != nil {
+		return 0, fmt.Errorf("there is no %s in kB", name)
+	}
+	return kb << 10, nil
+}
