--- a/cmd/petrelagent/faults_test.go
+++ b/cmd/petrelagent/faults_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -76,29 +77,22 @@
 	s.Check()
 }
 
-// An agent is killed at any moment of a change, and started again: no sidecar ever has a third process or none, and the change comes to
-// its end.
-func TestAgentsThatDie(t *testing.T) {
-	s := newSite(t, 6, 200, "", func(d *deployment.Deployment) { // a trial begins anew with the agent
-		d.Limits = "{ready: 15s, trial: 300ms, end: 4s, look: 50ms, cut_off: 20s, heard: 4s, restart_pause: 200ms}"
-	})
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.Plan(s.Old, good, twoStages)); err != nil {
-		t.Fatal(err)
-	}
-	stop, killed := make(chan struct{}), make(chan int)
+// kill kills agents in turn, each within a time, and starts them again, until the function that it gives is called, or the test ends: how
+// many it were.
+func kill(t *testing.T, s *deployment.Site, within time.Duration) (end func() int) {
+	stop, ended := make(chan struct{}), make(chan struct{})
+	kills := 0
 	go func() {
-		n := 0
-		defer func() { killed <- n }()
+		defer close(ended)
 		for {
 			for _, a := range s.Agents {
 				select {
 				case <-stop:
 					return
-				case <-time.After(rand.N(1200 * time.Millisecond)): // at any moment: which one it is must not matter
+				case <-time.After(rand.N(within)): // at any moment: which one it is must not matter
 				}
 				a.Die()
-				n++
+				kills++
 				a.Begin()
 				if got := a.Most(); got > 2 {
 					t.Errorf("%d processes of one sidecar", got)
@@ -106,9 +100,24 @@
 			}
 		}
 	}()
+	enough := sync.OnceFunc(func() { close(stop); <-ended })
+	t.Cleanup(enough)
+	return func() int { enough(); return kills }
+}
+
+// An agent is killed at any moment of a change, and started again: no sidecar ever has a third process or none, and the change comes to
+// its end.
+func TestAgentsThatDie(t *testing.T) {
+	s := newSite(t, 6, 200, "", func(d *deployment.Deployment) { // a trial begins anew with the agent
+		d.Limits = "{ready: 15s, trial: 300ms, end: 4s, look: 50ms, cut_off: 20s, heard: 4s, restart_pause: 200ms}"
+	})
+	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
+	if _, err := s.Begin(deployment.Plan(s.Old, good, twoStages)); err != nil {
+		t.Fatal(err)
+	}
+	end := kill(t, s, 1200*time.Millisecond)
 	c := s.Until(2*time.Minute, "over", func(c *rollout.Change) bool { return c.State.Phase.Over() || c.State.Phase == rollout.Paused })
-	close(stop)
-	t.Logf("%d kills of agents; %v: %s", <-killed, c.State.Phase, c.State.Why)
+	t.Logf("%d kills of agents; %v: %s", end(), c.State.Phase, c.State.Why)
 	if c.State.Phase != rollout.Done || deployment.Running(c, good) != 6 {
 		text, _ := json.Marshal(c.State)
 		t.Errorf("%v: %s", c.State.Phase, text)
--- a/cmd/petrelagent/version_test.go
+++ b/cmd/petrelagent/version_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -281,25 +280,7 @@
 // has a third process, and the newest is in force on all.
 func TestAgentsKilledInAVersion(t *testing.T) {
 	s := newListed(t, 6, 200)
-	stop, ended := make(chan struct{}), make(chan struct{})
-	kills := 0
-	go func() {
-		defer close(ended)
-		for {
-			for _, a := range s.Agents {
-				select {
-				case <-stop:
-					return
-				case <-time.After(rand.N(1500 * time.Millisecond)): // at any moment: which one it is must not matter
-				}
-				a.Die()
-				kills++
-				a.Begin()
-			}
-		}
-	}()
-	enough := sync.OnceFunc(func() { close(stop); <-ended })
-	t.Cleanup(enough)
+	killed := kill(t, s.Site, 1500*time.Millisecond)
 	end := s.NeverBack(t)
 	for i := range 6 {
 		text := s.live(i / 2 % 2)
@@ -315,8 +296,7 @@
 	}
 	newest := s.Publish(s.quantum(1, 20))
 	took := s.UntilInForce(time.Minute, newest)
-	enough()
-	t.Logf("%d kills of agents; the last version took %v", kills, took.Round(100*time.Millisecond))
+	t.Logf("%d kills of agents; the last version took %v", killed(), took.Round(100*time.Millisecond))
 	end()
 	refused := 0
 	for _, m := range s.InForce().Members {
