A version is told once: what is reported while the next watch waits says what is held

Read again: an agent that reports a version as soon as it has it sends a second call beside its waiting watch, and that carried the revision of the watch before: the coordinator answered it with the whole version once more, up to 64 KiB, which nobody took (internal/subscribe, tell). Seen in TestAVersionIsToldOnce, which fails without the mend.

--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -158,7 +158,15 @@
 			continue // its own call carries what there is
 		case <-c.wake:
 		}
-		if p == nil || !pause(ctx, reportPause) { // what comes together goes together
+		if !pause(ctx, reportPause) { // what comes together goes together
+			continue
+		}
+		select {
+		case now := <-at: // what is held has changed meanwhile: with the older revision the version would be told again
+			p = &now
+		default:
+		}
+		if p == nil {
 			continue
 		}
 		w := p.watch
--- /dev/null
+++ b/internal/subscribe/subscribe_test.go
@@ -0,0 +1,57 @@
+package subscribe
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"petrelhook/internal/distribute"
+	"petrelhook/internal/peertest"
+	"petrelhook/internal/rpc"
+)
+
+// A version is told once: what is reported of it while the next watch waits says that it is held.
+func TestAVersionIsToldOnce(t *testing.T) {
+	content := json.RawMessage(`{"a":1}`)
+	version := distribute.Version{Service: "s", Revision: 7, Digest: distribute.Digest(content), Content: content}
+	asked := make(chan distribute.Watch, 99)
+	mux := http.NewServeMux()
+	rpc.Handle(mux, distribute.PathWatch, distribute.MaxWatch, func(ctx context.Context, w *distribute.Watch) (*distribute.Told, error) {
+		asked <- *w
+		if w.Holds < version.Revision {
+			return &distribute.Told{Newer: &version, Heard: true}, nil
+		}
+		if w.Hold > 0 {
+			<-ctx.Done()
+		}
+		return &distribute.Told{Heard: true}, nil
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	var c *Client
+	took := 0
+	c = New(Options{Addrs: []string{server.Listener.Addr().String()}, Service: "s", Member: "m", Take: func(v distribute.Version) error {
+		took++
+		c.Report(distribute.Report{Sidecar: "n0", InForce: v.Revision})
+		return nil
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	var w distribute.Watch
+	for w = range asked {
+		if w.Hold == 0 {
+			break
+		}
+	}
+	if w.Holds != version.Revision || len(w.Reports) != 1 || w.Reports[0].InForce != version.Revision {
+		t.Errorf("%+v", w)
+	}
+	cancel()
+	peertest.Wait(t, ended)
+	if took != 1 {
+		t.Errorf("taken %d times", took)
+	}
+}
