--- a/internal/agent/trial_test.go
+++ b/internal/agent/trial_test.go
@@ -53,3 +53,30 @@
 		t.Errorf("%+v, %+v", todo, s.Kept)
 	}
 }
+
+// The process of a change that failed is killed, and until it is gone nothing is started: neither an order's process nor one in place of
+// the one that served. Else there would be three, or two of which the agent knows one.
+func TestTheDoomedAreGoneFirst(t *testing.T) {
+	const second = time.Second
+	s := New("r", Limits{Ready: 5 * second, Trial: 5 * second, End: 4 * second, Pause: second, Most: second})
+	first, next := Process{PID: 1, Release: "r"}, Process{PID: 2, Release: "new"}
+	s.Tick(0)
+	s.Began(0, first)
+	s.Answered(0, first, true)
+	if _, err := s.Change(0, 1, "new"); err != nil {
+		t.Fatal(err)
+	}
+	s.Began(0, next)
+	if todo := s.Tick(6 * second); len(todo) != 1 || todo[0].Kill == nil || todo[0].Kill.PID != 2 { // not ready in time
+		t.Fatalf("%+v", todo)
+	}
+	if todo, err := s.Change(7*second, 2, "new"); err == nil || len(todo) != 0 {
+		t.Errorf("an order while the one before it is not gone: %+v, %v", todo, err)
+	}
+	if todo := append(s.Died(8*second, first, ""), s.Tick(20*second)...); len(todo) != 0 {
+		t.Errorf("started while one is not gone: %+v", todo)
+	}
+	if todo := append(s.Died(21*second, next, ""), s.Tick(30*second)...); len(todo) != 1 || todo[0].Start != "r" {
+		t.Errorf("nothing serves, and all are gone: %+v", todo)
+	}
+}
