Processes of tests keep what they sync in memory: on one disk all replicas stall at once

Seen: with three writers of 400 MB files on the machine's one ext4 disk and no other load the test lost 451 of 500 in one of two runs, with leaders of a second or two each; with 14 and 32 processes that take processor time in place of the writers, 0 lost in five runs. So it was no lack of processor time: a sync of the log (internal/fleet, pump: first the disk, then the network) waits for what the builds of other packages' tests write, at all three replicas at once, longer than an election (200 to 400 ms at a tick of 20 ms) and than a session (6 s). Replicas of a fleet have a disk each, so the test's premise, that the leases could be renewed, did not hold. Lines at fault: the folders of coordinator.NewGroupWith and of deployment's agents.

Change: process.Dir, in memory where Linux has it, else the test's folder as before. No check is changed: kills of processes lose nothing that was written, on a disk either; what a sync is for is tested where it can be (internal/replica with crashes that lose what was not synced, replica/disk).

--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -47,7 +47,7 @@
 // NewGroupWith is one with further lines in all files.
 func NewGroupWith(t testing.TB, n int, lines string, program func(args ...string) *exec.Cmd) *Group {
 	t.Helper()
-	g := &Group{Dir: t.TempDir(), t: t, program: program}
+	g := &Group{Dir: process.Dir(t), t: t, program: program}
 	for i := range n {
 		g.Clients = append(g.Clients, g.Link())
 		m := &Member{I: i, g: g}
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -135,7 +135,7 @@
 	if len(d.waiting) < d.PerAgent {
 		return addr, nil
 	}
-	a := &Agent{Link: d.Link(), Dir: d.t.TempDir(), d: d}
+	a := &Agent{Link: d.Link(), Dir: process.Dir(d.t), d: d}
 	text := ""
 	if d.Versions {
 		coordinators, _ := json.Marshal(d.Addrs())
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -59,6 +59,26 @@
 	return p
 }
 
+// memory is where Linux keeps files in memory.
+const memory = "/dev/shm"
+
+// Dir is a folder for what processes of a test keep and sync, and is removed with the test. It is in memory where the system has room for
+// that: on a disk a sync waits for all that the builds of other tests write, for seconds, and at all replicas of a group at once, which no
+// group of machines is in for. What a process has written outlives its kill there as on a disk.
+func Dir(t testing.TB) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memory, "petrelhook-test-")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() {
+		if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
+	return dir
+}
+
 // Die kills the process and waits until it is gone.
 func (p *Process) Die() {
 	p.t.Helper()
