A sidecar whose standard error takes nothing serves on: requests no longer wait for the log

Cause: the loop that answers requests writes log lines itself (internal/core/attempt.go, a line for each attempt that failed; discovery, reload), by slog straight to standard error. A full pipe, or a disk that stalls, stops the loop and with it all requests. Looked for because TestAVersionAndARollout once had a request held back beyond its time on a machine whose disk was busy; that this was its cause is not shown.

Change: internal/logwriter, a queue of 512 lines between them. A line holds up who logs it for 5 ms at most, and none while lines are behind, so that in quiet times a line is written when its call returns, as tests and agents rely on; what finds no room is dropped, counted and told of. The last lines get half a second at the end of the process. Agents and coordinators write their logs as before: they hold up no request.

Measured: the test passes with it; the package's tests are in virtual time.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -9,8 +9,10 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"petrelhook/internal/config"
+	"petrelhook/internal/logwriter"
 	"petrelhook/internal/wiring"
 )
 
@@ -20,6 +22,9 @@
 	exitUsage  = 2 // the command line is wrong
 )
 
+// logTime is for how long the process stays for the last lines of its log.
+const logTime = 500 * time.Millisecond
+
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // run is the program with its arguments and outputs; it returns the exit code.
@@ -51,7 +56,11 @@
 	}
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt) // until here nothing is taken
 	defer release()
-	if err := wiring.Serve(stop, c.path, &cfg, wiring.TCP(), reload, c.logger(errs)); err != nil {
+	log := c.logger(errs) // of what the writer itself has to say
+	lines := logwriter.New(errs, func(n int) { log.Warn("log lines were dropped", "lines", n) })
+	err = wiring.Serve(stop, c.path, &cfg, wiring.TCP(), reload, c.logger(lines))
+	lines.Close(logTime)
+	if err != nil {
 		fmt.Fprintln(errs, "petrelhook:", err)
 		return exitFailed
 	}
--- a/internal/wiring/imports_test.go
+++ b/internal/wiring/imports_test.go
@@ -25,6 +25,7 @@
 	{"internal/membudget", ""},
 	{"internal/handover", ""},
 	{"internal/lifecycle", ""},
+	{"internal/logwriter", ""},
 	{"internal/lease", ""},
 	{"internal/replica", "internal/distribute internal/share internal/lease internal/rollout"},
 	{"internal/replica/disk", "internal/distribute internal/share internal/lease internal/replica internal/rollout"},
