--- a/cmd/petrelctl/scale.go
+++ b/cmd/petrelctl/scale.go
@@ -32,6 +32,9 @@
 			"  publish   the same with versions of 4 KiB on their way, for 8s or longer each: ordinary, as in the busiest\n" +
 			"            minute (busy_), for all services at once (all_); at 250 members and at --check also while a\n" +
 			"            coordinator that follows, and then the one that leads, is killed (killed_, leader_killed_)\n\n" +
+			"With --real, machines with a real agent and sidecar stand beside the hollow members of watches and publish;\n" +
+			"their sidecars serve calls, judged by the four rules. Versions come into force there as they run, and one by a\n" +
+			"hand-over (hand_over_); what calls take is measured without versions (quiet_) and with them (versions_).\n\n" +
 			"Figures are rates over a window of --steady; the table has the median of the runs, --json all of them. It\n" +
 			"ends with 1 where a run has failed or was not made; what the product refuses at a size is found, and is no\n" +
 			"failure.",
@@ -61,6 +64,7 @@
 	f.IntSliceVar(&o.Sizes, "sizes", []int{250, 500, 1000, 2000, 4000}, "members; a fit is made of these")
 	f.IntVar(&o.Beyond, "check", 12_000, "a larger size, with which a fit is checked; 0: none")
 	f.IntVar(&o.Runs, "runs", 3, "of each workload at each size")
+	f.IntVar(&o.Real, "real", 0, "machines with a real agent and sidecar beside hollow members")
 	f.DurationVar(&o.Steady, "steady", 4*time.Second, "for how long a fleet is measured once all have joined")
 	f.Uint64Var(&o.Seed, "seed", 1, "the same draws the same members")
 	f.StringVar(&memory, "memory", "", "memory of all processes together, such as 6G (default: a quarter of the machine's)")
@@ -74,6 +78,13 @@
 			}
 			return nil
 		}})
+	cmd.AddCommand(&cobra.Command{Use: "minder FOLDER", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := scale.Mind(cmd.Context(), args[0], cmd.InOrStdin()); err != nil {
+				return runError{err}
+			}
+			return nil
+		}})
 	return cmd
 }
 
--- a/cmd/petrelctl/scale_test.go
+++ b/cmd/petrelctl/scale_test.go
@@ -29,6 +29,7 @@
 		{"--sizes 20 --check 10", 2, "--check: 10; write a size above"},
 		{"--workloads sleep", 2, `--workloads: "sleep" is none of renewals, looks, watches, publish`},
 		{"--runs 0", 2, "--runs: 0"},
+		{"--real 65", 2, "--real: 65; write 0 to 64"},
 		{"--sizes 20 --check 0 --bin " + empty, 1, "--bin: there is no " + filepath.Join(empty, "petrelfleet")},
 		{"now", 2, "unknown command"},
 	} {
--- a/internal/capacity/assume.go
+++ b/internal/capacity/assume.go
@@ -94,7 +94,6 @@
 		{"periods.watch_hold", "s", 0.01, 3600},
 		{"periods.back_within", "s", 0.01, day},
 		{"periods.heard_within", "s", 0.1, day},
-		{"periods.version_trial", "s", 0, day},
 		{"periods.settled_within", "s", 1, day},
 
 		{"limits.max_ask", "bytes", 1, 1e12},
@@ -118,7 +117,6 @@
 		{"earlier.staged_2000", "s", 0.01, day},
 		{"earlier.staged_look", "s", 0.01, 60},
 		{"earlier.looks_2000", "s", 0.001, 3600},
-		{"earlier.version_live", "s", 0, day}, {"earlier.version_hand_over", "s", 0, day},
 		{"earlier.lease_snapshot_bytes", "bytes", 1, 1e6},
 	}
 }
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -46,7 +46,8 @@
 // Steep reports whether it grows faster than linear.
 func (l *Line) Steep() bool { return l.Exponent > tooSteep }
 
-// Fit fits a line to each series that has enough sizes and runs up to FitUpTo, and checks it at the largest size above.
+// Fit fits a line to each series that has enough sizes and runs up to FitUpTo, and checks it at the largest size above. Where there is
+// none above, the largest is held out for the check, if enough are left.
 func Fit(m *Measured) (all []Line) {
 	keys, points := m.bySeries()
 	for _, k := range keys {
@@ -60,11 +61,14 @@
 func fit(k Key, points series, upTo int) (Line, bool) {
 	l := Line{Key: k}
 	var x, y, logX, logY []float64
+	sizes := slices.Sorted(maps.Keys(points))
+	largest := sizes[len(sizes)-1]
 	check := 0
-	for _, size := range slices.Sorted(maps.Keys(points)) {
-		if size > upTo {
-			check = size
-		} else if len(points[size]) >= leastRuns {
+	if largest > upTo || len(sizes) > leastSizes {
+		check = largest
+	}
+	for _, size := range sizes {
+		if size <= upTo && size != check && len(points[size]) >= leastRuns {
 			l.Sizes = append(l.Sizes, size)
 			for _, v := range points[size] {
 				x, y = append(x, float64(size)), append(y, v)
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -92,6 +92,16 @@
 	if len(all) != 1 || all[0].Believed || all[0].Check != nil || !strings.Contains(all[0].Why, "no run above") {
 		t.Errorf("no check: %+v", all)
 	}
+	// Where nothing was run above, the largest of five is held out.
+	held := Fit(&Measured{FitUpTo: 4000, Points: made(renewals, []int{500, 1000, 2000, 3000, 4000}, line)})
+	if len(held) != 1 || !held[0].Believed || held[0].Check.Size != 4000 || len(held[0].Sizes) != 4 {
+		t.Errorf("held out: %+v", held)
+	}
+	square := func(n, _ int) float64 { return float64(n) * float64(n) }
+	held = Fit(&Measured{FitUpTo: 4000, Points: made(renewals, []int{500, 1000, 2000, 3000, 4000}, square)})
+	if len(held) != 1 || held[0].Believed {
+		t.Errorf("held out, a square: %+v", held)
+	}
 	if all := Fit(&Measured{FitUpTo: 3000, Points: made(renewals, steps,
 		func(int, int) float64 { return 0 })}); !all[0].Believed {
 		t.Errorf("nothing at all, at any size: %+v", all[0])
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -70,10 +70,14 @@
 	line("renewals", "leader", "cpu_us_s", 1000, 20000)
 	line("watches", "leader", "cpu_us_s", 0, 30000)
 	line("renewals", "member", "cpu_us_s", 100, 0)
-	line("watches", "member", "cpu_us_s", 150, 0.5)
+	line("watches", "agent", "cpu_us_s", 150, 0.5)
+	line("watches", "sidecar", "cpu_us_s", 0, 0)
 	line("looks", "agent", "cpu_us_s", 300, 0)
 	m.Points = append(m.Points, made(Key{"publish", "member", "in_force_max_s"}, []int{100},
 		func(_, run int) float64 { return float64(run) })...)
+	m.Points = append(m.Points, Point{"publish", "agent", "in_force_max_s", 100, 1, 0.5},
+		Point{"publish", "agent", "hand_over_in_force_max_s", 100, 1, 2}, Point{"publish", "sidecar", "busy_memory_bytes", 100, 1, 100e6},
+		Point{"publish", "agent", "busy_memory_bytes", 100, 1, 28e6})
 	m.Points = append(m.Points, Point{"looks", "agent", "in_force_s", 20, 1, 4},
 		Point{"looks", "agent", "in_force_p99_s", 20, 1, 3})
 	for _, p := range []struct {
@@ -136,6 +140,9 @@
 		{Now, Leader, "message that begins a change of all", 10000, "does not: 1.25 times over"},
 		// the worst run
 		{After, Control, "told everywhere", 3, "fits by 4.6 times"},
+		{After, Control, "in force at the last real sidecar, as they run", 0.5, "fits by 28 times"},
+		{After, Control, "in force at the last real sidecar, by a hand-over", 2, "fits by 7 times"},
+		{Ordinary, Control, "memory of a real agent and sidecar, as versions come into force", 128e6, "fits by 2 times"},
 		{Now, Driver, "all at once, without a judge, in the largest service", 4, "fits by 3.5 times"}, // as 20 had it
 		{Busiest, Leader, "changes of configuration", 10, "fits by 5 times"},
 		{Rack, Control, "bytes of lists, as they go, of a minute's budget", 6 * 0.2 * 150, "fits by 3,000 times"},
@@ -165,10 +172,14 @@
 		t.Errorf("%+v", r)
 	}
 	for i := range m.Points {
-		if m.Points[i].Workload == "watches" && m.Points[i].Role == "member" {
+		if m.Points[i].Workload == "watches" && m.Points[i].Role == "agent" {
 			m.Points[i].Value *= 100
 		}
 	}
+	rest := row(t, Evaluate(small(t), m), Ordinary, Control, "processor time of a real agent and sidecar at rest, with one short list")
+	if rest.Class != FitsNot || rest.Verdict != "does not: 1.54 times over" { // 20 of 13 ms a second
+		t.Errorf("%+v", rest)
+	}
 	r = row(t, Evaluate(small(t), m), Ordinary, Control, "processor time")
 	if r.Class != FitsNot || r.Verdict != "does not: at least 1.57 times over" { // 20.4 of 13 ms a second
 		t.Errorf("%+v", r)
--- a/internal/capacity/rows_change.go
+++ b/internal/capacity/rows_change.go
@@ -110,14 +110,26 @@
 			m.at("publish", "member", "killed_in_force_max_s", m.machines)},
 		{"told everywhere, the leader killed meanwhile",
 			m.at("publish", "member", "leader_killed_in_force_max_s", m.machines)},
-		{"in force everywhere, taken by processes as they run",
-			add(m.inForce("publish", "member", m.machines), m.is("earlier.version_live"))},
-		{"in force everywhere, by a hand-over", add(m.inForce("publish", "member", m.machines),
-			m.is("earlier.version_hand_over"), m.is("periods.version_trial"))}} {
+		{"in force at the last real sidecar, as they run", m.inForce("publish", "agent", m.machines)},
+		{"in force at the last real sidecar, at ten times the rate of the busiest minute",
+			m.at("publish", "agent", "busy_in_force_max_s", m.machines)},
+		{"in force at the last real sidecar, versions of all services at once",
+			m.at("publish", "agent", "all_in_force_max_s", m.machines)},
+		{"in force at the last real sidecar, a coordinator that follows killed meanwhile",
+			m.at("publish", "agent", "killed_in_force_max_s", m.machines)},
+		{"in force at the last real sidecar, the leader killed meanwhile",
+			m.at("publish", "agent", "leader_killed_in_force_max_s", m.machines)},
+		{"in force at the last real sidecar, by a hand-over",
+			m.at("publish", "agent", "hand_over_in_force_max_s", m.machines)}} {
 		m.put(Row{Time: After, Role: Control, What: c.what, Unit: "s", Need: c.took,
 			Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: by,
 			Needs: []string{"each change of configuration"}})
 	}
+	for _, c := range []struct{ what, prefix string }{{"before the first version", "quiet_"},
+		{"while versions come into force", "versions_"}} {
+		m.put(Row{Time: After, Role: Calls, What: "a call at real sidecars for 99 in 100, servers counted, " + c.what, Unit: "s",
+			Need: m.at("publish", "sidecar", c.prefix+"call_p99_s", m.machines), Mechanism: "internal/handover, " + by})
+	}
 	m.put(Row{Time: After, Role: Leader, What: "watches that come to an end without news, of all", Unit: "1/s",
 		Need: div(m.machines, m.is("periods.watch_hold")), Mechanism: by})
 	m.put(Row{Time: After, Role: Leader, What: "watches that wait at a coordinator", Unit: "",
--- a/internal/capacity/rows_sidecar.go
+++ b/internal/capacity/rows_sidecar.go
@@ -49,12 +49,21 @@
 	agents := m.is("places.sidecars_a_machine") // an agent's cost is shared by its machine's sidecars
 	a := func(metric string) Figure {           // of members and agents a run tells the mean of one
 		return div(add(mul(m.is("places.sessions_a_machine"), m.at("renewals", "member", metric, m.sessions)),
-			m.at("watches", "member", metric, m.machines)), agents)
+			m.at("watches", "agent", metric, m.machines)), agents)
 	}
+	rest := func(metric string) Figure { return m.at("watches", "sidecar", metric, m.machines) } // with one short list
 	look := func(metric string) Figure { return div(m.at("looks", "agent", metric, m.machines), agents) }
 	m.put(Row{Time: Ordinary, Role: Control, What: "processor time", Unit: "cores",
-		Need:   cores(add(a("cpu_us_s"), look("cpu_us_s"), m.at("lists", "sidecar", "cpu_us_s", m.servers))),
+		Need: cores(add(a("cpu_us_s"), rest("cpu_us_s"), look("cpu_us_s"),
+			m.at("lists", "sidecar", "cpu_us_s", m.servers))),
 		Budget: to(m.is("target.control_core")), Breaks: BreaksTime, Mechanism: by})
+	m.put(Row{Time: Ordinary, Role: Control, What: "processor time of a real agent and sidecar at rest, with one short list",
+		Unit: "cores", Need: cores(add(div(m.at("watches", "agent", "cpu_us_s", m.machines), agents), rest("cpu_us_s"))),
+		Budget: to(m.is("target.control_core")), Breaks: BreaksTime, Mechanism: by})
+	m.put(Row{Time: Ordinary, Role: Control, What: "memory of a real agent and sidecar, as versions come into force",
+		Unit: "bytes", Need: add(div(m.at("publish", "agent", "busy_memory_bytes", m.machines), agents),
+			m.at("publish", "sidecar", "busy_memory_bytes", m.machines)),
+		Budget: to(m.is("target.control_memory")), Breaks: BreaksRule, Mechanism: by})
 	lists := m.listBytes(m.listed)
 	m.put(Row{Time: Ordinary, Role: Control, What: "bytes in and out", Unit: "bytes/s",
 		Need:   add(a("bytes_in_s"), a("bytes_out_s"), look("bytes_in_s"), look("bytes_out_s"), lists),
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -46,6 +46,7 @@
 // Leaders that are stopped, or cut off from the others but not from their holders, for so long that another leads and has granted
 // what they had: they say yes to nobody when they go on.
 func TestLeadersThatLeadNoMore(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(schedules(60)) {
 		var faults []int
 		for i := range 8 { // the leader, for 1.5 to 3 s
@@ -59,6 +60,7 @@
 
 // Clients of a whole group take parts of a limit while leaders are cut off, crash and are succeeded: never more than the limit.
 func TestSharesOfAGroup(t *testing.T) {
+	t.Parallel()
 	largest := 0
 	for seed := range uint64(schedules(60)) {
 		var faults []int // the leader in one run, whatever comes in the other
@@ -81,6 +83,7 @@
 
 // Past the bound of clocks two may believe at once, and what the guard admits is in order all the same; without the guard it is not.
 func TestPastTheBound(t *testing.T) {
+	t.Parallel()
 	two, disorder := 0, 0
 	for seed := range uint64(schedules(60)) {
 		s := group.Simulate(group.Options{Seed: seed, Replicas: 3, Length: 20 * time.Second, PastTheBound: true})
@@ -154,6 +157,7 @@
 
 // Faults that rapid draws, and makes fewer where something goes wrong.
 func TestDrawnFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		faults := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 0, 20).Draw(t, "faults")
 		if s := group.Simulate(group.Options{Seed: rapid.Uint64Range(0, 1000).Draw(t, "seed"), Replicas: 3, Length: 15 * time.Second, Faults: faults}); s.Wrong != "" {
--- a/internal/rig/scale/crew.go
+++ b/internal/rig/scale/crew.go
@@ -65,9 +65,7 @@
 // close ends the questions.
 func (c *crew) close() {
 	for _, s := range c.all {
-		s.child.mu.Lock()
-		s.asked = true
-		s.child.mu.Unlock()
+		s.child.ask()
 		s.in.Close()
 		s.end.Close()
 	}
--- a/internal/rig/scale/draw.go
+++ b/internal/rig/scale/draw.go
@@ -1,8 +1,8 @@
 package scale
 
 import (
-	"bytes"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 )
@@ -56,8 +56,17 @@
 // contentHead is what the content of a service's versions begins with, so that another's is seen.
 func contentHead(service string) []byte { return fmt.Appendf(nil, `{"for":%q,`, service) }
 
+// letters are what contents are filled with: 64, so that a content that is compressed on its way keeps three quarters of its bytes.
+const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+
 // content is that of a service's version; no two of a run are the same.
 func content(service string, number int) []byte {
 	text := fmt.Appendf(contentHead(service), `"n":%d,"fill":"`, number)
-	return append(append(text, bytes.Repeat([]byte("x"), contentBytes-len(text)-2)...), `"}`...)
+	name := fnv.New64a()
+	name.Write([]byte(service))
+	r := rand.New(rand.NewPCG(name.Sum64(), uint64(number)))
+	for len(text) < contentBytes-2 {
+		text = append(text, letters[r.IntN(len(letters))])
+	}
+	return append(text, `"}`...)
 }
--- a/internal/rig/scale/family.go
+++ b/internal/rig/scale/family.go
@@ -57,6 +57,22 @@
 
 // start starts a process. in and out are its standard input and output; nil: none.
 func (f *family) start(name string, cmd *exec.Cmd, in, out *os.File) (*child, error) {
+	c, err := f.launch(name, cmd, in, out, syscall.SIGKILL)
+	if err == nil {
+		f.mu.Lock()
+		f.all = append(f.all, c)
+		f.mu.Unlock()
+	}
+	return c, err
+}
+
+// startApart starts one that ends by itself where its input does, also after this process: the family does not end it.
+func (f *family) startApart(name string, cmd *exec.Cmd, in *os.File) (*child, error) {
+	return f.launch(name, cmd, in, nil, 0)
+}
+
+// launch starts a process, which is sent a signal where this one ends.
+func (f *family) launch(name string, cmd *exec.Cmd, in, out *os.File, orphaned syscall.Signal) (*child, error) {
 	log, err := os.CreateTemp(f.dir, filepath.Base(name)+".*.log")
 	if err != nil {
 		return nil, err
@@ -70,16 +86,13 @@
 	if out != nil {
 		cmd.Stdout = out
 	}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: orphaned}
 	done := make(chan error, 1)
 	f.starts <- func() { done <- cmd.Start() }
 	if err := <-done; err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	c.Process = cmd.Process
-	f.mu.Lock()
-	f.all = append(f.all, c)
-	f.mu.Unlock()
 	go func() {
 		defer close(c.ended)
 		c.err = cmd.Wait()
@@ -92,12 +105,17 @@
 	return c, nil
 }
 
+// ask notes that a process is to end: that it does is no failure.
+func (c *child) ask() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = true
+}
+
 // end ends some processes, in order, and returns when they have ended; one that does not is killed, and is an error.
 func (f *family) end(some ...*child) error {
 	for _, c := range some {
-		c.mu.Lock()
-		c.asked = true
-		c.mu.Unlock()
+		c.ask()
 		c.Signal(syscall.SIGTERM)
 	}
 	late := time.NewTimer(endWithin)
@@ -123,9 +141,7 @@
 
 // kill kills one, as a machine that falls does, and returns when it has ended.
 func (f *family) kill(c *child) {
-	c.mu.Lock()
-	c.asked = true
-	c.mu.Unlock()
+	c.ask()
 	c.Kill()
 	<-c.ended
 }
@@ -136,9 +152,7 @@
 	all := f.all
 	f.mu.Unlock()
 	for _, c := range all {
-		c.mu.Lock()
-		c.asked = true
-		c.mu.Unlock()
+		c.ask()
 		c.Kill()
 	}
 	for _, c := range all {
--- a/internal/rig/scale/group.go
+++ b/internal/rig/scale/group.go
@@ -139,6 +139,12 @@
 	return []string{g.addrs[(g.leader+n-1)%n], g.addrs[g.leader], g.addrs[(g.leader+1)%n]}
 }
 
+// known is how many sidecars of a service the coordinators have heard of.
+func (g *group) known(ctx context.Context, service string) int {
+	of, _ := g.operator.InForce(ctx, service)
+	return of[service].Known
+}
+
 // drives is who drives; -1: nobody. Each says so in its log.
 func (g *group) drives() int {
 	best, at := uint64(0), -1
--- a/internal/rig/scale/options.go
+++ b/internal/rig/scale/options.go
@@ -27,12 +27,14 @@
 	Sizes     []int    // members; figures of these are fitted on
 	Beyond    int      // a larger size, which a fit is checked with; 0: none
 	Runs      int      // of each workload at each size
+	Real      int      // machines with a real agent and sidecar, beside the hollow members of watches and publish
 	Steady    time.Duration
 	Seed      uint64        // the same draws the same members
 	Memory    int64         // bytes that all processes together may have resident
 	Within    time.Duration // for all of it
 	Limit     uint64        // of descriptors of a process; 0: as this process finds it
 	Progress  func(string)  // is told what goes on; may be nil
+	Kept      string        // where a folder for what coordinators keep is made; "": in the run's own
 }
 
 // The bounds.
@@ -42,6 +44,7 @@
 	maxHollow    = 16    // processes of hollow members
 	perHollow    = 1_000 // members to a process, until there are maxHollow
 	maxProcesses = 300
+	maxReal      = 64 // their load is sent, and served, by this process
 	spare        = 64
 )
 
@@ -56,6 +59,8 @@
 		return fmt.Errorf("--runs: %d; write 1 to %d", o.Runs, maxRuns)
 	case o.Steady < 500*time.Millisecond || o.Steady > time.Minute:
 		return fmt.Errorf("--steady: %v; write 500ms to 1m", o.Steady)
+	case o.Real < 0 || o.Real > maxReal:
+		return fmt.Errorf("--real: %d; write 0 to %d", o.Real, maxReal)
 	case o.Memory < 64<<20:
 		return fmt.Errorf("--memory: %d bytes; write 64M or more", o.Memory)
 	case o.Within <= 0:
@@ -93,7 +98,21 @@
 func (o *Options) program(name string) string { return filepath.Join(o.Bin, name) }
 
 // programs are those that a run starts.
-func (o *Options) programs() []string { return []string{"petrelfleet", "petrelctl"} }
+func (o *Options) programs() []string {
+	all := []string{"petrelfleet", "petrelctl"}
+	if o.Real > 0 {
+		all = append(all, "petrelagent", "petrelhook")
+	}
+	return all
+}
+
+// real is how many real machines a workload has.
+func (o *Options) real(workload string) int {
+	if workload == Watches || workload == Publish {
+		return o.Real
+	}
+	return 0
+}
 
 // layout is how one run's members are spread, and what that takes of each process.
 type layout struct {
@@ -115,13 +134,15 @@
 	secondOf = 8
 	// A watcher has a second connection while it reports, and keeps one to each coordinator that it left.
 	perWatcher = coordinators + 1
+	// Processes of a real machine: an agent, and two of its sidecar in a hand-over.
+	perReal = 3
 	// What a process has beside: files, the poller, connections between coordinators.
 	beside = 48
 )
 
 // newLayout spreads members over as few processes as hold perHollow each, and over more where the limit of
 // descriptors wants that.
-func newLayout(workload string, size int, limit uint64) (layout, error) {
+func newLayout(workload string, size, real int, limit uint64) (layout, error) {
 	each, served := uint64(perSession), uint64(size+size/secondOf)
 	switch workload {
 	case Looks:
@@ -140,7 +161,7 @@
 		processes++
 	}
 	processes = min(processes, maxHollow, size)
-	l := layout{Coordinator: served + beside}
+	l := layout{Coordinator: served + uint64(2*real) + beside}
 	for i := range processes {
 		first, next := i*size/processes, (i+1)*size/processes
 		l.Hollow = append(l.Hollow, span{first, next - first})
@@ -156,7 +177,7 @@
 				workload, size, of.what, of.need, spare, of.need+spare, limit)
 		}
 	}
-	if all := processes + coordinators + 1; all > maxProcesses {
+	if all := processes + coordinators + 1 + perReal*real; all > maxProcesses {
 		return l, fmt.Errorf("%s of %d: %d processes; %d at most", workload, size, all, maxProcesses)
 	}
 	return l, nil
--- a/internal/rig/scale/publish.go
+++ b/internal/rig/scale/publish.go
@@ -26,6 +26,9 @@
 	if err := r.joinWatchers(ctx); err != nil {
 		return err
 	}
+	if err := r.joinMachines(ctx, busyCalls); err != nil {
+		return err
+	}
 	if err := wait(ctx, settle); err != nil {
 		return err
 	}
@@ -35,11 +38,24 @@
 	if r.size == killedAt || r.size == r.o.Beyond {
 		steps = append(steps, p.killFollower, p.killLeader)
 	}
+	if r.machines != nil {
+		following, end := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); r.machines.follow(following) }()
+		defer func() { end(); <-ended }()
+		steps = append(append([]func(context.Context) error{p.quiet}, steps...), p.handOver)
+		if r.size == killedAt {
+			steps = append(steps, p.compare)
+		}
+	}
 	for _, step := range append(steps, p.newest, p.summary) {
 		if err := step(ctx); err != nil {
 			return err
 		}
 	}
+	if err := r.stopServing(); err != nil {
+		return err
+	}
 	return r.state(ctx, "leader", "")
 }
 
@@ -52,27 +68,42 @@
 	mu     sync.Mutex
 	number int // of contents
 	all    []published
+
+	real    []published // of the real machines' service
+	told    int         // of them, those whose times were added
+	from    time.Time   // when the quiet time began
+	quantum int         // of the real sidecars' settings; 0: that of their release
 }
 
 // one publishes a version of a service, and returns when it is accepted.
-func (p *publishing) one(ctx context.Context, service int) (v published, err error) {
+func (p *publishing) one(ctx context.Context, service int) (published, error) {
 	p.mu.Lock()
 	p.number++
 	text := content(serviceName(service), p.number)
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, sayWithin)
-	defer cancel()
-	v.service, v.asked = service, int64(monotonic.Now())
-	if v.revision, _, err = p.group.operator.Publish(ctx, serviceName(service), text, false); err != nil {
-		return v, fmt.Errorf("a version of %s is not accepted: %w", serviceName(service), err)
+	v, err := p.accepted(ctx, serviceName(service), text)
+	v.service = service
+	if err != nil {
+		return v, err
 	}
-	v.accepted = int64(monotonic.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.all = append(p.all, v)
 	return v, nil
 }
 
+// accepted has a version accepted.
+func (p *publishing) accepted(ctx context.Context, service string, text []byte) (v published, err error) {
+	ctx, cancel := context.WithTimeout(ctx, sayWithin)
+	defer cancel()
+	v.asked = int64(monotonic.Now())
+	if v.revision, _, err = p.group.operator.Publish(ctx, service, text, false); err != nil {
+		return v, fmt.Errorf("a version of %s is not accepted: %w", service, err)
+	}
+	v.accepted = int64(monotonic.Now())
+	return v, nil
+}
+
 // drawn publishes a version of a service that is drawn. Each is as likely.
 func (p *publishing) drawn(ctx context.Context) (published, error) {
 	return p.one(ctx, p.draw.IntN(slices.Max(p.services)+1))
@@ -100,7 +131,7 @@
 	p.add("member", prefix+"in_force_p50_s", took[len(took)/2])
 	p.add("member", prefix+"in_force_p99_s", took[len(took)*99/100])
 	p.add("member", prefix+"in_force_max_s", took[len(took)-1])
-	return nil
+	return p.realTimes(ctx, prefix)
 }
 
 // ordinary is one version after the other, each waited for.
@@ -116,6 +147,9 @@
 		if err := p.awaitWatchers(ctx, "a version is taken", &await{Holds: newest(all[len(all)-1:])}); err != nil {
 			return err
 		}
+		if err := p.realInForce(ctx); err != nil {
+			return err
+		}
 	}
 	return p.times(ctx, all, "")
 }
@@ -168,6 +202,11 @@
 			return nil, err
 		}
 		all = append(all, v)
+		if i%realEvery == 0 {
+			if err := p.oneReal(ctx); err != nil {
+				return nil, err
+			}
+		}
 	}
 }
 
@@ -207,6 +246,9 @@
 		return context.Cause(ctx)
 	}
 	p.add("tool", "all_publish_s", time.Since(began).Seconds())
+	if err := p.oneReal(ctx); err != nil {
+		return err
+	}
 	return p.times(ctx, all, "all_")
 }
 
@@ -232,6 +274,11 @@
 func (p *publishing) summary(ctx context.Context) error {
 	p.progress("what is in force")
 	last := newest(p.all)
+	members := p.size
+	if p.machines != nil {
+		members += p.o.Real
+		last[realService] = p.real[len(p.real)-1].revision
+	}
 	late := time.Now().Add(summaryWithin)
 	for {
 		began := time.Now()
@@ -244,13 +291,13 @@
 				in += s.InForce
 			}
 		}
-		if len(of) == len(last) && known == p.size && in == p.size {
+		if len(of) == len(last) && known == members && in == members {
 			p.add("tool", "summary_s", took.Seconds())
 			return nil
 		}
 		if time.Now().After(late) {
 			err := fmt.Errorf("the coordinators say: in force at %d of %d, in %d services; %d members, %d services",
-				in, known, len(of), p.size, len(last))
+				in, known, len(of), members, len(last))
 			for _, s := range said {
 				err = errors.Join(err, s.Err)
 			}
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -29,7 +29,7 @@
 	}
 	for _, w := range o.Workloads { // before anything is started
 		for _, n := range o.sizes() {
-			if _, err := newLayout(w, n, limit); err != nil {
+			if _, err := newLayout(w, n, o.real(w), limit); err != nil {
 				return nil, err
 			}
 		}
@@ -77,6 +77,7 @@
 			}
 		}
 	}
+	m.Findings = append(m.Findings, compared(m.Points)...)
 	if first == nil && ctx.Err() != nil {
 		first = context.Cause(ctx)
 	}
@@ -101,9 +102,14 @@
 
 	layout layout
 	dir    string
+	kept   string // what coordinators keep
 	family *family
 	group  *group
 	crew   *crew
+
+	machines *machines // nil: there are none
+	serving  *serving
+	failed   context.CancelCauseFunc
 }
 
 func (r *run) progress(doing string) {
@@ -121,26 +127,38 @@
 func (r *run) do(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if r.layout, err = newLayout(r.workload, r.size, r.limit); err != nil {
+	if r.layout, err = newLayout(r.workload, r.size, r.o.real(r.workload), r.limit); err != nil {
 		return err
 	}
 	if r.dir, err = os.MkdirTemp("", "petrel-scale-"); err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(r.dir)) }()
-	r.family = newFamily(r.dir, cancel)
+	if r.kept = r.dir; r.o.Kept != "" {
+		if r.kept, err = os.MkdirTemp(r.o.Kept, "kept-"); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, os.RemoveAll(r.kept)) }()
+	}
+	r.family, r.failed = newFamily(r.dir, cancel), cancel
 	watched := make(chan struct{})
-	go func() { defer close(watched); watchMemory(ctx, r.family, r.o.Memory, cancel) }()
+	go func() { defer close(watched); watchMemory(ctx, r.pids, r.o.Memory, cancel) }()
 	defer func() {
 		if cause := context.Cause(ctx); err != nil && cause != nil { // it says why: the others only follow
 			err = cause
 		}
 		cancel(nil)
 		<-watched
+		if r.serving != nil { // a run that went well has stopped it
+			r.serving.stop()
+		}
 		if r.crew != nil {
 			r.crew.close()
 		}
 		r.family.close()
+		if r.machines != nil {
+			err = errors.Join(err, r.machines.close())
+		}
 		if r.group != nil {
 			r.group.close()
 		}
@@ -149,7 +167,7 @@
 		}
 	}()
 	r.progress("starts")
-	r.group, err = newGroup(ctx, r.family, r.o.program("petrelfleet"), r.dir, r.workload == Looks)
+	r.group, err = newGroup(ctx, r.family, r.o.program("petrelfleet"), r.kept, r.workload == Looks)
 	if err != nil {
 		return err
 	}
@@ -209,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	size, err := sizeOf(filepath.Join(r.dir, fmt.Sprintf("data%d", r.group.leader+1)))
+	size, err := sizeOf(filepath.Join(r.kept, fmt.Sprintf("data%d", r.group.leader+1)))
 	if err != nil {
 		return err
 	}
@@ -230,6 +248,17 @@
 	return nil
 }
 
+// pids are those of the run's processes, sidecars that agents have started among them.
+func (r *run) pids() []int {
+	all := r.family.pids()
+	if r.o.real(r.workload) > 0 {
+		for _, p := range processes(filepath.Join(r.dir, machinesDir)) {
+			all = append(all, p.PID)
+		}
+	}
+	return all
+}
+
 // wait is for how long something is watched.
 func wait(ctx context.Context, long time.Duration) error {
 	t := time.NewTimer(long)
@@ -243,13 +272,13 @@
 }
 
 // watchMemory ends the run where its processes have more resident than the budget.
-func watchMemory(ctx context.Context, f *family, budget int64, over context.CancelCauseFunc) {
+func watchMemory(ctx context.Context, pids func() []int, budget int64, over context.CancelCauseFunc) {
 	const every = 100 * time.Millisecond
 	look := time.NewTicker(every)
 	defer look.Stop()
 	for {
 		sum := int64(0)
-		for _, pid := range append(f.pids(), os.Getpid()) {
+		for _, pid := range append(pids(), os.Getpid()) {
 			if n, err := usage.Resident(pid); err == nil { // one that has ended meanwhile has none
 				sum += n
 			}
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"petrelhook/internal/capacity"
+	"petrelhook/internal/rig/process"
 )
 
 var built string
@@ -33,7 +34,7 @@
 		return "", err
 	}
 	built = dir
-	out, err := exec.Command("go", "build", "-o", dir+"/", "petrelhook/cmd/petrelfleet", "petrelhook/cmd/petrelctl").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "petrelhook/cmd/petrelfleet", "petrelhook/cmd/petrelctl", "petrelhook/cmd/petrelagent", "petrelhook/cmd/petrelhook").CombinedOutput()
 	if err != nil {
 		err = fmt.Errorf("%w: %s", err, out)
 	}
@@ -46,15 +47,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Setenv("TMPDIR", t.TempDir())
 	return Options{Bin: bin, Workloads: Workloads, Sizes: []int{200}, Runs: 1, Steady: 2 * time.Second, Seed: 7,
-		Memory: 4 << 30, Within: 2 * time.Minute, Progress: func(what string) { t.Log(what) }}
+		Memory: 4 << 30, Within: 2 * time.Minute, Progress: func(what string) { t.Log(what) }, Kept: process.Dir(t)}
 }
 
-// left are the processes that run a program of the folder.
+// left are the processes that run a program of the folder, or a release of a run below the test's folder.
 func left(bin string) (all []string) {
 	links, _ := filepath.Glob("/proc/[0-9]*/exe")
 	for _, l := range links {
-		if to, err := os.Readlink(l); err == nil && strings.HasPrefix(to, bin) {
+		if to, err := os.Readlink(l); err == nil && (strings.HasPrefix(to, bin) || strings.HasPrefix(to, os.Getenv("TMPDIR"))) {
 			all = append(all, l+" "+to)
 		}
 	}
@@ -83,9 +85,11 @@
 	return all, errors.Join(errs...)
 }
 
-// two hundred members, real coordinators: what is counted, whatever the times are.
+// two hundred hollow members, six real agents with their sidecars, real coordinators: what is counted, whatever the times are. That a rule
+// was broken at a real sidecar, or a request lost, is an error of the run.
 func TestCounts(t *testing.T) {
 	o := options(t)
+	o.Real = 6
 	m, err := runAll(t, o)
 	if err != nil {
 		t.Fatal(err, m)
@@ -125,9 +129,32 @@
 	within("watches member connections", 1, 1.6) // with listeners and the poller's, and a few that report
 	within("watches leader log_entries", 1, 30)  // nobody that waits is an entry
 	watchers := value["watches leader connections"] + 2*value["watches follower connections"]
-	if watchers < 200 || watchers > 320 { // with 60 or so between coordinators
-		t.Errorf("%.0f connections at the three coordinators, with 200 watchers", watchers)
+	if watchers < 206 || watchers > 326 { // with 60 or so between coordinators
+		t.Errorf("%.0f connections at the three coordinators, with 206 watchers", watchers)
+	}
+	// A real agent asks as often as a hollow one, and as much.
+	within("watches agent messages_in_s", 0.15, 0.27)
+	for _, way := range []string{"in", "out"} {
+		name := " bytes_" + way + "_s"
+		real, hollow := value["watches agent"+name]/value["watches agent messages_in_s"], value["watches member"+name]/value["watches member messages_in_s"]
+		if real < 0.8*hollow || real > 1.2*hollow {
+			t.Errorf("%.0f bytes %s of a call of a real agent, %.0f of a hollow one", real, way, hollow)
+		}
+	}
+	for _, role := range []string{"watches agent", "watches sidecar", "publish agent busy_", "publish sidecar busy_"} {
+		if !strings.HasSuffix(role, "_") {
+			role += " "
+		}
+		within(role+"cpu_us_s", 1, 1e6)
+		within(role+"memory_bytes", 4<<20, 64<<20)
+	}
+	for _, prefix := range []string{"", "busy_", "all_", "hand_over_"} {
+		within("publish agent "+prefix+"in_force_p50_s", 1e-6, 60)
+		within("publish agent "+prefix+"in_force_max_s", value["publish agent "+prefix+"in_force_p99_s"], 60)
 	}
+	within("publish agent hand_over_in_force_p50_s", 1, 60) // a process starts, and is on trial for 2 s
+	within("publish sidecar quiet_calls", 6*10*8*0.7, 6*10*8*1.3)
+	within("publish sidecar versions_calls", 6*10*8*0.7, 1e5)
 	ask := value["watches member bytes_out_s"] / value["watches member messages_out_s"]
 	told := value["watches member bytes_in_s"] / value["watches member messages_in_s"]
 	if ask < 100 || ask > 1000 || told < 100 || told > 1000 {
@@ -139,9 +166,9 @@
 		within("publish member "+prefix+"in_force_p50_s", 0, 60)
 		within("publish member "+prefix+"in_force_max_s", value["publish member "+prefix+"in_force_p99_s"], 60)
 	}
-	within("publish leader log_entries", 10+10+18, 70) // 18 services
+	within("publish leader log_entries", 10+10+18+15, 85) // 18 services, and 15 versions or so of the real machines
 	within("publish member busy_messages_in_s", 0.15, 3)
-	within("publish leader busy_log_entries_s", 1, 1.6) // each 785 ms
+	within("publish leader busy_log_entries_s", 1.25, 2) // each 785 ms, and with every fourth one of the real machines
 	within("publish tool summary_s", 1e-6, 60)
 	within("publish tool accepted_max_s", 1e-6, 20)
 	renewals, looks := 200*value["renewals member messages_in_s"], 200*value["looks agent messages_in_s"]
@@ -228,6 +255,38 @@
 	}
 }
 
+// One that is killed leaves no real sidecar behind either: each has a session of its own, and outlives its agent.
+func TestKilledBesideRealMachines(t *testing.T) {
+	o := options(t)
+	cmd := exec.Command(o.program("petrelctl"), "scale", "--workloads", Watches, "--sizes", "20", "--check", "0", "--real", "2", "--steady", "30s")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	sidecars := func() (n int) {
+		dirs, _ := filepath.Glob(filepath.Join(os.Getenv("TMPDIR"), "petrel-scale-*", machinesDir))
+		for _, dir := range dirs {
+			n += len(processes(dir))
+		}
+		return n
+	}
+	err := until(ctx, "its sidecars are there", func() bool { return sidecars() == 2 })
+	cmd.Process.Kill()
+	cmd.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := until(ctx, "none is left", func() bool { return sidecars() == 0 && len(left(o.Bin)) == 0 }); err != nil {
+		t.Error(err)
+	}
+	for _, l := range left(o.Bin) { // the test's own, which it must not leave either
+		var pid int
+		fmt.Sscanf(l, "/proc/%d/exe", &pid)
+		syscall.Kill(pid, syscall.SIGKILL)
+	}
+}
+
 // What would not fit fails before anything is started, with the numbers.
 func TestDescriptors(t *testing.T) {
 	for _, c := range []struct {
@@ -249,7 +308,7 @@
 		{Publish, 12_000, 18_111, 12, "publish of 12000: a coordinator needs 18048"},
 		{Looks, 1, 100, 0, "a coordinator needs 49"},
 	} {
-		l, err := newLayout(c.workload, c.size, c.limit)
+		l, err := newLayout(c.workload, c.size, 0, c.limit)
 		if c.want != "" {
 			if err == nil || !strings.Contains(err.Error(), c.want) {
 				t.Errorf("%s %d: %v", c.workload, c.size, err)
@@ -268,6 +327,12 @@
 		}
 	}
 	o := options(t)
+	if l, err := newLayout(Watches, 100, 24, 20_000); err != nil || l.Coordinator != 100+12+48+beside {
+		t.Errorf("beside real machines: %v, %+v", err, l)
+	}
+	if _, err := newLayout(Watches, 100, 110, 20_000); err == nil || !strings.Contains(err.Error(), "335 processes; 300 at most") {
+		t.Errorf("too many real machines: %v", err)
+	}
 	o.Limit, o.Sizes = 1024, []int{100, 2000}
 	o.Progress = func(what string) { t.Error("begun: " + what) }
 	if m, err := Run(t.Context(), o); m != nil || err == nil || !strings.Contains(err.Error(), "renewals of 2000") {
@@ -288,6 +353,8 @@
 		"--sizes: 20001":                     func(o *Options) { o.Sizes = []int{20_001} },
 		"--check: 10; write a size above":    func(o *Options) { o.Beyond = 10 },
 		"--runs: 0":                          func(o *Options) { o.Runs = 0 },
+		"--real: 65; write 0 to 64":          func(o *Options) { o.Real = 65 },
+		"--real: -1":                         func(o *Options) { o.Real = -1 },
 		"--steady: 1ms":                      func(o *Options) { o.Steady = time.Millisecond },
 		"--memory: 1 bytes; write 64M":       func(o *Options) { o.Memory = 1 },
 		"--within: 0s; write a time above 0": func(o *Options) { o.Within = 0 },
--- a/internal/rig/scale/watching.go
+++ b/internal/rig/scale/watching.go
@@ -24,11 +24,17 @@
 	if err := r.joinWatchers(ctx); err != nil {
 		return err
 	}
+	if err := r.joinMachines(ctx, restCalls); err != nil {
+		return err
+	}
 	before, after, err := r.window(ctx, max(r.o.Steady, restWindow()))
 	if err != nil {
 		return err
 	}
 	r.roles(before, after, "")
+	if err := r.stopServing(); err != nil {
+		return err
+	}
 	if _, err := r.taken(ctx, 0); err != nil { // nothing that is wrong either
 		return err
 	}
@@ -49,6 +55,37 @@
 	return r.awaitWatchers(ctx, "members are answered", &await{Calls: 1})
 }
 
+// joinMachines starts the real machines, if there are any, and returns when each has a sidecar that serves and waits for versions at a
+// coordinator.
+func (r *run) joinMachines(ctx context.Context, calls float64) (err error) {
+	if r.o.Real == 0 {
+		return nil
+	}
+	r.progress("real agents and sidecars start")
+	if r.machines, err = newMachines(r.o, r.family, r.dir, r.group.inOrder()); err != nil {
+		return err
+	}
+	if r.serving, err = r.machines.serve(ctx, r.o.Real, calls, r.failed); err != nil {
+		return err
+	}
+	r.progress("real agents wait")
+	return until(ctx, "each real agent waits at a coordinator", func() bool {
+		known := r.group.known(ctx, realService)
+		return known == r.o.Real
+	})
+}
+
+// stopServing ends the real machines, and is an error where a rule was broken.
+func (r *run) stopServing() error {
+	if r.serving == nil {
+		return nil
+	}
+	r.progress("the real sidecars' load is judged")
+	err := r.serving.stop()
+	r.serving = nil
+	return err
+}
+
 // takenWithin is for how long watchers are waited for.
 const takenWithin = time.Minute
 
--- a/internal/rig/scale/window.go
+++ b/internal/rig/scale/window.go
@@ -16,6 +16,9 @@
 	}
 	crew    []usage.Usage
 	samples []*sample
+
+	agents, sidecars []usage.Usage // real ones
+	ways             []traffic     // of all real agents, by coordinator in the order of machines
 }
 
 // see looks at all processes of a run.
@@ -42,6 +45,12 @@
 		}
 		s.crew = append(s.crew, u)
 	}
+	if r.machines != nil {
+		s.ways = r.machines.carried()
+		if s.agents, s.sidecars, err = r.machines.usages(); err != nil {
+			return nil, err
+		}
+	}
 	for i, st := range r.group.status(ctx) {
 		if st != nil {
 			s.coordinators[i].log = st.Applied
@@ -84,6 +93,47 @@
 	return v
 }
 
+// withAgents adds what real agents exchange with a coordinator, which has the place n in the order of the ways; open connections are in the
+// coordinator's own.
+func (v rates) withAgents(a, b *seen, n int) rates {
+	took := seconds(b.samples[0].At - a.samples[0].At)
+	t := b.ways[n].minus(a.ways[n])
+	v.in += float64(t.In) / took
+	v.out += float64(t.Out) / took
+	v.messagesIn += float64(t.MessagesIn) / took
+	v.messagesOut += float64(t.MessagesOut) / took
+	return v
+}
+
+// betweenMachines is the rates of one real agent and of one sidecar, the means of all. What an agent exchanges with its sidecar and what a
+// sidecar exchanges at all is not in them.
+func betweenMachines(a, b *seen) (agent, sidecar rates) {
+	agent, sidecar = betweenUsages(a.agents, b.agents), betweenUsages(a.sidecars, b.sidecars)
+	took := seconds(b.samples[0].At - a.samples[0].At)
+	of := 1 / float64(len(b.agents))
+	for n := range b.ways {
+		t := b.ways[n].minus(a.ways[n])
+		agent.in += of * float64(t.Out) / took // what it receives, the coordinators send
+		agent.out += of * float64(t.In) / took
+		agent.messagesIn += of * float64(t.MessagesOut) / took
+		agent.messagesOut += of * float64(t.MessagesIn) / took
+	}
+	return agent, sidecar
+}
+
+// betweenUsages is the mean of some processes.
+func betweenUsages(a, b []usage.Usage) (v rates) {
+	of := 1 / float64(len(b))
+	for n := range b {
+		took := seconds(b[n].At - a[n].At)
+		v.cpu += of * float64((b[n].CPU-a[n].CPU)/time.Microsecond) / took
+		v.memory += of * float64(b[n].Memory)
+		v.descriptors += of * float64(b[n].Descriptors)
+		v.open += of * float64(b[n].Connections)
+	}
+	return v
+}
+
 // betweenMembers is the rates of one member, the mean of all.
 func betweenMembers(a, b *seen, members int) (v rates) {
 	of := 1 / float64(members)
@@ -124,12 +174,17 @@
 	return m
 }
 
-// points are the rates' of a role, with their units.
-func (v rates) points(add func(role, metric string, value float64), role string) {
+// process are those of a role that are seen of its process, with their units.
+func (v rates) process(add func(role, metric string, value float64), role string) {
 	add(role, "cpu_us_s", v.cpu)
 	add(role, "memory_bytes", v.memory)
 	add(role, "descriptors", v.descriptors)
 	add(role, "connections", v.open)
+}
+
+// points are the rates' of a role, with their units.
+func (v rates) points(add func(role, metric string, value float64), role string) {
+	v.process(add, role)
 	add(role, "bytes_in_s", v.in)
 	add(role, "bytes_out_s", v.out)
 	add(role, "messages_in_s", v.messagesIn)
--- a/internal/rig/scale/workloads.go
+++ b/internal/rig/scale/workloads.go
@@ -35,6 +35,9 @@
 	var followers []rates
 	for i, addr := range r.group.addrs {
 		v := between(before, after, i, addr)
+		if r.machines != nil {
+			v = v.withAgents(before, after, slices.Index(r.machines.coordinators, addr))
+		}
 		if i != r.group.leader {
 			followers = append(followers, v)
 			continue
@@ -46,6 +49,11 @@
 	v.points(add, "follower")
 	v.replica(add, "follower")
 	betweenMembers(before, after, r.size).points(add, "member")
+	if r.machines != nil {
+		agent, sidecar := betweenMachines(before, after)
+		agent.points(add, "agent")
+		sidecar.process(add, "sidecar")
+	}
 }
 
 // What the changes are of.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -173,13 +174,24 @@
 	n := 2000
 	fmt.Sscan(os.Getenv("SCHEDULES"), &n)
 	largest, spent := 0.0, 0
-	for seed := range n {
-		w := play(uint64(seed))
-		if w.over != "" {
-			t.Fatalf("seed %d: %s", seed, w.over)
-		}
-		largest, spent = max(largest, w.largest), spent+w.spent
+	const players = 3 // others test processes meanwhile
+	var sides sync.WaitGroup
+	var mu sync.Mutex
+	for first := range players {
+		sides.Go(func() {
+			for seed := first; seed < n; seed += players {
+				w := play(uint64(seed))
+				if w.over != "" {
+					t.Errorf("seed %d: %s", seed, w.over)
+					return
+				}
+				mu.Lock()
+				largest, spent = max(largest, w.largest), spent+w.spent
+				mu.Unlock()
+			}
+		})
 	}
+	sides.Wait()
 	t.Logf("%d schedules, %d uses, at most %.3f of the limit", n, spent, largest)
 	if largest < 0.99 {
 		t.Error("the limit is never used up: the test shows nothing")
