--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -1,9 +1,10 @@
-// Package logwriter writes log lines without holding up who logs: a standard error that takes nothing for a while (a full pipe, a disk that
-// is busy) must not stop the loop that answers requests.
+// Package logwriter writes log lines without holding up who logs: a standard error that takes nothing for a while (a
+// full pipe, a disk that is busy) must not stop the loop that answers requests.
 //
-// It does not format, and knows nothing of levels. Invariants: lines are written whole and in order; Write returns within Patience, and at
-// once while lines are behind; at most MaxLines wait; what finds no room is dropped, counted, and told of once there is room again.
-// A line that Write returned for in time has been written: who sees what a process did after it finds the line.
+// It does not format, and knows nothing of levels. Invariants: lines are written whole and in order; Write returns
+// within Patience, and at once while lines are behind; at most MaxLines wait; what finds no room is dropped, counted,
+// and told of once there is room again. A line that Write returned for in time has been written: who sees what a
+// process did after it finds the line.
 package logwriter
 
 import (
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -1,5 +1,5 @@
-// Package process is a process that a test starts, stops, kills and reads the log of. Each test program that plays several roles
-// starts itself again, with its role in a variable of its environment.
+// Package process is a process that a test starts, stops, kills and reads the log of. Each test program that plays
+// several roles starts itself again, with its role in a variable of its environment.
 package process
 
 import (
@@ -62,9 +62,10 @@
 // memory is where Linux keeps files in memory.
 const memory = "/dev/shm"
 
-// Dir is a folder for what processes of a test keep and sync, and is removed with the test. It is in memory where the system has room for
-// that: on a disk a sync waits for all that the builds of other tests write, for seconds, and at all replicas of a group at once, which no
-// group of machines is in for. What a process has written outlives its kill there as on a disk.
+// Dir is a folder for what processes of a test keep and sync, and is removed with the test. It is in memory where the
+// system has room for that: on a disk a sync waits for all that the builds of other tests write, for seconds, and at
+// all replicas of a group at once, which no group of machines is in for. What a process has written outlives its kill
+// there as on a disk.
 func Dir(t testing.TB) string {
 	t.Helper()
 	dir, err := os.MkdirTemp(memory, "petrelhook-test-")
@@ -112,8 +113,8 @@
 	return rest[:min(1, len(rest))]
 }
 
-// Written is the file that a process writes its log to. What it wrote before it did something that a test saw is in there: no pipe
-// is between, whose reader in the test may be late.
+// Written is the file that a process writes its log to. What it wrote before it did something that a test saw is in
+// there: no pipe is between, whose reader in the test may be late.
 type Written string
 
 func (w Written) String() string {
--- a/internal/rig/scale/doc.go
+++ b/internal/rig/scale/doc.go
@@ -9,6 +9,8 @@
 //	Members           the other side of the run's pipe: the process of hollow members
 //	sessions, agents  the members: of the lease client, and of machines with a sidecar each
 //	watchers          members that wait for versions of a configuration, by the client of agents
+//	machines, minder  real members: an agent and a sidecar each, and who ends the sidecars that agents leave
+//	serving, reals    what real sidecars serve, judged by the rules; when versions are in force there, what calls take
 //	published         how long versions took to all members, and that each got its own, in order (pure)
 //	relay             what is seen from outside: processor time, memory, descriptors, and the bytes between coordinators
 //
--- a/internal/rig/scale/machines.go
+++ b/internal/rig/scale/machines.go
@@ -15,7 +15,6 @@
 
 	"petrelhook/internal/agent"
 	"petrelhook/internal/distribute"
-	"petrelhook/internal/machine"
 	"petrelhook/internal/monotonic"
 	"petrelhook/internal/release"
 	"petrelhook/internal/rig/usage"
@@ -26,9 +25,10 @@
 	machinesDir = "machines" // of a run's folder
 )
 
-// machines are a run's real ones: an agent each (petrelagent), with one sidecar (petrelhook) that it starts. Agents have the settings that
-// operators' files have where nothing else is said. They reach the coordinators by relays, which count for all of them. As a
-// rehearse.Starter they are handed their sidecars by a rehearsal, which sends the load and judges the rules.
+// machines are a run's real ones: an agent each (petrelagent), with one sidecar (petrelhook) that it starts. Agents
+// have the settings that operators' files have where nothing else is said. They reach the coordinators by relays,
+// which count for all of them. As a rehearse.Starter they are handed their sidecars by a rehearsal, which sends the
+// load and judges the rules.
 type machines struct {
 	o            *Options
 	family       *family
@@ -61,7 +61,8 @@
 
 // newMachines are none yet. coordinators are the addresses, as members have them.
 func newMachines(o *Options, f *family, dir string, coordinators []string) (_ *machines, err error) {
-	m := &machines{o: o, family: f, dir: filepath.Join(dir, machinesDir), own: []string{"known", "seed", "limits"}, coordinators: coordinators,
+	m := &machines{o: o, family: f, dir: filepath.Join(dir, machinesDir), coordinators: coordinators,
+		own:     []string{"known", "seed", "limits"},
 		changed: make(chan struct{})}
 	defer func() {
 		if err != nil {
@@ -363,50 +364,3 @@
 	}
 	return m.minder.err
 }
-
-// processes are the sidecars that live, of all agents whose folders are in one: each start's file names its process.
-func processes(dir string) (all []agent.Process) {
-	files, _ := filepath.Glob(filepath.Join(dir, "*", "data", "start-*"))
-	for _, f := range files {
-		var p agent.Process
-		text, _ := os.ReadFile(f)
-		if n, _ := fmt.Sscan(string(text), &p.PID, &p.Began); n == 2 && machine.Lives(p) {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
-// lastLooks is how often nothing may be found before nothing is left: an agent that was killed may have had a start
-// under way.
-const lastLooks = 10
-
-// Mind kills the sidecars below a folder once there is no more input: agents leave them as they end, and so would a
-// run that was killed. It returns when none is left, or ctx ends.
-func Mind(ctx context.Context, dir string, input interface{ Read([]byte) (int, error) }) error {
-	ended := make(chan struct{})
-	go func() { // it ends with its input
-		defer close(ended)
-		for b := make([]byte, 1); ; {
-			if _, err := input.Read(b); err != nil {
-				return
-			}
-		}
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-	none := 0
-	return until(ctx, "all sidecars have ended", func() bool {
-		all := processes(dir)
-		for _, p := range all {
-			syscall.Kill(p.PID, syscall.SIGKILL)
-		}
-		if none++; len(all) > 0 {
-			none = 0
-		}
-		return none >= lastLooks
-	})
-}
--- a/internal/rig/scale/reals.go
+++ b/internal/rig/scale/reals.go
@@ -41,8 +41,8 @@
 	return err
 }
 
-// realTimes adds how long versions took from when they were accepted until they, or newer ones, were in force at each real sidecar: those
-// since it was called last.
+// realTimes adds how long versions took from when they were accepted until they, or newer ones, were in force at each
+// real sidecar: those since it was called last.
 func (p *publishing) realTimes(ctx context.Context, prefix string) error {
 	all := p.real[p.told:]
 	if p.told = len(p.real); len(all) == 0 {
@@ -62,16 +62,16 @@
 	return nil
 }
 
-// quiet has the real sidecars serve for a while before the first version, so that what calls take can stand beside it; calls does so at the
-// end.
+// quiet has the real sidecars serve for a while before the first version, so that what calls take can stand beside it;
+// calls does so at the end.
 func (p *publishing) quiet(ctx context.Context) error {
 	p.progress("calls without versions")
 	p.from = time.Now()
 	return wait(ctx, max(p.o.Steady, quietLeast))
 }
 
-// handOver is a version that takes another process of each real sidecar; and what calls took until then, beside the time before the first
-// version.
+// handOver is a version that takes another process of each real sidecar; and what calls took until then, beside the
+// time before the first version.
 func (p *publishing) handOver(ctx context.Context) error {
 	p.progress("a version that takes a hand-over")
 	p.quantum = laterQuantum
@@ -104,15 +104,16 @@
 	}
 }
 
-// What a hollow member costs the coordinators is compared with what a real one costs by so many versions a second of services of about as
-// many members, for so long each.
+// What a hollow member costs the coordinators is compared with what a real one costs by so many versions a second of
+// services of about as many members, for so long each.
 const (
 	comparedRate = 8
 	comparedFor  = 6 * time.Second
 )
 
-// compare adds what a version costs the coordinators, all three together, for each member that it is told to: hollow ones (of the service
-// that has most nearly as many as there are real machines) and real ones, both above a service with one member.
+// compare adds what a version costs the coordinators, all three together, for each member that it is told to: hollow
+// ones (of the service that has most nearly as many as there are real machines) and real ones, both above a service
+// with one member.
 func (p *publishing) compare(ctx context.Context) error {
 	p.progress("real and hollow members are compared")
 	of := make([]int, slices.Max(p.services)+1)
@@ -163,7 +164,8 @@
 // tolerated is the part of a real agent's cost by which a hollow member's may differ.
 const tolerated = 0.2
 
-// compared says where a hollow member costs the coordinators more or less than a real agent, by more than is tolerated: medians of all runs.
+// compared says where a hollow member costs the coordinators more or less than a real agent, by more than is
+// tolerated: medians of all runs.
 func compared(points []capacity.Point) (all []string) {
 	median := func(workload, role, metric string) (float64, bool) {
 		var v []float64
@@ -182,8 +184,8 @@
 		real, known := median(m.workload, "agent", m.metric)
 		hollow, also := median(m.workload, "member", m.metric)
 		if known && also && math.Abs(hollow-real) > tolerated*math.Abs(real) {
-			all = append(all, fmt.Sprintf("%s: %s of a hollow member is %.4g, and of a real agent %.4g", m.workload, m.metric,
-				hollow, real))
+			all = append(all, fmt.Sprintf("%s: %s of a hollow member is %.4g, and of a real agent %.4g",
+				m.workload, m.metric, hollow, real))
 		}
 	}
 	return all
--- a/internal/rig/scale/serving.go
+++ b/internal/rig/scale/serving.go
@@ -16,8 +16,8 @@
 	"petrelhook/internal/rig/scenario"
 )
 
-// served is what real sidecars serve: reads, keyed writes that one cell drops repeats of, and what must not run twice, at a fleet that
-// nothing happens to.
+// served is what real sidecars serve: reads, keyed writes that one cell drops repeats of, and what must not run twice,
+// at a fleet that nothing happens to.
 const served = `length 2h
 sidecars %d cores=1 memory=64 sockets=512
 class look share=60 effect=safe   work=2ms..3ms io=4ms..6ms aim=100ms deadline=1s worth=3 late=0.3
@@ -48,7 +48,9 @@
 
 // serve starts the machines' sidecars and the load, and returns when all are ready. failed is told where it ends by
 // itself.
-func (m *machines) serve(ctx context.Context, number int, rate float64, failed context.CancelCauseFunc) (*serving, error) {
+func (m *machines) serve(
+	ctx context.Context, number int, rate float64, failed context.CancelCauseFunc,
+) (*serving, error) {
 	s, err := scenario.Parse("served", strings.NewReader(fmt.Sprintf(served, number, rate*float64(number))))
 	if err != nil {
 		return nil, err
--- a/internal/rig/scale/watching.go
+++ b/internal/rig/scale/watching.go
@@ -55,8 +55,8 @@
 	return r.awaitWatchers(ctx, "members are answered", &await{Calls: 1})
 }
 
-// joinMachines starts the real machines, if there are any, and returns when each has a sidecar that serves and waits for versions at a
-// coordinator.
+// joinMachines starts the real machines, if there are any, and returns when each has a sidecar that serves and waits
+// for versions at a coordinator.
 func (r *run) joinMachines(ctx context.Context, calls float64) (err error) {
 	if r.o.Real == 0 {
 		return nil
@@ -70,8 +70,7 @@
 	}
 	r.progress("real agents wait")
 	return until(ctx, "each real agent waits at a coordinator", func() bool {
-		known := r.group.known(ctx, realService)
-		return known == r.o.Real
+		return r.group.known(ctx, realService) == r.o.Real
 	})
 }
 
--- a/internal/rig/scale/window.go
+++ b/internal/rig/scale/window.go
@@ -93,8 +93,8 @@
 	return v
 }
 
-// withAgents adds what real agents exchange with a coordinator, which has the place n in the order of the ways; open connections are in the
-// coordinator's own.
+// withAgents adds what real agents exchange with a coordinator, which has the place n in the order of the ways; open
+// connections are in the coordinator's own.
 func (v rates) withAgents(a, b *seen, n int) rates {
 	took := seconds(b.samples[0].At - a.samples[0].At)
 	t := b.ways[n].minus(a.ways[n])
@@ -105,8 +105,8 @@
 	return v
 }
 
-// betweenMachines is the rates of one real agent and of one sidecar, the means of all. What an agent exchanges with its sidecar and what a
-// sidecar exchanges at all is not in them.
+// betweenMachines is the rates of one real agent and of one sidecar, the means of all. What an agent exchanges with
+// its sidecar and what a sidecar exchanges at all is not in them.
 func betweenMachines(a, b *seen) (agent, sidecar rates) {
 	agent, sidecar = betweenUsages(a.agents, b.agents), betweenUsages(a.sidecars, b.sidecars)
 	took := seconds(b.samples[0].At - a.samples[0].At)
