--- /dev/null
+++ b/internal/dissemination/messages.go
@@ -0,0 +1,93 @@
+// Package dissemination brings what the core knows to every sidecar: the committed configuration, the list of servers,
+// the size of the fleet, and who the core is.
+//
+// Each sidecar subscribes to one control sidecar, its home, in its own zone where there is one, by a Session that says what it
+// has; the home answers with a Push of what it lacks, at once whenever something changes. So the state that both want
+// to be equal is in every message, and a message that is lost is made good by the next.
+package dissemination
+
+import (
+	"encoding/gob"
+
+	"petrelhook/internal/membership"
+	"petrelhook/internal/registry"
+	"petrelhook/internal/replication"
+)
+
+// Session is a sidecar's heartbeat to its home, and what it asks for.
+type Session struct {
+	Node      membership.Node
+	Subscribe bool // false: it only asks who the core is
+	View      replication.Epoch
+	Version   uint64 // of the configuration that it has; 0: none
+	HomeLife  uint64 // of the home that Stamp is of
+	Stamp     uint64 // of the registry
+	Sessions  uint64 // stamp of the home's sessions, asked for by other control sidecars
+	Core      bool   // the sender is a control sidecar itself
+	Instances []registry.Update
+}
+
+// Push is what a home tells a subscriber.
+type Push struct {
+	Life     uint64
+	View     *replication.View // where it is newer
+	Eligible []replication.Member
+	InTouch  bool // the home hears a majority of the core
+	Complete bool // its list of servers is whole
+	Fleet    int
+
+	FromStamp, Stamp uint64
+	Instances        []registry.Update
+	Heard            []string // to control sidecars: servers whose heartbeat came here
+
+	Version     uint64
+	FromVersion uint64
+	Orders      [][]byte // from FromVersion to Version
+	Snapshot    []byte   // or the whole configuration
+
+	SessionsStamp uint64
+	Nodes         []membership.Node
+}
+
+// Beat brings a server's call to a control sidecar; Request is not 0 where the sender waits for BeatKept.
+type Beat struct {
+	Request  uint64
+	Instance registry.Instance
+}
+
+// BeatKept says that a server's call is known to a majority of the core.
+type BeatKept struct{ Request uint64 }
+
+// Spread brings a server's drain or end from one control sidecar to another, which answers with Spreaded.
+type Spread struct {
+	Request  uint64
+	Instance registry.Instance
+}
+
+// SpreadKept answers Spread.
+type SpreadKept struct{ Request uint64 }
+
+// QuotaAsk tells the primary what a sidecar's tenants want, and what shares it holds.
+type QuotaAsk struct {
+	Nonce  uint64
+	Life   uint64
+	Demand map[string]float64 // units a second
+	Held   map[string]float64 // shares, 0 to 1
+}
+
+// QuotaGrant answers QuotaAsk with the shares to use from now on.
+type QuotaGrant struct {
+	Nonce  uint64
+	Shares map[string]float64
+}
+
+func init() {
+	for _, m := range []any{
+		Session{}, Push{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{},
+		replication.Prepare{}, replication.Promise{}, replication.Sync{}, replication.Synced{}, replication.Accept{},
+		replication.Accepted{}, replication.Replicate{}, replication.Replicated{}, replication.Heartbeat{},
+		replication.HeartbeatAck{}, replication.TakeOver{},
+	} {
+		gob.Register(m)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,168 @@
+// Package gateway is the clients' side of a sidecar: it reads a request, decides by the configuration whether it may go on,
+// has placement choose a server, sends it, and answers. Every request that was read gets one answer.
+//
+// It knows nothing of the core: configuration, servers and the size of the fleet are handed in, and what was handed in
+// last stands when nothing more comes.
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"petrelhook/internal/backend"
+	"petrelhook/internal/placement"
+	"petrelhook/internal/quota"
+	"petrelhook/internal/registry"
+	"petrelhook/internal/rotation"
+	"petrelhook/internal/routetable"
+)
+
+// Options are what a gateway is made with.
+type Options struct {
+	Zone         string
+	Now          func() time.Duration // the steady clock
+	QuotaBounds  quota.Bounds
+	BudgetRatio  float64
+	BudgetSlack  float64
+	BudgetWindow time.Duration
+}
+
+// Gateway is an http.Handler for clients.
+type Gateway struct {
+	options Options
+	table   atomic.Pointer[routetable.Table]
+	ending  atomic.Bool
+	active  atomic.Int64
+	Counts  Counts
+
+	mutex    sync.Mutex // guards all below
+	services map[string]*service
+	splits   map[string][]rotation.Turn // turns of a route's backends, by route
+	taker    *quota.Taker
+	retries  *quota.RetryBudget
+	fleet    int
+}
+
+// service is the data plane's state of one service.
+type service struct {
+	pool  *placement.Pool
+	conns map[string]*backend.Pool // by instance
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Requests, Served, Refused, Failed, Retried, Resumed atomic.Int64
+}
+
+// New makes a gateway without a configuration.
+func New(o Options) *Gateway {
+	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, fleet: 1,
+		taker: quota.NewTaker(o.QuotaBounds), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+}
+
+// Table is the configuration in force here, or nil.
+func (g *Gateway) Table() *routetable.Table { return g.table.Load() }
+
+// SetTable puts a configuration in force.
+func (g *Gateway) SetTable(t *routetable.Table) {
+	limits := map[string]quota.Limit{}
+	for name, tenant := range t.Tenants() {
+		limits[name] = quota.Limit{Rate: tenant.RatePerS, Burst: tenant.Burst}
+	}
+	g.mutex.Lock()
+	g.taker.SetLimits(limits, g.options.Now())
+	g.mutex.Unlock()
+	g.table.Store(t)
+}
+
+// SetServers hands in the servers of a service that requests may go to.
+func (g *Gateway) SetServers(name string, list []registry.Instance) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	s := g.services[name]
+	if s == nil {
+		s = &service{pool: placement.NewPool(g.options.Zone), conns: map[string]*backend.Pool{}}
+		g.services[name] = s
+	}
+	servers := make([]placement.Server, 0, len(list))
+	for _, i := range list {
+		servers = append(servers, placement.Server{ID: i.ID, Address: i.Address, Zone: i.Zone, Slots: i.Slots})
+		if s.conns[i.ID] == nil {
+			s.conns[i.ID] = backend.NewPool(i.Address, g.connections(name))
+		}
+	}
+	for _, gone := range s.pool.Set(servers) {
+		s.conns[gone.ID].Close()
+		delete(s.conns, gone.ID)
+	}
+}
+
+// connections is this sidecar's part of what a server of a service takes.
+func (g *Gateway) connections(name string) int {
+	const part = 0.8
+	t := g.table.Load()
+	if t == nil {
+		return 2
+	}
+	s := t.Service(name)
+	if s == nil || s.MaxConnections == 0 {
+		return 64
+	}
+	return max(2, int(part*float64(s.MaxConnections)/float64(g.fleet)))
+}
+
+// SetFleet hands in how many sidecars there are.
+func (g *Gateway) SetFleet(n int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if n == g.fleet {
+		return
+	}
+	g.fleet = max(1, n)
+	g.taker.SetFleet(n)
+	g.retries.SetFleet(n)
+	for name, s := range g.services {
+		for _, c := range s.conns {
+			c.SetLimit(g.connections(name))
+		}
+	}
+}
+
+// Prune closes connections to servers that have been idle for long.
+func (g *Gateway) Prune() {
+	g.mutex.Lock()
+	var all []*backend.Pool
+	for _, s := range g.services {
+		for _, c := range s.conns {
+			all = append(all, c)
+		}
+	}
+	g.mutex.Unlock()
+	for _, c := range all {
+		c.Prune()
+	}
+}
+
+// AskQuota begins a question to the primary for shares of the tenants' limits.
+func (g *Gateway) AskQuota() (nonce uint64, demand, held map[string]float64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.taker.Ask(g.options.Now())
+}
+
+// QuotaGranted takes in the answer.
+func (g *Gateway) QuotaGranted(nonce uint64, shares map[string]float64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.taker.Granted(nonce, shares, g.options.Now())
+}
+
+// End has clients told that their connections close.
+func (g *Gateway) End() { g.ending.Store(true) }
+
+// Active is how many requests are being served.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"petrelhook/internal/placement"
+	"petrelhook/internal/rotation"
+	"petrelhook/internal/routetable"
+)
+
+const (
+	defaultDeadline = 30 * time.Second
+	deadlineMargin  = 3 * time.Millisecond
+	retrySoon       = 250 * time.Millisecond // where nothing better is known
+	maxBody         = 8 << 20
+)
+
+// request is one client's try on its way.
+type request struct {
+	id       string
+	route    *routetable.Compiled
+	tenant   *routetable.Tenant
+	service  string
+	units    float64 // of the tenant's quota
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	place    placement.Request
+	sends    int // that arrived at a server, or may have
+	resume   string
+	headSent bool
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	g.Counts.Requests.Add(1)
+	if g.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req := &request{id: r.Header.Get("X-Request-Id"), began: time.Now()}
+	if !g.readBody(w, r, req) {
+		return
+	}
+	table := g.table.Load()
+	if table == nil {
+		g.refuse(w, http.StatusServiceUnavailable, retrySoon, "no configuration yet")
+		return
+	}
+	if !g.authorize(w, r, table, req) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	g.serve(ctx, w, r, req)
+}
+
+// readBody reads the whole body, within the bounds that hold as it begins.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) bool {
+	most := int64(maxBody)
+	if t := g.table.Load(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		most = t.Limits.MaxBodyBytes
+	}
+	if r.ContentLength > most {
+		w.Header().Set("Connection", "close")
+		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	if r.ContentLength > 0 {
+		req.body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, req.body); err != nil {
+			panic(http.ErrAbortHandler) // the client ended it
+		}
+		return true
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	req.body = body
+	return true
+}
+
+// authorize finds route, tenant and service, and takes the tenant's quota.
+func (g *Gateway) authorize(w http.ResponseWriter, r *http.Request, table *routetable.Table, req *request) bool {
+	req.route = table.Route(r.Host, r.URL.Path)
+	if req.route == nil {
+		g.fail(w, http.StatusNotFound, "no route")
+		return false
+	}
+	if table.HasTenants() {
+		req.tenant = table.TenantOf(r.Header.Get("X-Key"))
+		if req.tenant == nil && !req.route.Public {
+			g.fail(w, http.StatusUnauthorized, "unknown key")
+			return false
+		}
+	}
+	req.deadline = deadlineOf(r, req)
+	req.units = unitsOf(r, req.tenant)
+	key, shared := placement.ParsePrefix(r.Header.Get("X-Prompt-Prefix"))
+	req.place = placement.Request{Key: key, Shared: shared, Tried: map[string]bool{}}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.options.Now()
+	if req.tenant != nil {
+		if ok, wait := g.taker.Take(req.tenant.Name, req.units, now); !ok {
+			g.refuse(w, http.StatusTooManyRequests, max(wait, retrySoon), "over the tenant's quota")
+			return false
+		}
+	}
+	req.service = g.split(req.route)
+	g.retries.Request(req.service, now)
+	return true
+}
+
+// split chooses the service of a route that is split over several.
+func (g *Gateway) split(route *routetable.Compiled) string {
+	if len(route.Backends) == 1 {
+		return route.Backends[0].Service
+	}
+	turns := g.splits[route.Name]
+	if len(turns) != len(route.Backends) {
+		turns = make([]rotation.Turn, len(route.Backends))
+		g.splits[route.Name] = turns
+	}
+	candidates := make([]rotation.Candidate, len(turns))
+	for i := range turns {
+		candidates[i] = rotation.Candidate{Turn: &turns[i], Weight: route.Backends[i].Weight}
+	}
+	return route.Backends[rotation.Pick(candidates)].Service
+}
+
+func deadlineOf(r *http.Request, req *request) time.Time {
+	left := defaultDeadline
+	if ms, err := strconv.ParseFloat(r.Header.Get("X-Request-Deadline"), 64); err == nil && ms > 0 {
+		left = time.Duration(ms*float64(time.Millisecond)) - deadlineMargin
+	}
+	if req.route.Timeout > 0 {
+		left = min(left, req.route.Timeout)
+	}
+	return req.began.Add(left)
+}
+
+// unitsOf is what a request counts against its tenant's quota.
+func unitsOf(r *http.Request, t *routetable.Tenant) float64 {
+	if t == nil {
+		return 0
+	}
+	if t.Unit != "token_based" {
+		return 1
+	}
+	in, out, ok := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
+	a, errIn := strconv.ParseFloat(strings.TrimSpace(in), 64)
+	b, errOut := strconv.ParseFloat(strings.TrimSpace(out), 64)
+	if !ok || errIn != nil || errOut != nil {
+		return t.UncachedTokens
+	}
+	return a + b
+}
+
+// refuse answers with a promise that the request has not run, and says when to come back.
+func (g *Gateway) refuse(w http.ResponseWriter, status int, after time.Duration, reason string) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	g.Counts.Refused.Add(1)
+	http.Error(w, reason, status)
+}
+
+// fail answers without a promise.
+func (g *Gateway) fail(w http.ResponseWriter, status int, reason string) {
+	g.Counts.Failed.Add(1)
+	http.Error(w, reason, status)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,364 @@
+// Package node puts one router process together from its settings: the clients' side, the control side, and, where the
+// machine counts for the core, a replica of the configuration. It holds no decisions of its own beyond who talks to whom;
+// those are in the pure packages that it feeds.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"petrelhook/internal/dissemination"
+	"petrelhook/internal/gateway"
+	"petrelhook/internal/membership"
+	"petrelhook/internal/operatorapi"
+	"petrelhook/internal/quota"
+	"petrelhook/internal/registry"
+	"petrelhook/internal/replication"
+	"petrelhook/internal/settings"
+	"petrelhook/internal/storage"
+	"petrelhook/internal/transport"
+)
+
+// Times of a node's own loops.
+const (
+	tickEvery      = 50 * time.Millisecond
+	sessionEvery   = 400 * time.Millisecond
+	greetEvery     = 200 * time.Millisecond // while the core is not known
+	homeSilent     = 1200 * time.Millisecond
+	sessionTimeout = 3 * time.Second
+	quotaEvery     = 500 * time.Millisecond
+	pruneEvery     = 2 * time.Second
+	homeReview     = 5 * time.Second
+	silentBeats    = 4.5 // heartbeats that a server may miss
+	resendAfter    = 300 * time.Millisecond
+)
+
+// Node is one process.
+type Node struct {
+	settings *settings.Settings
+	logger   *log.Logger
+	start    time.Time
+	life     uint64
+	self     membership.Node
+
+	gateway   *gateway.Gateway
+	transport *transport.Transport
+	disk      *diskWriter
+
+	ready  atomic.Bool
+	ending atomic.Bool
+
+	mutex     sync.Mutex // guards all below
+	replica   *replication.Replica
+	register  *operatorapi.Register
+	registry  *registry.Registry
+	sessions  *membership.Sessions
+	versions  *dissemination.Versions
+	allocator *quota.Allocator
+	view      replication.View
+	eligible  map[string]replication.Member
+
+	home        home
+	subscribers map[string]*subscriber
+	upstream    map[string]upstreamStamp // by address of who pushes
+	complete    bool                     // the list of servers is whole
+	fleet       int
+	answers     map[uint64]chan replication.Decision
+	keeps       map[uint64]*keeping
+	token       uint64
+
+	compiled     uint64 // version of the gateway's table
+	listed       uint64 // stamp of the gateway's servers
+	listedTable  uint64
+	lastSession  time.Duration
+	lastQuota    time.Duration
+	lastPrune    time.Duration
+	touchedSince time.Duration
+}
+
+// New makes a node; nothing is started or opened.
+func New(s *settings.Settings, logger *log.Logger) *Node {
+	n := &Node{settings: s, logger: logger, start: time.Now(), life: rand.Uint64() | 1,
+		register: operatorapi.NewRegister(), registry: registry.New(), sessions: membership.New(sessionTimeout),
+		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
+		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
+		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1}
+	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
+	b := s.Bounds
+	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
+		QuotaBounds: quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
+		BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
+	n.transport = transport.New(n.self.Address, n.receive)
+	return n
+}
+
+// now is the steady clock since the start.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Run serves until the context ends, and then until the process may end.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.open(); err != nil {
+		return err
+	}
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			n.tick()
+		}
+	}
+	n.end(servers, ticker)
+	n.transport.Close()
+	if n.disk != nil {
+		n.disk.close()
+	}
+	return nil
+}
+
+// open reads the disk, where there is one, and makes the replica.
+func (n *Node) open() error {
+	s := n.settings
+	o := replication.Options{Self: replication.Member{Address: n.self.Address, Zone: s.Zone}, Seeds: s.SeedAddresses(),
+		Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance.Machines}
+	var kept *replication.Kept
+	if s.Core() {
+		disk, found, err := storage.Open(s.DataDir, n.self.Address, s.Bootstrap)
+		if err != nil {
+			return err
+		}
+		kept = found
+		o.Self.ID = kept.ID
+		n.self.Member = &o.Self
+		n.disk = newDiskWriter(disk, n.saved)
+		n.eligible[kept.ID] = o.Self
+	} else {
+		o.Witness = true
+		o.Self.ID = n.self.Address
+	}
+	var err error
+	n.replica, err = replication.New(o, kept, n.register, n.now())
+	if err == nil && n.self.Member != nil {
+		n.replica.Eligible(*n.self.Member)
+	}
+	return errors.Wrap(err, "replica")
+}
+
+func (n *Node) listen() (*servers, error) {
+	internal, err := net.Listen("tcp", n.self.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "internal")
+	}
+	go n.transport.Serve(internal)
+	s := &servers{internal: internal}
+	for _, one := range []struct {
+		address string
+		handler http.Handler
+		server  **http.Server
+	}{
+		{n.settings.Listen.Ready, http.HandlerFunc(n.serveReady), &s.ready},
+		{n.settings.Listen.Control, n.controlHandler(), &s.control},
+		{n.settings.Listen.Front, n.gateway, &s.front},
+	} {
+		if one.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		server := newServer(one.handler)
+		*one.server = server
+		go server.Serve(listener)
+	}
+	return s, nil
+}
+
+// core reports whether this node is a member of the core, as far as it knows. The lock is held.
+func (n *Node) core() bool {
+	return n.self.Member != nil && n.view.Member(n.self.Member.ID) != nil
+}
+
+// tick lets time pass.
+func (n *Node) tick() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	n.replica.Tick(now)
+	n.carryOut()
+	n.noteView(n.replica.View())
+	if n.core() {
+		n.tickCore(now)
+	}
+	n.tickSessions(now)
+	n.tickQuota(now)
+	if now-n.lastPrune > pruneEvery {
+		n.lastPrune = now
+		n.gateway.Prune()
+	}
+	n.apply()
+}
+
+func (n *Node) tickCore(now time.Duration) {
+	n.sessions.Expire(now)
+	n.setFleet(len(n.sessions.Fleet()) + n.selfMissing())
+	if !n.replica.InTouch() {
+		n.touchedSince = -1
+		return
+	}
+	if n.touchedSince < 0 {
+		n.touchedSince = now
+	}
+	beat := settings.Milliseconds(n.settings.HeartbeatMs)
+	if !n.complete && now-n.touchedSince > 2*beat {
+		n.complete = true // every server that lives has called some control sidecar by now
+	}
+	if n.registry.Expire(time.Duration(silentBeats*float64(beat)), now) {
+		n.pushAll()
+	}
+}
+
+func (n *Node) selfMissing() int {
+	if _, ok := n.sessions.Fleet()[n.self.Address]; ok {
+		return 0
+	}
+	return 1
+}
+
+func (n *Node) setFleet(size int) {
+	if size > 0 && size != n.fleet {
+		n.fleet = size
+		n.gateway.SetFleet(size)
+	}
+}
+
+// noteView takes in the newest view.
+func (n *Node) noteView(v replication.View) {
+	if n.view.Epoch.Less(v.Epoch) {
+		n.view = v
+		n.replica.LearnView(v)
+		if !n.replica.Primary() {
+			n.allocator = nil
+		}
+		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
+			Int("in_sync", len(v.InSync)).Msg("view")
+		n.pushAll()
+	}
+	if n.replica.Primary() && n.allocator == nil {
+		n.allocator = quota.NewAllocator(n.now())
+	}
+}
+
+func (n *Node) tickQuota(now time.Duration) {
+	if now-n.lastQuota < quotaEvery || n.view.PrimaryAddress() == "" {
+		return
+	}
+	n.lastQuota = now
+	nonce, demand, held := n.gateway.AskQuota()
+	if len(demand) == 0 {
+		return
+	}
+	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
+	if n.replica.Primary() {
+		n.onQuotaAsk(n.self.Address, ask)
+		return
+	}
+	n.transport.Send(n.view.PrimaryAddress(), ask)
+}
+
+func (n *Node) onQuotaAsk(from string, m dissemination.QuotaAsk) {
+	if !n.replica.Primary() || !n.replica.InTouch() || n.allocator == nil {
+		return
+	}
+	shares := n.allocator.Ask(from, m.Life, m.Demand, m.Held, n.fleet, n.now())
+	if from == n.self.Address {
+		n.gateway.QuotaGranted(m.Nonce, shares)
+		return
+	}
+	n.transport.Send(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
+}
+
+// carryOut does what the replica wants done.
+func (n *Node) carryOut() {
+	for effects := n.replica.Effects(); len(effects) > 0; effects = n.replica.Effects() {
+		for _, one := range effects {
+			switch e := one.(type) {
+			case replication.Send:
+				n.transport.Send(e.To, e.Message)
+			case replication.Save:
+				n.disk.save(e)
+			case replication.Publish:
+				n.publish(e)
+			case replication.Answer:
+				if to := n.answers[e.Token]; to != nil {
+					delete(n.answers, e.Token)
+					to <- e.Decision
+				}
+			}
+		}
+	}
+}
+
+// saved is called by the disk's goroutine.
+func (n *Node) saved(number uint64, err error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("disk")
+		n.replica.SaveFailed(number, n.now())
+	} else {
+		n.replica.Saved(number, n.now())
+	}
+	n.carryOut()
+	n.noteView(n.replica.View())
+	n.apply()
+}
+
+// receive takes in a message of another sidecar.
+func (n *Node) receive(from string, body any) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	switch m := body.(type) {
+	case replication.Message:
+		n.replica.Receive(from, m, now)
+		n.carryOut()
+		n.noteView(n.replica.View())
+	case dissemination.Session:
+		n.onSession(from, &m, now)
+	case dissemination.Push:
+		n.onPush(from, &m, now)
+	case dissemination.Beat:
+		n.onBeat(from, m, now)
+	case dissemination.BeatKept:
+		n.kept(m.Request)
+	case dissemination.Spread:
+		n.onSpread(from, m, now)
+	case dissemination.SpreadKept:
+		n.onSpreadKept(from, m)
+	case dissemination.QuotaAsk:
+		n.onQuotaAsk(from, m)
+	case dissemination.QuotaGrant:
+		n.gateway.QuotaGranted(m.Nonce, m.Shares)
+	}
+	n.apply()
+}
+
+func (n *Node) isMember(address string) bool {
+	return slices.ContainsFunc(n.view.Members, func(m replication.Member) bool { return m.Address == address })
+}
--- /dev/null
+++ b/internal/node/subscription.go
@@ -0,0 +1,333 @@
+package node
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"petrelhook/internal/dissemination"
+	"petrelhook/internal/replication"
+	"petrelhook/internal/routetable"
+)
+
+// home is the control sidecar that a sidecar subscribes to.
+type home struct {
+	address string
+	since   time.Duration
+	heard   time.Duration
+	touch   bool
+	avoid   map[string]time.Duration // homes that failed, until when
+}
+
+// subscriber is what a control sidecar knows of one that subscribes to it.
+type subscriber struct {
+	address  string
+	core     bool
+	view     replication.Epoch
+	version  uint64
+	stamp    uint64
+	sessions uint64
+	sent     time.Duration // when something was last sent that it lacked
+	heard    time.Duration
+	fresh    map[string]bool // servers heard here that it was not told of
+}
+
+// upstreamStamp is how far one has followed another's registry.
+type upstreamStamp struct {
+	life  uint64
+	stamp uint64
+}
+
+// tickSessions keeps this node's sessions alive.
+func (n *Node) tickSessions(now time.Duration) {
+	every := sessionEvery
+	if n.view.Epoch.Round == 0 {
+		every = greetEvery
+	}
+	if now-n.lastSession < every {
+		return
+	}
+	n.lastSession = now
+	if n.view.Epoch.Round == 0 {
+		n.greet()
+		return
+	}
+	if n.self.Member != nil {
+		for _, m := range n.view.Members {
+			if m.Address != n.self.Address {
+				n.sendSession(m.Address)
+			}
+		}
+	}
+	if n.core() {
+		n.sessions.Heartbeat(n.self, now)
+		return
+	}
+	if n.self.Member == nil || !n.isMember(n.self.Address) {
+		n.reviewHome(now)
+		if n.home.address != "" {
+			n.sendSession(n.home.address)
+		}
+		if now-n.home.heard > homeSilent {
+			n.greet()
+		}
+	}
+}
+
+// greet asks the seeds who the core is.
+func (n *Node) greet() {
+	m := dissemination.Session{Node: n.self, View: n.view.Epoch}
+	for _, seed := range n.settings.SeedAddresses() {
+		if seed != n.self.Address {
+			n.transport.Send(seed, m)
+		}
+	}
+}
+
+func (n *Node) sendSession(to string) {
+	has := n.upstream[to]
+	m := dissemination.Session{Node: n.self, Subscribe: true, View: n.view.Epoch, Version: n.versions.Version(),
+		HomeLife: has.life, Stamp: has.stamp, Core: n.self.Member != nil}
+	if m.Core {
+		m.Sessions = n.sessions.PeerStamp(to, has.life)
+	}
+	n.transport.Send(to, m)
+}
+
+// reviewHome chooses another home where the one there is says nothing, or has lost touch with the core.
+func (n *Node) reviewHome(now time.Duration) {
+	h := &n.home
+	if h.avoid == nil {
+		h.avoid = map[string]time.Duration{}
+	}
+	silent := now-max(h.heard, h.since) > homeSilent
+	astray := now-h.since > homeSilent && !h.touch
+	if h.address != "" && (silent || astray) {
+		h.avoid[h.address] = now + homeReview
+	}
+	away := now-h.since > homeReview && n.zoneOf(h.address) != n.settings.Zone
+	if h.address != "" && n.isMember(h.address) && !silent && !astray && !away {
+		return
+	}
+	best := n.bestHome(now)
+	if best == "" || best == h.address {
+		h.since = now
+		return
+	}
+	h.address, h.since, h.touch = best, now, false
+}
+
+func (n *Node) zoneOf(address string) string {
+	for _, m := range n.view.Members {
+		if m.Address == address {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
+// bestHome ranks the core: the own zone, then the own region, then the others; within these by rendezvous hashing.
+func (n *Node) bestHome(now time.Duration) string {
+	type ranked struct {
+		address string
+		avoid   bool
+		far     int
+		hash    uint32
+	}
+	var list []ranked
+	for _, m := range n.view.Members {
+		far := 2
+		if m.Zone == n.settings.Zone {
+			far = 0
+		} else if n.settings.Zones[m.Zone] == n.settings.Region {
+			far = 1
+		}
+		h := fnv.New32a()
+		h.Write([]byte(n.self.Address + m.Address))
+		list = append(list, ranked{m.Address, now < n.home.avoid[m.Address], far, h.Sum32()})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.avoid != b.avoid {
+			return b.avoid
+		}
+		if a.far != b.far {
+			return a.far < b.far
+		}
+		return a.hash < b.hash
+	})
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0].address
+}
+
+// onSession takes in a sidecar's heartbeat and answers with what it lacks.
+func (n *Node) onSession(from string, m *dissemination.Session, now time.Duration) {
+	if m.Node.Member != nil {
+		n.eligible[m.Node.Member.ID] = *m.Node.Member
+		n.replica.Eligible(*m.Node.Member)
+	}
+	if !m.Subscribe || !n.core() {
+		n.introduce(from, m)
+		return
+	}
+	n.sessions.Heartbeat(m.Node, now)
+	s := n.subscribers[from]
+	if s == nil {
+		s = &subscriber{address: from, fresh: map[string]bool{}}
+		n.subscribers[from] = s
+	}
+	s.core, s.heard, s.view = m.Core, now, m.View
+	if m.HomeLife != n.life {
+		s.stamp, s.version, s.sessions = 0, m.Version, 0
+	} else if now-s.sent > resendAfter { // what was sent since has had its time to arrive
+		s.stamp, s.version, s.sessions = m.Stamp, m.Version, m.Sessions
+	}
+	n.push(s, now)
+}
+
+// introduce tells one that does not subscribe here who the core is, or who may become it.
+func (n *Node) introduce(to string, m *dissemination.Session) {
+	p := dissemination.Push{Life: n.life}
+	if m.View.Less(n.view.Epoch) {
+		view := n.view
+		p.View = &view
+	}
+	if n.view.Epoch.Round == 0 {
+		for _, one := range n.eligible {
+			p.Eligible = append(p.Eligible, one)
+		}
+	}
+	if p.View != nil || len(p.Eligible) > 0 {
+		n.transport.Send(to, p)
+	}
+}
+
+// push tells a subscriber what it lacks; it is also the heartbeat of the session.
+func (n *Node) push(s *subscriber, now time.Duration) {
+	p := dissemination.Push{Life: n.life, InTouch: n.replica.InTouch(), Complete: n.complete, Fleet: n.fleet}
+	if s.view.Less(n.view.Epoch) {
+		view := n.view
+		p.View = &view
+		s.view = n.view.Epoch
+	}
+	p.FromStamp, p.Stamp = s.stamp, n.registry.Stamp()
+	if s.stamp < p.Stamp {
+		p.Instances = n.registry.Since(s.stamp, now)
+		s.stamp = p.Stamp
+		s.sent = now
+	}
+	if s.version < n.versions.Version() {
+		n.versions.Fill(&p, s.version)
+		s.version = n.versions.Version()
+		s.sent = now
+	} else {
+		p.Version = n.versions.Version()
+	}
+	if s.core {
+		for id := range s.fresh {
+			p.Heard = append(p.Heard, id)
+		}
+		clear(s.fresh)
+		nodes, stamp := n.sessions.Own()
+		p.SessionsStamp = stamp
+		if s.sessions != stamp {
+			p.Nodes = nodes
+			s.sessions = stamp
+		}
+	}
+	n.transport.Send(s.address, p)
+}
+
+// pushAll tells all subscribers at once, since something changed.
+func (n *Node) pushAll() {
+	now := n.now()
+	for address, s := range n.subscribers {
+		if now-s.heard > sessionTimeout {
+			delete(n.subscribers, address)
+			continue
+		}
+		n.push(s, now)
+	}
+}
+
+// onPush takes in what a home, or another control sidecar, tells.
+func (n *Node) onPush(from string, p *dissemination.Push, now time.Duration) {
+	for _, m := range p.Eligible {
+		n.eligible[m.ID] = m
+		n.replica.Eligible(m)
+	}
+	if p.View != nil {
+		n.noteView(*p.View)
+	}
+	if from == n.home.address {
+		n.home.heard, n.home.touch = now, p.InTouch
+		if p.Complete && !n.core() {
+			n.complete = n.complete || p.FromStamp == 0 || n.upstream[from].life == p.Life
+			n.setFleet(p.Fleet)
+		}
+	}
+	if p.Stamp == 0 && p.Version == 0 && p.SessionsStamp == 0 {
+		return // an introduction
+	}
+	before := n.registry.Stamp()
+	for _, u := range p.Instances {
+		n.registry.Merge(u, now)
+	}
+	n.registry.Refresh(p.Heard, now)
+	n.follow(from, p)
+	if n.core() {
+		n.sessions.Peer(from, p.Life, p.SessionsStamp, p.Nodes, now)
+		if p.Complete && p.FromStamp == 0 {
+			n.complete = true
+		}
+	}
+	changed, err := n.versions.Take(p)
+	if err != nil {
+		n.logger.Debug().Err(err).Str("from", from).Msg("push")
+	}
+	if changed || n.registry.Stamp() != before {
+		n.pushAll()
+	}
+}
+
+func (n *Node) follow(from string, p *dissemination.Push) {
+	has := n.upstream[from]
+	if has.life != p.Life {
+		has = upstreamStamp{life: p.Life}
+	}
+	if p.FromStamp <= has.stamp {
+		has.stamp = max(has.stamp, p.Stamp)
+	}
+	n.upstream[from] = has
+}
+
+// publish takes a committed configuration from the replica.
+func (n *Node) publish(e replication.Publish) {
+	config, ok := e.Value.(*routetable.Config)
+	if ok && n.versions.Set(e.Position.Sequence, config, e.Entry) {
+		n.pushAll()
+	}
+}
+
+// apply puts in force what is newer than what the gateway has.
+func (n *Node) apply() {
+	if v := n.versions.Version(); v != n.compiled {
+		n.compiled = v
+		n.gateway.SetTable(routetable.Compile(n.versions.Config()))
+		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
+	}
+	if n.registry.Stamp() != n.listed || n.listedTable != n.compiled {
+		n.listed, n.listedTable = n.registry.Stamp(), n.compiled
+		if t := n.gateway.Table(); t != nil {
+			for name := range t.Services() {
+				n.gateway.SetServers(name, n.registry.Usable(name))
+			}
+		}
+	}
+	if !n.ready.Load() && n.compiled > 0 && n.complete {
+		n.ready.Store(true)
+		n.logger.Info().Int("servers", n.registry.Len()).Int("fleet", n.fleet).Msg("ready")
+	}
+}
--- /dev/null
+++ b/internal/operatorapi/register.go
@@ -0,0 +1,201 @@
+// Package operatorapi is the operator's side: orders to replace or update the configuration, what is made of them, and the
+// HTTP calls that bring them.
+//
+// Register is the state machine that the core replicates. It is deterministic: the same orders in the same order give
+// the same configuration on every replica. Invariants: an order that was taken is known by its content for as long as
+// orderMemory later ones, and is never refused; versions only rise.
+package operatorapi
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/gob"
+	"encoding/json"
+	"net/http"
+
+	"petrelhook/internal/replication"
+	"petrelhook/internal/routetable"
+)
+
+// orderMemory is how many orders that were taken are remembered.
+const orderMemory = 4096
+
+// OrderKind says what an order does.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	Replace OrderKind = iota + 1
+	Update
+)
+
+// Order is one call of the operator.
+type Order struct {
+	Kind OrderKind
+	Base int64
+	Body []byte
+}
+
+// Digest is an order's content.
+type Digest [sha256.Size]byte
+
+// Digest is the content of an order: a call that is sent again has the same.
+func (o *Order) Digest() Digest {
+	h := sha256.New()
+	gob.NewEncoder(h).Encode(o)
+	return Digest(h.Sum(nil))
+}
+
+// Encode gives an order as an entry.
+func (o *Order) Encode() []byte {
+	var text bytes.Buffer
+	gob.NewEncoder(&text).Encode(o)
+	return text.Bytes()
+}
+
+// DecodeOrder reads an entry.
+func DecodeOrder(entry []byte) (*Order, error) {
+	o := &Order{}
+	return o, gob.NewDecoder(bytes.NewReader(entry)).Decode(o)
+}
+
+// Register is the replicated configuration.
+type Register struct {
+	config *routetable.Config
+	taken  []Digest
+	known  map[Digest]bool
+
+	cached Digest // the order that next was worked out for
+	next   *routetable.Config
+}
+
+// NewRegister makes an empty register.
+func NewRegister() *Register { return &Register{known: map[Digest]bool{}} }
+
+// Config is the newest configuration, or nil before the first.
+func (g *Register) Config() *routetable.Config { return g.config }
+
+// Value is the newest configuration as a *routetable.Config.
+func (g *Register) Value() any { return g.config }
+
+// Generation is the newest configuration's number, or 0.
+func (g *Register) Generation() int64 {
+	if g.config == nil {
+		return 0
+	}
+	return g.config.Generation
+}
+
+// Decide says what becomes of an order.
+func (g *Register) Decide(entry []byte) replication.Decision {
+	o, err := DecodeOrder(entry)
+	if err != nil {
+		return replication.Decision{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	if g.known[o.Digest()] {
+		return replication.Decision{Status: http.StatusOK}
+	}
+	if o.Base != g.Generation() {
+		return replication.Decision{Status: http.StatusPreconditionFailed, Reason: "another version is current"}
+	}
+	if _, err := g.result(o); err != nil {
+		return replication.Decision{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	return replication.Decision{Accept: true, Status: http.StatusOK}
+}
+
+// result is the configuration that an order leads to.
+func (g *Register) result(o *Order) (*routetable.Config, error) {
+	if d := o.Digest(); g.next != nil && g.cached == d {
+		return g.next, nil
+	}
+	next, err := Result(g.config, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := next.Validate(g.Generation()); err != nil {
+		return nil, err
+	}
+	g.cached, g.next = o.Digest(), next
+	return next, nil
+}
+
+// Result is the configuration that an order makes of another, which may be nil. It is not judged.
+func Result(base *routetable.Config, o *Order) (*routetable.Config, error) {
+	if o.Kind != Update {
+		return routetable.ParseConfig(o.Body)
+	}
+	u, err := routetable.ParseUpdate(o.Body)
+	if err != nil {
+		return nil, err
+	}
+	if base == nil {
+		base = &routetable.Config{}
+	}
+	return base.Apply(u), nil
+}
+
+// ApplyOrder is Result for an encoded order that was taken.
+func ApplyOrder(base *routetable.Config, entry []byte) (*routetable.Config, error) {
+	o, err := DecodeOrder(entry)
+	if err != nil {
+		return nil, err
+	}
+	return Result(base, o)
+}
+
+// Apply takes an order that Decide accepted.
+func (g *Register) Apply(entry []byte) {
+	o, err := DecodeOrder(entry)
+	if err != nil {
+		return
+	}
+	next, err := g.result(o)
+	if err != nil {
+		return
+	}
+	g.config, g.next = next, nil
+	d := o.Digest()
+	g.taken = append(g.taken, d)
+	g.known[d] = true
+	if len(g.taken) > orderMemory {
+		delete(g.known, g.taken[0])
+		g.taken = append([]Digest(nil), g.taken[1:]...)
+	}
+}
+
+type snapshot struct {
+	Config []byte // JSON, empty before the first
+	Taken  []Digest
+}
+
+// Snapshot gives the whole state.
+func (g *Register) Snapshot() []byte {
+	s := snapshot{Taken: g.taken}
+	if g.config != nil {
+		s.Config, _ = json.Marshal(g.config)
+	}
+	var text bytes.Buffer
+	gob.NewEncoder(&text).Encode(s)
+	return text.Bytes()
+}
+
+// Restore takes a whole state.
+func (g *Register) Restore(text []byte) error {
+	var s snapshot
+	if err := gob.NewDecoder(bytes.NewReader(text)).Decode(&s); err != nil {
+		return err
+	}
+	var config *routetable.Config
+	if len(s.Config) > 0 {
+		var err error
+		if config, err = routetable.ParseConfig(s.Config); err != nil {
+			return err
+		}
+	}
+	g.config, g.next, g.taken, g.known = config, nil, s.Taken, map[Digest]bool{}
+	for _, d := range s.Taken {
+		g.known[d] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,284 @@
+// Package placement chooses the server for a request. It is pure, for one goroutine at a time.
+//
+// A prompt that shares much with others goes where rendezvous hashing of its longest shared part points, so that sidecars
+// agree without a word between them; the set of servers for a part grows while the first is loaded beyond the
+// others or has errors against it. All else goes over the servers of the sidecar's zone. Within the set the pick is the
+// design's: smooth weighted round robin over 100 × multiplier. A re-route goes to the healthiest server not yet tried.
+package placement
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"petrelhook/internal/rotation"
+)
+
+const (
+	sharedWorth = 600 // shared tokens from which a prompt is sent where they are kept
+	loadSlack   = 2.0 // requests that a server may hold beyond its part
+	loadFactor  = 1.5
+	reportGood  = time.Second
+)
+
+// Server is what a sidecar knows of one server.
+type Server struct {
+	ID      string
+	Address string
+	Zone    string
+	Slots   int
+
+	Health   rotation.Health
+	turn     rotation.Turn
+	inFlight int
+	reported float64 // requests running and waiting there, by its last answer
+	since    int     // sent by this sidecar after that
+	at       time.Duration
+}
+
+// Sent notes a request that goes there.
+func (s *Server) Sent() { s.inFlight++; s.since++ }
+
+// Ended notes that a request has ended.
+func (s *Server) Ended() { s.inFlight-- }
+
+// InFlight is how many requests this sidecar has there.
+func (s *Server) InFlight() int { return s.inFlight }
+
+// Report takes in a load that the server told.
+func (s *Server) Report(running, waiting float64, slots int, now time.Duration) {
+	s.reported, s.at, s.since = running+waiting, now, 0
+	if slots > 0 {
+		s.Slots = slots
+	}
+}
+
+// Load is an estimate of the requests that a server holds.
+func (s *Server) Load(now time.Duration) float64 {
+	own := float64(s.inFlight)
+	if s.at == 0 || now-s.at > reportGood {
+		return own
+	}
+	fade := 1 - float64(now-s.at)/float64(reportGood)
+	return math.Max(own, s.reported*fade+float64(s.since))
+}
+
+// Full reports whether a server is thought to have no place left.
+func (s *Server) Full(now time.Duration) bool {
+	return s.Slots > 0 && s.Load(now) >= float64(s.Slots)
+}
+
+// Request is what is asked of a placement.
+type Request struct {
+	Key    string // the longest shared part of the prompt; "": none
+	Shared int    // tokens up to its end
+	Tried  map[string]bool
+}
+
+// Pool is the servers of one service.
+type Pool struct {
+	zone    string
+	servers map[string]*Server
+	ordered []*Server
+}
+
+// NewPool makes an empty pool of a sidecar in a zone.
+func NewPool(zone string) *Pool { return &Pool{zone: zone, servers: map[string]*Server{}} }
+
+// Set takes in the servers that may be used; what is known of those that stay is kept. It returns those that left.
+func (p *Pool) Set(list []Server) (gone []*Server) {
+	next := make(map[string]*Server, len(list))
+	for i := range list {
+		one := list[i]
+		s := p.servers[one.ID]
+		if s == nil {
+			s = &one
+		}
+		s.Address, s.Zone = one.Address, one.Zone
+		next[one.ID] = s
+	}
+	for id, s := range p.servers {
+		if next[id] == nil {
+			gone = append(gone, s)
+		}
+	}
+	p.servers = next
+	p.ordered = p.ordered[:0]
+	for _, s := range next {
+		p.ordered = append(p.ordered, s)
+	}
+	sort.Slice(p.ordered, func(i, j int) bool { return p.ordered[i].ID < p.ordered[j].ID })
+	return gone
+}
+
+// Servers lists the servers, by ID.
+func (p *Pool) Servers() []*Server { return p.ordered }
+
+// Pick chooses a server for a first send; usable says whether one may be used besides. It returns nil where none is left.
+func (p *Pool) Pick(r Request, usable func(*Server) bool, now time.Duration) *Server {
+	candidates := p.candidates(r, usable, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if r.Key != "" && r.Shared >= sharedWorth {
+		return p.rotate(p.affine(r.Key, candidates, now), now)
+	}
+	return p.rotate(p.near(candidates, now), now)
+}
+
+// Reroute chooses the healthiest server that was not tried; of equals the least loaded in its own zone.
+func (p *Pool) Reroute(r Request, usable func(*Server) bool, now time.Duration) *Server {
+	var best *Server
+	for _, s := range p.candidates(r, usable, now) {
+		if best == nil || p.better(s, best, now) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (p *Pool) better(s, best *Server, now time.Duration) bool {
+	if a, b := s.Health.Multiplier(now), best.Health.Multiplier(now); a != b {
+		return a > b
+	}
+	if a, b := s.Full(now), best.Full(now); a != b {
+		return b
+	}
+	if a, b := s.Zone == p.zone, best.Zone == p.zone; a != b {
+		return a
+	}
+	return s.Load(now) < best.Load(now)
+}
+
+// candidates are the servers that may have the request; those that rest only where no other may.
+func (p *Pool) candidates(r Request, usable func(*Server) bool, now time.Duration) []*Server {
+	out := make([]*Server, 0, len(p.ordered))
+	var resting []*Server
+	for _, s := range p.ordered {
+		if r.Tried[s.ID] || !usable(s) {
+			continue
+		}
+		if s.Health.Resting(now) {
+			resting = append(resting, s)
+			continue
+		}
+		out = append(out, s)
+	}
+	if len(out) == 0 {
+		return resting
+	}
+	return out
+}
+
+// near are the servers of the own zone with a place, else all with a place, else all.
+func (p *Pool) near(candidates []*Server, now time.Duration) []*Server {
+	var here, free []*Server
+	for _, s := range candidates {
+		if s.Full(now) {
+			continue
+		}
+		free = append(free, s)
+		if s.Zone == p.zone {
+			here = append(here, s)
+		}
+	}
+	switch {
+	case len(here) > 0:
+		return here
+	case len(free) > 0:
+		return free
+	}
+	return candidates
+}
+
+// affine is the set of servers for a shared part: the first in its order that is not over its part of the load, and the next
+// one beside it where that has errors.
+func (p *Pool) affine(key string, candidates []*Server, now time.Duration) []*Server {
+	ordered := rank(key, candidates)
+	total := 0.0
+	for _, s := range ordered {
+		total += s.Load(now)
+	}
+	most := loadFactor*total/float64(len(ordered)) + loadSlack
+	var set []*Server
+	for _, s := range ordered {
+		if s.Load(now) > most || s.Full(now) {
+			continue
+		}
+		set = append(set, s)
+		if s.Health.Multiplier(now) == 1 {
+			break
+		}
+		if len(set) == 2 {
+			break
+		}
+	}
+	if len(set) == 0 {
+		return ordered[:1]
+	}
+	return set
+}
+
+// rank orders servers for a key by rendezvous hashing.
+func rank(key string, servers []*Server) []*Server {
+	type ranked struct {
+		server *Server
+		weight uint64
+	}
+	list := make([]ranked, len(servers))
+	for i, s := range servers {
+		h := fnv.New64a()
+		h.Write([]byte(key))
+		h.Write([]byte{0})
+		h.Write([]byte(s.ID))
+		list[i] = ranked{s, mix(h.Sum64())}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+	out := make([]*Server, len(list))
+	for i, one := range list {
+		out[i] = one.server
+	}
+	return out
+}
+
+// mix spreads the last bytes of a hash over all its bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func (p *Pool) rotate(set []*Server, now time.Duration) *Server {
+	if len(set) == 1 {
+		return set[0]
+	}
+	candidates := make([]rotation.Candidate, len(set))
+	for i, s := range set {
+		candidates[i] = rotation.Candidate{Turn: &s.turn, Weight: s.Health.Weight(now)}
+	}
+	return set[rotation.Pick(candidates)]
+}
+
+// ParsePrefix reads X-Prompt-Prefix, parts as ID:TOKENS by commas: the key of the longest part that others may share, and the
+// tokens up to its end. The last part is the request's own or its session's.
+func ParsePrefix(header string) (key string, shared int) {
+	parts := strings.Split(header, ",")
+	if header == "" || len(parts) < 2 {
+		return "", 0
+	}
+	for _, part := range parts[:len(parts)-1] {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
+		n, err := strconv.Atoi(tokens)
+		if !ok || err != nil {
+			return "", 0
+		}
+		key = id
+		shared += n
+	}
+	return key, shared
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,204 @@
+// Package registry is the list of servers: what their heartbeats said, what other sidecars said of them, and who has been
+// silent for too long. It is pure; each sidecar holds one.
+//
+// Merging is by the sequence number that a server counts up with every call, so that it does not matter in which order, how
+// often or by which way news comes. Deregistration is final for an instance. Invariant: an entry's stamp grows whenever
+// what the data plane has to know of it changes, so that a subscriber is told of exactly that.
+package registry
+
+import (
+	"sort"
+	"time"
+)
+
+// State is what a server says of itself.
+type State uint8
+
+// The states of a server. Gone is final.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Instance is one life of a server.
+type Instance struct {
+	ID         string
+	Service    string
+	Address    string
+	Zone       string
+	Generation string
+	Slots      int
+	State      State
+	ColdUntil  time.Duration // how much longer it is slow, as of Sequence
+	Sequence   int64
+}
+
+// Update is what one sidecar tells another of an instance.
+type Update struct {
+	Instance Instance
+	Lost     bool
+	Age      time.Duration // since it was last heard
+}
+
+// Entry is what a registry holds of an instance.
+type Entry struct {
+	Instance
+	Lost  bool // silent for too long, or another server has its address
+	Stamp uint64
+	Heard time.Duration // when
+}
+
+// Usable reports whether requests may go there.
+func (e *Entry) Usable() bool { return e.State == Ready && !e.Lost }
+
+// Registry is one sidecar's list.
+type Registry struct {
+	entries map[string]*Entry
+	stamp   uint64
+	fresh   []string // heard here since Fresh was called
+}
+
+// keepGone is for how long the end of an instance is remembered.
+const keepGone = 2 * time.Minute
+
+// New makes an empty registry.
+func New() *Registry { return &Registry{entries: map[string]*Entry{}} }
+
+// Stamp is the stamp of the newest change.
+func (g *Registry) Stamp() uint64 { return g.stamp }
+
+// Len is the number of instances known, ended ones included.
+func (g *Registry) Len() int { return len(g.entries) }
+
+// Entry finds an instance.
+func (g *Registry) Entry(id string) *Entry { return g.entries[id] }
+
+// Beat takes in a call of the server itself and reports whether something changed.
+func (g *Registry) Beat(i Instance, now time.Duration) bool {
+	g.fresh = append(g.fresh, i.ID)
+	return g.merge(i, now, now, false)
+}
+
+// Merge takes in what another sidecar says.
+func (g *Registry) Merge(u Update, now time.Duration) bool {
+	return g.merge(u.Instance, now-u.Age, now, u.Lost)
+}
+
+func (g *Registry) merge(i Instance, heard, now time.Duration, lost bool) bool {
+	e := g.entries[i.ID]
+	if e == nil {
+		e = &Entry{Instance: i, Heard: heard, Lost: lost}
+		g.entries[i.ID] = e
+		g.change(e)
+		g.takeAddress(e)
+		return true
+	}
+	changed := false
+	if i.Sequence > e.Sequence && e.State != Gone || i.State == Gone && e.State != Gone {
+		changed = e.State != i.State || e.Address != i.Address || e.Service != i.Service || e.Slots != i.Slots
+		sequence := max(i.Sequence, e.Sequence)
+		if i.State < e.State { // a drain is not taken back
+			i.State = e.State
+			changed = e.Address != i.Address
+		}
+		e.Instance = i
+		e.Sequence = sequence
+	}
+	if heard > e.Heard {
+		e.Heard = heard
+		if !lost && e.Lost && now-heard < time.Second {
+			e.Lost = false
+			changed = true
+		}
+	}
+	if lost && !e.Lost {
+		e.Lost = true
+		changed = true
+	}
+	if changed {
+		g.change(e)
+	}
+	return changed
+}
+
+func (g *Registry) change(e *Entry) {
+	g.stamp++
+	e.Stamp = g.stamp
+}
+
+// takeAddress marks instances lost that had the address of a newer one.
+func (g *Registry) takeAddress(e *Entry) {
+	for _, other := range g.entries {
+		if other != e && other.Address == e.Address && !other.Lost && other.State != Gone && other.Heard < e.Heard {
+			other.Lost = true
+			g.change(other)
+		}
+	}
+}
+
+// Refresh notes that instances were heard by another sidecar.
+func (g *Registry) Refresh(ids []string, now time.Duration) {
+	for _, id := range ids {
+		if e := g.entries[id]; e != nil && now > e.Heard {
+			e.Heard = now
+			if e.Lost {
+				e.Lost = false
+				g.change(e)
+			}
+		}
+	}
+}
+
+// Fresh takes the instances that were heard here since the last call.
+func (g *Registry) Fresh() []string {
+	out := g.fresh
+	g.fresh = nil
+	return out
+}
+
+// Expire marks those lost that have been silent for longer than a time, and forgets ends that are long past.
+func (g *Registry) Expire(silence, now time.Duration) bool {
+	changed := false
+	for id, e := range g.entries {
+		silent := now - e.Heard
+		if (e.State == Gone || e.Lost) && silent > keepGone {
+			delete(g.entries, id)
+			continue
+		}
+		if e.State != Gone && !e.Lost && silent > silence {
+			e.Lost = true
+			g.change(e)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Since lists what changed after a stamp, in the order of the changes.
+func (g *Registry) Since(stamp uint64, now time.Duration) []Update {
+	var changed []*Entry
+	for _, e := range g.entries {
+		if e.Stamp > stamp {
+			changed = append(changed, e)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].Stamp < changed[j].Stamp })
+	out := make([]Update, 0, len(changed))
+	for _, e := range changed {
+		out = append(out, Update{Instance: e.Instance, Lost: e.Lost, Age: now - e.Heard})
+	}
+	return out
+}
+
+// Usable lists the instances of a service that requests may go to, by ID.
+func (g *Registry) Usable(service string) []Instance {
+	var out []Instance
+	for _, e := range g.entries {
+		if e.Service == service && e.Usable() {
+			out = append(out, e.Instance)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/replication/election.go
@@ -0,0 +1,375 @@
+package replication
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+)
+
+type phase int
+
+const (
+	preparing phase = iota
+	syncing
+	accepting
+)
+
+// election is a candidacy.
+type election struct {
+	epoch    Epoch
+	phase    phase
+	began    time.Duration // of the phase
+	start    time.Duration
+	promises map[string]Promise // by address
+	votes    map[string]bool
+	newest   View
+	synced   map[string]bool // IDs
+	asked    map[string]Member
+	accepts  map[string]bool
+	view     View
+}
+
+// contacts are all whose promise may be needed, by address.
+func (r *Replica) contacts() map[string]bool {
+	out := map[string]bool{}
+	views := []View{r.known, r.hard.Accepted, r.election.newest}
+	if r.known.Epoch.Round == 0 && r.hard.Accepted.Epoch.Round == 0 {
+		views = append(views, r.base())
+	}
+	for _, v := range views {
+		for _, m := range v.Members {
+			out[m.Address] = true
+		}
+		for _, m := range v.Old {
+			out[m.Address] = true
+		}
+	}
+	for _, m := range r.candidates {
+		out[m.Address] = true
+	}
+	delete(out, r.Self.Address)
+	return out
+}
+
+// campaign begins a candidacy for the next epoch.
+func (r *Replica) campaign(force bool) {
+	if r.Witness || r.stalled() {
+		return
+	}
+	round := max(r.hard.Promised.Round, r.known.Epoch.Round, r.hard.Accepted.Epoch.Round) + 1
+	r.role = candidate
+	r.election = election{
+		epoch: Epoch{Round: round, Node: r.Self.ID}, began: r.now, start: r.now,
+		promises: map[string]Promise{}, votes: map[string]bool{}, synced: map[string]bool{},
+		asked: map[string]Member{}, accepts: map[string]bool{}, newest: r.base(),
+	}
+	r.hard.Promised = r.election.epoch
+	epoch := r.election.epoch
+	r.save(nil, false, func() {
+		if r.role == candidate && r.election.epoch == epoch && r.hard.Promised == epoch {
+			r.onPromise(r.ownPromise(epoch))
+		}
+	})
+	for address := range r.contacts() {
+		r.send(address, Prepare{Epoch: epoch, From: r.Self, Force: force})
+	}
+}
+
+func (r *Replica) ownPromise(epoch Epoch) Promise {
+	return Promise{Epoch: epoch, From: r.Self, Promised: r.hard.Promised, Voters: r.voters(),
+		Accepted: r.hard.Accepted, Position: r.position}
+}
+
+func (r *Replica) onPrepare(m Prepare) {
+	busy := r.role == primary || r.role == follower && r.heardEver && r.now-r.heard < heardRecently
+	mine := m.From.ID == r.known.Primary
+	if m.Epoch.Less(r.hard.Promised) || m.Epoch == r.hard.Promised && m.Epoch.Node != m.From.ID || busy && !m.Force && !mine {
+		r.send(m.From.Address, Promise{Epoch: m.Epoch, From: r.Self, Refused: true, Promised: r.hard.Promised})
+		return
+	}
+	r.follow(m.Epoch)
+	to, epoch := m.From.Address, m.Epoch
+	r.save(nil, false, func() {
+		if r.hard.Promised == epoch {
+			r.send(to, r.ownPromise(epoch))
+		}
+	})
+}
+
+// follow promises an epoch; a primary or candidate of a smaller one is none any more.
+func (r *Replica) follow(e Epoch) {
+	if r.role != follower && r.hard.Promised != e {
+		r.stepDown()
+	}
+	r.hard.Promised = e
+	r.heard = r.now // the candidate has its chance
+}
+
+func (r *Replica) stepDown() {
+	r.role = follower
+	r.heard = r.now
+	for _, p := range r.leading.queue {
+		r.answer(p.token, Decision{Status: statusUnavailable, Reason: "no longer primary"})
+	}
+	if r.leading.staged != nil {
+		r.answer(r.leading.staged.token, Decision{Status: statusUnavailable, Reason: "no longer primary"})
+	}
+	for _, c := range r.leading.confirms {
+		r.answer(c.token, Decision{Status: statusUnavailable, Reason: "no longer primary"})
+	}
+	r.leading = leading{}
+}
+
+func (r *Replica) onPromise(m Promise) {
+	if r.role != candidate || m.Epoch != r.election.epoch || r.election.phase != preparing {
+		return
+	}
+	e := &r.election
+	if m.Refused {
+		if e.epoch.Less(m.Promised) && r.hard.Promised.Round < m.Promised.Round {
+			r.hard.Promised.Round = m.Promised.Round // the next candidacy starts above it
+			r.hard.Promised.Node = ""
+			r.stepDown()
+		}
+		return
+	}
+	e.promises[m.From.Address] = m
+	for _, v := range m.Voters {
+		e.votes[v] = true
+	}
+	if e.newest.Epoch.Less(m.Accepted.Epoch) {
+		e.newest = m.Accepted
+		for address := range r.contacts() {
+			if _, ok := e.promises[address]; !ok {
+				r.send(address, Prepare{Epoch: e.epoch, From: r.Self, Force: true})
+			}
+		}
+	}
+	r.advancePreparing()
+}
+
+func (r *Replica) advancePreparing() {
+	e := &r.election
+	if _, own := e.promises[r.Self.Address]; !own { // its own disk has to be as far as its memory
+		return
+	}
+	if !majority(e.newest.Members, e.votes) || !majority(e.newest.Old, e.votes) {
+		return
+	}
+	if len(e.promises) < len(r.contacts())+1 && r.now-e.began < phaseWait && !r.allInSyncPromised() {
+		return
+	}
+	if e.newest.Epoch.Round > 0 && !e.newest.inSync(r.Self.ID) {
+		r.LearnView(e.newest)
+		r.stepDown() // one of the in-sync set has to do it
+		return
+	}
+	e.phase, e.began = syncing, r.now
+	for _, p := range e.promises {
+		if p.From.ID == r.Self.ID || !r.mayJoin(p.From, p) {
+			continue
+		}
+		e.asked[p.From.ID] = p.From
+		var snapshot []byte
+		if p.Position != r.position {
+			snapshot = r.machine.Snapshot()
+		}
+		r.send(p.From.Address, Sync{Epoch: e.epoch, Position: r.position, Snapshot: snapshot})
+	}
+	e.synced[r.Self.ID] = true
+	r.advanceSyncing()
+}
+
+// allInSyncPromised: nothing is gained by waiting for more promises, as far as is known.
+func (r *Replica) allInSyncPromised() bool {
+	for _, m := range r.election.newest.Members {
+		if !r.election.votes[m.ID] {
+			return false
+		}
+	}
+	for _, m := range r.candidates {
+		if _, ok := r.election.promises[m.Address]; !ok && m.ID != r.Self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// mayJoin: a sidecar with a disk that promised in its own name.
+func (r *Replica) mayJoin(m Member, p Promise) bool {
+	for _, v := range p.Voters {
+		if v == m.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) onSync(m Sync, from string) {
+	if m.Epoch.Less(r.hard.Promised) || r.Witness {
+		return
+	}
+	r.follow(m.Epoch)
+	changed := r.position != m.Position
+	if changed {
+		if m.Snapshot == nil || r.machine.Restore(m.Snapshot) != nil {
+			return
+		}
+		r.position, r.last = m.Position, nil
+	}
+	epoch, position := m.Epoch, m.Position
+	r.save(nil, changed, func() {
+		if r.hard.Promised == epoch {
+			r.send(from, Synced{Epoch: epoch, From: r.Self.ID, Position: position})
+		}
+	})
+}
+
+func (r *Replica) onSynced(m Synced) {
+	if r.role != candidate || m.Epoch != r.election.epoch || r.election.phase != syncing || m.Position != r.position {
+		return
+	}
+	r.election.synced[m.From] = true
+	r.advanceSyncing()
+}
+
+// minInSync is how many disks an acknowledged entry is on at the least.
+func (r *Replica) minInSync() int { return r.FaultTolerance + 1 }
+
+func (r *Replica) advanceSyncing() {
+	e := &r.election
+	if len(e.synced) < len(e.asked)+1 && r.now-e.began < phaseWait {
+		return
+	}
+	members := r.nextMembers()
+	if len(e.synced) < r.minInSync() {
+		return
+	}
+	e.phase, e.began = accepting, r.now
+	e.view = View{Epoch: e.epoch, Primary: r.Self.ID, Members: members, Old: e.newest.Members}
+	for id := range e.synced {
+		if e.view.Member(id) != nil {
+			e.view.InSync = append(e.view.InSync, id)
+		}
+	}
+	sort.Strings(e.view.InSync)
+	r.hard.Accepted = e.view
+	epoch, view := e.epoch, e.view
+	r.save(nil, false, func() {
+		if r.role == candidate && r.election.epoch == epoch && r.hard.Promised == epoch {
+			r.onAccepted(Accepted{Epoch: epoch, Voters: r.voters()})
+		}
+	})
+	for address := range r.contacts() {
+		r.send(address, Accept{View: view})
+	}
+}
+
+// nextMembers are the members of the view that a candidate proposes.
+func (r *Replica) nextMembers() []Member {
+	e := &r.election
+	var members []Member
+	if e.newest.Epoch.Round > 0 {
+		members = append(members, e.newest.Members...)
+	}
+	joins := make([]Member, 0, len(e.synced))
+	for id := range e.synced {
+		m, ok := e.asked[id]
+		if id == r.Self.ID {
+			m, ok = r.Self, true
+		}
+		if ok {
+			m.Joined = e.epoch.Round
+			joins = append(joins, m)
+		}
+	}
+	sort.Slice(joins, func(i, j int) bool { return joins[i].ID < joins[j].ID })
+	for _, m := range joins {
+		members = addMember(members, m)
+	}
+	return r.withoutPredecessors(members)
+}
+
+// addMember puts a member in the place of the one that had its address, whose disk is gone, or beside the others.
+func addMember(members []Member, m Member) []Member {
+	for i := range members {
+		if members[i].ID == m.ID {
+			return members
+		}
+		if members[i].Address == m.Address {
+			next := append([]Member(nil), members...)
+			next[i] = m
+			return next
+		}
+	}
+	return append(append([]Member(nil), members...), m)
+}
+
+// withoutPredecessors leaves out one that has long been silent and whose zone has a newer member that is not.
+func (r *Replica) withoutPredecessors(members []Member) []Member {
+	for i, old := range members {
+		if r.election.synced[old.ID] || !r.silentLong(old) {
+			continue
+		}
+		for _, m := range members {
+			if m.Zone == old.Zone && m.Joined > old.Joined && r.election.synced[m.ID] {
+				return append(append([]Member(nil), members[:i]...), members[i+1:]...)
+			}
+		}
+	}
+	return members
+}
+
+func (r *Replica) onAccept(m Accept, from string) {
+	if m.View.Epoch.Less(r.hard.Promised) {
+		r.send(from, Accepted{Epoch: m.View.Epoch, Refused: true, Promised: r.hard.Promised})
+		return
+	}
+	r.follow(m.View.Epoch)
+	r.hard.Accepted = m.View
+	epoch := m.View.Epoch
+	r.save(nil, false, func() {
+		if !r.hard.Promised.Less(epoch) {
+			r.send(from, Accepted{Epoch: epoch, Voters: r.voters()})
+		}
+	})
+}
+
+func (r *Replica) onAccepted(m Accepted) {
+	if r.role != candidate || m.Epoch != r.election.epoch || r.election.phase != accepting {
+		return
+	}
+	if m.Refused {
+		return
+	}
+	e := &r.election
+	for _, v := range m.Voters {
+		e.accepts[v] = true
+	}
+	if majority(e.view.Members, e.accepts) && majority(e.view.Old, e.accepts) {
+		r.lead()
+	}
+}
+
+// electionTurn spreads candidates out, so that they do not hinder one another.
+func (r *Replica) electionTurn() time.Duration {
+	for i, id := range r.known.InSync {
+		if id == r.Self.ID {
+			return time.Duration(i) * suspectStep
+		}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(r.Self.ID))
+	return time.Duration(len(r.known.InSync))*suspectStep + time.Duration(h.Sum32()%400)*time.Millisecond
+}
+
+// firstTurn reports whether this sidecar is the one that proposes the first view.
+func (r *Replica) firstTurn() time.Duration {
+	rank := 0
+	for _, m := range r.candidates {
+		if m.Address < r.Self.Address {
+			rank++
+		}
+	}
+	return genesisWait + time.Duration(rank)*suspectStep*4
+}
--- /dev/null
+++ b/internal/replication/step.go
@@ -0,0 +1,131 @@
+package replication
+
+import "time"
+
+// Receive takes in a message from the sidecar at an address.
+func (r *Replica) Receive(from string, m Message, now time.Duration) {
+	r.now = now
+	switch m := m.(type) {
+	case Prepare:
+		r.onPrepare(m)
+	case Promise:
+		r.onPromise(m)
+	case Sync:
+		r.onSync(m, from)
+	case Synced:
+		r.onSynced(m)
+	case Accept:
+		r.onAccept(m, from)
+	case Accepted:
+		r.onAccepted(m)
+	case Replicate:
+		r.onReplicate(m, from)
+	case Replicated:
+		r.onReplicated(m)
+	case Heartbeat:
+		r.onHeartbeat(m, from)
+	case HeartbeatAck:
+		r.onHeartbeatAck(m)
+	case TakeOver:
+		if r.role == follower && !r.hard.Promised.Less(m.Epoch) && r.hard.Accepted.inSync(r.Self.ID) {
+			r.campaign(true)
+		}
+	}
+}
+
+// Tick lets time pass; the shell calls it every few tens of milliseconds.
+func (r *Replica) Tick(now time.Duration) {
+	r.now = now
+	r.retryDisk()
+	switch r.role {
+	case follower:
+		r.tickFollower()
+	case candidate:
+		r.tickCandidate()
+	case primary:
+		r.tickPrimary()
+	}
+}
+
+func (r *Replica) retryDisk() {
+	if r.diskFails && len(r.pending) == 0 && r.now-r.diskTried > diskRetry {
+		r.diskTried = r.now
+		r.save(nil, true, func() {})
+	}
+}
+
+func (r *Replica) tickFollower() {
+	if r.Witness || r.stalled() {
+		return
+	}
+	if r.known.Epoch.Round == 0 && r.hard.Accepted.Epoch.Round == 0 {
+		if r.hard.Genesis && r.now-max(r.lastNewcomer, r.heard) > r.firstTurn() {
+			r.campaign(false)
+		}
+		return
+	}
+	if r.known.Epoch.Round == 0 {
+		r.known = r.hard.Accepted
+	}
+	if r.known.Member(r.Self.ID) == nil && r.hard.Accepted.Member(r.Self.ID) == nil {
+		return // it waits to be taken in
+	}
+	if r.now-r.heard > suspectAfter+r.electionTurn() {
+		r.campaign(false)
+	}
+}
+
+func (r *Replica) tickCandidate() {
+	e := &r.election
+	if r.now-e.start > phaseLimit || r.stalled() {
+		r.stepDown()
+		return
+	}
+	switch e.phase {
+	case preparing:
+		r.advancePreparing()
+	case syncing:
+		r.advanceSyncing()
+	}
+}
+
+func (r *Replica) tickPrimary() {
+	l := &r.leading
+	if r.stalled() {
+		r.Resign(r.now)
+		return
+	}
+	if r.now-l.lastBeat >= HeartbeatEvery {
+		r.heartbeat()
+	}
+	if l.staged != nil && r.now-l.stagedAt > entryLimit {
+		r.recampaign()
+		return
+	}
+	if !r.majorityReachable() && r.now-l.since > suspectAfter {
+		r.stepDown()
+		return
+	}
+	if l.staged == nil {
+		r.review()
+	}
+}
+
+// Resign gives the lead to another in-sync replica, as far as that is possible.
+func (r *Replica) Resign(now time.Duration) {
+	r.now = now
+	if r.role != primary {
+		return
+	}
+	best, latest := "", time.Duration(-1)
+	for _, id := range r.leading.view.InSync {
+		if a, ok := r.leading.acked[id]; ok && id != r.Self.ID && !a.fails && a.at > latest {
+			best, latest = r.leading.view.Member(id).Address, a.at
+		}
+	}
+	epoch := r.leading.view.Epoch
+	r.stepDown()
+	if best != "" {
+		r.send(best, TakeOver{Epoch: epoch})
+	}
+}
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -59,19 +59,22 @@
 	return p
 }
 
-// memory is where Linux keeps files in memory.
-const memory = "/dev/shm"
+// FolderVariable names a folder, best one in memory, for what processes of tests keep and sync.
+const FolderVariable = "PETRELHOOK_TEST_FOLDER"
 
-// Dir is a folder for what processes of a test keep and sync, and is removed with the test. It is in memory where the
-// system has room for that: on a disk a sync waits for all that the builds of other tests write, for seconds, and at
-// all replicas of a group at once, which no group of machines is in for. What a process has written outlives its kill
-// there as on a disk.
+// Dir is a folder for what processes of a test keep and sync, and is removed with the test. It is where FolderVariable
+// says: on a disk a sync waits for all that the builds of other tests write, for seconds, and at all replicas of a group
+// at once, which no group of machines is in for. What a process has written outlives its kill in memory as on a disk.
 func Dir(t testing.TB) string {
 	t.Helper()
-	dir, err := os.MkdirTemp(memory, "petrelhook-test-")
-	if err != nil {
+	folder := os.Getenv(FolderVariable)
+	if folder == "" {
 		return t.TempDir()
 	}
+	dir, err := os.MkdirTemp(folder, "petrelhook-test-")
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() {
 		if err := os.RemoveAll(dir); err != nil {
 			t.Error(err)
--- /dev/null
+++ b/internal/routetable/table.go
@@ -0,0 +1,129 @@
+package routetable
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated on a route.
+type Kind int
+
+// The kinds of routes.
+const (
+	Unsafe    Kind = iota // runs at most once for each try
+	Safe                  // may run more than once
+	Streaming             // events; as Unsafe unless it may be resumed
+)
+
+// Compiled is a route as the data plane uses it.
+type Compiled struct {
+	Route
+	Kind     Kind
+	Timeout  time.Duration
+	Aim      time.Duration
+	GapAim   time.Duration
+	Attempts int
+	Backends []WeightedBackend
+}
+
+// Idempotent reports whether a request of the route may run again after it may have run.
+func (r *Compiled) Idempotent() bool {
+	return r.Kind == Safe || r.Kind == Streaming && r.StreamResume
+}
+
+// Table is a configuration compiled for lookups. It is immutable.
+type Table struct {
+	Generation int64
+	Limits     ClientLimits
+	hosts      map[string]map[string]*Compiled // host, prefix
+	keys       map[string]*Tenant
+	tenants    map[string]*Tenant
+	services   map[string]*Service
+}
+
+// Compile makes the table of a valid configuration.
+func Compile(c *Config) *Table {
+	t := &Table{
+		Generation: c.Generation,
+		hosts:      map[string]map[string]*Compiled{},
+		keys:       map[string]*Tenant{},
+		tenants:    map[string]*Tenant{},
+		services:   map[string]*Service{},
+	}
+	t.Limits, _ = c.ClientLimits()
+	for i := range c.Routes {
+		t.addRoute(&c.Routes[i].Value)
+	}
+	for i := range c.Tenants {
+		tenant := &c.Tenants[i].Value
+		t.tenants[tenant.Name] = tenant
+		for _, key := range tenant.ApiKeys {
+			t.keys[key] = tenant
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Value.Name] = &c.Services[i].Value
+	}
+	return t
+}
+
+func (t *Table) addRoute(r *Route) {
+	compiled := &Compiled{
+		Route:    *r,
+		Timeout:  time.Duration(r.TimeoutMs * float64(time.Millisecond)),
+		Aim:      time.Duration(r.TargetLatencyMs * float64(time.Millisecond)),
+		GapAim:   time.Duration(r.GapAimMs * float64(time.Millisecond)),
+		Attempts: max(1, r.MaxAttempts),
+		Backends: r.WeightedBackends,
+	}
+	switch r.RouteType {
+	case "safe":
+		compiled.Kind = Safe
+	case "streaming":
+		compiled.Kind = Streaming
+	}
+	if len(compiled.Backends) == 0 {
+		compiled.Backends = []WeightedBackend{{Service: r.Service, Weight: 1}}
+	}
+	host := strings.ToLower(r.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = map[string]*Compiled{}
+	}
+	t.hosts[host][r.PathPrefix] = compiled
+}
+
+// Route finds the route with the longest prefix of a path; it takes as many steps as the path has slashes.
+func (t *Table) Route(host, path string) *Compiled {
+	prefixes := t.hosts[strings.ToLower(stripPort(host))]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func stripPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+// HasTenants reports whether requests must carry a key.
+func (t *Table) HasTenants() bool { return len(t.tenants) > 0 }
+
+// TenantOf finds the tenant that holds a key.
+func (t *Table) TenantOf(key string) *Tenant { return t.keys[key] }
+
+// Tenant finds a tenant by name.
+func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
+
+// Tenants are all tenants by name.
+func (t *Table) Tenants() map[string]*Tenant { return t.tenants }
+
+// Service finds a service.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services are all services by name.
+func (t *Table) Services() map[string]*Service { return t.services }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,168 @@
+// Package settings reads the settings file of one router process: who it is, where it listens, its limits, and
+// the bounds of the rules that it has to keep.
+//
+// Fields that are not known are ignored, since new ones may appear. A file that cannot be used gives one error
+// that names the file and the field; nothing is started from it.
+package settings
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Variable is the environment variable that holds the path of the settings file.
+const Variable = "PETRELHOOK_SETTINGS"
+
+// Listen holds the addresses for what the role serves; an empty one is not served.
+type Listen struct {
+	Front   string `validate:"omitempty,hostname_port"`
+	Ready   string `validate:"omitempty,hostname_port"`
+	Control string `validate:"omitempty,hostname_port"`
+}
+
+// Limits is what the machine offers.
+type Limits struct {
+	CpuShare float64 `validate:"gte=0"`
+	Cores    int     `validate:"gte=0"`
+	MemoryMb int     `validate:"gte=0"`
+	MaxFds   int     `validate:"gte=0"`
+	LinkMbps float64 `validate:"gte=0"`
+	DiskMb   int     `validate:"gte=0"`
+}
+
+// FaultTolerance is what may be lost at one time while all rules are kept.
+type FaultTolerance struct {
+	Machines int `validate:"gte=0"`
+	Zones    int `validate:"gte=0"`
+	Regions  int `validate:"gte=0"`
+}
+
+// Bounds are the figures of the rules in force.
+type Bounds struct {
+	SeedLagS         float64 `validate:"gte=0"`
+	ReuseAfterS      float64 `validate:"gte=0"`
+	ContactMs        float64 `validate:"gte=0"`
+	AckMs            float64 `validate:"gte=0"`
+	CatchUpS         float64 `validate:"gte=0"`
+	DrainMs          float64 `validate:"gte=0"`
+	GraceS           float64 `validate:"gte=0"`
+	LossSlackMs      float64 `validate:"gte=0"`
+	ConfigMs         float64 `validate:"gte=0"`
+	RollbackSlackMs  float64 `validate:"gte=0"`
+	OuterMs          float64 `validate:"gte=0"`
+	RetryBudgetRatio float64 `validate:"gte=0"`
+	BudgetWindowS    float64 `validate:"gte=0"`
+	RetryBudgetSlack float64 `validate:"gte=0"`
+	QuotaWindowS     float64 `validate:"gte=0"`
+	QuotaOvershoot   float64 `validate:"gte=0"`
+	QuotaSlack       float64 `validate:"gte=0"`
+	RecoveryS        float64 `validate:"gte=0"`
+	PassMs           float64 `toml:"pass_ms" validate:"gte=0"`
+	AgainS           float64 `toml:"again_s" validate:"gte=0"`
+}
+
+// Settings is one process's settings file.
+type Settings struct {
+	NodeName          string `validate:"required"`
+	Role              string
+	MachineClass      string
+	Serves            []string
+	Ip                string `validate:"required,ip"`
+	Zone              string `validate:"required"`
+	Region            string
+	InternalPortRange []int    `validate:"len=2,dive,gte=1,lte=65535"`
+	Seeds             []string `validate:"dive,hostname_port"`
+	Bootstrap         bool
+	CountsForQuorum   bool
+	DataDir           string
+	HeartbeatMs       float64 `validate:"gt=0"`
+	Contracts         []string
+	Zones             map[string]string
+	Listen            Listen
+	Limits            Limits
+	FaultTolerance    FaultTolerance
+	Bounds            Bounds
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	s, err := Parse(text)
+	return s, errors.Wrapf(err, "settings file %s", path)
+}
+
+// Parse checks the text of a settings file.
+func Parse(text []byte) (*Settings, error) {
+	s := &Settings{HeartbeatMs: 1000}
+	if err := toml.NewDecoder(bytes.NewReader(text)).Decode(s); err != nil {
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			line, column := at.Position()
+			return nil, errors.Newf("line %d, column %d: %s", line, column, at.Error())
+		}
+		return nil, err
+	}
+	if err := validator.New().Struct(s); err != nil {
+		var fields validator.ValidationErrors
+		if errors.As(err, &fields) && len(fields) > 0 {
+			f := fields[0]
+			return nil, errors.Newf("field %s: %v does not satisfy %s %s", f.Namespace(), f.Value(), f.Tag(), f.Param())
+		}
+		return nil, err
+	}
+	if s.InternalPortRange[0] > s.InternalPortRange[1] {
+		return nil, errors.Newf("field InternalPortRange: %d is above %d", s.InternalPortRange[0], s.InternalPortRange[1])
+	}
+	return s, nil
+}
+
+// InternalAddress is where this process listens for other sidecars.
+func (s *Settings) InternalAddress() string { return s.InternalOf(s.Ip) }
+
+// InternalOf is the internal address of the sidecar at an IP address: ports are alike on all machines.
+func (s *Settings) InternalOf(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPortRange[0]))
+}
+
+// SeedAddresses are the internal addresses of the seeds.
+func (s *Settings) SeedAddresses() []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, s.InternalOf(ip))
+		}
+	}
+	return out
+}
+
+// ControlOf is the control address of the sidecar with an internal address.
+func (s *Settings) ControlOf(internal string) string {
+	ip, _, err := net.SplitHostPort(internal)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(s.Listen.Control)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(ip, port)
+}
+
+// Core reports whether this process is eligible for the replicated core.
+func (s *Settings) Core() bool { return s.CountsForQuorum && s.DataDir != "" }
+
+// Milliseconds turns a figure of the settings into a duration.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Seconds turns a figure of the settings into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,263 @@
+// Package transport carries messages between sidecars: gob over TCP, one connection for each direction between two
+// sidecars. Messages to one peer keep their order, as long as its connection lasts; any may be lost, and whoever needs an
+// answer asks again.
+//
+// Queues are bounded: where a peer does not read, what is sent to it is dropped. A connection whose peer's machine
+// says nothing ends within deadPeer.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	queueLength  = 256
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = 700 * time.Millisecond
+	deadPeer     = 700 * time.Millisecond
+	redialAfter  = 100 * time.Millisecond
+	idleAfter    = 15 * time.Second
+	bufferBytes  = 16 << 10
+)
+
+// Envelope is what goes over a connection.
+type Envelope struct {
+	From string // internal address of the sender
+	Body any    // its type is registered with gob
+}
+
+// Handler takes in a message. It must not block for long.
+type Handler func(from string, body any)
+
+// Transport is one sidecar's end of all its connections to others.
+type Transport struct {
+	self    string
+	handler Handler
+	sent    atomic.Uint64
+
+	mutex  sync.Mutex
+	peers  map[string]*peer
+	closed bool
+	done   chan struct{}
+	groups sync.WaitGroup
+	conns  map[net.Conn]bool
+}
+
+type peer struct {
+	address string
+	queue   chan any
+}
+
+// New makes a transport for the sidecar at an internal address.
+func New(self string, handler Handler) *Transport {
+	return &Transport{self: self, handler: handler, peers: map[string]*peer{}, done: make(chan struct{}), conns: map[net.Conn]bool{}}
+}
+
+// Serve takes connections of others until the listener ends.
+func (t *Transport) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		if !t.track(conn) {
+			conn.Close()
+			return net.ErrClosed
+		}
+		t.groups.Go(func() { t.receive(conn) })
+	}
+}
+
+func (t *Transport) track(conn net.Conn) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.closed {
+		t.conns[conn] = true
+	}
+	return !t.closed
+}
+
+func (t *Transport) forget(conn net.Conn) {
+	t.mutex.Lock()
+	delete(t.conns, conn)
+	t.mutex.Unlock()
+	conn.Close()
+}
+
+func (t *Transport) receive(conn net.Conn) {
+	defer t.forget(conn)
+	decoder := gob.NewDecoder(bufio.NewReaderSize(conn, bufferBytes))
+	for {
+		conn.SetReadDeadline(time.Now().Add(2 * idleAfter))
+		var e Envelope
+		if decoder.Decode(&e) != nil {
+			return
+		}
+		t.handler(e.From, e.Body)
+	}
+}
+
+// Send puts a message in the queue to a peer; it is dropped where the queue is full. A message to the sidecar itself is
+// handled at once.
+func (t *Transport) Send(to string, body any) {
+	if to == t.self {
+		t.handler(t.self, body)
+		return
+	}
+	t.mutex.Lock()
+	p := t.peers[to]
+	if p == nil && !t.closed {
+		p = &peer{address: to, queue: make(chan any, queueLength)}
+		t.peers[to] = p
+		t.groups.Go(func() { t.run(p) })
+	}
+	if p != nil {
+		select {
+		case p.queue <- body:
+		default:
+		}
+	}
+	t.mutex.Unlock()
+}
+
+// run writes a peer's queue until it has been idle for long.
+func (t *Transport) run(p *peer) {
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	var link *link
+	defer func() {
+		if link != nil {
+			t.forget(link.conn)
+		}
+	}()
+	for {
+		select {
+		case <-t.done:
+			return
+		case body := <-p.queue:
+			link = t.write(link, p, body)
+			idle.Reset(idleAfter)
+		case <-idle.C:
+			t.mutex.Lock()
+			empty := len(p.queue) == 0
+			if empty {
+				delete(t.peers, p.address)
+			}
+			t.mutex.Unlock()
+			if empty {
+				return
+			}
+			idle.Reset(idleAfter)
+		}
+	}
+}
+
+type link struct {
+	conn    net.Conn
+	writer  *bufio.Writer
+	encoder *gob.Encoder
+}
+
+// write writes a message and what waits behind it in one go.
+func (t *Transport) write(l *link, p *peer, body any) *link {
+	if l == nil {
+		if l = t.dial(p.address); l == nil {
+			t.pause(p)
+			return nil
+		}
+	}
+	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := l.encoder.Encode(Envelope{From: t.self, Body: body})
+	for more := true; err == nil && more; {
+		select {
+		case next := <-p.queue:
+			err = l.encoder.Encode(Envelope{From: t.self, Body: next})
+		default:
+			more = false
+		}
+	}
+	if err == nil {
+		err = l.writer.Flush()
+	}
+	if err != nil {
+		t.forget(l.conn)
+		return nil
+	}
+	return l
+}
+
+// pause waits before the next dial; what came meanwhile is old and dropped.
+func (t *Transport) pause(p *peer) {
+	select {
+	case <-t.done:
+	case <-time.After(redialAfter):
+	}
+	for {
+		select {
+		case <-p.queue:
+		default:
+			return
+		}
+	}
+}
+
+func (t *Transport) dial(address string) *link {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}, Control: userTimeout(deadPeer)}
+	conn, err := dialer.DialContext(context.Background(), "tcp", address)
+	if err != nil {
+		return nil
+	}
+	if !t.track(conn) {
+		conn.Close()
+		return nil
+	}
+	t.groups.Go(func() { t.watch(conn) })
+	counted := &countingWriter{conn: conn, total: &t.sent}
+	writer := bufio.NewWriterSize(counted, bufferBytes)
+	return &link{conn: conn, writer: writer, encoder: gob.NewEncoder(writer)}
+}
+
+// watch closes a connection as soon as its peer does: nothing is ever read from it.
+func (t *Transport) watch(conn net.Conn) {
+	var one [1]byte
+	conn.Read(one[:])
+	t.forget(conn)
+}
+
+// Sent is how many bytes were sent.
+func (t *Transport) Sent() uint64 { return t.sent.Load() }
+
+// Close ends all connections and waits for what reads and writes them.
+func (t *Transport) Close() {
+	t.mutex.Lock()
+	if t.closed {
+		t.mutex.Unlock()
+		return
+	}
+	t.closed = true
+	close(t.done)
+	for conn := range t.conns {
+		conn.Close()
+	}
+	t.mutex.Unlock()
+	t.groups.Wait()
+}
+
+type countingWriter struct {
+	conn  net.Conn
+	total *atomic.Uint64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.conn.Write(p)
+	w.total.Add(uint64(n))
+	return n, err
+}
