--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/gob"
+	"time"
 
 	"petrelhook/internal/membership"
 	"petrelhook/internal/registry"
@@ -81,9 +82,23 @@
 	Shares map[string]float64
 }
 
+// QuotaDraw asks the primary's reservoir for units of a tenant's limit.
+type QuotaDraw struct {
+	Request     uint64
+	Tenant      string
+	Need, Extra float64
+}
+
+// QuotaDrawn answers QuotaDraw.
+type QuotaDrawn struct {
+	Request uint64
+	Given   float64
+	Wait    time.Duration
+}
+
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{},
+		Session{}, Push{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
 		replication.Prepare{}, replication.Promise{}, replication.Sync{}, replication.Synced{}, replication.Accept{},
 		replication.Accepted{}, replication.Replicate{}, replication.Replicated{}, replication.Heartbeat{},
 		replication.HeartbeatAck{}, replication.TakeOver{},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 	ran := req.sends > 0 && result != notExecuted
 	if !ran && req.tenant != nil {
 		g.mutex.Lock()
-		g.taker.Return(req.tenant.Name, req.units)
+		g.taker.Return(req.tenant.Name, req.units, g.options.Now())
 		g.mutex.Unlock()
 	}
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -23,12 +24,17 @@
 type Options struct {
 	Zone         string
 	Now          func() time.Duration // the steady clock
-	QuotaBounds  quota.Bounds
+	Drawer       Drawer
 	BudgetRatio  float64
 	BudgetSlack  float64
 	BudgetWindow time.Duration
 }
 
+// Drawer draws units of a tenant's limit from the reservoir of all sidecars. Not ok means that it is silent.
+type Drawer interface {
+	Draw(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool)
+}
+
 // Gateway is an http.Handler for clients.
 type Gateway struct {
 	options Options
@@ -59,7 +65,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, fleet: 1,
-		taker: quota.NewTaker(o.QuotaBounds), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
@@ -67,14 +73,19 @@
 
 // SetTable puts a configuration in force.
 func (g *Gateway) SetTable(t *routetable.Table) {
+	g.mutex.Lock()
+	g.taker.SetLimits(Limits(t), g.options.Now())
+	g.mutex.Unlock()
+	g.table.Store(t)
+}
+
+// Limits are the tenants' limits of a configuration.
+func Limits(t *routetable.Table) map[string]quota.Limit {
 	limits := map[string]quota.Limit{}
 	for name, tenant := range t.Tenants() {
 		limits[name] = quota.Limit{Rate: tenant.RatePerS, Burst: tenant.Burst}
 	}
-	g.mutex.Lock()
-	g.taker.SetLimits(limits, g.options.Now())
-	g.mutex.Unlock()
-	g.table.Store(t)
+	return limits
 }
 
 // SetServers hands in the servers of a service that requests may go to.
@@ -121,7 +132,6 @@
 		return
 	}
 	g.fleet = max(1, n)
-	g.taker.SetFleet(n)
 	g.retries.SetFleet(n)
 	for name, s := range g.services {
 		for _, c := range s.conns {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"petrelhook/internal/placement"
+	"petrelhook/internal/quota"
 	"petrelhook/internal/rotation"
 	"petrelhook/internal/routetable"
 )
@@ -112,20 +113,41 @@
 	req.units = unitsOf(r, req.tenant)
 	key, shared := placement.ParsePrefix(r.Header.Get("X-Prompt-Prefix"))
 	req.place = placement.Request{Key: key, Shared: shared, Tried: map[string]bool{}}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	now := g.options.Now()
 	if req.tenant != nil {
-		if ok, wait := g.taker.Take(req.tenant.Name, req.units, now); !ok {
+		if ok, wait := g.takeQuota(r.Context(), req); !ok {
 			g.refuse(w, http.StatusTooManyRequests, max(wait, retrySoon), "over the tenant's quota")
 			return false
 		}
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	req.service = g.split(req.route)
-	g.retries.Request(req.service, now)
+	g.retries.Request(req.service, g.options.Now())
 	return true
 }
 
+// takeQuota takes a request's units of its tenant's limit: from what this sidecar drew ahead, else from the reservoir, and
+// where that is silent from this sidecar's lease.
+func (g *Gateway) takeQuota(ctx context.Context, req *request) (ok bool, wait time.Duration) {
+	name := req.tenant.Name
+	g.mutex.Lock()
+	verdict, extra := g.taker.Take(name, req.units, g.options.Now())
+	g.mutex.Unlock()
+	if verdict != quota.Draw {
+		return verdict == quota.Granted, 0
+	}
+	given, wait, heard := g.options.Drawer.Draw(ctx, name, req.units, extra)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.options.Now()
+	if heard {
+		verdict = g.taker.Drawn(name, given, req.units, now)
+	} else {
+		verdict, wait = g.taker.TakeLeased(name, req.units, now)
+	}
+	return verdict == quota.Granted, wait
+}
+
 // split chooses the service of a route that is split over several.
 func (g *Gateway) split(route *routetable.Compiled) string {
 	if len(route.Backends) == 1 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 	sessions  *membership.Sessions
 	versions  *dissemination.Versions
 	allocator *quota.Allocator
+	reservoir *quota.Reservoir
+	draws     map[uint64]chan dissemination.QuotaDrawn
 	view      replication.View
 	eligible  map[string]replication.Member
 
@@ -91,12 +93,12 @@
 		register: operatorapi.NewRegister(), registry: registry.New(), sessions: membership.New(sessionTimeout),
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
-		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1}
+		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1,
+		draws: map[uint64]chan dissemination.QuotaDrawn{}}
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
-		QuotaBounds: quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
-		BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		Drawer: n, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
@@ -252,45 +254,11 @@
 	if n.view.Epoch.Less(v.Epoch) {
 		n.view = v
 		n.replica.LearnView(v)
-		if !n.replica.Primary() {
-			n.allocator = nil
-		}
 		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
 			Int("in_sync", len(v.InSync)).Msg("view")
 		n.pushAll()
 	}
-	if n.replica.Primary() && n.allocator == nil {
-		n.allocator = quota.NewAllocator(n.now())
-	}
-}
-
-func (n *Node) tickQuota(now time.Duration) {
-	if now-n.lastQuota < quotaEvery || n.view.PrimaryAddress() == "" {
-		return
-	}
-	n.lastQuota = now
-	nonce, demand, held := n.gateway.AskQuota()
-	if len(demand) == 0 {
-		return
-	}
-	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
-	if n.replica.Primary() {
-		n.onQuotaAsk(n.self.Address, ask)
-		return
-	}
-	n.transport.Send(n.view.PrimaryAddress(), ask)
-}
-
-func (n *Node) onQuotaAsk(from string, m dissemination.QuotaAsk) {
-	if !n.replica.Primary() || !n.replica.InTouch() || n.allocator == nil {
-		return
-	}
-	shares := n.allocator.Ask(from, m.Life, m.Demand, m.Held, n.fleet, n.now())
-	if from == n.self.Address {
-		n.gateway.QuotaGranted(m.Nonce, shares)
-		return
-	}
-	n.transport.Send(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
+	n.noteLead()
 }
 
 // carryOut does what the replica wants done.
@@ -355,6 +323,13 @@
 		n.onQuotaAsk(from, m)
 	case dissemination.QuotaGrant:
 		n.gateway.QuotaGranted(m.Nonce, m.Shares)
+	case dissemination.QuotaDraw:
+		n.onQuotaDraw(from, m, now)
+	case dissemination.QuotaDrawn:
+		if to := n.draws[m.Request]; to != nil {
+			delete(n.draws, m.Request)
+			to <- m
+		}
 	}
 	n.apply()
 }
--- a/internal/quota/taker.go
+++ b/internal/quota/taker.go
@@ -11,42 +11,47 @@
 	Burst float64
 }
 
-// Bounds are the figures of the rule that the limits are judged by.
-type Bounds struct {
-	Window    time.Duration
-	Overshoot float64
-	Slack     float64
-}
+const (
+	stockGood    = 400 * time.Millisecond // for which units that were drawn ahead may be spent
+	stockAhead   = 100 * time.Millisecond // of demand is drawn ahead
+	stockLeast   = 3                      // requests in that time from which it is worth it
+	demandSmooth = 2 * time.Second
+)
 
-// floorPart of the rate is every sidecar's by itself, divided by the size of the fleet. It lies within the overshoot.
-const floorPart = 0.06
+// Verdict is what a taker says of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted Verdict = iota
+	Refused
+	Draw // the reservoir has to be asked
+)
 
-// Taker is one sidecar's part of all limits.
+// Taker is one sidecar's part of all limits: what it drew from the reservoir, and its leases for when that is silent.
 type Taker struct {
-	bounds  Bounds
-	fleet   float64
 	buckets map[string]*bucket
 	nonce   uint64
 	asked   time.Duration
-	until   time.Duration // of the lease
+	until   time.Duration // of the leases
 }
 
 type bucket struct {
-	limit  Limit
-	share  float64
-	tokens float64
+	limit   Limit
+	stock   float64 // drawn ahead
+	stockAt time.Duration
+
+	share  float64 // of the lease
+	tokens float64 // of the lease, since the reservoir was silent
 	filled time.Duration
+
 	demand float64 // units a second, smoothed
 	wanted float64 // units since the last measure
 	at     time.Duration
 }
 
-// roomPart of what the rule leaves beyond the rate is given to buckets; the rest is for leases that a new primary
-// does not know of.
-const roomPart = 0.6
-
 // NewTaker makes a taker without any share.
-func NewTaker(b Bounds) *Taker { return &Taker{bounds: b, fleet: 1, buckets: map[string]*bucket{}} }
+func NewTaker() *Taker { return &Taker{buckets: map[string]*bucket{}} }
 
 // SetLimits takes in the tenants of a configuration.
 func (t *Taker) SetLimits(limits map[string]Limit, now time.Duration) {
@@ -64,73 +69,86 @@
 			b = &bucket{filled: now, at: now}
 			t.buckets[name] = b
 		}
-		t.fill(b, now)
 		b.limit = limit
-		b.tokens = min(b.tokens, t.capacity(b, now))
 	}
 }
 
-// SetFleet takes in how many sidecars there are.
-func (t *Taker) SetFleet(n int) { t.fleet = float64(max(1, n)) }
-
-// effective is the part of a limit that this sidecar may use now.
-func (t *Taker) effective(b *bucket, now time.Duration) float64 {
-	part := floorPart / t.fleet
-	if now < t.until {
-		part += b.share
+// Take begins a request of a tenant: it is granted from what was drawn ahead, or the reservoir has to be asked for what it
+// needs and for extra.
+func (t *Taker) Take(tenant string, units float64, now time.Duration) (v Verdict, extra float64) {
+	b := t.buckets[tenant]
+	if b == nil {
+		return Granted, 0
 	}
-	return part
-}
-
-// capacity: what the rule leaves beyond the rate of a window is divided like the rate.
-func (t *Taker) capacity(b *bucket, now time.Duration) float64 {
-	window := t.bounds.Window.Seconds()
-	bound := (b.limit.Rate*window+b.limit.Burst)*(1+t.bounds.Overshoot) + t.bounds.Slack
-	room := bound - b.limit.Rate*(1+floorPart)*window
-	return roomPart * max(0, room) * min(1, t.effective(b, now)/(1+floorPart))
+	b.wanted += units
+	if now-b.stockAt > stockGood {
+		b.stock = 0
+	}
+	if b.stock >= units {
+		b.stock -= units
+		return Granted, 0
+	}
+	if ahead := b.demand * stockAhead.Seconds(); ahead >= stockLeast*units {
+		extra = ahead
+	}
+	return Draw, extra
 }
 
-func (t *Taker) fill(b *bucket, now time.Duration) {
-	passed := (now - b.filled).Seconds()
-	b.filled = now
-	part := t.effective(b, now)
-	b.tokens = min(t.capacity(b, now), b.tokens+passed*b.limit.Rate*part)
+// Drawn takes in what the reservoir gave, and spends units of it where there are enough.
+func (t *Taker) Drawn(tenant string, given, units float64, now time.Duration) Verdict {
+	b := t.buckets[tenant]
+	if b == nil {
+		return Granted
+	}
+	b.tokens, b.filled = 0, now // leases count from when the reservoir falls silent
+	if given < units {
+		return Refused
+	}
+	b.stock += given - units
+	b.stockAt = now
+	return Granted
 }
 
-// Take spends units of a tenant's limit; where there are not enough it says when there may be.
-func (t *Taker) Take(tenant string, units float64, now time.Duration) (ok bool, wait time.Duration) {
+// TakeLeased spends of a lease, where the reservoir is silent. One request may go below nothing: a lease of a small
+// tenant is less than a request.
+func (t *Taker) TakeLeased(tenant string, units float64, now time.Duration) (v Verdict, wait time.Duration) {
 	b := t.buckets[tenant]
 	if b == nil {
-		return true, 0
+		return Granted, 0
 	}
-	t.fill(b, now)
-	b.wanted += units
-	capacity := t.capacity(b, now)
-	if b.tokens >= units || units > capacity && b.tokens >= 0.95*capacity {
-		b.tokens -= units
-		return true, 0
+	if now >= t.until || b.share <= 0 {
+		return Refused, 0
 	}
-	rate := b.limit.Rate * max(t.effective(b, now), 1e-6)
-	seconds := min((min(units, capacity)-b.tokens)/rate, 10)
-	return false, time.Duration(seconds * float64(time.Second))
+	rate := b.limit.Rate * b.share
+	b.tokens += (now - b.filled).Seconds() * rate
+	b.filled = now
+	if b.tokens < 0 {
+		return Refused, time.Duration(-b.tokens / rate * float64(time.Second))
+	}
+	b.tokens -= units
+	return Granted, 0
 }
 
 // Return gives back what was taken for a request that did not run.
-func (t *Taker) Return(tenant string, units float64) {
+func (t *Taker) Return(tenant string, units float64, now time.Duration) {
 	if b := t.buckets[tenant]; b != nil {
-		b.tokens += units
+		if now-b.stockAt > stockGood {
+			b.stock = 0
+		}
+		b.stock += units
+		b.stockAt = now
 	}
 }
 
-// Ask begins a question: what is wanted and held goes to the primary.
+// Ask begins a question for leases: what is wanted and held goes to the primary.
 func (t *Taker) Ask(now time.Duration) (nonce uint64, demand, held map[string]float64) {
 	t.nonce++
 	t.asked = now
 	demand, held = map[string]float64{}, map[string]float64{}
 	for name, b := range t.buckets {
-		if passed := (now - b.at).Seconds(); passed > 0 {
-			weight := 1 - math.Exp(-passed/2)
-			b.demand += weight * (b.wanted/passed - b.demand)
+		if passed := now - b.at; passed > 0 {
+			weight := 1 - math.Exp(-float64(passed)/float64(demandSmooth))
+			b.demand += weight * (b.wanted/passed.Seconds() - b.demand)
 			b.wanted, b.at = 0, now
 		}
 		demand[name] = b.demand
@@ -146,19 +164,12 @@
 	if nonce != t.nonce || now-t.asked >= Lease {
 		return
 	}
-	for _, b := range t.buckets {
-		t.fill(b, now)
-	}
-	expired := now >= t.until
-	t.until = t.asked + Lease
 	for name, b := range t.buckets {
-		share, ok := shares[name]
-		if !ok && expired {
-			share = 0
-		} else if !ok {
-			share = b.share
+		if now < t.until {
+			b.tokens += (now - b.filled).Seconds() * b.limit.Rate * b.share
 		}
-		b.share = share
-		b.tokens = min(b.tokens, t.capacity(b, now))
+		b.filled = now
+		b.share = shares[name]
 	}
+	t.until = t.asked + Lease
 }
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -22,6 +22,7 @@
 package replication
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -256,3 +257,10 @@
 	}
 	return n > len(members)/2
 }
+
+// Status describes a replica for logs.
+func (r *Replica) Status() string {
+	names := [...]string{"follower", "candidate", "primary"}
+	return fmt.Sprintf("%s promised %d/%s accepted %d known %d pending %d stalled %t", names[r.role], r.hard.Promised.Round,
+		r.hard.Promised.Node, r.hard.Accepted.Epoch.Round, r.known.Epoch.Round, len(r.pending), r.stalled())
+}
--- /dev/null
+++ b/internal/replication/replication_test.go
@@ -0,0 +1,131 @@
+package replication
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// writeNow proposes a value on top of the primary's version, and returns the operation.
+func writeNow(s *simulation, value string) *operation {
+	p := s.primary()
+	require.NotNil(s.t, p, "no primary at %v", s.now)
+	index := len(s.history)
+	s.write(1, p.machine.Version, value)
+	s.run(s.now + 2*time.Second)
+	require.Greater(s.t, len(s.history), index)
+	return &s.history[index]
+}
+
+func TestFirstView(t *testing.T) {
+	for _, machines := range []int{2, 3, 4, 5, 6} {
+		s := newSimulation(t, int64(machines), machines, 1)
+		s.run(4 * time.Second)
+		p := s.primary()
+		require.NotNil(t, p)
+		require.Len(t, p.replica.View().InSync, machines)
+		require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	}
+}
+
+// The primary is lost: another takes over and has what was acknowledged.
+func TestPrimaryIsLost(t *testing.T) {
+	s := newSimulation(t, 1, 4, 1)
+	s.run(4 * time.Second)
+	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	s.kill(s.primary().host)
+	s.run(s.now + 2*time.Second)
+	p := s.primary()
+	require.NotNil(t, p)
+	require.Equal(t, "a", p.machine.Value)
+	require.Equal(t, http.StatusOK, writeNow(s, "b").status)
+}
+
+// A disk is lost: its machine comes back as another member, is taken in, and the one before is no member any more.
+func TestLostDiskRejoins(t *testing.T) {
+	for seed := range int64(20) {
+		s := newSimulation(t, seed, 4, 1)
+		s.run(4 * time.Second)
+		require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+		lost := s.hosts[s.addresses()[seed%4]]
+		s.kill(lost)
+		s.wipe(lost)
+		s.run(s.now + 3*time.Second)
+		s.boot(lost)
+		s.run(s.now + 3*time.Second)
+		p := s.primary()
+		require.NotNil(t, p)
+		v := p.replica.View()
+		require.Len(t, v.Members, 4)
+		require.Len(t, v.InSync, 4, "seed %d", seed)
+		require.NotNil(t, v.Member(lost.process.replica.Self.ID))
+		require.Equal(t, http.StatusOK, writeNow(s, "b").status)
+	}
+}
+
+// Members are replaced at other addresses, again and again.
+func TestMembersAreReplaced(t *testing.T) {
+	s := newSimulation(t, 3, 4, 1)
+	s.run(4 * time.Second)
+	for round := range 8 {
+		require.Equal(t, http.StatusOK, writeNow(s, fmt.Sprint("v", round)).status)
+		old := s.hosts[s.addresses()[s.random.Intn(4)]]
+		s.kill(old)
+		delete(s.hosts, old.address)
+		s.run(s.now + time.Second)
+		h := &host{address: fmt.Sprintf("10.%d.0.1:7000", round+1), zone: old.zone, syncTime: 2 * time.Millisecond}
+		s.hosts[h.address] = h
+		s.boot(h)
+		s.run(s.now + 9*time.Second)
+		p := s.primary()
+		require.NotNil(t, p, "round %d", round)
+		require.Len(t, p.replica.View().Members, 4, "round %d", round)
+		require.Len(t, p.replica.View().InSync, 4, "round %d", round)
+	}
+}
+
+// A disk that is full leaves the in-sync set, and comes back into it.
+func TestFullDisk(t *testing.T) {
+	for seed := range int64(10) {
+		s := newSimulation(t, seed, 4, 1)
+		s.run(4 * time.Second)
+		full := s.hosts[s.addresses()[seed%4]]
+		full.fullUntil = s.now + 4*time.Second
+		require.Equal(t, http.StatusOK, func() int {
+			writeNow(s, "a")
+			return writeNow(s, "b").status
+		}())
+		s.run(s.now + 5*time.Second)
+		require.Len(t, s.primary().replica.View().InSync, 4)
+	}
+}
+
+// All lose power at once and one disk is lost: what was acknowledged is there.
+func TestPowerIsLostEverywhere(t *testing.T) {
+	for seed := range int64(40) {
+		s := newSimulation(t, seed, 4, 1)
+		s.run(4 * time.Second)
+		p := s.primary()
+		require.NotNil(t, p)
+		s.write(1, p.machine.Version, "a")
+		for s.history[0].status == 0 {
+			s.run(s.now + 200*time.Microsecond)
+		}
+		require.Equal(t, http.StatusOK, s.history[0].status)
+		for _, h := range s.hosts {
+			s.kill(h)
+		}
+		lost := s.hosts[s.addresses()[seed%4]]
+		s.wipe(lost)
+		for _, h := range s.hosts {
+			s.after(time.Duration(s.random.Intn(1000))*time.Millisecond, func() { s.boot(h) })
+		}
+		s.run(s.now + 5*time.Second)
+		p = s.primary()
+		require.NotNil(t, p, "seed %d", seed)
+		require.Equal(t, "a", p.machine.Value, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/internal/replication/sim_test.go
@@ -0,0 +1,348 @@
+package replication
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sort"
+	"testing"
+	"time"
+)
+
+// simulation plays several replicas in virtual time, with a network that delays and loses messages and disks that forget
+// what was not synced. Everything comes of one seed.
+type simulation struct {
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Duration
+	events  []event
+	number  uint64
+	hosts   map[string]*host
+	seeds   []string
+	faults  int
+	cuts    map[[2]string]bool
+	history []operation
+	loss    float64
+	mutate  func(from string, m Message) Message
+}
+
+type event struct {
+	at     time.Duration
+	number uint64
+	do     func()
+}
+
+// host is one machine: its disk outlives its processes.
+type host struct {
+	address, zone string
+	disk          *Kept // what is synced; nil: no file yet
+	genesis       bool
+	process       *process
+	frozenUntil   time.Duration
+	fullUntil     time.Duration
+	syncTime      time.Duration
+	wipes         int
+}
+
+// process is one life of a replica.
+type process struct {
+	host    *host
+	replica *Replica
+	machine *versionMachine
+	answers map[uint64]func(Decision)
+	gap     bool
+	saving  time.Duration // when the disk is free again
+}
+
+// versionMachine takes an entry only on top of the version it names.
+type versionMachine struct {
+	Version int
+	Value   string
+}
+
+type versionEntry struct {
+	Base  int
+	Value string
+}
+
+func encodeEntry(e versionEntry) []byte { return []byte(fmt.Sprintf("%d %s", e.Base, e.Value)) }
+
+func decodeEntry(data []byte) (e versionEntry) {
+	fmt.Sscanf(string(data), "%d %s", &e.Base, &e.Value)
+	return e
+}
+
+func (m *versionMachine) Decide(data []byte) Decision {
+	if decodeEntry(data).Base != m.Version {
+		return Decision{Status: http.StatusPreconditionFailed}
+	}
+	return Decision{Accept: true, Status: http.StatusOK}
+}
+
+func (m *versionMachine) Apply(data []byte) {
+	m.Version++
+	m.Value = decodeEntry(data).Value
+}
+
+func (m *versionMachine) Snapshot() []byte {
+	var b bytes.Buffer
+	gob.NewEncoder(&b).Encode(m)
+	return b.Bytes()
+}
+
+func (m *versionMachine) Restore(data []byte) error {
+	*m = versionMachine{}
+	return gob.NewDecoder(bytes.NewReader(data)).Decode(m)
+}
+
+func (m *versionMachine) value() versionMachine { return *m }
+
+// machineAdapter gives a versionMachine as a Machine; its Value method is taken by a field there.
+type machineAdapter struct{ *versionMachine }
+
+func (a machineAdapter) Value() any { return a.value() }
+
+func newSimulation(t testing.TB, seed int64, machines, tolerance int) *simulation {
+	s := &simulation{t: t, random: rand.New(rand.NewSource(seed)), hosts: map[string]*host{}, faults: tolerance, cuts: map[[2]string]bool{}}
+	for i := range machines {
+		h := &host{address: fmt.Sprintf("10.0.%d.1:7000", i), zone: fmt.Sprintf("zone-%d", i), genesis: true, syncTime: 2 * time.Millisecond}
+		s.hosts[h.address] = h
+		if i < 3 {
+			s.seeds = append(s.seeds, h.address)
+		}
+	}
+	for _, h := range s.hosts {
+		s.after(time.Duration(s.random.Intn(300))*time.Millisecond, func() { s.boot(h) })
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.number++
+	e := event{at: s.now + d, number: s.number, do: do}
+	i := sort.Search(len(s.events), func(i int) bool { return s.events[i].at > e.at })
+	s.events = append(s.events, event{})
+	copy(s.events[i+1:], s.events[i:])
+	s.events[i] = e
+}
+
+// run plays until a time.
+func (s *simulation) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := s.events[0]
+		s.events = s.events[1:]
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// boot starts a process on a host; an empty disk becomes a member of its own.
+func (s *simulation) boot(h *host) {
+	if h.process != nil {
+		return
+	}
+	if h.disk == nil {
+		h.wipes++
+		h.disk = &Kept{ID: fmt.Sprintf("%s/%d", h.address, h.wipes), Hard: Hard{Genesis: h.genesis}}
+	}
+	m := &versionMachine{}
+	p := &process{host: h, machine: m, answers: map[uint64]func(Decision){}}
+	kept := *h.disk
+	kept.Entries = append([]Entry(nil), kept.Entries...)
+	r, err := New(Options{Self: Member{ID: kept.ID, Address: h.address, Zone: h.zone}, Seeds: s.seeds, Bootstrap: h.genesis,
+		FaultTolerance: s.faults}, &kept, machineAdapter{m}, s.now)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h.genesis = false
+	p.replica = r
+	h.process = p
+	s.tick(p)
+	s.greet(p)
+}
+
+// greet stands for the sessions by which sidecars hear of one another.
+func (s *simulation) greet(p *process) {
+	if p.host.process != p {
+		return
+	}
+	s.after(400*time.Millisecond, func() { s.greet(p) })
+	for _, other := range s.hosts {
+		if other.process != nil && other != p.host && s.reaches(p.host, other) {
+			q := other.process
+			self := p.replica.Self
+			s.after(s.delay(), func() {
+				s.with(q, func() { q.replica.Eligible(self) })
+			})
+		}
+	}
+}
+
+func (s *simulation) tick(p *process) {
+	if p.host.process != p {
+		return
+	}
+	s.after(50*time.Millisecond, func() { s.tick(p) })
+	s.with(p, func() { p.replica.Tick(s.now) })
+}
+
+// with runs something in a process, after its freeze, if it lives.
+func (s *simulation) with(p *process, do func()) {
+	if p.host.process != p {
+		return
+	}
+	if s.now < p.host.frozenUntil {
+		s.after(p.host.frozenUntil-s.now, func() { s.with(p, do) })
+		return
+	}
+	do()
+	s.carryOut(p)
+}
+
+func (s *simulation) delay() time.Duration {
+	return time.Millisecond + time.Duration(s.random.Intn(1500))*time.Microsecond
+}
+
+func (s *simulation) reaches(from, to *host) bool {
+	return !s.cuts[[2]string{from.address, to.address}] && s.random.Float64() >= s.loss
+}
+
+func (s *simulation) carryOut(p *process) {
+	for _, one := range p.replica.Effects() {
+		switch e := one.(type) {
+		case Send:
+			s.send(p, e)
+		case Save:
+			s.save(p, e)
+		case Answer:
+			if then := p.answers[e.Token]; then != nil {
+				delete(p.answers, e.Token)
+				then(e.Decision)
+			}
+		}
+	}
+}
+
+func (s *simulation) send(p *process, e Send) {
+	to := s.hosts[e.To]
+	if to == nil || to.process == nil || !s.reaches(p.host, to) {
+		return
+	}
+	m := e.Message
+	if s.mutate != nil {
+		if m = s.mutate(p.host.address, m); m == nil {
+			return
+		}
+	}
+	q := to.process
+	s.after(s.delay(), func() {
+		s.with(q, func() { q.replica.Receive(p.host.address, m, s.now) })
+	})
+}
+
+// save writes in order; what is not done when power goes is lost.
+func (s *simulation) save(p *process, e Save) {
+	h := p.host
+	begin := max(s.now, p.saving)
+	p.saving = begin + h.syncTime
+	s.after(p.saving-s.now, func() {
+		if h.process != p {
+			return
+		}
+		if s.now < h.fullUntil || p.gap && e.Snapshot == nil {
+			p.gap = true
+			s.with(p, func() { p.replica.SaveFailed(e.Number, s.now) })
+			return
+		}
+		p.gap = false
+		h.disk.Hard = e.Hard
+		if e.Snapshot != nil {
+			h.disk.Snapshot, h.disk.Entries = *e.Snapshot, nil
+		} else if e.Entry != nil {
+			h.disk.Entries = append(h.disk.Entries, *e.Entry)
+		}
+		s.with(p, func() { p.replica.Saved(e.Number, s.now) })
+	})
+}
+
+func (s *simulation) kill(h *host) { h.process = nil }
+
+func (s *simulation) wipe(h *host) { h.disk = nil }
+
+func (s *simulation) cut(a, b *host, oneWay bool) {
+	s.cuts[[2]string{a.address, b.address}] = true
+	if !oneWay {
+		s.cuts[[2]string{b.address, a.address}] = true
+	}
+}
+
+func (s *simulation) heal() { s.cuts = map[[2]string]bool{} }
+
+func (s *simulation) primary() *process {
+	for _, address := range s.addresses() {
+		h := s.hosts[address]
+		if h.process != nil && h.process.replica.Primary() && h.process.replica.InTouch() {
+			return h.process
+		}
+	}
+	return nil
+}
+
+func (s *simulation) addresses() []string {
+	var out []string
+	for address := range s.hosts {
+		out = append(out, address)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// operation is a call of a client and what it was told.
+type operation struct {
+	client      int
+	write       bool
+	base        int
+	value       string
+	begin, end  time.Duration
+	status      int // 0: nothing clear
+	seenVersion int
+	seenValue   string
+}
+
+// write proposes a value at whoever says it is primary.
+func (s *simulation) write(client, base int, value string) {
+	s.call(operation{client: client, write: true, base: base, value: value})
+}
+
+func (s *simulation) read(client int) { s.call(operation{client: client}) }
+
+func (s *simulation) call(o operation) {
+	var p *process
+	for _, address := range s.addresses() {
+		if q := s.hosts[address].process; q != nil && q.replica.Primary() && (p == nil || s.random.Intn(2) == 0) {
+			p = q
+		}
+	}
+	if p == nil {
+		return
+	}
+	o.begin, o.end = s.now, -1
+	index := len(s.history)
+	s.history = append(s.history, o)
+	token := uint64(index + 1)
+	p.answers[token] = func(d Decision) {
+		r := &s.history[index]
+		r.end, r.status = s.now, d.Status
+		r.seenVersion, r.seenValue = p.machine.Version, p.machine.Value
+	}
+	s.with(p, func() {
+		if o.write {
+			p.replica.Propose(token, encodeEntry(versionEntry{o.base, o.value}), s.now)
+		} else {
+			p.replica.Confirm(token, s.now)
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -103,19 +103,19 @@
 	}
 }
 
-// Send puts a message in the queue to a peer; it is dropped where the queue is full. A message to the sidecar itself is
-// handled at once.
+// Send puts a message in the queue to a peer; it is dropped where the queue is full. It never calls the handler itself, also
+// where the sidecar sends to itself, since callers hold locks that the handler takes.
 func (t *Transport) Send(to string, body any) {
-	if to == t.self {
-		t.handler(t.self, body)
-		return
-	}
 	t.mutex.Lock()
 	p := t.peers[to]
 	if p == nil && !t.closed {
 		p = &peer{address: to, queue: make(chan any, queueLength)}
 		t.peers[to] = p
-		t.groups.Go(func() { t.run(p) })
+		if to == t.self {
+			t.groups.Go(func() { t.loop(p) })
+		} else {
+			t.groups.Go(func() { t.run(p) })
+		}
 	}
 	if p != nil {
 		select {
@@ -126,6 +126,18 @@
 	t.mutex.Unlock()
 }
 
+// loop hands over what the sidecar sends to itself.
+func (t *Transport) loop(p *peer) {
+	for {
+		select {
+		case <-t.done:
+			return
+		case body := <-p.queue:
+			t.handler(t.self, body)
+		}
+	}
+}
+
 // run writes a peer's queue until it has been idle for long.
 func (t *Transport) run(p *peer) {
 	idle := time.NewTimer(idleAfter)
