Control sidecars judge by themselves who is lost; configurations share what stays

Change: a word on who is lost goes from home to subscriber only; pushes have a least gap; unchanged items are shared by pointer; followers keep the last entries.

--- a/internal/dissemination/versions.go
+++ b/internal/dissemination/versions.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -40,13 +39,14 @@
 // Config is the configuration held, or nil.
 func (v *Versions) Config() *routetable.Config { return v.config }
 
-// Set takes a committed configuration, with the order that led to it where that is known; it reports whether it is newer.
-func (v *Versions) Set(version uint64, config *routetable.Config, order []byte) bool {
+// Set takes a committed configuration, with the last orders that led to it as far as they are known; it reports whether it
+// is newer.
+func (v *Versions) Set(version uint64, config *routetable.Config, orders [][]byte) bool {
 	if version <= v.version || config == nil {
 		return false
 	}
-	if order != nil && version == v.version+1 {
-		v.keep(order)
+	if missing := version - v.version; v.version > 0 && missing <= uint64(len(orders)) {
+		v.keep(orders[uint64(len(orders))-missing:])
 	} else {
 		v.orders = nil
 	}
@@ -54,8 +54,8 @@
 	return true
 }
 
-func (v *Versions) keep(order []byte) {
-	v.orders = append(v.orders, order)
+func (v *Versions) keep(orders [][]byte) {
+	v.orders = append(v.orders, orders...)
 	if len(v.orders) > keptOrders {
 		v.orders = append([][]byte(nil), v.orders[len(v.orders)-keptOrders:]...)
 	}
@@ -77,8 +77,7 @@
 
 func (v *Versions) snapshot() []byte {
 	if v.packedVersion != v.version {
-		text, _ := json.Marshal(v.config)
-		v.packed, v.packedVersion = pack(text), v.version
+		v.packed, v.packedVersion = pack(v.config.Encode()), v.version
 	}
 	return v.packed
 }
@@ -112,7 +111,7 @@
 		if err != nil {
 			return changed, err
 		}
-		changed = v.Set(version, config, order) || changed
+		changed = v.Set(version, config, [][]byte{order}) || changed
 	}
 	return changed, nil
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -269,13 +269,8 @@
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 		return
 	}
-	text, err := json.Marshal(config)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(text)
+	w.Write(config.Encode())
 }
 
 // ask hands something to the replica and waits for its answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	pruneEvery     = 2 * time.Second
 	homeReview     = 5 * time.Second
 	silentBeats    = 4.5 // heartbeats that a server may miss
+	pushGap        = 15 * time.Millisecond
 	resendAfter    = 300 * time.Millisecond
 )
 
@@ -84,6 +85,8 @@
 	lastSession  time.Duration
 	lastQuota    time.Duration
 	lastPrune    time.Duration
+	lastPush     time.Duration
+	pushLater    bool
 	touchedSince time.Duration
 }
 
@@ -207,6 +210,9 @@
 	if n.core() {
 		n.tickCore(now)
 	}
+	if n.pushLater {
+		n.pushAll()
+	}
 	n.tickSessions(now)
 	n.tickQuota(now)
 	if now-n.lastPrune > pruneEvery {
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -240,9 +240,14 @@
 	n.transport.Send(s.address, p)
 }
 
-// pushAll tells all subscribers at once, since something changed.
+// pushAll tells all subscribers that something changed: at once, or soon where they were told just now.
 func (n *Node) pushAll() {
 	now := n.now()
+	if now-n.lastPush < pushGap {
+		n.pushLater = true
+		return
+	}
+	n.lastPush, n.pushLater = now, false
 	for address, s := range n.subscribers {
 		if now-s.heard > sessionTimeout {
 			delete(n.subscribers, address)
@@ -273,7 +278,11 @@
 	}
 	before := n.registry.Stamp()
 	for _, u := range p.Instances {
-		n.registry.Merge(u, now)
+		if n.core() {
+			n.registry.Merge(u, now)
+		} else {
+			n.registry.Adopt(u, now)
+		}
 	}
 	n.registry.Refresh(p.Heard, now)
 	n.follow(from, p)
@@ -306,7 +315,7 @@
 // publish takes a committed configuration from the replica.
 func (n *Node) publish(e replication.Publish) {
 	config, ok := e.Value.(*routetable.Config)
-	if ok && n.versions.Set(e.Position.Sequence, config, e.Entry) {
+	if ok && n.versions.Set(e.Position.Sequence, config, e.Entries) {
 		n.pushAll()
 	}
 }
@@ -315,7 +324,7 @@
 func (n *Node) apply() {
 	if v := n.versions.Version(); v != n.compiled {
 		n.compiled = v
-		n.gateway.SetTable(routetable.Compile(n.versions.Config()))
+		n.gateway.SetTable(routetable.Compile(n.versions.Config(), n.gateway.Table()))
 		n.setReservoir()
 		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
 	}
--- a/internal/operatorapi/register.go
+++ b/internal/operatorapi/register.go
@@ -9,10 +9,12 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/gob"
-	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"petrelhook/internal/replication"
 	"petrelhook/internal/routetable"
 )
@@ -40,23 +42,24 @@
 type Digest [sha256.Size]byte
 
 // Digest is the content of an order: a call that is sent again has the same.
-func (o *Order) Digest() Digest {
-	h := sha256.New()
-	gob.NewEncoder(h).Encode(o)
-	return Digest(h.Sum(nil))
-}
+func (o *Order) Digest() Digest { return sha256.Sum256(o.Encode()) }
+
+const orderHead = 1 + 8 // kind and base
 
 // Encode gives an order as an entry.
 func (o *Order) Encode() []byte {
-	var text bytes.Buffer
-	gob.NewEncoder(&text).Encode(o)
-	return text.Bytes()
+	out := make([]byte, orderHead, orderHead+len(o.Body))
+	out[0] = byte(o.Kind)
+	binary.BigEndian.PutUint64(out[1:], uint64(o.Base))
+	return append(out, o.Body...)
 }
 
 // DecodeOrder reads an entry.
 func DecodeOrder(entry []byte) (*Order, error) {
-	o := &Order{}
-	return o, gob.NewDecoder(bytes.NewReader(entry)).Decode(o)
+	if len(entry) < orderHead {
+		return nil, errors.New("an order is cut off")
+	}
+	return &Order{Kind: OrderKind(entry[0]), Base: int64(binary.BigEndian.Uint64(entry[1:])), Body: entry[orderHead:]}, nil
 }
 
 // Register is the replicated configuration.
@@ -113,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := next.Validate(g.Generation()); err != nil {
+	if err := next.Validate(g.config); err != nil {
 		return nil, err
 	}
 	g.cached, g.next = o.Digest(), next
@@ -166,14 +169,17 @@
 
 type snapshot struct {
 	Config []byte // JSON, empty before the first
-	Taken  []Digest
+	Taken  []byte // digests, one after the other
 }
 
 // Snapshot gives the whole state.
 func (g *Register) Snapshot() []byte {
-	s := snapshot{Taken: g.taken}
+	s := snapshot{Taken: make([]byte, 0, len(g.taken)*sha256.Size)}
+	for _, d := range g.taken {
+		s.Taken = append(s.Taken, d[:]...)
+	}
 	if g.config != nil {
-		s.Config, _ = json.Marshal(g.config)
+		s.Config = g.config.Encode()
 	}
 	var text bytes.Buffer
 	gob.NewEncoder(&text).Encode(s)
@@ -193,8 +199,10 @@
 			return err
 		}
 	}
-	g.config, g.next, g.taken, g.known = config, nil, s.Taken, map[Digest]bool{}
-	for _, d := range s.Taken {
+	g.config, g.next, g.taken, g.known = config, nil, nil, map[Digest]bool{}
+	for rest := s.Taken; len(rest) >= sha256.Size; rest = rest[sha256.Size:] {
+		d := Digest(rest[:sha256.Size])
+		g.taken = append(g.taken, d)
 		g.known[d] = true
 	}
 	return nil
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -47,6 +47,8 @@
 	Lost  bool // silent for too long, or another server has its address
 	Stamp uint64
 	Heard time.Duration // when
+
+	replaced bool // another server has its address
 }
 
 // Usable reports whether requests may go there.
@@ -62,6 +64,9 @@
 // keepGone is for how long the end of an instance is remembered.
 const keepGone = 2 * time.Minute
 
+// heardAgain is how recent a heartbeat has to be for an instance that was lost to be back.
+const heardAgain = time.Second
+
 // New makes an empty registry.
 func New() *Registry { return &Registry{entries: map[string]*Entry{}} }
 
@@ -77,18 +82,30 @@
 // Beat takes in a call of the server itself and reports whether something changed.
 func (g *Registry) Beat(i Instance, now time.Duration) bool {
 	g.fresh = append(g.fresh, i.ID)
-	return g.merge(i, now, now, false)
+	return g.merge(i, now, now)
 }
 
-// Merge takes in what another sidecar says.
+// Merge takes in what another control sidecar says. Whether an instance is lost each of them judges by itself, from when it
+// was heard: a word that is taken over both ways would go back and forth for ever.
 func (g *Registry) Merge(u Update, now time.Duration) bool {
-	return g.merge(u.Instance, now-u.Age, now, u.Lost)
+	return g.merge(u.Instance, now-u.Age, now)
+}
+
+// Adopt takes in what the home says, which judges for its subscribers who is lost.
+func (g *Registry) Adopt(u Update, now time.Duration) bool {
+	changed := g.merge(u.Instance, now-u.Age, now)
+	if e := g.entries[u.Instance.ID]; e.Lost != u.Lost {
+		e.Lost = u.Lost
+		g.change(e)
+		changed = true
+	}
+	return changed
 }
 
-func (g *Registry) merge(i Instance, heard, now time.Duration, lost bool) bool {
+func (g *Registry) merge(i Instance, heard, now time.Duration) bool {
 	e := g.entries[i.ID]
 	if e == nil {
-		e = &Entry{Instance: i, Heard: heard, Lost: lost}
+		e = &Entry{Instance: i, Heard: heard}
 		g.entries[i.ID] = e
 		g.change(e)
 		g.takeAddress(e)
@@ -107,15 +124,11 @@
 	}
 	if heard > e.Heard {
 		e.Heard = heard
-		if !lost && e.Lost && now-heard < time.Second {
+		if e.Lost && !e.replaced && now-heard < heardAgain {
 			e.Lost = false
 			changed = true
 		}
 	}
-	if lost && !e.Lost {
-		e.Lost = true
-		changed = true
-	}
 	if changed {
 		g.change(e)
 	}
@@ -131,7 +144,7 @@
 func (g *Registry) takeAddress(e *Entry) {
 	for _, other := range g.entries {
 		if other != e && other.Address == e.Address && !other.Lost && other.State != Gone && other.Heard < e.Heard {
-			other.Lost = true
+			other.Lost, other.replaced = true, true
 			g.change(other)
 		}
 	}
@@ -142,7 +155,7 @@
 	for _, id := range ids {
 		if e := g.entries[id]; e != nil && now > e.Heard {
 			e.Heard = now
-			if e.Lost {
+			if e.Lost && !e.replaced {
 				e.Lost = false
 				g.change(e)
 			}
@@ -157,7 +170,7 @@
 	return out
 }
 
-// Expire marks those lost that have been silent for longer than a time, and forgets ends that are long past.
+// Expire judges who is lost: those that have been silent for longer than a time. It forgets ends that are long past.
 func (g *Registry) Expire(silence, now time.Duration) bool {
 	changed := false
 	for id, e := range g.entries {
@@ -166,8 +179,8 @@
 			delete(g.entries, id)
 			continue
 		}
-		if e.State != Gone && !e.Lost && silent > silence {
-			e.Lost = true
+		if lost := e.replaced || silent > silence; e.State != Gone && e.Lost != lost {
+			e.Lost = lost
 			g.change(e)
 			changed = true
 		}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,82 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func instance(id string, sequence int64, state State) Instance {
+	return Instance{ID: id, Service: "llm", Address: "10.0.0.1:80", State: state, Sequence: sequence}
+}
+
+func TestALateCallChangesNothing(t *testing.T) {
+	g := New()
+	require.True(t, g.Beat(instance("a", 5, Draining), time.Second))
+	require.False(t, g.Beat(instance("a", 4, Ready), 2*time.Second))
+	require.Empty(t, g.Usable("llm"))
+}
+
+func TestADrainIsNotTakenBack(t *testing.T) {
+	g := New()
+	g.Beat(instance("a", 5, Draining), time.Second)
+	g.Beat(instance("a", 6, Ready), 2*time.Second)
+	require.Equal(t, Draining, g.Entry("a").State)
+}
+
+func TestSilenceAndReturn(t *testing.T) {
+	g := New()
+	g.Beat(instance("a", 1, Ready), 0)
+	require.False(t, g.Expire(5*time.Second, 4*time.Second))
+	require.True(t, g.Expire(5*time.Second, 6*time.Second))
+	require.Empty(t, g.Usable("llm"))
+	require.True(t, g.Beat(instance("a", 2, Ready), 7*time.Second))
+	require.Len(t, g.Usable("llm"), 1)
+}
+
+func TestAnAddressIsTakenOver(t *testing.T) {
+	g := New()
+	g.Beat(instance("a", 1, Ready), 0)
+	other := instance("b", 1, Ready)
+	other.Service = "registry"
+	g.Beat(other, 3*time.Second)
+	require.Empty(t, g.Usable("llm"))
+	require.Len(t, g.Usable("registry"), 1)
+}
+
+// Two control sidecars that judge differently who is lost tell one another no end of news, if either takes over the
+// other's word.
+func TestJudgementsDoNotGoBackAndForth(t *testing.T) {
+	a, b := New(), New()
+	a.Beat(instance("x", 1, Ready), 0)
+	b.Beat(instance("x", 1, Ready), 5*time.Second)
+	now := 6 * time.Second
+	a.Expire(4*time.Second, now)
+	var fromA, fromB uint64
+	messages := 0
+	for range 50 {
+		toB, toA := a.Since(fromA, now), b.Since(fromB, now)
+		fromA, fromB = a.Stamp(), b.Stamp()
+		messages += len(toA) + len(toB)
+		now += time.Millisecond
+		for _, u := range toB {
+			b.Merge(u, now)
+		}
+		for _, u := range toA {
+			a.Merge(u, now)
+		}
+	}
+	require.Less(t, messages, 6)
+	a.Expire(4*time.Second, now)
+	require.Len(t, a.Usable("llm"), 1)
+	require.Len(t, b.Usable("llm"), 1)
+}
+
+func TestASubscriberAdoptsItsHomesWord(t *testing.T) {
+	g := New()
+	g.Adopt(Update{Instance: instance("a", 1, Ready)}, time.Second)
+	require.Len(t, g.Usable("llm"), 1)
+	require.True(t, g.Adopt(Update{Instance: instance("a", 1, Ready), Lost: true}, 2*time.Second))
+	require.Empty(t, g.Usable("llm"))
+}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -215,7 +215,7 @@
 		if m.Snapshot == nil || r.machine.Restore(m.Snapshot) != nil {
 			return
 		}
-		r.position, r.last = m.Position, nil
+		r.position, r.recent = m.Position, nil
 	}
 	epoch, position := m.Epoch, m.Position
 	r.save(nil, changed, func() {
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -213,8 +213,8 @@
 // Publish says that a state of the machine is committed.
 type Publish struct {
 	Position Position
-	Entry    []byte // the last one, where it is known
-	Value    any    // the machine's
+	Entries  [][]byte // the last ones that led to it, as far as they are known
+	Value    any      // the machine's
 }
 
 // Answer ends a proposal.
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -56,7 +56,7 @@
 			}
 		}
 	}
-	r.out = append(r.out, Publish{Position: r.position, Entry: r.last, Value: r.machine.Value()})
+	r.publish()
 	if old.staged != nil { // its entry is part of the state that this view began with
 		r.answer(old.staged.token, Decision{Accept: true, Status: http.StatusOK})
 	}
@@ -115,7 +115,7 @@
 	l.staged, l.stagedAt, l.acks = &p, r.now, map[string]bool{}
 	r.machine.Apply(p.data)
 	r.position = Position{Epoch: l.view.Epoch, Sequence: r.position.Sequence + 1}
-	r.last = p.data
+	r.remember(p.data)
 	entry := Entry{Position: r.position, Data: p.data}
 	epoch, sequence := l.view.Epoch, r.position.Sequence
 	r.save(&entry, false, func() {
@@ -143,7 +143,7 @@
 	}
 	r.machine.Apply(m.Entry)
 	r.position = Position{Epoch: epoch, Sequence: sequence}
-	r.last = m.Entry
+	r.remember(m.Entry)
 	r.save(&Entry{Position: r.position, Data: m.Entry}, false, done)
 }
 
@@ -161,7 +161,7 @@
 	token := l.staged.token
 	l.staged = nil
 	l.committed = r.position.Sequence
-	r.out = append(r.out, Publish{Position: r.position, Entry: r.last, Value: r.machine.Value()})
+	r.publish()
 	r.answer(token, Decision{Accept: true, Status: http.StatusOK})
 	r.heartbeat()
 	r.nextProposal()
@@ -204,7 +204,7 @@
 	}
 	current := r.position.Sequence <= m.Committed && m.View.inSync(r.Self.ID) && r.hard.Accepted.Epoch == m.View.Epoch
 	if current && r.position.Sequence == m.Committed {
-		r.out = append(r.out, Publish{Position: r.position, Entry: r.last, Value: r.machine.Value()})
+		r.publish()
 	}
 }
 
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -43,6 +43,7 @@
 	genesisWait    = 700 * time.Millisecond // from the last new sidecar of the first start to the first view
 	diskStall      = 500 * time.Millisecond
 	diskRetry      = 300 * time.Millisecond
+	recentEntries  = 32 // kept for those that follow
 	compactEvery   = 32 // entries between two snapshots on the disk
 	maxProposals   = 64
 )
@@ -74,13 +75,14 @@
 	Options
 	machine Machine
 
-	hard     Hard
-	position Position // of machine
-	last     []byte   // the entry that led to it, where it is known
-	known    View     // the newest view known to be in force
-	role     role
-	now      time.Duration
-	out      []Effect
+	hard      Hard
+	position  Position // of machine
+	published Position
+	recent    [][]byte // the last entries that led to it
+	known     View     // the newest view known to be in force
+	role      role
+	now       time.Duration
+	out       []Effect
 
 	// What the disk is doing.
 	saves        uint64
@@ -220,6 +222,23 @@
 	r.diskTried = now
 }
 
+// remember keeps an entry for those that follow the machine's state.
+func (r *Replica) remember(entry []byte) {
+	r.recent = append(r.recent, entry)
+	if len(r.recent) > recentEntries {
+		r.recent = append([][]byte(nil), r.recent[1:]...)
+	}
+}
+
+// publish says that the machine's state is committed.
+func (r *Replica) publish() {
+	if r.published == r.position {
+		return
+	}
+	r.published = r.position
+	r.out = append(r.out, Publish{Position: r.position, Entries: r.recent, Value: r.machine.Value()})
+}
+
 func (r *Replica) stalled() bool {
 	return r.diskFails || len(r.pending) > 0 && r.now-r.pending[0].since > diskStall
 }
--- a/internal/routetable/config.go
+++ b/internal/routetable/config.go
@@ -5,8 +5,9 @@
 package routetable
 
 import (
+	"bytes"
 	"encoding/json"
-	"reflect"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -95,20 +96,20 @@
 func (s Service) name() string { return s.Name }
 func (t Tenant) name() string  { return t.Name }
 
-// Item is a value together with the text it was read from.
+// Item is a value together with the text it was read from. Configurations share the values of items that did not change.
 type Item[T Named] struct {
-	Value T
+	Value *T
 	Text  json.RawMessage
 }
 
 // UnmarshalJSON reads the value and keeps the text.
 func (i *Item[T]) UnmarshalJSON(text []byte) error {
 	i.Text = append(json.RawMessage(nil), text...)
-	return json.Unmarshal(text, &i.Value)
+	i.Value = new(T)
+	return json.Unmarshal(text, i.Value)
 }
 
-// MarshalJSON gives the text back.
-func (i Item[T]) MarshalJSON() ([]byte, error) { return i.Text, nil }
+func (i Item[T]) name() string { return (*i.Value).name() }
 
 // Update changes named items of a configuration.
 type Update struct {
@@ -160,12 +161,12 @@
 	gone := mapset.NewThreadUnsafeSet(remove...)
 	changed := make(map[string]Item[T], len(upsert))
 	for _, item := range upsert {
-		changed[item.Value.name()] = item
+		changed[item.name()] = item
 	}
 	out := make([]Item[T], 0, len(old)+len(upsert))
 	placed := mapset.NewThreadUnsafeSet[string]()
 	for _, item := range old {
-		name := item.Value.name()
+		name := item.name()
 		if replacement, ok := changed[name]; ok {
 			item = replacement
 		} else if gone.Contains(name) {
@@ -175,8 +176,8 @@
 		out = append(out, item)
 	}
 	for _, item := range upsert {
-		if placed.Add(item.Value.name()) {
-			out = append(out, changed[item.Value.name()])
+		if placed.Add(item.name()) {
+			out = append(out, changed[item.name()])
 		}
 	}
 	return out
@@ -184,36 +185,41 @@
 
 var structValidator = sync.OnceValue(func() *validator.Validate { return validator.New() })
 
-// Validate judges a whole configuration that follows one of a generation.
-func (c *Config) Validate(current int64) error {
-	if c.Generation <= current {
-		return invalid("field Generation: %d is not above %d", c.Generation, current)
+// Validate judges a configuration that follows another, which may be nil. Items that it shares with that one were judged
+// with it and are looked at only for what they are to the others.
+func (c *Config) Validate(previous *Config) error {
+	if previous == nil {
+		previous = &Config{}
+	}
+	if c.Generation <= previous.Generation {
+		return invalid("field Generation: %d is not above %d", c.Generation, previous.Generation)
 	}
 	services := mapset.NewThreadUnsafeSetWithSize[string](len(c.Services))
+	judged := values(previous.Services)
 	for i, s := range c.Services {
-		if err := checkItem("Services", i, s.Value); err != nil {
+		if err := checkItem("Services", i, s, judged); err != nil {
 			return err
 		}
 		if !services.Add(s.Value.Name) {
 			return invalid("field Services[%d].Name: %s stands twice", i, s.Value.Name)
 		}
 	}
-	if err := c.validateRoutes(services); err != nil {
+	if err := c.validateRoutes(services, values(previous.Routes)); err != nil {
 		return err
 	}
-	if err := c.validateTenants(); err != nil {
+	if err := c.validateTenants(values(previous.Tenants)); err != nil {
 		return err
 	}
 	_, err := c.ClientLimits()
 	return err
 }
 
-func (c *Config) validateRoutes(services mapset.Set[string]) error {
+func (c *Config) validateRoutes(services mapset.Set[string], judged map[*Route]bool) error {
 	names := mapset.NewThreadUnsafeSetWithSize[string](len(c.Routes))
 	places := mapset.NewThreadUnsafeSetWithSize[string](len(c.Routes))
 	for i, item := range c.Routes {
 		r := item.Value
-		if err := checkItem("Routes", i, r); err != nil {
+		if err := checkItem("Routes", i, item, judged); err != nil {
 			return err
 		}
 		if !names.Add(r.Name) {
@@ -229,7 +235,7 @@
 	return nil
 }
 
-func validateBackends(i int, r Route, services mapset.Set[string]) error {
+func validateBackends(i int, r *Route, services mapset.Set[string]) error {
 	if len(r.WeightedBackends) == 0 {
 		if !services.Contains(r.Service) {
 			return invalid("field Routes[%d].Service: no service is named %q", i, r.Service)
@@ -252,12 +258,12 @@
 	return nil
 }
 
-func (c *Config) validateTenants() error {
+func (c *Config) validateTenants(judged map[*Tenant]bool) error {
 	names := mapset.NewThreadUnsafeSet[string]()
 	keys := mapset.NewThreadUnsafeSet[string]()
 	for i, item := range c.Tenants {
 		t := item.Value
-		if err := checkItem("Tenants", i, t); err != nil {
+		if err := checkItem("Tenants", i, item, judged); err != nil {
 			return err
 		}
 		if !names.Add(t.Name) {
@@ -284,8 +290,23 @@
 	return l, nil
 }
 
-func checkItem(list string, i int, value any) error {
-	err := structValidator().Struct(value)
+// values are the items of a list that were judged already.
+func values[T Named](items []Item[T]) map[*T]bool {
+	out := make(map[*T]bool, len(items))
+	for _, item := range items {
+		out[item.Value] = true
+	}
+	return out
+}
+
+func checkItem[T Named](list string, i int, item Item[T], judged map[*T]bool) error {
+	if item.Value == nil {
+		return invalid("field %s[%d]: it is null", list, i)
+	}
+	if judged[item.Value] {
+		return nil
+	}
+	err := structValidator().Struct(item.Value)
 	var fields validator.ValidationErrors
 	if errors.As(err, &fields) && len(fields) > 0 {
 		f := fields[0]
@@ -294,9 +315,35 @@
 	return err
 }
 
+// Encode gives the configuration as JSON, from the texts that its items came in.
+func (c *Config) Encode() []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"Generation":`)
+	b.WriteString(strconv.FormatInt(c.Generation, 10))
+	encodeItems(&b, "Routes", c.Routes)
+	encodeItems(&b, "Services", c.Services)
+	if len(c.Limits) > 0 {
+		b.WriteString(`,"Limits":`)
+		b.Write(c.Limits)
+	}
+	if c.Tenants != nil {
+		encodeItems(&b, "Tenants", c.Tenants)
+	}
+	b.WriteByte('}')
+	return b.Bytes()
+}
+
+func encodeItems[T Named](b *bytes.Buffer, name string, items []Item[T]) {
+	b.WriteString(`,"` + name + `":[`)
+	for i, item := range items {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.Write(item.Text)
+	}
+	b.WriteByte(']')
+}
+
 func invalid(format string, args ...any) error {
 	return errors.Mark(errors.Newf(format, args...), ErrInvalid)
 }
-
-// Equal reports whether two configurations say the same.
-func (c *Config) Equal(other *Config) bool { return reflect.DeepEqual(c, other) }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -36,38 +36,48 @@
 	Generation int64
 	Limits     ClientLimits
 	hosts      map[string]map[string]*Compiled // host, prefix
+	routes     map[*Route]*Compiled
 	keys       map[string]*Tenant
 	tenants    map[string]*Tenant
 	services   map[string]*Service
 }
 
-// Compile makes the table of a valid configuration.
-func Compile(c *Config) *Table {
+// Compile makes the table of a valid configuration. What did not change is shared with the table before, which may be nil.
+func Compile(c *Config, previous *Table) *Table {
+	if previous == nil {
+		previous = &Table{}
+	}
 	t := &Table{
 		Generation: c.Generation,
 		hosts:      map[string]map[string]*Compiled{},
+		routes:     make(map[*Route]*Compiled, len(c.Routes)),
 		keys:       map[string]*Tenant{},
 		tenants:    map[string]*Tenant{},
 		services:   map[string]*Service{},
 	}
 	t.Limits, _ = c.ClientLimits()
 	for i := range c.Routes {
-		t.addRoute(&c.Routes[i].Value)
+		r := c.Routes[i].Value
+		compiled := previous.routes[r]
+		if compiled == nil {
+			compiled = compile(r)
+		}
+		t.add(r, compiled)
 	}
 	for i := range c.Tenants {
-		tenant := &c.Tenants[i].Value
+		tenant := c.Tenants[i].Value
 		t.tenants[tenant.Name] = tenant
 		for _, key := range tenant.ApiKeys {
 			t.keys[key] = tenant
 		}
 	}
 	for i := range c.Services {
-		t.services[c.Services[i].Value.Name] = &c.Services[i].Value
+		t.services[c.Services[i].Value.Name] = c.Services[i].Value
 	}
 	return t
 }
 
-func (t *Table) addRoute(r *Route) {
+func compile(r *Route) *Compiled {
 	compiled := &Compiled{
 		Route:    *r,
 		Timeout:  time.Duration(r.TimeoutMs * float64(time.Millisecond)),
@@ -85,6 +95,11 @@
 	if len(compiled.Backends) == 0 {
 		compiled.Backends = []WeightedBackend{{Service: r.Service, Weight: 1}}
 	}
+	return compiled
+}
+
+func (t *Table) add(r *Route, compiled *Compiled) {
+	t.routes[r] = compiled
 	host := strings.ToLower(r.Host)
 	if t.hosts[host] == nil {
 		t.hosts[host] = map[string]*Compiled{}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,61 @@
+package transport
+
+import (
+	"encoding/gob"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type note struct{ Number int }
+
+func init() { gob.Register(note{}) }
+
+// A sidecar that sends to itself under a lock that its handler takes must not stand still.
+func TestSendingToItselfUnderALock(t *testing.T) {
+	var mutex sync.Mutex
+	got := make(chan int, 1)
+	one := New("127.0.0.1:1", func(_ string, body any) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		got <- body.(note).Number
+	})
+	defer one.Close()
+	mutex.Lock()
+	one.Send("127.0.0.1:1", note{7})
+	mutex.Unlock()
+	require.Equal(t, 7, <-got)
+}
+
+func TestMessagesKeepTheirOrder(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	got := make(chan int, 200)
+	to := New(listener.Addr().String(), func(from string, body any) { got <- body.(note).Number })
+	go to.Serve(listener)
+	defer to.Close()
+	defer listener.Close()
+	from := New("127.0.0.1:2", nil)
+	defer from.Close()
+	for i := range 100 {
+		from.Send(listener.Addr().String(), note{i})
+	}
+	for i := range 100 {
+		require.Equal(t, i, <-got)
+	}
+	require.Positive(t, from.Sent())
+}
+
+// A peer that does not listen costs its messages, not the sender's time.
+func TestAPeerThatIsNotThere(t *testing.T) {
+	from := New("127.0.0.1:2", nil)
+	defer from.Close()
+	began := time.Now()
+	for i := range 10 * queueLength {
+		from.Send("127.0.0.1:9", note{i})
+	}
+	require.Less(t, time.Since(began), time.Second)
+}
