After all sidecars end at once the fleet is back sooner: seeds, elections, servers on the disk

Change: the core tells the seeds who it is; only witnesses answer and all contacts are waited for; questions are sent again every 100 ms; servers are kept on the disk; a refusal during a start says when to come back.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 	}
 	switch {
 	case !ran:
-		g.refuse(w, http.StatusServiceUnavailable, retrySoon, "no server took it")
+		g.refuse(w, http.StatusServiceUnavailable, g.untilStarted(), "no server took it")
 	case result == expired:
 		g.fail(w, http.StatusGatewayTimeout, "no answer in time")
 	default:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,6 +21,7 @@
 	deadlineMargin  = 3 * time.Millisecond
 	retrySoon       = 250 * time.Millisecond // where nothing better is known
 	maxBody         = 8 << 20
+	startUsually    = 800 * time.Millisecond // from a start to a configuration and servers
 )
 
 // request is one client's try on its way.
@@ -53,7 +54,7 @@
 	}
 	table := g.table.Load()
 	if table == nil {
-		g.refuse(w, http.StatusServiceUnavailable, retrySoon, "no configuration yet")
+		g.refuse(w, http.StatusServiceUnavailable, g.untilStarted(), "no configuration yet")
 		return
 	}
 	if !g.authorize(w, r, table, req) {
@@ -193,6 +194,11 @@
 	return a + b
 }
 
+// untilStarted is when a client that came while this sidecar starts had better come back.
+func (g *Gateway) untilStarted() time.Duration {
+	return max(retrySoon, startUsually-g.options.Now())
+}
+
 // refuse answers with a promise that the request has not run, and says when to come back.
 func (g *Gateway) refuse(w http.ResponseWriter, status int, after time.Duration, reason string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 const (
 	tickEvery      = 50 * time.Millisecond
 	sessionEvery   = 400 * time.Millisecond
+	seedsEvery     = time.Second            // at which the core tells seeds who it is
 	greetEvery     = 200 * time.Millisecond // while the core is not known
 	homeSilent     = 1200 * time.Millisecond
 	sessionTimeout = 3 * time.Second
@@ -88,6 +89,11 @@
 	lastPush     time.Duration
 	pushLater    bool
 	touchedSince time.Duration
+	lastSeeds    time.Duration
+	cached       bool   // the servers were read from the disk
+	stored       uint64 // stamp of the servers on the disk
+	lastStored   time.Duration
+	storing      atomic.Bool
 }
 
 // New makes a node; nothing is started or opened.
@@ -152,6 +158,7 @@
 		n.self.Member = &o.Self
 		n.disk = newDiskWriter(disk, n.saved)
 		n.eligible[kept.ID] = o.Self
+		n.loadServers()
 	} else {
 		o.Witness = true
 		o.Self.ID = n.self.Address
@@ -233,7 +240,8 @@
 		n.touchedSince = now
 	}
 	beat := settings.Milliseconds(n.settings.HeartbeatMs)
-	if !n.complete && now-n.touchedSince > 2*beat {
+	n.storeServers(now)
+	if !n.complete && (n.cached || now-n.touchedSince > 2*beat) {
 		n.complete = true // every server that lives has called some control sidecar by now
 	}
 	if n.registry.Expire(time.Duration(silentBeats*float64(beat)), now) {
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -13,6 +13,9 @@
 // drawWait is how long a request waits for the reservoir before its sidecar's lease decides.
 const drawWait = 80 * time.Millisecond
 
+// justStarted is for how long after its start a sidecar counts as new.
+const justStarted = 5 * time.Second
+
 // noteLead begins and ends this sidecar's term as the one that divides limits.
 func (n *Node) noteLead() {
 	if !n.replica.Primary() {
@@ -27,7 +30,7 @@
 	now := n.now()
 	b := n.settings.Bounds
 	n.allocator = quota.NewAllocator(now)
-	n.reservoir = quota.NewReservoir(quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}, now)
+	n.reservoir = quota.NewReservoir(quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}, now < justStarted, now)
 	n.setReservoir()
 }
 
--- /dev/null
+++ b/internal/node/servers_cache.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"bytes"
+	"encoding/gob"
+	"time"
+
+	"petrelhook/internal/registry"
+	"petrelhook/internal/storage"
+)
+
+const (
+	serversCache = "servers.cache"
+	serversEvery = time.Second
+)
+
+// loadServers takes the servers that this disk remembers: after all sidecars ended at once they are served until their
+// heartbeats come, or do not. That a server is another one by now costs a 421.
+func (n *Node) loadServers() {
+	text, err := storage.ReadCache(n.settings.DataDir, serversCache)
+	if err != nil {
+		n.logger.Debug().Err(err).Msg("servers")
+		return
+	}
+	var list []registry.Update
+	if err := gob.NewDecoder(bytes.NewReader(text)).Decode(&list); err != nil {
+		n.logger.Warn().Err(err).Msg("servers")
+		return
+	}
+	for _, u := range list {
+		u.Age = 0
+		n.registry.Merge(u, n.now())
+	}
+	n.cached = len(list) > 0
+	n.stored = n.registry.Stamp()
+}
+
+// storeServers remembers the servers, now and then.
+func (n *Node) storeServers(now time.Duration) {
+	if now-n.lastStored < serversEvery || n.registry.Stamp() == n.stored || n.storing.Load() {
+		return
+	}
+	n.lastStored, n.stored = now, n.registry.Stamp()
+	var text bytes.Buffer
+	if err := gob.NewEncoder(&text).Encode(n.registry.Since(0, now)); err != nil {
+		return
+	}
+	n.storing.Store(true)
+	go func() { // a disk may hang
+		defer n.storing.Store(false)
+		if err := storage.WriteCache(n.settings.DataDir, serversCache, text.Bytes()); err != nil {
+			n.logger.Debug().Err(err).Msg("servers")
+		}
+	}()
+}
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -61,6 +61,10 @@
 	}
 	if n.core() {
 		n.sessions.Heartbeat(n.self, now)
+		if now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
+			n.lastSeeds = now
+			n.greet()
+		}
 		return
 	}
 	if n.self.Member == nil || !n.isMember(n.self.Address) {
@@ -168,6 +172,10 @@
 		n.eligible[m.Node.Member.ID] = *m.Node.Member
 		n.replica.Eligible(*m.Node.Member)
 	}
+	if n.view.Epoch.Less(m.View) && !m.Subscribe {
+		n.transport.Send(from, dissemination.Session{Node: n.self, View: n.view.Epoch})
+		return
+	}
 	if !m.Subscribe || !n.core() {
 		n.introduce(from, m)
 		return
--- /dev/null
+++ b/internal/operatorapi/register_test.go
@@ -0,0 +1,85 @@
+package operatorapi
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `{"Generation":3,"Routes":[{"Name":"r1","Host":"a.example","PathPrefix":"/x/","RouteType":"safe","TimeoutMs":1000,
+"TargetLatencyMs":100,"Priority":0,"Service":"s1","MaxAttempts":2,"Unknown":{"kept":true}}],
+"Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":10}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"t1","ApiKeys":["k1"],"Unit":"token_based","RatePerS":10,"Burst":5}]}`
+
+func route(name, prefix string) string {
+	return fmt.Sprintf(`{"Name":%q,"Host":"a.example","PathPrefix":%q,"RouteType":"unsafe","TimeoutMs":500,"Service":"s1"}`, name, prefix)
+}
+
+func order(kind OrderKind, base int64, body string) []byte {
+	o := Order{Kind: kind, Base: base, Body: []byte(body)}
+	return o.Encode()
+}
+
+// take decides on an order and applies it where it is accepted.
+func take(g *Register, entry []byte) int {
+	d := g.Decide(entry)
+	if d.Accept {
+		g.Apply(entry)
+	}
+	return d.Status
+}
+
+func TestOrders(t *testing.T) {
+	g := NewRegister()
+	first := order(Replace, 0, whole)
+	require.Equal(t, http.StatusOK, take(g, first))
+	update := order(Update, 3, `{"Generation":5,"Upsert":{"Routes":[`+route("r2", "/y/")+`]}}`)
+	require.Equal(t, http.StatusOK, take(g, update))
+	require.Equal(t, int64(5), g.Generation())
+	require.Equal(t, http.StatusOK, take(g, first), "an order that was taken is acknowledged again")
+	require.Equal(t, http.StatusOK, take(g, update))
+	require.Equal(t, int64(5), g.Generation())
+	require.Equal(t, http.StatusPreconditionFailed, take(g, order(Update, 3, `{"Generation":6}`)))
+	require.Equal(t, http.StatusOK, take(g, order(Update, 5, `{"Generation":9,"Remove":{"Routes":["r1"]}}`)))
+	require.Len(t, g.Config().Routes, 1)
+	require.Equal(t, "r2", g.Config().Routes[0].Value.Name)
+}
+
+func TestInvalidOrders(t *testing.T) {
+	g := NewRegister()
+	require.Equal(t, http.StatusOK, take(g, order(Replace, 0, whole)))
+	for name, body := range map[string]string{
+		"cut short":       `{"Generation":5,"Upsert":{"Routes":[`,
+		"old number":      `{"Generation":3}`,
+		"unknown service": `{"Generation":5,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","TimeoutMs":5,"Service":"s9"}]}}`,
+		"same place":      `{"Generation":5,"Upsert":{"Routes":[` + route("r2", "/x/") + `]}}`,
+		"no weight":       `{"Generation":5,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","TimeoutMs":5,"WeightedBackends":[{"Service":"s1","Weight":0}]}]}}`,
+		"no time-out":     `{"Generation":5,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","TimeoutMs":0,"Service":"s1"}]}}`,
+		"shared key":      `{"Generation":5,"Upsert":{"Tenants":[{"Name":"t2","ApiKeys":["k1"]}]}}`,
+		"null route":      `{"Generation":5,"Upsert":{"Routes":[null]}}`,
+		"service in use":  `{"Generation":5,"Remove":{"Services":["s1"]}}`,
+	} {
+		require.Equal(t, http.StatusBadRequest, take(g, order(Update, 3, body)), name)
+	}
+	require.Equal(t, int64(3), g.Generation())
+}
+
+// A snapshot gives back what was sent, fields that are not known included, and the memory of orders.
+func TestSnapshot(t *testing.T) {
+	g := NewRegister()
+	first := order(Replace, 0, whole)
+	require.Equal(t, http.StatusOK, take(g, first))
+	require.Equal(t, http.StatusOK, take(g, order(Update, 3, `{"Generation":5,"Upsert":{"Routes":[`+route("r2", "/y/")+`]}}`)))
+	h := NewRegister()
+	require.NoError(t, h.Restore(g.Snapshot()))
+	require.Equal(t, string(g.Config().Encode()), string(h.Config().Encode()))
+	require.Contains(t, string(h.Config().Encode()), `"Unknown":{"kept":true}`)
+	require.Equal(t, http.StatusOK, take(h, first))
+	require.Equal(t, int64(5), h.Generation())
+	empty := NewRegister()
+	require.NoError(t, h.Restore(empty.Snapshot()))
+	require.Zero(t, h.Generation())
+}
--- a/internal/quota/reservoir.go
+++ b/internal/quota/reservoir.go
@@ -16,12 +16,14 @@
 	slackPart   = 0.5  // the rest is for the one request that each lease may overdraw
 	leastBurst  = 0.25
 	atFirstPart = 0.25 // of the capacity that a new primary begins with
+	restartPart = 0.5  // ... where it has just started itself: then hardly anybody holds a lease
 )
 
 // Reservoir is the tokens of all tenants, at the primary. Sidecars draw what their requests need.
 type Reservoir struct {
 	bounds Bounds
 	since  time.Duration
+	first  float64 // part of the capacity that levels begin with
 	limits map[string]Limit
 	levels map[string]*level
 }
@@ -31,9 +33,13 @@
 	at     time.Duration
 }
 
-// NewReservoir begins a primary's term.
-func NewReservoir(b Bounds, now time.Duration) *Reservoir {
-	return &Reservoir{bounds: b, since: now, limits: map[string]Limit{}, levels: map[string]*level{}}
+// NewReservoir begins a primary's term; started says that the process has just started.
+func NewReservoir(b Bounds, started bool, now time.Duration) *Reservoir {
+	first := atFirstPart
+	if started {
+		first = restartPart
+	}
+	return &Reservoir{bounds: b, first: first, since: now, limits: map[string]Limit{}, levels: map[string]*level{}}
 }
 
 // SetLimits takes in the tenants of a configuration.
@@ -55,7 +61,7 @@
 	capacity := r.Capacity(limit)
 	one := r.levels[tenant]
 	if one == nil {
-		one = &level{tokens: atFirstPart * capacity, at: r.since}
+		one = &level{tokens: r.first * capacity, at: r.since}
 		r.levels[tenant] = one
 	}
 	one.tokens = min(capacity, one.tokens+(now-one.at).Seconds()*limit.Rate)
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -23,8 +23,10 @@
 	promises map[string]Promise // by address
 	votes    map[string]bool
 	newest   View
-	synced   map[string]bool // IDs
-	asked    map[string]Member
+	synced   map[string]bool   // IDs
+	joining  map[string]Member // those that were sent the state, by ID
+	asked    time.Duration     // when the phase's question was last sent
+	force    bool
 	accepts  map[string]bool
 	view     View
 }
@@ -61,7 +63,10 @@
 	r.election = election{
 		epoch: Epoch{Round: round, Node: r.Self.ID}, began: r.now, start: r.now,
 		promises: map[string]Promise{}, votes: map[string]bool{}, synced: map[string]bool{},
-		asked: map[string]Member{}, accepts: map[string]bool{}, newest: r.base(),
+		joining: map[string]Member{}, asked: r.now, force: force, accepts: map[string]bool{}, newest: r.base(),
+	}
+	if r.hard.Accepted.Epoch.Round > 0 {
+		r.election.newest = r.hard.Accepted
 	}
 	r.hard.Promised = r.election.epoch
 	epoch := r.election.epoch
@@ -81,6 +86,9 @@
 }
 
 func (r *Replica) onPrepare(m Prepare) {
+	if len(r.voters()) == 0 {
+		return
+	}
 	busy := r.role == primary || r.role == follower && r.heardEver && r.now-r.heard < heardRecently
 	mine := m.From.ID == r.known.Primary
 	if m.Epoch.Less(r.hard.Promised) || m.Epoch == r.hard.Promised && m.Epoch.Node != m.From.ID || busy && !m.Force && !mine {
@@ -156,7 +164,7 @@
 	if !majority(e.newest.Members, e.votes) || !majority(e.newest.Old, e.votes) {
 		return
 	}
-	if len(e.promises) < len(r.contacts())+1 && r.now-e.began < phaseWait && !r.allInSyncPromised() {
+	if !r.allPromised() && r.now-e.began < phaseWait {
 		return
 	}
 	if e.newest.Epoch.Round > 0 && !e.newest.inSync(r.Self.ID) {
@@ -169,7 +177,7 @@
 		if p.From.ID == r.Self.ID || !r.mayJoin(p.From, p) {
 			continue
 		}
-		e.asked[p.From.ID] = p.From
+		e.joining[p.From.ID] = p.From
 		var snapshot []byte
 		if p.Position != r.position {
 			snapshot = r.machine.Snapshot()
@@ -180,15 +188,10 @@
 	r.advanceSyncing()
 }
 
-// allInSyncPromised: nothing is gained by waiting for more promises, as far as is known.
-func (r *Replica) allInSyncPromised() bool {
-	for _, m := range r.election.newest.Members {
-		if !r.election.votes[m.ID] {
-			return false
-		}
-	}
-	for _, m := range r.candidates {
-		if _, ok := r.election.promises[m.Address]; !ok && m.ID != r.Self.ID {
+// allPromised: nothing is gained by waiting for more promises.
+func (r *Replica) allPromised() bool {
+	for address := range r.contacts() {
+		if _, ok := r.election.promises[address]; !ok {
 			return false
 		}
 	}
@@ -238,7 +241,7 @@
 
 func (r *Replica) advanceSyncing() {
 	e := &r.election
-	if len(e.synced) < len(e.asked)+1 && r.now-e.began < phaseWait {
+	if len(e.synced) < len(e.joining)+1 && r.now-e.began < phaseWait {
 		return
 	}
 	members := r.nextMembers()
@@ -274,7 +277,7 @@
 	}
 	joins := make([]Member, 0, len(e.synced))
 	for id := range e.synced {
-		m, ok := e.asked[id]
+		m, ok := e.joining[id]
 		if id == r.Self.ID {
 			m, ok = r.Self, true
 		}
@@ -371,5 +374,5 @@
 			rank++
 		}
 	}
-	return genesisWait + time.Duration(rank)*suspectStep*4
+	return genesisWait + time.Duration(rank)*genesisStep
 }
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -30,16 +30,19 @@
 // Times of the protocol.
 const (
 	HeartbeatEvery = 100 * time.Millisecond
-	suspectAfter   = 600 * time.Millisecond // without a heartbeat
-	suspectStep    = 150 * time.Millisecond // candidates of a view wait in turn
-	heardRecently  = 400 * time.Millisecond // a witness that hears the primary promises nothing to others
-	phaseWait      = 200 * time.Millisecond // for answers beyond those that are needed
-	phaseLimit     = 700 * time.Millisecond // after which a candidacy is given up
+	suspectAfter   = 600 * time.Millisecond  // without a heartbeat
+	suspectStep    = 50 * time.Millisecond   // candidates of a view wait in turn
+	restartLead    = 400 * time.Millisecond  // a process that starts has heard nobody, and suspects so much sooner
+	heardRecently  = 400 * time.Millisecond  // a witness that hears the primary promises nothing to others
+	phaseWait      = 200 * time.Millisecond  // for answers beyond those that are needed
+	phaseLimit     = 1200 * time.Millisecond // after which a candidacy is given up
+	resendEvery    = 100 * time.Millisecond
 	entryLimit     = 350 * time.Millisecond // after which an in-sync member that does not answer is dropped
 	reachable      = 500 * time.Millisecond // since its last heartbeat ack
 	reviewEvery    = 400 * time.Millisecond // between two changes of a view that nobody waits for
 	maxReviewWait  = 4 * time.Second        // where changes bring nothing
 	successorWait  = 4 * time.Second        // a silent member whose zone has a newer one is dropped
+	genesisStep    = 500 * time.Millisecond // candidates for the first view wait in turn
 	genesisWait    = 700 * time.Millisecond // from the last new sidecar of the first start to the first view
 	diskStall      = 500 * time.Millisecond
 	diskRetry      = 300 * time.Millisecond
@@ -113,7 +116,7 @@
 
 // New makes a replica from what its disk holds; kept is nil without a disk.
 func New(o Options, kept *Kept, machine Machine, now time.Duration) (*Replica, error) {
-	r := &Replica{Options: o, machine: machine, now: now, heard: now, lastNewcomer: now}
+	r := &Replica{Options: o, machine: machine, now: now, heard: now - restartLead, lastNewcomer: now}
 	r.candidates = map[string]Member{}
 	if kept == nil {
 		r.hard.Genesis = o.Bootstrap
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -129,3 +129,36 @@
 		require.Equal(t, "a", p.machine.Value, "seed %d", seed)
 	}
 }
+
+// All processes end at once and come back: all are in sync again.
+func TestAllAreKilled(t *testing.T) {
+	for seed := range int64(20) {
+		s := newSimulation(t, seed, 3, 1)
+		s.run(4 * time.Second)
+		require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+		for _, h := range s.hosts {
+			s.kill(h)
+		}
+		for _, h := range s.hosts {
+			s.after(time.Duration(500+s.random.Intn(300))*time.Millisecond, func() { s.boot(h) })
+		}
+		s.run(s.now + 5*time.Second)
+		require.NotNil(t, s.primary())
+		require.Len(t, s.primary().replica.View().InSync, 3, "seed %d", seed)
+		require.Equal(t, http.StatusOK, writeNow(s, "b").status)
+	}
+}
+
+// The seeds of a later start are others, and none of them is a member.
+func TestSeedsAreExchanged(t *testing.T) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	s.seeds = []string{"10.9.9.1:7000", "10.9.9.2:7000", "10.9.9.3:7000"}
+	for _, h := range s.hosts {
+		s.kill(h)
+		s.after(500*time.Millisecond, func() { s.boot(h) })
+	}
+	s.run(s.now + 5*time.Second)
+	require.NotNil(t, s.primary())
+	require.Len(t, s.primary().replica.View().InSync, 3)
+}
--- a/internal/replication/step.go
+++ b/internal/replication/step.go
@@ -81,6 +81,10 @@
 		r.stepDown()
 		return
 	}
+	if r.now-e.asked >= resendEvery {
+		e.asked = r.now
+		r.askAgain()
+	}
 	switch e.phase {
 	case preparing:
 		r.advancePreparing()
@@ -89,6 +93,20 @@
 	}
 }
 
+// askAgain sends a phase's question to those that have not answered: they may just have started.
+func (r *Replica) askAgain() {
+	e := &r.election
+	for address := range r.contacts() {
+		_, promised := e.promises[address]
+		switch {
+		case e.phase == preparing && !promised:
+			r.send(address, Prepare{Epoch: e.epoch, From: r.Self, Force: e.force})
+		case e.phase == accepting:
+			r.send(address, Accept{View: e.view})
+		}
+	}
+}
+
 func (r *Replica) tickPrimary() {
 	l := &r.leading
 	if r.stalled() {
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,84 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/replication"
+)
+
+func position(n uint64) replication.Position {
+	return replication.Position{Epoch: replication.Epoch{Round: 1, Node: "a"}, Sequence: n}
+}
+
+func TestWhatIsSavedIsFound(t *testing.T) {
+	folder := t.TempDir()
+	d, kept, err := Open(folder, "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	require.True(t, kept.Hard.Genesis)
+	id := kept.ID
+	hard := replication.Hard{Promised: replication.Epoch{Round: 4, Node: "b"}}
+	require.NoError(t, d.Save(replication.Save{Hard: hard, Snapshot: &replication.SnapshotRecord{Position: position(3), Data: []byte("three")}}))
+	require.NoError(t, d.Save(replication.Save{Hard: hard, Entry: &replication.Entry{Position: position(4), Data: []byte("four")}}))
+	require.NoError(t, d.Close())
+
+	d, kept, err = Open(folder, "10.0.0.1:7000", false)
+	require.NoError(t, err)
+	defer d.Close()
+	require.Equal(t, id, kept.ID)
+	require.Equal(t, hard, kept.Hard)
+	require.Equal(t, "three", string(kept.Snapshot.Data))
+	require.Len(t, kept.Entries, 1)
+	require.Equal(t, "four", string(kept.Entries[0].Data))
+}
+
+// A disk that was lost makes another member.
+func TestALostDiskIsAnotherMember(t *testing.T) {
+	folder := t.TempDir()
+	d, first, err := Open(folder, "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	require.NoError(t, d.Close())
+	require.NoError(t, os.Remove(filepath.Join(folder, fileName)))
+	d, second, err := Open(folder, "10.0.0.1:7000", false)
+	require.NoError(t, err)
+	defer d.Close()
+	require.NotEqual(t, first.ID, second.ID)
+	require.False(t, second.Hard.Genesis)
+}
+
+// A start that lost its power leaves a file beside, or none.
+func TestAStartThatWasCutOff(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, fileName+".new"), []byte("torn"), 0o644))
+	d, _, err := Open(folder, "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	require.NoError(t, d.Close())
+}
+
+// After a failed save nothing is taken that builds on it, until a snapshot is.
+func TestAGapNeedsASnapshot(t *testing.T) {
+	d, _, err := Open(t.TempDir(), "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	defer d.Close()
+	d.gap = true
+	entry := replication.Save{Entry: &replication.Entry{Position: position(4)}}
+	require.ErrorIs(t, d.Save(entry), ErrGap)
+	require.NoError(t, d.Save(replication.Save{Snapshot: &replication.SnapshotRecord{Position: position(5), Data: []byte("x")}}))
+	require.NoError(t, d.Save(entry))
+}
+
+func TestCache(t *testing.T) {
+	folder := t.TempDir()
+	_, err := ReadCache(folder, "servers")
+	require.ErrorIs(t, err, os.ErrNotExist)
+	require.NoError(t, WriteCache(folder, "servers", []byte("list")))
+	got, err := ReadCache(folder, "servers")
+	require.NoError(t, err)
+	require.Equal(t, "list", string(got))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "servers"), []byte("torn something"), 0o644))
+	_, err = ReadCache(folder, "servers")
+	require.ErrorIs(t, err, ErrDamaged)
+}
