--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,61 @@
+package eventstream
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWholeEventsOnly(t *testing.T) {
+	for name, wrap := range map[string]func(io.Reader) io.Reader{
+		"at once": func(r io.Reader) io.Reader { return r }, "byte by byte": iotest.OneByteReader,
+	} {
+		r := NewReader(wrap(strings.NewReader("id: 1\ndata: a\n\nversions: 7\nid: 2\ndata: b\r\n\r\nid: 3\ndata: cut")))
+		event, err := r.Next()
+		require.NoError(t, err, name)
+		require.Equal(t, "id: 1\ndata: a\n\n", string(event))
+		require.Equal(t, "1", r.LastID())
+		event, err = r.Next()
+		require.NoError(t, err, name)
+		require.Equal(t, "versions: 7\nid: 2\ndata: b\r\n\r\n", string(event))
+		require.Equal(t, "2", r.LastID())
+		_, err = r.Next()
+		require.ErrorIs(t, err, ErrPartial)
+		require.Equal(t, "2", r.LastID(), "an event that was cut off has no id")
+	}
+}
+
+func TestALongLine(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 20_000) + "\n\n"
+	r := NewReader(strings.NewReader(long))
+	event, err := r.Next()
+	require.NoError(t, err)
+	require.Equal(t, long, string(event))
+	_, err = r.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestAnEndlessEvent(t *testing.T) {
+	r := NewReader(strings.NewReader(strings.Repeat("data: x\n", MaxEvent/4)))
+	_, err := r.Next()
+	require.ErrorContains(t, err, "longer")
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := NewReader(strings.NewReader(text))
+		var got strings.Builder
+		for {
+			event, err := r.Next()
+			if err != nil {
+				break
+			}
+			got.Write(event)
+		}
+		require.True(t, strings.HasPrefix(text, got.String()))
+	})
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func pool(zone string, n int) *Pool {
+	p := NewPool(zone)
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Slots: 16})
+	}
+	p.Set(list)
+	return p
+}
+
+func all(*Server) bool { return true }
+
+func TestSidecarsAgreeOnAPrompt(t *testing.T) {
+	a, b := pool("z0", 9), pool("z1", 9)
+	r := Request{Key: "5c1e07a2", Shared: 6000}
+	s := a.Pick(r, all, 0)
+	require.Equal(t, s.ID, b.Pick(r, all, 0).ID)
+	for range 5 {
+		require.Equal(t, s.ID, a.Pick(r, all, 0).ID)
+	}
+}
+
+// One server less moves the prompts that it had, and no others.
+func TestOneServerLessMovesItsOwnPrompts(t *testing.T) {
+	before, after := pool("z0", 9), pool("z0", 8)
+	for i := range 200 {
+		r := Request{Key: fmt.Sprint(i), Shared: 6000}
+		if one := before.Pick(r, all, 0).ID; one != "s8" {
+			require.Equal(t, one, after.Pick(r, all, 0).ID)
+		}
+	}
+}
+
+// The set of a part that is asked for much grows beyond one server.
+func TestAHotPromptSpreads(t *testing.T) {
+	p := pool("z0", 9)
+	seen := map[string]int{}
+	for range 40 {
+		s := p.Pick(Request{Key: "hot", Shared: 6000}, all, 0)
+		s.Sent()
+		seen[s.ID]++
+	}
+	require.Greater(t, len(seen), 3)
+	for _, n := range seen {
+		require.LessOrEqual(t, n, 16)
+	}
+}
+
+func TestShortPromptsStayInTheZone(t *testing.T) {
+	p := pool("z1", 9)
+	seen := map[string]bool{}
+	for range 30 {
+		s := p.Pick(Request{Key: "a", Shared: 80}, all, 0)
+		require.Equal(t, "z1", s.Zone)
+		seen[s.ID] = true
+	}
+	require.Len(t, seen, 3)
+}
+
+func TestRerouteGoesToTheHealthiestUntried(t *testing.T) {
+	p := pool("z0", 3)
+	p.Servers()[1].Health.Failure(0, false)
+	r := Request{Tried: map[string]bool{"s0": true}}
+	require.Equal(t, "s2", p.Reroute(r, all, 0).ID)
+	r.Tried["s2"] = true
+	require.Equal(t, "s1", p.Reroute(r, all, 0).ID)
+	r.Tried["s1"] = true
+	require.Nil(t, p.Reroute(r, all, 0))
+}
+
+func TestAServerThatRestsIsUsedOnlyAlone(t *testing.T) {
+	p := pool("z0", 2)
+	p.Servers()[0].Health.Failure(0, true)
+	for range 4 {
+		require.Equal(t, "s1", p.Pick(Request{}, all, time.Millisecond).ID)
+	}
+	require.Equal(t, "s0", p.Pick(Request{Tried: map[string]bool{"s1": true}}, all, time.Millisecond).ID)
+}
+
+func TestLoad(t *testing.T) {
+	var s Server
+	s.Report(10, 2, 16, time.Second)
+	s.Sent()
+	require.InDelta(t, 13, s.Load(time.Second), 0.01)
+	require.InDelta(t, 1, s.Load(time.Second+2*reportGood), 0.01)
+}
+
+func TestParsePrefix(t *testing.T) {
+	for header, want := range map[string]Request{
+		"5c1e07a2:800,91bd3f06:410,e4402b7d:250": {Key: "91bd3f06", Shared: 1210},
+		"5c1e07a2:800":                           {},
+		"":                                       {},
+		"a:x,b:2":                                {},
+	} {
+		key, shared := ParsePrefix(header)
+		require.Equal(t, want, Request{Key: key, Shared: shared}, header)
+	}
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,140 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var bounds = Bounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 110_000}
+
+func TestDrawAndRefill(t *testing.T) {
+	r := NewReservoir(bounds, false, 0)
+	limit := Limit{Rate: 29_000, Burst: 29_000}
+	r.SetLimits(map[string]Limit{"a": limit})
+	given, _ := r.Draw("a", 9_000, 0, 0)
+	require.Equal(t, 9_000.0, given)
+	var wait time.Duration
+	for given > 0 {
+		given, wait = r.Draw("a", 9_000, 0, 0)
+	}
+	require.Positive(t, wait)
+	given, _ = r.Draw("a", 9_000, 0, wait+time.Millisecond)
+	require.Equal(t, 9_000.0, given)
+	given, _ = r.Draw("none", 5, 0, 0)
+	require.Equal(t, 5.0, given, "a tenant without a limit")
+}
+
+// A request that is larger than the whole capacity goes through once the reservoir is full.
+func TestALargeRequest(t *testing.T) {
+	r := NewReservoir(Bounds{Window: 8 * time.Second}, false, 0)
+	r.SetLimits(map[string]Limit{"a": {Rate: 100, Burst: 100}})
+	given, wait := r.Draw("a", 5_000, 0, 0)
+	require.Zero(t, given)
+	given, _ = r.Draw("a", 5_000, 0, wait+time.Second)
+	require.Equal(t, 5_000.0, given)
+	given, wait = r.Draw("a", 10, 0, wait+time.Second)
+	require.Zero(t, given)
+	require.Greater(t, wait, 10*time.Second)
+}
+
+// Sidecars that ask, lose answers, are cut off, restart, and a primary that changes: shares never add up to more than 1, as
+// far as the primary knows of them.
+func TestSharesAddUpToNoMoreThanOne(t *testing.T) {
+	for seed := range int64(200) {
+		random := rand.New(rand.NewSource(seed))
+		now := time.Duration(0)
+		a := NewAllocator(now)
+		takers := make([]*Taker, 6)
+		for i := range takers {
+			takers[i] = NewTaker()
+			takers[i].SetLimits(map[string]Limit{"t": {Rate: 1000}}, now)
+		}
+		for range 400 {
+			now += time.Duration(random.Intn(200)) * time.Millisecond
+			i := random.Intn(len(takers))
+			taker := takers[i]
+			taker.Take("t", float64(random.Intn(500)), now)
+			nonce, demand, held := taker.Ask(now)
+			shares := a.Ask(fmt.Sprint(i), 1, demand, held, len(takers), now)
+			if random.Intn(4) > 0 { // else the answer is lost
+				taker.Granted(nonce, shares, now+time.Millisecond)
+			}
+			sum := 0.0
+			for _, one := range takers {
+				if now < one.until {
+					sum += one.buckets["t"].share
+				}
+			}
+			require.LessOrEqual(t, sum, 1.0001, "seed %d at %v", seed, now)
+		}
+	}
+}
+
+func TestALateGrantIsNotTaken(t *testing.T) {
+	taker := NewTaker()
+	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	nonce, _, _ := taker.Ask(0)
+	taker.Granted(nonce, map[string]float64{"t": 1}, Lease)
+	v, _ := taker.TakeLeased("t", 1, Lease)
+	require.Equal(t, Refused, v)
+	nonce, _, _ = taker.Ask(Lease)
+	taker.Ask(Lease + 1)
+	taker.Granted(nonce, map[string]float64{"t": 1}, Lease+2)
+	v, _ = taker.TakeLeased("t", 1, Lease+3)
+	require.Equal(t, Refused, v, "the answer to an earlier question")
+}
+
+func TestALeaseEndsAndOverdrawsOnce(t *testing.T) {
+	taker := NewTaker()
+	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	nonce, _, _ := taker.Ask(0)
+	taker.Granted(nonce, map[string]float64{"t": 0.5}, 0)
+	v, _ := taker.TakeLeased("t", 300, 0)
+	require.Equal(t, Granted, v)
+	v, wait := taker.TakeLeased("t", 300, 0)
+	require.Equal(t, Refused, v)
+	require.Equal(t, 600*time.Millisecond, wait)
+	v, _ = taker.TakeLeased("t", 300, wait)
+	require.Equal(t, Granted, v)
+	v, _ = taker.TakeLeased("t", 1, Lease+wait)
+	require.Equal(t, Refused, v)
+}
+
+func TestWhatWasDrawnAheadEnds(t *testing.T) {
+	taker := NewTaker()
+	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	v, _ := taker.Take("t", 10, 0)
+	require.Equal(t, Draw, v)
+	require.Equal(t, Granted, taker.Drawn("t", 30, 10, 0))
+	v, _ = taker.Take("t", 10, stockGood)
+	require.Equal(t, Granted, v)
+	v, _ = taker.Take("t", 10, 2*stockGood)
+	require.Equal(t, Draw, v)
+}
+
+// Many sidecars together stay within the rule's bound, whatever their loads are.
+func TestTheBudgetOfRetries(t *testing.T) {
+	const fleet = 11
+	window := 10 * time.Second
+	budgets := make([]*RetryBudget, fleet)
+	for i := range budgets {
+		budgets[i] = NewRetryBudget(0.2, 62, window)
+		budgets[i].SetFleet(fleet)
+	}
+	requests, retries := 0, 0
+	for ms := range 10_000 {
+		now := time.Duration(ms) * time.Millisecond
+		b := budgets[ms%fleet]
+		b.Request("s", now)
+		requests++
+		if b.Retry("s", now) {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, float64(retries), 0.2*float64(requests)+62)
+	require.Positive(t, retries)
+}
--- /dev/null
+++ b/internal/rotation/rotation_test.go
@@ -0,0 +1,50 @@
+package rotation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMultiplier(t *testing.T) {
+	var h Health
+	require.Equal(t, 1.0, h.Multiplier(0))
+	for range 3 {
+		h.Failure(time.Second, false)
+	}
+	require.InDelta(t, 0.7, h.Multiplier(time.Second), 1e-9)
+	require.InDelta(t, 0.85, h.Multiplier(time.Second+halfLife), 1e-9)
+	for range 20 {
+		h.Failure(time.Second, false)
+	}
+	require.Equal(t, 0.5, h.Multiplier(time.Second))
+	h.Success()
+	require.Equal(t, 1.0, h.Multiplier(time.Second))
+}
+
+func TestRests(t *testing.T) {
+	var h Health
+	h.Failure(0, true)
+	require.True(t, h.Resting(restFirst-1))
+	require.False(t, h.Resting(restFirst))
+	h.Failure(restFirst, true)
+	require.True(t, h.Resting(restFirst+2*restFirst-1))
+	h.Success()
+	require.False(t, h.Resting(restFirst+1))
+}
+
+func TestSmoothWeightedRoundRobin(t *testing.T) {
+	turns := make([]Turn, 3)
+	weights := []float64{100, 100, 50}
+	got := make([]int, 3)
+	for range 250 {
+		var candidates []Candidate
+		for i := range turns {
+			candidates = append(candidates, Candidate{Turn: &turns[i], Weight: weights[i]})
+		}
+		got[Pick(candidates)]++
+	}
+	require.Equal(t, []int{100, 100, 50}, got)
+	require.Equal(t, -1, Pick(nil))
+}
