--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"petrelhook/internal/membership"
+	"petrelhook/internal/placement"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
 )
@@ -26,6 +27,7 @@
 	Sessions  uint64 // stamp of the home's sessions, asked for by other control sidecars
 	Core      bool   // the sender is a control sidecar itself
 	Instances []registry.Update
+	Uses      []placement.Uses // where shared parts were read
 }
 
 // Push is what a home tells a subscriber.
@@ -46,6 +48,8 @@
 	Orders      [][]byte // from FromVersion to Version
 	Snapshot    []byte   // or the whole configuration
 
+	Uses []placement.Uses
+
 	SessionsStamp uint64
 	Nodes         []membership.Node
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,9 @@
 		return nil, nil
 	}
 	server.Sent()
+	if req.place.Affine() {
+		g.used(req, s, server)
+	}
 	return server, s.conns[server.ID]
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	Zone         string
 	Now          func() time.Duration // the steady clock
 	Drawer       Drawer
+	Again        time.Duration // for which a shared part counts as kept after its last use
 	BudgetRatio  float64
 	BudgetSlack  float64
 	BudgetWindow time.Duration
@@ -49,6 +50,7 @@
 	taker    *quota.Taker
 	retries  *quota.RetryBudget
 	fleet    int
+	uses     map[string]*placement.Uses // not yet told, by service
 }
 
 // service is the data plane's state of one service.
@@ -64,7 +66,7 @@
 
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, fleet: 1,
+	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, fleet: 1, uses: map[string]*placement.Uses{},
 		taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
@@ -94,7 +96,7 @@
 	defer g.mutex.Unlock()
 	s := g.services[name]
 	if s == nil {
-		s = &service{pool: placement.NewPool(g.options.Zone), conns: map[string]*backend.Pool{}}
+		s = &service{pool: placement.NewPool(g.options.Zone, g.options.Again), conns: map[string]*backend.Pool{}}
 		g.services[name] = s
 	}
 	servers := make([]placement.Server, 0, len(list))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
-		Drawer: n, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		Drawer: n, Again: settings.Seconds(b.AgainS), BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,9 +1,10 @@
 // Package placement chooses the server for a request. It is pure, for one goroutine at a time.
 //
-// A prompt that shares much with others goes where rendezvous hashing of its longest shared part points, so that sidecars
-// agree without a word between them; the set of servers for a part grows while the first is loaded beyond the
-// others or has errors against it. All else goes over the servers of the sidecar's zone. Within the set the pick is the
-// design's: smooth weighted round robin over 100 × multiplier. A re-route goes to the healthiest server not yet tried.
+// A prompt that shares much with others goes to a server that read its longest shared part lately, as far as sidecars have
+// told one another; else to one of the sidecar's zone, by rendezvous hashing of that part. The set of servers for a part
+// grows while the first is loaded beyond the others or has errors against it. Where nothing is said of how long a part
+// is kept, rendezvous hashing goes over all zones, so that sidecars agree without a word. All else goes over the servers
+// of the sidecar's zone. Within the set the pick is the design's: smooth weighted round robin over 100 × multiplier. A re-route goes to the healthiest server not yet tried.
 package placement
 
 import (
@@ -83,10 +84,20 @@
 	zone    string
 	servers map[string]*Server
 	ordered []*Server
+	recent  recent
 }
 
-// NewPool makes an empty pool of a sidecar in a zone.
-func NewPool(zone string) *Pool { return &Pool{zone: zone, servers: map[string]*Server{}} }
+// NewPool makes an empty pool of a sidecar in a zone; again is for how long a part counts as kept after its last use, 0 where
+// that is not said.
+func NewPool(zone string, again time.Duration) *Pool {
+	return &Pool{zone: zone, servers: map[string]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
+}
+
+// Used notes that a server was sent a part, by this sidecar or another.
+func (p *Pool) Used(key KeyHash, server string, now time.Duration) { p.recent.note(key, server, now) }
+
+// Affine reports whether a request goes where its shared part is kept.
+func (r *Request) Affine() bool { return r.Key != "" && r.Shared >= sharedWorth }
 
 // Set takes in the servers that may be used; what is known of those that stay is kept. It returns those that left.
 func (p *Pool) Set(list []Server) (gone []*Server) {
@@ -123,7 +134,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	if r.Key != "" && r.Shared >= sharedWorth {
+	if r.Affine() {
 		return p.rotate(p.affine(r.Key, candidates, now), now)
 	}
 	return p.rotate(p.near(candidates, now), now)
@@ -194,10 +205,12 @@
 	return candidates
 }
 
-// affine is the set of servers for a shared part: the first in its order that is not over its part of the load, and the next
-// one beside it where that has errors.
+// affine is the set of servers for a shared part.
 func (p *Pool) affine(key string, candidates []*Server, now time.Duration) []*Server {
 	ordered := rank(key, candidates)
+	if p.recent.again > 0 {
+		ordered = p.prefer(key, ordered, now)
+	}
 	total := 0.0
 	for _, s := range ordered {
 		total += s.Load(now)
@@ -209,11 +222,8 @@
 			continue
 		}
 		set = append(set, s)
-		if s.Health.Multiplier(now) == 1 {
-			break
-		}
-		if len(set) == 2 {
-			break
+		if s.Health.Multiplier(now) == 1 || len(set) == 2 {
+			return set
 		}
 	}
 	if len(set) == 0 {
@@ -222,6 +232,24 @@
 	return set
 }
 
+// prefer puts those first that read the part lately, and then those of the own zone.
+func (p *Pool) prefer(key string, ordered []*Server, now time.Duration) []*Server {
+	kept := p.recent.kept(HashKey(key), now)
+	class := func(s *Server) int {
+		for i, one := range kept {
+			if one.server == s.ID {
+				return i
+			}
+		}
+		if s.Zone == p.zone {
+			return recentServers
+		}
+		return recentServers + 1
+	}
+	sort.SliceStable(ordered, func(i, j int) bool { return class(ordered[i]) < class(ordered[j]) })
+	return ordered
+}
+
 // rank orders servers for a key by rendezvous hashing.
 func rank(key string, servers []*Server) []*Server {
 	type ranked struct {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,7 +9,7 @@
 )
 
 func pool(zone string, n int) *Pool {
-	p := NewPool(zone)
+	p := NewPool(zone, 0)
 	var list []Server
 	for i := range n {
 		list = append(list, Server{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Slots: 16})
@@ -106,3 +106,29 @@
 		require.Equal(t, want, Request{Key: key, Shared: shared}, header)
 	}
 }
+
+// A part that another sidecar's request read lately is sought there; one that nobody read, or long ago, in the own zone.
+func TestWhereAPartWasReadLately(t *testing.T) {
+	p := pool("z0", 9)
+	p.recent.again = 7 * time.Second
+	r := Request{Key: "part", Shared: 6000}
+	require.Equal(t, "z0", p.Pick(r, all, 0).Zone)
+	p.Used(HashKey("part"), "s4", time.Second)
+	require.Equal(t, "s4", p.Pick(r, all, 2*time.Second).ID)
+	require.Equal(t, "z0", p.Pick(r, all, 8*time.Second).Zone)
+	p.Used(HashKey("part"), "s4", 9*time.Second)
+	p.Used(HashKey("part"), "s5", 10*time.Second)
+	for range 3 {
+		p.Servers()[5].Sent()
+	}
+	require.Equal(t, "s4", p.Pick(r, all, 11*time.Second).ID, "the one that read it before, where the last is loaded")
+}
+
+func TestTheMemoryOfPartsIsBounded(t *testing.T) {
+	p := pool("z0", 3)
+	p.recent.again = time.Second
+	for i := range 2*recentKeys + 5 {
+		p.Used(KeyHash(i), "s1", time.Duration(i)*time.Microsecond)
+	}
+	require.LessOrEqual(t, len(p.recent.uses), recentKeys)
+}
