--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -27,7 +27,6 @@
 	Sessions  uint64 // stamp of the home's sessions, asked for by other control sidecars
 	Core      bool   // the sender is a control sidecar itself
 	Instances []registry.Update
-	Uses      []placement.Uses // where shared parts were read
 }
 
 // Push is what a home tells a subscriber.
@@ -48,12 +47,13 @@
 	Orders      [][]byte // from FromVersion to Version
 	Snapshot    []byte   // or the whole configuration
 
-	Uses []placement.Uses
-
 	SessionsStamp uint64
 	Nodes         []membership.Node
 }
 
+// Used tells where shared parts of prompts were read; it is lost without harm.
+type Used struct{ Uses []placement.Uses }
+
 // Beat brings a server's call to a control sidecar; Request is not 0 where the sender waits for BeatKept.
 type Beat struct {
 	Request  uint64
@@ -102,7 +102,7 @@
 
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
+		Session{}, Push{}, Used{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
 		replication.Prepare{}, replication.Promise{}, replication.Sync{}, replication.Synced{}, replication.Accept{},
 		replication.Accepted{}, replication.Replicate{}, replication.Replicated{}, replication.Heartbeat{},
 		replication.HeartbeatAck{}, replication.TakeOver{},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,7 +55,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	began := time.Now()
+	began := time.Now().Add(-startAtMost) // it has started long ago
 	d := &drawer{}
 	g := New(Options{Zone: "z", Now: func() time.Duration { return time.Since(began) }, Drawer: d, BudgetRatio: 0.2, BudgetSlack: 60, BudgetWindow: 10 * time.Second})
 	c, err := routetable.ParseConfig([]byte(configuration))
@@ -302,3 +302,20 @@
 	require.True(t, errors.Is(err, context.Canceled))
 	<-ended
 }
+
+// What comes while a sidecar starts waits for servers, not for ever.
+func TestARequestDuringTheStart(t *testing.T) {
+	r := newRig(t)
+	began := time.Now()
+	r.gateway.options.Now = func() time.Duration { return time.Since(began) }
+	answer, _, _ := r.do("/safe/", "X-Request-Deadline", "100")
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+	asked := make(chan int)
+	go func() {
+		answer, _, _ := r.do("/safe/")
+		asked <- answer.StatusCode
+	}()
+	r.server(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
+	require.Equal(t, http.StatusOK, <-asked)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,23 +21,23 @@
 	deadlineMargin  = 3 * time.Millisecond
 	retrySoon       = 250 * time.Millisecond // where nothing better is known
 	maxBody         = 8 << 20
-	startUsually    = 800 * time.Millisecond // from a start to a configuration and servers
 )
 
 // request is one client's try on its way.
 type request struct {
-	id       string
-	route    *routetable.Compiled
-	tenant   *routetable.Tenant
-	service  string
-	units    float64 // of the tenant's quota
-	body     []byte
-	began    time.Time
-	deadline time.Time
-	place    placement.Request
-	sends    int // that arrived at a server, or may have
-	resume   string
-	headSent bool
+	id         string
+	route      *routetable.Compiled
+	tenant     *routetable.Tenant
+	service    string
+	units      float64 // of the tenant's quota
+	body       []byte
+	began      time.Time
+	deadline   time.Time
+	startLimit time.Time // until when it may wait for the sidecar's start
+	place      placement.Request
+	sends      int // that arrived at a server, or may have
+	resume     string
+	headSent   bool
 }
 
 // ServeHTTP serves one request.
@@ -52,6 +52,8 @@
 	if !g.readBody(w, r, req) {
 		return
 	}
+	req.startLimit = startLimit(r, req.began)
+	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.table.Load() != nil })
 	table := g.table.Load()
 	if table == nil {
 		g.refuse(w, http.StatusServiceUnavailable, g.untilStarted(), "no configuration yet")
@@ -60,6 +62,7 @@
 	if !g.authorize(w, r, table, req) {
 		return
 	}
+	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.hasServer(req.service) })
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	g.serve(ctx, w, r, req)
@@ -137,7 +140,12 @@
 	if verdict != quota.Draw {
 		return verdict == quota.Granted, 0
 	}
-	given, wait, heard := g.options.Drawer.Draw(ctx, name, req.units, extra)
+	var given float64
+	heard := false
+	g.waitForStart(ctx, req.startLimit, func() bool {
+		given, wait, heard = g.options.Drawer.Draw(ctx, name, req.units, extra)
+		return heard
+	})
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.options.Now()
@@ -194,11 +202,6 @@
 	return a + b
 }
 
-// untilStarted is when a client that came while this sidecar starts had better come back.
-func (g *Gateway) untilStarted() time.Duration {
-	return max(retrySoon, startUsually-g.options.Now())
-}
-
 // refuse answers with a promise that the request has not run, and says when to come back.
 func (g *Gateway) refuse(w http.ResponseWriter, status int, after time.Duration, reason string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,7 @@
 	listedTable  uint64
 	lastSession  time.Duration
 	lastQuota    time.Duration
+	lastUses     time.Duration
 	lastPrune    time.Duration
 	lastPush     time.Duration
 	pushLater    bool
@@ -222,6 +223,7 @@
 	}
 	n.tickSessions(now)
 	n.tickQuota(now)
+	n.tickUses(now)
 	if now-n.lastPrune > pruneEvery {
 		n.lastPrune = now
 		n.gateway.Prune()
@@ -325,6 +327,8 @@
 		n.onSession(from, &m, now)
 	case dissemination.Push:
 		n.onPush(from, &m, now)
+	case dissemination.Used:
+		n.onUsed(from, m)
 	case dissemination.Beat:
 		n.onBeat(from, m, now)
 	case dissemination.BeatKept:
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -2,11 +2,11 @@
 
 import (
 	"hash/fnv"
+	"petrelhook/internal/placement"
 	"sort"
 	"time"
 
 	"petrelhook/internal/dissemination"
-	"petrelhook/internal/placement"
 	"petrelhook/internal/replication"
 	"petrelhook/internal/routetable"
 )
@@ -30,8 +30,8 @@
 	sessions uint64
 	sent     time.Duration // when something was last sent that it lacked
 	heard    time.Duration
-	fresh    map[string]bool // servers heard here that it was not told of
-	uses     map[string]*placement.Uses
+	fresh    map[string]bool            // servers heard here that it was not told of
+	uses     map[string]*placement.Uses // not yet told, by service
 }
 
 // upstreamStamp is how far one has followed another's registry.
@@ -57,12 +57,11 @@
 	if n.self.Member != nil {
 		for _, m := range n.view.Members {
 			if m.Address != n.self.Address {
-				n.sendSession(m.Address, nil)
+				n.sendSession(m.Address)
 			}
 		}
 	}
 	if n.core() {
-		n.spreadUses(n.self.Address, false, n.gateway.TakeUses())
 		n.sessions.Heartbeat(n.self, now)
 		if now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
 			n.lastSeeds = now
@@ -73,7 +72,7 @@
 	if n.self.Member == nil || !n.isMember(n.self.Address) {
 		n.reviewHome(now)
 		if n.home.address != "" {
-			n.sendSession(n.home.address, n.gateway.TakeUses())
+			n.sendSession(n.home.address)
 		}
 		if now-n.home.heard > homeSilent {
 			n.greet()
@@ -91,10 +90,10 @@
 	}
 }
 
-func (n *Node) sendSession(to string, uses []placement.Uses) {
+func (n *Node) sendSession(to string) {
 	has := n.upstream[to]
 	m := dissemination.Session{Node: n.self, Subscribe: true, View: n.view.Epoch, Version: n.versions.Version(),
-		HomeLife: has.life, Stamp: has.stamp, Core: n.self.Member != nil, Uses: uses}
+		HomeLife: has.life, Stamp: has.stamp, Core: n.self.Member != nil}
 	if m.Core {
 		m.Sessions = n.sessions.PeerStamp(to, has.life)
 	}
@@ -190,8 +189,6 @@
 		n.subscribers[from] = s
 	}
 	s.core, s.heard, s.view = m.Core, now, m.View
-	n.gateway.NoteUses(m.Uses)
-	n.spreadUses(from, false, m.Uses)
 	if m.HomeLife != n.life {
 		s.stamp, s.version, s.sessions = 0, m.Version, 0
 	} else if now-s.sent > resendAfter { // what was sent since has had its time to arrive
@@ -238,10 +235,6 @@
 	} else {
 		p.Version = n.versions.Version()
 	}
-	for _, u := range s.uses {
-		p.Uses = append(p.Uses, *u)
-	}
-	clear(s.uses)
 	if s.core {
 		for id := range s.fresh {
 			p.Heard = append(p.Heard, id)
@@ -302,10 +295,6 @@
 		}
 	}
 	n.registry.Refresh(p.Heard, now)
-	n.gateway.NoteUses(p.Uses)
-	if n.core() {
-		n.spreadUses(from, true, p.Uses)
-	}
 	n.follow(from, p)
 	if n.core() {
 		n.sessions.Peer(from, p.Life, p.SessionsStamp, p.Nodes, now)
@@ -322,22 +311,6 @@
 	}
 }
 
-// spreadUses keeps what a sidecar said of shared parts for the other subscribers, that came from another control sidecar
-// for those only that are none themselves.
-func (n *Node) spreadUses(from string, fromCore bool, list []placement.Uses) {
-	for _, u := range list {
-		for address, s := range n.subscribers {
-			if address == from || fromCore && s.core {
-				continue
-			}
-			if s.uses[u.Service] == nil {
-				s.uses[u.Service] = &placement.Uses{Service: u.Service}
-			}
-			s.uses[u.Service].Merge(u)
-		}
-	}
-}
-
 func (n *Node) follow(from string, p *dissemination.Push) {
 	has := n.upstream[from]
 	if has.life != p.Life {
