--- a/internal/quota/reservoir.go
+++ b/internal/quota/reservoir.go
@@ -15,8 +15,8 @@
 	astray      = 0.75 // seconds of the whole rate: leases of sidecars that are cut off, 0.3 of the fleet for 2.5 s
 	slackPart   = 0.5  // the rest is for the one request that each lease may overdraw
 	leastBurst  = 0.25
-	atFirstPart = 0.25 // of the capacity that a new primary begins with
-	restartPart = 0.5  // ... where it has just started itself: then hardly anybody holds a lease
+	atFirstPart = 0.4 // of the capacity that a new primary begins with
+	restartPart = 1.0 // ... where it has just started itself: then hardly anybody holds a lease
 )
 
 // Reservoir is the tokens of all tenants, at the primary. Sidecars draw what their requests need.
