--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -145,7 +145,8 @@
 	for _, v := range m.Voters {
 		e.votes[v] = true
 	}
-	if e.newest.Epoch.Less(m.Accepted.Epoch) {
+	inForce := e.newest.Epoch == m.Accepted.Epoch && e.newest.joint() && !m.Accepted.joint()
+	if inForce || e.newest.Epoch.Less(m.Accepted.Epoch) {
 		e.newest = m.Accepted
 		for address := range r.contacts() {
 			if _, ok := e.promises[address]; !ok {
--- /dev/null
+++ b/internal/replication/history_test.go
@@ -0,0 +1,187 @@
+package replication
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+// schedulesVariable sets how many random schedules are played; a seeded few are in every run.
+const schedulesVariable = "PETRELHOOK_SCHEDULES"
+
+func schedules(t *testing.T, usual int) int {
+	if text := os.Getenv(schedulesVariable); text != "" {
+		n, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		return n
+	}
+	return usual
+}
+
+type registerState struct {
+	version int
+	value   string
+}
+
+// registerModel is a register that takes a value on top of the version it names.
+var registerModel = porcupine.Model{
+	Init: func() any { return registerState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, o, got := state.(registerState), input.(operation), output.(operation)
+		if !o.write {
+			return got.seenVersion == s.version && got.seenValue == s.value, s
+		}
+		matches := o.base == s.version
+		switch got.status {
+		case http.StatusOK:
+			return matches, registerState{s.version + 1, o.value}
+		case http.StatusPreconditionFailed:
+			return !matches, s
+		}
+		if matches { // nothing clear was said: it may have been taken
+			return true, registerState{s.version + 1, o.value}
+		}
+		return true, s
+	},
+}
+
+// check asks porcupine whether what clients saw is what one register could have done. A write without a clear answer
+// may be taken at any time after it was made, or never; both are in the model by two operations' worth of freedom: it ends
+// at infinity, and where it does not fit it changes nothing.
+func check(history []operation) porcupine.CheckResult {
+	var list []porcupine.Operation
+	for i, o := range history {
+		if o.status != http.StatusOK && o.status != http.StatusPreconditionFailed {
+			if !o.write {
+				continue
+			}
+			o.end = 1 << 60
+		}
+		list = append(list, porcupine.Operation{ClientId: i, Input: o, Call: int64(o.begin), Output: o, Return: int64(o.end)})
+	}
+	return porcupine.CheckOperationsTimeout(registerModel, list, 20*time.Second)
+}
+
+// fault does one thing to the fleet, and undoes it later.
+func (s *simulation) fault() {
+	hosts := s.addresses()
+	h := s.hosts[hosts[s.random.Intn(len(hosts))]]
+	if p := s.primary(); p != nil && s.random.Intn(2) == 0 {
+		h = p.host
+	}
+	back := time.Duration(200+s.random.Intn(2500)) * time.Millisecond
+	switch s.random.Intn(9) {
+	case 0: // a kill, or a loss of power: the disk holds what was synced
+		s.kill(h)
+		s.after(back, func() { s.boot(h) })
+	case 1: // all at once
+		for _, one := range s.hosts {
+			s.kill(one)
+			s.after(time.Duration(200+s.random.Intn(800))*time.Millisecond, func() { s.boot(one) })
+		}
+	case 2: // a lost disk, where no other is lost or behind
+		if s.mayWipe(h) {
+			s.kill(h)
+			s.wipe(h)
+			s.after(back, func() { s.boot(h) })
+		}
+	case 3:
+		h.frozenUntil = s.now + back
+	case 4:
+		h.fullUntil = s.now + back
+	case 5:
+		for _, other := range s.hosts {
+			if other != h {
+				s.cut(h, other, s.random.Intn(2) == 0)
+			}
+		}
+		s.after(back, s.heal)
+	case 6:
+		s.cut(h, s.hosts[hosts[s.random.Intn(len(hosts))]], true)
+		s.after(back, s.heal)
+	case 7:
+		h.syncTime = 40 * time.Millisecond
+		s.after(back, func() { h.syncTime = 2 * time.Millisecond })
+	case 8:
+		s.loss = 0.2
+		s.after(back, func() { s.loss = 0 })
+	}
+}
+
+// mayWipe: one disk may be lost at one time, and counts as lost until its machine is back in the in-sync set.
+func (s *simulation) mayWipe(h *host) bool {
+	p := s.primary()
+	if p == nil || len(p.replica.View().InSync) < len(s.hosts) {
+		return false
+	}
+	for _, one := range s.hosts {
+		if one.disk != nil && (one.disk.Hard.Accepted.joint() || one.disk.Hard.Accepted.Epoch != p.replica.View().Epoch) {
+			return false
+		}
+		if one.process == nil || one.disk == nil || s.now < one.fullUntil || !isMember(p.replica.View(), one.disk.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// play runs one random schedule of faults and calls, and returns the simulation after everything is whole again.
+func play(t testing.TB, seed int64, mutate func(*simulation)) *simulation {
+	s := newSimulation(t, seed, 3+int(seed%3), 1)
+	if mutate != nil {
+		mutate(s)
+	}
+	s.run(4 * time.Second)
+	for round := range 14 {
+		if s.random.Intn(2) == 0 {
+			s.fault()
+		}
+		for client := range 2 {
+			if p := s.primary(); p != nil {
+				s.write(client, p.machine.Version, fmt.Sprint(round, "/", client))
+			}
+			if s.random.Intn(3) == 0 {
+				s.read(client)
+			}
+		}
+		s.run(s.now + time.Duration(1+s.random.Intn(900))*time.Millisecond)
+	}
+	s.heal()
+	s.loss = 0
+	s.run(s.now + 12*time.Second)
+	s.read(9)
+	s.run(s.now + 2*time.Second)
+	return s
+}
+
+// What clients were told under random faults is what one register could have told them, and the fleet is whole again
+// some seconds after the last fault.
+func TestHistories(t *testing.T) {
+	for seed := range int64(schedules(t, 300)) {
+		s := play(t, seed, nil)
+		require.NotEqual(t, porcupine.Illegal, check(s.history), "seed %d", seed)
+		last := s.history[len(s.history)-1]
+		require.False(t, last.write)
+		require.Equal(t, http.StatusOK, last.status, "seed %d: no answer after the faults", seed)
+		require.Len(t, s.primary().replica.View().InSync, len(s.hosts), "seed %d", seed)
+	}
+}
+
+// The check can fail: an acknowledged value that is not there is seen.
+func TestTheCheckCanFail(t *testing.T) {
+	written := operation{write: true, value: "a", begin: 1, end: 2, status: http.StatusOK}
+	require.Equal(t, porcupine.Ok, check([]operation{written, {begin: 3, end: 4, status: 200, seenVersion: 1, seenValue: "a"}}))
+	require.Equal(t, porcupine.Illegal, check([]operation{written, {begin: 3, end: 4, status: 200}}))
+	second := operation{write: true, value: "b", begin: 3, end: 4, status: http.StatusOK}
+	require.Equal(t, porcupine.Illegal, check([]operation{written, second}), "two on the same version")
+	second.status = http.StatusServiceUnavailable
+	require.Equal(t, porcupine.Ok, check([]operation{written, second}))
+}
+
+func isMember(v View, id string) bool { return v.Member(id) != nil }
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -30,7 +30,7 @@
 	Primary string   // its ID
 	InSync  []string // IDs
 	Members []Member
-	Old     []Member // the members of the view before, as long as both have to agree
+	Old     []Member // the members of the view before, who have to agree too until this one is known to be in force
 }
 
 // Member finds a member by ID.
@@ -43,6 +43,11 @@
 	return nil
 }
 
+// joint reports whether the members of the view before have to agree to what follows.
+func (v *View) joint() bool {
+	return !slices.Equal(v.Old, v.Members)
+}
+
 // PrimaryAddress is where the primary is, or "".
 func (v *View) PrimaryAddress() string {
 	if m := v.Member(v.Primary); m != nil {
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -43,10 +43,13 @@
 	old := r.leading
 	r.role = primary
 	wait := time.Duration(0)
-	if slices.Equal(old.view.InSync, r.election.view.InSync) && len(old.view.Old) == len(r.election.view.Old) {
+	if slices.Equal(old.view.InSync, r.election.view.InSync) && len(old.view.Members) == len(r.election.view.Members) {
 		wait = min(maxReviewWait, max(reviewEvery, 2*old.wait)) // the change brought nothing
 	}
+	r.election.view.Old = r.election.view.Members // it is in force: the members before need not agree any more
 	r.known = r.election.view
+	r.hard.Accepted = r.known
+	r.save(nil, false, func() {})
 	r.leading = leading{view: r.election.view, queue: old.queue, confirms: old.confirms, acked: map[string]memberAck{},
 		committed: r.position.Sequence, since: r.now, reviewed: r.now, wait: wait, beat: old.beat}
 	for address := range r.election.promises {
@@ -198,8 +201,8 @@
 	r.LearnView(m.View)
 	r.heard, r.heardEver = r.now, true
 	r.send(from, ack)
-	if r.hard.Accepted.Epoch.Less(m.View.Epoch) { // it is in force: to accept it late does no harm
-		r.hard.Promised, r.hard.Accepted = m.View.Epoch, m.View
+	if r.hard.Accepted.Epoch.Less(m.View.Epoch) || r.hard.Accepted.joint() {
+		r.hard.Promised, r.hard.Accepted = m.View.Epoch, m.View // it is in force: to accept it late does no harm
 		r.save(nil, false, func() {})
 	}
 	current := r.position.Sequence <= m.Committed && m.View.inSync(r.Self.ID) && r.hard.Accepted.Epoch == m.View.Epoch
@@ -281,9 +284,6 @@
 
 func (r *Replica) wantsChange() bool {
 	l := &r.leading
-	if len(l.view.Old) != len(l.view.Members) || slices.ContainsFunc(l.view.Old, func(m Member) bool { return l.view.Member(m.ID) == nil }) {
-		return true
-	}
 	for id, a := range l.acked {
 		alive := r.now-a.at < reachable && !a.fails && id != r.Self.ID
 		if alive && !l.view.inSync(id) {
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -15,7 +15,8 @@
 //  3. A view's in-sync set is on the candidate's state, on the disk, before any witness is asked to accept the view; it
 //     has at least FaultTolerance+1 members.
 //  4. A member is a disk. One that lost it comes back as another member, without a vote, until a view takes it in.
-//  5. Members change by one view that both sets of members accept, and a second one that ends the need for both.
+//  5. Members change by one view that both sets of members accept; those before count no more as soon as it is known to be
+//     in force.
 //
 // The first view is decided by the seeds of the first start, which hold a vote named by their address for this alone and
 // only in a process, or with a disk, of that first start.
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -52,6 +52,7 @@
 	replica *Replica
 	machine *versionMachine
 	answers map[uint64]func(Decision)
+	shown   versionMachine // what was published last
 	gap     bool
 	saving  time.Duration // when the disk is free again
 }
@@ -217,6 +218,8 @@
 			s.send(p, e)
 		case Save:
 			s.save(p, e)
+		case Publish:
+			p.shown = e.Value.(versionMachine)
 		case Answer:
 			if then := p.answers[e.Token]; then != nil {
 				delete(p.answers, e.Token)
@@ -336,7 +339,7 @@
 	p.answers[token] = func(d Decision) {
 		r := &s.history[index]
 		r.end, r.status = s.now, d.Status
-		r.seenVersion, r.seenValue = p.machine.Version, p.machine.Value
+		r.seenVersion, r.seenValue = p.shown.Version, p.shown.Value
 	}
 	s.with(p, func() {
 		if o.write {
