--- /dev/null
+++ b/cmd/petrelrouter/fleet_test.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/node"
+	"petrelhook/internal/rig/process"
+)
+
+const roleVariable = "PETRELROUTER_TEST"
+
+// The test's program is the router as well.
+func TestMain(m *testing.M) {
+	if os.Getenv(roleVariable) != "" {
+		os.Exit(run([]string{"petrelrouter", "router"}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// machine is one router on a loopback address of its own.
+type machine struct {
+	t        *testing.T
+	ip       string
+	settings string
+	process  *process.Process
+}
+
+// fleet is several machines; those with a disk come first.
+type fleet struct {
+	t        *testing.T
+	machines []*machine
+	ports    [4]int // front, ready, control, internal
+	client   *http.Client
+}
+
+func newFleet(t *testing.T, disks, others int) *fleet {
+	f := &fleet{t: t, ports: freePorts(t), client: &http.Client{Timeout: 5 * time.Second}}
+	var seeds []string
+	for i := range min(3, disks) {
+		seeds = append(seeds, fmt.Sprintf("%q", f.address(fmt.Sprintf("127.9.0.%d", i+1), 2)))
+	}
+	for i := range disks + others {
+		m := &machine{t: t, ip: fmt.Sprintf("127.9.0.%d", i+1)}
+		folder := process.Dir(t)
+		text := fmt.Sprintf(`NodeName = "edge-%d"
+Ip = %q
+Zone = "zone-%d"
+Region = "here"
+InternalPortRange = [%d, %d]
+Seeds = [%s]
+Bootstrap = true
+HeartbeatMs = 300
+[Listen]
+Front = %q
+Ready = %q
+Control = %q
+[FaultTolerance]
+Machines = 1
+[Bounds]
+GraceS = 4
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetSlack = 60
+QuotaWindowS = 8
+QuotaOvershoot = 0.1
+QuotaSlack = 1000
+again_s = 5
+`, i+1, m.ip, i%2, f.ports[3], f.ports[3], strings.Join(seeds, ", "), f.address(m.ip, 0), f.address(m.ip, 1), f.address(m.ip, 2))
+		if i < disks {
+			text = fmt.Sprintf("CountsForQuorum = true\nDataDir = %q\n", filepath.Join(folder, "data")) + text
+		}
+		m.settings = filepath.Join(folder, "boot.toml")
+		require.NoError(t, os.WriteFile(m.settings, []byte(text), 0o644))
+		f.machines = append(f.machines, m)
+	}
+	for _, m := range f.machines {
+		m.start()
+	}
+	return f
+}
+
+func (m *machine) start() {
+	cmd := process.Again(roleVariable, "router")
+	cmd.Env = append(cmd.Env, "PETRELHOOK_SETTINGS="+m.settings)
+	m.process = process.Start(m.t, cmd)
+}
+
+func (f *fleet) address(ip string, port int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(f.ports[port]))
+}
+
+// freePorts finds ports that are free on all addresses of the test.
+func freePorts(t *testing.T) (ports [4]int) {
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.9.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return ports
+}
+
+// call makes one call and returns its status and body; 0 is no answer.
+func (f *fleet) call(method, url string, body string, header ...string) (int, string) {
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(f.t, err)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+		if header[i] == "Host" {
+			request.Host = header[i+1]
+		}
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(text)
+}
+
+// order sends an order to one control sidecar after the other until it is answered clearly.
+func (f *fleet) order(path string, base int, body string) (status int) {
+	process.Until(f.t, "an answer to an order", func() bool {
+		for _, m := range f.machines {
+			status, _ = f.call(http.MethodPost, "http://"+f.address(m.ip, 2)+path, body, "X-Base-Version", strconv.Itoa(base))
+			if status >= 200 && status < 500 {
+				return true
+			}
+		}
+		return false
+	})
+	return status
+}
+
+func (f *fleet) status(m *machine) (s node.Status) {
+	code, text := f.call(http.MethodGet, "http://"+f.address(m.ip, 2)+node.StatusPath, "")
+	if code == http.StatusOK {
+		require.NoError(f.t, json.Unmarshal([]byte(text), &s))
+	}
+	return s
+}
+
+func (f *fleet) primary() *machine {
+	for _, m := range f.machines {
+		if f.status(m).Primary {
+			return m
+		}
+	}
+	return nil
+}
+
+// request sends a client's request to a machine.
+func (f *fleet) request(m *machine, path string) (int, string) {
+	return f.call(http.MethodPost, "http://"+f.address(m.ip, 0)+path, "body", "Host", "a.example", "X-Request-Id", "id1",
+		"X-Request-Deadline", "2000", "X-Key", "k1")
+}
+
+func (f *fleet) waitReady(m *machine) {
+	process.Until(f.t, m.ip+" is ready", func() bool {
+		code, _ := f.call(http.MethodGet, "http://"+f.address(m.ip, 1)+"/-/readiness", "")
+		return code == http.StatusOK
+	})
+}
+
+// beat is a server's call.
+func (f *fleet) beat(m *machine, id, address, state string, sequence int) int {
+	body := fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"zone-0","Slots":4,"State":%q,"Sequence":%d}`, address, state, sequence)
+	code, _ := f.call(http.MethodPost, "http://"+f.address(m.ip, 2)+"/-/instances/"+id+"/heartbeat", body)
+	return code
+}
+
+const firstConfiguration = `{"Generation":3,"Routes":[{"Name":"r1","Host":"a.example","PathPrefix":"/x/","RouteType":"safe","TimeoutMs":2000,"Service":"s","MaxAttempts":2}],
+"Services":[{"Name":"s","MaxConnections":50}],"Tenants":[{"Name":"t1","ApiKeys":["k1"],"RatePerS":1000,"Burst":1000}]}`
+
+// A whole fleet of processes: it forms a core, takes a configuration, serves; the primary is killed and comes back; a drain
+// is known everywhere once it is acknowledged.
+func TestFleet(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	require.Equal(t, http.StatusOK, f.order("/-/config/replace", 0, firstConfiguration))
+	require.Equal(t, http.StatusOK, f.order("/-/config/replace", 0, firstConfiguration), "sent again")
+	require.Equal(t, http.StatusPreconditionFailed, f.order("/-/config/update", 1, `{"Generation":9}`))
+	require.Equal(t, http.StatusBadRequest, f.order("/-/config/update", 3, `{"Generation":`))
+
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		io.WriteString(w, "answer")
+	}))
+	defer server.Close()
+	at, sequence := server.Listener.Addr().String(), 0
+	process.Until(t, "a heartbeat is taken", func() bool {
+		sequence++
+		return f.beat(f.machines[4], "i1", at, "ready", sequence) == http.StatusOK
+	})
+	for _, m := range f.machines {
+		f.waitReady(m)
+		process.Until(t, m.ip+" serves", func() bool {
+			sequence++
+			f.beat(m, "i1", at, "ready", sequence)
+			code, text := f.request(m, "/x/1")
+			return code == http.StatusOK && text == "answer"
+		})
+	}
+
+	killed := f.primary()
+	require.NotNil(t, killed)
+	killed.process.Die()
+	require.Equal(t, http.StatusOK, f.order("/-/config/update", 3,
+		`{"Generation":7,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","RouteType":"safe","TimeoutMs":2000,"Service":"s"}]}}`))
+	killed.start()
+	for _, m := range f.machines {
+		process.Until(t, m.ip+" has the new route", func() bool {
+			sequence++
+			f.beat(m, "i1", at, "ready", sequence)
+			code, _ := f.request(m, "/y/1")
+			return code == http.StatusOK
+		})
+	}
+	process.Until(t, "the read is the newest", func() bool {
+		code, text := f.call(http.MethodGet, "http://"+f.address(f.machines[4].ip, 2)+"/-/config/read", "")
+		return code == http.StatusOK && strings.HasPrefix(text, `{"Generation":7,`)
+	})
+
+	process.Until(t, "a drain is acknowledged", func() bool {
+		sequence++
+		return f.beat(f.machines[3], "i1", at, "draining", sequence) == http.StatusOK
+	})
+	for _, m := range f.machines {
+		process.Until(t, m.ip+" knows the drain", func() bool { return f.status(m).Servers["s"] == 0 })
+	}
+
+	var out bytes.Buffer
+	require.Zero(t, run([]string{"petrelrouter", "status", f.address(f.machines[0].ip, 2)}, &out, &out))
+	require.Contains(t, out.String(), `"Generation": 7`)
+	for _, m := range f.machines {
+		require.NoError(t, m.process.Signal(os.Interrupt))
+	}
+	for _, m := range f.machines {
+		require.NoError(t, <-m.process.Ended, m.ip)
+	}
+	out.Reset()
+	data := filepath.Join(filepath.Dir(f.machines[0].settings), "data")
+	require.Zero(t, run([]string{"petrelrouter", "state", data}, &out, &out), out.String())
+	require.Contains(t, out.String(), `"Generation": 7`)
+}
+
+func TestCommandLine(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	require.NoError(t, os.WriteFile(bad, []byte("NodeName = \"a\"\nIp = \"no address\"\nZone = \"z\"\nInternalPortRange = [1, 2]\n"), 0o644))
+	broken := filepath.Join(t.TempDir(), "broken.toml")
+	require.NoError(t, os.WriteFile(broken, []byte("NodeName = \"a\"\nIp = \n"), 0o644))
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"version"}, 0, "petrelrouter"},
+		{[]string{"check", bad}, exitBad, "field Settings.Ip"},
+		{[]string{"check", broken}, exitBad, "line 2"},
+		{[]string{"check"}, exitUsage, "takes one FILE"},
+		{[]string{"state", filepath.Join(t.TempDir(), "none")}, exitBad, "no such file"},
+		{[]string{"status", "127.0.0.1:9"}, exitBad, "refused"},
+		{[]string{"other"}, exitUsage, "no such command"},
+		{[]string{"check", "--what"}, exitUsage, "flag"},
+		{[]string{"--help"}, 0, "status"},
+	} {
+		var out bytes.Buffer
+		require.Equal(t, c.code, run(append([]string{"petrelrouter"}, c.args...), &out, &out), c.args)
+		require.Contains(t, out.String(), c.says, c.args)
+	}
+}
--- a/cmd/petrelrouter/main.go
+++ b/cmd/petrelrouter/main.go
@@ -3,75 +3,52 @@
 
 import (
 	"context"
-	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 
-	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
-
-	"petrelhook/internal/node"
-	"petrelhook/internal/settings"
 )
 
-// Exit codes.
+// Exit codes: what was checked is bad, or the command was used wrongly.
 const (
-	exitBad   = 1 // what was checked, or the start, is bad
+	exitBad   = 1
 	exitUsage = 2
 )
 
 func main() {
+	os.Exit(run(os.Args, os.Stdout, os.Stderr))
+}
+
+// run is the program; it returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
 	command := &cli.Command{
-		Name:  "petrelrouter",
-		Usage: "a router fleet for a language model",
+		Name:           "petrelrouter",
+		Usage:          "a router fleet for a language model",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return cli.Exit(err, exitUsage) },
 		Commands: []*cli.Command{
-			{Name: "router", Usage: "serve clients, servers and the operator, as the settings file says", Action: serve},
+			{Name: "router", Usage: "serve clients, servers and the operator, as the file named by PETRELHOOK_SETTINGS says", Action: serve},
 			{Name: "check", Usage: "judge a settings file", ArgsUsage: "FILE", Action: check},
+			{Name: "state", Usage: "print what the disk of a stopped router holds", ArgsUsage: "FOLDER", Action: state},
+			{Name: "status", Usage: "ask a router who it is, who leads, and what is in force there", ArgsUsage: "CONTROL-ADDRESS", Action: status},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() > 0 {
+				return cli.Exit("no such command: "+c.Args().First()+"; --help lists them", exitUsage)
+			}
+			return cli.ShowAppHelp(c)
+		},
 	}
-	if err := command.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "petrelrouter:", err)
-		os.Exit(exitUsage)
-	}
-}
-
-func version(context.Context, *cli.Command) error {
-	build, _ := debug.ReadBuildInfo()
-	fmt.Println("petrelrouter", build.Main.Version, build.GoVersion)
-	return nil
-}
-
-func check(_ context.Context, c *cli.Command) error {
-	if c.Args().Len() != 1 {
-		return cli.Exit("check takes one file", exitUsage)
-	}
-	s, err := settings.Load(c.Args().First())
-	if err != nil {
-		return cli.Exit(err, exitBad)
-	}
-	fmt.Printf("%s: %s in zone %s, fit\n", c.Args().First(), s.NodeName, s.Zone)
-	return nil
-}
-
-func serve(parent context.Context, _ *cli.Command) error {
-	s, err := settings.Load(os.Getenv(settings.Variable))
-	if err != nil {
-		return cli.Exit(err, exitBad)
-	}
-	const share, megabyte = 0.7, 1 << 20
-	if s.Limits.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(share * megabyte * float64(s.Limits.MemoryMb)))
+	err := command.Run(context.Background(), args)
+	if err == nil {
+		return 0
 	}
-	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	if err := node.New(s, logger).Run(ctx); err != nil {
-		return cli.Exit(err, exitBad)
+	io.WriteString(stderr, "petrelrouter: "+err.Error()+"\n")
+	if coded, ok := err.(cli.ExitCoder); ok {
+		return coded.ExitCode()
 	}
-	return nil
+	return exitUsage
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,7 @@
 	settings *settings.Settings
 	logger   *log.Logger
 	start    time.Time
+	seeds    []string // internal addresses; guarded by the lock
 	life     uint64
 	self     membership.Node
 
@@ -99,7 +101,7 @@
 
 // New makes a node; nothing is started or opened.
 func New(s *settings.Settings, logger *log.Logger) *Node {
-	n := &Node{settings: s, logger: logger, start: time.Now(), life: rand.Uint64() | 1,
+	n := &Node{settings: s, logger: logger, start: time.Now(), seeds: s.SeedAddresses(), life: rand.Uint64() | 1,
 		register: operatorapi.NewRegister(), registry: registry.New(), sessions: membership.New(sessionTimeout),
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
@@ -117,8 +119,9 @@
 // now is the steady clock since the start.
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
-// Run serves until the context ends, and then until the process may end.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends, and then until the process may end. When reload tells of it, the settings are read
+// again; the seeds count from then on, all else from the next start.
+func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, load func(path string) (*settings.Settings, error)) error {
 	if err := n.open(); err != nil {
 		return err
 	}
@@ -131,6 +134,8 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-reload:
+			n.reload(load)
 		case <-ticker.C:
 			n.tick()
 		}
@@ -143,6 +148,19 @@
 	return nil
 }
 
+// reload takes the seeds of the settings as they are now; a file that cannot be used changes nothing.
+func (n *Node) reload(load func(path string) (*settings.Settings, error)) {
+	next, err := load(os.Getenv(settings.Variable))
+	if err != nil {
+		n.logger.Error().Err(err).Msg("settings are not taken")
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.seeds = next.SeedAddresses()
+	n.logger.Info().Strs("seeds", n.seeds).Msg("settings read again")
+}
+
 // open reads the disk, where there is one, and makes the replica.
 func (n *Node) open() error {
 	s := n.settings
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"petrelhook/internal/replication"
+)
+
+// StatusPath is where a router tells its status, on its control address.
+const StatusPath = "/-/status"
+
+// Status is what a router knows of itself and of the fleet.
+type Status struct {
+	Node       string
+	Zone       string
+	Ready      bool
+	Core       bool
+	Primary    bool
+	InTouch    bool // with a majority of the core, itself or by its home
+	Home       string
+	View       replication.View
+	Replica    string
+	Version    uint64 // of the configuration in force here, counted by the core
+	Generation int64
+	Fleet      int
+	Servers    map[string]int // usable ones by service
+	Requests   int64
+	Served     int64
+	Refused    int64
+	Failed     int64
+	Retried    int64
+	SentBytes  uint64 // to other sidecars
+}
+
+// Status tells the status.
+func (n *Node) Status() Status {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	s := Status{Node: n.settings.NodeName, Zone: n.settings.Zone, Ready: n.ready.Load(), Core: n.core(), Primary: n.replica.Primary(),
+		Home: n.home.address, View: n.view, Replica: n.replica.Status(), Version: n.compiled, Fleet: n.fleet, Servers: map[string]int{},
+		SentBytes: n.transport.Sent()}
+	s.InTouch = s.Core && n.replica.InTouch() || !s.Core && n.home.touch && n.now()-n.home.heard < homeSilent
+	if t := n.gateway.Table(); t != nil {
+		s.Generation = t.Generation
+		for name := range t.Services() {
+			s.Servers[name] = len(n.registry.Usable(name))
+		}
+	}
+	c := &n.gateway.Counts
+	s.Requests, s.Served, s.Refused = c.Requests.Load(), c.Served.Load(), c.Refused.Load()
+	s.Failed, s.Retried = c.Failed.Load(), c.Retried.Load()
+	return s
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(n.Status())
+}
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -83,7 +83,7 @@
 // greet asks the seeds who the core is.
 func (n *Node) greet() {
 	m := dissemination.Session{Node: n.self, View: n.view.Epoch}
-	for _, seed := range n.settings.SeedAddresses() {
+	for _, seed := range n.seeds {
 		if seed != n.self.Address {
 			n.transport.Send(seed, m)
 		}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -118,6 +118,21 @@
 	return errors.Wrapf(f.Sync(), "storage: sync %s", folder)
 }
 
+// Inspect reads the state in a folder without changing anything.
+func Inspect(folder string) (*replication.Kept, error) {
+	path := filepath.Join(folder, fileName)
+	if _, err := os.Stat(path); err != nil {
+		return nil, errors.Wrap(err, "storage")
+	}
+	database, err := bbolt.Open(path, 0o644, &bbolt.Options{ReadOnly: true, Timeout: time.Second})
+	if err != nil {
+		return nil, errors.Wrapf(err, "storage: %s", path)
+	}
+	d := &Disk{database: database}
+	defer d.Close()
+	return d.read()
+}
+
 func (d *Disk) read() (*replication.Kept, error) {
 	kept := &replication.Kept{}
 	err := d.database.View(func(tx *bbolt.Tx) error {
