The instance that was heard last has its address; heartbeats name the view where it is known

Change: who was heard last at an address has it, judged anew each time; what is read from the disk keeps its ages, without those that were lost.

--- a/cmd/petrelctl/capacity_test.go
+++ b/cmd/petrelctl/capacity_test.go
@@ -16,7 +16,7 @@
 const (
 	assumedFile  = "../../deploy/capacity.yaml"
 	measuredFile = "../../deploy/capacity-measured.json"
-	capacityPage = "../../docs/CAPACITY.md"
+	capacityPage = "../../docs/CAPACITY-sidecars.md"
 )
 
 // The page has the tables that the committed files give.
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	if !bytes.Equal(now, page) {
-		t.Error("docs/CAPACITY.md is not what the figures say: petrelctl capacity --write docs/CAPACITY.md")
+		t.Error("docs/CAPACITY-sidecars.md is not what the figures say: petrelctl capacity --write docs/CAPACITY-sidecars.md")
 	}
 	r, err := capacityReport(assumedFile, measuredFile)
 	if err != nil {
--- /dev/null
+++ b/cmd/petrelctl/routers.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"petrelhook/internal/capacity"
+	"petrelhook/internal/rig/routerscale"
+)
+
+// Sizes of a run of routers by default: the largest checks the fit of the others.
+var routerSizes = []int{60, 120, 240, 400, 630}
+
+func routersCommand() *cobra.Command {
+	o := routerscale.Options{Target: 630}
+	var file string
+	cmd := &cobra.Command{
+		Use: "routers", Args: cobra.NoArgs,
+		Short: "Measure what a router fleet of some sizes costs its core and its sidecars",
+		Long: "Starts petrelrouter processes as the core and, beside them, hollow sidecars (the product's own nodes without\n" +
+			"clients) and hollow servers that send heartbeats. Everything is on loopback, and has ended when it returns.\n" +
+			"Servers and tenants grow with the sidecars, up to --servers and --tenants at 630.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Core < 2 || o.Runs < 1 || len(o.Sizes) == 0 {
+				return errors.New("--core takes 2 or more, --runs 1 or more, --sizes at least one")
+			}
+			for _, size := range o.Sizes {
+				if size <= o.Core || size > 2000 {
+					return fmt.Errorf("--sizes: %d; write more than --core, 2000 at most", size)
+				}
+			}
+			o.Progress = func(what string) { fmt.Fprintln(cmd.ErrOrStderr(), what) }
+			points, err := routerscale.Run(o)
+			if err != nil {
+				return runError{err}
+			}
+			m := capacity.Measured{At: time.Now().UTC().Truncate(time.Second), Points: points, FitUpTo: o.Sizes[max(0, len(o.Sizes)-2)],
+				Machine: fmt.Sprintf("%d processors", runtime.NumCPU())}
+			text, err := json.MarshalIndent(m, "", " ")
+			if err != nil {
+				return err
+			}
+			if file == "" {
+				_, err = cmd.OutOrStdout().Write(append(text, '\n'))
+				return err
+			}
+			return os.WriteFile(file, append(text, '\n'), 0o644)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.Router, "router", "target/petrelrouter", "the program petrelrouter")
+	f.IntVar(&o.Core, "core", 7, "routers of the core")
+	f.IntSliceVar(&o.Sizes, "sizes", routerSizes, "sidecars, the core included; the largest checks the fit of the others")
+	f.IntVar(&o.Runs, "runs", 3, "runs of each size")
+	f.DurationVar(&o.Steady, "steady", 5*time.Second, "how long each workload is measured")
+	f.IntVar(&o.Servers, "servers", 6700, "servers beside 630 sidecars")
+	f.IntVar(&o.Tenants, "tenants", 7700, "tenants beside 630 sidecars")
+	f.IntVar(&o.Draws, "draws", 5, "draws of quotas a second, of each sidecar")
+	f.IntVar(&o.Changes, "changes", 8, "changes of the configuration")
+	f.StringVar(&file, "json", "", "write the points to this file")
+	return cmd
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	pruneEvery     = 2 * time.Second
 	homeReview     = 5 * time.Second
 	silentBeats    = 4.5 // heartbeats that a server may miss
+	expireEvery    = 250 * time.Millisecond
 	pushGap        = 15 * time.Millisecond
 	resendAfter    = 300 * time.Millisecond
 )
@@ -85,11 +86,13 @@
 	compiled     uint64 // version of the gateway's table
 	listed       uint64 // stamp of the gateway's servers
 	listedTable  uint64
+	usable       map[string]int // servers by service, as logged last
 	lastSession  time.Duration
 	lastQuota    time.Duration
 	lastUses     time.Duration
 	lastPrune    time.Duration
 	lastPush     time.Duration
+	lastExpire   time.Duration
 	pushLater    bool
 	touchedSince time.Duration
 	lastSeeds    time.Duration
@@ -105,7 +108,7 @@
 		register: operatorapi.NewRegister(), registry: registry.New(), sessions: membership.New(sessionTimeout),
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
-		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1,
+		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1, usable: map[string]int{},
 		draws: map[uint64]chan dissemination.QuotaDrawn{}}
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
@@ -264,6 +267,10 @@
 	if !n.complete && (n.cached || now-n.touchedSince > 2*beat) {
 		n.complete = true // every server that lives has called some control sidecar by now
 	}
+	if now-n.lastExpire < expireEvery {
+		return
+	}
+	n.lastExpire = now
 	if n.registry.Expire(time.Duration(silentBeats*float64(beat)), now) {
 		n.pushAll()
 	}
--- a/internal/node/servers_cache.go
+++ b/internal/node/servers_cache.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"petrelhook/internal/registry"
+	"petrelhook/internal/settings"
 	"petrelhook/internal/storage"
 )
 
@@ -28,10 +29,13 @@
 		return
 	}
 	for _, u := range list {
-		u.Age = 0
+		if u.Lost || u.Instance.State == registry.Gone {
+			continue
+		}
+		u.Age += settings.Milliseconds(n.settings.HeartbeatMs) // it was written some time ago; who was heard last stays first
 		n.registry.Merge(u, n.now())
+		n.cached = true
 	}
-	n.cached = len(list) > 0
 	n.stored = n.registry.Stamp()
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -57,3 +57,20 @@
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(n.Status())
 }
+
+// Version is the version of the configuration in force here.
+func (n *Node) Version() uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.compiled
+}
+
+// Servers is how many servers are known here.
+func (n *Node) Servers() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.registry.Len()
+}
+
+// SentBytes is how many bytes went to other sidecars.
+func (n *Node) SentBytes() uint64 { return n.transport.Sent() }
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"petrelhook/internal/placement"
+	"petrelhook/internal/registry"
 	"sort"
 	"time"
 
@@ -330,6 +331,14 @@
 	}
 }
 
+func (n *Node) setServers(name string, list []registry.Instance) {
+	n.gateway.SetServers(name, list)
+	if n.usable[name] != len(list) {
+		n.usable[name] = len(list)
+		n.logger.Info().Str("service", name).Int("usable", len(list)).Msg("servers")
+	}
+}
+
 // apply puts in force what is newer than what the gateway has.
 func (n *Node) apply() {
 	if v := n.versions.Version(); v != n.compiled {
@@ -342,7 +351,7 @@
 		n.listed, n.listedTable = n.registry.Stamp(), n.compiled
 		if t := n.gateway.Table(); t != nil {
 			for name := range t.Services() {
-				n.gateway.SetServers(name, n.registry.Usable(name))
+				n.setServers(name, n.registry.Usable(name))
 			}
 		}
 	}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -35,84 +35,110 @@
 	asked  time.Duration
 }
 
-// Allocator divides tenants' limits, for one term of one primary.
+// sum is what all holders of one tenant's shares want and have.
+type sum struct{ demand, shares float64 }
+
+// Allocator divides tenants' limits, for one term of one primary. A question costs as much as it names tenants.
 type Allocator struct {
 	since   time.Duration
 	holders map[string]*holder
+	sums    map[string]*sum
+	expired time.Duration
 }
 
 // NewAllocator begins a term.
 func NewAllocator(now time.Duration) *Allocator {
-	return &Allocator{since: now, holders: map[string]*holder{}}
+	return &Allocator{since: now, holders: map[string]*holder{}, sums: map[string]*sum{}}
 }
 
 // Ask answers a sidecar's question; fleet is how many sidecars there are.
 func (a *Allocator) Ask(node string, life uint64, demand, held map[string]float64, fleet int, now time.Duration) map[string]float64 {
 	a.expire(now)
 	h := a.holders[node]
-	if h == nil || h.life != life {
-		previous := h
-		h = &holder{life: life}
-		if previous != nil { // the process before may have spent it, and ended
-			h.shares = previous.shares
-		}
+	if h == nil {
+		h = &holder{shares: map[string]float64{}}
 		a.holders[node] = h
 	}
-	h.demand, h.asked = demand, now
-	if h.shares == nil {
-		h.shares = held
-	}
+	sameLife := h.life == life
+	h.life, h.asked, h.until = life, now, now+Lease+margin
 	early := now-a.since < claims
 	given := map[string]float64{}
-	for tenant := range demand {
-		given[tenant] = a.share(node, tenant, held[tenant], max(1, fleet), early)
-	}
-	for tenant, share := range held { // what is held counts as out until the next question
-		h.shares[tenant] = max(share, given[tenant])
+	for tenant, share := range h.shares {
+		_, asks := demand[tenant]
+		if sameLife && !asks && held[tenant] == 0 { // it says that it holds nothing
+			a.set(h, tenant, 0, 0)
+			continue
+		}
+		a.set(h, tenant, demand[tenant], max(share, held[tenant]))
 	}
-	for tenant, share := range given {
-		if h.shares == nil {
-			h.shares = map[string]float64{}
+	for tenant, wanted := range demand {
+		mine := h.shares[tenant]
+		if sameLife {
+			mine = held[tenant]
 		}
-		h.shares[tenant] = max(share, held[tenant])
+		a.set(h, tenant, wanted, mine)
+		given[tenant] = a.share(tenant, wanted, mine, held[tenant], max(1, fleet), early)
+		a.set(h, tenant, wanted, max(mine, given[tenant])) // until the next question says otherwise
 	}
-	h.until = now + Lease + margin
 	return given
 }
 
-func (a *Allocator) share(node, tenant string, held float64, fleet int, early bool) float64 {
+// set notes what a holder wants and may have of a tenant.
+func (a *Allocator) set(h *holder, tenant string, demand, share float64) {
+	s := a.sums[tenant]
+	if s == nil {
+		s = &sum{}
+		a.sums[tenant] = s
+	}
+	s.demand += demand - h.demand[tenant]
+	s.shares += share - h.shares[tenant]
+	if h.demand == nil {
+		h.demand = map[string]float64{}
+	}
+	h.demand[tenant], h.shares[tenant] = demand, share
+	if demand == 0 && share == 0 {
+		delete(h.demand, tenant)
+		delete(h.shares, tenant)
+	}
+}
+
+func (a *Allocator) share(tenant string, wanted, mine, held float64, fleet int, early bool) float64 {
 	if early {
 		return held
 	}
-	others, total := 0.0, 0.0
-	for address, h := range a.holders {
-		total += h.demand[tenant]
-		if address != node {
-			others += h.shares[tenant]
-		}
-	}
+	s := a.sums[tenant]
 	target := evenPart / float64(fleet)
-	if total > 0 {
-		target += (1 - evenPart) * a.holders[node].demand[tenant] / total
+	if s.demand > 0 {
+		target += (1 - evenPart) * wanted / s.demand
 	} else {
 		target = 1 / float64(fleet)
 	}
-	return max(0, min(target, 1-others))
+	return max(0, min(target, 1-(s.shares-mine)))
 }
 
 func (a *Allocator) expire(now time.Duration) {
+	if now-a.expired < margin {
+		return
+	}
+	a.expired = now
 	for address, h := range a.holders {
-		if now > h.until && now-h.asked > Lease {
-			delete(a.holders, address)
+		if now <= h.until {
+			continue
+		}
+		for tenant := range h.shares {
+			a.set(h, tenant, 0, 0)
+		}
+		for tenant := range h.demand {
+			a.set(h, tenant, 0, 0)
 		}
+		delete(a.holders, address)
 	}
 }
 
 // Out is how much of a tenant's limit is given.
 func (a *Allocator) Out(tenant string) float64 {
-	sum := 0.0
-	for _, h := range a.holders {
-		sum += h.shares[tenant]
+	if s := a.sums[tenant]; s != nil {
+		return s.shares
 	}
-	return sum
+	return 0
 }
--- a/internal/quota/taker.go
+++ b/internal/quota/taker.go
@@ -16,6 +16,7 @@
 	stockAhead   = 100 * time.Millisecond // of demand is drawn ahead
 	stockLeast   = 3                      // requests in that time from which it is worth it
 	demandSmooth = 2 * time.Second
+	leastDemand  = 0.01 // units a second that are told of
 )
 
 // Verdict is what a taker says of a request.
@@ -151,6 +152,10 @@
 			b.demand += weight * (b.wanted/passed.Seconds() - b.demand)
 			b.wanted, b.at = 0, now
 		}
+		if b.demand < leastDemand { // most tenants are not seen by most sidecars
+			b.share = 0
+			continue
+		}
 		demand[name] = b.demand
 		if now < t.until {
 			held[name] = b.share
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -47,8 +47,6 @@
 	Lost  bool // silent for too long, or another server has its address
 	Stamp uint64
 	Heard time.Duration // when
-
-	replaced bool // another server has its address
 }
 
 // Usable reports whether requests may go there.
@@ -124,7 +122,7 @@
 	}
 	if heard > e.Heard {
 		e.Heard = heard
-		if e.Lost && !e.replaced && now-heard < heardAgain {
+		if e.Lost && now-heard < heardAgain && g.owns(e) {
 			e.Lost = false
 			changed = true
 		}
@@ -140,22 +138,32 @@
 	e.Stamp = g.stamp
 }
 
-// takeAddress marks instances lost that had the address of a newer one.
+// takeAddress marks instances lost that had the address of one that was heard later.
 func (g *Registry) takeAddress(e *Entry) {
 	for _, other := range g.entries {
 		if other != e && other.Address == e.Address && !other.Lost && other.State != Gone && other.Heard < e.Heard {
-			other.Lost, other.replaced = true, true
+			other.Lost = true
 			g.change(other)
 		}
 	}
 }
 
+// owns reports whether no other instance was heard later at the same address.
+func (g *Registry) owns(e *Entry) bool {
+	for _, other := range g.entries {
+		if other != e && other.Address == e.Address && other.Heard > e.Heard {
+			return false
+		}
+	}
+	return true
+}
+
 // Refresh notes that instances were heard by another sidecar.
 func (g *Registry) Refresh(ids []string, now time.Duration) {
 	for _, id := range ids {
 		if e := g.entries[id]; e != nil && now > e.Heard {
 			e.Heard = now
-			if e.Lost && !e.replaced {
+			if e.Lost && g.owns(e) {
 				e.Lost = false
 				g.change(e)
 			}
@@ -170,16 +178,23 @@
 	return out
 }
 
-// Expire judges who is lost: those that have been silent for longer than a time. It forgets ends that are long past.
+// Expire judges who is lost: those that have been silent for longer than a time, and those at whose address another was
+// heard later. It forgets ends that are long past.
 func (g *Registry) Expire(silence, now time.Duration) bool {
-	changed := false
+	owners := make(map[string]time.Duration, len(g.entries)) // when an address was heard last
 	for id, e := range g.entries {
-		silent := now - e.Heard
-		if (e.State == Gone || e.Lost) && silent > keepGone {
+		if (e.State == Gone || e.Lost) && now-e.Heard > keepGone {
 			delete(g.entries, id)
 			continue
 		}
-		if lost := e.replaced || silent > silence; e.State != Gone && e.Lost != lost {
+		if heard, ok := owners[e.Address]; !ok || e.Heard > heard {
+			owners[e.Address] = e.Heard
+		}
+	}
+	changed := false
+	for _, e := range g.entries {
+		lost := now-e.Heard > silence || e.Heard < owners[e.Address]
+		if e.State != Gone && e.Lost != lost {
 			e.Lost = lost
 			g.change(e)
 			changed = true
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -80,3 +80,16 @@
 	require.True(t, g.Adopt(Update{Instance: instance("a", 1, Ready), Lost: true}, 2*time.Second))
 	require.Empty(t, g.Usable("llm"))
 }
+
+// What is read from a disk after a restart is older than it looks: the instance that lives at an address wins as soon as it
+// is heard.
+func TestTheLivingInstanceGetsItsAddressBack(t *testing.T) {
+	g := New()
+	g.Beat(instance("new", 1, Ready), time.Second)
+	g.Merge(Update{Instance: instance("dead", 9, Ready)}, 2*time.Second)
+	require.Equal(t, "dead", g.Usable("llm")[0].ID)
+	g.Beat(instance("new", 2, Ready), 3*time.Second)
+	g.Expire(5*time.Second, 3*time.Second)
+	require.Len(t, g.Usable("llm"), 1)
+	require.Equal(t, "new", g.Usable("llm")[0].ID)
+}
--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -239,7 +239,7 @@
 					m.Epoch = to.replica.leading.view.Epoch
 					return m
 				case Heartbeat:
-					if m.View.Epoch.Less(to.replica.hard.Promised) {
+					if m.Epoch.Less(to.replica.hard.Promised) {
 						return nil // nor does it hear that it is none any more
 					}
 				}
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -126,7 +126,8 @@
 
 // Heartbeat tells members and those that wait to be one who is primary, and what is committed.
 type Heartbeat struct {
-	View      View
+	Epoch     Epoch
+	View      *View // where the receiver has not said that it knows it
 	Beat      uint64
 	Committed uint64
 }
@@ -137,6 +138,7 @@
 	Beat      uint64
 	From      Member
 	Promised  Epoch
+	Known     Epoch // the view that it knows to be in force
 	DiskFails bool
 }
 
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -29,6 +29,7 @@
 	beat  uint64
 	at    time.Duration
 	fails bool
+	known Epoch
 }
 
 // confirmation is an answer that waits until a majority has said that this is still the primary.
@@ -176,36 +177,47 @@
 	l.beat++
 	l.lastBeat = r.now
 	l.acked[r.Self.ID] = memberAck{beat: l.beat, at: r.now}
-	told := map[string]bool{}
-	m := Heartbeat{View: l.view, Beat: l.beat, Committed: l.committed}
-	for _, to := range l.view.Members {
-		told[to.Address] = true
-	}
+	knows := map[string]bool{} // by address
 	for _, to := range r.candidates {
-		told[to.Address] = true
+		knows[to.Address] = knows[to.Address] || l.acked[to.ID].known == l.view.Epoch
+	}
+	for _, to := range l.view.Members {
+		knows[to.Address] = l.acked[to.ID].known == l.view.Epoch
 	}
-	for address := range told {
+	view := l.view
+	for address, known := range knows {
+		m := Heartbeat{Epoch: l.view.Epoch, Beat: l.beat, Committed: l.committed}
+		if !known {
+			m.View = &view
+		}
 		r.send(address, m)
 	}
 }
 
 func (r *Replica) onHeartbeat(m Heartbeat, from string) {
-	ack := HeartbeatAck{Epoch: m.View.Epoch, Beat: m.Beat, From: r.Self, Promised: r.hard.Promised, DiskFails: r.stalled()}
-	if m.View.Epoch.Less(r.hard.Promised) {
+	ack := HeartbeatAck{Epoch: m.Epoch, Beat: m.Beat, From: r.Self, Promised: r.hard.Promised, Known: r.known.Epoch, DiskFails: r.stalled()}
+	if m.Epoch.Less(r.hard.Promised) {
 		r.send(from, ack)
 		return
 	}
 	if r.role != follower {
 		r.stepDown()
 	}
-	r.LearnView(m.View)
+	if m.View != nil {
+		r.LearnView(*m.View)
+	}
 	r.heard, r.heardEver = r.now, true
+	ack.Known = r.known.Epoch
 	r.send(from, ack)
-	if r.hard.Accepted.Epoch.Less(m.View.Epoch) || r.hard.Accepted.joint() {
-		r.hard.Promised, r.hard.Accepted = m.View.Epoch, m.View // it is in force: to accept it late does no harm
+	if r.known.Epoch != m.Epoch {
+		return // the next heartbeat brings the view
+	}
+	r.known.Old = r.known.Members // it is in force
+	if r.hard.Accepted.Epoch.Less(m.Epoch) || r.hard.Accepted.joint() {
+		r.hard.Promised, r.hard.Accepted = m.Epoch, r.known // it is in force: to accept it late does no harm
 		r.save(nil, false, func() {})
 	}
-	current := r.position.Sequence <= m.Committed && m.View.inSync(r.Self.ID) && r.hard.Accepted.Epoch == m.View.Epoch
+	current := r.position.Sequence <= m.Committed && r.known.inSync(r.Self.ID) && r.hard.Accepted.Epoch == m.Epoch
 	if current && r.position.Sequence == m.Committed {
 		r.publish()
 	}
@@ -225,7 +237,7 @@
 	}
 	r.Eligible(m.From)
 	a := l.acked[m.From.ID]
-	l.acked[m.From.ID] = memberAck{beat: max(a.beat, m.Beat), at: r.now, fails: m.DiskFails}
+	l.acked[m.From.ID] = memberAck{beat: max(a.beat, m.Beat), at: r.now, fails: m.DiskFails, known: m.Known}
 	r.checkConfirms()
 }
 
--- /dev/null
+++ b/internal/rig/routerscale/run.go
@@ -0,0 +1,253 @@
+package routerscale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"petrelhook/internal/capacity"
+)
+
+// Options say what is run.
+type Options struct {
+	Router   string // the program petrelrouter
+	Core     int
+	Sizes    []int // sidecars, the core included
+	Runs     int
+	Steady   time.Duration // of each window
+	Target   int           // sidecars, servers and tenants at the size that is worked out
+	Servers  int
+	Tenants  int
+	Draws    int // of quotas a second for each sidecar
+	Changes  int
+	Progress func(string)
+}
+
+func (o *Options) servers(size int) int { return o.Servers * size / o.Target }
+func (o *Options) tenants(size int) int { return o.Tenants * size / o.Target }
+func (o *Options) routes(size int) int  { return 2 * size }
+
+// The roles, workloads and metrics of the points.
+const (
+	RolePrimary  = "primary"
+	RoleControl  = "control sidecar"
+	RoleSidecar  = "sidecar"
+	AtRest       = "at rest"
+	Heartbeats   = "heartbeats"
+	Quotas       = "quota draws"
+	Changing     = "changes"
+	Processor    = "cpu_us_s"
+	BytesOut     = "bytes_out_s"
+	Memory       = "memory_bytes"
+	InForce      = "in_force_us"
+	clockTick    = 100 // a second, of /proc/PID/stat
+	settle       = 2 * time.Second
+	changePause  = 300 * time.Millisecond
+	microseconds = 1e6
+)
+
+// Run measures all sizes.
+func Run(o Options) ([]capacity.Point, error) {
+	var points []capacity.Point
+	for _, size := range o.Sizes {
+		for run := 1; run <= o.Runs; run++ {
+			if o.Progress != nil {
+				o.Progress(fmt.Sprintf("%d sidecars, run %d", size, run))
+			}
+			more, err := one(o, size, run)
+			if err != nil {
+				return points, fmt.Errorf("%d sidecars, run %d: %w", size, run, err)
+			}
+			points = append(points, more...)
+		}
+	}
+	return points, nil
+}
+
+// usage is what the processes of a role have used so far.
+type usage struct {
+	cpu   []float64 // microseconds, of each router of the core
+	sent  []float64
+	rss   []float64
+	first int // the primary's place
+	own   float64
+	out   float64 // bytes of all hollow sidecars
+	at    time.Time
+}
+
+func (m *members) usage() (u usage, err error) {
+	u.first = -1
+	for i, cmd := range m.core {
+		cpu, rss, err := processUsage(cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		s, err := m.status(i)
+		if err != nil {
+			return u, err
+		}
+		if s.Primary {
+			u.first = i
+		}
+		u.cpu, u.rss, u.sent = append(u.cpu, cpu), append(u.rss, rss), append(u.sent, float64(s.SentBytes))
+	}
+	for _, n := range m.hollow {
+		u.out += float64(n.SentBytes())
+	}
+	var own syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &own); err != nil {
+		return u, err
+	}
+	u.own = float64(own.Utime.Nano()+own.Stime.Nano()) / 1e3
+	u.at = time.Now()
+	return u, nil
+}
+
+func processUsage(pid int) (cpu, rss float64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	const user, system, resident = 11, 12, 21
+	ticks := 0.0
+	for _, i := range []int{user, system} {
+		n, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return 0, 0, err
+		}
+		ticks += n
+	}
+	pages, err := strconv.ParseFloat(fields[resident], 64)
+	return ticks * microseconds / clockTick, pages * float64(os.Getpagesize()), err
+}
+
+// window measures a workload for a time. ownServers: hollow servers share the process of the hollow sidecars, so that its
+// processor time is not the sidecars'.
+func (m *members) window(workload string, size, run int, withServers bool, during func()) ([]capacity.Point, error) {
+	before, err := m.usage()
+	if err != nil {
+		return nil, err
+	}
+	if during != nil {
+		during()
+	} else {
+		time.Sleep(m.options.Steady)
+	}
+	after, err := m.usage()
+	if err != nil {
+		return nil, err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	var points []capacity.Point
+	add := func(role, metric string, value float64) {
+		points = append(points, capacity.Point{Workload: workload, Role: role, Metric: metric, Size: size, Run: run, Value: value})
+	}
+	var cpu, sent, rss float64
+	for i := range after.cpu {
+		c, b := (after.cpu[i]-before.cpu[i])/seconds, (after.sent[i]-before.sent[i])/seconds
+		if i == after.first {
+			add(RolePrimary, Processor, c)
+			add(RolePrimary, BytesOut, b)
+			add(RolePrimary, Memory, after.rss[i])
+			continue
+		}
+		cpu, sent, rss = cpu+c, sent+b, rss+after.rss[i]
+	}
+	others := float64(len(after.cpu) - 1)
+	add(RoleControl, Processor, cpu/others)
+	add(RoleControl, BytesOut, sent/others)
+	add(RoleControl, Memory, rss/others)
+	hollow := float64(len(m.hollow))
+	add(RoleSidecar, BytesOut, (after.out-before.out)/seconds/hollow)
+	if !withServers {
+		add(RoleSidecar, Processor, (after.own-before.own)/seconds/hollow)
+	}
+	return points, nil
+}
+
+func one(o Options, size, run int) (points []capacity.Point, err error) {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	m, err := start(o, size)
+	if err != nil {
+		return nil, err
+	}
+	defer m.end()
+	time.Sleep(settle)
+	rest, err := m.window(AtRest, size, run, false, nil)
+	if err != nil {
+		return nil, err
+	}
+	m.beat(o.servers(size))
+	if err := m.until("all servers are known", func() bool { return m.hollow[0].Servers() >= o.servers(size) }); err != nil {
+		return nil, err
+	}
+	time.Sleep(settle)
+	beats, err := m.window(Heartbeats, size, run, true, nil)
+	if err != nil {
+		return nil, err
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	grown := float64(after.HeapInuse+after.StackInuse) - float64(before.HeapInuse+before.StackInuse)
+	points = append(rest, beats...)
+	points = append(points, capacity.Point{Workload: Heartbeats, Role: RoleSidecar, Metric: Memory, Size: size, Run: run, Value: grown / float64(len(m.hollow))})
+	draws, err := m.window(Quotas, size, run, true, m.draw)
+	if err != nil {
+		return nil, err
+	}
+	points = append(points, draws...)
+	changes, err := m.change(size, run)
+	return append(points, changes...), err
+}
+
+// draw has each hollow sidecar draw from tenants' limits at a rate.
+func (m *members) draw() {
+	ctx, cancel := context.WithTimeout(context.Background(), m.options.Steady)
+	defer cancel()
+	var group sync.WaitGroup
+	pause := time.Second / time.Duration(m.options.Draws)
+	for i, n := range m.hollow {
+		group.Go(func() {
+			ticker := time.NewTicker(pause)
+			defer ticker.Stop()
+			for k := 0; ; k++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+					n.Draw(ctx, fmt.Sprintf("t%d", (i*7+k)%max(1, m.options.tenants(len(m.hollow)))), 1000, 0)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// change makes changes of one route and measures from each acknowledgement to the last sidecar.
+func (m *members) change(size, run int) ([]capacity.Point, error) {
+	var took []float64
+	for i := range m.options.Changes {
+		body := fmt.Sprintf(`{"Generation":%d,"Upsert":{"Routes":[%s]}}`, i+2, route(i, 1000+i))
+		if err := m.order("/-/config/update", i+1, body); err != nil {
+			return nil, err
+		}
+		acknowledged := time.Now()
+		if err := m.until("a change is in force", func() bool { return m.behind(uint64(i+2)) == 0 }); err != nil {
+			return nil, err
+		}
+		took = append(took, float64(time.Since(acknowledged).Microseconds()))
+		time.Sleep(changePause)
+	}
+	slices.Sort(took)
+	return []capacity.Point{{Workload: Changing, Role: RoleSidecar, Metric: InForce, Size: size, Run: run, Value: took[len(took)-1]}}, nil
+}
