--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,17 +62,18 @@
 	ready  atomic.Bool
 	ending atomic.Bool
 
-	mutex     sync.Mutex // guards all below
-	replica   *replication.Replica
-	register  *operatorapi.Register
-	registry  *registry.Registry
-	sessions  *membership.Sessions
-	versions  *dissemination.Versions
-	allocator *quota.Allocator
-	reservoir *quota.Reservoir
-	draws     map[uint64]chan dissemination.QuotaDrawn
-	view      replication.View
-	eligible  map[string]replication.Member
+	mutex       sync.Mutex // guards all below
+	replica     *replication.Replica
+	register    *operatorapi.Register
+	registry    *registry.Registry
+	sessions    *membership.Sessions
+	versions    *dissemination.Versions
+	allocator   *quota.Allocator
+	reservoir   *quota.Reservoir
+	draws       map[uint64]chan dissemination.QuotaDrawn
+	silentUntil time.Duration // the reservoir did not answer
+	view        replication.View
+	eligible    map[string]replication.Member
 
 	home        home
 	subscribers map[string]*subscriber
@@ -294,6 +295,7 @@
 func (n *Node) noteView(v replication.View) {
 	if n.view.Epoch.Less(v.Epoch) {
 		n.view = v
+		n.silentUntil = 0
 		n.replica.LearnView(v)
 		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
 			Int("in_sync", len(v.InSync)).Msg("view")
@@ -369,6 +371,7 @@
 	case dissemination.QuotaDraw:
 		n.onQuotaDraw(from, m, now)
 	case dissemination.QuotaDrawn:
+		n.silentUntil = 0
 		if to := n.draws[m.Request]; to != nil {
 			delete(n.draws, m.Request)
 			to <- m
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -10,8 +10,11 @@
 	"petrelhook/internal/settings"
 )
 
-// drawWait is how long a request waits for the reservoir before its sidecar's lease decides.
-const drawWait = 80 * time.Millisecond
+// How long a request waits for the reservoir before its sidecar's lease decides.
+const (
+	drawWait    = 60 * time.Millisecond
+	drawSilence = 250 * time.Millisecond // for which a reservoir that did not answer is not asked again
+)
 
 // justStarted is for how long after its start a sidecar counts as new.
 const justStarted = 5 * time.Second
@@ -93,7 +96,7 @@
 		return given, wait, true
 	}
 	primary := n.view.PrimaryAddress()
-	if primary == "" || primary == n.self.Address {
+	if primary == "" || primary == n.self.Address || n.now() < n.silentUntil {
 		n.mutex.Unlock()
 		return 0, 0, false
 	}
@@ -112,6 +115,9 @@
 	}
 	n.mutex.Lock()
 	delete(n.draws, request)
+	if ctx.Err() == nil && primary == n.view.PrimaryAddress() {
+		n.silentUntil = n.now() + drawSilence
+	}
 	n.mutex.Unlock()
 	return 0, 0, false
 }
