--- a/cmd/petrelctl/routers.go
+++ b/cmd/petrelctl/routers.go
@@ -53,6 +53,7 @@
 			return os.WriteFile(file, append(text, '\n'), 0o644)
 		},
 	}
+	cmd.AddCommand(routersPageCommand())
 	f := cmd.Flags()
 	f.StringVar(&o.Router, "router", "target/petrelrouter", "the program petrelrouter")
 	f.IntVar(&o.Core, "core", 7, "routers of the core")
@@ -66,3 +67,41 @@
 	f.StringVar(&file, "json", "", "write the points to this file")
 	return cmd
 }
+
+// routersPageCommand writes the table of docs/CAPACITY.md from the points of a run.
+func routersPageCommand() *cobra.Command {
+	var points string
+	var check bool
+	cmd := &cobra.Command{
+		Use: "page FILE", Args: cobra.ExactArgs(1),
+		Short: "Write the table of a page from the points of a run, or check that it is what they say",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(points)
+			if err != nil {
+				return runError{err}
+			}
+			m, err := capacity.ParseMeasured(points, text)
+			if err != nil {
+				return runError{err}
+			}
+			page, err := os.ReadFile(args[0])
+			if err != nil {
+				return runError{err}
+			}
+			next, err := capacity.RouterPage(string(page), m, capacity.Router)
+			if err != nil {
+				return runError{fmt.Errorf("%s: %w", args[0], err)}
+			}
+			if check {
+				if next != string(page) {
+					return runError{fmt.Errorf("%s is not what %s says: petrelctl routers page %s", args[0], points, args[0])}
+				}
+				return nil
+			}
+			return os.WriteFile(args[0], []byte(next), 0o644)
+		},
+	}
+	cmd.Flags().StringVar(&points, "points", "deploy/routers-measured.json", "what petrelctl routers --json left")
+	cmd.Flags().BoolVar(&check, "check", false, "change nothing; exit 1 where the page says something else")
+	return cmd
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	Now          func() time.Duration // the steady clock
 	Drawer       Drawer
 	Again        time.Duration // for which a shared part counts as kept after its last use
+	BodyMemory   int64         // for clients' bodies, all together; 0: no bound
 	BudgetRatio  float64
 	BudgetSlack  float64
 	BudgetWindow time.Duration
@@ -42,6 +43,7 @@
 	table   atomic.Pointer[routetable.Table]
 	ending  atomic.Bool
 	active  atomic.Int64
+	bodies  atomic.Int64 // bytes held
 	Counts  Counts
 
 	mutex    sync.Mutex // guards all below
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 {"Name":"stream","Host":"a.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":5000,"Service":"s","MaxAttempts":2,"StreamResume":true},
 {"Name":"once","Host":"a.example","PathPrefix":"/once/","RouteType":"streaming","TimeoutMs":5000,"Service":"s","MaxAttempts":1},
 {"Name":"public","Host":"a.example","PathPrefix":"/public/","RouteType":"safe","TimeoutMs":5000,"Service":"s","Public":true}],
-"Services":[{"Name":"s","MaxConnections":50}],"Limits":{"MaxBodyBytes":1000},
+"Services":[{"Name":"s","MaxConnections":50}],"Limits":{"MaxBodyBytes":1000,"MaxHeaderBytes":4000},
 "Tenants":[{"Name":"t1","ApiKeys":["k1"],"Unit":"token_based","UncachedTokens":200,"RatePerS":100,"Burst":100}]}`
 
 // drawer is a reservoir that the test answers for.
@@ -319,3 +319,18 @@
 	r.server(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
 	require.Equal(t, http.StatusOK, <-asked)
 }
+
+func TestBoundsOnClients(t *testing.T) {
+	r := newRig(t)
+	r.server(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
+	answer, _, _ := r.do("/safe/", "X-Long", strings.Repeat("x", 5000))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, answer.StatusCode)
+	r.gateway.options.BodyMemory = 3
+	answer, _, _ = r.do("/safe/")
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	r.gateway.options.BodyMemory = 100
+	for range 50 {
+		answer, _, _ = r.do("/safe/")
+		require.Equal(t, http.StatusOK, answer.StatusCode, "bodies that are done with count no more")
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,6 +21,7 @@
 	deadlineMargin  = 3 * time.Millisecond
 	retrySoon       = 250 * time.Millisecond // where nothing better is known
 	maxBody         = 8 << 20
+	bodyTimeout     = 10 * time.Second
 )
 
 // request is one client's try on its way.
@@ -52,6 +53,7 @@
 	if !g.readBody(w, r, req) {
 		return
 	}
+	defer g.bodies.Add(-int64(len(req.body)))
 	req.startLimit = startLimit(r, req.began)
 	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.table.Load() != nil })
 	table := g.table.Load()
@@ -68,37 +70,67 @@
 	g.serve(ctx, w, r, req)
 }
 
-// readBody reads the whole body, within the bounds that hold as it begins.
+// readBody reads the whole body, within the bounds that hold as it begins, and counts it among the bodies held.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) bool {
 	most := int64(maxBody)
-	if t := g.table.Load(); t != nil && t.Limits.MaxBodyBytes > 0 {
-		most = t.Limits.MaxBodyBytes
+	if t := g.table.Load(); t != nil {
+		if t.Limits.MaxBodyBytes > 0 {
+			most = t.Limits.MaxBodyBytes
+		}
+		if t.Limits.MaxHeaderBytes > 0 && headerBytes(r) > t.Limits.MaxHeaderBytes {
+			w.Header().Set("Connection", "close")
+			g.fail(w, http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+			return false
+		}
 	}
 	if r.ContentLength > most {
 		w.Header().Set("Connection", "close")
 		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
 		return false
 	}
-	if r.ContentLength > 0 {
-		req.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, req.body); err != nil {
-			panic(http.ErrAbortHandler) // the client ended it
-		}
-		return true
+	if g.options.BodyMemory > 0 && g.bodies.Load()+max(0, r.ContentLength) > g.options.BodyMemory {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, http.StatusServiceUnavailable, retrySoon, "no memory is left for the body")
+		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout)) // where that can't be set the server's own bounds hold
+	body, err := readAll(w, r, most)
+	control.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
 		return false
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		panic(http.ErrAbortHandler) // the client ended it, or sent too slowly
 	}
+	g.bodies.Add(int64(len(body)))
 	req.body = body
 	return true
 }
 
+func readAll(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	if r.ContentLength <= 0 {
+		return io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
+// headerBytes is about how long a head was.
+func headerBytes(r *http.Request) int {
+	const perField = 4 // colon, space and line end
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + perField
+		}
+	}
+	return n
+}
+
 // authorize finds route, tenant and service, and takes the tenant's quota.
 func (g *Gateway) authorize(w http.ResponseWriter, r *http.Request, table *routetable.Table, req *request) bool {
 	req.route = table.Route(r.Host, r.URL.Path)
@@ -124,9 +156,9 @@
 		}
 	}
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	req.service = g.split(req.route)
 	g.retries.Request(req.service, g.options.Now())
+	g.mutex.Unlock()
 	return true
 }
 
--- a/internal/node/end.go
+++ b/internal/node/end.go
@@ -16,11 +16,12 @@
 	control  *http.Server
 }
 
-// Bounds on clients beside those of the configuration.
+// Bounds on callers before the configuration is known, and above what it may say: clients may take up a connection that has
+// rested for four fifths of the configuration's time.
 const (
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
-	maxHeader     = 16 << 10
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+	maxHeader     = 256 << 10
 )
 
 func newServer(h http.Handler) *http.Server {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	pruneEvery     = 2 * time.Second
 	homeReview     = 5 * time.Second
 	silentBeats    = 4.5 // heartbeats that a server may miss
+	bodyShare      = 4   // of the machine's memory one part is for clients' bodies
 	expireEvery    = 250 * time.Millisecond
 	pushGap        = 15 * time.Millisecond
 	resendAfter    = 300 * time.Millisecond
@@ -114,7 +115,7 @@
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
-		Drawer: n, Again: settings.Seconds(b.AgainS), BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		Drawer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
