--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 	stored       uint64 // stamp of the servers on the disk
 	lastStored   time.Duration
 	storing      atomic.Bool
+	writers      sync.WaitGroup // of the servers on the disk
 }
 
 // New makes a node; nothing is started or opened.
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/dissemination"
+	"petrelhook/internal/operatorapi"
+	"petrelhook/internal/registry"
+	"petrelhook/internal/replication"
+	"petrelhook/internal/routetable"
+	"petrelhook/internal/settings"
+)
+
+const text = `NodeName = "edge-1"
+Ip = "127.0.0.1"
+Zone = "z1"
+Region = "r1"
+InternalPortRange = [7000, 7001]
+Seeds = ["127.0.0.2:80"]
+HeartbeatMs = 1000
+[Zones]
+z1 = "r1"
+z2 = "r1"
+z3 = "r2"
+[Listen]
+Control = "127.0.0.1:80"
+`
+
+// newNode is a node that nothing was started of.
+func newNode(t *testing.T, more string) *Node {
+	s, err := settings.Parse([]byte(more + text))
+	require.NoError(t, err)
+	n := New(s, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	t.Cleanup(n.transport.Close)
+	n.replica, err = replication.New(replication.Options{Self: replication.Member{ID: "self", Address: n.self.Address}, Witness: true}, nil, n.register, 0)
+	require.NoError(t, err)
+	return n
+}
+
+func member(address, zone string) replication.Member {
+	return replication.Member{ID: address + "/id", Address: address, Zone: zone}
+}
+
+func view(round uint64, members ...replication.Member) replication.View {
+	return replication.View{Epoch: replication.Epoch{Round: round, Node: "x"}, Primary: members[0].ID, Members: members, Old: members}
+}
+
+func TestTheHomeIsInTheOwnZoneThenTheRegion(t *testing.T) {
+	n := newNode(t, "")
+	far, near, here := member("10.0.3.1:7000", "z3"), member("10.0.2.1:7000", "z2"), member("10.0.1.1:7000", "z1")
+	n.view = view(1, far, near, here)
+	require.Equal(t, here.Address, n.bestHome(0))
+	n.view = view(2, far, near)
+	require.Equal(t, near.Address, n.bestHome(0))
+	n.home.avoid = map[string]time.Duration{near.Address: time.Second}
+	require.Equal(t, far.Address, n.bestHome(0))
+	require.Equal(t, near.Address, n.bestHome(2*time.Second))
+}
+
+func TestAHomeThatLostTheCoreIsLeft(t *testing.T) {
+	n := newNode(t, "")
+	n.view = view(1, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
+	n.reviewHome(0)
+	first := n.home.address
+	require.Equal(t, "10.0.1.1:7000", first)
+	now := homeSilent / 2
+	n.onPush(first, &dissemination.Push{Life: 1, InTouch: false, Stamp: 1}, now)
+	n.reviewHome(now)
+	require.Equal(t, first, n.home.address, "it has its time")
+	now = homeSilent + time.Millisecond
+	n.onPush(first, &dissemination.Push{Life: 1, InTouch: false, Stamp: 1}, now)
+	n.reviewHome(now)
+	require.NotEqual(t, first, n.home.address)
+}
+
+// A home that starts anew knows less: what this sidecar has stands, and its configuration never goes back.
+func TestAnEmptyHomeTakesNothingAway(t *testing.T) {
+	n := newNode(t, "")
+	n.view = view(1, member("10.0.1.1:7000", "z1"))
+	n.reviewHome(0)
+	config, err := routetable.ParseConfig([]byte(`{"Generation":4,"Routes":[],"Services":[{"Name":"s"}]}`))
+	require.NoError(t, err)
+	v := dissemination.NewVersions(operatorapi.ApplyOrder)
+	require.True(t, v.Set(3, config, nil))
+	p := dissemination.Push{Life: 1, InTouch: true, Complete: true, Fleet: 5, Stamp: 1,
+		Instances: []registry.Update{{Instance: registry.Instance{ID: "i1", Service: "s", Address: "a"}}}}
+	v.Fill(&p, 0)
+	n.onPush("10.0.1.1:7000", &p, time.Millisecond)
+	n.apply()
+	require.True(t, n.ready.Load())
+	n.onPush("10.0.1.1:7000", &dissemination.Push{Life: 2, InTouch: true, Stamp: 0, Version: 2, SessionsStamp: 1}, time.Second)
+	n.apply()
+	require.Equal(t, uint64(3), n.Version())
+	require.Len(t, n.registry.Usable("s"), 1)
+}
+
+// Servers come from the disk after a restart, without those that were lost, and in the order in which they were heard.
+func TestServersOnTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	core := "CountsForQuorum = true\nDataDir = \"" + folder + "\"\n"
+	n := newNode(t, core)
+	n.registry.Beat(registry.Instance{ID: "dead", Service: "s", Address: "a"}, 0)
+	n.registry.Beat(registry.Instance{ID: "new", Service: "s", Address: "a"}, time.Second)
+	n.registry.Beat(registry.Instance{ID: "other", Service: "s", Address: "b"}, time.Second)
+	n.storeServers(2 * time.Second)
+	n.writers.Wait()
+	again := newNode(t, core)
+	again.loadServers()
+	var ids []string
+	for _, i := range again.registry.Usable("s") {
+		ids = append(ids, i.ID)
+	}
+	require.Equal(t, []string{"new", "other"}, ids)
+	require.True(t, again.cached)
+}
+
+// A drain is acknowledged only once a majority of the core has it.
+func TestADrainNeedsAMajority(t *testing.T) {
+	n := newNode(t, "")
+	self := replication.Member{ID: "self", Address: n.self.Address, Zone: "z1"}
+	n.self.Member = &self
+	n.view = view(1, self, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
+	k := n.keep("", 0, registry.Instance{ID: "i1", Service: "s", State: registry.Draining, Sequence: 2}, 0)
+	select {
+	case <-k.done:
+		require.Fail(t, "acknowledged by one of three")
+	default:
+	}
+	n.onSpreadKept("10.9.9.9:7000", dissemination.SpreadKept{Request: n.token})
+	select {
+	case <-k.done:
+		require.Fail(t, "acknowledged by one that is no member")
+	default:
+	}
+	n.onSpreadKept("10.0.2.1:7000", dissemination.SpreadKept{Request: n.token})
+	<-k.done
+}
--- a/internal/node/servers_cache.go
+++ b/internal/node/servers_cache.go
@@ -50,10 +50,10 @@
 		return
 	}
 	n.storing.Store(true)
-	go func() { // a disk may hang
+	n.writers.Go(func() { // a disk may hang
 		defer n.storing.Store(false)
 		if err := storage.WriteCache(n.settings.DataDir, serversCache, text.Bytes()); err != nil {
 			n.logger.Debug().Err(err).Msg("servers")
 		}
-	}()
+	})
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const good = `NodeName = "edge-1"
+Ip = "10.1.0.14"
+Zone = "z1"
+InternalPortRange = [7680, 7695]
+Seeds = ["10.1.0.14:8665", "10.2.0.32:8665"]
+SomethingNew = { a = 1 }
+[Listen]
+Control = "10.1.0.14:8665"
+[Bounds]
+pass_ms = 120
+GraceS = 8
+`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	require.NoError(t, err)
+	require.Equal(t, "10.1.0.14:7680", s.InternalAddress())
+	require.Equal(t, []string{"10.1.0.14:7680", "10.2.0.32:7680"}, s.SeedAddresses())
+	require.Equal(t, "10.2.0.32:8665", s.ControlOf("10.2.0.32:7680"))
+	require.Equal(t, 8*time.Second, Seconds(s.Bounds.GraceS))
+	require.Equal(t, 120.0, s.Bounds.PassMs)
+	require.False(t, s.Core())
+}
+
+func TestBadSettings(t *testing.T) {
+	for name, c := range map[string]struct{ text, says string }{
+		"no address":   {`Ip = "x"`, "Settings.Ip"},
+		"a bad seed":   {`Seeds = ["nowhere"]`, "Settings.Seeds[0]"},
+		"a bad port":   {`InternalPortRange = [0, 7]`, "Settings.InternalPortRange[0]"},
+		"ports turned": {`InternalPortRange = [9, 7]`, "9 is above 7"},
+		"a bad type":   {`HeartbeatMs = "often"`, "line 1"},
+		"no TOML":      {`NodeName =`, "line 1"},
+	} {
+		_, err := Parse([]byte(merge(c.text)))
+		require.ErrorContains(t, err, c.says, name)
+	}
+	missing := filepath.Join(t.TempDir(), "none.toml")
+	_, err := Load(missing)
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// merge puts a line before settings that are good without it.
+func merge(line string) string {
+	text := line + "\n"
+	for field, value := range map[string]string{"NodeName": `"a"`, "Ip": `"10.0.0.1"`, "Zone": `"z"`, "InternalPortRange": "[1, 2]"} {
+		if len(line) < len(field) || line[:len(field)] != field {
+			text += field + " = " + value + "\n"
+		}
+	}
+	return text
+}
