No promise after a run that may have been; the end waits for what was read

Cause (read): a request that may have run at a first server got 503 where a second one said that it had not; an end could close a connection on which a request had just been read; a write that took no byte counted as one that may have run.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -53,7 +53,10 @@
 	if ctx.Err() != nil {
 		return nil, errors.Mark(fail(ctx.Err()), ErrNotSent)
 	}
-	if _, err := c.Write(encode(r)); err != nil {
+	if n, err := c.Write(encode(r)); err != nil {
+		if n == 0 { // the server had closed the connection before
+			err = errors.Mark(err, ErrNotSent)
+		}
 		return nil, fail(err)
 	}
 	for range maxSurplus + 1 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,14 +103,13 @@
 	if req.headSent {
 		panic(http.ErrAbortHandler) // it must not look complete
 	}
-	ran := req.sends > 0 && result != notExecuted
-	if !ran && req.tenant != nil {
+	if !req.mayHaveRun && req.tenant != nil {
 		g.mutex.Lock()
 		g.taker.Return(req.tenant.Name, req.units, g.options.Now())
 		g.mutex.Unlock()
 	}
 	switch {
-	case !ran:
+	case !req.mayHaveRun:
 		g.refuse(w, http.StatusServiceUnavailable, g.untilStarted(), "no server took it")
 	case result == expired:
 		g.fail(w, http.StatusGatewayTimeout, "no answer in time")
@@ -138,6 +137,7 @@
 		})
 		return notExecuted
 	}
+	req.mayHaveRun = true
 	result := g.relay(ctx, w, req, answer)
 	g.ended(server, func(now time.Duration) {
 		switch {
@@ -161,6 +161,7 @@
 	})
 	if !unsent {
 		req.sends++
+		req.mayHaveRun = true
 	}
 	switch {
 	case gone:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -334,3 +334,22 @@
 		require.Equal(t, http.StatusOK, answer.StatusCode, "bodies that are done with count no more")
 	}
 }
+
+// What may have run at one server is not promised to have not, because another one says so of itself.
+func TestNoPromiseAfterARunThatMayHaveBeen(t *testing.T) {
+	r := newRig(t)
+	var calls atomic.Int64
+	for range 2 {
+		r.server(func(w http.ResponseWriter, got *http.Request) {
+			if calls.Add(1) == 1 {
+				hangUp(w, got)
+				return
+			}
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	answer, _, _ := r.do("/safe/")
+	require.Equal(t, int64(2), calls.Load())
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,7 +36,8 @@
 	deadline   time.Time
 	startLimit time.Time // until when it may wait for the sidecar's start
 	place      placement.Request
-	sends      int // that arrived at a server, or may have
+	sends      int  // that arrived at a server, or may have
+	mayHaveRun bool // by any of them: then nothing may promise that it has not
 	resume     string
 	headSent   bool
 }
--- a/internal/node/end.go
+++ b/internal/node/end.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -52,6 +53,11 @@
 			break
 		}
 	}
+	if s.front != nil { // what is read by now is answered; the rest is closed unread
+		ctx, cancel := context.WithDeadline(context.Background(), began.Add(last))
+		s.front.Shutdown(ctx)
+		cancel()
+	}
 	for _, server := range []*http.Server{s.front, s.ready, s.control} {
 		if server != nil {
 			server.Close()
