Lists of servers for the gateway are made anew less often where they are long

Cause (seen by a stack dump of petrelctl routers at 120 sidecars and 1,276 servers): each push while servers register made every sidecar sort all its servers, 66 times a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,8 @@
 	homeReview     = 5 * time.Second
 	silentBeats    = 4.5 // heartbeats that a server may miss
 	bodyShare      = 4   // of the machine's memory one part is for clients' bodies
+	listGapEach    = 400 * time.Microsecond
+	listGapMost    = 250 * time.Millisecond
 	expireEvery    = 250 * time.Millisecond
 	pushGap        = 15 * time.Millisecond
 	resendAfter    = 300 * time.Millisecond
@@ -95,6 +97,7 @@
 	lastPrune    time.Duration
 	lastPush     time.Duration
 	lastExpire   time.Duration
+	lastListed   time.Duration
 	pushLater    bool
 	touchedSince time.Duration
 	lastSeeds    time.Duration
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -331,6 +331,12 @@
 	}
 }
 
+// listGap is the least time between two lists of servers for the gateway: a list costs as much as it is long, and many
+// servers come at once after an outage.
+func (n *Node) listGap() time.Duration {
+	return min(listGapMost, time.Duration(n.registry.Len())*listGapEach)
+}
+
 func (n *Node) setServers(name string, list []registry.Instance) {
 	n.gateway.SetServers(name, list)
 	if n.usable[name] != len(list) {
@@ -347,8 +353,8 @@
 		n.setReservoir()
 		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
 	}
-	if n.registry.Stamp() != n.listed || n.listedTable != n.compiled {
-		n.listed, n.listedTable = n.registry.Stamp(), n.compiled
+	if (n.registry.Stamp() != n.listed || n.listedTable != n.compiled) && n.now()-n.lastListed >= n.listGap() {
+		n.listed, n.listedTable, n.lastListed = n.registry.Stamp(), n.compiled, n.now()
 		if t := n.gateway.Table(); t != nil {
 			for name := range t.Services() {
 				n.setServers(name, n.registry.Usable(name))
