--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,6 +23,7 @@
 	loadSlack   = 2.0 // requests that a server may hold beyond its part
 	loadFactor  = 1.5
 	reportGood  = time.Second
+	maxTokens   = 1 << 30 // of one part
 )
 
 // Server is what a sidecar knows of one server.
@@ -302,7 +303,7 @@
 	for _, part := range parts[:len(parts)-1] {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
 		n, err := strconv.Atoi(tokens)
-		if !ok || err != nil {
+		if !ok || err != nil || id == "" || n < 0 || n > maxTokens {
 			return "", 0
 		}
 		key = id
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -132,3 +132,11 @@
 	}
 	require.LessOrEqual(t, len(p.recent.uses), recentKeys)
 }
+
+func FuzzPrefix(f *testing.F) {
+	f.Add("5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	f.Fuzz(func(t *testing.T, header string) {
+		key, shared := ParsePrefix(header)
+		require.True(t, key != "" || shared == 0)
+	})
+}
