Who has an address is looked up by the address

Cause (seen in a profile of petrelctl routers at 240 sidecars and 2,552 servers): each news of a server looked through all servers for its address, 56 % of all processor time.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 package registry
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -55,6 +56,7 @@
 // Registry is one sidecar's list.
 type Registry struct {
 	entries map[string]*Entry
+	places  map[string][]*Entry // by address: more than one only while an address passes on
 	stamp   uint64
 	fresh   []string // heard here since Fresh was called
 }
@@ -66,7 +68,7 @@
 const heardAgain = time.Second
 
 // New makes an empty registry.
-func New() *Registry { return &Registry{entries: map[string]*Entry{}} }
+func New() *Registry { return &Registry{entries: map[string]*Entry{}, places: map[string][]*Entry{}} }
 
 // Stamp is the stamp of the newest change.
 func (g *Registry) Stamp() uint64 { return g.stamp }
@@ -105,6 +107,7 @@
 	if e == nil {
 		e = &Entry{Instance: i, Heard: heard}
 		g.entries[i.ID] = e
+		g.places[i.Address] = append(g.places[i.Address], e)
 		g.change(e)
 		g.takeAddress(e)
 		return true
@@ -117,6 +120,10 @@
 			i.State = e.State
 			changed = e.Address != i.Address
 		}
+		if e.Address != i.Address {
+			g.leave(e)
+			g.places[i.Address] = append(g.places[i.Address], e)
+		}
 		e.Instance = i
 		e.Sequence = sequence
 	}
@@ -140,8 +147,8 @@
 
 // takeAddress marks instances lost that had the address of one that was heard later.
 func (g *Registry) takeAddress(e *Entry) {
-	for _, other := range g.entries {
-		if other != e && other.Address == e.Address && !other.Lost && other.State != Gone && other.Heard < e.Heard {
+	for _, other := range g.places[e.Address] {
+		if other != e && !other.Lost && other.State != Gone && other.Heard < e.Heard {
 			other.Lost = true
 			g.change(other)
 		}
@@ -150,8 +157,8 @@
 
 // owns reports whether no other instance was heard later at the same address.
 func (g *Registry) owns(e *Entry) bool {
-	for _, other := range g.entries {
-		if other != e && other.Address == e.Address && other.Heard > e.Heard {
+	for _, other := range g.places[e.Address] {
+		if other != e && other.Heard > e.Heard {
 			return false
 		}
 	}
@@ -181,19 +188,14 @@
 // Expire judges who is lost: those that have been silent for longer than a time, and those at whose address another was
 // heard later. It forgets ends that are long past.
 func (g *Registry) Expire(silence, now time.Duration) bool {
-	owners := make(map[string]time.Duration, len(g.entries)) // when an address was heard last
+	changed := false
 	for id, e := range g.entries {
 		if (e.State == Gone || e.Lost) && now-e.Heard > keepGone {
 			delete(g.entries, id)
+			g.leave(e)
 			continue
 		}
-		if heard, ok := owners[e.Address]; !ok || e.Heard > heard {
-			owners[e.Address] = e.Heard
-		}
-	}
-	changed := false
-	for _, e := range g.entries {
-		lost := now-e.Heard > silence || e.Heard < owners[e.Address]
+		lost := now-e.Heard > silence || !g.owns(e)
 		if e.State != Gone && e.Lost != lost {
 			e.Lost = lost
 			g.change(e)
@@ -203,6 +205,16 @@
 	return changed
 }
 
+// leave takes an entry from its address.
+func (g *Registry) leave(e *Entry) {
+	rest := slices.DeleteFunc(g.places[e.Address], func(other *Entry) bool { return other == e })
+	if len(rest) == 0 {
+		delete(g.places, e.Address)
+		return
+	}
+	g.places[e.Address] = rest
+}
+
 // Since lists what changed after a stamp, in the order of the changes.
 func (g *Registry) Since(stamp uint64, now time.Duration) []Update {
 	var changed []*Entry
