--- a/internal/capacity/routers.go
+++ b/internal/capacity/routers.go
@@ -34,6 +34,7 @@
 	routerDoesNot     = "does not fit"
 	routerNotMeasured = "not measured"
 	routerNoBudget    = "no budget"
+	routerNotBelieved = "not shown: the line missed its check"
 )
 
 // Budgets of control, of the operators: a sidecar's, and of a machine of the core one processor and half of its memory.
@@ -79,7 +80,10 @@
 			if l.Check != nil && l.Check.Size == target.Sidecars {
 				row.Value = l.Check.Seen
 			}
-			row.Verdict = verdict(row.Value, s.budget)
+			row.Verdict = routerNotBelieved
+			if l.Believed {
+				row.Verdict = verdict(row.Value, s.budget)
+			}
 		}
 		rows = append(rows, row)
 	}
--- a/internal/capacity/routers_test.go
+++ b/internal/capacity/routers_test.go
@@ -42,6 +42,18 @@
 	require.Equal(t, "not measured", find(rows, "sidecar", "memory").Verdict)
 }
 
+// A line that missed what was seen at the size it was not fitted on speaks for nothing.
+func TestALineThatMissedItsCheck(t *testing.T) {
+	m := measuredRouters()
+	for i := range m.Points {
+		if m.Points[i].Size == 630 && m.Points[i].Role == "primary" {
+			m.Points[i].Value *= 2
+		}
+	}
+	row := find(RouterRows(m, Router), "primary", "processor, with servers")
+	require.Equal(t, routerNotBelieved, row.Verdict)
+}
+
 func TestRouterPage(t *testing.T) {
 	_, err := RouterPage("no marks", measuredRouters(), Router)
 	require.ErrorContains(t, err, "marks")
