--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -268,6 +268,7 @@
 	total *atomic.Uint64
 }
 
+// Write implements io.Writer, and counts.
 func (w *countingWriter) Write(p []byte) (int, error) {
 	n, err := w.conn.Write(p)
 	w.total.Add(uint64(n))
