petrelctl routers reads processes by internal/rig/usage

Cause (read): routerscale parsed /proc/PID/stat again, in ticks of 10 ms, where usage reads the process's clock.

--- a/internal/rig/routerscale/run.go
+++ b/internal/rig/routerscale/run.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"petrelhook/internal/capacity"
+	processusage "petrelhook/internal/rig/usage"
 )
 
 // Options say what is run.
@@ -36,21 +34,19 @@
 
 // The roles, workloads and metrics of the points.
 const (
-	RolePrimary  = "primary"
-	RoleControl  = "control sidecar"
-	RoleSidecar  = "sidecar"
-	AtRest       = "at rest"
-	Heartbeats   = "heartbeats"
-	Quotas       = "quota draws"
-	Changing     = "changes"
-	Processor    = "cpu_us_s"
-	BytesOut     = "bytes_out_s"
-	Memory       = "memory_bytes"
-	InForce      = "in_force_us"
-	clockTick    = 100 // a second, of /proc/PID/stat
-	settle       = 2 * time.Second
-	changePause  = 300 * time.Millisecond
-	microseconds = 1e6
+	RolePrimary = "primary"
+	RoleControl = "control sidecar"
+	RoleSidecar = "sidecar"
+	AtRest      = "at rest"
+	Heartbeats  = "heartbeats"
+	Quotas      = "quota draws"
+	Changing    = "changes"
+	Processor   = "cpu_us_s"
+	BytesOut    = "bytes_out_s"
+	Memory      = "memory_bytes"
+	InForce     = "in_force_us"
+	settle      = 2 * time.Second
+	changePause = 300 * time.Millisecond
 )
 
 // Run measures all sizes.
@@ -85,7 +81,7 @@
 func (m *members) usage() (u usage, err error) {
 	u.first = -1
 	for i, cmd := range m.core {
-		cpu, rss, err := processUsage(cmd.Process.Pid)
+		used, err := processusage.Of(cmd.Process.Pid)
 		if err != nil {
 			return u, err
 		}
@@ -96,7 +92,9 @@
 		if s.Primary {
 			u.first = i
 		}
-		u.cpu, u.rss, u.sent = append(u.cpu, cpu), append(u.rss, rss), append(u.sent, float64(s.SentBytes))
+		u.cpu = append(u.cpu, float64(used.CPU.Microseconds()))
+		u.rss = append(u.rss, float64(used.Memory))
+		u.sent = append(u.sent, float64(s.SentBytes))
 	}
 	for _, n := range m.hollow {
 		u.out += float64(n.SentBytes())
@@ -110,27 +108,8 @@
 	return u, nil
 }
 
-func processUsage(pid int) (cpu, rss float64, err error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, 0, err
-	}
-	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	const user, system, resident = 11, 12, 21
-	ticks := 0.0
-	for _, i := range []int{user, system} {
-		n, err := strconv.ParseFloat(fields[i], 64)
-		if err != nil {
-			return 0, 0, err
-		}
-		ticks += n
-	}
-	pages, err := strconv.ParseFloat(fields[resident], 64)
-	return ticks * microseconds / clockTick, pages * float64(os.Getpagesize()), err
-}
-
-// window measures a workload for a time. ownServers: hollow servers share the process of the hollow sidecars, so that its
-// processor time is not the sidecars'.
+// window measures a workload for a time. Where hollow servers are running they share the process of the hollow sidecars, so
+// that its processor time is not told as the sidecars'.
 func (m *members) window(workload string, size, run int, withServers bool, during func()) ([]capacity.Point, error) {
 	before, err := m.usage()
 	if err != nil {
