--- /dev/null
+++ b/internal/replication/guards_test.go
@@ -0,0 +1,207 @@
+package replication
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+// followers are the hosts other than the primary's, in the order of their addresses.
+func (s *simulation) followers(p *process) (out []*host) {
+	for _, address := range s.addresses() {
+		if h := s.hosts[address]; h != p.host {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// leaderAmong is a process on one of some hosts that says it is primary.
+func leaderAmong(hosts []*host) *process {
+	for _, h := range hosts {
+		if h.process != nil && h.process.replica.Primary() {
+			return h.process
+		}
+	}
+	return nil
+}
+
+// separate cuts every link between two groups of hosts.
+func (s *simulation) separate(these, those []*host) {
+	for _, a := range these {
+		for _, b := range those {
+			s.cut(a, b, false)
+		}
+	}
+}
+
+// A Replicate of an epoch that its receiver has left is neither applied nor answered.
+func TestAnEntryOfAnEpochThatWasLeft(t *testing.T) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	old := s.primary()
+	require.NotNil(t, old)
+	var late Replicate
+	s.mutate = func(_ *process, m Message) Message {
+		if r, ok := m.(Replicate); ok {
+			late = r
+			return nil
+		}
+		return m
+	}
+	s.write(1, old.machine.Version, "late")
+	s.run(s.now + 100*time.Millisecond)
+	require.NotZero(t, late.Sequence)
+	old.host.frozenUntil = s.now + time.Minute
+	s.run(s.now + 3*time.Second)
+	next := leaderAmong(s.followers(old))
+	require.NotNil(t, next)
+	for _, h := range s.followers(old) {
+		if h == next.host {
+			continue
+		}
+		before := h.process.replica.position
+		require.Equal(t, before.Sequence+1, late.Sequence, "the entry would fit")
+		h.process.replica.Receive(old.host.address, late, s.now)
+		require.Equal(t, before, h.process.replica.position)
+		require.Empty(t, h.process.replica.Effects())
+	}
+}
+
+// A primary that was frozen while another took over does not answer a read with what it knew.
+func TestAFrozenPrimaryAnswersNoRead(t *testing.T) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	old := s.primary()
+	require.NotNil(t, old)
+	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	old.host.frozenUntil = s.now + 3*time.Second
+	s.run(old.host.frozenUntil - time.Millisecond)
+	next := leaderAmong(s.followers(old))
+	require.NotNil(t, next)
+	s.callAt(next, operation{client: 1, write: true, base: next.machine.Version, value: "b"})
+	s.run(old.host.frozenUntil - 500*time.Microsecond)
+	for i := range 20 { // until the write is done, still within the freeze
+		if s.history[len(s.history)-1].status == http.StatusOK {
+			break
+		}
+		old.host.frozenUntil += 2 * time.Millisecond
+		s.run(s.now + 2*time.Millisecond)
+		require.Less(t, i, 19)
+	}
+	old.host.frozenUntil = s.now // it wakes, and the first that it hears is a reader
+	require.True(t, old.replica.Primary())
+	s.callAt(old, operation{client: 2})
+	s.run(s.now + 2*time.Second)
+	require.Equal(t, porcupine.Ok, check(s.history))
+}
+
+// A primary gives its lead away while the next one's disk has not yet synced the last entry; the next one loses power as soon as it has
+// shown what it leads with.
+func TestACandidateWaitsForItsOwnDisk(t *testing.T) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	old := s.primary()
+	require.NotNil(t, old)
+	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	slow, fast := s.followers(old)[0], s.followers(old)[1]
+	slow.syncTime = 200 * time.Millisecond
+	s.callAt(old, operation{client: 1, write: true, base: old.machine.Version, value: "b"})
+	s.run(s.now + 10*time.Millisecond)
+	takeOver := TakeOver{Epoch: old.replica.View().Epoch}
+	s.mutate = func(to *process, m Message) Message {
+		if _, ok := m.(TakeOver); ok && to.host == fast {
+			return nil
+		}
+		return m
+	}
+	s.with(old, func() { old.replica.Resign(s.now) })
+	next := slow.process
+	s.with(next, func() { next.replica.Receive(old.host.address, takeOver, s.now) })
+	for range 100 {
+		if next.replica.Primary() {
+			break
+		}
+		s.run(s.now + 10*time.Millisecond)
+	}
+	require.True(t, next.replica.Primary())
+	s.callAt(next, operation{client: 2})
+	s.run(s.now + 20*time.Millisecond)
+	s.kill(next.host)
+	s.kill(old.host)
+	slow.syncTime = 2 * time.Millisecond
+	s.run(s.now + 100*time.Millisecond)
+	s.boot(next.host)
+	s.run(s.now + 3*time.Second)
+	require.NotNil(t, s.primary())
+	s.read(3)
+	s.run(s.now + time.Second)
+	require.Equal(t, http.StatusOK, s.history[len(s.history)-1].status)
+	require.Equal(t, porcupine.Ok, check(s.history))
+}
+
+// Two machines join while the two followers of a three-member core can promise and hear nothing more: the primary and those that join
+// are a majority of the members to be, and the followers one of the members that are.
+func TestTheMembersBeforeHaveToAgree(t *testing.T) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	old := s.primary()
+	require.NotNil(t, old)
+	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	followers := s.followers(old)
+	joining := []*host{}
+	for _, address := range []string{"10.1.0.1:7000", "10.1.1.1:7000"} {
+		h := &host{address: address, zone: "zone-" + address, syncTime: 2 * time.Millisecond}
+		s.hosts[address] = h
+		joining = append(joining, h)
+	}
+	within := append([]*host{old.host}, joining...)
+	separated := false
+	s.mutate = func(to *process, m Message) Message {
+		if _, ok := m.(Sync); ok && (to.host == followers[0] || to.host == followers[1]) {
+			separated = true
+			s.separate(followers, within)
+		}
+		if separated && (to.host == followers[0]) != (to.host == followers[1]) {
+			switch m.(type) {
+			case Sync, Accept:
+				return nil // what was on its way
+			}
+		}
+		return m
+	}
+	for _, h := range joining {
+		s.boot(h)
+	}
+	s.run(s.now + 2*time.Second)
+	require.True(t, separated)
+	s.mutate = nil
+	for round := range 8 { // on both sides, whoever leads there
+		for client, side := range [][]*host{within, followers} {
+			for _, h := range side {
+				if p := h.process; p.replica.Primary() {
+					s.callAt(p, operation{client: client, write: true, base: p.machine.Version, value: string(rune('b'+round)) + h.address})
+					s.callAt(p, operation{client: 10 + client})
+				}
+			}
+		}
+		s.run(s.now + 500*time.Millisecond)
+	}
+	require.NotEqual(t, porcupine.Illegal, check(s.history))
+	taken := 0
+	for _, o := range s.history[1:] {
+		if o.write && o.status == http.StatusOK {
+			taken++
+		}
+	}
+	require.NotZero(t, taken, "a majority of the members goes on")
+	s.heal()
+	s.run(s.now + 12*time.Second)
+	require.Len(t, s.primary().replica.View().InSync, 5)
+	s.read(9)
+	s.run(s.now + time.Second)
+	require.NotEqual(t, porcupine.Illegal, check(s.history))
+}
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -344,9 +344,13 @@
 			p = q
 		}
 	}
-	if p == nil {
-		return
+	if p != nil {
+		s.callAt(p, o)
 	}
+}
+
+// callAt makes a call at one process, whatever it thinks that it is.
+func (s *simulation) callAt(p *process, o operation) {
 	o.begin, o.end = s.now, -1
 	index := len(s.history)
 	s.history = append(s.history, o)
