--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,8 +41,7 @@
 type Gateway struct {
 	options Options
 	table   atomic.Pointer[routetable.Table]
-	ending  atomic.Bool
-	active  atomic.Int64
+	ending  atomic.Pointer[ending]
 	bodies  atomic.Int64 // bytes held
 	Counts  Counts
 
@@ -173,10 +172,4 @@
 	g.taker.Granted(nonce, shares, g.options.Now())
 }
 
-// End has clients told that their connections close.
-func (g *Gateway) End() { g.ending.Store(true) }
-
-// Active is how many requests are being served.
-func (g *Gateway) Active() int64 { return g.active.Load() }
-
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -44,10 +44,8 @@
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
 	g.Counts.Requests.Add(1)
-	if g.ending.Load() {
+	if g.ending.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{id: r.Header.Get("X-Request-Id"), began: time.Now()}
@@ -147,6 +145,10 @@
 		}
 	}
 	req.deadline = deadlineOf(r, req)
+	if g.ending.Load().mayOutlast(req) {
+		g.refuse(w, http.StatusServiceUnavailable, elsewhere, "the sidecar ends before the answer may")
+		return false
+	}
 	req.units = unitsOf(r, req.tenant)
 	key, shared := placement.ParsePrefix(r.Header.Get("X-Prompt-Prefix"))
 	req.place = placement.Request{Key: key, Shared: shared, Tried: map[string]bool{}}
