The release that takes from others does so from a process of its own, at all servers

Seen: the bad sidecar made its 80 connections of load in its own process, so it truly used more processor time, and only one server in nine was loaded by each of two: on a busy machine a tenth of the old sidecars' requests did not show within the half minute in which 14 pairs of processor time do. Ruled out: a wrong verdict (both are true), the agents.

Change: the load comes from a child that ends with the sidecar's pipe, and meets all nine servers. What the test asks for is the same.

--- a/internal/rig/deployment/bad.go
+++ b/internal/rig/deployment/bad.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"os/signal"
 	"strings"
 	"sync"
@@ -29,6 +30,9 @@
 // Bad is a process of a bad sidecar: the sidecar's own, whose connections to servers go wrong in one way. A test's program calls it where
 // BadVariable is set. It is the one place that knows such ways: the product has no switch for them.
 func Bad(kind string) error {
+	if target, ok := strings.CutPrefix(kind, loadPrefix); ok {
+		return loadServer(target)
+	}
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer release()
 	reload := make(chan os.Signal, 1)
@@ -44,14 +48,15 @@
 	if kind == "leaks" {
 		go leak()
 	}
-	tcp, hammer := wiring.TCP(), sync.Once{}
+	tcp := wiring.TCP()
+	loaded := loadedServers{class: cfg.Profile.Classes[0]}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := tcp(ctx, network, addr)
 		if err != nil || addr == cfg.Discovery {
 			return c, err
 		}
 		if kind == "takes from others" {
-			hammer.Do(func() { go takes(addr, cfg.Profile.Classes[0]) })
+			loaded.add(addr)
 		}
 		if kind == "serves nothing" {
 			c.Close()
@@ -75,29 +80,79 @@
 	_ = kept
 }
 
-// takes sends a server what no client asked for, on some connections at once, for as long as it lives.
-func takes(addr, class string) {
-	for range 80 {
+// What a sidecar that takes from others does to the servers. All of them are loaded: where it were a few, they would be
+// those that the new sidecars use first, and the release would be stopped for what it does to itself.
+const (
+	loadPrefix      = "load "
+	loadServers     = 9
+	loadConnections = 24
+)
+
+// loadedServers are those that a bad sidecar sends load to.
+type loadedServers struct {
+	mutex     sync.Mutex
+	class     string
+	addresses map[string]bool
+}
+
+// add loads a server, if enough are not loaded yet. The load comes from a process of its own: in the sidecar's it would be
+// the sidecar's processor time, for which the release is stopped before the harm to others shows.
+func (l *loadedServers) add(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.addresses[address] || len(l.addresses) >= loadServers {
+		return
+	}
+	if l.addresses == nil {
+		l.addresses = map[string]bool{}
+	}
+	l.addresses[address] = true
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), BadVariable+"="+loadPrefix+address+" "+l.class)
+	if _, err := child.StdinPipe(); err != nil { // it ends with the sidecar, and the child with it
+		panic(err)
+	}
+	if err := child.Start(); err != nil {
+		panic(err)
+	}
+	go child.Wait()
+}
+
+// loadServer sends a server what no client asked for, on some connections at once, until the standard input ends.
+func loadServer(target string) error {
+	address, class, _ := strings.Cut(target, " ")
+	for range loadConnections {
 		go func() {
-			for i := 0; ; i++ {
-				c, err := net.Dial("tcp", addr)
-				if err != nil {
+			for {
+				if loadConnection(address, class) != nil {
 					time.Sleep(10 * time.Millisecond)
-					continue
-				}
-				in := bufio.NewReader(c)
-				for ; ; i++ {
-					fmt.Fprintf(c, "GET /%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t%d-%d\r\nX-Qos: %s\r\nX-Expires-In: 900m\r\n\r\n", class, os.Getpid(), i, class)
-					res, err := http.ReadResponse(in, nil)
-					if err != nil {
-						break
-					}
-					io.Copy(io.Discard, res.Body)
 				}
-				c.Close()
 			}
 		}()
 	}
+	_, err := io.Copy(io.Discard, os.Stdin)
+	return err
+}
+
+// loadConnection sends requests on one connection until it breaks.
+func loadConnection(address, class string) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		fmt.Fprintf(c, "GET /%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t%d-%s-%d\r\nX-Qos: %s\r\nX-Expires-In: 900m\r\n\r\n", class, os.Getpid(), c.LocalAddr(), i, class)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return err
+		}
+		io.Copy(io.Discard, res.Body)
+		if res.StatusCode >= http.StatusInternalServerError { // the queue is full
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
 }
 
 // zoneOf is the zone that newSite gives a sidecar.
