A sidecar subscribes as soon as it knows the core, and asks every 0.1 s until it is ready

Change: the first view sends the session at once; until a sidecar is ready sessions and greetings go every 0.1 s, the first with the start; dials of the transport end after 0.3 s. A subscriber that asks again before what it was sent can have come is not sent everything anew.

Tests: TestASubscriptionBeginsAsSoonAsTheCoreIsKnown, TestASubscriberIsSentEverythingOnce.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	tickEvery      = 50 * time.Millisecond
 	sessionEvery   = 400 * time.Millisecond
 	seedsEvery     = time.Second            // at which the core tells seeds who it is
-	greetEvery     = 200 * time.Millisecond // while the core is not known
+	startEvery     = 100 * time.Millisecond // the same until it is ready
 	homeSilent     = 1200 * time.Millisecond
 	sessionTimeout = 3 * time.Second
 	quotaEvery     = 500 * time.Millisecond
@@ -116,6 +116,7 @@
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, keeps: map[uint64]*keeping{}, touchedSince: -1, usable: map[string]int{},
 		draws: map[uint64]chan dissemination.QuotaDrawn{}}
+	n.lastSession = -sessionEvery
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
@@ -140,6 +141,7 @@
 	}
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	n.tick()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -299,9 +301,13 @@
 // noteView takes in the newest view.
 func (n *Node) noteView(v replication.View) {
 	if n.view.Epoch.Less(v.Epoch) {
+		first := n.view.Epoch.Round == 0
 		n.view = v
 		n.silentUntil = 0
 		n.replica.LearnView(v)
+		if first {
+			n.lastSession = -sessionEvery // the core is known now: it subscribes at once
+		}
 		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
 			Int("in_sync", len(v.InSync)).Msg("view")
 		n.pushAll()
@@ -382,6 +388,7 @@
 			to <- m
 		}
 	}
+	n.tickSessions(now)
 	n.apply()
 }
 
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -24,6 +24,7 @@
 // subscriber is what a control sidecar knows of one that subscribes to it.
 type subscriber struct {
 	address  string
+	life     uint64 // of its process
 	core     bool
 	view     replication.Epoch
 	version  uint64
@@ -44,8 +45,8 @@
 // tickSessions keeps this node's sessions alive.
 func (n *Node) tickSessions(now time.Duration) {
 	every := sessionEvery
-	if n.view.Epoch.Round == 0 {
-		every = greetEvery
+	if !n.ready.Load() { // the others may start at the same moment, and not have heard the last one
+		every = startEvery
 	}
 	if now-n.lastSession < every {
 		return
@@ -190,9 +191,12 @@
 		n.subscribers[from] = s
 	}
 	s.core, s.heard, s.view = m.Core, now, m.View
-	if m.HomeLife != n.life {
+	restarted := s.life != m.Node.Life
+	s.life = m.Node.Life
+	switch arrived := now-s.sent > resendAfter; { // what was sent since has had its time
+	case m.HomeLife != n.life && (restarted || arrived):
 		s.stamp, s.version, s.sessions = 0, m.Version, 0
-	} else if now-s.sent > resendAfter { // what was sent since has had its time to arrive
+	case m.HomeLife == n.life && arrived:
 		s.stamp, s.version, s.sessions = m.Stamp, m.Version, m.Sessions
 	}
 	n.push(s, now)
--- /dev/null
+++ b/internal/node/subscription_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/dissemination"
+	"petrelhook/internal/membership"
+	"petrelhook/internal/registry"
+)
+
+// A sidecar that hears who the core is subscribes with that message, and not at some later tick.
+func TestASubscriptionBeginsAsSoonAsTheCoreIsKnown(t *testing.T) {
+	n := newNode(t, "")
+	n.tick()
+	require.Empty(t, n.home.address)
+	v := view(1, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
+	n.receive("10.0.2.1:7000", dissemination.Push{Life: 1, View: &v})
+	require.Equal(t, "10.0.1.1:7000", n.home.address)
+	require.Less(t, n.now()-n.lastSession, sessionEvery)
+}
+
+// A subscriber that asks again before the first answer can have reached it is not sent everything anew; one that has started
+// anew is.
+func TestASubscriberIsSentEverythingOnce(t *testing.T) {
+	n := newNode(t, "")
+	n.self.Member = &v1
+	n.view = view(1, v1)
+	n.registry.Beat(registry.Instance{ID: "i1", Service: "s", Address: "10.1.1.1:80", Sequence: 1}, 0)
+	ask := dissemination.Session{Node: membership.Node{Address: "10.0.1.2:7000", Zone: "z1", Life: 7}, Subscribe: true}
+	now := time.Second
+	n.onSession(ask.Node.Address, &ask, now)
+	s := n.subscribers[ask.Node.Address]
+	require.Equal(t, now, s.sent)
+	n.onSession(ask.Node.Address, &ask, now+startEvery)
+	require.Equal(t, now, s.sent, "it is on its way")
+	n.onSession(ask.Node.Address, &ask, now+resendAfter+time.Millisecond)
+	require.Equal(t, now+resendAfter+time.Millisecond, s.sent, "it may have been lost")
+
+	ask.Node.Life = 8
+	now += resendAfter + startEvery
+	n.onSession(ask.Node.Address, &ask, now)
+	require.Equal(t, now, s.sent, "another process knows nothing")
+}
+
+var v1 = member("127.0.0.1:7000", "z1")
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,10 +18,10 @@
 
 const (
 	queueLength  = 256
-	dialTimeout  = 500 * time.Millisecond
+	dialTimeout  = 300 * time.Millisecond // a machine without power says nothing; one that is back is dialled anew
 	writeTimeout = 700 * time.Millisecond
 	deadPeer     = 700 * time.Millisecond
-	redialAfter  = 100 * time.Millisecond
+	redialAfter  = 50 * time.Millisecond
 	idleAfter    = 15 * time.Second
 	bufferBytes  = 16 << 10
 )
