A candidate waits for further promises about as long as the first ones took

Cause: every election waited 0.2 s for promises beyond a majority wherever one machine was down, which is always so when a primary is lost. Seen: after a loss of all power a majority of the core was up at 36.08 s and the next view came at 36.29 s; the fourth came in between.

Change: from the moment a majority has promised, twice as long as the slowest of them took, and 40 ms, at most the 0.2 s of before.

Measured: in virtual time at most 0.805 s from a killed primary to the next one (0.935 s), TestTheNextPrimaryDoesNotWaitForTheLostOne; histories and guards as before.

--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -26,6 +26,8 @@
 	synced   map[string]bool   // IDs
 	joining  map[string]Member // those that were sent the state, by ID
 	asked    time.Duration     // when the phase's question was last sent
+	slowest  time.Duration     // that a promise took from then
+	agreed   time.Duration     // since when a majority has promised
 	force    bool
 	accepts  map[string]bool
 	view     View
@@ -63,7 +65,7 @@
 	r.election = election{
 		epoch: Epoch{Round: round, Node: r.Self.ID}, began: r.now, start: r.now,
 		promises: map[string]Promise{}, votes: map[string]bool{}, synced: map[string]bool{},
-		joining: map[string]Member{}, asked: r.now, force: force, accepts: map[string]bool{}, newest: r.base(),
+		joining: map[string]Member{}, asked: r.now, agreed: r.now, force: force, accepts: map[string]bool{}, newest: r.base(),
 	}
 	if r.hard.Accepted.Epoch.Round > 0 {
 		r.election.newest = r.hard.Accepted
@@ -142,6 +144,7 @@
 		return
 	}
 	e.promises[m.From.Address] = m
+	e.slowest = max(e.slowest, r.now-e.asked)
 	for _, v := range m.Voters {
 		e.votes[v] = true
 	}
@@ -163,9 +166,10 @@
 		return
 	}
 	if !majority(e.newest.Members, e.votes) || !majority(e.newest.Old, e.votes) {
+		e.agreed = r.now
 		return
 	}
-	if !r.allPromised() && r.now-e.began < phaseWait {
+	if !r.allPromised() && r.now-e.agreed < e.patience() {
 		return
 	}
 	if e.newest.Epoch.Round > 0 && !e.newest.inSync(r.Self.ID) {
@@ -189,6 +193,9 @@
 	r.advanceSyncing()
 }
 
+// patience is for how long promises beyond a majority are waited for: those that come take about as long as the others.
+func (e *election) patience() time.Duration { return min(phaseWait, promiseSlack+2*e.slowest) }
+
 // allPromised: nothing is gained by waiting for more promises.
 func (r *Replica) allPromised() bool {
 	for address := range r.contacts() {
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -35,7 +35,8 @@
 	suspectStep    = 50 * time.Millisecond   // candidates of a view wait in turn
 	restartLead    = 400 * time.Millisecond  // a process that starts has heard nobody, and suspects so much sooner
 	heardRecently  = 400 * time.Millisecond  // a witness that hears the primary promises nothing to others
-	phaseWait      = 200 * time.Millisecond  // for answers beyond those that are needed
+	phaseWait      = 200 * time.Millisecond  // for answers beyond those that are needed, at the most
+	promiseSlack   = 40 * time.Millisecond   // for promises beyond a majority, and twice what the others took
 	phaseLimit     = 1200 * time.Millisecond // after which a candidacy is given up
 	resendEvery    = 100 * time.Millisecond
 	entryLimit     = 350 * time.Millisecond // after which an in-sync member that does not answer is dropped
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -162,3 +162,23 @@
 	require.NotNil(t, s.primary())
 	require.Len(t, s.primary().replica.View().InSync, 3)
 }
+
+// A lost primary says nothing to the next one's candidacy, which does not wait for it longer than for the others.
+func TestTheNextPrimaryDoesNotWaitForTheLostOne(t *testing.T) {
+	const step = 5 * time.Millisecond
+	longest := time.Duration(0)
+	for seed := range int64(20) {
+		s := newSimulation(t, seed, 4, 1)
+		s.run(4 * time.Second)
+		lost := s.primary()
+		require.NotNil(t, lost)
+		began := s.now
+		s.kill(lost.host)
+		for s.primary() == nil && s.now-began < 2*time.Second {
+			s.run(s.now + step)
+		}
+		longest = max(longest, s.now-began)
+	}
+	t.Logf("at most %v", longest)
+	require.Less(t, longest, suspectAfter+3*suspectStep+promiseSlack+2*50*time.Millisecond)
+}
