A replica that hears no primary asks the others first whether they do

A shorter wait alone would have restarted members end views that work: their promise makes the primary take another epoch.

Change: pre-votes: no promise is given or asked for until a majority, of the members before too where both count, says that it hears no primary. A start asks at once. The messages' types are listed where they are made, and a test wants all of them known to gob.

Random schedules have a new fault, a suspended machine that loses what it was sent.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -103,10 +103,10 @@
 func init() {
 	for _, m := range []any{
 		Session{}, Push{}, Used{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
-		replication.Prepare{}, replication.Promise{}, replication.Sync{}, replication.Synced{}, replication.Accept{},
-		replication.Accepted{}, replication.Replicate{}, replication.Replicated{}, replication.Heartbeat{},
-		replication.HeartbeatAck{}, replication.TakeOver{},
 	} {
 		gob.Register(m)
 	}
+	for _, m := range replication.Messages() {
+		gob.Register(m)
+	}
 }
--- a/internal/replication/guards_test.go
+++ b/internal/replication/guards_test.go
@@ -180,6 +180,10 @@
 	require.True(t, separated)
 	s.mutate = nil
 	for round := range 8 { // on both sides, whoever leads there
+		if round == 4 { // and one that joined is told to take over, without asking first whether others hear a primary
+			p := joining[0].process
+			s.with(p, func() { p.replica.campaign(true) })
+		}
 		for client, side := range [][]*host{within, followers} {
 			for _, h := range side {
 				if p := h.process; p.replica.Primary() {
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -145,6 +145,8 @@
 // TakeOver asks an in-sync replica to become primary: its sender is about to end, or its disk fails.
 type TakeOver struct{ Epoch Epoch }
 
+func (PreVote) replicationMessage()      {}
+func (PreVoteReply) replicationMessage() {}
 func (Prepare) replicationMessage()      {}
 func (Promise) replicationMessage()      {}
 func (Sync) replicationMessage()         {}
@@ -157,6 +159,12 @@
 func (HeartbeatAck) replicationMessage() {}
 func (TakeOver) replicationMessage()     {}
 
+// Messages has one of each type, for a transport that wants to know them.
+func Messages() []Message {
+	return []Message{PreVote{}, PreVoteReply{}, Prepare{}, Promise{}, Sync{}, Synced{}, Accept{}, Accepted{}, Replicate{}, Replicated{},
+		Heartbeat{}, HeartbeatAck{}, TakeOver{}}
+}
+
 // Machine is the state that is replicated. Decide does not change it.
 type Machine interface {
 	Decide(entry []byte) Decision
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -207,6 +207,7 @@
 		r.LearnView(*m.View)
 	}
 	r.heard, r.heardEver = r.now, true
+	r.preVote = preVote{}
 	ack.Known = r.known.Epoch
 	r.send(from, ack)
 	if r.known.Epoch != m.Epoch {
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -33,7 +33,7 @@
 	HeartbeatEvery = 100 * time.Millisecond
 	suspectAfter   = 600 * time.Millisecond  // without a heartbeat
 	suspectStep    = 50 * time.Millisecond   // candidates of a view wait in turn
-	restartLead    = 400 * time.Millisecond  // a process that starts has heard nobody, and suspects so much sooner
+	restartLead    = suspectAfter            // a process that starts has heard nobody, and asks at once whether others do
 	heardRecently  = 400 * time.Millisecond  // a witness that hears the primary promises nothing to others
 	phaseWait      = 200 * time.Millisecond  // for answers beyond those that are needed, at the most
 	promiseSlack   = 40 * time.Millisecond   // for promises beyond a majority, and twice what the others took
@@ -106,6 +106,7 @@
 	candidates   map[string]Member // eligible sidecars, by ID
 	lastNewcomer time.Duration
 
+	preVote  preVote
 	election election
 	leading  leading
 }
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -182,3 +182,42 @@
 	t.Logf("at most %v", longest)
 	require.Less(t, longest, suspectAfter+3*suspectStep+promiseSlack+2*50*time.Millisecond)
 }
+
+// A member that hears nothing and is heard asks whether others hear a primary, and promises nothing meanwhile: the view stays when it
+// hears again.
+func TestAMemberThatHearsNothingEndsNoView(t *testing.T) {
+	s := newSimulation(t, 1, 4, 1)
+	s.run(4 * time.Second)
+	p := s.primary()
+	require.NotNil(t, p)
+	epoch := p.replica.View().Epoch
+	deaf := s.followers(p)[0]
+	for _, h := range s.hosts {
+		s.cut(h, deaf, true)
+	}
+	s.run(s.now + 3*time.Second)
+	s.heal()
+	s.run(s.now + 2*time.Second)
+	require.Equal(t, epoch, p.replica.View().Epoch)
+	require.True(t, p.replica.Primary())
+}
+
+// When all processes start at once there is a primary as soon as they have asked one another.
+func TestAllStartAtOnce(t *testing.T) {
+	for seed := range int64(10) {
+		s := newSimulation(t, seed, 4, 1)
+		s.run(4 * time.Second)
+		for _, h := range s.hosts {
+			s.kill(h)
+		}
+		s.run(s.now + time.Second)
+		began := s.now
+		for _, h := range s.hosts {
+			s.boot(h)
+		}
+		for s.primary() == nil && s.now-began < 2*time.Second {
+			s.run(s.now + 5*time.Millisecond)
+		}
+		require.Less(t, s.now-began, 200*time.Millisecond, "seed %d", seed)
+	}
+}
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -47,6 +47,7 @@
 	genesis       bool
 	process       *process
 	frozenUntil   time.Duration
+	deafUntil     time.Duration // what is sent to it is lost, as to a machine that is suspended
 	fullUntil     time.Duration
 	syncTime      time.Duration
 	wipes         int
@@ -245,6 +246,9 @@
 	}
 	q, m := to.process, e.Message
 	s.after(s.delay(), func() {
+		if s.now < to.deafUntil {
+			return
+		}
 		s.with(q, func() {
 			if s.mutate != nil {
 				m = s.mutate(q, m)
--- a/internal/replication/step.go
+++ b/internal/replication/step.go
@@ -6,6 +6,10 @@
 func (r *Replica) Receive(from string, m Message, now time.Duration) {
 	r.now = now
 	switch m := m.(type) {
+	case PreVote:
+		r.onPreVote(m)
+	case PreVoteReply:
+		r.onPreVoteReply(m)
 	case Prepare:
 		r.onPrepare(m)
 	case Promise:
@@ -67,11 +71,8 @@
 	if r.known.Epoch.Round == 0 {
 		r.known = r.hard.Accepted
 	}
-	if r.known.Member(r.Self.ID) == nil && r.hard.Accepted.Member(r.Self.ID) == nil {
-		return // it waits to be taken in
-	}
-	if r.now-r.heard > suspectAfter+r.electionTurn() {
-		r.campaign(false)
+	if r.suspicious() {
+		r.askPreVotes()
 	}
 }
 
