Completeness comes with the view; pushes do not wait for the tick; a fleet shrinks late

Cause: sidecars were ready 25 to 50 ms after the next primary, for whether the list of servers was whole was looked at in the tick (50 ms), after the push that could have told it, and what came within 15 ms of a push waited for the tick too.

Change: completeness is noted with the view, before what is committed is published; a delayed push has a timer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 	deadlines map[string]*deadlines      // by route
 	taker     *quota.Taker
 	retries   *quota.RetryBudget
-	fleet     int
+	fleet     fleetSize
 	uses      map[string]*placement.Uses // not yet told, by service
 }
 
@@ -69,7 +69,7 @@
 
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: 1, uses: map[string]*placement.Uses{},
+	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
 		taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
@@ -129,18 +129,17 @@
 	if s == nil || s.MaxConnections == 0 {
 		return 64
 	}
-	return max(2, int(part*float64(s.MaxConnections)/float64(g.fleet)))
+	return max(2, int(part*float64(s.MaxConnections)/float64(g.fleet.size)))
 }
 
 // SetFleet hands in how many sidecars there are.
 func (g *Gateway) SetFleet(n int) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if n == g.fleet {
+	if !g.fleet.set(max(1, n), g.options.Now()) {
 		return
 	}
-	g.fleet = max(1, n)
-	g.retries.SetFleet(n)
+	g.retries.SetFleet(g.fleet.size)
 	for name, s := range g.services {
 		for _, c := range s.conns {
 			c.SetLimit(g.connections(name))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,7 +55,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	began := time.Now().Add(-startAtMost) // it has started long ago
+	began := time.Now().Add(-time.Minute) // it has started long ago
 	d := &drawer{}
 	g := New(Options{Zone: "z", Now: func() time.Duration { return time.Since(began) }, Drawer: d, BudgetRatio: 0.2, BudgetSlack: 60, BudgetWindow: 10 * time.Second})
 	c, err := routetable.ParseConfig([]byte(configuration))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,13 +243,9 @@
 	now := n.now()
 	n.replica.Tick(now)
 	n.carryOut()
-	n.noteView(n.replica.View())
 	if n.core() {
 		n.tickCore(now)
 	}
-	if n.pushLater {
-		n.pushAll()
-	}
 	n.tickSessions(now)
 	n.tickQuota(now)
 	n.tickUses(now)
@@ -272,7 +268,7 @@
 	}
 	beat := settings.Milliseconds(n.settings.HeartbeatMs)
 	n.storeServers(now)
-	if !n.complete && (n.cached || now-n.touchedSince > 2*beat) {
+	if now-n.touchedSince > 2*beat {
 		n.complete = true // every server that lives has called some control sidecar by now
 	}
 	if now-n.lastExpire < expireEvery {
@@ -292,13 +288,14 @@
 }
 
 func (n *Node) setFleet(size int) {
-	if size > 0 && size != n.fleet {
+	if size > 0 {
 		n.fleet = size
 		n.gateway.SetFleet(size)
 	}
 }
 
-// noteView takes in the newest view.
+// noteView takes in the newest view. A member of the core that is in touch with it has the whole list of servers where its disk
+// had one.
 func (n *Node) noteView(v replication.View) {
 	if n.view.Epoch.Less(v.Epoch) {
 		first := n.view.Epoch.Round == 0
@@ -312,11 +309,16 @@
 			Int("in_sync", len(v.InSync)).Msg("view")
 		n.pushAll()
 	}
+	if !n.complete && n.cached && n.core() && n.replica.InTouch() {
+		n.complete = true
+		n.pushAll()
+	}
 	n.noteLead()
 }
 
-// carryOut does what the replica wants done.
+// carryOut takes in the replica's view, and does what it wants done.
 func (n *Node) carryOut() {
+	n.noteView(n.replica.View())
 	for effects := n.replica.Effects(); len(effects) > 0; effects = n.replica.Effects() {
 		for _, one := range effects {
 			switch e := one.(type) {
@@ -347,7 +349,6 @@
 		n.replica.Saved(number, n.now())
 	}
 	n.carryOut()
-	n.noteView(n.replica.View())
 	n.apply()
 }
 
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -258,8 +258,11 @@
 // pushAll tells all subscribers that something changed: at once, or soon where they were told just now.
 func (n *Node) pushAll() {
 	now := n.now()
-	if now-n.lastPush < pushGap {
-		n.pushLater = true
+	if wait := pushGap - (now - n.lastPush); wait > 0 {
+		if !n.pushLater {
+			n.pushLater = true
+			time.AfterFunc(wait, n.pushWaiting)
+		}
 		return
 	}
 	n.lastPush, n.pushLater = now, false
@@ -272,6 +275,14 @@
 	}
 }
 
+// pushWaiting tells what came just after the last push.
+func (n *Node) pushWaiting() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.lastPush = -pushGap
+	n.pushAll()
+}
+
 // onPush takes in what a home, or another control sidecar, tells.
 func (n *Node) onPush(from string, p *dissemination.Push, now time.Duration) {
 	for _, m := range p.Eligible {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -169,3 +169,12 @@
 	require.LessOrEqual(t, float64(retries), 0.2*float64(requests)+62)
 	require.Positive(t, retries)
 }
+
+// Sidecars that have all just started do not know how many they are: none spends of the slack.
+func TestTheBudgetOfRetriesAfterAStart(t *testing.T) {
+	b := NewRetryBudget(0.2, 62, 10*time.Second)
+	b.SetFleet(1)
+	b.Request("s", 0)
+	require.False(t, b.Retry("s", 0))
+	require.True(t, b.Retry("s", 10*time.Second))
+}
--- a/internal/quota/retries.go
+++ b/internal/quota/retries.go
@@ -26,7 +26,7 @@
 // ownPart of the ratio and of the slack is used: windows slide, and a sidecar that starts anew has forgotten its use.
 const ownPart = 0.5
 
-// NewRetryBudget makes a budget.
+// NewRetryBudget makes a budget of a sidecar that starts at time 0.
 func NewRetryBudget(ratio, slack float64, window time.Duration) *RetryBudget {
 	return &RetryBudget{ratio: ratio, slack: slack, window: window, fleet: 1, used: map[string]*usage{}}
 }
@@ -64,7 +64,11 @@
 			retries += one.retries
 		}
 	}
-	if float64(retries+1) > ownPart*(b.ratio*float64(requests)+b.slack/float64(b.fleet)) {
+	slack := b.slack / float64(b.fleet)
+	if now < b.window { // how many there are is not sure yet
+		slack = 0
+	}
+	if float64(retries+1) > ownPart*(b.ratio*float64(requests)+slack) {
 		return false
 	}
 	s.retries++
