The node's files have one job each; drains and heartbeats have their names

Measured: tests of node, dissemination, cmd/petrelrouter and wiring's import check pass; vet is clean.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -54,23 +54,23 @@
 // Used tells where shared parts of prompts were read; it is lost without harm.
 type Used struct{ Uses []placement.Uses }
 
-// Beat brings a server's call to a control sidecar; Request is not 0 where the sender waits for BeatKept.
-type Beat struct {
+// ForwardedHeartbeat brings a server's call to a control sidecar; Request is not 0 where the sender waits for HeartbeatAck.
+type ForwardedHeartbeat struct {
 	Request  uint64
 	Instance registry.Instance
 }
 
-// BeatKept says that a server's call is known to a majority of the core.
-type BeatKept struct{ Request uint64 }
+// HeartbeatAck says that a server's call is known to a majority of the core.
+type HeartbeatAck struct{ Request uint64 }
 
-// Spread brings a server's drain or end from one control sidecar to another, which answers with Spreaded.
-type Spread struct {
+// Drain brings a server's drain or end from one control sidecar to another, which answers with DrainAck.
+type Drain struct {
 	Request  uint64
 	Instance registry.Instance
 }
 
-// SpreadKept answers Spread.
-type SpreadKept struct{ Request uint64 }
+// DrainAck answers Drain.
+type DrainAck struct{ Request uint64 }
 
 // QuotaAsk tells the primary what a sidecar's tenants want, and what shares it holds.
 type QuotaAsk struct {
@@ -102,7 +102,7 @@
 
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Used{}, Beat{}, BeatKept{}, Spread{}, SpreadKept{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
+		Session{}, Push{}, Used{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
 	} {
 		gob.Register(m)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -125,18 +125,18 @@
 	self := replication.Member{ID: "self", Address: n.self.Address, Zone: "z1"}
 	n.self.Member = &self
 	n.view = view(1, self, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
-	k := n.keep("", 0, registry.Instance{ID: "i1", Service: "s", State: registry.Draining, Sequence: 2}, 0)
+	k := n.spreadDrain("", 0, registry.Instance{ID: "i1", Service: "s", State: registry.Draining, Sequence: 2}, 0)
 	select {
 	case <-k.done:
 		require.Fail(t, "acknowledged by one of three")
 	default:
 	}
-	n.onSpreadKept("10.9.9.9:7000", dissemination.SpreadKept{Request: n.token})
+	n.onDrainAck("10.9.9.9:7000", dissemination.DrainAck{Request: n.token})
 	select {
 	case <-k.done:
 		require.Fail(t, "acknowledged by one that is no member")
 	default:
 	}
-	n.onSpreadKept("10.0.2.1:7000", dissemination.SpreadKept{Request: n.token})
+	n.onDrainAck("10.0.2.1:7000", dissemination.DrainAck{Request: n.token})
 	<-k.done
 }
--- /dev/null
+++ b/internal/node/receive.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"petrelhook/internal/dissemination"
+	"petrelhook/internal/replication"
+	"petrelhook/internal/routetable"
+)
+
+// receive takes in a message of another sidecar.
+func (n *Node) receive(from string, body any) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	switch m := body.(type) {
+	case replication.Message:
+		n.replica.Receive(from, m, now)
+		n.carryOut()
+		n.noteView(n.replica.View())
+	case dissemination.Session:
+		n.onSession(from, &m, now)
+	case dissemination.Push:
+		n.onPush(from, &m, now)
+	case dissemination.Used:
+		n.onUsed(from, m)
+	case dissemination.ForwardedHeartbeat:
+		n.onForwardedHeartbeat(from, m, now)
+	case dissemination.HeartbeatAck:
+		n.acknowledgeDrain(m.Request)
+	case dissemination.Drain:
+		n.onDrain(from, m, now)
+	case dissemination.DrainAck:
+		n.onDrainAck(from, m)
+	case dissemination.QuotaAsk:
+		n.onQuotaAsk(from, m)
+	case dissemination.QuotaGrant:
+		n.gateway.QuotaGranted(m.Nonce, m.Shares)
+	case dissemination.QuotaDraw:
+		n.onQuotaDraw(from, m, now)
+	case dissemination.QuotaDrawn:
+		n.silentUntil = 0
+		if to := n.draws[m.Request]; to != nil {
+			delete(n.draws, m.Request)
+			to <- m
+		}
+	}
+	n.tickSessions(now)
+	n.apply()
+}
+
+// noteView takes in the newest view. A member of the core that is in touch with it has the whole list of servers where its disk
+// had one.
+func (n *Node) noteView(v replication.View) {
+	if n.view.Epoch.Less(v.Epoch) {
+		first := n.view.Epoch.Round == 0
+		n.view = v
+		n.silentUntil = 0
+		n.replica.LearnView(v)
+		if first {
+			n.lastSession = -sessionEvery // the core is known now: it subscribes at once
+		}
+		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
+			Int("in_sync", len(v.InSync)).Msg("view")
+		n.pushAll()
+	}
+	if !n.complete && n.cached && n.core() && n.replica.InTouch() {
+		n.complete = true
+		n.pushAll()
+	}
+	n.noteLead()
+}
+
+// carryOut takes in the replica's view, and does what it wants done.
+func (n *Node) carryOut() {
+	n.noteView(n.replica.View())
+	for effects := n.replica.Effects(); len(effects) > 0; effects = n.replica.Effects() {
+		for _, one := range effects {
+			switch e := one.(type) {
+			case replication.Send:
+				n.transport.Send(e.To, e.Message)
+			case replication.Save:
+				n.disk.save(e)
+			case replication.Publish:
+				n.publish(e)
+			case replication.Answer:
+				if to := n.answers[e.Token]; to != nil {
+					delete(n.answers, e.Token)
+					to <- e.Decision
+				}
+			}
+		}
+	}
+}
+
+// saved is called by the disk's goroutine.
+func (n *Node) saved(number uint64, err error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("disk")
+		n.replica.SaveFailed(number, n.now())
+	} else {
+		n.replica.Saved(number, n.now())
+	}
+	n.carryOut()
+	n.apply()
+}
+
+// publish takes a committed configuration from the replica.
+func (n *Node) publish(e replication.Publish) {
+	config, ok := e.Value.(*routetable.Config)
+	if ok && n.versions.Set(e.Position.Sequence, config, e.Entries) {
+		n.pushAll()
+	}
+}
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -1,26 +1,13 @@
 package node
 
 import (
-	"hash/fnv"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/registry"
-	"sort"
 	"time"
 
 	"petrelhook/internal/dissemination"
+	"petrelhook/internal/placement"
 	"petrelhook/internal/replication"
-	"petrelhook/internal/routetable"
 )
 
-// home is the control sidecar that a sidecar subscribes to.
-type home struct {
-	address string
-	since   time.Duration
-	heard   time.Duration
-	touch   bool
-	avoid   map[string]time.Duration // homes that failed, until when
-}
-
 // subscriber is what a control sidecar knows of one that subscribes to it.
 type subscriber struct {
 	address  string
@@ -42,134 +29,6 @@
 	stamp uint64
 }
 
-// tickSessions keeps this node's sessions alive.
-func (n *Node) tickSessions(now time.Duration) {
-	every := sessionEvery
-	if !n.ready.Load() { // the others may start at the same moment, and not have heard the last one
-		every = startEvery
-	}
-	if now-n.lastSession < every {
-		return
-	}
-	n.lastSession = now
-	if n.view.Epoch.Round == 0 {
-		n.greet()
-		return
-	}
-	if n.self.Member != nil {
-		for _, m := range n.view.Members {
-			if m.Address != n.self.Address {
-				n.sendSession(m.Address)
-			}
-		}
-	}
-	if n.core() {
-		n.sessions.Heartbeat(n.self, now)
-		if now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
-			n.lastSeeds = now
-			n.greet()
-		}
-		return
-	}
-	if n.self.Member == nil || !n.isMember(n.self.Address) {
-		n.reviewHome(now)
-		if n.home.address != "" {
-			n.sendSession(n.home.address)
-		}
-		if now-n.home.heard > homeSilent {
-			n.greet()
-		}
-	}
-}
-
-// greet asks the seeds who the core is.
-func (n *Node) greet() {
-	m := dissemination.Session{Node: n.self, View: n.view.Epoch}
-	for _, seed := range n.seeds {
-		if seed != n.self.Address {
-			n.transport.Send(seed, m)
-		}
-	}
-}
-
-func (n *Node) sendSession(to string) {
-	has := n.upstream[to]
-	m := dissemination.Session{Node: n.self, Subscribe: true, View: n.view.Epoch, Version: n.versions.Version(),
-		HomeLife: has.life, Stamp: has.stamp, Core: n.self.Member != nil}
-	if m.Core {
-		m.Sessions = n.sessions.PeerStamp(to, has.life)
-	}
-	n.transport.Send(to, m)
-}
-
-// reviewHome chooses another home where the one there is says nothing, or has lost touch with the core.
-func (n *Node) reviewHome(now time.Duration) {
-	h := &n.home
-	if h.avoid == nil {
-		h.avoid = map[string]time.Duration{}
-	}
-	silent := now-max(h.heard, h.since) > homeSilent
-	astray := now-h.since > homeSilent && !h.touch
-	if h.address != "" && (silent || astray) {
-		h.avoid[h.address] = now + homeReview
-	}
-	away := now-h.since > homeReview && n.zoneOf(h.address) != n.settings.Zone
-	if h.address != "" && n.isMember(h.address) && !silent && !astray && !away {
-		return
-	}
-	best := n.bestHome(now)
-	if best == "" || best == h.address {
-		h.since = now
-		return
-	}
-	h.address, h.since, h.touch = best, now, false
-}
-
-func (n *Node) zoneOf(address string) string {
-	for _, m := range n.view.Members {
-		if m.Address == address {
-			return m.Zone
-		}
-	}
-	return ""
-}
-
-// bestHome ranks the core: the own zone, then the own region, then the others; within these by rendezvous hashing.
-func (n *Node) bestHome(now time.Duration) string {
-	type ranked struct {
-		address string
-		avoid   bool
-		far     int
-		hash    uint32
-	}
-	var list []ranked
-	for _, m := range n.view.Members {
-		far := 2
-		if m.Zone == n.settings.Zone {
-			far = 0
-		} else if n.settings.Zones[m.Zone] == n.settings.Region {
-			far = 1
-		}
-		h := fnv.New32a()
-		h.Write([]byte(n.self.Address + m.Address))
-		list = append(list, ranked{m.Address, now < n.home.avoid[m.Address], far, h.Sum32()})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if a.avoid != b.avoid {
-			return b.avoid
-		}
-		if a.far != b.far {
-			return a.far < b.far
-		}
-		return a.hash < b.hash
-	})
-	if len(list) == 0 {
-		return ""
-	}
-	return list[0].address
-}
-
 // onSession takes in a sidecar's heartbeat and answers with what it lacks.
 func (n *Node) onSession(from string, m *dissemination.Session, now time.Duration) {
 	if m.Node.Member != nil {
@@ -337,47 +196,3 @@
 	}
 	n.upstream[from] = has
 }
-
-// publish takes a committed configuration from the replica.
-func (n *Node) publish(e replication.Publish) {
-	config, ok := e.Value.(*routetable.Config)
-	if ok && n.versions.Set(e.Position.Sequence, config, e.Entries) {
-		n.pushAll()
-	}
-}
-
-// listGap is the least time between two lists of servers for the gateway: a list costs as much as it is long, and many
-// servers come at once after an outage.
-func (n *Node) listGap() time.Duration {
-	return min(listGapMost, time.Duration(n.registry.Len())*listGapEach)
-}
-
-func (n *Node) setServers(name string, list []registry.Instance) {
-	n.gateway.SetServers(name, list)
-	if n.usable[name] != len(list) {
-		n.usable[name] = len(list)
-		n.logger.Info().Str("service", name).Int("usable", len(list)).Msg("servers")
-	}
-}
-
-// apply puts in force what is newer than what the gateway has.
-func (n *Node) apply() {
-	if v := n.versions.Version(); v != n.compiled {
-		n.compiled = v
-		n.gateway.SetTable(routetable.Compile(n.versions.Config(), n.gateway.Table()))
-		n.setReservoir()
-		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
-	}
-	if (n.registry.Stamp() != n.listed || n.listedTable != n.compiled) && n.now()-n.lastListed >= n.listGap() {
-		n.listed, n.listedTable, n.lastListed = n.registry.Stamp(), n.compiled, n.now()
-		if t := n.gateway.Table(); t != nil {
-			for name := range t.Services() {
-				n.setServers(name, n.registry.Usable(name))
-			}
-		}
-	}
-	if !n.ready.Load() && n.compiled > 0 && n.complete {
-		n.ready.Store(true)
-		n.logger.Info().Int("servers", n.registry.Len()).Int("fleet", n.fleet).Msg("ready")
-	}
-}
--- /dev/null
+++ b/internal/node/tick.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"time"
+
+	"petrelhook/internal/settings"
+)
+
+// tick lets time pass.
+func (n *Node) tick() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	n.replica.Tick(now)
+	n.carryOut()
+	if n.core() {
+		n.tickCore(now)
+	}
+	n.tickSessions(now)
+	n.tickQuota(now)
+	n.tickUses(now)
+	if now-n.lastPrune > pruneEvery {
+		n.lastPrune = now
+		n.gateway.Prune()
+	}
+	n.apply()
+}
+
+func (n *Node) tickCore(now time.Duration) {
+	n.sessions.Expire(now)
+	n.setFleet(len(n.sessions.Fleet()) + n.selfMissing())
+	if !n.replica.InTouch() {
+		n.touchedSince = -1
+		return
+	}
+	if n.touchedSince < 0 {
+		n.touchedSince = now
+	}
+	beat := settings.Milliseconds(n.settings.HeartbeatMs)
+	n.storeServers(now)
+	if now-n.touchedSince > 2*beat {
+		n.complete = true // every server that lives has called some control sidecar by now
+	}
+	if now-n.lastExpire < expireEvery {
+		return
+	}
+	n.lastExpire = now
+	if n.registry.Expire(time.Duration(silentBeats*float64(beat)), now) {
+		n.pushAll()
+	}
+}
+
+func (n *Node) selfMissing() int {
+	if _, ok := n.sessions.Fleet()[n.self.Address]; ok {
+		return 0
+	}
+	return 1
+}
+
+func (n *Node) setFleet(size int) {
+	if size > 0 {
+		n.fleet = size
+		n.gateway.SetFleet(size)
+	}
+}
