A sidecar that starts has its list and its configuration sooner after other machines were lost

Change: a list is whole that followed another's whole list from its beginning, whoever sent it; until it is ready a sidecar leaves a silent home after 0.3 s; a session of a new process renews the connection to it.

Tests: TestAMemberWithoutItsDiskTakesTheListOfOthers, TestASilentHomeIsLeftSoonAtTheStart, TestRenew.

--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -83,7 +83,11 @@
 	if h.avoid == nil {
 		h.avoid = map[string]time.Duration{}
 	}
-	silent := now-max(h.heard, h.since) > homeSilent
+	limit := homeSilent
+	if !n.ready.Load() { // it serves nobody until a home answers
+		limit = startSilent
+	}
+	silent := now-max(h.heard, h.since) > limit
 	astray := now-h.since > homeSilent && !h.touch
 	if h.address != "" && (silent || astray) {
 		h.avoid[h.address] = now + homeReview
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	seedsEvery     = time.Second            // at which the core tells seeds who it is
 	startEvery     = 100 * time.Millisecond // the same until it is ready
 	homeSilent     = 1200 * time.Millisecond
+	startSilent    = 300 * time.Millisecond // the same until it is ready
 	sessionTimeout = 3 * time.Second
 	quotaEvery     = 500 * time.Millisecond
 	pruneEvery     = 2 * time.Second
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -52,6 +52,9 @@
 	s.core, s.heard, s.view = m.Core, now, m.View
 	restarted := s.life != m.Node.Life
 	s.life = m.Node.Life
+	if restarted {
+		n.transport.Renew(from)
+	}
 	switch arrived := now-s.sent > resendAfter; { // what was sent since has had its time
 	case m.HomeLife != n.life && (restarted || arrived):
 		s.stamp, s.version, s.sessions = 0, m.Version, 0
@@ -154,10 +157,12 @@
 	if from == n.home.address {
 		n.home.heard, n.home.touch = now, p.InTouch
 		if p.Complete && !n.core() {
-			n.complete = n.complete || p.FromStamp == 0 || n.upstream[from].life == p.Life
 			n.setFleet(p.Fleet)
 		}
 	}
+	if p.Complete && p.FromStamp <= n.followed(from, p.Life) {
+		n.complete = true // it has a whole list, and this is the rest of it
+	}
 	if p.Stamp == 0 && p.Version == 0 && p.SessionsStamp == 0 {
 		return // an introduction
 	}
@@ -173,9 +178,6 @@
 	n.follow(from, p)
 	if n.core() {
 		n.sessions.Peer(from, p.Life, p.SessionsStamp, p.Nodes, now)
-		if p.Complete && p.FromStamp == 0 {
-			n.complete = true
-		}
 	}
 	changed, err := n.versions.Take(p)
 	if err != nil {
@@ -186,13 +188,18 @@
 	}
 }
 
-func (n *Node) follow(from string, p *dissemination.Push) {
-	has := n.upstream[from]
-	if has.life != p.Life {
-		has = upstreamStamp{life: p.Life}
+// followed is up to which stamp all changes of a control sidecar's list have come, in its present life.
+func (n *Node) followed(from string, life uint64) uint64 {
+	if has := n.upstream[from]; has.life == life {
+		return has.stamp
 	}
-	if p.FromStamp <= has.stamp {
-		has.stamp = max(has.stamp, p.Stamp)
+	return 0
+}
+
+func (n *Node) follow(from string, p *dissemination.Push) {
+	stamp := n.followed(from, p.Life)
+	if p.FromStamp <= stamp {
+		stamp = max(stamp, p.Stamp)
 	}
-	n.upstream[from] = has
+	n.upstream[from] = upstreamStamp{life: p.Life, stamp: stamp}
 }
--- a/internal/node/subscription_test.go
+++ b/internal/node/subscription_test.go
@@ -46,3 +46,42 @@
 }
 
 var v1 = member("127.0.0.1:7000", "z1")
+
+// A machine of the core that lost its disk has the whole list of servers as soon as another one's whole list has come, in one
+// push or several; the rest of a list that it did not follow from its beginning is not enough.
+func TestAMemberWithoutItsDiskTakesTheListOfOthers(t *testing.T) {
+	n := newNode(t, "")
+	self := v1
+	n.self.Member = &self
+	before := v1
+	before.ID = "the disk that was lost"
+	n.view = view(1, before, member("10.0.1.1:7000", "z2"))
+	update := func(id string) []registry.Update {
+		return []registry.Update{{Instance: registry.Instance{ID: id, Service: "s", Address: id}}}
+	}
+	n.onPush("10.0.1.1:7000", &dissemination.Push{Life: 1, FromStamp: 3, Stamp: 4, Instances: update("i4"), Complete: true}, 0)
+	require.False(t, n.complete)
+	n.onPush("10.0.1.1:7000", &dissemination.Push{Life: 1, FromStamp: 0, Stamp: 4, Instances: update("i1")}, 0)
+	require.False(t, n.complete, "the sender does not have all yet")
+	n.onPush("10.0.1.1:7000", &dissemination.Push{Life: 1, FromStamp: 4, Stamp: 5, Instances: update("i5"), Complete: true}, 0)
+	require.True(t, n.complete)
+}
+
+// A sidecar that serves nobody yet does not wait long for a home that says nothing.
+func TestASilentHomeIsLeftSoonAtTheStart(t *testing.T) {
+	n := newNode(t, "")
+	n.view = view(1, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
+	n.reviewHome(0)
+	require.Equal(t, "10.0.1.1:7000", n.home.address)
+	n.reviewHome(startSilent)
+	require.Equal(t, "10.0.1.1:7000", n.home.address)
+	n.reviewHome(startSilent + time.Millisecond)
+	require.Equal(t, "10.0.2.1:7000", n.home.address)
+
+	n = newNode(t, "")
+	n.ready.Store(true)
+	n.view = view(1, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
+	n.reviewHome(0)
+	n.reviewHome(startSilent + time.Millisecond)
+	require.Equal(t, "10.0.1.1:7000", n.home.address)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -52,6 +52,7 @@
 type peer struct {
 	address string
 	queue   chan any
+	renew   atomic.Bool // the connection is to a process that has ended
 }
 
 // New makes a transport for the sidecar at an internal address.
@@ -126,6 +127,16 @@
 	t.mutex.Unlock()
 }
 
+// Renew says that the process at an address is another one than before: what is sent next goes over a new connection. The old one
+// may not have noticed, where a machine lost its power.
+func (t *Transport) Renew(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if p := t.peers[address]; p != nil {
+		p.renew.Store(true)
+	}
+}
+
 // loop hands over what the sidecar sends to itself.
 func (t *Transport) loop(p *peer) {
 	for {
@@ -153,6 +164,10 @@
 		case <-t.done:
 			return
 		case body := <-p.queue:
+			if p.renew.Swap(false) && link != nil {
+				t.forget(link.conn)
+				link = nil
+			}
 			link = t.write(link, p, body)
 			idle.Reset(idleAfter)
 		case <-idle.C:
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -59,3 +59,29 @@
 	}
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// What is sent after the peer is known to have started anew goes over a new connection, although the old one shows no fault.
+func TestRenew(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	read := func(c net.Conn) int {
+		var e Envelope
+		require.NoError(t, gob.NewDecoder(c).Decode(&e))
+		return e.Body.(note).Number
+	}
+	from := New("127.0.0.1:2", nil)
+	defer from.Close()
+	to := listener.Addr().String()
+	from.Send(to, note{1})
+	first, err := listener.Accept()
+	require.NoError(t, err)
+	defer first.Close()
+	require.Equal(t, 1, read(first))
+	from.Renew(to)
+	from.Send(to, note{2})
+	second, err := listener.Accept()
+	require.NoError(t, err)
+	defer second.Close()
+	require.Equal(t, 2, read(second))
+}
