The core tells the seeds at once after its start who it is

Seen: their seeds were no members, and the core told the seeds of itself 1 s after its start for the first time.

Change: within 5 s of its start a machine of the core greets the seeds with every round of sessions.

Test: TestSeedsAreToldAtOnceAfterAStart.

--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -17,7 +17,7 @@
 	avoid   map[string]time.Duration // homes that failed, until when
 }
 
-// tickSessions pendingDrains this node's sessions alive.
+// tickSessions keeps this node's sessions alive.
 func (n *Node) tickSessions(now time.Duration) {
 	every := sessionEvery
 	if !n.ready.Load() { // the others may start at the same moment, and not have heard the last one
@@ -40,7 +40,7 @@
 	}
 	if n.core() {
 		n.sessions.Heartbeat(n.self, now)
-		if now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
+		if now < justStarted || now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
 			n.lastSeeds = now
 			n.greet()
 		}
--- a/internal/node/subscription_test.go
+++ b/internal/node/subscription_test.go
@@ -85,3 +85,19 @@
 	n.reviewHome(startSilent + time.Millisecond)
 	require.Equal(t, "10.0.1.1:7000", n.home.address)
 }
+
+// A machine of the core that has just started tells the seeds at once who the core is: sidecars without a disk, which may have
+// other seeds than before, ask them.
+func TestSeedsAreToldAtOnceAfterAStart(t *testing.T) {
+	n := newNode(t, "")
+	self := v1
+	n.self.Member = &self
+	n.view = view(1, self, member("10.0.1.1:7000", "z2"))
+	n.tickSessions(startEvery)
+	require.Equal(t, startEvery, n.lastSeeds)
+	n.tickSessions(2 * startEvery)
+	require.Equal(t, 2*startEvery, n.lastSeeds)
+	n.tickSessions(justStarted + startEvery)
+	n.tickSessions(justStarted + 2*startEvery)
+	require.Equal(t, justStarted+startEvery, n.lastSeeds)
+}
--- a/internal/node/uses.go
+++ b/internal/node/uses.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// spreadUses pendingDrains what a sidecar said of shared parts for the other subscribers; what came from another control sidecar
+// spreadUses keeps what a sidecar said of shared parts for the other subscribers; what came from another control sidecar
 // for those only that are none themselves.
 func (n *Node) spreadUses(from string, fromCore bool, list []placement.Uses) {
 	for _, u := range list {
