--- a/cmd/petrelctl/routers.go
+++ b/cmd/petrelctl/routers.go
@@ -26,36 +26,7 @@
 		Long: "Starts petrelrouter processes as the core and, beside them, hollow sidecars (the product's own nodes without\n" +
 			"clients) and hollow servers that send heartbeats. Everything is on loopback, and has ended when it returns.\n" +
 			"Servers and tenants grow with the sidecars, up to --servers and --tenants at 630.",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if o.Core < 2 || o.Runs < 1 || len(o.Sizes) == 0 {
-				return errors.New("--core takes 2 or more, --runs 1 or more, --sizes at least one")
-			}
-			for _, size := range o.Sizes {
-				if size <= o.Core || size > 2000 {
-					return fmt.Errorf("--sizes: %d; write more than --core, 2000 at most", size)
-				}
-			}
-			o.Progress = func(what string) { fmt.Fprintln(cmd.ErrOrStderr(), what) }
-			points, failed := routerscale.Run(o)
-			m := capacity.Measured{At: time.Now().UTC().Truncate(time.Second), Points: points, FitUpTo: o.Sizes[max(0, len(o.Sizes)-2)],
-				Machine: fmt.Sprintf("%d processors", runtime.NumCPU())}
-			if failed != nil { // what was measured before stays
-				m.Findings = append(m.Findings, failed.Error())
-			}
-			text, err := json.MarshalIndent(m, "", " ")
-			if err != nil {
-				return err
-			}
-			if file == "" {
-				_, err = cmd.OutOrStdout().Write(append(text, '\n'))
-			} else {
-				err = os.WriteFile(file, append(text, '\n'), 0o644)
-			}
-			if failed != nil {
-				return runError{failed}
-			}
-			return err
-		},
+		RunE: func(cmd *cobra.Command, _ []string) error { return runRouters(cmd, o, file) },
 	}
 	cmd.AddCommand(routersPageCommand())
 	f := cmd.Flags()
@@ -72,6 +43,48 @@
 	return cmd
 }
 
+// runRouters measures, and writes what was measured, also where a size failed.
+func runRouters(cmd *cobra.Command, o routerscale.Options, file string) error {
+	if err := checkRouters(o); err != nil {
+		return err
+	}
+	o.Progress = func(what string) { fmt.Fprintln(cmd.ErrOrStderr(), what) }
+	points, failed := routerscale.Run(o)
+	m := capacity.Measured{At: time.Now().UTC().Truncate(time.Second), Points: points, FitUpTo: o.Sizes[max(0, len(o.Sizes)-2)],
+		Machine: fmt.Sprintf("%d processors", runtime.NumCPU())}
+	if failed != nil {
+		m.Findings = append(m.Findings, failed.Error())
+	}
+	text, err := json.MarshalIndent(m, "", " ")
+	if err != nil {
+		return err
+	}
+	if file == "" {
+		_, err = cmd.OutOrStdout().Write(append(text, '\n'))
+	} else {
+		err = os.WriteFile(file, append(text, '\n'), 0o644)
+	}
+	if failed != nil {
+		return runError{failed}
+	}
+	return err
+}
+
+// maxRouters is how many sidecars fit on one machine's loopback.
+const maxRouters = 2000
+
+func checkRouters(o routerscale.Options) error {
+	if o.Core < 2 || o.Runs < 1 || len(o.Sizes) == 0 {
+		return errors.New("--core takes 2 or more, --runs 1 or more, --sizes at least one")
+	}
+	for _, size := range o.Sizes {
+		if size <= o.Core || size > maxRouters {
+			return fmt.Errorf("--sizes: %d; write more than --core, %d at most", size, maxRouters)
+		}
+	}
+	return nil
+}
+
 // routersPageCommand writes the table of docs/CAPACITY.md from the points of a run.
 func routersPageCommand() *cobra.Command {
 	var points string
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -20,7 +20,7 @@
 // tickSessions keeps this node's sessions alive.
 func (n *Node) tickSessions(now time.Duration) {
 	every := sessionEvery
-	if !n.ready.Load() { // the others may start at the same moment, and not have heard the last one
+	if n.starting(now) { // the others may start at the same moment, and not have heard the last one
 		every = startEvery
 	}
 	if now-n.lastSession < every {
@@ -57,6 +57,9 @@
 	}
 }
 
+// starting reports whether the sidecar has just started and serves nobody yet.
+func (n *Node) starting(now time.Duration) bool { return now < justStarted && !n.ready.Load() }
+
 // greet asks the seeds who the core is.
 func (n *Node) greet() {
 	m := dissemination.Session{Node: n.self, View: n.view.Epoch}
@@ -84,7 +87,7 @@
 		h.avoid = map[string]time.Duration{}
 	}
 	limit := homeSilent
-	if !n.ready.Load() { // it serves nobody until a home answers
+	if n.starting(now) { // it serves nobody until a home answers
 		limit = startSilent
 	}
 	silent := now-max(h.heard, h.since) > limit
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,9 +30,9 @@
 	tickEvery      = 50 * time.Millisecond
 	sessionEvery   = 400 * time.Millisecond
 	seedsEvery     = time.Second            // at which the core tells seeds who it is
-	startEvery     = 100 * time.Millisecond // the same until it is ready
+	startEvery     = 100 * time.Millisecond // the same while it starts
 	homeSilent     = 1200 * time.Millisecond
-	startSilent    = 300 * time.Millisecond // the same until it is ready
+	startSilent    = 300 * time.Millisecond // the same while it starts
 	sessionTimeout = 3 * time.Second
 	quotaEvery     = 500 * time.Millisecond
 	pruneEvery     = 2 * time.Second
