--- /dev/null
+++ b/internal/dissemination/versions_test.go
@@ -0,0 +1,85 @@
+package dissemination
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"petrelhook/internal/routetable"
+)
+
+func configuration(t require.TestingT, generation int) *routetable.Config {
+	c, err := routetable.ParseConfig(fmt.Appendf(nil, `{"Generation":%d,"Routes":[],"Services":[]}`, generation))
+	require.NoError(t, err)
+	return c
+}
+
+// applyGeneration takes an order that is the next generation.
+func applyGeneration(base *routetable.Config, order []byte) (*routetable.Config, error) {
+	var generation int
+	if _, err := fmt.Sscan(string(order), &generation); err != nil {
+		return nil, err
+	}
+	if base == nil || base.Generation+1 != int64(generation) {
+		return nil, fmt.Errorf("generation %d does not follow", generation)
+	}
+	return routetable.ParseConfig(fmt.Appendf(nil, `{"Generation":%d,"Routes":[],"Services":[]}`, generation))
+}
+
+// However pushes are lost, doubled and late, a subscriber's version never goes back, is always the configuration of that version, and
+// is the newest once one push arrives that was made for what it has.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home, subscriber := NewVersions(applyGeneration), NewVersions(applyGeneration)
+		var onTheWay []Push
+		told := uint64(0)
+		for version := uint64(1); version <= uint64(rapid.IntRange(1, 150).Draw(t, "versions")); version++ {
+			require.True(t, home.Set(version, configuration(t, int(version)), [][]byte{fmt.Append(nil, version)}))
+			var p Push
+			home.Fill(&p, told)
+			onTheWay = append(onTheWay, p)
+			told = version
+			for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
+				before := subscriber.Version()
+				subscriber.Take(&onTheWay[rapid.IntRange(0, len(onTheWay)-1).Draw(t, "which")])
+				require.GreaterOrEqual(t, subscriber.Version(), before)
+				if subscriber.Version() > 0 {
+					require.EqualValues(t, subscriber.Version(), subscriber.Config().Generation)
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "says what it has") == 0 {
+				told = subscriber.Version()
+			}
+		}
+		var last Push
+		home.Fill(&last, subscriber.Version())
+		_, err := subscriber.Take(&last)
+		require.NoError(t, err)
+		require.Equal(t, home.Version(), subscriber.Version())
+	})
+}
+
+// One that is far behind, or has nothing, gets a snapshot; one that is a little behind gets the orders.
+func TestOrdersOrASnapshot(t *testing.T) {
+	home := NewVersions(applyGeneration)
+	for version := 1; version <= keptOrders+10; version++ {
+		home.Set(uint64(version), configuration(t, version), [][]byte{fmt.Append(nil, version)})
+	}
+	for has, snapshot := range map[uint64]bool{0: true, 3: true, 10: false, keptOrders + 9: false} {
+		var p Push
+		home.Fill(&p, has)
+		require.Equal(t, snapshot, len(p.Snapshot) > 0, "has %d", has)
+		require.Equal(t, snapshot, len(p.Orders) == 0, "has %d", has)
+	}
+	var p Push
+	home.Fill(&p, home.Version())
+	require.Empty(t, p.Orders)
+	require.Empty(t, p.Snapshot)
+
+	behind := NewVersions(applyGeneration)
+	home.Fill(&p, home.Version()-1)
+	_, err := behind.Take(&p)
+	require.ErrorIs(t, err, ErrBehind)
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSessionsEnd(t *testing.T) {
+	s := New(3 * time.Second)
+	s.Heartbeat(Node{Address: "a", Life: 1}, 0)
+	s.Heartbeat(Node{Address: "b", Life: 1}, time.Second)
+	s.Expire(3500 * time.Millisecond)
+	require.Len(t, s.Fleet(), 1)
+	require.Contains(t, s.Fleet(), "b")
+}
+
+// The stamp of the sessions held here changes with them, and not with a heartbeat that says nothing new.
+func TestTheStampOfSessions(t *testing.T) {
+	s := New(3 * time.Second)
+	s.Heartbeat(Node{Address: "a", Life: 1}, 0)
+	_, first := s.Own()
+	s.Heartbeat(Node{Address: "a", Life: 1}, time.Second)
+	_, again := s.Own()
+	require.Equal(t, first, again)
+	s.Heartbeat(Node{Address: "a", Life: 2}, time.Second)
+	_, restarted := s.Own()
+	require.Greater(t, restarted, first)
+	s.Expire(time.Minute)
+	_, ended := s.Own()
+	require.Greater(t, ended, restarted)
+}
+
+// The fleet is all sessions of all control sidecars; a table of a control sidecar that is gone counts for a while longer, so that
+// its sidecars are not missing before they have found another home.
+func TestTheFleetIsKnownThroughPeers(t *testing.T) {
+	s := New(3 * time.Second)
+	s.Heartbeat(Node{Address: "a", Life: 1}, 0)
+	s.Peer("peer", 7, 4, []Node{{Address: "b"}, {Address: "c"}}, 0)
+	require.Len(t, s.Fleet(), 3)
+	require.Equal(t, uint64(4), s.PeerStamp("peer", 7))
+	require.Zero(t, s.PeerStamp("peer", 8), "another process holds other sessions")
+	s.Peer("peer", 7, 4, nil, 10*time.Second)
+	require.Len(t, s.Fleet(), 3, "nothing changed")
+	s.Expire(21 * time.Second)
+	require.Contains(t, s.Fleet(), "b")
+	s.Expire(23 * time.Second)
+	require.NotContains(t, s.Fleet(), "b")
+}
