--- a/cmd/petrelrouter/commands.go
+++ b/cmd/petrelrouter/commands.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -45,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.IsDeploy(path) {
+		return checkDeploy(c, path)
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return cli.Exit(err, exitBad)
@@ -53,6 +57,15 @@
 	return nil
 }
 
+func checkDeploy(c *cli.Command, path string) error {
+	d, err := settings.LoadDeploy(path)
+	if err != nil {
+		return cli.Exit(err, exitBad)
+	}
+	fmt.Fprintf(c.Root().Writer, "%s: roles %s: fit\n", path, strings.Join(d.RoleNames(), ", "))
+	return nil
+}
+
 // state prints a disk without changing it.
 func state(_ context.Context, c *cli.Command) error {
 	folder, err := argument(c)
--- a/cmd/petrelrouter/fleet_test.go
+++ b/cmd/petrelrouter/fleet_test.go
@@ -271,6 +271,7 @@
 		{[]string{"version"}, 0, "petrelrouter"},
 		{[]string{"check", bad}, exitBad, "field Settings.Ip"},
 		{[]string{"check", broken}, exitBad, "line 2"},
+		{[]string{"check", "../../deploy/system.toml"}, 0, "roles router: fit"},
 		{[]string{"check"}, exitUsage, "takes one FILE"},
 		{[]string{"state", filepath.Join(t.TempDir(), "none")}, exitBad, "no such file"},
 		{[]string{"status", "127.0.0.1:9"}, exitBad, "refused"},
--- a/cmd/petrelrouter/main.go
+++ b/cmd/petrelrouter/main.go
@@ -30,7 +30,7 @@
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return cli.Exit(err, exitUsage) },
 		Commands: []*cli.Command{
 			{Name: "router", Usage: "serve clients, servers and the operator, as the file named by PETRELHOOK_SETTINGS says", Action: serve},
-			{Name: "check", Usage: "judge a settings file", ArgsUsage: "FILE", Action: check},
+			{Name: "check", Usage: "judge a settings file or a deploy file", ArgsUsage: "FILE", Action: check},
 			{Name: "state", Usage: "print what the disk of a stopped router holds", ArgsUsage: "FOLDER", Action: state},
 			{Name: "status", Usage: "ask a router who it is, who leads, and what is in force there", ArgsUsage: "CONTROL-ADDRESS", Action: status},
 			{Name: "version", Usage: "print the version", Action: version},
--- /dev/null
+++ b/internal/settings/deploy.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"os"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Deploy is a deploy file: how the system is built, and which role runs where.
+type Deploy struct {
+	Build    string          `toml:"build" validate:"required"`
+	Packages []string        `toml:"packages"`
+	Roles    map[string]Role `toml:"roles" validate:"required,min=1,dive"`
+}
+
+// Role is one program that runs on a class of machines, on a share of them in each zone or on a number.
+type Role struct {
+	Run    string   `toml:"run" validate:"required"`
+	On     string   `toml:"on" validate:"required"`
+	Share  float64  `toml:"share" validate:"gte=0,lte=1"`
+	Count  int      `toml:"count" validate:"gte=0"`
+	Apart  bool     `toml:"apart"`
+	Serves []string `toml:"serves" validate:"dive,oneof=edge control_plane"`
+}
+
+// maxRoles is how many roles one machine runs.
+const maxRoles = 2
+
+// LoadDeploy reads and checks a deploy file.
+func LoadDeploy(path string) (*Deploy, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "deploy")
+	}
+	d, err := ParseDeploy(text)
+	return d, errors.Wrapf(err, "deploy file %s", path)
+}
+
+// ParseDeploy checks the text of a deploy file.
+func ParseDeploy(text []byte) (*Deploy, error) {
+	d := &Deploy{}
+	if err := decode(text, d); err != nil {
+		return nil, err
+	}
+	for _, name := range d.RoleNames() {
+		if role := d.Roles[name]; (role.Share > 0) == (role.Count > 0) {
+			return nil, errors.Newf("role %s: either share, above 0, or count is needed", name)
+		}
+	}
+	return d, d.checkClasses()
+}
+
+// checkClasses: no two roles on a class of machines serve the same callers, and no machine runs too many.
+func (d *Deploy) checkClasses() error {
+	type place struct{ class, callers string }
+	serving := map[place]string{}
+	everywhere := map[string]int{}
+	for _, name := range d.RoleNames() {
+		role := d.Roles[name]
+		for _, callers := range role.Serves {
+			at := place{role.On, callers}
+			if other := serving[at]; other != "" {
+				return errors.Newf("roles %s and %s both serve %s on %s", other, name, callers, role.On)
+			}
+			serving[at] = name
+		}
+		if role.Share == 1 {
+			everywhere[role.On]++
+		}
+		if everywhere[role.On] > maxRoles {
+			return errors.Newf("role %s: a machine of class %s runs %d roles at the most", name, role.On, maxRoles)
+		}
+	}
+	return nil
+}
+
+// RoleNames lists the roles, sorted.
+func (d *Deploy) RoleNames() []string {
+	var names []string
+	for name := range d.Roles {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// IsDeploy reports whether a file is a deploy file rather than a process's settings.
+func IsDeploy(path string) bool {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return false
+	}
+	var d struct {
+		Build string         `toml:"build"`
+		Roles map[string]any `toml:"roles"`
+	}
+	return decode(text, &d) == nil && (d.Build != "" || len(d.Roles) > 0)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,20 +104,7 @@
 // Parse checks the text of a settings file.
 func Parse(text []byte) (*Settings, error) {
 	s := &Settings{HeartbeatMs: 1000}
-	if err := toml.NewDecoder(bytes.NewReader(text)).Decode(s); err != nil {
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			line, column := at.Position()
-			return nil, errors.Newf("line %d, column %d: %s", line, column, at.Error())
-		}
-		return nil, err
-	}
-	if err := validator.New().Struct(s); err != nil {
-		var fields validator.ValidationErrors
-		if errors.As(err, &fields) && len(fields) > 0 {
-			f := fields[0]
-			return nil, errors.Newf("field %s: %v does not satisfy %s %s", f.Namespace(), f.Value(), f.Tag(), f.Param())
-		}
+	if err := decode(text, s); err != nil {
 		return nil, err
 	}
 	if s.InternalPortRange[0] > s.InternalPortRange[1] {
@@ -126,6 +113,25 @@
 	return s, nil
 }
 
+// decode reads TOML and checks the fields' bounds; the error says where the text or which field is wrong.
+func decode(text []byte, into any) error {
+	if err := toml.NewDecoder(bytes.NewReader(text)).Decode(into); err != nil {
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			line, column := at.Position()
+			return errors.Newf("line %d, column %d: %s", line, column, at.Error())
+		}
+		return err
+	}
+	err := validator.New().Struct(into)
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) && len(fields) > 0 {
+		f := fields[0]
+		return errors.Newf("field %s: %v does not satisfy %s %s", f.Namespace(), f.Value(), f.Tag(), f.Param())
+	}
+	return err
+}
+
 // InternalAddress is where this process listens for other sidecars.
 func (s *Settings) InternalAddress() string { return s.InternalOf(s.Ip) }
 
