What changed since a stamp is found without a look at all servers

Seen: Registry.Since looks at every entry, for every subscriber and every push, 6,700 entries for 89 subscribers up to 66 times a second since pushes no longer wait for the tick.

Change: the registry keeps its changes in the order of their stamps, at most two for each entry and 64 more; Since takes as long as there are changes. Two pushes are at least 0.5 ms apart for each subscriber, where that is more than 15 ms.

Measured: TestSinceIsWhatALookAtAllEntriesFinds (5,000 random steps).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,8 @@
 	listGapEach    = 400 * time.Microsecond
 	listGapMost    = 250 * time.Millisecond
 	expireEvery    = 250 * time.Millisecond
-	pushGap        = 15 * time.Millisecond
+	pushGap        = 15 * time.Millisecond  // between two pushes at the least
+	pushGapEach    = 500 * time.Microsecond // for each subscriber, where that is more
 	resendAfter    = 300 * time.Millisecond
 )
 
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -120,7 +120,7 @@
 // pushAll tells all subscribers that something changed: at once, or soon where they were told just now.
 func (n *Node) pushAll() {
 	now := n.now()
-	if wait := pushGap - (now - n.lastPush); wait > 0 {
+	if wait := max(pushGap, time.Duration(len(n.subscribers))*pushGapEach) - (now - n.lastPush); wait > 0 {
 		if !n.pushLater {
 			n.pushLater = true
 			time.AfterFunc(wait, n.pushWaiting)
@@ -141,7 +141,7 @@
 func (n *Node) pushWaiting() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.lastPush = -pushGap
+	n.lastPush = -time.Hour
 	n.pushAll()
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -58,12 +58,25 @@
 	entries map[string]*Entry
 	places  map[string][]*Entry // by address: more than one only while an address passes on
 	stamp   uint64
+	changes []change // in the order of their stamps; each entry's last change is in it
 	fresh   []string // heard here since Fresh was called
 }
 
+// change is one change of an entry.
+type change struct {
+	stamp uint64
+	entry *Entry
+}
+
+// last reports whether the entry has not changed since, and is still there.
+func (c change) last() bool { return c.entry.Stamp == c.stamp }
+
 // keepGone is for how long the end of an instance is remembered.
 const keepGone = 2 * time.Minute
 
+// spareChanges is how many changes that others have followed are kept beside two for each entry.
+const spareChanges = 64
+
 // heardAgain is how recent a heartbeat has to be for an instance that was lost to be back.
 const heardAgain = time.Second
 
@@ -143,6 +156,10 @@
 func (g *Registry) change(e *Entry) {
 	g.stamp++
 	e.Stamp = g.stamp
+	g.changes = append(g.changes, change{g.stamp, e})
+	if len(g.changes) > 2*len(g.entries)+spareChanges {
+		g.changes = slices.DeleteFunc(g.changes, func(c change) bool { return !c.last() })
+	}
 }
 
 // takeAddress marks instances lost that had the address of one that was heard later.
@@ -192,6 +209,7 @@
 	for id, e := range g.entries {
 		if (e.State == Gone || e.Lost) && now-e.Heard > keepGone {
 			delete(g.entries, id)
+			e.Stamp = 0 // its changes are told no more
 			g.leave(e)
 			continue
 		}
@@ -215,19 +233,16 @@
 	g.places[e.Address] = rest
 }
 
-// Since lists what changed after a stamp, in the order of the changes.
+// Since lists what changed after a stamp, in the order of the changes. It takes as long as there are changes since, for it is asked
+// for every subscriber at every push.
 func (g *Registry) Since(stamp uint64, now time.Duration) []Update {
-	var changed []*Entry
-	for _, e := range g.entries {
-		if e.Stamp > stamp {
-			changed = append(changed, e)
+	first := sort.Search(len(g.changes), func(i int) bool { return g.changes[i].stamp > stamp })
+	var out []Update
+	for _, c := range g.changes[first:] {
+		if c.last() {
+			out = append(out, Update{Instance: c.entry.Instance, Lost: c.entry.Lost, Age: now - c.entry.Heard})
 		}
 	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].Stamp < changed[j].Stamp })
-	out := make([]Update, 0, len(changed))
-	for _, e := range changed {
-		out = append(out, Update{Instance: e.Instance, Lost: e.Lost, Age: now - e.Heard})
-	}
 	return out
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"fmt"
+	"math/rand"
+	"sort"
 	"testing"
 	"time"
 
@@ -93,3 +96,33 @@
 	require.Len(t, g.Usable("llm"), 1)
 	require.Equal(t, "new", g.Usable("llm")[0].ID)
 }
+
+// What changed since any stamp is what a look at all entries would find, however often entries change, come and are forgotten; and
+// what is kept of changes is bounded by the entries.
+func TestSinceIsWhatALookAtAllEntriesFinds(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	g := New()
+	now := time.Duration(0)
+	for step := range 5_000 {
+		now += time.Duration(random.Intn(400)) * time.Millisecond
+		id := fmt.Sprint("i", random.Intn(40))
+		g.Beat(Instance{ID: id, Service: "s", Address: fmt.Sprint("a", random.Intn(30)), State: State(random.Intn(3) / 2), Sequence: int64(step)}, now)
+		if random.Intn(5) == 0 {
+			g.Expire(5*time.Second, now)
+		}
+		stamp := uint64(random.Intn(int(g.Stamp()) + 1))
+		var want []string
+		for _, e := range g.entries {
+			if e.Stamp > stamp {
+				want = append(want, e.ID)
+			}
+		}
+		sort.Slice(want, func(i, j int) bool { return g.entries[want[i]].Stamp < g.entries[want[j]].Stamp })
+		var got []string
+		for _, u := range g.Since(stamp, now) {
+			got = append(got, u.Instance.ID)
+		}
+		require.Equal(t, want, got)
+		require.LessOrEqual(t, len(g.changes), 2*len(g.entries)+spareChanges+1)
+	}
+}
