TestMessagesKeepTheirOrder looks at the count of bytes once the writer has ended

It failed once of two runs under the race detector here: the receiver had all messages before the sender had counted the last write.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -46,6 +46,7 @@
 	for i := range 100 {
 		require.Equal(t, i, <-got)
 	}
+	from.Close() // it waits for the writer, which counts after it has written
 	require.Positive(t, from.Sent())
 }
 
