The timer of delayed pushes belongs to the node's loop

In service it took the lock, and could run once after the node had ended.

Change: Run waits for the timer; while the node ends the tick does it, as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,8 @@
 	transport *transport.Transport
 	disk      *diskWriter
 
+	pushTimer *time.Timer // for what came just after a push; Run waits for it
+
 	ready  atomic.Bool
 	ending atomic.Bool
 
@@ -114,6 +116,8 @@
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, usable: map[string]int{},
 		draws: map[uint64]chan dissemination.QuotaDrawn{}}
+	n.pushTimer = time.NewTimer(time.Hour)
+	n.pushTimer.Stop()
 	n.lastSession = -sessionEvery
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
@@ -145,10 +149,13 @@
 		case <-ctx.Done():
 		case <-reload:
 			n.reload(load)
+		case <-n.pushTimer.C:
+			n.pushWaiting()
 		case <-ticker.C:
 			n.tick()
 		}
 	}
+	n.pushTimer.Stop()
 	n.end(servers, ticker)
 	n.transport.Close()
 	if n.disk != nil {
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -123,7 +123,7 @@
 	if wait := max(pushGap, time.Duration(len(n.subscribers))*pushGapEach) - (now - n.lastPush); wait > 0 {
 		if !n.pushLater {
 			n.pushLater = true
-			time.AfterFunc(wait, n.pushWaiting)
+			n.pushTimer.Reset(wait)
 		}
 		return
 	}
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -16,6 +16,9 @@
 	if n.core() {
 		n.tickCore(now)
 	}
+	if n.pushLater {
+		n.pushAll() // while it ends nobody waits for the timer
+	}
 	n.tickSessions(now)
 	n.tickQuota(now)
 	n.tickUses(now)
