A test for who renews the connection to a process that started anew

Taken out by hand, the call of Renew in onSession was noticed by no test (transport.TestRenew tests the call's effect alone).

--- a/internal/node/subscription_test.go
+++ b/internal/node/subscription_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -101,3 +102,25 @@
 	n.tickSessions(justStarted + 2*startEvery)
 	require.Equal(t, justStarted+startEvery, n.lastSeeds)
 }
+
+// The answer to a session of a new process goes over a new connection: the one to the process before may not have noticed its end.
+func TestANewProcessIsAnsweredOverANewConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	n := newNode(t, "")
+	self := v1
+	n.self.Member = &self
+	n.view = view(1, self)
+	ask := dissemination.Session{Node: membership.Node{Address: listener.Addr().String(), Zone: "z1"}, Subscribe: true}
+	for life := range uint64(2) {
+		ask.Node.Life = life + 1
+		n.onSession(ask.Node.Address, &ask, time.Duration(life)*time.Second)
+		require.NoError(t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(10*time.Second)))
+		peer, err := listener.Accept()
+		require.NoError(t, err, "no connection of its own for life %d", life+1)
+		defer peer.Close()
+		_, err = peer.Read(make([]byte, 1))
+		require.NoError(t, err)
+	}
+}
