--- a/internal/replication/guards_test.go
+++ b/internal/replication/guards_test.go
@@ -29,6 +29,16 @@
 	return nil
 }
 
+// coreWithAValue is a core of three that has acknowledged "a", and its primary.
+func coreWithAValue(t *testing.T) (*simulation, *process) {
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	primary := s.primary()
+	require.NotNil(t, primary)
+	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	return s, primary
+}
+
 // separate cuts every link between two groups of hosts.
 func (s *simulation) separate(these, those []*host) {
 	for _, a := range these {
@@ -73,11 +83,7 @@
 
 // A primary that was frozen while another took over does not answer a read with what it knew.
 func TestAFrozenPrimaryAnswersNoRead(t *testing.T) {
-	s := newSimulation(t, 1, 3, 1)
-	s.run(4 * time.Second)
-	old := s.primary()
-	require.NotNil(t, old)
-	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	s, old := coreWithAValue(t)
 	old.host.frozenUntil = s.now + 3*time.Second
 	s.run(old.host.frozenUntil - time.Millisecond)
 	next := leaderAmong(s.followers(old))
@@ -102,11 +108,7 @@
 // A primary gives its lead away while the next one's disk has not yet synced the last entry; the next one loses power as soon as it has
 // shown what it leads with.
 func TestACandidateWaitsForItsOwnDisk(t *testing.T) {
-	s := newSimulation(t, 1, 3, 1)
-	s.run(4 * time.Second)
-	old := s.primary()
-	require.NotNil(t, old)
-	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	s, old := coreWithAValue(t)
 	slow, fast := s.followers(old)[0], s.followers(old)[1]
 	slow.syncTime = 200 * time.Millisecond
 	s.callAt(old, operation{client: 1, write: true, base: old.machine.Version, value: "b"})
@@ -146,11 +148,7 @@
 // Two machines join while the two followers of a three-member core can promise and hear nothing more: the primary and those that join
 // are a majority of the members to be, and the followers one of the members that are.
 func TestTheMembersBeforeHaveToAgree(t *testing.T) {
-	s := newSimulation(t, 1, 3, 1)
-	s.run(4 * time.Second)
-	old := s.primary()
-	require.NotNil(t, old)
-	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	s, old := coreWithAValue(t)
 	followers := s.followers(old)
 	joining := []*host{}
 	for _, address := range []string{"10.1.0.1:7000", "10.1.1.1:7000"} {
--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -275,11 +275,7 @@
 // A primary is suspended, another takes over, and the first that the old one gets when it is back is an order, at some time
 // before its own next tick; the new one is read after that.
 func suspendedPrimaryTakesAnOrder(t *testing.T, early time.Duration, without func(*simulation)) *simulation {
-	s := newSimulation(t, 1, 3, 1)
-	s.run(4 * time.Second)
-	old := s.primary()
-	require.NotNil(t, old)
-	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
+	s, old := coreWithAValue(t)
 	without(s)
 	old.host.frozenUntil = s.now + 2*time.Second
 	old.host.deafUntil = old.host.frozenUntil
