Servers go to the data plane by their changes; lists are scrubbed by a digest

Seen while reading: sidecars without a disk never forgot ended servers (Expire ran in the core alone), and one that was cut off for longer than an end is remembered kept sending to it for ever, for nobody told it again. Change: Registry.Changed feeds Gateway.UpdateServers; ends are forgotten everywhere, 2 min after their last change and once the own data plane has followed; a push carries a digest of the usable servers, and a subscriber whose list differs for 1 s asks for the whole one (house style: a background scrub). A server that is heard of first from one that lost it is not taken for usable.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -59,6 +59,9 @@
 	return &Pool{address: address, limit: max(1, limit), idleTime: idleMost}
 }
 
+// Address is where the server is.
+func (p *Pool) Address() string { return p.address }
+
 // SetLimit bounds the connections anew.
 func (p *Pool) SetLimit(limit int) {
 	p.mutex.Lock()
--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -26,7 +26,7 @@
 	Stamp     uint64 // of the registry
 	Sessions  uint64 // stamp of the home's sessions, asked for by other control sidecars
 	Core      bool   // the sender is a control sidecar itself
-	Instances []registry.Update
+	Whole     bool   // it asks for the whole list of servers, for its own differs from the home's
 }
 
 // Push is what a home tells a subscriber.
@@ -40,6 +40,8 @@
 
 	FromStamp, Stamp uint64
 	Instances        []registry.Update
+	Digest           uint64   // of the usable instances at Stamp
+	Whole            bool     // Instances are all that there are
 	Heard            []string // to control sidecars: servers whose heartbeat came here
 
 	Version     uint64
--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -22,8 +22,7 @@
 	require.NoError(b, err)
 	defer listener.Close()
 	go serveEvents(listener)
-	r.servers = append(r.servers, registry.Instance{ID: "i0", Service: "s", Address: listener.Addr().String(), Zone: "z", Slots: 1000})
-	r.gateway.SetServers("s", r.servers)
+	r.gateway.UpdateServers([]*registry.Entry{{Instance: registry.Instance{ID: "i0", Service: "s", Address: listener.Addr().String(), Zone: "z", Slots: 1000}}})
 	client, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
 	require.NoError(b, err)
 	defer client.Close()
@@ -65,18 +64,20 @@
 	}
 }
 
-// BenchmarkServerList is one list of 6,700 servers of a service taken over from the registry, where one of them has changed.
-func BenchmarkServerList(b *testing.B) {
+// BenchmarkServerChange is one change among 6,700 servers of a service taken over from the registry.
+func BenchmarkServerChange(b *testing.B) {
 	const servers = 6700
 	r := newRig(b)
 	known := registry.New()
 	for i := range servers {
 		known.Beat(registry.Instance{ID: fmt.Sprint("i", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i), Zone: "z", Slots: 16, Sequence: 1}, 0)
 	}
+	r.gateway.UpdateServers(known.Changed(0))
 	sequence := int64(1)
 	for b.Loop() {
+		followed := known.Stamp()
 		sequence++
 		known.Beat(registry.Instance{ID: "i7", Service: "s", Address: "10.0.0.1:7", Zone: "z", Slots: int(sequence), Sequence: sequence}, 0)
-		r.gateway.SetServers("s", known.Usable("s"))
+		r.gateway.UpdateServers(known.Changed(followed))
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"petrelhook/internal/backend"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/quota"
-	"petrelhook/internal/registry"
 	"petrelhook/internal/rotation"
 	"petrelhook/internal/routetable"
 )
@@ -48,6 +47,7 @@
 
 	mutex     sync.Mutex // guards all below
 	services  map[string]*service
+	serviceOf map[string]string          // by instance
 	splits    map[string][]rotation.Turn // turns of a route's backends, by route
 	deadlines map[string]*deadlines      // by route
 	taker     *quota.Taker
@@ -56,12 +56,6 @@
 	uses      map[string]*placement.Uses // not yet told, by service
 }
 
-// service is the data plane's state of one service.
-type service struct {
-	pool  *placement.Pool
-	conns map[string]*backend.Pool // by instance
-}
-
 // Counts are totals since the start.
 type Counts struct {
 	Requests, Served, Refused, Failed, Retried, Resumed atomic.Int64
@@ -69,7 +63,7 @@
 
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, services: map[string]*service{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
+	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
 		taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
@@ -83,8 +77,9 @@
 	gone := func(route string) bool { return !t.HasRoute(route) }
 	maps.DeleteFunc(g.splits, func(route string, _ []rotation.Turn) bool { return gone(route) })
 	maps.DeleteFunc(g.deadlines, func(route string, _ *deadlines) bool { return gone(route) })
-	g.mutex.Unlock()
 	g.table.Store(t)
+	g.limitConnections()
+	g.mutex.Unlock()
 }
 
 // Limits are the tenants' limits of a configuration.
@@ -96,42 +91,6 @@
 	return limits
 }
 
-// SetServers hands in the servers of a service that requests may go to.
-func (g *Gateway) SetServers(name string, list []registry.Instance) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	s := g.services[name]
-	if s == nil {
-		s = &service{pool: placement.NewPool(g.options.Zone, g.options.Again), conns: map[string]*backend.Pool{}}
-		g.services[name] = s
-	}
-	servers := make([]placement.Server, 0, len(list))
-	for _, i := range list {
-		servers = append(servers, placement.Server{ID: i.ID, Address: i.Address, Zone: i.Zone, Slots: i.Slots})
-		if s.conns[i.ID] == nil {
-			s.conns[i.ID] = backend.NewPool(i.Address, g.connections(name))
-		}
-	}
-	for _, gone := range s.pool.Set(servers) {
-		s.conns[gone.ID].Close()
-		delete(s.conns, gone.ID)
-	}
-}
-
-// connections is this sidecar's part of what a server of a service takes.
-func (g *Gateway) connections(name string) int {
-	const part = 0.8
-	t := g.table.Load()
-	if t == nil {
-		return 2
-	}
-	s := t.Service(name)
-	if s == nil || s.MaxConnections == 0 {
-		return 64
-	}
-	return max(2, int(part*float64(s.MaxConnections)/float64(g.fleet.size)))
-}
-
 // SetFleet hands in how many sidecars there are.
 func (g *Gateway) SetFleet(n int) {
 	g.mutex.Lock()
@@ -140,11 +99,7 @@
 		return
 	}
 	g.retries.SetFleet(g.fleet.size)
-	for name, s := range g.services {
-		for _, c := range s.conns {
-			c.SetLimit(g.connections(name))
-		}
-	}
+	g.limitConnections()
 }
 
 // Prune closes connections to servers that have been idle for long.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 	gateway *Gateway
 	drawer  *drawer
 	url     string
-	servers []registry.Instance
+	servers int
 }
 
 func newRig(t testing.TB) *rig {
@@ -75,8 +75,8 @@
 }
 
 func (r *rig) add(address string) {
-	r.servers = append(r.servers, registry.Instance{ID: fmt.Sprint("i", len(r.servers)), Service: "s", Address: address, Zone: "z", Slots: 4})
-	r.gateway.SetServers("s", r.servers)
+	r.gateway.UpdateServers([]*registry.Entry{{Instance: registry.Instance{ID: fmt.Sprint("i", r.servers), Service: "s", Address: address, Zone: "z", Slots: 4}}})
+	r.servers++
 }
 
 func (r *rig) do(path string, header ...string) (*http.Response, string, error) {
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -50,11 +50,3 @@
 	}
 	return began.Add(min(time.Duration(startShare*float64(left)), startUsually))
 }
-
-// hasServer reports whether a service has a server that a request may go to.
-func (g *Gateway) hasServer(name string) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	s := g.services[name]
-	return s != nil && len(s.pool.Servers()) > 0
-}
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -1,11 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"petrelhook/internal/registry"
-	"petrelhook/internal/routetable"
-)
+import "petrelhook/internal/routetable"
 
 // apply puts in force what is newer than what the gateway has.
 func (n *Node) apply() {
@@ -15,13 +10,10 @@
 		n.setReservoir()
 		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
 	}
-	if (n.registry.Stamp() != n.listed || n.listedTable != n.compiled) && n.now()-n.lastListed >= n.listGap() {
-		n.listed, n.listedTable, n.lastListed = n.registry.Stamp(), n.compiled, n.now()
-		if t := n.gateway.Table(); t != nil {
-			for name := range t.Services() {
-				n.setServers(name, n.registry.Usable(name))
-			}
-		}
+	if n.registry.Stamp() != n.listed {
+		n.gateway.UpdateServers(n.registry.Changed(n.listed))
+		n.listed = n.registry.Stamp()
+		n.logServers()
 	}
 	if !n.ready.Load() && n.compiled > 0 && n.complete {
 		n.ready.Store(true)
@@ -29,16 +21,12 @@
 	}
 }
 
-// listGap is the least time between two lists of servers for the gateway: a list costs as much as it is long, and many
-// servers come at once after an outage.
-func (n *Node) listGap() time.Duration {
-	return min(listGapMost, time.Duration(n.registry.Len())*listGapEach)
-}
-
-func (n *Node) setServers(name string, list []registry.Instance) {
-	n.gateway.SetServers(name, list)
-	if n.usable[name] != len(list) {
-		n.usable[name] = len(list)
-		n.logger.Info().Str("service", name).Int("usable", len(list)).Msg("servers")
+// logServers logs how many servers of each service requests may go to, where that is another number than before.
+func (n *Node) logServers() {
+	for name, count := range n.gateway.Servers() {
+		if n.usable[name] != count {
+			n.usable[name] = count
+			n.logger.Info().Str("service", name).Int("usable", count).Msg("servers")
+		}
 	}
 }
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -15,6 +15,9 @@
 	heard   time.Duration
 	touch   bool
 	avoid   map[string]time.Duration // homes that failed, until when
+	scrub   scrub
+	// wantsWhole has the next session ask for the whole list of servers.
+	wantsWhole bool
 }
 
 // tickSessions keeps this node's sessions alive.
@@ -77,6 +80,9 @@
 	if m.Core {
 		m.Sessions = n.sessions.PeerStamp(to, has.life)
 	}
+	if to == n.home.address {
+		m.Whole, n.home.wantsWhole = n.home.wantsWhole, false
+	}
 	n.transport.Send(to, m)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,10 +37,9 @@
 	quotaEvery     = 500 * time.Millisecond
 	pruneEvery     = 2 * time.Second
 	homeReview     = 5 * time.Second
+	forgetEvery    = 5 * time.Second
 	silentBeats    = 4.5 // heartbeats that a server may miss
 	bodyShare      = 4   // of the machine's memory one part is for clients' bodies
-	listGapEach    = 400 * time.Microsecond
-	listGapMost    = 250 * time.Millisecond
 	expireEvery    = 250 * time.Millisecond
 	pushGap        = 15 * time.Millisecond  // between two pushes at the least
 	pushGapEach    = 500 * time.Microsecond // for each subscriber, where that is more
@@ -87,9 +86,8 @@
 	pendingDrains map[uint64]*pendingDrain
 	token         uint64
 
-	compiled     uint64 // version of the gateway's table
-	listed       uint64 // stamp of the gateway's servers
-	listedTable  uint64
+	compiled     uint64         // version of the gateway's table
+	listed       uint64         // stamp of the gateway's servers
 	usable       map[string]int // servers by service, as logged last
 	lastSession  time.Duration
 	lastQuota    time.Duration
@@ -97,7 +95,7 @@
 	lastPrune    time.Duration
 	lastPush     time.Duration
 	lastExpire   time.Duration
-	lastListed   time.Duration
+	lastForget   time.Duration
 	pushLater    bool
 	touchedSince time.Duration
 	lastSeeds    time.Duration
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -96,7 +96,7 @@
 	n.onPush("10.0.1.1:7000", &dissemination.Push{Life: 2, InTouch: true, Stamp: 0, Version: 2, SessionsStamp: 1}, time.Second)
 	n.apply()
 	require.Equal(t, uint64(3), n.Version())
-	require.Len(t, n.registry.Usable("s"), 1)
+	require.Equal(t, map[string]int{"s": 1}, n.gateway.Servers())
 }
 
 // Servers come from the disk after a restart, without those that were lost, and in the order in which they were heard.
@@ -112,10 +112,12 @@
 	again := newNode(t, core)
 	again.loadServers()
 	var ids []string
-	for _, i := range again.registry.Usable("s") {
-		ids = append(ids, i.ID)
+	for _, e := range again.registry.Changed(0) {
+		if e.Usable() {
+			ids = append(ids, e.ID)
+		}
 	}
-	require.Equal(t, []string{"new", "other"}, ids)
+	require.ElementsMatch(t, []string{"new", "other"}, ids)
 	require.True(t, again.cached)
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -38,14 +38,11 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	s := Status{Node: n.settings.NodeName, Zone: n.settings.Zone, Ready: n.ready.Load(), Core: n.core(), Primary: n.replica.Primary(),
-		Home: n.home.address, View: n.view, Replica: n.replica.Status(), Version: n.compiled, Fleet: n.fleet, Servers: map[string]int{},
+		Home: n.home.address, View: n.view, Replica: n.replica.Status(), Version: n.compiled, Fleet: n.fleet, Servers: n.gateway.Servers(),
 		SentBytes: n.transport.Sent()}
 	s.InTouch = s.Core && n.replica.InTouch() || !s.Core && n.home.touch && n.now()-n.home.heard < homeSilent
 	if t := n.gateway.Table(); t != nil {
 		s.Generation = t.Generation
-		for name := range t.Services() {
-			s.Servers[name] = len(n.registry.Usable(name))
-		}
 	}
 	c := &n.gateway.Counts
 	s.Requests, s.Served, s.Refused = c.Requests.Load(), c.Served.Load(), c.Refused.Load()
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -19,6 +19,7 @@
 	sessions uint64
 	sent     time.Duration // when something was last sent that it lacked
 	heard    time.Duration
+	whole    bool                       // it asked for the whole list of servers
 	fresh    map[string]bool            // servers heard here that it was not told of
 	uses     map[string]*placement.Uses // not yet told, by service
 }
@@ -61,6 +62,10 @@
 	case m.HomeLife == n.life && arrived:
 		s.stamp, s.version, s.sessions = m.Stamp, m.Version, m.Sessions
 	}
+	s.whole = m.Whole && !m.Core
+	if s.whole {
+		s.stamp = 0
+	}
 	n.push(s, now)
 }
 
@@ -89,7 +94,8 @@
 		p.View = &view
 		s.view = n.view.Epoch
 	}
-	p.FromStamp, p.Stamp = s.stamp, n.registry.Stamp()
+	p.FromStamp, p.Stamp, p.Digest = s.stamp, n.registry.Stamp(), n.registry.Digest()
+	p.Whole, s.whole = s.whole, false
 	if s.stamp < p.Stamp {
 		p.Instances = n.registry.Since(s.stamp, now)
 		s.stamp = p.Stamp
@@ -167,15 +173,7 @@
 		return // an introduction
 	}
 	before := n.registry.Stamp()
-	for _, u := range p.Instances {
-		if n.core() {
-			n.registry.Merge(u, now)
-		} else {
-			n.registry.Adopt(u, now)
-		}
-	}
-	n.registry.Refresh(p.Heard, now)
-	n.follow(from, p)
+	n.takeServers(from, p, now)
 	if n.core() {
 		n.sessions.Peer(from, p.Life, p.SessionsStamp, p.Nodes, now)
 	}
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -26,6 +26,10 @@
 		n.lastPrune = now
 		n.gateway.Prune()
 	}
+	if now-n.lastForget > forgetEvery {
+		n.lastForget = now
+		n.registry.Forget(n.listed, now)
+	}
 	n.apply()
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -101,31 +101,30 @@
 // Affine reports whether a request goes where its shared part is kept.
 func (r *Request) Affine() bool { return r.Key != "" && r.Shared >= sharedWorth }
 
-// Set takes in the servers that may be used; what is known of those that stay is kept. It returns those that left.
-func (p *Pool) Set(list []Server) (gone []*Server) {
-	next := make(map[string]*Server, len(list))
-	ordered := make([]*Server, 0, len(list))
-	for i := range list {
-		s := p.servers[list[i].ID]
-		if s == nil {
-			added := list[i]
-			s = &added
-		}
-		s.Address, s.Zone = list[i].Address, list[i].Zone
-		next[s.ID] = s
-		ordered = append(ordered, s)
-	}
-	for id, s := range p.servers {
-		if next[id] == nil {
-			gone = append(gone, s)
-		}
+// Put adds a server that may be used, or takes in what is new of one; what was learned of it is kept.
+func (p *Pool) Put(s Server) {
+	if old := p.servers[s.ID]; old != nil {
+		old.Address, old.Zone = s.Address, s.Zone
+		return
 	}
-	byID := func(a, b *Server) int { return strings.Compare(a.ID, b.ID) }
-	if !slices.IsSortedFunc(ordered, byID) {
-		slices.SortFunc(ordered, byID)
+	at, _ := p.position(s.ID)
+	p.servers[s.ID] = &s
+	p.ordered = slices.Insert(p.ordered, at, &s)
+}
+
+// Remove takes away a server that may not be used any more.
+func (p *Pool) Remove(id string) {
+	at, ok := p.position(id)
+	if !ok {
+		return
 	}
-	p.servers, p.ordered = next, ordered
-	return gone
+	delete(p.servers, id)
+	p.ordered = slices.Delete(p.ordered, at, at+1)
+}
+
+// position is where a server stands in the order, or would.
+func (p *Pool) position(id string) (int, bool) {
+	return slices.BinarySearchFunc(p.ordered, id, func(s *Server, id string) int { return strings.Compare(s.ID, id) })
 }
 
 // Servers lists the servers, by ID.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -14,7 +14,9 @@
 	for i := range n {
 		list = append(list, Server{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Slots: 16})
 	}
-	p.Set(list)
+	for _, s := range list {
+		p.Put(s)
+	}
 	return p
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,8 +8,6 @@
 
 import (
 	"slices"
-	"sort"
-	"strings"
 	"time"
 )
 
@@ -46,9 +44,11 @@
 // Entry is what a registry holds of an instance.
 type Entry struct {
 	Instance
-	Lost  bool // silent for too long, or another server has its address
-	Stamp uint64
-	Heard time.Duration // when
+	Lost     bool // silent for too long, or another server has its address
+	Stamp    uint64
+	Heard    time.Duration // when
+	changed  time.Duration // when, last
+	digested uint64        // what it adds to the registry's digest
 }
 
 // Usable reports whether requests may go there.
@@ -60,24 +60,10 @@
 	places  map[string][]*Entry // by address: more than one only while an address passes on
 	stamp   uint64
 	changes []change // in the order of their stamps; each entry's last change is in it
+	digest  uint64
 	fresh   []string // heard here since Fresh was called
 }
 
-// change is one change of an entry.
-type change struct {
-	stamp uint64
-	entry *Entry
-}
-
-// last reports whether the entry has not changed since, and is still there.
-func (c change) last() bool { return c.entry.Stamp == c.stamp }
-
-// keepGone is for how long the end of an instance is remembered.
-const keepGone = 2 * time.Minute
-
-// spareChanges is how many changes that others have followed are kept beside two for each entry.
-const spareChanges = 64
-
 // heardAgain is how recent a heartbeat has to be for an instance that was lost to be back.
 const heardAgain = time.Second
 
@@ -99,9 +85,12 @@
 	return g.merge(i, now, now)
 }
 
-// Merge takes in what another control sidecar says. Whether an instance is lost each of them judges by itself, from when it
-// was heard: a word that is taken over both ways would go back and forth for ever.
+// Merge takes in what another control sidecar says. Whether an instance that is known is lost each of them judges by itself,
+// from when it was heard: a word that is taken over both ways would go back and forth for ever.
 func (g *Registry) Merge(u Update, now time.Duration) bool {
+	if g.entries[u.Instance.ID] == nil {
+		return g.Adopt(u, now)
+	}
 	return g.merge(u.Instance, now-u.Age, now)
 }
 
@@ -110,7 +99,7 @@
 	changed := g.merge(u.Instance, now-u.Age, now)
 	if e := g.entries[u.Instance.ID]; e.Lost != u.Lost {
 		e.Lost = u.Lost
-		g.change(e)
+		g.change(e, now)
 		changed = true
 	}
 	return changed
@@ -122,8 +111,8 @@
 		e = &Entry{Instance: i, Heard: heard}
 		g.entries[i.ID] = e
 		g.places[i.Address] = append(g.places[i.Address], e)
-		g.change(e)
-		g.takeAddress(e)
+		g.change(e, now)
+		g.takeAddress(e, now)
 		return true
 	}
 	changed := false
@@ -149,26 +138,17 @@
 		}
 	}
 	if changed {
-		g.change(e)
+		g.change(e, now)
 	}
 	return changed
 }
 
-func (g *Registry) change(e *Entry) {
-	g.stamp++
-	e.Stamp = g.stamp
-	g.changes = append(g.changes, change{g.stamp, e})
-	if len(g.changes) > 2*len(g.entries)+spareChanges {
-		g.changes = slices.DeleteFunc(g.changes, func(c change) bool { return !c.last() })
-	}
-}
-
 // takeAddress marks instances lost that had the address of one that was heard later.
-func (g *Registry) takeAddress(e *Entry) {
+func (g *Registry) takeAddress(e *Entry, now time.Duration) {
 	for _, other := range g.places[e.Address] {
 		if other != e && !other.Lost && other.State != Gone && other.Heard < e.Heard {
 			other.Lost = true
-			g.change(other)
+			g.change(other, now)
 		}
 	}
 }
@@ -190,7 +170,7 @@
 			e.Heard = now
 			if e.Lost && g.owns(e) {
 				e.Lost = false
-				g.change(e)
+				g.change(e, now)
 			}
 		}
 	}
@@ -204,20 +184,14 @@
 }
 
 // Expire judges who is lost: those that have been silent for longer than a time, and those at whose address another was
-// heard later. It forgets ends that are long past.
+// heard later.
 func (g *Registry) Expire(silence, now time.Duration) bool {
 	changed := false
-	for id, e := range g.entries {
-		if (e.State == Gone || e.Lost) && now-e.Heard > keepGone {
-			delete(g.entries, id)
-			e.Stamp = 0 // its changes are told no more
-			g.leave(e)
-			continue
-		}
+	for _, e := range g.entries {
 		lost := now-e.Heard > silence || !g.owns(e)
 		if e.State != Gone && e.Lost != lost {
 			e.Lost = lost
-			g.change(e)
+			g.change(e, now)
 			changed = true
 		}
 	}
@@ -233,28 +207,3 @@
 	}
 	g.places[e.Address] = rest
 }
-
-// Since lists what changed after a stamp, in the order of the changes. It takes as long as there are changes since, for it is asked
-// for every subscriber at every push.
-func (g *Registry) Since(stamp uint64, now time.Duration) []Update {
-	first := sort.Search(len(g.changes), func(i int) bool { return g.changes[i].stamp > stamp })
-	var out []Update
-	for _, c := range g.changes[first:] {
-		if c.last() {
-			out = append(out, Update{Instance: c.entry.Instance, Lost: c.entry.Lost, Age: now - c.entry.Heard})
-		}
-	}
-	return out
-}
-
-// Usable lists the instances of a service that requests may go to, by ID.
-func (g *Registry) Usable(service string) []Instance {
-	var out []Instance
-	for _, e := range g.entries {
-		if e.Service == service && e.Usable() {
-			out = append(out, e.Instance)
-		}
-	}
-	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -10,6 +10,18 @@
 	"github.com/stretchr/testify/require"
 )
 
+// usable lists the instances of a service that requests may go to, by ID.
+func usable(g *Registry, service string) []string {
+	var ids []string
+	for id, e := range g.entries {
+		if e.Service == service && e.Usable() {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 func instance(id string, sequence int64, state State) Instance {
 	return Instance{ID: id, Service: "llm", Address: "10.0.0.1:80", State: state, Sequence: sequence}
 }
@@ -18,7 +30,7 @@
 	g := New()
 	require.True(t, g.Beat(instance("a", 5, Draining), time.Second))
 	require.False(t, g.Beat(instance("a", 4, Ready), 2*time.Second))
-	require.Empty(t, g.Usable("llm"))
+	require.Empty(t, usable(g, "llm"))
 }
 
 func TestADrainIsNotTakenBack(t *testing.T) {
@@ -33,9 +45,9 @@
 	g.Beat(instance("a", 1, Ready), 0)
 	require.False(t, g.Expire(5*time.Second, 4*time.Second))
 	require.True(t, g.Expire(5*time.Second, 6*time.Second))
-	require.Empty(t, g.Usable("llm"))
+	require.Empty(t, usable(g, "llm"))
 	require.True(t, g.Beat(instance("a", 2, Ready), 7*time.Second))
-	require.Len(t, g.Usable("llm"), 1)
+	require.Len(t, usable(g, "llm"), 1)
 }
 
 func TestAnAddressIsTakenOver(t *testing.T) {
@@ -44,8 +56,8 @@
 	other := instance("b", 1, Ready)
 	other.Service = "registry"
 	g.Beat(other, 3*time.Second)
-	require.Empty(t, g.Usable("llm"))
-	require.Len(t, g.Usable("registry"), 1)
+	require.Empty(t, usable(g, "llm"))
+	require.Len(t, usable(g, "registry"), 1)
 }
 
 // Two control sidecars that judge differently who is lost tell one another no end of news, if either takes over the
@@ -72,16 +84,16 @@
 	}
 	require.Less(t, messages, 6)
 	a.Expire(4*time.Second, now)
-	require.Len(t, a.Usable("llm"), 1)
-	require.Len(t, b.Usable("llm"), 1)
+	require.Len(t, usable(a, "llm"), 1)
+	require.Len(t, usable(b, "llm"), 1)
 }
 
 func TestASubscriberAdoptsItsHomesWord(t *testing.T) {
 	g := New()
 	g.Adopt(Update{Instance: instance("a", 1, Ready)}, time.Second)
-	require.Len(t, g.Usable("llm"), 1)
+	require.Len(t, usable(g, "llm"), 1)
 	require.True(t, g.Adopt(Update{Instance: instance("a", 1, Ready), Lost: true}, 2*time.Second))
-	require.Empty(t, g.Usable("llm"))
+	require.Empty(t, usable(g, "llm"))
 }
 
 // What is read from a disk after a restart is older than it looks: the instance that lives at an address wins as soon as it
@@ -90,11 +102,11 @@
 	g := New()
 	g.Beat(instance("new", 1, Ready), time.Second)
 	g.Merge(Update{Instance: instance("dead", 9, Ready)}, 2*time.Second)
-	require.Equal(t, "dead", g.Usable("llm")[0].ID)
+	require.Equal(t, "dead", usable(g, "llm")[0])
 	g.Beat(instance("new", 2, Ready), 3*time.Second)
 	g.Expire(5*time.Second, 3*time.Second)
-	require.Len(t, g.Usable("llm"), 1)
-	require.Equal(t, "new", g.Usable("llm")[0].ID)
+	require.Len(t, usable(g, "llm"), 1)
+	require.Equal(t, "new", usable(g, "llm")[0])
 }
 
 // What changed since any stamp is what a look at all entries would find, however often entries change, come and are forgotten; and
@@ -109,6 +121,7 @@
 		g.Beat(Instance{ID: id, Service: "s", Address: fmt.Sprint("a", random.Intn(30)), State: State(random.Intn(3) / 2), Sequence: int64(step)}, now)
 		if random.Intn(5) == 0 {
 			g.Expire(5*time.Second, now)
+			g.Forget(g.Stamp(), now)
 		}
 		stamp := uint64(random.Intn(int(g.Stamp()) + 1))
 		var want []string
@@ -126,3 +139,70 @@
 		require.LessOrEqual(t, len(g.changes), 2*len(g.entries)+spareChanges+1)
 	}
 }
+
+// An instance that is heard of for the first time from another control sidecar, which has lost it, is not taken for usable until
+// the next judgement.
+func TestAnUnknownInstanceThatOthersHaveLost(t *testing.T) {
+	g := New()
+	g.Merge(Update{Instance: instance("a", 1, Ready), Lost: true, Age: time.Minute}, 2*time.Minute)
+	require.Empty(t, usable(g, "llm"))
+	g.Beat(instance("a", 2, Ready), 3*time.Minute)
+	require.Len(t, usable(g, "llm"), 1)
+}
+
+// Whoever follows a registry hears of an end before it is forgotten, and ends are forgotten.
+func TestEndsAreForgottenOnceTheyWereFollowed(t *testing.T) {
+	g := New()
+	g.Beat(instance("a", 1, Ready), 0)
+	stamp := g.Stamp()
+	g.Expire(5*time.Second, time.Hour) // a process that was suspended
+	g.Forget(stamp, time.Hour)
+	require.Len(t, g.Changed(stamp), 1, "it has just been lost")
+	g.Forget(g.Stamp(), time.Hour+keepEnded)
+	require.Len(t, g.Changed(stamp), 1)
+	g.Forget(stamp, 2*time.Hour)
+	require.Len(t, g.Changed(stamp), 1, "nobody has followed it")
+	g.Forget(g.Stamp(), 2*time.Hour)
+	require.Zero(t, g.Len())
+	require.Empty(t, g.places)
+	require.Empty(t, g.Changed(0))
+}
+
+// Registries that list the same usable instances have the same digest, however they came to it.
+func TestDigest(t *testing.T) {
+	random := rand.New(rand.NewSource(2))
+	home, subscriber := New(), New()
+	now, followed := time.Duration(0), uint64(0)
+	for step := range 3_000 {
+		now += time.Duration(random.Intn(400)) * time.Millisecond
+		id := fmt.Sprint("i", random.Intn(40))
+		home.Beat(Instance{ID: id, Service: "s", Address: fmt.Sprint("a", random.Intn(30)), State: State(random.Intn(3) / 2), Sequence: int64(step)}, now)
+		home.Expire(5*time.Second, now)
+		home.Forget(home.Stamp(), now)
+		if random.Intn(3) > 0 {
+			continue
+		}
+		for _, u := range home.Since(followed, now) {
+			subscriber.Adopt(u, now)
+		}
+		followed = home.Stamp()
+		subscriber.Forget(subscriber.Stamp(), now)
+		require.Equal(t, usable(home, "s"), usable(subscriber, "s"))
+		require.Equal(t, home.Digest(), subscriber.Digest())
+	}
+	home.Beat(Instance{ID: "more", Service: "s", Address: "more", Sequence: 1}, now)
+	require.NotEqual(t, home.Digest(), subscriber.Digest())
+}
+
+// A whole list takes away what the home no longer has, which a subscriber that was cut off for long never hears of.
+func TestAWholeListReplaces(t *testing.T) {
+	home, subscriber := New(), New()
+	for _, g := range []*Registry{home, subscriber} {
+		g.Beat(Instance{ID: "stays", Service: "s", Address: "a", Sequence: 1}, 0)
+	}
+	subscriber.Beat(Instance{ID: "ended", Service: "s", Address: "b", Sequence: 1}, 0)
+	home.Beat(Instance{ID: "new", Service: "s", Address: "c", Sequence: 1}, 0)
+	subscriber.Replace(home.Since(0, time.Second), time.Second)
+	require.Equal(t, []string{"new", "stays"}, usable(subscriber, "s"))
+	require.Equal(t, home.Digest(), subscriber.Digest())
+}
