Servers that fail more than others are found by all sidecars together

A server that takes requests and never answers counted as nothing at all. Change: internal/outlier (pure): sidecars report how sends ended, homes tell one another of servers in doubt, each judges its zone and the fleet, ejects with few trials, never more than half of a service, never on one teller's word; petrelrouter admit overrules, status explains. Time-outs and refusals with free places count.

--- a/cmd/petrelrouter/commands.go
+++ b/cmd/petrelrouter/commands.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -25,7 +27,8 @@
 const (
 	memoryShare   = 0.7 // of the limit, at which the collector works harder
 	megabyte      = 1 << 20
-	statusTimeout = 3 * time.Second
+	callTimeout   = 3 * time.Second
+	defaultAdmit  = 10 * time.Minute
 )
 
 func argument(c *cli.Command) (string, error) {
@@ -100,8 +103,7 @@
 		return err
 	}
 	var got node.Status
-	client := &http.Client{Timeout: statusTimeout}
-	answer, err := sling.New().Client(client).Base("http://" + address).Get(node.StatusPath).ReceiveSuccess(&got)
+	answer, err := call(address).Get(node.StatusPath).ReceiveSuccess(&got)
 	if err != nil {
 		return cli.Exit(err, exitBad)
 	}
@@ -111,6 +113,36 @@
 	return printJSON(c, got)
 }
 
+// admit tells a machine of the core that a server is not to be ejected for some time.
+func admit(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return cli.Exit(c.Name+" takes "+c.ArgsUsage, exitUsage)
+	}
+	query := struct {
+		For string `url:"for"`
+	}{c.Duration("for").String()}
+	path := "/-/servers/" + url.PathEscape(c.Args().Get(1)) + "/admit"
+	request, err := call(c.Args().Get(0)).Post(path).QueryStruct(query).Request()
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
+	answer, err := (&http.Client{Timeout: callTimeout}).Do(request)
+	if err != nil {
+		return cli.Exit(err, exitBad)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(answer.Body, megabyte))
+		return cli.Exit("it answers "+answer.Status+": "+strings.TrimSpace(string(text)), exitBad)
+	}
+	return nil
+}
+
+// call begins a call to a router's control address.
+func call(address string) *sling.Sling {
+	return sling.New().Client(&http.Client{Timeout: callTimeout}).Base("http://" + address)
+}
+
 func printJSON(c *cli.Command, value any) error {
 	encoder := json.NewEncoder(c.Root().Writer)
 	encoder.SetIndent("", "  ")
--- a/cmd/petrelrouter/main.go
+++ b/cmd/petrelrouter/main.go
@@ -33,6 +33,8 @@
 			{Name: "check", Usage: "judge a settings file or a deploy file", ArgsUsage: "FILE", Action: check},
 			{Name: "state", Usage: "print what the disk of a stopped router holds", ArgsUsage: "FOLDER", Action: state},
 			{Name: "status", Usage: "ask a router who it is, who leads, and what is in force there", ArgsUsage: "CONTROL-ADDRESS", Action: status},
+			{Name: "admit", Usage: "have requests go to a server for some time, whatever is believed of it", ArgsUsage: "CONTROL-ADDRESS SERVER",
+				Flags: []cli.Flag{&cli.DurationFlag{Name: "for", Value: defaultAdmit, Usage: "how long"}}, Action: admit},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"petrelhook/internal/membership"
+	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
@@ -56,6 +57,21 @@
 // Used tells where shared parts of prompts were read; it is lost without harm.
 type Used struct{ Uses []placement.Uses }
 
+// Outcomes tells a home how the sends of a subscriber ended; it is lost without harm.
+type Outcomes struct{ Report outlier.Report }
+
+// OutcomeSums tells another control sidecar what this one's subscribers saw of servers that are in doubt.
+type OutcomeSums struct{ Sums []outlier.Sum }
+
+// Ejections are the servers that a home's subscribers leave alone, all that there are.
+type Ejections struct{ Servers []outlier.Ejection }
+
+// Admit tells another control sidecar of an operator's word that a server is not to be ejected.
+type Admit struct {
+	Server string
+	For    time.Duration
+}
+
 // ForwardedHeartbeat brings a server's call to a control sidecar; Request is not 0 where the sender waits for HeartbeatAck.
 type ForwardedHeartbeat struct {
 	Request  uint64
@@ -104,7 +120,7 @@
 
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Used{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
+		Session{}, Push{}, Used{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
 	} {
 		gob.Register(m)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,44 +121,33 @@
 // attempt sends a request to one server and passes the answer on.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request,
 	server *placement.Server, conns *backend.Pool) outcome {
+	sent := time.Now()
 	answer, err := conns.Do(ctx, g.outgoing(r, req, server))
 	if err != nil {
-		return g.failed(ctx, req, server, err)
+		return g.failed(ctx, req, server, sent, err)
 	}
 	defer answer.Close()
 	req.sends++
-	g.note(server, answer)
+	load, told := parseLoad(answer.Header.Get("X-Server-Load"))
+	if told {
+		g.note(server, load)
+	}
 	if answer.Header.Get("X-Not-Executed") != "" || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
-		g.ended(server, func(now time.Duration) {
-			if answer.Status == http.StatusMisdirectedRequest {
-				server.Health.Failure(now, true)
-			}
-		})
+		g.ended(server, judgeRefusal(answer.Status, load, told))
 		return notExecuted
 	}
 	req.mayHaveRun = true
 	result := g.relay(ctx, w, req, answer)
-	g.ended(server, func(now time.Duration) {
-		switch {
-		case result == answered && answer.Status < 500:
-			server.Health.Success()
-		case result != expired:
-			server.Health.Failure(now, false)
-		}
-	})
+	g.ended(server, judgeAnswer(result, answer.Status))
 	return result
 }
 
 // failed judges a send that got no answer.
-func (g *Gateway) failed(ctx context.Context, req *request, server *placement.Server, err error) outcome {
+func (g *Gateway) failed(ctx context.Context, req *request, server *placement.Server, sent time.Time, err error) outcome {
 	gone := ctx.Err() != nil
 	unsent := errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrNoRoom)
-	g.ended(server, func(now time.Duration) {
-		if !gone && !errors.Is(err, backend.ErrNoRoom) {
-			server.Health.Failure(now, unsent)
-		}
-	})
+	g.ended(server, judgeError(ctx, req, time.Since(sent), err))
 	if !unsent {
 		req.sends++
 		req.mayHaveRun = true
@@ -174,30 +163,6 @@
 	return mayHaveRun
 }
 
-func (g *Gateway) ended(server *placement.Server, judge func(now time.Duration)) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	server.Ended()
-	judge(g.options.Now())
-}
-
-// note takes in the load that an answer tells.
-func (g *Gateway) note(server *placement.Server, answer *backend.Response) {
-	parts := strings.Split(answer.Header.Get("X-Server-Load"), ",")
-	if len(parts) != 3 {
-		return
-	}
-	running, err1 := strconv.ParseFloat(strings.TrimSpace(parts[0]), 64)
-	waiting, err2 := strconv.ParseFloat(strings.TrimSpace(parts[1]), 64)
-	slots, err3 := strconv.Atoi(strings.TrimSpace(parts[2]))
-	if err1 != nil || err2 != nil || err3 != nil {
-		return
-	}
-	g.mutex.Lock()
-	server.Report(running, waiting, slots, g.options.Now())
-	g.mutex.Unlock()
-}
-
 // connectionHeaders concern one connection only.
 var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"petrelhook/internal/backend"
+	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/quota"
 	"petrelhook/internal/rotation"
@@ -54,6 +55,7 @@
 	retries   *quota.RetryBudget
 	fleet     fleetSize
 	uses      map[string]*placement.Uses // not yet told, by service
+	tally     *outlier.Tally
 }
 
 // Counts are totals since the start.
@@ -64,7 +66,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
-		taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		tally: outlier.NewTally(), taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -26,6 +26,7 @@
 	mux.HandleFunc("POST /-/config/replace", func(w http.ResponseWriter, r *http.Request) { n.serveOrder(w, r, operatorapi.Replace) })
 	mux.HandleFunc("POST /-/config/update", func(w http.ResponseWriter, r *http.Request) { n.serveOrder(w, r, operatorapi.Update) })
 	mux.HandleFunc("GET /-/config/read", n.serveRead)
+	mux.HandleFunc("POST /-/servers/{id}/admit", n.serveAdmit)
 	mux.HandleFunc("GET "+StatusPath, n.serveStatus)
 	return mux
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"petrelhook/internal/gateway"
 	"petrelhook/internal/membership"
 	"petrelhook/internal/operatorapi"
+	"petrelhook/internal/outlier"
 	"petrelhook/internal/quota"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
@@ -78,6 +79,7 @@
 	eligible    map[string]replication.Member
 
 	home          home
+	outliers      outliers
 	subscribers   map[string]*subscriber
 	upstream      map[string]upstreamStamp // by address of who pushes
 	complete      bool                     // the list of servers is whole
@@ -117,6 +119,7 @@
 	n.pushTimer = time.NewTimer(time.Hour)
 	n.pushTimer.Stop()
 	n.lastSession = -sessionEvery
+	n.outliers.detector = outlier.NewDetector(usableServers{n})
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -22,6 +22,14 @@
 		n.onPush(from, &m, now)
 	case dissemination.Used:
 		n.onUsed(from, m)
+	case dissemination.Outcomes:
+		n.onOutcomes(from, m, now)
+	case dissemination.OutcomeSums:
+		n.onOutcomeSums(from, m, now)
+	case dissemination.Ejections:
+		n.onEjections(from, m)
+	case dissemination.Admit:
+		n.onAdmit(from, m, now)
 	case dissemination.ForwardedHeartbeat:
 		n.onForwardedHeartbeat(from, m, now)
 	case dissemination.HeartbeatAck:
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"petrelhook/internal/outlier"
 	"petrelhook/internal/replication"
 )
 
@@ -30,7 +31,8 @@
 	Refused    int64
 	Failed     int64
 	Retried    int64
-	SentBytes  uint64 // to other sidecars
+	SentBytes  uint64            // to other sidecars
+	Doubted    []outlier.Finding // servers that fail more than others, at a control sidecar
 }
 
 // Status tells the status.
@@ -44,6 +46,9 @@
 	if t := n.gateway.Table(); t != nil {
 		s.Generation = t.Generation
 	}
+	if s.Core {
+		s.Doubted = n.outliers.detector.Explain(n.now())
+	}
 	c := &n.gateway.Counts
 	s.Requests, s.Served, s.Refused = c.Requests.Load(), c.Served.Load(), c.Refused.Load()
 	s.Failed, s.Retried = c.Failed.Load(), c.Retried.Load()
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -22,6 +22,7 @@
 	n.tickSessions(now)
 	n.tickQuota(now)
 	n.tickUses(now)
+	n.tickOutliers(now)
 	if now-n.lastPrune > pruneEvery {
 		n.lastPrune = now
 		n.gateway.Prune()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strconv"
@@ -87,12 +88,13 @@
 	servers map[string]*Server
 	ordered []*Server
 	recent  recent
+	ejected ejected
 }
 
 // NewPool makes an empty pool of a sidecar in a zone; again is for how long a part counts as kept after its last use, 0 where
 // that is not said.
 func NewPool(zone string, again time.Duration) *Pool {
-	return &Pool{zone: zone, servers: map[string]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
+	return &Pool{zone: zone, ejected: ejected{random: rand.Float64}, servers: map[string]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
 }
 
 // Used notes that a server was sent a part, by this sidecar or another.
@@ -132,6 +134,9 @@
 
 // Pick chooses a server for a first send; usable says whether one may be used besides. It returns nil where none is left.
 func (p *Pool) Pick(r Request, usable func(*Server) bool, now time.Duration) *Server {
+	if s := p.trial(r, usable, now); s != nil {
+		return s
+	}
 	candidates := p.candidates(r, usable, now)
 	if len(candidates) == 0 {
 		return nil
@@ -166,7 +171,7 @@
 	return s.Load(now) < best.Load(now)
 }
 
-// candidates are the servers that may have the request; those that rest only where no other may.
+// candidates are the servers that may have the request; those that rest or are ejected only where no other may.
 func (p *Pool) candidates(r Request, usable func(*Server) bool, now time.Duration) []*Server {
 	out := make([]*Server, 0, len(p.ordered))
 	var resting []*Server
@@ -174,7 +179,7 @@
 		if r.Tried[s.ID] || !usable(s) {
 			continue
 		}
-		if s.Health.Resting(now) {
+		if s.Health.Resting(now) || p.ejected.holds(s.ID, now) {
 			resting = append(resting, s)
 			continue
 		}
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -57,6 +57,13 @@
 	h.rests++
 }
 
+// TimedOut counts an error of a server that did not answer in time. It does not rest for that: where all servers are slow, those that
+// are asked least would be asked least of all.
+func (h *Health) TimedOut(now time.Duration) {
+	h.errors++
+	h.last = now
+}
+
 // Resting reports whether the server is left alone for now.
 func (h *Health) Resting(now time.Duration) bool { return now < h.restUntil }
 
