Quotas go on while nobody leads; quota's names are the field's

Change: each sidecar keeps a standing share, 0.8 of an equal part and never more than its last lease, for 12 s, then a third of it; a primary that does not hear a sidecar leaves it that much. Sidecars ask for leases also where they want nothing, so that a primary knows whom it hears. Reservoir, Draw, Taker are TokenBuckets, Acquire, Client.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -104,15 +104,15 @@
 	Shares map[string]float64
 }
 
-// QuotaDraw asks the primary's reservoir for units of a tenant's limit.
-type QuotaDraw struct {
+// QuotaAcquire acquires units of a tenant's limit.
+type QuotaAcquire struct {
 	Request     uint64
 	Tenant      string
 	Need, Extra float64
 }
 
-// QuotaDrawn answers QuotaDraw.
-type QuotaDrawn struct {
+// QuotaAcquired answers QuotaAcquire.
+type QuotaAcquired struct {
 	Request uint64
 	Given   float64
 	Wait    time.Duration
@@ -120,7 +120,7 @@
 
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Used{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaDraw{}, QuotaDrawn{},
+		Session{}, Push{}, Used{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaAcquire{}, QuotaAcquired{},
 	} {
 		gob.Register(m)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,7 @@
 	}
 	if !req.mayHaveRun && req.tenant != nil {
 		g.mutex.Lock()
-		g.taker.Return(req.tenant.Name, req.units, g.options.Now())
+		g.quota.Return(req.tenant.Name, req.units, g.options.Now())
 		g.mutex.Unlock()
 	}
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,7 @@
 type Options struct {
 	Zone         string
 	Now          func() time.Duration // the steady clock
-	Drawer       Drawer
+	Acquirer     Acquirer
 	Again        time.Duration // for which a shared part counts as kept after its last use
 	BodyMemory   int64         // for clients' bodies, all together; 0: no bound
 	BudgetRatio  float64
@@ -33,9 +33,9 @@
 	BudgetWindow time.Duration
 }
 
-// Drawer draws units of a tenant's limit from the reservoir of all sidecars. Not ok means that it is silent.
-type Drawer interface {
-	Draw(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool)
+// Acquirer acquires units of a tenant's limit, which all sidecars share, from the primary. Not ok means that it is silent.
+type Acquirer interface {
+	Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool)
 }
 
 // Gateway is an http.Handler for clients.
@@ -51,7 +51,7 @@
 	serviceOf map[string]string          // by instance
 	splits    map[string][]rotation.Turn // turns of a route's backends, by route
 	deadlines map[string]*deadlines      // by route
-	taker     *quota.Taker
+	quota     *quota.Client
 	retries   *quota.RetryBudget
 	fleet     fleetSize
 	uses      map[string]*placement.Uses // not yet told, by service
@@ -66,7 +66,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
-		tally: outlier.NewTally(), taker: quota.NewTaker(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		tally: outlier.NewTally(), quota: quota.NewClient(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
@@ -75,7 +75,9 @@
 // SetTable puts a configuration in force.
 func (g *Gateway) SetTable(t *routetable.Table) {
 	g.mutex.Lock()
-	g.taker.SetLimits(Limits(t), g.options.Now())
+	if !t.SharesTenants(g.table.Load()) {
+		g.quota.SetLimits(Limits(t), g.options.Now())
+	}
 	gone := func(route string) bool { return !t.HasRoute(route) }
 	maps.DeleteFunc(g.splits, func(route string, _ []rotation.Turn) bool { return gone(route) })
 	maps.DeleteFunc(g.deadlines, func(route string, _ *deadlines) bool { return gone(route) })
@@ -101,9 +103,17 @@
 		return
 	}
 	g.retries.SetFleet(g.fleet.size)
+	g.quota.SetFleet(g.fleet.size)
 	g.limitConnections()
 }
 
+// Fleet is how many sidecars there are as far as limits are concerned: as many as there were, for some time after there are fewer.
+func (g *Gateway) Fleet() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.fleet.size
+}
+
 // Prune closes connections to servers that have been idle for long.
 func (g *Gateway) Prune() {
 	g.mutex.Lock()
@@ -123,14 +133,14 @@
 func (g *Gateway) AskQuota() (nonce uint64, demand, held map[string]float64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.taker.Ask(g.options.Now())
+	return g.quota.Ask(g.options.Now())
 }
 
 // QuotaGranted takes in the answer.
 func (g *Gateway) QuotaGranted(nonce uint64, shares map[string]float64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.taker.Granted(nonce, shares, g.options.Now())
+	g.quota.Granted(nonce, shares, g.options.Now())
 }
 
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,43 +28,43 @@
 "Services":[{"Name":"s","MaxConnections":50}],"Limits":{"MaxBodyBytes":1000,"MaxHeaderBytes":4000},
 "Tenants":[{"Name":"t1","ApiKeys":["k1"],"Unit":"token_based","UncachedTokens":200,"RatePerS":100,"Burst":100}]}`
 
-// drawer is a reservoir that the test answers for.
-type drawer struct {
+// acquirer is a primary that the test answers for.
+type acquirer struct {
 	silent, empty atomic.Bool
-	drawn         atomic.Int64
+	acquired      atomic.Int64
 }
 
-func (d *drawer) Draw(_ context.Context, _ string, need, _ float64) (float64, time.Duration, bool) {
+func (d *acquirer) Acquire(_ context.Context, _ string, need, _ float64) (float64, time.Duration, bool) {
 	if d.silent.Load() {
 		return 0, 0, false
 	}
 	if d.empty.Load() {
 		return 0, time.Second, true
 	}
-	d.drawn.Add(int64(need))
+	d.acquired.Add(int64(need))
 	return need, 0, true
 }
 
 // rig is a gateway before servers that the test writes.
 type rig struct {
-	t       testing.TB
-	gateway *Gateway
-	drawer  *drawer
-	url     string
-	servers int
+	t        testing.TB
+	gateway  *Gateway
+	acquirer *acquirer
+	url      string
+	servers  int
 }
 
 func newRig(t testing.TB) *rig {
 	began := time.Now().Add(-time.Minute) // it has started long ago
-	d := &drawer{}
-	g := New(Options{Zone: "z", Now: func() time.Duration { return time.Since(began) }, Drawer: d, BudgetRatio: 0.2, BudgetSlack: 60, BudgetWindow: 10 * time.Second})
+	d := &acquirer{}
+	g := New(Options{Zone: "z", Now: func() time.Duration { return time.Since(began) }, Acquirer: d, BudgetRatio: 0.2, BudgetSlack: 60, BudgetWindow: 10 * time.Second})
 	c, err := routetable.ParseConfig([]byte(configuration))
 	require.NoError(t, err)
 	require.NoError(t, c.Validate(nil))
 	g.SetTable(routetable.Compile(c, nil))
 	front := httptest.NewServer(g)
 	t.Cleanup(front.Close)
-	return &rig{t: t, gateway: g, drawer: d, url: front.URL}
+	return &rig{t: t, gateway: g, acquirer: d, url: front.URL}
 }
 
 // server adds a server that answers by a handler.
@@ -125,15 +125,15 @@
 	require.Equal(t, http.StatusNotFound, answer.StatusCode)
 	answer, _, _ = r.do("/safe/", "X-Key", "other")
 	require.Equal(t, http.StatusUnauthorized, answer.StatusCode)
-	r.drawer.empty.Store(true)
+	r.acquirer.empty.Store(true)
 	answer, _, _ = r.do("/safe/")
 	require.Equal(t, http.StatusTooManyRequests, answer.StatusCode)
 	require.Equal(t, "1.000", answer.Header.Get("Retry-After"))
-	r.drawer.silent.Store(true)
+	r.acquirer.silent.Store(true)
 	answer, _, _ = r.do("/safe/")
 	require.Equal(t, http.StatusTooManyRequests, answer.StatusCode, "no lease either")
-	r.drawer.silent.Store(false)
-	r.drawer.empty.Store(false)
+	r.acquirer.silent.Store(false)
+	r.acquirer.empty.Store(false)
 	answer, _, _ = r.do("/safe/")
 	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, "no server")
 	require.NotEmpty(t, answer.Header.Get("Retry-After"))
@@ -145,9 +145,9 @@
 	r := newRig(t)
 	r.server(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
 	r.do("/safe/", "X-Token-Usage", "1460,80")
-	require.Equal(t, int64(1540), r.drawer.drawn.Load())
+	require.Equal(t, int64(1540), r.acquirer.acquired.Load())
 	r.do("/safe/")
-	require.Equal(t, int64(1740), r.drawer.drawn.Load())
+	require.Equal(t, int64(1740), r.acquirer.acquired.Load())
 }
 
 // A server that cannot be reached costs neither attempts nor budget, also where a request must not run twice.
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -55,5 +55,5 @@
 		g.deadlines[req.route.Name] = seen
 	}
 	seen.add(left)
-	return g.taker.Pressed(req.tenant.Name, g.options.Now()) && seen.usual()-left >= req.route.Aim
+	return g.quota.Pressed(req.tenant.Name, g.options.Now()) && seen.usual()-left >= req.route.Aim
 }
--- a/internal/gateway/lateness_test.go
+++ b/internal/gateway/lateness_test.go
@@ -24,9 +24,9 @@
 		require.Equal(t, http.StatusOK, status("4000"))
 	}
 	require.Equal(t, http.StatusOK, status("3700"), "the tenant is within its limit")
-	r.drawer.empty.Store(true)
+	r.acquirer.empty.Store(true)
 	require.Equal(t, http.StatusTooManyRequests, status("4000"))
-	r.drawer.empty.Store(false)
+	r.acquirer.empty.Store(false)
 	require.Equal(t, http.StatusTooManyRequests, status("3700"), "0.3 s of an objective of 0.2 s have passed")
 	require.Equal(t, http.StatusOK, status("3900"))
 	require.Equal(t, http.StatusOK, status("4000"))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -172,29 +172,29 @@
 	return true
 }
 
-// takeQuota takes a request's units of its tenant's limit: from what this sidecar drew ahead, else from the reservoir, and
+// takeQuota takes a request's units of its tenant's limit: from what this sidecar acquired ahead, else from the primary, and
 // where that is silent from this sidecar's lease.
 func (g *Gateway) takeQuota(ctx context.Context, req *request) (ok bool, wait time.Duration) {
 	name := req.tenant.Name
 	g.mutex.Lock()
-	verdict, extra := g.taker.Take(name, req.units, g.options.Now())
+	verdict, extra := g.quota.Take(name, req.units, g.options.Now())
 	g.mutex.Unlock()
-	if verdict != quota.Draw {
+	if verdict != quota.AskPrimary {
 		return verdict == quota.Granted, 0
 	}
 	var given float64
 	heard := false
 	g.waitForStart(ctx, req.startLimit, func() bool {
-		given, wait, heard = g.options.Drawer.Draw(ctx, name, req.units, extra)
+		given, wait, heard = g.options.Acquirer.Acquire(ctx, name, req.units, extra)
 		return heard
 	})
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.options.Now()
 	if heard {
-		verdict = g.taker.Drawn(name, given, req.units, now)
+		verdict = g.quota.Acquired(name, given, req.units, now)
 	} else {
-		verdict, wait = g.taker.TakeLeased(name, req.units, now)
+		verdict, wait = g.quota.TakeLeased(name, req.units, now)
 	}
 	return verdict == quota.Granted, wait
 }
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -7,7 +7,7 @@
 	if v := n.versions.Version(); v != n.compiled {
 		n.compiled = v
 		n.gateway.SetTable(routetable.Compile(n.versions.Config(), n.gateway.Table()))
-		n.setReservoir()
+		n.setLimits()
 		n.logger.Info().Uint64("version", v).Int64("generation", n.versions.Config().Generation).Msg("configuration in force")
 	}
 	if n.registry.Stamp() != n.listed {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,8 @@
 	pushGap        = 15 * time.Millisecond  // between two pushes at the least
 	pushGapEach    = 500 * time.Microsecond // for each subscriber, where that is more
 	resendAfter    = 300 * time.Millisecond
+	resendDoubled  = 2                      // times at the most
+	resendEach     = 500 * time.Microsecond // for each server that was sent, where that is more
 )
 
 // Node is one process.
@@ -65,18 +67,18 @@
 	ready  atomic.Bool
 	ending atomic.Bool
 
-	mutex       sync.Mutex // guards all below
-	replica     *replication.Replica
-	register    *operatorapi.Register
-	registry    *registry.Registry
-	sessions    *membership.Sessions
-	versions    *dissemination.Versions
-	allocator   *quota.Allocator
-	reservoir   *quota.Reservoir
-	draws       map[uint64]chan dissemination.QuotaDrawn
-	silentUntil time.Duration // the reservoir did not answer
-	view        replication.View
-	eligible    map[string]replication.Member
+	mutex        sync.Mutex // guards all below
+	replica      *replication.Replica
+	register     *operatorapi.Register
+	registry     *registry.Registry
+	sessions     *membership.Sessions
+	versions     *dissemination.Versions
+	allocator    *quota.Allocator
+	tokenBuckets *quota.TokenBuckets
+	acquires     map[uint64]chan dissemination.QuotaAcquired
+	silentUntil  time.Duration // the primary did not answer
+	view         replication.View
+	eligible     map[string]replication.Member
 
 	home          home
 	outliers      outliers
@@ -115,7 +117,7 @@
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, usable: map[string]int{},
-		draws: map[uint64]chan dissemination.QuotaDrawn{}}
+		acquires: map[uint64]chan dissemination.QuotaAcquired{}}
 	n.pushTimer = time.NewTimer(time.Hour)
 	n.pushTimer.Stop()
 	n.lastSession = -sessionEvery
@@ -123,7 +125,7 @@
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
-		Drawer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		Acquirer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -10,10 +10,10 @@
 	"petrelhook/internal/settings"
 )
 
-// How long a request waits for the reservoir before its sidecar's lease decides.
+// How long a request waits for the primary before its sidecar's lease decides.
 const (
-	drawWait    = 60 * time.Millisecond
-	drawSilence = 250 * time.Millisecond // for which a reservoir that did not answer is not asked again
+	acquireWait    = 60 * time.Millisecond
+	primarySilence = 250 * time.Millisecond // for which a primary that did not answer is not asked again
 )
 
 // justStarted is for how long after its start a sidecar counts as new.
@@ -23,7 +23,7 @@
 func (n *Node) noteLead() {
 	if !n.replica.Primary() {
 		if n.replica.View().Primary != n.replica.Self.ID {
-			n.allocator, n.reservoir = nil, nil
+			n.allocator, n.tokenBuckets = nil, nil
 		}
 		return
 	}
@@ -33,14 +33,14 @@
 	now := n.now()
 	b := n.settings.Bounds
 	n.allocator = quota.NewAllocator(now)
-	n.reservoir = quota.NewReservoir(quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}, now < justStarted, now)
-	n.setReservoir()
+	n.tokenBuckets = quota.NewTokenBuckets(quota.Bounds{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}, now < justStarted, now)
+	n.setLimits()
 }
 
-// setReservoir takes in the limits of the configuration in force.
-func (n *Node) setReservoir() {
-	if t := n.gateway.Table(); t != nil && n.reservoir != nil {
-		n.reservoir.SetLimits(gateway.Limits(t))
+// setLimits takes in the limits of the configuration in force.
+func (n *Node) setLimits() {
+	if t := n.gateway.Table(); t != nil && n.tokenBuckets != nil {
+		n.tokenBuckets.SetLimits(gateway.Limits(t))
 	}
 }
 
@@ -54,10 +54,12 @@
 		return
 	}
 	n.lastQuota = now
-	nonce, demand, held := n.gateway.AskQuota()
-	if len(demand) == 0 {
-		return
+	if n.leads() {
+		reserve := quota.Reserve(n.gateway.Fleet(), n.allocator.Heard(now), n.allocator.Term(now))
+		n.allocator.SetReserve(reserve)
+		n.tokenBuckets.SetReserve(reserve)
 	}
+	nonce, demand, held := n.gateway.AskQuota() // also where nothing is wanted: it tells that this sidecar hears the primary
 	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
 	if n.leads() {
 		n.onQuotaAsk(n.self.Address, ask)
@@ -78,20 +80,20 @@
 	n.transport.Send(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
 }
 
-func (n *Node) onQuotaDraw(from string, m dissemination.QuotaDraw, now time.Duration) {
+func (n *Node) onQuotaAcquire(from string, m dissemination.QuotaAcquire, now time.Duration) {
 	if !n.leads() {
 		return
 	}
-	given, wait := n.reservoir.Draw(m.Tenant, m.Need, m.Extra, now)
-	n.transport.Send(from, dissemination.QuotaDrawn{Request: m.Request, Given: given, Wait: wait})
+	given, wait := n.tokenBuckets.Acquire(m.Tenant, m.Need, m.Extra, now)
+	n.transport.Send(from, dissemination.QuotaAcquired{Request: m.Request, Given: given, Wait: wait})
 }
 
-// Draw draws from the reservoir for a request of this sidecar.
-func (n *Node) Draw(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool) {
-	answer := make(chan dissemination.QuotaDrawn, 1)
+// Acquire acquires units of the primary for a request of this sidecar.
+func (n *Node) Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool) {
+	answer := make(chan dissemination.QuotaAcquired, 1)
 	n.mutex.Lock()
 	if n.leads() {
-		given, wait = n.reservoir.Draw(tenant, need, extra, n.now())
+		given, wait = n.tokenBuckets.Acquire(tenant, need, extra, n.now())
 		n.mutex.Unlock()
 		return given, wait, true
 	}
@@ -102,21 +104,21 @@
 	}
 	n.token++
 	request := n.token
-	n.draws[request] = answer
+	n.acquires[request] = answer
 	n.mutex.Unlock()
-	n.transport.Send(primary, dissemination.QuotaDraw{Request: request, Tenant: tenant, Need: need, Extra: extra})
-	timer := time.NewTimer(drawWait)
+	n.transport.Send(primary, dissemination.QuotaAcquire{Request: request, Tenant: tenant, Need: need, Extra: extra})
+	timer := time.NewTimer(acquireWait)
 	defer timer.Stop()
 	select {
-	case drawn := <-answer:
-		return drawn.Given, drawn.Wait, true
+	case acquired := <-answer:
+		return acquired.Given, acquired.Wait, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	n.mutex.Lock()
-	delete(n.draws, request)
+	delete(n.acquires, request)
 	if ctx.Err() == nil && primary == n.view.PrimaryAddress() {
-		n.silentUntil = n.now() + drawSilence
+		n.silentUntil = n.now() + primarySilence
 	}
 	n.mutex.Unlock()
 	return 0, 0, false
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -42,12 +42,12 @@
 		n.onQuotaAsk(from, m)
 	case dissemination.QuotaGrant:
 		n.gateway.QuotaGranted(m.Nonce, m.Shares)
-	case dissemination.QuotaDraw:
-		n.onQuotaDraw(from, m, now)
-	case dissemination.QuotaDrawn:
+	case dissemination.QuotaAcquire:
+		n.onQuotaAcquire(from, m, now)
+	case dissemination.QuotaAcquired:
 		n.silentUntil = 0
-		if to := n.draws[m.Request]; to != nil {
-			delete(n.draws, m.Request)
+		if to := n.acquires[m.Request]; to != nil {
+			delete(n.acquires, m.Request)
 			to <- m
 		}
 	}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -1,8 +1,7 @@
 // Package quota keeps the limits that all sidecars keep together: tenants' quotas and the budget of retries. It is pure.
 //
 // A tenant's limit is divided into shares. The primary gives them by demand, as leases that end by themselves; each
-// sidecar spends its share from a bucket of its own. Beside the leases every sidecar has a small floor that needs no word
-// of anybody.
+// sidecar spends its share from a bucket of its own. A sidecar whose lease has ended keeps a standing share, see Reserve.
 //
 // Invariant: at every moment the shares that sidecars believe in add up to no more than 1 for each tenant. A lease counts
 // for its holder from before it asked, for the primary from when it gave; what a holder was given last is out until the
@@ -44,6 +43,7 @@
 	holders map[string]*holder
 	sums    map[string]*sum
 	expired time.Duration
+	reserve float64 // part of the limits that is left to sidecars that are not heard
 }
 
 // NewAllocator begins a term.
@@ -51,6 +51,18 @@
 	return &Allocator{since: now, holders: map[string]*holder{}, sums: map[string]*sum{}}
 }
 
+// Heard is how many sidecars asked within a lease.
+func (a *Allocator) Heard(now time.Duration) int {
+	a.expire(now)
+	return len(a.holders)
+}
+
+// Term is for how long the primary has led.
+func (a *Allocator) Term(now time.Duration) time.Duration { return now - a.since }
+
+// SetReserve takes in what part of the limits is left to sidecars that are not heard.
+func (a *Allocator) SetReserve(part float64) { a.reserve = part }
+
 // Ask answers a sidecar's question; fleet is how many sidecars there are.
 func (a *Allocator) Ask(node string, life uint64, demand, held map[string]float64, fleet int, now time.Duration) map[string]float64 {
 	a.expire(now)
@@ -113,7 +125,7 @@
 	} else {
 		target = 1 / float64(fleet)
 	}
-	return max(0, min(target, 1-(s.shares-mine)))
+	return max(0, min(target, 1-a.reserve-(s.shares-mine)))
 }
 
 func (a *Allocator) expire(now time.Duration) {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -12,39 +12,41 @@
 }
 
 const (
-	stockGood    = 400 * time.Millisecond // for which units that were drawn ahead may be spent
-	stockAhead   = 100 * time.Millisecond // of demand is drawn ahead
+	stockGood    = 400 * time.Millisecond // for which units that were acquired ahead may be spent
+	stockAhead   = 100 * time.Millisecond // of demand is acquired ahead
 	stockLeast   = 3                      // requests in that time from which it is worth it
 	demandSmooth = 2 * time.Second
 	pressedFor   = time.Second // after a refusal
 	leastDemand  = 0.01        // units a second that are told of
+	leaseBurst   = time.Second // of a lease or a standing share may be spent at once
 )
 
-// Verdict is what a taker says of a request.
+// Verdict is what a client says of a request.
 type Verdict int
 
 // The verdicts.
 const (
 	Granted Verdict = iota
 	Refused
-	Draw // the reservoir has to be asked
+	AskPrimary // the primary has to be asked
 )
 
-// Taker is one sidecar's part of all limits: what it drew from the reservoir, and its leases for when that is silent.
-type Taker struct {
+// Client is one sidecar's part of all limits: what it acquired of the primary, and its leases for when that is silent.
+type Client struct {
 	buckets map[string]*bucket
 	nonce   uint64
 	asked   time.Duration
 	until   time.Duration // of the leases
+	fleet   int
 }
 
 type bucket struct {
 	limit   Limit
-	stock   float64 // drawn ahead
+	stock   float64 // acquired ahead
 	stockAt time.Duration
 
 	share  float64 // of the lease
-	tokens float64 // of the lease, since the reservoir was silent
+	tokens float64 // of the lease, since the primary was silent
 	filled time.Duration
 
 	pressed time.Duration // until when it asks for more than its limit, as far as is known
@@ -54,11 +56,14 @@
 	at     time.Duration
 }
 
-// NewTaker makes a taker without any share.
-func NewTaker() *Taker { return &Taker{buckets: map[string]*bucket{}} }
+// NewClient makes a client without any share.
+func NewClient() *Client { return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt} }
+
+// SetFleet takes in how many sidecars there are.
+func (t *Client) SetFleet(n int) { t.fleet = max(1, n) }
 
 // SetLimits takes in the tenants of a configuration.
-func (t *Taker) SetLimits(limits map[string]Limit, now time.Duration) {
+func (t *Client) SetLimits(limits map[string]Limit, now time.Duration) {
 	for name := range t.buckets {
 		if limits[name].Rate == 0 {
 			delete(t.buckets, name)
@@ -77,9 +82,9 @@
 	}
 }
 
-// Take begins a request of a tenant: it is granted from what was drawn ahead, or the reservoir has to be asked for what it
+// Take begins a request of a tenant: it is granted from what was acquired ahead, or the primary has to be asked for what it
 // needs and for extra.
-func (t *Taker) Take(tenant string, units float64, now time.Duration) (v Verdict, extra float64) {
+func (t *Client) Take(tenant string, units float64, now time.Duration) (v Verdict, extra float64) {
 	b := t.buckets[tenant]
 	if b == nil {
 		return Granted, 0
@@ -95,16 +100,16 @@
 	if ahead := b.demand * stockAhead.Seconds(); ahead >= stockLeast*units {
 		extra = ahead
 	}
-	return Draw, extra
+	return AskPrimary, extra
 }
 
-// Drawn takes in what the reservoir gave, and spends units of it where there are enough.
-func (t *Taker) Drawn(tenant string, given, units float64, now time.Duration) Verdict {
+// Acquired takes in what the primary gave, and spends units of it where there are enough.
+func (t *Client) Acquired(tenant string, given, units float64, now time.Duration) Verdict {
 	b := t.buckets[tenant]
 	if b == nil {
 		return Granted
 	}
-	b.tokens, b.filled = 0, now // leases count from when the reservoir falls silent
+	b.tokens, b.filled = 0, now // leases count from when the primary falls silent
 	if given < units {
 		b.pressed = now + pressedFor
 		return Refused
@@ -114,18 +119,18 @@
 	return Granted
 }
 
-// TakeLeased spends of a lease, where the reservoir is silent. One request may go below nothing: a lease of a small
+// TakeLeased spends of a lease, where the primary is silent. One request may go below nothing: a lease of a small
 // tenant is less than a request.
-func (t *Taker) TakeLeased(tenant string, units float64, now time.Duration) (v Verdict, wait time.Duration) {
+func (t *Client) TakeLeased(tenant string, units float64, now time.Duration) (v Verdict, wait time.Duration) {
 	b := t.buckets[tenant]
 	if b == nil {
 		return Granted, 0
 	}
-	if now >= t.until || b.share <= 0 {
+	rate := t.silentRate(b, now)
+	if rate <= 0 {
 		return Refused, 0
 	}
-	rate := b.limit.Rate * b.share
-	b.tokens += (now - b.filled).Seconds() * rate
+	b.tokens = min(b.tokens+(now-b.filled).Seconds()*rate, leaseBurst.Seconds()*rate)
 	b.filled = now
 	if b.tokens < 0 {
 		return Refused, time.Duration(-b.tokens / rate * float64(time.Second))
@@ -134,14 +139,27 @@
 	return Granted, 0
 }
 
-// Pressed reports whether the reservoir refused a request of a tenant just now: it asks for more than its limit.
-func (t *Taker) Pressed(tenant string, now time.Duration) bool {
+// silentRate is what may be spent a second while the primary is silent: of the lease, and once that has ended the standing share, which
+// the primary leaves to each sidecar that it does not hear.
+func (t *Client) silentRate(b *bucket, now time.Duration) float64 {
+	if now < t.until {
+		return b.limit.Rate * b.share
+	}
+	standing := b.limit.Rate * standingPart * min(b.share, 1/float64(t.fleet))
+	if now >= t.until+standingFor {
+		return standing * standingLater
+	}
+	return standing
+}
+
+// Pressed reports whether the primary refused a request of a tenant just now: it asks for more than its limit.
+func (t *Client) Pressed(tenant string, now time.Duration) bool {
 	b := t.buckets[tenant]
 	return b != nil && now < b.pressed
 }
 
 // Return gives back what was taken for a request that did not run.
-func (t *Taker) Return(tenant string, units float64, now time.Duration) {
+func (t *Client) Return(tenant string, units float64, now time.Duration) {
 	if b := t.buckets[tenant]; b != nil {
 		if now-b.stockAt > stockGood {
 			b.stock = 0
@@ -152,7 +170,7 @@
 }
 
 // Ask begins a question for leases: what is wanted and held goes to the primary.
-func (t *Taker) Ask(now time.Duration) (nonce uint64, demand, held map[string]float64) {
+func (t *Client) Ask(now time.Duration) (nonce uint64, demand, held map[string]float64) {
 	t.nonce++
 	t.asked = now
 	demand, held = map[string]float64{}, map[string]float64{}
@@ -175,7 +193,7 @@
 }
 
 // Granted takes in the answer to the last question.
-func (t *Taker) Granted(nonce uint64, shares map[string]float64, now time.Duration) {
+func (t *Client) Granted(nonce uint64, shares map[string]float64, now time.Duration) {
 	if nonce != t.nonce || now-t.asked >= Lease {
 		return
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,39 +11,39 @@
 
 var bounds = Bounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 110_000}
 
-func TestDrawAndRefill(t *testing.T) {
-	r := NewReservoir(bounds, false, 0)
+func TestAcquireAndRefill(t *testing.T) {
+	r := NewTokenBuckets(bounds, false, 0)
 	limit := Limit{Rate: 29_000, Burst: 29_000}
 	r.SetLimits(map[string]Limit{"a": limit})
-	given, _ := r.Draw("a", 9_000, 0, 0)
+	given, _ := r.Acquire("a", 9_000, 0, 0)
 	require.Equal(t, 9_000.0, given)
 	var wait time.Duration
 	for given > 0 {
-		given, wait = r.Draw("a", 9_000, 0, 0)
+		given, wait = r.Acquire("a", 9_000, 0, 0)
 	}
 	require.Positive(t, wait)
-	given, _ = r.Draw("a", 9_000, 0, wait+time.Millisecond)
+	given, _ = r.Acquire("a", 9_000, 0, wait+time.Millisecond)
 	require.Equal(t, 9_000.0, given)
-	given, _ = r.Draw("none", 5, 0, 0)
+	given, _ = r.Acquire("none", 5, 0, 0)
 	require.Equal(t, 5.0, given, "a tenant without a limit")
 }
 
-// A request that is larger than the whole capacity goes through once the reservoir is full.
+// A request that is larger than the whole capacity goes through once the bucket is full.
 func TestALargeRequest(t *testing.T) {
-	r := NewReservoir(Bounds{Window: 8 * time.Second}, false, 0)
+	r := NewTokenBuckets(Bounds{Window: 8 * time.Second}, false, 0)
 	r.SetLimits(map[string]Limit{"a": {Rate: 100, Burst: 100}})
-	given, wait := r.Draw("a", 5_000, 0, 0)
+	given, wait := r.Acquire("a", 5_000, 0, 0)
 	require.Zero(t, given)
-	given, _ = r.Draw("a", 5_000, 0, wait+time.Second)
+	given, _ = r.Acquire("a", 5_000, 0, wait+time.Second)
 	require.Equal(t, 5_000.0, given)
-	given, wait = r.Draw("a", 10, 0, wait+time.Second)
+	given, wait = r.Acquire("a", 10, 0, wait+time.Second)
 	require.Zero(t, given)
 	require.Greater(t, wait, 10*time.Second)
 }
 
-// What drips into a reservoir that is asked for six times the rate goes to large requests as it does to small ones.
+// What drips into a bucket that is asked for six times the rate goes to large requests as it does to small ones.
 func TestLargeRequestsAreNotRefusedBeforeSmallOnes(t *testing.T) {
-	r := NewReservoir(bounds, false, 0)
+	r := NewTokenBuckets(bounds, false, 0)
 	r.SetLimits(map[string]Limit{"a": {Rate: 640_000, Burst: 640_000}})
 	random := rand.New(rand.NewSource(1))
 	sizes := []float64{2_000, 20_000}
@@ -51,7 +51,7 @@
 	for now := time.Duration(0); now < 30*time.Second; now += 3 * time.Millisecond {
 		size := sizes[random.Intn(len(sizes))]
 		asked[size]++
-		if given, _ := r.Draw("a", size, 0, now); given > 0 {
+		if given, _ := r.Acquire("a", size, 0, now); given > 0 {
 			served[size]++
 		}
 	}
@@ -61,15 +61,15 @@
 }
 
 func TestPressed(t *testing.T) {
-	taker := NewTaker()
-	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
-	require.False(t, taker.Pressed("t", 0))
-	require.Equal(t, Granted, taker.Drawn("t", 10, 10, 0))
-	require.False(t, taker.Pressed("t", 0))
-	require.Equal(t, Refused, taker.Drawn("t", 0, 10, 0))
-	require.True(t, taker.Pressed("t", pressedFor-1))
-	require.False(t, taker.Pressed("t", pressedFor))
-	require.False(t, taker.Pressed("none", 0))
+	client := NewClient()
+	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	require.False(t, client.Pressed("t", 0))
+	require.Equal(t, Granted, client.Acquired("t", 10, 10, 0))
+	require.False(t, client.Pressed("t", 0))
+	require.Equal(t, Refused, client.Acquired("t", 0, 10, 0))
+	require.True(t, client.Pressed("t", pressedFor-1))
+	require.False(t, client.Pressed("t", pressedFor))
+	require.False(t, client.Pressed("none", 0))
 }
 
 // Sidecars that ask, lose answers, are cut off, restart, and a primary that changes: shares never add up to more than 1, as
@@ -79,23 +79,23 @@
 		random := rand.New(rand.NewSource(seed))
 		now := time.Duration(0)
 		a := NewAllocator(now)
-		takers := make([]*Taker, 6)
-		for i := range takers {
-			takers[i] = NewTaker()
-			takers[i].SetLimits(map[string]Limit{"t": {Rate: 1000}}, now)
+		clients := make([]*Client, 6)
+		for i := range clients {
+			clients[i] = NewClient()
+			clients[i].SetLimits(map[string]Limit{"t": {Rate: 1000}}, now)
 		}
 		for range 400 {
 			now += time.Duration(random.Intn(200)) * time.Millisecond
-			i := random.Intn(len(takers))
-			taker := takers[i]
-			taker.Take("t", float64(random.Intn(500)), now)
-			nonce, demand, held := taker.Ask(now)
-			shares := a.Ask(fmt.Sprint(i), 1, demand, held, len(takers), now)
+			i := random.Intn(len(clients))
+			client := clients[i]
+			client.Take("t", float64(random.Intn(500)), now)
+			nonce, demand, held := client.Ask(now)
+			shares := a.Ask(fmt.Sprint(i), 1, demand, held, len(clients), now)
 			if random.Intn(4) > 0 { // else the answer is lost
-				taker.Granted(nonce, shares, now+time.Millisecond)
+				client.Granted(nonce, shares, now+time.Millisecond)
 			}
 			sum := 0.0
-			for _, one := range takers {
+			for _, one := range clients {
 				if now < one.until {
 					sum += one.buckets["t"].share
 				}
@@ -106,45 +106,45 @@
 }
 
 func TestALateGrantIsNotTaken(t *testing.T) {
-	taker := NewTaker()
-	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
-	nonce, _, _ := taker.Ask(0)
-	taker.Granted(nonce, map[string]float64{"t": 1}, Lease)
-	v, _ := taker.TakeLeased("t", 1, Lease)
+	client := NewClient()
+	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	nonce, _, _ := client.Ask(0)
+	client.Granted(nonce, map[string]float64{"t": 1}, Lease)
+	v, _ := client.TakeLeased("t", 1, Lease)
 	require.Equal(t, Refused, v)
-	nonce, _, _ = taker.Ask(Lease)
-	taker.Ask(Lease + 1)
-	taker.Granted(nonce, map[string]float64{"t": 1}, Lease+2)
-	v, _ = taker.TakeLeased("t", 1, Lease+3)
+	nonce, _, _ = client.Ask(Lease)
+	client.Ask(Lease + 1)
+	client.Granted(nonce, map[string]float64{"t": 1}, Lease+2)
+	v, _ = client.TakeLeased("t", 1, Lease+3)
 	require.Equal(t, Refused, v, "the answer to an earlier question")
 }
 
 func TestALeaseEndsAndOverdrawsOnce(t *testing.T) {
-	taker := NewTaker()
-	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
-	nonce, _, _ := taker.Ask(0)
-	taker.Granted(nonce, map[string]float64{"t": 0.5}, 0)
-	v, _ := taker.TakeLeased("t", 300, 0)
+	client := NewClient()
+	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	nonce, _, _ := client.Ask(0)
+	client.Granted(nonce, map[string]float64{"t": 0.5}, 0)
+	v, _ := client.TakeLeased("t", 300, 0)
 	require.Equal(t, Granted, v)
-	v, wait := taker.TakeLeased("t", 300, 0)
+	v, wait := client.TakeLeased("t", 300, 0)
 	require.Equal(t, Refused, v)
 	require.Equal(t, 600*time.Millisecond, wait)
-	v, _ = taker.TakeLeased("t", 300, wait)
+	v, _ = client.TakeLeased("t", 300, wait)
 	require.Equal(t, Granted, v)
-	v, _ = taker.TakeLeased("t", 1, Lease+wait)
+	v, _ = client.TakeLeased("t", 1, Lease+wait)
 	require.Equal(t, Refused, v)
 }
 
-func TestWhatWasDrawnAheadEnds(t *testing.T) {
-	taker := NewTaker()
-	taker.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
-	v, _ := taker.Take("t", 10, 0)
-	require.Equal(t, Draw, v)
-	require.Equal(t, Granted, taker.Drawn("t", 30, 10, 0))
-	v, _ = taker.Take("t", 10, stockGood)
+func TestWhatWasAcquiredAheadEnds(t *testing.T) {
+	client := NewClient()
+	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
+	v, _ := client.Take("t", 10, 0)
+	require.Equal(t, AskPrimary, v)
+	require.Equal(t, Granted, client.Acquired("t", 30, 10, 0))
+	v, _ = client.Take("t", 10, stockGood)
 	require.Equal(t, Granted, v)
-	v, _ = taker.Take("t", 10, 2*stockGood)
-	require.Equal(t, Draw, v)
+	v, _ = client.Take("t", 10, 2*stockGood)
+	require.Equal(t, AskPrimary, v)
 }
 
 // Many sidecars together stay within the rule's bound, whatever their loads are.
