Hollow servers call by themselves, and the core keeps processors of its own

Cause: at 630 one of 64 callers stood for 105 servers and came round too late; servers were lost and back, and every change went to all (8 to 9 MB/s from each control sidecar with heartbeats, seen in two runs; a third with more callers ended in a time-out of 3 s). Change: a caller for 13 servers; the hollow part takes half of the processors; a window begins once all know all servers and the list has not changed for 2 s; calls of the rig wait 10 s.

--- a/internal/rig/routerscale/fleet.go
+++ b/internal/rig/routerscale/fleet.go
@@ -35,7 +35,10 @@
 	mostLost     = 2 // machines of the core that may be lost at once, where it is large enough
 	seedCount    = 3
 	startLimit   = 60 * time.Second
+	callTimeout  = 10 * time.Second
 	pollEvery    = 2 * time.Millisecond
+	leastCallers = 64
+	serversEach  = 13 // that one caller stands for
 	sidecarClass = 21 // second byte of a hollow sidecar's address
 	coreClass    = 20
 )
@@ -66,7 +69,7 @@
 
 // start brings up the core and the hollow sidecars, and a first configuration.
 func start(o Options, size int) (m *members, err error) {
-	m = &members{options: o, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	m = &members{options: o, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	defer func() {
 		if err != nil {
 			m.end()
@@ -242,7 +245,7 @@
 func (m *members) beat(servers int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stopBeat = cancel
-	const callers = 64
+	callers := max(leastCallers, servers/serversEach) // real servers do not wait for one another
 	every := time.Duration(heartbeatMs) * time.Millisecond
 	for c := range callers {
 		m.group.Go(func() {
--- a/internal/rig/routerscale/run.go
+++ b/internal/rig/routerscale/run.go
@@ -55,6 +55,7 @@
 
 // Run measures all sizes.
 func Run(o Options) ([]capacity.Point, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(max(1, runtime.NumCPU()/2))) // the core has processors of its own
 	var points []capacity.Point
 	for _, size := range o.Sizes {
 		for run := 1; run <= o.Runs; run++ {
@@ -171,10 +172,12 @@
 		return nil, err
 	}
 	m.beat(o.servers(size))
-	if err := m.until("all servers are known", func() bool { return m.hollow[0].Servers() >= o.servers(size) }); err != nil {
+	if err := m.until("all servers are known to all", m.allKnow(o.servers(size))); err != nil {
+		return nil, err
+	}
+	if err := m.until("the list of servers stays as it is", m.unchanged()); err != nil {
 		return nil, err
 	}
-	time.Sleep(settle)
 	beats, err := m.window(Heartbeats, size, run, true, nil)
 	if err != nil {
 		return nil, err
@@ -197,6 +200,29 @@
 	return append(append(points, changes...), moments...), err
 }
 
+// allKnow looks whether all hollow sidecars know as many servers.
+func (m *members) allKnow(servers int) func() bool {
+	return func() bool {
+		for _, n := range m.hollow {
+			if n.Servers() < servers {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// unchanged looks whether the list of servers has been the same for some time.
+func (m *members) unchanged() func() bool {
+	last, since := uint64(0), time.Now()
+	return func() bool {
+		if now := m.hollow[0].ServerChanges(); now != last {
+			last, since = now, time.Now()
+		}
+		return time.Since(since) > settle
+	}
+}
+
 // draw has each hollow sidecar draw from tenants' limits at a rate.
 func (m *members) draw() {
 	ctx, cancel := context.WithTimeout(context.Background(), m.options.Steady)
