A tenant's whole burst is granted, and a new primary learns what was spent before

Change: buckets hold the burst; a guard over the rule's window, from what was granted by slots; sidecars tell a new primary their histories at once, and it grants when 0.8 of the fleet were heard or 0.8 s have passed, at once after a restart of all. The node's many 'last done' fields are periodic works.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -13,6 +13,7 @@
 	"petrelhook/internal/membership"
 	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
+	"petrelhook/internal/quota"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
 )
@@ -94,8 +95,9 @@
 type QuotaAsk struct {
 	Nonce  uint64
 	Life   uint64
-	Demand map[string]float64 // units a second
-	Held   map[string]float64 // shares, 0 to 1
+	Demand map[string]float64       // units a second
+	Held   map[string]float64       // shares, 0 to 1
+	Spent  map[string]quota.History // to a primary that may be new
 }
 
 // QuotaGrant answers QuotaAsk with the shares to use from now on.
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -26,10 +26,9 @@
 	if n.starting(now) { // the others may start at the same moment, and not have heard the last one
 		every = startEvery
 	}
-	if now-n.lastSession < every {
+	if !n.every.session.due(every, now) {
 		return
 	}
-	n.lastSession = now
 	if n.view.Epoch.Round == 0 {
 		n.greet()
 		return
@@ -43,8 +42,11 @@
 	}
 	if n.core() {
 		n.sessions.Heartbeat(n.self, now)
-		if now < justStarted || now-n.lastSeeds > seedsEvery { // whoever starts anew asks the seeds, which may have started anew too
-			n.lastSeeds = now
+		greetEvery := seedsEvery
+		if now < justStarted { // whoever starts anew asks the seeds, which may have started anew too
+			greetEvery = 0
+		}
+		if n.every.seeds.due(greetEvery, now) {
 			n.greet()
 		}
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	tokenBuckets *quota.TokenBuckets
 	acquires     map[uint64]chan dissemination.QuotaAcquired
 	silentUntil  time.Duration // the primary did not answer
+	primarySince time.Duration // when the present primary was heard of
 	view         replication.View
 	eligible     map[string]replication.Member
 
@@ -93,19 +94,12 @@
 	compiled     uint64         // version of the gateway's table
 	listed       uint64         // stamp of the gateway's servers
 	usable       map[string]int // servers by service, as logged last
-	lastSession  time.Duration
-	lastQuota    time.Duration
-	lastUses     time.Duration
-	lastPrune    time.Duration
 	lastPush     time.Duration
-	lastExpire   time.Duration
-	lastForget   time.Duration
+	every        periodics
 	pushLater    bool
 	touchedSince time.Duration
-	lastSeeds    time.Duration
 	cached       bool   // the servers were read from the disk
 	stored       uint64 // stamp of the servers on the disk
-	lastStored   time.Duration
 	storing      atomic.Bool
 	writers      sync.WaitGroup // of the servers on the disk
 }
@@ -118,15 +112,16 @@
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, usable: map[string]int{},
 		acquires: map[uint64]chan dissemination.QuotaAcquired{}}
+	n.every.store.due(0, 0) // what is on the disk is as good, at first
+	n.every.expire.due(0, 0)
 	n.pushTimer = time.NewTimer(time.Hour)
 	n.pushTimer.Stop()
-	n.lastSession = -sessionEvery
 	n.outliers.detector = outlier.NewDetector(usableServers{n})
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
 		Acquirer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
-		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
+		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS)), QuotaWindow: settings.Seconds(b.QuotaWindowS)})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
 }
--- a/internal/node/outliers.go
+++ b/internal/node/outliers.go
@@ -21,8 +21,6 @@
 	detector *outlier.Detector // of a control sidecar
 	ejected  []outlier.Ejection
 	told     time.Duration // when subscribers were told last
-	reported time.Duration
-	judged   time.Duration
 }
 
 // usableServers is what the detector has to know of the list of servers.
@@ -43,12 +41,10 @@
 
 // tickOutliers reports how this sidecar's sends ended; a control sidecar judges servers by what was reported.
 func (n *Node) tickOutliers(now time.Duration) {
-	if now-n.outliers.reported >= reportEvery {
-		n.outliers.reported = now
+	if n.every.report.due(reportEvery, now) {
 		n.reportOutcomes(now)
 	}
-	if n.core() && now-n.outliers.judged >= judgeEvery {
-		n.outliers.judged = now
+	if n.core() && n.every.judge.due(judgeEvery, now) {
 		n.judge(now)
 	}
 }
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -16,6 +16,15 @@
 	primarySilence = 250 * time.Millisecond // for which a primary that did not answer is not asked again
 )
 
+// tellSpentFor is for how long a primary counts as new, to which is told what was spent before.
+const tellSpentFor = 2 * time.Second
+
+// While a primary is this new it is asked this often.
+const (
+	claimed   = 600 * time.Millisecond
+	quotaSoon = 100 * time.Millisecond
+)
+
 // justStarted is for how long after its start a sidecar counts as new.
 const justStarted = 5 * time.Second
 
@@ -44,16 +53,24 @@
 	}
 }
 
+// grants reports whether this sidecar grants units now: it leads, and knows what was spent before its term.
+func (n *Node) grants() bool {
+	return n.leads() && n.tokenBuckets.Ready(n.gateway.Fleet(), n.now())
+}
+
 // leads reports whether this sidecar may divide limits now: it is primary, and a majority says so.
 func (n *Node) leads() bool {
 	return n.allocator != nil && n.replica.InTouch() && n.view.Primary == n.replica.Self.ID
 }
 
 func (n *Node) tickQuota(now time.Duration) {
-	if now-n.lastQuota < quotaEvery || n.view.PrimaryAddress() == "" {
+	every := quotaEvery
+	if now-n.primarySince < claimed { // it may not know yet that it leads
+		every = quotaSoon
+	}
+	if n.view.PrimaryAddress() == "" || !n.every.quota.due(every, now) {
 		return
 	}
-	n.lastQuota = now
 	if n.leads() {
 		reserve := quota.Reserve(n.gateway.Fleet(), n.allocator.Heard(now), n.allocator.Term(now))
 		n.allocator.SetReserve(reserve)
@@ -61,6 +78,9 @@
 	}
 	nonce, demand, held := n.gateway.AskQuota() // also where nothing is wanted: it tells that this sidecar hears the primary
 	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
+	if now-n.primarySince < tellSpentFor {
+		ask.Spent = n.gateway.QuotaSpent()
+	}
 	if n.leads() {
 		n.onQuotaAsk(n.self.Address, ask)
 		return
@@ -72,6 +92,7 @@
 	if !n.leads() {
 		return
 	}
+	n.tokenBuckets.Learn(from, m.Spent, n.now())
 	shares := n.allocator.Ask(from, m.Life, m.Demand, m.Held, n.fleet, n.now())
 	if from == n.self.Address {
 		n.gateway.QuotaGranted(m.Nonce, shares)
@@ -81,7 +102,7 @@
 }
 
 func (n *Node) onQuotaAcquire(from string, m dissemination.QuotaAcquire, now time.Duration) {
-	if !n.leads() {
+	if !n.grants() {
 		return
 	}
 	given, wait := n.tokenBuckets.Acquire(m.Tenant, m.Need, m.Extra, now)
@@ -92,7 +113,7 @@
 func (n *Node) Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool) {
 	answer := make(chan dissemination.QuotaAcquired, 1)
 	n.mutex.Lock()
-	if n.leads() {
+	if n.grants() {
 		given, wait = n.tokenBuckets.Acquire(tenant, need, extra, n.now())
 		n.mutex.Unlock()
 		return given, wait, true
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -52,6 +52,7 @@
 		}
 	}
 	n.tickSessions(now)
+	n.tickQuota(now)
 	n.apply()
 }
 
@@ -60,11 +61,15 @@
 func (n *Node) noteView(v replication.View) {
 	if n.view.Epoch.Less(v.Epoch) {
 		first := n.view.Epoch.Round == 0
+		if n.view.Primary != v.Primary {
+			n.primarySince = n.now()
+			n.every.quota.soon() // it is told at once what was spent
+		}
 		n.view = v
 		n.silentUntil = 0
 		n.replica.LearnView(v)
 		if first {
-			n.lastSession = -sessionEvery // the core is known now: it subscribes at once
+			n.every.session.soon() // the core is known now: it subscribes at once
 		}
 		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
 			Int("in_sync", len(v.InSync)).Msg("view")
--- a/internal/node/servers_cache.go
+++ b/internal/node/servers_cache.go
@@ -41,10 +41,10 @@
 
 // storeServers remembers the servers, now and then.
 func (n *Node) storeServers(now time.Duration) {
-	if now-n.lastStored < serversEvery || n.registry.Stamp() == n.stored || n.storing.Load() {
+	if n.registry.Stamp() == n.stored || n.storing.Load() || !n.every.store.due(serversEvery, now) {
 		return
 	}
-	n.lastStored, n.stored = now, n.registry.Stamp()
+	n.stored = n.registry.Stamp()
 	var text bytes.Buffer
 	if err := gob.NewEncoder(&text).Encode(n.registry.Since(0, now)); err != nil {
 		return
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -77,5 +77,12 @@
 	return n.registry.Len()
 }
 
+// ServerChanges counts the changes of the list of servers here.
+func (n *Node) ServerChanges() uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.registry.Stamp()
+}
+
 // SentBytes is how many bytes went to other sidecars.
 func (n *Node) SentBytes() uint64 { return n.transport.Sent() }
--- a/internal/node/subscription_test.go
+++ b/internal/node/subscription_test.go
@@ -21,7 +21,7 @@
 	v := view(1, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
 	n.receive("10.0.2.1:7000", dissemination.Push{Life: 1, View: &v})
 	require.Equal(t, "10.0.1.1:7000", n.home.address)
-	require.Less(t, n.now()-n.lastSession, sessionEvery)
+	require.Less(t, n.now()-n.every.session.last, sessionEvery)
 }
 
 // A subscriber that asks again before the first answer can have reached it is not sent everything anew; one that has started
@@ -124,12 +124,12 @@
 	n.self.Member = &self
 	n.view = view(1, self, member("10.0.1.1:7000", "z2"))
 	n.tickSessions(startEvery)
-	require.Equal(t, startEvery, n.lastSeeds)
+	require.Equal(t, startEvery, n.every.seeds.last)
 	n.tickSessions(2 * startEvery)
-	require.Equal(t, 2*startEvery, n.lastSeeds)
+	require.Equal(t, 2*startEvery, n.every.seeds.last)
 	n.tickSessions(justStarted + startEvery)
 	n.tickSessions(justStarted + 2*startEvery)
-	require.Equal(t, justStarted+startEvery, n.lastSeeds)
+	require.Equal(t, justStarted+startEvery, n.every.seeds.last)
 }
 
 // The answer to a session of a new process goes over a new connection: the one to the process before may not have noticed its end.
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -23,12 +23,10 @@
 	n.tickQuota(now)
 	n.tickUses(now)
 	n.tickOutliers(now)
-	if now-n.lastPrune > pruneEvery {
-		n.lastPrune = now
+	if n.every.prune.due(pruneEvery, now) {
 		n.gateway.Prune()
 	}
-	if now-n.lastForget > forgetEvery {
-		n.lastForget = now
+	if n.every.forget.due(forgetEvery, now) {
 		n.registry.Forget(n.listed, now)
 	}
 	n.apply()
@@ -49,10 +47,9 @@
 	if now-n.touchedSince > 2*beat {
 		n.complete = true // every server that lives has called some control sidecar by now
 	}
-	if now-n.lastExpire < expireEvery {
+	if !n.every.expire.due(expireEvery, now) {
 		return
 	}
-	n.lastExpire = now
 	if n.registry.Expire(time.Duration(silentBeats*float64(beat)), now) {
 		n.pushAll()
 	}
--- a/internal/node/uses.go
+++ b/internal/node/uses.go
@@ -12,10 +12,9 @@
 
 // tickUses tells the home where this sidecar sent shared parts; a control sidecar tells its subscribers what it heard.
 func (n *Node) tickUses(now time.Duration) {
-	if now-n.lastUses < usesEvery {
+	if !n.every.uses.due(usesEvery, now) {
 		return
 	}
-	n.lastUses = now
 	own := n.gateway.TakeUses()
 	if !n.core() {
 		if len(own) > 0 && n.home.address != "" {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -38,6 +38,7 @@
 	asked   time.Duration
 	until   time.Duration // of the leases
 	fleet   int
+	slot    time.Duration // of the histories
 }
 
 type bucket struct {
@@ -49,6 +50,8 @@
 	tokens float64 // of the lease, since the primary was silent
 	filled time.Duration
 
+	spent spending
+
 	pressed time.Duration // until when it asks for more than its limit, as far as is known
 
 	demand float64 // units a second, smoothed
@@ -56,8 +59,10 @@
 	at     time.Duration
 }
 
-// NewClient makes a client without any share.
-func NewClient() *Client { return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt} }
+// NewClient makes a client without any share, under a rule with a window.
+func NewClient(window time.Duration) *Client {
+	return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt, slot: slotOf(window)}
+}
 
 // SetFleet takes in how many sidecars there are.
 func (t *Client) SetFleet(n int) { t.fleet = max(1, n) }
@@ -114,6 +119,7 @@
 		b.pressed = now + pressedFor
 		return Refused
 	}
+	b.spent.add(given, t.slot, now)
 	b.stock += given - units
 	b.stockAt = now
 	return Granted
@@ -136,6 +142,7 @@
 		return Refused, time.Duration(-b.tokens / rate * float64(time.Second))
 	}
 	b.tokens -= units
+	b.spent.add(units, t.slot, now)
 	return Granted, 0
 }
 
@@ -192,6 +199,18 @@
 	return t.nonce, demand, held
 }
 
+// Histories are what was spent lately of all limits, for a new primary.
+func (t *Client) Histories(now time.Duration) map[string]History {
+	out := map[string]History{}
+	for name, b := range t.buckets {
+		b.spent.roll(t.slot, now)
+		if b.spent.slots.sum() > 0 {
+			out[name] = b.spent.slots
+		}
+	}
+	return out
+}
+
 // Granted takes in the answer to the last question.
 func (t *Client) Granted(nonce uint64, shares map[string]float64, now time.Duration) {
 	if nonce != t.nonce || now-t.asked >= Lease {
--- a/internal/quota/window_test.go
+++ b/internal/quota/window_test.go
@@ -15,15 +15,17 @@
 	units float64
 }
 
-// playLimit has sidecars ask for many times a tenant's limit while primaries change, restart and fall silent, and returns
-// what was let through.
+// playLimit has sidecars, some of which see more of a tenant than others, ask for nothing, for less than its limit and for many times
+// as much by turns, while primaries change, restart and fall silent, and returns what was let through.
 func playLimit(seed int64, limit Limit, fleet int, units float64) []spent {
 	random := rand.New(rand.NewSource(seed))
 	limits := map[string]Limit{"t": limit}
 	clients := make([]*Client, fleet)
 	cutUntil := make([]time.Duration, fleet)
+	names := make([]string, fleet)
 	for i := range clients {
-		clients[i] = NewClient()
+		names[i] = fmt.Sprint(i)
+		clients[i] = NewClient(bounds.Window)
 		clients[i].SetLimits(limits, 0)
 		clients[i].SetFleet(fleet)
 	}
@@ -31,7 +33,12 @@
 	buckets.SetLimits(limits)
 	silentUntil, nextFault := time.Duration(0), 9*time.Second
 	var all []spent
+	pressure, nextPressure := 6.0, 10*time.Second // times the rate
 	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+		if now >= nextPressure {
+			pressure = []float64{0, 0.7, 6}[random.Intn(3)]
+			nextPressure = now + time.Duration(2+random.Intn(8))*time.Second
+		}
 		if now >= nextFault { // one fault in a window: a primary is lost, or sidecars are cut off from it
 			nextFault = now + 8*time.Second + time.Duration(random.Intn(4000))*time.Millisecond
 			switch random.Intn(4) {
@@ -40,8 +47,11 @@
 				nextFault += silentUntil - now
 				buckets, allocator = NewTokenBuckets(bounds, random.Intn(3) == 0, silentUntil), NewAllocator(silentUntil)
 				buckets.SetLimits(limits)
-			case 1:
+			case 1: // a primary is lost, and some cannot reach the next one for a while
 				silentUntil = now + time.Duration(600+random.Intn(900))*time.Millisecond
+				for range fleet / 5 {
+					cutUntil[random.Intn(fleet)] = silentUntil + 2*time.Second
+				}
 				buckets, allocator = NewTokenBuckets(bounds, random.Intn(3) == 0, silentUntil), NewAllocator(silentUntil)
 				buckets.SetLimits(limits)
 			case 2: // some are cut off for longer than a lease
@@ -56,6 +66,11 @@
 				}
 			}
 		}
+		for i, client := range clients { // whoever hears of a new primary tells it what was spent
+			if now >= silentUntil && now >= cutUntil[i] && !buckets.learned[names[i]] {
+				buckets.Learn(names[i], client.Histories(now), now)
+			}
+		}
 		if now >= silentUntil && now%(500*time.Millisecond) == 0 {
 			reserve := Reserve(fleet, allocator.Heard(now), allocator.Term(now))
 			buckets.SetReserve(reserve)
@@ -65,13 +80,14 @@
 			reaches := now >= silentUntil && now >= cutUntil[i]
 			if reaches && now%(500*time.Millisecond) == time.Duration(i)*10*time.Millisecond {
 				nonce, demand, held := client.Ask(now)
-				client.Granted(nonce, allocator.Ask(fmt.Sprint(i), 1, demand, held, fleet, now), now)
+				client.Granted(nonce, allocator.Ask(names[i], 1, demand, held, fleet, now), now)
 			}
-			if random.Float64() > 6*limit.Rate/float64(fleet)/units/100 { // six times the rate
+			weight := 2 * float64(1+i%4) / 5
+			if random.Float64() > pressure*weight*limit.Rate/float64(fleet)/units/100 {
 				continue
 			}
 			v, extra := client.Take("t", units, now)
-			if v == AskPrimary && reaches {
+			if v == AskPrimary && reaches && buckets.Ready(fleet, now) {
 				given, _ := buckets.Acquire("t", units, extra, now)
 				v = client.Acquired("t", given, units, now)
 			} else if v == AskPrimary {
@@ -129,7 +145,7 @@
 		start += 500 * time.Millisecond
 		for i := range clients {
 			if clients[i] == nil {
-				clients[i] = NewClient()
+				clients[i] = NewClient(bounds.Window)
 				clients[i].SetLimits(limits, 0)
 				clients[i].SetFleet(fleet)
 			}
@@ -156,7 +172,7 @@
 	later := spent(start+Lease+standingFor+time.Second, start+Lease+2*standingFor)
 	require.InDelta(t, standingPart*standingLater*100_000, later, 5_000)
 
-	alone := NewClient()
+	alone := NewClient(bounds.Window)
 	alone.SetLimits(limits, 0)
 	v, _ := alone.TakeLeased("t", 1, time.Hour)
 	require.Equal(t, Refused, v)
