--- a/cmd/petrelctl/main.go
+++ b/cmd/petrelctl/main.go
@@ -31,6 +31,9 @@
 // runError is an error of a subcommand that was called rightly.
 type runError struct{ error }
 
+// Unwrap gives the cause.
+func (e runError) Unwrap() error { return e.error }
+
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
 	root := &cobra.Command{
 		Use: "petrelctl", Short: "The operators' tool of petrelhook", SilenceErrors: true, SilenceUsage: true,
--- a/cmd/petrelctl/routers.go
+++ b/cmd/petrelctl/routers.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	o.Progress = func(what string) { fmt.Fprintln(cmd.ErrOrStderr(), what) }
-	points, failed := routerscale.Run(o)
+	points, failed := routerscale.Run(cmd.Context(), o)
 	m := capacity.Measured{At: time.Now().UTC().Truncate(time.Second), Points: points, FitUpTo: o.Sizes[max(0, len(o.Sizes)-2)],
 		Machine: fmt.Sprintf("%d processors", runtime.NumCPU())}
 	if failed != nil {
--- a/cmd/petrelctl/routers_test.go
+++ b/cmd/petrelctl/routers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,7 +35,7 @@
 	cmd := routersCommand()
 	cmd.SetArgs([]string{"--router", router, "--core", "3", "--sizes", "12", "--runs", "1", "--steady", "200ms", "--servers", "630",
 		"--tenants", "630", "--changes", "2", "--json", file})
-	require.NoError(t, cmd.Execute())
+	require.NoError(t, cmd.ExecuteContext(t.Context()))
 	text, err := os.ReadFile(file)
 	require.NoError(t, err)
 	m, err := capacity.ParseMeasured(file, text)
@@ -51,6 +52,18 @@
 	require.Positive(t, seen["quota draws/control sidecar/memory_bytes"])
 }
 
+// A run that is told to end does so within its step, and leaves no process.
+func TestRoutersThatAreToldToEnd(t *testing.T) {
+	router := filepath.Join(t.TempDir(), "petrelrouter")
+	require.NoError(t, exec.Command("go", "build", "-o", router, "../petrelrouter").Run())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	cmd := routersCommand()
+	cmd.SilenceErrors, cmd.SilenceUsage = true, true
+	cmd.SetArgs([]string{"--router", router, "--core", "3", "--sizes", "12", "--runs", "1", "--json", filepath.Join(t.TempDir(), "points.json")})
+	require.ErrorIs(t, cmd.ExecuteContext(ctx), context.Canceled)
+}
+
 func TestRoutersBadOptions(t *testing.T) {
 	for _, args := range [][]string{{"--core", "1"}, {"--runs", "0"}, {"--sizes", "5"}, {"--sizes", "9000"}} {
 		cmd := routersCommand()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	acquires     map[uint64]chan dissemination.QuotaAcquired
 	silentUntil  time.Duration // the primary did not answer
 	primarySince time.Duration // when the present primary was heard of
+	spentTold    bool          // it has answered since
 	view         replication.View
 	eligible     map[string]replication.Member
 
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -78,7 +78,7 @@
 	}
 	nonce, demand, held := n.gateway.AskQuota() // also where nothing is wanted: it tells that this sidecar hears the primary
 	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
-	if now-n.primarySince < tellSpentFor {
+	if !n.spentTold && now-n.primarySince < tellSpentFor {
 		ask.Spent = n.gateway.QuotaSpent()
 	}
 	if n.leads() {
@@ -95,12 +95,19 @@
 	n.tokenBuckets.Learn(from, m.Spent, n.now())
 	shares := n.allocator.Ask(from, m.Life, m.Demand, m.Held, n.fleet, n.now())
 	if from == n.self.Address {
-		n.gateway.QuotaGranted(m.Nonce, shares)
+		n.onQuotaGrant(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
 		return
 	}
 	n.transport.Send(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
 }
 
+func (n *Node) onQuotaGrant(from string, m dissemination.QuotaGrant) {
+	if from == n.view.PrimaryAddress() {
+		n.spentTold = true
+	}
+	n.gateway.QuotaGranted(m.Nonce, m.Shares)
+}
+
 func (n *Node) onQuotaAcquire(from string, m dissemination.QuotaAcquire, now time.Duration) {
 	if !n.grants() {
 		return
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -41,7 +41,7 @@
 	case dissemination.QuotaAsk:
 		n.onQuotaAsk(from, m)
 	case dissemination.QuotaGrant:
-		n.gateway.QuotaGranted(m.Nonce, m.Shares)
+		n.onQuotaGrant(from, m)
 	case dissemination.QuotaAcquire:
 		n.onQuotaAcquire(from, m, now)
 	case dissemination.QuotaAcquired:
@@ -62,7 +62,7 @@
 	if n.view.Epoch.Less(v.Epoch) {
 		first := n.view.Epoch.Round == 0
 		if n.view.Primary != v.Primary {
-			n.primarySince = n.now()
+			n.primarySince, n.spentTold = n.now(), false
 			n.every.quota.soon() // it is told at once what was spent
 		}
 		n.view = v
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -18,6 +18,7 @@
 	demandSmooth = 2 * time.Second
 	pressedFor   = time.Second // after a refusal
 	leastDemand  = 0.01        // units a second that are told of
+	tellLeast    = 0.05        // of an equal part of a limit, from which a new primary is told what was spent
 	leaseBurst   = time.Second // of a lease or a standing share may be spent at once
 )
 
@@ -199,12 +200,13 @@
 	return t.nonce, demand, held
 }
 
-// Histories are what was spent lately of all limits, for a new primary.
+// Histories are what was spent lately of all limits, for a new primary; tenants of which this sidecar sees hardly anything are left out.
 func (t *Client) Histories(now time.Duration) map[string]History {
 	out := map[string]History{}
 	for name, b := range t.buckets {
 		b.spent.roll(t.slot, now)
-		if b.spent.slots.sum() > 0 {
+		part := b.limit.Rate * (t.slot * historySlots).Seconds() / float64(t.fleet)
+		if spent := b.spent.slots.sum(); spent > 0 && spent >= tellLeast*part {
 			out[name] = b.spent.slots
 		}
 	}
--- a/internal/quota/history_test.go
+++ b/internal/quota/history_test.go
@@ -86,3 +86,16 @@
 	require.LessOrEqual(t, most, b.guard(limit))
 	require.Greater(t, most, 0.9*b.guard(limit))
 }
+
+// A sidecar tells a new primary of the tenants of which it sees something, and not of thousands that it hardly sees.
+func TestWhatANewPrimaryIsTold(t *testing.T) {
+	limits := map[string]Limit{"large": {Rate: 1000, Burst: 1000}, "hardly": {Rate: 1000, Burst: 1000}, "unseen": {Rate: 1000}}
+	client := NewClient(bounds.Window)
+	client.SetLimits(limits, 0)
+	client.SetFleet(10)
+	client.Acquired("large", 500, 500, 0)
+	client.Acquired("hardly", 20, 20, 0)
+	told := client.Histories(0)
+	require.Len(t, told, 1)
+	require.Equal(t, 500.0, told["large"][0])
+}
--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -71,15 +72,39 @@
 	return porcupine.CheckOperationsTimeout(registerModel, list, 20*time.Second)
 }
 
-// fault does one thing to the fleet, and undoes it later.
-func (s *simulation) fault() {
+// struck are the machines that a fault strikes: one, or up to as many as may be lost at once.
+func (s *simulation) struck() []*host {
 	hosts := s.addresses()
 	h := s.hosts[hosts[s.random.Intn(len(hosts))]]
 	if p := s.primary(); p != nil && s.random.Intn(2) == 0 {
 		h = p.host
 	}
+	list := []*host{h}
+	for s.tolerance > len(list) && s.random.Intn(2) == 0 {
+		other := s.hosts[hosts[s.random.Intn(len(hosts))]]
+		if !slices.Contains(list, other) {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// fault does one thing to the fleet, and undoes it later.
+func (s *simulation) fault() {
+	struck := s.struck()
 	back := time.Duration(200+s.random.Intn(2500)) * time.Millisecond
-	switch s.random.Intn(10) {
+	kind := s.random.Intn(10)
+	if kind == 2 && !s.mayWipe(struck[0]) {
+		return
+	}
+	for _, h := range struck {
+		s.strike(kind, h, back)
+	}
+}
+
+// strike does one thing to a machine, or, where it has to do with others, to all.
+func (s *simulation) strike(kind int, h *host, back time.Duration) {
+	switch kind {
 	case 0: // a kill, or a loss of power: the disk holds what was synced
 		s.kill(h)
 		s.after(back, func() { s.boot(h) })
@@ -88,12 +113,10 @@
 			s.kill(one)
 			s.after(time.Duration(200+s.random.Intn(800))*time.Millisecond, func() { s.boot(one) })
 		}
-	case 2: // a lost disk, where no other is lost or behind
-		if s.mayWipe(h) {
-			s.kill(h)
-			s.wipe(h)
-			s.after(back, func() { s.boot(h) })
-		}
+	case 2: // a lost disk
+		s.kill(h)
+		s.wipe(h)
+		s.after(back, func() { s.boot(h) })
 	case 3:
 		h.frozenUntil = s.now + back
 	case 4:
@@ -106,6 +129,7 @@
 		}
 		s.after(back, s.heal)
 	case 6:
+		hosts := s.addresses()
 		s.cut(h, s.hosts[hosts[s.random.Intn(len(hosts))]], true)
 		s.after(back, s.heal)
 	case 7:
@@ -120,7 +144,8 @@
 	}
 }
 
-// mayWipe: one disk may be lost at one time, and counts as lost until its machine is back in the in-sync set.
+// mayWipe: as many disks may be lost at one time as FaultTolerance says, and each counts as lost until its machine is back in the
+// in-sync set.
 func (s *simulation) mayWipe(h *host) bool {
 	p := s.primary()
 	if p == nil || len(p.replica.View().InSync) < len(s.hosts) {
@@ -139,7 +164,12 @@
 
 // play runs one random schedule of faults and calls, and returns the simulation after everything is whole again.
 func play(t testing.TB, seed int64, mutate func(*simulation)) *simulation {
-	s := newSimulation(t, seed, 3+int(seed%3), 1)
+	return playCore(t, seed, 3+int(seed%3), 1, mutate)
+}
+
+// playCore is play with a core of a size, of which some machines may be lost at once.
+func playCore(t testing.TB, seed int64, machines, tolerance int, mutate func(*simulation)) *simulation {
+	s := newSimulation(t, seed, machines, tolerance)
 	if mutate != nil {
 		mutate(s)
 	}
@@ -179,6 +209,19 @@
 	})
 }
 
+// The same with cores of five, six and seven machines, of which two may be lost at once: killed, wiped, cut off, suspended, or with disks
+// that are full or slow.
+func TestHistoriesOfLargerCores(t *testing.T) {
+	inShards(t, schedules(t, 60), func(seed int64) bool {
+		s := playCore(t, seed, 5+int(seed%3), 2, nil)
+		if fault := judge(s); fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+			return false
+		}
+		return true
+	})
+}
+
 // inShards runs seeds side by side until one returns false.
 func inShards(t *testing.T, seeds int, run func(seed int64) bool) {
 	t.Helper()
--- a/internal/rig/routerscale/fleet.go
+++ b/internal/rig/routerscale/fleet.go
@@ -45,6 +45,7 @@
 
 // members are a fleet of one size.
 type members struct {
+	ctx      context.Context // of the run
 	options  Options
 	folder   string
 	ports    [2]int // control, internal
@@ -68,8 +69,8 @@
 }
 
 // start brings up the core and the hollow sidecars, and a first configuration.
-func start(o Options, size int) (m *members, err error) {
-	m = &members{options: o, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+func start(ctx context.Context, o Options, size int) (m *members, err error) {
+	m = &members{ctx: ctx, options: o, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	defer func() {
 		if err != nil {
 			m.end()
@@ -224,6 +225,9 @@
 
 func (m *members) until(what string, ok func() bool) error {
 	for began := time.Now(); time.Since(began) < startLimit; time.Sleep(pollEvery) {
+		if err := m.ctx.Err(); err != nil {
+			return err
+		}
 		if ok() {
 			return nil
 		}
@@ -243,7 +247,7 @@
 
 // beat has hollow servers call, each every heartbeat, spread over the core.
 func (m *members) beat(servers int) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(m.ctx)
 	m.stopBeat = cancel
 	callers := max(leastCallers, servers/serversEach) // real servers do not wait for one another
 	every := time.Duration(heartbeatMs) * time.Millisecond
--- a/internal/rig/routerscale/run.go
+++ b/internal/rig/routerscale/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"syscall"
@@ -53,8 +54,12 @@
 	changePause = 300 * time.Millisecond
 )
 
-// Run measures all sizes.
-func Run(o Options) ([]capacity.Point, error) {
+// mostMemory is when the collector works harder: hundreds of hollow sidecars hold some gigabytes, and others have to live beside them.
+const mostMemory = 8 << 30
+
+// Run measures all sizes, until it is done or the context ends.
+func Run(ctx context.Context, o Options) ([]capacity.Point, error) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(mostMemory))
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(max(1, runtime.NumCPU()/2))) // the core has processors of its own
 	var points []capacity.Point
 	for _, size := range o.Sizes {
@@ -62,7 +67,7 @@
 			if o.Progress != nil {
 				o.Progress(fmt.Sprintf("%d sidecars, run %d", size, run))
 			}
-			more, err := one(o, size, run)
+			more, err := one(ctx, o, size, run)
 			if err != nil {
 				return points, fmt.Errorf("%d sidecars, run %d: %w", size, run, err)
 			}
@@ -157,11 +162,11 @@
 	return points, nil
 }
 
-func one(o Options, size, run int) (points []capacity.Point, err error) {
+func one(ctx context.Context, o Options, size, run int) (points []capacity.Point, err error) {
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	m, err := start(o, size)
+	m, err := start(ctx, o, size)
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +230,7 @@
 
 // draw has each hollow sidecar draw from tenants' limits at a rate.
 func (m *members) draw() {
-	ctx, cancel := context.WithTimeout(context.Background(), m.options.Steady)
+	ctx, cancel := context.WithTimeout(m.ctx, m.options.Steady)
 	defer cancel()
 	var group sync.WaitGroup
 	pause := time.Second / time.Duration(m.options.Draws)
