--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -13,7 +13,6 @@
 	"petrelhook/internal/membership"
 	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
-	"petrelhook/internal/quota"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
 )
@@ -95,9 +94,8 @@
 type QuotaAsk struct {
 	Nonce  uint64
 	Life   uint64
-	Demand map[string]float64       // units a second
-	Held   map[string]float64       // shares, 0 to 1
-	Spent  map[string]quota.History // to a primary that may be new
+	Demand map[string]float64 // units a second
+	Held   map[string]float64 // shares, 0 to 1
 }
 
 // QuotaGrant answers QuotaAsk with the shares to use from now on.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,6 @@
 	BudgetRatio  float64
 	BudgetSlack  float64
 	BudgetWindow time.Duration
-	QuotaWindow  time.Duration
 }
 
 // Acquirer acquires units of a tenant's limit, which all sidecars share, from the primary. Not ok means that it is silent.
@@ -67,7 +66,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
-		tally: outlier.NewTally(), quota: quota.NewClient(o.QuotaWindow), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		tally: outlier.NewTally(), quota: quota.NewClient(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
@@ -137,13 +136,6 @@
 	return g.quota.Ask(g.options.Now())
 }
 
-// QuotaSpent is what this sidecar spent of tenants' limits lately, for a new primary.
-func (g *Gateway) QuotaSpent() map[string]quota.History {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.quota.Histories(g.options.Now())
-}
-
 // QuotaGranted takes in the answer.
 func (g *Gateway) QuotaGranted(nonce uint64, shares map[string]float64) {
 	g.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,8 +77,6 @@
 	tokenBuckets *quota.TokenBuckets
 	acquires     map[uint64]chan dissemination.QuotaAcquired
 	silentUntil  time.Duration // the primary did not answer
-	primarySince time.Duration // when the present primary was heard of
-	spentTold    bool          // it has answered since
 	view         replication.View
 	eligible     map[string]replication.Member
 
@@ -122,7 +120,7 @@
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
 		Acquirer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
-		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS)), QuotaWindow: settings.Seconds(b.QuotaWindowS)})
+		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
 }
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -16,15 +16,6 @@
 	primarySilence = 250 * time.Millisecond // for which a primary that did not answer is not asked again
 )
 
-// tellSpentFor is for how long a primary counts as new, to which is told what was spent before.
-const tellSpentFor = 2 * time.Second
-
-// While a primary is this new it is asked this often.
-const (
-	claimed   = 600 * time.Millisecond
-	quotaSoon = 100 * time.Millisecond
-)
-
 // justStarted is for how long after its start a sidecar counts as new.
 const justStarted = 5 * time.Second
 
@@ -53,22 +44,13 @@
 	}
 }
 
-// grants reports whether this sidecar grants units now: it leads, and knows what was spent before its term.
-func (n *Node) grants() bool {
-	return n.leads() && n.tokenBuckets.Ready(n.gateway.Fleet(), n.now())
-}
-
 // leads reports whether this sidecar may divide limits now: it is primary, and a majority says so.
 func (n *Node) leads() bool {
 	return n.allocator != nil && n.replica.InTouch() && n.view.Primary == n.replica.Self.ID
 }
 
 func (n *Node) tickQuota(now time.Duration) {
-	every := quotaEvery
-	if now-n.primarySince < claimed { // it may not know yet that it leads
-		every = quotaSoon
-	}
-	if n.view.PrimaryAddress() == "" || !n.every.quota.due(every, now) {
+	if n.view.PrimaryAddress() == "" || !n.every.quota.due(quotaEvery, now) {
 		return
 	}
 	if n.leads() {
@@ -78,9 +60,6 @@
 	}
 	nonce, demand, held := n.gateway.AskQuota() // also where nothing is wanted: it tells that this sidecar hears the primary
 	ask := dissemination.QuotaAsk{Nonce: nonce, Life: n.life, Demand: demand, Held: held}
-	if !n.spentTold && now-n.primarySince < tellSpentFor {
-		ask.Spent = n.gateway.QuotaSpent()
-	}
 	if n.leads() {
 		n.onQuotaAsk(n.self.Address, ask)
 		return
@@ -92,24 +71,16 @@
 	if !n.leads() {
 		return
 	}
-	n.tokenBuckets.Learn(from, m.Spent, n.now())
 	shares := n.allocator.Ask(from, m.Life, m.Demand, m.Held, n.fleet, n.now())
 	if from == n.self.Address {
-		n.onQuotaGrant(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
+		n.gateway.QuotaGranted(m.Nonce, shares)
 		return
 	}
 	n.transport.Send(from, dissemination.QuotaGrant{Nonce: m.Nonce, Shares: shares})
 }
 
-func (n *Node) onQuotaGrant(from string, m dissemination.QuotaGrant) {
-	if from == n.view.PrimaryAddress() {
-		n.spentTold = true
-	}
-	n.gateway.QuotaGranted(m.Nonce, m.Shares)
-}
-
 func (n *Node) onQuotaAcquire(from string, m dissemination.QuotaAcquire, now time.Duration) {
-	if !n.grants() {
+	if !n.leads() {
 		return
 	}
 	given, wait := n.tokenBuckets.Acquire(m.Tenant, m.Need, m.Extra, now)
@@ -120,7 +91,7 @@
 func (n *Node) Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool) {
 	answer := make(chan dissemination.QuotaAcquired, 1)
 	n.mutex.Lock()
-	if n.grants() {
+	if n.leads() {
 		given, wait = n.tokenBuckets.Acquire(tenant, need, extra, n.now())
 		n.mutex.Unlock()
 		return given, wait, true
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -41,7 +41,7 @@
 	case dissemination.QuotaAsk:
 		n.onQuotaAsk(from, m)
 	case dissemination.QuotaGrant:
-		n.onQuotaGrant(from, m)
+		n.gateway.QuotaGranted(m.Nonce, m.Shares)
 	case dissemination.QuotaAcquire:
 		n.onQuotaAcquire(from, m, now)
 	case dissemination.QuotaAcquired:
@@ -52,7 +52,6 @@
 		}
 	}
 	n.tickSessions(now)
-	n.tickQuota(now)
 	n.apply()
 }
 
@@ -61,10 +60,6 @@
 func (n *Node) noteView(v replication.View) {
 	if n.view.Epoch.Less(v.Epoch) {
 		first := n.view.Epoch.Round == 0
-		if n.view.Primary != v.Primary {
-			n.primarySince, n.spentTold = n.now(), false
-			n.every.quota.soon() // it is told at once what was spent
-		}
 		n.view = v
 		n.silentUntil = 0
 		n.replica.LearnView(v)
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -18,7 +18,6 @@
 	demandSmooth = 2 * time.Second
 	pressedFor   = time.Second // after a refusal
 	leastDemand  = 0.01        // units a second that are told of
-	tellLeast    = 0.05        // of an equal part of a limit, from which a new primary is told what was spent
 	leaseBurst   = time.Second // of a lease or a standing share may be spent at once
 )
 
@@ -39,7 +38,6 @@
 	asked   time.Duration
 	until   time.Duration // of the leases
 	fleet   int
-	slot    time.Duration // of the histories
 }
 
 type bucket struct {
@@ -51,8 +49,6 @@
 	tokens float64 // of the lease, since the primary was silent
 	filled time.Duration
 
-	spent spending
-
 	pressed time.Duration // until when it asks for more than its limit, as far as is known
 
 	demand float64 // units a second, smoothed
@@ -60,10 +56,8 @@
 	at     time.Duration
 }
 
-// NewClient makes a client without any share, under a rule with a window.
-func NewClient(window time.Duration) *Client {
-	return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt, slot: slotOf(window)}
-}
+// NewClient makes a client without any share.
+func NewClient() *Client { return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt} }
 
 // SetFleet takes in how many sidecars there are.
 func (t *Client) SetFleet(n int) { t.fleet = max(1, n) }
@@ -120,7 +114,6 @@
 		b.pressed = now + pressedFor
 		return Refused
 	}
-	b.spent.add(given, t.slot, now)
 	b.stock += given - units
 	b.stockAt = now
 	return Granted
@@ -143,7 +136,6 @@
 		return Refused, time.Duration(-b.tokens / rate * float64(time.Second))
 	}
 	b.tokens -= units
-	b.spent.add(units, t.slot, now)
 	return Granted, 0
 }
 
@@ -200,19 +192,6 @@
 	return t.nonce, demand, held
 }
 
-// Histories are what was spent lately of all limits, for a new primary; tenants of which this sidecar sees hardly anything are left out.
-func (t *Client) Histories(now time.Duration) map[string]History {
-	out := map[string]History{}
-	for name, b := range t.buckets {
-		b.spent.roll(t.slot, now)
-		part := b.limit.Rate * (t.slot * historySlots).Seconds() / float64(t.fleet)
-		if spent := b.spent.slots.sum(); spent > 0 && spent >= tellLeast*part {
-			out[name] = b.spent.slots
-		}
-	}
-	return out
-}
-
 // Granted takes in the answer to the last question.
 func (t *Client) Granted(nonce uint64, shares map[string]float64, now time.Duration) {
 	if nonce != t.nonce || now-t.asked >= Lease {
