--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -109,7 +109,7 @@
 		s.kill(h)
 		s.after(back, func() { s.boot(h) })
 	case 1: // all at once
-		for _, one := range s.hosts {
+		for _, one := range s.ordered() {
 			s.kill(one)
 			s.after(time.Duration(200+s.random.Intn(800))*time.Millisecond, func() { s.boot(one) })
 		}
@@ -122,7 +122,7 @@
 	case 4:
 		h.fullUntil = s.now + back
 	case 5:
-		for _, other := range s.hosts {
+		for _, other := range s.ordered() {
 			if other != h {
 				s.cut(h, other, s.random.Intn(2) == 0)
 			}
@@ -365,7 +365,7 @@
 	s.cut(stale, wiped, false)
 	s.run(s.now + 2*time.Second)
 	require.Equal(t, http.StatusOK, writeNow(s, "a").status)
-	for _, h := range s.hosts {
+	for _, h := range s.ordered() {
 		s.kill(h)
 	}
 	s.wipe(wiped)
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -121,7 +121,7 @@
 			s.seeds = append(s.seeds, h.address)
 		}
 	}
-	for _, h := range s.hosts {
+	for _, h := range s.ordered() {
 		s.after(time.Duration(s.random.Intn(300))*time.Millisecond, func() { s.boot(h) })
 	}
 	return s
@@ -181,7 +181,7 @@
 		return
 	}
 	s.after(400*time.Millisecond, func() { s.greet(p) })
-	for _, other := range s.hosts {
+	for _, other := range s.ordered() {
 		if other.process != nil && other != p.host && s.reaches(p.host, other) {
 			q := other.process
 			self := p.replica.Self
@@ -374,3 +374,12 @@
 		}
 	})
 }
+
+// ordered are the hosts by address: the same schedule each time has the same draws.
+func (s *simulation) ordered() []*host {
+	var out []*host
+	for _, address := range s.addresses() {
+		out = append(out, s.hosts[address])
+	}
+	return out
+}
