--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,7 +63,7 @@
 	if !g.authorize(w, r, table, req) {
 		return
 	}
-	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.hasServer(req.service) })
+	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.ServersOf(req.service) > 0 })
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	g.serve(ctx, w, r, req)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -67,12 +67,15 @@
 	return count
 }
 
-// hasServer reports whether a service has a server that a request may go to.
-func (g *Gateway) hasServer(name string) bool {
+// ServersOf counts the servers of a service that requests may go to.
+func (g *Gateway) ServersOf(name string) int {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	s := g.services[name]
-	return s != nil && len(s.conns) > 0
+	if s == nil {
+		return 0
+	}
+	return len(s.conns)
 }
 
 // connections is this sidecar's part of what a server of a service takes.
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -24,8 +24,8 @@
 // logServers logs how many servers of each service requests may go to, where that is another number than before.
 func (n *Node) logServers() {
 	for name, count := range n.gateway.Servers() {
-		if n.usable[name] != count {
-			n.usable[name] = count
+		if n.logged[name] != count {
+			n.logged[name] = count
 			n.logger.Info().Str("service", name).Int("usable", count).Msg("servers")
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,7 @@
 
 	compiled     uint64         // version of the gateway's table
 	listed       uint64         // stamp of the gateway's servers
-	usable       map[string]int // servers by service, as logged last
+	logged       map[string]int // usable servers by service, as logged last
 	lastPush     time.Duration
 	every        periodics
 	pushLater    bool
@@ -109,7 +109,7 @@
 		register: operatorapi.NewRegister(), registry: registry.New(), sessions: membership.New(sessionTimeout),
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
-		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, usable: map[string]int{},
+		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, logged: map[string]int{},
 		acquires: map[uint64]chan dissemination.QuotaAcquired{}}
 	n.every.store.due(0, 0) // what is on the disk is as good, at first
 	n.every.expire.due(0, 0)
--- a/internal/node/outliers.go
+++ b/internal/node/outliers.go
@@ -37,7 +37,7 @@
 }
 
 // Usable implements outlier.Services.
-func (u usableServers) Usable(service string) int { return u.node.usable[service] }
+func (u usableServers) Usable(service string) int { return u.node.gateway.ServersOf(service) }
 
 // tickOutliers reports how this sidecar's sends ended; a control sidecar judges servers by what was reported.
 func (n *Node) tickOutliers(now time.Duration) {
