--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -33,26 +33,26 @@
 	view     View
 }
 
-// contacts are all whose promise may be needed, by address.
-func (r *Replica) contacts() map[string]bool {
-	out := map[string]bool{}
+// contacts are the addresses of all whose promise may be needed, in order.
+func (r *Replica) contacts() []string {
+	addresses := map[string]bool{}
 	views := []View{r.known, r.hard.Accepted, r.election.newest}
 	if r.known.Epoch.Round == 0 && r.hard.Accepted.Epoch.Round == 0 {
 		views = append(views, r.base())
 	}
 	for _, v := range views {
 		for _, m := range v.Members {
-			out[m.Address] = true
+			addresses[m.Address] = true
 		}
 		for _, m := range v.Old {
-			out[m.Address] = true
+			addresses[m.Address] = true
 		}
 	}
 	for _, m := range r.candidates {
-		out[m.Address] = true
+		addresses[m.Address] = true
 	}
-	delete(out, r.Self.Address)
-	return out
+	delete(addresses, r.Self.Address)
+	return sortedKeys(addresses)
 }
 
 // campaign begins a candidacy for the next epoch.
@@ -77,7 +77,7 @@
 			r.onPromise(r.ownPromise(epoch))
 		}
 	})
-	for address := range r.contacts() {
+	for _, address := range r.contacts() {
 		r.send(address, Prepare{Epoch: epoch, From: r.Self, Force: force})
 	}
 }
@@ -148,10 +148,9 @@
 	for _, v := range m.Voters {
 		e.votes[v] = true
 	}
-	inForce := e.newest.Epoch == m.Accepted.Epoch && e.newest.joint() && !m.Accepted.joint()
-	if inForce || e.newest.Epoch.Less(m.Accepted.Epoch) {
-		e.newest = m.Accepted
-		for address := range r.contacts() {
+	if later := laterView(e.newest, m.Accepted); later.Epoch != e.newest.Epoch || later.joint() != e.newest.joint() {
+		e.newest = later
+		for _, address := range r.contacts() {
 			if _, ok := e.promises[address]; !ok {
 				r.send(address, Prepare{Epoch: e.epoch, From: r.Self, Force: true})
 			}
@@ -178,7 +177,8 @@
 		return
 	}
 	e.phase, e.began = syncing, r.now
-	for _, p := range e.promises {
+	for _, address := range sortedKeys(e.promises) {
+		p := e.promises[address]
 		if p.From.ID == r.Self.ID || !r.mayJoin(p.From, p) {
 			continue
 		}
@@ -198,7 +198,7 @@
 
 // allPromised: nothing is gained by waiting for more promises.
 func (r *Replica) allPromised() bool {
-	for address := range r.contacts() {
+	for _, address := range r.contacts() {
 		if _, ok := r.election.promises[address]; !ok {
 			return false
 		}
@@ -271,7 +271,7 @@
 			r.onAccepted(Accepted{Epoch: epoch, Voters: r.voters()})
 		}
 	})
-	for address := range r.contacts() {
+	for _, address := range r.contacts() {
 		r.send(address, Accept{View: view})
 	}
 }
--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -59,10 +60,17 @@
 // may be taken at any time after it was made, or never; both are in the model by two operations' worth of freedom: it ends
 // at infinity, and where it does not fit it changes nothing.
 func check(history []operation) porcupine.CheckResult {
+	taken := map[int]bool{} // versions on top of which a value was acknowledged
+	for _, o := range history {
+		if o.write && o.status == http.StatusOK {
+			taken[o.base] = true
+		}
+	}
 	var list []porcupine.Operation
 	for i, o := range history {
 		if o.status != http.StatusOK && o.status != http.StatusPreconditionFailed {
-			if !o.write {
+			// Versions never go back: a write on top of one that an acknowledged write took was never taken.
+			if !o.write || taken[o.base] {
 				continue
 			}
 			o.end = 1 << 60
@@ -209,6 +217,14 @@
 	})
 }
 
+// A schedule is the same each time it is played: what fails once can be looked into.
+func TestSchedulesRepeat(t *testing.T) {
+	inShards(t, 24, func(seed int64) bool {
+		first, second := play(t, seed, nil), play(t, seed, nil)
+		return assert.Equal(t, first.history, second.history, "seed %d", seed)
+	})
+}
+
 // The same with cores of five, six and seven machines, of which two may be lost at once: killed, wiped, cut off, suspended, or with disks
 // that are full or slow.
 func TestHistoriesOfLargerCores(t *testing.T) {
--- a/internal/replication/mutation_test.go
+++ b/internal/replication/mutation_test.go
@@ -24,5 +24,7 @@
 			here, "TestTheMembersBeforeHaveToAgree"},
 		"disks in the in-sync set": {"internal/replication/election.go", "if len(e.synced) < r.minInSync() {", "if false {",
 			here, "TestTheInSyncMinimum"},
+		"a candidate could lead": {"internal/replication/prevote.go", "|| !newest.inSync(r.Self.ID) ||", "||",
+			here, "TestOnlyOneThatCouldLeadIsACandidate"},
 	})
 }
--- a/internal/replication/prevote.go
+++ b/internal/replication/prevote.go
@@ -15,14 +15,20 @@
 
 // PreVoteReply answers PreVote.
 type PreVoteReply struct {
-	Voters []string // the witness identities that would promise
-	Hears  bool     // ... but hear of a primary or candidate
+	Voters   []string // the witness identities that would promise
+	Accepted View     // what they would say that they accepted
+	Hears    bool     // they would promise nothing, for they hear of a primary or candidate
 }
 
 // preVote is what a follower that suspects the primary has heard from the others.
 type preVote struct {
-	asked time.Duration
-	votes map[string]time.Duration // by witness identity, when
+	asked   time.Duration
+	replies map[string]datedReply // by address
+}
+
+type datedReply struct {
+	PreVoteReply
+	at time.Duration
 }
 
 // suspicious reports whether a follower should become a candidate, if the others agree.
@@ -38,17 +44,16 @@
 
 // askPreVotes asks all whose promise may be needed.
 func (r *Replica) askPreVotes() {
-	if r.preVote.votes != nil && r.now-r.preVote.asked < preVoteEvery {
+	if r.preVote.replies == nil {
+		r.preVote.replies = map[string]datedReply{}
+	} else if r.now-r.preVote.asked < preVoteEvery {
 		return
 	}
-	if r.preVote.votes == nil {
-		r.preVote.votes = map[string]time.Duration{}
-	}
 	r.preVote.asked = r.now
-	for address := range r.contacts() {
+	for _, address := range r.contacts() {
 		r.send(address, PreVote{From: r.Self})
 	}
-	r.countPreVotes(r.voters())
+	r.countPreVotes()
 }
 
 func (r *Replica) onPreVote(m PreVote) {
@@ -56,38 +61,59 @@
 	if len(voters) == 0 {
 		return
 	}
-	r.send(m.From.Address, PreVoteReply{Voters: voters, Hears: r.role != follower || r.now-r.heard < heardRecently})
+	hears := r.role != follower || r.now-r.heard < heardRecently
+	r.send(m.From.Address, PreVoteReply{Voters: voters, Accepted: r.hard.Accepted, Hears: hears})
 }
 
-func (r *Replica) onPreVoteReply(m PreVoteReply) {
-	if r.preVote.votes == nil {
+func (r *Replica) onPreVoteReply(m PreVoteReply, from string) {
+	if r.preVote.replies == nil {
 		return
 	}
 	if m.Hears {
-		for _, v := range m.Voters {
-			delete(r.preVote.votes, v)
-		}
+		delete(r.preVote.replies, from)
 		return
 	}
-	r.countPreVotes(m.Voters)
+	r.preVote.replies[from] = datedReply{m, r.now}
+	r.countPreVotes()
 }
 
-// countPreVotes takes in answers, and begins a candidacy when a majority hears no primary.
-func (r *Replica) countPreVotes(voters []string) {
-	for _, v := range voters {
-		r.preVote.votes[v] = r.now
-	}
+// countPreVotes begins a candidacy when a majority hears no primary and the promises would let this replica lead. One that is not in the
+// in-sync set would stop those that are by asking: a promise gives the candidate time.
+func (r *Replica) countPreVotes() {
+	newest := r.newestKnown()
 	agree := map[string]bool{}
-	for v, at := range r.preVote.votes {
-		agree[v] = r.now-at < preVoteGood
+	for _, id := range r.voters() {
+		agree[id] = true
 	}
-	newest := r.known
-	if newest.Epoch.Less(r.hard.Accepted.Epoch) {
-		newest = r.hard.Accepted
+	for _, reply := range r.preVote.replies {
+		if r.now-reply.at >= preVoteGood {
+			continue
+		}
+		newest = laterView(newest, reply.Accepted)
+		for _, id := range reply.Voters {
+			agree[id] = true
+		}
 	}
-	if !r.suspicious() || !majority(newest.Members, agree) || !majority(newest.Old, agree) {
+	if !r.suspicious() || !newest.inSync(r.Self.ID) || !majority(newest.Members, agree) || !majority(newest.Old, agree) {
 		return
 	}
 	r.preVote = preVote{}
 	r.campaign(false)
 }
+
+// newestKnown is the newest view that this replica accepted or knows to be in force.
+func (r *Replica) newestKnown() View {
+	if r.known.Epoch.Less(r.hard.Accepted.Epoch) {
+		return r.hard.Accepted
+	}
+	return r.known
+}
+
+// laterView is the one of two views that a candidate has to go by. Of one view the form that is known to be in force counts.
+func laterView(a, b View) View {
+	inForce := a.Epoch == b.Epoch && a.joint() && !b.joint()
+	if inForce || a.Epoch.Less(b.Epoch) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/replication/prevote_test.go
@@ -0,0 +1,70 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// viewOf is a view of the members a, b, c, d, e that is known to be in force.
+func viewOf(round uint64, inSync ...string) View {
+	v := View{Epoch: Epoch{Round: round, Node: inSync[0]}, Primary: inSync[0], InSync: inSync}
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		v.Members = append(v.Members, Member{ID: id, Address: id})
+	}
+	v.Old = v.Members
+	return v
+}
+
+// preVoter is the replica "a", which accepted a view and hears nobody any more.
+func preVoter(t *testing.T, accepted View) *Replica {
+	t.Helper()
+	r, err := New(Options{Self: Member{ID: "a", Address: "a"}, FaultTolerance: 1}, &Kept{ID: "a", Hard: Hard{Accepted: accepted}},
+		machineAdapter{&versionMachine{}}, 0)
+	require.NoError(t, err)
+	r.Tick(3 * time.Second)
+	require.NotEmpty(t, r.Effects(), "it asks for pre-votes")
+	return r
+}
+
+// A replica asks for promises where the answers to its pre-vote say that it would lead with them. One outside the in-sync set does not:
+// each promise gives a candidate time, and two such replicas took it by turns from those who could lead, for ever.
+func TestOnlyOneThatCouldLeadIsACandidate(t *testing.T) {
+	without, with := viewOf(4, "b", "c"), viewOf(5, "a", "b")
+	for _, one := range []struct {
+		name      string
+		own       View
+		accepted  []View // of c, d, e
+		candidate bool
+	}{
+		{"in the in-sync set", with, []View{with, with, with}, true},
+		{"one of the others is behind", with, []View{with, without, with}, true},
+		{"outside the in-sync set", without, []View{without, without, without}, false},
+		{"others are further, without it", with, []View{viewOf(6, "b", "c"), with, with}, false},
+		{"one other accepted a view in which it is", without, []View{without, without, with}, true},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			r := preVoter(t, one.own)
+			for i, from := range []string{"c", "d", "e"} {
+				r.Receive(from, PreVoteReply{Voters: []string{from}, Accepted: one.accepted[i]}, r.now)
+			}
+			asked := false
+			for _, effect := range r.Effects() {
+				if send, ok := effect.(Send); ok {
+					_, prepare := send.Message.(Prepare)
+					asked = asked || prepare
+				}
+			}
+			require.Equal(t, one.candidate, asked)
+		})
+	}
+}
+
+// Schedules after whose faults two replicas outside the in-sync set kept the others from electing a primary.
+func TestOutsidersDoNotHinderAnElection(t *testing.T) {
+	assert.Empty(t, judge(play(t, 140690, nil)))
+	assert.Empty(t, judge(playCore(t, 116838, 5, 2, nil)))
+	assert.Empty(t, judge(playCore(t, 148364, 7, 2, nil)))
+}
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -185,9 +185,9 @@
 		knows[to.Address] = l.acked[to.ID].known == l.view.Epoch
 	}
 	view := l.view
-	for address, known := range knows {
+	for _, address := range sortedKeys(knows) {
 		m := Heartbeat{Epoch: l.view.Epoch, Beat: l.beat, Committed: l.committed}
-		if !known {
+		if !knows[address] {
 			m.View = &view
 		}
 		r.send(address, m)
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -24,6 +24,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -177,6 +178,9 @@
 	}
 }
 
+// sortedKeys puts a map's keys in order: what a replica does follows from what it heard alone, also in which order.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 func (r *Replica) send(to string, m Message) {
 	if to == r.Self.Address {
 		return
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -115,12 +115,12 @@
 			s.run(s.now + 200*time.Microsecond)
 		}
 		require.Equal(t, http.StatusOK, s.history[0].status)
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.kill(h)
 		}
 		lost := s.hosts[s.addresses()[seed%4]]
 		s.wipe(lost)
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.after(time.Duration(s.random.Intn(1000))*time.Millisecond, func() { s.boot(h) })
 		}
 		s.run(s.now + 5*time.Second)
@@ -136,10 +136,10 @@
 		s := newSimulation(t, seed, 3, 1)
 		s.run(4 * time.Second)
 		require.Equal(t, http.StatusOK, writeNow(s, "a").status)
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.kill(h)
 		}
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.after(time.Duration(500+s.random.Intn(300))*time.Millisecond, func() { s.boot(h) })
 		}
 		s.run(s.now + 5*time.Second)
@@ -154,7 +154,7 @@
 	s := newSimulation(t, 1, 3, 1)
 	s.run(4 * time.Second)
 	s.seeds = []string{"10.9.9.1:7000", "10.9.9.2:7000", "10.9.9.3:7000"}
-	for _, h := range s.hosts {
+	for _, h := range s.ordered() {
 		s.kill(h)
 		s.after(500*time.Millisecond, func() { s.boot(h) })
 	}
@@ -192,7 +192,7 @@
 	require.NotNil(t, p)
 	epoch := p.replica.View().Epoch
 	deaf := s.followers(p)[0]
-	for _, h := range s.hosts {
+	for _, h := range s.ordered() {
 		s.cut(h, deaf, true)
 	}
 	s.run(s.now + 3*time.Second)
@@ -207,12 +207,12 @@
 	for seed := range int64(10) {
 		s := newSimulation(t, seed, 4, 1)
 		s.run(4 * time.Second)
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.kill(h)
 		}
 		s.run(s.now + time.Second)
 		began := s.now
-		for _, h := range s.hosts {
+		for _, h := range s.ordered() {
 			s.boot(h)
 		}
 		for s.primary() == nil && s.now-began < 2*time.Second {
--- a/internal/replication/step.go
+++ b/internal/replication/step.go
@@ -9,7 +9,7 @@
 	case PreVote:
 		r.onPreVote(m)
 	case PreVoteReply:
-		r.onPreVoteReply(m)
+		r.onPreVoteReply(m, from)
 	case Prepare:
 		r.onPrepare(m)
 	case Promise:
@@ -97,7 +97,7 @@
 // askAgain sends a phase's question to those that have not answered: they may just have started.
 func (r *Replica) askAgain() {
 	e := &r.election
-	for address := range r.contacts() {
+	for _, address := range r.contacts() {
 		_, promised := e.promises[address]
 		switch {
 		case e.phase == preparing && !promised:
