--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -63,8 +63,9 @@
 			return id
 		}
 	}
+	everywhere := len(f.ejected[home]) == len(f.servers)
 	for {
-		if id := name(f.random.IntN(len(f.servers))); f.ejected[home][id] == 0 {
+		if id := name(f.random.IntN(len(f.servers))); everywhere || f.ejected[home][id] == 0 {
 			return id
 		}
 	}
@@ -164,20 +165,49 @@
 	}
 }
 
-// A server that fails for the callers of one zone alone is left alone there, and serves the others.
+// A server that fails for the callers of one zone alone is left alone there, and serves the others at all times.
 func TestAServerThatFailsForOneZone(t *testing.T) {
-	f := newFleet(3, 4, 40, 12)
-	f.fails = func(id string, sidecar int) float64 {
-		if id == "s01" && sidecar%4 == 2 {
-			return 0.6
+	for _, ratio := range []float64{0.6, 1} {
+		f := newFleet(3, 4, 40, 12)
+		f.play(400, 3*time.Second)
+		f.fails = func(id string, sidecar int) float64 {
+			if id == "s01" && sidecar%4 == 2 {
+				return ratio
+			}
+			return 0
 		}
-		return 0
+		for range 50 {
+			f.play(400, 100*time.Millisecond)
+			for _, home := range []int{0, 1, 3} {
+				require.NotContains(t, f.ejected[home], "s01")
+			}
+		}
+		require.Contains(t, f.ejected[2], "s01")
+	}
+}
+
+// What the fleet tells of a server is believed unless the own subscribers sent it enough to know better.
+func TestOwnEvidenceGoesBeforeTheFleets(t *testing.T) {
+	for _, one := range []struct {
+		own     uint16 // sends of the own subscribers, all of which succeeded
+		ejected int
+	}{{2, 1}, {ownEnough + 2, 0}} {
+		f := newFleet(9, 1, 1, 4)
+		f.homes[0].Report("own", Report{Servers: []string{"s01"}, Sent: []uint16{one.own / 2}, Failed: []uint16{0}}, 0)
+		f.homes[0].Report("another", Report{Servers: []string{"s01"}, Sent: []uint16{one.own / 2}, Failed: []uint16{0}}, 0)
+		f.homes[0].Peer("peer", []Sum{{Server: "s01", All: Count{Sent: 40, Failed: 30}, Worst: Count{Sent: 4, Failed: 3}}}, 0)
+		require.Len(t, f.homes[0].Judge(1, 0), one.ejected, "%d own sends", one.own)
 	}
-	f.play(400, 5*time.Second)
-	require.Contains(t, f.ejected[2], "s01")
-	for _, home := range []int{0, 1, 3} {
-		require.NotContains(t, f.ejected[home], "s01")
+}
+
+// A teller that sends much and sees a server well does not outweigh many that see it fail.
+func TestOneTellerDoesNotHideWhatOthersSee(t *testing.T) {
+	f := newFleet(9, 1, 1, 4)
+	f.homes[0].Report("much", Report{Servers: []string{"s01"}, Sent: []uint16{200}, Failed: []uint16{0}}, 0)
+	for i := range 5 {
+		f.homes[0].Report(fmt.Sprint("little ", i), Report{Servers: []string{"s01"}, Sent: []uint16{4}, Failed: []uint16{3}}, 0)
 	}
+	require.Len(t, f.homes[0].Judge(1, 0), 1)
 }
 
 // Whatever is told, half of a service's servers stay; where all fail alike nobody is left alone.
@@ -208,6 +238,15 @@
 	for i := range f.homes {
 		require.LessOrEqual(t, len(f.ejected[i]), 3)
 	}
+	f = newFleet(4, 6, 36, 6)
+	f.fails = func(_ string, sidecar int) float64 { // all of them, for the callers of one zone
+		if sidecar%6 == 0 {
+			return 0.9
+		}
+		return 0
+	}
+	f.play(400, 10*time.Second)
+	require.Len(t, f.ejected[0], 3)
 }
 
 // A sidecar that is confused, or cut off, and calls every server bad does no harm to the others, however much it tells.
