Replication: what a member does for candidates, and members of a view, in files of their own

Cause: election.go had grown to 386 lines and held both sides of an election. Nothing but places changes.

--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -82,39 +82,6 @@
 	}
 }
 
-func (r *Replica) ownPromise(epoch Epoch) Promise {
-	return Promise{Epoch: epoch, From: r.Self, Promised: r.hard.Promised, Voters: r.voters(),
-		Accepted: r.hard.Accepted, Position: r.position}
-}
-
-func (r *Replica) onPrepare(m Prepare) {
-	if len(r.voters()) == 0 {
-		return
-	}
-	busy := r.role == primary || r.role == follower && r.heardEver && r.now-r.heard < heardRecently
-	mine := m.From.ID == r.known.Primary
-	if m.Epoch.Less(r.hard.Promised) || m.Epoch == r.hard.Promised && m.Epoch.Node != m.From.ID || busy && !m.Force && !mine {
-		r.send(m.From.Address, Promise{Epoch: m.Epoch, From: r.Self, Refused: true, Promised: r.hard.Promised})
-		return
-	}
-	r.follow(m.Epoch)
-	to, epoch := m.From.Address, m.Epoch
-	r.save(nil, false, func() {
-		if r.hard.Promised == epoch {
-			r.send(to, r.ownPromise(epoch))
-		}
-	})
-}
-
-// follow promises an epoch; a primary or candidate of a smaller one is none any more.
-func (r *Replica) follow(e Epoch) {
-	if r.role != follower && r.hard.Promised != e {
-		r.stepDown()
-	}
-	r.hard.Promised = e
-	r.heard = r.now // the candidate has its chance
-}
-
 func (r *Replica) stepDown() {
 	r.role = follower
 	r.heard = r.now
@@ -206,36 +173,6 @@
 	return true
 }
 
-// mayJoin: a sidecar with a disk that promised in its own name.
-func (r *Replica) mayJoin(m Member, p Promise) bool {
-	for _, v := range p.Voters {
-		if v == m.ID {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *Replica) onSync(m Sync, from string) {
-	if m.Epoch.Less(r.hard.Promised) || r.Witness {
-		return
-	}
-	r.follow(m.Epoch)
-	changed := r.position != m.Position
-	if changed {
-		if m.Snapshot == nil || r.machine.Restore(m.Snapshot) != nil {
-			return
-		}
-		r.position, r.recent = m.Position, nil
-	}
-	epoch, position := m.Epoch, m.Position
-	r.save(nil, changed, func() {
-		if r.hard.Promised == epoch {
-			r.send(from, Synced{Epoch: epoch, From: r.Self.ID, Position: position})
-		}
-	})
-}
-
 func (r *Replica) onSynced(m Synced) {
 	if r.role != candidate || m.Epoch != r.election.epoch || r.election.phase != syncing || m.Position != r.position {
 		return
@@ -276,76 +213,6 @@
 	}
 }
 
-// nextMembers are the members of the view that a candidate proposes.
-func (r *Replica) nextMembers() []Member {
-	e := &r.election
-	var members []Member
-	if e.newest.Epoch.Round > 0 {
-		members = append(members, e.newest.Members...)
-	}
-	joins := make([]Member, 0, len(e.synced))
-	for id := range e.synced {
-		m, ok := e.joining[id]
-		if id == r.Self.ID {
-			m, ok = r.Self, true
-		}
-		if ok {
-			m.Joined = e.epoch.Round
-			joins = append(joins, m)
-		}
-	}
-	sort.Slice(joins, func(i, j int) bool { return joins[i].ID < joins[j].ID })
-	for _, m := range joins {
-		members = addMember(members, m)
-	}
-	return r.withoutPredecessors(members)
-}
-
-// addMember puts a member in the place of the one that had its address, whose disk is gone, or beside the others.
-func addMember(members []Member, m Member) []Member {
-	for i := range members {
-		if members[i].ID == m.ID {
-			return members
-		}
-		if members[i].Address == m.Address {
-			next := append([]Member(nil), members...)
-			next[i] = m
-			return next
-		}
-	}
-	return append(append([]Member(nil), members...), m)
-}
-
-// withoutPredecessors leaves out one that has long been silent and whose zone has a newer member that is not.
-func (r *Replica) withoutPredecessors(members []Member) []Member {
-	for i, old := range members {
-		if r.election.synced[old.ID] || !r.silentLong(old) {
-			continue
-		}
-		for _, m := range members {
-			if m.Zone == old.Zone && m.Joined > old.Joined && r.election.synced[m.ID] {
-				return append(append([]Member(nil), members[:i]...), members[i+1:]...)
-			}
-		}
-	}
-	return members
-}
-
-func (r *Replica) onAccept(m Accept, from string) {
-	if m.View.Epoch.Less(r.hard.Promised) {
-		r.send(from, Accepted{Epoch: m.View.Epoch, Refused: true, Promised: r.hard.Promised})
-		return
-	}
-	r.follow(m.View.Epoch)
-	r.hard.Accepted = m.View
-	epoch := m.View.Epoch
-	r.save(nil, false, func() {
-		if !r.hard.Promised.Less(epoch) {
-			r.send(from, Accepted{Epoch: epoch, Voters: r.voters()})
-		}
-	})
-}
-
 func (r *Replica) onAccepted(m Accepted) {
 	if r.role != candidate || m.Epoch != r.election.epoch || r.election.phase != accepting {
 		return
