Sidecars that hear no primary spend of a pool in their zone

Seen besides: all requests that came while a silent primary was asked again waited 60 ms with it, every 0.3 s. A sidecar that hears no primary for 0.8 s, or whose acquisition is not answered, offers a deposit to the member of the core that rendezvous hashing of its zone names, never the silent primary; the host asks for deposits every 0.2 s, and answers takes: from the pool, and where that is not enough and it hears the primary itself, from there. A host that does not answer is left once the deposit has ended. Of the requests that come while the primary is silent one waits for it. gateway.Acquirer says who gave units; lease, pool and primary are told apart.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -13,6 +13,7 @@
 	"petrelhook/internal/membership"
 	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
+	"petrelhook/internal/quota"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
 )
@@ -118,9 +119,36 @@
 	Wait    time.Duration
 }
 
+// PoolOffer tells a control sidecar that the sender hears no primary and would leave it a deposit.
+type PoolOffer struct{}
+
+// PoolCollect asks for a deposit, or for the next one.
+type PoolCollect struct{ Nonce uint64 }
+
+// PoolDeposit answers PoolCollect; an empty deposit takes the one before away.
+type PoolDeposit struct {
+	Nonce   uint64
+	Deposit quota.Deposit
+}
+
+// PoolTake asks for units of a tenant's limit, of a pool that has the sender's deposit.
+type PoolTake struct {
+	Request uint64
+	Tenant  string
+	Units   float64
+}
+
+// PoolTaken answers PoolTake.
+type PoolTaken struct {
+	Request uint64
+	Granted bool
+	Wait    time.Duration
+}
+
 func init() {
 	for _, m := range []any{
 		Session{}, Push{}, Used{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaAcquire{}, QuotaAcquired{},
+		PoolOffer{}, PoolCollect{}, PoolDeposit{}, PoolTake{}, PoolTaken{},
 	} {
 		gob.Register(m)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,9 +33,26 @@
 	BudgetWindow time.Duration
 }
 
-// Acquirer acquires units of a tenant's limit, which all sidecars share, from the primary. Not ok means that it is silent.
+// Source is who gave units of a limit.
+type Source int
+
+// The sources. FromNobody: neither the primary nor a pool answered, and this sidecar's own lease counts.
+const (
+	FromNobody Source = iota
+	FromPrimary
+	FromPool
+)
+
+// Acquisition is what was acquired of a tenant's limit; where it is not enough, Wait says when to come back.
+type Acquisition struct {
+	From  Source
+	Given float64
+	Wait  time.Duration
+}
+
+// Acquirer acquires units of a tenant's limit, which all sidecars share.
 type Acquirer interface {
-	Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool)
+	Acquire(ctx context.Context, tenant string, need, extra float64) Acquisition
 }
 
 // Gateway is an http.Handler for clients.
@@ -143,4 +160,18 @@
 	g.quota.Granted(nonce, shares, g.options.Now())
 }
 
+// QuotaDeposit leaves what this sidecar may spend without the primary to a pool.
+func (g *Gateway) QuotaDeposit() quota.Deposit {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.quota.Deposit(g.options.Now())
+}
+
+// QuotaPooled is until when a pool has a deposit of this sidecar.
+func (g *Gateway) QuotaPooled() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.quota.Pooled()
+}
+
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,15 +34,15 @@
 	acquired      atomic.Int64
 }
 
-func (d *acquirer) Acquire(_ context.Context, _ string, need, _ float64) (float64, time.Duration, bool) {
+func (d *acquirer) Acquire(_ context.Context, _ string, need, _ float64) Acquisition {
 	if d.silent.Load() {
-		return 0, 0, false
+		return Acquisition{}
 	}
 	if d.empty.Load() {
-		return 0, time.Second, true
+		return Acquisition{From: FromPrimary, Wait: time.Second}
 	}
 	d.acquired.Add(int64(need))
-	return need, 0, true
+	return Acquisition{From: FromPrimary, Given: need}
 }
 
 // rig is a gateway before servers that the test writes.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -173,7 +173,7 @@
 }
 
 // takeQuota takes a request's units of its tenant's limit: from what this sidecar acquired ahead, else from the primary, and
-// where that is silent from this sidecar's lease.
+// where that is silent from a pool or this sidecar's lease.
 func (g *Gateway) takeQuota(ctx context.Context, req *request) (ok bool, wait time.Duration) {
 	name := req.tenant.Name
 	g.mutex.Lock()
@@ -182,21 +182,23 @@
 	if verdict != quota.AskPrimary {
 		return verdict == quota.Granted, 0
 	}
-	var given float64
-	heard := false
+	var acquired Acquisition
 	g.waitForStart(ctx, req.startLimit, func() bool {
-		given, wait, heard = g.options.Acquirer.Acquire(ctx, name, req.units, extra)
-		return heard
+		acquired = g.options.Acquirer.Acquire(ctx, name, req.units, extra)
+		return acquired.From != FromNobody
 	})
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.options.Now()
-	if heard {
-		verdict = g.quota.Acquired(name, given, req.units, now)
-	} else {
-		verdict, wait = g.quota.TakeLeased(name, req.units, now)
+	switch acquired.From {
+	case FromPrimary:
+		verdict = g.quota.Acquired(name, acquired.Given, req.units, now)
+	case FromPool:
+		return acquired.Given >= req.units, acquired.Wait
+	case FromNobody:
+		verdict, acquired.Wait = g.quota.TakeLeased(name, req.units, now)
 	}
-	return verdict == quota.Granted, wait
+	return verdict == quota.Granted, acquired.Wait
 }
 
 // split chooses the service of a route that is split over several.
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -124,8 +124,14 @@
 	return ""
 }
 
-// bestHome ranks the core: the own zone, then the own region, then the others; within these by rendezvous hashing.
+// bestHome is the nearest member of the core that did not fail as a home lately.
 func (n *Node) bestHome(now time.Duration) string {
+	return n.nearestMember(n.self.Address, func(address string) bool { return now < n.home.avoid[address] })
+}
+
+// nearestMember ranks the core: those that are not avoided, the own zone, then the own region, then the others; within these by rendezvous
+// hashing of a key.
+func (n *Node) nearestMember(key string, avoided func(address string) bool) string {
 	type ranked struct {
 		address string
 		avoid   bool
@@ -141,8 +147,8 @@
 			far = 1
 		}
 		h := fnv.New32a()
-		h.Write([]byte(n.self.Address + m.Address))
-		list = append(list, ranked{m.Address, now < n.home.avoid[m.Address], far, h.Sum32()})
+		h.Write([]byte(key + m.Address))
+		list = append(list, ranked{m.Address, avoided(m.Address), far, h.Sum32()})
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,8 +77,13 @@
 	tokenBuckets *quota.TokenBuckets
 	acquires     map[uint64]chan dissemination.QuotaAcquired
 	silentUntil  time.Duration // the primary did not answer
-	view         replication.View
-	eligible     map[string]replication.Member
+	primaryHeard time.Duration // when it answered last
+
+	poolHost       poolHost
+	poolMembership poolMembership
+
+	view     replication.View
+	eligible map[string]replication.Member
 
 	home          home
 	outliers      outliers
@@ -110,7 +115,7 @@
 		versions: dissemination.NewVersions(operatorapi.ApplyOrder), eligible: map[string]replication.Member{},
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, logged: map[string]int{},
-		acquires: map[uint64]chan dissemination.QuotaAcquired{}}
+		acquires: map[uint64]chan dissemination.QuotaAcquired{}, poolHost: newPoolHost(), poolMembership: newPoolMembership()}
 	n.every.store.due(0, 0) // what is on the disk is as good, at first
 	n.every.expire.due(0, 0)
 	n.pushTimer = time.NewTimer(time.Hour)
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -39,8 +39,14 @@
 
 // setLimits takes in the limits of the configuration in force.
 func (n *Node) setLimits() {
-	if t := n.gateway.Table(); t != nil && n.tokenBuckets != nil {
-		n.tokenBuckets.SetLimits(gateway.Limits(t))
+	t := n.gateway.Table()
+	if t == nil {
+		return
+	}
+	limits := gateway.Limits(t)
+	n.poolHost.pool.SetLimits(limits)
+	if n.tokenBuckets != nil {
+		n.tokenBuckets.SetLimits(limits)
 	}
 }
 
@@ -87,19 +93,31 @@
 	n.transport.Send(from, dissemination.QuotaAcquired{Request: m.Request, Given: given, Wait: wait})
 }
 
-// Acquire acquires units of the primary for a request of this sidecar.
-func (n *Node) Acquire(ctx context.Context, tenant string, need, extra float64) (given float64, wait time.Duration, ok bool) {
+// Acquire implements gateway.Acquirer.
+func (n *Node) Acquire(ctx context.Context, tenant string, need, extra float64) gateway.Acquisition {
+	if acquired := n.acquireOfPrimary(ctx, tenant, need, extra); acquired.From == gateway.FromPrimary || ctx.Err() != nil {
+		return acquired
+	}
+	return n.acquireOfPool(ctx, tenant, need)
+}
+
+// acquireOfPrimary acquires units of the primary for a request of this sidecar. Of those that come while it is silent one, now and then,
+// waits for it to speak again.
+func (n *Node) acquireOfPrimary(ctx context.Context, tenant string, need, extra float64) gateway.Acquisition {
 	answer := make(chan dissemination.QuotaAcquired, 1)
 	n.mutex.Lock()
 	if n.leads() {
-		given, wait = n.tokenBuckets.Acquire(tenant, need, extra, n.now())
+		given, wait := n.tokenBuckets.Acquire(tenant, need, extra, n.now())
 		n.mutex.Unlock()
-		return given, wait, true
+		return gateway.Acquisition{From: gateway.FromPrimary, Given: given, Wait: wait}
 	}
 	primary := n.view.PrimaryAddress()
 	if primary == "" || primary == n.self.Address || n.now() < n.silentUntil {
 		n.mutex.Unlock()
-		return 0, 0, false
+		return gateway.Acquisition{}
+	}
+	if n.silentUntil > 0 {
+		n.silentUntil = n.now() + acquireWait
 	}
 	n.token++
 	request := n.token
@@ -110,7 +128,7 @@
 	defer timer.Stop()
 	select {
 	case acquired := <-answer:
-		return acquired.Given, acquired.Wait, true
+		return gateway.Acquisition{From: gateway.FromPrimary, Given: acquired.Given, Wait: acquired.Wait}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -120,5 +138,5 @@
 		n.silentUntil = n.now() + primarySilence
 	}
 	n.mutex.Unlock()
-	return 0, 0, false
+	return gateway.Acquisition{}
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -41,15 +41,26 @@
 	case dissemination.QuotaAsk:
 		n.onQuotaAsk(from, m)
 	case dissemination.QuotaGrant:
+		n.primaryHeard = now
 		n.gateway.QuotaGranted(m.Nonce, m.Shares)
 	case dissemination.QuotaAcquire:
 		n.onQuotaAcquire(from, m, now)
 	case dissemination.QuotaAcquired:
-		n.silentUntil = 0
+		n.silentUntil, n.primaryHeard = 0, now
 		if to := n.acquires[m.Request]; to != nil {
 			delete(n.acquires, m.Request)
 			to <- m
 		}
+	case dissemination.PoolOffer:
+		n.onPoolOffer(from, now)
+	case dissemination.PoolCollect:
+		n.onPoolCollect(from, m, now)
+	case dissemination.PoolDeposit:
+		n.onPoolDeposit(from, m, now)
+	case dissemination.PoolTake:
+		n.onPoolTake(from, m, now)
+	case dissemination.PoolTaken:
+		n.onPoolTaken(m)
 	}
 	n.tickSessions(now)
 	n.apply()
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -21,6 +21,7 @@
 	}
 	n.tickSessions(now)
 	n.tickQuota(now)
+	n.tickPool(now)
 	n.tickUses(now)
 	n.tickOutliers(now)
 	if n.every.prune.due(pruneEvery, now) {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -64,10 +64,13 @@
 	}
 }
 
-// Take spends units of a tenant's limit, or says when to come back; wait is 0 where nothing was deposited.
+// Take spends units of a tenant's limit, or says when to come back; wait is 0 where that is not known.
 func (p *Pool) Take(tenant string, units float64, now time.Duration) (v Verdict, wait time.Duration) {
 	limit, ok := p.limits[tenant]
-	if !ok || limit.Rate == 0 {
+	if !ok { // whoever asks knows more than this sidecar
+		return Refused, 0
+	}
+	if limit.Rate == 0 {
 		return Granted, 0
 	}
 	p.expire(now)
