--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -33,6 +33,9 @@
 	Retried    int64
 	SentBytes  uint64            // to other sidecars
 	Doubted    []outlier.Finding // servers that fail more than others, at a control sidecar
+	Silent     bool              // it hears no primary
+	Pool       string            // whose pool has what it may spend of tenants' limits meanwhile
+	Deposits   int               // in its own pool
 }
 
 // Status tells the status.
@@ -49,6 +52,10 @@
 	if s.Core {
 		s.Doubted = n.outliers.detector.Explain(n.now())
 	}
+	s.Silent, s.Deposits = n.primarySilent(n.now()), n.poolHost.pool.Deposits(n.now())
+	if n.now() < n.gateway.QuotaPooled() {
+		s.Pool = n.poolMembership.host
+	}
 	c := &n.gateway.Counts
 	s.Requests, s.Served, s.Refused = c.Requests.Load(), c.Served.Load(), c.Refused.Load()
 	s.Failed, s.Retried = c.Failed.Load(), c.Retried.Load()
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -78,6 +78,12 @@
 	return a.take(units, limit.Rate*(a.shares+p.standing))
 }
 
+// Deposits is how many there are.
+func (p *Pool) Deposits(now time.Duration) int {
+	p.expire(now)
+	return len(p.deposits)
+}
+
 // account finds a tenant's account and brings it up to a time.
 func (p *Pool) account(tenant string, now time.Duration) *account {
 	p.advance(now)
--- a/internal/quota/standing.go
+++ b/internal/quota/standing.go
@@ -6,7 +6,7 @@
 // standingPart of what would be its part if all were alike, and never more than its last lease. A primary that does not hear a
 // sidecar leaves it that much, for as long as the sidecar may still be there.
 const (
-	standingPart  = 0.8
+	standingPart  = 0.95
 	standingFor   = 12 * time.Second // after the lease; the fleet counts as large as it was for longer than that
 	standingLater = 1.0 / 3          // of it, from then on: few are cut off for so long, and the rule's overshoot has room for them
 )
