--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -54,6 +54,7 @@
 	if until <= now {
 		return
 	}
+	p.advance(now)
 	p.deposits[sidecar] = &heldDeposit{shares: d.Shares, standing: d.Standing, until: until}
 	p.standing += d.Standing
 	for tenant, share := range d.Shares {
--- a/internal/quota/pool_test.go
+++ b/internal/quota/pool_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // pooledClients are clients that leave what they have to pools while they hear no primary.
@@ -65,7 +66,7 @@
 // take spends of the pool, where that has what the client had, or of the client's own.
 func (p *pooledClients) take(i int, units float64, now time.Duration) Verdict {
 	v, _ := p.clients[i].TakeLeased("t", units, now)
-	if now >= p.clients[i].Pooled() {
+	if v == Granted || now >= p.clients[i].Pooled() {
 		return v
 	}
 	if now >= p.failed[p.at[i]] {
@@ -74,56 +75,116 @@
 	return v
 }
 
-// While nobody leads, what sidecars refuse of a load within the limit: alone and with a pool a zone.
-func TestPoolsBesideNone(t *testing.T) {
+// leased is a client of a fleet of two that had half of the limit when the primary fell silent, at 0.
+func leased(limits map[string]Limit) *Client {
+	client := NewClient()
+	client.SetLimits(limits, 0)
+	client.SetFleet(2)
+	nonce, _, _ := client.Ask(0)
+	client.Granted(nonce, map[string]float64{"t": 0.5}, 0)
+	return client
+}
+
+// A pool spends nothing of a deposit from its end on, however late that came; the sidecar spends nothing before, and has earned nothing
+// meanwhile.
+func TestADepositEndsAtThePoolFirst(t *testing.T) {
+	limits := map[string]Limit{"t": {Rate: 1000, Burst: 1000}}
+	client, pool := leased(limits), NewPool()
+	pool.SetLimits(limits)
+	asked, answered := 100*time.Millisecond, 400*time.Millisecond
+	deposit := client.Deposit(answered)
+	pool.Put("a", deposit, asked, answered)
+	v, _ := client.TakeLeased("t", 1, answered)
+	require.Equal(t, Refused, v)
+	v, _ = pool.Take("t", 1, answered)
+	require.Equal(t, Granted, v)
+	require.Equal(t, 1, pool.Deposits(asked+depositFor-time.Millisecond))
+	require.Zero(t, pool.Deposits(asked+depositFor))
+	v, _ = pool.Take("t", 1, asked+depositFor)
+	require.Equal(t, Refused, v)
+
+	ended := answered + depositFor
+	v, wait := client.TakeLeased("t", 1, ended-time.Millisecond)
+	require.Equal(t, Refused, v)
+	require.Equal(t, time.Millisecond, wait)
+	earned := answered.Seconds() * 500 // until it left its share to the pool
+	v, _ = client.TakeLeased("t", earned, ended)
+	require.Equal(t, Granted, v)
+	v, _ = client.TakeLeased("t", 1, ended+time.Millisecond)
+	require.Equal(t, Refused, v)
+}
+
+// What a sidecar's requests took ahead is paid by the pool, and outlasts the deposit there.
+func TestDebtsGoWithADeposit(t *testing.T) {
+	limits := map[string]Limit{"t": {Rate: 1000, Burst: 1000}}
+	client, pool := leased(limits), NewPool()
+	pool.SetLimits(limits)
+	v, _ := client.TakeLeased("t", 2000, 0)
+	require.Equal(t, Granted, v)
+	pool.Put("a", client.Deposit(0), 0, 0)
+	v, wait := pool.Take("t", 1, 0)
+	require.Equal(t, Refused, v)
+	require.Equal(t, 4*time.Second, wait)
+	pool.Put("a", Deposit{}, time.Second, time.Second)
+	pool.Put("a", Deposit{Standing: 0.5, For: time.Second}, 2*time.Second, 2*time.Second)
+	v, wait = pool.Take("t", 1, 2*time.Second)
+	require.Equal(t, Refused, v)
+	require.Equal(t, 3400*time.Millisecond, wait, "the time of the first deposit has paid a part")
+}
+
+// silence is a load within a tenant's limit, first with a primary and then without one.
+type silence struct {
+	fleet int
+	rate  float64
+	pools int
+}
+
+// refused plays it and returns the part of the requests without a primary that were refused.
+func (s silence) refused() float64 {
 	const (
 		units = 1500.0
-		load  = 0.77 // of the limit
+		load  = 0.77            // of the limit
+		start = 6 * time.Second // until then a primary answers
 		span  = 12 * time.Second
 	)
-	for _, size := range []struct {
-		fleet, pools int
-		rate         float64
-	}{{11, 4, 60_000}, {92, 5, 250_000}, {72, 6, 60_000}, {630, 7, 250_000}} {
-		refused := func(pools int) float64 {
-			random := rand.New(rand.NewSource(1))
-			limits := map[string]Limit{"t": {Rate: size.rate, Burst: size.rate}}
-			allocator := NewAllocator(-time.Minute)
-			clients := make([]*Client, size.fleet)
-			for i := range clients {
-				clients[i] = NewClient()
-				clients[i].SetLimits(limits, 0)
-				clients[i].SetFleet(size.fleet)
+	p := &limitPlay{random: rand.New(rand.NewSource(1)), limits: map[string]Limit{"t": {Rate: s.rate, Burst: s.rate}}, allocator: NewAllocator(-time.Minute)}
+	for range s.fleet {
+		client := NewClient()
+		client.SetLimits(p.limits, 0)
+		client.SetFleet(s.fleet)
+		p.clients = append(p.clients, client)
+	}
+	p.pooled = newPooledClients(p.random, p.clients, p.limits, s.pools)
+	p.pooled.fail = false
+	asks, refused := 0, 0
+	for now := time.Duration(0); now < start+span; now += playStep {
+		for i, client := range p.clients {
+			if now < start && now%askEvery == time.Duration(i%50)*playStep {
+				p.ask(i, now)
+			}
+			if now >= start {
+				p.pooled.tick(i, false, now)
+			}
+			if p.random.Float64() > load*s.rate/float64(s.fleet)/units*playStep.Seconds() {
+				continue
+			}
+			if v, _ := client.Take("t", units, now); now < start || v == Granted {
+				continue
 			}
-			asks, denied := 0, 0
-			start := 6 * time.Second // until then a primary answers
-			pooled := newPooledClients(random, clients, limits, pools)
-			pooled.fail = false
-			for now := time.Duration(0); now < start+span; now += 10 * time.Millisecond {
-				for i, client := range clients {
-					if now < start && now%(500*time.Millisecond) == time.Duration(i%50)*10*time.Millisecond {
-						nonce, demand, held := client.Ask(now)
-						client.Granted(nonce, allocator.Ask(fmt.Sprint(i), 1, demand, held, size.fleet, now), now)
-					}
-					if now >= start {
-						pooled.tick(i, false, now)
-					}
-					if random.Float64() > load*size.rate/float64(size.fleet)/units/100 {
-						continue
-					}
-					if v, _ := client.Take("t", units, now); now < start || v == Granted {
-						continue
-					}
-					asks++
-					if pooled.take(i, units, now) != Granted {
-						denied++
-					}
-				}
+			asks++
+			if p.pooled.take(i, units, now) != Granted {
+				refused++
 			}
-			return float64(denied) / float64(asks)
 		}
-		alone, together := refused(0), refused(size.pools)
-		t.Logf("%d sidecars: %.2f alone, %.2f with %d pools", size.fleet, alone, together, size.pools)
-		assert.Less(t, together, 0.6*alone, "%d sidecars", size.fleet)
+	}
+	return float64(refused) / float64(asks)
+}
+
+// While nobody leads, what sidecars refuse of a load within the limit: alone and with a pool a zone.
+func TestPoolsBesideNone(t *testing.T) {
+	for _, with := range []silence{{11, 60_000, 4}, {92, 250_000, 5}, {72, 60_000, 6}, {630, 250_000, 7}} {
+		alone, together := silence{with.fleet, with.rate, 0}.refused(), with.refused()
+		t.Logf("%d sidecars: %.2f alone, %.2f with %d pools", with.fleet, alone, together, with.pools)
+		assert.Less(t, together, 0.5*alone, "%d sidecars", with.fleet)
 	}
 }
--- a/internal/quota/window_test.go
+++ b/internal/quota/window_test.go
@@ -15,86 +15,135 @@
 	units float64
 }
 
-// playLimit has sidecars, some of which see more of a tenant than others, ask for nothing, for less than its limit and for many times
-// as much by turns, while primaries change, restart and fall silent, and returns what was let through. With pools, those that hear no
-// primary put what they have together at one of a few, some of which fail.
+// limitPlay has sidecars, some of which see more of a tenant than others, ask for nothing, for less than its limit and for many times
+// as much by turns, while primaries change, restart and fall silent. With pools, those that hear no primary put what they have together at
+// one of a few, some of which fail.
+type limitPlay struct {
+	random *rand.Rand
+	limits map[string]Limit
+	units  float64 // of a request
+
+	clients      []*Client
+	cutUntil     []time.Duration // until when a client does not reach the primary
+	pooled       *pooledClients
+	buckets      *TokenBuckets
+	allocator    *Allocator
+	silentUntil  time.Duration
+	nextFault    time.Duration
+	pressure     float64 // times the rate
+	nextPressure time.Duration
+	spent        []spent
+}
+
+const (
+	playStep = 10 * time.Millisecond
+	playSpan = time.Minute
+	askEvery = 500 * time.Millisecond
+)
+
+// playLimit plays a minute and returns what was let through.
 func playLimit(seed int64, limit Limit, fleet int, units float64, pools int) []spent {
-	random := rand.New(rand.NewSource(seed))
-	limits := map[string]Limit{"t": limit}
-	clients := make([]*Client, fleet)
-	cutUntil := make([]time.Duration, fleet)
-	for i := range clients {
-		clients[i] = NewClient()
-		clients[i].SetLimits(limits, 0)
-		clients[i].SetFleet(fleet)
-	}
-	buckets, allocator := NewTokenBuckets(bounds, true, 0), NewAllocator(0)
-	buckets.SetLimits(limits)
-	pooled := newPooledClients(random, clients, limits, pools)
-	silentUntil, nextFault := time.Duration(0), 9*time.Second
-	var all []spent
-	pressure, nextPressure := 6.0, 10*time.Second // times the rate
-	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
-		if now >= nextPressure {
-			pressure = []float64{0, 0.7, 6}[random.Intn(3)]
-			nextPressure = now + time.Duration(2+random.Intn(8))*time.Second
-		}
-		if now >= nextFault { // one fault in a window: a primary is lost, or sidecars are cut off from it
-			nextFault = now + 8*time.Second + time.Duration(random.Intn(4000))*time.Millisecond
-			switch random.Intn(4) {
-			case 0: // nobody leads for long
-				silentUntil = now + time.Duration(3000+random.Intn(9000))*time.Millisecond
-				nextFault += silentUntil - now
-				buckets, allocator = NewTokenBuckets(bounds, random.Intn(3) == 0, silentUntil), NewAllocator(silentUntil)
-				buckets.SetLimits(limits)
-			case 1: // a primary is lost, and some cannot reach the next one for a while
-				silentUntil = now + time.Duration(600+random.Intn(900))*time.Millisecond
-				for range fleet / 5 {
-					cutUntil[random.Intn(fleet)] = silentUntil + 2*time.Second
-				}
-				buckets, allocator = NewTokenBuckets(bounds, random.Intn(3) == 0, silentUntil), NewAllocator(silentUntil)
-				buckets.SetLimits(limits)
-			case 2: // some are cut off for longer than a lease
-				span := time.Duration(6+random.Intn(6)) * time.Second
-				nextFault += span
-				for i := range fleet * 3 / 10 {
-					cutUntil[(i+random.Intn(fleet))%fleet] = now + span
-				}
-			default:
-				for i := range fleet * 3 / 10 {
-					cutUntil[(i+random.Intn(fleet))%fleet] = now + 5*time.Second
-				}
-			}
-		}
-		if now >= silentUntil && now%(500*time.Millisecond) == 0 {
-			reserve := Reserve(fleet, allocator.Heard(now), allocator.Term(now))
-			buckets.SetReserve(reserve)
-			allocator.SetReserve(reserve)
+	p := &limitPlay{random: rand.New(rand.NewSource(seed)), limits: map[string]Limit{"t": limit}, units: units,
+		cutUntil: make([]time.Duration, fleet), nextFault: 9 * time.Second, pressure: 6, nextPressure: 10 * time.Second}
+	for range fleet {
+		client := NewClient()
+		client.SetLimits(p.limits, 0)
+		client.SetFleet(fleet)
+		p.clients = append(p.clients, client)
+	}
+	p.lead(true, 0)
+	p.pooled = newPooledClients(p.random, p.clients, p.limits, pools)
+	for now := time.Duration(0); now < playSpan; now += playStep {
+		p.step(now)
+	}
+	return p.spent
+}
+
+// lead begins a primary's term.
+func (p *limitPlay) lead(started bool, at time.Duration) {
+	p.buckets, p.allocator = NewTokenBuckets(bounds, started, at), NewAllocator(at)
+	p.buckets.SetLimits(p.limits)
+}
+
+func (p *limitPlay) step(now time.Duration) {
+	if now >= p.nextPressure {
+		p.pressure = []float64{0, 0.7, 6}[p.random.Intn(3)]
+		p.nextPressure = now + time.Duration(2+p.random.Intn(8))*time.Second
+	}
+	if now >= p.nextFault { // one fault in a window: a primary is lost, or sidecars are cut off from it
+		p.nextFault = now + 8*time.Second + time.Duration(p.random.Intn(4000))*time.Millisecond
+		p.strike(now)
+	}
+	if now >= p.silentUntil && now%askEvery == 0 {
+		reserve := Reserve(len(p.clients), p.allocator.Heard(now), p.allocator.Term(now))
+		p.buckets.SetReserve(reserve)
+		p.allocator.SetReserve(reserve)
+	}
+	for i := range p.clients {
+		reaches := now >= p.silentUntil && now >= p.cutUntil[i]
+		if reaches && now%askEvery == time.Duration(i)*playStep {
+			p.ask(i, now)
 		}
-		for i, client := range clients {
-			reaches := now >= silentUntil && now >= cutUntil[i]
-			if reaches && now%(500*time.Millisecond) == time.Duration(i)*10*time.Millisecond {
-				nonce, demand, held := client.Ask(now)
-				client.Granted(nonce, allocator.Ask(fmt.Sprint(i), 1, demand, held, fleet, now), now)
-			}
-			pooled.tick(i, reaches, now)
-			weight := 2 * float64(1+i%4) / 5
-			if random.Float64() > pressure*weight*limit.Rate/float64(fleet)/units/100 {
-				continue
-			}
-			v, extra := client.Take("t", units, now)
-			if v == AskPrimary && reaches {
-				given, _ := buckets.Acquire("t", units, extra, now)
-				v = client.Acquired("t", given, units, now)
-			} else if v == AskPrimary {
-				v = pooled.take(i, units, now)
-			}
-			if v == Granted {
-				all = append(all, spent{now, units})
-			}
+		p.pooled.tick(i, reaches, now)
+		p.request(i, reaches, now)
+	}
+}
+
+// strike has one fault begin.
+func (p *limitPlay) strike(now time.Duration) {
+	fleet := len(p.clients)
+	switch p.random.Intn(4) {
+	case 0: // nobody leads for long
+		p.silentUntil = now + time.Duration(3000+p.random.Intn(9000))*time.Millisecond
+		p.nextFault += p.silentUntil - now
+		p.lead(p.random.Intn(3) == 0, p.silentUntil)
+	case 1: // a primary is lost, and some cannot reach the next one for a while
+		p.silentUntil = now + time.Duration(600+p.random.Intn(900))*time.Millisecond
+		for range fleet / 5 {
+			p.cutUntil[p.random.Intn(fleet)] = p.silentUntil + 2*time.Second
 		}
+		p.lead(p.random.Intn(3) == 0, p.silentUntil)
+	case 2: // some are cut off for longer than a lease
+		span := time.Duration(6+p.random.Intn(6)) * time.Second
+		p.nextFault += span
+		p.cutSome(now + span)
+	default:
+		p.cutSome(now + 5*time.Second)
+	}
+}
+
+// cutSome cuts three tenths of the sidecars off from the primary.
+func (p *limitPlay) cutSome(until time.Duration) {
+	fleet := len(p.clients)
+	for i := range fleet * 3 / 10 {
+		p.cutUntil[(i+p.random.Intn(fleet))%fleet] = until
+	}
+}
+
+func (p *limitPlay) ask(i int, now time.Duration) {
+	client := p.clients[i]
+	nonce, demand, held := client.Ask(now)
+	client.Granted(nonce, p.allocator.Ask(fmt.Sprint(i), 1, demand, held, len(p.clients), now), now)
+}
+
+// request has a sidecar see a request of the tenant, with the probability that its load comes to.
+func (p *limitPlay) request(i int, reaches bool, now time.Duration) {
+	weight := 2 * float64(1+i%4) / 5
+	load := p.pressure * weight * p.limits["t"].Rate / float64(len(p.clients))
+	if p.random.Float64() > load/p.units*playStep.Seconds() {
+		return
+	}
+	client := p.clients[i]
+	v, extra := client.Take("t", p.units, now)
+	if v == AskPrimary && reaches {
+		given, _ := p.buckets.Acquire("t", p.units, extra, now)
+		v = client.Acquired("t", given, p.units, now)
+	} else if v == AskPrimary {
+		v = p.pooled.take(i, p.units, now)
+	}
+	if v == Granted {
+		p.spent = append(p.spent, spent{now, p.units})
 	}
-	return all
 }
 
 // largest is the most that was let through in any window.
