A pool's host that asks for no deposit is left for another member of the core; silence is logged

Cause: found by reading: a sidecar offered to the member of its zone for ever, also where that had lost power with the primary, and spent its own part meanwhile. Change: a host has 0.3 s after the first offer of a silence, then it is avoided for 2 s. 'primary' in the log says when a sidecar hears none, and whose pool it takes. Tests: TestAHostThatAsksForNothingIsLeft.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -13,7 +13,8 @@
 const (
 	primaryQuiet  = 800 * time.Millisecond // without an answer to what is asked each quotaEvery
 	poolWait      = 100 * time.Millisecond // for a pool's answer: it may ask the primary
-	poolSilence   = time.Second            // for which a pool that did not answer is not asked again
+	poolSilence   = 2 * time.Second        // for which a host that did not answer is not asked again
+	collectWait   = 300 * time.Millisecond // for a host to ask for a deposit after the first offer
 	collectEvery  = 200 * time.Millisecond
 	collectedGood = 500 * time.Millisecond
 	offerEvery    = 100 * time.Millisecond
@@ -24,6 +25,8 @@
 type poolMembership struct {
 	host      string
 	offered   periodic
+	since     time.Duration // when it was first offered a deposit
+	silent    bool          // as logged last
 	collected time.Duration // when the host asked last
 	avoid     map[string]time.Duration
 	takes     map[uint64]chan dissemination.PoolTaken
@@ -67,19 +70,28 @@
 			n.collect(address, offer, now)
 		}
 	}
-	if n.primarySilent(now) {
+	silent := n.primarySilent(now)
+	if silent {
 		n.joinPool(now)
 	}
+	if silent != n.poolMembership.silent && n.ready.Load() {
+		n.poolMembership.silent = silent
+		n.logger.Info().Bool("silent", silent).Str("pool", n.poolMembership.host).Msg("primary")
+	}
 }
 
 // joinPool offers a deposit to the pool of the own zone, unless that has asked for one lately.
 func (n *Node) joinPool(now time.Duration) {
 	p := &n.poolMembership
+	waiting := now-p.offered.last < collectWait
 	if now-p.collected < collectedGood || !n.pooling() || !p.offered.due(offerEvery, now) {
 		return
 	}
+	if !waiting {
+		p.since = now
+	}
 	if now >= n.gateway.QuotaPooled() { // else the last host still has a deposit
-		p.host = n.choosePoolHost(now)
+		n.reviewPoolHost(now)
 	}
 	switch p.host {
 	case "":
@@ -93,6 +105,17 @@
 // pooling reports whether there are others to share a pool with.
 func (n *Node) pooling() bool { return n.view.Epoch.Round > 0 && n.fleet > 1 }
 
+// reviewPoolHost chooses a host, another one where the one there did not ask for a deposit in time.
+func (n *Node) reviewPoolHost(now time.Duration) {
+	p := &n.poolMembership
+	if p.host != "" && now-p.since > collectWait {
+		p.avoid[p.host] = now + poolSilence
+	}
+	if best := n.choosePoolHost(now); best != p.host {
+		p.host, p.since = best, now
+	}
+}
+
 // choosePoolHost finds the member of the core that all of a zone take, but the primary, which is silent.
 func (n *Node) choosePoolHost(now time.Duration) string {
 	primary := n.view.PrimaryAddress()
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -119,3 +119,19 @@
 	n.acquireOfPrimary(gone, "t1", 1, 0)
 	require.GreaterOrEqual(t, n.silentUntil, before+acquireWait, "for others it is silent until this one knows")
 }
+
+// A member of the core that does not ask for a deposit after offers is left for another; the next silence begins with the zone's own again.
+func TestAHostThatAsksForNothingIsLeft(t *testing.T) {
+	n := poolNode(t)
+	near, far := member("10.0.1.9:7000", "z1"), member("10.0.3.9:7000", "z3")
+	n.view = view(2, member("10.0.2.1:7000", "z1"), near, far)
+	began := n.now()
+	for passed := time.Duration(0); passed <= collectWait; passed += offerEvery {
+		n.joinPool(began + passed)
+		require.Equal(t, near.Address, n.poolMembership.host)
+	}
+	n.joinPool(began + collectWait + offerEvery)
+	require.Equal(t, far.Address, n.poolMembership.host)
+	n.joinPool(began + time.Minute)
+	require.Equal(t, near.Address, n.poolMembership.host)
+}
