The epoch checks of a view and of a state are held by a test and two mutants

The code was right; its check was missing. Change: TestAnOlderCandidateIsRefused, and both guards among TestGuardsOfTheCode. No code of the program changes. Measured: the package's tests pass; each mutant is noticed.

--- a/internal/replication/mutation_test.go
+++ b/internal/replication/mutation_test.go
@@ -24,6 +24,10 @@
 			here, "TestTheMembersBeforeHaveToAgree"},
 		"disks in the in-sync set": {"internal/replication/election.go", "if len(e.synced) < r.minInSync() {", "if false {",
 			here, "TestTheInSyncMinimum"},
+		"the epoch of a view": {"internal/replication/witness.go", "if m.View.Epoch.Less(r.hard.Promised) {", "if false {",
+			here, "TestAnOlderCandidateIsRefused"},
+		"the epoch of a state": {"internal/replication/witness.go", "if m.Epoch.Less(r.hard.Promised) || r.Witness {", "if r.Witness {",
+			here, "TestAnOlderCandidateIsRefused"},
 		"a candidate could lead": {"internal/replication/prevote.go", "|| !newest.inSync(r.Self.ID) ||", "||",
 			here, "TestOnlyOneThatCouldLeadIsACandidate"},
 	})
--- /dev/null
+++ b/internal/replication/witness_test.go
@@ -0,0 +1,32 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A replica that promised an epoch takes neither the view nor the state of a candidate of an older one.
+func TestAnOlderCandidateIsRefused(t *testing.T) {
+	for _, older := range []Message{
+		Accept{View: viewOf(6, "c", "d")},
+		Sync{Epoch: Epoch{Round: 6, Node: "c"}, Position: Position{Epoch: Epoch{Round: 6, Node: "c"}, Sequence: 9},
+			Snapshot: (&versionMachine{Version: 9, Value: "older"}).Snapshot()},
+	} {
+		accepted := viewOf(5, "a", "b")
+		r := preVoter(t, accepted)
+		r.Receive("b", Prepare{Epoch: Epoch{Round: 7, Node: "b"}, From: Member{ID: "b", Address: "b"}, Force: true}, 4*time.Second)
+		promised := r.hard.Promised
+		require.Equal(t, uint64(7), promised.Round)
+		r.Effects()
+		r.Receive("c", older, 4*time.Second)
+		require.Equal(t, promised, r.hard.Promised)
+		require.Equal(t, accepted.Epoch, r.hard.Accepted.Epoch)
+		require.Zero(t, r.position.Sequence)
+		for _, effect := range r.Effects() {
+			_, saved := effect.(Save)
+			require.False(t, saved, "nothing of it goes to the disk")
+		}
+	}
+}
