--- a/internal/quota/standing.go
+++ b/internal/quota/standing.go
@@ -3,8 +3,8 @@
 import "time"
 
 // A sidecar that hears no primary for longer than its lease is not left without anything: it has a standing share of each limit,
-// standingPart of what would be its part if all were alike, and never more than its last lease. A primary that does not hear a
-// sidecar leaves it that much, for as long as the sidecar may still be there.
+// standingPart of what would be its part if all were alike: less where it spends alone and its last lease was smaller, the whole of it
+// in a pool. A primary that does not hear a sidecar leaves it that much, for as long as the sidecar may still be there.
 const (
 	standingPart  = 0.95
 	standingFor   = 12 * time.Second // after the lease; the fleet counts as large as it was for longer than that
