A change of members that was begun is finished before another is built on it

Cause: a candidate took the members of the newest accepted view as the members before, though that view may never have been in force. A primary that gave up a view of five (its Accepts lost) and proposed it again was accepted by itself and the two that joined, without a majority of the three members before; the other two elected a primary of their own, and both confirmed orders on one version. Ruled out: a missing promise, a lost write (both sides had all that their quorums promised).

Change: a view that is not known to be in force is followed by one with the same members and the same members before; only a view in force is the base of another change. Every view proposed after one in force then needs a majority of that one's members, as its members or as its members before.

--- /dev/null
+++ b/internal/replication/abandoned_test.go
@@ -0,0 +1,173 @@
+package replication
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+// join adds machines, each in a zone of its own, and starts them.
+func (s *simulation) join(addresses ...string) (joined []*host) {
+	for _, address := range addresses {
+		h := &host{address: address, zone: "zone-" + address, syncTime: 2 * time.Millisecond}
+		s.hosts[address] = h
+		joined = append(joined, h)
+		s.boot(h)
+	}
+	return joined
+}
+
+// sender is who a message of an election is from, or "".
+func sender(m Message) string {
+	switch m := m.(type) {
+	case Prepare:
+		return m.From.ID
+	case PreVote:
+		return m.From.ID
+	}
+	return ""
+}
+
+// writeAndRead has every process that says it is primary take a value and answer a read.
+func (s *simulation) writeAndRead(round int) {
+	for client, address := range s.addresses() {
+		h := s.hosts[address]
+		if p := h.process; p != nil && p.replica.Primary() {
+			s.callAt(p, operation{client: client, write: true, base: p.machine.Version, value: string(rune('b'+round)) + address})
+			s.callAt(p, operation{client: 10 + client})
+		}
+	}
+}
+
+// abandonedChange is a core of three whose primary has proposed a view of five, which is on its own disk alone.
+type abandonedChange struct {
+	*simulation
+	old       *process
+	followers []*host
+	within    []*host // the primary's and those that join
+	view      Epoch
+}
+
+func abandonAChange(t *testing.T) *abandonedChange {
+	s, old := coreWithAValue(t)
+	a := &abandonedChange{simulation: s, old: old, followers: s.followers(old)}
+	joining := s.join("10.1.0.1:7000", "10.1.1.1:7000")
+	a.within = append([]*host{old.host}, joining...)
+	s.mutate = func(_ *process, m Message) Message {
+		if _, accept := m.(Accept); accept || a.ofFollowers(m) {
+			return nil
+		}
+		return m
+	}
+	for !old.host.disk.Hard.Accepted.joint() {
+		require.Less(t, s.now, time.Minute, "no view of five is proposed")
+		s.run(s.now + time.Millisecond)
+	}
+	require.Len(t, old.host.disk.Hard.Accepted.Members, 5)
+	a.view = old.host.disk.Hard.Accepted.Epoch
+	return a
+}
+
+// ofFollowers: a message by which a member before would become a candidate.
+func (a *abandonedChange) ofFollowers(m Message) bool {
+	from := sender(m)
+	return from != "" && (from == a.followers[0].process.replica.Self.ID || from == a.followers[1].process.replica.Self.ID)
+}
+
+// late: an Accept of the view that was given up.
+func (a *abandonedChange) late(m Message) bool {
+	accept, ok := m.(Accept)
+	return ok && accept.View.Epoch == a.view
+}
+
+func (a *abandonedChange) isFollower(h *host) bool { return h == a.followers[0] || h == a.followers[1] }
+
+// The primary proposes again; a majority of the five takes the second view, and the two of the three members before that do not are cut
+// off. They know the view of three alone.
+func TestAnAbandonedChangeOfMembers(t *testing.T) {
+	s := abandonAChange(t)
+	separated := false
+	s.mutate = func(to *process, m Message) Message {
+		_, accept := m.(Accept)
+		_, sync := m.(Sync)
+		switch {
+		case s.late(m) || !separated && s.ofFollowers(m):
+			return nil
+		case to.host == s.followers[1] && sender(m) == s.old.replica.Self.ID:
+			return nil
+		case !separated && to.host == s.followers[0] && (accept || sync):
+			separated = true
+			s.separate(s.followers, s.within)
+			return nil
+		}
+		return m
+	}
+	s.with(s.old, func() { s.old.replica.campaign(true) })
+	s.run(s.now + 2*time.Second)
+	require.True(t, separated)
+	for round := range 8 {
+		s.writeAndRead(round)
+		s.run(s.now + 500*time.Millisecond)
+	}
+	require.NotEqual(t, porcupine.Illegal, check(s.history))
+	require.NotNil(t, leaderAmong(s.followers), "a majority of the members goes on")
+	s.mutate = nil
+	s.heal()
+	s.run(s.now + 12*time.Second)
+	require.Len(t, s.primary().replica.View().InSync, 5)
+	s.read(9)
+	s.run(s.now + time.Second)
+	require.NotEqual(t, porcupine.Illegal, check(s.history))
+}
+
+// The two other members before elect a primary and take a value; then the first one finishes its change, and gets no promise of theirs
+// though they would accept its view.
+func TestAnAbandonedChangeHidesNoLaterView(t *testing.T) {
+	s := abandonAChange(t)
+	s.separate(s.followers, s.within)
+	s.mutate = func(_ *process, m Message) Message {
+		if s.late(m) {
+			return nil
+		}
+		return m
+	}
+	s.run(s.now + 3*time.Second)
+	next := leaderAmong(s.followers)
+	require.NotNil(t, next)
+	s.callAt(next, operation{client: 1, write: true, base: next.machine.Version, value: "b"})
+	s.run(s.now + time.Second)
+	require.Equal(t, http.StatusOK, s.history[len(s.history)-1].status)
+	s.heal()
+	s.mutate = func(to *process, m Message) Message {
+		if s.isFollower(to.host) {
+			switch m.(type) {
+			case Prepare, PreVote, Sync:
+				return nil
+			}
+		}
+		switch m.(type) {
+		case Heartbeat, HeartbeatAck, PreVote:
+			return nil
+		}
+		return m
+	}
+	s.with(s.old, func() {
+		s.old.replica.hard.Promised = Epoch{Round: next.replica.hard.Promised.Round}
+		s.old.replica.campaign(true)
+	})
+	for range 20 {
+		s.run(s.now + 50*time.Millisecond)
+		if s.old.replica.Primary() {
+			s.callAt(s.old, operation{client: 2})
+		}
+	}
+	s.mutate = nil
+	s.run(s.now + 12*time.Second)
+	s.read(3)
+	s.run(s.now + time.Second)
+	require.Equal(t, http.StatusOK, s.history[len(s.history)-1].status)
+	require.NotEqual(t, porcupine.Illegal, check(s.history))
+}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"sort"
 	"time"
 )
 
@@ -189,20 +188,13 @@
 	if len(e.synced) < len(e.joining)+1 && r.now-e.began < phaseWait {
 		return
 	}
-	members := r.nextMembers()
-	if len(e.synced) < r.minInSync() {
+	view := r.nextView()
+	if len(view.InSync) < r.minInSync() {
 		return
 	}
-	e.phase, e.began = accepting, r.now
-	e.view = View{Epoch: e.epoch, Primary: r.Self.ID, Members: members, Old: e.newest.Members}
-	for id := range e.synced {
-		if e.view.Member(id) != nil {
-			e.view.InSync = append(e.view.InSync, id)
-		}
-	}
-	sort.Strings(e.view.InSync)
+	e.phase, e.began, e.view = accepting, r.now, view
 	r.hard.Accepted = e.view
-	epoch, view := e.epoch, e.view
+	epoch := e.epoch
 	r.save(nil, false, func() {
 		if r.role == candidate && r.election.epoch == epoch && r.hard.Promised == epoch {
 			r.onAccepted(Accepted{Epoch: epoch, Voters: r.voters()})
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -2,6 +2,24 @@
 
 import "sort"
 
+// nextView is the view that a candidate proposes. A change of members that was begun and is not known to be in force is
+// finished first, with the same members and the same ones before: a view built on members that never were in force would be
+// decided without those that still may decide.
+func (r *Replica) nextView() View {
+	e := &r.election
+	v := View{Epoch: e.epoch, Primary: r.Self.ID, Members: e.newest.Members, Old: e.newest.Old}
+	if !e.newest.joint() {
+		v.Members, v.Old = r.nextMembers(), e.newest.Members
+	}
+	for id := range e.synced {
+		if v.Member(id) != nil {
+			v.InSync = append(v.InSync, id)
+		}
+	}
+	sort.Strings(v.InSync)
+	return v
+}
+
 // nextMembers are the members of the view that a candidate proposes.
 func (r *Replica) nextMembers() []Member {
 	e := &r.election
