Learners catch up beside orders; a newcomer takes a member's place in one step

Cause: a successor was added beside the member that it replaces, which was left out 4 s after its last word and a review later.

Change: a newcomer takes the place of one member in one step, of the one at its address, of one in its zone that is silent for 1 s or says that it leaves (SIGTERM), of any that is silent for 4 s; the number of members grows only where a zone has none or FaultTolerance asks for more.

--- a/internal/node/end.go
+++ b/internal/node/end.go
@@ -57,7 +57,7 @@
 	plan := newSchedule(time.Now(), settings.Seconds(n.settings.Bounds.GraceS))
 	n.gateway.End(plan.longUntil, plan.by)
 	n.mutex.Lock()
-	n.replica.Resign(n.now())
+	n.replica.Leave(n.now())
 	n.carryOut()
 	n.mutex.Unlock()
 	for range ticker.C {
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -59,6 +60,7 @@
 	if r.Witness || r.stalled() {
 		return
 	}
+	r.incoming = incoming{}
 	round := max(r.hard.Promised.Round, r.known.Epoch.Round, r.hard.Accepted.Epoch.Round) + 1
 	r.role = candidate
 	r.election = election{
@@ -134,7 +136,7 @@
 		e.agreed = r.now
 		return
 	}
-	if !r.allPromised() && r.now-e.agreed < e.patience() {
+	if !r.allPromised() && r.now-e.agreed < r.patience() {
 		return
 	}
 	if e.newest.Epoch.Round > 0 && !e.newest.inSync(r.Self.ID) {
@@ -143,24 +145,60 @@
 		return
 	}
 	e.phase, e.began = syncing, r.now
+	e.synced[r.Self.ID] = true
+	r.syncPromised()
+	r.advanceSyncing()
+}
+
+// syncPromised brings those that promised to this candidate's state: all that lack a few entries; one that needs the whole state only
+// where too few others have it, for that takes long and the primary does it beside its other work.
+func (r *Replica) syncPromised() {
+	e := &r.election
+	far := []Promise{}
 	for _, address := range sortedKeys(e.promises) {
 		p := e.promises[address]
 		if p.From.ID == r.Self.ID || !r.mayJoin(p.From, p) {
 			continue
 		}
+		missing, ok := r.history.after(p.Position)
+		if p.Position != r.position && !ok {
+			far = append(far, p)
+			continue
+		}
+		e.joining[p.From.ID] = p.From
+		r.send(p.From.Address, Sync{Epoch: e.epoch, Position: r.position, After: p.Position, Entries: slices.Clone(missing)})
+	}
+	if r.nearMembers() >= r.minInSync() {
+		return
+	}
+	for _, p := range far {
 		e.joining[p.From.ID] = p.From
-		var snapshot []byte
-		if p.Position != r.position {
-			snapshot = r.machine.Snapshot()
+		r.send(p.From.Address, Sync{Epoch: e.epoch, Position: r.position, Snapshot: r.machine.Snapshot()})
+	}
+}
+
+// nearMembers counts the members, this one included, that were sent what they lack.
+func (r *Replica) nearMembers() int {
+	e := &r.election
+	n := 1
+	for id := range e.joining {
+		if e.newest.Member(id) != nil {
+			n++
 		}
-		r.send(p.From.Address, Sync{Epoch: e.epoch, Position: r.position, Snapshot: snapshot})
 	}
-	e.synced[r.Self.ID] = true
-	r.advanceSyncing()
+	return n
 }
 
-// patience is for how long promises beyond a majority are waited for: those that come take about as long as the others.
-func (e *election) patience() time.Duration { return min(phaseWait, promiseSlack+2*e.slowest) }
+// patience is for how long promises beyond a majority are waited for: those that come take about as long as the others, but for those
+// that this replica, as primary, knows to be there.
+func (r *Replica) patience() time.Duration {
+	for _, id := range sortedKeys(r.leading.acked) {
+		if _, ok := r.election.promises[r.leading.acked[id].member.Address]; !ok && r.caughtUp(id) {
+			return phaseWait
+		}
+	}
+	return min(phaseWait, promiseSlack+2*r.election.slowest)
+}
 
 // allPromised: nothing is gained by waiting for more promises.
 func (r *Replica) allPromised() bool {
--- /dev/null
+++ b/internal/replication/learner_test.go
@@ -0,0 +1,116 @@
+package replication
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	slowLink   = 10_000_000 / 8 // bytes a second: 10 Mbit/s
+	bulkBytes  = 400_000        // about what 500 routes and 4,096 digests take
+	orderEvery = 100 * time.Millisecond
+)
+
+// orders is what became of a series of orders.
+type orders struct {
+	taken, refused, late, silent int
+	slowest                      time.Duration
+}
+
+const lateAfter = 500 * time.Millisecond
+
+// order proposes a value each 100 ms for a time, as an operator that knows the newest version.
+func (s *simulation) order(during time.Duration) {
+	for until := s.now + during; s.now < until; {
+		if p := s.primary(); p != nil && s.history[len(s.history)-1].end >= 0 {
+			s.callAt(p, operation{client: 1, write: true, base: p.machine.Version, value: fmt.Sprint("v", p.machine.Version)})
+		}
+		s.run(s.now + orderEvery)
+	}
+}
+
+// tally counts what became of operations.
+func tally(history []operation) (total orders) {
+	for _, o := range history {
+		took := o.end - o.begin
+		switch {
+		case o.end < 0:
+			total.silent++
+		case o.status != http.StatusOK:
+			total.refused++
+		default:
+			total.taken++
+			total.slowest = max(total.slowest, took)
+			if took > lateAfter {
+				total.late++
+			}
+		}
+	}
+	return total
+}
+
+// absence is a core on slow links of which one member misses orders and comes back while there are more.
+type absence struct {
+	*simulation
+	away   *host
+	during orders // while it catches up
+	inSync time.Duration
+	bytes  int
+}
+
+func playAbsence(t *testing.T, seed int64, syncTime time.Duration, wiped bool) *absence {
+	s := newSimulation(t, seed, 4, 1)
+	s.run(4 * time.Second)
+	require.NotNil(t, s.primary())
+	require.Equal(t, http.StatusOK, writeNow(s, bulk+strings.Repeat("x", bulkBytes)).status)
+	s.bytesPerSecond = slowLink
+	a := &absence{simulation: s, away: s.followers(s.primary())[seed%3], inSync: -1}
+	a.away.syncTime = syncTime
+	s.kill(a.away)
+	if wiped {
+		s.wipe(a.away)
+	}
+	s.order(30 * time.Second)
+	s.boot(a.away)
+	back, sent, from := s.now, s.sent, len(s.history)
+	for range 100 {
+		s.order(orderEvery)
+		if p := s.primary(); a.inSync < 0 && p != nil && p.replica.known.inSync(a.away.process.replica.Self.ID) {
+			a.inSync, a.bytes = s.now-back, s.sent-sent
+		}
+	}
+	s.run(s.now + time.Second)
+	a.during = tally(s.history[from:])
+	return a
+}
+
+// A member that was down for 300 orders, with a slow disk or an empty one, catches up over a slow link while orders go on: none is
+// refused, and none waits for it.
+func TestCatchingUpBesideOrders(t *testing.T) {
+	for _, one := range []struct {
+		name     string
+		syncTime time.Duration
+		wiped    bool
+	}{
+		{"disk kept", 2 * time.Millisecond, false},
+		{"disk kept, slow", 60 * time.Millisecond, false},
+		{"disk lost", 2 * time.Millisecond, true},
+		{"disk lost, slow", 60 * time.Millisecond, true},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			for seed := range int64(6) {
+				a := playAbsence(t, seed, one.syncTime, one.wiped)
+				t.Logf("seed %d: in sync after %v, %d bytes sent, orders %+v", seed, a.inSync, a.bytes, a.during)
+				require.Positive(t, a.inSync, "it never caught up")
+				require.Less(t, a.inSync, 1200*time.Millisecond)
+				require.Zero(t, a.during.refused+a.during.silent)
+				require.Zero(t, a.during.late)
+			}
+		})
+	}
+}
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -1,69 +1,5 @@
 package replication
 
-import "slices"
-
-// Epoch numbers views; a larger one supersedes. The node's identity breaks ties, so that no two candidates share one.
-type Epoch struct {
-	Round uint64
-	Node  string
-}
-
-// Less orders epochs.
-func (e Epoch) Less(other Epoch) bool {
-	if e.Round != other.Round {
-		return e.Round < other.Round
-	}
-	return e.Node < other.Node
-}
-
-// Member is one replica and witness. ID names a disk: a machine that lost its disk is another member.
-type Member struct {
-	ID      string
-	Address string
-	Zone    string
-	Joined  uint64 // the round of the view that took it in
-}
-
-// View says who is primary, and whose disks hold everything that was acknowledged.
-type View struct {
-	Epoch   Epoch
-	Primary string   // its ID
-	InSync  []string // IDs
-	Members []Member
-	Old     []Member // the members of the view before, who have to agree too until this one is known to be in force
-}
-
-// Member finds a member by ID.
-func (v *View) Member(id string) *Member {
-	for i := range v.Members {
-		if v.Members[i].ID == id {
-			return &v.Members[i]
-		}
-	}
-	return nil
-}
-
-// joint reports whether the members of the view before have to agree to what follows.
-func (v *View) joint() bool {
-	return !slices.Equal(v.Old, v.Members)
-}
-
-// PrimaryAddress is where the primary is, or "".
-func (v *View) PrimaryAddress() string {
-	if m := v.Member(v.Primary); m != nil {
-		return m.Address
-	}
-	return ""
-}
-
-func (v *View) inSync(id string) bool { return slices.Contains(v.InSync, id) }
-
-// Position names a state: the epoch in which its last entry was made, and that entry's number.
-type Position struct {
-	Epoch    Epoch
-	Sequence uint64
-}
-
 // Message is what replicas say to one another.
 type Message interface{ replicationMessage() }
 
@@ -85,10 +21,13 @@
 	Position Position
 }
 
-// Sync brings a member to the candidate's state; Snapshot is nil where its position is already the candidate's.
+// Sync brings a member to the candidate's state: by the entries that it lacks, or by a whole state. A member whose position is the
+// candidate's gets neither.
 type Sync struct {
 	Epoch    Epoch
 	Position Position
+	After    Position // of the state that Entries go on from
+	Entries  []Entry
 	Snapshot []byte
 }
 
@@ -140,105 +79,58 @@
 	Promised  Epoch
 	Known     Epoch // the view that it knows to be in force
 	DiskFails bool
+	Disk      bool     // it has one: it may become a member
+	Position  Position // of what is on it
+	Leaving   bool     // its process is about to end
 }
 
-// TakeOver asks an in-sync replica to become primary: its sender is about to end, or its disk fails.
-type TakeOver struct{ Epoch Epoch }
-
-func (PreVote) replicationMessage()      {}
-func (PreVoteReply) replicationMessage() {}
-func (Prepare) replicationMessage()      {}
-func (Promise) replicationMessage()      {}
-func (Sync) replicationMessage()         {}
-func (Synced) replicationMessage()       {}
-func (Accept) replicationMessage()       {}
-func (Accepted) replicationMessage()     {}
-func (Replicate) replicationMessage()    {}
-func (Replicated) replicationMessage()   {}
-func (Heartbeat) replicationMessage()    {}
-func (HeartbeatAck) replicationMessage() {}
-func (TakeOver) replicationMessage()     {}
-
-// Messages has one of each type, for a transport that wants to know them.
-func Messages() []Message {
-	return []Message{PreVote{}, PreVoteReply{}, Prepare{}, Promise{}, Sync{}, Synced{}, Accept{}, Accepted{}, Replicate{}, Replicated{},
-		Heartbeat{}, HeartbeatAck{}, TakeOver{}}
-}
-
-// Machine is the state that is replicated. Decide does not change it.
-type Machine interface {
-	Decide(entry []byte) Decision
-	Apply(entry []byte)
-	Snapshot() []byte
-	Restore(snapshot []byte) error
-	Value() any // the state as it is published; it is immutable
-}
-
-// Decision is what a state machine makes of a proposed entry.
-type Decision struct {
-	Accept bool
-	Status int // what the proposer is told
-	Reason string
-}
-
-// Hard is what a witness must not forget.
-type Hard struct {
-	Promised Epoch
-	Accepted View
-	Genesis  bool // this disk was made at the first start of the whole system
-}
-
-// Entry is one entry on the disk.
-type Entry struct {
-	Position Position
-	Data     []byte
-}
-
-// SnapshotRecord is a whole state on the disk; entries before it are forgotten.
-type SnapshotRecord struct {
+// SnapshotPiece brings a part of the state at a position to a learner: one outside the in-sync set that has a disk.
+type SnapshotPiece struct {
+	Epoch    Epoch
 	Position Position
+	Size     int // of the whole
+	Offset   int
 	Data     []byte
 }
 
-// Kept is what a replica finds on its disk.
-type Kept struct {
-	ID       string
-	Hard     Hard
-	Snapshot SnapshotRecord
-	Entries  []Entry
+// MissingEntries brings a learner the entries after its position.
+type MissingEntries struct {
+	Epoch   Epoch
+	After   Position
+	Entries []Entry
 }
 
-// Effect is what the shell carries out.
-type Effect interface{ replicationEffect() }
-
-// Send sends a message to the sidecar at an address; it may be lost.
-type Send struct {
-	To      string
-	Message Message
+// LearnerAck answers SnapshotPiece and MissingEntries.
+type LearnerAck struct {
+	Epoch    Epoch
+	From     Member
+	Position Position // of what is on its disk
+	Transfer Position // of the snapshot that it is receiving
+	Received int      // bytes of it
 }
 
-// Save writes to the disk and syncs; the shell then calls Saved or SaveFailed with Number. Saves keep their order.
-type Save struct {
-	Number   uint64
-	Hard     Hard
-	Entry    *Entry
-	Snapshot *SnapshotRecord
-}
+// TakeOver asks an in-sync replica to become primary: its sender is about to end, or its disk fails.
+type TakeOver struct{ Epoch Epoch }
 
-// Publish says that a state of the machine is committed.
-type Publish struct {
-	Position Position
-	Entries  [][]byte // the last ones that led to it, as far as they are known
-	Value    any      // the machine's
-}
+func (PreVote) replicationMessage()        {}
+func (PreVoteReply) replicationMessage()   {}
+func (Prepare) replicationMessage()        {}
+func (Promise) replicationMessage()        {}
+func (Sync) replicationMessage()           {}
+func (Synced) replicationMessage()         {}
+func (Accept) replicationMessage()         {}
+func (Accepted) replicationMessage()       {}
+func (Replicate) replicationMessage()      {}
+func (Replicated) replicationMessage()     {}
+func (Heartbeat) replicationMessage()      {}
+func (HeartbeatAck) replicationMessage()   {}
+func (TakeOver) replicationMessage()       {}
+func (SnapshotPiece) replicationMessage()  {}
+func (MissingEntries) replicationMessage() {}
+func (LearnerAck) replicationMessage()     {}
 
-// Answer ends a proposal.
-type Answer struct {
-	Token    uint64
-	Decision Decision
+// Messages has one of each type, for a transport that wants to know them.
+func Messages() []Message {
+	return []Message{PreVote{}, PreVoteReply{}, Prepare{}, Promise{}, Sync{}, Synced{}, Accept{}, Accepted{}, Replicate{}, Replicated{},
+		Heartbeat{}, HeartbeatAck{}, TakeOver{}, SnapshotPiece{}, MissingEntries{}, LearnerAck{}}
 }
-
-func (Send) replicationEffect()    {}
-func (Save) replicationEffect()    {}
-func (Publish) replicationEffect() {}
-func (Answer) replicationEffect()  {}
--- a/internal/replication/prevote.go
+++ b/internal/replication/prevote.go
@@ -108,12 +108,3 @@
 	}
 	return r.known
 }
-
-// laterView is the one of two views that a candidate has to go by. Of one view the form that is known to be in force counts.
-func laterView(a, b View) View {
-	inForce := a.Epoch == b.Epoch && a.joint() && !b.joint()
-	if inForce || a.Epoch.Less(b.Epoch) {
-		return b
-	}
-	return a
-}
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -45,12 +45,11 @@
 	reachable      = 500 * time.Millisecond // since its last heartbeat ack
 	reviewEvery    = 400 * time.Millisecond // between two changes of a view that nobody waits for
 	maxReviewWait  = 4 * time.Second        // where changes bring nothing
-	successorWait  = 4 * time.Second        // a silent member whose zone has a newer one is dropped
 	genesisStep    = 500 * time.Millisecond // candidates for the first view wait in turn
 	genesisWait    = 700 * time.Millisecond // from the last new sidecar of the first start to the first view
 	diskStall      = 500 * time.Millisecond
 	diskRetry      = 300 * time.Millisecond
-	recentEntries  = 32 // kept for those that follow
+	recentEntries  = 32 // published with a state
 	compactEvery   = 32 // entries between two snapshots on the disk
 	maxProposals   = 64
 )
@@ -85,8 +84,9 @@
 	hard      Hard
 	position  Position // of machine
 	published Position
-	recent    [][]byte // the last entries that led to it
-	known     View     // the newest view known to be in force
+	durable   Position // of what is on the disk
+	history   history
+	known     View // the newest view known to be in force
 	role      role
 	now       time.Duration
 	out       []Effect
@@ -99,7 +99,10 @@
 	diskTried    time.Duration
 	sinceCompact int
 
+	leaving bool // the process is about to end
+
 	// As a follower.
+	incoming  incoming
 	heard     time.Duration // the last heartbeat
 	heardEver bool
 
@@ -116,6 +119,7 @@
 	number   uint64
 	since    time.Duration
 	snapshot bool
+	position *Position // of what is on the disk afterwards, where that changes
 	then     func()
 }
 
@@ -134,10 +138,11 @@
 		}
 	}
 	r.position = kept.Snapshot.Position
+	r.history.restart(r.position)
 	for _, e := range kept.Entries {
-		machine.Apply(e.Data)
-		r.position = e.Position
+		r.apply(e)
 	}
+	r.durable = r.position
 	r.sinceCompact = len(kept.Entries)
 	return r, nil
 }
@@ -204,7 +209,14 @@
 		s.Entry = entry
 		r.sinceCompact++
 	}
-	r.pending = append(r.pending, pendingSave{number: s.Number, since: r.now, snapshot: s.Snapshot != nil, then: then})
+	p := pendingSave{number: s.Number, since: r.now, snapshot: s.Snapshot != nil, then: then}
+	switch {
+	case s.Snapshot != nil:
+		p.position = &s.Snapshot.Position
+	case s.Entry != nil:
+		p.position = &s.Entry.Position
+	}
+	r.pending = append(r.pending, p)
 	r.out = append(r.out, s)
 }
 
@@ -215,12 +227,16 @@
 	for len(r.pending) > 0 && r.pending[0].number <= number {
 		p := r.pending[0]
 		r.pending = r.pending[1:]
-		if p.number == number {
-			if p.snapshot {
-				r.needSnapshot = false
-			}
-			p.then()
+		if p.number != number {
+			continue
+		}
+		if p.snapshot {
+			r.needSnapshot = false
+		}
+		if p.position != nil {
+			r.durable = *p.position
 		}
+		p.then()
 	}
 }
 
@@ -233,12 +249,11 @@
 	r.diskTried = now
 }
 
-// remember keeps an entry for those that follow the machine's state.
-func (r *Replica) remember(entry []byte) {
-	r.recent = append(r.recent, entry)
-	if len(r.recent) > recentEntries {
-		r.recent = append([][]byte(nil), r.recent[1:]...)
-	}
+// apply takes in an entry that follows the machine's state.
+func (r *Replica) apply(e Entry) {
+	r.machine.Apply(e.Data)
+	r.position = e.Position
+	r.history.add(e)
 }
 
 // publish says that the machine's state is committed.
@@ -247,7 +262,7 @@
 		return
 	}
 	r.published = r.position
-	r.out = append(r.out, Publish{Position: r.position, Entries: r.recent, Value: r.machine.Value()})
+	r.out = append(r.out, Publish{Position: r.position, Entries: r.history.last(recentEntries), Value: r.machine.Value()})
 }
 
 func (r *Replica) stalled() bool {
@@ -278,16 +293,6 @@
 	return v
 }
 
-func majority(members []Member, voters map[string]bool) bool {
-	n := 0
-	for _, m := range members {
-		if voters[m.ID] {
-			n++
-		}
-	}
-	return n > len(members)/2
-}
-
 // Status describes a replica for logs.
 func (r *Replica) Status() string {
 	names := [...]string{"follower", "candidate", "primary"}
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net/http"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 )
@@ -26,6 +27,9 @@
 	loss    float64
 	failed  error // what a process could not go on from
 
+	bytesPerSecond int // that a machine's link carries; 0: no bound
+	sent           int // bytes
+
 	// Guards that a test takes out.
 	tolerance    int // FaultTolerance of the replicas
 	lyingDisks   bool
@@ -51,6 +55,7 @@
 	fullUntil     time.Duration
 	syncTime      time.Duration
 	wipes         int
+	linkFree      time.Duration // when all that was sent has left
 }
 
 // process is one life of a replica.
@@ -68,8 +73,11 @@
 type versionMachine struct {
 	Version int
 	Value   string
+	Bulk    string // a value that begins with bulk; it makes snapshots large
 }
 
+const bulk = "bulk"
+
 type versionEntry struct {
 	Base  int
 	Value string
@@ -91,7 +99,11 @@
 
 func (m *versionMachine) Apply(data []byte) {
 	m.Version++
-	m.Value = decodeEntry(data).Value
+	value := decodeEntry(data).Value
+	if strings.HasPrefix(value, bulk) {
+		m.Bulk, value = value, bulk
+	}
+	m.Value = value
 }
 
 func (m *versionMachine) Snapshot() []byte {
@@ -245,7 +257,7 @@
 		return
 	}
 	q, m := to.process, e.Message
-	s.after(s.delay(), func() {
+	s.after(s.leaves(p.host, m)+s.delay(), func() {
 		if s.now < to.deafUntil {
 			return
 		}
@@ -260,6 +272,40 @@
 	})
 }
 
+// leaves is how long it takes until a message has left its sender's link.
+func (s *simulation) leaves(h *host, m Message) time.Duration {
+	size := messageBytes(m)
+	s.sent += size
+	if s.bytesPerSecond == 0 {
+		return 0
+	}
+	h.linkFree = max(h.linkFree, s.now) + time.Duration(size)*time.Second/time.Duration(s.bytesPerSecond)
+	return h.linkFree - s.now
+}
+
+// messageBytes is about what a message takes on the wire.
+func messageBytes(m Message) int {
+	const head = 200
+	switch m := m.(type) {
+	case Sync:
+		return head + len(m.Snapshot) + entryBytes(m.Entries)
+	case SnapshotPiece:
+		return head + len(m.Data)
+	case MissingEntries:
+		return head + entryBytes(m.Entries)
+	case Replicate:
+		return head + len(m.Entry)
+	}
+	return head
+}
+
+func entryBytes(entries []Entry) (n int) {
+	for _, e := range entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
 // save writes in order; what is not done when power goes is lost.
 func (s *simulation) save(p *process, e Save) {
 	h := p.host
--- a/internal/replication/step.go
+++ b/internal/replication/step.go
@@ -30,8 +30,14 @@
 		r.onHeartbeat(m, from)
 	case HeartbeatAck:
 		r.onHeartbeatAck(m)
+	case SnapshotPiece:
+		r.onSnapshotPiece(m, from)
+	case MissingEntries:
+		r.onMissingEntries(m, from)
+	case LearnerAck:
+		r.onLearnerAck(m)
 	case TakeOver:
-		if r.role == follower && !r.hard.Promised.Less(m.Epoch) && r.hard.Accepted.inSync(r.Self.ID) {
+		if r.role == follower && r.hard.Promised == m.Epoch && r.hard.Accepted.inSync(r.Self.ID) {
 			r.campaign(true)
 		}
 	}
@@ -102,6 +108,8 @@
 		switch {
 		case e.phase == preparing && !promised:
 			r.send(address, Prepare{Epoch: e.epoch, From: r.Self, Force: e.force})
+		case e.phase == syncing && promised:
+			r.send(address, Prepare{Epoch: e.epoch, From: r.Self, Force: e.force}) // it gives this candidate more time
 		case e.phase == accepting:
 			r.send(address, Accept{View: e.view})
 		}
@@ -130,6 +138,13 @@
 	}
 }
 
+// Leave says that this process is about to end: it gives its lead away, and another takes its place among the members as soon as one
+// that could has all that it has.
+func (r *Replica) Leave(now time.Duration) {
+	r.leaving = true
+	r.Resign(now)
+}
+
 // Resign gives the lead to another in-sync replica, as far as that is possible.
 func (r *Replica) Resign(now time.Duration) {
 	r.now = now
@@ -138,7 +153,7 @@
 	}
 	best, latest := "", time.Duration(-1)
 	for _, id := range r.leading.view.InSync {
-		if a, ok := r.leading.acked[id]; ok && id != r.Self.ID && !a.fails && a.at > latest {
+		if a, ok := r.leading.acked[id]; ok && id != r.Self.ID && !a.fails && !a.leaving && a.at > latest {
 			best, latest = r.leading.view.Member(id).Address, a.at
 		}
 	}
--- a/internal/replication/witness.go
+++ b/internal/replication/witness.go
@@ -40,21 +40,30 @@
 		return
 	}
 	r.follow(m.Epoch)
-	changed := r.position != m.Position
-	if changed {
-		if m.Snapshot == nil || r.machine.Restore(m.Snapshot) != nil {
-			return
-		}
-		r.position, r.recent = m.Position, nil
-	}
 	epoch, position := m.Epoch, m.Position
-	r.save(nil, changed, func() {
+	done := func() {
 		if r.hard.Promised == epoch {
 			r.send(from, Synced{Epoch: epoch, From: r.Self.ID, Position: position})
 		}
-	})
+	}
+	switch {
+	case r.position == m.Position:
+		r.save(nil, false, done)
+	case m.Snapshot != nil:
+		if r.machine.Restore(m.Snapshot) != nil {
+			return
+		}
+		r.position = m.Position
+		r.history.restart(m.Position)
+		r.save(nil, true, done)
+	case m.follows(r.position):
+		r.applyEntries(m.Entries, done)
+	}
 }
 
+// follows reports whether the entries of a Sync go on from a position.
+func (m *Sync) follows(p Position) bool { return len(m.Entries) > 0 && m.After == p }
+
 func (r *Replica) onAccept(m Accept, from string) {
 	if m.View.Epoch.Less(r.hard.Promised) {
 		r.send(from, Accepted{Epoch: m.View.Epoch, Refused: true, Promised: r.hard.Promised})
