--- /dev/null
+++ b/internal/replication/explore_heal_test.go
@@ -0,0 +1,121 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	recovery   = 12 * time.Second // RecoveryS: by then an order is taken, whatever state the core was left in
+	healTick   = 50 * time.Millisecond
+	healDelay  = time.Millisecond
+	healProbe  = 300 * time.Millisecond // between two orders
+	probeToken = 1 << 32
+)
+
+// sentMessage is a message on its way while a world heals.
+type sentMessage struct {
+	at       time.Duration
+	from, to string
+	message  Message
+}
+
+// healing is a world in which everything works from now on: messages arrive, disks sync, all machines run.
+type healing struct {
+	*world
+	now   time.Duration
+	sent  []sentMessage
+	taken bool
+}
+
+// heal plays a world on and reports whether somebody takes an order within the time for recovery, on top of all that was acknowledged.
+func heal(w *world) (fault string) {
+	h := &healing{world: w.clone(), now: exploredNow}
+	for address := range h.nodes {
+		h.node(address)
+	}
+	until := h.now + recovery
+	for tick := 0; h.now < until && !h.taken; tick++ {
+		for _, address := range sortedKeys(h.nodes) {
+			r := h.nodes[address].replica
+			r.Tick(h.now)
+			if r.Primary() && time.Duration(tick)*healTick%healProbe == 0 {
+				r.Propose(probeToken, []byte("probe"), h.now)
+			}
+			h.carryOut(address)
+		}
+		h.deliverUntil(h.now + healTick)
+	}
+	if !h.taken {
+		return "nobody takes an order: " + h.status()
+	}
+	return h.broken()
+}
+
+func (h *healing) status() (text string) {
+	for _, address := range sortedKeys(h.nodes) {
+		text += "\n" + address + ": " + h.nodes[address].replica.Status()
+	}
+	return text
+}
+
+func (h *healing) carryOut(address string) {
+	r := h.nodes[address].replica
+	for effects := r.Effects(); len(effects) > 0; effects = r.Effects() {
+		for _, one := range effects {
+			switch e := one.(type) {
+			case Save:
+				r.Saved(e.Number, h.now)
+			case Send:
+				if h.nodes[e.To] != nil {
+					h.sent = append(h.sent, sentMessage{h.now + healDelay, address, e.To, e.Message})
+				}
+			case Answer:
+				h.taken = h.taken || e.Token == probeToken && e.Decision.Accept
+				if e.Decision.Accept {
+					h.acknowledge(r)
+				}
+			}
+		}
+	}
+}
+
+func (h *healing) deliverUntil(until time.Duration) {
+	for len(h.sent) > 0 && h.sent[0].at <= until {
+		m := h.sent[0]
+		h.sent = h.sent[1:]
+		h.now = m.at
+		h.nodes[m.to].replica.Receive(m.from, m.message, h.now)
+		h.carryOut(m.to)
+	}
+	h.now = until
+}
+
+// healEach has every so many states of an exploration healed.
+const healEach = 40
+
+// From what an exploration reaches, somebody leads and takes an order soon after all works again.
+func TestEveryReachedStateHeals(t *testing.T) {
+	all := explorations()
+	for _, name := range sortedKeys(all) {
+		t.Run(name, func(t *testing.T) {
+			x := explore(all[name], mostStates(t, shareOfStates/2), func(w *world) string {
+				if key := w.key(); int(key[0])<<8|int(key[1]) >= 1<<16/healEach {
+					return ""
+				}
+				return heal(w)
+			})
+			require.Empty(t, x.fault, "%v", x.trace)
+		})
+	}
+}
+
+// A world that cannot heal is seen: two of three disks are lost.
+func TestAWorldWithoutAMajorityDoesNotHeal(t *testing.T) {
+	w := newWorld(budget{wipes: 2}, joiningZones)
+	w.play("a loses")
+	w.play("b loses")
+	require.Contains(t, heal(w), "nobody takes an order")
+}
--- /dev/null
+++ b/internal/replication/explore_share_test.go
@@ -0,0 +1,9 @@
+//go:build !race
+
+package replication
+
+// How many states each exploration of a usual run visits at the most.
+const (
+	shareOfStates = 20_000
+	allStates     = 1 << 30
+)
