A sidecar that starts beside a home that is cut off is not ready with what that one has

Cause (read): a control sidecar that is cut off keeps its whole list and its configuration, tells its subscribers that it lost touch, and one that starts beside it was ready with both at once.

Change: ready needs the word of one that is in touch with the core that this is the newest configuration, or 2 s after the start without meeting one. While it starts a sidecar leaves a home that is out of touch after 0.6 s, not 1.2, and goes on asking its seeds who the core is.

--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -1,6 +1,14 @@
 package node
 
-import "petrelhook/internal/routetable"
+import (
+	"time"
+
+	"petrelhook/internal/routetable"
+)
+
+// startAlone is how long after its start a sidecar looks for somebody in touch with the core before it serves with what it was told by
+// those that are cut off.
+const startAlone = 2 * time.Second
 
 // apply puts in force what is newer than what the gateway has.
 func (n *Node) apply() {
@@ -15,7 +23,7 @@
 		n.listed = n.registry.Stamp()
 		n.logServers()
 	}
-	if !n.ready.Load() && n.compiled > 0 && n.complete {
+	if !n.ready.Load() && n.compiled > 0 && n.complete && (n.current || n.now() > startAlone) {
 		n.ready.Store(true)
 		n.logger.Info().Int("servers", n.registry.Len()).Int("fleet", n.fleet).Msg("ready")
 	}
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -56,7 +56,7 @@
 		if n.home.address != "" {
 			n.sendSession(n.home.address)
 		}
-		if now-n.home.heard > homeSilent {
+		if now-n.home.heard > homeSilent || n.starting(now) && !n.home.touch {
 			n.greet()
 		}
 	}
@@ -94,12 +94,12 @@
 	if h.avoid == nil {
 		h.avoid = map[string]time.Duration{}
 	}
-	limit := homeSilent
-	if n.starting(now) { // it serves nobody until a home answers
-		limit = startSilent
+	silentLimit, astrayLimit := homeSilent, homeSilent
+	if n.starting(now) { // it serves nobody until a home answers that is in touch
+		silentLimit, astrayLimit = startSilent, startAstray
 	}
-	silent := now-max(h.heard, h.since) > limit
-	astray := now-h.since > homeSilent && !h.touch
+	silent := now-max(h.heard, h.since) > silentLimit
+	astray := now-h.since > astrayLimit && !h.touch
 	if h.address != "" && (silent || astray) {
 		h.avoid[h.address] = now + homeReview
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	startEvery     = 100 * time.Millisecond // the same while it starts
 	homeSilent     = 1200 * time.Millisecond
 	startSilent    = 300 * time.Millisecond // the same while it starts
+	startAstray    = 600 * time.Millisecond // for which a home may be out of touch with the core while a sidecar starts
 	sessionTimeout = 3 * time.Second
 	quotaEvery     = 500 * time.Millisecond
 	pruneEvery     = 2 * time.Second
@@ -90,6 +91,7 @@
 	subscribers   map[string]*subscriber
 	upstream      map[string]upstreamStamp // by address of who pushes
 	complete      bool                     // the list of servers is whole
+	current       bool                     // the configuration was the core's newest, by the word of one in touch with it
 	fleet         int
 	answers       map[uint64]chan replication.Decision
 	pendingDrains map[uint64]*pendingDrain
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -126,6 +126,7 @@
 
 // publish takes a committed configuration from the replica.
 func (n *Node) publish(e replication.Publish) {
+	n.current = true
 	config, ok := e.Value.(*routetable.Config)
 	if ok && n.versions.Set(e.Position.Sequence, config, e.Entries) {
 		n.pushAll()
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -201,6 +201,9 @@
 	if err != nil {
 		n.logger.Debug().Err(err).Str("from", from).Msg("push")
 	}
+	if p.InTouch && n.versions.Version() >= p.Version {
+		n.current = true
+	}
 	if changed || n.registry.Stamp() != before {
 		n.pushAll()
 	}
