Answers belong to one question of one life; a drain counts in the newest view; old orders get no refusal

Change: numbers begin with one that is drawn; an answer of a member that knows a later view does not count, and a new view's members are asked; an order that may be one of those no longer remembered gets 503, which says nothing.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -88,8 +88,11 @@
 	Instance registry.Instance
 }
 
-// DrainAck answers Drain.
-type DrainAck struct{ Request uint64 }
+// DrainAck answers Drain. View is the newest that its sender knows: an answer from a later view than the asker's does not count there.
+type DrainAck struct {
+	Request uint64
+	View    replication.Epoch
+}
 
 // QuotaAsk tells the primary what a sidecar's tenants want, and what shares it holds.
 type QuotaAsk struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 type Options struct {
 	Zone         string
 	Now          func() time.Duration // the steady clock
+	Life         uint64               // drawn at each start: answers to a process before are told by it
 	Acquirer     Acquirer
 	Again        time.Duration // for which a shared part counts as kept after its last use
 	BodyMemory   int64         // for clients' bodies, all together; 0: no bound
@@ -83,7 +84,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
-		tally: outlier.NewTally(), quota: quota.NewClient(), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		tally: outlier.NewTally(), quota: quota.NewClient(o.Life), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 	fleet         int
 	answers       map[uint64]chan replication.Decision
 	pendingDrains map[uint64]*pendingDrain
-	token         uint64
+	token         uint64 // of the last question; the first is drawn, so that no answer to a process before fits
 
 	compiled     uint64         // version of the gateway's table
 	listed       uint64         // stamp of the gateway's servers
@@ -118,6 +118,7 @@
 		subscribers: map[string]*subscriber{}, upstream: map[string]upstreamStamp{}, fleet: 1,
 		answers: map[uint64]chan replication.Decision{}, pendingDrains: map[uint64]*pendingDrain{}, touchedSince: -1, logged: map[string]int{},
 		acquires: map[uint64]chan dissemination.QuotaAcquired{}, poolHost: newPoolHost(), poolMembership: newPoolMembership()}
+	n.token = rand.Uint64()
 	n.every.store.due(0, 0) // what is on the disk is as good, at first
 	n.every.expire.due(0, 0)
 	n.pushTimer = time.NewTimer(time.Hour)
@@ -125,7 +126,7 @@
 	n.outliers.detector = outlier.NewDetector(usableServers{n})
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
-	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now,
+	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now, Life: n.life,
 		Acquirer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -140,7 +140,8 @@
 
 // collect asks a sidecar for a deposit, which counts from now.
 func (n *Node) collect(from string, offer *poolOffer, now time.Duration) {
-	offer.nonce++
+	n.token++
+	offer.nonce = n.token
 	offer.asked = now
 	if from == n.self.Address {
 		n.onPoolCollect(from, dissemination.PoolCollect{Nonce: offer.nonce}, now)
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -79,6 +79,7 @@
 		}
 		n.logger.Info().Uint64("round", v.Epoch.Round).Str("primary", v.PrimaryAddress()).Int("members", len(v.Members)).
 			Int("in_sync", len(v.InSync)).Msg("view")
+		n.respreadDrains()
 		n.pushAll()
 	}
 	if !n.complete && n.cached && n.core() && n.replica.InTouch() {
--- a/internal/node/registration.go
+++ b/internal/node/registration.go
@@ -13,10 +13,11 @@
 
 // pendingDrain is a server's call that waits until a majority of the core knows it.
 type pendingDrain struct {
-	from  string // the sidecar that the server called; "" is this one
-	asked uint64 // its request
-	acks  map[string]bool
-	done  chan struct{}
+	from     string // the sidecar that the server called; "" is this one
+	asked    uint64 // its request
+	instance registry.Instance
+	acks     map[string]bool // by the address of a member; nil at a sidecar that asked its home
+	done     chan struct{}
 }
 
 // heartbeatBody is what a server sends.
@@ -126,17 +127,31 @@
 func (n *Node) spreadDrain(from string, asked uint64, i registry.Instance, now time.Duration) *pendingDrain {
 	n.hear(i, now)
 	n.token++
-	k := &pendingDrain{from: from, asked: asked, acks: map[string]bool{n.self.Address: true}, done: make(chan struct{})}
+	k := &pendingDrain{from: from, asked: asked, instance: i, acks: map[string]bool{n.self.Address: true}, done: make(chan struct{})}
 	request := n.token
 	n.pendingDrains[request] = k
 	time.AfterFunc(2*drainWait, func() { n.forgetPendingDrain(request) })
+	n.sendDrain(request, k)
+	n.checkPendingDrain(request)
+	return k
+}
+
+// sendDrain tells a drain to the members that have not said that they know it.
+func (n *Node) sendDrain(request uint64, k *pendingDrain) {
 	for _, m := range n.view.Members {
-		if m.Address != n.self.Address {
-			n.transport.Send(m.Address, dissemination.Drain{Request: request, Instance: i})
+		if !k.acks[m.Address] {
+			n.transport.Send(m.Address, dissemination.Drain{Request: request, Instance: k.instance})
+		}
+	}
+}
+
+// respreadDrains tells the drains that wait to the members of a new view: a majority of these has to know them.
+func (n *Node) respreadDrains() {
+	for request, k := range n.pendingDrains {
+		if k.acks != nil {
+			n.sendDrain(request, k)
 		}
 	}
-	n.checkPendingDrain(request)
-	return k
 }
 
 func (n *Node) forgetPendingDrain(request uint64) {
@@ -163,10 +178,13 @@
 	if n.registry.Merge(registry.Update{Instance: m.Instance}, now) {
 		n.pushAll()
 	}
-	n.transport.Send(from, dissemination.DrainAck{Request: m.Request})
+	n.transport.Send(from, dissemination.DrainAck{Request: m.Request, View: n.view.Epoch})
 }
 
 func (n *Node) onDrainAck(from string, m dissemination.DrainAck) {
+	if n.view.Epoch.Less(m.View) {
+		return // this one's majority may be none any more; it learns the view and asks its members
+	}
 	if k := n.pendingDrains[m.Request]; k != nil && k.acks != nil {
 		k.acks[from] = true
 		n.checkPendingDrain(m.Request)
--- a/internal/operatorapi/register.go
+++ b/internal/operatorapi/register.go
@@ -3,7 +3,8 @@
 //
 // Register is the state machine that the core replicates. It is deterministic: the same orders in the same order give
 // the same configuration on every replica. Invariants: an order that was taken is known by its content for as long as
-// orderMemory later ones, and is never refused; versions only rise.
+// orderMemory later ones, and is never refused: one that may have been taken before that gets no clear answer. Versions only rise, and one
+// number names one content.
 package operatorapi
 
 import (
@@ -12,6 +13,7 @@
 	"encoding/binary"
 	"encoding/gob"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -65,15 +67,18 @@
 // Register is the replicated configuration.
 type Register struct {
 	config *routetable.Config
-	taken  []Digest
+	taken  []Digest // the newest orders, oldest first
+	bases  []int64  // the versions that they were taken on top of
 	known  map[Digest]bool
+	// forgotten is the version that the newest of the orders that are not remembered was taken on top of; -1: all are.
+	forgotten int64
 
 	cached Digest // the order that next was worked out for
 	next   *routetable.Config
 }
 
 // NewRegister makes an empty register.
-func NewRegister() *Register { return &Register{known: map[Digest]bool{}} }
+func NewRegister() *Register { return &Register{known: map[Digest]bool{}, forgotten: -1} }
 
 // Config is the newest configuration, or nil before the first.
 func (g *Register) Config() *routetable.Config { return g.config }
@@ -98,6 +103,9 @@
 	if g.known[o.Digest()] {
 		return replication.Decision{Status: http.StatusOK}
 	}
+	if o.Base <= g.forgotten {
+		return replication.Decision{Status: http.StatusServiceUnavailable, Reason: "too old to tell whether it was taken"}
+	}
 	if o.Base != g.Generation() {
 		return replication.Decision{Status: http.StatusPreconditionFailed, Reason: "another version is current"}
 	}
@@ -159,22 +167,25 @@
 	}
 	g.config, g.next = next, nil
 	d := o.Digest()
-	g.taken = append(g.taken, d)
+	g.taken, g.bases = append(g.taken, d), append(g.bases, o.Base)
 	g.known[d] = true
 	if len(g.taken) > orderMemory {
 		delete(g.known, g.taken[0])
-		g.taken = append([]Digest(nil), g.taken[1:]...)
+		g.forgotten = g.bases[0]
+		g.taken, g.bases = slices.Clone(g.taken[1:]), slices.Clone(g.bases[1:])
 	}
 }
 
 type snapshot struct {
-	Config []byte // JSON, empty before the first
-	Taken  []byte // digests, one after the other
+	Config    []byte // JSON, empty before the first
+	Taken     []byte // digests, one after the other
+	Bases     []int64
+	Forgotten int64 // one more than the register's
 }
 
 // Snapshot gives the whole state.
 func (g *Register) Snapshot() []byte {
-	s := snapshot{Taken: make([]byte, 0, len(g.taken)*sha256.Size)}
+	s := snapshot{Taken: make([]byte, 0, len(g.taken)*sha256.Size), Bases: g.bases, Forgotten: g.forgotten + 1}
 	for _, d := range g.taken {
 		s.Taken = append(s.Taken, d[:]...)
 	}
@@ -199,7 +210,14 @@
 			return err
 		}
 	}
+	switch orders := len(s.Taken) / sha256.Size; {
+	case len(s.Bases) == 0: // of a program that did not keep them
+		s.Bases = make([]int64, orders)
+	case len(s.Bases) != orders:
+		return errors.New("a snapshot's orders and their versions are not as many")
+	}
 	g.config, g.next, g.taken, g.known = config, nil, nil, map[Digest]bool{}
+	g.bases, g.forgotten = s.Bases, s.Forgotten-1
 	for rest := s.Taken; len(rest) >= sha256.Size; rest = rest[sha256.Size:] {
 		d := Digest(rest[:sha256.Size])
 		g.taken = append(g.taken, d)
--- a/internal/operatorapi/register_test.go
+++ b/internal/operatorapi/register_test.go
@@ -79,7 +79,53 @@
 	require.Contains(t, string(h.Config().Encode()), `"Unknown":{"kept":true}`)
 	require.Equal(t, http.StatusOK, take(h, first))
 	require.Equal(t, int64(5), h.Generation())
+	g.bases = nil // as an earlier program wrote it
+	require.NoError(t, h.Restore(g.Snapshot()))
+	require.Equal(t, http.StatusOK, take(h, first))
 	empty := NewRegister()
 	require.NoError(t, h.Restore(empty.Snapshot()))
 	require.Zero(t, h.Generation())
 }
+
+// numbered is the n-th order of a series, each on top of the one before.
+func numbered(n int64) []byte {
+	return order(Replace, n-1, fmt.Sprintf(`{"Generation":%d,"Routes":[],"Services":[{"Name":"s%d"}]}`, n, n))
+}
+
+// An order that was taken is acknowledged again by its content for as long as it is remembered, and is refused never: after more orders than
+// are remembered nothing clear is said, also by a replica that has a snapshot alone.
+func TestAnOrderIsNeverRefusedLater(t *testing.T) {
+	g := NewRegister()
+	const orders = orderMemory + 10
+	for n := int64(1); n <= orders; n++ {
+		require.Equal(t, http.StatusOK, take(g, numbered(n)))
+	}
+	restored := NewRegister()
+	require.NoError(t, restored.Restore(g.Snapshot()))
+	for name, register := range map[string]*Register{"the register": g, "a snapshot of it": restored} {
+		t.Run(name, func(t *testing.T) {
+			for n := int64(1); n <= orders; n++ {
+				want := http.StatusOK
+				if n <= orders-orderMemory {
+					want = http.StatusServiceUnavailable
+				}
+				require.Equal(t, want, take(register, numbered(n)), "order %d", n)
+			}
+			require.Equal(t, http.StatusPreconditionFailed, take(register, order(Update, orders-1, `{"Generation":9000}`)))
+			require.Equal(t, int64(orders), register.Generation())
+		})
+	}
+	t.Logf("a snapshot has %d bytes", len(g.Snapshot()))
+}
+
+// Two operators who choose one number on top of one version: one content gets it. Two who send the same bytes are both told that it is taken.
+func TestOneNumberNamesOneContent(t *testing.T) {
+	g := NewRegister()
+	require.Equal(t, http.StatusOK, take(g, order(Replace, 0, whole)))
+	one, other := order(Update, 3, `{"Generation":5,"Upsert":{"Routes":[`+route("r2", "/y/")+`]}}`), order(Update, 3, `{"Generation":5}`)
+	require.Equal(t, http.StatusOK, take(g, one))
+	require.Equal(t, http.StatusOK, take(g, one), "another operator, the same bytes")
+	require.Equal(t, http.StatusPreconditionFailed, take(g, other))
+	require.Equal(t, http.StatusPreconditionFailed, take(g, other), "refused once, refused again")
+	require.Len(t, g.Config().Routes, 2)
+}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -60,8 +60,11 @@
 	at     time.Duration
 }
 
-// NewClient makes a client without any share.
-func NewClient() *Client { return &Client{buckets: map[string]*bucket{}, fleet: math.MaxInt} }
+// NewClient makes a client without any share. Its questions are numbered from a number that is drawn at each start of the process, so that
+// no answer to the one before fits.
+func NewClient(life uint64) *Client {
+	return &Client{nonce: life, buckets: map[string]*bucket{}, fleet: math.MaxInt}
+}
 
 // SetFleet takes in how many sidecars there are.
 func (t *Client) SetFleet(n int) { t.fleet = max(1, n) }
--- /dev/null
+++ b/internal/quota/life_test.go
@@ -0,0 +1,20 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A grant that answers a question of the process before is not one of this process: the primary gave that share to another life.
+func TestAGrantOfAnEarlierLife(t *testing.T) {
+	const now = 5 * time.Second
+	before, client := NewClient(4711), NewClient(815)
+	late, _, _ := before.Ask(now)
+	question, _, _ := client.Ask(now)
+	client.Granted(late, map[string]float64{"t": 1}, now)
+	require.Zero(t, client.until)
+	client.Granted(question, map[string]float64{"t": 1}, now)
+	require.Equal(t, now+Lease, client.until)
+}
--- a/internal/quota/pool_test.go
+++ b/internal/quota/pool_test.go
@@ -78,7 +78,7 @@
 
 // leased is a client of a fleet of two that had half of the limit when the primary fell silent, at 0.
 func leased(limits map[string]Limit) *Client {
-	client := NewClient()
+	client := NewClient(1)
 	client.SetLimits(limits, 0)
 	client.SetFleet(2)
 	nonce, _, _ := client.Ask(0)
@@ -150,7 +150,7 @@
 	)
 	p := &limitPlay{random: rand.New(rand.NewSource(1)), limits: map[string]Limit{"t": {Rate: s.rate, Burst: s.rate}}, allocator: NewAllocator(-time.Minute)}
 	for range s.fleet {
-		client := NewClient()
+		client := NewClient(1)
 		client.SetLimits(p.limits, 0)
 		client.SetFleet(s.fleet)
 		p.clients = append(p.clients, client)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -61,7 +61,7 @@
 }
 
 func TestPressed(t *testing.T) {
-	client := NewClient()
+	client := NewClient(1)
 	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
 	require.False(t, client.Pressed("t", 0))
 	require.Equal(t, Granted, client.Acquired("t", 10, 10, 0))
@@ -81,7 +81,7 @@
 		a := NewAllocator(now)
 		clients := make([]*Client, 6)
 		for i := range clients {
-			clients[i] = NewClient()
+			clients[i] = NewClient(1)
 			clients[i].SetLimits(map[string]Limit{"t": {Rate: 1000}}, now)
 		}
 		for range 400 {
@@ -106,7 +106,7 @@
 }
 
 func TestALateGrantIsNotTaken(t *testing.T) {
-	client := NewClient()
+	client := NewClient(1)
 	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
 	nonce, _, _ := client.Ask(0)
 	client.Granted(nonce, map[string]float64{"t": 1}, Lease)
@@ -120,7 +120,7 @@
 }
 
 func TestALeaseEndsAndOverdrawsOnce(t *testing.T) {
-	client := NewClient()
+	client := NewClient(1)
 	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
 	nonce, _, _ := client.Ask(0)
 	client.Granted(nonce, map[string]float64{"t": 0.5}, 0)
@@ -136,7 +136,7 @@
 }
 
 func TestWhatWasAcquiredAheadEnds(t *testing.T) {
-	client := NewClient()
+	client := NewClient(1)
 	client.SetLimits(map[string]Limit{"t": {Rate: 1000}}, 0)
 	v, _ := client.Take("t", 10, 0)
 	require.Equal(t, AskPrimary, v)
--- a/internal/quota/window_test.go
+++ b/internal/quota/window_test.go
@@ -46,7 +46,7 @@
 	p := &limitPlay{random: rand.New(rand.NewSource(seed)), limits: map[string]Limit{"t": limit}, units: units,
 		cutUntil: make([]time.Duration, fleet), nextFault: 9 * time.Second, pressure: 6, nextPressure: 10 * time.Second}
 	for range fleet {
-		client := NewClient()
+		client := NewClient(1)
 		client.SetLimits(p.limits, 0)
 		client.SetFleet(fleet)
 		p.clients = append(p.clients, client)
@@ -192,7 +192,7 @@
 		start += 500 * time.Millisecond
 		for i := range clients {
 			if clients[i] == nil {
-				clients[i] = NewClient()
+				clients[i] = NewClient(1)
 				clients[i].SetLimits(limits, 0)
 				clients[i].SetFleet(fleet)
 			}
@@ -219,7 +219,7 @@
 	later := spent(start+Lease+standingFor+time.Second, start+Lease+2*standingFor)
 	require.InDelta(t, standingPart*standingLater*100_000, later, 5_000)
 
-	alone := NewClient()
+	alone := NewClient(1)
 	alone.SetLimits(limits, 0)
 	v, _ := alone.TakeLeased("t", 1, time.Hour)
 	require.Equal(t, Refused, v)
