--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -188,6 +188,7 @@
 func TestWhatWasNotExecutedGoesOn(t *testing.T) {
 	r := newRig(t)
 	r.server(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Request-Id", "id1")
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
@@ -202,6 +203,24 @@
 	}
 }
 
+// What does not say which request it answers promises nothing: the request may have run, and goes nowhere else.
+func TestAPromiseWithoutAnIDIsNone(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		r := newRig(t)
+		var runs atomic.Int64
+		for range 2 {
+			r.server(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(status)
+			})
+		}
+		answer, _, _ := r.do("/unsafe/")
+		require.Equal(t, http.StatusBadGateway, answer.StatusCode, "%d", status)
+		require.Equal(t, int64(1), runs.Load())
+	}
+}
+
 func events(w http.ResponseWriter, from, to int) {
 	w.Header().Set("X-Request-Id", "id1")
 	w.Header().Set("X-Response-Signature", "sig")
--- a/internal/replication/explore_test.go
+++ b/internal/replication/explore_test.go
@@ -340,6 +340,21 @@
 	return w
 }
 
+// overtakenWorld goes on from an abandoned view: b has taken over with c, which know nothing of it, and an order was acknowledged. a has heard
+// of a later epoch.
+func overtakenWorld(left budget) *world {
+	w := abandonedWorld(budget{candidacies: 1, writes: 1})
+	for _, name := range []string{"b campaigns", "b>c Prepare", "b waits no longer", "b>c Sync", "b>c Accept", "b takes an order", "b>c Replicate"} {
+		w.play(name)
+	}
+	if len(w.committed) != 1 {
+		panic("no order was acknowledged: " + w.nodes["b"].replica.Status())
+	}
+	w.node("a").replica.hard.Promised.Round = w.nodes["b"].replica.hard.Promised.Round
+	w.left, w.trace = left, nil
+	return w
+}
+
 // play does the first step whose name begins so.
 func (w *world) play(name string) {
 	for _, s := range w.steps() {
@@ -360,6 +375,8 @@
 		"replaced, a late view":               replacementWorld(budget{candidacies: 2, lates: 1}),
 		"abandoned, one candidacy":            abandonedWorld(budget{candidacies: 1, writes: 1}),
 		"abandoned, two candidacies":          abandonedWorld(budget{candidacies: 2}),
+		"overtaken, one candidacy":            overtakenWorld(budget{candidacies: 1, writes: 1, lates: 1}),
+		"overtaken, two candidacies":          overtakenWorld(budget{candidacies: 2}),
 		"two join, one candidacy":             newWorld(budget{candidacies: 1, writes: 1}, joiningZones),
 		"two join, two candidacies":           newWorld(budget{candidacies: 2}, joiningZones),
 	}
