--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -76,20 +76,3 @@
 
 // Ready reports whether this sidecar takes clients.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.ending.Load() }
-
-// Servers is how many servers are known here.
-func (n *Node) Servers() int {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.registry.Len()
-}
-
-// ServerChanges counts the changes of the list of servers here.
-func (n *Node) ServerChanges() uint64 {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.registry.Stamp()
-}
-
-// SentBytes is how many bytes went to other sidecars.
-func (n *Node) SentBytes() uint64 { return n.transport.Sent() }
