--- a/internal/replication/explore_test.go
+++ b/internal/replication/explore_test.go
@@ -318,7 +318,7 @@
 func replacementWorld(left budget) *world {
 	w := newWorld(left, replacementZones)
 	lead := w.nodes["a"].replica
-	lead.leading.since = 0
+	lead.leading.since, lead.leading.began = 0, 0
 	gone := lead.leading.acked["c"]
 	gone.at = 0
 	lead.leading.acked["c"] = gone
--- a/internal/replication/explore_world_test.go
+++ b/internal/replication/explore_world_test.go
@@ -114,7 +114,7 @@
 	}
 	lead := w.nodes["a"].replica
 	lead.role = primary
-	lead.leading = leading{view: first, acked: map[string]memberAck{}, teaching: map[string]*teaching{}, since: exploredNow}
+	lead.leading = leading{view: first, acked: map[string]memberAck{}, teaching: map[string]*teaching{}, since: exploredNow, began: exploredNow}
 	for address, n := range w.nodes {
 		lead.leading.acked[address] = memberAck{member: n.replica.Self, at: exploredNow, known: first.Epoch, disk: true}
 	}
--- a/internal/replication/history_test.go
+++ b/internal/replication/history_test.go
@@ -260,13 +260,21 @@
 	group.Wait()
 }
 
+// linearizable says "" where one register could have told what clients saw.
+func linearizable(history []operation) string {
+	if check(history) == porcupine.Illegal {
+		return "no register could have told this"
+	}
+	return ""
+}
+
 // judge says what is wrong with a schedule that was played, or "".
 func judge(s *simulation) string {
 	if s.failed != nil {
 		return s.failed.Error()
 	}
-	if check(s.history) == porcupine.Illegal {
-		return "no register could have told this"
+	if fault := linearizable(s.history); fault != "" {
+		return fault
 	}
 	p := s.primary()
 	if p == nil {
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -145,18 +146,25 @@
 	if m.ID == r.Self.ID {
 		return false
 	}
-	return r.now-max(r.leading.acked[m.ID].at, r.leading.since) > limit
+	return r.now-max(r.leading.acked[m.ID].at, r.leading.began) > limit
 }
 
-// wantsChange reports whether the next view would have other members, or more of them in sync.
-func (r *Replica) wantsChange() bool {
+// wantedChange names what the next view would have that this one has not: other members, or more of them in sync. It is "" where there is
+// nothing.
+func (r *Replica) wantedChange() string {
 	l := &r.leading
+	var wanted []string
 	for _, m := range l.view.Members {
 		if !l.view.inSync(m.ID) && r.caughtUp(m.ID) {
-			return true
+			wanted = append(wanted, m.ID)
 		}
 	}
-	return !slices.Equal(r.planMembers(r.caughtUp), l.view.Members)
+	if planned := r.planMembers(r.caughtUp); !slices.Equal(planned, l.view.Members) {
+		for _, m := range planned {
+			wanted = append(wanted, m.ID)
+		}
+	}
+	return strings.Join(wanted, " ")
 }
 
 // mayJoin: a sidecar with a disk that promised in its own name.
--- a/internal/replication/primary.go
+++ b/internal/replication/primary.go
@@ -22,28 +22,35 @@
 	teaching  map[string]*teaching // by ID
 	confirms  []confirmation
 	reviewed  time.Duration
-	wait      time.Duration // until the next review
-	since     time.Duration
+	wanted    string        // the change that was last proposed
+	wait      time.Duration // until that change is proposed again
+	since     time.Duration // when the view came into force
+	began     time.Duration // when this replica became primary: views since then are its own
 }
 
 // lead begins a primary's time: the view has been accepted.
 func (r *Replica) lead() {
 	old := r.leading
 	r.role = primary
-	wait := time.Duration(0)
-	if slices.Equal(old.view.InSync, r.election.view.InSync) && slices.Equal(old.view.Members, r.election.view.Members) {
-		wait = min(maxReviewWait, max(reviewEvery, 2*old.wait)) // the change brought nothing
+	next := leading{view: r.election.view, queue: old.queue, confirms: old.confirms, acked: map[string]memberAck{}, teaching: map[string]*teaching{},
+		committed: r.position.Sequence, since: r.now, began: r.now, reviewed: r.now, beat: old.beat}
+	if old.acked != nil { // it was primary before: who was silent then is so still
+		next.acked, next.began, next.wanted = old.acked, old.began, old.wanted
 	}
-	r.election.view.Old = r.election.view.Members // it is in force: the members before need not agree any more
-	r.known = r.election.view
+	if slices.Equal(old.view.InSync, next.view.InSync) && slices.Equal(old.view.Members, next.view.Members) {
+		next.wait = min(maxReviewWait, max(reviewEvery, 2*old.wait)) // the change brought nothing
+	}
+	next.view.Old = next.view.Members // it is in force: the members before need not agree any more
+	r.known = next.view
 	r.hard.Accepted = r.known
 	r.save(nil, false, func() {})
-	r.leading = leading{view: r.election.view, queue: old.queue, confirms: old.confirms, acked: map[string]memberAck{}, teaching: map[string]*teaching{},
-		committed: r.position.Sequence, since: r.now, reviewed: r.now, wait: wait, beat: old.beat}
+	r.leading = next
 	for address := range r.election.promises {
 		for _, m := range r.known.Members {
 			if m.Address == address {
-				r.leading.acked[m.ID] = memberAck{at: r.now}
+				a := r.leading.acked[m.ID]
+				a.member, a.at = m, r.now
+				r.leading.acked[m.ID] = a
 			}
 		}
 	}
@@ -149,14 +156,19 @@
 	r.campaign(true)
 }
 
-// review looks whether the view should change.
+// review looks whether the view should change. A change that was proposed and brought nothing waits longer each time; another one does not.
 func (r *Replica) review() {
 	l := &r.leading
-	if r.now-l.reviewed < max(l.wait, reviewEvery) {
+	if r.now-l.reviewed < reviewEvery {
+		return
+	}
+	wanted := r.wantedChange()
+	if wanted == "" || wanted == l.wanted && r.now-l.reviewed < l.wait {
 		return
 	}
 	l.reviewed = r.now
-	if r.wantsChange() && r.majorityReachable() {
+	if r.majorityReachable() {
+		l.wanted = wanted
 		r.recampaign()
 	}
 }
