--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -8,7 +8,7 @@
 
 // startAlone is how long after its start a sidecar looks for somebody in touch with the core before it serves with what it was told by
 // those that are cut off.
-const startAlone = 2 * time.Second
+const startAlone = 3 * time.Second
 
 // apply puts in force what is newer than what the gateway has.
 func (n *Node) apply() {
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -56,7 +56,8 @@
 		if n.home.address != "" {
 			n.sendSession(n.home.address)
 		}
-		if now-n.home.heard > homeSilent || n.starting(now) && !n.home.touch {
+		astray := n.starting(now) && !n.home.touch && n.every.seeds.due(seedsEvery, now)
+		if astray || now-n.home.heard > homeSilent {
 			n.greet()
 		}
 	}
@@ -94,12 +95,12 @@
 	if h.avoid == nil {
 		h.avoid = map[string]time.Duration{}
 	}
-	silentLimit, astrayLimit := homeSilent, homeSilent
-	if n.starting(now) { // it serves nobody until a home answers that is in touch
-		silentLimit, astrayLimit = startSilent, startAstray
+	limit := homeSilent
+	if n.starting(now) { // it serves nobody until a home answers
+		limit = startSilent
 	}
-	silent := now-max(h.heard, h.since) > silentLimit
-	astray := now-h.since > astrayLimit && !h.touch
+	silent := now-max(h.heard, h.since) > limit
+	astray := now-h.since > homeSilent && !h.touch
 	if h.address != "" && (silent || astray) {
 		h.avoid[h.address] = now + homeReview
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,6 @@
 	startEvery     = 100 * time.Millisecond // the same while it starts
 	homeSilent     = 1200 * time.Millisecond
 	startSilent    = 300 * time.Millisecond // the same while it starts
-	startAstray    = 600 * time.Millisecond // for which a home may be out of touch with the core while a sidecar starts
 	sessionTimeout = 3 * time.Second
 	quotaEvery     = 500 * time.Millisecond
 	pruneEvery     = 2 * time.Second
