--- a/internal/replication/abandoned_test.go
+++ b/internal/replication/abandoned_test.go
@@ -171,3 +171,16 @@
 	require.Equal(t, http.StatusOK, s.history[len(s.history)-1].status)
 	require.NotEqual(t, porcupine.Illegal, check(s.history))
 }
+
+// A process that starts with a view on its disk that may never have been in force tells nobody that it is, and asks to lead by it all the same.
+func TestAnAbandonedViewIsNotTold(t *testing.T) {
+	joint := viewOf(5, "a", "b")
+	joint.Old = joint.Members[:3]
+	r := preVoter(t, joint)
+	view := r.View()
+	require.Zero(t, view.Epoch.Round)
+	require.Zero(t, r.known.Epoch.Round)
+	require.True(t, r.suspicious())
+	inForce := preVoter(t, viewOf(5, "a", "b")).View()
+	require.Equal(t, uint64(5), inForce.Epoch.Round)
+}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -261,14 +261,15 @@
 
 // electionTurn spreads candidates out, so that they do not hinder one another.
 func (r *Replica) electionTurn() time.Duration {
-	for i, id := range r.known.InSync {
+	newest := r.newestKnown()
+	for i, id := range newest.InSync {
 		if id == r.Self.ID {
 			return time.Duration(i) * suspectStep
 		}
 	}
 	h := fnv.New32a()
 	h.Write([]byte(r.Self.ID))
-	return time.Duration(len(r.known.InSync))*suspectStep + time.Duration(h.Sum32()%400)*time.Millisecond
+	return time.Duration(len(newest.InSync))*suspectStep + time.Duration(h.Sum32()%400)*time.Millisecond
 }
 
 // firstTurn reports whether this sidecar is the one that proposes the first view.
--- a/internal/replication/prevote.go
+++ b/internal/replication/prevote.go
@@ -33,7 +33,8 @@
 
 // suspicious reports whether a follower should become a candidate, if the others agree.
 func (r *Replica) suspicious() bool {
-	if r.role != follower || r.Witness || r.stalled() || r.known.Epoch.Round == 0 {
+	newest := r.newestKnown()
+	if r.role != follower || r.Witness || r.stalled() || newest.Epoch.Round == 0 {
 		return false
 	}
 	if r.known.Member(r.Self.ID) == nil && r.hard.Accepted.Member(r.Self.ID) == nil {
--- a/internal/replication/step.go
+++ b/internal/replication/step.go
@@ -74,8 +74,8 @@
 		}
 		return
 	}
-	if r.known.Epoch.Round == 0 {
-		r.known = r.hard.Accepted
+	if r.known.Epoch.Round == 0 && !r.hard.Accepted.joint() {
+		r.known = r.hard.Accepted // a joint view may never have been in force: nobody is told of it
 	}
 	if r.suspicious() {
 		r.askPreVotes()
--- a/internal/replication/worst_days_test.go
+++ b/internal/replication/worst_days_test.go
@@ -25,6 +25,7 @@
 const (
 	worstEpisodes = 8
 	worstRecovery = 12 * time.Second
+	closingSync   = 20 * time.Millisecond
 )
 
 // electionMessages are the kinds that an episode loses or delays.
@@ -238,6 +239,9 @@
 	if p == nil || d.now < d.lossAt {
 		return
 	}
+	for _, h := range d.ordered() { // a disk that is no faster than the network is what an early answer is seen by
+		h.syncTime = closingSync
+	}
 	d.write(1, p.machine.Version, "last")
 	for last := len(d.history) - 1; d.history[last].end < 0 && p.host.process == p; {
 		d.run(d.now + 200*time.Microsecond)
@@ -248,6 +252,7 @@
 	}
 	d.wipe(lost)
 	for _, h := range d.ordered() {
+		h.syncTime = 2 * time.Millisecond
 		d.after(time.Duration(d.random.Intn(1000))*time.Millisecond, func() { d.boot(h) })
 	}
 	d.run(d.now + worstRecovery)
