--- a/cmd/petrelrouter/fleet_test.go
+++ b/cmd/petrelrouter/fleet_test.go
@@ -219,8 +219,10 @@
 	killed := f.primary()
 	require.NotNil(t, killed)
 	killed.process.Die()
-	require.Equal(t, http.StatusOK, f.order("/-/config/update", 3,
-		`{"Generation":7,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","RouteType":"safe","TimeoutMs":2000,"Service":"s"}]}}`))
+	const update = `{"Generation":7,"Upsert":{"Routes":[{"Name":"r2","Host":"a.example","PathPrefix":"/y/","RouteType":"safe","TimeoutMs":2000,"Service":"s"}]}}`
+	require.Equal(t, http.StatusOK, f.order("/-/config/update", 3, update))
+	require.Equal(t, http.StatusOK, f.order("/-/config/replace", 0, firstConfiguration), "sent again to the next primary")
+	require.Equal(t, http.StatusOK, f.order("/-/config/update", 3, update), "sent again")
 	killed.start()
 	for _, m := range f.machines {
 		process.Until(t, m.ip+" has the new route", func() bool {
