--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -138,7 +138,7 @@
 	return members
 }
 
-// leaves reports whether a member said that its process is about to end, and not a life of it after that.
+// leaves reports whether a member said in its last answer that its process is about to end.
 func (r *Replica) leaves(m Member) bool { return r.leading.acked[m.ID].leaving }
 
 // silentFor reports whether the primary has not heard a member for a time.
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -16,7 +16,10 @@
 //     has at least FaultTolerance+1 members.
 //  4. A member is a disk. One that lost it comes back as another member, without a vote, until a view takes it in.
 //  5. Members change by one view that both sets of members accept; those before count no more as soon as it is known to be
-//     in force.
+//     in force. A change that is not known to be in force is finished before another one is built on it.
+//  6. A newcomer takes one member's place in one step, once it has nearly all of the primary's state.
+//
+// docs/design/control.md has the argument for each, and the tests that fail without it.
 //
 // The first view is decided by the seeds of the first start, which hold a vote named by their address for this alone and
 // only in a process, or with a disk, of that first start.
