--- a/internal/replication/learner_test.go
+++ b/internal/replication/learner_test.go
@@ -114,3 +114,18 @@
 		})
 	}
 }
+
+// A replica in the in-sync set takes no lesson: what was acknowledged rests on what it has. One outside does.
+func TestAMemberInSyncTakesNoLesson(t *testing.T) {
+	for _, one := range []struct {
+		view  View
+		taken bool
+	}{{viewOf(5, "b", "a"), false}, {viewOf(5, "b", "c"), true}} {
+		r := preVoter(t, one.view)
+		r.hard.Promised = one.view.Epoch
+		lesson := (&versionMachine{Version: 9, Value: "taught"}).Snapshot()
+		at := Position{Epoch: one.view.Epoch, Sequence: 9}
+		r.Receive("b", SnapshotPiece{Epoch: one.view.Epoch, Position: at, Size: len(lesson), Data: lesson}, 4*time.Second)
+		require.Equal(t, one.taken, r.position == at)
+	}
+}
--- a/internal/replication/mutation_test.go
+++ b/internal/replication/mutation_test.go
@@ -42,6 +42,8 @@
 			here, "TestALostDiskAfterAReplacement"},
 		"one that leaves says so": {"internal/replication/members.go", "if r.leaves(m) || r.silentFor(m, replaceAfter) {", "if r.silentFor(m, time.Hour) {",
 			here, "TestALostDiskAfterAReplacement"},
+		"who is in sync learns nothing": {"internal/replication/learner.go", "&& !r.known.inSync(r.Self.ID)\n}", "\n}",
+			here, "TestAMemberInSyncTakesNoLesson"},
 		"learners catch up beside orders": {"internal/replication/learner.go", "	r.sendPiece(a, t)\n}", "}",
 			here, "TestCatchingUpBesideOrders"},
 		"a learner that is caught up is waited for": {"internal/replication/election.go", "!ok && r.caughtUp(id) {", "!ok && false {",
