Placement: work that all routers have under way is told; long answers are kept together

Cause (seen): petrel-lm tells no load, so each of 83 routers knew its own requests alone. Ruled out: too few places (batches are rarely full), slow servers alone (as many late in calm seconds). Change: requests, unread prompt tokens and long answers under way are told, absolute and each 50 ms, by routers to homes, between homes, and back, without the receiver's own; load is in tokens left to read. A prompt goes where the sum of that, its own tokens, the price of reading a shared part again and the harm to long answers there is least. Long answers go over as few servers of the zone as hold them in 0.6 of their places. Turns begin at random values.

--- a/internal/dissemination/messages.go
+++ b/internal/dissemination/messages.go
@@ -58,6 +58,10 @@
 // Used tells where shared parts of prompts were read; it is lost without harm.
 type Used struct{ Uses []placement.Uses }
 
+// UnderWay tells a home what a subscriber's requests have left to do, another control sidecar what all subscribers' have, and a subscriber
+// what all others' have. It stands in place of the sender's last one; it is lost without harm.
+type UnderWay struct{ Loads placement.Loads }
+
 // Outcomes tells a home how the sends of a subscriber ended; it is lost without harm.
 type Outcomes struct{ Report outlier.Report }
 
@@ -150,7 +154,7 @@
 
 func init() {
 	for _, m := range []any{
-		Session{}, Push{}, Used{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaAcquire{}, QuotaAcquired{},
+		Session{}, Push{}, Used{}, UnderWay{}, Outcomes{}, OutcomeSums{}, Ejections{}, Admit{}, ForwardedHeartbeat{}, HeartbeatAck{}, Drain{}, DrainAck{}, QuotaAsk{}, QuotaGrant{}, QuotaAcquire{}, QuotaAcquired{},
 		PoolOffer{}, PoolCollect{}, PoolDeposit{}, PoolTake{}, PoolTaken{},
 	} {
 		gob.Register(m)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,7 +68,8 @@
 	if server == nil {
 		return nil, nil
 	}
-	server.Sent()
+	req.work = req.place.Work(s.pool.Keeps(req.place, server, now))
+	server.Begin(req.work)
 	if req.place.Affine() {
 		g.used(req, s, server)
 	}
@@ -89,6 +90,11 @@
 	if result != notExecuted && !req.route.Idempotent() {
 		return false
 	}
+	if req.paid {
+		req.paid = false
+		g.Counts.Moved.Add(1)
+		return true
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if !g.retries.Retry(req.service, g.options.Now()) {
@@ -121,10 +127,14 @@
 // attempt sends a request to one server and passes the answer on.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request,
 	server *placement.Server, conns *backend.Pool) outcome {
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := g.watchStall(req, server, cancel)
+	defer watch.stop()
 	sent := time.Now()
-	answer, err := conns.Do(ctx, g.outgoing(r, req, server))
+	answer, err := conns.Do(sendCtx, g.outgoing(r, req, server))
 	if err != nil {
-		return g.failed(ctx, req, server, sent, err)
+		return g.failed(ctx, req, server, sent, err, stalledOut(sendCtx))
 	}
 	defer answer.Close()
 	req.sends++
@@ -134,20 +144,28 @@
 	}
 	if answer.Header.Get("X-Not-Executed") != "" || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
-		g.ended(server, judgeRefusal(answer.Status, load, told))
+		g.ended(req, server, judgeRefusal(answer.Status, load, told))
 		return notExecuted
 	}
 	req.mayHaveRun = true
-	result := g.relay(ctx, w, req, answer)
-	g.ended(server, judgeAnswer(result, answer.Status))
+	result := g.relay(ctx, w, req, &stream{answer: answer, server: server, watch: watch, sent: sent})
+	judged := judgeAnswer(result, answer.Status)
+	if stalledOut(sendCtx) && judged == erred {
+		judged = saysNothing // it was left for its load
+	}
+	g.ended(req, server, judged)
 	return result
 }
 
 // failed judges a send that got no answer.
-func (g *Gateway) failed(ctx context.Context, req *request, server *placement.Server, sent time.Time, err error) outcome {
+func (g *Gateway) failed(ctx context.Context, req *request, server *placement.Server, sent time.Time, err error, stalled bool) outcome {
 	gone := ctx.Err() != nil
 	unsent := errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrNoRoom)
-	g.ended(server, judgeError(ctx, req, time.Since(sent), err))
+	judged := judgeError(ctx, req, time.Since(sent), err)
+	if stalled && judged == erred {
+		judged = saysNothing // it was left for its load
+	}
+	g.ended(req, server, judged)
 	if !unsent {
 		req.sends++
 		req.mayHaveRun = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,8 @@
 	services  map[string]*service
 	serviceOf map[string]string          // by instance
 	splits    map[string][]rotation.Turn // turns of a route's backends, by route
-	deadlines map[string]*deadlines      // by route
+	deadlines map[string]*recentTimes    // that clients gave, by route
+	firsts    map[string]*recentTimes    // from a send to the first part of a stream, by route
 	quota     *quota.Client
 	retries   *quota.RetryBudget
 	fleet     fleetSize
@@ -78,12 +79,12 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Requests, Served, Refused, Failed, Retried, Resumed atomic.Int64
+	Requests, Served, Refused, Failed, Retried, Moved atomic.Int64
 }
 
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*deadlines{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
+	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*recentTimes{}, firsts: map[string]*recentTimes{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
 		tally: outlier.NewTally(), quota: quota.NewClient(o.Life), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
@@ -98,7 +99,9 @@
 	}
 	gone := func(route string) bool { return !t.HasRoute(route) }
 	maps.DeleteFunc(g.splits, func(route string, _ []rotation.Turn) bool { return gone(route) })
-	maps.DeleteFunc(g.deadlines, func(route string, _ *deadlines) bool { return gone(route) })
+	for _, times := range []map[string]*recentTimes{g.deadlines, g.firsts} {
+		maps.DeleteFunc(times, func(route string, _ *recentTimes) bool { return gone(route) })
+	}
 	g.table.Store(t)
 	g.limitConnections()
 	g.mutex.Unlock()
--- a/internal/gateway/judgement.go
+++ b/internal/gateway/judgement.go
@@ -64,11 +64,12 @@
 }
 
 // ended takes in the end of a send.
-func (g *Gateway) ended(server *placement.Server, j judgement) {
+func (g *Gateway) ended(req *request, server *placement.Server, j judgement) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.options.Now()
-	server.Ended()
+	server.End(req.work)
+	req.work = placement.Work{}
 	switch j {
 	case saysNothing:
 		return
--- a/internal/gateway/lateness_test.go
+++ b/internal/gateway/lateness_test.go
@@ -20,7 +20,7 @@
 		require.NoError(t, err)
 		return answer.StatusCode
 	}
-	for range deadlineSamples {
+	for range recentSamples {
 		require.Equal(t, http.StatusOK, status("4000"))
 	}
 	require.Equal(t, http.StatusOK, status("3700"), "the tenant is within its limit")
@@ -33,19 +33,19 @@
 }
 
 func TestTheUsualDeadline(t *testing.T) {
-	d := &deadlines{}
-	for range deadlineSamples - 1 {
+	d := &recentTimes{}
+	for range recentSamples - 1 {
 		d.add(2000)
 	}
-	require.Zero(t, d.usual(), "too little was seen")
-	for range deadlineSamples {
+	require.Zero(t, d.quantile(usualDeadline), "too little was seen")
+	for range recentSamples {
 		d.add(2000)
 		d.add(2000)
 		d.add(2000)
 		d.add(1700)
 		d.add(1700)
 	}
-	require.EqualValues(t, 2000, d.usual(), "two of five tries are later ones")
+	require.EqualValues(t, 2000, d.quantile(usualDeadline), "two of five tries are later ones")
 	d.add(9000)
-	require.EqualValues(t, 2000, d.usual(), "and a few clients wait for long")
+	require.EqualValues(t, 2000, d.quantile(usualDeadline), "and a few clients wait for long")
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,20 +6,31 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"petrelhook/internal/backend"
 	"petrelhook/internal/eventstream"
+	"petrelhook/internal/placement"
 	"petrelhook/internal/routetable"
 )
 
 const maxAnswer = 16 << 20
 
+// stream is an answer on its way from a server.
+type stream struct {
+	answer *backend.Response
+	server *placement.Server
+	watch  *stallWatch
+	sent   time.Time
+}
+
 // relay passes an answer on to the client.
-func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, req *request, answer *backend.Response) outcome {
-	stream := req.route.Kind == routetable.Streaming && answer.Status == http.StatusOK &&
+func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, req *request, from *stream) outcome {
+	answer := from.answer
+	streams := req.route.Kind == routetable.Streaming && answer.Status == http.StatusOK &&
 		strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
-	if stream {
-		return g.relayStream(ctx, w, req, answer)
+	if streams {
+		return g.relayStream(ctx, w, req, from)
 	}
 	if req.headSent {
 		drain(answer)
@@ -46,11 +57,15 @@
 
 // relayStream passes whole events on as they come. The head goes with the first, so that a server that fails before it
 // leaves the client without any part of an answer.
-func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, answer *backend.Response) outcome {
+func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, from *stream) outcome {
 	control := http.NewResponseController(w)
+	answer := from.answer
 	events := eventstream.NewReader(answer)
-	for {
+	for first := true; ; first = false {
 		event, err := events.Next()
+		if first && err == nil {
+			g.promptRead(req, from)
+		}
 		if err == io.EOF {
 			if !req.headSent {
 				g.head(w, answer)
@@ -66,6 +81,7 @@
 			w.WriteHeader(answer.Status)
 			req.headSent = true
 		}
+		from.watch.event()
 		if _, err := w.Write(event); err != nil {
 			return expired // the client is gone
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,9 +36,11 @@
 	deadline   time.Time
 	startLimit time.Time // until when it may wait for the sidecar's start
 	place      placement.Request
-	sends      int  // that arrived at a server, or may have
-	mayHaveRun bool // by any of them: then nothing may promise that it has not
+	work       placement.Work // that is noted at the server it was sent to last
+	sends      int            // that arrived at a server, or may have
+	mayHaveRun bool           // by any of them: then nothing may promise that it has not
 	resume     string
+	paid       bool // the budget has given leave for the next send
 	headSent   bool
 }
 
@@ -150,8 +152,7 @@
 		return false
 	}
 	req.units = unitsOf(r, req.tenant)
-	key, shared := placement.ParsePrefix(r.Header.Get("X-Prompt-Prefix"))
-	req.place = placement.Request{Key: key, Shared: shared, Tried: map[string]bool{}}
+	req.place = placeOf(r)
 	if req.tenant != nil {
 		g.mutex.Lock()
 		late := g.tooLateForPressed(r, req)
@@ -172,6 +173,16 @@
 	return true
 }
 
+// placeOf is what placement has to know of a request.
+func placeOf(r *http.Request) placement.Request {
+	place := placement.Request{Tried: map[string]bool{}}
+	place.Key, place.Shared, place.Part = placement.ParsePrefix(r.Header.Get("X-Prompt-Prefix"))
+	if prompt, output, ok := placement.ParseUsage(r.Header.Get("X-Token-Usage")); ok {
+		place.Prompt, place.Output = prompt, output
+	}
+	return place
+}
+
 // takeQuota takes a request's units of its tenant's limit: from what this sidecar acquired ahead, else from the primary, and
 // where that is silent from a pool or this sidecar's lease.
 func (g *Gateway) takeQuota(ctx context.Context, req *request) (ok bool, wait time.Duration) {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -43,7 +43,7 @@
 func (g *Gateway) putServer(i *registry.Instance) {
 	s := g.services[i.Service]
 	if s == nil {
-		s = &service{pool: placement.NewPool(g.options.Zone, g.options.Again), conns: map[string]*backend.Pool{}}
+		s = &service{pool: placement.NewPool(g.options.Zone, g.options.Again, placement.DefaultPolicy(), nil), conns: map[string]*backend.Pool{}}
 		g.services[i.Service] = s
 	}
 	if c := s.conns[i.ID]; c != nil && c.Address() != i.Address {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"petrelhook/internal/membership"
 	"petrelhook/internal/operatorapi"
 	"petrelhook/internal/outlier"
+	"petrelhook/internal/placement"
 	"petrelhook/internal/quota"
 	"petrelhook/internal/registry"
 	"petrelhook/internal/replication"
@@ -87,6 +88,7 @@
 
 	home          home
 	outliers      outliers
+	loads         loads
 	subscribers   map[string]*subscriber
 	upstream      map[string]upstreamStamp // by address of who pushes
 	complete      bool                     // the list of servers is whole
@@ -122,6 +124,7 @@
 	n.every.expire.due(0, 0)
 	n.pushTimer = time.NewTimer(time.Hour)
 	n.pushTimer.Stop()
+	n.loads.board = placement.NewBoard()
 	n.outliers.detector = outlier.NewDetector(usableServers{n})
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
--- a/internal/node/periodic.go
+++ b/internal/node/periodic.go
@@ -24,6 +24,7 @@
 type periodics struct {
 	session, seeds       periodic // to other sidecars
 	quota, uses, report  periodic
+	loads                periodic
 	judge, expire, store periodic // of a control sidecar
 	prune, forget        periodic
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -22,6 +22,8 @@
 		n.onPush(from, &m, now)
 	case dissemination.Used:
 		n.onUsed(from, m)
+	case dissemination.UnderWay:
+		n.onUnderWay(from, m, now)
 	case dissemination.Outcomes:
 		n.onOutcomes(from, m, now)
 	case dissemination.OutcomeSums:
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -23,6 +23,7 @@
 	n.tickQuota(now)
 	n.tickPool(now)
 	n.tickUses(now)
+	n.tickLoads(now)
 	n.tickOutliers(now)
 	if n.every.prune.due(pruneEvery, now) {
 		n.gateway.Prune()
--- a/internal/placement/ejected_test.go
+++ b/internal/placement/ejected_test.go
@@ -40,7 +40,7 @@
 	for range 30 {
 		seen[p.Pick(Request{Key: "k", Shared: 0}, all, 0).ID] = true
 		for id := range seen {
-			p.servers[id].Sent()
+			p.servers[id].Begin(Work{Requests: 1})
 		}
 	}
 	require.True(t, seen["s0"])
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,116 +1,76 @@
 // Package placement chooses the server for a request. It is pure, for one goroutine at a time.
 //
 // A prompt that shares much with others goes to a server that read its longest shared part lately, as far as sidecars have
-// told one another; else to one of the sidecar's zone, by rendezvous hashing of that part. The set of servers for a part
-// grows while the first is loaded beyond the others or has errors against it. Where nothing is said of how long a part
-// is kept, rendezvous hashing goes over all zones, so that sidecars agree without a word. All else goes over the servers
-// of the sidecar's zone. Within the set the pick is the design's: smooth weighted round robin over 100 × multiplier. A re-route goes to the healthiest server not yet tried.
+// told one another, unless that has so much left to do that another one would read the whole prompt sooner. All else goes over the
+// servers of the sidecar's zone. What a server has left to do is estimated from what all sidecars have under way there; a
+// server's own word of its load is one more witness. Requests that generate for long are kept together on as few servers as hold them
+// well, and prompts count more where many of them are, so that the tokens of long answers do not wait behind prompts.
+//
+// Within the set the pick is the design's: smooth weighted round robin over 100 × multiplier. A re-route goes to the healthiest server not yet tried.
 package placement
 
 import (
-	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
-	"strconv"
 	"strings"
 	"time"
-
-	"petrelhook/internal/rotation"
-)
-
-const (
-	sharedWorth = 600 // shared tokens from which a prompt is sent where they are kept
-	loadSlack   = 2.0 // requests that a server may hold beyond its part
-	loadFactor  = 1.5
-	reportGood  = time.Second
-	maxTokens   = 1 << 30 // of one part
 )
 
-// Server is what a sidecar knows of one server.
-type Server struct {
-	ID      string
-	Address string
-	Zone    string
-	Slots   int
-
-	Health   rotation.Health
-	turn     rotation.Turn
-	inFlight int
-	reported float64 // requests running and waiting there, by its last answer
-	since    int     // sent by this sidecar after that
-	at       time.Duration
-}
-
-// Sent notes a request that goes there.
-func (s *Server) Sent() { s.inFlight++; s.since++ }
-
-// Ended notes that a request has ended.
-func (s *Server) Ended() { s.inFlight-- }
-
-// InFlight is how many requests this sidecar has there.
-func (s *Server) InFlight() int { return s.inFlight }
-
-// Report takes in a load that the server told.
-func (s *Server) Report(running, waiting float64, slots int, now time.Duration) {
-	s.reported, s.at, s.since = running+waiting, now, 0
-	if slots > 0 {
-		s.Slots = slots
-	}
-}
-
-// Load is an estimate of the requests that a server holds.
-func (s *Server) Load(now time.Duration) float64 {
-	own := float64(s.inFlight)
-	if s.at == 0 || now-s.at > reportGood {
-		return own
-	}
-	fade := 1 - float64(now-s.at)/float64(reportGood)
-	return math.Max(own, s.reported*fade+float64(s.since))
-}
-
-// Full reports whether a server is thought to have no place left.
-func (s *Server) Full(now time.Duration) bool {
-	return s.Slots > 0 && s.Load(now) >= float64(s.Slots)
+// Policy says which mechanisms are in use. Ablations and experiments switch single ones off.
+type Policy struct {
+	Affinity    bool // prompts go where their shared part is kept
+	Table       bool // by what sidecars have told of it; else by rendezvous hashing alone
+	ZoneFirst   bool
+	Told        bool // what other sidecars have under way counts
+	StreamPart  bool // long answers are kept together
+	StreamFill  float64
+	PauseTokens float64
+	ReadAgain   float64
+	SlackTokens float64
 }
 
-// Request is what is asked of a placement.
-type Request struct {
-	Key    string // the longest shared part of the prompt; "": none
-	Shared int    // tokens up to its end
-	Tried  map[string]bool
+// DefaultPolicy is what sidecars use.
+func DefaultPolicy() Policy {
+	return Policy{Affinity: true, Table: true, ZoneFirst: true, Told: true, StreamPart: true,
+		PauseTokens: 100_000, StreamFill: 0.6, ReadAgain: 12, SlackTokens: 1024}
 }
 
 // Pool is the servers of one service.
 type Pool struct {
 	zone    string
+	policy  Policy
 	servers map[string]*Server
+	byHash  map[ServerHash]*Server
 	ordered []*Server
 	recent  recent
 	ejected ejected
+	random  func() float64
 }
 
 // NewPool makes an empty pool of a sidecar in a zone; again is for how long a part counts as kept after its last use, 0 where
 // that is not said.
-func NewPool(zone string, again time.Duration) *Pool {
-	return &Pool{zone: zone, ejected: ejected{random: rand.Float64}, servers: map[string]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
+func NewPool(zone string, again time.Duration, policy Policy, random func() float64) *Pool {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Pool{zone: zone, policy: policy, random: random, ejected: ejected{random: random}, servers: map[string]*Server{},
+		byHash: map[ServerHash]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
 }
 
 // Used notes that a server was sent a part, by this sidecar or another.
 func (p *Pool) Used(key KeyHash, server string, now time.Duration) { p.recent.note(key, server, now) }
 
-// Affine reports whether a request goes where its shared part is kept.
-func (r *Request) Affine() bool { return r.Key != "" && r.Shared >= sharedWorth }
-
 // Put adds a server that may be used, or takes in what is new of one; what was learned of it is kept.
 func (p *Pool) Put(s Server) {
 	if old := p.servers[s.ID]; old != nil {
 		old.Address, old.Zone = s.Address, s.Zone
 		return
 	}
+	s.hash = HashServer(s.ID)
+	s.turn.Seed(p.random())
 	at, _ := p.position(s.ID)
 	p.servers[s.ID] = &s
+	p.byHash[s.hash] = &s
 	p.ordered = slices.Insert(p.ordered, at, &s)
 }
 
@@ -120,6 +80,7 @@
 	if !ok {
 		return
 	}
+	delete(p.byHash, p.servers[id].hash)
 	delete(p.servers, id)
 	p.ordered = slices.Delete(p.ordered, at, at+1)
 }
@@ -132,6 +93,25 @@
 // Servers lists the servers, by ID.
 func (p *Pool) Servers() []*Server { return p.ordered }
 
+// Loads adds what this sidecar's requests have left to do.
+func (p *Pool) Loads(sums LoadSums) {
+	for _, s := range p.ordered {
+		if s.own.Requests > 0 {
+			sums[s.hash] = s.own
+		}
+	}
+}
+
+// SetLoads takes in what the other sidecars' requests have left to do: nothing at servers that are not named.
+func (p *Pool) SetLoads(others LoadSums, now time.Duration) {
+	if !p.policy.Told {
+		return
+	}
+	for _, s := range p.ordered {
+		s.told, s.toldAt = others[s.hash], now
+	}
+}
+
 // Pick chooses a server for a first send; usable says whether one may be used besides. It returns nil where none is left.
 func (p *Pool) Pick(r Request, usable func(*Server) bool, now time.Duration) *Server {
 	if s := p.trial(r, usable, now); s != nil {
@@ -141,10 +121,18 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	if r.Affine() {
-		return p.rotate(p.affine(r.Key, candidates, now), now)
+	return p.rotate(p.choices(r, candidates, now), now)
+}
+
+// choices is the set of servers that a request goes over.
+func (p *Pool) choices(r Request, candidates []*Server, now time.Duration) []*Server {
+	switch {
+	case p.policy.Affinity && r.Affine():
+		return p.affine(r, candidates, now)
+	case p.policy.StreamPart && r.Generates():
+		return p.streamPart(p.near(candidates, now), now)
 	}
-	return p.rotate(p.near(candidates, now), now)
+	return p.near(candidates, now)
 }
 
 // Reroute chooses the healthiest server that was not tried; of equals the least loaded in its own zone.
@@ -204,116 +192,10 @@
 		}
 	}
 	switch {
-	case len(here) > 0:
+	case p.policy.ZoneFirst && len(here) > 0:
 		return here
 	case len(free) > 0:
 		return free
 	}
 	return candidates
 }
-
-// affine is the set of servers for a shared part.
-func (p *Pool) affine(key string, candidates []*Server, now time.Duration) []*Server {
-	ordered := rank(key, candidates)
-	if p.recent.again > 0 {
-		ordered = p.prefer(key, ordered, now)
-	}
-	total := 0.0
-	for _, s := range ordered {
-		total += s.Load(now)
-	}
-	most := loadFactor*total/float64(len(ordered)) + loadSlack
-	var set []*Server
-	for _, s := range ordered {
-		if s.Load(now) > most || s.Full(now) {
-			continue
-		}
-		set = append(set, s)
-		if s.Health.Multiplier(now) == 1 || len(set) == 2 {
-			return set
-		}
-	}
-	if len(set) == 0 {
-		return ordered[:1]
-	}
-	return set
-}
-
-// prefer puts those first that read the part lately, and then those of the own zone.
-func (p *Pool) prefer(key string, ordered []*Server, now time.Duration) []*Server {
-	kept := p.recent.kept(HashKey(key), now)
-	class := func(s *Server) int {
-		for i, one := range kept {
-			if one.server == s.ID {
-				return i
-			}
-		}
-		if s.Zone == p.zone {
-			return recentServers
-		}
-		return recentServers + 1
-	}
-	sort.SliceStable(ordered, func(i, j int) bool { return class(ordered[i]) < class(ordered[j]) })
-	return ordered
-}
-
-// rank orders servers for a key by rendezvous hashing.
-func rank(key string, servers []*Server) []*Server {
-	type ranked struct {
-		server *Server
-		weight uint64
-	}
-	list := make([]ranked, len(servers))
-	for i, s := range servers {
-		h := fnv.New64a()
-		h.Write([]byte(key))
-		h.Write([]byte{0})
-		h.Write([]byte(s.ID))
-		list[i] = ranked{s, mix(h.Sum64())}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
-	out := make([]*Server, len(list))
-	for i, one := range list {
-		out[i] = one.server
-	}
-	return out
-}
-
-// mix spreads the last bytes of a hash over all its bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-func (p *Pool) rotate(set []*Server, now time.Duration) *Server {
-	if len(set) == 1 {
-		return set[0]
-	}
-	candidates := make([]rotation.Candidate, len(set))
-	for i, s := range set {
-		candidates[i] = rotation.Candidate{Turn: &s.turn, Weight: s.Health.Weight(now)}
-	}
-	return set[rotation.Pick(candidates)]
-}
-
-// ParsePrefix reads X-Prompt-Prefix, parts as ID:TOKENS by commas: the key of the longest part that others may share, and the
-// tokens up to its end. The last part is the request's own or its session's.
-func ParsePrefix(header string) (key string, shared int) {
-	parts := strings.Split(header, ",")
-	if header == "" || len(parts) < 2 {
-		return "", 0
-	}
-	for _, part := range parts[:len(parts)-1] {
-		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
-		n, err := strconv.Atoi(tokens)
-		if !ok || err != nil || id == "" || n < 0 || n > maxTokens {
-			return "", 0
-		}
-		key = id
-		shared += n
-	}
-	return key, shared
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,7 +9,7 @@
 )
 
 func pool(zone string, n int) *Pool {
-	p := NewPool(zone, 0)
+	p := NewPool(zone, 0, DefaultPolicy(), nil)
 	var list []Server
 	for i := range n {
 		list = append(list, Server{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Slots: 16})
@@ -49,7 +49,7 @@
 	seen := map[string]int{}
 	for range 40 {
 		s := p.Pick(Request{Key: "hot", Shared: 6000}, all, 0)
-		s.Sent()
+		s.Begin(Work{Requests: 1, Unread: 2000})
 		seen[s.ID]++
 	}
 	require.Greater(t, len(seen), 3)
@@ -92,20 +92,20 @@
 func TestLoad(t *testing.T) {
 	var s Server
 	s.Report(10, 2, 16, time.Second)
-	s.Sent()
+	s.Begin(Work{Requests: 1, Unread: 2000})
 	require.InDelta(t, 13, s.Load(time.Second), 0.01)
 	require.InDelta(t, 1, s.Load(time.Second+2*reportGood), 0.01)
 }
 
 func TestParsePrefix(t *testing.T) {
 	for header, want := range map[string]Request{
-		"5c1e07a2:800,91bd3f06:410,e4402b7d:250": {Key: "91bd3f06", Shared: 1210},
+		"5c1e07a2:800,91bd3f06:410,e4402b7d:250": {Key: "91bd3f06", Shared: 1210, Part: 410},
 		"5c1e07a2:800":                           {},
 		"":                                       {},
 		"a:x,b:2":                                {},
 	} {
-		key, shared := ParsePrefix(header)
-		require.Equal(t, want, Request{Key: key, Shared: shared}, header)
+		key, shared, part := ParsePrefix(header)
+		require.Equal(t, want, Request{Key: key, Shared: shared, Part: part}, header)
 	}
 }
 
@@ -121,7 +121,7 @@
 	p.Used(HashKey("part"), "s4", 9*time.Second)
 	p.Used(HashKey("part"), "s5", 10*time.Second)
 	for range 3 {
-		p.Servers()[5].Sent()
+		p.Servers()[5].Begin(Work{Requests: 1, Unread: 10000})
 	}
 	require.Equal(t, "s4", p.Pick(r, all, 11*time.Second).ID, "the one that read it before, where the last is loaded")
 }
@@ -138,7 +138,7 @@
 func FuzzPrefix(f *testing.F) {
 	f.Add("5c1e07a2:800,91bd3f06:410,e4402b7d:250")
 	f.Fuzz(func(t *testing.T, header string) {
-		key, shared := ParsePrefix(header)
+		key, shared, _ := ParsePrefix(header)
 		require.True(t, key != "" || shared == 0)
 	})
 }
--- /dev/null
+++ b/internal/rig/engines/parse.go
@@ -0,0 +1,145 @@
+package engines
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Parse reads a file. An error names file, line and field.
+func Parse(file string, text []byte) (*Spec, error) {
+	s := defaults()
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(s); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("%s:1: the file is empty; write fields such as servers and classes", file)
+		}
+		return nil, fmt.Errorf("%s: %s", file, firstProblem(err))
+	}
+	var document yaml.Node
+	if err := yaml.Unmarshal(text, &document); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	for _, c := range s.checks() {
+		if !c.ok {
+			return nil, fmt.Errorf("%s:%d: %s: %s", file, line(&document, c.field), c.field, c.want)
+		}
+	}
+	return s, nil
+}
+
+// firstProblem is the first line of what the decoder says.
+func firstProblem(err error) string {
+	var types *yaml.TypeError
+	if errors.As(err, &types) && len(types.Errors) > 0 {
+		return types.Errors[0]
+	}
+	return strings.TrimPrefix(err.Error(), "yaml: ")
+}
+
+// defaults are the fields that a file need not name.
+func defaults() *Spec {
+	return &Spec{Homes: 2, Seeds: 4, Policies: PolicyNames()}
+}
+
+// check is one condition on a field.
+type check struct {
+	field string
+	ok    bool
+	want  string
+}
+
+func (s *Spec) checks() []check {
+	all := []check{
+		{"length", s.Length > 0 && s.Length <= maxLength, "write a time up to 10m, such as 34s"},
+		{"warm", s.Warm >= 0 && s.Warm < s.Length, "write a time below length"},
+		{"zones", s.Zones >= 1, "write 1 or more"},
+		{"routers", s.Routers >= s.Zones && s.Routers <= maxRouters, "write one for each zone at least, 2000 at most"},
+		{"servers", s.Servers >= s.Zones && s.Servers <= maxServers, "write one for each zone at least, 10000 at most"},
+		{"homes", s.Homes >= 1, "write 1 or more"},
+		{"seeds", s.Seeds >= 1 && s.Seeds <= 1000, "write a number from 1 to 1000"},
+		{"swing", s.Swing >= 0 && s.Swing < 1 && (s.Swing == 0 || s.Period > 0), "write a part of the rate below 1, with a period"},
+		{"classes", len(s.Classes) > 0, "write a list"},
+		{"network.link_mbps", s.Network.LinkMbps > 0, "write a rate above 0"},
+		{"network.tell_uses", s.Network.Uses > 0, "write a time, such as 100ms"},
+		{"network.tell_loads", s.Network.Loads > 0, "write a time, such as 100ms"},
+		{"engine.slots", s.Engine.Slots > 0, "write 1 or more"},
+		{"engine.step", s.Engine.Step > 0, "write a time, such as 600us"},
+		{"engine.read_per_ms", s.Engine.ReadPerMs > 0, "write tokens a millisecond"},
+		{"engine.stride", s.Engine.Stride > 0, "write 1 or more"},
+		{"engine.chunk", s.Engine.Chunk > 0, "write 1 or more"},
+		{"engine.memory", s.Engine.Memory > 0, "write tokens"},
+	}
+	for i, c := range s.Classes {
+		at := fmt.Sprintf("classes.%d.", i)
+		all = append(all,
+			check{at + "name", c.Name != "", "write a name"},
+			check{at + "rate", c.Rate > 0, "write requests a second, above 0"},
+			check{at + "deadline", c.Deadline > 0, "write a time"},
+			check{at + "events", c.Events.Mean >= 1, "write a mean of 1 or more"},
+			check{at + "attempts", c.Attempts >= 1, "write 1 or more"})
+	}
+	for i, f := range s.Faults {
+		at := fmt.Sprintf("faults.%d.", i)
+		known := slices.Contains([]string{FaultSlow, FaultCrash, FaultBurst, FaultHot}, f.Kind)
+		ofClass := f.Kind == FaultBurst || f.Kind == FaultHot
+		all = append(all,
+			check{at + "kind", known, "write slow, crash, burst or hot_key"},
+			check{at + "class", !ofClass || s.class(f.Class) >= 0, "write the name of a class"},
+			check{at + "share", f.Kind == FaultBurst || f.Share > 0 && f.Share <= 1, "write a part, above 0 and up to 1"},
+			check{at + "factor", f.Kind != FaultSlow && f.Kind != FaultBurst || f.Factor > 0, "write a factor above 0"})
+	}
+	for i, name := range s.Policies {
+		all = append(all, check{fmt.Sprintf("policies.%d", i), slices.Contains(PolicyNames(), name), "known are " + strings.Join(PolicyNames(), ", ")})
+	}
+	return all
+}
+
+const (
+	maxLength  = 10 * 60 * 1e9
+	maxRouters = 2000
+	maxServers = 10000
+)
+
+func (s *Spec) class(name string) int {
+	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
+}
+
+// line is where a field stands, or the nearest that holds it.
+func line(n *yaml.Node, field string) int {
+	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
+		n = n.Content[0]
+	}
+	at := n.Line
+	for name := range strings.SplitSeq(field, ".") {
+		n = child(n, name)
+		if n == nil {
+			return at
+		}
+		at = n.Line
+	}
+	return at
+}
+
+func child(n *yaml.Node, name string) *yaml.Node {
+	switch n.Kind {
+	case yaml.SequenceNode:
+		if i, err := strconv.Atoi(name); err == nil && i < len(n.Content) {
+			return n.Content[i]
+		}
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if n.Content[i].Value == name {
+				return n.Content[i+1]
+			}
+		}
+	}
+	return nil
+}
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -70,6 +70,10 @@
 // Turn is one server's running value in smooth weighted round robin.
 type Turn struct{ running float64 }
 
+// Seed sets the running value at the start to a part, 0 to 1, of a server's weight: many that begin at the same time with the same
+// servers then do not all begin with the same one.
+func (t *Turn) Seed(part float64) { t.running = part * baseWeight }
+
 // Candidate is a server that takes part in a pick.
 type Candidate struct {
 	Turn   *Turn
