Routers tell what late requests waited for; petrelctl experiment; names decide nothing

Change: package latency accounts for each request's time by phase and names a reason; petrelrouter status has counts and histograms by route, the log at most five lines a second of requests that missed their objective. Order and hash of a server's name have one place in placement; a test plays 4,000 decisions under permuted names. petrelctl experiment plays the model; its package has tests. Also here: a new connection may take a third of the objective; measured next. My slip: a first form of the stall test hung for its ten minutes (its handler did not read the body, so its end was not noticed); tests run with a time-out since.

--- a/cmd/petrelctl/main.go
+++ b/cmd/petrelctl/main.go
@@ -39,7 +39,7 @@
 		Use: "petrelctl", Short: "The operators' tool of petrelhook", SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
 	}
-	root.AddCommand(rehearseCommand(), loadCommand(), standinCommand(), leaseCommand(), fleetCommand(), rolloutCommand(), releaseCommand(), shareCommand(), revisionCommand(), capacityCommand(), chainCommand(), scaleCommand())
+	root.AddCommand(rehearseCommand(), loadCommand(), standinCommand(), leaseCommand(), fleetCommand(), rolloutCommand(), releaseCommand(), shareCommand(), revisionCommand(), capacityCommand(), chainCommand(), scaleCommand(), experimentCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -19,6 +19,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+
+	ConnectWithin time.Duration // a new connection, where one is needed; 0: dialTimeout
 }
 
 // Response is the head of an answer, and its body as it comes.
@@ -26,7 +28,9 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body, or -1
-	body   io.ReadCloser
+	// Dialled is how long it took to make the connection; 0 where one was there.
+	Dialled time.Duration
+	body    io.ReadCloser
 
 	pool    *Pool
 	conn    *conn
@@ -44,10 +48,19 @@
 // Do sends a request and reads the head of its answer. Until the answer is closed it stays with the context: when that ends,
 // the connection does.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx)
+	asked := time.Now()
+	within := dialTimeout
+	if r.ConnectWithin > 0 {
+		within = min(within, r.ConnectWithin)
+	}
+	c, err := p.get(ctx, within)
 	if err != nil {
 		return nil, err
 	}
+	dialled := time.Since(asked)
+	if c.uses > 0 {
+		dialled = 0
+	}
 	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	fail := func(err error) error {
 		release()
@@ -66,7 +79,7 @@
 	}
 	keep := written && !answer.Close && answer.ProtoAtLeast(1, 1)
 	return &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, body: answer.Body,
-		pool: p, conn: c, keep: keep, release: release}, nil
+		Dialled: dialled, pool: p, conn: c, keep: keep, release: release}, nil
 }
 
 // exchange writes a request and reads the head of its answer. It reports whether the whole request was written: on a connection where a rest
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -45,6 +45,8 @@
 	idleTime time.Duration // for which an idle connection is good
 	closed   bool
 	opened   int // connections made
+
+	dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 type conn struct {
@@ -56,7 +58,12 @@
 
 // NewPool makes a pool; limit bounds the connections.
 func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(1, limit), idleTime: idleMost}
+	return &Pool{address: address, limit: max(1, limit), idleTime: idleMost, dial: dialTCP}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: transport.UserTimeout(deadPeer), KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Address is where the server is.
@@ -108,8 +115,8 @@
 	}
 }
 
-// get takes an idle connection that is good, or opens one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get takes an idle connection that is good, or opens one within a time.
+func (p *Pool) get(ctx context.Context, within time.Duration) (*conn, error) {
 	for {
 		p.mutex.Lock()
 		n := len(p.idle)
@@ -132,8 +139,9 @@
 	p.open++
 	p.opened++
 	p.mutex.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout, Control: transport.UserTimeout(deadPeer), KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	dialCtx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	raw, err := p.dial(dialCtx, p.address)
 	if err != nil {
 		p.mutex.Lock()
 		p.open--
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"petrelhook/internal/backend"
+	"petrelhook/internal/latency"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/routetable"
 )
@@ -37,6 +38,8 @@
 			return
 		}
 		req.place.Tried[server.ID] = true
+		req.trace.Server, req.trace.Sends = server.ID, dials+1
+		asked := time.Now()
 		result := g.attempt(ctx, w, r, req, server, conns)
 		if result == answered {
 			g.Counts.Served.Add(1)
@@ -46,6 +49,7 @@
 			g.giveUp(w, req, result)
 			return
 		}
+		req.spend(latency.Rerouted, asked)
 	}
 }
 
@@ -106,6 +110,7 @@
 
 // giveUp gives a request its final answer at once.
 func (g *Gateway) giveUp(w http.ResponseWriter, req *request, result outcome) {
+	req.trace.Ended = g.endOf(req, result)
 	if req.headSent {
 		panic(http.ErrAbortHandler) // it must not look complete
 	}
@@ -138,6 +143,9 @@
 	}
 	defer answer.Close()
 	req.sends++
+	if !req.headSent {
+		req.trace.Spent[latency.Connect] = answer.Dialled
+	}
 	load, told := parseLoad(answer.Header.Get("X-Server-Load"))
 	if told {
 		g.note(server, load)
@@ -215,7 +223,21 @@
 	if req.resume != "" {
 		header.Set("Last-Event-Id", req.resume)
 	}
-	return &backend.Request{ID: req.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.body}
+	return &backend.Request{ID: req.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.body,
+		ConnectWithin: connectWithin(req.route.Aim)}
+}
+
+const (
+	connectPart  = 3 // of the objective: two servers may say nothing before a third one answers in time
+	connectLeast = 50 * time.Millisecond
+)
+
+// connectWithin is how long a connection to one server may take.
+func connectWithin(aim time.Duration) time.Duration {
+	if aim == 0 {
+		return 0
+	}
+	return max(connectLeast, aim/connectPart)
 }
 
 const leastUrgent = 9
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"petrelhook/internal/backend"
+	"petrelhook/internal/latency"
 	"petrelhook/internal/outlier"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/quota"
@@ -27,8 +28,9 @@
 	Now          func() time.Duration // the steady clock
 	Life         uint64               // drawn at each start: answers to a process before are told by it
 	Acquirer     Acquirer
-	Again        time.Duration // for which a shared part counts as kept after its last use
-	BodyMemory   int64         // for clients' bodies, all together; 0: no bound
+	Again        time.Duration                                            // for which a shared part counts as kept after its last use
+	Missed       func(route string, t *latency.Trace, why latency.Reason) // is told of requests that missed their objective; may be nil
+	BodyMemory   int64                                                    // for clients' bodies, all together; 0: no bound
 	BudgetRatio  float64
 	BudgetSlack  float64
 	BudgetWindow time.Duration
@@ -75,6 +77,7 @@
 	fleet     fleetSize
 	uses      map[string]*placement.Uses // not yet told, by service
 	tally     *outlier.Tally
+	totals    *latency.Totals
 }
 
 // Counts are totals since the start.
@@ -85,7 +88,7 @@
 // New makes a gateway without a configuration.
 func New(o Options) *Gateway {
 	return &Gateway{options: o, services: map[string]*service{}, serviceOf: map[string]string{}, splits: map[string][]rotation.Turn{}, deadlines: map[string]*recentTimes{}, firsts: map[string]*recentTimes{}, fleet: fleetSize{size: 1}, uses: map[string]*placement.Uses{},
-		tally: outlier.NewTally(), quota: quota.NewClient(o.Life), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
+		tally: outlier.NewTally(), totals: latency.NewTotals(), quota: quota.NewClient(o.Life), retries: quota.NewRetryBudget(o.BudgetRatio, o.BudgetSlack, o.BudgetWindow)}
 }
 
 // Table is the configuration in force here, or nil.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 {"Name":"safe","Host":"a.example","PathPrefix":"/safe/","RouteType":"safe","TimeoutMs":5000,"TargetLatencyMs":200,"Service":"s","MaxAttempts":2},
 {"Name":"unsafe","Host":"a.example","PathPrefix":"/unsafe/","RouteType":"unsafe","TimeoutMs":5000,"Service":"s","MaxAttempts":2},
 {"Name":"stream","Host":"a.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":5000,"Service":"s","MaxAttempts":2,"StreamResume":true},
+{"Name":"paced","Host":"a.example","PathPrefix":"/paced/","RouteType":"streaming","TimeoutMs":5000,"TargetLatencyMs":400,"gap_aim_ms":80,"Service":"s","MaxAttempts":2,"StreamResume":true},
 {"Name":"once","Host":"a.example","PathPrefix":"/once/","RouteType":"streaming","TimeoutMs":5000,"Service":"s","MaxAttempts":1},
 {"Name":"public","Host":"a.example","PathPrefix":"/public/","RouteType":"safe","TimeoutMs":5000,"Service":"s","Public":true}],
 "Services":[{"Name":"s","MaxConnections":50}],"Limits":{"MaxBodyBytes":1000,"MaxHeaderBytes":4000},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,6 +48,7 @@
 		}
 		return mayHaveRun
 	}
+	req.firstPart(answer.Dialled)
 	g.head(w, answer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(answer.Status)
@@ -61,6 +62,7 @@
 	control := http.NewResponseController(w)
 	answer := from.answer
 	events := eventstream.NewReader(answer)
+	last := time.Now()
 	for first := true; ; first = false {
 		event, err := events.Next()
 		if first && err == nil {
@@ -80,7 +82,11 @@
 			g.head(w, answer)
 			w.WriteHeader(answer.Status)
 			req.headSent = true
+			req.firstPart(answer.Dialled)
+		} else {
+			req.trace.Pause = max(req.trace.Pause, time.Since(last))
 		}
+		last = time.Now()
 		from.watch.event()
 		if _, err := w.Write(event); err != nil {
 			return expired // the client is gone
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"petrelhook/internal/latency"
 	"petrelhook/internal/placement"
 	"petrelhook/internal/quota"
 	"petrelhook/internal/rotation"
@@ -42,6 +43,7 @@
 	resume     string
 	paid       bool // the budget has given leave for the next send
 	headSent   bool
+	trace      latency.Trace
 }
 
 // ServeHTTP serves one request.
@@ -51,6 +53,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{id: r.Header.Get("X-Request-Id"), began: time.Now()}
+	defer g.account(r, req)
 	if !g.readBody(w, r, req) {
 		return
 	}
@@ -62,10 +65,13 @@
 		g.refuse(w, http.StatusServiceUnavailable, g.untilStarted(), "no configuration yet")
 		return
 	}
+	req.spend(latency.Start, req.began)
 	if !g.authorize(w, r, table, req) {
 		return
 	}
+	authorized := time.Now()
 	g.waitForStart(r.Context(), req.startLimit, func() bool { return g.ServersOf(req.service) > 0 })
+	req.spend(latency.Start, authorized)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	g.serve(ctx, w, r, req)
@@ -148,6 +154,7 @@
 	}
 	req.deadline = deadlineOf(r, req)
 	if g.ending.Load().mayOutlast(req) {
+		req.trace.Ended = latency.RefusedEnding
 		g.refuse(w, http.StatusServiceUnavailable, elsewhere, "the sidecar ends before the answer may")
 		return false
 	}
@@ -158,10 +165,15 @@
 		late := g.tooLateForPressed(r, req)
 		g.mutex.Unlock()
 		if late {
+			req.trace.Ended = latency.RefusedLimit
 			g.refuse(w, http.StatusTooManyRequests, retrySoon, "over the tenant's quota, and late")
 			return false
 		}
-		if ok, wait := g.takeQuota(r.Context(), req); !ok {
+		began := time.Now()
+		ok, wait := g.takeQuota(r.Context(), req)
+		req.spend(latency.Quota, began)
+		if !ok {
+			req.trace.Ended = latency.RefusedLimit
 			g.refuse(w, http.StatusTooManyRequests, max(wait, retrySoon), "over the tenant's quota")
 			return false
 		}
--- /dev/null
+++ b/internal/gateway/stall_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/latency"
+)
+
+// seenFirsts has a gateway have seen usual times to a first part on a route.
+func (r *rig) seenFirsts(route string, usual time.Duration) {
+	r.gateway.mutex.Lock()
+	defer r.gateway.mutex.Unlock()
+	for range recentSamples {
+		recentOf(r.gateway.firsts, route).add(usual)
+	}
+}
+
+// stalling adds servers each of which sends an event and then nothing to a request that begins, and the rest to one that goes on.
+func (r *rig) stalling(n int) (begun, resumed *atomic.Int64) {
+	begun, resumed = &atomic.Int64{}, &atomic.Int64{}
+	for range n {
+		r.server(func(w http.ResponseWriter, got *http.Request) {
+			io.Copy(io.Discard, got.Body) // else the end of the connection is not noticed
+			if got.Header.Get("Last-Event-Id") != "" {
+				resumed.Add(1)
+				events(w, 2, 4)
+				return
+			}
+			begun.Add(1)
+			events(w, 1, 1)
+			<-got.Context().Done() // the router has left
+		})
+	}
+	return begun, resumed
+}
+
+func TestAStreamThatStallsGoesOnAtAnotherServer(t *testing.T) {
+	r := newRig(t)
+	begun, resumed := r.stalling(2)
+	r.seenFirsts("paced", 10*time.Millisecond)
+	answer, body, err := r.do("/paced/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n", body)
+	require.EqualValues(t, 1, begun.Load())
+	require.EqualValues(t, 1, resumed.Load())
+	require.EqualValues(t, 1, r.gateway.Counts.Moved.Load())
+	require.Zero(t, r.gateway.Counts.Retried.Load(), "it is counted once")
+}
+
+// A server that stalls before the first part is left too; nobody has a part of the answer then.
+func TestAStreamThatDoesNotBegin(t *testing.T) {
+	r := newRig(t)
+	var asked atomic.Int64
+	for range 2 {
+		r.server(func(w http.ResponseWriter, got *http.Request) {
+			io.Copy(io.Discard, got.Body)
+			if asked.Add(1) == 1 {
+				<-got.Context().Done()
+				return
+			}
+			events(w, 1, 2)
+		})
+	}
+	r.seenFirsts("paced", 10*time.Millisecond)
+	_, body, err := r.do("/paced/x")
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
+}
+
+// Where there is no other server, no attempt, no leave of the budget or nothing is known of the route, a stream is waited for where it is.
+func TestAStreamThatStays(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		servers int
+		usual   bool
+		budget  bool
+	}{
+		"no other server":          {"/paced/x", 1, true, true},
+		"no attempt":               {"/once/x", 2, true, true},
+		"no budget":                {"/paced/x", 2, true, false},
+		"nothing is known so far":  {"/paced/x", 2, false, true},
+		"no objective for a pause": {"/stream/x", 2, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			goOn := make(chan struct{})
+			var asked atomic.Int64
+			for range c.servers {
+				r.server(func(w http.ResponseWriter, got *http.Request) {
+					asked.Add(1)
+					events(w, 1, 1)
+					<-goOn
+					events(w, 2, 2)
+				})
+			}
+			if c.usual {
+				for _, route := range []string{"paced", "once", "stream"} {
+					r.seenFirsts(route, 10*time.Millisecond)
+				}
+			}
+			if !c.budget {
+				r.gateway.mutex.Lock()
+				for r.gateway.retries.Retry("s", r.gateway.options.Now()) {
+				}
+				r.gateway.mutex.Unlock()
+			}
+			time.AfterFunc(250*time.Millisecond, func() { close(goOn) }) // three times the objective
+			_, body, err := r.do(c.path)
+			require.NoError(t, err)
+			require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
+			require.EqualValues(t, 1, asked.Load())
+			require.Zero(t, r.gateway.Counts.Moved.Load())
+		})
+	}
+}
+
+func TestPatience(t *testing.T) {
+	const ms = time.Millisecond
+	require.Equal(t, 160*ms, patience(200*ms, 20*ms))
+	require.Equal(t, 100*ms, patience(200*ms, 90*ms), "half of the objective at the least")
+	require.Equal(t, 50*ms, connectWithin(100*ms))
+	require.Equal(t, 100*ms, connectWithin(300*ms))
+	require.Zero(t, connectWithin(0))
+}
+
+// What became of requests is told by route, and those that missed their objective are handed on with what they waited for.
+func TestMissedRequestsAreAccountedFor(t *testing.T) {
+	r := newRig(t)
+	missed := make(chan latency.Reason, 8)
+	r.gateway.options.Missed = func(route string, _ *latency.Trace, why latency.Reason) { missed <- latency.Reason(route) + " " + why }
+	r.server(func(w http.ResponseWriter, got *http.Request) {
+		events(w, 1, 1)
+		if got.URL.Path == "/paced/slow" {
+			<-time.After(120 * time.Millisecond)
+		}
+		events(w, 2, 2)
+	})
+	_, _, err := r.do("/paced/slow")
+	require.NoError(t, err)
+	require.EqualValues(t, "paced late_pause", <-missed)
+	r.acquirer.empty.Store(true)
+	r.do("/stream/x")
+	require.EqualValues(t, "stream refused_limit", <-missed)
+	r.acquirer.empty.Store(false)
+	reports := r.gateway.Latency()
+	require.Len(t, reports, 2)
+	require.Equal(t, "paced", reports[0].Route)
+	require.EqualValues(t, 1, reports[0].Reasons[latency.LatePause])
+	require.EqualValues(t, 1, reports[1].Reasons[latency.RefusedLimit])
+	require.EqualValues(t, 1, reports[0].First.Count)
+	require.Empty(t, missed)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,8 @@
 	transport *transport.Transport
 	disk      *diskWriter
 
+	missedLog missedLog
+
 	pushTimer *time.Timer // for what came just after a push; Run waits for it
 
 	ready  atomic.Bool
@@ -129,7 +131,7 @@
 	n.self = membership.Node{Address: s.InternalAddress(), Zone: s.Zone, Life: n.life}
 	b := s.Bounds
 	n.gateway = gateway.New(gateway.Options{Zone: s.Zone, Now: n.now, Life: n.life,
-		Acquirer: n, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
+		Acquirer: n, Missed: n.missed, Again: settings.Seconds(b.AgainS), BodyMemory: int64(s.Limits.MemoryMb) << 20 / bodyShare, BudgetRatio: b.RetryBudgetRatio, BudgetSlack: b.RetryBudgetSlack,
 		BudgetWindow: max(time.Second, settings.Seconds(b.BudgetWindowS))})
 	n.transport = transport.New(n.self.Address, n.receive)
 	return n
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"petrelhook/internal/latency"
 	"petrelhook/internal/outlier"
 	"petrelhook/internal/replication"
 )
@@ -36,6 +37,8 @@
 	Silent     bool              // it hears no primary
 	Pool       string            // whose pool has what it may spend of tenants' limits meanwhile
 	Deposits   int               // in its own pool
+	Moved      int64             // streams that went on at another server because they stalled
+	Latency    []latency.Report  // what became of requests, by route, and what they waited for
 }
 
 // Status tells the status.
@@ -58,7 +61,8 @@
 	}
 	c := &n.gateway.Counts
 	s.Requests, s.Served, s.Refused = c.Requests.Load(), c.Served.Load(), c.Refused.Load()
-	s.Failed, s.Retried = c.Failed.Load(), c.Retried.Load()
+	s.Failed, s.Retried, s.Moved = c.Failed.Load(), c.Retried.Load(), c.Moved.Load()
+	s.Latency = n.gateway.Latency()
 	return s
 }
 
--- a/internal/placement/ejected.go
+++ b/internal/placement/ejected.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -32,7 +34,9 @@
 		trials = nil
 	}
 	p.ejected.trials, p.ejected.until = trials, until
-	p.ejected.order = slices.Sorted(maps.Keys(trials))
+	p.ejected.order = slices.SortedFunc(maps.Keys(trials), func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.hash("", a), p.hash("", b)), strings.Compare(a, b))
+	})
 }
 
 // trial is an ejected server that this request tries, or nil.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -45,6 +46,7 @@
 	recent  recent
 	ejected ejected
 	random  func() float64
+	hash    func(key, id string) uint64 // the one way in which a server's name decides anything
 }
 
 // NewPool makes an empty pool of a sidecar in a zone; again is for how long a part counts as kept after its last use, 0 where
@@ -53,7 +55,7 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Pool{zone: zone, policy: policy, random: random, ejected: ejected{random: random}, servers: map[string]*Server{},
+	return &Pool{zone: zone, policy: policy, random: random, hash: rendezvous, ejected: ejected{random: random}, servers: map[string]*Server{},
 		byHash: map[ServerHash]*Server{}, recent: recent{again: again, uses: map[KeyHash][]use{}}}
 }
 
@@ -68,7 +70,8 @@
 	}
 	s.hash = HashServer(s.ID)
 	s.turn.Seed(p.random())
-	at, _ := p.position(s.ID)
+	s.place = p.hash("", s.ID)
+	at, _ := p.position(&s)
 	p.servers[s.ID] = &s
 	p.byHash[s.hash] = &s
 	p.ordered = slices.Insert(p.ordered, at, &s)
@@ -76,21 +79,24 @@
 
 // Remove takes away a server that may not be used any more.
 func (p *Pool) Remove(id string) {
-	at, ok := p.position(id)
-	if !ok {
+	s := p.servers[id]
+	if s == nil {
 		return
 	}
-	delete(p.byHash, p.servers[id].hash)
+	at, _ := p.position(s)
+	delete(p.byHash, s.hash)
 	delete(p.servers, id)
 	p.ordered = slices.Delete(p.ordered, at, at+1)
 }
 
 // position is where a server stands in the order, or would.
-func (p *Pool) position(id string) (int, bool) {
-	return slices.BinarySearchFunc(p.ordered, id, func(s *Server, id string) int { return strings.Compare(s.ID, id) })
+func (p *Pool) position(s *Server) (int, bool) {
+	return slices.BinarySearchFunc(p.ordered, s, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(a.place, b.place), strings.Compare(a.ID, b.ID))
+	})
 }
 
-// Servers lists the servers, by ID.
+// Servers lists the servers, in an order that says nothing.
 func (p *Pool) Servers() []*Server { return p.ordered }
 
 // Loads adds what this sidecar's requests have left to do.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -71,7 +71,7 @@
 
 func TestRerouteGoesToTheHealthiestUntried(t *testing.T) {
 	p := pool("z0", 3)
-	p.Servers()[1].Health.Failure(0, false)
+	p.servers["s1"].Health.Failure(0, false)
 	r := Request{Tried: map[string]bool{"s0": true}}
 	require.Equal(t, "s2", p.Reroute(r, all, 0).ID)
 	r.Tried["s2"] = true
@@ -82,7 +82,7 @@
 
 func TestAServerThatRestsIsUsedOnlyAlone(t *testing.T) {
 	p := pool("z0", 2)
-	p.Servers()[0].Health.Failure(0, true)
+	p.servers["s0"].Health.Failure(0, true)
 	for range 4 {
 		require.Equal(t, "s1", p.Pick(Request{}, all, time.Millisecond).ID)
 	}
@@ -121,7 +121,7 @@
 	p.Used(HashKey("part"), "s4", 9*time.Second)
 	p.Used(HashKey("part"), "s5", 10*time.Second)
 	for range 3 {
-		p.Servers()[5].Begin(Work{Requests: 1, Unread: 10000})
+		p.servers["s5"].Begin(Work{Requests: 1, Unread: 10000})
 	}
 	require.Equal(t, "s4", p.Pick(r, all, 11*time.Second).ID, "the one that read it before, where the last is loaded")
 }
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -50,6 +50,7 @@
 	Health rotation.Health
 	turn   rotation.Turn
 	hash   ServerHash
+	place  uint64 // in the pool's order
 
 	own    Work // of this sidecar's requests
 	told   Work // of the other sidecars', as heard last
--- a/internal/placement/sets.go
+++ b/internal/placement/sets.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -56,7 +57,7 @@
 // preferred orders the servers for a shared part: those that read it lately, as many as it says; then by rendezvous hashing, those of
 // the own zone first.
 func (p *Pool) preferred(key string, candidates []*Server, now time.Duration) (ordered []*Server, kept int) {
-	ordered = rank(key, candidates)
+	ordered = p.rank(key, candidates)
 	if !p.policy.Table || p.recent.again == 0 {
 		return ordered, min(1, len(ordered))
 	}
@@ -103,20 +104,16 @@
 }
 
 // rank orders servers for a key by rendezvous hashing.
-func rank(key string, servers []*Server) []*Server {
+func (p *Pool) rank(key string, servers []*Server) []*Server {
 	type ranked struct {
 		server *Server
 		weight uint64
 	}
 	list := make([]ranked, len(servers))
 	for i, s := range servers {
-		h := fnv.New64a()
-		h.Write([]byte(key))
-		h.Write([]byte{0})
-		h.Write([]byte(s.ID))
-		list[i] = ranked{s, mix(h.Sum64())}
+		list[i] = ranked{s, p.hash(key, s.ID)}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
 	out := make([]*Server, len(list))
 	for i, one := range list {
 		out[i] = one.server
@@ -124,6 +121,15 @@
 	return out
 }
 
+// rendezvous is the weight of a server for a key.
+func rendezvous(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
 // mix spreads the last bytes of a hash over all its bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/rig/engines/experiment.go
+++ b/internal/rig/engines/experiment.go
@@ -34,7 +34,7 @@
 		workers.Go(func() {
 			for j := range jobs {
 				list := arrivals(s, uint64(j.seed))
-				results[j.policy][j.seed] = play(s, findPolicy(s.Policies[j.policy]), list, uint64(j.seed)).figures()
+				results[j.policy][j.seed] = play(s, s.findPolicy(s.Policies[j.policy]), list, uint64(j.seed)).figures()
 			}
 		})
 	}
--- a/internal/rig/engines/parse.go
+++ b/internal/rig/engines/parse.go
@@ -27,12 +27,28 @@
 	if err := yaml.Unmarshal(text, &document); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
+	if wrong := s.wrong(); wrong != nil {
+		return nil, fmt.Errorf("%s:%d: %s: %s", file, line(&document, wrong.field), wrong.field, wrong.want)
+	}
+	return s, nil
+}
+
+// Check says which field of a spec that was changed is wrong.
+func (s *Spec) Check() error {
+	if wrong := s.wrong(); wrong != nil {
+		return fmt.Errorf("%s: %s", wrong.field, wrong.want)
+	}
+	return nil
+}
+
+// wrong is the first condition that does not hold, or nil.
+func (s *Spec) wrong() *check {
 	for _, c := range s.checks() {
 		if !c.ok {
-			return nil, fmt.Errorf("%s:%d: %s: %s", file, line(&document, c.field), c.field, c.want)
+			return &c
 		}
 	}
-	return s, nil
+	return nil
 }
 
 // firstProblem is the first line of what the decoder says.
--- a/internal/rig/engines/policy.go
+++ b/internal/rig/engines/policy.go
@@ -35,7 +35,7 @@
 		return p
 	}
 	before := without(func(p *placement.Policy) { p.Told, p.StreamPart = false, false })
-	return append(extra, []policy{
+	return []policy{
 		{name: "now", place: now},
 		{name: "before", place: before},
 		{name: "stall", place: now, stall: defaultStall},
@@ -49,15 +49,13 @@
 		{name: "least requests", place: now, choose: leastRequests},
 		{name: "bounded hash", place: now, choose: boundedHash},
 		{name: "true state", place: now, choose: trueState},
-	}...)
+	}
 }
 
-var extra []policy
-
 const defaultStall = 0.7
 
-func findPolicy(name string) policy {
-	all := policies()
+func (s *Spec) findPolicy(name string) policy {
+	all := append(policies(), s.more...)
 	return all[slices.IndexFunc(all, func(p policy) bool { return p.name == name })]
 }
 
--- a/internal/rig/engines/spec.go
+++ b/internal/rig/engines/spec.go
@@ -20,6 +20,8 @@
 	Again    time.Duration `yaml:"again"` // for which a shared part that is read again is priced
 	Policies []string      `yaml:"policies"`
 	Seeds    int           `yaml:"seeds"`
+
+	more []policy // beside those that have a name
 }
 
 // Network is how long things take on their way.
