--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -19,8 +19,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-
-	ConnectWithin time.Duration // a new connection, where one is needed; 0: dialTimeout
 }
 
 // Response is the head of an answer, and its body as it comes.
@@ -49,11 +47,7 @@
 // the connection does.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	asked := time.Now()
-	within := dialTimeout
-	if r.ConnectWithin > 0 {
-		within = min(within, r.ConnectWithin)
-	}
-	c, err := p.get(ctx, within)
+	c, err := p.get(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -45,8 +45,6 @@
 	idleTime time.Duration // for which an idle connection is good
 	closed   bool
 	opened   int // connections made
-
-	dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 type conn struct {
@@ -58,12 +56,7 @@
 
 // NewPool makes a pool; limit bounds the connections.
 func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(1, limit), idleTime: idleMost, dial: dialTCP}
-}
-
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: transport.UserTimeout(deadPeer), KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", address)
+	return &Pool{address: address, limit: max(1, limit), idleTime: idleMost}
 }
 
 // Address is where the server is.
@@ -115,8 +108,8 @@
 	}
 }
 
-// get takes an idle connection that is good, or opens one within a time.
-func (p *Pool) get(ctx context.Context, within time.Duration) (*conn, error) {
+// get takes an idle connection that is good, or opens one.
+func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
 		p.mutex.Lock()
 		n := len(p.idle)
@@ -139,9 +132,8 @@
 	p.open++
 	p.opened++
 	p.mutex.Unlock()
-	dialCtx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	raw, err := p.dial(dialCtx, p.address)
+	dialer := net.Dialer{Timeout: dialTimeout, Control: transport.UserTimeout(deadPeer), KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.mutex.Lock()
 		p.open--
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -223,21 +223,7 @@
 	if req.resume != "" {
 		header.Set("Last-Event-Id", req.resume)
 	}
-	return &backend.Request{ID: req.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.body,
-		ConnectWithin: connectWithin(req.route.Aim)}
-}
-
-const (
-	connectPart  = 3 // of the objective: two servers may say nothing before a third one answers in time
-	connectLeast = 50 * time.Millisecond
-)
-
-// connectWithin is how long a connection to one server may take.
-func connectWithin(aim time.Duration) time.Duration {
-	if aim == 0 {
-		return 0
-	}
-	return max(connectLeast, aim/connectPart)
+	return &backend.Request{ID: req.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.body}
 }
 
 const leastUrgent = 9
--- a/internal/node/missed.go
+++ b/internal/node/missed.go
@@ -38,6 +38,9 @@
 
 // missed logs a request that missed its objective, with what it waited for.
 func (n *Node) missed(route string, t *latency.Trace, why latency.Reason) {
+	if why == latency.RefusedLimit {
+		return // one tenant alone would take all lines; the counts tell of it
+	}
 	dropped, ok := n.missedLog.take(n.now())
 	if !ok {
 		return
