--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 
 	"petrelhook/balance"
-	"petrelhook/internal/wire"
+	"petrelhook/internal/sidecar/wire"
 )
 
 func main() {
--- a/cmd/petrelagent/change_test.go
+++ b/cmd/petrelagent/change_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/deployment"
-	"petrelhook/internal/rollout"
 )
 
 // The test's program is a bad sidecar as well.
--- a/cmd/petrelagent/faults_test.go
+++ b/cmd/petrelagent/faults_test.go
@@ -14,13 +14,13 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
 	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rig/link"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
 )
 
 const twoStages = "at_once: 2\nunavailable: 3\npatience: 3m\njudge: {effect: 0.2}\nstages:\n  - {count: 2, control: 1}\n  - {share: 1}\n"
--- a/cmd/petrelagent/figures_test.go
+++ b/cmd/petrelagent/figures_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/deployment"
-	"petrelhook/internal/rollout"
 )
 
 // The harm of a bad release within some time of its begin: judged in stages, in stages by the clock, and all at once; 12 sidecars, one load.
--- a/cmd/petrelagent/main.go
+++ b/cmd/petrelagent/main.go
@@ -13,8 +13,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/command"
-	"petrelhook/internal/machine"
+	"petrelhook/internal/common/command"
+	"petrelhook/internal/coordination/machine"
 )
 
 // A start becomes its program from the process' first thread: from another one the first would be a zombie for a moment, and who looks
--- a/cmd/petrelagent/main_test.go
+++ b/cmd/petrelagent/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/command"
+	"petrelhook/internal/common/command"
 )
 
 // Slips in an agent's file are errors with their place, and the example is good.
--- a/cmd/petrelagent/version_test.go
+++ b/cmd/petrelagent/version_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/deployment"
 	"petrelhook/internal/rig/link"
-	"petrelhook/internal/rollout"
 )
 
 // listed is a site whose servers are listed at two places, and whose agents take versions.
--- a/cmd/petrelctl/capacity.go
+++ b/cmd/petrelctl/capacity.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 )
 
 func capacityCommand() *cobra.Command {
--- a/cmd/petrelctl/capacity_test.go
+++ b/cmd/petrelctl/capacity_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 )
 
 const (
--- a/cmd/petrelctl/fleet.go
+++ b/cmd/petrelctl/fleet.go
@@ -10,9 +10,9 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 )
 
 // statusTime is for how long one coordinator is waited for.
--- a/cmd/petrelctl/lease.go
+++ b/cmd/petrelctl/lease.go
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/fleet"
-	core "petrelhook/internal/lease"
+	"petrelhook/internal/coordination/fleet"
+	core "petrelhook/internal/coordination/lease"
 	"petrelhook/lease"
 )
 
--- a/cmd/petrelctl/lease_test.go
+++ b/cmd/petrelctl/lease_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	core "petrelhook/internal/lease"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	core "petrelhook/internal/coordination/lease"
 	"petrelhook/internal/rig/coordinator"
 )
 
--- a/cmd/petrelctl/revision.go
+++ b/cmd/petrelctl/revision.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/fleet"
 )
 
 func revisionCommand() *cobra.Command {
--- a/cmd/petrelctl/rollout.go
+++ b/cmd/petrelctl/rollout.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/release"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/sidecar/config"
 )
 
 // checkTime is for how long a new program may check its settings.
--- a/cmd/petrelctl/rollout_run.go
+++ b/cmd/petrelctl/rollout_run.go
@@ -11,10 +11,10 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/driver"
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/release"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/driver"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
 )
 
 func rolloutStartCommand() *cobra.Command {
--- a/cmd/petrelctl/rollout_run_test.go
+++ b/cmd/petrelctl/rollout_run_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/share"
 	"petrelhook/internal/rig/coordinator"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/share"
 )
 
 // What operators say of a change, and what they are shown, in the order of a bad day.
--- a/cmd/petrelctl/rollout_show.go
+++ b/cmd/petrelctl/rollout_show.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rollout/report"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rollout/report"
 )
 
 func rolloutExplainCommand() *cobra.Command {
--- a/cmd/petrelctl/rollout_test.go
+++ b/cmd/petrelctl/rollout_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // A plan is made of two good configurations, by the new program too; what it says, and what it ends with.
--- a/cmd/petrelctl/scale_test.go
+++ b/cmd/petrelctl/scale_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 )
 
 // What is wrong with the flags is one line, before anything is started.
--- a/cmd/petrelctl/share.go
+++ b/cmd/petrelctl/share.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/share"
 )
 
 func shareCommand() *cobra.Command {
--- a/cmd/petrelfleet/distribute_test.go
+++ b/cmd/petrelfleet/distribute_test.go
@@ -13,11 +13,11 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/subscribe"
 	"petrelhook/internal/rig/coordinator"
-	"petrelhook/internal/subscribe"
 )
 
 // receivers are subscribers through the client that agents use, without a machine behind them.
--- a/cmd/petrelfleet/hard_test.go
+++ b/cmd/petrelfleet/hard_test.go
@@ -13,11 +13,11 @@
 
 	"golang.org/x/sys/unix"
 
-	"petrelhook/internal/command"
-	"petrelhook/internal/fleet"
-	core "petrelhook/internal/lease"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/common/command"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/fleet"
+	core "petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 	"petrelhook/internal/rig/contend"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/process"
--- a/cmd/petrelfleet/main.go
+++ b/cmd/petrelfleet/main.go
@@ -13,9 +13,9 @@
 
 	"github.com/spf13/cobra"
 
-	"petrelhook/internal/command"
-	"petrelhook/internal/driver"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/common/command"
+	"petrelhook/internal/coordination/driver"
+	"petrelhook/internal/coordination/fleet"
 )
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/petrelfleet/process_test.go
+++ b/cmd/petrelfleet/process_test.go
@@ -13,8 +13,8 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/fleet"
 	"petrelhook/internal/rig/belief"
 	"petrelhook/internal/rig/contend"
 	"petrelhook/internal/rig/coordinator"
--- a/cmd/petrelfleet/share_test.go
+++ b/cmd/petrelfleet/share_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/share"
 	"petrelhook/internal/rig/contend"
 	"petrelhook/internal/rig/process"
-	"petrelhook/internal/share"
 )
 
 // Eight processes that want ten times what a limit allows, under faults between them and three coordinators: the leader is killed, one
--- a/cmd/petrelhook/crowd_test.go
+++ b/cmd/petrelhook/crowd_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/process"
 )
 
--- a/cmd/petrelhook/limits_test.go
+++ b/cmd/petrelhook/limits_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // descriptors is how many a process holds.
--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/logwriter"
-	"petrelhook/internal/wiring"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/logwriter"
+	"petrelhook/internal/sidecar/wiring"
 )
 
 // The exit codes.
--- a/cmd/petrelhook/recorded_test.go
+++ b/cmd/petrelhook/recorded_test.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"testing"
 
-	"petrelhook/internal/handover"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/handover"
 )
 
 // recorded are what sidecars of some versions have handed over, byte for byte; the newest is this version's. A version that hands over
--- a/cmd/petrelhook/streams_test.go
+++ b/cmd/petrelhook/streams_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // streams is how many long messages go both ways at once, and how long they are: STREAMS and STREAM_MB in the environment.
--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/process"
 )
 
--- a/cmd/petrelrouter/commands.go
+++ b/cmd/petrelrouter/commands.go
@@ -18,10 +18,10 @@
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
-	"petrelhook/internal/node"
-	"petrelhook/internal/operatorapi"
-	"petrelhook/internal/settings"
-	"petrelhook/internal/storage"
+	"petrelhook/internal/router/node"
+	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/settings"
+	"petrelhook/internal/router/storage"
 )
 
 const (
--- a/cmd/petrelrouter/fleet_test.go
+++ b/cmd/petrelrouter/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/node"
 	"petrelhook/internal/rig/process"
+	"petrelhook/internal/router/node"
 )
 
 const roleVariable = "PETRELROUTER_TEST"
--- a/internal/agent/configuration.go
+++ b/internal/coordination/agent/configuration.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // Configured is what survives the agent of a sidecar's configuration. Revisions are of versions of its service; 0:
--- a/internal/agent/configuration_test.go
+++ b/internal/coordination/agent/configuration_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // kind is what becomes of a version where it is tried.
--- a/internal/agent/mutation_test.go
+++ b/internal/coordination/agent/mutation_test.go
@@ -11,12 +11,12 @@
 // What a version's way into force rests on is taken out of the code, one at a time: each is caught.
 func TestTheChecksCanFail(t *testing.T) {
 	const (
-		pkg, machine = "./internal/agent", "./internal/machine"
-		versions     = "internal/agent/configuration.go"
-		sidecar      = "internal/agent/sidecar.go"
-		shell        = "internal/machine/version.go"
+		pkg, machine = "./internal/coordination/agent", "./internal/coordination/machine"
+		versions     = "internal/coordination/agent/configuration.go"
+		sidecar      = "internal/coordination/agent/sidecar.go"
+		shell        = "internal/coordination/machine/version.go"
 	)
-	mutate.Caught(t, "../..", map[string]mutate.Mutant{
+	mutate.Caught(t, "../../..", map[string]mutate.Mutant{
 		"an older one is not wanted":    {versions, "version > s.wanted", "version != s.wanted", pkg, "TestVersionsInARow"},
 		"orders come first":             {versions, "now < s.held ||", "", pkg, "TestVersionsAndOrders"},
 		"what is in force starts":       {versions, "\treturn s.InForce\n", "\treturn s.wanted\n", pkg, "TestAVersionThatMends"},
--- a/internal/agent/sidecar.go
+++ b/internal/coordination/agent/sidecar.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // Phase is what goes on.
@@ -202,7 +202,7 @@
 	return s.limits.Trial
 }
 
-// Answered tells what the operators' door of a process said.
+// Answered tells what the operators' endpoint of a process said.
 func (s *Sidecar) Answered(now time.Duration, p Process, yes bool) []Do {
 	switch {
 	case s.Now != nil && *s.Now == p:
--- a/internal/agent/sidecar_test.go
+++ b/internal/coordination/agent/sidecar_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/rollout"
 )
 
 var limits = Limits{Ready: 6 * time.Second, Trial: 5 * time.Second, End: 4 * time.Second, CutOff: time.Minute, Pause: time.Second, Most: 30 * time.Second}
--- a/internal/capacity/assume.go
+++ b/internal/coordination/capacity/assume.go
@@ -10,7 +10,7 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"petrelhook/internal/yamlfile"
+	"petrelhook/internal/common/yamlfile"
 )
 
 // Assumption is one field of the file: what is asked for, or what is taken for true without a measurement.
--- a/internal/capacity/assume_test.go
+++ b/internal/coordination/capacity/assume_test.go
@@ -9,14 +9,14 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/fleet"
 )
 
 // theFile is the committed file of assumptions.
 func theFile(t *testing.T) (path, text string) {
 	t.Helper()
-	path = filepath.Join("..", "..", "deploy", "capacity.yaml")
+	path = filepath.Join("..", "..", "..", "deploy", "capacity.yaml")
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -99,8 +99,8 @@
 		"limits.max_reports":  distribute.MaxReports,
 		"limits.max_ask":      constant(t, "../fleet/rpc.go", "maxAsk"),
 		"limits.max_waiting":  constant(t, "../replica/core.go", "maxWaiting"),
-		"limits.max_list":     constant(t, "../member/discovery/discovery.go", "maxMessage"),
-		"limits.repeat_share": constant(t, "../../balance/parameters.go", "repeatShare"),
+		"limits.max_list":     constant(t, "../../sidecar/member/discovery/discovery.go", "maxMessage"),
+		"limits.repeat_share": constant(t, "../../../balance/parameters.go", "repeatShare"),
 		"periods.look_rest":   constant(t, "../driver/driver.go", "rest"),
 	} {
 		if got := a.Get(name); got != want {
--- a/internal/capacity/rows_change.go
+++ b/internal/coordination/capacity/rows_change.go
@@ -5,24 +5,24 @@
 	rate := mul(m.changed, m.is("changes.busiest_minute"))
 	m.put(Row{Time: Busiest, Role: Leader, What: "changes of configuration", Unit: "1/s", Need: rate,
 		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
-		Mechanism: "internal/distribute (Register), internal/replica"})
+		Mechanism: "internal/coordination/distribute (Register), internal/coordination/replica"})
 	version := add(m.is("changes.bytes"), m.is("changes.head_bytes"))
 	m.put(Row{Time: Busiest, Role: Leader, What: "bytes of versions told, were it alone", Unit: "bytes/s",
 		Need: mul(rate, m.mean, version), Budget: to(m.used("machines.network")), Breaks: BreaksTime,
-		Mechanism: "internal/distribute (Watches)"})
+		Mechanism: "internal/coordination/distribute (Watches)"})
 	m.put(Row{Time: Busiest, Role: Leader, What: "processor time with versions on their way", Unit: "cores",
 		Need: cores(add(m.at("renewals", "leader", "cpu_us_s", m.sessions),
 			m.at("publish", "leader", "busy_cpu_us_s", m.machines))),
 		Budget: to(m.used("machines.cores")), Breaks: BreaksTime,
-		Mechanism: "internal/distribute (Watches), internal/replica"})
+		Mechanism: "internal/coordination/distribute (Watches), internal/coordination/replica"})
 	m.put(Row{Time: Busiest, Role: Follower, What: "processor time with versions on their way", Unit: "cores",
 		Need: cores(m.at("publish", "follower", "busy_cpu_us_s", m.machines)), Budget: to(m.used("machines.cores")),
-		Breaks: BreaksTime, Mechanism: "internal/distribute (Watches), internal/replica"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/distribute (Watches), internal/coordination/replica"})
 	m.put(Row{Time: Busiest, Role: Control, What: "bytes of versions, in the service that changes most",
 		Unit: "bytes/s", Need: mul(rate, m.is("changes.most_changed_share"), version),
-		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/distribute"})
+		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/coordination/distribute"})
 	m.put(Row{Time: Ordinary, Role: Control, What: "bytes of one version", Unit: "bytes", Need: m.is("changes.bytes"),
-		Budget: to(m.is("limits.max_content")), Breaks: BreaksRule, Mechanism: "internal/distribute (MaxContent)",
+		Budget: to(m.is("limits.max_content")), Breaks: BreaksRule, Mechanism: "internal/coordination/distribute (MaxContent)",
 		Needs: []string{After}})
 }
 
@@ -49,7 +49,7 @@
 
 // changesNow are the rows of a change as it was made before versions: staged, a new process for each sidecar.
 func (m *model) changesNow() {
-	const by = "internal/rollout, internal/driver, internal/machine"
+	const by = "internal/coordination/rollout, internal/coordination/driver, internal/coordination/machine"
 	for _, c := range []struct {
 		what string
 		of   Figure
@@ -70,32 +70,32 @@
 			Needs: []string{"each change of configuration"}})
 	}
 	m.put(Row{Time: Now, Role: Driver, What: "looks a second by which those times came about", Unit: "1/s",
-		Need: div(Figure{Value: 1}, m.is("earlier.staged_look")), Mechanism: "internal/driver (drive_every)"})
+		Need: div(Figure{Value: 1}, m.is("earlier.staged_look")), Mechanism: "internal/coordination/driver (drive_every)"})
 	m.put(Row{Time: Now, Role: Driver, What: "looks a second where nothing else is said", Unit: "1/s",
-		Need: div(Figure{Value: 1}, m.is("periods.look_every")), Mechanism: "internal/fleet (drive_every)"})
+		Need: div(Figure{Value: 1}, m.is("periods.look_every")), Mechanism: "internal/coordination/fleet (drive_every)"})
 	m.put(Row{Time: Now, Role: Leader, What: "message that begins a change of all", Unit: "bytes",
 		Need: m.changeBytes(m.servers), Budget: to(m.is("limits.max_ask")), Breaks: BreaksRule,
-		Mechanism: "internal/fleet (maxAsk)", Needs: []string{Restarts, "a release for all"}})
+		Mechanism: "internal/coordination/fleet (maxAsk)", Needs: []string{Restarts, "a release for all"}})
 	most := mul(m.changed, m.is("changes.busiest_minute"), m.is("changes.most_changed_share"))
 	m.put(Row{Time: Now, Role: Leader,
 		What: "changes at once in the most changed service, were it the largest, of the one that may be", Unit: "",
 		Need: mul(most, m.staged(m.is("shape.largest"))), Budget: to(m.is("limits.changes_an_application")),
-		Breaks: BreaksRule, Mechanism: "internal/rollout (one change an application)",
+		Breaks: BreaksRule, Mechanism: "internal/coordination/rollout (one change an application)",
 		Needs: []string{"each change of configuration"}})
 	rate := mul(m.changed, m.is("changes.busiest_minute"))
 	m.put(Row{Time: Now, Role: Driver, What: "changes under way at once, in mean services", Unit: "",
 		Need: mul(rate, m.staged(m.mean)), Mechanism: by})
 	m.put(Row{Time: Now, Role: Leader, What: "events of changes in the log", Unit: "1/s",
 		Need: mul(rate, m.mean, m.is("changes.events_a_sidecar")), Budget: to(m.is("earlier.grants_a_second")),
-		Breaks: BreaksTime, Mechanism: "internal/rollout (Register), internal/replica"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/rollout (Register), internal/coordination/replica"})
 	m.put(Row{Time: Now, Role: Control, What: "processes started for changes, a sidecar and day", Unit: "",
 		Need:      div(m.is("target.changes_a_day"), m.is("target.services")),
-		Mechanism: "cmd/petrelhook (discovery alone is taken live), internal/handover"})
+		Mechanism: "cmd/petrelhook (discovery alone is taken live), internal/sidecar/handover"})
 }
 
 // changesAfter are the rows of a change as a version that agents watch for.
 func (m *model) changesAfter() {
-	const by = "internal/distribute"
+	const by = "internal/coordination/distribute"
 	for _, c := range []struct {
 		what string
 		took Figure
@@ -128,7 +128,7 @@
 	for _, c := range []struct{ what, prefix string }{{"before the first version", "quiet_"},
 		{"while versions come into force", "versions_"}} {
 		m.put(Row{Time: After, Role: Calls, What: "a call at real sidecars for 99 in 100, servers counted, " + c.what, Unit: "s",
-			Need: m.at("publish", "sidecar", c.prefix+"call_p99_s", m.machines), Mechanism: "internal/handover, " + by})
+			Need: m.at("publish", "sidecar", c.prefix+"call_p99_s", m.machines), Mechanism: "internal/sidecar/handover, " + by})
 	}
 	m.put(Row{Time: After, Role: Leader, What: "watches that come to an end without news, of all", Unit: "1/s",
 		Need: div(m.machines, m.is("periods.watch_hold")), Mechanism: by})
--- a/internal/capacity/rows_control.go
+++ b/internal/coordination/capacity/rows_control.go
@@ -2,7 +2,7 @@
 
 // coordinators are the rows of an ordinary minute there.
 func (m *model) coordinators() {
-	const ask = "internal/replica (confirmed reads), internal/fleet"
+	const ask = "internal/coordination/replica (confirmed reads), internal/coordination/fleet"
 	m.put(Row{Time: Ordinary, Role: Leader, What: "renewals, by a trial with as many sessions", Unit: "1/s",
 		Need: m.renewals(), Budget: to(m.is("earlier.renewals_a_second_12000")), Breaks: BreaksRule, Mechanism: ask,
 		Needs: []string{"duties", "budgets of the fleet", "the driver's lease"}})
@@ -12,37 +12,37 @@
 	for _, c := range []struct{ role, name string }{{Leader, "leader"}, {Follower, "follower"}} {
 		m.put(Row{Time: Ordinary, Role: c.role, What: "processor time of renewals and watches", Unit: "cores",
 			Need: cores(m.both(c.name, "cpu_us_s")), Budget: to(m.used("machines.cores")), Breaks: BreaksTime,
-			Mechanism: ask + ", internal/distribute", Needs: []string{After}})
+			Mechanism: ask + ", internal/coordination/distribute", Needs: []string{After}})
 		m.put(Row{Time: Ordinary, Role: c.role, What: "memory", Unit: "bytes", Need: m.both(c.name, "memory_bytes"),
-			Budget: to(m.used("machines.memory")), Breaks: BreaksRule, Mechanism: ask + ", internal/distribute"})
+			Budget: to(m.used("machines.memory")), Breaks: BreaksRule, Mechanism: ask + ", internal/coordination/distribute"})
 		m.put(Row{Time: Ordinary, Role: c.role, What: "bytes out", Unit: "bytes/s",
 			Need: m.both(c.name, "bytes_out_s"), Budget: to(m.used("machines.network")), Breaks: BreaksTime,
-			Mechanism: "internal/rpc"})
+			Mechanism: "internal/coordination/rpc"})
 		m.put(Row{Time: Ordinary, Role: c.role, What: "messages in", Unit: "1/s",
-			Need: m.both(c.name, "messages_in_s"), Mechanism: "internal/rpc, " + ask})
+			Need: m.both(c.name, "messages_in_s"), Mechanism: "internal/coordination/rpc, " + ask})
 		m.put(Row{Time: Ordinary, Role: c.role, What: "descriptors", Unit: "", Need: m.both(c.name, "descriptors"),
-			Budget: to(m.used("machines.descriptors")), Breaks: BreaksRule, Mechanism: "internal/rpc",
+			Budget: to(m.used("machines.descriptors")), Breaks: BreaksRule, Mechanism: "internal/coordination/rpc",
 			Needs: []string{Coordinators}})
 	}
 	m.put(Row{Time: Ordinary, Role: Leader, What: "state of sessions and one change of all, as runs had it",
 		Unit: "bytes",
 		Need: add(m.at("renewals", "leader", "state_bytes", m.sessions),
 			m.at("looks", "driver", "state_bytes", m.machines)),
-		Budget: to(m.is("limits.max_message")), Breaks: BreaksRule, Mechanism: "internal/replica (snapshots)",
+		Budget: to(m.is("limits.max_message")), Breaks: BreaksRule, Mechanism: "internal/coordination/replica (snapshots)",
 		Needs: []string{Coordinators}})
 	m.put(Row{Time: Ordinary, Role: Leader, What: "snapshot: sessions, versions, changes of all", Unit: "bytes",
 		Need: m.snapshot(m.is("changes.bytes")), Budget: to(m.is("limits.max_message")), Breaks: BreaksRule,
-		Mechanism: "internal/replica (snapshots)", Needs: []string{Coordinators}})
+		Mechanism: "internal/coordination/replica (snapshots)", Needs: []string{Coordinators}})
 	m.put(Row{Time: Ordinary, Role: Leader, What: "snapshot, where each version is as large as it may be",
 		Unit: "bytes", Need: m.snapshot(m.is("limits.max_content")), Budget: to(m.is("limits.max_message")),
-		Breaks: BreaksRule, Mechanism: "internal/replica (snapshots), internal/distribute (MaxContent)",
+		Breaks: BreaksRule, Mechanism: "internal/coordination/replica (snapshots), internal/coordination/distribute (MaxContent)",
 		Needs: []string{Coordinators, "a replica that is replaced"}})
 	m.put(Row{Time: Ordinary, Role: Leader, What: "services with a version", Unit: "", Need: m.is("target.services"),
-		Budget: to(m.is("limits.max_services")), Breaks: BreaksRule, Mechanism: "internal/distribute"})
+		Budget: to(m.is("limits.max_services")), Breaks: BreaksRule, Mechanism: "internal/coordination/distribute"})
 	opened := add(m.is("target.failed_a_day"), m.is("target.restarted_a_day")).times(2. / day) // an end and an opening
 	m.put(Row{Time: Ordinary, Role: Leader, What: "entries of the log", Unit: "1/s", Need: add(opened, m.changed),
 		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
-		Mechanism: "internal/replica, internal/replica/disk"})
+		Mechanism: "internal/coordination/replica, internal/coordination/replica/disk"})
 	followers := add(m.is("machines.replicas"), Figure{Value: -1})
 	m.put(Row{Time: Ordinary, Role: Leader, What: "machines set aside: processor time of all that runs there",
 		Unit: "cores",
@@ -81,33 +81,33 @@
 	looks := div(mul(m.machines, m.is("earlier.looks_2000")).times(1./2000), m.is("periods.look_rest"))
 	m.put(Row{Time: Ordinary, Role: Driver, What: "a turn over all applications, each changed once", Unit: "s",
 		Need: add(reads, looks), Budget: to(m.is("periods.look_every")), Breaks: BreaksTime,
-		Mechanism: "internal/driver (turn, step, look)", Needs: []string{Now, Restarts, "the judge's windows"}})
+		Mechanism: "internal/coordination/driver (turn, step, look)", Needs: []string{Now, Restarts, "the judge's windows"}})
 	m.put(Row{Time: Busiest, Role: Driver, What: "a look at all agents, as one change of all has it", Unit: "s",
 		Need: mul(m.machines, m.is("earlier.looks_2000")).times(1. / 2000), Budget: to(m.is("periods.look_every")),
-		Breaks: BreaksTime, Mechanism: "internal/driver (ask, 64 at once)", Needs: []string{Now, Restarts}})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/driver (ask, 64 at once)", Needs: []string{Now, Restarts}})
 	m.put(Row{Time: Ordinary, Role: Driver, What: "bytes of changes read at each look", Unit: "bytes/s",
 		Need: div(m.changeBytes(m.servers), m.is("periods.look_every")), Budget: to(m.used("machines.network")),
-		Breaks: BreaksTime, Mechanism: "internal/driver (read), internal/rollout"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/driver (read), internal/coordination/rollout"})
 	m.put(Row{Time: Ordinary, Role: Driver, What: "processor time of looks at all agents", Unit: "cores",
 		Need: cores(m.at("looks", "driver", "cpu_us_s", m.machines)), Budget: to(m.used("machines.cores")),
-		Breaks: BreaksTime, Mechanism: "internal/driver", Needs: []string{Now, Restarts}})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/driver", Needs: []string{Now, Restarts}})
 	m.put(Row{Time: Ordinary, Role: Driver, What: "bytes in from all agents", Unit: "bytes/s",
 		Need: m.at("looks", "driver", "bytes_in_s", m.machines), Budget: to(m.used("machines.network")),
-		Breaks: BreaksTime, Mechanism: "internal/driver, internal/machine"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/driver, internal/coordination/machine"})
 	m.put(Row{Time: Ordinary, Role: Driver, What: "memory", Unit: "bytes",
 		Need: m.at("looks", "driver", "memory_bytes", m.machines), Budget: to(m.used("machines.memory")),
-		Breaks: BreaksRule, Mechanism: "internal/driver"})
+		Breaks: BreaksRule, Mechanism: "internal/coordination/driver"})
 	m.put(Row{Time: Ordinary, Role: Tool, What: "a change of all, in one answer", Unit: "bytes",
 		Need: m.changeBytes(m.servers), Budget: to(m.is("limits.max_message")), Breaks: BreaksRule,
-		Mechanism: "cmd/petrelctl, internal/fleet"})
+		Mechanism: "cmd/petrelctl, internal/coordination/fleet"})
 	m.put(Row{Time: Ordinary, Role: Tool, What: "what is in force, of all services", Unit: "s",
 		Need: m.at("publish", "tool", "summary_s", m.machines), Budget: to(m.is("target.in_force")),
-		Breaks: BreaksTime, Mechanism: "internal/distribute (Summaries)"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/distribute (Summaries)"})
 }
 
 // lists are the rows of who tells all sidecars which servers there are.
 func (m *model) lists() {
-	const by = "the platform's discovery; internal/member/discovery"
+	const by = "the platform's discovery; internal/sidecar/member/discovery"
 	watches := mul(m.servers, m.is("shape.fan_out"))
 	m.put(Row{Time: Ordinary, Role: Lists, What: "watches open at a machine", Unit: "", Need: div(watches, m.tellers),
 		Budget: to(m.used("machines.descriptors")), Breaks: BreaksRule, Mechanism: by,
--- a/internal/capacity/rows_fault.go
+++ b/internal/coordination/capacity/rows_fault.go
@@ -23,7 +23,7 @@
 	news := mul(servers, m.is("lists.changes_a_failure"))
 	m.put(Row{Time: time, Role: Control, What: "bytes of lists, as they go, of a minute's budget", Unit: "bytes",
 		Need: m.newsBytes(news), Budget: to(m.is("target.control_bytes").times(60)), Breaks: BreaksTime,
-		Mechanism: "internal/member/discovery"})
+		Mechanism: "internal/sidecar/member/discovery"})
 	m.put(Row{Time: time, Role: Lists, What: "lines of lists out of a machine, each change a line", Unit: "1/s",
 		Need: div(div(mul(news, m.watchers), within), m.tellers), Mechanism: "the platform's discovery"})
 	m.put(Row{Time: time, Role: Lists, What: "bytes out of a machine", Unit: "bytes/s",
@@ -33,18 +33,18 @@
 		Need: div(div(mul(news, m.watchers, m.at("lists", "server", "cpu_us_line", m.servers)), within),
 			m.tellers).times(1e-6),
 		Budget: to(m.used("machines.cores")), Breaks: BreaksRule,
-		Mechanism: "the platform's discovery; internal/member/discovery",
+		Mechanism: "the platform's discovery; internal/sidecar/member/discovery",
 		Needs:     []string{"drains in time (a rule of calls)"}})
 	m.put(Row{Time: time, Role: Control, What: "processor time while it hears", Unit: "cores",
 		Need: div(mul(news, div(m.known, m.servers), m.at("lists", "sidecar", "cpu_us_line", m.servers)),
 			within).times(1e-6),
 		Budget: to(m.is("target.control_core")), Breaks: BreaksTime,
-		Mechanism: "internal/member/discovery, balance (list.go)"})
+		Mechanism: "internal/sidecar/member/discovery, balance (list.go)"})
 	m.put(Row{Time: time, Role: Leader, What: "ends of sessions in the log, within a lease's time", Unit: "1/s",
 		Need: div(mul(div(servers, m.is("places.sidecars_a_machine")), m.is("places.sessions_a_machine")),
 			m.is("periods.lease_ttl")),
 		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
-		Mechanism: "internal/replica (due), internal/replica/disk"})
+		Mechanism: "internal/coordination/replica (due), internal/coordination/replica/disk"})
 }
 
 // back is what follows where so many are there again at one moment.
@@ -54,19 +54,19 @@
 	m.put(Row{Time: time, Role: Leader, What: "sessions opened as they are back", Unit: "1/s",
 		Need:   div(mul(agents, m.is("places.sessions_a_machine")), within),
 		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
-		Mechanism: "lease, internal/replica, internal/replica/disk"})
+		Mechanism: "lease, internal/coordination/replica, internal/coordination/replica/disk"})
 	m.put(Row{Time: time, Role: Leader, What: "bytes of versions told as they are back, were it alone",
 		Unit: "bytes/s", Need: div(mul(agents, add(m.is("changes.bytes"), m.is("changes.head_bytes"))), within),
 		Budget: to(m.used("machines.network")), Breaks: BreaksTime,
-		Mechanism: "internal/distribute (the newest alone is told)"})
+		Mechanism: "internal/coordination/distribute (the newest alone is told)"})
 	m.put(Row{Time: time, Role: Lists, What: "bytes of whole lists out of a machine as they are back",
 		Unit: "bytes/s", Need: div(div(mul(servers, m.known, m.is("lists.entry_bytes")), within), m.tellers),
 		Budget: to(m.used("machines.network")), Breaks: BreaksTime,
-		Mechanism: "the platform's discovery; internal/member/discovery"})
+		Mechanism: "the platform's discovery; internal/sidecar/member/discovery"})
 	m.put(Row{Time: time, Role: Control, What: "bytes of whole lists as it is back, of a minute's budget",
 		Unit: "bytes", Need: mul(m.known, m.is("lists.entry_bytes")),
 		Budget: to(m.is("target.control_bytes").times(60)), Breaks: BreaksTime,
-		Mechanism: "internal/member/discovery"})
+		Mechanism: "internal/sidecar/member/discovery"})
 }
 
 // returned is what a region that was cut off has missed.
@@ -74,16 +74,16 @@
 	missed := mul(m.changed, m.is("target.cut_off"))
 	m.put(Row{Time: Region, Role: Control, What: "changes missed, of all services", Unit: "",
 		Need:      least(missed, m.is("target.services")),
-		Mechanism: "internal/distribute (a service's newest alone counts)"})
+		Mechanism: "internal/coordination/distribute (a service's newest alone counts)"})
 	m.put(Row{Time: Region, Role: Control, What: "in force there after its return", Unit: "s",
 		Need: add(m.is("periods.back_within"), m.at("return", "member", "in_force_max_s",
 			mul(m.machines, m.is("places.region_share")))),
-		Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: "internal/distribute (Subscriber)"})
+		Budget: to(m.is("target.in_force")), Breaks: BreaksTime, Mechanism: "internal/coordination/distribute (Subscriber)"})
 	part := add(Figure{Value: 1}, m.is("places.zone_share").times(-1))
 	rate := div(div(m.is("target.calls"), m.servers), part)
 	m.put(Row{Time: Zone, Role: Calls, What: "added to a call for 99 in 100, at those that are left", Unit: "s",
 		Need: m.rated("added_p99_us", Figure{Value: 1}, rate).times(1e-6), Budget: to(m.is("target.added")),
-		Breaks: BreaksTime, Mechanism: "balance, internal/core, internal/upstream/http1"})
+		Breaks: BreaksTime, Mechanism: "balance, internal/sidecar/core, internal/sidecar/upstream/http1"})
 }
 
 // restarts are the rows of a day on which every sidecar is started anew once.
@@ -91,23 +91,23 @@
 	news := add(m.listed, mul(m.servers, m.is("lists.changes_a_restart")).times(1./day))
 	m.put(Row{Time: Restarts, Role: Control, What: "bytes of lists", Unit: "bytes/s",
 		Need:   add(m.listBytes(news), mul(m.known, m.is("lists.entry_bytes")).times(1./day)),
-		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/member/discovery"})
+		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/sidecar/member/discovery"})
 	m.put(Row{Time: Restarts, Role: Lists, What: "bytes out of a machine", Unit: "bytes/s",
 		Need: div(mul(m.servers, m.listBytes(news)), m.tellers), Budget: to(m.used("machines.network")),
 		Breaks: BreaksTime, Mechanism: "the platform's discovery"})
 	m.put(Row{Time: Restarts, Role: Driver, What: "the largest service, staged, judged by the clock", Unit: "s",
 		Need: m.staged(m.is("shape.largest")), Budget: to(m.is("periods.settled_within")), Breaks: BreaksTime,
-		Mechanism: "internal/rollout, internal/driver"})
+		Mechanism: "internal/coordination/rollout, internal/coordination/driver"})
 	m.put(Row{Time: Restarts, Role: Leader, What: "one change of all: the message that begins it", Unit: "bytes",
 		Need: m.changeBytes(m.servers), Budget: to(m.is("limits.max_ask")), Breaks: BreaksRule,
-		Mechanism: "internal/fleet (maxAsk)", Needs: []string{Now}})
+		Mechanism: "internal/coordination/fleet (maxAsk)", Needs: []string{Now}})
 	m.put(Row{Time: Restarts, Role: Leader, What: "events in the log, spread over the day", Unit: "1/s",
 		Need:   mul(m.servers, m.is("changes.events_a_sidecar")).times(1. / day),
 		Budget: to(m.is("earlier.grants_a_second")), Breaks: BreaksTime,
-		Mechanism: "internal/rollout, internal/replica"})
+		Mechanism: "internal/coordination/rollout, internal/coordination/replica"})
 	m.put(Row{Time: Restarts, Role: Calls, What: "processor time of a start, beside the one in service",
 		Unit: "cores", Need: cores(m.at("start", "sidecar", "cpu_us", m.servers)),
-		Mechanism: "cmd/petrelhook, internal/handover"})
+		Mechanism: "cmd/petrelhook, internal/sidecar/handover"})
 }
 
 // outage are the rows of all coordinators gone and there again.
@@ -115,26 +115,26 @@
 	within := m.is("periods.back_within")
 	m.put(Row{Time: Coordinators, Role: Leader, What: "questions that wait at once, if all ask at once", Unit: "",
 		Need: m.sessions, Budget: to(m.is("limits.max_waiting")), Breaks: BreaksTime,
-		Mechanism: "internal/replica (maxWaiting)", Needs: []string{Zone}})
+		Mechanism: "internal/coordination/replica (maxWaiting)", Needs: []string{Zone}})
 	m.put(Row{Time: Coordinators, Role: Leader, What: "sessions opened anew, one after the other", Unit: "s",
 		Need: div(m.sessions, m.is("earlier.grants_a_second")), Budget: to(m.is("periods.lease_ttl")),
-		Breaks: BreaksTime, Mechanism: "lease, internal/replica, internal/replica/disk"})
+		Breaks: BreaksTime, Mechanism: "lease, internal/coordination/replica, internal/coordination/replica/disk"})
 	asks := div(div(m.sessions, m.is("periods.ask_pause")), m.is("machines.replicas"))
 	m.put(Row{Time: Coordinators, Role: Follower,
 		What: "asks of sessions while nobody leads, beside what three replicas answered", Unit: "1/s", Need: asks,
 		Budget: to(m.is("earlier.renewals_a_second")), Breaks: BreaksTime,
-		Mechanism: "internal/fleet (Caller), lease (Pause)", Needs: []string{Zone, Region, "each election"}})
+		Mechanism: "internal/coordination/fleet (Caller), lease (Pause)", Needs: []string{Zone, Region, "each election"}})
 	m.put(Row{Time: Coordinators, Role: Leader, What: "renewals, and watches that are back within their spread",
 		Unit: "1/s", Need: add(div(div(m.machines, within), m.is("machines.replicas")), m.renewals()),
 		Budget: to(m.is("earlier.renewals_a_second_12000")), Breaks: BreaksTime,
-		Mechanism: "internal/distribute (Subscriber), lease", Needs: []string{Zone, Region}})
+		Mechanism: "internal/coordination/distribute (Subscriber), lease", Needs: []string{Zone, Region}})
 	m.put(Row{Time: Coordinators, Role: Leader, What: "bytes of versions, if all lost theirs", Unit: "bytes/s",
 		Need:   div(mul(m.machines, add(m.is("changes.bytes"), m.is("changes.head_bytes"))), within),
-		Budget: to(m.used("machines.network")), Breaks: BreaksTime, Mechanism: "internal/distribute"})
+		Budget: to(m.used("machines.network")), Breaks: BreaksTime, Mechanism: "internal/coordination/distribute"})
 	m.put(Row{Time: Coordinators, Role: Leader, What: "tasks of the fleet without a holder, beside an election",
 		Unit: "s", Need: m.is("periods.lease_ttl"),
-		Mechanism: "internal/lease (a new leader lets all live a whole time)"})
+		Mechanism: "internal/coordination/lease (a new leader lets all live a whole time)"})
 	m.put(Row{Time: Coordinators, Role: Control, What: "a change in force after their return", Unit: "s",
 		Need: add(within, m.inForce("return", "member", m.machines)), Budget: to(m.is("target.in_force")),
-		Breaks: BreaksTime, Mechanism: "internal/distribute (Subscriber)"})
+		Breaks: BreaksTime, Mechanism: "internal/coordination/distribute (Subscriber)"})
 }
--- a/internal/capacity/rows_sidecar.go
+++ b/internal/coordination/capacity/rows_sidecar.go
@@ -6,7 +6,7 @@
 func (m *model) calls() {
 	rate := div(m.is("target.calls"), m.servers)
 	busiest := mul(rate, m.is("shape.busiest_sidecar"))
-	const path = "balance, internal/core, internal/front/platform, internal/upstream/http1"
+	const path = "balance, internal/sidecar/core, internal/sidecar/front/platform, internal/sidecar/upstream/http1"
 	m.put(Row{Time: Ordinary, Role: Calls, What: "calls in the mean", Unit: "1/s", Need: rate, Mechanism: path})
 	one := Figure{Value: 1} // sidecar on the way
 	depth := m.is("target.depth")
@@ -45,7 +45,7 @@
 
 // control are the rows of what a sidecar and its machine's agent spend on control.
 func (m *model) control() {
-	const by = "internal/machine, internal/distribute, internal/member/discovery"
+	const by = "internal/coordination/machine, internal/coordination/distribute, internal/sidecar/member/discovery"
 	agents := m.is("places.sidecars_a_machine") // an agent's cost is shared by its machine's sidecars
 	a := func(metric string) Figure {           // of members and agents a run tells the mean of one
 		return div(add(mul(m.is("places.sessions_a_machine"), m.at("renewals", "member", metric, m.sessions)),
@@ -69,25 +69,25 @@
 		Need:   add(a("bytes_in_s"), a("bytes_out_s"), look("bytes_in_s"), look("bytes_out_s"), lists),
 		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: by})
 	m.put(Row{Time: Ordinary, Role: Control, What: "bytes of lists alone", Unit: "bytes/s", Need: lists,
-		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/member/discovery"})
+		Budget: to(m.is("target.control_bytes")), Breaks: BreaksTime, Mechanism: "internal/sidecar/member/discovery"})
 	m.put(Row{Time: Ordinary, Role: Control, What: "lists held, as text", Unit: "bytes",
 		Need: mul(m.known, m.is("lists.entry_bytes")), Budget: to(m.is("target.control_memory")), Breaks: BreaksRule,
-		Mechanism: "internal/member, balance (list.go)"})
+		Mechanism: "internal/sidecar/member, balance (list.go)"})
 	m.put(Row{Time: Ordinary, Role: Control, What: "memory of the whole process, calls counted", Unit: "bytes",
 		Need: add(m.rated("memory_bytes", Figure{Value: 1}, div(m.is("target.calls"), m.servers)), a("memory_bytes"),
 			m.at("lists", "sidecar", "memory_bytes", m.servers)),
-		Budget: to(m.is("target.control_memory")), Breaks: BreaksRule, Mechanism: "internal/membudget, " + by})
+		Budget: to(m.is("target.control_memory")), Breaks: BreaksRule, Mechanism: "internal/sidecar/membudget, " + by})
 	m.put(Row{Time: Ordinary, Role: Control, What: "the largest list in one message", Unit: "bytes",
 		Need: mul(m.is("shape.largest"), m.is("lists.entry_bytes")), Budget: to(m.is("limits.max_list")),
-		Breaks: BreaksRule, Mechanism: "internal/member/discovery", Needs: []string{Zone, Restarts}})
+		Breaks: BreaksRule, Mechanism: "internal/sidecar/member/discovery", Needs: []string{Zone, Restarts}})
 	m.put(Row{Time: Ordinary, Role: Agent, What: "sidecars in one watch's reports", Unit: "",
 		Need: m.is("places.sidecars_a_machine"), Budget: to(m.is("limits.max_reports")), Breaks: BreaksRule,
-		Mechanism: "internal/distribute", Needs: []string{After}})
+		Mechanism: "internal/coordination/distribute", Needs: []string{After}})
 	m.put(Row{Time: Ordinary, Role: Agent, What: "looks, watches and renewals", Unit: "1/s",
 		Need: add(div(Figure{Value: 1}, m.is("periods.look_every")),
 			div(Figure{Value: 1}, m.is("periods.watch_hold")), div(m.is("periods.renewals_a_ttl"),
 				m.is("periods.lease_ttl"))),
-		Mechanism: "internal/machine, internal/distribute, lease"})
+		Mechanism: "internal/coordination/machine, internal/coordination/distribute, lease"})
 }
 
 // listBytes are the bytes a second of all lists of one sidecar, where lists change so often in all: empty lines, and
--- a/internal/distribute/mutation_test.go
+++ b/internal/coordination/distribute/mutation_test.go
@@ -11,9 +11,9 @@
 // What the argument needs is taken out of the code, one at a time: each is caught. Tests of rapid are not used here:
 // they would leave files of their failures.
 func TestTheChecksCanFail(t *testing.T) {
-	const dir, pkg, sim = "internal/distribute/", "./internal/distribute", "TestAllHoldTheNewest"
+	const dir, pkg, sim = "internal/coordination/distribute/", "./internal/coordination/distribute", "TestAllHoldTheNewest"
 	const register, watches, subscriber = dir + "register.go", dir + "watches.go", dir + "subscriber.go"
-	mutate.Caught(t, "../..", map[string]mutate.Mutant{
+	mutate.Caught(t, "../../..", map[string]mutate.Mutant{
 		"not newer":              {subscriber, "v.Revision <= s.holds", "v.Revision == 0", pkg, sim},
 		"the same is not newer":  {subscriber, "v.Revision <= s.holds", "v.Revision < s.holds", pkg, "TestWhatIsTaken"},
 		"another service's":      {subscriber, "v.Service != s.o.Service", "false", pkg, sim},
--- a/internal/driver/driver.go
+++ b/internal/coordination/driver/driver.go
@@ -17,11 +17,11 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/evidence"
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/evidence"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
 	"petrelhook/lease"
 )
 
--- a/internal/driver/many_test.go
+++ b/internal/coordination/driver/many_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/driver"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/driver"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/deployment"
-	"petrelhook/internal/rollout"
 )
 
 // A whole change of many agents, with the driver in this process: each is ordered once, and what the log and the agents are asked grows
--- a/internal/driver/planfile.go
+++ b/internal/coordination/driver/planfile.go
@@ -12,12 +12,12 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/judge"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/release"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/yamlfile"
+	"petrelhook/internal/common/yamlfile"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/judge"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // File is a plan as people write it.
--- a/internal/evidence/before.go
+++ b/internal/coordination/evidence/before.go
@@ -6,9 +6,9 @@
 	"maps"
 	"slices"
 
-	"petrelhook/internal/counts"
-	"petrelhook/internal/judge"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/judge"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // boundOf is from how many requests a bound is drawn.
--- a/internal/evidence/chain_test.go
+++ b/internal/coordination/evidence/chain_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // side is a sidecar whose requests, processor and memory are drawn.
--- a/internal/evidence/evidence.go
+++ b/internal/coordination/evidence/evidence.go
@@ -22,10 +22,10 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/judge"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/judge"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // Reading is what is known of one sidecar's process.
--- a/internal/evidence/evidence_test.go
+++ b/internal/coordination/evidence/evidence_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // world is sidecars that count.
--- a/internal/evidence/used.go
+++ b/internal/coordination/evidence/used.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"petrelhook/internal/counts"
-	"petrelhook/internal/judge"
+	"petrelhook/internal/coordination/judge"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // What is used is compared some times in the plan's patience, and worse is what is larger by these parts.
--- a/internal/fleet/caller.go
+++ b/internal/coordination/fleet/caller.go
@@ -12,7 +12,7 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/replica"
 )
 
 // Caller asks coordinators, from the one that answered last on, until one that leads has answered. What is asked must do no harm if
--- a/internal/fleet/config.go
+++ b/internal/coordination/fleet/config.go
@@ -9,9 +9,9 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/yamlfile"
+	"petrelhook/internal/common/yamlfile"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 )
 
 // Config is what a coordinator is told.
--- a/internal/fleet/distribute.go
+++ b/internal/coordination/fleet/distribute.go
@@ -8,8 +8,8 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/replica"
 )
 
 const (
--- a/internal/fleet/operator.go
+++ b/internal/coordination/fleet/operator.go
@@ -12,9 +12,9 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/replica/disk"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/replica/disk"
 )
 
 // Operator asks coordinators on behalf of people.
--- a/internal/fleet/publish.go
+++ b/internal/coordination/fleet/publish.go
@@ -8,7 +8,7 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // summaryTime is how long one coordinator may take for its summary.
--- a/internal/fleet/rpc.go
+++ b/internal/coordination/fleet/rpc.go
@@ -8,12 +8,12 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
+	"petrelhook/internal/coordination/share"
 )
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/fleet/server.go
+++ b/internal/coordination/fleet/server.go
@@ -16,12 +16,12 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/replica/disk"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/replica/disk"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // Server is one coordinator.
--- a/internal/fleet/shares.go
+++ b/internal/coordination/fleet/shares.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/share"
 )
 
 // Share is one member's part of one limit, asked of the coordinators beside its uses: Allow never waits, and goes on with what there is,
--- a/internal/machine/apart_test.go
+++ b/internal/coordination/machine/apart_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // What staged changes refuse side by side goes by no version either; what needs a step elsewhere first goes once its author says that it
--- a/internal/machine/config.go
+++ b/internal/coordination/machine/config.go
@@ -15,9 +15,9 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/yamlfile"
+	"petrelhook/internal/common/yamlfile"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // Config is what an agent is told.
--- a/internal/machine/door.go
+++ b/internal/coordination/machine/endpoint.go
@@ -16,9 +16,9 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/release"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // Version is of the messages below. Another one is refused.
@@ -266,7 +266,7 @@
 	return &Checked{settings}, nil
 }
 
-// askTime is for how long an operators' door is waited for.
+// askTime is for how long an operators' endpoint is waited for.
 const askTime = time.Second
 
 var doors = &http.Client{Timeout: askTime, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -288,8 +288,8 @@
 	})
 }
 
-func call(ctx context.Context, door, path string) (text []byte, yes bool) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
+func call(ctx context.Context, endpoint, path string) (text []byte, yes bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint+path, nil)
 	if err != nil {
 		return nil, false
 	}
--- a/internal/machine/machine.go
+++ b/internal/coordination/machine/machine.go
@@ -23,12 +23,12 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/release"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
-	"petrelhook/internal/subscribe"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
+	"petrelhook/internal/coordination/subscribe"
 )
 
 // Machine is the agent's process.
@@ -64,7 +64,7 @@
 	*agent.Sidecar
 	conf  *Sidecar
 	saved agent.Kept
-	asked map[agent.Process]bool // its door is being asked
+	asked map[agent.Process]bool // its endpoint is being asked
 	said  map[agent.Process]json.RawMessage
 
 	reported distribute.Report
@@ -150,7 +150,7 @@
 			return err
 		}
 		if found != nil {
-			found.Release, found.Door, found.Start = u.saved.To, u.door(), u.saved.Starts
+			found.Release, found.Door, found.Start = u.saved.To, u.endpoint(), u.saved.Starts
 			if u.saved.To == "" {
 				found.Release = u.saved.Confirmed
 			}
@@ -170,11 +170,11 @@
 	return filepath.Join(m.c.Data, fmt.Sprintf("%s-%s-%d", what, u.conf.Name, n))
 }
 
-// door is the one for operators that a next process has.
-func (u *unit) door() string {
-	for _, door := range u.conf.Doors {
-		if u.saved.Now == nil || u.saved.Now.Door != door {
-			return door
+// endpoint is the one for operators that a next process has.
+func (u *unit) endpoint() string {
+	for _, endpoint := range u.conf.Doors {
+		if u.saved.Now == nil || u.saved.Now.Door != endpoint {
+			return endpoint
 		}
 	}
 	return ""
@@ -320,7 +320,7 @@
 		return p, err
 	}
 	m.forget(u)
-	return start(m.path(u, "start"), m.path(u, "log"), r.Program, config, filepath.Join(m.c.Data, "tmp"), u.door())
+	return start(m.path(u, "start"), m.path(u, "log"), r.Program, config, filepath.Join(m.c.Data, "tmp"), u.endpoint())
 }
 
 // forget removes the files of old starts, but not those of a process that lives: it reads its configuration again.
--- a/internal/machine/start.go
+++ b/internal/coordination/machine/start.go
@@ -12,7 +12,7 @@
 	"strings"
 	"syscall"
 
-	"petrelhook/internal/agent"
+	"petrelhook/internal/coordination/agent"
 )
 
 // A start is made at most once, and is never unseen. The agent starts itself with the word once; that helper links a file with its own
@@ -127,7 +127,7 @@
 }
 
 // start starts a program by way of the helper. It goes on if the agent ends: it has a session of its own, and writes to a file.
-func start(file, log, program, config, tmp, door string) (agent.Process, error) {
+func start(file, log, program, config, tmp, endpoint string) (agent.Process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return agent.Process{}, err
@@ -138,7 +138,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(self, "once", file, program, "--config", config)
-	cmd.Env = append(os.Environ(), "LB_ADMIN_ADDR="+door, "LB_CONFIG="+config, "TMPDIR="+tmp)
+	cmd.Env = append(os.Environ(), "LB_ADMIN_ADDR="+endpoint, "LB_CONFIG="+config, "TMPDIR="+tmp)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
 	if err := cmd.Start(); err != nil {
@@ -149,7 +149,7 @@
 	if err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return agent.Process{}, err
 	}
-	return agent.Process{PID: cmd.Process.Pid, Began: began, Door: door}, nil
+	return agent.Process{PID: cmd.Process.Pid, Began: began, Door: endpoint}, nil
 }
 
 // maxWords is how much of a log is looked at for what a process said last, and of a line that is passed on.
--- a/internal/machine/start_test.go
+++ b/internal/coordination/machine/start_test.go
@@ -17,9 +17,9 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/agent"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/rpc"
 	"petrelhook/internal/rig/process"
-	"petrelhook/internal/rpc"
 )
 
 // The test's program is the helper as well, and says so as the program that it becomes.
--- a/internal/machine/version.go
+++ b/internal/coordination/machine/version.go
@@ -15,10 +15,10 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/release"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // Versions are kept each in a file of its own, as it was told: version-N.json, N the revision. A sidecar's own file
--- a/internal/machine/version_test.go
+++ b/internal/coordination/machine/version_test.go
@@ -19,15 +19,15 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/release"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/release"
 )
 
 const fakeVariable = "MACHINE_TEST_FAKE"
 
-// fake is a program of a release, as far as agents know one: it checks its settings, answers at its door and reads
+// fake is a program of a release, as far as agents know one: it checks its settings, answers at its endpoint and reads
 // its file again.
 func fake(args []string) {
 	path := args[len(args)-1]
--- a/internal/monotonic/monotonic.go
+++ b/internal/coordination/monotonic/monotonic.go
@@ -4,7 +4,7 @@
 import (
 	"golang.org/x/sys/unix"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // Now is CLOCK_BOOTTIME. Go's own readings stand still while a machine sleeps: its holder would believe too long.
--- a/internal/release/release_test.go
+++ b/internal/coordination/release/release_test.go
@@ -75,7 +75,7 @@
 
 // Every setting that the program reads has a rule: none is taken for one that nobody reads.
 func TestEveryFieldHasARule(t *testing.T) {
-	text, err := os.ReadFile("../wire/settings.go")
+	text, err := os.ReadFile("../../sidecar/wire/settings.go")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/ask.go
+++ b/internal/coordination/replica/ask.go
@@ -7,10 +7,10 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/share"
 )
 
 // Question is what a replica is asked; one of its fields says what.
--- a/internal/replica/changes_test.go
+++ b/internal/coordination/replica/changes_test.go
@@ -7,10 +7,10 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/share"
 )
 
 // Changes of releases are in the log, and in the snapshots that stand for it: a replica that begins from one of them alone has them.
--- a/internal/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -12,10 +12,10 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/share"
 )
 
 const (
--- a/internal/replica/disk/disk.go
+++ b/internal/coordination/replica/disk/disk.go
@@ -22,7 +22,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/replica"
 )
 
 const (
--- a/internal/replica/disk/disk_test.go
+++ b/internal/coordination/replica/disk/disk_test.go
@@ -10,8 +10,8 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 )
 
 func entries(term uint64, from, to uint64) (all []*pb.Entry) {
--- a/internal/replica/sim_test.go
+++ b/internal/coordination/replica/sim_test.go
@@ -12,7 +12,7 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/rig/group"
 )
 
--- a/internal/rollout/report/explain.go
+++ b/internal/coordination/rollout/report/explain.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"petrelhook/internal/judge"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/judge"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // Line is one thing to know of a change. Rule is stable, for tools.
--- a/internal/rollout/report/page.go
+++ b/internal/coordination/rollout/report/page.go
@@ -10,8 +10,8 @@
 
 	"gonum.org/v1/plot/plotter"
 
-	"petrelhook/internal/chart"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/common/chart"
+	"petrelhook/internal/coordination/rollout"
 )
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
--- a/internal/rollout/report/report_test.go
+++ b/internal/coordination/rollout/report/report_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/parquet-go/parquet-go"
 
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // change is one of four sidecars in two stages, driven to a moment by events, through the log's register.
--- a/internal/rollout/report/rows.go
+++ b/internal/coordination/rollout/report/rows.go
@@ -6,7 +6,7 @@
 
 	"github.com/parquet-go/parquet-go"
 
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // Row is one cell of one stage at one moment. Counts are since the judge of that moment began.
--- a/internal/share/divider.go
+++ b/internal/coordination/share/divider.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // Limit is what is divided.
--- a/internal/share/register.go
+++ b/internal/coordination/share/register.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // Command is an entry of the replicated log: a limit is to be as it says. To say it twice does no harm.
--- a/internal/share/share_test.go
+++ b/internal/coordination/share/share_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // events are what happens, by true time.
--- a/internal/share/taker.go
+++ b/internal/coordination/share/taker.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // Taker is what one member believes it may spend of one limit. Instants are of its own steady clock.
--- a/internal/subscribe/subscribe.go
+++ b/internal/coordination/subscribe/subscribe.go
@@ -17,8 +17,8 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // Options are what a client is told.
--- a/internal/subscribe/subscribe_test.go
+++ b/internal/coordination/subscribe/subscribe_test.go
@@ -7,9 +7,9 @@
 	"net/http/httptest"
 	"testing"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // A version is told once: what is reported of it while the next watch waits says that it is held.
--- a/internal/rig/chain/report.go
+++ b/internal/rig/chain/report.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 	"petrelhook/internal/rig/usage"
 )
 
--- a/internal/rig/contend/contend.go
+++ b/internal/rig/contend/contend.go
@@ -19,7 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/monotonic"
 	"petrelhook/internal/rig/belief"
 	"petrelhook/lease"
 )
--- a/internal/rig/contend/spend.go
+++ b/internal/rig/contend/spend.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/share"
 )
 
 // spend is a process that tries to use a limit's units all the time, and says when it was allowed to: just before it asked itself. Its
--- a/internal/rig/coordinator/coordinator.go
+++ b/internal/rig/coordinator/coordinator.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/fleet"
 )
 
 // Start starts one that keeps what it knows until stop.
--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -15,7 +15,7 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/fleet"
 	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rig/process"
 )
--- a/internal/rig/deployment/bad.go
+++ b/internal/rig/deployment/bad.go
@@ -16,10 +16,10 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/config"
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/standin"
-	"petrelhook/internal/sock"
-	"petrelhook/internal/wiring"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/wiring"
 )
 
 // BadVariable of the environment says in which way a sidecar is bad.
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -17,15 +17,15 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/driver"
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/release"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/driver"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rig/process"
-	"petrelhook/internal/rollout"
 )
 
 // Application is the name of what is run.
--- a/internal/rig/deployment/played.go
+++ b/internal/rig/deployment/played.go
@@ -10,11 +10,11 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // Played is an agent in this process, of one sidecar that changes at once and serves 50 requests a second: thousands fit into a test.
--- a/internal/rig/deployment/site.go
+++ b/internal/rig/deployment/site.go
@@ -12,14 +12,14 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/release"
+	"petrelhook/internal/coordination/release"
+	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
 	"petrelhook/internal/rig/loopback"
 	"petrelhook/internal/rig/process"
 	"petrelhook/internal/rig/rehearse"
 	"petrelhook/internal/rig/scenario"
-	"petrelhook/internal/rollout"
 )
 
 const app = `length %s
--- a/internal/rig/deployment/version.go
+++ b/internal/rig/deployment/version.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/fleet"
 )
 
 // Publish publishes a version of the application's configuration.
--- a/internal/rig/engines/fleet.go
+++ b/internal/rig/engines/fleet.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/placement"
 )
 
 const service = "llm"
--- a/internal/rig/engines/policy.go
+++ b/internal/rig/engines/policy.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/placement"
 )
 
 // policy is a way of choosing servers, by name.
--- a/internal/rig/engines/request.go
+++ b/internal/rig/engines/request.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/placement"
 )
 
 // request is one on its way.
--- a/internal/rig/group/client.go
+++ b/internal/rig/group/client.go
@@ -6,9 +6,9 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/share"
 )
 
 type simClient struct {
--- a/internal/rig/group/group.go
+++ b/internal/rig/group/group.go
@@ -15,9 +15,9 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/share"
 )
 
 // Options are what is played. The last three are left out of the world, to show that the judge can fail.
--- a/internal/rig/group/model.go
+++ b/internal/rig/group/model.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/anishathalye/porcupine"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // grantee is the state of the model: the last grant, and whose it is.
--- a/internal/rig/group/replica.go
+++ b/internal/rig/group/replica.go
@@ -8,8 +8,8 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 )
 
 type simReplica struct {
--- a/internal/rig/group/shares.go
+++ b/internal/rig/group/shares.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"petrelhook/internal/replica"
-	"petrelhook/internal/share"
+	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/share"
 )
 
 // ShareLimit is what clients of a group take parts of.
--- a/internal/rig/link/link.go
+++ b/internal/rig/link/link.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/sock"
+	"petrelhook/internal/common/sock"
 )
 
 // Direction is of bytes: Forth from who dials, Back to him.
--- a/internal/rig/load/client.go
+++ b/internal/rig/load/client.go
@@ -14,8 +14,8 @@
 	"syscall"
 	"time"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/audit"
-	"petrelhook/internal/sock"
 )
 
 // Dial opens a connection, as net.Dialer.DialContext does.
--- a/internal/rig/load/crowd.go
+++ b/internal/rig/load/crowd.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"time"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/scenario"
-	"petrelhook/internal/sock"
 )
 
 // CrowdResult is what came of one crowd. Its requests are no operations: they count here, and in the audit.
--- a/internal/rig/loopback/loopback.go
+++ b/internal/rig/loopback/loopback.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/sock"
+	"petrelhook/internal/common/sock"
 )
 
 // Network is sockets on 127.0.0.0/8, with machines that can be cut off. It refuses every other address.
--- a/internal/rig/rehearse/inprocess.go
+++ b/internal/rig/rehearse/inprocess.go
@@ -5,8 +5,8 @@
 	"errors"
 	"log/slog"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/wiring"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/wiring"
 )
 
 // InProcess is sidecars that run in this process, on a network that is handed in: the core as it is, without its
--- a/internal/rig/rehearse/page.go
+++ b/internal/rig/rehearse/page.go
@@ -12,7 +12,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 
-	"petrelhook/internal/chart"
+	"petrelhook/internal/common/chart"
 	"petrelhook/internal/rig/load"
 )
 
--- a/internal/rig/scale/agents.go
+++ b/internal/rig/scale/agents.go
@@ -13,12 +13,12 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/machine"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // agents are hollow agents of one process. Each listens, and answers a driver's looks and orders as an agent does
--- a/internal/rig/scale/agents_test.go
+++ b/internal/rig/scale/agents_test.go
@@ -9,9 +9,9 @@
 
 	"connectrpc.com/connect"
 
-	"petrelhook/internal/machine"
-	"petrelhook/internal/rollout"
-	"petrelhook/internal/rpc"
+	"petrelhook/internal/coordination/machine"
+	"petrelhook/internal/coordination/rollout"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // Hollow agents answer as agents do: each at its own address, for its own sidecar, a driver's token after the other, an order once.
--- a/internal/rig/scale/group.go
+++ b/internal/rig/scale/group.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/fleet"
 )
 
 // coordinators is how many a run has.
--- a/internal/rig/scale/killed.go
+++ b/internal/rig/scale/killed.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/monotonic"
 )
 
 // killedAt is the size, beside the one that checks a fit, at which coordinators are killed.
--- a/internal/rig/scale/machines.go
+++ b/internal/rig/scale/machines.go
@@ -13,10 +13,10 @@
 	"syscall"
 	"time"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/release"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/release"
 	"petrelhook/internal/rig/usage"
 )
 
--- a/internal/rig/scale/machines_test.go
+++ b/internal/rig/scale/machines_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/capacity"
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/capacity"
+	"petrelhook/internal/coordination/distribute"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
 	"petrelhook/internal/rig/rehearse"
--- a/internal/rig/scale/minder.go
+++ b/internal/rig/scale/minder.go
@@ -8,8 +8,8 @@
 	"path/filepath"
 	"syscall"
 
-	"petrelhook/internal/agent"
-	"petrelhook/internal/machine"
+	"petrelhook/internal/coordination/agent"
+	"petrelhook/internal/coordination/machine"
 )
 
 // processes are the sidecars that live, of all agents whose folders are in one: each start's file names its process.
--- a/internal/rig/scale/publish.go
+++ b/internal/rig/scale/publish.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/monotonic"
 )
 
 const (
--- a/internal/rig/scale/published.go
+++ b/internal/rig/scale/published.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // published is a version that was accepted.
--- a/internal/rig/scale/reals.go
+++ b/internal/rig/scale/reals.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 )
 
 const (
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/capacity"
-	"petrelhook/internal/fleet"
+	"petrelhook/internal/coordination/capacity"
+	"petrelhook/internal/coordination/fleet"
 	"petrelhook/internal/rig/usage"
 )
 
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 	"petrelhook/internal/rig/process"
 )
 
--- a/internal/rig/scale/sessions.go
+++ b/internal/rig/scale/sessions.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/monotonic"
 	"petrelhook/lease"
 )
 
--- a/internal/rig/scale/table.go
+++ b/internal/rig/scale/table.go
@@ -7,7 +7,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"petrelhook/internal/capacity"
+	"petrelhook/internal/coordination/capacity"
 )
 
 // WriteText writes the medians of the runs as a table: a line for each figure, a column for each size.
--- a/internal/rig/scale/watchers.go
+++ b/internal/rig/scale/watchers.go
@@ -8,9 +8,9 @@
 	"net/http"
 	"sync"
 
-	"petrelhook/internal/distribute"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/subscribe"
+	"petrelhook/internal/coordination/distribute"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/subscribe"
 )
 
 // watchers are hollow members that wait for versions, each an agent of one sidecar. Their client is the agents' own;
--- a/internal/rig/scale/watchers_test.go
+++ b/internal/rig/scale/watchers_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // What a member's client gives it is checked once more: not the same or an older one again, not another service's.
--- a/internal/rig/scale/watching.go
+++ b/internal/rig/scale/watching.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // restWindow is the least window of watchers at rest: they have all begun within two seconds, so over a time that is
--- a/internal/rig/scale/wire.go
+++ b/internal/rig/scale/wire.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/distribute"
+	"petrelhook/internal/coordination/distribute"
 )
 
 // question is one line of JSON that a run writes to a process of hollow members; it is answered by one line. One
--- a/internal/rig/scale/workloads.go
+++ b/internal/rig/scale/workloads.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/monotonic"
-	"petrelhook/internal/rollout"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/rollout"
 )
 
 // renewals is N sessions at rest: each renews its own, and holds one lease.
--- a/internal/rig/scenario/parse_test.go
+++ b/internal/rig/scenario/parse_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/wire"
+	"petrelhook/internal/sidecar/wire"
 )
 
 // whole is a scenario that has everything; malformed ones are made of it.
--- a/internal/rig/standin/exchange.go
+++ b/internal/rig/standin/exchange.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/scenario"
-	"petrelhook/internal/sock"
 )
 
 // exchange serves one connection, one request after another.
--- a/internal/rig/standin/server.go
+++ b/internal/rig/standin/server.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/scenario"
-	"petrelhook/internal/sock"
 )
 
 // server is one place of the fleet: an address at which one process after another runs.
--- a/internal/rig/usage/usage.go
+++ b/internal/rig/usage/usage.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/monotonic"
 )
 
 // Usage is of one process at one moment.
--- a/internal/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -15,8 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/sock"
-	"petrelhook/internal/transport"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/router/transport"
 )
 
 // The errors of an exchange. ErrNotSent: no byte of the request left. ErrBroken: it may have run.
--- a/internal/dissemination/messages.go
+++ b/internal/router/dissemination/messages.go
@@ -10,12 +10,12 @@
 	"encoding/gob"
 	"time"
 
-	"petrelhook/internal/membership"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/registry"
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/membership"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/replication"
 )
 
 // Session is a sidecar's heartbeat to its home, and what it asks for.
--- a/internal/dissemination/messages_test.go
+++ b/internal/router/dissemination/messages_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/replication"
 )
 
 // Each type that is a message of replication can go over the wire: one that gob does not know would be dropped without a word.
--- a/internal/dissemination/versions.go
+++ b/internal/router/dissemination/versions.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/routetable"
 )
 
 // keptOrders is how many orders a sidecar keeps for subscribers that are a little behind.
--- a/internal/dissemination/versions_test.go
+++ b/internal/router/dissemination/versions_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/routetable"
 )
 
 func configuration(t require.TestingT, generation int) *routetable.Config {
--- a/internal/gateway/account.go
+++ b/internal/router/gateway/account.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/latency"
+	"petrelhook/internal/router/latency"
 )
 
 // spend notes that a request spent the time since then in a phase, before the first part of its answer.
--- a/internal/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -9,10 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/backend"
-	"petrelhook/internal/latency"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/latency"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/routetable"
 )
 
 // outcome is what became of one send.
--- a/internal/gateway/cost_test.go
+++ b/internal/router/gateway/cost_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/registry"
 )
 
 // BenchmarkPrompt is one prompt of 9 KB with an answer of two events, over loopback; client and server write and read bytes that
--- a/internal/gateway/deadline_test.go
+++ b/internal/router/gateway/deadline_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/routetable"
 )
 
 // handedOn notes the deadlines that servers are given.
--- a/internal/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -13,13 +13,13 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/backend"
-	"petrelhook/internal/latency"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/rotation"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/latency"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/rotation"
+	"petrelhook/internal/router/routetable"
 )
 
 // Options are what a gateway is made with.
--- a/internal/gateway/gateway_test.go
+++ b/internal/router/gateway/gateway_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/registry"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/routetable"
 )
 
 const configuration = `{"Generation":1,"Routes":[
--- a/internal/gateway/judgement.go
+++ b/internal/router/gateway/judgement.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/backend"
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/placement"
 )
 
 // judgement is what one send says of its server.
--- a/internal/gateway/judgement_test.go
+++ b/internal/router/gateway/judgement_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/backend"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/routetable"
 )
 
 // What each kind of end says of a server.
--- a/internal/gateway/loads.go
+++ b/internal/router/gateway/loads.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/placement"
 )
 
 // promptRead notes that a server has read a request's prompt: its answer begins.
--- a/internal/gateway/outliers.go
+++ b/internal/router/gateway/outliers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/outlier"
+	"petrelhook/internal/router/outlier"
 )
 
 // TakeReport takes what this sidecar has to report of its sends now.
--- a/internal/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"petrelhook/internal/backend"
-	"petrelhook/internal/eventstream"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/eventstream"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/routetable"
 )
 
 const maxAnswer = 16 << 20
--- a/internal/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -10,11 +10,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/latency"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/rotation"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/latency"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/rotation"
+	"petrelhook/internal/router/routetable"
 )
 
 const (
--- a/internal/gateway/servers.go
+++ b/internal/router/gateway/servers.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"petrelhook/internal/backend"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/backend"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/registry"
 )
 
 // service is the data plane's state of one service.
--- a/internal/gateway/stall.go
+++ b/internal/router/gateway/stall.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/placement"
 )
 
 // errStalled ends a send whose stream goes on at another server.
--- a/internal/gateway/stall_test.go
+++ b/internal/router/gateway/stall_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/latency"
+	"petrelhook/internal/router/latency"
 )
 
 // seenFirsts has a gateway have seen usual times to a first part on a route.
--- a/internal/gateway/uses.go
+++ b/internal/router/gateway/uses.go
@@ -1,6 +1,6 @@
 package gateway
 
-import "petrelhook/internal/placement"
+import "petrelhook/internal/router/placement"
 
 // used notes where a part is read, and that others should hear of it. The lock is held.
 func (g *Gateway) used(req *request, s *service, server *placement.Server) {
--- a/internal/membership/membership.go
+++ b/internal/router/membership/membership.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/replication"
 )
 
 // Node is one process of the fleet.
--- a/internal/node/apply.go
+++ b/internal/router/node/apply.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/routetable"
 )
 
 // startAlone is how long after its start a sidecar looks for somebody in touch with the core before it serves with what it was told by
--- a/internal/node/control.go
+++ b/internal/router/node/control.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"petrelhook/internal/operatorapi"
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/replication"
 )
 
 const (
--- a/internal/node/cutoff_test.go
+++ b/internal/router/node/cutoff_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/operatorapi"
-	"petrelhook/internal/registry"
-	"petrelhook/internal/replication"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/routetable"
 )
 
 // configured is a push of a home that has a configuration and a whole list of servers.
--- a/internal/node/disk.go
+++ b/internal/router/node/disk.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"petrelhook/internal/replication"
-	"petrelhook/internal/storage"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/storage"
 )
 
 // diskWriter writes saves in their order, from a goroutine of its own: a disk may hang.
--- a/internal/node/end.go
+++ b/internal/router/node/end.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"petrelhook/internal/settings"
+	"petrelhook/internal/router/settings"
 )
 
 // servers are what listens.
--- a/internal/node/home.go
+++ b/internal/router/node/home.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"petrelhook/internal/dissemination"
+	"petrelhook/internal/router/dissemination"
 )
 
 // home is the control sidecar that a sidecar subscribes to.
--- a/internal/node/loads.go
+++ b/internal/router/node/loads.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/placement"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/placement"
 )
 
 const (
--- a/internal/node/missed.go
+++ b/internal/router/node/missed.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/latency"
+	"petrelhook/internal/router/latency"
 )
 
 const (
--- a/internal/node/node.go
+++ b/internal/router/node/node.go
@@ -14,17 +14,17 @@
 
 	"github.com/phuslu/log"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/gateway"
-	"petrelhook/internal/membership"
-	"petrelhook/internal/operatorapi"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/registry"
-	"petrelhook/internal/replication"
-	"petrelhook/internal/settings"
-	"petrelhook/internal/transport"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/gateway"
+	"petrelhook/internal/router/membership"
+	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/settings"
+	"petrelhook/internal/router/transport"
 )
 
 // Times of a node's own loops.
--- a/internal/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -8,12 +8,12 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/operatorapi"
-	"petrelhook/internal/registry"
-	"petrelhook/internal/replication"
-	"petrelhook/internal/routetable"
-	"petrelhook/internal/settings"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/routetable"
+	"petrelhook/internal/router/settings"
 )
 
 const text = `NodeName = "edge-1"
--- a/internal/node/outliers.go
+++ b/internal/router/node/outliers.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/outlier"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/outlier"
 )
 
 const (
--- a/internal/node/outliers_test.go
+++ b/internal/router/node/outliers_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/registry"
 )
 
 // A control sidecar ejects the server that its subscribers and its peers tell of, whoever of them saw more, and tells it until it ends.
--- a/internal/node/pool.go
+++ b/internal/router/node/pool.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/gateway"
-	"petrelhook/internal/quota"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/gateway"
+	"petrelhook/internal/router/quota"
 )
 
 // Times of the pools that sidecars spend of while they hear no primary.
--- a/internal/node/pool_test.go
+++ b/internal/router/node/pool_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/gateway"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/gateway"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/routetable"
 )
 
 const limitedTenant = `{"Generation":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/","RouteType":"safe","TimeoutMs":5000,"Service":"s","MaxAttempts":1}],
--- a/internal/node/quota.go
+++ b/internal/router/node/quota.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/gateway"
-	"petrelhook/internal/quota"
-	"petrelhook/internal/settings"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/gateway"
+	"petrelhook/internal/router/quota"
+	"petrelhook/internal/router/settings"
 )
 
 // How long a request waits for the primary before its sidecar's lease decides.
--- a/internal/node/receive.go
+++ b/internal/router/node/receive.go
@@ -1,9 +1,9 @@
 package node
 
 import (
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/replication"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/routetable"
 )
 
 // receive takes in a message of another sidecar.
--- a/internal/node/registration.go
+++ b/internal/router/node/registration.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/registry"
-	"petrelhook/internal/settings"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/settings"
 )
 
 // pendingDrain is a server's call that waits until a majority of the core knows it.
--- a/internal/node/registration_test.go
+++ b/internal/router/node/registration_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/registry"
 )
 
 func isClosed(done chan struct{}) bool {
--- a/internal/node/scrub.go
+++ b/internal/router/node/scrub.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/dissemination"
+	"petrelhook/internal/router/dissemination"
 )
 
 const (
--- a/internal/node/scrub_test.go
+++ b/internal/router/node/scrub_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/registry"
 )
 
 func beat(g *registry.Registry, id string, sequence int64) {
--- a/internal/node/servers_cache.go
+++ b/internal/router/node/servers_cache.go
@@ -5,9 +5,9 @@
 	"encoding/gob"
 	"time"
 
-	"petrelhook/internal/registry"
-	"petrelhook/internal/settings"
-	"petrelhook/internal/storage"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/settings"
+	"petrelhook/internal/router/storage"
 )
 
 const (
--- a/internal/node/start.go
+++ b/internal/router/node/start.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/replication"
-	"petrelhook/internal/storage"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/storage"
 )
 
 // open reads the disk, where there is one, and makes the replica.
--- a/internal/node/status.go
+++ b/internal/router/node/status.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"net/http"
 
-	"petrelhook/internal/latency"
-	"petrelhook/internal/outlier"
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/latency"
+	"petrelhook/internal/router/outlier"
+	"petrelhook/internal/router/replication"
 )
 
 // StatusPath is where a router tells its status, on its control address.
--- a/internal/node/subscription.go
+++ b/internal/router/node/subscription.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/placement"
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/replication"
 )
 
 // subscriber is what a control sidecar knows of one that subscribes to it.
--- a/internal/node/subscription_test.go
+++ b/internal/router/node/subscription_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/dissemination"
-	"petrelhook/internal/membership"
-	"petrelhook/internal/registry"
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/membership"
+	"petrelhook/internal/router/registry"
 )
 
 // A sidecar that hears who the core is subscribes with that message, and not at some later tick.
--- a/internal/node/tick.go
+++ b/internal/router/node/tick.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/settings"
+	"petrelhook/internal/router/settings"
 )
 
 // tick lets time pass.
--- a/internal/operatorapi/register.go
+++ b/internal/router/operatorapi/register.go
@@ -17,8 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"petrelhook/internal/replication"
-	"petrelhook/internal/routetable"
+	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/routetable"
 )
 
 // orderMemory is how many orders that were taken are remembered.
--- a/internal/outlier/mutation_test.go
+++ b/internal/router/outlier/mutation_test.go
@@ -11,11 +11,11 @@
 // Each guard of the detector is taken out of the code, and a test notices.
 func TestGuardsOfTheCode(t *testing.T) {
 	const (
-		here     = "petrelhook/internal/outlier"
-		detector = "internal/outlier/detector.go"
+		here     = "petrelhook/internal/router/outlier"
+		detector = "internal/router/outlier/detector.go"
 	)
-	mutate.Caught(t, "../..", map[string]mutate.Mutant{
-		"the others than the worst teller": {"internal/outlier/doc.go", "		others.Failed >= leastFailed/3 && others.ratio() >= limit/2", "		others.Failed < 1e9",
+	mutate.Caught(t, "../../..", map[string]mutate.Mutant{
+		"the others than the worst teller": {"internal/router/outlier/doc.go", "		others.Failed >= leastFailed/3 && others.ratio() >= limit/2", "		others.Failed < 1e9",
 			here, "TestAConfusedTellerDoesNoHarm"},
 		"a teller's weight": {detector, "if w.sent > tellerSends {", "if false {",
 			here, "TestOneTellerDoesNotHideWhatOthersSee"},
--- a/internal/placement/server.go
+++ b/internal/router/placement/server.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"petrelhook/internal/rotation"
+	"petrelhook/internal/router/rotation"
 )
 
 const (
--- a/internal/placement/sets.go
+++ b/internal/router/placement/sets.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"petrelhook/internal/rotation"
+	"petrelhook/internal/router/rotation"
 )
 
 // affine is the set of servers for a prompt whose shared part is worth keeping: of those whose cost is near the least, the first one, or
--- /dev/null
+++ b/internal/router/replication/mutation_test.go
@@ -0,0 +1,58 @@
+//go:build !race
+
+package replication
+
+import (
+	"testing"
+
+	"petrelhook/internal/rig/mutate"
+)
+
+// Each guard that the argument of this package rests on is taken out of the code, and a directed schedule notices.
+func TestGuardsOfTheCode(t *testing.T) {
+	const here = "petrelhook/internal/router/replication"
+	mutate.Caught(t, "../../..", map[string]mutate.Mutant{
+		"the epoch of an entry": {"internal/router/replication/primary.go", "if m.Epoch != r.hard.Promised || m.Epoch != r.hard.Accepted.Epoch || r.Witness {", "if r.Witness {",
+			here, "TestAnEntryOfAnEpochThatWasLeft"},
+		"read confirmation": {"internal/router/replication/reads.go", "	r.confirm(token, Decision{Status: http.StatusOK})", "	r.answer(token, Decision{Status: http.StatusOK})",
+			here, "TestAFrozenPrimaryAnswersNoRead"},
+		"the candidate's own promise": {"internal/router/replication/election.go", "if _, own := e.promises[r.Self.Address]; !own {", "if false {",
+			here, "TestACandidateWaitsForItsOwnDisk"},
+		"the members before promise": {"internal/router/replication/election.go", "|| !majority(e.newest.Old, e.votes) {", "{",
+			here, "TestAnAbandonedChangeHidesNoLaterView"},
+		"a change that was begun is finished, explored": {"internal/router/replication/members.go", "if !e.newest.joint() {", "if true {",
+			here, "TestExplorationOfAbandonedViews"},
+		"the members before promise, explored": {"internal/router/replication/election.go", "|| !majority(e.newest.Old, e.votes) {", "{",
+			here, "TestExplorationOfAbandonedViews"},
+		"the epoch of a view, explored": {"internal/router/replication/witness.go", "if m.View.Epoch.Less(r.hard.Promised) {", "if false {",
+			here, "TestExplorationOfAbandonedViews"},
+		"disks in the in-sync set, explored": {"internal/router/replication/election.go", "if len(view.InSync) < r.minInSync() {", "if false {",
+			here, "TestExplorationOfAbandonedViews"},
+		"a change that was begun is finished, on worst days": {"internal/router/replication/members.go", "if !e.newest.joint() {", "if true {",
+			here, "TestWorstDays"},
+		"a newcomer takes a place, on worst days": {"internal/router/replication/members.go", "if i := r.placeFor(a.member, members); i < 0 {", "if i := len(members); i < 0 {",
+			here, "TestWorstDays"},
+		"a change that was begun is finished": {"internal/router/replication/members.go", "if !e.newest.joint() {", "if true {",
+			here, "TestAnAbandonedChangeOfMembers"},
+		"the members before accept": {"internal/router/replication/election.go", "if majority(e.view.Members, e.accepts) && majority(e.view.Old, e.accepts) {", "if majority(e.view.Members, e.accepts) {",
+			here, "TestTheMembersBeforeHaveToAgree"},
+		"disks in the in-sync set": {"internal/router/replication/election.go", "if len(view.InSync) < r.minInSync() {", "if false {",
+			here, "TestTheInSyncMinimum"},
+		"a newcomer takes a place": {"internal/router/replication/members.go", "if i := r.placeFor(a.member, members); i < 0 {", "if i := len(members); i < 0 {",
+			here, "TestALostDiskAfterAReplacement"},
+		"one that leaves says so": {"internal/router/replication/members.go", "if r.leaves(m) || r.silentFor(m, replaceAfter) {", "if r.silentFor(m, time.Hour) {",
+			here, "TestALostDiskAfterAReplacement"},
+		"who is in sync learns nothing": {"internal/router/replication/learner.go", "&& !r.known.inSync(r.Self.ID)\n}", "\n}",
+			here, "TestAMemberInSyncTakesNoLesson"},
+		"learners catch up beside orders": {"internal/router/replication/learner.go", "	r.sendPiece(a, t)\n}", "}",
+			here, "TestCatchingUpBesideOrders"},
+		"a learner that is caught up is waited for": {"internal/router/replication/election.go", "!ok && r.caughtUp(id) {", "!ok && false {",
+			here, "TestCatchingUpBesideOrders"},
+		"the epoch of a view": {"internal/router/replication/witness.go", "if m.View.Epoch.Less(r.hard.Promised) {", "if false {",
+			here, "TestAnOlderCandidateIsRefused"},
+		"the epoch of a state": {"internal/router/replication/witness.go", "if m.Epoch.Less(r.hard.Promised) || r.Witness {", "if r.Witness {",
+			here, "TestAnOlderCandidateIsRefused"},
+		"a candidate could lead": {"internal/router/replication/prevote.go", "|| !newest.inSync(r.Self.ID) ||", "||",
+			here, "TestOnlyOneThatCouldLeadIsACandidate"},
+	})
+}
--- a/internal/settings/deploy_test.go
+++ b/internal/router/settings/deploy_test.go
@@ -7,11 +7,11 @@
 )
 
 func TestTheDeployFile(t *testing.T) {
-	d, err := LoadDeploy("../../deploy/system.toml")
+	d, err := LoadDeploy("../../../deploy/system.toml")
 	require.NoError(t, err)
 	require.Equal(t, []string{"router"}, d.RoleNames())
-	require.True(t, IsDeploy("../../deploy/system.toml"))
-	require.False(t, IsDeploy("../../deploy/none.toml"))
+	require.True(t, IsDeploy("../../../deploy/system.toml"))
+	require.False(t, IsDeploy("../../../deploy/none.toml"))
 }
 
 func TestBadDeployFiles(t *testing.T) {
--- a/internal/storage/size_test.go
+++ b/internal/router/storage/size_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/replication"
 )
 
 // After 5,000 orders, with a state as large as 500 routes and 4,096 digests make it every 32 of them, the file is a small part of a disk of
--- a/internal/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -21,7 +21,7 @@
 	"github.com/cockroachdb/errors"
 	"go.etcd.io/bbolt"
 
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/replication"
 )
 
 const fileName = "replica.db"
--- a/internal/storage/storage_test.go
+++ b/internal/router/storage/storage_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"petrelhook/internal/replication"
+	"petrelhook/internal/router/replication"
 )
 
 func position(n uint64) replication.Position {
--- a/internal/admin/admin.go
+++ b/internal/sidecar/admin/admin.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/sidecar/lifecycle"
 )
 
 const (
--- a/internal/admin/admin_test.go
+++ b/internal/sidecar/admin/admin_test.go
@@ -8,15 +8,15 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/lifecycle"
 )
 
-// door is the operators' door on loopback.
-func door(t *testing.T) (addr string, m *lifecycle.Machine) { return patientDoor(t, unheard) }
+// endpoint is the operators' endpoint on loopback.
+func endpoint(t *testing.T) (addr string, m *lifecycle.Machine) { return patientEndpoint(t, unheard) }
 
-// patientDoor is one that waits for a caller for a time before he makes room.
-func patientDoor(t *testing.T, unheard time.Duration) (addr string, m *lifecycle.Machine) {
+// patientEndpoint is one that waits for a caller for a time before he makes room.
+func patientEndpoint(t *testing.T, unheard time.Duration) (addr string, m *lifecycle.Machine) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,7 +43,7 @@
 
 // Each call in the order of a day, with its status and what it says; every answer ends its connection.
 func TestCalls(t *testing.T) {
-	addr, m := door(t)
+	addr, m := endpoint(t)
 	for _, c := range []struct {
 		before []lifecycle.Event
 		call   string
@@ -88,7 +88,7 @@
 
 // A caller that says nothing, half a call, or all but the last byte of one holds up nobody and changes nothing.
 func TestSilentCallersHoldUpNobody(t *testing.T) {
-	addr, m := door(t)
+	addr, m := endpoint(t)
 	m.Tell(lifecycle.Listed)
 	half := "PUT /api/evacuate HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
 	said := []string{"", "GET /api/re", half, half + "{"}
@@ -116,7 +116,7 @@
 
 // 200 callers who say nothing come at the same moment, and one who calls in their midst and speaks a little later.
 func TestACallInACrowdIsHeardOut(t *testing.T) {
-	addr, m := patientDoor(t, peertest.Patience)
+	addr, m := patientEndpoint(t, peertest.Patience)
 	m.Tell(lifecycle.Listed)
 	call, in := peertest.Open(t, addr)
 	for range 200 {
--- a/internal/admin/calls.go
+++ b/internal/sidecar/admin/calls.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net/http"
 
-	"petrelhook/internal/lifecycle"
+	"petrelhook/internal/sidecar/lifecycle"
 )
 
 // answer is what a call gets.
--- a/internal/admin/doc.go
+++ b/internal/sidecar/admin/doc.go
@@ -1,4 +1,4 @@
-// Package admin is the operators' door: a listener of its own on which staff ask whether this process can serve, and have
+// Package admin is the operators' endpoint: a listener of its own on which staff ask whether this process can serve, and have
 // it send its clients away and take them again. It answers from the lifecycle alone and waits for nothing else of the
 // sidecar, so it answers under any load. It knows neither requests nor servers.
 //
--- a/internal/admit/admit.go
+++ b/internal/sidecar/admit/admit.go
@@ -17,7 +17,7 @@
 // likely as not. Where fewer places are taken it is as much less.
 const again = 0.5
 
-// Conn is one connection as the door knows it. Its zero value is one that never came.
+// Conn is one connection as the limiter knows it. Its zero value is one that never came.
 type Conn struct {
 	Owner any // whatever the caller knows it by; not looked at
 
@@ -39,7 +39,7 @@
 	leaving              // had its last answer; its last bytes are on their way
 )
 
-// Figures count what a door did and holds.
+// Figures count what a limiter did and holds.
 type Figures struct {
 	Busy, Leaving int
 	Silent        [histories]int // by history: never asked, once, seldom, regularly
@@ -60,7 +60,7 @@
 	figures Figures
 }
 
-// New makes a door at which nobody stands.
+// New makes a limiter without connections.
 func New(c Config, now time.Time) *Door {
 	d := &Door{Config: c}
 	d.rates.faded = now
@@ -234,7 +234,7 @@
 	}
 }
 
-// Figures are what the door did and holds.
+// Figures are what the limiter did and holds.
 func (d *Door) Figures() Figures {
 	f := d.figures
 	f.Leaving = d.leaving.Len()
--- a/internal/admit/admit_test.go
+++ b/internal/sidecar/admit/admit_test.go
@@ -13,7 +13,7 @@
 
 func always(*Conn) bool { return true }
 
-// rig is a door with its own clock.
+// rig is a limiter with its own clock.
 type rig struct {
 	t   *testing.T
 	d   *Door
@@ -250,7 +250,7 @@
 	})
 }
 
-// Whatever happens in whatever order, no place is leaked or counted twice: the door against a set of connections.
+// Whatever happens in whatever order, no place is leaked or counted twice: the limiter against a set of connections.
 func TestPlacesAgainstASet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		places := rapid.IntRange(1, 6).Draw(t, "places")
@@ -325,9 +325,9 @@
 	})
 }
 
-// BenchmarkCome is what a connection costs at a door at which all places are taken, and one whose silences are followed.
+// BenchmarkCome is what a connection costs at a limiter at which all places are taken, and one whose silences are followed.
 //
-//	go test ./internal/admit -run - -bench Come
+//	go test ./internal/sidecar/admit -run - -bench Come
 func BenchmarkCome(b *testing.B) {
 	for _, places := range []int{224, 16384} {
 		b.Run(fmt.Sprint(places, "-places"), func(b *testing.B) {
--- a/internal/admit/doc.go
+++ b/internal/sidecar/admit/doc.go
@@ -1,4 +1,4 @@
-// Package admit decides at the door of a sidecar: which connection of a client has a place, and which one without a
+// Package admit decides for the clients of a sidecar: which connection of a client has a place, and which one without a
 // request makes room for one that comes when all places are taken. It is pure: events and times go in, decisions come
 // out; it opens and closes nothing. What of the requests is served is no matter of its own: that is the decision module's.
 //
--- a/internal/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -12,9 +12,9 @@
 	"os"
 	"strconv"
 
-	"petrelhook/internal/member"
-	"petrelhook/internal/member/discovery"
-	"petrelhook/internal/wire"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/member/discovery"
+	"petrelhook/internal/sidecar/wire"
 )
 
 // Config is what the deployment tells a sidecar.
--- a/internal/config/config_test.go
+++ b/internal/sidecar/config/config_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/connlimit"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/connlimit"
 )
 
 // Descriptors: both sides and what is kept for discovery fit under the limit.
--- a/internal/config/place.go
+++ b/internal/sidecar/config/place.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"strings"
 
-	"petrelhook/internal/member/discovery"
-	"petrelhook/internal/wire"
+	"petrelhook/internal/sidecar/member/discovery"
+	"petrelhook/internal/sidecar/wire"
 )
 
 // Error is what is wrong with a configuration, and where. It is one line: file:line:column: field: problem; remedy.
--- a/internal/connlimit/ahead.go
+++ b/internal/sidecar/connlimit/ahead.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/message"
+	"petrelhook/internal/sidecar/message"
 )
 
 // mostAhead is how much may come of a client ahead of an answer: a short request with its head. What comes beyond is dropped,
--- a/internal/connlimit/close_test.go
+++ b/internal/sidecar/connlimit/close_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/membudget"
 )
 
 // much is more than the client's socket takes of an answer that nobody reads, and all of it fits into the server's.
--- a/internal/connlimit/limiter.go
+++ b/internal/sidecar/connlimit/limiter.go
@@ -19,10 +19,10 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/sock"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
 )
 
 const (
--- a/internal/connlimit/limiter_test.go
+++ b/internal/sidecar/connlimit/limiter_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/admit"
 )
 
 func get(path string) string { return "GET /" + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
--- a/internal/core/attempt.go
+++ b/internal/sidecar/core/attempt.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // attempt is one exchange for a request, from the decision to its end.
--- a/internal/core/core_test.go
+++ b/internal/sidecar/core/core_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/member"
-	"petrelhook/internal/message"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 const (
--- a/internal/core/gone_test.go
+++ b/internal/sidecar/core/gone_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // What waits for its connection when the client goes does not begin any more, and is over at once, also where the settings let
--- a/internal/core/legacy.go
+++ b/internal/sidecar/core/legacy.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/member"
 )
 
 // Legacy is what one process of a sidecar hands to the next: the list with its generation, the ids that must not be taken
--- a/internal/core/legacy_test.go
+++ b/internal/sidecar/core/legacy_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/member"
 )
 
 // legacy is what a core hands over, through its text.
--- a/internal/core/long_test.go
+++ b/internal/sidecar/core/long_test.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/message"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // askLong hands in a request whose body is still coming.
--- a/internal/core/loop.go
+++ b/internal/sidecar/core/loop.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/member"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // Config is what the core is told.
--- a/internal/core/members.go
+++ b/internal/sidecar/core/members.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"petrelhook/balance"
-	"petrelhook/internal/member"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // server is one instance of the list, kept while it is listed or attempts need it.
--- a/internal/core/request.go
+++ b/internal/sidecar/core/request.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/front"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
--- a/internal/counts/counts.go
+++ b/internal/sidecar/counts/counts.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/front"
+	"petrelhook/internal/sidecar/front"
 )
 
 // Steps is how many steps of time there are: up to a quarter of a millisecond, and then 4 to an octave; the last has no end.
--- a/internal/counts/counts_test.go
+++ b/internal/sidecar/counts/counts_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/front"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 type core func(context.Context) (front.Answer, error)
--- a/internal/counts/effort.go
+++ b/internal/sidecar/counts/effort.go
@@ -7,7 +7,7 @@
 	"net"
 	"sync/atomic"
 
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // Told is all that a process tells.
--- a/internal/front/front.go
+++ b/internal/sidecar/front/front.go
@@ -10,7 +10,7 @@
 	"errors"
 	"time"
 
-	"petrelhook/internal/message"
+	"petrelhook/internal/sidecar/message"
 )
 
 // Effect says whether a request may run more than once.
--- a/internal/front/platform/gone_test.go
+++ b/internal/sidecar/front/platform/gone_test.go
@@ -9,9 +9,9 @@
 	"syscall"
 	"testing"
 
-	"petrelhook/internal/front"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/message"
 )
 
 // ends are the ways in which a client goes.
--- a/internal/front/platform/long_test.go
+++ b/internal/sidecar/front/platform/long_test.go
@@ -15,13 +15,13 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/front"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/lifecycle"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
 )
 
 func onceHead(trace, framing string) string {
@@ -108,7 +108,7 @@
 						t.Fatalf("%d bytes, chunked %v, pieces of %d: status %d, %d bytes, close %v", size, chunked, piece, resp.StatusCode, len(got), resp.Close)
 					}
 				}
-				c.Close() // the door ends connections sooner, the more there are
+				c.Close() // the limiter ends connections sooner, the more there are
 			}
 		}
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/sidecar/front/platform/platform.go
@@ -20,12 +20,12 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/connlimit"
-	"petrelhook/internal/front"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/connlimit"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/lifecycle"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
 )
 
 const (
--- a/internal/front/platform/platform_test.go
+++ b/internal/sidecar/front/platform/platform_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/admit"
-	"petrelhook/internal/front"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/lifecycle"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
 )
 
 // fakeCore answers each request with a function.
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/sidecar/lifecycle/lifecycle.go
@@ -1,6 +1,6 @@
 // Package lifecycle is what a sidecar is about to do with its clients: whether it is ready, sends them away, hands over to
 // its next process, or ends. It is pure: events go in, and what holds then can be asked. It closes nothing and listens
-// nowhere; the front's health answers, the operators' door, signals and upgrades all tell this one machine and ask it,
+// nowhere; the front's health answers, the operators' endpoint, signals and upgrades all tell this one machine and ask it,
 // and nobody keeps a flag of his own.
 //
 // Five facts make up the state, each changed by its own events, so that no order of calls is left out:
--- a/internal/member/discovery/discovery.go
+++ b/internal/sidecar/member/discovery/discovery.go
@@ -27,8 +27,8 @@
 	"strconv"
 	"time"
 
-	"petrelhook/internal/member"
-	"petrelhook/internal/message"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/message"
 )
 
 const (
--- a/internal/member/discovery/discovery_test.go
+++ b/internal/sidecar/member/discovery/discovery_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/member"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/member"
 )
 
 // indented is a list as some write it.
--- a/internal/member/discovery/list.go
+++ b/internal/sidecar/member/discovery/list.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/member"
 )
 
 // catalog is one message of discovery: the whole list, or what has changed.
--- a/internal/member/relay/doc.go
+++ b/internal/sidecar/member/relay/doc.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/member"
 )
 
 const (
--- a/internal/member/relay/relay.go
+++ b/internal/sidecar/member/relay/relay.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/member"
 )
 
 // Hub is a process's side of the relay, for all sources that it has in turn.
--- a/internal/member/relay/relay_test.go
+++ b/internal/sidecar/member/relay/relay_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/member"
+	"petrelhook/internal/sidecar/member"
 )
 
 // scripted is a discovery: a list is told to whoever watches; a watch asks for what came after a generation.
--- a/internal/upstream/http1/cut_test.go
+++ b/internal/sidecar/upstream/http1/cut_test.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"testing"
 
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // An answer that is cut at any byte, by an end or by a reset, is not served. A reset is no end: also where an answer says no length,
--- a/internal/upstream/http1/held.go
+++ b/internal/sidecar/upstream/http1/held.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 const (
--- a/internal/upstream/http1/pass.go
+++ b/internal/sidecar/upstream/http1/pass.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/message"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // passing is a request whose body is passed on as it comes from the client.
--- a/internal/upstream/http1/pass_test.go
+++ b/internal/sidecar/upstream/http1/pass_test.go
@@ -11,12 +11,12 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/rig/memnet"
-	"petrelhook/internal/sock"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // server answers each connection with a function that has the connection and what comes on it.
--- a/internal/upstream/http1/pool.go
+++ b/internal/sidecar/upstream/http1/pool.go
@@ -20,11 +20,11 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/sock"
-	"petrelhook/internal/upstream"
-	"petrelhook/internal/upstream/reuse"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
+	"petrelhook/internal/sidecar/upstream/reuse"
 )
 
 // probeTimeout bounds a probe.
--- a/internal/upstream/http1/pool_test.go
+++ b/internal/sidecar/upstream/http1/pool_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/sock"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 func testPool(most int) *Pool {
--- a/internal/upstream/http1/room_test.go
+++ b/internal/sidecar/upstream/http1/room_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/message"
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/message"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // large answers with a body of a size, in one piece or in chunks.
--- a/internal/upstream/http1/stale_test.go
+++ b/internal/sidecar/upstream/http1/stale_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
-	"petrelhook/internal/upstream"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/upstream"
 )
 
 // A server that breaks connections which were idle for long, and says nothing of it before the next request: after a few such ends no
--- a/internal/upstream/reuse/reuse_test.go
+++ b/internal/sidecar/upstream/reuse/reuse_test.go
@@ -113,7 +113,7 @@
 
 // BenchmarkMost is what the bound costs each use of a connection.
 //
-//	go test ./internal/upstream/reuse -run - -bench Most
+//	go test ./internal/sidecar/upstream/reuse -run - -bench Most
 func BenchmarkMost(b *testing.B) {
 	r := newRig()
 	r.uses(1000, 200*time.Millisecond, func(time.Duration) float64 { return 0.1 })
--- a/internal/upstream/upstream.go
+++ b/internal/sidecar/upstream/upstream.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"petrelhook/internal/message"
+	"petrelhook/internal/sidecar/message"
 )
 
 // Result is how an exchange ended.
--- a/internal/wiring/cost_test.go
+++ b/internal/sidecar/wiring/cost_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // BenchmarkSmallRequest is a request of the usual size through the whole sidecar, on a kept connection; client and server are
--- a/internal/wiring/drain_test.go
+++ b/internal/sidecar/wiring/drain_test.go
@@ -12,10 +12,10 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/lifecycle"
 )
 
 // Clients are sent away while two answers are passed on whose heads could not say that their connections end. One answer ends just
--- a/internal/wiring/ending_test.go
+++ b/internal/sidecar/wiring/ending_test.go
@@ -13,9 +13,9 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/sidecar/config"
 )
 
 // inMemory is a whole sidecar in virtual time on a network in memory, whose servers hang; test plays its clients, and stop tells
--- a/internal/wiring/file_test.go
+++ b/internal/sidecar/wiring/file_test.go
@@ -13,9 +13,9 @@
 	"syscall"
 	"testing"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // The process tells which file it has read last, at its start and after each time that it has taken it again, beside
--- a/internal/wiring/gone_test.go
+++ b/internal/sidecar/wiring/gone_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // A connection to a server comes up after the client of its attempt has gone: nothing is sent on it, whether or not the settings
--- /dev/null
+++ b/internal/sidecar/wiring/imports_test.go
@@ -0,0 +1,216 @@
+package wiring
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+const module = "petrelhook/"
+
+// layers says which packages of this module each package may import, itself and by way of others. A pattern that ends in
+// a star stands for what lies under it. Where a package is in no line the test fails: somebody has to say where it
+// belongs.
+var layers = []struct{ name, may string }{
+	{"balance", ""},
+	{"internal/router", ""},
+	{"internal/sidecar", ""},
+	{"internal/coordination", ""},
+	{"internal/common", ""},
+	{"internal/sidecar/message", ""},
+	{"internal/common/sock", ""},
+	{"internal/sidecar/front", "internal/sidecar/message"},
+	{"internal/sidecar/member", ""},
+	{"internal/sidecar/upstream", "internal/sidecar/message"},
+	{"internal/sidecar/admit", ""},
+	{"internal/sidecar/progress", ""},
+	{"internal/sidecar/membudget", ""},
+	{"internal/sidecar/handover", ""},
+	{"internal/sidecar/lifecycle", ""},
+	{"internal/sidecar/logwriter", ""},
+	{"internal/coordination/lease", ""},
+	{"internal/coordination/replica", "internal/coordination/distribute internal/coordination/share internal/coordination/lease internal/coordination/rollout"},
+	{"internal/coordination/replica/disk", "internal/coordination/distribute internal/coordination/share internal/coordination/lease internal/coordination/replica internal/coordination/rollout"},
+	{"internal/coordination/monotonic", "internal/coordination/lease"},
+	{"internal/coordination/judge", ""},
+	{"internal/coordination/agent", "internal/coordination/distribute internal/coordination/rollout"},
+	{"internal/common/yamlfile", ""},
+	{"internal/common/command", ""},
+	{"internal/coordination/machine", "internal/coordination/distribute internal/coordination/subscribe internal/coordination/agent internal/coordination/rollout internal/coordination/release internal/common/yamlfile internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rpc"},
+	{"internal/coordination/rpc", ""},
+	{"internal/coordination/driver", "internal/coordination/subscribe internal/coordination/distribute internal/coordination/share internal/coordination/evidence internal/coordination/machine internal/coordination/agent internal/coordination/rollout internal/coordination/release internal/common/yamlfile internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rpc internal/coordination/judge internal/coordination/fleet internal/coordination/lease internal/coordination/replica internal/coordination/replica/disk internal/coordination/monotonic lease"},
+	{"cmd/petrelagent", "internal/coordination/distribute internal/coordination/subscribe internal/common/command internal/coordination/machine internal/coordination/agent internal/coordination/rollout internal/coordination/release internal/common/yamlfile internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rpc"},
+	{"internal/coordination/evidence", "internal/coordination/distribute internal/coordination/rollout internal/coordination/judge internal/coordination/agent internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream"},
+	{"internal/sidecar/counts", "internal/sidecar/front internal/sidecar/message internal/sidecar/upstream"},
+	{"internal/coordination/rollout", ""},
+	{"internal/coordination/share", "internal/coordination/lease"},
+	{"internal/coordination/duty", ""},
+	{"internal/coordination/distribute", ""},
+	{"internal/coordination/subscribe", "internal/coordination/distribute internal/coordination/rpc"},
+	{"internal/coordination/capacity", "internal/common/yamlfile"},
+	{"internal/coordination/rollout/report", "internal/coordination/rollout internal/coordination/judge internal/common/chart"},
+	{"internal/common/chart", ""},
+	{"internal/coordination/release", ""},
+	{"internal/coordination/fleet", "internal/coordination/distribute internal/coordination/share internal/coordination/rollout internal/common/yamlfile internal/coordination/rpc internal/coordination/lease internal/coordination/replica internal/coordination/replica/disk internal/coordination/monotonic"},
+	{"lease", "internal/coordination/distribute internal/coordination/share internal/coordination/rollout internal/common/yamlfile internal/coordination/rpc internal/coordination/fleet internal/coordination/lease internal/coordination/replica internal/coordination/replica/disk internal/coordination/monotonic"},
+	{"cmd/petrelfleet", "internal/coordination/subscribe internal/coordination/distribute internal/coordination/share internal/common/command internal/coordination/evidence lease internal/coordination/driver internal/coordination/judge internal/coordination/machine internal/coordination/agent internal/coordination/release internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rollout internal/common/yamlfile internal/coordination/rpc internal/coordination/fleet internal/coordination/lease internal/coordination/replica internal/coordination/replica/disk internal/coordination/monotonic"},
+	{"internal/router/settings", ""},
+	{"internal/router/routetable", ""},
+	{"internal/router/rotation", ""},
+	{"internal/router/eventstream", ""},
+	{"internal/router/quota", ""},
+	{"internal/router/registry", ""},
+	{"internal/router/transport", ""},
+	{"internal/router/placement", "internal/router/rotation"},
+	{"internal/router/outlier", ""},
+	{"internal/router/backend", "internal/common/sock internal/router/transport"},
+	{"internal/router/latency", ""},
+	{"internal/router/replication", ""},
+	{"internal/router/storage", "internal/router/replication"},
+	{"internal/router/membership", "internal/router/replication"},
+	{"internal/router/operatorapi", "internal/router/replication internal/router/routetable"},
+	{"internal/router/dissemination", "internal/router/outlier internal/router/placement internal/router/quota internal/router/rotation internal/router/membership internal/router/registry internal/router/replication internal/router/routetable"},
+	{"internal/router/gateway", "internal/router/backend internal/router/eventstream internal/router/latency internal/router/outlier internal/router/placement internal/router/quota internal/router/registry internal/router/rotation internal/router/routetable internal/common/sock internal/router/transport"},
+	{"internal/router/node", "internal/*"},
+	{"cmd/petrelrouter", "internal/*"},
+	{"internal/sidecar/admin", "internal/sidecar/lifecycle"},
+	{"internal/sidecar/connlimit", "internal/sidecar/admit internal/sidecar/message internal/sidecar/membudget internal/common/sock"},
+	{"internal/sidecar/front/*", "internal/sidecar/front internal/sidecar/message internal/sidecar/connlimit internal/sidecar/admit internal/common/sock internal/sidecar/lifecycle internal/sidecar/progress internal/sidecar/membudget"},
+	{"internal/sidecar/member/*", "internal/sidecar/member internal/sidecar/message"},
+	{"internal/sidecar/upstream/reuse", ""},
+	{"internal/sidecar/upstream/*", "internal/sidecar/upstream internal/sidecar/upstream/reuse internal/sidecar/message internal/common/sock internal/sidecar/membudget"},
+	{"internal/sidecar/core", "balance internal/sidecar/front internal/sidecar/member internal/sidecar/upstream internal/sidecar/message"},
+	{"internal/sidecar/wire", "balance"},
+	{"internal/sidecar/config", "balance internal/sidecar/wire internal/sidecar/member internal/sidecar/member/* internal/sidecar/message"},
+	{"internal/sidecar/wiring", "balance internal/*"},
+	{"internal/rig", ""},
+	{"internal/rig/memnet", "internal/common/sock"},
+	{"internal/rig/loopback", "internal/common/sock"},
+	{"internal/rig/link", "internal/common/sock"},
+	{"internal/rig/belief", ""},
+	{"internal/rig/group", "internal/coordination/distribute internal/coordination/lease internal/coordination/replica internal/coordination/rollout internal/coordination/share"},
+	{"internal/rig/statement", ""},
+	{"internal/rig/deployment", "balance internal/* lease"},
+	{"internal/rig/contend", "internal/* lease"},
+	{"internal/rig/scale", "balance internal/* lease"},
+	{"internal/rig/*", "balance internal/*"},
+	{"internal/common/peertest", ""},
+	{"cmd/petrelhook", "balance internal/*"},
+	{"cmd/petrelctl", "balance internal/* lease"},
+	{"cmd/adapter", "balance internal/sidecar/wire"},
+}
+
+// never says what must not be imported even where a line of layers is wide.
+var never = []struct{ name, not string }{
+	{"internal/sidecar/wiring", "internal/rig/* internal/common/peertest"},
+	{"cmd/petrelhook", "internal/rig/* internal/common/peertest"},
+	{"internal/rig/*", "internal/common/peertest"},
+	{"cmd/petrelctl", "internal/common/peertest"},
+	{"*", "cmd/*"},
+	{"internal/common/*", "internal/sidecar/* internal/coordination/* internal/router/*"},
+	{"internal/router/*", "internal/sidecar/* internal/coordination/*"},
+	{"internal/sidecar/*", "internal/coordination/* internal/router/*"},
+	{"internal/coordination/*", "internal/router/*"},
+}
+
+func matches(pattern, name string) bool {
+	if under, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(name, under)
+	}
+	return pattern == name
+}
+
+func anyOf(patterns, name string) bool {
+	for _, p := range strings.Fields(patterns) {
+		if matches(p, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// misplaced says what is wrong with a package that imports others of this module.
+func misplaced(name string, imports []string) (wrong []string) {
+	may, found := "", false
+	for _, r := range layers {
+		if found = matches(r.name, name); found {
+			may = r.may
+			break
+		}
+	}
+	if !found {
+		return []string{fmt.Sprintf("%s is in no layer: say in this test what it may import", name)}
+	}
+	for _, to := range imports {
+		bad := !anyOf(may, to)
+		for _, n := range never {
+			bad = bad || matches(n.name, name) && anyOf(n.not, to)
+		}
+		if bad {
+			wrong = append(wrong, fmt.Sprintf("%s imports %s", name, to))
+		}
+	}
+	return wrong
+}
+
+// Imports point down: a front can't name a server, a source can't name a request, nobody but the core (and those who
+// read settings) can name the module. Go itself sees to it that there is no circle.
+func TestImportsPointDown(t *testing.T) {
+	out, err := exec.Command("go", "list", "-json=ImportPath,Deps,Imports", "petrelhook/...").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packages := 0
+	for in := json.NewDecoder(strings.NewReader(string(out))); in.More(); packages++ {
+		var p struct {
+			ImportPath    string
+			Deps, Imports []string
+		}
+		if err := in.Decode(&p); err != nil {
+			t.Fatal(err)
+		}
+		name := strings.TrimPrefix(p.ImportPath, module)
+		var own []string
+		for _, to := range p.Deps {
+			if rest, ok := strings.CutPrefix(to, module); ok {
+				own = append(own, rest)
+			}
+		}
+		for _, wrong := range misplaced(name, own) {
+			t.Error(wrong)
+		}
+		for _, to := range p.Imports {
+			if net := to == "net" || strings.HasPrefix(to, "net/") || to == "os" || to == "syscall"; net && (name == "balance" || name == "internal/sidecar/core" || name == "internal/sidecar/front" || name == "internal/sidecar/member" || name == "internal/sidecar/upstream" || name == "internal/sidecar/message") {
+				t.Errorf("%s imports %s: it knows neither sockets nor files", name, to)
+			}
+		}
+	}
+	if packages < len(layers) {
+		t.Errorf("%d packages: too few to be all", packages)
+	}
+}
+
+// The check itself sees each of the ways in which layers could grow together.
+func TestMisplacedImportsAreSeen(t *testing.T) {
+	for _, c := range []struct{ from, to string }{
+		{"internal/sidecar/front/platform", "internal/sidecar/upstream"}, {"internal/sidecar/front/platform", "internal/sidecar/core"},
+		{"internal/sidecar/front/graphql", "internal/sidecar/member"}, {"internal/sidecar/front/graphql", "balance"},
+		{"internal/sidecar/member/discovery", "internal/sidecar/front"}, {"internal/sidecar/member/files", "internal/sidecar/core"},
+		{"internal/sidecar/upstream/http1", "balance"}, {"internal/sidecar/upstream/http1", "internal/sidecar/front"},
+		{"internal/sidecar/core", "internal/sidecar/upstream/http1"}, {"internal/sidecar/core", "internal/sidecar/config"}, {"internal/sidecar/core", "internal/sidecar/wiring"},
+		{"internal/sidecar/wiring", "internal/rig/standin"}, {"internal/sidecar/config", "internal/sidecar/core"}, {"balance", "internal/sidecar/message"},
+		{"internal/sidecar/core", "internal/router/placement"}, {"internal/router/gateway", "internal/sidecar/message"}, {"internal/coordination/driver", "internal/router/quota"},
+		{"internal/common/sock", "internal/sidecar/message"}, {"internal/router/node", "internal/coordination/lease"},
+		{"internal/rig/memnet", "internal/rig/standin"}, {"cmd/petrelhook", "internal/rig/load"}, {"internal/sidecar/connlimit", "internal/sidecar/front"},
+		{"internal/unheard-of", "balance"},
+	} {
+		if len(misplaced(c.from, []string{c.to})) == 0 {
+			t.Errorf("%s may import %s", c.from, c.to)
+		}
+	}
+	if wrong := misplaced("internal/sidecar/core", []string{"balance", "internal/sidecar/front"}); wrong != nil {
+		t.Error(wrong)
+	}
+}
--- a/internal/wiring/long_test.go
+++ b/internal/sidecar/wiring/long_test.go
@@ -11,7 +11,7 @@
 	"sync"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // blob is the same bytes at every call, however it is read.
--- a/internal/wiring/loop_test.go
+++ b/internal/sidecar/wiring/loop_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // breaks reads a request and ends the connection: it may have run.
--- /dev/null
+++ b/internal/sidecar/wiring/mutation_test.go
@@ -0,0 +1,40 @@
+//go:build !race
+
+package wiring
+
+import (
+	"testing"
+
+	"petrelhook/internal/rig/mutate"
+)
+
+// The guards of rare moments, each taken out: the test that forces its moment fails.
+func TestGuardsOfRareMoments(t *testing.T) {
+	const (
+		limiter   = "internal/sidecar/connlimit/limiter.go"
+		request   = "internal/sidecar/core/request.go"
+		attempt   = "internal/sidecar/core/attempt.go"
+		front     = "internal/sidecar/front/platform/platform.go"
+		discovery = "internal/sidecar/member/discovery/discovery.go"
+		cursor    = "internal/sidecar/member/cursor.go"
+	)
+	mutate.Caught(t, "../../..", map[string]mutate.Mutant{
+		"room for another":         {limiter, " && !sock.Unsent(c.Conn) }", " }", "./internal/sidecar/connlimit", "TestAnAnswerOnItsWayIsNotResetAway"},
+		"an answer on its way":     {limiter, "			c.end(now)\n", "			c.Conn.Close()\n			b.admit.Gone(p, now)\n", "./internal/sidecar/connlimit", "TestAnAnswerOnItsWayIsNotResetAway"},
+		"a last answer":            {limiter, "!half || !sock.Unsent(c.Conn)", "!half || true", "./internal/sidecar/connlimit", "TestALastAnswerIsTakenWhole"},
+		"a request read ahead":     {limiter, "c.ahead.empty() && ", "", "./internal/sidecar/connlimit", "TestARequestReadAheadKeepsItsPlace"},
+		"an answer without length": {limiter, "c.unfinished.Store(is)", "c.unfinished.Store(false)", "./internal/sidecar/front/platform", "TestACutAnswerIsNotWhole"},
+		"late in the end":          {front, "in.Wait = end.Within(in.Arrived, in.Wait)", "", "./internal/sidecar/wiring", "TestARequestReadLateInTheEndIsAnswered"},
+		"what has not begun":       {request, "if !at.done && at.call.Claim() {", "if false {", "./internal/sidecar/core", "TestNothingBeginsOnceTheClientHasGone"},
+		"a queue before a hang-up": {request, "ctx.Err() != nil || in.Gone", "in.Gone", "./internal/sidecar/core", "TestAHangUpBehindALongQueue"},
+		"an end seen by the send":  {attempt, "errors.Is(out.Err, upstream.ErrGone) && !r.closed", "false", "./internal/sidecar/core", "TestAnEndThatIsSeenFirstByTheSender"},
+		"silence":                  {discovery, "watchSilence = 2500 *", "watchSilence = 3500 *", "./internal/sidecar/wiring", "TestNewsComeInTime"},
+		"a part is no life":        {discovery, "len(bytes.TrimSpace(p[:n])) == 0", "len(bytes.TrimSpace(p[:n])) >= 0", "./internal/sidecar/wiring", "TestNewsComeInTime"},
+		"a pause without end":      {"balance/parameters.go", "mostPause    = 1500", "mostPause    = 8000", "./internal/sidecar/wiring", "TestNewsComeInTime"},
+		"a call that hangs":        {discovery, "callTimeout  = 3100 *", "callTimeout  = 4000 *", "./internal/sidecar/wiring", "TestNewsComeInTime"},
+		"an older list":            {cursor, "if l.Generation < c.held && !c.anew {", "if false {", "./internal/sidecar/member", "TestCursor"},
+		"another's list":           {cursor, "return l.Whole && len(known) > 0", "return false && len(known) > 0", "./internal/sidecar/member", "TestCursor"},
+		"the cold budget":          {"balance/pick.go", "b.cold(s) && !b.coldBudget(s)", "false", "./balance", "TestTheRampHoldsForTheFleet"},
+		"a pause from the call on": {"balance/list.go", "pause*jitter-(b.now-b.askedAt)", "pause*jitter", "./internal/sidecar/wiring", "TestNewsComeInTime"},
+	})
+}
--- a/internal/wiring/news_test.go
+++ b/internal/sidecar/wiring/news_test.go
@@ -14,9 +14,9 @@
 	"testing/synctest"
 	"time"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/sidecar/config"
 )
 
 // counted is when news count as told at the latest, from the moment on at which discovery has them and can be reached.
--- a/internal/wiring/reload.go
+++ b/internal/sidecar/wiring/reload.go
@@ -4,8 +4,8 @@
 	"context"
 	"os"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/counts"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/counts"
 )
 
 // Reload reads the configuration again whenever asked to, until ctx ends. What cannot be read changes nothing.
--- a/internal/wiring/reload_test.go
+++ b/internal/sidecar/wiring/reload_test.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // lines is a log that hands out its lines as they are written.
--- a/internal/wiring/rig_test.go
+++ b/internal/sidecar/wiring/rig_test.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"testing"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/config"
 )
 
 // rig is a whole sidecar.
--- a/internal/wiring/serve.go
+++ b/internal/sidecar/wiring/serve.go
@@ -10,9 +10,9 @@
 	"runtime/debug"
 	"time"
 
-	"petrelhook/internal/config"
-	"petrelhook/internal/handover"
-	"petrelhook/internal/sock"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/handover"
 )
 
 // memoryPart of the limit is what the Go runtime keeps to: stacks of C and kernel buffers come on top.
--- a/internal/wiring/service_test.go
+++ b/internal/sidecar/wiring/service_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/admin"
-	"petrelhook/internal/core"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/sidecar/admin"
+	"petrelhook/internal/sidecar/core"
+	"petrelhook/internal/sidecar/lifecycle"
 )
 
 const health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/internal/wiring/sidecar_test.go
+++ b/internal/sidecar/wiring/sidecar_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"petrelhook/internal/peertest"
+	"petrelhook/internal/common/peertest"
 )
 
 // What a server must see unchanged, and what the client gets back.
--- a/internal/wiring/succession.go
+++ b/internal/sidecar/wiring/succession.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/core"
-	"petrelhook/internal/handover"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/member/relay"
+	"petrelhook/internal/sidecar/core"
+	"petrelhook/internal/sidecar/handover"
+	"petrelhook/internal/sidecar/lifecycle"
+	"petrelhook/internal/sidecar/member/relay"
 )
 
 // Succession is a sidecar's place among its processes: the one before, and the next, which comes to the place.
--- a/internal/wiring/wiring.go
+++ b/internal/sidecar/wiring/wiring.go
@@ -13,21 +13,21 @@
 	"time"
 
 	"petrelhook/balance"
-	"petrelhook/internal/admin"
-	"petrelhook/internal/admit"
-	"petrelhook/internal/config"
-	"petrelhook/internal/core"
-	"petrelhook/internal/counts"
-	"petrelhook/internal/front"
-	"petrelhook/internal/front/platform"
-	"petrelhook/internal/lifecycle"
-	"petrelhook/internal/member"
-	"petrelhook/internal/member/discovery"
-	"petrelhook/internal/member/relay"
-	"petrelhook/internal/membudget"
-	"petrelhook/internal/sock"
-	"petrelhook/internal/upstream"
-	"petrelhook/internal/upstream/http1"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/sidecar/admin"
+	"petrelhook/internal/sidecar/admit"
+	"petrelhook/internal/sidecar/config"
+	"petrelhook/internal/sidecar/core"
+	"petrelhook/internal/sidecar/counts"
+	"petrelhook/internal/sidecar/front"
+	"petrelhook/internal/sidecar/front/platform"
+	"petrelhook/internal/sidecar/lifecycle"
+	"petrelhook/internal/sidecar/member"
+	"petrelhook/internal/sidecar/member/discovery"
+	"petrelhook/internal/sidecar/member/relay"
+	"petrelhook/internal/sidecar/membudget"
+	"petrelhook/internal/sidecar/upstream"
+	"petrelhook/internal/sidecar/upstream/http1"
 )
 
 const (
@@ -159,16 +159,16 @@
 	defer sides.Wait()
 	if calls != nil {
 		sides.Go(func() {
-			door := admin.New(s.life)
+			endpoint := admin.New(s.life)
 			if s.count != nil {
-				door.Counts = func() any {
+				endpoint.Counts = func() any {
 					return struct {
 						counts.Told
 						File *counts.File `json:"file"`
 					}{counts.Told{Classes: s.count.Now(), Effort: s.asked.Now()}, s.file.Load()}
 				}
 			}
-			if err := door.Serve(calls); err != nil {
+			if err := endpoint.Serve(calls); err != nil {
 				s.log.Error("operators are not heard any more", "err", err)
 			}
 		})
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/lease"
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/monotonic"
 	"petrelhook/internal/rig/coordinator"
 )
 
@@ -51,7 +51,7 @@
 
 // Clocks that people set have no part in any of it: nothing that decides, or believes, reads one.
 func TestNoWallClocks(t *testing.T) {
-	for _, dir := range []string{"../internal/lease", "../internal/replica", "../internal/replica/disk", "../internal/monotonic", "."} {
+	for _, dir := range []string{"../internal/coordination/lease", "../internal/coordination/replica", "../internal/coordination/replica/disk", "../internal/coordination/monotonic", "."} {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatal(dir, err)
--- a/lease/held.go
+++ b/lease/held.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/lease"
 )
 
 // Held is a lease that is held until its context ends.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/monotonic"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/monotonic"
 )
 
 // Token is of one grant, and larger than that of every grant before it.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/fleet"
-	core "petrelhook/internal/lease"
+	"petrelhook/internal/coordination/fleet"
+	core "petrelhook/internal/coordination/lease"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/lease"
 )
--- a/lease/line.go
+++ b/lease/line.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
 )
 
 // turn takes the next place in the line of commands: wait ends when all before are over, done says that this one is. The caller holds
--- a/lease/session.go
+++ b/lease/session.go
@@ -7,9 +7,9 @@
 	mrand "math/rand/v2"
 	"time"
 
-	"petrelhook/internal/fleet"
-	"petrelhook/internal/lease"
-	"petrelhook/internal/replica"
+	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/coordination/lease"
+	"petrelhook/internal/coordination/replica"
 )
 
 // session opens one where there is none.
