Placement: how many tokens a pause is, is learned; each constant has its reason

Cause: harm to long answers was weighed by 100,000 tokens, which is 0.2 s at the speed of one site's engines and any other time elsewhere. Change: a line through tokens read and time to the first part gives the time of a token, the routes of long answers give the pause. The policy's other constants say where they come from.

--- a/internal/rig/engines/request.go
+++ b/internal/rig/engines/request.go
@@ -30,6 +30,7 @@
 	known  *placement.Server
 	run    *run
 	work   placement.Work
+	sent   time.Duration
 	over   bool
 }
 
@@ -37,7 +38,7 @@
 
 func (f *fleet) begin(a *arrival) {
 	q := &request{f: f, a: a, class: &f.spec.Classes[a.class], router: f.routers[a.router]}
-	q.place = placement.Request{Prompt: a.prompt(), Output: a.events * f.spec.Engine.Stride, Tried: map[string]bool{}}
+	q.place = placement.Request{Pause: q.class.Pause, Prompt: a.prompt(), Output: a.events * f.spec.Engine.Stride, Tried: map[string]bool{}}
 	if n := len(a.parts); n > 0 {
 		q.place.Key, q.place.Shared, q.place.Part = fmt.Sprintf("%x", a.parts[n-1].key), a.shared(), a.parts[n-1].tokens
 	}
@@ -66,7 +67,7 @@
 	q.place.Tried[known.ID] = true
 	q.sends++
 	kept := q.router.pool.Keeps(q.place, known, q.f.schedule.now)
-	one := &send{q: q, server: s, known: known, work: q.place.Work(kept)}
+	one := &send{q: q, server: s, known: known, sent: q.f.schedule.now, work: q.place.Work(kept)}
 	q.send = one
 	known.Begin(one.work)
 	if q.place.Affine() {
@@ -134,6 +135,7 @@
 		return
 	}
 	if o.work.Unread > 0 {
+		q.router.pool.Answered(o.work.Unread, now-o.sent, now)
 		o.known.End(placement.Work{Unread: o.work.Unread})
 		o.work.Unread = 0
 	}
--- a/internal/router/gateway/loads.go
+++ b/internal/router/gateway/loads.go
@@ -10,7 +10,11 @@
 func (g *Gateway) promptRead(req *request, from *stream) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	recentOf(g.firsts, req.route.Name).add(time.Since(from.sent))
+	took := time.Since(from.sent)
+	recentOf(g.firsts, req.route.Name).add(took)
+	if s := g.services[req.service]; s != nil {
+		s.pool.Answered(req.work.Unread, took, g.options.Now())
+	}
 	from.server.End(placement.Work{Unread: req.work.Unread})
 	req.work.Unread = 0
 }
--- a/internal/router/placement/loads_test.go
+++ b/internal/router/placement/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 func TestLongAnswersAndPrompts(t *testing.T) {
 	p := pool("z0", 9)
 	p.recent.again = 10 * time.Second
-	long := Request{Prompt: 200, Output: 4000}
+	long := Request{Prompt: 200, Output: 4000, Pause: 200 * time.Millisecond}
 	got := map[string]int{}
 	for range 9 { // 3 servers in the zone, 16 places each
 		s := p.Pick(long, all, 0)
@@ -109,3 +110,19 @@
 		require.Equal(t, want != [2]int{}, ok)
 	}
 }
+
+// How long a token takes is seen from how the time grows with the tokens, whatever all prompts wait for.
+func TestReading(t *testing.T) {
+	var r reading
+	require.Equal(t, readingUnknown, r.perToken())
+	for i := range 100 {
+		tokens := float64(1000 * (1 + i%9))
+		r.note(tokens, 40*time.Millisecond+time.Duration(tokens)*5*time.Microsecond, time.Duration(i)*time.Millisecond)
+	}
+	require.InDelta(t, 5*time.Microsecond, r.perToken(), 100)
+	p := pool("z0", 3)
+	p.reading = r
+	require.True(t, math.IsInf(p.pauseTokens(), 1), "no long answer has an objective")
+	p.Pick(Request{Prompt: 10, Output: 1000, Pause: 200 * time.Millisecond}, all, 0)
+	require.InDelta(t, 40_000, p.pauseTokens(), 1000)
+}
--- a/internal/router/placement/names_test.go
+++ b/internal/router/placement/names_test.go
@@ -36,7 +36,7 @@
 		now := time.Duration(step) * 5 * time.Millisecond
 		request := Request{Prompt: 100 + r.IntN(9000), Output: 100, Tried: map[string]bool{}}
 		if r.IntN(5) == 0 {
-			request.Prompt, request.Output = 200, 4000
+			request.Prompt, request.Output, request.Pause = 200, 4000, 200*time.Millisecond
 		} else {
 			request.Key, request.Part, request.Shared = fmt.Sprint("part-", r.IntN(300)), request.Prompt/3, request.Prompt/2
 		}
--- a/internal/router/placement/placement.go
+++ b/internal/router/placement/placement.go
@@ -19,21 +19,27 @@
 
 // Policy says which mechanisms are in use. Ablations and experiments switch single ones off.
 type Policy struct {
-	Affinity    bool // prompts go where their shared part is kept
-	Table       bool // by what sidecars have told of it; else by rendezvous hashing alone
-	ZoneFirst   bool
-	Told        bool // what other sidecars have under way counts
-	StreamPart  bool // long answers are kept together
-	StreamFill  float64
-	PauseTokens float64
-	ReadAgain   float64
+	Affinity   bool // prompts go where their shared part is kept
+	Table      bool // by what sidecars have told of it; else by rendezvous hashing alone
+	ZoneFirst  bool
+	Told       bool // what other sidecars have under way counts
+	StreamPart bool // long answers are kept together
+	// StreamFill is the part of a server's places that long answers take before another server takes some: the others are for the prompts
+	// that are kept there, and for what comes before others are told of it.
+	StreamFill float64
+	// StreamHarm is the part of a pause objective that a prompt's reading may take before it counts as much again for each long answer
+	// behind it: twice the objective, for a prompt alone makes no pause, and two that meet do.
+	StreamHarm float64
+	// ReadAgain is how many times the reading of a shared part costs that some server keeps: it takes that server's time and the part's place at another one.
+	ReadAgain float64
+	// SlackTokens is by how much servers may differ and still count as alike: a chunk of a prompt, below which a server does not stop.
 	SlackTokens float64
 }
 
 // DefaultPolicy is what sidecars use.
 func DefaultPolicy() Policy {
 	return Policy{Affinity: true, Table: true, ZoneFirst: true, Told: true, StreamPart: true,
-		PauseTokens: 100_000, StreamFill: 0.6, ReadAgain: 12, SlackTokens: 1024}
+		StreamHarm: 2, StreamFill: 0.6, ReadAgain: 12, SlackTokens: 1024}
 }
 
 // Pool is the servers of one service.
@@ -47,6 +53,8 @@
 	ejected ejected
 	random  func() float64
 	hash    func(key, id string) uint64 // the one way in which a server's name decides anything
+	reading reading
+	pause   time.Duration // the longest that long answers may have, as their routes say; 0: none has said
 }
 
 // NewPool makes an empty pool of a sidecar in a zone; again is for how long a part counts as kept after its last use, 0 where
@@ -127,6 +135,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	if r.Generates() && r.Pause > 0 {
+		p.pause = r.Pause
+	}
 	return p.rotate(p.choices(r, candidates, now), now)
 }
 
--- a/internal/router/placement/request.go
+++ b/internal/router/placement/request.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -12,11 +13,12 @@
 
 // Request is what is asked of a placement.
 type Request struct {
-	Key    string // the longest shared part of the prompt; "": none
-	Shared int    // tokens up to its end
-	Part   int    // tokens of that part alone
-	Prompt int    // tokens of the whole prompt, 0: not told
-	Output int    // tokens that are generated at most
+	Key    string        // the longest shared part of the prompt; "": none
+	Shared int           // tokens up to its end
+	Part   int           // tokens of that part alone
+	Prompt int           // tokens of the whole prompt, 0: not told
+	Output int           // tokens that are generated at most
+	Pause  time.Duration // the longest between two parts of the answer that its route allows; 0: not said
 	Tried  map[string]bool
 }
 
--- a/internal/router/placement/sets.go
+++ b/internal/router/placement/sets.go
@@ -46,7 +46,7 @@
 	left := work.Unread + r.Unread(kept)
 	cost := left
 	if p.policy.StreamPart {
-		cost += left * left * work.Streams / p.policy.PauseTokens
+		cost += left * left * work.Streams / (p.policy.StreamHarm * p.pauseTokens())
 	}
 	if !kept {
 		cost += p.policy.ReadAgain * float64(r.Part)
