--- a/internal/router/placement/loads_test.go
+++ b/internal/router/placement/loads_test.go
@@ -84,22 +84,41 @@
 	p := pool("z0", 9)
 	p.recent.again = 10 * time.Second
 	long := Request{Prompt: 200, Output: 4000, Pause: 200 * time.Millisecond}
+	p.SetLoads(LoadSums{}, time.Second)
 	got := map[string]int{}
 	for range 9 { // 3 servers in the zone, 16 places each
-		s := p.Pick(long, all, 0)
+		s := p.Pick(long, all, time.Second)
 		s.Begin(long.Work(true))
 		got[s.ID]++
 	}
 	require.Len(t, got, 1, "in 0.6 of the places of one server")
 	for range 9 {
-		s := p.Pick(long, all, 0)
+		s := p.Pick(long, all, time.Second)
 		s.Begin(long.Work(true))
 		got[s.ID]++
 	}
 	require.Len(t, got, 2)
 	for i := range 50 {
 		r := Request{Key: fmt.Sprint(i), Shared: 6000, Part: 4000, Prompt: 20_000, Output: 100}
-		require.Zero(t, got[p.Pick(r, all, 0).ID])
+		require.Zero(t, got[p.Pick(r, all, time.Second).ID])
+	}
+}
+
+// Who has not heard of the others' work for a while does not keep long answers together: all routers would take the same few servers.
+func TestLongAnswersWithoutWordOfOthers(t *testing.T) {
+	long := Request{Prompt: 200, Output: 4000}
+	for name, heard := range map[string]time.Duration{"never heard": 0, "not lately": time.Second} {
+		p := pool("z0", 9)
+		if heard > 0 {
+			p.SetLoads(LoadSums{}, heard)
+		}
+		got := map[string]bool{}
+		for range 6 {
+			s := p.Pick(long, all, heard+toldGood)
+			s.Begin(long.Work(true))
+			got[s.ID] = true
+		}
+		require.Len(t, got, 3, name)
 	}
 }
 
--- a/internal/router/placement/placement.go
+++ b/internal/router/placement/placement.go
@@ -53,6 +53,7 @@
 	ejected ejected
 	random  func() float64
 	hash    func(key, id string) uint64 // the one way in which a server's name decides anything
+	heardAt time.Duration               // when others' work was heard of last; 0: never
 	reading reading
 	pause   time.Duration // the longest that long answers may have, as their routes say; 0: none has said
 }
@@ -121,6 +122,7 @@
 	if !p.policy.Told {
 		return
 	}
+	p.heardAt = now
 	for _, s := range p.ordered {
 		s.told, s.toldAt = others[s.hash], now
 	}
@@ -146,7 +148,7 @@
 	switch {
 	case p.policy.Affinity && r.Affine():
 		return p.affine(r, candidates, now)
-	case p.policy.StreamPart && r.Generates():
+	case p.policy.StreamPart && r.Generates() && faded(p.heardAt, toldGood, now) > 0: // else all would take the same few, and not know it
 		return p.streamPart(p.near(candidates, now), now)
 	}
 	return p.near(candidates, now)
