Gateway: a stall timer that fires as its send ends leaves the request alone

It could read Tried under the lock while serve writes it without, which ends a Go process, and set paid for a send that had ended. Change: stop marks the watch under the lock that the function takes; it then looks at nothing of the request. A test fails without it (checked by taking the guard out). Doc comments for six exported names. Run: go test -race of gateway, engines and latency.

--- a/internal/rig/engines/events.go
+++ b/internal/rig/engines/events.go
@@ -41,15 +41,24 @@
 
 type entries []entry
 
+// Len implements heap.Interface.
 func (e entries) Len() int { return len(e) }
+
+// Less implements heap.Interface.
 func (e entries) Less(i, j int) bool {
 	if e[i].at != e[j].at {
 		return e[i].at < e[j].at
 	}
 	return e[i].order < e[j].order
 }
+
+// Swap implements heap.Interface.
 func (e entries) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *entries) Push(x any)   { *e = append(*e, x.(entry)) }
+
+// Push implements heap.Interface.
+func (e *entries) Push(x any) { *e = append(*e, x.(entry)) }
+
+// Pop implements heap.Interface.
 func (e *entries) Pop() any {
 	old := *e
 	last := old[len(old)-1]
--- a/internal/router/gateway/stall.go
+++ b/internal/router/gateway/stall.go
@@ -28,6 +28,7 @@
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer // nil: it is not watched
 	pause   time.Duration
+	stopped bool // guarded by the gateway's lock: the request is not looked at any more
 }
 
 // watchStall begins to watch a send; stop has to be called.
@@ -65,17 +66,22 @@
 	}
 }
 
+// stop ends the watch: a timer that fires at this moment finds it stopped, and leaves the request alone, which goes on without the lock.
 func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.timer.Stop()
+	w.gateway.mutex.Lock()
+	w.stopped = true
+	w.gateway.mutex.Unlock()
 }
 
 // stalled ends the send where the stream may go on elsewhere.
 func (w *stallWatch) stalled() {
 	g := w.gateway
 	g.mutex.Lock()
-	moves := g.mayMove(w.req)
+	moves := !w.stopped && g.mayMove(w.req)
 	g.mutex.Unlock()
 	if moves {
 		w.cancel(errStalled)
--- a/internal/router/gateway/stall_test.go
+++ b/internal/router/gateway/stall_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/router/latency"
+	"petrelhook/internal/router/placement"
 )
 
 // seenFirsts has a gateway have seen usual times to a first part on a route.
@@ -154,3 +155,18 @@
 	require.EqualValues(t, 1, reports[0].First.Count)
 	require.Empty(t, missed)
 }
+
+// A timer that fires as its send ends leaves the request alone: by then another goroutine uses it without the lock.
+func TestAStoppedWatchLeavesTheRequestAlone(t *testing.T) {
+	r := newRig(t)
+	r.stalling(2)
+	r.seenFirsts("paced", 10*time.Millisecond)
+	req := &request{route: r.gateway.Table().Route("a.example", "/paced/x"), service: "s", began: time.Now(), place: placement.Request{Tried: map[string]bool{}}}
+	cancelled := false
+	w := r.gateway.watchStall(req, nil, func(error) { cancelled = true })
+	require.NotNil(t, w.timer)
+	w.stop()
+	w.stalled()
+	require.False(t, req.paid)
+	require.False(t, cancelled)
+}
--- a/internal/router/latency/latency.go
+++ b/internal/router/latency/latency.go
@@ -27,6 +27,7 @@
 
 var phaseNames = [phases]string{"start", "quota", "rerouted", "connect", "server"}
 
+// String is the phase's name in reports.
 func (p Phase) String() string { return phaseNames[p] }
 
 // Reason is what became of a request, and why.
