--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -59,7 +59,7 @@
 	defer release()
 	log := options.logger(errOut) // for the log writer itself
 	lines := logwriter.New(errOut, func(n int) { log.Warn("log lines were dropped", "lines", n) })
-	err = wiring.Serve(stop, options.configPath, &cfg, wiring.TCP(), reload, options.logger(lines))
+	err = wiring.Serve(stop, options.configPath, &cfg, wiring.System(wiring.TCP()), reload, options.logger(lines))
 	lines.Close(logFlushTimeout)
 	if err != nil {
 		fmt.Fprintln(errOut, "petrelhook:", err)
--- a/internal/common/sock/later.go
+++ b/internal/common/sock/later.go
@@ -10,6 +10,7 @@
 
 // delayedListener listens at an address that another process may still have.
 type delayedListener struct {
+	listenAt      func(addr string) (net.Listener, error)
 	addr          string
 	retryInterval time.Duration
 
@@ -19,11 +20,11 @@
 	once     sync.Once
 }
 
-// ListenLater listens at an address as soon as the process that has it releases it. It returns at once: Accept attempts to listen, at an
+// ListenLater listens at an address, with a function such as one that calls net.Listen, as soon as the process that has it releases it. It returns at once: Accept attempts to listen, at an
 // interval, until the address is free, and then waits for a connection. An error of Accept other than net.ErrClosed is of an address that
 // cannot be listened at, whoever has it.
-func ListenLater(addr string, retryInterval time.Duration) net.Listener {
-	return &delayedListener{addr: addr, retryInterval: retryInterval, closed: make(chan struct{})}
+func ListenLater(listen func(addr string) (net.Listener, error), addr string, retryInterval time.Duration) net.Listener {
+	return &delayedListener{listenAt: listen, addr: addr, retryInterval: retryInterval, closed: make(chan struct{})}
 }
 
 // IsAddressInUse reports whether an error of a listen means that another process has the address.
@@ -57,7 +58,7 @@
 	default:
 	}
 	if l.listener == nil {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := l.listenAt(l.addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/common/sock/later_test.go
+++ b/internal/common/sock/later_test.go
@@ -7,6 +7,8 @@
 	"time"
 )
 
+func listenTCP(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
 // The listener listens once the other process has released the address; a close ends the wait for the address, and one for a connection.
 func TestListenLater(t *testing.T) {
 	first, err := net.Listen("tcp", "127.0.0.1:0")
@@ -26,13 +28,13 @@
 		go func() { c, err := ln.Accept(); got <- accepted{c, err} }()
 		return got
 	}
-	waiting := ListenLater(addr, time.Millisecond)
+	waiting := ListenLater(listenTCP, addr, time.Millisecond)
 	got := accept(waiting)
 	waiting.Close()
 	if a := <-got; !errors.Is(a.err, net.ErrClosed) {
 		t.Errorf("closed while the address is in use: %v", a.err)
 	}
-	ln := ListenLater(addr, time.Millisecond)
+	ln := ListenLater(listenTCP, addr, time.Millisecond)
 	got = accept(ln)
 	first.Close()
 	for {
@@ -50,7 +52,7 @@
 	if a := <-got; !errors.Is(a.err, net.ErrClosed) {
 		t.Errorf("closed while it listens: %v", a.err)
 	}
-	if a := <-accept(ListenLater("127.0.0.1:none", time.Millisecond)); a.err == nil {
+	if a := <-accept(ListenLater(listenTCP, "127.0.0.1:none", time.Millisecond)); a.err == nil {
 		t.Error("an invalid address is accepted")
 	}
 }
--- a/internal/coordination/driver/agents.go
+++ b/internal/coordination/driver/agents.go
@@ -60,7 +60,7 @@
 	forEach(len(agents), func(i int) {
 		ctx, cancel := context.WithTimeout(ctx, agentTimeout)
 		defer cancel()
-		status, err := callAgent[machine.StatusRequest, machine.Status](ctx, &d.client, agents[i], machine.PathStatus, &request)
+		status, err := callAgent[machine.StatusRequest, machine.Status](ctx, d.client, agents[i], machine.PathStatus, &request)
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil {
@@ -126,7 +126,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, agentTimeout)
 		defer cancel()
-		response, err := callAgent[machine.Order, machine.OrderResponse](ctx, &d.client, agentOf[order.Sidecar], machine.PathOrder,
+		response, err := callAgent[machine.Order, machine.OrderResponse](ctx, d.client, agentOf[order.Sidecar], machine.PathOrder,
 			&machine.Order{Version: machine.Version, Application: application, Token: uint64(held.Token), Order: order})
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/coordination/driver/driver.go
+++ b/internal/coordination/driver/driver.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +21,7 @@
 
 const (
 	agentTimeout       = 2 * time.Second // for one call of an agent
+	dialTimeout        = time.Second     // for one connection to an agent or a coordinator
 	coordinatorTimeout = 5 * time.Second // for one read of the log's state
 	maxConcurrentCalls = 64              // of agents
 	idlePollDivisor    = 3               // agents are polled so many times less often once a change is over
@@ -34,9 +34,11 @@
 	TTL          time.Duration
 	Interval     time.Duration // between polls
 	Log          *slog.Logger
+	Dial         rpc.Dial             // to coordinators and agents; nil: TCP
+	Clock        func() time.Duration // of its lease; nil: the default of package lease
 
 	operator fleet.Operator
-	client   http.Client
+	client   *http.Client
 	changes  map[string]*applicationDriver // by application
 }
 
@@ -52,10 +54,10 @@
 // Run drives while it holds the lease, and waits for the lease otherwise, until ctx ends. It is called once. An error says which of the
 // exported fields is invalid.
 func (d *Driver) Run(ctx context.Context) error {
-	d.operator = fleet.Operator{Addrs: d.Coordinators}
-	d.client = http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 2}}
+	d.client = rpc.NewHTTPClient(rpc.HTTPOptions{Dial: d.Dial, DialTimeout: dialTimeout, MaxIdleConnsPerHost: 2})
 	defer d.client.CloseIdleConnections()
-	client, err := lease.New(lease.Options{Addrs: d.Coordinators, Owner: LeaseName, TTL: d.TTL})
+	d.operator = fleet.Operator{Addrs: d.Coordinators, HTTPClient: d.client}
+	client, err := lease.New(lease.Options{Addrs: d.Coordinators, Owner: LeaseName, TTL: d.TTL, Dial: d.Dial, Clock: d.Clock})
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/fleet/config.go
+++ b/internal/coordination/fleet/config.go
@@ -12,6 +12,7 @@
 	"petrelhook/internal/common/yamlfile"
 	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // Config is the settings of a coordinator.
@@ -19,14 +20,16 @@
 	ID            uint64
 	Data          string // the folder of its replica
 	Replicas      []replica.Member
-	Listen        string        // "": the address among the replicas; another one where others reach it by way of something
-	Join          bool          // it is added to a group that exists: it begins with an empty replica
-	MaxTTL        time.Duration // that a session may have
-	Tick          time.Duration // of the replica
-	AllowRemote   bool          // addresses that are not of loopback are allowed
-	Drive         bool          // it may drive rolling changes too
-	DriveInterval time.Duration // between two polls of the agents by the driver
-	Warnings      []string      // what is valid and unwise, and fields under deprecated names; the program logs them
+	Listen        string               // "": the address among the replicas; another one where others reach it by way of something
+	Join          bool                 // it is added to a group that exists: it begins with an empty replica
+	MaxTTL        time.Duration        // that a session may have
+	Tick          time.Duration        // of the replica
+	AllowRemote   bool                 // addresses that are not of loopback are allowed
+	Drive         bool                 // it may drive rolling changes too
+	DriveInterval time.Duration        // between two polls of the agents by the driver
+	Dial          rpc.Dial             // to other coordinators; nil: TCP. No file has it, nor Clock
+	Clock         func() lease.Instant // nil: monotonic.Now
+	Warnings      []string             // what is valid and unwise, and fields under deprecated names; the program logs them
 }
 
 // Addr returns the address to listen on.
--- a/internal/coordination/fleet/distribute.go
+++ b/internal/coordination/fleet/distribute.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"petrelhook/internal/coordination/distribute"
 	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/coordination/rpc"
 )
 
 const (
@@ -83,7 +82,7 @@
 
 // confirm asks the leader again and again for the last revision, until ctx ends. It has a goroutine of its own.
 func (d *distributor) confirm(ctx context.Context) {
-	httpClient := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: confirmDialTimeout}).DialContext, MaxIdleConnsPerHost: 1}}
+	httpClient := rpc.NewHTTPClient(rpc.HTTPOptions{Dial: d.server.config.Dial, DialTimeout: confirmDialTimeout, MaxIdleConnsPerHost: 1})
 	defer httpClient.CloseIdleConnections()
 	interval := confirmTicks * d.server.config.Tick
 	tick := time.NewTicker(interval)
--- a/internal/coordination/fleet/operator.go
+++ b/internal/coordination/fleet/operator.go
@@ -20,7 +20,7 @@
 // Operator sends the requests of the operators' tool to coordinators. It is safe for concurrent use.
 type Operator struct {
 	Addrs      []string
-	httpClient http.Client
+	HTTPClient *http.Client // nil: one that all operators of the process share
 
 	mu     sync.Mutex
 	caller *Caller // kept, so that the next request goes to the coordinator that answered last
@@ -39,12 +39,12 @@
 func (o *Operator) Call(ctx context.Context, in Request) (*Response, error) {
 	o.mu.Lock()
 	if o.caller == nil {
-		o.caller = &Caller{Addrs: o.Addrs, HTTPClient: &o.httpClient, RetryInterval: operatorRetryInterval, Timeout: operatorTimeout}
+		o.caller = &Caller{Addrs: o.Addrs, HTTPClient: o.client(), RetryInterval: operatorRetryInterval, Timeout: operatorTimeout}
 	}
 	c := o.caller
 	o.mu.Unlock()
 	if sentOnce(&in) { // without a time-out: it is not abandoned while it may be carried out
-		c = &Caller{Addrs: o.Addrs, HTTPClient: &o.httpClient, RetryInterval: operatorRetryInterval}
+		c = &Caller{Addrs: o.Addrs, HTTPClient: o.client(), RetryInterval: operatorRetryInterval}
 	}
 	out, err := c.Call(ctx, &in, nil)
 	if err != nil && ctx.Err() != nil {
@@ -53,9 +53,17 @@
 	return out, err
 }
 
+// client returns the HTTP client of all calls.
+func (o *Operator) client() *http.Client {
+	if o.HTTPClient == nil {
+		return http.DefaultClient
+	}
+	return o.HTTPClient
+}
+
 // Status returns what one coordinator knows of itself.
 func (o *Operator) Status(ctx context.Context, addr string) (*Status, error) {
-	res, err := Client[Empty, Status](&o.httpClient, addr, PathStatus).CallUnary(ctx, connect.NewRequest(&Empty{Version}))
+	res, err := Client[Empty, Status](o.client(), addr, PathStatus).CallUnary(ctx, connect.NewRequest(&Empty{Version}))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,7 +59,7 @@
 
 // run sends what is queued, one call at a time, until ctx ends or the peer refuses this replica.
 func (p *peer) run(ctx context.Context, addr string) {
-	httpClient := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	httpClient := rpc.NewHTTPClient(rpc.HTTPOptions{Dial: p.server.config.Dial, DialTimeout: peerDialTimeout, MaxIdleConnsPerHost: 2})
 	defer httpClient.CloseIdleConnections()
 	client := Client[StepRequest, Empty](httpClient, addr, PathStep)
 	for {
--- a/internal/coordination/fleet/publish.go
+++ b/internal/coordination/fleet/publish.go
@@ -68,7 +68,7 @@
 
 func (o *Operator) summary(ctx context.Context, addr, service string) CoordinatorSummary {
 	in := &distribute.SummaryRequest{Version: distribute.WireVersion, Service: service}
-	client := Client[distribute.SummaryRequest, distribute.SummaryResponse](&o.httpClient, addr, distribute.PathSummary)
+	client := Client[distribute.SummaryRequest, distribute.SummaryResponse](o.client(), addr, distribute.PathSummary)
 	res, err := client.CallUnary(ctx, connect.NewRequest(in))
 	if err != nil {
 		return CoordinatorSummary{Addr: addr, Err: err}
--- a/internal/coordination/fleet/server.go
+++ b/internal/coordination/fleet/server.go
@@ -34,6 +34,7 @@
 type Server struct {
 	config *Config
 	log    *slog.Logger
+	clock  func() lease.Instant
 	disk   *disk.Disk
 	core   *replica.Core
 	events chan func()
@@ -61,8 +62,11 @@
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
-	s := &Server{config: c, log: log, disk: d, core: core, events: make(chan func(), eventQueue), ended: make(chan struct{}),
+	s := &Server{config: c, log: log, clock: c.Clock, disk: d, core: core, events: make(chan func(), eventQueue), ended: make(chan struct{}),
 		peers: map[uint64]*peer{}, fatal: make(chan error, 1)}
+	if s.clock == nil {
+		s.clock = monotonic.Now
+	}
 	s.distribute = newDistributor(s)
 	return s, nil
 }
@@ -133,7 +137,7 @@
 		case err := <-s.fatal:
 			return err
 		case <-tick.C:
-			s.core.Tick(monotonic.Now())
+			s.core.Tick(s.clock())
 			if err := s.core.RemovedErr(); err != nil {
 				return err
 			}
@@ -182,7 +186,7 @@
 		for _, m := range ready.Messages {
 			s.peer(peers, background, m.GetTo()).send(m)
 		}
-		snapshot, compact, err := s.core.Advance(ready, monotonic.Now())
+		snapshot, compact, err := s.core.Advance(ready, s.clock())
 		if err != nil {
 			return err
 		}
--- a/internal/coordination/machine/check.go
+++ b/internal/coordination/machine/check.go
@@ -7,9 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"slices"
-	"strings"
 	"time"
 
 	"petrelhook/internal/coordination/agent"
@@ -23,17 +21,10 @@
 // maxConcurrentChecks bounds the checks that run at the same time: all sidecars of a machine get a version at the same moment.
 const maxConcurrentChecks = 4
 
-// runCheck has a program check a file of settings. It returns what the program wrote, without space around it.
-func runCheck(ctx context.Context, program, settings string) (string, error) {
-	cmd := exec.CommandContext(ctx, program, "--check", "--config", settings)
-	cmd.WaitDelay = time.Second
-	output, err := cmd.CombinedOutput()
-	return strings.TrimSpace(string(output)), err
-}
-
 // versionCheck is a check of a version for one sidecar, with copies of all that it needs: it runs beside the owner.
 type versionCheck struct {
 	agent.Check
+	host       Host
 	config     *SidecarConfig
 	candidate  distribute.Version
 	inForce    []byte // the content of the version in force; nil: none
@@ -43,7 +34,7 @@
 
 // checkInBackground checks a version beside the owner and reports the result to the sidecar.
 func (m *Machine) checkInBackground(managed *managedSidecar, check agent.Check) {
-	c := versionCheck{Check: check, config: managed.config, candidate: m.versions.byRevision[check.Version],
+	c := versionCheck{Check: check, host: m.config.Host, config: managed.config, candidate: m.versions.byRevision[check.Version],
 		inForce: m.versions.content(managed.InForce), checkFile: m.data.path("checked-" + managed.config.Name + ".json")}
 	if check.Process.StartNumber != 0 {
 		c.servedFile = m.startFile(managed, configFile, check.Process.StartNumber)
@@ -107,15 +98,15 @@
 	if err := os.WriteFile(c.checkFile, lines.Bytes(), 0o600); err != nil {
 		return unavailable(err)
 	}
-	output, err := runCheck(ctx, r.Program, c.checkFile)
-	var exit *exec.ExitError
+	output, err := c.host.CheckSettings(ctx, r.Program, c.checkFile)
+	var failed *ProgramError
 	switch {
 	case err == nil:
 		if why := incompatibility(before, after, c.candidate.StepsDone); why != "" {
 			return agent.CheckResult{Rejection: why}
 		}
 		return result
-	case ctx.Err() == nil && errors.As(err, &exit) && exit.Exited():
+	case ctx.Err() == nil && errors.As(err, &failed):
 		if output == "" {
 			output = fmt.Sprintf("%s: its program ends with %v", id, err)
 		}
--- a/internal/coordination/machine/config.go
+++ b/internal/coordination/machine/config.go
@@ -24,6 +24,8 @@
 	Coordinators []string // that send versions of the application's configuration; none: there are no versions
 	Member       string   // the agent's name at the coordinators
 
+	Host Host // nil: the operating system; no file has it
+
 	Warnings []string // what the file should say otherwise, each with its place; the program logs them
 }
 
--- a/internal/coordination/machine/machine.go
+++ b/internal/coordination/machine/machine.go
@@ -30,6 +30,7 @@
 	sidecars     []*managedSidecar
 	driver       driverContact
 	versions     versionStore
+	adminClient  *http.Client        // of probes
 	subscription versionSubscription // nil: the settings name no coordinators
 
 	posted     chan func() error // what the owner has to run; an error ends the agent
@@ -57,20 +58,24 @@
 			return nil
 		}
 		return subscribe.New(subscribe.Options{
-			Addrs: config.Coordinators, Service: config.Application, Member: config.Member, Revision: newest, Store: accept, Log: log,
+			Addrs: config.Coordinators, Service: config.Application, Member: config.Member, Revision: newest, Store: accept, Log: log, Dial: config.Host.Dial,
 		})
 	})
 }
 
 func open(config *Config, log *slog.Logger, subscription newSubscription) (*Machine, error) {
+	if config.Host == nil {
+		config.Host = operatingSystem{}
+	}
 	lockFile, err := lockFolder(config.Data)
 	if err != nil {
 		return nil, err
 	}
 	m := &Machine{
 		config: config, log: log, data: dataFolder(config.Data), lockFile: lockFile, startedAt: time.Now(),
-		versions: versionStore{byRevision: map[distribute.Revision]distribute.Version{}},
-		posted:   make(chan func() error, 256), ended: make(chan struct{}),
+		versions:    versionStore{byRevision: map[distribute.Revision]distribute.Version{}},
+		adminClient: rpc.NewHTTPClient(rpc.HTTPOptions{Dial: config.Host.Dial, CallTimeout: probeTimeout, DisableKeepAlives: true}),
+		posted:      make(chan func() error, 256), ended: make(chan struct{}),
 		checkSlots: make(chan struct{}, maxConcurrentChecks),
 	}
 	if err := m.restore(subscription); err != nil {
@@ -178,7 +183,7 @@
 func (m *Machine) poll(ctx context.Context, managed *managedSidecar) error {
 	var actions []agent.Action
 	for _, p := range []*agent.Process{managed.Serving, managed.Next, managed.Terminating} {
-		if p == nil || Lives(*p) {
+		if p == nil || m.config.Host.Lives(*p) {
 			continue
 		}
 		lastLine := ""
--- a/internal/coordination/machine/probe.go
+++ b/internal/coordination/machine/probe.go
@@ -17,12 +17,10 @@
 // maxProbeBytes bounds what is read of an answer.
 const maxProbeBytes = 1 << 20
 
-var adminClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-
 // probe asks a process whether it is ready, and for its counts, and reports both to its sidecar. It runs beside the owner.
 func (m *Machine) probe(ctx context.Context, managed *managedSidecar, p agent.Process) {
-	_, ready := adminGet(ctx, p.AdminAddress, "/api/ready")
-	processCounts, counted := adminGet(ctx, p.AdminAddress, "/api/counts")
+	_, ready := m.adminGet(ctx, p.AdminAddress, "/api/ready")
+	processCounts, counted := m.adminGet(ctx, p.AdminAddress, "/api/counts")
 	m.post(func() error {
 		delete(managed.probing, p)
 		if !managed.runs(p) {
@@ -37,12 +35,12 @@
 }
 
 // adminGet reads a path of an operators' endpoint. ok is true for an answer with status 200 that was read to its end.
-func adminGet(ctx context.Context, address, path string) (text []byte, ok bool) {
+func (m *Machine) adminGet(ctx context.Context, address, path string) (text []byte, ok bool) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, false
 	}
-	response, err := adminClient.Do(request)
+	response, err := m.adminClient.Do(request)
 	if err != nil {
 		return nil, false
 	}
--- a/internal/coordination/machine/service.go
+++ b/internal/coordination/machine/service.go
@@ -120,7 +120,7 @@
 					return nil, err
 				}
 			}
-			status.Sidecars = append(status.Sidecars, managed.status())
+			status.Sidecars = append(status.Sidecars, managed.status(m.config.Host))
 		}
 		return status, nil
 	})
@@ -136,14 +136,14 @@
 }
 
 // status is what a driver is answered of a sidecar.
-func (s *managedSidecar) status() SidecarStatus {
+func (s *managedSidecar) status(host Host) SidecarStatus {
 	status := SidecarStatus{Zone: s.config.Zone, Phase: s.Phase.String(), Confirmed: s.Confirmed}
 	status.Report = rollout.Report{Sidecar: s.config.Name, CompletedOrder: s.CompletedOrder, FailureReason: s.FailureReason,
 		FallbackReason: s.FallbackReason}
 	status.Release, status.Ready = s.Serves()
 	if s.Serving != nil {
 		status.Process, status.Counts = *s.Serving, s.counts[*s.Serving]
-		status.CPUTicks, status.ResidentBytes = usage(*s.Serving)
+		status.CPUTicks, status.ResidentBytes = host.Usage(*s.Serving)
 	}
 	return status
 }
@@ -215,7 +215,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	for i := range m.config.Sidecars {
-		if err := checkRelease(ctx, r, &m.config.Sidecars[i], inForce[i], dir); err != nil {
+		if err := checkRelease(ctx, m.config.Host, r, &m.config.Sidecars[i], inForce[i], dir); err != nil {
 			return nil, rejected(err)
 		}
 	}
@@ -223,7 +223,7 @@
 }
 
 // checkRelease has the program of a release check the settings of one sidecar, which it writes into dir.
-func checkRelease(ctx context.Context, r release.Release, config *SidecarConfig, version []byte, dir string) error {
+func checkRelease(ctx context.Context, host Host, r release.Release, config *SidecarConfig, version []byte, dir string) error {
 	text, err := config.releaseSettings(r, version)
 	if err != nil {
 		return err
@@ -232,7 +232,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	if output, err := runCheck(ctx, r.Program, path); err != nil {
+	if output, err := host.CheckSettings(ctx, r.Program, path); err != nil {
 		return fmt.Errorf("%s: its program does not take its settings for %s: %w: %s", r.ID, config.Name, err, output)
 	}
 	return nil
--- a/internal/coordination/machine/sidecar.go
+++ b/internal/coordination/machine/sidecar.go
@@ -64,7 +64,7 @@
 	}
 	phase := managed.savedState.Phase
 	var actions []agent.Action
-	managed.Sidecar, actions = agent.Restore(managed.savedState, m.config.Limits, m.now(), Lives, found)
+	managed.Sidecar, actions = agent.Restore(managed.savedState, m.config.Limits, m.now(), m.config.Host.Lives, found)
 	m.adoptNewestVersion(managed)
 	m.log.Info("sidecar restored", "sidecar", config.Name, "phase", phase.String(), "now", managed.Serving, "next", managed.Next,
 		"found", found != nil)
@@ -121,9 +121,9 @@
 	case action.Start != "":
 		return m.startProcess(managed, action.Start, action.Version)
 	case action.Term != nil:
-		signal(*action.Term, syscall.SIGTERM)
+		m.config.Host.Signal(*action.Term, syscall.SIGTERM)
 	case action.Kill != nil:
-		signal(*action.Kill, syscall.SIGKILL)
+		m.config.Host.Signal(*action.Kill, syscall.SIGKILL)
 	case action.Reload != nil:
 		digest, err := m.reloadProcess(managed, *action.Reload, action.Version)
 		managed.ReloadRequested(m.now(), *action.Reload, digest, err)
@@ -200,9 +200,9 @@
 		return agent.Process{}, err
 	}
 	m.removeOldFiles(managed)
-	return startProgram(startOptions{
-		claimFile: m.lastStartFile(managed, claimFile), logFile: m.lastStartFile(managed, logFile),
-		program: r.Program, settings: settings, temporary: m.data.path(temporaryFolder), adminAddress: managed.nextAdminAddress(),
+	return m.config.Host.Start(StartOptions{
+		ClaimFile: m.lastStartFile(managed, claimFile), LogFile: m.lastStartFile(managed, logFile),
+		Program: r.Program, Settings: settings, Temporary: m.data.path(temporaryFolder), AdminAddress: managed.nextAdminAddress(),
 	})
 }
 
@@ -219,6 +219,6 @@
 	if err != nil {
 		return "", err
 	}
-	signal(p, syscall.SIGHUP)
+	m.config.Host.Signal(p, syscall.SIGHUP)
 	return distribute.Digest(text), nil
 }
--- a/internal/coordination/machine/start.go
+++ b/internal/coordination/machine/start.go
@@ -28,12 +28,21 @@
 	if err != nil {
 		return err
 	}
-	if err := createExclusive(claimFile, fmt.Sprintf("%d %d", os.Getpid(), ticks)); err != nil {
-		return fmt.Errorf("this start is not to be made any more: %w", err)
+	if err := ClaimStart(claimFile, agent.Process{PID: os.Getpid(), StartTicks: ticks}); err != nil {
+		return err
 	}
 	return syscall.Exec(program, append([]string{program}, args...), os.Environ())
 }
 
+// ClaimStart records in the claim file of a start which process it is, before the program runs. An error says that the start was given up,
+// or made by another process: then the program must not run.
+func ClaimStart(claimFile string, p agent.Process) error {
+	if err := createExclusive(claimFile, fmt.Sprintf("%d %d", p.PID, p.StartTicks)); err != nil {
+		return fmt.Errorf("this start is not to be made any more: %w", err)
+	}
+	return nil
+}
+
 // createExclusive creates path with its whole text at once; os.ErrExist where there is such a file.
 func createExclusive(path, text string) error {
 	f, err := os.CreateTemp(filepath.Dir(path), ".start-")
@@ -65,30 +74,30 @@
 	return p, nil
 }
 
-// startOptions are what startProgram needs.
-type startOptions struct {
-	claimFile    string
-	logFile      string
-	program      string
-	settings     string // the path of its settings
-	temporary    string // its folder for temporary files
-	adminAddress string // where it serves its operators' endpoint
+// StartOptions are what a Host needs to start a program.
+type StartOptions struct {
+	ClaimFile    string // see ClaimStart
+	LogFile      string // gets what the program writes
+	Program      string
+	Settings     string // the path of its settings
+	Temporary    string // its folder for temporary files
+	AdminAddress string // where it serves its operators' endpoint
 }
 
 // startProgram starts a sidecar's program by way of the helper. The process outlives the agent: it has a session of its own and writes
 // to a file.
-func startProgram(o startOptions) (agent.Process, error) {
+func startProgram(o StartOptions) (agent.Process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return agent.Process{}, err
 	}
-	log, err := os.OpenFile(o.logFile, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	log, err := os.OpenFile(o.LogFile, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
 		return agent.Process{}, err
 	}
 	defer func() { _ = log.Close() }() // the process has a descriptor of its own; nothing is written by this one
-	cmd := exec.Command(self, "once", o.claimFile, o.program, "--config", o.settings)
-	cmd.Env = append(os.Environ(), "LB_ADMIN_ADDR="+o.adminAddress, "LB_CONFIG="+o.settings, "TMPDIR="+o.temporary)
+	cmd := exec.Command(self, "once", o.ClaimFile, o.Program, "--config", o.Settings)
+	cmd.Env = append(os.Environ(), "LB_ADMIN_ADDR="+o.AdminAddress, "LB_CONFIG="+o.Settings, "TMPDIR="+o.Temporary)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
 	if err := cmd.Start(); err != nil {
@@ -99,7 +108,7 @@
 	if err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return agent.Process{}, err
 	}
-	return agent.Process{PID: cmd.Process.Pid, StartTicks: ticks, AdminAddress: o.adminAddress}, nil
+	return agent.Process{PID: cmd.Process.Pid, StartTicks: ticks, AdminAddress: o.AdminAddress}, nil
 }
 
 // maxLogTail is how many bytes at the end of a log are searched for the reason of an exit, and maxLogLine how many of the line are
--- a/internal/coordination/machine/version_test.go
+++ b/internal/coordination/machine/version_test.go
@@ -175,7 +175,7 @@
 	if k.Serving == nil {
 		return nil
 	}
-	if _, yes := adminGet(g.t.Context(), k.Serving.AdminAddress, "/api/counts"); !yes {
+	if _, yes := g.machine.adminGet(g.t.Context(), k.Serving.AdminAddress, "/api/counts"); !yes {
 		return nil
 	}
 	text, _ := os.ReadFile(filepath.Join(g.config.Data, fmt.Sprintf("config-n0-%d", k.Serving.StartNumber)))
--- a/internal/coordination/subscribe/subscribe.go
+++ b/internal/coordination/subscribe/subscribe.go
@@ -10,7 +10,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -37,8 +36,9 @@
 	Revision distribute.Revision            // of the version that is stored from before; 0: none
 	Store    func(distribute.Version) error // stores a newer version; after an error the version is requested again
 	Log      *slog.Logger                   // nil: nothing is logged
-	// HTTPClient is nil for one of the client's own.
+	// HTTPClient is nil for one of the client's own, which connects by Dial; nil: TCP.
 	HTTPClient *http.Client
+	Dial       rpc.Dial
 }
 
 // Client is one agent's subscription. Report may be called from any goroutine, before and while Run runs.
@@ -55,9 +55,7 @@
 func New(o Options) *Client {
 	c := &Client{options: o, httpClient: o.HTTPClient, wake: make(chan struct{}, 1)}
 	if c.httpClient == nil {
-		c.httpClient = &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
-		}}
+		c.httpClient = rpc.NewHTTPClient(rpc.HTTPOptions{Dial: o.Dial, DialTimeout: dialTimeout, MaxIdleConnsPerHost: 1})
 	}
 	if c.options.Log == nil {
 		c.options.Log = slog.New(slog.DiscardHandler)
--- a/internal/rig/deployment/faultysidecar.go
+++ b/internal/rig/deployment/faultysidecar.go
@@ -70,7 +70,7 @@
 		}
 		return &faultyConn{Conn: c, fault: fault, zone: zoneOfSidecar(cfg.Name)}, nil
 	}
-	return wiring.Serve(stop, path, &cfg, dial, reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return wiring.Serve(stop, path, &cfg, wiring.System(dial), reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 // leakMemory allocates 1 MiB a second, and keeps it.
--- a/internal/rig/link/link.go
+++ b/internal/rig/link/link.go
@@ -4,6 +4,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 type Link struct {
 	Addr string
 
+	network  Network
 	listener net.Listener
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -48,13 +50,31 @@
 	return len(l.conns) / 2
 }
 
-// New makes a link without a target yet: connections to it wait.
-func New() (*Link, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// Network is where a link listens and connects.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// tcp is the network of the operating system.
+type tcp struct{}
+
+func (tcp) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+func (tcp) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, addr)
+}
+
+// New makes a link on loopback without a target yet: connections to it wait.
+func New() (*Link, error) { return NewOn(tcp{}) }
+
+// NewOn is New on a given network.
+func NewOn(network Network) (*Link, error) {
+	ln, err := network.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{Addr: ln.Addr().String(), listener: ln, conns: map[net.Conn]struct{}{}}
+	l := &Link{Addr: ln.Addr().String(), network: network, listener: ln, conns: map[net.Conn]struct{}{}}
 	l.cond = sync.NewCond(&l.mu)
 	l.pumps.Go(func() {
 		for {
@@ -139,7 +159,7 @@
 	var to net.Conn
 	if ok {
 		var err error
-		to, err = net.Dial("tcp", target)
+		to, err = l.network.Dial(context.Background(), "tcp", target)
 		ok = err == nil && l.register(to)
 	}
 	if !ok {
--- a/internal/rig/memnet/network.go
+++ b/internal/rig/memnet/network.go
@@ -23,17 +23,18 @@
 	latency time.Duration // one way
 
 	mu         sync.Mutex
-	listeners  map[string]*Listener
+	listeners  map[string]*acceptQueue
 	isolated   map[string]chan struct{} // by address; closed when the machine is restored
 	conns      map[*Conn]string         // the accepting sides that are open, with the address that was dialled
-	lastPort   int
+	lastPort   int                      // of listeners
+	lastClient int                      // the number of the last connection
 	deliveries int64
 }
 
 // New makes a network on which each delivery takes the latency and some nanoseconds that are different for each.
 func New(latency time.Duration) *Network {
 	return &Network{
-		latency: latency, listeners: map[string]*Listener{}, isolated: map[string]chan struct{}{},
+		latency: latency, listeners: map[string]*acceptQueue{}, isolated: map[string]chan struct{}{},
 		conns: map[*Conn]string{}, lastPort: 20000,
 	}
 }
@@ -55,15 +56,27 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if at.Port == 0 {
-		n.lastPort++
-		at.Port = n.lastPort
+		at.Port = n.freePort()
 	}
 	if n.listeners[at.String()] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "tcp", Addr: at, Err: syscall.EADDRINUSE}
 	}
-	l := &Listener{network: n, addr: at, backlog: make(chan *Conn, backlog), done: make(chan struct{})}
-	n.listeners[at.String()] = l
-	return l, nil
+	q := &acceptQueue{network: n, addr: at, backlog: make(chan *Conn, backlog), open: 1}
+	n.listeners[at.String()] = q
+	return q.listener(), nil
+}
+
+// freePort returns a port that no listener had before. The caller holds mu.
+func (n *Network) freePort() int {
+	n.lastPort++
+	return n.lastPort
+}
+
+// ReserveAddr returns an address that Listen gives nobody else by itself.
+func (n *Network) ReserveAddr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fmt.Sprintf("127.0.0.1:%d", n.freePort())
 }
 
 // backlog is the number of connections that may wait to be accepted; further ones get no answer, as when Linux drops them.
@@ -84,7 +97,7 @@
 	}
 	n.mu.Lock()
 	restored := n.isolated[at.String()]
-	l := n.listeners[at.String()]
+	queue := n.listeners[at.String()]
 	n.mu.Unlock()
 	if restored != nil {
 		select {
@@ -94,14 +107,14 @@
 			return opError(syscall.ECONNRESET)
 		}
 	}
-	if l == nil {
+	if queue == nil {
 		if err := sleep(ctx, n.nextDelay()); err != nil {
 			return opError(err)
 		}
 		return opError(syscall.ECONNREFUSED)
 	}
 	client, server := n.pair(at)
-	if err := l.enqueue(ctx, server); err != nil {
+	if err := queue.enqueue(ctx, server); err != nil {
 		_ = server.Close()
 		return opError(err)
 	}
@@ -124,12 +137,23 @@
 	}
 }
 
+// The ports of the dialling sides of connections, which are used in turn. Listeners have those below.
+const (
+	firstClientPort = 32768
+	clientPorts     = 28232
+)
+
+// Pipe returns the two sides of a connection that no listener accepts, such as one between two processes of a machine.
+func (n *Network) Pipe() (one, other net.Conn) {
+	return n.pair(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1})
+}
+
 // pair makes the two sides of a connection to an address.
 func (n *Network) pair(at *net.TCPAddr) (client, server *Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.lastPort++
-	from := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: n.lastPort}
+	n.lastClient++
+	from := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstClientPort + n.lastClient%clientPorts}
 	state := &connState{}
 	state.changed.L = &state.mu
 	client = &Conn{network: n, state: state, local: from, remote: at}
@@ -195,72 +219,106 @@
 	return open
 }
 
-// Listener accepts connections at one address.
-type Listener struct {
+// acceptQueue is what listeners at one address accept connections from: the first one and its duplicates. Its mu guards its fields.
+type acceptQueue struct {
 	network *Network
 	addr    *net.TCPAddr
 	backlog chan *Conn
-	done    chan struct{}
 
 	mu     sync.Mutex
-	closed bool // no more connections are queued
+	open   int  // listeners that are not closed
+	closed bool // no more connections are queued: no listener is open
 }
 
 // enqueue queues a connection. If the queue is full it waits for ctx, as a client does whose SYN Linux drops.
-func (l *Listener) enqueue(ctx context.Context, c *Conn) error {
-	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
+func (q *acceptQueue) enqueue(ctx context.Context, c *Conn) error {
+	q.mu.Lock()
+	if q.closed {
+		q.mu.Unlock()
 		return syscall.ECONNREFUSED
 	}
 	select {
-	case l.backlog <- c:
-		l.mu.Unlock()
+	case q.backlog <- c:
+		q.mu.Unlock()
 		return nil
 	default:
 	}
-	l.mu.Unlock()
+	q.mu.Unlock()
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// release ends one listener. The last one stops listening; connections that were not accepted are reset.
+func (q *acceptQueue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.open--; q.open > 0 {
+		return
+	}
+	q.closed = true
+	q.network.mu.Lock()
+	delete(q.network.listeners, q.addr.String())
+	q.network.mu.Unlock()
+	for {
+		select {
+		case c := <-q.backlog:
+			_ = c.SetLinger(0) // it has no error
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
+// Listener accepts connections at one address.
+type Listener struct {
+	queue *acceptQueue
+	done  chan struct{}
+	close func() // once
+}
+
+// listener returns a listener of the queue. The caller counts it in open.
+func (q *acceptQueue) listener() *Listener {
+	l := &Listener{queue: q, done: make(chan struct{})}
+	l.close = sync.OnceFunc(func() {
+		close(l.done)
+		q.release()
+	})
+	return l
+}
+
+// Duplicate returns another listener of the same queue, as a process has that was passed the socket: each connection is accepted by one of
+// them, and none is lost when either is closed. It fails if the queue has no open listener.
+func (l *Listener) Duplicate() (*Listener, error) {
+	l.queue.mu.Lock()
+	defer l.queue.mu.Unlock()
+	if l.queue.closed {
+		return nil, fmt.Errorf("duplicate the listener at %v: %w", l.queue.addr, net.ErrClosed)
+	}
+	l.queue.open++
+	return l.queue.listener(), nil
+}
+
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case <-l.done:
-		return nil, fmt.Errorf("accept at %v: %w", l.addr, net.ErrClosed)
+		return nil, fmt.Errorf("accept at %v: %w", l.queue.addr, net.ErrClosed)
 	default:
 	}
 	select {
-	case c := <-l.backlog:
+	case c := <-l.queue.backlog:
 		return c, nil
 	case <-l.done:
-		return nil, fmt.Errorf("accept at %v: %w", l.addr, net.ErrClosed)
+		return nil, fmt.Errorf("accept at %v: %w", l.queue.addr, net.ErrClosed)
 	}
 }
 
-// Close stops listening; connections that were not accepted are reset.
+// Close stops listening.
 func (l *Listener) Close() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return nil
-	}
-	l.closed = true
-	l.network.mu.Lock()
-	delete(l.network.listeners, l.addr.String())
-	l.network.mu.Unlock()
-	close(l.done)
-	for {
-		select {
-		case c := <-l.backlog:
-			_ = c.SetLinger(0) // it has no error
-			_ = c.Close()
-		default:
-			return nil
-		}
-	}
+	l.close()
+	return nil
 }
 
 // Addr is the address at which it listens.
-func (l *Listener) Addr() net.Addr { return l.addr }
+func (l *Listener) Addr() net.Addr { return l.queue.addr }
--- a/internal/sidecar/handover/link.go
+++ b/internal/sidecar/handover/link.go
@@ -19,11 +19,16 @@
 
 // Link connects two processes of one sidecar while both live. Send is safe for concurrent use; ReadLines is called by one goroutine.
 type Link struct {
-	conn    *net.UnixConn
+	conn    net.Conn
 	reader  *bufio.Reader
 	writeMu sync.Mutex
 }
 
+// NewLink returns the link over a connection that is not a Unix socket's, such as one in memory.
+func NewLink(conn net.Conn) *Link {
+	return &Link{conn: conn, reader: bufio.NewReaderSize(conn, readerSize)}
+}
+
 // Send sends a line, which has no line end in it, to the other process. An error means that the other process has ended or
 // hangs: the line may not have arrived, or not completely.
 func (l *Link) Send(line string) error {
--- a/internal/sidecar/wiring/serve.go
+++ b/internal/sidecar/wiring/serve.go
@@ -6,18 +6,13 @@
 	"log/slog"
 	"net"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"time"
 
 	"petrelhook/internal/common/sock"
 	"petrelhook/internal/sidecar/config"
-	"petrelhook/internal/sidecar/handover"
 )
 
 const (
-	// memoryFraction of the limit is what the Go runtime keeps to. C stacks and kernel buffers come on top.
-	memoryFraction = 0.7
 	// handoverTimeout is how long the process in service may take to hand over.
 	handoverTimeout = time.Second
 	// adminRetryInterval is how often a successor tries to listen at the operators' address that its predecessor has.
@@ -26,15 +21,15 @@
 
 // Serve runs a complete process of a sidecar: it listens or takes over from a predecessor, and serves until stop ends and all accepted
 // requests are answered. At each signal on reload the configuration file at path is read again.
-func Serve(stop context.Context, path string, cfg *config.Config, dial Dial, reload <-chan os.Signal, log *slog.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	setMemoryLimit(cfg.Limits.MemoryMB, false)
-	start, err := listen(cfg, log)
+func Serve(stop context.Context, path string, cfg *config.Config, env *Environment, reload <-chan os.Signal, log *slog.Logger) error {
+	limit := func(shared bool) { env.Limit(int(cfg.Limits.Cores), cfg.Limits.MemoryMB, shared) }
+	limit(false)
+	start, err := env.open(cfg, log)
 	if err != nil {
 		return err
 	}
-	sidecar := NewFrom(cfg, start.state, dial, log)
-	sidecar.OnMemoryShared = func(shared bool) { setMemoryLimit(cfg.Limits.MemoryMB, shared) }
+	sidecar := NewFrom(cfg, start.state, env.Dial, log)
+	sidecar.OnMemoryShared = limit
 	go sidecar.Reload(stop, path, reload)
 	log.Info("serving", "name", cfg.Name, "listen", start.clients.Addr().String())
 	if err := sidecar.Run(stop, start.clients, start.operators, start.succession); err != nil {
@@ -44,19 +39,6 @@
 	return nil
 }
 
-// setMemoryLimit limits the Go runtime to its part of a number of MiB, or to half of that while another process of the sidecar lives.
-// 0 is no limit.
-func setMemoryLimit(mib int, shared bool) {
-	if mib <= 0 {
-		return
-	}
-	limit := memoryFraction * float64(mib) * (1 << 20)
-	if shared {
-		limit /= 2
-	}
-	debug.SetMemoryLimit(int64(limit))
-}
-
 // startup is what a process of a sidecar begins with.
 type startup struct {
 	clients, operators net.Listener   // operators is nil where the configuration has no address for them
@@ -64,22 +46,22 @@
 	state              *HandoverState // nil: there is no predecessor
 }
 
-// listen opens the listeners. Where the configuration has an address for operators there are hand-overs: then the clients' listener comes
+// open opens the listeners. Where the configuration has an address for operators there are hand-overs: then the clients' listener comes
 // from the process in service if there is one, or shares the address with it where the hand-over fails.
-func listen(cfg *config.Config, log *slog.Logger) (start startup, err error) {
+func (e *Environment) open(cfg *config.Config, log *slog.Logger) (start startup, err error) {
 	if cfg.Admin == "" {
-		if start.clients, err = net.Listen("tcp", cfg.Listen); err != nil {
+		if start.clients, err = e.Listen(cfg.Listen); err != nil {
 			return start, fmt.Errorf("listen: %w", err)
 		}
 		return start, nil
 	}
-	start.operators, err = net.Listen("tcp", cfg.Admin)
+	start.operators, err = e.Listen(cfg.Admin)
 	addressInUse := sock.IsAddressInUse(err)
 	if err != nil && !addressInUse {
 		return start, fmt.Errorf("listen at admin_addr: %w", err)
 	}
 	if _, port, _ := net.SplitHostPort(cfg.Listen); port != "0" { // else each process has an address of its own
-		rendezvous := handover.NewRendezvous(os.TempDir(), cfg.Name, cfg.Listen)
+		rendezvous := e.Rendezvous(cfg.Name, cfg.Listen)
 		start.clients, start.state, start.succession, err = RequestHandover(rendezvous, cfg.Listen, handoverTimeout)
 		if err != nil {
 			log.Warn("nothing is taken over", "err", err)
@@ -89,10 +71,10 @@
 		if start.state == nil {
 			return start, fmt.Errorf("listen at admin_addr: %s is taken, and no process in service hands over", cfg.Admin)
 		}
-		start.operators = sock.ListenLater(cfg.Admin, adminRetryInterval)
+		start.operators = sock.ListenLater(e.Listen, cfg.Admin, adminRetryInterval)
 	}
 	if start.clients == nil {
-		if start.clients, err = sock.ListenShared(cfg.Listen); err != nil {
+		if start.clients, err = e.ListenShared(cfg.Listen); err != nil {
 			start.operators.Close()
 			return start, fmt.Errorf("listen: %w", err)
 		}
--- a/internal/sidecar/wiring/succession.go
+++ b/internal/sidecar/wiring/succession.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,7 @@
 
 // Succession is what a process knows of the hand-overs of its sidecar: the link to its predecessor, and where successors find it.
 type Succession struct {
-	Rendezvous          handover.Rendezvous
+	Rendezvous          Rendezvous
 	Predecessor         *handover.Link             // nil: there is none
 	EvacuationRequested bool                       // by operators, at the predecessor
 	Share               *lifecycle.ConnectionShare // what the predecessor leaves while it lives; nil: everything
@@ -54,7 +53,7 @@
 // RequestHandover asks the process in service, if there is one, for its listening socket, which must be that of an address, and for its
 // state. Without a predecessor both are nil and so is err; where the hand-over fails err says why, and the sidecar starts without a
 // predecessor. The succession is never nil.
-func RequestHandover(rendezvous handover.Rendezvous, listen string, timeout time.Duration) (net.Listener, *HandoverState, *Succession, error) {
+func RequestHandover(rendezvous Rendezvous, listen string, timeout time.Duration) (net.Listener, *HandoverState, *Succession, error) {
 	succession := &Succession{Rendezvous: rendezvous}
 	received, err := rendezvous.Request(timeout)
 	if errors.Is(err, handover.ErrNoPredecessor) {
@@ -105,25 +104,20 @@
 	}
 	offered := sync.OnceFunc(func() { close(s.handover.offered) })
 	defer offered()
-	socket, ok := listener.(interface{ File() (*os.File, error) })
-	if !ok { // a listener in memory
-		return
-	}
 	select { // the predecessor stays at the rendezvous until this process can serve
 	case <-s.serverKnown:
 	case <-ctx.Done():
 		return
 	}
 	for { // again after a successor that ended, which may have listened at the rendezvous by then
-		server := &handover.Server{
-			Snapshot:    func() (*os.File, []byte, error) { return s.snapshotForSuccessor(socket.File) },
-			OnSuccessor: s.followSuccessor,
-			OnError:     func(err error) { s.log.Warn("nothing is handed over", "err", err) },
-		}
-		if err := server.Start(succession.Rendezvous); err != nil {
+		end, err := succession.Rendezvous.Offer(Offer{
+			Listener: listener, State: s.stateForSuccessor, OnSuccessor: s.followSuccessor,
+			OnError: func(err error) { s.log.Warn("nothing is handed over", "err", err) },
+		})
+		if err != nil {
 			s.log.Warn("nobody can take over", "err", err)
 		} else {
-			defer server.Close()
+			defer end()
 		}
 		offered()
 		select {
@@ -155,8 +149,8 @@
 	}
 }
 
-// snapshotForSuccessor returns what a successor gets. From then on this process keeps to its own share of the connections.
-func (s *Sidecar) snapshotForSuccessor(socketFile func() (*os.File, error)) (*os.File, []byte, error) {
+// stateForSuccessor returns what a successor gets. From then on this process keeps to its own share of the connections.
+func (s *Sidecar) stateForSuccessor() ([]byte, error) {
 	state := HandoverState{EvacuationRequested: s.lifecycle.Status().EvacuationRequested()}
 	s.handover.evacuationSent.Store(state.EvacuationRequested)
 	var encoded []byte
@@ -170,14 +164,10 @@
 		err = errCoreEnded
 	}
 	if err != nil {
-		return nil, nil, err
-	}
-	socket, err := socketFile()
-	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	s.limitToShare(own)
-	return socket, encoded, nil
+	return encoded, nil
 }
 
 // announceReady makes the process ready. The predecessor is notified first: it must know that it has a successor before it is terminated,
--- a/lease/asleep_test.go
+++ b/lease/asleep_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/monotonic"
 	"petrelhook/internal/rig/coordinator"
 )
@@ -25,7 +24,7 @@
 	defer cancel()
 	var slept atomic.Int64
 	c, err := New(Options{Addrs: []string{addr}, Owner: "o", TTL: 2 * time.Second,
-		clock: func() lease.Instant { return monotonic.Now() + lease.Instant(slept.Load()) }})
+		Clock: func() time.Duration { return time.Duration(monotonic.Now()) + time.Duration(slept.Load()) }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lease/commands.go
+++ b/lease/commands.go
@@ -65,7 +65,7 @@
 	cmd.Session, cmd.Seq = session.Session, c.lastSeq
 	switch cmd.Kind {
 	case lease.Acquire:
-		session.BeginWait(cmd.Name, c.options.clock())
+		session.BeginWait(cmd.Name, c.now())
 	case lease.Cancel: // ends the wait that an earlier command began, or the grant that it has got
 		session.Forget(cmd.Name)
 	}
@@ -75,7 +75,7 @@
 	response, err := c.caller.Call(ctx, &fleet.Request{Command: &cmd}, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.session != session || session.Expiry() <= c.options.clock() {
+		if c.session != session || session.Expiry() <= c.now() {
 			cancel(ErrLost)
 		}
 	})
--- a/lease/held.go
+++ b/lease/held.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	if h.client.session != nil {
-		if token, _, ok := h.client.session.Held(h.Name, h.client.options.clock()); ok && token == h.Token {
+		if token, _, ok := h.client.session.Held(h.Name, h.client.now()); ok && token == h.Token {
 			return true
 		}
 	}
@@ -54,8 +54,8 @@
 	if !h.valid() {
 		return 0
 	}
-	_, until, _ := h.client.session.Held(h.Name, h.client.options.clock())
-	return until.Sub(h.client.options.clock())
+	_, until, _ := h.client.session.Held(h.Name, h.client.now())
+	return until.Sub(h.client.now())
 }
 
 // endHeld ends the belief in a lease, and its context. The caller holds Client.mu.
@@ -73,8 +73,8 @@
 
 // resetTimer has the context end at the present expiry. The caller holds Client.mu.
 func (c *Client) resetTimer(h *Held) {
-	_, until, _ := c.session.Held(h.Name, c.options.clock())
-	h.timer.Reset(max(0, until.Sub(c.options.clock())))
+	_, until, _ := c.session.Held(h.Name, c.now())
+	h.timer.Reset(max(0, until.Sub(c.now())))
 }
 
 // endBelief ends the belief in the lease, which comes before its release; it returns false where the lease was lost already.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,13 +13,13 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"petrelhook/internal/coordination/fleet"
 	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/monotonic"
+	"petrelhook/internal/coordination/rpc"
 )
 
 // Token is the fencing token of one grant: larger than that of every grant before it.
@@ -53,10 +53,15 @@
 
 // Options are the settings of a client.
 type Options struct {
-	Addrs []string             // of the coordinators
-	Owner string               // a name for operators; two clients may have the same
-	TTL   time.Duration        // for how long the session lives without a renewal; 0: 10 s
-	clock func() lease.Instant // replaced by tests; nil: monotonic.Now, which counts the time for which the machine sleeps
+	Addrs []string      // of the coordinators
+	Owner string        // a name for operators; two clients may have the same
+	TTL   time.Duration // for how long the session lives without a renewal; 0: 10 s
+
+	// Dial opens connections to coordinators, as net.Dialer.DialContext does; nil: TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Clock reads a steady clock that is never set and counts the time for which the machine sleeps, in nanoseconds since any moment; nil:
+	// CLOCK_BOOTTIME. It is called from any goroutine. One that stops while the machine sleeps lets two clients hold a lease.
+	Clock func() time.Duration
 }
 
 // Client is a session, and the leases that it holds.
@@ -81,8 +86,8 @@
 	if o.TTL == 0 {
 		o.TTL = defaultTTL
 	}
-	if o.clock == nil {
-		o.clock = monotonic.Now
+	if o.Clock == nil {
+		o.Clock = func() time.Duration { return time.Duration(monotonic.Now()) }
 	}
 	if len(o.Addrs) == 0 {
 		return nil, errors.New("addrs: write the address of a coordinator")
@@ -101,13 +106,15 @@
 	c := &Client{options: o, lastCommand: first, acquiring: map[string]bool{}, held: map[string]*Held{}, changed: make(chan struct{})}
 	c.caller.Addrs = o.Addrs
 	c.caller.Timeout, c.caller.RetryInterval = max(o.TTL/4, minCallTimeout), o.TTL/100
-	c.caller.HTTPClient = &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: o.TTL / 4}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}
+	c.caller.HTTPClient = rpc.NewHTTPClient(rpc.HTTPOptions{Dial: o.Dial, DialTimeout: o.TTL / 4, MaxIdleConnsPerHost: 4})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.background.Go(c.renewLoop)
 	return c, nil
 }
 
+// now is the reading of the client's clock.
+func (c *Client) now() lease.Instant { return lease.Instant(c.options.Clock()) }
+
 // Hold waits until this client holds the lease of a name, or ctx ends. The lease is held until it is released, lost or broken, whatever
 // becomes of ctx. A client holds a name once; a second call meanwhile is ErrHeldHere. While no coordinator answers it tries on.
 func (c *Client) Hold(ctx context.Context, name string) (*Held, error) {
@@ -181,7 +188,7 @@
 			c.mu.Unlock()
 			return nil, nil
 		}
-		token, _, ok := session.Held(name, c.options.clock())
+		token, _, ok := session.Held(name, c.now())
 		changed := c.changed
 		c.mu.Unlock()
 		if ok {
@@ -205,8 +212,8 @@
 	if c.session != session {
 		return nil
 	}
-	session.ApplyGrant(c.options.clock(), name, token)
-	if _, _, ok := session.Held(name, c.options.clock()); !ok {
+	session.ApplyGrant(c.now(), name, token)
+	if _, _, ok := session.Held(name, c.now()); !ok {
 		return nil
 	}
 	h := &Held{Name: name, Token: token, client: c}
--- a/lease/session.go
+++ b/lease/session.go
@@ -24,7 +24,7 @@
 		return ctx.Err()
 	}
 	c.mu.Lock()
-	alive := c.session != nil && c.session.Expiry() > c.options.clock()
+	alive := c.session != nil && c.session.Expiry() > c.now()
 	c.mu.Unlock()
 	if alive {
 		return nil
@@ -34,7 +34,7 @@
 	defer context.AfterFunc(c.ctx, func() { cancel(ErrClosed) })()
 	cmd := lease.Command{Kind: lease.Open, TTL: c.options.TTL, Owner: c.options.Owner, Nonce: rand.Text()}
 	for {
-		requestedAt := c.options.clock()
+		requestedAt := c.now()
 		response, err := c.caller.Call(ctx, &fleet.Request{Command: &cmd}, nil)
 		if err != nil {
 			return err
@@ -43,7 +43,7 @@
 			return refusal("session", response.Answer.Status)
 		}
 		session := lease.NewSessionState(requestedAt, response.Answer.Session, c.options.TTL)
-		if session.Expiry() <= c.options.clock() { // the response came too late: this session may live or not, a new one certainly does
+		if session.Expiry() <= c.now() { // the response came too late: this session may live or not, a new one certainly does
 			cmd.Nonce = rand.Text()
 			continue
 		}
@@ -108,12 +108,12 @@
 func (c *Client) renew(session *lease.SessionState) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.options.TTL)
 	defer cancel()
-	requestedAt := c.options.clock()
+	requestedAt := c.now()
 	c.mu.Lock()
 	knownVersion := session.KnownVersion()
 	c.mu.Unlock()
 	request := &fleet.Request{KeepAlive: &replica.KeepAlive{Session: session.Session, KnownVersion: knownVersion}}
-	response, err := c.caller.Call(ctx, request, func() { requestedAt = c.options.clock() })
+	response, err := c.caller.Call(ctx, request, func() { requestedAt = c.now() })
 	if err != nil {
 		return
 	}
