--- a/cmd/petrelhook-agent/faults_test.go
+++ b/cmd/petrelhook-agent/faults_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -15,56 +11,56 @@
 	"connectrpc.com/connect"
 
 	"petrelhook/internal/common/peertest"
-	"petrelhook/internal/coordination/agent"
 	"petrelhook/internal/coordination/machine"
 	"petrelhook/internal/coordination/rollout"
 	"petrelhook/internal/coordination/rpc"
 	"petrelhook/internal/rig/deployment"
-	"petrelhook/internal/rig/link"
 )
 
-const twoStages = "max_concurrent: 2\nmax_unavailable: 3\nprogress_timeout: 3m\njudge: {min_effect: 0.2}\nstages:\n  - {count: 2, control: 1}\n  - {share: 1}\n"
+// unjudged is a plan with two stages without a judge: its verdicts are shown in virtual time.
+const unjudged = "max_concurrent: 2\nmax_unavailable: 3\nprogress_timeout: 10m\njudge: none\nstages:\n  - {count: 2}\n  - {share: 1}\n"
 
-// The coordinator that drives a change is killed again and again, and one is paused and continues with calls in flight: the change
-// completes, each sidecar is changed once, and the calls of the one that was paused are refused.
-func TestDriversThatDie(t *testing.T) {
-	s := newLoadTest(t, 6, 200, "", nil)
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.PlanText(s.Initial, good, twoStages)); err != nil {
+const changeTimeout = 2 * time.Minute
+
+// begin begins a change to a release that does the same as the initial one.
+func begin(t *testing.T, s *deployment.LoadTest, plan string) (release string) {
+	t.Helper()
+	good := s.Renamed("another-name")
+	if _, err := s.Begin(deployment.PlanText(s.Initial, good, plan)); err != nil {
 		t.Fatal(err)
 	}
-	for round := range 3 {
-		peertest.Eventually(t, "one drives", func() bool { return s.Driver() >= 0 })
-		was := s.Application().Current.EventCount
-		s.AwaitChange(30*time.Second, "it moves", func(c *rollout.Change) bool { return c.EventCount > was || c.State.Phase.Over() })
-		i := s.Driver()
-		if i < 0 {
-			continue
-		}
-		if round == 1 {
-			m := s.Members[i]
-			m.Pause()
-			peertest.Eventually(t, "another drives", func() bool { return s.Driver() != i })
-			m.Resume()
-			continue
+	return string(good)
+}
+
+// checkDone waits for the end of a change of all sidecars to a release.
+func checkDone(t *testing.T, s *deployment.LoadTest, release string) {
+	t.Helper()
+	c := s.AwaitEnd(changeTimeout)
+	for _, one := range c.State.Sidecars() {
+		if c.State.Phase != rollout.Done || one.Release != release {
+			text, _ := json.Marshal(c.State)
+			t.Fatalf("%v: %s", c.State.Phase, text)
 		}
-		s.Members[i].KillAndWait()
-		died := time.Now()
-		peertest.Eventually(t, "another drives", func() bool { return s.Driver() != i && s.Driver() >= 0 })
-		events := s.Application().Current.EventCount
-		s.AwaitChange(30*time.Second, "its word is taken", func(c *rollout.Change) bool { return c.EventCount > events || c.State.Phase.Over() })
-		t.Logf("%v from a driver's death to the word of the next", time.Since(died).Round(10*time.Millisecond))
-		s.Members[i].Start()
-	}
-	c := s.AwaitEnd(2 * time.Minute)
-	if c.State.Phase != rollout.Done || deployment.CountRunning(c, good) != 6 {
-		t.Errorf("%v: %s", c.State.Phase, c.State.Reason)
 	}
+}
+
+// The coordinator that drives a change is paused and continues with calls in flight: the change completes, each sidecar is changed once, and
+// the calls of the one that was paused are refused.
+func TestADriverThatIsPaused(t *testing.T) {
+	s := startProcesses(t, 6, 60, nil)
+	good := begin(t, s, unjudged)
+	peertest.Eventually(t, "one drives", func() bool { return s.Driver() >= 0 })
+	s.AwaitChange(changeTimeout, "it moves", func(c *rollout.Change) bool { return len(c.State.OpenOrders()) > 0 || c.State.Phase.Over() })
+	paused := s.Driver()
+	s.Members[paused].Pause()
+	peertest.Eventually(t, "another drives", func() bool { return s.Driver() != paused })
+	s.Members[paused].Resume()
+	checkDone(t, s, good)
 	starts := 0
 	for _, a := range s.Agents {
 		starts += strings.Count(a.Log.String(), "msg=started")
 	}
-	if starts != 6+6+1 { // at first, changed, and the control
+	if starts != 6+6 { // at first, and changed
 		t.Errorf("%d starts", starts)
 	}
 	for _, token := range []uint64{1, 1 << 40} { // an older driver; a newer one that repeats an order
@@ -77,151 +73,50 @@
 	s.Check()
 }
 
-// kill kills one agent after the other, each after a random time up to within, and starts it again, until the function that it returns is
-// called or the test ends. That function returns the number of kills.
-func kill(t *testing.T, s *deployment.LoadTest, within time.Duration) (end func() int) {
-	stop, ended := make(chan struct{}), make(chan struct{})
-	kills := 0
-	go func() {
-		defer close(ended)
-		for {
-			for _, a := range s.Agents {
-				select {
-				case <-stop:
-					return
-				case <-time.After(rand.N(within)): // at any moment: which one it is must not matter
-				}
-				a.KillAndWait()
-				kills++
-				a.StartProcess()
-				if got := a.MaxProcesses(); got > 2 {
-					t.Errorf("%d processes of one sidecar", got)
-				}
-			}
-		}
-	}()
-	enough := sync.OnceFunc(func() { close(stop); <-ended })
-	t.Cleanup(enough)
-	return func() int { enough(); return kills }
-}
-
 // Agents are killed at random moments of a change and started again: no sidecar ever has a third process or none, and the change
 // completes.
 func TestAgentsThatDie(t *testing.T) {
-	s := newLoadTest(t, 6, 200, "", func(d *deployment.Deployment) { // a trial starts over with the agent
-		d.Limits = "{ready_timeout: 15s, trial_period: 300ms, termination_timeout: 4s, poll_interval: 50ms, isolation_timeout: 20s, contact_timeout: 4s, initial_restart_backoff: 200ms}"
-	})
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.PlanText(s.Initial, good, twoStages)); err != nil {
-		t.Fatal(err)
-	}
-	end := kill(t, s, 1200*time.Millisecond)
-	c := s.AwaitChange(2*time.Minute, "over", func(c *rollout.Change) bool { return c.State.Phase.Over() || c.State.Phase == rollout.Paused })
-	t.Logf("%d kills of agents; %v: %s", end(), c.State.Phase, c.State.Reason)
-	if c.State.Phase != rollout.Done || deployment.CountRunning(c, good) != 6 {
-		text, _ := json.Marshal(c.State)
-		t.Errorf("%v: %s", c.State.Phase, text)
-	}
-	s.Check()
-}
-
-// A third of the agents is isolated in the middle of a stage, and the change is aborted meanwhile: the sidecars in reach are rolled back at
-// once; those that are isolated fall back by themselves, and their status says so later.
-func TestIsolatedAgents(t *testing.T) {
-	s := newLoadTest(t, 6, 200, "", func(d *deployment.Deployment) {
-		d.PerAgent = 2
-		d.Limits = "{ready_timeout: 15s, trial_period: 1s, termination_timeout: 4s, poll_interval: 50ms, isolation_timeout: 4s, contact_timeout: 2s, initial_restart_backoff: 200ms}"
-	})
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.PlanText(s.Initial, good, "max_concurrent: 3\nmax_unavailable: 6\nprogress_timeout: 3m\njudge: {min_effect: 0.02}\nstages:\n  - {names: [n00, n02, n04], control: 1}\n  - {share: 1}\n")); err != nil {
-		t.Fatal(err)
-	}
-	s.AwaitChange(time.Minute, "three are changed", func(c *rollout.Change) bool { return deployment.CountRunning(c, good) == 3 })
-	cut := s.Agents[0]
-	cut.Link.Block(link.Forward, true)
-	s.AwaitChange(time.Minute, "it is seen", func(c *rollout.Change) bool { return !c.State.Sidecars()[0].Ready })
-	s.SendEvent(rollout.Event{Abort: "by hand"})
-	s.AwaitChange(time.Minute, "the others are back", func(c *rollout.Change) bool { return deployment.CountRunning(c, s.Initial) >= 5 })
-	if c := s.Application().Current; c.State.Phase != rollout.RollingBack || len(c.State.OpenOrders()) != 1 {
-		t.Errorf("%v: %v", c.State.Phase, c.State.OpenOrders())
-	}
-	peertest.Eventually(t, "it goes back by itself", func() bool {
-		k := cut.PersistedStates()
-		return k[0].FallbackReason == rollout.MachineIsolated && k[0].Serving != nil && k[0].Serving.Release == string(s.Initial) && k[0].Phase == agent.Idle
-	})
-	cut.Link.Block(link.Forward, false)
-	if c := s.AwaitEnd(time.Minute); c.State.Phase != rollout.Stopped || deployment.CountRunning(c, s.Initial) != 6 || c.State.Reason != "by hand" {
-		text, _ := json.Marshal(c.State)
-		t.Errorf("%s", text)
-	}
+	s := startProcesses(t, 6, 60, nil)
+	good := begin(t, s, unjudged)
+	kill(t, s, 12, 700*time.Millisecond)
+	checkDone(t, s, good)
 	s.Check()
 }
 
 // A sidecar is suspended in the middle of a stage: the change waits for it, and pauses. Then its agent is suspended, and the change is
 // aborted meanwhile: the order to roll back, repeated at every poll, is carried out once when the agent continues.
 func TestStoppedProcesses(t *testing.T) {
-	s := newLoadTest(t, 4, 100, "", func(d *deployment.Deployment) { d.PerAgent = 2 })
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.PlanText(s.Initial, good, "progress_timeout: 8s\njudge: {min_effect: 0.001}\nstages:\n  - {names: [n00]}\n  - {share: 1}\n")); err != nil {
-		t.Fatal(err)
-	}
-	s.AwaitChange(time.Minute, "it is changed", func(c *rollout.Change) bool { return deployment.CountRunning(c, good) == 1 })
+	s := startProcesses(t, 4, 40, func(d *deployment.Deployment) { d.PerAgent = 2 })
+	good := begin(t, s, "progress_timeout: 15s\njudge: {min_effect: 0.001}\nstages:\n  - {names: [n00]}\n  - {share: 1}\n")
+	s.AwaitChange(changeTimeout, "it is changed", func(c *rollout.Change) bool { return c.State.Sidecars()[0].Release == good })
 	a := s.Agents[0]
-	pid := a.PersistedStates()[0].Serving.PID
-	syscall.Kill(pid, syscall.SIGSTOP)
-	c := s.AwaitChange(time.Minute, "it pauses", func(c *rollout.Change) bool { return c.State.Phase == rollout.Paused })
+	a.SignalSidecar(0, syscall.SIGSTOP)
+	c := s.AwaitChange(changeTimeout, "it pauses", func(c *rollout.Change) bool { return c.State.Phase == rollout.Paused })
 	if !strings.Contains(c.State.Reason, "nothing came of it") || !strings.HasSuffix(c.State.Reason, ": n00") {
 		t.Errorf("%s", c.State.Reason)
 	}
-	syscall.Kill(pid, syscall.SIGCONT)
-	s.AwaitChange(time.Minute, "it is ready", func(c *rollout.Change) bool { return c.State.Sidecars()[0].Ready })
+	a.SignalSidecar(0, syscall.SIGCONT)
+	s.AwaitChange(changeTimeout, "it is ready", func(c *rollout.Change) bool { return c.State.Sidecars()[0].Ready })
 	a.Pause()
 	s.SendEvent(rollout.Event{Abort: "by hand"})
-	c = s.AwaitChange(time.Minute, "it is out of reach", func(c *rollout.Change) bool { return !c.State.Sidecars()[0].Ready })
+	c = s.AwaitChange(changeTimeout, "it is out of reach", func(c *rollout.Change) bool { return !c.State.Sidecars()[0].Ready })
 	if c.State.Phase != rollout.RollingBack || len(c.State.OpenOrders()) != 1 {
 		t.Errorf("%v: %v", c.State.Phase, c.State.OpenOrders())
 	}
 	a.Resume()
-	if c := s.AwaitEnd(time.Minute); deployment.CountRunning(c, s.Initial) != 4 || strings.Count(a.Log.String(), "msg=started sidecar=n00") != 3 {
+	if c := s.AwaitEnd(changeTimeout); deployment.CountRunning(c, s.Initial) != 4 || strings.Count(a.Log.String(), "msg=started sidecar=n00") != 3 {
 		t.Errorf("%d are back; %s", deployment.CountRunning(c, s.Initial), a.Log)
 	}
 }
 
-// A machine comes back after weeks, and the release of its sidecars is no longer there. It starts nothing until a driver says which
-// release is confirmed.
-func TestAMachineThatReturnsAfterWeeks(t *testing.T) {
-	s := newLoadTest(t, 4, 60, "", func(d *deployment.Deployment) { d.PerAgent = 2 })
-	good := s.Script("another-name", `exec $REAL "$@"`, s.Settings)
-	if _, err := s.Begin(deployment.PlanText(s.Initial, good, "max_concurrent: 4\njudge: none\nstages: [{share: 1}]\n")); err != nil {
-		t.Fatal(err)
-	}
-	s.AwaitEnd(time.Minute)
-	a := s.Agents[0]
-	a.Link.Block(link.Forward, true)
-	a.KillAndWait()
-	for _, k := range a.PersistedStates() {
-		syscall.Kill(k.Serving.PID, syscall.SIGKILL)
-	}
-	for _, name := range []string{"n00", "n01"} {
-		text := `{"confirmed": "0123456789abcdef0123456789abcdef", "starts": 9}`
-		if err := os.WriteFile(filepath.Join(a.Dir, "data", "sidecar-"+name+".json"), []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	a.StartProcess()
-	peertest.Eventually(t, "it finds nothing to start", func() bool { return strings.Count(a.Log.String(), "no such release here") > 2 })
-	a.Link.Block(link.Forward, false)
-	peertest.Eventually(t, "it runs what is confirmed", func() bool {
-		k := a.PersistedStates()
-		return k[0].Confirmed == string(good) && k[1].Confirmed == string(good) && k[0].Serving != nil && k[1].Serving != nil && k[0].Serving.Release == string(good)
-	})
-	s.AwaitChange(time.Minute, "all are ready", func(c *rollout.Change) bool {
-		for _, one := range c.State.Sidecars() {
-			if !one.Ready || one.Release != string(good) {
-				return false
-			}
-		}
-		return true
+// Releases whose processes end by themselves, and one whose sidecar fails a class of requests, are stopped in the first stage and rolled
+// back. The requests that the processes had accepted end with them.
+func TestReleasesThatEnd(t *testing.T) {
+	s := startProcesses(t, 6, 120, nil)
+	const plan = "max_concurrent: 2\nprogress_timeout: 10m\njudge: {min_effect: 0.15}\nstages:\n  - {count: 2, control: 2}\n  - {share: 1}\n"
+	s.CheckWorseReleases(s.Initial, []deployment.WorseRelease{
+		{Program: deployment.Program{Name: "dies at start", ExitsAtStart: true}, Reason: "ended before it was ready", Plan: plan},
+		{Program: deployment.Program{Name: "dies later", KilledAfter: 4 * time.Second}, Reason: "it ended", Plan: plan},
+		{Program: deployment.Program{Name: deployment.FaultOneClass, Fault: deployment.FaultOneClass}, Reason: "worse", Plan: plan},
 	})
-	s.End()
 }
--- a/cmd/petrelhook-agent/figures_test.go
+++ b/cmd/petrelhook-agent/figures_test.go
@@ -14,7 +14,7 @@
 func TestFiguresOfHarm(t *testing.T) {
 	peertest.SkipUnlessMeasuring(t)
 	const horizon = 40 * time.Second
-	s := newLoadTest(t, 12, 360, "", nil)
+	s := startProcesses(t, 12, 360, nil)
 	bad := s.FaultyRelease(deployment.FaultOneClass)
 	zero := time.Now()
 	var froms []time.Duration
@@ -62,8 +62,8 @@
 // Good changes of 12 sidecars in three stages, one after the other, forth and back: none is stopped, and no request is affected.
 func TestFiguresOfGoodChanges(t *testing.T) {
 	peertest.SkipUnlessMeasuring(t)
-	s := newLoadTest(t, 12, 1500, "", nil)
-	now, next := s.Initial, s.Script("another-name", `exec $REAL "$@"`, s.Settings)
+	s := startProcesses(t, 12, 1500, nil)
+	now, next := s.Initial, s.Renamed("another-name")
 	for i := range 20 {
 		began := time.Now()
 		if _, err := s.Begin(deployment.PlanText(now, next, "max_concurrent: 4\nmax_unavailable: 4\nprogress_timeout: 3m\njudge: {min_effect: 0.2}\nstages:\n  - {count: 2, control: 2}\n  - {count: 4, control: 2}\n  - {share: 1}\n")); err != nil {
@@ -78,3 +78,11 @@
 	}
 	s.Check()
 }
+
+// A release that leaks memory is stopped in its first stage.
+func TestFiguresOfALeak(t *testing.T) {
+	peertest.SkipUnlessMeasuring(t)
+	s := startProcesses(t, 6, 240, nil)
+	s.CheckWorseReleases(s.Initial, []deployment.WorseRelease{{Program: deployment.Program{Name: deployment.FaultLeaks, Fault: deployment.FaultLeaks}, Reason: "of class * in zone *",
+		Plan: "max_concurrent: 2\nprogress_timeout: 1m\njudge: {min_effect: 0.15}\nstages:\n  - {count: 2, control: 2, min_bake_time: 50s}\n  - {share: 1}\n"}})
+}
--- a/cmd/petrelhook-coordinator/main.go
+++ b/cmd/petrelhook-coordinator/main.go
@@ -3,14 +3,12 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -70,9 +68,6 @@
 	return c, nil
 }
 
-// driverTTL is how long other coordinators wait for a driver of rolling changes that does not renew its lease.
-const driverTTL = 3 * time.Second
-
 // serve runs until SIGTERM or an interrupt.
 func serve(c *fleet.Config, log *slog.Logger) error {
 	ctx, release := command.Terminated()
@@ -86,7 +81,7 @@
 		return command.Fail(fmt.Errorf("listen: %w", err))
 	}
 	if c.Drive {
-		defer startDriver(ctx, c, log)()
+		defer driver.ForCoordinator(c, log).Start(ctx)()
 	}
 	log.Info("serving", "id", c.ID, "listen", ln.Addr().String(), "replicas", len(c.Replicas))
 	if err := s.Run(ctx, ln); err != nil {
@@ -95,24 +90,3 @@
 	log.Info("stopped")
 	return nil
 }
-
-// startDriver starts the driver of rolling changes, and returns the function that ends it. Where it cannot begin the coordinator serves
-// on.
-func startDriver(ctx context.Context, c *fleet.Config, log *slog.Logger) (stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	d := &driver.Driver{TTL: driverTTL, Interval: c.DriveInterval, Log: log}
-	for _, m := range c.Replicas {
-		d.Coordinators = append(d.Coordinators, m.Addr)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if err := d.Run(ctx); err != nil {
-			log.Error("drives no changes", "err", err)
-		}
-	}()
-	return func() {
-		cancel()
-		<-ended
-	}
-}
--- a/internal/coordination/driver/driver.go
+++ b/internal/coordination/driver/driver.go
@@ -51,6 +51,35 @@
 	reachability  rollout.ReachabilityTracker
 }
 
+// leaseTTL is how long other coordinators wait for a driver that does not renew its lease.
+const leaseTTL = 3 * time.Second
+
+// ForCoordinator returns the driver that runs beside a coordinator with these settings.
+func ForCoordinator(c *fleet.Config, log *slog.Logger) *Driver {
+	d := &Driver{TTL: leaseTTL, Interval: c.DriveInterval, Log: log, Dial: c.Dial}
+	for _, m := range c.Replicas {
+		d.Coordinators = append(d.Coordinators, m.Addr)
+	}
+	return d
+}
+
+// Start has Run run on a goroutine of its own, and returns the function that ends it and waits for its end. An error of Run is logged: the
+// coordinator serves on without a driver.
+func (d *Driver) Start(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := d.Run(ctx); err != nil {
+			d.Log.Error("drives no changes", "err", err)
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 // Run drives while it holds the lease, and waits for the lease otherwise, until ctx ends. It is called once. An error says which of the
 // exported fields is invalid.
 func (d *Driver) Run(ctx context.Context) error {
--- a/internal/coordination/release/release_test.go
+++ b/internal/coordination/release/release_test.go
@@ -170,7 +170,61 @@
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// Another process opens the store while this one adds a release: the addition is not removed, and completes. One whose process was killed
+// is removed.
+func TestTwoProcessesAndOneStore(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "releases")
+	s, err := NewStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := func() {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "RELEASE_TEST_OPEN="+dir)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Errorf("%v: %s", err, out)
+		}
+	}
+	crossing := readerFunc(func() { open() }) // after half of the program is in the staging folder
+	r, err := s.Add(io.MultiReader(strings.NewReader("half"), crossing, strings.NewReader("half")), strings.NewReader("{}"))
+	if err != nil {
+		t.Fatalf("the addition was removed: %v", err)
+	}
+	killed := exec.Command(os.Args[0])
+	killed.Env = append(os.Environ(), "RELEASE_TEST_DIES="+dir)
+	if out, err := killed.CombinedOutput(); err == nil {
+		t.Errorf("it was not killed: %s", out)
+	}
+	if entries, _ := os.ReadDir(dir); len(entries) != 2 {
+		t.Errorf("nothing was left behind: %v", entries)
+	}
+	open()
+	if entries, _ := os.ReadDir(dir); len(entries) != 1 || entries[0].Name() != string(r.ID) {
+		t.Errorf("%v", entries)
+	}
+}
+
+// readerFunc is a reader that calls a function once and has no bytes.
+type readerFunc func()
+
+func (f readerFunc) Read([]byte) (int, error) { f(); return 0, io.EOF }
+
 func TestMain(m *testing.M) {
+	if dir := os.Getenv("RELEASE_TEST_OPEN"); dir != "" {
+		if _, err := NewStore(dir); err != nil {
+			fmt.Println(err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	if dir := os.Getenv("RELEASE_TEST_DIES"); dir != "" {
+		s, err := NewStore(dir)
+		if err == nil {
+			_, err = s.Add(readerFunc(func() { syscall.Kill(os.Getpid(), syscall.SIGKILL); select {} }), strings.NewReader("{}"))
+		}
+		fmt.Println(err)
+		os.Exit(0)
+	}
 	if dir := os.Getenv("RELEASE_TEST_STORE"); dir != "" { // no file of this process may have more than 8 KiB
 		signal.Ignore(syscall.SIGXFSZ)
 		err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 8 << 10, Max: 8 << 10})
--- a/internal/coordination/release/store.go
+++ b/internal/coordination/release/store.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 )
 
 // ID names a release by its content: the hash of the hashes of its program and its settings.
@@ -28,11 +29,12 @@
 	stagingPrefix = ".adding-"
 )
 
-// Store is a folder of releases, each in a folder that is named by its ID. Any number of processes may open releases at the same time, but
-// none may add one while another calls NewStore, which removes what was not added completely.
+// Store is a folder of releases, each in a folder that is named by its ID. Any number of processes may use it at the same time: one that adds
+// a release holds a lock on its staging folder, and NewStore removes only those that nobody holds.
 type Store struct{ dir string }
 
-// NewStore returns the store in a folder, which is made if it is not there. What an earlier process had begun to add is removed.
+// NewStore returns the store in a folder, which is made if it is not there. What a process had begun to add or to remove before it ended is
+// removed.
 func NewStore(dir string) (*Store, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
@@ -42,15 +44,72 @@
 		return nil, err
 	}
 	for _, e := range entries {
-		if strings.HasPrefix(e.Name(), stagingPrefix) {
-			if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
-				return nil, err
-			}
+		if !strings.HasPrefix(e.Name(), stagingPrefix) {
+			continue
+		}
+		if err := removeAbandoned(filepath.Join(dir, e.Name())); err != nil {
+			return nil, err
 		}
 	}
 	return &Store{dir}, nil
 }
 
+// removeAbandoned removes a staging folder unless a process holds it.
+func removeAbandoned(path string) error {
+	lock, err := lockFolder(path)
+	if errors.Is(err, errHeld) || errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return errors.Join(os.RemoveAll(path), lock.Close())
+}
+
+// errHeld says that another process, or another call of this one, holds a folder's lock.
+var errHeld = errors.New("the folder is locked")
+
+// lockFolder locks a folder until the returned file is closed, or the process ends. It does not wait: the error is errHeld if the folder is
+// locked, and os.ErrNotExist if it is not there or is removed at this moment.
+func lockFolder(path string) (*os.File, error) {
+	folder, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(folder.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = errHeld
+	}
+	if err == nil {
+		_, err = os.Stat(path) // whoever had the lock before may have removed or renamed the folder
+	}
+	if err != nil {
+		return nil, errors.Join(err, folder.Close())
+	}
+	return folder, nil
+}
+
+// maxStagingAttempts is how many staging folders an addition makes before it gives up: one that is not locked yet may be taken for abandoned
+// by a NewStore at the same moment.
+const maxStagingAttempts = 10
+
+// makeStaging makes a staging folder and locks it.
+func (s *Store) makeStaging() (path string, lock *os.File, err error) {
+	for range maxStagingAttempts {
+		if path, err = os.MkdirTemp(s.dir, stagingPrefix); err != nil {
+			return "", nil, err
+		}
+		lock, err = lockFolder(path)
+		if err == nil {
+			return path, lock, nil
+		}
+		if !errors.Is(err, errHeld) && !errors.Is(err, os.ErrNotExist) {
+			break
+		}
+	}
+	return "", nil, errors.Join(err, os.RemoveAll(path))
+}
+
 // idBytes is how many bytes of a hash an ID has, each as two hexadecimal digits.
 const idBytes = 16
 
@@ -63,10 +122,11 @@
 // Add copies a program and its settings into the store. They are written to a staging folder and synced, and the folder is renamed, so that
 // a release is complete on the disk when it is first seen. A release that is there already is checked and left as it is.
 func (s *Store) Add(program, settings io.Reader) (Release, error) {
-	staging, err := os.MkdirTemp(s.dir, stagingPrefix)
+	staging, lock, err := s.makeStaging()
 	if err != nil {
 		return Release{}, err
 	}
+	defer func() { _ = lock.Close() }()          // it holds nothing but the lock
 	defer func() { _ = os.RemoveAll(staging) }() // renamed after success; otherwise NewStore removes what is left
 	p, err := writeAndHash(filepath.Join(staging, programName), program, 0o500)
 	if err != nil {
--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -29,7 +29,25 @@
 	Members     []*Member
 	ClientLinks []*link.Link // one to each member
 	t           testing.TB
-	program     func(args ...string) *exec.Cmd
+	platform    Platform
+	operator    *fleet.Operator
+}
+
+// Platform is where the coordinators of a group run: the operating system (Processes), or memory (package deployment has one).
+type Platform struct {
+	// Start starts a coordinator on its configuration. It is called from the test's goroutine.
+	Start   func(configFile string) *process.Process
+	NewLink func() (*link.Link, error)
+	// Client makes the calls of operators and drivers; nil: the default of package http.
+	Client *http.Client
+}
+
+// Processes is the operating system. program makes the command of a coordinator from its arguments.
+func Processes(t testing.TB, program func(args ...string) *exec.Cmd) Platform {
+	return Platform{NewLink: link.New, Start: func(configFile string) *process.Process {
+		t.Helper()
+		return process.Start(t, program("--config", configFile))
+	}}
 }
 
 // Member is one coordinator of a group.
@@ -44,13 +62,13 @@
 // arguments.
 func NewGroup(t testing.TB, n int, program func(args ...string) *exec.Cmd) *Group {
 	t.Helper()
-	return NewGroupWith(t, n, "", program)
+	return NewGroupOn(t, n, "", Processes(t, program))
 }
 
-// NewGroupWith is NewGroup with further lines in all configuration files.
-func NewGroupWith(t testing.TB, n int, lines string, program func(args ...string) *exec.Cmd) *Group {
+// NewGroupOn is NewGroup on a platform, with further lines in all configuration files.
+func NewGroupOn(t testing.TB, n int, lines string, platform Platform) *Group {
 	t.Helper()
-	g := &Group{Dir: process.DataDir(t), t: t, program: program}
+	g := &Group{Dir: process.DataDir(t), t: t, platform: platform}
 	for i := range n {
 		g.ClientLinks = append(g.ClientLinks, g.NewLink())
 		m := &Member{Index: i, group: g}
@@ -73,13 +91,14 @@
 		}
 		m.Start()
 	}
+	g.operator = &fleet.Operator{Addrs: g.Addrs(), HTTPClient: platform.Client}
 	return g
 }
 
 // NewLink makes a link that ends with the test.
 func (g *Group) NewLink() *link.Link {
 	g.t.Helper()
-	l, err := link.New()
+	l, err := g.platform.NewLink()
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -107,7 +126,7 @@
 // Start starts the process on its data as they are, and directs the links to it.
 func (m *Member) Start() {
 	m.group.t.Helper()
-	m.Process = process.Start(m.group.t, m.group.program("--config", m.group.ConfigFile(m.Index)))
+	m.Process = m.group.platform.Start(m.group.ConfigFile(m.Index))
 	addr := m.group.AwaitServing(m.Process)
 	m.group.ClientLinks[m.Index].SetTarget(addr)
 	for _, other := range m.group.Members {
@@ -155,17 +174,22 @@
 }
 
 // IsLeader reports whether the coordinator at an address says that it leads.
-func IsLeader(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+func IsLeader(addr string) bool { return isLeader(&fleet.Operator{}, addr) }
+
+// leaderTimeout bounds the question whether a coordinator leads.
+const leaderTimeout = 200 * time.Millisecond
+
+func isLeader(operator *fleet.Operator, addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), leaderTimeout)
 	defer cancel()
-	s, err := (&fleet.Operator{}).Status(ctx, addr)
+	s, err := operator.Status(ctx, addr)
 	return err == nil && s.IsLeader
 }
 
 // Leader is the index of the leader; -1: there is none.
 func (g *Group) Leader() int {
 	for i, addr := range g.Addrs() {
-		if IsLeader(addr) {
+		if isLeader(g.operator, addr) {
 			return i
 		}
 	}
@@ -186,7 +210,15 @@
 func (g *Group) Call(in fleet.Request) (*fleet.Response, error) {
 	ctx, cancel := context.WithTimeout(g.t.Context(), 20*time.Second)
 	defer cancel()
-	return (&fleet.Operator{Addrs: g.Addrs()}).Call(ctx, in)
+	return g.Operator().Call(ctx, in)
+}
+
+// Operator returns an operator of the group, which begins with the first member. It may be called from any goroutine.
+func (g *Group) Operator() *fleet.Operator { return g.OperatorAt(g.Addrs()) }
+
+// OperatorAt is Operator at other addresses of the members.
+func (g *Group) OperatorAt(addrs []string) *fleet.Operator {
+	return &fleet.Operator{Addrs: addrs, HTTPClient: g.platform.Client}
 }
 
 // NewCaller returns a function that sends a request until the leader answers, 5 ms after each attempt that fails, without a backoff: for
--- a/internal/rig/deployment/agent.go
+++ b/internal/rig/deployment/agent.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -28,7 +27,7 @@
 func (a *Agent) StartProcess() {
 	a.deployment.t.Helper()
 	path := filepath.Join(a.Dir, "agent.yaml")
-	a.Process = process.Start(a.deployment.t, exec.Command(a.deployment.Program("petrelhook-agent"), "--config", path))
+	a.Process = a.deployment.platform.startAgent(path)
 	c, err := machine.Read(path)
 	if err != nil {
 		a.deployment.t.Fatal(err)
@@ -55,12 +54,12 @@
 	a.KillAndWait()
 	running := a.running()
 	for _, state := range a.PersistedStates() {
-		if p := state.Terminating; p != nil && machine.Lives(*p) {
+		if p := state.Terminating; p != nil && a.deployment.platform.lives(*p) {
 			running = append(running, *p)
 		}
 	}
 	for _, p := range running {
-		syscall.Kill(p.PID, syscall.SIGKILL)
+		a.deployment.platform.signal(p, syscall.SIGKILL)
 	}
 }
 
@@ -68,7 +67,7 @@
 func (a *Agent) running() (all []agent.Process) {
 	for _, state := range a.PersistedStates() {
 		for _, p := range []*agent.Process{state.Serving, state.Next} {
-			if p != nil && machine.Lives(*p) {
+			if p != nil && a.deployment.platform.lives(*p) {
 				all = append(all, *p)
 			}
 		}
@@ -83,7 +82,7 @@
 	for _, f := range files {
 		var p agent.Process
 		text, _ := os.ReadFile(f)
-		if got, _ := fmt.Sscan(string(text), &p.PID, &p.StartTicks); got == 2 && machine.Lives(p) {
+		if got, _ := fmt.Sscan(string(text), &p.PID, &p.StartTicks); got == 2 && a.deployment.platform.lives(p) {
 			name := strings.Split(filepath.Base(f), "-")[1]
 			count[name]++
 			n = max(n, count[name])
@@ -91,3 +90,8 @@
 	}
 	return n
 }
+
+// SignalSidecar sends a signal to the serving process of one of its sidecars, by its index.
+func (a *Agent) SignalSidecar(index int, s syscall.Signal) {
+	a.deployment.platform.signal(*a.PersistedStates()[index].Serving, s)
+}
--- a/internal/rig/deployment/change.go
+++ b/internal/rig/deployment/change.go
@@ -27,7 +27,15 @@
 	}
 	ctx, cancel := context.WithTimeout(d.t.Context(), 20*time.Second)
 	defer cancel()
-	return driver.Begin(ctx, &fleet.Operator{Addrs: d.Addrs()}, &http.Client{}, f, false)
+	return driver.Begin(ctx, d.Operator(), d.Client(), f, false)
+}
+
+// Client returns the HTTP client of operators.
+func (d *Deployment) Client() *http.Client {
+	if client := d.platform.coordinators().Client; client != nil {
+		return client
+	}
+	return http.DefaultClient
 }
 
 // Application returns what the coordinators store of the application's rolling changes.
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -1,13 +1,13 @@
-// Package deployment runs a fleet as operators do, in processes on loopback: coordinators, agents and the sidecars that agents start.
-// Tests use it to change releases under load and to break processes and the links between them. A rehearsal sends the load and audits
-// the rules; Deployment is its Starter. Failures of the set-up end the test.
+// Package deployment runs a fleet as operators do: coordinators, agents and the sidecars that agents start. They are processes on loopback
+// (Processes), or the same code in the test's own process, on a network in memory and in virtual time (Simulate). Tests use it to change
+// releases under load and to break processes and the links between them. A rehearsal sends the load and audits the rules; Deployment is its
+// Starter. Failures of the set-up end the test.
 package deployment
 
 import (
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -16,7 +16,6 @@
 
 	"petrelhook/internal/common/await"
 	"petrelhook/internal/coordination/agent"
-	"petrelhook/internal/coordination/machine"
 	"petrelhook/internal/coordination/release"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/process"
@@ -33,7 +32,6 @@
 	PerAgent       int                              // sidecars of an agent
 	Zones          []string                         // sidecar number n is in zone n modulo their count
 	Limits         string                           // of the agents, in YAML
-	ReserveAddr    func() string                    // returns a free address on loopback
 	InitialRelease func(settings []byte) release.ID // makes the release to start with from the first sidecar's settings
 
 	// Discovery returns the address of discovery that the release gives all sidecars, given that of the first sidecar; a version of
@@ -42,32 +40,20 @@
 	SubscribeVersions bool // agents subscribe to versions of the configuration at the coordinators
 
 	t               testing.TB
-	programDir      string
+	platform        Platform
 	initial         release.ID
 	pendingSidecars []string // of the next agent, in YAML
 }
 
-// programs are the programs that a deployment runs.
-var programs = process.NewPrograms("petrelhook", "petrelhook-coordinator", "petrelhook-agent", "petrelhookctl")
-
-// RemoveBuilt removes the programs that were built. A TestMain calls it at its end.
-func RemoveBuilt() { programs.Remove() }
-
-// New starts the coordinators of a deployment. Start adds sidecars, and an agent for each PerAgent of them.
-func New(t testing.TB, coordinators int) *Deployment {
+// New starts the coordinators of a deployment on a platform. Start adds sidecars, and an agent for each PerAgent of them.
+func New(t testing.TB, platform Platform, coordinators int) *Deployment {
 	t.Helper()
-	bin := programs.Dir(t)
-	d := &Deployment{t: t, programDir: bin, Releases: filepath.Join(t.TempDir(), "releases"), PerAgent: 3, Zones: []string{""},
+	d := &Deployment{t: t, platform: platform, Releases: filepath.Join(t.TempDir(), "releases"), PerAgent: 3, Zones: []string{""},
 		Limits: "{ready_timeout: 10s, trial_period: 1s, termination_timeout: 4s, poll_interval: 50ms, isolation_timeout: 20s, contact_timeout: 4s, initial_restart_backoff: 200ms}"}
-	d.Group = coordinator.NewGroupWith(t, coordinators, "drive: true\ndrive_interval: 200ms\n", func(args ...string) *exec.Cmd {
-		return exec.Command(filepath.Join(bin, "petrelhook-coordinator"), args...)
-	})
+	d.Group = coordinator.NewGroupOn(t, coordinators, "drive: true\ndrive_interval: 200ms\n", platform.coordinators())
 	return d
 }
 
-// Program is the path of a program of this module.
-func (d *Deployment) Program(name string) string { return filepath.Join(d.programDir, name) }
-
 // sidecarFields are the fields of settings that differ from sidecar to sidecar.
 var sidecarFields = []string{"discovery", "known", "seed", "limits"}
 
@@ -82,7 +68,7 @@
 		MyNumber int `json:"my_number"`
 	}
 	_ = json.Unmarshal(fields["settings"], &numbered)
-	addr = d.ReserveAddr()
+	addr = d.platform.reserveAddr()
 	if d.Discovery != nil && d.initial == "" {
 		if err := d.replaceDiscovery(fields); err != nil {
 			return "", fmt.Errorf("settings of sidecar %d: discovery: %w", number, err)
@@ -98,7 +84,7 @@
 	}
 	d.pendingSidecars = append(d.pendingSidecars, fmt.Sprintf(
 		"  - {name: n%02d, zone: %q, listen: %q, admin_addresses: [%q, %q], set: {%ssettings.my_number: %d}}\n",
-		number, d.Zones[number%len(d.Zones)], addr, d.ReserveAddr(), d.ReserveAddr(), overrides, numbered.MyNumber))
+		number, d.Zones[number%len(d.Zones)], addr, d.platform.reserveAddr(), d.platform.reserveAddr(), overrides, numbered.MyNumber))
 	if len(d.pendingSidecars) < d.PerAgent {
 		return addr, nil
 	}
@@ -140,7 +126,7 @@
 		text = fmt.Sprintf("configuration: {coordinators: %s}\n", coordinators)
 	}
 	text += fmt.Sprintf("application: %s\nlisten: %q\ndata: data\nreleases: %q\nrelease: %s\nlimits: %s\nsidecars:\n%s",
-		Application, d.ReserveAddr(), d.Releases, d.initial, d.Limits, strings.Join(d.pendingSidecars, ""))
+		Application, d.platform.reserveAddr(), d.Releases, d.initial, d.Limits, strings.Join(d.pendingSidecars, ""))
 	d.pendingSidecars = nil
 	if err := os.WriteFile(filepath.Join(a.Dir, "agent.yaml"), []byte(text), 0o600); err != nil {
 		return err
@@ -161,10 +147,10 @@
 		}
 		a.Ended <- nil // so that another Wait returns
 		for _, p := range a.running() {
-			syscall.Kill(p.PID, syscall.SIGTERM)
+			d.platform.signal(p, syscall.SIGTERM)
 			sidecars = append(sidecars, p)
 		}
 	}
-	await.Eventually(d.t, "the sidecars end", func() bool { return !slices.ContainsFunc(sidecars, machine.Lives) })
+	await.Eventually(d.t, "the sidecars end", func() bool { return !slices.ContainsFunc(sidecars, d.platform.lives) })
 	return nil
 }
--- a/internal/rig/deployment/faultysidecar.go
+++ b/internal/rig/deployment/faultysidecar.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -58,19 +57,33 @@
 	if fault == FaultLeaks {
 		go leakMemory()
 	}
-	tcp := wiring.TCP()
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := tcp(ctx, network, addr)
-		if err != nil || addr == cfg.Discovery {
+	faults := &sidecarFaults{fault: fault, zone: zoneOfSidecar(cfg.Name), discovery: cfg.Discovery}
+	return wiring.Serve(stop, path, &cfg, wiring.System(faults.dial(wiring.TCP())), reload, newLogger(os.Stderr))
+}
+
+// sidecarFaults are the faults of one process of a sidecar.
+type sidecarFaults struct {
+	fault     string
+	zone      string // of the sidecar
+	discovery string // connections to it have no faults
+
+	mu           sync.Mutex
+	recentWrites []time.Time // of the last requests that the process sent
+}
+
+// dial returns a function that opens connections as another one does, with the fault.
+func (f *sidecarFaults) dial(dial wiring.Dial) wiring.Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil || addr == f.discovery {
 			return c, err
 		}
-		if fault == FaultNoConnections {
+		if f.fault == FaultNoConnections {
 			c.Close()
 			return nil, errFault
 		}
-		return &faultyConn{Conn: c, fault: fault, zone: zoneOfSidecar(cfg.Name)}, nil
+		return &faultyConn{Conn: c, faults: f}, nil
 	}
-	return wiring.Serve(stop, path, &cfg, wiring.System(dial), reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 // leakMemory allocates 1 MiB a second, and keeps it.
@@ -96,8 +109,7 @@
 // faultyConn is a connection to a server that has a fault.
 type faultyConn struct {
 	net.Conn
-	fault     string
-	zone      string
+	faults    *sidecarFaults
 	lastWrite time.Time
 	failRead  bool
 }
@@ -106,18 +118,19 @@
 func (c *faultyConn) Write(p []byte) (int, error) {
 	c.lastWrite = time.Now()
 	c.failRead = false
-	zone, inZone := strings.CutPrefix(c.fault, FaultInZone)
+	fault := c.faults.fault
+	zone, inZone := strings.CutPrefix(fault, FaultInZone)
 	switch {
-	case c.fault == FaultRejectsFiftieth && isFiftieth(p):
+	case fault == FaultRejectsFiftieth && isFiftieth(p):
 		c.Close()
 		return 0, errFault
-	case c.fault == FaultGreedy:
+	case fault == FaultGreedy:
 		return c.writeGreedily(p)
-	case c.fault == FaultUnderLoad:
-		c.failRead = underLoad()
+	case fault == FaultUnderLoad:
+		c.failRead = c.faults.underLoad()
 	case inZone:
-		c.failRead = c.zone == zone && rand.N(2) == 0
-	case c.fault == FaultOneClass:
+		c.failRead = c.faults.zone == zone && rand.N(2) == 0
+	case fault == FaultOneClass:
 		c.failRead = strings.Contains(string(p), "/void")
 	}
 	return c.Conn.Write(p)
@@ -149,7 +162,7 @@
 	if c.lastWrite.IsZero() || err != nil {
 		return n, err
 	}
-	if c.fault == FaultSlow {
+	if c.faults.fault == FaultSlow {
 		time.Sleep(time.Since(c.lastWrite))
 	}
 	c.lastWrite = time.Time{}
@@ -160,21 +173,15 @@
 	return n, err
 }
 
-// recentWrites are the times of the last requests that this process sent.
-var recentWrites struct {
-	sync.Mutex
-	times []time.Time
-}
-
-// underLoad counts a request, and reports whether this process sends more than 100 a second.
-func underLoad() bool {
+// underLoad counts a request, and reports whether the process sends more than 100 a second.
+func (f *sidecarFaults) underLoad() bool {
 	const maxWrites, window = 20, 200 * time.Millisecond
-	recentWrites.Lock()
-	defer recentWrites.Unlock()
-	recentWrites.times = append(recentWrites.times, time.Now())
-	if len(recentWrites.times) <= maxWrites {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recentWrites = append(f.recentWrites, time.Now())
+	if len(f.recentWrites) <= maxWrites {
 		return false
 	}
-	recentWrites.times = recentWrites.times[1:]
-	return time.Since(recentWrites.times[0]) < window
+	f.recentWrites = f.recentWrites[1:]
+	return time.Since(f.recentWrites[0]) < window
 }
--- a/internal/rig/deployment/loadtest.go
+++ b/internal/rig/deployment/loadtest.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -13,21 +14,21 @@
 	"petrelhook/internal/coordination/release"
 	"petrelhook/internal/rig/audit"
 	"petrelhook/internal/rig/load"
-	"petrelhook/internal/rig/loopback"
 	"petrelhook/internal/rig/rehearse"
 	"petrelhook/internal/rig/scenario"
 )
 
-// loadScenario is the scenario of a load test, by length, number of sidecars and requests a second. Faults are appended.
-const loadScenario = `length %s
-sidecars %d cores=1 memory=64 sockets=512
-class look share=60 effect=safe   work=2ms..3ms io=4ms..6ms aim=100ms deadline=1s worth=3 late=0.3
-class book share=25 effect=keyed group=cell window=2s work=2ms..3ms io=4ms..6ms aim=100ms deadline=1s worth=3 late=0.3
-class void share=15 effect=unsafe work=2ms..3ms io=4ms..6ms aim=100ms deadline=1s worth=3 late=0.3
+// loadScenario is the scenario of a load test, by length, number of sidecars, deadline, window of keys and requests a second. Faults are
+// appended.
+const loadScenario = `length %[1]s
+sidecars %[2]d cores=1 memory=64 sockets=512
+class look share=60 effect=safe   work=2ms..3ms io=4ms..6ms aim=100ms deadline=%[3]v worth=3 late=0.3
+class book share=25 effect=keyed group=cell window=%[4]v work=2ms..3ms io=4ms..6ms aim=100ms deadline=%[3]v worth=3 late=0.3
+class void share=15 effect=unsafe work=2ms..3ms io=4ms..6ms aim=100ms deadline=%[3]v worth=3 late=0.3
 clients patience=80%%..100%% retries=2 wait=80ms
 tenant acme share=100
 fleet 9 cells=3 cores=1 speed=1 queue=48
-arrive poisson %d/s
+arrive poisson %[5]d/s
 `
 
 // maxLoadLength is the length of a load that the test does not end before.
@@ -43,23 +44,30 @@
 	endLoad  context.CancelFunc
 }
 
-// StartLoadTest starts a deployment and a load on it, of a number of requests a second, which ends with End or Check. faults are
-// statements of a scenario; configure, if not nil, changes the deployment before its sidecars start. It returns once requests are
-// answered.
-func StartLoadTest(t testing.TB, reserveAddr func() string, sidecars, rate int, faults string, configure func(*Deployment)) *LoadTest {
+// Load is what a load test begins with.
+type Load struct {
+	Sidecars  int
+	Rate      int               // requests a second
+	Deadline  time.Duration     // of requests; 0: a second. With a long one a machine that is busy with something else breaks no rule
+	Faults    string            // statements of a scenario
+	Configure func(*Deployment) // changes the deployment before its sidecars start; may be nil
+}
+
+// StartLoadTest starts a deployment and a load on it, which ends with End or Check. It returns once requests are answered.
+func StartLoadTest(t testing.TB, platform Platform, load Load) *LoadTest {
 	t.Helper()
-	s := &LoadTest{Deployment: New(t, 3), t: t, outcome: make(chan *rehearse.Outcome, 1)}
-	s.ReserveAddr = reserveAddr
+	s := &LoadTest{Deployment: New(t, platform, 3), t: t, outcome: make(chan *rehearse.Outcome, 1)}
 	s.Zones = []string{"a", "b", "c"}
 	s.InitialRelease = func(settings []byte) release.ID {
 		s.Settings = settings
-		s.Initial = s.Add(s.Program("petrelhook"), settings)
+		s.Initial = s.AddProgram(Program{}, settings)
 		return s.Initial
 	}
-	if configure != nil {
-		configure(s.Deployment)
+	if load.Configure != nil {
+		load.Configure(s.Deployment)
 	}
-	parsed, err := scenario.Parse("app", strings.NewReader(fmt.Sprintf(loadScenario, maxLoadLength, sidecars, rate)+faults))
+	deadline := cmp.Or(load.Deadline, time.Second)
+	parsed, err := scenario.Parse("app", strings.NewReader(fmt.Sprintf(loadScenario, maxLoadLength, load.Sidecars, deadline, 2*deadline, load.Rate)+load.Faults))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +82,7 @@
 	s.endLoad = cancel
 	began := make(chan struct{})
 	var operations atomic.Int64
-	rehearsal := &rehearse.Rehearsal{Scenario: parsed, Network: loopback.New(), Sidecars: s.Deployment, MaxLag: time.Minute,
+	rehearsal := &rehearse.Rehearsal{Scenario: parsed, Network: s.platform.network(), Sidecars: s.Deployment, MaxLag: time.Minute,
 		OnStart: sync.OnceFunc(func() { close(began) }), OnOperation: func(load.Operation) { operations.Add(1) }}
 	ended := make(chan struct{})
 	go func() {
--- a/internal/rig/deployment/release.go
+++ b/internal/rig/deployment/release.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -31,25 +29,22 @@
 	return r.ID
 }
 
-// Script adds a release whose program is a shell script. $REAL in it is the sidecar's program, which also checks settings (--check).
-func (d *Deployment) Script(name, text string, settings []byte) release.ID {
+// AddProgram adds a release with a program.
+func (d *Deployment) AddProgram(p Program, settings []byte) release.ID {
 	d.t.Helper()
-	path := filepath.Join(d.t.TempDir(), name)
-	text = fmt.Sprintf("#!/bin/sh\n# %s\nREAL=%s\ncase \"$1\" in --check) exec $REAL \"$@\";; esac\n%s\n", name, d.Program("petrelhook"), text)
-	if err := os.WriteFile(path, []byte(text), 0o700); err != nil {
-		d.t.Fatal(err)
-	}
-	return d.Add(path, settings)
+	return d.Add(d.platform.programFile(p), settings)
+}
+
+// Renamed adds a release that does the same as the initial one.
+func (s *LoadTest) Renamed(name string) release.ID {
+	s.t.Helper()
+	return s.AddProgram(Program{Name: name}, s.Settings)
 }
 
-// FaultyRelease adds a release whose program is the test's own, in the role of RunFaultySidecar.
+// FaultyRelease adds a release whose sidecar has a fault.
 func (s *LoadTest) FaultyRelease(fault string) release.ID {
 	s.t.Helper()
-	self, err := filepath.Abs(os.Args[0])
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return s.Script(strings.ReplaceAll(fault, " ", "-"), fmt.Sprintf("%s=%q exec %s", FaultVariable, fault, self), s.Settings)
+	return s.AddProgram(Program{Name: fault, Fault: fault}, s.Settings)
 }
 
 // ReplaceSetting returns the settings with the first occurrence of a text replaced.
@@ -59,8 +54,7 @@
 
 // WorseRelease is a release that is worse than the one before in one way.
 type WorseRelease struct {
-	Name   string // the fault that FaultyRelease gets if Script is empty
-	Script string // the text that Deployment.Script gets
+	Program
 	Reason string // what the reason of the stop has to contain
 	Plan   string // further fields of the plan
 }
@@ -76,12 +70,7 @@
 
 func (s *LoadTest) checkWorseRelease(from release.ID, worse WorseRelease) {
 	s.t.Helper()
-	var id release.ID
-	if worse.Script != "" {
-		id = s.Script(strings.ReplaceAll(worse.Name, " ", "-"), worse.Script, s.Settings)
-	} else {
-		id = s.FaultyRelease(worse.Name)
-	}
+	id := s.AddProgram(worse.Program, s.Settings)
 	began := time.Now()
 	if _, err := s.Begin(PlanText(from, id, worse.Plan)); err != nil {
 		s.t.Fatal(worse.Name, err)
--- a/internal/rig/deployment/versions.go
+++ b/internal/rig/deployment/versions.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"petrelhook/internal/coordination/distribute"
-	"petrelhook/internal/coordination/fleet"
 )
 
 // Publish publishes a version of the application's configuration.
@@ -21,7 +20,7 @@
 	d.t.Helper()
 	ctx, cancel := context.WithTimeout(d.t.Context(), 30*time.Second)
 	defer cancel()
-	revision, _, err := (&fleet.Operator{Addrs: addrs}).Publish(ctx, Application, []byte(content), false)
+	revision, _, err := d.OperatorAt(addrs).Publish(ctx, Application, []byte(content), false)
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -31,7 +30,7 @@
 // InForce is the state of the newest version as reported to the coordinators.
 func (d *Deployment) InForce() distribute.Summary {
 	d.t.Helper()
-	services, _ := (&fleet.Operator{Addrs: d.Addrs()}).InForce(d.t.Context(), Application)
+	services, _ := d.Operator().InForce(d.t.Context(), Application)
 	return services[Application]
 }
 
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -17,13 +18,16 @@
 	"petrelhook/internal/common/await"
 )
 
-// Process is a process that is killed at the end of the test if it has not ended before.
+// Process is a process that is killed at the end of the test if it has not ended before: one of the operating system (Start), or one in
+// memory (StartInMemory), which knows SIGTERM and SIGKILL alone.
 type Process struct {
-	*os.Process
-	Log   LogFile    // its standard error
-	Ended chan error // gets the result of exec.Cmd.Wait, once; it has room for that value
-	Input io.Closer  // its standard input: closing it is the end of that input to the process
-	t     testing.TB
+	*os.Process            // nil for a process in memory
+	Log         LogFile    // its standard error
+	Ended       chan error // gets the result of exec.Cmd.Wait, once; it has room for that value
+	Input       io.Closer  // its standard input: closing it is the end of that input to the process
+	t           testing.TB
+
+	inMemory *inMemory // nil for a process of the operating system
 }
 
 // Self is the command of this test's own program, with a role in an environment variable.
@@ -85,6 +89,25 @@
 	return dir
 }
 
+// name names the process in failures.
+func (p *Process) name() string {
+	if p.inMemory != nil {
+		return p.inMemory.name
+	}
+	return fmt.Sprintf("process %d", p.Pid)
+}
+
+// Kill kills the process, as os.Process.Kill does.
+func (p *Process) Kill() error { return p.Signal(syscall.SIGKILL) }
+
+// Signal sends a signal to the process, as os.Process.Signal does.
+func (p *Process) Signal(s os.Signal) error {
+	if p.inMemory != nil {
+		return p.inMemory.signal(s)
+	}
+	return p.Process.Signal(s)
+}
+
 // KillAndWait kills the process and waits for its end.
 func (p *Process) KillAndWait() {
 	p.t.Helper()
@@ -101,16 +124,30 @@
 	case err := <-p.Ended:
 		return err
 	case <-time.After(await.Timeout):
-		p.t.Fatalf("process %d has not ended within %v", p.Pid, await.Timeout)
+		p.t.Fatalf("%s has not ended within %v", p.name(), await.Timeout)
 		return nil
 	}
 }
 
 // Pause pauses the process with SIGSTOP.
-func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+func (p *Process) Pause() {
+	p.t.Helper()
+	p.mustSignal(syscall.SIGSTOP)
+}
 
 // Resume resumes a paused process.
-func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
+func (p *Process) Resume() {
+	p.t.Helper()
+	p.mustSignal(syscall.SIGCONT)
+}
+
+// mustSignal sends a signal, and fails the test if the process takes none of its kind. One that has ended takes any.
+func (p *Process) mustSignal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.Signal(s); errors.Is(err, errNoSuchSignal) {
+		p.t.Error(err)
+	}
+}
 
 // State is the state of the process in /proc, such as T for a paused one and Z for one whose end was not waited for; "" once it is gone.
 func (p *Process) State() string {
