Groups of coordinators in virtual time; what needs stopped processes stays

Cause: cmd/petrelhook-coordinator took 119 s, one test after the other, and TestChangesWhileTheLeaderIsPartitioned failed once beside load: another leader was elected by the real clock. Tests of processes run side by side.

--- a/cmd/petrelhook-coordinator/figures_test.go
+++ b/cmd/petrelhook-coordinator/figures_test.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,62 +149,6 @@
 	}
 }
 
-// Many holders at a change of leader: none loses a session that could be renewed, and renewals do not come in step.
-func TestManyHolders(t *testing.T) {
-	holders, each := 100, 5
-	if os.Getenv("FIGURES") != "" {
-		holders = 2000
-	}
-	g := newGroup(t, 3)
-	const long = 6 * time.Second
-	clients := make([]*lease.Client, holders)
-	var lost, held atomic.Int64
-	var sides sync.WaitGroup
-	limit := make(chan struct{}, 64)
-	all := make([][]*lease.Held, holders)
-	for i := range clients {
-		limit <- struct{}{}
-		sides.Go(func() {
-			defer func() { <-limit }()
-			c, err := lease.New(lease.Options{Addrs: g.Addrs(), Owner: "many", TTL: long})
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			clients[i] = c
-			for n := range each {
-				h, err := c.Hold(t.Context(), fmt.Sprintf("many-%d-%d", i, n))
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				held.Add(1)
-				all[i] = append(all[i], h)
-			}
-		})
-	}
-	sides.Wait()
-	leader := g.Leader()
-	g.Members[leader].KillAndWait()
-	g.AwaitNewLeader(leader)
-	<-time.After(long + long/2) // all have to have been renewed by the new leader
-	for _, hs := range all {
-		for _, h := range hs {
-			if !h.Valid() {
-				lost.Add(1)
-			}
-		}
-	}
-	t.Logf("%d holders, %d leases: %d lost at a change of leader", holders, held.Load(), lost.Load())
-	if lost.Load() > 0 {
-		t.Error("leases that could be renewed were lost")
-	}
-	for _, c := range clients {
-		sides.Go(func() { c.Close() })
-	}
-	sides.Wait()
-}
-
 // Memory of a lease, and disk, log and start after a million commands.
 func TestFiguresOfAMillionCommands(t *testing.T) {
 	peertest.SkipUnlessMeasuring(t)
--- a/cmd/petrelhook-coordinator/process_test.go
+++ b/cmd/petrelhook-coordinator/process_test.go
@@ -76,6 +76,7 @@
 }
 
 func underFaults(t *testing.T, n, rounds int, random *rand.Rand) {
+	t.Parallel()
 	g, r := newGroup(t, n), &contend.Resource{}
 	guarded := peertest.NewRaw(t, r.Serve)
 	var holders []*process.Process
--- a/cmd/petrelhook-coordinator/share_test.go
+++ b/cmd/petrelhook-coordinator/share_test.go
@@ -21,6 +21,7 @@
 // is partitioned, all are down and come back, a member is stopped past the end of its allocation. In no period do all together use more
 // than two periods allow; they use the limit while there are coordinators, and their floors while there are none; none gets nothing.
 func TestSharesUnderFaults(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3)
 	const members = 8
 	l := share.Limit{Name: "cold/s-1", Units: 80, Floor: 16, Members: members, Period: 400 * time.Millisecond}
--- a/internal/coordination/driver/driver.go
+++ b/internal/coordination/driver/driver.go
@@ -57,6 +57,9 @@
 // ForCoordinator returns the driver that runs beside a coordinator with these settings.
 func ForCoordinator(c *fleet.Config, log *slog.Logger) *Driver {
 	d := &Driver{TTL: leaseTTL, Interval: c.DriveInterval, Log: log, Dial: c.Dial}
+	if c.Clock != nil {
+		d.Clock = func() time.Duration { return time.Duration(c.Clock()) }
+	}
 	for _, m := range c.Replicas {
 		d.Coordinators = append(d.Coordinators, m.Addr)
 	}
--- a/internal/rig/deployment/simulated.go
+++ b/internal/rig/deployment/simulated.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -16,13 +15,8 @@
 	"time"
 
 	"petrelhook/internal/coordination/agent"
-	"petrelhook/internal/coordination/driver"
-	"petrelhook/internal/coordination/fleet"
-	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/machine"
-	"petrelhook/internal/coordination/rpc"
 	"petrelhook/internal/rig/coordinator"
-	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/process"
 	"petrelhook/internal/rig/rehearse"
@@ -35,79 +29,31 @@
 // on one network and by one clock. They are the same code as the processes but for the command lines; state is on the real disk.
 type simulated struct {
 	t      testing.TB
-	net    *memnet.Network
+	memory *coordinator.Memory
 	host   *simhost.Host
-	client *http.Client
-	epoch  time.Time // when the clock of leases began
 }
 
-// simulatedLatency is the time that a message takes between two processes.
-const simulatedLatency = 200 * time.Microsecond
-
 // Simulate returns a platform in memory. It is called inside a testing/synctest bubble, and all that runs on it ends with the bubble's test.
 func Simulate(t testing.TB) Platform {
-	n := memnet.New(simulatedLatency)
-	s := &simulated{t: t, net: n, host: simhost.New(n, runProgram, checkProgram), epoch: time.Now(),
-		client: rpc.NewHTTPClient(rpc.HTTPOptions{Dial: n.Dial, DialTimeout: time.Second})}
-	t.Cleanup(func() {
-		s.client.CloseIdleConnections()
-		s.host.Wait()
-	})
+	memory := coordinator.NewMemory(t)
+	s := &simulated{t: t, memory: memory, host: simhost.New(memory.Network, runProgram, checkProgram)}
+	t.Cleanup(s.host.Wait)
 	return s
 }
 
-func (s *simulated) network() rehearse.Network { return s.net }
+func (s *simulated) network() rehearse.Network { return s.memory.Network }
 
-func (s *simulated) reserveAddr() string { return s.net.ReserveAddr() }
+func (s *simulated) reserveAddr() string { return s.memory.Network.ReserveAddr() }
 
 func (s *simulated) lives(p agent.Process) bool { return s.host.Lives(p) }
 
 func (s *simulated) signal(p agent.Process, sig syscall.Signal) { s.host.Signal(p, sig) }
 
-// clock is the steady clock of leases.
-func (s *simulated) clock() time.Duration { return time.Since(s.epoch) }
-
-func (s *simulated) coordinators() coordinator.Platform {
-	return coordinator.Platform{
-		Client:  s.client,
-		NewLink: func() (*link.Link, error) { return link.NewOn(s.net) },
-		Start: func(configFile string) *process.Process {
-			s.t.Helper()
-			n := s.net.NewProcess()
-			return process.StartInMemory(s.t, "coordinator "+filepath.Base(configFile), n.Kill, func(ctx context.Context, log io.Writer) error {
-				return s.runCoordinator(ctx, configFile, n, newLogger(log))
-			})
-		},
-	}
-}
+func (s *simulated) coordinators() coordinator.Platform { return s.memory.Platform() }
 
 // newLogger returns a logger as the programs have it.
 func newLogger(to io.Writer) *slog.Logger { return slog.New(slog.NewTextHandler(to, nil)) }
 
-// runCoordinator does what petrelhook-coordinator does with a file of settings.
-func (s *simulated) runCoordinator(ctx context.Context, configFile string, n *memnet.Process, log *slog.Logger) error {
-	c, err := fleet.ReadConfig(configFile)
-	if err != nil {
-		return err
-	}
-	c.Dial, c.Clock = n.Dial, func() lease.Instant { return lease.Instant(s.clock()) }
-	server, err := fleet.Open(c, log)
-	if err != nil {
-		return err
-	}
-	ln, err := n.Listen(c.Addr())
-	if err != nil {
-		return err
-	}
-	if c.Drive {
-		d := driver.ForCoordinator(c, log)
-		d.Dial, d.Clock = n.Dial, s.clock
-		defer d.Start(ctx)()
-	}
-	log.Info("serving", "id", c.ID, "listen", ln.Addr().String(), "replicas", len(c.Replicas))
-	return server.Run(ctx, ln)
-}
-
 // agentHost is the machine as one agent uses it: its own connections end with it.
 type agentHost struct {
 	*simhost.Host
@@ -121,7 +67,7 @@
 
 func (s *simulated) startAgent(configFile string) *process.Process {
 	s.t.Helper()
-	n := s.net.NewProcess()
+	n := s.memory.Network.NewProcess()
 	return process.StartInMemory(s.t, "agent "+filepath.Dir(configFile), n.Kill, func(ctx context.Context, log io.Writer) error {
 		return s.runAgent(ctx, configFile, n, newLogger(log))
 	})
