--- a/cmd/petrelhook-coordinator/distribute_test.go
+++ b/cmd/petrelhook-coordinator/distribute_test.go
@@ -9,7 +9,7 @@
 )
 
 // Coordinators are stopped and continue, a follower as well as the leader, which may then believe for a moment that it leads: versions that
-// are published meanwhile or next reach all agents, and none stores an older one. internal/rig/coordinator has coordinators that are killed
+// are published meanwhile or next reach all agents, and none stores an older one. internal/rig/simcoordinator has coordinators that are killed
 // and partitioned.
 func TestVersionsReachAgentsWhileCoordinatorsAreStopped(t *testing.T) {
 	t.Parallel()
--- a/internal/rig/arrival/schedule_test.go
+++ b/internal/rig/arrival/schedule_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -185,6 +186,7 @@
 	if testing.Short() || raceEnabled {
 		lines = 200_000
 	}
+	defer debug.SetGCPercent(debug.SetGCPercent(1000)) // nearly all that a line needs is garbage at once, and the heap is small
 	r, w := io.Pipe()
 	go func() {
 		out := bufio.NewWriterSize(w, 1<<16)
--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -186,10 +186,13 @@
 	return err == nil && s.IsLeader
 }
 
+// IsLeader reports whether the coordinator at an address says that it leads.
+func (g *Group) IsLeader(addr string) bool { return isLeader(g.operator, addr) }
+
 // Leader is the index of the leader; -1: there is none.
 func (g *Group) Leader() int {
 	for i, addr := range g.Addrs() {
-		if isLeader(g.operator, addr) {
+		if g.IsLeader(addr) {
 			return i
 		}
 	}
--- a/internal/rig/deployment/simulated.go
+++ b/internal/rig/deployment/simulated.go
@@ -20,6 +20,7 @@
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/process"
 	"petrelhook/internal/rig/rehearse"
+	"petrelhook/internal/rig/simcoordinator"
 	"petrelhook/internal/rig/simhost"
 	"petrelhook/internal/sidecar/config"
 	"petrelhook/internal/sidecar/wiring"
@@ -29,13 +30,13 @@
 // on one network and by one clock. They are the same code as the processes but for the command lines; state is on the real disk.
 type simulated struct {
 	t      testing.TB
-	memory *coordinator.Memory
+	memory *simcoordinator.Memory
 	host   *simhost.Host
 }
 
 // Simulate returns a platform in memory. It is called inside a testing/synctest bubble, and all that runs on it ends with the bubble's test.
 func Simulate(t testing.TB) Platform {
-	memory := coordinator.NewMemory(t)
+	memory := simcoordinator.New(t)
 	s := &simulated{t: t, memory: memory, host: simhost.New(memory.Network, runProgram, checkProgram)}
 	t.Cleanup(s.host.Wait)
 	return s
--- a/internal/rig/coordinator/memory.go
+++ b/internal/rig/simcoordinator/memory.go
@@ -1,4 +1,6 @@
-package coordinator
+// Package simcoordinator runs coordinators in memory, for tests in a testing/synctest bubble: each is some goroutines of the test that run the
+// same code as the program but for its command line, on one network and by one clock. Their state is on the real disk.
+package simcoordinator
 
 import (
 	"context"
@@ -13,14 +15,14 @@
 	"petrelhook/internal/coordination/fleet"
 	corelease "petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/rpc"
+	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/link"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/process"
 	"petrelhook/lease"
 )
 
-// Memory is a platform for coordinators in memory, for a test in a testing/synctest bubble: each is some goroutines of the test that run the
-// same code as the program but for its command line, on one network and by one clock. Its state is on the real disk.
+// Memory is a platform for coordinators in memory.
 type Memory struct {
 	Network *memnet.Network
 	Client  *http.Client // of operators, agents and drivers of the test
@@ -32,8 +34,8 @@
 // memoryLatency is the time that a message takes between two processes.
 const memoryLatency = 200 * time.Microsecond
 
-// NewMemory returns a platform that ends with the test. It is called inside the bubble.
-func NewMemory(t testing.TB) *Memory {
+// New returns a platform that ends with the test. It is called inside the bubble.
+func New(t testing.TB) *Memory {
 	n := memnet.New(memoryLatency)
 	m := &Memory{Network: n, t: t, began: time.Now(), Client: rpc.NewHTTPClient(rpc.HTTPOptions{Dial: n.Dial, DialTimeout: time.Second})}
 	t.Cleanup(m.Client.CloseIdleConnections)
@@ -53,12 +55,12 @@
 }
 
 // Platform returns the platform for a group.
-func (m *Memory) Platform() Platform {
-	return Platform{Client: m.Client, Start: m.start, NewLink: func() (*link.Link, error) { return link.NewOn(m.Network) }}
+func (m *Memory) Platform() coordinator.Platform {
+	return coordinator.Platform{Client: m.Client, Start: m.Start, NewLink: func() (*link.Link, error) { return link.NewOn(m.Network) }}
 }
 
-// start starts a coordinator on its configuration.
-func (m *Memory) start(configFile string) *process.Process {
+// Start starts a coordinator on its configuration.
+func (m *Memory) Start(configFile string) *process.Process {
 	m.t.Helper()
 	n := m.Network.NewProcess()
 	return process.StartInMemory(m.t, "coordinator "+filepath.Base(configFile), n.Kill, func(ctx context.Context, log io.Writer) error {
