Explorations of cores of five and six, reduced by symmetry; two guards are found

Cause: what was explored was three members and two that join, and removing the members' own promises or the epoch of an entry was found by nothing. Change: worlds have a layout (members, zones, tolerance, who may campaign); machines that differ by name only are one (the least fingerprint of all renamings). The members' own promises matter only where a joint view is the newest one known, and an in-sync set can miss a majority: a core of five that bears one loss, after a joint view. An entry of a left epoch has its receiver in sync with a primary that has not got it, which the exploration checks now, in a core of three with one member behind. The log of the explored machine restored an empty state as one with an entry.

--- a/internal/router/replication/explore_limits_race_test.go
+++ b/internal/router/replication/explore_limits_race_test.go
@@ -7,4 +7,6 @@
 const (
 	sampledStates = 2_000
 	allStates     = 2_000
+
+	largerWorstDays = 40
 )
--- a/internal/router/replication/explore_limits_test.go
+++ b/internal/router/replication/explore_limits_test.go
@@ -6,4 +6,6 @@
 const (
 	sampledStates = 20_000
 	allStates     = 1 << 30
+
+	largerWorstDays = 1_000
 )
--- a/internal/router/replication/explore_test.go
+++ b/internal/router/replication/explore_test.go
@@ -5,10 +5,12 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +51,27 @@
 		if len(r.leadership.view.InSync) < r.minInSync() {
 			return address + " leads with too few disks in sync"
 		}
+		if ahead := w.aheadOf(address); ahead != "" {
+			return ahead + " is in sync with " + address + ", and has an entry that " + address + " has not"
+		}
+	}
+	return ""
+}
+
+// aheadOf returns the address of a replica in sync with a primary, in its epoch, whose entries are not the first ones of the
+// primary's; "": there is none. Such a replica would acknowledge no further entry.
+func (w *world) aheadOf(primaryAddress string) string {
+	n := w.nodes[primaryAddress]
+	view := &n.replica.leadership.view
+	for _, address := range sortedKeys(w.nodes) {
+		other := w.nodes[address]
+		r := other.replica
+		if !view.inSync(r.Self.ID) || r.hard.Promised != view.Epoch || r.hard.Accepted.Epoch != view.Epoch {
+			continue
+		}
+		if has := other.log.entries; len(has) > len(n.log.entries) || !slices.Equal(has, n.log.entries[:len(has)]) {
+			return address
+		}
 	}
 	return ""
 }
@@ -66,6 +89,7 @@
 	maxStates int
 	deepest   int
 	complete  bool
+	heapFull  bool // it stopped because of its memory
 	violation string
 	trace     []string
 	visit     func(w *world) string // a check beyond violation; "" is fine
@@ -81,7 +105,7 @@
 		group.Go(x.work)
 	}
 	group.Wait()
-	x.complete = x.violation == "" && len(x.stack) == 0
+	x.complete = x.violation == "" && !x.heapFull && len(x.stack) == 0
 	return x
 }
 
@@ -89,7 +113,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	for {
-		if x.violation != "" || len(x.seen) >= x.maxStates || len(x.stack) == 0 && x.busy == 0 {
+		if x.violation != "" || x.heapFull || len(x.seen) >= x.maxStates || len(x.stack) == 0 && x.busy == 0 {
 			x.wake.Broadcast()
 			return nil
 		}
@@ -128,6 +152,9 @@
 	x.mutex.Lock()
 	_, seen := x.seen[f]
 	x.seen[f] = struct{}{}
+	if !seen && len(x.seen)%statesPerHeapCheck == 0 {
+		x.heapFull = x.heapFull || heapBytes() > maxHeapBytes
+	}
 	x.deepest = max(x.deepest, len(w.trace))
 	x.mutex.Unlock()
 	if seen {
@@ -148,6 +175,19 @@
 	return false
 }
 
+// An exploration stops, and says so, once its heap has grown beyond maxHeapBytes.
+const (
+	maxHeapBytes       = 10 << 30
+	statesPerHeapCheck = 50_000
+)
+
+// heapBytes returns the size of the heap, with garbage.
+func heapBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 func maxStates(t *testing.T, usual int) int {
 	t.Helper()
 	if text := os.Getenv(statesVariable); text != "" {
@@ -159,8 +199,8 @@
 }
 
 // completeInCI are explored completely in each run without the race detector: what follows an abandoned change of
-// members.
-var completeInCI = []string{"overtaken, one candidacy", "abandoned, two candidacies"}
+// members, and the smaller ones of the worlds that a guard needs or of larger cores.
+var completeInCI = []string{"overtaken, one candidacy", "abandoned, two candidacies", "one behind, two candidacies", "five, one candidacy", "six, one candidacy"}
 
 func TestExplorationOfAbandonedViews(t *testing.T) {
 	all := explorations()
@@ -169,12 +209,19 @@
 	}
 }
 
+// A sample in each run: the guard that this world needs is missed after some hundred states.
+func TestExplorationAfterAJointView(t *testing.T) {
+	const name = "five, after a joint view"
+	exploreAll(t, name, explorations()[name], maxStates(t, sampledStates))
+}
+
 func exploreAll(t *testing.T, name string, start *world, maxStates int) {
 	t.Helper()
 	began := time.Now()
 	x := explore(start, maxStates, nil)
 	t.Logf("%s: %d states, %d steps deep, complete %t, %v", name, len(x.seen), x.deepest, x.complete, time.Since(began).Round(time.Millisecond))
 	require.Empty(t, x.violation, strings.Join(x.trace, "\n"))
+	require.False(t, x.heapFull, "the bound on memory was reached after %d states", len(x.seen))
 	require.True(t, x.complete || len(x.seen) >= maxStates)
 }
 
@@ -185,3 +232,46 @@
 		t.Run(name, func(t *testing.T) { exploreAll(t, name, all[name], maxStates(t, sampledStates)) })
 	}
 }
+
+// An exploration that takes worlds that differ by names for one agrees with one that does not: both are complete and find
+// nothing, and the worlds that each of its own stands for are together as many as those of the other.
+func TestReducedAndFullExplorationsAgree(t *testing.T) {
+	for name, start := range map[string]func() *world{
+		"five, one candidacy": func() *world { return coreOfFive(budget{candidacies: 1}) },
+		"six, one candidacy":  func() *world { return coreOfSix(budget{candidacies: 1}) },
+		"five with a lost disk, its machine alike": func() *world {
+			w := coreOfFive(budget{candidacies: 1, wipes: 1})
+			w.layout.candidates = []string{"b"}
+			return w
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var standsFor atomic.Int64
+			reduced := explore(start(), allStates, func(w *world) string {
+				standsFor.Add(int64(w.distinctRenamings()))
+				return ""
+			})
+			full := start()
+			first := full.distinctRenamings() // that of the start, which is not visited
+			full.layout.renamings = nil
+			all := explore(full, allStates, nil)
+			t.Logf("%d states, which stand for %d", len(reduced.seen), len(all.seen))
+			require.Empty(t, reduced.violation+all.violation)
+			if !reduced.complete || !all.complete {
+				t.Log("only a sample was visited")
+				return
+			}
+			require.Equal(t, len(all.seen), int(standsFor.Load())+first)
+			require.Less(t, len(reduced.seen), len(all.seen))
+		})
+	}
+}
+
+// distinctRenamings returns how many worlds a world becomes by the renamings of its layout.
+func (w *world) distinctRenamings() int {
+	distinct := map[string]bool{}
+	for i := range max(1, len(w.layout.renamings)) {
+		distinct[string(w.encode(i))] = true
+	}
+	return len(distinct)
+}
--- a/internal/router/replication/explore_world_test.go
+++ b/internal/router/replication/explore_world_test.go
@@ -16,8 +16,10 @@
 
 func (m *exploredLog) Decide([]byte) Decision { return Decision{Accept: true, Status: 200} }
 func (m *exploredLog) Apply(entry []byte)     { m.entries = append(slices.Clip(m.entries), string(entry)) }
-func (m *exploredLog) Snapshot() []byte       { return []byte(strings.Join(m.entries, ",") + ",") }
-func (m *exploredLog) Value() any             { return m.entries }
+func (m *exploredLog) Snapshot() []byte {
+	return []byte(strings.Join(append(slices.Clip(m.entries), ""), ","))
+}
+func (m *exploredLog) Value() any { return m.entries }
 func (m *exploredLog) Restore(snapshot []byte) error {
 	m.entries = strings.Split(string(snapshot), ",")
 	m.entries = m.entries[:len(m.entries)-1]
--- a/internal/router/replication/explore_worlds_test.go
+++ b/internal/router/replication/explore_worlds_test.go
@@ -13,11 +13,7 @@
 
 func replacementWorld(left budget) *world {
 	w := newWorld(left, replacementZones)
-	primaryReplica := w.nodes["a"].replica
-	primaryReplica.leadership.viewSince, primaryReplica.leadership.primarySince = 0, 0
-	gone := primaryReplica.leadership.statuses["c"]
-	gone.lastContact = 0
-	primaryReplica.leadership.statuses["c"] = gone
+	w.loseContact("a", "c")
 	return w
 }
 
@@ -94,5 +90,78 @@
 		"joint in force, two candidacies":     jointWorld(budget{candidacies: 2}),
 		"two join, one candidacy":             newWorld(budget{candidacies: 1, writes: 1}, joiningZones),
 		"two join, two candidacies":           newWorld(budget{candidacies: 2}, joiningZones),
+		"one behind, two candidacies":         threeWithOneBehind(budget{candidacies: 2, writes: 1}),
+		"five, one candidacy":                 coreOfFive(budget{candidacies: 1}),
+		"five, one candidacy, an order":       coreOfFive(budget{candidacies: 1, writes: 1}),
+		"five, two candidacies":               coreOfFive(budget{candidacies: 2}),
+		"five, a lost disk":                   coreOfFive(budget{candidacies: 1, wipes: 1}),
+		"five, a restart":                     coreOfFive(budget{candidacies: 1, restarts: 1}),
+		"five, one is replaced":               fiveReplaced(budget{candidacies: 1}),
+		"five, after a joint view":            fiveAfterJoint(budget{candidacies: 1}),
+		"six, one candidacy":                  coreOfSix(budget{candidacies: 1}),
+	}
+}
+
+// Cores of the sizes that operators run. a is the primary, a and b may campaign; the others differ by name only, but for f
+// where it joins.
+var (
+	zonesOfFive = map[string]string{"a": "1", "b": "2", "c": "3", "d": "4", "e": "5"}
+	zonesOfSix  = map[string]string{"a": "1", "b": "2", "c": "3", "d": "4", "e": "5", "f": "6"}
+	// f is in e's zone: it replaces e, which is lost.
+	zonesOfFiveAndOne = map[string]string{"a": "1", "b": "2", "c": "3", "d": "4", "e": "5", "f": "5"}
+)
+
+// coreOfFive bears the loss of two.
+func coreOfFive(left budget) *world {
+	return newCore(left, &coreLayout{zones: zonesOfFive, members: []string{"a", "b", "c", "d", "e"}, faultTolerance: 2,
+		candidates: []string{"a", "b"}, renamings: alike([]string{"c", "d", "e"})})
+}
+
+func coreOfSix(left budget) *world {
+	return newCore(left, &coreLayout{zones: zonesOfSix, members: []string{"a", "b", "c", "d", "e", "f"}, faultTolerance: 2,
+		candidates: []string{"a", "b"}, renamings: alike([]string{"c", "d", "e", "f"})})
+}
+
+// fiveReplaced bears the loss of two, and f is about to replace e by a joint view.
+func fiveReplaced(left budget) *world {
+	w := newCore(left, &coreLayout{zones: zonesOfFiveAndOne, members: []string{"a", "b", "c", "d", "e"}, faultTolerance: 2,
+		candidates: []string{"a", "b"}, renamings: alike([]string{"c", "d"})})
+	w.loseContact("a", "e")
+	return w
+}
+
+// fiveAfterJoint is a core of five of which one disk may be lost, so that a view's in-sync set need not meet each majority:
+// f has replaced e by a view that is in force, and that b and c accepted and do not know to be; a, d and f have moved to
+// another view, and an entry was acknowledged there. A majority of the members before, b, c and e, knows nothing of it.
+func fiveAfterJoint(left budget) *world {
+	w := newCore(budget{candidacies: 2, writes: 1}, &coreLayout{zones: zonesOfFiveAndOne, members: []string{"a", "b", "c", "d", "e"}, faultTolerance: 1,
+		candidates: []string{"a", "b"}, renamings: alike([]string{"d", "f"})})
+	w.loseContact("a", "e")
+	for _, name := range []string{"a campaigns", "a>b Prepare", "a>c Prepare", "a>d Prepare", "a>f Prepare", "a waits no longer",
+		"a>b Sync", "a>c Sync", "a>d Sync", "a>f Sync", "a>b Accept", "a>c Accept",
+		"a campaigns", "a>d Prepare", "a>f Prepare", "a waits no longer", "a>d Sync", "a>f Sync", "a>d Accept", "a>f Accept",
+		"a commits an entry", "a>d Replicate", "a>f Replicate"} {
+		w.playStep(name)
 	}
+	if b := w.nodes["b"].replica.hard.Accepted; len(w.committed) != 1 || !b.joint() || b.Epoch == w.nodes["a"].replica.hard.Accepted.Epoch {
+		panic("no entry was acknowledged after a joint view: " + w.nodes["a"].replica.Status())
+	}
+	clear(w.inFlight)
+	w.remaining, w.trace = left, nil
+	return w
+}
+
+// loseContact has a primary have had no contact with a member for long: a newcomer of the member's zone replaces it.
+func (w *world) loseContact(primaryAddress, member string) {
+	r := w.node(primaryAddress).replica
+	r.leadership.viewSince, r.leadership.primarySince = 0, 0
+	gone := r.leadership.statuses[member]
+	gone.lastContact = 0
+	r.leadership.statuses[member] = gone
+}
+
+// threeWithOneBehind is a core of three in which a and b are in sync, and c is not: b and c may campaign.
+func threeWithOneBehind(left budget) *world {
+	return newCore(left, &coreLayout{zones: map[string]string{"a": "1", "b": "2", "c": "3"}, members: []string{"a", "b", "c"}, behind: []string{"c"},
+		faultTolerance: 1, candidates: []string{"b", "c"}})
 }
--- a/internal/router/replication/replacement_test.go
+++ b/internal/router/replication/replacement_test.go
@@ -68,6 +68,6 @@
 // terminate stands for SIGTERM: a process says that it leaves, and ends a little later.
 func (s *simulation) terminate(h *host) {
 	p := h.process
-	s.runIn(p, func() { p.replica.Leave(s.now) })
+	s.runIn(p, func() { p.replica.Leave(s.clock(p.host)) })
 	s.after(200*time.Millisecond, func() { s.kill(h) })
 }
--- a/internal/router/replication/sim_clients_test.go
+++ b/internal/router/replication/sim_clients_test.go
@@ -49,11 +49,11 @@
 	}
 	s.runIn(p, func() {
 		if o.write {
-			p.replica.Propose(token, encodeEntry(versionEntry{o.base, o.value}), s.now)
+			p.replica.Propose(token, encodeEntry(versionEntry{o.base, o.value}), s.clock(p.host))
 		} else if s.readsAtOnce {
 			p.answers[token](Decision{Status: http.StatusOK})
 		} else {
-			p.replica.Confirm(token, s.now)
+			p.replica.Confirm(token, s.clock(p.host))
 		}
 	})
 }
--- a/internal/router/replication/sim_test.go
+++ b/internal/router/replication/sim_test.go
@@ -51,6 +51,7 @@
 	diskFullUntil    time.Duration
 	syncTime         time.Duration
 	wipes            int
+	clockAhead       time.Duration // of its steady clock, against that of the simulation: it only grows
 	linkFreeAt       time.Duration // when the link has transmitted all that was sent
 }
 
@@ -117,7 +118,7 @@
 	persisted := *h.disk
 	persisted.Entries = append([]Entry(nil), persisted.Entries...)
 	r, err := New(Options{Self: Member{ID: persisted.ID, Address: h.address, Zone: h.zone}, Seeds: s.seeds, Bootstrap: h.genesis,
-		FaultTolerance: s.tolerance}, &persisted, machineAdapter{m}, s.now)
+		FaultTolerance: s.tolerance}, &persisted, machineAdapter{m}, s.clock(h))
 	if err != nil {
 		s.restoreError = err
 		return
@@ -151,7 +152,7 @@
 		return
 	}
 	s.after(50*time.Millisecond, func() { s.tick(p) })
-	s.runIn(p, func() { p.replica.Tick(s.now) })
+	s.runIn(p, func() { p.replica.Tick(s.clock(p.host)) })
 }
 
 // runIn calls do in a process, after its freeze, unless the process has ended.
@@ -208,7 +209,7 @@
 				m = s.mutate(q, m)
 			}
 			if m != nil {
-				q.replica.Receive(p.host.address, m, s.now)
+				q.replica.Receive(p.host.address, m, s.clock(to))
 			}
 		})
 	})
@@ -252,7 +253,7 @@
 func (s *simulation) save(p *process, e Save) {
 	h := p.host
 	if s.lyingDisks {
-		s.after(time.Millisecond, func() { s.runIn(p, func() { p.replica.Saved(e.Number, s.now) }) })
+		s.after(time.Millisecond, func() { s.runIn(p, func() { p.replica.Saved(e.Number, s.clock(h)) }) })
 	}
 	begin := max(s.now, p.diskFreeAt)
 	p.diskFreeAt = begin + h.syncTime
@@ -262,7 +263,7 @@
 		}
 		if s.now < h.diskFullUntil || p.saveGap && e.Snapshot == nil {
 			p.saveGap = true
-			s.runIn(p, func() { p.replica.SaveFailed(e.Number, s.now) })
+			s.runIn(p, func() { p.replica.SaveFailed(e.Number, s.clock(h)) })
 			return
 		}
 		p.saveGap = false
@@ -273,11 +274,14 @@
 			h.disk.Entries = append(h.disk.Entries, *e.Entry)
 		}
 		if !s.lyingDisks {
-			s.runIn(p, func() { p.replica.Saved(e.Number, s.now) })
+			s.runIn(p, func() { p.replica.Saved(e.Number, s.clock(h)) })
 		}
 	})
 }
 
+// clock returns the reading of a host's steady clock.
+func (s *simulation) clock(h *host) time.Duration { return s.now + h.clockAhead }
+
 func (s *simulation) kill(h *host) { h.process = nil }
 
 func (s *simulation) wipe(h *host) { h.disk = nil }
--- a/internal/router/replication/worst_days_test.go
+++ b/internal/router/replication/worst_days_test.go
@@ -46,7 +46,7 @@
 	}
 	d.endFaults()
 	d.run(d.now + recoveryTime)
-	d.loseAllPower()
+	d.loseAllPower(1)
 	return d
 }
 
@@ -184,7 +184,7 @@
 			return m
 		}
 		if d.random.Intn(2) == 0 {
-			d.after(time.Duration(d.random.Intn(1500))*time.Millisecond, func() { d.runIn(to, func() { to.replica.Receive(candidateAddress(m), m, d.now) }) })
+			d.after(time.Duration(d.random.Intn(1500))*time.Millisecond, func() { d.runIn(to, func() { to.replica.Receive(candidateAddress(m), m, d.clock(to.host)) }) })
 		}
 		return nil
 	}
@@ -237,8 +237,8 @@
 	d.after(d.countAsLoss(time.Duration(300+d.random.Intn(4000))*time.Millisecond), d.heal)
 }
 
-// loseAllPower: right after one more change was acknowledged all lose power, and one its disk.
-func (d *worstDay) loseAllPower() {
+// loseAllPower: right after one more change was acknowledged all lose power, and some their disks.
+func (d *worstDay) loseAllPower(disks int) {
 	p := d.primary()
 	if p == nil || d.now < d.nextLossAt {
 		return
@@ -250,11 +250,14 @@
 	for last := len(d.history) - 1; d.history[last].end < 0 && p.host.process == p; {
 		d.run(d.now + 200*time.Microsecond)
 	}
-	lost := d.randomHost()
-	for _, h := range d.ordered() {
+	first := d.random.Intn(len(d.hosts))
+	hosts := d.ordered()
+	for _, h := range hosts {
 		d.kill(h)
 	}
-	d.wipe(lost)
+	for i := range disks {
+		d.wipe(hosts[(first+i)%len(hosts)])
+	}
 	for _, h := range d.ordered() {
 		h.syncTime = 2 * time.Millisecond
 		d.after(time.Duration(d.random.Intn(1000))*time.Millisecond, func() { d.boot(h) })
