--- a/internal/rig/doc.go
+++ b/internal/rig/doc.go
@@ -17,10 +17,12 @@
 //
 // Coordinators and agents:
 //
-//	group        a group of coordinators and its clients in virtual time, from one seed
-//	coordinator  coordinators for tests, in this process or as processes with links between them
-//	driverlog    which coordinator drives rolling changes, by their logs
-//	deployment   coordinators, agents and sidecars as processes, for tests of rolling changes
+//	group           a group of coordinators and its clients in virtual time, from one seed: the replicas alone
+//	coordinator     coordinators for tests, in this process or as processes with links between them
+//	simcoordinator  the same coordinators in memory and in virtual time: the whole program but for its command line
+//	driverlog       which coordinator drives rolling changes, by their logs
+//	deployment      coordinators, agents and sidecars, as processes or in memory, for tests of rolling changes and versions
+//	simhost         a machine in memory on which agents start sidecars: processes, signals, hand-overs
 //	contend      processes that contend for a lease; belief checks their records
 //	scale        what a fleet of a given size costs each role: real coordinators with hollow members
 //
