A late copy of a candidate's state takes back no acknowledged entry

Cause: a replica that had accepted a view and acknowledged entries of it adopted a Sync of the same epoch that arrived late or again, with the complete state from before those entries. It was in sync and could lead next without them: an acknowledged order lost. Change: handleSync passes over a Sync whose view was accepted here.

--- a/internal/router/replication/witness.go
+++ b/internal/router/replication/witness.go
@@ -42,9 +42,10 @@
 	r.follower.lastContact = r.now // the candidate gets an election timeout's time
 }
 
-// handleSync adopts a candidate's state, and acknowledges it once it is on the disk.
+// handleSync adopts a candidate's state, and acknowledges it once it is on the disk. One whose view was accepted here is a
+// late copy: entries of that view may have been acknowledged since, and its state has none of them.
 func (r *Replica) handleSync(m Sync, from string) {
-	if m.Epoch.Less(r.hard.Promised) || r.Diskless {
+	if m.Epoch.Less(r.hard.Promised) || m.Epoch == r.hard.Accepted.Epoch || r.Diskless {
 		return
 	}
 	r.adoptEpoch(m.Epoch)
