--- a/internal/sidecar/wiring/imports_test.go
+++ b/internal/sidecar/wiring/imports_test.go
@@ -67,6 +67,7 @@
 	{"internal/router/backend", "internal/common/sock internal/router/transport"},
 	{"internal/router/latency", ""},
 	{"internal/router/replication", ""},
+	{"internal/router/replication/guards", ""},
 	{"internal/router/storage", "internal/router/replication"},
 	{"internal/router/membership", "internal/router/replication"},
 	{"internal/router/proximity", "internal/router/replication"},
