--- a/internal/rig/coordinator/group.go
+++ b/internal/rig/coordinator/group.go
@@ -155,7 +155,7 @@
 func (g *Group) KillAll() {
 	g.t.Helper()
 	for _, m := range g.Members {
-		m.Kill()
+		_ = m.Kill() // one that has ended is waited for next
 	}
 	for _, m := range g.Members {
 		_ = m.Wait()
--- a/internal/rig/deployment/deployment.go
+++ b/internal/rig/deployment/deployment.go
@@ -141,7 +141,7 @@
 func (d *Deployment) Stop() error {
 	var sidecars []agent.Process
 	for i, a := range d.Agents {
-		a.Signal(syscall.SIGTERM)
+		_ = a.Signal(syscall.SIGTERM) // one that has ended is waited for next
 		if err := a.Wait(); err != nil {
 			return fmt.Errorf("agent %d: %w", i, err)
 		}
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -111,7 +111,7 @@
 // KillAndWait kills the process and waits for its end.
 func (p *Process) KillAndWait() {
 	p.t.Helper()
-	p.Kill()
+	_ = p.Kill() // one that has ended is waited for next
 	_ = p.Wait()
 }
 
