--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/coordination/fleet"
 	core "petrelhook/internal/coordination/lease"
 	"petrelhook/internal/rig/coordinator"
+	"petrelhook/internal/rig/simcoordinator"
 	"petrelhook/lease"
 )
 
@@ -37,22 +39,45 @@
 	// <nil>
 }
 
+// world is a coordinator in memory and in virtual time, for clients.
+type world struct {
+	t      *testing.T
+	memory *simcoordinator.Memory
+	group  *coordinator.Group
+}
+
+// simulate runs a test in virtual time, beside others.
+func simulate(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		memory := simcoordinator.New(t)
+		test(t, &world{t, memory, coordinator.NewGroupOn(t, 1, "", memory.Platform())})
+	})
+}
+
+// client is a client that ends with the test. All of them have the same owner, and are told apart by their sessions.
+func (w *world) client(ttl time.Duration) *lease.Client {
+	w.t.Helper()
+	c, err := lease.New(w.memory.LeaseOptions(w.group.Addrs(), "same", ttl, nil))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	return c
+}
+
 // Operators break a lease: its holder learns of it with the next renewal, still holds it, and releases it; nobody else holds it before.
-func TestBroken(t *testing.T) {
-	addr, _ := coordinator.StartForTest(t)
+func TestBroken(t *testing.T) { simulate(t, testBroken) }
+
+func testBroken(t *testing.T, w *world) {
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	a, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "a", TTL: 2 * time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer a.Close()
+	a := w.client(2 * time.Second)
 	first, err := a.Hold(ctx, "x")
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := fleet.Operator{Addrs: []string{addr}}
-	if _, err := o.Call(ctx, fleet.Request{Command: &core.Command{Kind: core.Break, Name: "x"}}); err != nil {
+	if _, err := w.group.Operator().Call(ctx, fleet.Request{Command: &core.Command{Kind: core.Break, Name: "x"}}); err != nil {
 		t.Fatal(err)
 	}
 	<-first.Context().Done()
@@ -70,23 +95,14 @@
 	}
 }
 
-// newOneSecondClient is a client whose leases last a second. All of them have the same owner, and are told apart by their sessions.
-func newOneSecondClient(t *testing.T, addr string) *lease.Client {
-	t.Helper()
-	client, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "same", TTL: time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return client
-}
-
 // A lease has one holder at a time: a second client gets it after its release, or at once when the holder's client is closed, and always with
 // a higher token. Without a coordinator the lease ends.
-func TestOneHolder(t *testing.T) {
-	addr, stopCoordinator := coordinator.StartForTest(t)
+func TestOneHolder(t *testing.T) { simulate(t, testOneHolder) }
+
+func testOneHolder(t *testing.T, w *world) {
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	a, b := newOneSecondClient(t, addr), newOneSecondClient(t, addr)
+	a, b := w.client(time.Second), w.client(time.Second)
 	first, err := a.Hold(ctx, "x")
 	if err != nil {
 		t.Fatal(err)
@@ -105,7 +121,7 @@
 	if err != nil || third.Token <= second.Token {
 		t.Errorf("%v", err)
 	}
-	stopCoordinator()
+	w.group.Members[0].KillAndWait()
 	checkLost(ctx, t, third)
 	short, end := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer end()
@@ -166,18 +182,15 @@
 }
 
 // A lease is handed to the last waiter; it cannot be handed to a session that does not wait, and then the first waiter gets it.
-func TestTransfer(t *testing.T) {
-	addr, _ := coordinator.StartForTest(t)
+func TestTransfer(t *testing.T) { simulate(t, testTransfer) }
+
+func testTransfer(t *testing.T, w *world) {
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	var clients []*lease.Client
 	got := make([]chan *lease.Held, 4)
 	for i := range got {
-		c, err := lease.New(lease.Options{Addrs: []string{addr}, Owner: "same", TTL: 2 * time.Second})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
+		c := w.client(2 * time.Second)
 		clients = append(clients, c)
 		got[i] = make(chan *lease.Held, 1)
 		go func() {
@@ -187,9 +200,8 @@
 			}
 		}()
 		for there := 0; there != i+1; { // in this order
-			o := fleet.Operator{Addrs: []string{addr}}
 			name := "x"
-			if response, err := o.Call(ctx, fleet.Request{ListLeases: &name}); err == nil && len(response.Leases) == 1 {
+			if response, err := w.group.Operator().Call(ctx, fleet.Request{ListLeases: &name}); err == nil && len(response.Leases) == 1 {
 				there = 1 + len(response.Leases[0].Queue)
 			} else if ctx.Err() != nil {
 				t.Fatal("the wait did not begin")
