--- a/internal/rig/rehearse/random_test.go
+++ b/internal/rig/rehearse/random_test.go
@@ -79,6 +79,24 @@
 	return playScenario(t, s)
 }
 
+// A keyed request that may have run is not rejected so late that the client's retry runs after its key was forgotten: a script
+// that TestRandomFaults drew, five times over, since what exactly happens differs from run to run.
+func TestARejectionAtTheEndOfAWindow(t *testing.T) {
+	text, err := os.ReadFile("testdata/retry-at-the-end-of-a-window.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		out, err := playText(t, string(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range out.Audit.Breaches {
+			t.Error(b)
+		}
+	}
+}
+
 // Under random faults the real core breaks no rule. A failure prints the smallest script that still fails, and the seed
 // that plays it again: go test ./internal/rig/rehearse -run TestRandomFaults -rapid.seed=SEED. The script, saved in a file,
 // is played alone with REHEARSE_SCRIPT=FILE, or on sockets with petrelhookctl rehearse FILE.
