--- a/cmd/petrelhook-agent/main.go
+++ b/cmd/petrelhook-agent/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"net"
 	"os"
 	"runtime"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -65,11 +68,11 @@
 func serve(c *machine.Config, log *slog.Logger) error {
 	ctx, release := command.Terminated()
 	defer release()
-	ln, err := net.Listen("tcp", c.Listen)
+	ln, err := retryWhileHeld(ctx, syscall.EADDRINUSE, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 	if err != nil {
 		return command.Fail(fmt.Errorf("listen: %w", err))
 	}
-	m, err := machine.Open(c, log)
+	m, err := retryWhileHeld(ctx, syscall.EWOULDBLOCK, func() (*machine.Machine, error) { return machine.Open(c, log) })
 	if err != nil {
 		return command.Fail(err)
 	}
@@ -80,3 +83,26 @@
 	log.Info("stopped; the sidecars go on")
 	return nil
 }
+
+// An agent that is killed while it starts a process leaves its address and its lock for a moment to that process, which has its descriptors
+// until it runs its program. One that is started meanwhile waits for them.
+const (
+	heldTimeout       = 5 * time.Second
+	heldRetryInterval = 20 * time.Millisecond
+)
+
+// retryWhileHeld calls open until it returns something else than the error that another process holds what it opens, until heldTimeout has
+// passed, or until ctx ends.
+func retryWhileHeld[T any](ctx context.Context, held syscall.Errno, open func() (T, error)) (T, error) {
+	for until := time.Now().Add(heldTimeout); ; {
+		opened, err := open()
+		if !errors.Is(err, held) || time.Now().After(until) {
+			return opened, err
+		}
+		select {
+		case <-ctx.Done():
+			return opened, err
+		case <-time.After(heldRetryInterval):
+		}
+	}
+}
--- a/cmd/petrelhook-agent/main_test.go
+++ b/cmd/petrelhook-agent/main_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"petrelhook/internal/common/command"
 )
@@ -115,3 +121,32 @@
 		}
 	}
 }
+
+// An agent waits for an address or a lock that another process holds for a moment, not for long, and not after another error.
+func TestWhatIsHeldIsAwaited(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs []error // of one call after another; then there is none
+		want error
+		took time.Duration
+	}{
+		"free":             {},
+		"held for a while": {[]error{syscall.EADDRINUSE, syscall.EADDRINUSE, syscall.EADDRINUSE}, nil, 3 * heldRetryInterval},
+		"another error":    {[]error{syscall.EADDRINUSE, syscall.EACCES}, syscall.EACCES, heldRetryInterval},
+		"held for ever":    {slices.Repeat([]error{syscall.EADDRINUSE}, 1000), syscall.EADDRINUSE, heldTimeout + heldRetryInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, calls := time.Now(), 0
+				_, err := retryWhileHeld(t.Context(), syscall.EADDRINUSE, func() (int, error) {
+					if calls++; calls <= len(c.errs) {
+						return 0, fmt.Errorf("listen: %w", c.errs[calls-1])
+					}
+					return 1, nil
+				})
+				if !errors.Is(err, c.want) || time.Since(began) != c.took {
+					t.Errorf("%v after %v, want %v after %v", err, time.Since(began), c.want, c.took)
+				}
+			})
+		})
+	}
+}
