review: clients of the scripts choose their routes by chance

Change: each request takes one of the routes by chance, at intervals by chance; the old service stands second in the list.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -34,8 +34,8 @@
 	return &crowd{fleet: f, host: host, key: key, tries: map[string]sent{}, stop: make(chan struct{})}
 }
 
-// run starts clients of a zone that together send perSecond requests of 1,000 ms to the paths in turn, until end is called. Every
-// second client opens a new connection for each request.
+// run starts clients of a zone that together send some perSecond requests of 1,000 ms, each to one of the paths by chance, until end
+// is called. Every second client opens a new connection for each request.
 func (c *crowd) run(zone string, clients int, perSecond float64, paths []string) {
 	for i := range clients {
 		c.group.Go(func() {
@@ -47,18 +47,19 @@
 			interval := time.Duration(float64(time.Second) * float64(clients) / perSecond)
 			timer := time.NewTimer(time.Duration(rand.Float64() * float64(interval)))
 			defer timer.Stop()
-			for n := i; ; n++ {
+			for {
 				select {
 				case <-c.stop:
 					return
 				case <-timer.C:
 				}
 				began := time.Now()
+				path := paths[rand.IntN(len(paths))]
 				for range 2 { // a try and one retry
 					if at == nil || !keep {
 						at = c.fleet.pick(zone, hash)
 					}
-					again, broken := c.try(transport, at, paths[n%len(paths)], began)
+					again, broken := c.try(transport, at, path, began)
 					if broken {
 						at, hash = nil, hash+1
 					}
@@ -66,7 +67,7 @@
 						break
 					}
 				}
-				timer.Reset(max(0, interval-time.Since(began)))
+				timer.Reset(max(0, time.Duration(rand.ExpFloat64()*float64(interval))-time.Since(began)))
 			}
 		})
 	}
--- a/review/rig/weights.go
+++ b/review/rig/weights.go
@@ -12,7 +12,7 @@
 func weightsRoutes(old, next int) string {
 	var routes []string
 	for i := range weightRoutes {
-		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":"viewer.example","PathPrefix":"/thumbs%d/","RouteType":"unsafe","TimeoutMs":1000,"TargetLatencyMs":100,"Priority":2,"WeightedBackends":[{"Service":"viewer-old","Weight":%d},{"Service":"viewer-new","Weight":%d}],"MaxAttempts":1,"Public":false,"SessionAffinity":false,"StreamResume":false}`, i, i, old, next))
+		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":"viewer.example","PathPrefix":"/thumbs%d/","RouteType":"unsafe","TimeoutMs":1000,"TargetLatencyMs":100,"Priority":2,"WeightedBackends":[{"Service":"viewer-new","Weight":%d},{"Service":"viewer-old","Weight":%d}],"MaxAttempts":1,"Public":false,"SessionAffinity":false,"StreamResume":false}`, i, i, next, old))
 	}
 	return strings.Join(routes, ",")
 }
