--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # First the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/petrelhook-router ] && [ -x target/review-rig ] || { echo "not built" >&2; exit 2; }
-exec target/review-rig weights review/2
+exec target/review-rig drain review/2
