--- a/review/keyed/main.go
+++ b/review/keyed/main.go
@@ -89,14 +89,11 @@
 	}
 	say("%s, disruption %t: %d requests of clients, %d attempts at servers, lag p99 %v", s.Name, trouble, len(out.Records.Calls),
 		len(out.Records.Attempts), time.Duration(out.Load.Lag.ValueAtQuantile(99))*time.Microsecond)
-	twice := 0
 	for _, b := range out.Audit.Breaches {
-		if b.Rule == audit.EffectRepeated {
-			twice++
-		}
 		say("%v", b)
 	}
-	say("%d effects of keyed requests happened twice after a refusal", twice)
+	twice := sentWhenForgotten(s, out)
+	say("%d effects of keyed requests happened twice after a refusal, %d of them sent when the group had forgotten the key", effectsTwice(out), twice)
 	if err := write(recordPath, said, &out.Records); err != nil {
 		return invalid, err
 	}
@@ -110,27 +107,59 @@
 	return held, nil
 }
 
+// effectsTwice counts the effects that happened twice after a refusal.
+func effectsTwice(out *rehearse.Outcome) (n int) {
+	for _, b := range out.Audit.Breaches {
+		if b.Rule == audit.EffectRepeated {
+			n++
+		}
+	}
+	return n
+}
+
+// sentWhenForgotten counts those of the effects whose second run had been sent, its first byte at the server, later than the class's
+// window after the first one ran: the request went out again when its group no longer remembered it.
+func sentWhenForgotten(s *scenario.Scenario, out *rehearse.Outcome) (n int) {
+	for _, b := range out.Audit.Breaches {
+		if b.Rule != audit.EffectRepeated {
+			continue
+		}
+		for i := range out.Records.Attempts {
+			second := &out.Records.Attempts[i]
+			if second.WorkStarted != b.At || second.Server != b.Servers[1] {
+				continue
+			}
+			for j := range out.Records.Attempts {
+				first := &out.Records.Attempts[j]
+				window := s.Classes[s.Class(first.Class)].Window
+				if first.Trace == b.Request && !first.KeyKnown && first.WorkStarted != audit.Never && second.FirstByte >= first.WorkStarted+window {
+					n++
+					break
+				}
+			}
+		}
+	}
+	return n
+}
+
 // event is one line of the record.
 type event struct {
 	at   time.Duration
 	text string
 }
 
-// write writes what was sent, answered and run of the keyed class, in order of time.
+// write writes what was sent, answered and run, in order of time.
 func write(path string, said []string, records *audit.Records) error {
 	var events []event
 	for i := range records.Calls {
 		c := &records.Calls[i]
-		if c.Key == "" {
-			continue
-		}
 		events = append(events, event{c.Sent, fmt.Sprintf("send %s key %s class %s to n%d, retry %t, waits %v", c.Trace, c.Key, c.Class, c.Sidecar, c.Retry, c.Patience)})
 		if c.Answered != audit.Never {
 			events = append(events, event{c.Answered, fmt.Sprintf("answer %s: %s %d, retry after %v", c.Trace, c.Result, c.Status, c.RetryAfter)})
 		}
 	}
 	for i := range records.Attempts {
-		if a := &records.Attempts[i]; a.Key != "" && a.WorkStarted != audit.Never {
+		if a := &records.Attempts[i]; a.WorkStarted != audit.Never {
 			events = append(events, event{a.WorkStarted, fmt.Sprintf("run %s key %s at %s, a repeat without effect %t", a.Trace, a.Key, a.Server, a.KeyKnown)})
 		}
 	}
