--- /dev/null
+++ b/review/second/stand/late.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"time"
+)
+
+// lateHeartbeat: a heartbeat of a server is seconds late. Meanwhile the server deregisters and is acknowledged, and all processes of the
+// core are killed and return with their disks.
+func lateHeartbeat(r *record, root string, trouble bool) int {
+	f := newFleet(r, root, 4, 2)
+	defer f.stop()
+	for _, m := range f.machines {
+		f.start(m, true)
+	}
+	f.order("/-/config/replace", 0, drainConfig)
+	for i, zone := range zones[1:] {
+		go f.newServer("i-stays-"+string(rune('a'+i)), "plates", zone, nil).beat()
+	}
+	go f.newServer("i-new", "plates", zones[0], nil).beat()
+	leaving := f.newServer("i-leaves", "plates", zones[0], nil)
+	go leaving.beat()
+	if !f.waitReady(f.machines, 15*time.Second) {
+		f.die("not all routers are ready")
+	}
+	c := f.newClients("ficu95.example", "/lohu930/2f", 60*time.Millisecond)
+	time.Sleep(7 * time.Second)
+	if len(leaving.taken()) == 0 {
+		f.die("the server that leaves was never used")
+	}
+	core := f.machines[:f.core]
+	leaving.stopBeats()
+	late := leaving.body() // this heartbeat is on its way for seconds; the next one is acknowledged before it
+	sent := time.Now()
+	if leaving.call("heartbeat", core) == nil {
+		f.die("heartbeat not acknowledged")
+	}
+	time.Sleep(500 * time.Millisecond)
+	by := leaving.call("deregister", core)
+	acknowledged := time.Now()
+	if by == nil {
+		f.die("the deregistration was not acknowledged")
+	}
+	f.logf("%s acknowledges that %s is gone", by.name, leaving.id)
+	inTouch := acknowledged
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		f.kill(core)
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range core {
+			f.start(m, false)
+			inTouch = m.startedAt.Add(contact)
+		}
+	}
+	time.Sleep(time.Until(sent.Add(4500 * time.Millisecond)))
+	for _, m := range core {
+		status, _ := post("http://"+f.control(m)+"/-/instances/"+leaving.id+"/heartbeat", late)
+		f.logf("the late heartbeat reaches %s after %.1f s: %d", m.name, time.Since(sent).Seconds(), status)
+		if status >= 200 && status < 300 {
+			break
+		}
+	}
+	time.Sleep(time.Until(acknowledged.Add(12 * time.Second))) // it serves on for "at times many seconds"
+	c.stop()
+	r.logf("%s", c.summary())
+	from := acknowledged.Add(drain)
+	if inTouch.After(from) {
+		from = inTouch
+	}
+	r.logf("every machine is in touch again and DrainMs is over from %.3f on", r.at(from))
+	tooLate, afterTwice := 0, 0
+	for _, run := range leaving.taken() {
+		t := c.tries[run.id]
+		if run.at.Before(acknowledged) || t == nil {
+			continue
+		}
+		r.logf("%s runs %s, sent at %.3f to %s, arrived at %.3f", leaving.id, run.id, r.at(t.at), t.machine.name, r.at(run.at))
+		if t.at.After(from) {
+			tooLate++
+		}
+		if trouble && t.at.After(inTouch.Add(contact)) {
+			afterTwice++
+		}
+	}
+	r.logf("DRAIN: %d requests that were sent after %.3f were run by %s, whose end was acknowledged at %.3f", tooLate, r.at(from), leaving.id, r.at(acknowledged))
+	r.logf("%d of them were sent later than twice ContactMs after the last start", afterTwice)
+	if tooLate > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
