--- a/review/second/stand/fleet.go
+++ b/review/second/stand/fleet.go
@@ -63,6 +63,7 @@
 	ports        [4]int // front, ready, control, internal
 	machines     []*machine
 	core         int // the first ones are the machines that count
+	limitFds     int // 0: none
 }
 
 // die ends the case that could not run.
@@ -193,6 +194,9 @@
 	}
 	defer log.Close()
 	cmd := exec.Command("target/petrelhook-router", "router")
+	if f.limitFds > 0 { // the platform's limit on descriptors
+		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/petrelhook-router router", f.limitFds))
+	}
 	cmd.Dir, cmd.Stdout, cmd.Stderr = f.root, log, log
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PETRELHOOK_SETTINGS=" + m.settings}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -265,6 +269,17 @@
 	return response.StatusCode, string(text)
 }
 
+// get makes a call; the status is 0 without an answer.
+func get(url string) (int, string) {
+	response, err := platform.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(text)
+}
+
 // order sends an order to one machine after the other until it is acknowledged.
 func (f *fleet) order(path string, base int, body string) time.Time {
 	deadline := time.Now().Add(20 * time.Second)
--- a/review/second/stand/main.go
+++ b/review/second/stand/main.go
@@ -10,7 +10,7 @@
 // cases are the cases by their names.
 var cases = map[string]func(r *record, root string, trouble bool) int{
 	"drain":   drainForgotten,
-	"quota":   burstTwice,
+	"deaf":    deafRouter,
 	"late":    lateHeartbeat,
 	"upload":  hotUploads,
 	"weights": withdrawnService,
