--- a/review/second/stand/late.go
+++ b/review/second/stand/late.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+const drainConfig = `{"Generation":7,"Routes":[{"Name":"r-plate","Host":"ficu95.example","PathPrefix":"/lohu930/","RouteType":"unsafe","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,"Service":"plates","MaxAttempts":1,"Public":true,"SessionAffinity":false,"StreamResume":false}],
+"Services":[{"Name":"plates","HealthPath":"/health","MaxConnections":130,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`
+
 // lateHeartbeat: a heartbeat of a server is seconds late. Meanwhile the server deregisters and is acknowledged, and all processes of the
 // core are killed and return with their disks.
 func lateHeartbeat(r *record, root string, trouble bool) int {
--- a/review/second/stand/main.go
+++ b/review/second/stand/main.go
@@ -9,11 +9,9 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(r *record, root string, trouble bool) int{
-	"drain":   drainForgotten,
 	"deaf":    deafRouter,
 	"late":    lateHeartbeat,
 	"upload":  hotUploads,
-	"weights": withdrawnService,
 }
 
 func main() {
