--- a/review/second/stand/main.go
+++ b/review/second/stand/main.go
@@ -9,9 +9,9 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(r *record, root string, trouble bool) int{
-	"deaf":    deafRouter,
-	"late":    lateHeartbeat,
-	"upload":  hotUploads,
+	"deaf":   deafRouter,
+	"late":   lateHeartbeat,
+	"upload": hotUploads,
 }
 
 func main() {
