--- a/review/second/stand/deaf.go
+++ b/review/second/stand/deaf.go
@@ -46,11 +46,13 @@
 	return true
 }
 
+// userIDs numbers the users of all machines.
+var userIDs atomic.Int64
+
 // visitors are users of one machine. Each opens a connection, sends one request, and keeps the connection for a later one.
 type visitors struct {
 	f        *fleet
 	m        *machine
-	number   atomic.Int64
 	mutex    sync.Mutex
 	open     []net.Conn
 	statuses map[int]int
@@ -81,11 +83,11 @@
 }
 
 func (v *visitors) visit(key string) {
-	status := 0
+	status, id, sentAt := 0, fmt.Sprintf("v%015x", userIDs.Add(1)), time.Now()
 	conn, err := net.DialTimeout("tcp", v.f.front(v.m), time.Second)
 	if err == nil {
 		_ = conn.SetDeadline(time.Now().Add(1500 * time.Millisecond))
-		_, _ = fmt.Fprintf(conn, "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: v%015x\r\nX-Key: %s\r\nX-Request-Deadline: 1500\r\nContent-Length: 4\r\n\r\nbody", v.number.Add(1), key)
+		_, _ = fmt.Fprintf(conn, "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Request-Deadline: 1500\r\nContent-Length: 4\r\n\r\nbody", id, key)
 		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
 			status = response.StatusCode
 		}
@@ -93,7 +95,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	v.statuses[status]++
-	v.f.logf("a user of %s is answered %d (0: not)", v.m.name, status)
+	v.f.logf("%s sent by a user at %.3f to %s is answered %d (0: not)", id, v.f.at(sentAt), v.m.name, status)
 	if status == 0 && conn != nil {
 		conn.Close() // it gives up
 	} else if conn != nil {
--- a/review/second/stand/late.go
+++ b/review/second/stand/late.go
@@ -34,6 +34,7 @@
 	leaving.stopBeats()
 	late := leaving.body() // this heartbeat is on its way for seconds; the next one is acknowledged before it
 	sent := time.Now()
+	time.Sleep(time.Second) // not acknowledged within a second: the next router is called
 	if leaving.call("heartbeat", core) == nil {
 		f.die("heartbeat not acknowledged")
 	}
@@ -51,17 +52,12 @@
 		time.Sleep(500 * time.Millisecond)
 		for _, m := range core {
 			f.start(m, false)
-			inTouch = m.startedAt.Add(contact)
-		}
-	}
-	time.Sleep(time.Until(sent.Add(4500 * time.Millisecond)))
-	for _, m := range core {
-		status, _ := post("http://"+f.control(m)+"/-/instances/"+leaving.id+"/heartbeat", late)
-		f.logf("the late heartbeat reaches %s after %.1f s: %d", m.name, time.Since(sent).Seconds(), status)
-		if status >= 200 && status < 300 {
-			break
+			inTouch = m.startedAt.Add(2 * contact) // twice, as after a fault that took most of the core
 		}
 	}
+	time.Sleep(time.Until(sent.Add(5500 * time.Millisecond)))
+	status, _ := post("http://"+f.control(core[0])+"/-/instances/"+leaving.id+"/heartbeat", late)
+	f.logf("the late heartbeat reaches %s after %.1f s: %d", core[0].name, time.Since(sent).Seconds(), status)
 	time.Sleep(time.Until(acknowledged.Add(12 * time.Second))) // it serves on for "at times many seconds"
 	c.stop()
 	r.logf("%s", c.summary())
@@ -73,7 +69,7 @@
 		from = inTouch
 	}
 	r.logf("every machine is in touch again and DrainMs is over from %.3f on", r.at(from))
-	tooLate, afterTwice := 0, 0
+	tooLate := 0
 	for _, run := range leaving.taken() {
 		t := c.tries[run.id]
 		if run.at.Before(acknowledged) || t == nil {
@@ -83,12 +79,8 @@
 		if t.at.After(from) {
 			tooLate++
 		}
-		if trouble && t.at.After(inTouch.Add(contact)) {
-			afterTwice++
-		}
 	}
 	r.logf("DRAIN: %d requests that were sent after %.3f were run by %s, whose end was acknowledged at %.3f", tooLate, r.at(from), leaving.id, r.at(acknowledged))
-	r.logf("%d of them were sent later than twice ContactMs after the last start", afterTwice)
 	if tooLate > 0 {
 		return exitBroken
 	}
--- a/review/second/stand/server.go
+++ b/review/second/stand/server.go
@@ -54,6 +54,7 @@
 	s.mutex.Lock()
 	s.runs = append(s.runs, run{id: id, from: r.RemoteAddr, at: time.Now()})
 	s.mutex.Unlock()
+	s.f.logf("%s takes %s and runs it", s.id, id)
 	w.Header().Set("X-Response-Signature", s.id+"."+id)
 	if s.handler != nil {
 		s.handler(w, r)
--- a/review/second/stand/upload.go
+++ b/review/second/stand/upload.go
@@ -25,14 +25,14 @@
 	memoryPolling = 10 * time.Millisecond
 )
 
-// memory returns the resident memory of a process in MB; 0 if it has ended.
+// memory returns the resident memory of a process in MB without what it shares with its program file; 0 if it has ended.
 func memory(pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
 			return kb / 1024
 		}
@@ -100,6 +100,7 @@
 			request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", u.number.Add(1)))
 			request.Header.Set("X-Key", "hwrr6x73d3zji9n73hh2")
 			request.Header.Set("X-Request-Deadline", strconv.Itoa(uploadMs))
+			sentAt := time.Now()
 			response, err := client.Do(request)
 			status, wait := 0, 0.25
 			if err == nil {
@@ -111,7 +112,7 @@
 			u.mutex.Lock()
 			u.statuses[status]++
 			u.mutex.Unlock()
-			u.f.logf("%s to %s is answered %d (0: not)", request.Header.Get("X-Request-Id"), m.name, status)
+			u.f.logf("%s sent at %.3f to %s is answered %d (0: not)", request.Header.Get("X-Request-Id"), u.f.at(sentAt), m.name, status)
 			if status == http.StatusOK {
 				break
 			}
@@ -152,7 +153,9 @@
 			u.mutex.Lock()
 			defer u.mutex.Unlock()
 			ends += n
-			machinesEnded += min(n, 1)
+			if n >= 3 {
+				machinesEnded++
+			}
 			f.logf("%s: %d ends over the memory limit, peak %.0f MB", m.name, n, peak)
 		})
 	}
@@ -175,8 +178,8 @@
 	close(done)
 	watchers.Wait()
 	r.logf("uploads by status (0: no answer): %v", u.statuses)
-	r.logf("Fault: %d processes ended by themselves over the memory limit, on %d machines of %d", ends, machinesEnded, len(f.machines))
-	if ends >= 3 && machinesEnded >= 2 {
+	r.logf("Fault: %d processes ended by themselves over the memory limit, three times or more on %d machines of %d", ends, machinesEnded, len(f.machines))
+	if machinesEnded >= 2 { // a tenth of the machines, two at least; half of the core
 		return exitBroken
 	}
 	return exitHeld
