Quota and capacity page: the same results with and without fused multiply-add

On arm64 the compiler fuses a multiplication and an addition, and two tests failed on unchanged code: TestALeaseExpiresAndIsOverdrawnOnce (a client that was told to wait 600 ms was rejected after 600 ms, since the refill was not rounded before it was added to the debt) and TestCapacityPageIsUpToDate (two intercepts that are 0 came out as -1.02e-11 and 6.37e-12, which is what the least-squares fit leaves of rounding).

The products that are added to a bucket are now rounded by an explicit conversion, across which Go's specification forbids fusing, and a wait that a client is told is rounded up, so that the units are there after it. A coefficient of a fitted line that changes no value by more than the rounding error of the data is 0. Tests and page are unchanged.

Measured on arm64 without GOFLAGS: both tests failed before and pass now; all tests of internal/router/quota and internal/coordination/capacity pass. On amd64 nothing is fused, and the order of the operations is as before.

--- a/internal/coordination/capacity/fit.go
+++ b/internal/coordination/capacity/fit.go
@@ -15,6 +15,8 @@
 	minRuns           = 3    // minimum number of runs at each of these sizes
 	maxError          = 0.2  // largest error of a trusted prediction, as a fraction of the measured mean
 	maxLinearExponent = 1.15 // a larger exponent counts as growth that is faster than linear
+
+	machineEpsilon = 0x1p-52 // relative distance of two neighbouring float64 values
 )
 
 // Line is a straight line through the points of a series, Intercept + Slope × members, and how well it fits.
@@ -84,7 +86,7 @@
 	if len(l.Sizes) < minSizes {
 		return l, false
 	}
-	l.Intercept, l.Slope = stat.LinearRegression(x, y, nil, false)
+	l.Intercept, l.Slope = linearRegression(x, y)
 	var squares float64
 	for i := range x {
 		squares += math.Pow(y[i]-l.Predict(x[i]), 2)
@@ -99,6 +101,21 @@
 	return l, true
 }
 
+// linearRegression fits a line by least squares. A coefficient that changes no value by more than the rounding error of the data
+// is 0, so that the result does not depend on whether the processor rounds between a multiplication and an addition.
+func linearRegression(x, y []float64) (intercept, slope float64) {
+	intercept, slope = stat.LinearRegression(x, y, nil, false)
+	largest := max(math.Abs(slices.Min(y)), math.Abs(slices.Max(y)))
+	roundingError := float64(len(y)) * machineEpsilon * largest
+	if math.Abs(slope)*(slices.Max(x)-slices.Min(x)) <= roundingError {
+		intercept, slope = stat.Mean(y, nil), 0
+	}
+	if math.Abs(intercept) <= roundingError {
+		intercept = 0
+	}
+	return intercept, slope
+}
+
 // check decides whether a line is trusted: its prediction at a larger size has an error of at most maxError, or lies between the
 // smallest and the largest run.
 func (l *Line) check(runs []float64, size int) {
--- a/internal/router/quota/buckets.go
+++ b/internal/router/quota/buckets.go
@@ -87,11 +87,11 @@
 		bucket = &tokenBucket{tokens: t.initialFraction * capacity, refilledAt: t.termStart}
 		t.buckets[tenant] = bucket
 	}
-	bucket.tokens = min(capacity, bucket.tokens+(now-bucket.refilledAt).Seconds()*limit.Rate*t.refillFraction)
+	bucket.tokens = min(capacity, bucket.tokens+float64(earnedUnits(limit.Rate, now-bucket.refilledAt)*t.refillFraction))
 	bucket.refilledAt = now
 	required := max(0, min(need, capacity)-overdraftFraction*t.bounds.Slack)
 	if bucket.tokens < required {
-		return 0, time.Duration((required - bucket.tokens) / limit.Rate * float64(time.Second))
+		return 0, waitFor(required-bucket.tokens, limit.Rate)
 	}
 	granted = need + max(0, min(extra, (bucket.tokens-need)/2))
 	bucket.tokens -= granted
--- a/internal/router/quota/leased_shares.go
+++ b/internal/router/quota/leased_shares.go
@@ -45,7 +45,8 @@
 	}
 	for name, tenant := range c.tenants {
 		if now < c.leaseEnd {
-			tenant.overdraft.units += (now - max(tenant.refilledAt, min(now, c.pooledUntil))).Seconds() * tenant.limit.Rate * tenant.share
+			elapsed := now - max(tenant.refilledAt, min(now, c.pooledUntil))
+			tenant.overdraft.units += float64(earnedUnits(tenant.limit.Rate, elapsed) * tenant.share)
 		}
 		tenant.refilledAt = now
 		tenant.share = shares[name]
@@ -79,7 +80,7 @@
 	if now <= from {
 		return
 	}
-	tenant.overdraft.refill((now-from).Seconds()*rate, rate)
+	tenant.overdraft.refill(earnedUnits(rate, now-from), rate)
 	tenant.refilledAt = now
 }
 
--- a/internal/router/quota/overdraft.go
+++ b/internal/router/quota/overdraft.go
@@ -22,7 +22,7 @@
 		return Rejected, 0
 	}
 	if o.units < 0 {
-		return Rejected, time.Duration(-o.units / rate * float64(time.Second))
+		return Rejected, waitFor(-o.units, rate)
 	}
 	o.units -= units
 	return Granted, 0
--- a/internal/router/quota/pool.go
+++ b/internal/router/quota/pool.go
@@ -101,7 +101,7 @@
 		p.accounts[tenant] = a
 	}
 	rate := p.limits[tenant].Rate
-	earned := rate * (a.shares*(now-a.updatedAt).Seconds() + p.standingIntegral - a.standingIntegral)
+	earned := float64(rate * (earnedUnits(a.shares, now-a.updatedAt) + p.standingIntegral - a.standingIntegral))
 	a.refill(earned, rate*(a.shares+p.standing))
 	a.updatedAt, a.standingIntegral = now, p.standingIntegral
 	return a
@@ -113,7 +113,7 @@
 	if now <= p.integratedTo {
 		return
 	}
-	p.standingIntegral += p.standing * (now - p.integratedTo).Seconds()
+	p.standingIntegral += earnedUnits(p.standing, now-p.integratedTo)
 	p.integratedTo = now
 }
 
