Servers that ended are loaded from the disk: a delayed heartbeat revives none

Cause: loadServers skipped all deregistered servers, and draining ones that were lost, although servers.cache has them. The registry did not know the server any more, and the first heartbeat of an unknown server registers it. Evidence: the test stores a registry and loads it again, and the entries are missing without this change; the file was written before the kill in the case.

The registry never lets such a server become ready again, whatever arrives. A deregistered server claims no address, so loading it keeps no successor from being used; it could do so without a restart too, where its end came late and it was not known.

--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -116,6 +116,42 @@
 	require.True(t, restarted.serversCache.loaded)
 }
 
+// Guards against review/7: after a restart a delayed heartbeat revived a server whose drain or end had been acknowledged,
+// because the servers that had ended were not loaded from the disk.
+func TestADelayedHeartbeatRevivesNoServerAfterARestart(t *testing.T) {
+	core := "CountsForQuorum = true\nDataDir = \"" + t.TempDir() + "\"\n"
+	n := newNode(t, core)
+	server := func(id string, state registry.State, sequence int64) registry.Instance {
+		return registry.Instance{ID: id, Service: "s", Address: "address of " + id, State: state, Sequence: sequence}
+	}
+	ids := []string{"deregistered", "draining", "draining-and-lost"}
+	for _, id := range ids {
+		n.registry.ReceiveHeartbeat(server(id, registry.Ready, 3), 0)
+	}
+	n.registry.ReceiveHeartbeat(server("draining-and-lost", registry.Draining, 5), 0)
+	n.registry.ReceiveHeartbeat(server("draining", registry.Draining, 5), 10*time.Second)
+	n.registry.ReceiveHeartbeat(server("deregistered", registry.Deregistered, 5), 10*time.Second)
+	n.registry.Expire(5*time.Second, 10*time.Second)
+	n.storeServers(10 * time.Second)
+	n.serversCache.writers.Wait()
+
+	restarted := newNode(t, core)
+	restarted.loadServers()
+	for _, id := range ids {
+		restarted.registry.ReceiveHeartbeat(server(id, registry.Ready, 4), time.Second)
+	}
+	restarted.registry.Expire(5*time.Second, time.Second)
+	for _, id := range ids {
+		require.False(t, restarted.registry.Entry(id).Usable(), id)
+	}
+	require.False(t, restarted.serversCache.loaded, "no server is running")
+	successor := server("successor", registry.Ready, 1)
+	successor.Address = "address of deregistered"
+	restarted.registry.ReceiveHeartbeat(successor, time.Second)
+	restarted.registry.Expire(5*time.Second, time.Second)
+	require.True(t, restarted.registry.Entry("successor").Usable(), "its address is free")
+}
+
 // A drain is acknowledged only once a majority of the core has received it.
 func TestADrainNeedsAMajority(t *testing.T) {
 	n := newNode(t, "")
--- a/internal/router/node/servers_cache.go
+++ b/internal/router/node/servers_cache.go
@@ -20,14 +20,15 @@
 // serversCache is the state of the copy of the registry on the disk of a router that can be a core member. When all
 // routers restart at once, they use the servers of this copy until the servers send heartbeats or are lost.
 type serversCache struct {
-	loaded      bool   // servers were read from the disk
+	loaded      bool   // ready servers were read from the disk
 	storedStamp uint64 // stamp of the registry last written
 	storing     atomic.Bool
 	writers     sync.WaitGroup
 }
 
 // loadServers adds the servers on the disk to the registry. If another server has taken over an address meanwhile, it
-// rejects a request meant for the old one with 421.
+// rejects a request meant for the old one with 421. Servers that were draining or deregistered are loaded as such: without
+// them a delayed heartbeat would be taken for that of a new server. Ready servers that were lost are not loaded.
 func (n *Node) loadServers() {
 	encoded, err := storage.ReadCache(n.settings.DataDir, serversCacheFile)
 	if err != nil {
@@ -39,15 +40,23 @@
 		n.logger.Warn().Err(err).Msg("servers cache not decoded")
 		return
 	}
+	ready, ended := 0, 0
 	for _, u := range updates {
-		if u.Lost || u.Instance.State == registry.Deregistered {
+		isReady := u.Instance.State == registry.Ready
+		if isReady && u.Lost {
 			continue
 		}
 		// The file was written some time ago. Adding the same time to each age keeps the order of last contacts.
 		u.Age += settings.Milliseconds(n.settings.HeartbeatMs)
 		n.registry.Merge(u, n.now())
-		n.serversCache.loaded = true
+		if isReady {
+			ready++
+		} else {
+			ended++
+		}
 	}
+	n.serversCache.loaded = ready > 0
+	n.logger.Info().Int("ready", ready).Int("ended", ended).Msg("servers loaded from the disk")
 	n.serversCache.storedStamp = n.registry.Stamp()
 }
 
--- a/internal/router/registry/registry.go
+++ b/internal/router/registry/registry.go
@@ -174,8 +174,11 @@
 }
 
 // claimAddress marks the other instances at the address of an entry as lost if their last heartbeats are older than
-// that of the entry.
+// that of the entry. A deregistered instance claims no address: another server may be running there by now.
 func (g *Registry) claimAddress(entry *Entry, now time.Duration) {
+	if entry.State == Deregistered {
+		return
+	}
 	for _, other := range g.byAddress[entry.Address] {
 		if other != entry && !other.Lost && other.State != Deregistered && other.LastContact < entry.LastContact {
 			other.Lost = true
@@ -184,10 +187,11 @@
 	}
 }
 
-// ownsAddress reports whether no other instance with the same address had a later heartbeat.
+// ownsAddress reports whether no other instance with the same address had a later heartbeat. Deregistered instances do not
+// count.
 func (g *Registry) ownsAddress(entry *Entry) bool {
 	for _, other := range g.byAddress[entry.Address] {
-		if other != entry && other.LastContact > entry.LastContact {
+		if other != entry && other.State != Deregistered && other.LastContact > entry.LastContact {
 			return false
 		}
 	}
--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -60,6 +60,22 @@
 	require.Len(t, usable(g, "registry"), 1)
 }
 
+// Guards against a server that is not used for a moment because the end of its predecessor at the address is heard of late.
+func TestADeregisteredInstanceClaimsNoAddress(t *testing.T) {
+	ended := instance("ended", 9, Deregistered)
+	running := instance("running", 1, Ready)
+	for name, known := range map[string]bool{"the ended one was known": true, "the ended one was not known": false} {
+		g := New()
+		if known {
+			g.ReceiveHeartbeat(instance("ended", 1, Ready), 0)
+		}
+		g.ReceiveHeartbeat(running, time.Second)
+		g.ReceiveHeartbeat(ended, 2*time.Second)
+		g.Expire(5*time.Second, 2*time.Second)
+		require.Equal(t, []string{"running"}, usable(g, "llm"), name)
+	}
+}
+
 // Two core members that disagree on whether an instance is lost would send each other updates forever if either adopted
 // the decision of the other.
 func TestJudgementsDoNotGoBackAndForth(t *testing.T) {
