An acknowledged end of a server is on the disks of a majority of the core

Cause: a drain or deregistration was acknowledged when a majority of the core had it in memory. servers.cache is written once a second at most and nobody waits for it, so a restart read the server as ready.

Now every router with a disk appends a tombstone for each end that it learns of to DataDir/tombstones.log. A core member counts its own disk, or sends DrainAck, once its tombstone is synced; the server is answered when a majority of the members has. The majority shares a member with every later one, and in a merge the state of a server only rises, so the end is known again after a restart. No disk is used under the lock, one write is in progress at a time and what waits shares the next one; a disk that hangs or fails counts for no end and holds up none. A draining call applies whatever its sequence number is, as a deregistration did: what is acknowledged is then always in the registry. Messages between routers and servers.cache are unchanged.

--- a/cmd/petrelhook-router/recovery_test.go
+++ b/cmd/petrelhook-router/recovery_test.go
@@ -108,6 +108,75 @@
 	require.Contains(t, text, `"Generation":3`)
 }
 
+// Guards against review/2: the core was killed right after it had acknowledged a server's drain or end, and sent the server
+// requests again, since only the memory of the core members had it.
+func TestAnAcknowledgedEndOutlivesTheCore(t *testing.T) {
+	for _, end := range []struct{ call, state string }{{"heartbeat", "draining"}, {"deregister", "ready"}} {
+		t.Run(end.call, func(t *testing.T) {
+			f := newFleet(t, 3, 2)
+			require.Equal(t, http.StatusOK, f.sendOrder("/-/config/replace", 0, streamConfiguration))
+			core := f.machines[:3]
+			leaves, stays := newRecordedServer(t, f, "leaves"), newRecordedServer(t, f, "stays")
+			f.useServer(leaves)
+			delayed := leaves.heartbeat("ready")
+			f.useServer(stays)
+			f.waitStored(core, stays.id)
+			require.Equal(t, http.StatusOK, leaves.send(f.machines[4], "heartbeat", leaves.heartbeat("ready")))
+			require.Equal(t, http.StatusOK, leaves.send(f.machines[4], end.call, leaves.heartbeat(end.state)))
+			for _, m := range core { // all before the first is waited for
+				require.NoError(t, m.process.Signal(syscall.SIGKILL))
+			}
+			for _, m := range core {
+				m.process.KillAndWait()
+			}
+			for _, m := range core {
+				m.restartAfterBootstrap()
+			}
+			for _, m := range f.machines {
+				f.waitReady(m)
+				peertest.Eventually(t, m.ip+" uses one server, although heartbeats that were sent before the end arrive", func() bool {
+					stays.send(m, "heartbeat", stays.heartbeat("ready"))
+					isAccepted := leaves.send(m, "heartbeat", delayed) == http.StatusOK
+					return isAccepted && f.status(m).Servers["s"] == 1
+				})
+			}
+			before := len(leaves.taken())
+			for i := range 20 {
+				for _, m := range f.machines {
+					stays.send(m, "heartbeat", stays.heartbeat("ready"))
+					code, text := f.request(m, "/x/1")
+					require.Equal(t, http.StatusOK, code, text)
+					require.Equal(t, "stays", text, "request %d to %s", i, m.ip)
+				}
+			}
+			require.Len(t, leaves.taken(), before)
+		})
+	}
+}
+
+// useServer sends heartbeats of a server until each machine sends it requests.
+func (f *fleet) useServer(s *recordedServer) {
+	f.t.Helper()
+	for _, m := range f.machines {
+		peertest.Eventually(f.t, m.ip+" uses "+s.id, func() bool {
+			s.send(m, "heartbeat", s.heartbeat("ready"))
+			code, text := f.request(m, "/x/1")
+			return code == http.StatusOK && text == s.id
+		})
+	}
+}
+
+// waitStored waits until the disks of core members have a server in their list. The list is not written again within a second.
+func (f *fleet) waitStored(core []*machine, id string) {
+	f.t.Helper()
+	for _, m := range core {
+		peertest.Eventually(f.t, "the disk of "+m.ip+" has "+id, func() bool {
+			stored, err := os.ReadFile(filepath.Join(filepath.Dir(m.settingsPath), "data", "servers.cache"))
+			return err == nil && strings.Contains(string(stored), id)
+		})
+	}
+}
+
 // A router receives SIGTERM while a stream is in progress. It completes the stream, closes an idle connection before that,
 // and rejects a request that may outlast its grace period.
 func TestAnEndWhileAStreamIsOnItsWay(t *testing.T) {
--- a/internal/router/node/applied.go
+++ b/internal/router/node/applied.go
@@ -19,14 +19,16 @@
 
 func newApplied() applied { return applied{usableServers: map[string]int{}} }
 
-// apply passes newer configurations and changed servers to the gateway, and makes the router ready once it has all that
-// it needs to serve. It is called at the end of every event.
+// apply passes newer configurations and changed servers to the gateway, has the ends among the changes written to the disk,
+// and makes the router ready once it has all that it needs to serve. It is called at the end of every event.
 func (n *Node) apply() {
 	if version := n.subscription.versions.Version(); version != n.applied.configVersion {
 		n.applyConfig(version)
 	}
 	if n.registry.Stamp() != n.applied.registryStamp {
-		n.gateway.UpdateServers(n.registry.ChangedSince(n.applied.registryStamp))
+		changed := n.registry.ChangedSince(n.applied.registryStamp)
+		n.gateway.UpdateServers(changed)
+		n.recordEnds(changed, n.now())
 		n.applied.registryStamp = n.registry.Stamp()
 		n.logServers()
 	}
--- a/internal/router/node/core.go
+++ b/internal/router/node/core.go
@@ -29,11 +29,18 @@
 		decisions: pendingReplies[replication.Decision]{}, inTouchSince: -1}
 }
 
-// isMember reports whether the current view names the router at an internal address as a core member.
-func (c *controlPlane) isMember(address string) bool {
-	return slices.ContainsFunc(c.view.Members, func(m replication.Member) bool { return m.Address == address })
+// memberAt returns the core member at an internal address in the current view, or nil.
+func (c *controlPlane) memberAt(address string) *replication.Member {
+	i := slices.IndexFunc(c.view.Members, func(m replication.Member) bool { return m.Address == address })
+	if i < 0 {
+		return nil
+	}
+	return &c.view.Members[i]
 }
 
+// isMember reports whether the current view names the router at an internal address as a core member.
+func (c *controlPlane) isMember(address string) bool { return c.memberAt(address) != nil }
+
 // isCoreMember reports whether the newest view that this router knows names it as a core member.
 func (n *Node) isCoreMember() bool {
 	return n.self.Member != nil && n.control.view.Member(n.self.Member.ID) != nil
--- a/internal/router/node/drains.go
+++ b/internal/router/node/drains.go
@@ -8,13 +8,13 @@
 	"petrelhook/internal/router/replication"
 )
 
-// pendingDrain is the drain or deregistration of a server. It is acknowledged once a majority of the core has received
-// it. A router that is not a core member sets done alone, and waits for the acknowledgement of its home.
+// pendingDrain is the drain or deregistration of a server. It is acknowledged once a majority of the core has it on disk.
+// A router that is not a core member sets done alone, and waits for the acknowledgement of its home.
 type pendingDrain struct {
 	forwardedBy      string // internal address of the router that received the server's call; "" is this one
 	forwardedRequest uint64 // request number at that router
 	instance         registry.Instance
-	acks             map[string]bool // by internal address of a core member; nil if the home is awaited
+	acks             map[string]bool // by ID of a core member, which stands for its disk; nil if the home is awaited
 	done             chan struct{}   // closed on acknowledgement
 }
 
@@ -22,7 +22,7 @@
 func (d *pendingDrain) hasMajority(members []replication.Member) bool {
 	count := 0
 	for _, m := range members {
-		if d.acks[m.Address] {
+		if d.acks[m.ID] {
 			count++
 		}
 	}
@@ -46,22 +46,22 @@
 	delete(n.drains, request)
 }
 
-// startDrain applies a drain or deregistration at this core member and sends it to the other members. If another router
+// startDrain applies a drain or deregistration at this core member, sends it to the other members and writes it to the disk. If another router
 // forwarded the server's call, request is the number of the call at that router; otherwise forwardedBy is empty.
 func (n *Node) startDrain(forwardedBy string, request uint64, instance registry.Instance, now time.Duration) *pendingDrain {
 	n.applyServerHeartbeat(instance, now)
 	ownRequest := n.nextRequest()
-	acks := map[string]bool{n.self.Address: true}
-	d := n.addPendingDrain(ownRequest, &pendingDrain{forwardedBy: forwardedBy, forwardedRequest: request, instance: instance, acks: acks})
+	d := n.addPendingDrain(ownRequest, &pendingDrain{forwardedBy: forwardedBy, forwardedRequest: request, instance: instance,
+		acks: map[string]bool{}})
 	n.sendDrain(ownRequest, d)
-	n.checkDrain(ownRequest, d)
+	n.acknowledgeWhenDurable(receipt{id: instance.ID, state: instance.State, request: ownRequest, createdAt: now})
 	return d
 }
 
 // sendDrain sends a drain to the core members that have not acknowledged it yet.
 func (n *Node) sendDrain(request uint64, d *pendingDrain) {
 	for _, m := range n.control.view.Members {
-		if !d.acks[m.Address] {
+		if !d.acks[m.ID] && m.ID != n.self.Member.ID {
 			n.transport.Send(m.Address, dissemination.Drain{Request: request, Instance: d.instance})
 		}
 	}
@@ -76,7 +76,7 @@
 	}
 }
 
-// receiveDrain applies a drain or deregistration sent by another core member, and acknowledges it.
+// receiveDrain applies a drain or deregistration sent by another core member, and acknowledges it once it is on the disk.
 func (n *Node) receiveDrain(from string, m dissemination.Drain, now time.Duration) {
 	if !n.isCoreMember() {
 		return
@@ -84,7 +84,7 @@
 	if n.registry.Merge(registry.Update{Instance: m.Instance}, now) {
 		n.pushAll()
 	}
-	n.transport.Send(from, dissemination.DrainAck{Request: m.Request, View: n.control.view.Epoch})
+	n.acknowledgeWhenDurable(receipt{id: m.Instance.ID, state: m.Instance.State, member: from, request: m.Request, createdAt: now})
 }
 
 // receiveDrainAck counts a member's acknowledgement. It ignores one from a later view than its own, because a majority of
@@ -94,13 +94,20 @@
 	if n.control.view.Epoch.Less(m.View) {
 		return
 	}
-	if d := n.drains[m.Request]; d != nil && d.acks != nil {
-		d.acks[from] = true
-		n.checkDrain(m.Request, d)
+	if member := n.control.memberAt(from); member != nil {
+		n.countDrainAck(m.Request, member.ID)
 	}
 }
 
-// checkDrain acknowledges a drain if a majority of the core has acknowledged it.
+// countDrainAck records that a core member has a drain on its disk.
+func (n *Node) countDrainAck(request uint64, memberID string) {
+	if d := n.drains[request]; d != nil && d.acks != nil {
+		d.acks[memberID] = true
+		n.checkDrain(request, d)
+	}
+}
+
+// checkDrain acknowledges a drain if a majority of the core has it on disk.
 func (n *Node) checkDrain(request uint64, d *pendingDrain) {
 	if !d.hasMajority(n.control.view.Members) {
 		return
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -42,7 +42,7 @@
 	startupPeriod = 5 * time.Second
 	// pruneInterval is the time between two removals of idle connections to servers.
 	pruneInterval = 2 * time.Second
-	// forgetInterval is the time between two removals of deregistered and lost servers from the registry.
+	// forgetInterval is the time between two removals of deregistered and lost servers from the registry, and of tombstones.
 	forgetInterval = 5 * time.Second
 	// bodyMemoryDivisor limits the bodies of client requests to a fraction of the machine's memory: all of them together
 	// may take 1/bodyMemoryDivisor of it.
@@ -78,6 +78,7 @@
 	loads        loads
 	applied      applied
 	serversCache serversCache
+	tombstones   tombstones
 	timers       timers
 }
 
--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -44,6 +44,23 @@
 	return n
 }
 
+// giveDisk gives a router an empty disk for tombstones.
+func giveDisk(t *testing.T, n *Node) {
+	t.Helper()
+	n.settings.DataDir = t.TempDir()
+	require.NoError(t, n.openTombstones())
+	t.Cleanup(n.tombstones.writers.Wait)
+}
+
+// startDurableDrain starts a drain at a core member and waits until the member's own disk has it.
+func startDurableDrain(n *Node, instance registry.Instance, now time.Duration) *pendingDrain {
+	n.mutex.Lock()
+	d := n.startDrain("", 0, instance, now)
+	n.mutex.Unlock()
+	n.tombstones.writers.Wait()
+	return d
+}
+
 // member returns a core member whose ID is made of its address.
 func member(address, zone string) replication.Member {
 	return replication.Member{ID: address + "/id", Address: address, Zone: zone}
@@ -152,13 +169,14 @@
 	require.True(t, restarted.registry.Entry("successor").Usable(), "its address is free")
 }
 
-// A drain is acknowledged only once a majority of the core has received it.
+// A drain is acknowledged only once a majority of the core has it on disk.
 func TestADrainNeedsAMajority(t *testing.T) {
 	n := newNode(t, "")
+	giveDisk(t, n)
 	self := replication.Member{ID: "self", Address: n.self.Address, Zone: "z1"}
 	n.self.Member = &self
 	n.control.view = view(1, self, member("10.0.1.1:7000", "z1"), member("10.0.2.1:7000", "z2"))
-	d := n.startDrain("", 0, registry.Instance{ID: "i1", Service: "s", State: registry.Draining, Sequence: 2}, 0)
+	d := startDurableDrain(n, registry.Instance{ID: "i1", Service: "s", State: registry.Draining, Sequence: 2}, 0)
 	select {
 	case <-d.done:
 		require.Fail(t, "acknowledged with one member of three")
--- a/internal/router/node/partition_test.go
+++ b/internal/router/node/partition_test.go
@@ -75,6 +75,7 @@
 	require.NoError(t, err)
 	n.control.view = v
 	require.True(t, n.isCoreMember())
+	giveDisk(t, n)
 	return n
 }
 
--- a/internal/router/node/registration.go
+++ b/internal/router/node/registration.go
@@ -11,7 +11,7 @@
 	"petrelhook/internal/router/settings"
 )
 
-// drainTimeout bounds the wait until a majority of the core has acknowledged a server's drain or deregistration. It is
+// drainTimeout bounds the wait until a majority of the core has a server's drain or deregistration on disk. It is
 // less than a second, after which a server calls the next router.
 const drainTimeout = 850 * time.Millisecond
 
@@ -59,8 +59,8 @@
 }
 
 // serveHeartbeat answers a server's heartbeat or deregistration. A ready server is acknowledged at once. A drain or
-// deregistration is acknowledged only when a majority of the core has received it, so that all routers learn of it even
-// if others fail afterwards.
+// deregistration is acknowledged only when a majority of the core has it on disk, so that all routers learn of it even if
+// every process of the core is killed right afterwards.
 func (n *Node) serveHeartbeat(w http.ResponseWriter, r *http.Request, deregister bool) {
 	instance, err := readInstance(w, r, deregister)
 	if err != nil {
@@ -90,7 +90,7 @@
 }
 
 // acceptServerHeartbeat applies a server's call at a core member, or forwards it to the home. Without contact with the
-// core it applies nothing and returns false for ok. done is closed once a majority of the core has received the call; it
+// core it applies nothing and returns false for ok. done is closed once a majority of the core has the call on disk; it
 // is nil if the caller need not wait. It acquires the lock.
 func (n *Node) acceptServerHeartbeat(instance registry.Instance) (done <-chan struct{}, ok bool) {
 	n.mutex.Lock()
--- a/internal/router/node/registration_test.go
+++ b/internal/router/node/registration_test.go
@@ -24,7 +24,7 @@
 func TestADrainAcrossAChangeOfMembers(t *testing.T) {
 	n := newIsolatedMember(t)
 	members := n.control.view.Members
-	d := n.startDrain("", 0, registry.Instance{ID: "i1", Service: "s", Address: "a", State: registry.Draining, Sequence: 4}, time.Second)
+	d := startDurableDrain(n, registry.Instance{ID: "i1", Service: "s", Address: "a", State: registry.Draining, Sequence: 4}, time.Second)
 	request := n.lastRequest
 	nextView := view(3, members[1], member("10.0.8.1:7000", "z1"), member("10.0.9.1:7000", "z2"))
 	n.receiveDrainAck(members[0].Address, dissemination.DrainAck{Request: request, View: nextView.Epoch})
@@ -39,7 +39,7 @@
 // An acknowledgement for an unknown request, or for one that is complete, has no effect.
 func TestAnAnswerToNoDrain(t *testing.T) {
 	n := newIsolatedMember(t)
-	d := n.startDrain("", 0, registry.Instance{ID: "i1", Service: "s", Address: "a", State: registry.Deregistered, Sequence: 4}, time.Second)
+	d := startDurableDrain(n, registry.Instance{ID: "i1", Service: "s", Address: "a", State: registry.Deregistered, Sequence: 4}, time.Second)
 	n.receiveDrainAck(n.control.view.Members[0].Address, dissemination.DrainAck{Request: n.lastRequest + 1, View: n.control.view.Epoch})
 	require.False(t, isClosed(d.done))
 	for range 2 {
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -27,6 +27,9 @@
 		n.self.Member = &options.Self
 		n.control.disk = newDiskWriter(disk, n.saved)
 		n.control.eligible[persisted.ID] = options.Self
+		if err := n.openTombstones(); err != nil {
+			return err
+		}
 		n.loadServers()
 	} else {
 		options.Diskless = true
--- a/internal/router/node/tick.go
+++ b/internal/router/node/tick.go
@@ -42,6 +42,7 @@
 		n.registry.Forget(n.applied.registryStamp, now)
 	}
 	n.apply()
+	n.tickTombstones(now)
 }
 
 // tickCore does the periodic work of core members: it updates the fleet size and, while this router is in contact with
--- /dev/null
+++ b/internal/router/node/tombstones.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"petrelhook/internal/router/dissemination"
+	"petrelhook/internal/router/registry"
+	"petrelhook/internal/router/settings"
+	"petrelhook/internal/router/storage"
+	"petrelhook/internal/router/tombstone"
+	"petrelhook/internal/router/wireformat"
+)
+
+const tombstonesFile = "tombstones.log"
+
+// receiptTimeout is how long a core member that waits for a tombstone to be durable is remembered. After that time no
+// server can be waiting for it.
+const receiptTimeout = 2 * drainTimeout
+
+// recordLog is the file of tombstones. *storage.RecordLog implements it.
+type recordLog interface {
+	Append(records [][]byte) error
+	Replace(records [][]byte) error
+}
+
+// tombstones is the part of this router's disk that says which servers are draining or deregistered. Every router with a
+// disk writes the tombstone of each end that it learns of, from whomever.
+type tombstones struct {
+	journal  *tombstone.Journal // nil on a router without a disk, which is never a core member
+	log      recordLog          // used by the write in progress alone
+	receipts []receipt
+	writers  sync.WaitGroup
+}
+
+// receipt says who is told once the tombstone of an instance is on this router's disk.
+type receipt struct {
+	id        string         // of the instance
+	state     registry.State // that must be on the disk
+	member    string         // internal address of the core member that sent the Drain; "" if this router counts its own disk
+	request   uint64         // number of the drain at that member
+	createdAt time.Duration
+}
+
+// openTombstones reads the tombstones on the disk and adds the servers to the registry. It fails if the file is there and
+// cannot be read. Damaged records are passed over: other core members have them too.
+func (n *Node) openTombstones() error {
+	n.tombstones.journal = tombstone.New(registry.EndedRetention)
+	n.tombstones.log = storage.NewRecordLog(n.settings.DataDir, tombstonesFile)
+	records, damaged, err := storage.ReadRecords(n.settings.DataDir, tombstonesFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		instance, err := wireformat.DecodeTombstone(record)
+		if err != nil {
+			damaged++
+			continue
+		}
+		n.tombstones.journal.Load(instance, n.now())
+		n.registry.Merge(registry.Update{Instance: instance, Age: settings.Milliseconds(n.settings.HeartbeatMs)}, n.now())
+	}
+	if damaged > 0 {
+		n.logger.Warn().Int("records", damaged).Msg("damaged tombstones ignored")
+	}
+	n.logger.Info().Int("tombstones", n.tombstones.journal.Len()).Msg("tombstones loaded from the disk")
+	return nil
+}
+
+// recordEnds adds the tombstones of the changed servers that are draining or deregistered, and starts to write them.
+func (n *Node) recordEnds(changed []*registry.Entry, now time.Duration) {
+	if n.tombstones.journal == nil {
+		return
+	}
+	for _, entry := range changed {
+		if entry.State != registry.Ready {
+			n.tombstones.journal.Add(entry.Instance, now)
+		}
+	}
+	n.writeTombstones(now)
+}
+
+// acknowledgeWhenDurable tells a core member, or this router itself, that this router's disk has the end of a server, once
+// it does. The registry has the server in the receipt's state or a later one. If the disk hangs or fails, nobody is told.
+func (n *Node) acknowledgeWhenDurable(r receipt) {
+	t := &n.tombstones
+	if t.journal == nil {
+		return
+	}
+	t.journal.Add(n.registry.Entry(r.id).Instance, r.createdAt)
+	t.receipts = append(t.receipts, r)
+	n.writeTombstones(r.createdAt)
+	n.deliverReceipts(r.createdAt)
+}
+
+// writeTombstones starts the next write of tombstones, if one is due. It writes in a goroutine, since a disk may hang.
+func (n *Node) writeTombstones(now time.Duration) {
+	w, due := n.tombstones.journal.NextWrite(now)
+	if !due {
+		return
+	}
+	n.tombstones.writers.Go(func() {
+		err := writeTombstoneRecords(n.tombstones.log, w)
+		n.tombstonesWritten(w, err)
+	})
+}
+
+// writeTombstoneRecords carries out a write. It is called without the lock.
+func writeTombstoneRecords(log recordLog, w tombstone.Write) error {
+	records := make([][]byte, 0, len(w.Tombstones))
+	for _, instance := range w.Tombstones {
+		record, err := wireformat.EncodeTombstone(instance)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	if w.Replace {
+		return log.Replace(records)
+	}
+	return log.Append(records)
+}
+
+// tombstonesWritten records the result of a write, tells those who waited for it, and starts the next write. The goroutine
+// of the write calls it. It acquires the lock.
+func (n *Node) tombstonesWritten(w tombstone.Write, err error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("tombstones not saved to disk")
+	}
+	n.tombstones.journal.Written(w, err, now)
+	n.deliverReceipts(now)
+	n.writeTombstones(now)
+}
+
+// deliverReceipts tells those who wait for tombstones that have become durable, and forgets those who have waited for
+// longer than receiptTimeout.
+func (n *Node) deliverReceipts(now time.Duration) {
+	t := &n.tombstones
+	var durable []receipt
+	t.receipts = slices.DeleteFunc(t.receipts, func(r receipt) bool {
+		if t.journal.Durable(r.id, r.state) {
+			durable = append(durable, r)
+			return true
+		}
+		return now-r.createdAt > receiptTimeout
+	})
+	for _, r := range durable {
+		n.deliverReceipt(r)
+	}
+}
+
+// deliverReceipt tells a core member, or this router itself, that this router's disk has the end of a server. A router that
+// is no longer a core member tells nobody.
+func (n *Node) deliverReceipt(r receipt) {
+	switch {
+	case !n.isCoreMember():
+	case r.member == "":
+		n.countDrainAck(r.request, n.self.Member.ID)
+	default:
+		n.transport.Send(r.member, dissemination.DrainAck{Request: r.request, View: n.control.view.Epoch})
+	}
+}
+
+// tickTombstones drops the tombstones whose retention is over, and repeats a write that failed.
+func (n *Node) tickTombstones(now time.Duration) {
+	if n.tombstones.journal == nil {
+		return
+	}
+	if n.timers.expireTombstones.elapsed(forgetInterval, now) {
+		n.tombstones.journal.Expire(now)
+	}
+	n.writeTombstones(now)
+	n.deliverReceipts(now)
+}
--- a/internal/router/registry/changes.go
+++ b/internal/router/registry/changes.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// endedRetention is how long an unusable instance is kept after its last change, so that all subscribers of this
-// registry learn that it ended.
-const endedRetention = 2 * time.Minute
+// EndedRetention is how long an unusable instance is kept after its last change: all subscribers of this registry learn that
+// it ended, and a heartbeat that was sent before its end has arrived. The operators' pages let a heartbeat come seconds late.
+const EndedRetention = 2 * time.Minute
 
 // compactionSlack determines when the superseded changes are removed: when there are more changes than twice the number of
 // entries plus compactionSlack.
@@ -91,11 +91,11 @@
 	}
 }
 
-// Forget removes the instances that have been unusable for longer than endedRetention. It keeps an entry whose stamp is
+// Forget removes the instances that have been unusable for longer than EndedRetention. It keeps an entry whose stamp is
 // greater than appliedStamp, the last stamp that the data plane of this router has applied.
 func (g *Registry) Forget(appliedStamp uint64, now time.Duration) {
 	for id, entry := range g.entries {
-		if entry.Usable() || entry.Stamp > appliedStamp || now-entry.lastChange <= endedRetention {
+		if entry.Usable() || entry.Stamp > appliedStamp || now-entry.lastChange <= EndedRetention {
 			continue
 		}
 		delete(g.entries, id)
--- a/internal/router/registry/registry.go
+++ b/internal/router/registry/registry.go
@@ -151,9 +151,9 @@
 }
 
 // mergeInstance replaces an entry's instance by a newer one. The state never goes back: an instance that is draining
-// does not become ready again, and a deregistration applies whatever its sequence number is.
+// does not become ready again, and a drain or deregistration applies whatever its sequence number is.
 func (g *Registry) mergeInstance(entry *Entry, observed Instance) (changed bool) {
-	newer := observed.Sequence > entry.Sequence || observed.State == Deregistered
+	newer := observed.Sequence > entry.Sequence || observed.State > entry.State
 	if !newer || entry.State == Deregistered {
 		return false
 	}
--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -174,7 +174,7 @@
 	g.Expire(5*time.Second, time.Hour) // a process that was suspended
 	g.Forget(stamp, time.Hour)
 	require.Len(t, g.ChangedSince(stamp), 1, "it has just been lost")
-	g.Forget(g.Stamp(), time.Hour+endedRetention)
+	g.Forget(g.Stamp(), time.Hour+EndedRetention)
 	require.Len(t, g.ChangedSince(stamp), 1)
 	g.Forget(stamp, 2*time.Hour)
 	require.Len(t, g.ChangedSince(stamp), 1, "the data plane has not applied it")
--- /dev/null
+++ b/internal/router/tombstone/journal.go
@@ -0,0 +1,158 @@
+// Package tombstone keeps track of which tombstones are on a router's disk, and decides what is written to it next.
+//
+// A tombstone says that a server is draining or deregistered. It outlives a restart, so that a core member that acknowledged
+// the end of a server still knows it after all processes were killed, and no delayed heartbeat makes the server usable
+// again.
+//
+// The package has no clock, file, network or goroutine of its own: the caller passes the time, carries out the writes and
+// holds a lock around every call. It does not decide who has to have a tombstone before an end is acknowledged.
+//
+// Invariant: Durable returns true only for tombstones that a write which succeeded contains, or that were read from the
+// disk at the start, and whose retention is not over.
+package tombstone
+
+import (
+	"time"
+
+	"petrelhook/internal/router/registry"
+)
+
+const (
+	// retryDelay is the time after a failed write before the next one.
+	retryDelay = 200 * time.Millisecond
+	// compactionSlack determines when the file is replaced: when it has more records than twice the number of tombstones
+	// plus compactionSlack.
+	compactionSlack = 1024
+)
+
+// Write is one write to the disk, either of all tombstones or of new ones.
+type Write struct {
+	Replace    bool                // Tombstones replace the content of the file; otherwise they are appended
+	Tombstones []registry.Instance // their State is Draining or Deregistered
+}
+
+// entry is one tombstone.
+type entry struct {
+	instance registry.Instance
+	addedAt  time.Duration  // when it got its present state, or was loaded
+	durable  registry.State // the state that is on the disk; Ready if none is
+}
+
+// Journal is the state of the tombstones of one router. New creates it.
+type Journal struct {
+	retention time.Duration
+	entries   map[string]*entry // by instance ID
+	unwritten []string          // IDs of the entries whose state is neither on the disk nor in the write in progress
+	records   int               // number of records in the file
+	writing   bool              // a write is in progress
+	replace   bool              // the next write has to replace the file: it may end in the middle of a record
+	retryAt   time.Duration     // no write before this time
+}
+
+// New returns a Journal without tombstones, which drops each of them after retention.
+func New(retention time.Duration) *Journal {
+	return &Journal{retention: retention, entries: map[string]*entry{}, replace: true}
+}
+
+// Load adds a tombstone that was read from the disk. Its retention begins anew, since the time before the restart is not
+// known.
+func (j *Journal) Load(instance registry.Instance, now time.Duration) {
+	if known := j.entries[instance.ID]; known == nil || known.instance.State < instance.State {
+		j.entries[instance.ID] = &entry{instance: instance, addedAt: now, durable: instance.State}
+	}
+}
+
+// Add adds the tombstone of an instance that is draining or deregistered. It does nothing if the tombstone is known.
+func (j *Journal) Add(instance registry.Instance, now time.Duration) {
+	known := j.entries[instance.ID]
+	if known == nil {
+		known = &entry{}
+		j.entries[instance.ID] = known
+	}
+	if known.instance.State >= instance.State {
+		return
+	}
+	known.instance, known.addedAt = instance, now
+	j.unwritten = append(j.unwritten, instance.ID)
+}
+
+// Durable reports whether the disk has a tombstone of an instance in the given state or a later one.
+func (j *Journal) Durable(id string, state registry.State) bool {
+	known := j.entries[id]
+	return known != nil && known.durable >= state
+}
+
+// NextWrite returns the next write. ok is false if there is none now: nothing is to be written, a write is in progress, or
+// the last one has just failed. The caller carries the write out and passes the result to Written. Tombstones that are
+// added meanwhile share the write after it.
+func (j *Journal) NextWrite(now time.Duration) (w Write, ok bool) {
+	if j.writing || now < j.retryAt || len(j.unwritten) == 0 {
+		return Write{}, false
+	}
+	w.Replace = j.replace || j.records > 2*len(j.entries)+compactionSlack
+	if w.Replace {
+		for _, e := range j.entries {
+			w.Tombstones = append(w.Tombstones, e.instance)
+		}
+	} else {
+		w.Tombstones = j.unwrittenInstances()
+	}
+	j.unwritten = nil
+	j.writing = true
+	return w, true
+}
+
+// unwrittenInstances returns the instances that are not written yet, each once.
+func (j *Journal) unwrittenInstances() (instances []registry.Instance) {
+	listed := map[string]bool{}
+	for _, id := range j.unwritten {
+		if e := j.entries[id]; e != nil && !listed[id] {
+			listed[id] = true
+			instances = append(instances, e.instance)
+		}
+	}
+	return instances
+}
+
+// Written records the result of the write in progress. After an error it is unknown whether the disk has the tombstones,
+// and they are written again after a delay.
+func (j *Journal) Written(w Write, err error, now time.Duration) {
+	j.writing = false
+	if err != nil {
+		j.replace = true
+		j.retryAt = now + retryDelay
+		j.requeue(w)
+		return
+	}
+	if w.Replace {
+		j.records = 0
+	}
+	j.replace = false
+	j.records += len(w.Tombstones)
+	for _, instance := range w.Tombstones {
+		if e := j.entries[instance.ID]; e != nil {
+			e.durable = max(e.durable, instance.State)
+		}
+	}
+}
+
+// requeue marks the tombstones of a failed write that are not on the disk as unwritten.
+func (j *Journal) requeue(w Write) {
+	for _, instance := range w.Tombstones {
+		if e := j.entries[instance.ID]; e != nil && e.durable < e.instance.State {
+			j.unwritten = append(j.unwritten, instance.ID)
+		}
+	}
+}
+
+// Expire drops the tombstones whose retention is over.
+func (j *Journal) Expire(now time.Duration) {
+	for id, e := range j.entries {
+		if now-e.addedAt > j.retention {
+			delete(j.entries, id)
+		}
+	}
+}
+
+// Len returns the number of tombstones.
+func (j *Journal) Len() int { return len(j.entries) }
