Tombstones: a ready server has none, failed writes are logged once, an ID has to be text

Three gaps of the tombstones, found by reading. A full disk logged a line for each retry, five a second: now one where writing begins to fail, and one where it works again. An instance ID that is not valid UTF-8 would have been stored under another ID; the call is answered 400 before anything is applied.

Measured: tests of node and tombstone pass, with the race detector too.

--- a/internal/router/node/registration.go
+++ b/internal/router/node/registration.go
@@ -5,6 +5,9 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 
 	"petrelhook/internal/router/dissemination"
 	"petrelhook/internal/router/registry"
@@ -15,6 +18,9 @@
 // less than a second, after which a server calls the next router.
 const drainTimeout = 850 * time.Millisecond
 
+// errInvalidID is the error for an instance ID that cannot be stored as text.
+var errInvalidID = errors.New("the instance ID in the path is not valid UTF-8")
+
 // heartbeatBody is the JSON body of a server's heartbeat or deregistration.
 type heartbeatBody struct {
 	Service           string
@@ -29,6 +35,9 @@
 
 // readInstance reads an instance from a server's heartbeat or deregistration. A deregistration may have no body.
 func readInstance(w http.ResponseWriter, r *http.Request, deregister bool) (registry.Instance, error) {
+	if !utf8.ValidString(r.PathValue("id")) {
+		return registry.Instance{}, errInvalidID
+	}
 	encoded, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
 	if err != nil {
 		return registry.Instance{}, err
--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -33,6 +33,7 @@
 type tombstones struct {
 	journal  *tombstone.Journal // nil on a router without a disk, which is never a core member
 	log      recordLog          // used by the write in progress alone
+	failing  bool               // the last write failed
 	receipts []receipt
 	writers  sync.WaitGroup
 }
@@ -134,14 +135,25 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.now()
-	if err != nil {
-		n.logger.Warn().Err(err).Msg("tombstones not saved to disk")
-	}
+	n.logTombstoneWrites(err)
 	n.tombstones.journal.Written(w, err, now)
 	n.deliverReceipts(now)
 	n.writeTombstones(now)
 }
 
+// logTombstoneWrites logs the first of several failed writes, and the first that succeeds after them. err is the result of the
+// last one.
+func (n *Node) logTombstoneWrites(err error) {
+	wasFailing := n.tombstones.failing
+	n.tombstones.failing = err != nil
+	switch {
+	case err != nil && !wasFailing:
+		n.logger.Warn().Err(err).Msg("tombstones not saved to disk")
+	case err == nil && wasFailing:
+		n.logger.Info().Msg("tombstones saved to disk again")
+	}
+}
+
 // deliverReceipts tells those who wait for tombstones that have become durable, and forgets those who have waited for
 // longer than receiptTimeout.
 func (n *Node) deliverReceipts(now time.Duration) {
--- a/internal/router/node/tombstones_test.go
+++ b/internal/router/node/tombstones_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -138,3 +140,14 @@
 	require.NoError(t, os.Mkdir(filepath.Join(unreadable.settings.DataDir, tombstonesFile), 0o700))
 	require.Error(t, unreadable.openTombstones())
 }
+
+// An ID that a tombstone could not hold is refused before anything is applied.
+func TestAnIDThatIsNoTextIsRefused(t *testing.T) {
+	n := newIsolatedMember(t)
+	r := httptest.NewRequest(http.MethodPost, "/-/instances/%ff/deregister", nil)
+	w := httptest.NewRecorder()
+	n.controlHandler().ServeHTTP(w, r)
+	require.Equal(t, http.StatusBadRequest, w.Code)
+	require.Contains(t, w.Body.String(), "UTF-8")
+	require.Zero(t, n.registry.Len())
+}
--- a/internal/router/tombstone/journal.go
+++ b/internal/router/tombstone/journal.go
@@ -62,17 +62,18 @@
 	}
 }
 
-// Add adds the tombstone of an instance that is draining or deregistered. It does nothing if the tombstone is known.
+// Add adds the tombstone of an instance that is draining or deregistered. It does nothing if the tombstone is known, or if the
+// instance is ready.
 func (j *Journal) Add(instance registry.Instance, now time.Duration) {
 	known := j.entries[instance.ID]
 	if known == nil {
 		known = &entry{}
-		j.entries[instance.ID] = known
 	}
 	if known.instance.State >= instance.State {
 		return
 	}
 	known.instance, known.addedAt = instance, now
+	j.entries[instance.ID] = known
 	j.unwritten = append(j.unwritten, instance.ID)
 }
 
--- a/internal/router/tombstone/journal_test.go
+++ b/internal/router/tombstone/journal_test.go
@@ -146,6 +146,15 @@
 	return false
 }
 
+// A ready server has no tombstone.
+func TestAReadyInstanceIsNotAdded(t *testing.T) {
+	j := New(retention)
+	j.Add(instance("a", registry.Ready), 0)
+	require.Zero(t, j.Len())
+	_, ok := j.NextWrite(0)
+	require.False(t, ok)
+}
+
 // A write that failed is repeated after a delay, with the whole file, and nothing of it counts as durable before.
 func TestAFailedWriteIsRepeated(t *testing.T) {
 	j := New(retention)
