--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -57,16 +57,30 @@
 	client   *http.Client
 }
 
+// fleetOptions says what a fleet consists of.
+type fleetOptions struct {
+	coreMembers, others int
+	network             string        // the first three bytes of the machines' loopback addresses
+	heartbeatInterval   time.Duration // of servers
+}
+
 // newFleet starts a fleet with the given numbers of core members and other routers.
 func newFleet(t *testing.T, coreMembers, others int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, ports: freePorts(t), client: &http.Client{Timeout: 5 * time.Second}}
+	return startFleet(t, fleetOptions{coreMembers: coreMembers, others: others, network: "127.9.0", heartbeatInterval: 300 * time.Millisecond})
+}
+
+// startFleet starts a fleet.
+func startFleet(t *testing.T, options fleetOptions) *fleet {
+	t.Helper()
+	ip := func(i int) string { return fmt.Sprintf("%s.%d", options.network, i+1) }
+	f := &fleet{t: t, ports: freePorts(t, ip(0)), client: &http.Client{Timeout: 5 * time.Second}}
 	var seeds []string
-	for i := range min(3, coreMembers) {
-		seeds = append(seeds, fmt.Sprintf("%q", f.address(fmt.Sprintf("127.9.0.%d", i+1), controlPort)))
+	for i := range min(3, options.coreMembers) {
+		seeds = append(seeds, fmt.Sprintf("%q", f.address(ip(i), controlPort)))
 	}
-	for i := range coreMembers + others {
-		m := &machine{t: t, ip: fmt.Sprintf("127.9.0.%d", i+1)}
+	for i := range options.coreMembers + options.others {
+		m := &machine{t: t, ip: ip(i)}
 		directory := process.DataDir(t)
 		text := fmt.Sprintf(`NodeName = "edge-%d"
 Ip = %q
@@ -75,7 +89,7 @@
 InternalPortRange = [%d, %d]
 Seeds = [%s]
 Bootstrap = true
-HeartbeatMs = 300
+HeartbeatMs = %d
 [Listen]
 Front = %q
 Ready = %q
@@ -92,8 +106,8 @@
 QuotaSlack = 1000
 again_s = 5
 `, i+1, m.ip, i%2, f.ports[internalPort], f.ports[internalPort], strings.Join(seeds, ", "),
-			f.address(m.ip, frontPort), f.address(m.ip, readyPort), f.address(m.ip, controlPort))
-		if i < coreMembers {
+			options.heartbeatInterval.Milliseconds(), f.address(m.ip, frontPort), f.address(m.ip, readyPort), f.address(m.ip, controlPort))
+		if i < options.coreMembers {
 			text = fmt.Sprintf("CountsForQuorum = true\nDataDir = %q\n", filepath.Join(directory, "data")) + text
 		}
 		m.settingsPath = filepath.Join(directory, "boot.toml")
@@ -118,11 +132,11 @@
 	return net.JoinHostPort(ip, strconv.Itoa(f.ports[port]))
 }
 
-// freePorts returns ports that are free on one address of the test. The fleet uses them on all its addresses.
-func freePorts(t *testing.T) (ports [4]int) {
+// freePorts returns ports that are free on one address of the fleet. It uses them on all its addresses.
+func freePorts(t *testing.T, ip string) (ports [4]int) {
 	t.Helper()
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.9.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		require.NoError(t, err)
 		defer l.Close()
 		ports[i] = l.Addr().(*net.TCPAddr).Port
