Router tests: one stand-in server in place of three; an end outlives a lost disk too

The tests of router processes had three kinds of servers that answered requests and sent heartbeats: applicationServer, engine and recordedServer. The first is gone, and engine is a recordedServer with a stream. TestAnAcknowledgedEndOutlivesTheCore has a third case: beside the kill of all core processes one of them loses its disk, as FaultTolerance permits.

--- a/cmd/petrelhook-router/drain_cost_test.go
+++ b/cmd/petrelhook-router/drain_cost_test.go
@@ -87,7 +87,7 @@
 
 // diskBytes returns the size of the first machine's file of tombstones, 0 if there is none.
 func (f *fleet) diskBytes() int64 {
-	info, err := os.Stat(filepath.Join(filepath.Dir(f.machines[0].settingsPath), "data", "tombstones.log"))
+	info, err := os.Stat(filepath.Join(f.machines[0].dataDir(), "tombstones.log"))
 	if err != nil {
 		return 0
 	}
--- a/cmd/petrelhook-router/drain_soak_test.go
+++ b/cmd/petrelhook-router/drain_soak_test.go
@@ -135,7 +135,7 @@
 	for i := range len(r.schedule.ends) + 2 {
 		s := newRecordedServer(r.t, r.fleet, fmt.Sprintf("i-%d", i))
 		r.servers = append(r.servers, s)
-		r.useServer(s)
+		s.waitUsed(r.machines)
 	}
 	stays := r.servers[len(r.schedule.ends):]
 	for i, s := range stays {
--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -120,6 +119,9 @@
 	return f
 }
 
+// dataDir returns the data directory of a core member.
+func (m *machine) dataDir() string { return filepath.Join(filepath.Dir(m.settingsPath), "data") }
+
 // start starts the machine's router process.
 func (m *machine) start() {
 	cmd := process.Self(roleVariable, "router")
@@ -210,42 +212,6 @@
 	})
 }
 
-// sendHeartbeat sends a heartbeat of server i1 to a machine and returns the status.
-func (f *fleet) sendHeartbeat(m *machine, address, state string, sequence int) int {
-	body := fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"zone-0","Slots":4,"State":%q,"Sequence":%d}`, address, state, sequence)
-	code, _ := f.call(http.MethodPost, "http://"+f.address(m.ip, controlPort)+"/-/instances/i1/heartbeat", body)
-	return code
-}
-
-// applicationServer is server i1, the only server of the service. It reports its state in heartbeats.
-type applicationServer struct {
-	f        *fleet
-	address  string
-	sequence int // of the last heartbeat
-}
-
-func newApplicationServer(t *testing.T, f *fleet) *applicationServer {
-	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		io.WriteString(w, "answer")
-	}))
-	t.Cleanup(server.Close)
-	return &applicationServer{f: f, address: server.Listener.Addr().String()}
-}
-
-// sendHeartbeat sends the next heartbeat to a machine and returns the status of the call.
-func (s *applicationServer) sendHeartbeat(m *machine, state string) int {
-	s.sequence++
-	return s.f.sendHeartbeat(m, s.address, state, s.sequence)
-}
-
-// waitHeartbeat sends heartbeats to a machine until one is accepted.
-func (s *applicationServer) waitHeartbeat(m *machine, state, what string) {
-	s.f.t.Helper()
-	peertest.Eventually(s.f.t, what, func() bool { return s.sendHeartbeat(m, state) == http.StatusOK })
-}
-
 const firstConfiguration = `{"Generation":3,"Routes":[{"Name":"r1","Host":"a.example","PathPrefix":"/x/","RouteType":"safe","TimeoutMs":2000,"Service":"s","MaxAttempts":2}],
 "Services":[{"Name":"s","MaxConnections":50}],"Tenants":[{"Name":"t1","ApiKeys":["k1"],"RatePerS":1000,"Burst":1000}]}`
 
@@ -256,7 +222,7 @@
 func TestFleet(t *testing.T) {
 	f := newFleet(t, 3, 2)
 	f.configureFirst()
-	server := newApplicationServer(t, f)
+	server := newRecordedServer(t, f, "i1")
 	f.waitServing(server)
 	f.updateWithoutPrimary(server)
 	f.drain(server)
@@ -276,7 +242,7 @@
 }
 
 // waitServing waits until each machine routes requests of the first route to the server.
-func (f *fleet) waitServing(server *applicationServer) {
+func (f *fleet) waitServing(server *recordedServer) {
 	f.t.Helper()
 	server.waitHeartbeat(f.machines[4], "ready", "a heartbeat is accepted")
 	for _, m := range f.machines {
@@ -284,14 +250,14 @@
 		peertest.Eventually(f.t, m.ip+" serves", func() bool {
 			server.sendHeartbeat(m, "ready")
 			code, text := f.request(m, "/x/1")
-			return code == http.StatusOK && text == "answer"
+			return code == http.StatusOK && text == server.id
 		})
 	}
 }
 
 // updateWithoutPrimary kills the primary, adds a route through the next primary, and restarts the killed machine. It waits
 // until each machine has the route, and a read at one of them returns the newest configuration.
-func (f *fleet) updateWithoutPrimary(server *applicationServer) {
+func (f *fleet) updateWithoutPrimary(server *recordedServer) {
 	f.t.Helper()
 	killed := f.primary()
 	require.NotNil(f.t, killed)
@@ -315,7 +281,7 @@
 
 // drain sends the server's drain to one machine and waits until all machines have received it. The server keeps sending
 // heartbeats, because without them it would become unusable even if its drain was lost.
-func (f *fleet) drain(server *applicationServer) {
+func (f *fleet) drain(server *recordedServer) {
 	f.t.Helper()
 	server.waitHeartbeat(f.machines[3], "draining", "a drain is acknowledged")
 	for _, m := range f.machines {
@@ -349,8 +315,7 @@
 func (f *fleet) checkStateCommand() {
 	f.t.Helper()
 	var out bytes.Buffer
-	data := filepath.Join(filepath.Dir(f.machines[0].settingsPath), "data")
-	require.Zero(f.t, run([]string{"petrelhook-router", "state", data}, &out, &out), out.String())
+	require.Zero(f.t, run([]string{"petrelhook-router", "state", f.machines[0].dataDir()}, &out, &out), out.String())
 	require.Contains(f.t, out.String(), `"Generation": 7`)
 }
 
--- a/cmd/petrelhook-router/recovery_test.go
+++ b/cmd/petrelhook-router/recovery_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,28 +23,22 @@
 
 // engine is a model server whose streams send one event at once and a second one when the test closes proceed.
 type engine struct {
-	*httptest.Server
+	*recordedServer
 	streaming, proceed chan struct{} // closed when the first stream has begun, and by the test
 }
 
-func newEngine(t *testing.T) *engine {
+func newEngine(t *testing.T, f *fleet) *engine {
 	t.Helper()
-	e := &engine{streaming: make(chan struct{}), proceed: make(chan struct{})}
+	e := &engine{recordedServer: newRecordedServer(t, f, "i1"), streaming: make(chan struct{}), proceed: make(chan struct{})}
 	signalFirst := sync.OnceFunc(func() { close(e.streaming) })
-	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		if !strings.HasPrefix(r.URL.Path, "/stream/") {
-			io.WriteString(w, "answer")
-			return
-		}
+	e.stream = func(w http.ResponseWriter) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		io.WriteString(w, "id: 1\ndata: a\n\n")
 		http.NewResponseController(w).Flush()
 		signalFirst()
 		<-e.proceed
 		io.WriteString(w, "id: 2\ndata: b\n\n")
-	}))
-	t.Cleanup(e.Close)
+	}
 	return e
 }
 
@@ -53,17 +46,9 @@
 func newServingFleet(t *testing.T, coreMembers, others int) (*fleet, *engine) {
 	t.Helper()
 	f := newFleet(t, coreMembers, others)
-	e := newEngine(t)
+	e := newEngine(t, f)
 	require.Equal(t, http.StatusOK, f.sendOrder("/-/config/replace", 0, streamConfiguration))
-	sequence := 0
-	for _, m := range f.machines {
-		peertest.Eventually(t, m.ip+" serves", func() bool {
-			sequence++
-			f.sendHeartbeat(m, e.Listener.Addr().String(), "ready", sequence)
-			code, text := f.request(m, "/x/1")
-			return code == http.StatusOK && text == "answer"
-		})
-	}
+	e.waitUsed(f.machines)
 	return f, e
 }
 
@@ -81,7 +66,7 @@
 	f, _ := newServingFleet(t, 3, 2)
 	peertest.Eventually(t, "the servers are on the disks", func() bool {
 		for _, m := range f.machines[:3] {
-			if _, err := os.Stat(filepath.Join(filepath.Dir(m.settingsPath), "data", "servers.cache")); err != nil {
+			if _, err := os.Stat(filepath.Join(m.dataDir(), "servers.cache")); err != nil {
 				return false
 			}
 		}
@@ -90,7 +75,7 @@
 	for _, m := range f.machines {
 		m.process.KillAndWait()
 	}
-	require.NoError(t, os.RemoveAll(filepath.Join(filepath.Dir(f.machines[1].settingsPath), "data")))
+	require.NoError(t, os.RemoveAll(f.machines[1].dataDir()))
 	for _, m := range f.machines {
 		m.restartAfterBootstrap()
 	}
@@ -111,17 +96,24 @@
 // Guards against review/2: the core was killed right after it had acknowledged a server's drain or end, and sent the server
 // requests again, since only the memory of the core members had it.
 func TestAnAcknowledgedEndOutlivesTheCore(t *testing.T) {
-	for _, end := range []struct{ call, state string }{{"heartbeat", "draining"}, {"deregister", "ready"}} {
-		t.Run(end.call, func(t *testing.T) {
+	for _, end := range []struct {
+		name, call, state string
+		losesDisk         bool // of one core member, as FaultTolerance permits
+	}{
+		{"draining", "heartbeat", "draining", false},
+		{"deregistered", "deregister", "ready", false},
+		{"deregistered, and a disk is lost", "deregister", "ready", true},
+	} {
+		t.Run(end.name, func(t *testing.T) {
 			f := newFleet(t, 3, 2)
 			require.Equal(t, http.StatusOK, f.sendOrder("/-/config/replace", 0, streamConfiguration))
 			core := f.machines[:3]
 			leaves, stays := newRecordedServer(t, f, "leaves"), newRecordedServer(t, f, "stays")
-			f.useServer(leaves)
+			leaves.waitUsed(f.machines)
 			delayed := leaves.heartbeat("ready")
-			f.useServer(stays)
+			stays.waitUsed(f.machines)
 			f.waitStored(core, stays.id)
-			require.Equal(t, http.StatusOK, leaves.send(f.machines[4], "heartbeat", leaves.heartbeat("ready")))
+			require.Equal(t, http.StatusOK, leaves.sendHeartbeat(f.machines[4], "ready"))
 			require.Equal(t, http.StatusOK, leaves.send(f.machines[4], end.call, leaves.heartbeat(end.state)))
 			for _, m := range core { // all before the first is waited for
 				require.NoError(t, m.process.Signal(syscall.SIGKILL))
@@ -129,13 +121,16 @@
 			for _, m := range core {
 				m.process.KillAndWait()
 			}
+			if end.losesDisk {
+				require.NoError(t, os.RemoveAll(core[1].dataDir()))
+			}
 			for _, m := range core {
 				m.restartAfterBootstrap()
 			}
 			for _, m := range f.machines {
 				f.waitReady(m)
 				peertest.Eventually(t, m.ip+" uses one server, although heartbeats that were sent before the end arrive", func() bool {
-					stays.send(m, "heartbeat", stays.heartbeat("ready"))
+					stays.sendHeartbeat(m, "ready")
 					isAccepted := leaves.send(m, "heartbeat", delayed) == http.StatusOK
 					return isAccepted && f.status(m).Servers["s"] == 1
 				})
@@ -143,7 +138,7 @@
 			before := len(leaves.taken())
 			for i := range 20 {
 				for _, m := range f.machines {
-					stays.send(m, "heartbeat", stays.heartbeat("ready"))
+					stays.sendHeartbeat(m, "ready")
 					code, text := f.request(m, "/x/1")
 					require.Equal(t, http.StatusOK, code, text)
 					require.Equal(t, "stays", text, "request %d to %s", i, m.ip)
@@ -154,24 +149,12 @@
 	}
 }
 
-// useServer sends heartbeats of a server until each machine sends it requests.
-func (f *fleet) useServer(s *recordedServer) {
-	f.t.Helper()
-	for _, m := range f.machines {
-		peertest.Eventually(f.t, m.ip+" uses "+s.id, func() bool {
-			s.send(m, "heartbeat", s.heartbeat("ready"))
-			code, text := f.request(m, "/x/1")
-			return code == http.StatusOK && text == s.id
-		})
-	}
-}
-
 // waitStored waits until the disks of core members have a server in their list. The list is not written again within a second.
 func (f *fleet) waitStored(core []*machine, id string) {
 	f.t.Helper()
 	for _, m := range core {
 		peertest.Eventually(f.t, "the disk of "+m.ip+" has "+id, func() bool {
-			stored, err := os.ReadFile(filepath.Join(filepath.Dir(m.settingsPath), "data", "servers.cache"))
+			stored, err := os.ReadFile(filepath.Join(m.dataDir(), "servers.cache"))
 			return err == nil && strings.Contains(string(stored), id)
 		})
 	}
@@ -199,7 +182,7 @@
 	}
 	_, idle := dial("/x/1", 1000)
 	_, text := read(idle)
-	require.Equal(t, "answer", text)
+	require.Equal(t, e.id, text)
 	_, streaming := dial("/stream/1", 60000)
 	<-e.streaming
 
@@ -216,7 +199,7 @@
 	})
 	_, in := dial("/x/1", 1000)
 	response, text := read(in)
-	require.Equal(t, "answer", text, "this request ends in time")
+	require.Equal(t, e.id, text, "this request ends in time")
 	require.True(t, response.Close)
 	_, err := idle.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
