Tests of tombstones sync to the folder of the other tests that sync

internal/rig/process says why: on a disk a sync waits for all that builds of other tests write. No check changed; tests of node pass with the race detector and with PETRELHOOK_TEST_FOLDER=/dev/shm.

--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	"petrelhook/internal/rig/process"
 	"petrelhook/internal/router/dissemination"
 	"petrelhook/internal/router/homeselection"
 	"petrelhook/internal/router/operatorapi"
@@ -47,7 +48,7 @@
 // giveDisk gives a router an empty disk for tombstones.
 func giveDisk(t *testing.T, n *Node) {
 	t.Helper()
-	n.settings.DataDir = t.TempDir()
+	n.settings.DataDir = process.DataDir(t)
 	require.NoError(t, n.openTombstones())
 	t.Cleanup(n.tombstones.writers.Wait)
 }
