--- a/internal/router/node/drains.go
+++ b/internal/router/node/drains.go
@@ -46,8 +46,9 @@
 	delete(n.drains, request)
 }
 
-// startDrain applies a drain or deregistration at this core member, sends it to the other members and writes it to the disk. If another router
-// forwarded the server's call, request is the number of the call at that router; otherwise forwardedBy is empty.
+// startDrain applies a drain or deregistration at this core member, sends it to the other members and writes it to the disk.
+// If another router forwarded the server's call, request is the number of the call at that router; otherwise forwardedBy is
+// empty.
 func (n *Node) startDrain(forwardedBy string, request uint64, instance registry.Instance, now time.Duration) *pendingDrain {
 	n.applyServerHeartbeat(instance, now)
 	ownRequest := n.nextRequest()
--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -40,6 +40,37 @@
 	require.Equal(t, Draining, g.Entry("a").State)
 }
 
+// Guards against an acknowledged drain without effect: the call was overtaken by a heartbeat of the server that was sent after it.
+func TestADrainAppliesWhateverItsSequence(t *testing.T) {
+	for _, end := range []State{Draining, Deregistered} {
+		g := New()
+		g.ReceiveHeartbeat(instance("a", 6, Ready), 0)
+		require.True(t, g.ReceiveHeartbeat(instance("a", 5, end), time.Second))
+		require.Equal(t, end, g.Entry("a").State)
+		require.False(t, g.ReceiveHeartbeat(instance("a", 6, Ready), 2*time.Second))
+		require.Empty(t, usable(g, "llm"))
+	}
+}
+
+// A router that knows the end of an instance keeps it, whatever a home that lacks it reports: in changes, in a complete list and
+// after a change of the home.
+func TestAHomeThatLacksAnEndRevivesNoInstance(t *testing.T) {
+	for _, end := range []State{Draining, Deregistered} {
+		g := New()
+		g.Adopt(Update{Instance: instance("a", 5, Ready)}, 0)
+		g.Adopt(Update{Instance: instance("a", 6, end)}, time.Second)
+		for _, sequence := range []int64{4, 6, 7} {
+			stale := Update{Instance: instance("a", sequence, Ready)}
+			g.Adopt(stale, 2*time.Second)
+			require.Empty(t, usable(g, "llm"))
+			g.Merge(stale, 2*time.Second)
+			require.Empty(t, usable(g, "llm"))
+			g.Replace([]Update{stale}, 3*time.Second)
+			require.Empty(t, usable(g, "llm"))
+		}
+	}
+}
+
 func TestExpiryAndReturn(t *testing.T) {
 	g := New()
 	g.ReceiveHeartbeat(instance("a", 1, Ready), 0)
