Package tombstone has its layer; two of its guards have tests that fail without them

Ten mutants of the change of the tombstones were tried; two were not found: an append after a failed one without replacing the file, and a deregistered server that claims its address until the next check for lost servers.

--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -102,6 +102,7 @@
 		}
 		g.ReceiveHeartbeat(running, time.Second)
 		g.ReceiveHeartbeat(ended, 2*time.Second)
+		require.Equal(t, []string{"running"}, usable(g, "llm"), name)
 		g.Expire(5*time.Second, 2*time.Second)
 		require.Equal(t, []string{"running"}, usable(g, "llm"), name)
 	}
--- a/internal/router/tombstone/journal_test.go
+++ b/internal/router/tombstone/journal_test.go
@@ -172,4 +172,12 @@
 	require.Len(t, w.Tombstones, 2)
 	j.Written(w, nil, retryDelay)
 	require.True(t, j.Durable("a", registry.Draining))
+
+	j.Add(instance("b", registry.Draining), retryDelay)
+	w, _ = j.NextWrite(retryDelay)
+	require.False(t, w.Replace)
+	j.Written(w, errDisk, retryDelay)
+	w, _ = j.NextWrite(2 * retryDelay)
+	require.True(t, w.Replace, "the file may end in half a record")
+	require.Len(t, w.Tombstones, 3)
 }
--- a/internal/sidecar/wiring/imports_test.go
+++ b/internal/sidecar/wiring/imports_test.go
@@ -62,6 +62,7 @@
 	{"internal/router/eventstream", ""},
 	{"internal/router/quota", ""},
 	{"internal/router/registry", ""},
+	{"internal/router/tombstone", "internal/router/registry"},
 	{"internal/router/transport", ""},
 	{"internal/router/placement", "internal/router/rotation"},
 	{"internal/router/outlier", ""},
