Tombstones that are read at the start count as on disk once they were written again

Found by reading. A process that is killed between the write of a tombstone and its sync leaves a record that the next start reads. It counted as on disk, so a repeated call of the server was acknowledged at once, and a loss of power in the next seconds would have taken it. What is read is now added like a new tombstone: the first tick writes all of it in one synced replacement, which also removes a damaged end of the file.

--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -48,7 +48,8 @@
 }
 
 // openTombstones reads the tombstones on the disk and adds the servers to the registry. It fails if the file is there and
-// cannot be read. Damaged records are passed over: other core members have them too.
+// cannot be read. Damaged records are passed over: other core members have them too. What was read is written again by the
+// first tick, because a process that was killed may not have synced it.
 func (n *Node) openTombstones() error {
 	n.tombstones.journal = tombstone.New(registry.EndedRetention)
 	n.tombstones.log = storage.NewRecordLog(n.settings.DataDir, tombstonesFile)
@@ -65,7 +66,7 @@
 			damaged++
 			continue
 		}
-		n.tombstones.journal.Load(instance, n.now())
+		n.tombstones.journal.Add(instance, n.now())
 		n.registry.Merge(registry.Update{Instance: instance, Age: settings.Milliseconds(n.settings.HeartbeatMs)}, n.now())
 	}
 	if damaged > 0 {
--- a/internal/router/node/tombstones_test.go
+++ b/internal/router/node/tombstones_test.go
@@ -128,7 +128,15 @@
 	require.Equal(t, registry.Instance{ID: "i-7f3a91c2", Service: "s", Address: "10.0.0.9:80", Zone: "z1", Generation: "v1", Slots: 8,
 		State: registry.Draining, Sequence: 41}, n.registry.Entry("i-7f3a91c2").Instance)
 	require.Equal(t, registry.Instance{ID: "i-0b11", State: registry.Deregistered}, n.registry.Entry("i-0b11").Instance)
+	require.False(t, n.tombstones.journal.Durable("i-0b11", registry.Deregistered), "it may not have been synced before the restart")
+	n.mutex.Lock()
+	n.writeTombstones(n.now())
+	n.mutex.Unlock()
+	n.tombstones.writers.Wait()
 	require.True(t, n.tombstones.journal.Durable("i-0b11", registry.Deregistered))
+	rewritten, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Len(t, rewritten, len(recorded), "the damaged end is gone")
 	for _, id := range []string{"i-7f3a91c2", "i-0b11"} {
 		record, err := wireformat.EncodeTombstone(n.registry.Entry(id).Instance)
 		require.NoError(t, err)
--- a/internal/router/tombstone/journal.go
+++ b/internal/router/tombstone/journal.go
@@ -7,8 +7,7 @@
 // The package has no clock, file, network or goroutine of its own: the caller passes the time, carries out the writes and
 // holds a lock around every call. It does not decide who has to have a tombstone before an end is acknowledged.
 //
-// Invariant: Durable returns true only for tombstones that a write which succeeded contains, or that were read from the
-// disk at the start, and whose retention is not over.
+// Invariant: Durable returns true only for tombstones that a write which succeeded contains, and whose retention is not over.
 package tombstone
 
 import (
@@ -34,7 +33,7 @@
 // entry is one tombstone.
 type entry struct {
 	instance registry.Instance
-	addedAt  time.Duration  // when it got its present state, or was loaded
+	addedAt  time.Duration  // when it got its present state, or was read at the start
 	durable  registry.State // the state that is on the disk; Ready if none is
 }
 
@@ -54,16 +53,9 @@
 	return &Journal{retention: retention, entries: map[string]*entry{}, replace: true}
 }
 
-// Load adds a tombstone that was read from the disk. Its retention begins anew, since the time before the restart is not
-// known.
-func (j *Journal) Load(instance registry.Instance, now time.Duration) {
-	if known := j.entries[instance.ID]; known == nil || known.instance.State < instance.State {
-		j.entries[instance.ID] = &entry{instance: instance, addedAt: now, durable: instance.State}
-	}
-}
-
 // Add adds the tombstone of an instance that is draining or deregistered. It does nothing if the tombstone is known, or if the
-// instance is ready.
+// instance is ready. A tombstone that was read from the disk at the start is added as well: it may not have been synced before
+// the restart, and its retention begins anew, since the time before the restart is not known.
 func (j *Journal) Add(instance registry.Instance, now time.Duration) {
 	known := j.entries[instance.ID]
 	if known == nil {
--- a/internal/router/tombstone/journal_test.go
+++ b/internal/router/tombstone/journal_test.go
@@ -158,9 +158,11 @@
 // A write that failed is repeated after a delay, with the whole file, and nothing of it counts as durable before.
 func TestAFailedWriteIsRepeated(t *testing.T) {
 	j := New(retention)
-	j.Load(instance("old", registry.Deregistered), 0)
-	j.Add(instance("a", registry.Draining), 0)
+	j.Add(instance("old", registry.Deregistered), 0)
 	w, _ := j.NextWrite(0)
+	j.Written(w, nil, 0)
+	j.Add(instance("a", registry.Draining), 0)
+	w, _ = j.NextWrite(0)
 	j.Written(w, errDisk, 0)
 	require.False(t, j.Durable("a", registry.Draining))
 	require.True(t, j.Durable("old", registry.Deregistered))
