Tests in virtual time do not crash the race detector

The program counter is __tsan::SlotLock, called from __tsan::Acquire, on a system stack.

Cause: the Go runtime (1.26.8) keeps one context of the race detector for all timers of a synctest bubble. A goroutine that receives from a timer which expired while nothing waited for it runs the timer on its own thread with that context; two at the same moment corrupt it.

Package bubble runs a bubble on one processor while the race detector is on, and bubbles that run in parallel in a process each. No check of a test changed; without the race detector all is as before. A bubble has fewer interleavings under the race detector, which compares synchronization and finds races without them.

--- a/cmd/petrelhook-agent/main_test.go
+++ b/cmd/petrelhook-agent/main_test.go
@@ -10,10 +10,10 @@
 	"strings"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/common/command"
+	"petrelhook/internal/rig/bubble"
 )
 
 // Each mistake in an agent's file must be reported in one line with its position, and the example file must be valid.
@@ -134,7 +134,7 @@
 		"held for ever":    {slices.Repeat([]error{syscall.EADDRINUSE}, 1000), syscall.EADDRINUSE, heldTimeout + heldRetryInterval},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				began, calls := time.Now(), 0
 				_, err := retryWhileHeld(t.Context(), syscall.EADDRINUSE, func() (int, error) {
 					if calls++; calls <= len(c.errs) {
--- a/internal/coordination/rpc/httpclient_test.go
+++ b/internal/coordination/rpc/httpclient_test.go
@@ -6,13 +6,14 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 // DialTimeout limits a connection attempt of a custom Dial function even if the request has no deadline.
 func TestDialTimeoutOfAGivenNetwork(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		hangingDial := func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
 		client := NewHTTPClient(HTTPOptions{Dial: hangingDial, DialTimeout: time.Second})
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://127.0.0.1:1/", nil)
--- /dev/null
+++ b/internal/rig/bubble/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bubble
+
+const raceEnabled = true
--- a/internal/rig/deployment/simulated_test.go
+++ b/internal/rig/deployment/simulated_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"testing"
-	"testing/synctest"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 // simulate runs a test of a deployment in memory and in virtual time, beside others.
 func simulate(t *testing.T, test func(t *testing.T)) {
 	t.Parallel()
-	synctest.Test(t, test)
+	bubble.TestInProcess(t, test)
 }
 
 // newLoadTest is a deployment under load in memory, inside the bubble of simulate.
--- a/internal/rig/load/run_test.go
+++ b/internal/rig/load/run_test.go
@@ -5,11 +5,11 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/rig/arrival"
 	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/scenario"
 	"petrelhook/internal/rig/standin"
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n, rec, zero := memnet.New(latency), &audit.Recorder{}, time.Now()
 		fleet, err := standin.Start(s, n, rec, zero)
 		if err != nil {
@@ -95,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n, rec, zero := memnet.New(latency), &audit.Recorder{}, time.Now()
 		fleet, err := standin.Start(s, n, rec, zero)
 		if err != nil {
--- a/internal/rig/memnet/memnet_test.go
+++ b/internal/rig/memnet/memnet_test.go
@@ -8,8 +8,9 @@
 	"os"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 const latency = time.Millisecond
@@ -32,15 +33,15 @@
 	return n, client, server
 }
 
-// bubble runs a subtest in virtual time.
-func bubble(t *testing.T, name string, f func(t *testing.T)) {
-	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+// runInBubble runs a subtest in virtual time.
+func runInBubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { bubble.Test(t, f) })
 }
 
 // Connections end as those of TCP do: the sidecar draws conclusions from that.
 func TestEndsAreThoseOfTCP(t *testing.T) {
 	buf := make([]byte, 16)
-	bubble(t, "close: the remaining bytes, then the end of file", func(t *testing.T) {
+	runInBubble(t, "close: the remaining bytes, then the end of file", func(t *testing.T) {
 		_, client, server := connected(t)
 		client.Write([]byte("hi"))
 		client.Close()
@@ -48,7 +49,7 @@
 			t.Errorf("%q, %v", text, err)
 		}
 	})
-	bubble(t, "half close: the other direction stays", func(t *testing.T) {
+	runInBubble(t, "half close: the other direction stays", func(t *testing.T) {
 		_, client, server := connected(t)
 		client.(*Conn).CloseWrite()
 		io.ReadAll(server)
@@ -57,7 +58,7 @@
 			t.Errorf("%q, %v", buf[:n], err)
 		}
 	})
-	bubble(t, "close with bytes unread: a reset", func(t *testing.T) {
+	runInBubble(t, "close with bytes unread: a reset", func(t *testing.T) {
 		_, client, server := connected(t)
 		client.Write([]byte("hi"))
 		time.Sleep(2 * latency)
@@ -66,7 +67,7 @@
 			t.Error(err)
 		}
 	})
-	bubble(t, "no linger: a reset", func(t *testing.T) {
+	runInBubble(t, "no linger: a reset", func(t *testing.T) {
 		_, client, server := connected(t)
 		server.(*Conn).SetLinger(0)
 		server.Close()
@@ -77,7 +78,7 @@
 			t.Error(err)
 		}
 	})
-	bubble(t, "written to after its close: the write passes, then a reset", func(t *testing.T) {
+	runInBubble(t, "written to after its close: the write passes, then a reset", func(t *testing.T) {
 		_, client, server := connected(t)
 		server.Close()
 		if _, err := client.Write([]byte("hi")); err != nil {
@@ -88,7 +89,7 @@
 			t.Error(err)
 		}
 	})
-	bubble(t, "no listener: refused", func(t *testing.T) {
+	runInBubble(t, "no listener: refused", func(t *testing.T) {
 		if _, err := New(latency).Dial(t.Context(), "tcp", "127.0.0.1:9"); !errors.Is(err, syscall.ECONNREFUSED) {
 			t.Error(err)
 		}
@@ -96,7 +97,7 @@
 }
 
 func TestDeadlinesAndBuffers(t *testing.T) {
-	bubble(t, "a read waits no longer than its deadline", func(t *testing.T) {
+	runInBubble(t, "a read waits no longer than its deadline", func(t *testing.T) {
 		_, client, _ := connected(t)
 		began := time.Now()
 		client.SetReadDeadline(began.Add(time.Second))
@@ -104,14 +105,14 @@
 			t.Error(err, time.Since(began))
 		}
 	})
-	bubble(t, "a deadline set meanwhile ends a read", func(t *testing.T) {
+	runInBubble(t, "a deadline set meanwhile ends a read", func(t *testing.T) {
 		_, client, _ := connected(t)
 		time.AfterFunc(time.Second, func() { client.SetReadDeadline(time.Now()) })
 		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Error(err)
 		}
 	})
-	bubble(t, "a writer waits for a slow reader", func(t *testing.T) {
+	runInBubble(t, "a writer waits for a slow reader", func(t *testing.T) {
 		_, client, server := connected(t)
 		client.Write(make([]byte, maxBuffered))
 		client.SetWriteDeadline(time.Now().Add(time.Second))
@@ -124,7 +125,7 @@
 			t.Error(err)
 		}
 	})
-	bubble(t, "a connection with unread bytes is not quiet", func(t *testing.T) {
+	runInBubble(t, "a connection with unread bytes is not quiet", func(t *testing.T) {
 		_, client, server := connected(t)
 		if !server.(*Conn).Quiet() {
 			t.Error("not quiet at first")
@@ -143,7 +144,7 @@
 
 // The peer of an isolated machine learns of a close when the machine is restored.
 func TestCloseDuringIsolation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n, client, server := connected(t)
 		addr := client.RemoteAddr().String()
 		n.Isolate(addr)
@@ -162,7 +163,7 @@
 
 // An isolated machine sends and accepts nothing; when it is restored, its old connections are reset.
 func TestIsolatedMachine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n, client, server := connected(t)
 		addr := client.RemoteAddr().String()
 		n.Isolate(addr)
--- a/internal/rig/rehearse/bubble_test.go
+++ b/internal/rig/rehearse/bubble_test.go
@@ -9,9 +9,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/scenario"
 )
@@ -40,7 +40,7 @@
 // playScenario plays a scenario on a network in memory, in virtual time. With REHEARSE_LOG set, the sidecars' logs are shown.
 func playScenario(t *testing.T, s *scenario.Scenario, change ...func(*Rehearsal)) (out *Outcome, err error) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := memnet.New(latency)
 		var log *slog.Logger
 		if os.Getenv("REHEARSE_LOG") != "" {
--- a/internal/rig/simcoordinator/group_test.go
+++ b/internal/rig/simcoordinator/group_test.go
@@ -10,7 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,6 +18,7 @@
 	"petrelhook/internal/coordination/fleet"
 	corelease "petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/replica"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/lease"
@@ -32,7 +32,7 @@
 // simulate runs a test of coordinators in memory and in virtual time, beside others.
 func simulate(t *testing.T, test func(t *testing.T)) {
 	t.Parallel()
-	synctest.Test(t, test)
+	bubble.TestInProcess(t, test)
 }
 
 // world is a group of coordinators in memory, with its clients.
--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"petrelhook/internal/rig/audit"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/rig/scenario"
 )
@@ -44,14 +45,14 @@
 	n    int // of requests
 }
 
-// bubble runs a test with a fleet that has the faults, in virtual time.
-func bubble(t *testing.T, faults string, test func(r *rig)) {
+// runInBubble runs a test with a fleet that has the faults, in virtual time.
+func runInBubble(t *testing.T, faults string, test func(r *rig)) {
 	t.Helper()
 	s, err := scenario.Parse("test", strings.NewReader(fleet4+faults))
 	if err != nil {
 		t.Fatal(err)
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := &rig{t: t, net: memnet.New(latency), rec: &audit.Recorder{}, zero: time.Now()}
 		if r.f, err = Start(s, r.net, r.rec, r.zero); err != nil {
 			t.Fatal(err)
@@ -153,7 +154,7 @@
 		},
 	} {
 		t.Run(fault, func(t *testing.T) {
-			bubble(t, fault, func(r *rig) {
+			runInBubble(t, fault, func(r *rig) {
 				r.until(200 * time.Millisecond)
 				if a := r.request(0, "read", ""); !expected(r, a) {
 					r.t.Errorf("%+v", a)
@@ -165,7 +166,7 @@
 
 // Two cores and a queue of one: the third request waits, the fourth is rejected with the header that says that it never ran.
 func TestQueue(t *testing.T) {
-	bubble(t, "", func(r *rig) {
+	runInBubble(t, "", func(r *rig) {
 		answers := make(chan answer, 4)
 		for i := range 4 {
 			r.n++
@@ -190,7 +191,7 @@
 
 // A cell drops a request whose key it has received within the window.
 func TestRepeatsAreDroppedByGroupAndWindow(t *testing.T) {
-	bubble(t, "", func(r *rig) {
+	runInBubble(t, "", func(r *rig) {
 		for _, server := range []int{0, 2, 1, 0} { // s1 and s3 are one cell, s2 another
 			if a := r.request(server, "book", "k"); a.status != 200 {
 				r.t.Errorf("%+v", a)
@@ -211,7 +212,7 @@
 
 // A server records what it received, when, whether it ran, and whether its client still waited.
 func TestRecords(t *testing.T) {
-	bubble(t, "at 0s s2 full for 1s", func(r *rig) {
+	runInBubble(t, "at 0s s2 full for 1s", func(r *rig) {
 		r.until(100 * time.Millisecond)
 		r.request(0, "void", "")
 		r.request(1, "void", "")
@@ -243,7 +244,7 @@
 // cores and a tenth of its capacity it can do 2 x 0.1 x 2 s of work within a second, and a tenth more for chance: 44
 // requests, those that it rejects included.
 func TestOverloadInSlowStartCollapses(t *testing.T) {
-	bubble(t, "at 100ms s1 restart down=100ms cold=10% warm=10s", func(r *rig) {
+	runInBubble(t, "at 100ms s1 restart down=100ms cold=10% warm=10s", func(r *rig) {
 		r.until(300 * time.Millisecond)
 		burst := func(n int) {
 			answers := make(chan answer, n)
@@ -324,7 +325,7 @@
 		{"mute", "at 500ms discovery mute for 1s\n" + gone, 1500 * time.Millisecond, 2 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bubble(t, c.faults, func(r *rig) {
+			runInBubble(t, c.faults, func(r *rig) {
 				w := r.watch(1, 1)
 				defer w.close()
 				first, _ := w.next(r.t)
@@ -366,7 +367,7 @@
 
 // A discovery that is down ends its subscriptions and refuses connections; after that it sends what has changed.
 func TestDiscoveryDown(t *testing.T) {
-	bubble(t, "at 1s discovery down for 1s\nat 1500ms s2 gone", func(r *rig) {
+	runInBubble(t, "at 1s discovery down for 1s\nat 1500ms s2 gone", func(r *rig) {
 		w := r.watch(0, 0)
 		if m, _ := w.next(r.t); !m.Reset || len(m.Instances) != 4 {
 			r.t.Errorf("after=0 is the complete list: %+v", m)
--- a/internal/sidecar/admin/admin_test.go
+++ b/internal/sidecar/admin/admin_test.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/lifecycle"
 )
@@ -96,7 +96,7 @@
 // A caller that sends nothing, half a call, or all but the last byte of one delays no other caller and changes nothing. Time is
 // virtual: it includes only the waits of the server, not the delays of a busy machine.
 func TestIdleCallersDelayNobody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const addr = "10.0.0.1:80"
 		network := memnet.New(0)
 		ln, err := network.Listen(addr)
--- a/internal/sidecar/core/fakes_test.go
+++ b/internal/sidecar/core/fakes_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"petrelhook/balance"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/sidecar/front"
 	"petrelhook/internal/sidecar/member"
 	"petrelhook/internal/sidecar/message"
@@ -112,7 +113,7 @@
 // configuration.
 func withCore(t *testing.T, names []string, test func(core *testCore), change ...func(*balance.Config)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		class := func(e balance.Effect) balance.Class {
 			return balance.Class{Effect: e, Window: 500, LatencyTarget: 500, Deadline: 1000, Value: 1}
 		}
--- a/internal/sidecar/front/platform/streaming_test.go
+++ b/internal/sidecar/front/platform/streaming_test.go
@@ -12,10 +12,10 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/admission"
 	"petrelhook/internal/sidecar/front"
@@ -380,7 +380,7 @@
 // A body that arrives at 64 kB/s for a minute is read to its end. A client that pauses while it reads a long response is served;
 // one that pauses for longer than writeTimeout is disconnected. Time is virtual.
 func TestSlowClients(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := memnet.New(time.Millisecond)
 		ln, err := n.Listen("127.0.0.1:80")
 		if err != nil {
--- a/internal/sidecar/logwriter/logwriter_test.go
+++ b/internal/sidecar/logwriter/logwriter_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 // blockedOutput is an output that accepts nothing until unblock is closed.
@@ -23,7 +25,7 @@
 
 // While the output accepts lines, each line has been written when Write returns.
 func TestLinesAreWrittenInOrderAndAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		output := &blockedOutput{}
 		w := New(output, func(int) { t.Error("lines were dropped") })
 		want := ""
@@ -41,7 +43,7 @@
 // An output that accepts nothing delays only the first Write, by MaxWait. Lines that do not fit the queue are dropped and
 // counted. Once the output accepts lines again, they are written at once.
 func TestBlockedOutput(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		output, dropped := &blockedOutput{unblock: make(chan struct{})}, 0
 		w := New(output, func(n int) { dropped += n })
 		began := time.Now()
@@ -71,7 +73,7 @@
 
 // Close waits for lines that are written late, but no longer than its limit. Lines written after it are dropped.
 func TestClose(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		output := &blockedOutput{unblock: make(chan struct{})}
 		w := New(output, func(int) {})
 		fmt.Fprintln(w, "late")
--- a/internal/sidecar/member/discovery/discovery_test.go
+++ b/internal/sidecar/member/discovery/discovery_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/sidecar/member"
 )
 
@@ -87,7 +88,7 @@
 
 // Cancelling a call while its connection is being opened cancels the dial too; nothing else would.
 func TestCancelledCallEndsItsDial(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		began := time.Now()
 		dialling := make(chan struct{})
 		source := New("discovery:1", func(ctx context.Context, _, _ string) (net.Conn, error) {
--- a/internal/sidecar/member/relay/relay_test.go
+++ b/internal/sidecar/member/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/sidecar/member"
 )
 
@@ -49,7 +50,7 @@
 // A process follows the other while updates arrive, and skips lists that it has delivered already. As soon as the updates stop,
 // it watches by itself from its current generation, for at least FollowCooldown.
 func TestFollowPeer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		h := New()
 		d := &fakeSource{lists: make(chan member.List), hub: h}
 		ctx, end := context.WithCancel(t.Context())
@@ -112,7 +113,7 @@
 // The process that watches sends heartbeats while its watch is open, and each list at once. It never waits for the other process:
 // if that one does not keep up, Publish returns.
 func TestPublish(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		h := New()
 		d := &fakeSource{lists: make(chan member.List), hub: h}
 		ctx, end := context.WithCancel(t.Context())
--- a/internal/sidecar/membudget/membudget_test.go
+++ b/internal/sidecar/membudget/membudget_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 // Reservations are granted in the order of their requests, even if a later one would fit earlier. One whose context ends no
 // longer blocks those behind it.
 func TestReservationsAreGrantedInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		budget := New(10)
 		if !budget.TryAcquire(8) || budget.TryAcquire(3) {
 			t.Fatal("the limit is not kept")
@@ -72,7 +74,7 @@
 func TestAnyOrderOfReservations(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sizes := rapid.SliceOfN(rapid.IntRange(1, 12), 1, 60).Draw(rt, "steps")
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			budget := New(10)
 			var all sync.WaitGroup
 			for i, n := range sizes {
--- a/internal/sidecar/message/upload_test.go
+++ b/internal/sidecar/message/upload_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
+
+	"petrelhook/internal/rig/bubble"
 )
 
 // Chunks arrive in order, followed by the end of the body, whatever the sizes in which the body is read.
@@ -40,7 +42,7 @@
 // If an exchange is stopped while it waits, the next exchange gets the chunk that arrives afterwards. A stopped exchange does not
 // read an available chunk.
 func TestUnreadChunksAreLeftToTheNextExchange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		pipeReader, pipeWriter := io.Pipe()
 		u := NewUpload(10)
 		go u.Pump(pipeReader)
@@ -71,7 +73,7 @@
 
 // Close ends a Pump and a Next that wait.
 func TestCloseEndsPumpAndNext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		u, pumped, waited := NewUpload(10), make(chan struct{}), make(chan error, 1)
 		go func() { u.Pump(strings.NewReader("0123")); close(pumped) }()
 		synctest.Wait()
--- a/internal/sidecar/upstream/http1/request_writer_test.go
+++ b/internal/sidecar/upstream/http1/request_writer_test.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/common/sock"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/membudget"
 	"petrelhook/internal/sidecar/message"
@@ -168,7 +168,7 @@
 // A server responds before it has the complete body, and then reads no more. Its response is returned at once, although writing
 // the body is blocked. No other exchange is started with a body of which a part was read.
 func TestEarlyResponseWhileBodyIsBlocked(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := memnet.New(time.Millisecond)
 		ln, err := n.Listen("127.0.0.1:80")
 		if err != nil {
--- a/internal/sidecar/wiring/drain_test.go
+++ b/internal/sidecar/wiring/drain_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/config"
 	"petrelhook/internal/sidecar/lifecycle"
@@ -114,7 +115,7 @@
 		drainTime   = 4 * time.Second
 		earliestEnd = 3800 * time.Millisecond // both streams end after this time
 	)
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := startDrainRig(t)
 		began := time.Now()
 		active, idle := r.stream(3870*time.Millisecond), r.stream(3860*time.Millisecond)
--- a/internal/sidecar/wiring/shutdown_test.go
+++ b/internal/sidecar/wiring/shutdown_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/config"
 )
@@ -21,7 +22,7 @@
 // runInMemory runs a test in virtual time with a complete sidecar on an in-memory network. The server at 127.0.0.1:80 never answers. The test
 // plays the clients, and its argument stop terminates the sidecar.
 func runInMemory(t *testing.T, known string, test func(t *testing.T, n *memnet.Network, listen string, stop func(), ended <-chan error)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := memnet.New(200 * time.Microsecond)
 		serverListener, err := n.Listen("127.0.0.1:80")
 		if err != nil {
--- a/internal/sidecar/wiring/update_delay_test.go
+++ b/internal/sidecar/wiring/update_delay_test.go
@@ -11,10 +11,10 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
 	"petrelhook/internal/sidecar/config"
 )
@@ -187,7 +187,7 @@
 		"does not answer dials for a minute": failingForAMinute(nil),
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkChangeArrivesInTime(t, script) })
+			bubble.Test(t, func(t *testing.T) { checkChangeArrivesInTime(t, script) })
 		})
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"petrelhook/internal/coordination/fleet"
 	core "petrelhook/internal/coordination/lease"
+	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/coordinator"
 	"petrelhook/internal/rig/simcoordinator"
 	"petrelhook/lease"
@@ -49,7 +49,7 @@
 // runSimulated runs a test in virtual time, in parallel with others.
 func runSimulated(t *testing.T, test func(t *testing.T, sim *simulation)) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.TestInProcess(t, func(t *testing.T) {
 		memory := simcoordinator.New(t)
 		test(t, &simulation{t, memory, coordinator.NewGroupOn(t, 1, "", memory.Platform())})
 	})
