One package says whether the race detector is there

Five packages had a pair of files each with the same constant under two names, and the fifth pair came with package bubble. Package racedetector has it once.

--- a/cmd/petrelhook-agent/deployment_test.go
+++ b/cmd/petrelhook-agent/deployment_test.go
@@ -9,6 +9,7 @@
 
 	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/deployment"
+	"petrelhook/internal/rig/racedetector"
 )
 
 // The test binary also runs as the sidecar of a faulty release, if the environment names the fault.
@@ -38,7 +39,7 @@
 // own code.
 func startProcesses(t *testing.T, sidecars, rate int, configure func(*deployment.Deployment)) *deployment.LoadTest {
 	t.Helper()
-	if raceDetectorEnabled && t.Name() != "TestStoppedProcesses" {
+	if racedetector.Enabled && t.Name() != "TestStoppedProcesses" {
 		t.Skip("the programs that the test starts are built without the race detector")
 	}
 	t.Parallel()
--- a/cmd/petrelhook/race_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build race
-
-package main
-
-const raceEnabled = true
--- a/cmd/petrelhook/streams_test.go
+++ b/cmd/petrelhook/streams_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/racedetector"
 )
 
 // longMessageLoad returns how many long messages are sent each way at once, and their size in bytes. STREAMS and STREAM_MB in the environment
@@ -202,7 +203,7 @@
 	clients.Wait()
 	took, peakMemory := time.Since(began), s.peakMemory()
 	t.Logf("%d messages of %d MB both ways in %v: %.1f MB of memory at most", n, size>>20, took.Round(time.Millisecond), float64(peakMemory)/(1<<20))
-	if peakMemory > memoryMB<<20 && !raceEnabled { // the race detector takes several times the memory
+	if peakMemory > memoryMB<<20 && !racedetector.Enabled { // the race detector takes several times the memory
 		t.Errorf("%d bytes of memory, of %d MB", peakMemory, memoryMB)
 	}
 	for i := range n {
--- a/internal/rig/arrival/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package arrival
-
-const raceEnabled = false
--- a/internal/rig/arrival/schedule_test.go
+++ b/internal/rig/arrival/schedule_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"petrelhook/internal/rig/racedetector"
 	"petrelhook/internal/rig/scenario"
 )
 
@@ -183,7 +184,7 @@
 // Ten million lines are streamed: memory does not grow with them.
 func TestLongTraceIsStreamed(t *testing.T) {
 	lines := 10_000_000
-	if testing.Short() || raceEnabled {
+	if testing.Short() || racedetector.Enabled {
 		lines = 200_000
 	}
 	defer debug.SetGCPercent(debug.SetGCPercent(1000)) // nearly all that a line needs is garbage at once, and the heap is small
--- a/internal/rig/bubble/bubble.go
+++ b/internal/rig/bubble/bubble.go
@@ -12,13 +12,15 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	"petrelhook/internal/rig/racedetector"
 )
 
 // Test runs a test in a bubble as synctest.Test does. With the race detector, Go code has one processor in the complete process until the
 // test ends; tests that run in parallel should use TestInProcess.
 func Test(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	if raceEnabled {
+	if racedetector.Enabled {
 		useOneProcessor()
 		defer restoreProcessors()
 	}
--- a/internal/rig/bubble/inprocess.go
+++ b/internal/rig/bubble/inprocess.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"petrelhook/internal/rig/process"
+	"petrelhook/internal/rig/racedetector"
 )
 
 const (
@@ -23,7 +24,7 @@
 // test does before the call is done in both processes.
 func TestInProcess(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	if !raceEnabled || os.Getenv(nameVariable) == t.Name() {
+	if !racedetector.Enabled || os.Getenv(nameVariable) == t.Name() {
 		Test(t, test)
 		return
 	}
--- a/internal/rig/bubble/norace.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package bubble
-
-const raceEnabled = false
--- a/internal/rig/doc.go
+++ b/internal/rig/doc.go
@@ -29,7 +29,7 @@
 // Used by these:
 //
 //	link, process, usage   a TCP relay with faults; processes of tests; resources of a process
-//	bubble                 virtual time for a test, also with the race detector
+//	bubble, racedetector   virtual time for a test, also with the race detector; whether it is there
 //	sidecarlog             the address and the last lines of a sidecar's log
 //	provenance             the revision and the machine of a measurement
 //	engines                routing policies before simulated model servers, in virtual time
--- a/internal/rig/rehearse/bubble_test.go
+++ b/internal/rig/rehearse/bubble_test.go
@@ -13,6 +13,7 @@
 
 	"petrelhook/internal/rig/bubble"
 	"petrelhook/internal/rig/memnet"
+	"petrelhook/internal/rig/racedetector"
 	"petrelhook/internal/rig/scenario"
 )
 
@@ -129,7 +130,7 @@
 func TestSameScriptSameOutcome(t *testing.T) {
 	const workers = 4
 	runs := 1000
-	if testing.Short() || raceEnabled {
+	if testing.Short() || racedetector.Enabled {
 		runs = 40
 	}
 	s := parse(t, service+`
--- a/internal/rig/rehearse/crowd_test.go
+++ b/internal/rig/rehearse/crowd_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"testing"
 
+	"petrelhook/internal/rig/racedetector"
 	"petrelhook/internal/rig/scenario"
 )
 
@@ -74,7 +75,7 @@
 // One or two crowds of any kind and size at random: no rule is broken, and ordinary clients are served.
 func TestRandomManyClients(t *testing.T) {
 	n := randomCrowds
-	if raceEnabled {
+	if racedetector.Enabled {
 		n = 3
 	}
 	if given, err := strconv.Atoi(os.Getenv("CROWDS")); err == nil {
--- a/internal/rig/rehearse/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package rehearse
-
-const raceEnabled = false
--- a/internal/rig/rehearse/random_test.go
+++ b/internal/rig/rehearse/random_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"petrelhook/internal/rig/racedetector"
 	"petrelhook/internal/rig/scenario"
 )
 
@@ -120,7 +121,7 @@
 	checks := flag.Lookup("rapid.checks")
 	if given := checks.Value.String(); given == checks.DefValue {
 		n := randomScripts
-		if testing.Short() || raceEnabled {
+		if testing.Short() || racedetector.Enabled {
 			n = 20
 		}
 		checks.Value.Set(fmt.Sprint(n))
