Soak of ended servers: successors start before ends, kills come soon after them

As in the operators' releases, two servers of three now have a successor that starts up to 0.5 s before their end, and two of three signals that follow an end come within 0.4 s.

--- a/cmd/petrelhook-router/drain_soak_test.go
+++ b/cmd/petrelhook-router/drain_soak_test.go
@@ -19,7 +19,7 @@
 
 // The seeds of TestDrainSoak. By hand: go test ./cmd/petrelhook-router -run TestDrainSoak -soak.first 1 -soak.count 50 -parallel 8
 var (
-	soakFirst = flag.Uint64("soak.first", 22, "the first seed of TestDrainSoak")
+	soakFirst = flag.Uint64("soak.first", 1, "the first seed of TestDrainSoak")
 	soakCount = flag.Uint64("soak.count", 4, "the number of seeds of TestDrainSoak")
 )
 
@@ -32,8 +32,11 @@
 	firstDisturbance      = 2 * time.Second // the earliest end or signal
 	lastDisturbance       = 9 * time.Second // the latest end, or signal at a time of its own
 	longestDowntime       = 900 * time.Millisecond
-	longestDelay          = 7 * time.Second  // of a heartbeat
-	runTime               = 22 * time.Second // the last heartbeat has arrived, and all machines are in touch for seconds
+	longestDelay          = 7 * time.Second         // of a heartbeat
+	longestLead           = 500 * time.Millisecond  // of a successor's start before an end
+	soonAfterEnd          = 400 * time.Millisecond  // the latest signal that comes soon after an end
+	longestAfterEnd       = 1500 * time.Millisecond // the latest signal that follows an end
+	runTime               = 22 * time.Second        // the last heartbeat has arrived, and all machines are in touch for seconds
 )
 
 // soakSchedule is what is done to a fleet in one run.
@@ -49,7 +52,8 @@
 	call    string // deregister, or heartbeat with the state draining
 	machine int    // that the server calls first
 	delays  []time.Duration
-	targets []int // the machine that each delayed heartbeat reaches
+	targets []int         // the machine that each delayed heartbeat reaches
+	lead    time.Duration // how long before the end the server's successor starts; 0 if it has none
 }
 
 // scheduledSignal is a signal to one or more routers. A router that ends by it starts again after downtime; one that is stopped
@@ -77,6 +81,9 @@
 			end.delays = append(end.delays, between(500*time.Millisecond, longestDelay))
 			end.targets = append(end.targets, random.IntN(machines))
 		}
+		if random.IntN(3) > 0 {
+			end.lead = between(time.Millisecond, longestLead)
+		}
 		s.ends = append(s.ends, end)
 	}
 	signals := []syscall.Signal{syscall.SIGKILL, syscall.SIGKILL, syscall.SIGKILL, syscall.SIGKILL, syscall.SIGTERM, syscall.SIGSTOP}
@@ -84,7 +91,10 @@
 		d := scheduledSignal{signal: signals[random.IntN(len(signals))], afterEnd: -1, at: between(firstDisturbance, lastDisturbance),
 			downtime: between(100*time.Millisecond, longestDowntime)}
 		if random.IntN(3) > 0 { // soon after an acknowledgement
-			d.afterEnd, d.at = random.IntN(len(s.ends)), between(0, 1500*time.Millisecond)
+			d.afterEnd, d.at = random.IntN(len(s.ends)), between(0, longestAfterEnd)
+			if random.IntN(3) > 0 {
+				d.at = between(0, soonAfterEnd)
+			}
 		}
 		d.machines = []int{random.IntN(machines)}
 		if random.IntN(3) > 0 { // the whole core
@@ -101,17 +111,18 @@
 // soakRun is one run: a fleet of router processes, servers and clients.
 type soakRun struct {
 	*fleet
-	schedule soakSchedule
-	record   soakRecord
-	servers  []*recordedServer // the first ones end, in the order of the schedule; the last two stay
-	acks     []chan struct{}   // closed on the acknowledgement of each end
-	locks    []sync.Mutex      // by machine: held while it is down
-	tasks    sync.WaitGroup
+	schedule   soakSchedule
+	record     soakRecord
+	servers    []*recordedServer // the first ones end, in the order of the schedule; the last two stay
+	successors []*recordedServer // of the servers that end
+	acks       []chan struct{}   // closed on the acknowledgement of each end
+	locks      []sync.Mutex      // by machine: held while it is down
+	tasks      sync.WaitGroup
 }
 
-// Servers end in both ways, heartbeats arrive late, and one or all core processes are killed, terminated and stopped in
-// overlapping series, while clients keep using open connections: no request of a machine in touch reaches a server whose end was acknowledged longer
-// than DrainMs ago.
+// Servers end in both ways, some right after a successor started, heartbeats arrive late, and one or all core processes are killed,
+// terminated and stopped in overlapping series, while clients keep using open connections: no request of a machine in touch reaches a
+// server whose end was acknowledged longer than DrainMs ago.
 func TestDrainSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakCount; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -146,8 +157,9 @@
 			r.tasks.Go(func() { r.sendRequests(ctx, i, client) })
 		}
 	}
-	for range r.schedule.ends {
+	for i := range r.schedule.ends {
 		r.acks = append(r.acks, make(chan struct{}))
+		r.successors = append(r.successors, newRecordedServer(r.t, r.fleet, fmt.Sprintf("i-%d-successor", i)))
 	}
 	for i := range r.schedule.ends {
 		r.tasks.Go(func() { r.endServer(ctx, i) })
@@ -198,6 +210,13 @@
 	end, s := r.schedule.ends[i], r.servers[i]
 	untilEnd, cancel := context.WithTimeout(ctx, end.at)
 	defer cancel()
+	if end.lead > 0 {
+		r.tasks.Go(func() {
+			if wait(ctx, end.at-end.lead) {
+				r.sendHeartbeats(ctx, r.successors[i], "ready", end.machine)
+			}
+		})
+	}
 	r.sendHeartbeats(untilEnd, s, "ready", end.machine)
 	for k, delay := range end.delays {
 		delayed := s.heartbeat("ready")
