Tombstones that have expired leave the file, also when no server ends any more

Found by reading. The file was replaced at the next end of a server, and only once it had 1,024 records beyond twice the kept ones. A restart loads all of its records with a new retention: a server that started under the ID of one that had ended hours ago was then refused for two minutes, and up to 1,024 old ends went to every router.

Now it is replaced as soon as it has more than two records for each tombstone (a tombstone has at most two, one a state), also without a new end. A steady release replaces it once for about as many ends as are kept.

--- a/internal/router/tombstone/journal.go
+++ b/internal/router/tombstone/journal.go
@@ -16,13 +16,12 @@
 	"petrelhook/internal/router/registry"
 )
 
-const (
-	// retryDelay is the time after a failed write before the next one.
-	retryDelay = 200 * time.Millisecond
-	// compactionSlack determines when the file is replaced: when it has more records than twice the number of tombstones
-	// plus compactionSlack.
-	compactionSlack = 1024
-)
+// retryDelay is the time after a failed write before the next one.
+const retryDelay = 200 * time.Millisecond
+
+// recordsPerTombstone is the maximum number of records that a tombstone has in a file without expired ones: one for each of its
+// states, since each is appended.
+const recordsPerTombstone = 2
 
 // Write is one write to the disk, either of all tombstones or of new ones.
 type Write struct {
@@ -77,12 +76,14 @@
 
 // NextWrite returns the next write. ok is false if there is none now: nothing is to be written, a write is in progress, or
 // the last one has just failed. The caller carries the write out and passes the result to Written. Tombstones that are
-// added meanwhile share the write after it.
+// added meanwhile share the write after it. A file with expired records is replaced once it has more records than its
+// tombstones need, even if nothing was added: a restart would load them, and refuse a later server with the same ID.
 func (j *Journal) NextWrite(now time.Duration) (w Write, ok bool) {
-	if j.writing || now < j.retryAt || len(j.unwritten) == 0 {
+	outdated := j.records > recordsPerTombstone*len(j.entries)
+	if j.writing || now < j.retryAt || (len(j.unwritten) == 0 && !outdated) {
 		return Write{}, false
 	}
-	w.Replace = j.replace || j.records > 2*len(j.entries)+compactionSlack
+	w.Replace = j.replace || outdated
 	if w.Replace {
 		for _, e := range j.entries {
 			w.Tombstones = append(w.Tombstones, e.instance)
--- a/internal/router/tombstone/journal_test.go
+++ b/internal/router/tombstone/journal_test.go
@@ -48,22 +48,52 @@
 	require.False(t, ok, "everything is written")
 }
 
-// The file stays bounded by the tombstones that are kept, however many servers end in the course of time.
+// The file stays bounded by the tombstones that are kept, however many servers end in the course of time, and few of them cost
+// more than an appended record.
 func TestTheFileStaysBounded(t *testing.T) {
 	j := New(retention)
 	now := time.Duration(0)
+	written := 0
 	const interval = 100 * time.Millisecond
 	const kept = int(retention/interval) + 1
-	for i := range 10_000 {
+	const ends = 10_000
+	for i := range ends {
 		now += interval
 		j.Expire(now)
 		j.Add(instance(fmt.Sprint(i), registry.Deregistered), now)
 		w, ok := j.NextWrite(now)
 		require.True(t, ok)
+		written += len(w.Tombstones)
 		j.Written(w, nil, now)
 		require.LessOrEqual(t, j.Len(), kept)
-		require.LessOrEqual(t, j.records, 2*kept+compactionSlack+1)
+		require.LessOrEqual(t, j.records, recordsPerTombstone*kept+1)
 	}
+	require.Less(t, written, recordsPerTombstone*ends, "records in all writes")
+}
+
+// Guards against a restart that refuses a server because another one with its ID ended long ago: once all tombstones have expired
+// the file has none, although nothing is added.
+func TestExpiredTombstonesLeaveTheFile(t *testing.T) {
+	j := New(retention)
+	j.Add(instance("a", registry.Draining), 0)
+	w, _ := j.NextWrite(0)
+	j.Written(w, nil, 0)
+	j.Add(instance("a", registry.Deregistered), 0)
+	w, _ = j.NextWrite(0)
+	j.Written(w, nil, 0)
+	_, ok := j.NextWrite(retention)
+	require.False(t, ok, "none has expired: two records of one tombstone are appended, not replaced")
+	j.Expire(retention + 1)
+	w, ok = j.NextWrite(retention + 1)
+	require.True(t, ok)
+	require.Equal(t, Write{Replace: true}, w)
+	j.Written(w, errDisk, retention+1)
+	w, ok = j.NextWrite(retention + 1 + retryDelay)
+	require.True(t, ok, "a replacement that failed is repeated")
+	require.Equal(t, Write{Replace: true}, w)
+	j.Written(w, nil, retention+1+retryDelay)
+	_, ok = j.NextWrite(2 * retention)
+	require.False(t, ok, "the file is empty")
 }
 
 // Whatever is added, fails and expires: what counts as durable is in the file that a restart would find.
