An end of a server costs the same however many others wait for the disk

Found by reading and measured. Each accepted end went through all that wait for this router's disk, with the node's lock held.

Now an end looks at its own tombstone alone: it is acknowledged at once if that is on the disk, and waits otherwise. The completed write, or the next tick, delivers what waits.

Tests of node pass.

--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -34,7 +34,7 @@
 `
 
 // newNode returns a router with settings for the test and a diskless replica. Nothing is started.
-func newNode(t *testing.T, extraSettings string) *Node {
+func newNode(t testing.TB, extraSettings string) *Node {
 	t.Helper()
 	s, err := settings.Parse([]byte(extraSettings + settingsText))
 	require.NoError(t, err)
@@ -46,7 +46,7 @@
 }
 
 // giveDisk gives a router an empty disk for tombstones.
-func giveDisk(t *testing.T, n *Node) {
+func giveDisk(t testing.TB, n *Node) {
 	t.Helper()
 	n.settings.DataDir = process.DataDir(t)
 	require.NoError(t, n.openTombstones())
--- a/internal/router/node/partition_test.go
+++ b/internal/router/node/partition_test.go
@@ -62,7 +62,7 @@
 }
 
 // newIsolatedMember returns a core member that is not the primary and has no contact with the other members.
-func newIsolatedMember(t *testing.T) *Node {
+func newIsolatedMember(t testing.TB) *Node {
 	t.Helper()
 	n := newNode(t, "")
 	self := member("127.0.0.1:7000", "z1")
--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -97,9 +97,12 @@
 		return
 	}
 	t.journal.Add(n.registry.Entry(r.id).Instance, r.createdAt)
+	if t.journal.Durable(r.id, r.state) {
+		n.deliverReceipt(r)
+		return
+	}
 	t.receipts = append(t.receipts, r)
 	n.writeTombstones(r.createdAt)
-	n.deliverReceipts(r.createdAt)
 }
 
 // writeTombstones starts the next write of tombstones, if one is due. It writes in a goroutine, since a disk may hang.
--- a/internal/router/node/tombstones_test.go
+++ b/internal/router/node/tombstones_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 func (l scriptedLog) Replace([][]byte) error { return <-l.results }
 
 // newMemberWithLog returns one of three core members, whose disk the test controls.
-func newMemberWithLog(t *testing.T) (*Node, scriptedLog) {
+func newMemberWithLog(t testing.TB) (*Node, scriptedLog) {
 	t.Helper()
 	n := newIsolatedMember(t)
 	log := scriptedLog{results: make(chan error)}
@@ -75,6 +76,20 @@
 	require.True(t, isClosed(d.done))
 }
 
+// BenchmarkEndsWhileTheDiskHangs measures the time under the lock for one more end, while all ends before it wait for the disk.
+func BenchmarkEndsWhileTheDiskHangs(b *testing.B) {
+	n, log := newMemberWithLog(b)
+	for i := range b.N {
+		startLockedDrain(n, strconv.Itoa(i))
+	}
+	b.StopTimer()
+	log.results <- nil
+	if b.N > 1 {
+		log.results <- nil
+	}
+	n.tombstones.writers.Wait()
+}
+
 // Drains that wait for the same disk share its next write, and each is acknowledged.
 func TestDrainsThatWaitShareAWrite(t *testing.T) {
 	n, log := newMemberWithLog(t)
