A disk that hangs is reported: status says how tombstones are written

A write of tombstones that failed was logged; one that did not end was not, and the server that got 503 was the only sign.

--- a/internal/router/node/status.go
+++ b/internal/router/node/status.go
@@ -39,6 +39,7 @@
 	Deposits     int               // number of deposits in the pool hosted here
 	Migrated     int64             `json:"Moved"` // stalled streams that were continued at another server
 	Latency      []latency.Report  // outcomes and waiting times of requests, by route
+	Tombstones   *TombstoneStatus  `json:",omitempty"` // only at a router with a disk
 }
 
 // Status returns the router's present status. It acquires the lock.
@@ -63,6 +64,7 @@
 		LacksPrimary: n.lacksPrimary(now),
 		Deposits:     n.quotas.pool.Deposits(now),
 		Latency:      n.gateway.LatencyReports(),
+		Tombstones:   n.tombstones.status(now),
 	}
 	if table := n.gateway.Table(); table != nil {
 		s.Generation = table.Generation
--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -22,6 +22,13 @@
 // server can be waiting for it.
 const receiptTimeout = 2 * drainTimeout
 
+// slowWriteTime is the time after which a write of tombstones that has not ended is reported as one that fails: no server waits
+// that long for it.
+const slowWriteTime = drainTimeout
+
+// errSlowWrite is the error that is logged for a write that has not ended after slowWriteTime.
+var errSlowWrite = errors.Newf("the write has not ended after %v", slowWriteTime)
+
 // recordLog is the file of tombstones. *storage.RecordLog implements it.
 type recordLog interface {
 	Append(records [][]byte) error
@@ -33,7 +40,7 @@
 type tombstones struct {
 	journal  *tombstone.Journal // nil on a router without a disk, which is never a core member
 	log      recordLog          // used by the write in progress alone
-	failing  bool               // the last write failed
+	failing  bool               // the last write failed, or the write in progress is slow
 	receipts []receipt
 	writers  sync.WaitGroup
 }
@@ -145,8 +152,8 @@
 	n.writeTombstones(now)
 }
 
-// logTombstoneWrites logs the first of several failed writes, and the first that succeeds after them. err is the result of the
-// last one.
+// logTombstoneWrites logs the first of several failed or slow writes, and the first that succeeds after them. err is the result of
+// the last one.
 func (n *Node) logTombstoneWrites(err error) {
 	wasFailing := n.tombstones.failing
 	n.tombstones.failing = err != nil
@@ -195,6 +202,26 @@
 	if n.timers.expireTombstones.elapsed(forgetInterval, now) {
 		n.tombstones.journal.Expire(now)
 	}
+	if n.tombstones.journal.WriteTime(now) > slowWriteTime {
+		n.logTombstoneWrites(errSlowWrite)
+	}
 	n.writeTombstones(now)
 	n.deliverReceipts(now)
 }
+
+// TombstoneStatus is the state of the tombstones on a router's disk.
+type TombstoneStatus struct {
+	Known   int   // servers that are draining or deregistered
+	Waiting int   // those of them that are not on the disk in their present state
+	WriteMs int64 // for how long the write in progress has been going on; 0 if there is none
+	Failing bool  // the last write failed, or the one in progress is slow: this disk counts for no new end
+}
+
+// status returns the state of the tombstones, or nil on a router without a disk.
+func (t *tombstones) status(now time.Duration) *TombstoneStatus {
+	if t.journal == nil {
+		return nil
+	}
+	return &TombstoneStatus{Known: t.journal.Len(), Waiting: t.journal.Waiting(),
+		WriteMs: t.journal.WriteTime(now).Milliseconds(), Failing: t.failing}
+}
--- a/internal/router/node/tombstones_test.go
+++ b/internal/router/node/tombstones_test.go
@@ -1,15 +1,18 @@
 package node
 
 import (
+	"bytes"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	phuslog "github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/router/dissemination"
@@ -90,6 +93,36 @@
 	n.tombstones.writers.Wait()
 }
 
+// Guards against a disk that hangs without a word: a failed write is logged, one that does not end was not.
+func TestADiskThatHangsIsReported(t *testing.T) {
+	n, log := newMemberWithLog(t)
+	var logged bytes.Buffer
+	n.logger.Writer = &phuslog.IOWriter{Writer: &logged}
+	n.logger.Level = phuslog.InfoLevel
+	startLockedDrain(n, "i1")
+	startLockedDrain(n, "i2")
+	tick := func(after time.Duration) *TombstoneStatus {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		now := n.now() + after
+		n.tickTombstones(now)
+		return n.tombstones.status(now)
+	}
+	require.Equal(t, 2, tick(0).Waiting)
+	require.False(t, n.tombstones.failing)
+	hanging := tick(2 * slowWriteTime)
+	require.True(t, hanging.Failing)
+	require.GreaterOrEqual(t, hanging.WriteMs, slowWriteTime.Milliseconds())
+	tick(3 * slowWriteTime)
+	require.Equal(t, 1, strings.Count(logged.String(), "tombstones not saved to disk"), "once")
+	log.results <- nil
+	log.results <- nil
+	n.tombstones.writers.Wait()
+	require.Equal(t, 1, strings.Count(logged.String(), "tombstones saved to disk again"))
+	require.Equal(t, &TombstoneStatus{Known: 2}, tick(0))
+	require.Nil(t, newNode(t, "").Status().Tombstones, "a router without a disk has none")
+}
+
 // Drains that wait for the same disk share its next write, and each is acknowledged.
 func TestDrainsThatWaitShareAWrite(t *testing.T) {
 	n, log := newMemberWithLog(t)
--- a/internal/router/tombstone/journal.go
+++ b/internal/router/tombstone/journal.go
@@ -43,6 +43,7 @@
 	unwritten []string          // IDs of the entries whose state is neither on the disk nor in the write in progress
 	records   int               // number of records in the file
 	writing   bool              // a write is in progress
+	startedAt time.Duration     // when the write in progress started
 	replace   bool              // the next write has to replace the file: it may end in the middle of a record
 	retryAt   time.Duration     // no write before this time
 }
@@ -92,7 +93,7 @@
 		w.Tombstones = j.unwrittenInstances()
 	}
 	j.unwritten = nil
-	j.writing = true
+	j.writing, j.startedAt = true, now
 	return w, true
 }
 
@@ -150,3 +151,21 @@
 
 // Len returns the number of tombstones.
 func (j *Journal) Len() int { return len(j.entries) }
+
+// Waiting returns the number of tombstones that are not on the disk in their present state. Its cost grows with Len.
+func (j *Journal) Waiting() (count int) {
+	for _, e := range j.entries {
+		if e.durable < e.instance.State {
+			count++
+		}
+	}
+	return count
+}
+
+// WriteTime returns for how long the write in progress has been going on, or 0 if there is none.
+func (j *Journal) WriteTime(now time.Duration) time.Duration {
+	if !j.writing {
+		return 0
+	}
+	return now - j.startedAt
+}
