Soak of ended servers: the operator changes the configuration, fleets of any size

The soak disturbed processes alone. Now an operator adds routes one after the other through every kill and stop, sends a call without a clear answer again unchanged, and reads the last acknowledged configuration back from every machine at the end; an update that is rejected fails the run. -soak.others sets the number of routers outside of the core, for runs with as many processes as a machine bears.

--- a/cmd/petrelhook-router/drain_judge_test.go
+++ b/cmd/petrelhook-router/drain_judge_test.go
@@ -18,10 +18,11 @@
 
 // soakRecord is what clients, servers and the operator saw in a run of the soak.
 type soakRecord struct {
-	mutex     sync.Mutex
-	requests  map[string]clientRequest
-	ends      []acknowledgedEnd
-	processes []processEvent
+	mutex      sync.Mutex
+	requests   map[string]clientRequest
+	ends       []acknowledgedEnd
+	processes  []processEvent
+	generation int // of the last configuration that was acknowledged
 }
 
 // clientRequest is a request that a client sent.
--- a/cmd/petrelhook-router/drain_soak_test.go
+++ b/cmd/petrelhook-router/drain_soak_test.go
@@ -21,6 +21,8 @@
 var (
 	soakFirst = flag.Uint64("soak.first", 1, "the first seed of TestDrainSoak")
 	soakCount = flag.Uint64("soak.count", 4, "the number of seeds of TestDrainSoak")
+	// soakOthers makes a fleet as large as the machine bears.
+	soakOthers = flag.Int("soak.others", 0, "the number of routers outside of the core; 0: drawn by the seed")
 )
 
 // The schedule of a run. All times count from the moment at which the fleet serves.
@@ -71,6 +73,9 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 	s := soakSchedule{coreMembers: 3 + 2*random.IntN(2), others: 1 + random.IntN(2)}
+	if *soakOthers > 0 {
+		s.others = *soakOthers
+	}
 	machines := s.coreMembers + s.others
 	for range 3 + random.IntN(3) {
 		end := scheduledEnd{at: between(firstDisturbance, lastDisturbance), call: "deregister", machine: random.IntN(machines)}
@@ -121,8 +126,9 @@
 }
 
 // Servers end in both ways, some right after a successor started, heartbeats arrive late, and one or all core processes are killed,
-// terminated and stopped in overlapping series, while clients keep using open connections: no request of a machine in touch reaches a
-// server whose end was acknowledged longer than DrainMs ago.
+// terminated and stopped in overlapping series, while clients keep using open connections and the operator changes the configuration:
+// no request of a machine in touch reaches a server whose end was acknowledged longer than DrainMs ago, and no acknowledged
+// configuration is lost.
 func TestDrainSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakCount; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -167,6 +173,7 @@
 	for _, d := range r.schedule.signals {
 		r.tasks.Go(func() { r.signalMachines(ctx, d) })
 	}
+	r.tasks.Go(func() { r.sendUpdates(ctx) })
 	wait(ctx, runTime)
 	cancel()
 	r.tasks.Wait()
@@ -347,10 +354,12 @@
 			served++
 		}
 	}
-	r.t.Logf("seed %d: %d requests, %d served, %d of %d ends acknowledged, %d events of processes", seed, len(r.record.requests), served,
-		len(r.record.ends), len(r.schedule.ends), len(r.record.processes))
+	r.t.Logf("seed %d: %d machines, %d requests, %d served, %d of %d ends acknowledged, %d updates acknowledged, %d events of processes", seed,
+		len(r.machines), len(r.record.requests), served, len(r.record.ends), len(r.schedule.ends), r.record.generation-firstGeneration,
+		len(r.record.processes))
 	require.Greater(r.t, served, len(r.record.requests)/2)
 	require.Len(r.t, r.record.ends, len(r.schedule.ends))
+	r.checkConfiguration()
 	broken := r.record.judge(runs)
 	for _, v := range broken[:min(5, len(broken))] {
 		r.t.Error(v)
