TestADiskThatHangsIsReported does not depend on when its process is scheduled

It uses the time before the write now, and later times that are long enough whenever they are taken.

--- a/internal/router/node/tombstones_test.go
+++ b/internal/router/node/tombstones_test.go
@@ -99,27 +99,28 @@
 	var logged bytes.Buffer
 	n.logger.Writer = &phuslog.IOWriter{Writer: &logged}
 	n.logger.Level = phuslog.InfoLevel
+	began := n.now()
 	startLockedDrain(n, "i1")
 	startLockedDrain(n, "i2")
-	tick := func(after time.Duration) *TombstoneStatus {
+	tickAt := func(now time.Duration) *TombstoneStatus {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
-		now := n.now() + after
 		n.tickTombstones(now)
 		return n.tombstones.status(now)
 	}
-	require.Equal(t, 2, tick(0).Waiting)
-	require.False(t, n.tombstones.failing)
-	hanging := tick(2 * slowWriteTime)
+	waiting := tickAt(began)
+	require.Equal(t, 2, waiting.Waiting)
+	require.False(t, waiting.Failing)
+	hanging := tickAt(n.now() + 2*slowWriteTime)
 	require.True(t, hanging.Failing)
 	require.GreaterOrEqual(t, hanging.WriteMs, slowWriteTime.Milliseconds())
-	tick(3 * slowWriteTime)
+	tickAt(n.now() + 3*slowWriteTime)
 	require.Equal(t, 1, strings.Count(logged.String(), "tombstones not saved to disk"), "once")
 	log.results <- nil
 	log.results <- nil
 	n.tombstones.writers.Wait()
 	require.Equal(t, 1, strings.Count(logged.String(), "tombstones saved to disk again"))
-	require.Equal(t, &TombstoneStatus{Known: 2}, tick(0))
+	require.Equal(t, &TombstoneStatus{Known: 2}, tickAt(n.now()))
 	require.Nil(t, newNode(t, "").Status().Tombstones, "a router without a disk has none")
 }
 
