--- a/cmd/petrelhook-router/drain_soak_test.go
+++ b/cmd/petrelhook-router/drain_soak_test.go
@@ -364,13 +364,17 @@
 	for _, v := range broken[:min(5, len(broken))] {
 		r.t.Error(v)
 	}
-	if len(broken) > 0 {
-		r.logProcesses(broken[0].end.at)
-		r.t.Errorf("%d requests break the rule; play it again with -soak.first %d -soak.count 1", len(broken), seed)
+	if r.t.Failed() {
+		from := r.record.ends[0].at
+		if len(broken) > 0 {
+			from = broken[0].end.at
+		}
+		r.logProcesses(from)
+		r.t.Errorf("%d requests break the rule DRAIN; play it again with -soak.first %d -soak.count 1", len(broken), seed)
 	}
 }
 
-// logProcesses logs the events of processes by their distance from an acknowledgement.
+// logProcesses logs the events of processes by their distance from a time.
 func (r *soakRun) logProcesses(from time.Time) {
 	slices.SortFunc(r.record.processes, func(a, b processEvent) int { return a.at.Compare(b.at) })
 	for _, e := range r.record.processes {
