--- a/internal/router/node/drains.go
+++ b/internal/router/node/drains.go
@@ -55,7 +55,7 @@
 	d := n.addPendingDrain(ownRequest, &pendingDrain{forwardedBy: forwardedBy, forwardedRequest: request, instance: instance,
 		acks: map[string]bool{}})
 	n.sendDrain(ownRequest, d)
-	n.acknowledgeWhenDurable(receipt{id: instance.ID, state: instance.State, request: ownRequest, createdAt: now})
+	n.acknowledgeWhenDurable(pendingAck{id: instance.ID, state: instance.State, request: ownRequest, createdAt: now})
 	return d
 }
 
@@ -85,7 +85,7 @@
 	if n.registry.Merge(registry.Update{Instance: m.Instance}, now) {
 		n.pushAll()
 	}
-	n.acknowledgeWhenDurable(receipt{id: m.Instance.ID, state: m.Instance.State, member: from, request: m.Request, createdAt: now})
+	n.acknowledgeWhenDurable(pendingAck{id: m.Instance.ID, state: m.Instance.State, member: from, request: m.Request, createdAt: now})
 }
 
 // receiveDrainAck counts a member's acknowledgement. It ignores one from a later view than its own, because a majority of
--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -18,9 +18,9 @@
 
 const tombstonesFile = "tombstones.log"
 
-// receiptTimeout is how long a core member that waits for a tombstone to be durable is remembered. After that time no
-// server can be waiting for it.
-const receiptTimeout = 2 * drainTimeout
+// pendingAckTimeout is how long an acknowledgement waits for a tombstone to be durable. After that time no server can be waiting
+// for it.
+const pendingAckTimeout = 2 * drainTimeout
 
 // slowWriteTime is the time after which a write of tombstones that has not ended is reported as one that fails: no server waits
 // that long for it.
@@ -38,15 +38,15 @@
 // tombstones is the part of this router's disk that says which servers are draining or deregistered. Every router with a
 // disk writes the tombstone of each end that it learns of, from whomever.
 type tombstones struct {
-	journal  *tombstone.Journal // nil on a router without a disk, which is never a core member
-	log      recordLog          // used by the write in progress alone
-	failing  bool               // the last write failed, or the write in progress is slow
-	receipts []receipt
-	writers  sync.WaitGroup
+	journal *tombstone.Journal // nil on a router without a disk, which is never a core member
+	log     recordLog          // used by the write in progress alone
+	failing bool               // the last write failed, or the write in progress is slow
+	pending []pendingAck
+	writers sync.WaitGroup
 }
 
-// receipt says who is told once the tombstone of an instance is on this router's disk.
-type receipt struct {
+// pendingAck is the acknowledgement of a drain that is sent once the tombstone of its instance is on this router's disk.
+type pendingAck struct {
 	id        string         // of the instance
 	state     registry.State // that must be on the disk
 	member    string         // internal address of the core member that sent the Drain; "" if this router counts its own disk
@@ -96,20 +96,20 @@
 	n.writeTombstones(now)
 }
 
-// acknowledgeWhenDurable tells a core member, or this router itself, that this router's disk has the end of a server, once
-// it does. The registry has the server in the receipt's state or a later one. If the disk hangs or fails, nobody is told.
-func (n *Node) acknowledgeWhenDurable(r receipt) {
+// acknowledgeWhenDurable sends an acknowledgement once this router's disk has the end of the server. The registry has the server in
+// the acknowledged state or a later one. While the disk hangs or fails, nothing is sent.
+func (n *Node) acknowledgeWhenDurable(a pendingAck) {
 	t := &n.tombstones
 	if t.journal == nil {
 		return
 	}
-	t.journal.Add(n.registry.Entry(r.id).Instance, r.createdAt)
-	if t.journal.Durable(r.id, r.state) {
-		n.deliverReceipt(r)
+	t.journal.Add(n.registry.Entry(a.id).Instance, a.createdAt)
+	if t.journal.Durable(a.id, a.state) {
+		n.sendDrainAck(a)
 		return
 	}
-	t.receipts = append(t.receipts, r)
-	n.writeTombstones(r.createdAt)
+	t.pending = append(t.pending, a)
+	n.writeTombstones(a.createdAt)
 }
 
 // writeTombstones starts the next write of tombstones, if one is due. It writes in a goroutine, since a disk may hang.
@@ -140,7 +140,7 @@
 	return log.Append(records)
 }
 
-// tombstonesWritten records the result of a write, tells those who waited for it, and starts the next write. The goroutine
+// tombstonesWritten records the result of a write, sends the acknowledgements that waited for it, and starts the next write. The goroutine
 // of the write calls it. It acquires the lock.
 func (n *Node) tombstonesWritten(w tombstone.Write, err error) {
 	n.mutex.Lock()
@@ -148,7 +148,7 @@
 	now := n.now()
 	n.logTombstoneWrites(err)
 	n.tombstones.journal.Written(w, err, now)
-	n.deliverReceipts(now)
+	n.sendDurableAcks(now)
 	n.writeTombstones(now)
 }
 
@@ -165,32 +165,32 @@
 	}
 }
 
-// deliverReceipts tells those who wait for tombstones that have become durable, and forgets those who have waited for
-// longer than receiptTimeout.
-func (n *Node) deliverReceipts(now time.Duration) {
+// sendDurableAcks sends the pending acknowledgements whose tombstones have become durable, and drops those that have waited for
+// longer than pendingAckTimeout.
+func (n *Node) sendDurableAcks(now time.Duration) {
 	t := &n.tombstones
-	var durable []receipt
-	t.receipts = slices.DeleteFunc(t.receipts, func(r receipt) bool {
-		if t.journal.Durable(r.id, r.state) {
-			durable = append(durable, r)
+	var durable []pendingAck
+	t.pending = slices.DeleteFunc(t.pending, func(a pendingAck) bool {
+		if t.journal.Durable(a.id, a.state) {
+			durable = append(durable, a)
 			return true
 		}
-		return now-r.createdAt > receiptTimeout
+		return now-a.createdAt > pendingAckTimeout
 	})
-	for _, r := range durable {
-		n.deliverReceipt(r)
+	for _, a := range durable {
+		n.sendDrainAck(a)
 	}
 }
 
-// deliverReceipt tells a core member, or this router itself, that this router's disk has the end of a server. A router that
-// is no longer a core member tells nobody.
-func (n *Node) deliverReceipt(r receipt) {
+// sendDrainAck acknowledges that this router's disk has the end of a server, to the core member that sent the Drain or to this router
+// itself. A router that is no longer a core member acknowledges nothing.
+func (n *Node) sendDrainAck(a pendingAck) {
 	switch {
 	case !n.isCoreMember():
-	case r.member == "":
-		n.countDrainAck(r.request, n.self.Member.ID)
+	case a.member == "":
+		n.countDrainAck(a.request, n.self.Member.ID)
 	default:
-		n.transport.Send(r.member, dissemination.DrainAck{Request: r.request, View: n.control.view.Epoch})
+		n.transport.Send(a.member, dissemination.DrainAck{Request: a.request, View: n.control.view.Epoch})
 	}
 }
 
@@ -206,7 +206,7 @@
 		n.logTombstoneWrites(errSlowWrite)
 	}
 	n.writeTombstones(now)
-	n.deliverReceipts(now)
+	n.sendDurableAcks(now)
 }
 
 // TombstoneStatus is the state of the tombstones on a router's disk.
