A push that was lost is sent again, also while other changes go on

Cause: the complete list of servers for the new incarnation was lost. A subscriber is sent unacknowledged changes again 0.3 s after changes were last sent to it; one time was kept for servers and configuration, and each later push of either set it anew.

Now servers, configuration and sessions are each acknowledged by themselves, and the time counts from the oldest change in flight. Tests that looked at lastSent look at inFlightFrom, with the same values.

--- a/internal/router/node/distributor.go
+++ b/internal/router/node/distributor.go
@@ -102,7 +102,7 @@
 	s.fillServers(&p, n.registry, now)
 	s.fillVersion(&p, n.subscription.versions, now)
 	if s.coreMember {
-		s.fillSessions(&p, n.distributor.sessions)
+		s.fillSessions(&p, n.distributor.sessions, now)
 	}
 	n.transport.Send(s.address, p)
 }
--- a/internal/router/node/list_comparison_test.go
+++ b/internal/router/node/list_comparison_test.go
@@ -93,9 +93,9 @@
 	heartbeat.Router.Address = "10.0.1.2:7000"
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, 0)
 	s := n.distributor.subscribers[heartbeat.Router.Address]
-	s.registryStamp, s.lastSent = n.registry.Stamp(), 0
+	s.servers.restart(n.registry.Stamp())
 	heartbeat.FullState = true
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, time.Millisecond)
-	require.Equal(t, time.Millisecond, s.lastSent)
+	require.Equal(t, time.Millisecond, s.servers.inFlightFrom)
 	require.False(t, s.sendFullState, "the request has been met")
 }
--- a/internal/router/node/subscriber.go
+++ b/internal/router/node/subscriber.go
@@ -26,16 +26,12 @@
 	coreMember  bool // it is a core member or can become one
 	lastContact time.Duration
 
-	// What the subscriber has acknowledged, or what was sent to it and may be in flight.
-	view          replication.Epoch
-	version       uint64
-	registryStamp uint64
-	sessionsStamp uint64
-
-	lastSent        time.Duration // when changes were last sent
-	lastSentServers int           // number of servers last sent
-	resends         int           // consecutive resends of changes that it did not acknowledge
-	sendFullState   bool          // it requested the complete list of servers
+	view            replication.Epoch // that the subscriber has, or that was sent to it
+	version         sentChanges       // of the configuration
+	servers         sentChanges       // by the stamp of the registry
+	sessions        sentChanges       // by the stamp of the sessions; only to core members
+	lastSentServers int               // number of servers last sent
+	sendFullState   bool              // it requested the complete list of servers
 
 	unsentHeartbeats map[string]bool                  // servers whose heartbeats came here since the last push; for core members
 	unsentPrefixes   map[string]*placement.PrefixUses // by service
@@ -51,76 +47,72 @@
 	s.coreMember, s.lastContact, s.view = m.CoreMember, now, m.View
 	restarted = s.incarnation != m.Router.Incarnation
 	s.incarnation = m.Router.Incarnation
-	s.acknowledge(m, incarnation, restarted, now)
+	s.acknowledge(m, m.HomeIncarnation == incarnation, restarted, now)
 	s.sendFullState = m.FullState && !m.CoreMember
 	if s.sendFullState {
-		s.registryStamp = 0
+		s.servers.restart(0)
 	}
 	return restarted
 }
 
-// acknowledge records what the subscriber has received from this core member, whose incarnation is given. While changes
-// may be in flight, they count as received.
-func (s *subscriber) acknowledge(m *dissemination.SubscriptionHeartbeat, incarnation uint64, restarted bool, now time.Duration) {
-	sameIncarnation := m.HomeIncarnation == incarnation
-	upToDate := sameIncarnation && m.RegistryStamp >= s.registryStamp && m.Version >= s.version
-	switch {
-	case upToDate || restarted:
-		s.resends = 0
-	case now-s.lastSent <= s.resendTimeout():
-		return
-	default:
-		s.resends++
+// acknowledge records what the subscriber has received. Its stamps count only if it has received them from this incarnation of the
+// core member.
+func (s *subscriber) acknowledge(m *dissemination.SubscriptionHeartbeat, stampsAreValid, restarted bool, now time.Duration) {
+	var serversStamp, sessionsStamp uint64
+	if stampsAreValid {
+		serversStamp, sessionsStamp = m.RegistryStamp, m.SessionsStamp
 	}
-	s.version = m.Version
-	if sameIncarnation {
-		s.registryStamp, s.sessionsStamp = m.RegistryStamp, m.SessionsStamp
-	} else {
-		s.registryStamp, s.sessionsStamp = 0, 0
+	if restarted {
+		s.version.restart(m.Version)
+		s.servers.restart(serversStamp)
+		s.sessions.restart(sessionsStamp)
+		return
 	}
+	s.version.acknowledge(m.Version, s.resendTimeout(s.version), now)
+	s.servers.acknowledge(serversStamp, s.resendTimeout(s.servers), now)
+	s.sessions.acknowledge(sessionsStamp, s.resendTimeout(s.sessions), now)
 }
 
 // resendTimeout returns the time after which unacknowledged changes are sent again. It is longer after earlier resends and
 // for a long list of servers. Otherwise subscribers that are slow to apply a list would be sent it over and over, which
 // makes them slower.
-func (s *subscriber) resendTimeout() time.Duration {
-	return max(resendDelay<<min(s.resends, maxResendDoublings), time.Duration(s.lastSentServers)*resendDelayPerServer)
+func (s *subscriber) resendTimeout(c sentChanges) time.Duration {
+	return max(resendDelay<<min(c.resends, maxResendDoublings), time.Duration(s.lastSentServers)*resendDelayPerServer)
 }
 
 // fillServers adds the changes of the registry that the subscriber lacks to a push. p.Stamp is the registry's stamp.
 func (s *subscriber) fillServers(p *dissemination.Push, servers *registry.Registry, now time.Duration) {
-	p.FromStamp = s.registryStamp
+	p.FromStamp = s.servers.sent
 	p.FullState, s.sendFullState = s.sendFullState, false
-	if s.registryStamp >= p.Stamp {
+	if s.servers.sent >= p.Stamp {
 		return
 	}
-	p.Instances = servers.UpdatesSince(s.registryStamp, now)
-	s.registryStamp, s.lastSentServers = p.Stamp, len(p.Instances)
-	s.lastSent = now
+	p.Instances = servers.UpdatesSince(s.servers.sent, now)
+	s.servers.send(p.Stamp, now)
+	s.lastSentServers = len(p.Instances)
 }
 
 // fillVersion adds the configuration to a push if the subscriber lacks it.
 func (s *subscriber) fillVersion(p *dissemination.Push, versions *dissemination.Versions, now time.Duration) {
-	if s.version >= versions.Version() {
+	if s.version.sent >= versions.Version() {
 		p.Version = versions.Version()
 		return
 	}
-	versions.FillPush(p, s.version)
-	s.version = versions.Version()
-	s.lastSent = now
+	versions.FillPush(p, s.version.sent)
+	s.version.send(versions.Version(), now)
 }
 
 // fillSessions adds the servers whose heartbeats came here to a push to a core member, and the sessions held here if they
 // have changed.
-func (s *subscriber) fillSessions(p *dissemination.Push, sessions *membership.Sessions) {
+func (s *subscriber) fillSessions(p *dissemination.Push, sessions *membership.Sessions, now time.Duration) {
 	for id := range s.unsentHeartbeats {
 		p.HeartbeatsReceived = append(p.HeartbeatsReceived, id)
 	}
 	clear(s.unsentHeartbeats)
 	routers, stamp := sessions.Own()
 	p.SessionsStamp = stamp
-	if s.sessionsStamp != stamp {
+	if s.sessions.sent != stamp {
 		p.Routers = routers
-		s.sessionsStamp = stamp
+		s.sessions.send(stamp, now)
 	}
 }
--- a/internal/router/node/subscription_test.go
+++ b/internal/router/node/subscription_test.go
@@ -36,16 +36,16 @@
 	now := time.Second
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, now)
 	s := n.distributor.subscribers[heartbeat.Router.Address]
-	require.Equal(t, now, s.lastSent)
+	require.Equal(t, now, s.servers.inFlightFrom)
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, now+startupInterval)
-	require.Equal(t, now, s.lastSent, "the push may be in flight")
+	require.Equal(t, now, s.servers.inFlightFrom, "the push may be in flight")
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, now+resendDelay+time.Millisecond)
-	require.Equal(t, now+resendDelay+time.Millisecond, s.lastSent, "the push may have been lost")
+	require.Equal(t, now+resendDelay+time.Millisecond, s.servers.inFlightFrom, "the push may have been lost")
 
 	heartbeat.Router.Incarnation = 8
 	now += resendDelay + startupInterval
 	n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, now)
-	require.Equal(t, now, s.lastSent, "a new incarnation has nothing")
+	require.Equal(t, now, s.servers.inFlightFrom, "a new incarnation has nothing")
 }
 
 // A subscriber that does not acknowledge pushes is sent them again at growing intervals, which are longer for a long list.
@@ -62,14 +62,14 @@
 		last := -time.Hour
 		for now := time.Second; now < 11*time.Second; now += heartbeatInterval {
 			n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, now)
-			if sent := n.distributor.subscribers[heartbeat.Router.Address].lastSent; sent != last {
+			if sent := n.distributor.subscribers[heartbeat.Router.Address].servers.inFlightFrom; sent != last {
 				count, last = count+1, sent
 			}
 		}
 		s := n.distributor.subscribers[heartbeat.Router.Address]
 		heartbeat.RegistryStamp = n.registry.Stamp()
 		n.receiveSubscriptionHeartbeat(heartbeat.Router.Address, &heartbeat, 20*time.Second)
-		require.Zero(t, s.resends, "it has acknowledged everything")
+		require.Zero(t, s.servers.resends, "it has acknowledged everything")
 		return count
 	}
 	require.InDelta(t, 9, countSends(10), 2)
