Messages to a new incarnation are not dropped in the pause after a failed dial

Cause: after a failed dial the transport waits 50 ms and drops what was queued meanwhile. A peer that starts in that pause is sent the complete list of servers as soon as its heartbeat is heard, and that was dropped too; it is sent again 0.3 s later, and 3.35 s later where it has 6,700 servers.

Reconnect, which the transport is told when a new incarnation is heard of, now ends the pause, and nothing is dropped then.

--- a/internal/router/transport/sender.go
+++ b/internal/router/transport/sender.go
@@ -9,7 +9,8 @@
 type peer struct {
 	address   string
 	queue     chan any
-	reconnect atomic.Bool // the connection belongs to an incarnation that has ended
+	reconnect atomic.Bool   // the connection belongs to an incarnation that has ended; set with Transport.mutex held
+	restarted chan struct{} // receives a value when reconnect is set; it has room for one
 }
 
 // Send appends a message to the queue of a peer, or drops it if the queue is full. The caller must not change the
@@ -33,7 +34,7 @@
 
 // addPeer adds a peer and starts the goroutine that empties its queue. The caller holds t.mutex.
 func (t *Transport) addPeer(address string) *peer {
-	p := &peer{address: address, queue: make(chan any, queueLength)}
+	p := &peer{address: address, queue: make(chan any, queueLength), restarted: make(chan struct{}, 1)}
 	t.peers[address] = p
 	if address == t.self {
 		t.goroutines.Go(func() { t.deliverToSelf(p) })
@@ -44,13 +45,17 @@
 }
 
 // Reconnect tells the transport that a new incarnation of the router at an address has started: the next message to it
-// goes over a new connection. The end of the old connection may have gone unnoticed, for instance if the machine lost
-// power.
+// goes over a new connection, at once if the transport waits to dial it again. The end of the old connection may have gone
+// unnoticed, for instance if the machine lost power.
 func (t *Transport) Reconnect(address string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if p := t.peers[address]; p != nil {
 		p.reconnect.Store(true)
+		select {
+		case p.restarted <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -137,13 +142,17 @@
 	}
 }
 
-// dropUntilRedial waits for redialDelay and then drops the queued messages, which are out of date by then.
+// dropUntilRedial waits for redialDelay and then drops the queued messages, which are out of date by then. If Reconnect is called
+// meanwhile it returns at once and drops nothing, because messages to the new incarnation may be among them.
 func (t *Transport) dropUntilRedial(p *peer) {
 	select {
 	case <-t.done:
+	case <-p.restarted:
 	case <-time.After(redialDelay):
 	}
-	for {
+	t.mutex.Lock() // Reconnect and Send acquire it too: no message that follows a Reconnect is dropped
+	defer t.mutex.Unlock()
+	for !p.reconnect.Load() {
 		select {
 		case <-p.queue:
 		default:
--- a/internal/router/transport/transport_test.go
+++ b/internal/router/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/gob"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -92,3 +93,44 @@
 	defer second.Close()
 	require.Equal(t, 2, read(second))
 }
+
+// Guards against a restarted peer that waits for the next repetition of what it lacks: a message that was sent to its new incarnation
+// was dropped together with those to the incarnation before, in the pause after a failed dial.
+func TestMessagesToANewIncarnationAreNotDropped(t *testing.T) {
+	const rounds = 50 // the pause has not begun yet in some of them
+	for range rounds {
+		sendToARestartedPeer(t)
+	}
+}
+
+// sendToARestartedPeer sends a message to a peer that does not listen, and another one to its next incarnation, which listens. It fails
+// if the latter does not arrive.
+func sendToARestartedPeer(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.7.1:0") // no other test takes the port meanwhile
+	require.NoError(t, err)
+	to := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	from := New("127.0.0.1:2", sameOnWire{}, nil)
+	defer from.Close()
+	from.Send(to, message{1})
+	for len(from.peers[to].queue) > 0 {
+		runtime.Gosched() // until the message is being sent
+	}
+
+	listener, err = net.Listen("tcp", to)
+	require.NoError(t, err)
+	defer listener.Close()
+	from.Reconnect(to)
+	from.Send(to, message{2})
+	require.NoError(t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(5*time.Second)))
+	for number := 0; number != 2; {
+		conn, err := listener.Accept()
+		require.NoError(t, err, "message 2 was dropped")
+		defer conn.Close()
+		decoder := gob.NewDecoder(conn)
+		for e := (Envelope{}); number != 2 && decoder.Decode(&e) == nil; {
+			number = e.Body.(message).Number
+		}
+	}
+}
