--- a/cmd/petrelhook-router/drain_judge_test.go
+++ b/cmd/petrelhook-router/drain_judge_test.go
@@ -47,6 +47,19 @@
 	at      time.Time
 }
 
+// lostItsDisk is the kind of the event that a machine's disk was emptied.
+const lostItsDisk = "lost its disk"
+
+// count returns the number of events of a kind.
+func (r *soakRecord) count(kind string) (count int) {
+	for _, e := range r.processes {
+		if e.kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
 // violation is a request that reached a server too late.
 type violation struct {
 	end     acknowledgedEnd
--- a/cmd/petrelhook-router/drain_soak_test.go
+++ b/cmd/petrelhook-router/drain_soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -66,6 +67,9 @@
 	at       time.Duration  // from then on
 	machines []int
 	downtime time.Duration
+	// losesDisk says that the machine starts again with an empty disk. One core member at most does so in a run, as
+	// FaultTolerance permits.
+	losesDisk bool
 }
 
 // drawSchedule draws the schedule of a seed.
@@ -110,6 +114,10 @@
 		}
 		s.signals = append(s.signals, d)
 	}
+	if random.IntN(3) == 0 {
+		s.signals = append(s.signals, scheduledSignal{signal: syscall.SIGKILL, afterEnd: random.IntN(len(s.ends)), at: between(0, longestAfterEnd),
+			machines: []int{random.IntN(s.coreMembers)}, downtime: between(100*time.Millisecond, longestDowntime), losesDisk: true})
+	}
 	return s
 }
 
@@ -125,8 +133,8 @@
 	tasks      sync.WaitGroup
 }
 
-// Servers end in both ways, some right after a successor started, heartbeats arrive late, and one or all core processes are killed,
-// terminated and stopped in overlapping series, while clients keep using open connections and the operator changes the configuration:
+// Servers end in both ways, some right after a successor started, heartbeats arrive late, one or all core processes are killed,
+// terminated and stopped in overlapping series, and one core member loses its disk in some runs, while clients keep using open connections and the operator changes the configuration:
 // no request of a machine in touch reaches a server whose end was acknowledged longer than DrainMs ago, and no acknowledged
 // configuration is lost.
 func TestDrainSoak(t *testing.T) {
@@ -289,6 +297,12 @@
 	_ = m.process.Wait() // a killed process ends with an error
 	r.noteProcess(machine, "has ended")
 	wait(ctx, d.downtime)
+	if d.losesDisk {
+		if err := os.RemoveAll(m.dataDir()); err != nil {
+			r.t.Error(err)
+		}
+		r.noteProcess(machine, lostItsDisk)
+	}
 	m.restartAfterBootstrap()
 	r.noteProcess(machine, "starts")
 }
@@ -354,9 +368,9 @@
 			served++
 		}
 	}
-	r.t.Logf("seed %d: %d machines, %d requests, %d served, %d of %d ends acknowledged, %d updates acknowledged, %d events of processes", seed,
+	r.t.Logf("seed %d: %d machines, %d requests, %d served, %d of %d ends acknowledged, %d updates acknowledged, %d events of processes, %d lost disks", seed,
 		len(r.machines), len(r.record.requests), served, len(r.record.ends), len(r.schedule.ends), r.record.generation-firstGeneration,
-		len(r.record.processes))
+		len(r.record.processes), r.record.count(lostItsDisk))
 	require.Greater(r.t, served, len(r.record.requests)/2)
 	require.Len(r.t, r.record.ends, len(r.schedule.ends))
 	r.checkConfiguration()
