A long list of servers in flight is not sent again because a short push followed it

The time after which a push is sent again was derived from the servers in the last push.

Now it is derived from the servers that may be in flight: the changes that are sent and not acknowledged, at most the servers known.

Measured: TestAShortPushDoesNotHurryALongList fails without the change; tests of node pass, also with the race detector.

--- a/internal/router/node/sent_changes.go
+++ b/internal/router/node/sent_changes.go
@@ -11,6 +11,9 @@
 	resends      int           // consecutive times that changes were sent again without an acknowledgement
 }
 
+// inFlight returns the number of changes that were sent and are not acknowledged.
+func (c *sentChanges) inFlight() uint64 { return c.sent - min(c.sent, c.acknowledged) }
+
 // send records that the changes up to a number are sent now.
 func (c *sentChanges) send(number uint64, now time.Duration) {
 	if c.sent <= c.acknowledged {
--- a/internal/router/node/subscriber.go
+++ b/internal/router/node/subscriber.go
@@ -15,7 +15,7 @@
 	resendDelay = 300 * time.Millisecond
 	// maxResendDoublings bounds how often resendDelay doubles.
 	maxResendDoublings = 2
-	// resendDelayPerServer, times the number of servers sent, is the delay if that is longer.
+	// resendDelayPerServer, times the number of servers in flight, is the delay if that is longer.
 	resendDelayPerServer = 500 * time.Microsecond
 )
 
@@ -26,12 +26,12 @@
 	coreMember  bool // it is a core member or can become one
 	lastContact time.Duration
 
-	view            replication.Epoch // that the subscriber has, or that was sent to it
-	version         sentChanges       // of the configuration
-	servers         sentChanges       // by the stamp of the registry
-	sessions        sentChanges       // by the stamp of the sessions; only to core members
-	lastSentServers int               // number of servers last sent
-	sendFullState   bool              // it requested the complete list of servers
+	view          replication.Epoch // that the subscriber has, or that was sent to it
+	version       sentChanges       // of the configuration
+	servers       sentChanges       // by the stamp of the registry
+	sessions      sentChanges       // by the stamp of the sessions; only to core members
+	knownServers  int               // number of servers in the registry when changes were last sent
+	sendFullState bool              // it requested the complete list of servers
 
 	unsentHeartbeats map[string]bool                  // servers whose heartbeats came here since the last push; for core members
 	unsentPrefixes   map[string]*placement.PrefixUses // by service
@@ -68,16 +68,22 @@
 		s.sessions.restart(sessionsStamp)
 		return
 	}
-	s.version.acknowledge(m.Version, s.resendTimeout(s.version), now)
-	s.servers.acknowledge(serversStamp, s.resendTimeout(s.servers), now)
-	s.sessions.acknowledge(sessionsStamp, s.resendTimeout(s.sessions), now)
+	serversInFlight := s.serversInFlight()
+	s.version.acknowledge(m.Version, resendTimeout(s.version.resends, serversInFlight), now)
+	s.servers.acknowledge(serversStamp, resendTimeout(s.servers.resends, serversInFlight), now)
+	s.sessions.acknowledge(sessionsStamp, resendTimeout(s.sessions.resends, serversInFlight), now)
+}
+
+// serversInFlight returns the maximum number of servers in the pushes that the subscriber has not acknowledged.
+func (s *subscriber) serversInFlight() int {
+	return int(min(s.servers.inFlight(), uint64(s.knownServers)))
 }
 
 // resendTimeout returns the time after which unacknowledged changes are sent again. It is longer after earlier resends and
 // for a long list of servers. Otherwise subscribers that are slow to apply a list would be sent it over and over, which
 // makes them slower.
-func (s *subscriber) resendTimeout(c sentChanges) time.Duration {
-	return max(resendDelay<<min(c.resends, maxResendDoublings), time.Duration(s.lastSentServers)*resendDelayPerServer)
+func resendTimeout(resends, serversInFlight int) time.Duration {
+	return max(resendDelay<<min(resends, maxResendDoublings), time.Duration(serversInFlight)*resendDelayPerServer)
 }
 
 // fillServers adds the changes of the registry that the subscriber lacks to a push. p.Stamp is the registry's stamp.
@@ -89,7 +95,7 @@
 	}
 	p.Instances = servers.UpdatesSince(s.servers.sent, now)
 	s.servers.send(p.Stamp, now)
-	s.lastSentServers = len(p.Instances)
+	s.knownServers = servers.Len()
 }
 
 // fillVersion adds the configuration to a push if the subscriber lacks it.
--- a/internal/router/node/subscriber_test.go
+++ b/internal/router/node/subscriber_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,6 +99,37 @@
 	}
 }
 
+// Guards against sending a long list again to a subscriber that is still applying it, because a short push followed it.
+func TestAShortPushDoesNotHurryALongList(t *testing.T) {
+	const servers = 6700
+	p := newSessionPair(t)
+	for i := range servers {
+		addReadyServer(p.servers, fmt.Sprint("many-", i))
+	}
+	p.heartbeat(0)
+	long := p.push(0)
+	require.Greater(t, len(long.Instances), servers)
+	p.changeServers()
+	short := p.push(resendDelay / 2)
+	require.Len(t, short.Instances, 1)
+	now := resendDelay
+	for ; now < servers*resendDelayPerServer; now += heartbeatInterval {
+		p.heartbeat(now)
+		require.Empty(t, p.push(now).Instances, "at %v", now)
+	}
+	p.heartbeat(now)
+	require.Greater(t, len(p.push(now).Instances), servers, "it may have been lost")
+
+	p.receive(long)
+	p.receive(short)
+	p.heartbeat(now)
+	p.changeServers()
+	p.push(now) // is lost
+	now += resendDelay + time.Millisecond
+	p.heartbeat(now)
+	require.Len(t, p.push(now).Instances, 1, "a lost short push is not waited for as long as a list")
+}
+
 // Guards against sending everything over and over to a subscriber that acknowledges each push only after the next change.
 func TestChangesInFlightAreSentOnce(t *testing.T) {
 	p := newSessionPair(t)
--- a/internal/router/node/tombstones.go
+++ b/internal/router/node/tombstones.go
@@ -140,8 +140,8 @@
 	return log.Append(records)
 }
 
-// tombstonesWritten records the result of a write, sends the acknowledgements that waited for it, and starts the next write. The goroutine
-// of the write calls it. It acquires the lock.
+// tombstonesWritten records the result of a write, sends the acknowledgements that waited for it, and starts the next write. The
+// goroutine of the write calls it. It acquires the lock.
 func (n *Node) tombstonesWritten(w tombstone.Write, err error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
