--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -61,6 +62,7 @@
 	coreMembers, others int
 	network             string        // the first three bytes of the machines' loopback addresses
 	heartbeatInterval   time.Duration // of servers
+	stopped             bool          // the test starts the processes
 }
 
 // newFleet starts a fleet with the given numbers of core members and other routers.
@@ -113,6 +115,9 @@
 		require.NoError(t, os.WriteFile(m.settingsPath, []byte(text), 0o644))
 		f.machines = append(f.machines, m)
 	}
+	if options.stopped {
+		return f
+	}
 	for _, m := range f.machines {
 		m.start()
 	}
@@ -122,13 +127,16 @@
 // dataDir returns the data directory of a core member.
 func (m *machine) dataDir() string { return filepath.Join(filepath.Dir(m.settingsPath), "data") }
 
-// start starts the machine's router process.
-func (m *machine) start() {
+// command returns the command of the machine's router process.
+func (m *machine) command() *exec.Cmd {
 	cmd := process.Self(roleVariable, "router")
 	cmd.Env = append(cmd.Env, "PETRELHOOK_SETTINGS="+m.settingsPath)
-	m.process = process.Start(m.t, cmd)
+	return cmd
 }
 
+// start starts the machine's router process.
+func (m *machine) start() { m.process = process.Start(m.t, m.command()) }
+
 // address returns the address of an IP and one of the fleet's ports.
 func (f *fleet) address(ip string, port int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(f.ports[port]))
