Routers log their start, end and memory near the limit; status has the usage of the machine

A process that ended by itself left nothing that told the hypotheses of the incident apart: a killed one, one over its memory limit and one that ended in order all had the same log. The first and the last line say so now, and a line is written when resident memory passes 0.8 of MemoryMb, with bodies, descriptors and goroutines; status has the same figures.

Tests of node, startup and logwriter pass.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -12,8 +12,8 @@
 	"syscall"
 	"time"
 
+	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/sidecar/config"
-	"petrelhook/internal/sidecar/logwriter"
 	"petrelhook/internal/sidecar/wiring"
 )
 
--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// BufferedBytes returns the number of bytes of the bodies of all requests in progress.
+func (g *Gateway) BufferedBytes() int64 { return g.bufferedBytes.Load() }
+
 // Table returns the configuration in force at this router, or nil if there is none yet.
 func (g *Gateway) Table() *routetable.Table { return g.table.Load() }
 
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -64,22 +64,24 @@
 	ready        atomic.Bool // it has received a configuration and the servers; never reset
 	shuttingDown atomic.Bool
 
-	mutex        sync.Mutex // guards all fields below
-	seeds        []string   // internal addresses
-	lastRequest  uint64     // number of the last request; random at first, so that no answer to an earlier incarnation matches
-	fleetSize    int        // routers, this one included
-	registry     *registry.Registry
-	control      controlPlane
-	subscription subscription
-	distributor  distributor
-	drains       map[uint64]*pendingDrain // by request number
-	quotas       quotas
-	outliers     outliers
-	loads        loads
-	applied      applied
-	serversCache serversCache
-	tombstones   tombstones
-	timers       timers
+	mutex       sync.Mutex // guards all fields below
+	seeds       []string   // internal addresses
+	lastRequest uint64     // number of the last request; random at first, so that no answer to an earlier incarnation matches
+	fleetSize   int        // routers, this one included
+	registry    *registry.Registry
+	control     controlPlane
+	// nearMemoryLimit says that the process was near its memory limit at the last look.
+	nearMemoryLimit bool
+	subscription    subscription
+	distributor     distributor
+	drains          map[uint64]*pendingDrain // by request number
+	quotas          quotas
+	outliers        outliers
+	loads           loads
+	applied         applied
+	serversCache    serversCache
+	tombstones      tombstones
+	timers          timers
 }
 
 // New returns a router that has opened neither its disk nor its sockets; Run opens both.
@@ -125,6 +127,8 @@
 // grace period is over. For each signal received from reload it reads the settings again with load. Only the seeds take
 // effect then; all other settings take effect at the next start. Run returns an error only if the router cannot start.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, load func(path string) (*settings.Settings, error)) error {
+	n.logger.Info().Int("pid", os.Getpid()).Str("address", n.self.Address).Uint64("incarnation", n.self.Incarnation).
+		Int("limit_mb", n.settings.Limits.MemoryMb).Msg("router starts")
 	if err := n.openReplica(); err != nil {
 		return err
 	}
@@ -147,11 +151,13 @@
 		}
 	}
 	n.distributor.pushTimer.Stop()
+	n.logger.Info().Msg("router shuts down")
 	n.gracefulShutdown(opened, ticker)
 	n.transport.Close()
 	if n.control.disk != nil {
 		n.control.disk.close()
 	}
+	n.logger.Info().Msg("router ended")
 	return nil
 }
 
--- a/internal/router/node/periodic_timer.go
+++ b/internal/router/node/periodic_timer.go
@@ -29,5 +29,5 @@
 	quotas, prefixes, reports, loads       periodicTimer
 	judgement, expireServers, storeServers periodicTimer // used by core members
 	pruneConnections, forgetServers        periodicTimer
-	expireTombstones                       periodicTimer
+	expireTombstones, checkUsage           periodicTimer
 }
--- a/internal/router/node/status.go
+++ b/internal/router/node/status.go
@@ -40,10 +40,12 @@
 	Migrated     int64             `json:"Moved"` // stalled streams that were continued at another server
 	Latency      []latency.Report  // outcomes and waiting times of requests, by route
 	Tombstones   *TombstoneStatus  `json:",omitempty"` // only at a router with a disk
+	Usage        *Usage            `json:",omitempty"` // of the machine, by the process; nil in a status of an earlier version
 }
 
 // Status returns the router's present status. It acquires the lock.
 func (n *Node) Status() Status {
+	usage := n.usage() // reads files, so that it comes before the lock
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.now()
@@ -65,6 +67,7 @@
 		Deposits:     n.quotas.pool.Deposits(now),
 		Latency:      n.gateway.LatencyReports(),
 		Tombstones:   n.tombstones.status(now),
+		Usage:        &usage,
 	}
 	if table := n.gateway.Table(); table != nil {
 		s.Generation = table.Generation
--- a/internal/router/node/status_test.go
+++ b/internal/router/node/status_test.go
@@ -18,15 +18,17 @@
 // Operators' programs parse the status, so its field names must not change: each field of a recorded status is decoded and
 // encoded again under the same name.
 func TestStatusFieldsKeepTheirNames(t *testing.T) {
-	recorded, err := os.ReadFile("testdata/cfdfdec/status.json")
-	require.NoError(t, err)
-	decoder := json.NewDecoder(bytes.NewReader(recorded))
-	decoder.DisallowUnknownFields()
-	var status Status
-	require.NoError(t, decoder.Decode(&status))
-	written, err := json.Marshal(status)
-	require.NoError(t, err)
-	require.Equal(t, strings.TrimSpace(string(recorded)), string(written))
+	for _, path := range []string{"testdata/cfdfdec/status.json", "testdata/50f73710/status.json"} {
+		recorded, err := os.ReadFile(path)
+		require.NoError(t, err)
+		decoder := json.NewDecoder(bytes.NewReader(recorded))
+		decoder.DisallowUnknownFields()
+		var status Status
+		require.NoError(t, decoder.Decode(&status))
+		written, err := json.Marshal(status)
+		require.NoError(t, err)
+		require.Equal(t, strings.TrimSpace(string(recorded)), string(written), path)
+	}
 }
 
 // Servers send heartbeats as JSON, so the field names of the body must not change.
--- a/internal/router/node/tick.go
+++ b/internal/router/node/tick.go
@@ -43,6 +43,7 @@
 	}
 	n.apply()
 	n.tickTombstones(now)
+	n.tickUsage(now)
 }
 
 // tickCore does the periodic work of core members: it updates the fleet size and, while this router is in contact with
