A process outlives the reader of its log

Callers saw a router, sidecar or coordinator end by itself at its next log line once the reader of its standard error, a pipe, had gone. Cause: Go ends a process by SIGPIPE when a write to descriptor 1 or 2 fails with EPIPE, unless the signal is handled.

Each long-running program registers for SIGPIPE now, so that the write returns an error, which the log ignores; processes that the agent starts get the default handling. The signal is not ignored but handled, because an ignored one would be inherited.

TestARouterOutlivesTheReaderOfItsLog, TestACoordinatorOutlivesTheReaderOfItsLog and TestASidecarOutlivesTheReaderOfItsLog failed before (signal: broken pipe) and pass.

--- a/cmd/petrelhook-agent/main.go
+++ b/cmd/petrelhook-agent/main.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/common/command"
+	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/coordination/machine"
 )
 
@@ -48,6 +49,7 @@
 			if err != nil {
 				return command.Fail(err)
 			}
+			logwriter.IgnoreClosedReaders()
 			log := command.Logger(errs, c.Warnings)
 			if check {
 				fmt.Fprintf(out, "%s: good: %d sidecars of %s\n", path, len(c.Sidecars), c.Application)
--- a/cmd/petrelhook-coordinator/main.go
+++ b/cmd/petrelhook-coordinator/main.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/common/command"
+	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/coordination/driver"
 	"petrelhook/internal/coordination/fleet"
 )
@@ -38,6 +39,7 @@
 			if err != nil {
 				return err
 			}
+			logwriter.IgnoreClosedReaders()
 			log := command.Logger(errs, c.Warnings)
 			if f.check {
 				fmt.Fprintf(out, "%s: good: replica %d of %d\n", f.config, c.ID, len(c.Replicas))
--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -28,7 +28,7 @@
 // TestMain runs the tests, or a router if the test binary was started as one by machine.start.
 func TestMain(m *testing.M) {
 	if os.Getenv(roleVariable) != "" {
-		os.Exit(run([]string{"petrelhook-router", "router"}, os.Stdout, os.Stderr))
+		os.Exit(runProcess([]string{"petrelhook-router", "router"}, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
--- a/cmd/petrelhook-router/main.go
+++ b/cmd/petrelhook-router/main.go
@@ -11,6 +11,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"petrelhook/internal/common/logwriter"
 )
 
 // Exit codes besides 0.
@@ -20,7 +22,13 @@
 )
 
 func main() {
-	os.Exit(run(os.Args, os.Stdout, os.Stderr))
+	os.Exit(runProcess(os.Args, os.Stdout, os.Stderr))
+}
+
+// runProcess runs the program as a process of its own and returns the exit code.
+func runProcess(args []string, stdout, stderr io.Writer) int {
+	logwriter.IgnoreClosedReaders()
+	return run(args, stdout, stderr)
 }
 
 // run executes the command line and returns the exit code.
--- a/cmd/petrelhook/log_blocked_test.go
+++ b/cmd/petrelhook/log_blocked_test.go
@@ -73,3 +73,14 @@
 		t.Error(err)
 	}
 }
+
+func TestASidecarOutlivesTheReaderOfItsLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":%s}`, peertest.ReserveAddr(t), peertest.DeadAddr(t), peertest.Settings)
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := process.Self("PETRELHOOK_TEST_RUN", "1")
+	cmd.Env = append(cmd.Env, "LB_CONFIG="+path, "LB_ADMIN_ADDR=", "TMPDIR="+t.TempDir())
+	process.CheckOutlivesLogReader(t, cmd, "serving")
+}
--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -38,6 +38,7 @@
 		fmt.Fprintln(errOut, "petrelhook:", err)
 		return exitUsage
 	}
+	logwriter.IgnoreClosedReaders()
 	// Registered before the configuration is read, so that a SIGHUP in that time neither ends the process nor is lost.
 	reload := make(chan os.Signal, 1) // one pending signal is enough: the file is read after the last signal
 	signal.Notify(reload, syscall.SIGHUP)
--- a/internal/common/logwriter/logwriter.go
+++ b/internal/common/logwriter/logwriter.go
@@ -10,10 +10,19 @@
 import (
 	"bytes"
 	"io"
+	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// IgnoreClosedReaders keeps the process from ending by SIGPIPE when it writes to its standard output or standard error after the
+// reader of the pipe has gone: the write returns EPIPE. Processes that it starts get the default handling of SIGPIPE.
+func IgnoreClosedReaders() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
+}
+
 const (
 	// MaxWait is how long Write may block.
 	MaxWait = 5 * time.Millisecond
