A log that is not read stops neither routers nor coordinators

Callers saw a router that answered nothing, on no address, and did not end on SIGTERM; a coordinator never began to serve. Cause: the log was written to standard error by whoever had a line, a router under the node's lock; a pipe that is full and not read blocks that write for as long as its reader likes. net/http wrote its own lines to the same pipe.

All programs but the sidecar, which had it already, write their log through package logwriter: a line waits 5 ms at most, 512 lines wait for a late reader, further ones are dropped and counted. net/http logs through the router's logger.

--- a/cmd/petrelhook-agent/main.go
+++ b/cmd/petrelhook-agent/main.go
@@ -17,7 +17,6 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/common/command"
-	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/coordination/machine"
 )
 
@@ -32,7 +31,7 @@
 	}
 }
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(command.Main(run)) }
 
 // run runs the program with the given arguments and outputs, and returns the exit code.
 func run(args []string, out, errs io.Writer) int {
@@ -49,7 +48,6 @@
 			if err != nil {
 				return command.Fail(err)
 			}
-			logwriter.IgnoreClosedReaders()
 			log := command.Logger(errs, c.Warnings)
 			if check {
 				fmt.Fprintf(out, "%s: good: %d sidecars of %s\n", path, len(c.Sidecars), c.Application)
--- a/cmd/petrelhook-coordinator/main.go
+++ b/cmd/petrelhook-coordinator/main.go
@@ -13,12 +13,11 @@
 	"github.com/spf13/cobra"
 
 	"petrelhook/internal/common/command"
-	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/coordination/driver"
 	"petrelhook/internal/coordination/fleet"
 )
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(command.Main(run)) }
 
 // flags holds the values of the command line's flags.
 type flags struct {
@@ -39,7 +38,6 @@
 			if err != nil {
 				return err
 			}
-			logwriter.IgnoreClosedReaders()
 			log := command.Logger(errs, c.Warnings)
 			if f.check {
 				fmt.Fprintf(out, "%s: good: replica %d of %d\n", f.config, c.ID, len(c.Replicas))
--- a/cmd/petrelhook-coordinator/process_test.go
+++ b/cmd/petrelhook-coordinator/process_test.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"petrelhook/internal/common/command"
 	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/coordination/fleet"
 	"petrelhook/internal/rig/belief"
@@ -30,7 +31,7 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleVariable) {
 	case "coordinator":
-		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(command.Main(run))
 	case "":
 	default:
 		contend.Run(os.Getenv(roleVariable), os.Args[1:])
--- a/cmd/petrelhook-router/commands.go
+++ b/cmd/petrelhook-router/commands.go
@@ -171,6 +171,11 @@
 	return encoder.Encode(value)
 }
 
+// newLogger returns a logger that writes JSON lines.
+func newLogger(output io.Writer) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: output}}
+}
+
 // serve runs a router until SIGTERM or SIGINT. On SIGHUP the router reads its settings again.
 func serve(parent context.Context, c *cli.Command) error {
 	if c.Args().Len() > 0 {
@@ -183,7 +188,7 @@
 	if s.Limits.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * megabyte * float64(s.Limits.MemoryMb)))
 	}
-	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: c.Root().ErrWriter}}
+	logger := newLogger(c.Root().ErrWriter)
 	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
--- a/cmd/petrelhook-router/main.go
+++ b/cmd/petrelhook-router/main.go
@@ -27,8 +27,12 @@
 
 // runProcess runs the program as a process of its own and returns the exit code.
 func runProcess(args []string, stdout, stderr io.Writer) int {
-	logwriter.IgnoreClosedReaders()
-	return run(args, stdout, stderr)
+	return logwriter.Run(stderr, reportDroppedLines, func(log io.Writer) int { return run(args, stdout, log) })
+}
+
+// reportDroppedLines logs how many lines of the log were dropped because nothing read them.
+func reportDroppedLines(output io.Writer, lines int) {
+	newLogger(output).Warn().Int("lines", lines).Msg("log lines dropped")
 }
 
 // run executes the command line and returns the exit code.
--- a/cmd/petrelhook-router/start_test.go
+++ b/cmd/petrelhook-router/start_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/process"
 	"petrelhook/internal/router/storage"
 )
 
@@ -110,13 +111,7 @@
 
 func TestARouterServesWhileItsLogIsNotRead(t *testing.T) {
 	f, m := newStoppedMachine(t, "127.9.3")
-	reader, log, err := os.Pipe()
-	require.NoError(t, err)
-	defer reader.Close()
-	for chunk := make([]byte, os.Getpagesize()); err == nil; { // until the pipe is full
-		require.NoError(t, log.SetWriteDeadline(time.Now().Add(10*time.Millisecond)))
-		_, err = log.Write(chunk)
-	}
+	log := process.FullPipe(t)
 	cmd, ended := startWithLog(t, m, log)
 	require.NoError(t, log.Close())
 	f.waitAnswering(m)
--- a/internal/common/command/command.go
+++ b/internal/common/command/command.go
@@ -13,6 +13,8 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"petrelhook/internal/common/logwriter"
 )
 
 // The exit codes other than 0.
@@ -52,6 +54,16 @@
 	return ExitUsage
 }
 
+// Main runs a program as a process of its own, with a log that delays nothing and survives its reader, and returns the exit code.
+func Main(program func(args []string, stdout, stderr io.Writer) (exitCode int)) (exitCode int) {
+	return logwriter.Run(os.Stderr, reportDroppedLines, func(log io.Writer) int { return program(os.Args[1:], os.Stdout, log) })
+}
+
+// reportDroppedLines logs how many lines of the log were dropped because nothing read them.
+func reportDroppedLines(output io.Writer, lines int) {
+	slog.New(slog.NewTextHandler(output, nil)).Warn("log lines dropped", "lines", lines)
+}
+
 // SettingsFlags adds the flags that the coordinator and the agent share: --config for the path of the settings file, and --check
 // to validate the file and exit.
 func SettingsFlags(cmd *cobra.Command, path *string, check *bool) {
--- a/internal/common/logwriter/logwriter.go
+++ b/internal/common/logwriter/logwriter.go
@@ -30,6 +30,19 @@
 	MaxQueued = 512
 )
 
+// flushTimeout is how long Run waits for the last lines of the log to be written.
+const flushTimeout = 500 * time.Millisecond
+
+// Run runs a program whose standard error is a Writer to output, and returns its exit code once the last lines are written or
+// output has accepted nothing for half a second. It calls IgnoreClosedReaders. reportDropped writes to output how many lines were
+// dropped.
+func Run(output io.Writer, reportDropped func(output io.Writer, lines int), program func(stderr io.Writer) (exitCode int)) (exitCode int) {
+	IgnoreClosedReaders()
+	w := New(output, func(lines int) { reportDropped(output, lines) })
+	defer w.Close(flushTimeout)
+	return program(w)
+}
+
 // Writer is an io.Writer for log lines. The caller of New must close it. It is safe for concurrent use.
 type Writer struct {
 	output    io.Writer
--- a/internal/rig/process/log_reader.go
+++ b/internal/rig/process/log_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -49,6 +50,24 @@
 	}
 }
 
+// FullPipe returns the writing end of a pipe that is full and is not read until the test ends. The caller closes it.
+func FullPipe(t testing.TB) *os.File {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = reader.Close() })
+	const longestWrite = 10 * time.Millisecond // a write that takes longer waits for a reader
+	for chunk := make([]byte, os.Getpagesize()); err == nil; {
+		if err := writer.SetWriteDeadline(time.Now().Add(longestWrite)); err != nil {
+			t.Fatal(err)
+		}
+		_, err = writer.Write(chunk)
+	}
+	return writer
+}
+
 // receive returns the next value of a channel, and ends the test if none comes in time.
 func receive[T any](t testing.TB, c <-chan T) (value T) {
 	t.Helper()
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -28,8 +28,9 @@
 	maxHeaderBytes = 256 << 10
 )
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+func (n *Node) newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: n.logger.Std("", 0)}
 }
 
 const (
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -64,7 +64,7 @@
 		if endpoint.address == "" {
 			continue
 		}
-		if *endpoint.server, err = serve(endpoint.address, endpoint.handler); err != nil {
+		if *endpoint.server, err = n.serve(endpoint.address, endpoint.handler); err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", endpoint.callers)
 		}
 	}
@@ -72,12 +72,12 @@
 }
 
 // serve listens on an address and starts an HTTP server for it in a goroutine, which ends when the server is closed.
-func serve(address string, handler http.Handler) (*http.Server, error) {
+func (n *Node) serve(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	server := newHTTPServer(handler)
+	server := n.newHTTPServer(handler)
 	go func() { _ = server.Serve(listener) }() // returns when gracefulShutdown closes the server
 	return server, nil
 }
--- a/internal/sidecar/wiring/imports_test.go
+++ b/internal/sidecar/wiring/imports_test.go
@@ -37,7 +37,7 @@
 	{"internal/coordination/judge", ""},
 	{"internal/coordination/agent", "internal/coordination/distribute internal/coordination/rollout"},
 	{"internal/common/yamlfile", ""},
-	{"internal/common/command", ""},
+	{"internal/common/command", "internal/common/logwriter"},
 	{"internal/coordination/machine", "internal/coordination/distribute internal/coordination/subscribe internal/coordination/agent internal/coordination/rollout internal/coordination/release internal/common/yamlfile internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rpc"},
 	{"internal/coordination/rpc", ""},
 	{"internal/coordination/driver", "internal/coordination/subscribe internal/coordination/distribute internal/coordination/share internal/coordination/evidence internal/coordination/machine internal/coordination/agent internal/coordination/rollout internal/coordination/release internal/common/yamlfile internal/sidecar/counts internal/sidecar/front internal/sidecar/message internal/sidecar/upstream internal/coordination/rpc internal/coordination/judge internal/coordination/fleet internal/coordination/lease internal/coordination/replica internal/coordination/replica/disk internal/coordination/monotonic lease"},
