A SIGHUP during the start does not end a router

Cause: the handler was registered after the settings had been read and removed before the process ended; until then the default action of the signal is to end the process.

The handler is registered first and stays. Go cannot run earlier than the initialization of all packages, so a C constructor ignores the signal until then; the sidecar, which reloads at SIGHUP too, gets the same.

--- a/cmd/petrelhook-router/commands.go
+++ b/cmd/petrelhook-router/commands.go
@@ -176,8 +176,8 @@
 	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: output}}
 }
 
-// serve runs a router until SIGTERM or SIGINT. On SIGHUP the router reads its settings again.
-func serve(parent context.Context, c *cli.Command) error {
+// serve runs a router until SIGTERM or SIGINT. At each signal from reload the router reads its settings again.
+func serve(parent context.Context, c *cli.Command, reload <-chan os.Signal) error {
 	if c.Args().Len() > 0 {
 		return cli.Exit("router takes no arguments", exitUsage)
 	}
@@ -191,9 +191,6 @@
 	logger := newLogger(c.Root().ErrWriter)
 	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	if err := node.New(s, logger).Run(ctx, reload, settings.Load); err != nil {
 		return exitError(err)
 	}
--- a/cmd/petrelhook-router/commands_test.go
+++ b/cmd/petrelhook-router/commands_test.go
@@ -18,7 +18,7 @@
 	folder := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "replica.db"), coordinatorState, 0o600))
 	var out bytes.Buffer
-	require.Equal(t, exitFailure, run([]string{"petrelhook-router", "state", folder}, &out, &out))
+	require.Equal(t, exitFailure, run([]string{"petrelhook-router", "state", folder}, &out, &out, nil))
 	require.Equal(t, 1, strings.Count(out.String(), "\n"), out.String())
 	require.Contains(t, out.String(), "replica.db: hard state: ")
 }
--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -304,7 +304,7 @@
 func (f *fleet) checkStatusCommand() {
 	f.t.Helper()
 	var out bytes.Buffer
-	require.Zero(f.t, run([]string{"petrelhook-router", "status", f.address(f.machines[0].ip, controlPort)}, &out, &out))
+	require.Zero(f.t, run([]string{"petrelhook-router", "status", f.address(f.machines[0].ip, controlPort)}, &out, &out, nil))
 	require.Contains(f.t, out.String(), `"Generation": 7`)
 }
 
@@ -323,7 +323,7 @@
 func (f *fleet) checkStateCommand() {
 	f.t.Helper()
 	var out bytes.Buffer
-	require.Zero(f.t, run([]string{"petrelhook-router", "state", f.machines[0].dataDir()}, &out, &out), out.String())
+	require.Zero(f.t, run([]string{"petrelhook-router", "state", f.machines[0].dataDir()}, &out, &out, nil), out.String())
 	require.Contains(f.t, out.String(), `"Generation": 7`)
 }
 
@@ -349,7 +349,7 @@
 		{[]string{"--help"}, 0, "status"},
 	} {
 		var printed bytes.Buffer
-		require.Equal(t, test.exitCode, run(append([]string{"petrelhook-router"}, test.args...), &printed, &printed), test.args)
+		require.Equal(t, test.exitCode, run(append([]string{"petrelhook-router"}, test.args...), &printed, &printed, nil), test.args)
 		require.Contains(t, printed.String(), test.output, test.args)
 	}
 }
--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	_ "petrelhook/internal/common/hangup" // SIGHUP before main
 	"petrelhook/internal/common/logwriter"
 	"petrelhook/internal/sidecar/config"
 	"petrelhook/internal/sidecar/wiring"
--- a/internal/sidecar/wiring/imports_test.go
+++ b/internal/sidecar/wiring/imports_test.go
@@ -108,6 +108,7 @@
 	{"internal/rig/*", "balance internal/*"},
 	{"internal/common/await", ""},
 	{"internal/common/startup", ""},
+	{"internal/common/hangup", ""},
 	{"internal/common/peertest", "internal/common/await internal/common/sock"},
 	{"cmd/petrelhook", "balance internal/*"},
 	{"cmd/petrelhookctl", "balance internal/* lease"},
