A router's start waits for conditions of its machine that pass

Callers saw a router that did not start: an address that another process or an outgoing connection used for a moment, replica.db locked by a predecessor that drains or hangs, a DataDir that could not be used or a full disk ended it with exit code 1, and each restart again.

One rule for the start: errors of the operating system and the lock pass and are waited for, with exponential backoff up to 1 s and a log line; everything else is final. The disk, the addresses and the tombstones are acquired together or not at all, so that a router that waits holds nothing. Its clock starts when it has them: the quota of a primary that just started depends on it. Two services with one address are invalid settings now, since a start would wait for itself.

--- a/internal/router/node/core.go
+++ b/internal/router/node/core.go
@@ -14,7 +14,7 @@
 // controlPlane is the state of a router's replica of the configuration. A router that cannot be a core member has a
 // replica as well: a witness, which stores nothing and only follows the view.
 type controlPlane struct {
-	replica  *replication.Replica // nil until openReplica
+	replica  *replication.Replica // nil until createReplica
 	register *operatorapi.Register
 	disk     *diskWriter // nil on a witness
 	view     replication.View
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -54,8 +54,8 @@
 type Node struct {
 	settings *settings.Settings
 	logger   *log.Logger
-	start    time.Time
-	self     membership.Router // does not change after openReplica
+	start    time.Time         // of the service: of the last call of acquire
+	self     membership.Router // does not change after createReplica
 
 	gateway       *gateway.Gateway
 	transport     *transport.Transport
@@ -114,7 +114,7 @@
 	return n
 }
 
-// now returns the time since the start on the monotonic clock. It needs no lock.
+// now returns the time since the start of the service on the monotonic clock. It needs no lock.
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
 // nextRequest returns the number of a new request to another router.
@@ -125,14 +125,16 @@
 
 // Run serves until the context ends, then shuts down gracefully: it returns when the open requests have ended or the
 // grace period is over. For each signal received from reload it reads the settings again with load. Only the seeds take
-// effect then; all other settings take effect at the next start. Run returns an error only if the router cannot start.
+// effect then; all other settings take effect at the next start. A start waits for conditions of the machine that may pass, and ends
+// with the context meanwhile. Run returns an error only if the router cannot start until an operator corrects something.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, load func(path string) (*settings.Settings, error)) error {
 	n.logger.Info().Int("pid", os.Getpid()).Str("address", n.self.Address).Uint64("incarnation", n.self.Incarnation).
 		Int("limit_mb", n.settings.Limits.MemoryMb).Msg("router starts")
-	if err := n.openReplica(); err != nil {
-		return err
+	opened, err := n.open(ctx)
+	if ctx.Err() != nil && opened == nil {
+		n.logger.Info().Msg("router ended during its start")
+		return nil
 	}
-	opened, err := n.listen()
 	if err != nil {
 		return err
 	}
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -9,13 +9,11 @@
 	"petrelhook/internal/router/settings"
 )
 
-// listeners holds the listener and the HTTP servers of a router. A server is nil if the settings do not
-// contain its address.
+// listeners holds the listener and the HTTP servers of a router.
 type listeners struct {
-	internal net.Listener // for other routers
-	front    *http.Server // for clients
-	ready    *http.Server // for the platform
-	control  *http.Server // for model servers and operators
+	internal net.Listener   // for other routers
+	front    *http.Server   // for clients; nil if the settings do not contain its address
+	servers  []*http.Server // all of them
 }
 
 // Limits on HTTP callers. They apply even before the configuration is known, and bound the limits that the configuration may
@@ -117,10 +115,8 @@
 
 // close closes all listeners and connections. It ignores errors, since the process exits next.
 func (l *listeners) close() {
-	for _, server := range []*http.Server{l.front, l.ready, l.control} {
-		if server != nil {
-			_ = server.Close()
-		}
+	for _, server := range l.servers {
+		_ = server.Close()
 	}
 	_ = l.internal.Close()
 }
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -1,83 +1,161 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"petrelhook/internal/common/startup"
 	"petrelhook/internal/router/replication"
 	"petrelhook/internal/router/storage"
 )
 
-// openReplica reads the persisted state, if this router has a disk, and creates the replica. Run calls it without the
-// lock, before any other goroutine of the node runs.
-func (n *Node) openReplica() error {
+// resources is what a router needs of its machine.
+type resources struct {
+	disk      *storage.Disk // nil without a DataDir
+	persisted *replication.PersistedState
+	endpoints []boundEndpoint
+}
+
+// open acquires the resources of this router, creates the replica and serves the endpoints. It waits for conditions of the machine
+// that may pass, and returns an error for any other and when the context ends. Meanwhile this router has neither the disk nor an
+// address: connections are refused, so that callers go elsewhere at once. Run calls it without the lock, before any other goroutine
+// of the node runs.
+func (n *Node) open(ctx context.Context) (*listeners, error) {
+	var r resources
+	err := startup.Retry(ctx, passes, n.logWait, func() (err error) {
+		r, err = n.acquire()
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := n.createReplica(r); err != nil {
+		return nil, err
+	}
+	return n.serve(r.endpoints), nil
+}
+
+// acquire opens the disk, binds the addresses and reads the tombstones. After an error it has released everything, and may be called
+// again. The node's clock starts with the call, because it says how long the router has been serving.
+func (n *Node) acquire() (r resources, err error) {
+	n.start = time.Now()
+	if n.settings.CanJoinCore() {
+		r.disk, r.persisted, err = storage.Open(n.settings.DataDir, n.self.Address, n.settings.Bootstrap)
+		if err != nil {
+			return resources{}, err
+		}
+	}
+	if r.endpoints, err = n.bindAll(); err == nil && r.disk != nil {
+		err = n.openTombstones()
+	}
+	if err != nil {
+		return resources{}, errors.CombineErrors(err, r.release())
+	}
+	return r, nil
+}
+
+// release closes the disk and the listeners.
+func (r *resources) release() (err error) {
+	if r.disk != nil {
+		err = r.disk.Close()
+	}
+	for _, e := range r.endpoints {
+		err = errors.CombineErrors(err, e.listener.Close())
+	}
+	return err
+}
+
+// passes reports whether the cause of an error may pass without a change of the settings or of a file's content.
+func passes(err error) bool { return errors.Is(err, storage.ErrLocked) || startup.IsSystemError(err) }
+
+// logWait logs what the start waits for.
+func (n *Node) logWait(err error) { n.logger.Warn().Err(err).Msg("the start waits") }
+
+// createReplica creates the replica and, where this router has a disk, its writer. It loads the servers on the disk.
+func (n *Node) createReplica(r resources) (err error) {
 	s := n.settings
 	options := replication.Options{Self: replication.Member{Address: n.self.Address, Zone: s.Zone}, Seeds: s.SeedAddresses(),
 		Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance.Machines}
-	var persisted *replication.PersistedState
-	if s.CanJoinCore() {
-		disk, found, err := storage.Open(s.DataDir, n.self.Address, s.Bootstrap)
-		if err != nil {
-			return err
-		}
-		persisted = found
-		options.Self.ID = persisted.ID
+	if r.disk != nil {
+		options.Self.ID = r.persisted.ID
 		n.self.Member = &options.Self
-		n.control.disk = newDiskWriter(disk, n.saved)
-		n.control.eligible[persisted.ID] = options.Self
-		if err := n.openTombstones(); err != nil {
-			return err
-		}
+		n.control.disk = newDiskWriter(r.disk, n.saved)
+		n.control.eligible[options.Self.ID] = options.Self
 		n.loadServers()
 	} else {
 		options.Diskless = true
 		options.Self.ID = n.self.Address
 	}
-	var err error
-	n.control.replica, err = replication.New(options, persisted, n.control.register, n.now())
+	n.control.replica, err = replication.New(options, r.persisted, n.control.register, n.now())
 	if err == nil && n.self.Member != nil {
 		n.control.replica.AddEligible(*n.self.Member)
 	}
 	return errors.Wrap(err, "create the replica")
 }
 
-// listen opens the addresses of the settings and serves each in a goroutine that ends when its listener is closed.
-func (n *Node) listen() (*listeners, error) {
-	internal, err := net.Listen("tcp", n.self.Address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for other routers")
-	}
-	go func() { _ = n.transport.Serve(internal) }() // returns when gracefulShutdown closes the listener
-	opened := &listeners{internal: internal}
-	for _, endpoint := range []struct {
-		callers string
-		address string
-		handler http.Handler
-		server  **http.Server
-	}{
-		{"the platform", n.settings.Listen.Ready, http.HandlerFunc(n.serveReady), &opened.ready},
-		{"model servers and operators", n.settings.Listen.Control, n.controlHandler(), &opened.control},
-		{"clients", n.settings.Listen.Front, n.gateway, &opened.front},
+// endpoint is an address that this router listens on.
+type endpoint struct {
+	callers string // who calls it, for the log
+	address string
+	handler http.Handler // nil: the address for other routers
+}
+
+// boundEndpoint is an endpoint whose address this process has.
+type boundEndpoint struct {
+	endpoint
+	listener net.Listener
+}
+
+// endpoints returns the endpoints of the settings in a fixed order: the one for other routers comes first.
+func (n *Node) endpoints() []endpoint {
+	all := []endpoint{{callers: "other routers", address: n.self.Address}}
+	for _, e := range []endpoint{
+		{"the platform", n.settings.Listen.Ready, http.HandlerFunc(n.serveReady)},
+		{"model servers and operators", n.settings.Listen.Control, n.controlHandler()},
+		{"clients", n.settings.Listen.Front, n.gateway},
 	} {
-		if endpoint.address == "" {
-			continue
+		if e.address != "" {
+			all = append(all, e)
 		}
-		if *endpoint.server, err = n.serve(endpoint.address, endpoint.handler); err != nil {
-			return nil, errors.Wrapf(err, "listen for %s", endpoint.callers)
+	}
+	return all
+}
+
+// bindAll listens on the addresses of all endpoints or, after an error, on none: a caller that connects to an address is served soon.
+func (n *Node) bindAll() ([]boundEndpoint, error) {
+	var bound []boundEndpoint
+	for _, e := range n.endpoints() {
+		listener, err := net.Listen("tcp", e.address)
+		if err != nil {
+			for _, b := range bound {
+				err = errors.CombineErrors(err, b.listener.Close())
+			}
+			return nil, errors.Wrapf(err, "listen for %s", e.callers)
 		}
+		bound = append(bound, boundEndpoint{e, listener})
 	}
-	return opened, nil
+	return bound, nil
 }
 
-// serve listens on an address and starts an HTTP server for it in a goroutine, which ends when the server is closed.
-func (n *Node) serve(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
+// serve serves each endpoint in a goroutine, which ends when gracefulShutdown closes its listener or server.
+func (n *Node) serve(bound []boundEndpoint) *listeners {
+	opened := &listeners{}
+	for _, b := range bound {
+		if b.handler == nil {
+			opened.internal = b.listener
+			go func() { _ = n.transport.Serve(b.listener) }()
+			continue
+		}
+		server := n.newHTTPServer(b.handler)
+		if b.address == n.settings.Listen.Front {
+			opened.front = server
+		}
+		opened.servers = append(opened.servers, server)
+		go func() { _ = server.Serve(b.listener) }()
 	}
-	server := n.newHTTPServer(handler)
-	go func() { _ = server.Serve(listener) }() // returns when gracefulShutdown closes the server
-	return server, nil
+	return opened
 }
--- a/internal/router/settings/settings.go
+++ b/internal/router/settings/settings.go
@@ -122,9 +122,29 @@
 	if s.InternalPortRange[0] > s.InternalPortRange[1] {
 		return nil, invalid("field InternalPortRange: the first port, %d, is above the last one, %d", s.InternalPortRange[0], s.InternalPortRange[1])
 	}
+	if err := s.checkAddresses(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
+// checkAddresses returns an error if two services have the same address: a start would wait for it for ever.
+func (s *Settings) checkAddresses() error {
+	fieldOf := map[string]string{s.InternalAddress(): "InternalPortRange"}
+	for _, service := range []struct{ field, address string }{
+		{"Listen.Front", s.Listen.Front}, {"Listen.Ready", s.Listen.Ready}, {"Listen.Control", s.Listen.Control},
+	} {
+		if service.address == "" {
+			continue
+		}
+		if other, taken := fieldOf[service.address]; taken {
+			return invalid("field %s: %s is the address of %s already", service.field, service.address, other)
+		}
+		fieldOf[service.address] = service.field
+	}
+	return nil
+}
+
 // decode reads TOML and validates it by the tags of the fields. Its error names the position or the field.
 func decode(text []byte, into any) error {
 	if err := toml.NewDecoder(bytes.NewReader(text)).Decode(into); err != nil {
--- a/internal/router/settings/settings_test.go
+++ b/internal/router/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,8 +41,12 @@
 		"a bad seed":     {`Seeds = ["nowhere"]`, "Settings.Seeds[0]"},
 		"a bad port":     {`InternalPortRange = [0, 7]`, "Settings.InternalPortRange[0]"},
 		"ports reversed": {`InternalPortRange = [9, 7]`, "the first port, 9, is above the last one, 7"},
-		"a bad type":     {`HeartbeatMs = "often"`, "line 1"},
-		"no TOML":        {`NodeName =`, "line 1"},
+		"an address that comes twice": {"Ip = \"10.0.0.1\"\nListen = { Front = \"10.0.0.1:80\", Control = \"10.0.0.1:80\" }",
+			"field Listen.Control: 10.0.0.1:80 is the address of Listen.Front already"},
+		"the internal address twice": {"Ip = \"10.0.0.1\"\nInternalPortRange = [80, 81]\nListen = { Ready = \"10.0.0.1:80\" }",
+			"field Listen.Ready: 10.0.0.1:80 is the address of InternalPortRange already"},
+		"a bad type": {`HeartbeatMs = "often"`, "line 1"},
+		"no TOML":    {`NodeName =`, "line 1"},
 	} {
 		_, err := Parse([]byte(withRequiredFields(c.text)))
 		require.ErrorContains(t, err, c.wantError, name)
@@ -57,7 +62,7 @@
 func withRequiredFields(line string) string {
 	text := line + "\n"
 	for field, value := range map[string]string{"NodeName": `"a"`, "Ip": `"10.0.0.1"`, "Zone": `"z"`, "InternalPortRange": "[1, 2]"} {
-		if len(line) < len(field) || line[:len(field)] != field {
+		if !strings.Contains("\n"+line, "\n"+field) {
 			text += field + " = " + value + "\n"
 		}
 	}
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"petrelhook/internal/router/replication"
 )
@@ -37,6 +38,9 @@
 // ErrNoIdentity is returned for a file that does not contain the state of a replica.
 var ErrNoIdentity = errors.New("the file does not contain a replica identity")
 
+// ErrLocked is returned while another process has the file open.
+var ErrLocked = errors.New("another process has it open")
+
 // Buckets and keys of the file.
 var (
 	bucketMeta    = []byte("meta")
@@ -53,9 +57,9 @@
 }
 
 // Open opens the state in a folder, or creates an empty state: address becomes part of the replica's identity, and genesis
-// says that this is the first start of the whole system. Open fails if another process still has the file open after one
-// second. Its error is ErrNoIdentity if the file does not contain the state of a replica. The caller closes the Disk,
-// and may keep the state that is returned.
+// says that this is the first start of the whole system. Its error is ErrLocked if another process still has the file open after
+// one second, and ErrNoIdentity if the file does not contain the state of a replica. After an error nothing is open, and Open may be
+// called again. The caller closes the Disk, and may keep the state that is returned.
 func Open(folder, address string, genesis bool) (*Disk, *replication.PersistedState, error) {
 	path := filepath.Join(folder, fileName)
 	if err := os.MkdirAll(folder, 0o755); err != nil {
@@ -79,15 +83,15 @@
 	return d, state, nil
 }
 
-// Inspect reads the state in a folder without changing anything. It fails if another process still has the file open
-// after one second. Its error is os.ErrNotExist if there is no file, and ErrNoIdentity if the file does not contain the
-// state of a replica.
+// Inspect reads the state in a folder without changing anything. Its error is ErrLocked if another process still has the
+// file open after one second, os.ErrNotExist if there is no file, and ErrNoIdentity if the file does not contain the state of a
+// replica.
 func Inspect(folder string) (*replication.PersistedState, error) {
 	path := filepath.Join(folder, fileName)
 	if _, err := os.Stat(path); err != nil {
 		return nil, errors.Wrap(err, "storage: stat state file")
 	}
-	database, err := bbolt.Open(path, 0o644, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
+	database, err := openWith(path, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
 	if err != nil {
 		return nil, errors.Wrapf(err, "storage: open %s", path)
 	}
@@ -98,9 +102,16 @@
 }
 
 func openDatabase(path string) (*bbolt.DB, error) {
-	return bbolt.Open(path, 0o644, &bbolt.Options{
-		Timeout: lockTimeout, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
-	})
+	return openWith(path, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+}
+
+// openWith opens a bbolt file. Its error is ErrLocked if another process has it open.
+func openWith(path string, options *bbolt.Options) (*bbolt.DB, error) {
+	database, err := bbolt.Open(path, 0o644, options)
+	if errors.Is(err, bbolterrors.ErrTimeout) {
+		return nil, ErrLocked
+	}
+	return database, err
 }
 
 // read returns the complete state in the file.
