A router hears other routers again after its descriptors ran out

Cause: the loop that accepts connections of other routers ended at any error, in a goroutine whose end nobody noticed, and the listener stayed open. It is the same class as the other faults of this incident: a condition that passes is final. net/http has its own loop, which survives a lack of descriptors and ends at other errors.

All four listeners of a router accept through sock.RetryAccept, which reports an error and tries again until it is closed.

--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/common/startup"
 	"petrelhook/internal/router/replication"
 	"petrelhook/internal/router/storage"
@@ -136,7 +137,8 @@
 			}
 			return nil, errors.Wrapf(err, "listen for %s", e.callers)
 		}
-		bound = append(bound, boundEndpoint{e, listener})
+		onError := func(err error) { n.logger.Warn().Err(err).Str("address", e.address).Msg("connection not accepted") }
+		bound = append(bound, boundEndpoint{e, sock.RetryAccept(listener, onError)})
 	}
 	return bound, nil
 }
