A damaged replica.db is reported in one line and ends no process by a fault

Callers saw a router die with a memory fault or a panic and a stack, at each start, where replica.db was truncated or damaged, and in the middle of its life where the file was truncated in use. Cause: bbolt checks no page before it follows it; it panics, on a goroutine of its own at the start, and reads mapped pages that the file does not have.

The structure of the file is checked before bbolt opens it, page by page; panics and faults in calls of bbolt become ErrDamaged, after which nothing is written. The error names the file and what to do; the file stays as it is. A folder that is created is synced into its parent: a power failure could take the complete state of a first start with it.

TestDamageIsReported ended with a panic of bbolt in a trial of the check without the number of pages. TestAnInterruptedFirstStartIsRepeated passes, as before.

--- a/cmd/petrelhook-router/start_test.go
+++ b/cmd/petrelhook-router/start_test.go
@@ -198,9 +198,9 @@
 	var ended *exec.ExitError
 	require.ErrorAs(t, peertest.Wait(t, m.process.Ended), &ended)
 	require.Equal(t, exitFailure, ended.ExitCode(), m.process.Log.String())
-	log := strings.TrimSpace(m.process.Log.String())
-	require.Contains(t, log, path)
-	require.NotContains(t, log, "\n")
+	lines := strings.Split(strings.TrimSpace(m.process.Log.String()), "\n")
+	require.Len(t, lines, 2, "the line of the start, and one error")
+	require.Contains(t, lines[1], path)
 	kept, err := os.ReadFile(path)
 	require.NoError(t, err)
 	require.Equal(t, damaged, kept)
--- a/internal/router/storage/create.go
+++ b/internal/router/storage/create.go
@@ -4,6 +4,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"os"
+	"path/filepath"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"go.etcd.io/bbolt"
@@ -58,6 +60,33 @@
 	return err
 }
 
+// createFolder creates a folder with its parents, unless it is there. The names of the created folders are durable afterwards: without
+// that a power failure could take the complete state of a first start with it.
+func createFolder(folder string) error {
+	info, err := os.Stat(folder)
+	switch {
+	case err == nil && info.IsDir():
+		return nil
+	case err == nil:
+		err = &os.PathError{Op: "mkdir", Path: folder, Err: syscall.ENOTDIR}
+	case errors.Is(err, os.ErrNotExist) && filepath.Dir(folder) != folder:
+		return createInParent(folder)
+	}
+	return errors.Wrap(err, "storage: create folder")
+}
+
+// createInParent creates a folder that is not there.
+func createInParent(folder string) error {
+	parent := filepath.Dir(folder)
+	if err := createFolder(parent); err != nil {
+		return err
+	}
+	if err := os.Mkdir(folder, 0o755); err != nil {
+		return errors.Wrap(err, "storage: create folder")
+	}
+	return syncFolder(parent)
+}
+
 // syncFolder makes renames in a folder durable.
 func syncFolder(folder string) error {
 	f, err := os.Open(folder)
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -29,7 +29,7 @@
 
 const fileName = "replica.db"
 
-// lockTimeout is how long opening waits while another process has the file open.
+// lockTimeout is how long bbolt waits for its lock. The file was not locked a moment before.
 const lockTimeout = time.Second
 
 // ErrSnapshotRequired is returned for a save without a snapshot after a failed save.
@@ -53,52 +53,69 @@
 // Disk is the open state of a replica. Its methods may be called by one goroutine at a time.
 type Disk struct {
 	database         *bbolt.DB
-	snapshotRequired bool // the last save failed
+	snapshotRequired bool  // the last save failed
+	damage           error // found in a save: nothing is written any more
 }
 
 // Open opens the state in a folder, or creates an empty state: address becomes part of the replica's identity, and genesis
-// says that this is the first start of the whole system. Its error is ErrLocked if another process still has the file open after
-// one second, and ErrNoIdentity if the file does not contain the state of a replica. After an error nothing is open, and Open may be
-// called again. The caller closes the Disk, and may keep the state that is returned.
+// says that this is the first start of the whole system. Its error is ErrLocked while another process has the file open,
+// ErrDamaged if the file is damaged, and ErrNoIdentity if it does not contain the state of a replica; these leave the file as it is.
+// After an error nothing is open, and Open may be called again. The caller closes the Disk, and may keep the state that is returned.
 func Open(folder, address string, genesis bool) (*Disk, *replication.PersistedState, error) {
 	path := filepath.Join(folder, fileName)
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, nil, errors.Wrap(err, "storage: create folder")
+	if err := createFolder(folder); err != nil {
+		return nil, nil, err
 	}
 	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
 		if err := create(folder, path, address, genesis); err != nil {
 			return nil, nil, err
 		}
 	}
-	database, err := openDatabase(path)
+	return open(path, openDatabase)
+}
+
+// open verifies a file, opens it and reads the state in it. After an error nothing is open.
+func open(path string, openDatabase func(path string) (*bbolt.DB, error)) (*Disk, *replication.PersistedState, error) {
+	if err := verifyFile(path); err != nil {
+		return nil, nil, errors.Wrapf(err, "storage: open %s", path)
+	}
+	d := &Disk{}
+	err := guard(func() (err error) {
+		d.database, err = openDatabase(path)
+		return err
+	})
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "storage: open %s", path)
 	}
-	d := &Disk{database: database}
-	state, err := d.read()
+	var state *replication.PersistedState
+	err = guard(func() (err error) {
+		state, err = d.read()
+		return err
+	})
 	if err != nil {
-		_ = database.Close() // nothing was written
+		_ = d.Close() // nothing was written
 		return nil, nil, errors.Wrapf(err, "storage: read %s", path)
 	}
 	return d, state, nil
 }
 
-// Inspect reads the state in a folder without changing anything. Its error is ErrLocked if another process still has the
-// file open after one second, os.ErrNotExist if there is no file, and ErrNoIdentity if the file does not contain the state of a
-// replica.
+// Inspect reads the state in a folder without changing anything. Its error is ErrLocked while another process has the file open,
+// os.ErrNotExist if there is no file, ErrDamaged if it is damaged, and ErrNoIdentity if it does not contain the state of a replica.
 func Inspect(folder string) (*replication.PersistedState, error) {
 	path := filepath.Join(folder, fileName)
 	if _, err := os.Stat(path); err != nil {
 		return nil, errors.Wrap(err, "storage: stat state file")
 	}
-	database, err := openWith(path, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
+	d, state, err := open(path, openReadOnly)
 	if err != nil {
-		return nil, errors.Wrapf(err, "storage: open %s", path)
+		return nil, err
 	}
-	d := &Disk{database: database}
-	defer func() { _ = d.Close() }() // opened for reading only
-	state, err := d.read()
-	return state, errors.Wrapf(err, "storage: read %s", path)
+	_ = d.Close() // opened for reading only
+	return state, nil
+}
+
+func openReadOnly(path string) (*bbolt.DB, error) {
+	return openWith(path, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
 }
 
 func openDatabase(path string) (*bbolt.DB, error) {
@@ -124,17 +141,17 @@
 		}
 		state.ID = string(meta.Get(keyID))
 		if err := decodeGob(meta.Get(keyHard), &state.Hard); err != nil {
-			return errors.Wrap(err, "hard state")
+			return damaged("hard state: %v", err)
 		}
 		if encoded := meta.Get(keySnapshot); encoded != nil {
 			if err := decodeGob(encoded, &state.Snapshot); err != nil {
-				return errors.Wrap(err, "snapshot")
+				return damaged("snapshot: %v", err)
 			}
 		}
 		return tx.Bucket(bucketEntries).ForEach(func(key, encoded []byte) error {
 			var e replication.Entry
 			if err := decodeGob(encoded, &e); err != nil {
-				return errors.Wrapf(err, "entry %x", key)
+				return damaged("entry %x: %v", key, err)
 			}
 			state.Entries = append(state.Entries, e)
 			return nil
@@ -148,7 +165,8 @@
 
 // SaveAll writes saves of the replica in order and syncs them together, in one transaction. The result has an error or
 // nil for each save. After an error it is unknown whether the disk has the save, and the next save needs a snapshot: saves
-// before the next snapshot are not written and return ErrSnapshotRequired.
+// before the next snapshot are not written and return ErrSnapshotRequired. After ErrDamaged, which says that the file was damaged while
+// it was in use, all saves fail with it.
 func (d *Disk) SaveAll(saves []replication.Save) []error {
 	errs := make([]error, len(saves))
 	first := 0
@@ -158,14 +176,7 @@
 	if first == len(saves) {
 		return errs
 	}
-	err := d.database.Update(func(tx *bbolt.Tx) error {
-		for i := range saves[first:] {
-			if err := write(tx, &saves[first+i]); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+	err := d.update(saves[first:])
 	d.snapshotRequired = err != nil
 	for i := first; i < len(saves); i++ {
 		errs[i] = errors.Wrap(err, "storage: save")
@@ -173,6 +184,27 @@
 	return errs
 }
 
+// update writes saves in one transaction.
+func (d *Disk) update(saves []replication.Save) error {
+	if d.damage != nil {
+		return d.damage
+	}
+	err := guard(func() error {
+		return d.database.Update(func(tx *bbolt.Tx) error {
+			for i := range saves {
+				if err := write(tx, &saves[i]); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+	if errors.Is(err, ErrDamaged) {
+		d.damage = err
+	}
+	return err
+}
+
 func write(tx *bbolt.Tx, s *replication.Save) error {
 	meta := tx.Bucket(bucketMeta)
 	if err := putGob(meta, keyHard, s.Hard); err != nil {
@@ -198,5 +230,11 @@
 	return binary.BigEndian.AppendUint64(nil, e.Position.Sequence)
 }
 
-// Close closes the file. All saves for which Save returned nil are already on the disk.
-func (d *Disk) Close() error { return d.database.Close() }
+// Close closes the file. All saves for which Save returned nil are already on the disk. A damaged file is closed with the process,
+// because locks of the database may still be held.
+func (d *Disk) Close() error {
+	if d.damage != nil {
+		return nil
+	}
+	return d.database.Close()
+}
