Request bodies count against the memory limit from their first byte

Cause: a body was counted once it had been read, and its copy for the server never, so that all uploads that came together passed the check.

Memory is reserved before it is used, in steps for a body of unknown length, and released with the request. A large body is written to the server without a copy. Bodies over 64 KiB may take three quarters of the memory for bodies, so that small ones still find some.

TestBodiesThatAreBeingReadCountAgainstTheMemoryLimit, TestLargeBodiesLeaveMemoryForSmallOnes.

--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,11 +84,11 @@
 // exchange writes a request and reads the head of the response. It reports whether the complete request was written. If it was
 // not, the connection must not be reused, because the server would take the next request for the rest of this one.
 func exchange(c *conn, r *Request) (response *Response, written bool, err error) {
-	request := encodeRequest(r)
-	if len(request) >= largeRequestBytes {
-		return exchangeLarge(c, r, request)
+	head := encodeHead(r)
+	if len(head)+len(r.Body) >= largeRequestBytes {
+		return exchangeLarge(c, r, head)
 	}
-	if n, err := c.Write(request); err != nil {
+	if n, err := c.Write(append(head, r.Body...)); err != nil {
 		if n == 0 { // the server had already closed the connection
 			err = errors.Mark(err, ErrNotSent)
 		}
@@ -97,8 +98,9 @@
 	return response, true, err
 }
 
-// exchangeLarge reads the response while it writes the request, and stops writing once the head of the response has been read.
-func exchangeLarge(c *conn, r *Request, request []byte) (response *Response, written bool, err error) {
+// exchangeLarge reads the response while it writes the request, and stops writing once the head of the response has been read. It makes no
+// copy of the body, whose memory the caller has reserved.
+func exchangeLarge(c *conn, r *Request, head []byte) (response *Response, written bool, err error) {
 	readDone := make(chan error, 1)
 	go func() {
 		var err error
@@ -106,12 +108,13 @@
 		_ = c.SetWriteDeadline(pastDeadline) // fails only for a closed connection, on which the write fails anyway
 		readDone <- err
 	}()
-	n, _ := c.Write(request) // a write error does not matter if there is a response; if there is none, reading fails too
-	err = <-readDone         // at the latest when the connection or the context ends
+	request := net.Buffers{head, r.Body}
+	n, _ := request.WriteTo(c.Conn) // a write error does not matter if there is a response; if there is none, reading fails too
+	err = <-readDone                // at the latest when the connection or the context ends
 	if err != nil && n == 0 {
 		err = errors.Mark(err, ErrNotSent)
 	}
-	return response, n == len(request), err
+	return response, n == int64(len(head)+len(r.Body)), err
 }
 
 // errOtherResponse is the error of an exchange that got only responses to other requests, or one that does not identify its
@@ -189,12 +192,12 @@
 	r.pool.put(c, parseKeepAlive(r.Header.Get("Keep-Alive")))
 }
 
-// encodeRequest returns the bytes of a request. It does not validate the header fields, which come from a request that net/http
-// has parsed.
-func encodeRequest(r *Request) []byte {
+// encodeHead returns the bytes of a request's head, with room for the body of a request that is not large. It does not validate the header
+// fields, which come from a request that net/http has parsed.
+func encodeHead(r *Request) []byte {
 	const typicalHeadBytes = 512
 	var b bytes.Buffer
-	b.Grow(typicalHeadBytes + len(r.Body))
+	b.Grow(typicalHeadBytes + min(len(r.Body), largeRequestBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -208,6 +211,5 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
--- a/internal/router/gateway/body.go
+++ b/internal/router/gateway/body.go
@@ -11,13 +11,45 @@
 const (
 	defaultMaxBody = 8 << 20 // bytes, where the configuration sets no limit
 	bodyTimeout    = 10 * time.Second
+	// firstBodyBuffer is the size of the first buffer of a body of unknown length.
+	firstBodyBuffer = 512 // bytes
 )
 
-// readBody reads the complete body, within the limits of the configuration in force at its start, and adds its size to
-// bufferedBytes; the caller subtracts it when the request ends. readBody returns false after it has sent an error response to a
-// request that exceeds a limit. If the body cannot be read it panics with http.ErrAbortHandler.
+// errNoBodyMemory is the error of a body for which no memory is left.
+var errNoBodyMemory = errors.New("no memory is left for the body")
+
+// readBody reads the complete body, within the limits of the configuration in force at its start, and reserves memory for it, which the
+// caller releases when the request ends. readBody returns false after it has sent an error response to a request that exceeds a limit.
+// If the body cannot be read it panics with http.ErrAbortHandler.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) bool {
-	maxBody := int64(defaultMaxBody)
+	maxBody, ok := g.checkHead(w, r)
+	if !ok {
+		return false
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // if it cannot be set, the timeouts of the HTTP server apply
+	body, err := g.readComplete(http.MaxBytesReader(w, r.Body, maxBody), r.ContentLength, &req.reservedBytes)
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		req.body = body
+		return true
+	case errors.As(err, &tooLong):
+		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	case errors.Is(err, errNoBodyMemory):
+		w.Header().Set("Connection", "close")
+		g.reject(w, http.StatusServiceUnavailable, defaultRetryAfter, errNoBodyMemory.Error())
+		return false
+	}
+	panic(http.ErrAbortHandler) // the client disconnected, or sent the body too slowly
+}
+
+// checkHead checks the sizes of the head and of a body with a known length, and returns the greatest size of the body. ok is false
+// after an error response.
+func (g *Gateway) checkHead(w http.ResponseWriter, r *http.Request) (maxBody int64, ok bool) {
+	maxBody = defaultMaxBody
 	if t := g.table.Load(); t != nil {
 		if t.Limits.MaxBodyBytes > 0 {
 			maxBody = t.Limits.MaxBodyBytes
@@ -25,44 +57,61 @@
 		if t.Limits.MaxHeaderBytes > 0 && headerBytes(r) > t.Limits.MaxHeaderBytes {
 			w.Header().Set("Connection", "close")
 			g.fail(w, http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
-			return false
+			return 0, false
 		}
 	}
 	if r.ContentLength > maxBody {
 		w.Header().Set("Connection", "close")
 		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
-		return false
+		return 0, false
 	}
-	if g.options.MaxBodyMemory > 0 && g.bufferedBytes.Load()+max(0, r.ContentLength) > g.options.MaxBodyMemory {
-		w.Header().Set("Connection", "close")
-		g.reject(w, http.StatusServiceUnavailable, defaultRetryAfter, "no memory is left for the body")
-		return false
+	return maxBody, true
+}
+
+// readComplete reads a whole body and adds the memory that it reserves to reservedBytes, also where it fails. A body of known length
+// takes one allocation; the buffer of any other is doubled, and old and new buffers count together while one is copied.
+func (g *Gateway) readComplete(source io.Reader, length int64, reservedBytes *int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
 	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // if it cannot be set, the timeouts of the HTTP server apply
-	body, err := readComplete(w, r, maxBody)
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		g.fail(w, http.StatusRequestEntityTooLarge, "the body is too long")
-		return false
+	if length > 0 {
+		if !g.reserveBody(length, length, reservedBytes) {
+			return nil, errNoBodyMemory
+		}
+		body := make([]byte, length)
+		_, err := io.ReadFull(source, body)
+		return body, err
 	}
-	if err != nil {
-		panic(http.ErrAbortHandler) // the client disconnected, or sent the body too slowly
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			larger := max(firstBodyBuffer, 2*cap(body))
+			if !g.reserveBody(int64(larger), int64(larger), reservedBytes) {
+				return nil, errNoBodyMemory
+			}
+			smaller := int64(cap(body))
+			body = append(make([]byte, 0, larger), body...)
+			g.bodyMemory.release(smaller)
+			*reservedBytes -= smaller
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	g.bufferedBytes.Add(int64(len(body)))
-	req.body = body
-	return true
 }
 
-// readComplete reads the whole body. A body of known length takes one allocation; any other may have up to maxBody bytes.
-func readComplete(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, error) {
-	if r.ContentLength <= 0 {
-		return io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+// reserveBody reserves memory for a part of a body and adds it to reservedBytes.
+func (g *Gateway) reserveBody(partBytes, bodyBytes int64, reservedBytes *int64) bool {
+	if !g.bodyMemory.reserve(partBytes, bodyBytes) {
+		return false
 	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
+	*reservedBytes += partBytes
+	return true
 }
 
 // headerBytes returns the approximate size of the request line and the header fields.
--- /dev/null
+++ b/internal/router/gateway/body_memory_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/common/peertest"
+)
+
+// startUpload sends the head of an upload and the beginning of its body.
+func (r *rig) startUpload(head, bodyStart string) net.Conn {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = conn.Close() }) // the test may have closed it
+	_, err = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\n%s\r\n\r\n%s", head, bodyStart)
+	require.NoError(r.t, err)
+	return conn
+}
+
+func (r *rig) waitReserved(bytes int64) {
+	r.t.Helper()
+	peertest.Eventually(r.t, fmt.Sprint(bytes, " bytes are reserved"), func() bool { return r.gateway.BufferedBytes() == bytes })
+}
+
+func TestBodiesThatAreBeingReadCountAgainstTheMemoryLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, bodyStart string
+		reserved        int64
+	}{
+		"a known length":    {"Content-Length: 900", "x", 900},
+		"an unknown length": {"Transfer-Encoding: chunked", "1\r\nx\r\n", firstBodyBuffer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addServer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
+			r.gateway.bodyMemory.limit = c.reserved + 3
+			upload := r.startUpload(c.head, c.bodyStart)
+			r.waitReserved(c.reserved)
+			response, text, _ := r.do("/safe/") // 4 bytes
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Contains(t, text, "no memory")
+			require.NoError(t, upload.Close())
+			r.waitReserved(0)
+			response, _, _ = r.do("/safe/")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		})
+	}
+}
+
+func TestABodyOfUnknownLengthReservesWhatItNeeds(t *testing.T) {
+	r := newRig(t)
+	r.gateway.bodyMemory.limit = 1 << 20
+	var reserved int64
+	body, err := r.gateway.readComplete(strings.NewReader(strings.Repeat("x", 40_000)), -1, &reserved)
+	require.NoError(t, err)
+	require.Len(t, body, 40_000)
+	require.Equal(t, int64(cap(body)), reserved)
+	require.Equal(t, reserved, r.gateway.BufferedBytes())
+	r.gateway.bodyMemory.release(reserved)
+	reserved = 0
+	r.gateway.bodyMemory.limit = 60_000
+	_, err = r.gateway.readComplete(strings.NewReader(strings.Repeat("x", 40_000)), -1, &reserved)
+	require.ErrorIs(t, err, errNoBodyMemory)
+	require.Equal(t, reserved, r.gateway.BufferedBytes())
+}
+
+func TestLargeBodiesLeaveMemoryForSmallOnes(t *testing.T) {
+	m := bodyMemory{limit: 1 << 20}
+	require.True(t, m.reserve(700<<10, 700<<10))
+	require.False(t, m.reserve(100<<10, 100<<10))
+	require.True(t, m.reserve(60<<10, 60<<10))
+	require.Equal(t, int64(760<<10), m.reserved.Load())
+}
--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -73,11 +73,11 @@
 
 // Gateway is the http.Handler that serves clients. It is created by New.
 type Gateway struct {
-	options       Options
-	table         atomic.Pointer[routetable.Table]
-	draining      atomic.Pointer[drainPlan] // nil: not draining
-	bufferedBytes atomic.Int64              // of the bodies of all requests in progress
-	Counters      Counters
+	options    Options
+	table      atomic.Pointer[routetable.Table]
+	draining   atomic.Pointer[drainPlan] // nil: not draining
+	bodyMemory bodyMemory
+	Counters   Counters
 
 	mutex       sync.Mutex             // guards the fields below
 	services    map[string]*service    // by name
@@ -102,6 +102,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		options:     o,
+		bodyMemory:  bodyMemory{limit: o.MaxBodyMemory},
 		services:    map[string]*service{},
 		serviceOf:   map[string]string{},
 		routes:      map[string]*routeState{},
@@ -114,8 +115,8 @@
 	}
 }
 
-// BufferedBytes returns the number of bytes of the bodies of all requests in progress.
-func (g *Gateway) BufferedBytes() int64 { return g.bufferedBytes.Load() }
+// BufferedBytes returns the memory that is reserved for the bodies of all requests in progress.
+func (g *Gateway) BufferedBytes() int64 { return g.bodyMemory.reserved.Load() }
 
 // Table returns the configuration in force at this router, or nil if there is none yet.
 func (g *Gateway) Table() *routetable.Table { return g.table.Load() }
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -22,16 +22,18 @@
 // request is the state of one client request while it is served. Only the goroutine that serves it accesses it, with the
 // exception described at stallWatchdog.
 type request struct {
-	id       string
-	body     []byte
-	route    *routetable.CompiledRoute
-	tenant   *routetable.Tenant // nil: a request without a tenant
-	service  string
-	units    float64 // charged to the tenant's quota
-	times    requestTimes
-	attempts attemptState
-	response responseState
-	trace    latency.Trace
+	id   string
+	body []byte
+	// reservedBytes is the memory that is reserved for the body.
+	reservedBytes int64
+	route         *routetable.CompiledRoute
+	tenant        *routetable.Tenant // nil: a request without a tenant
+	service       string
+	units         float64 // charged to the tenant's quota
+	times         requestTimes
+	attempts      attemptState
+	response      responseState
+	trace         latency.Trace
 
 	placement placement.Request
 }
@@ -65,10 +67,10 @@
 	}
 	req := &request{id: r.Header.Get("X-Request-Id"), times: requestTimes{received: time.Now()}}
 	defer g.recordOutcome(r, req)
+	defer func() { g.bodyMemory.release(req.reservedBytes) }()
 	if !g.readBody(w, r, req) {
 		return
 	}
-	defer g.bufferedBytes.Add(-int64(len(req.body)))
 	req.times.startupDeadline = startupDeadline(r, req.times.received)
 	g.waitForStartup(r.Context(), req.times.startupDeadline, func() bool { return g.table.Load() != nil })
 	table := g.table.Load()
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -44,8 +44,8 @@
 	pruneInterval = 2 * time.Second
 	// forgetInterval is the time between two removals of deregistered and lost servers from the registry, and of tombstones.
 	forgetInterval = 5 * time.Second
-	// bodyMemoryDivisor limits the bodies of client requests to a fraction of the machine's memory: all of them together
-	// may take 1/bodyMemoryDivisor of it.
+	// bodyMemoryDivisor limits the bodies of client requests and buffered responses to a fraction of the machine's memory: all of
+	// them together may take 1/bodyMemoryDivisor of it. Until the garbage collector runs, they take as much again.
 	bodyMemoryDivisor = 4
 )
 
