Responses count against the memory for bodies; one that does not fit is passed on

The same cause as that of the uploads: a response that is no stream was buffered whole, up to 16 MiB, and counted nowhere, so that a tenant with many large responses at a time takes a router over MemoryMb.

A response reserves memory of the same budget as it arrives. Where none is left, and above 16 MiB, it is passed on as it arrives: its server may have run the request, which must not be rejected then. Truncated, it does not look complete, and no other server is tried.

--- a/internal/router/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/latency"
 	"petrelhook/internal/router/placement"
+	"petrelhook/internal/router/routetable"
 )
 
 // outcome is the result of one attempt.
@@ -91,6 +92,9 @@
 	if result != notExecuted && !req.route.Idempotent() {
 		return false
 	}
+	if result == brokenMidStream && req.route.Kind != routetable.Streaming {
+		return false // the client has a part of a response, which no other server can complete
+	}
 	if req.attempts.retryAcquired {
 		req.attempts.retryAcquired = false
 		g.Counters.Migrated.Add(1)
--- a/internal/router/gateway/body.go
+++ b/internal/router/gateway/body.go
@@ -69,7 +69,8 @@
 }
 
 // readComplete reads a whole body and adds the memory that it reserves to reservedBytes, also where it fails. A body of known length
-// takes one allocation; the buffer of any other is doubled, and old and new buffers count together while one is copied.
+// takes one allocation; the buffer of any other is doubled, and old and new buffers count together while one is copied. With
+// errNoBodyMemory it returns what it has read.
 func (g *Gateway) readComplete(source io.Reader, length int64, reservedBytes *int64) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
@@ -87,7 +88,7 @@
 		if len(body) == cap(body) {
 			larger := max(firstBodyBuffer, 2*cap(body))
 			if !g.reserveBody(int64(larger), int64(larger), reservedBytes) {
-				return nil, errNoBodyMemory
+				return body, errNoBodyMemory
 			}
 			smaller := int64(cap(body))
 			body = append(make([]byte, 0, larger), body...)
--- a/internal/router/gateway/body_memory_test.go
+++ b/internal/router/gateway/body_memory_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -77,3 +80,40 @@
 	require.True(t, m.reserve(60<<10, 60<<10))
 	require.Equal(t, int64(760<<10), m.reserved.Load())
 }
+
+// responseBytes is the size of a response for which the memory of these tests does not suffice.
+const responseBytes = 100_000
+
+// addLargeServer adds a server that announces a response of responseBytes and sends a part of it. It returns the number of its calls.
+func (r *rig) addLargeServer(sent int) *atomic.Int64 {
+	var calls atomic.Int64
+	r.addServer(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set("X-Request-Id", "id1")
+		w.Header().Set("Content-Length", strconv.Itoa(responseBytes))
+		_, _ = io.WriteString(w, strings.Repeat("x", sent)) // the client may have disconnected
+	})
+	return &calls
+}
+
+func TestAResponseForWhichNoMemoryIsLeftIsPassedOn(t *testing.T) {
+	r := newRig(t)
+	r.addLargeServer(responseBytes)
+	r.gateway.bodyMemory.limit = 2000
+	response, text, err := r.do("/unsafe/")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, text, responseBytes)
+	r.waitReserved(0)
+}
+
+func TestATruncatedResponseThatIsPassedOnLooksTruncated(t *testing.T) {
+	r := newRig(t)
+	calls := r.addLargeServer(responseBytes / 2)
+	otherCalls := r.addLargeServer(responseBytes / 2)
+	r.gateway.bodyMemory.limit = 2000
+	_, _, err := r.do("/safe/")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, int64(1), calls.Load()+otherCalls.Load(), "no other server can complete it")
+	r.waitReserved(0)
+}
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/eventstream"
 	"petrelhook/internal/router/placement"
@@ -15,8 +17,9 @@
 )
 
 const (
-	maxResponseBytes = 16 << 20 // of a response that is not a stream
-	maxDrainBytes    = 64 << 10 // of a response that is discarded so that its connection can be reused
+	maxBufferedResponse = 16 << 20 // bytes of a response that is not a stream; a longer one is passed on as it arrives
+	maxDrainBytes       = 64 << 10 // of a response that is discarded so that its connection can be reused
+	unknownLength       = -1       // of a response, whose buffer grows with what arrives
 )
 
 // upstreamResponse is a server's response that is being relayed.
@@ -41,10 +44,15 @@
 	return g.relayComplete(ctx, w, req, upstream.Response)
 }
 
-// relayComplete responds only once the complete body has been read, so that a truncated response never looks complete.
+// relayComplete responds only once the complete body has been read, so that a truncated response never looks complete and the request
+// may still be retried. A response for which no memory is left is passed on as it arrives: its server may have run the request, which
+// therefore must not be rejected.
 func (g *Gateway) relayComplete(ctx context.Context, w http.ResponseWriter, req *request, resp *backend.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes))
-	if err != nil || len(body) == maxResponseBytes {
+	body, err := g.readComplete(io.LimitReader(resp, maxBufferedResponse), unknownLength, &req.reservedBytes)
+	if errors.Is(err, errNoBodyMemory) || len(body) == maxBufferedResponse {
+		return req.relayLarge(ctx, w, resp, body)
+	}
+	if err != nil {
 		if ctx.Err() != nil {
 			return abandoned
 		}
@@ -58,6 +66,48 @@
 	return completed
 }
 
+// relayLarge passes on a response of which a part has been read. The connection to the client is aborted if the rest does not come: the
+// response does not look complete then, because it has a length or is sent in chunks. A client that can have neither gets no part of it.
+func (r *request) relayLarge(ctx context.Context, w http.ResponseWriter, resp *backend.Response, start []byte) outcome {
+	length := resp.Header.Get("Content-Length")
+	if length == "" && !r.acceptsChunks {
+		return mayHaveRun
+	}
+	r.recordFirstByte(resp.DialTime)
+	copyHeader(w, resp)
+	if length != "" {
+		w.Header().Set("Content-Length", length)
+	}
+	w.WriteHeader(resp.Status)
+	r.response.headerSent = true
+	if _, err := w.Write(start); err != nil {
+		return abandoned // the client has disconnected
+	}
+	source := &errorRecorder{source: resp}
+	if _, err := io.Copy(w, source); err == nil {
+		return completed
+	}
+	if source.err == nil || ctx.Err() != nil {
+		return abandoned // the client has disconnected, or its deadline has passed
+	}
+	return brokenMidStream
+}
+
+// errorRecorder is a reader that tells an error of its source from one of the writer that its content is copied to.
+type errorRecorder struct {
+	source io.Reader
+	err    error // of the source; nil at its end
+}
+
+// Read implements io.Reader.
+func (r *errorRecorder) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // the plain io.EOF alone is the end of a complete answer; one that wraps it was cut off
+		r.err = err
+	}
+	return n, err
+}
+
 // relayStream forwards complete events as they arrive. The header is sent with the first event: if the server fails before that,
 // the client has no part of a response, and the request can be retried at another server.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -24,8 +24,9 @@
 type request struct {
 	id   string
 	body []byte
-	// reservedBytes is the memory that is reserved for the body.
+	// reservedBytes is the memory that is reserved for the bodies of the request and its response.
 	reservedBytes int64
+	acceptsChunks bool // the client speaks HTTP/1.1
 	route         *routetable.CompiledRoute
 	tenant        *routetable.Tenant // nil: a request without a tenant
 	service       string
@@ -65,7 +66,7 @@
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{id: r.Header.Get("X-Request-Id"), times: requestTimes{received: time.Now()}}
+	req := &request{id: r.Header.Get("X-Request-Id"), acceptsChunks: r.ProtoAtLeast(1, 1), times: requestTimes{received: time.Now()}}
 	defer g.recordOutcome(r, req)
 	defer func() { g.bodyMemory.release(req.reservedBytes) }()
 	if !g.readBody(w, r, req) {
