--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -28,6 +28,11 @@
 // TestMain runs the tests, or a router if the test binary was started as one by machine.start.
 func TestMain(m *testing.M) {
 	if os.Getenv(roleVariable) != "" {
+		if limits := os.Getenv(limitsVariable); limits != "" {
+			if err := setLimits(limits); err != nil {
+				panic(err)
+			}
+		}
 		os.Exit(runProcess([]string{"petrelhook-router", "router"}, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
--- /dev/null
+++ b/cmd/petrelhook-router/start_soak_test.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/process"
+	"petrelhook/internal/router/storage"
+)
+
+// The seeds of TestStartSoak. By hand: go test ./cmd/petrelhook-router -run TestStartSoak -startsoak.count 500 -parallel 16
+var (
+	startSoakFirst = flag.Uint64("startsoak.first", 1, "the first seed of TestStartSoak")
+	startSoakCount = flag.Uint64("startsoak.count", 24, "the number of seeds of TestStartSoak")
+)
+
+// limitsVariable is set in the environment of a router that begins with resource limits: of descriptors and of bytes in a file, with a comma
+// between them. -1 is no limit.
+const limitsVariable = "PETRELROUTER_TEST_LIMITS"
+
+// The schedule of a seed. All times count from the start of a process.
+const (
+	startsPerSeed     = 4
+	longestCondition  = 400 * time.Millisecond
+	longestUntilKill  = 60 * time.Millisecond
+	longestStop       = 100 * time.Millisecond
+	scarceDescriptors = 24
+	noFileBytes       = 0
+	noLimit           = -1
+	maxConditions     = 3
+	maxSignals        = 5
+	startsPerEarlyEnd = 4 // one of so many starts is ended early
+)
+
+// setLimits sets the resource limits of this process that its environment asks for. They can be raised again.
+func setLimits(text string) error {
+	descriptors, fileBytes, _ := strings.Cut(text, ",")
+	for resource, value := range map[int]string{unix.RLIMIT_NOFILE: descriptors, unix.RLIMIT_FSIZE: fileBytes} {
+		limit, err := strconv.Atoi(value)
+		if err != nil {
+			return err
+		}
+		if limit == noLimit {
+			continue
+		}
+		var current unix.Rlimit
+		if err := unix.Getrlimit(resource, &current); err != nil {
+			return err
+		}
+		current.Cur = uint64(limit)
+		if err := unix.Setrlimit(resource, &current); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startSoak is one seed: a machine whose process starts several times, each time under other conditions.
+type startSoak struct {
+	*fleet
+	*machine
+	t      *testing.T // of the fleet and of the machine
+	random *rand.Rand
+	trace  []string // what was done, for a seed that fails
+	mutex  sync.Mutex
+}
+
+// A router starts several times on the same disk. Meanwhile addresses are in use, the disk is locked, missing or full, descriptors are scarce, the log
+// is not read, signals come in series, and some processes are killed. A process serves once the conditions have passed, and ends by a signal
+// alone.
+func TestStartSoak(t *testing.T) {
+	for seed := *startSoakFirst; seed < *startSoakFirst+*startSoakCount; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			f, m := newStoppedMachine(t, fmt.Sprintf("127.11.%d", seed%250))
+			s := &startSoak{fleet: f, machine: m, t: t, random: rand.New(rand.NewPCG(seed, 3))}
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("play it again with -startsoak.first %d -startsoak.count 1:\n%s", seed, strings.Join(s.trace, "\n"))
+				}
+			})
+			for i := range startsPerSeed {
+				s.playStart(i)
+			}
+		})
+	}
+}
+
+// note records what is done.
+func (s *startSoak) note(format string, args ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.trace = append(s.trace, fmt.Sprintf(format, args...))
+}
+
+// within returns a random duration.
+func (s *startSoak) within(longest time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(longest)))
+}
+
+// condition is a condition of the machine that passes: end ends it.
+type condition struct {
+	name string
+	end  func()
+}
+
+// startConditions are the conditions under which a process starts.
+type startConditions struct {
+	passing         []condition
+	descriptors     int // limits with which it begins
+	fileBytes       int
+	logIsUnwritable bool
+}
+
+// drawConditions draws the conditions of a start, and begins them.
+func (s *startSoak) drawConditions() startConditions {
+	c := startConditions{descriptors: noLimit, fileBytes: noLimit}
+	add := func(passing condition) { c.passing = append(c.passing, passing) }
+	kinds := []func(){
+		func() { add(s.raiseLater("no descriptors", unix.RLIMIT_NOFILE)); c.descriptors = scarceDescriptors },
+		func() {
+			add(s.raiseLater("a full disk", unix.RLIMIT_FSIZE))
+			c.fileBytes, c.logIsUnwritable = noFileBytes, true
+		},
+		func() { add(s.lockOrHideDisk()) },
+	}
+	for port := range s.ports {
+		kinds = append(kinds, func() { add(s.useAddress(s.address(s.ip, port))) })
+	}
+	s.random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	for _, begin := range kinds[:s.random.IntN(maxConditions+1)] {
+		begin()
+	}
+	return c
+}
+
+// playStart starts the process under some conditions, and ends them.
+func (s *startSoak) playStart(number int) {
+	conditions := s.drawConditions()
+	cmd := s.command()
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", limitsVariable, conditions.descriptors, conditions.fileBytes))
+	for _, c := range conditions.passing {
+		s.note("start %d: %s", number, c.name)
+	}
+	s.process = process.Start(s.t, cmd)
+	if s.random.IntN(startsPerEarlyEnd) == 0 {
+		s.endEarly(conditions.passing)
+		return
+	}
+	if !conditions.logIsUnwritable {
+		s.sendSignals()
+	}
+	s.random.Shuffle(len(conditions.passing), func(i, j int) {
+		conditions.passing[i], conditions.passing[j] = conditions.passing[j], conditions.passing[i]
+	})
+	for _, c := range conditions.passing {
+		wait(s.t.Context(), s.within(longestCondition))
+		s.note("ends: %s", c.name)
+		c.end()
+	}
+	s.checkServes()
+	s.endServing()
+}
+
+// endEarly ends the process at a random moment of its start, and then the conditions.
+func (s *startSoak) endEarly(conditions []condition) {
+	signal := syscall.SIGKILL
+	if s.random.IntN(2) == 0 {
+		signal = syscall.SIGTERM
+	}
+	wait(s.t.Context(), s.within(longestUntilKill))
+	s.note("%v during the start", signal)
+	require.NoError(s.t, s.process.Signal(signal))
+	_ = peertest.Wait(s.t, s.process.Ended) // by the signal, or with exit code 0
+	for _, c := range conditions {
+		c.end()
+	}
+}
+
+// sendSignals sends signals that must not end the process, once it has logged its start.
+func (s *startSoak) sendSignals() {
+	signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGPIPE, syscall.SIGSTOP}
+	s.waitLogged("router starts")
+	for range s.random.IntN(maxSignals + 1) {
+		signal := signals[s.random.IntN(len(signals))]
+		s.note("%v", signal)
+		require.NoError(s.t, s.process.Signal(signal))
+		if signal == syscall.SIGSTOP {
+			wait(s.t.Context(), s.within(longestStop))
+			require.NoError(s.t, s.process.Signal(syscall.SIGCONT))
+		}
+	}
+}
+
+// checkServes checks that the process answers on all its addresses.
+func (s *startSoak) checkServes() {
+	s.t.Helper()
+	for port := range s.ports {
+		peertest.Eventually(s.t, fmt.Sprint("port ", port, " accepts connections"), func() bool {
+			require.Empty(s.t, s.process.Ended, "the process has ended")
+			conn, err := net.Dial("tcp", s.address(s.ip, port))
+			return err == nil && conn.Close() == nil
+		})
+	}
+	s.waitAnswering(s.machine)
+	require.Empty(s.t, s.process.Ended, "the process has ended")
+}
+
+// endServing ends a process that serves.
+func (s *startSoak) endServing() {
+	if s.random.IntN(2) == 0 {
+		s.note("SIGKILL")
+		s.process.KillAndWait()
+		return
+	}
+	s.note("SIGTERM, then SIGHUP")
+	require.NoError(s.t, s.process.Signal(syscall.SIGTERM))
+	require.NoError(s.t, s.process.Signal(syscall.SIGHUP))
+	require.NoError(s.t, peertest.Wait(s.t, s.process.Ended))
+}
+
+// useAddress uses an address for an outgoing connection or for a listener.
+func (s *startSoak) useAddress(address string) condition {
+	if s.random.IntN(2) == 0 {
+		if user, ok := s.dialFrom(address); ok {
+			return condition{name: "a connection uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
+		}
+	}
+	user, err := net.Listen("tcp", address)
+	require.NoError(s.t, err)
+	return condition{name: "a listener uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
+}
+
+// dialFrom opens a connection from an address. ok is false where a connection of an earlier start is in TIME_WAIT.
+func (s *startSoak) dialFrom(address string) (user net.Conn, ok bool) {
+	peer, err := net.Listen("tcp", net.JoinHostPort(strings.TrimSuffix(s.ip, ".1")+".99", "0"))
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = peer.Close() }) // it only keeps the connection open
+	local, err := net.ResolveTCPAddr("tcp", address)
+	require.NoError(s.t, err)
+	user, err = (&net.Dialer{LocalAddr: local}).Dial("tcp", peer.Addr().String())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return nil, false
+	}
+	require.NoError(s.t, err)
+	require.NoError(s.t, user.(*net.TCPConn).SetLinger(0)) // its reset leaves no TIME_WAIT
+	return user, true
+}
+
+// raiseLater returns the condition of a limit with which the process begins.
+func (s *startSoak) raiseLater(name string, resource int) condition {
+	var own unix.Rlimit
+	require.NoError(s.t, unix.Getrlimit(resource, &own))
+	return condition{name: name, end: func() {
+		err := unix.Prlimit(s.process.Pid, resource, &own, nil)
+		if err != nil {
+			require.ErrorIs(s.t, err, unix.ESRCH) // it was killed
+		}
+	}}
+}
+
+// lockOrHideDisk opens the disk as a predecessor does, or replaces its folder by a file.
+func (s *startSoak) lockOrHideDisk() condition {
+	if s.random.IntN(2) == 0 {
+		return s.hideFolder()
+	}
+	disk, _, err := storage.Open(s.dataDir(), s.ip, true)
+	require.NoError(s.t, err)
+	return condition{name: "the disk is locked", end: func() { require.NoError(s.t, disk.Close()) }}
+}
+
+// hideFolder replaces the folder by a file.
+func (s *startSoak) hideFolder() condition {
+	hidden := filepath.Join(filepath.Dir(s.dataDir()), "hidden")
+	require.NoError(s.t, os.MkdirAll(s.dataDir(), 0o755))
+	require.NoError(s.t, os.Rename(s.dataDir(), hidden))
+	require.NoError(s.t, os.WriteFile(s.dataDir(), nil, 0o600))
+	return condition{name: "a file in place of the folder", end: func() {
+		require.NoError(s.t, os.Remove(s.dataDir()))
+		require.NoError(s.t, os.Rename(hidden, s.dataDir()))
+	}}
+}
