A damaged replica.db never becomes another state: values have checksums

bbolt has checksums of its two meta pages alone: a changed byte in a value, or a page that lost its last element, became a state that was never saved, with which a core member would vote and answer. Found while searching for the cause of the damaged file elsewhere.

A recorded disk of the new form is in testdata/.

TestDamageIsReported demands that a damaged file that opens has the state after the last save or before it. TestADiskThatAnEarlierVersionWroteToIsRead, TestAnEarlierVersionReadsAValueWithAChecksum.

--- a/internal/router/storage/create.go
+++ b/internal/router/storage/create.go
@@ -52,7 +52,7 @@
 		if err := meta.Put(keyID, []byte(identity)); err != nil {
 			return err
 		}
-		return putGob(meta, keyHard, replication.HardState{Genesis: genesis})
+		return putHard(tx, replication.HardState{Genesis: genesis})
 	})
 	if closeErr := database.Close(); err == nil {
 		err = closeErr
--- a/internal/router/storage/damage_test.go
+++ b/internal/router/storage/damage_test.go
@@ -85,19 +85,42 @@
 	return content
 }
 
-// A panic or a fault in a goroutine of bbolt would end this process.
+// withoutNewestMeta returns a content of which the newest meta page is damaged: it has the state before the last save.
+func withoutNewestMeta(t testing.TB, content []byte) []byte {
+	t.Helper()
+	const pageBytes = 4096
+	newest, err := currentMeta(content)
+	require.NoError(t, err)
+	content = bytes.Clone(content)
+	for _, start := range []uint64{0, pageBytes} {
+		if m, _ := readMeta(content, start); m == newest {
+			clear(content[start : start+pageBytes])
+		}
+	}
+	return content
+}
+
+// Damage shows as an error, or as the state after the last save or before it. A panic or a fault in a goroutine of bbolt would end this
+// process.
 func TestDamageIsReported(t *testing.T) {
 	opened, reported := 0, 0
 	var content []byte
+	var states []*replication.PersistedState // after the last save, and before it
 	for seed := range *damageCount {
 		random := rand.New(rand.NewPCG(seed, 0))
 		if seed%100 == 0 {
 			content = fileWithSaves(t, random)
 		}
+		if seed%100 == 0 {
+			states = []*replication.PersistedState{stateOf(t, content), stateOf(t, withoutNewestMeta(t, content))}
+		}
 		damagedContent := damage(random, content)
 		path := filepath.Join(process.DataDir(t), fileName)
 		require.NoError(t, os.WriteFile(path, damagedContent, 0o600))
-		d, _, err := Open(filepath.Dir(path), "10.0.0.1:7000", false)
+		d, state, err := Open(filepath.Dir(path), "10.0.0.1:7000", false)
+		if err == nil {
+			require.Contains(t, states, state, "seed %d: the state is neither the last one nor the one before", seed)
+		}
 		if err != nil {
 			if !errors.Is(err, ErrDamaged) {
 				require.ErrorIs(t, err, ErrNoIdentity, "seed %d", seed)
--- a/internal/router/storage/recorded_test.go
+++ b/internal/router/storage/recorded_test.go
@@ -18,9 +18,19 @@
 // created.
 const recordedFolder = "testdata/cfdfdec"
 
+// checksumsFolder holds the same state as the first revision with checksums wrote it.
+const checksumsFolder = "testdata/50f73710"
+
 // A disk that an earlier version wrote is read, and further entries are added to it, without losing anything.
 func TestRecordedDiskIsRead(t *testing.T) {
-	database, err := os.ReadFile(filepath.Join(recordedFolder, fileName))
+	for _, recorded := range []string{recordedFolder, checksumsFolder} {
+		t.Run(recorded, func(t *testing.T) { checkRecordedDisk(t, recorded) })
+	}
+}
+
+func checkRecordedDisk(t *testing.T, recorded string) {
+	t.Helper()
+	database, err := os.ReadFile(filepath.Join(recorded, fileName))
 	require.NoError(t, err)
 	folder := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(folder, fileName), database, 0o600))
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -15,6 +15,7 @@
 package storage
 
 import (
+	"bytes"
 	"encoding/binary"
 	"os"
 	"path/filepath"
@@ -53,8 +54,8 @@
 // Disk is the open state of a replica. Its methods may be called by one goroutine at a time.
 type Disk struct {
 	database         *bbolt.DB
-	snapshotRequired bool  // the last save failed
-	damage           error // found in a save: nothing is written any more
+	snapshotRequired bool // the last save failed
+	damaged          bool // found in a save: nothing is written any more
 }
 
 // Open opens the state in a folder, or creates an empty state: address becomes part of the replica's identity, and genesis
@@ -136,22 +137,26 @@
 	state := &replication.PersistedState{}
 	err := d.database.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
-		if meta == nil || meta.Get(keyID) == nil {
+		if meta == nil || meta.Get(keyID) == nil || tx.Bucket(bucketEntries) == nil {
 			return ErrNoIdentity
 		}
 		state.ID = string(meta.Get(keyID))
-		if err := decodeGob(meta.Get(keyHard), &state.Hard); err != nil {
-			return damaged("hard state: %v", err)
+		stored, hasChecksum, err := decodeGob(keyHard, meta.Get(keyHard), &state.Hard)
+		if err != nil {
+			return err
+		}
+		if hasChecksum && !bytes.Equal(stored, digest(tx)) {
+			return damaged("the state is not complete")
 		}
 		if encoded := meta.Get(keySnapshot); encoded != nil {
-			if err := decodeGob(encoded, &state.Snapshot); err != nil {
-				return damaged("snapshot: %v", err)
+			if _, _, err := decodeGob(keySnapshot, encoded, &state.Snapshot); err != nil {
+				return err
 			}
 		}
 		return tx.Bucket(bucketEntries).ForEach(func(key, encoded []byte) error {
 			var e replication.Entry
-			if err := decodeGob(encoded, &e); err != nil {
-				return damaged("entry %x: %v", key, err)
+			if _, _, err := decodeGob(key, encoded, &e); err != nil {
+				return err
 			}
 			state.Entries = append(state.Entries, e)
 			return nil
@@ -186,8 +191,8 @@
 
 // update writes saves in one transaction.
 func (d *Disk) update(saves []replication.Save) error {
-	if d.damage != nil {
-		return d.damage
+	if d.damaged {
+		return ErrDamaged
 	}
 	err := guard(func() error {
 		return d.database.Update(func(tx *bbolt.Tx) error {
@@ -196,20 +201,20 @@
 					return err
 				}
 			}
-			return nil
+			return putHard(tx, saves[len(saves)-1].Hard)
 		})
 	})
-	if errors.Is(err, ErrDamaged) {
-		d.damage = err
-	}
+	d.damaged = errors.Is(err, ErrDamaged)
 	return err
 }
 
+// putHard stores the hard state with the digest of everything else. It is the last step of a transaction.
+func putHard(tx *bbolt.Tx, hard replication.HardState) error {
+	return putGob(tx.Bucket(bucketMeta), keyHard, hard, digest(tx)...)
+}
+
+// write stores the snapshot or the entry of a save.
 func write(tx *bbolt.Tx, s *replication.Save) error {
-	meta := tx.Bucket(bucketMeta)
-	if err := putGob(meta, keyHard, s.Hard); err != nil {
-		return err
-	}
 	switch {
 	case s.Snapshot != nil:
 		if err := tx.DeleteBucket(bucketEntries); err != nil {
@@ -218,7 +223,7 @@
 		if _, err := tx.CreateBucket(bucketEntries); err != nil {
 			return err
 		}
-		return putGob(meta, keySnapshot, s.Snapshot)
+		return putGob(tx.Bucket(bucketMeta), keySnapshot, s.Snapshot)
 	case s.Entry != nil:
 		return putGob(tx.Bucket(bucketEntries), entryKey(s.Entry), s.Entry)
 	}
@@ -233,7 +238,7 @@
 // Close closes the file. All saves for which Save returned nil are already on the disk. A damaged file is closed with the process,
 // because locks of the database may still be held.
 func (d *Disk) Close() error {
-	if d.damage != nil {
+	if d.damaged {
 		return nil
 	}
 	return d.database.Close()
--- a/internal/router/storage/storage_test.go
+++ b/internal/router/storage/storage_test.go
@@ -1,11 +1,14 @@
 package storage
 
 import (
+	"bytes"
+	"encoding/gob"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.etcd.io/bbolt"
 
 	"petrelhook/internal/router/replication"
 )
@@ -131,3 +134,52 @@
 	_, err = ReadCache(folder, "servers")
 	require.ErrorIs(t, err, ErrCacheDamaged)
 }
+
+// writeAsEarlierVersion stores a value as versions before checksums did.
+func writeAsEarlierVersion(t *testing.T, d *Disk, bucket, key []byte, value any) {
+	t.Helper()
+	require.NoError(t, d.database.Update(func(tx *bbolt.Tx) error {
+		var encoded bytes.Buffer
+		if err := gob.NewEncoder(&encoded).Encode(value); err != nil {
+			return err
+		}
+		return tx.Bucket(bucket).Put(key, encoded.Bytes())
+	}))
+}
+
+// An earlier version may write to a disk between two saves of this one, in an upgrade that is taken back and repeated.
+func TestADiskThatAnEarlierVersionWroteToIsRead(t *testing.T) {
+	folder := t.TempDir()
+	d, _, err := Open(folder, "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	entry := func(n uint64) *replication.Entry {
+		return &replication.Entry{Position: position(n), Data: []byte{byte(n)}}
+	}
+	require.NoError(t, d.Save(replication.Save{Entry: entry(1)}))
+	writeAsEarlierVersion(t, d, bucketEntries, entryKey(entry(2)), entry(2))
+	writeAsEarlierVersion(t, d, bucketMeta, keyHard, replication.HardState{Promised: replication.Epoch{Round: 4, Node: "b"}})
+	require.NoError(t, d.Close())
+	d, state, err := Open(folder, "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	require.Len(t, state.Entries, 2)
+	require.Equal(t, uint64(4), state.Hard.Promised.Round)
+	require.NoError(t, d.Save(replication.Save{Hard: state.Hard, Entry: entry(3)}))
+	require.NoError(t, d.Close())
+	state, err = Inspect(folder)
+	require.NoError(t, err)
+	require.Len(t, state.Entries, 3)
+}
+
+func TestAnEarlierVersionReadsAValueWithAChecksum(t *testing.T) {
+	d, _, err := Open(t.TempDir(), "10.0.0.1:7000", true)
+	require.NoError(t, err)
+	defer d.Close()
+	hard := replication.HardState{Promised: replication.Epoch{Round: 4, Node: "b"}}
+	require.NoError(t, d.Save(replication.Save{Hard: hard}))
+	require.NoError(t, d.database.View(func(tx *bbolt.Tx) error {
+		var read replication.HardState
+		require.NoError(t, gob.NewDecoder(bytes.NewReader(tx.Bucket(bucketMeta).Get(keyHard))).Decode(&read))
+		require.Equal(t, hard, read)
+		return nil
+	}))
+}
