A panic in a request leaves no lock of the router locked

net/http recovers the panic of a request and serves on. Where it came while the gateway's or the node's lock was held without a deferred release, every later request, message and tick would have waited for ever: a process that is alive and serves nobody. No panic is known; it was found by reading for what a recovered panic leaves behind.

Code on requests' goroutines holds locks in functions that release them with defer.

--- a/cmd/petrelhook-router/start_soak_test.go
+++ b/cmd/petrelhook-router/start_soak_test.go
@@ -279,8 +279,16 @@
 	if s.random.IntN(2) == 0 {
 		return s.hideFolder()
 	}
-	disk, _, err := storage.Open(s.dataDir(), s.ip, true)
-	require.NoError(s.t, err)
+	var disk *storage.Disk
+	// A process that a parallel seed forks holds the lock of an earlier start until it executes its program.
+	peertest.Eventually(s.t, "the disk can be locked", func() (ok bool) {
+		var err error
+		disk, _, err = storage.Open(s.dataDir(), s.ip, true)
+		if !errors.Is(err, storage.ErrLocked) {
+			require.NoError(s.t, err)
+		}
+		return err == nil
+	})
 	return condition{name: "the disk is locked", end: func() { require.NoError(s.t, disk.Close()) }}
 }
 
--- a/internal/router/gateway/account.go
+++ b/internal/router/gateway/account.go
@@ -43,9 +43,7 @@
 		req.trace.FailureReason = latency.ClientGone
 	}
 	reason := req.trace.Reason(req.route.TargetLatency, req.route.TargetGap)
-	g.mutex.Lock()
-	g.totals.Add(req.route.Name, &req.trace, reason)
-	g.mutex.Unlock()
+	g.withLock(func() { g.totals.Add(req.route.Name, &req.trace, reason) })
 	if reason != latency.InTime && g.options.OnTargetMissed != nil {
 		g.options.OnTargetMissed(req.route.Name, &req.trace, reason)
 	}
--- a/internal/router/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -117,9 +117,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !req.attempts.mayHaveRun && req.tenant != nil {
-		g.mutex.Lock()
-		g.quota.Refund(req.tenant.Name, req.units, g.options.Now())
-		g.mutex.Unlock()
+		g.withLock(func() { g.quota.Refund(req.tenant.Name, req.units, g.options.Now()) })
 	}
 	switch {
 	case !req.attempts.mayHaveRun:
--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -118,6 +118,14 @@
 // BufferedBytes returns the memory that is reserved for the bodies of all requests in progress.
 func (g *Gateway) BufferedBytes() int64 { return g.bodyMemory.reserved.Load() }
 
+// withLock calls a function with the lock held. It releases the lock also where the function panics, because net/http recovers the panics of
+// requests: a lock that stays locked would stop all others.
+func (g *Gateway) withLock(call func()) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	call()
+}
+
 // Table returns the configuration in force at this router, or nil if there is none yet.
 func (g *Gateway) Table() *routetable.Table { return g.table.Load() }
 
--- a/internal/router/gateway/gateway_test.go
+++ b/internal/router/gateway/gateway_test.go
@@ -86,9 +86,8 @@
 	r.servers++
 }
 
-// do sends a request with a path and with pairs of header names and values. It returns the response, its body and the error of
-// reading the body.
-func (r *rig) do(path string, header ...string) (*http.Response, string, error) {
+// newRequest returns a request with a path and with pairs of header names and values.
+func (r *rig) newRequest(path string, header ...string) *http.Request {
 	r.t.Helper()
 	request, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader("body"))
 	require.NoError(r.t, err)
@@ -99,7 +98,14 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	return request
+}
+
+// do sends a request with a path and with pairs of header names and values. It returns the response, its body and the error of
+// reading the body.
+func (r *rig) do(path string, header ...string) (*http.Response, string, error) {
+	r.t.Helper()
+	response, err := http.DefaultClient.Do(r.newRequest(path, header...))
 	require.NoError(r.t, err)
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
--- a/internal/router/gateway/health_signal.go
+++ b/internal/router/gateway/health_signal.go
@@ -115,7 +115,5 @@
 
 // recordLoad records the load that a server reported with a response.
 func (g *Gateway) recordLoad(server *placement.Server, load serverLoad) {
-	g.mutex.Lock()
-	server.ReportLoad(load.running, load.waiting, load.slots, g.options.Now())
-	g.mutex.Unlock()
+	g.withLock(func() { server.ReportLoad(load.running, load.waiting, load.slots, g.options.Now()) })
 }
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -125,18 +125,17 @@
 	if req.tenant != nil && !g.admitByQuota(w, r, req) {
 		return false
 	}
-	g.mutex.Lock()
-	req.service = g.chooseService(req.route)
-	g.retryBudget.RecordRequest(req.service, g.options.Now())
-	g.mutex.Unlock()
+	g.withLock(func() {
+		req.service = g.chooseService(req.route)
+		g.retryBudget.RecordRequest(req.service, g.options.Now())
+	})
 	return true
 }
 
 // admitByQuota reserves the request's units of its tenant's quota. It returns false after it has rejected the request.
 func (g *Gateway) admitByQuota(w http.ResponseWriter, r *http.Request, req *request) bool {
-	g.mutex.Lock()
-	late := g.overLimitAndLate(r, req)
-	g.mutex.Unlock()
+	var late bool
+	g.withLock(func() { late = g.overLimitAndLate(r, req) })
 	if late {
 		req.trace.FailureReason = latency.RefusedLimit
 		g.reject(w, http.StatusTooManyRequests, defaultRetryAfter, "over the tenant's quota, and late")
@@ -158,9 +157,9 @@
 // after which the client should retry; 0 if that is not known.
 func (g *Gateway) reserveQuota(ctx context.Context, req *request) (ok bool, wait time.Duration) {
 	name := req.tenant.Name
-	g.mutex.Lock()
-	verdict, extra := g.quota.Reserve(name, req.units, g.options.Now())
-	g.mutex.Unlock()
+	var verdict quota.Verdict
+	var extra float64
+	g.withLock(func() { verdict, extra = g.quota.Reserve(name, req.units, g.options.Now()) })
 	if verdict != quota.NeedsPrimary {
 		return verdict == quota.Granted, 0
 	}
--- a/internal/router/node/core.go
+++ b/internal/router/node/core.go
@@ -147,13 +147,14 @@
 // request under the number that the replica's answer will carry. If no decision comes within timeout, the returned status
 // is 503 and it is unknown whether the request was accepted. decide is called without the lock, and acquires it.
 func (n *Node) decide(timeout time.Duration, propose func(request uint64)) replication.Decision {
-	n.mutex.Lock()
-	request := n.nextRequest()
-	decision := n.control.decisions.add(request)
-	propose(request)
-	n.performEffects()
-	n.apply()
-	n.mutex.Unlock()
+	var decision pendingReply[replication.Decision]
+	n.withLock(func() {
+		request := n.nextRequest()
+		decision = n.control.decisions.add(request)
+		propose(request)
+		n.performEffects()
+		n.apply()
+	})
 	if d, ok := decision.await(context.Background(), &n.mutex, timeout, nil); ok {
 		return d
 	}
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -114,6 +114,14 @@
 	return n
 }
 
+// withLock calls a function with the lock held. It releases the lock also where the function panics, because net/http recovers the panics of
+// calls: a lock that stays locked would stop the router.
+func (n *Node) withLock(call func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	call()
+}
+
 // now returns the time since the start of the service on the monotonic clock. It needs no lock.
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
--- a/internal/router/node/operator_http.go
+++ b/internal/router/node/operator_http.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"petrelhook/internal/router/operatorapi"
+	"petrelhook/internal/router/routetable"
 )
 
 const (
@@ -79,9 +80,8 @@
 		http.Error(w, d.Reason, d.Status)
 		return
 	}
-	n.mutex.Lock()
-	config := n.subscription.versions.Config()
-	n.mutex.Unlock()
+	var config *routetable.Config
+	n.withLock(func() { config = n.subscription.versions.Config() })
 	if config == nil {
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 		return
@@ -95,11 +95,13 @@
 // counts as unknown, because the last known primary may have been replaced. redirectToPrimary is called without the lock,
 // and acquires it.
 func (n *Node) redirectToPrimary(w http.ResponseWriter, r *http.Request) bool {
-	n.mutex.Lock()
-	isPrimary := n.control.replica.IsPrimary()
-	primary := n.control.view.PrimaryAddress()
-	hasContact := n.hasCoreContact(n.now())
-	n.mutex.Unlock()
+	var isPrimary, hasContact bool
+	var primary string
+	n.withLock(func() {
+		isPrimary = n.control.replica.IsPrimary()
+		primary = n.control.view.PrimaryAddress()
+		hasContact = n.hasCoreContact(n.now())
+	})
 	switch {
 	case isPrimary:
 		return false
--- a/internal/router/node/pool.go
+++ b/internal/router/node/pool.go
@@ -120,29 +120,35 @@
 // acquireFromPool acquires units from the pool that holds this router's deposit. Its result has the source FromNone if
 // there is no such pool or its host does not answer in time. It acquires the lock.
 func (n *Node) acquireFromPool(ctx context.Context, tenant string, units float64) gateway.Acquisition {
+	own, reply, host := n.beginPoolAcquisition(tenant, units)
+	if host == "" {
+		return own
+	}
+	n.transport.Send(host, dissemination.PoolAcquire{Request: reply.request, Tenant: tenant, Units: units})
+	acquired, ok := reply.await(ctx, &n.mutex, poolTimeout, func() { n.quotas.contributor.HostTimedOut(host, n.now()) })
+	if !ok {
+		return gateway.Acquisition{}
+	}
+	return poolAcquisition(acquired.Granted, units, acquired.Wait)
+}
+
+// beginPoolAcquisition acquires units from a pool at this router, or records a request to the host of another one. Without a host the
+// result is own. It acquires the lock.
+func (n *Node) beginPoolAcquisition(tenant string, units float64) (own gateway.Acquisition, reply pendingReply[dissemination.PoolAcquired], host string) {
 	q := &n.quotas
 	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	now := n.now()
 	n.offerDeposit(now)
 	if !q.contributor.Active(now) {
-		n.mutex.Unlock()
-		return gateway.Acquisition{}
+		return own, reply, ""
 	}
-	host := q.contributor.Host()
+	host = q.contributor.Host()
 	if host == n.self.Address {
 		granted, wait := q.pool.Acquire(tenant, units, now)
-		n.mutex.Unlock()
-		return poolAcquisition(granted, units, wait)
-	}
-	request := n.nextRequest()
-	reply := q.poolAcquisitions.add(request)
-	n.mutex.Unlock()
-	n.transport.Send(host, dissemination.PoolAcquire{Request: request, Tenant: tenant, Units: units})
-	acquired, ok := reply.await(ctx, &n.mutex, poolTimeout, func() { q.contributor.HostTimedOut(host, n.now()) })
-	if !ok {
-		return gateway.Acquisition{}
+		return poolAcquisition(granted, units, wait), reply, ""
 	}
-	return poolAcquisition(acquired.Granted, units, acquired.Wait)
+	return own, q.poolAcquisitions.add(n.nextRequest()), host
 }
 
 // poolAcquisition returns the result of a request for units from a pool, which grants all of them or none.
--- a/internal/router/node/quota.go
+++ b/internal/router/node/quota.go
@@ -156,26 +156,14 @@
 // primary does not answer in time. While the primary does not answer, only one request in each primaryRetryDelay waits for
 // it. It acquires the lock.
 func (n *Node) acquireFromPrimary(ctx context.Context, tenant string, need, extra float64) gateway.Acquisition {
-	q := &n.quotas
-	n.mutex.Lock()
-	if n.allocatesQuota() {
-		given, wait := q.tokenBuckets.Acquire(tenant, need, extra, n.now())
-		n.mutex.Unlock()
-		return gateway.Acquisition{Source: gateway.FromPrimary, Granted: given, RetryAfter: wait}
-	}
-	primary := n.control.view.PrimaryAddress()
-	if primary == "" || primary == n.self.Address || q.primary.avoided(n.now()) {
-		n.mutex.Unlock()
-		return gateway.Acquisition{}
+	own, reply, primary := n.beginPrimaryAcquisition(tenant, need, extra)
+	if primary == "" {
+		return own
 	}
-	q.primary.requestSent(n.now())
-	request := n.nextRequest()
-	reply := q.acquisitions.add(request)
-	n.mutex.Unlock()
-	n.transport.Send(primary, dissemination.QuotaAcquire{Request: request, Tenant: tenant, Need: need, Extra: extra})
+	n.transport.Send(primary, dissemination.QuotaAcquire{Request: reply.request, Tenant: tenant, Need: need, Extra: extra})
 	acquired, ok := reply.await(ctx, &n.mutex, acquireTimeout, func() {
 		if primary == n.control.view.PrimaryAddress() {
-			q.primary.requestTimedOut(n.now())
+			n.quotas.primary.requestTimedOut(n.now())
 		}
 	})
 	if !ok {
@@ -183,3 +171,22 @@
 	}
 	return gateway.Acquisition{Source: gateway.FromPrimary, Granted: acquired.Given, RetryAfter: acquired.Wait}
 }
+
+// beginPrimaryAcquisition acquires units at this router, if it is the primary, or records a request to the primary. Without a primary to send
+// it to the result is own. It acquires the lock.
+func (n *Node) beginPrimaryAcquisition(tenant string, need, extra float64) (
+	own gateway.Acquisition, reply pendingReply[dissemination.QuotaAcquired], primary string) {
+	q := &n.quotas
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.allocatesQuota() {
+		given, wait := q.tokenBuckets.Acquire(tenant, need, extra, n.now())
+		return gateway.Acquisition{Source: gateway.FromPrimary, Granted: given, RetryAfter: wait}, reply, ""
+	}
+	primary = n.control.view.PrimaryAddress()
+	if primary == "" || primary == n.self.Address || q.primary.avoided(n.now()) {
+		return own, reply, ""
+	}
+	q.primary.requestSent(n.now())
+	return own, q.acquisitions.add(n.nextRequest()), primary
+}
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -71,10 +71,10 @@
 	n.shuttingDown.Store(true)
 	schedule := newShutdownSchedule(time.Now(), settings.Seconds(n.settings.Bounds.GraceS))
 	n.gateway.Drain(schedule.rejectLongAt, schedule.forceCloseAt)
-	n.mutex.Lock()
-	n.control.replica.Leave(n.now())
-	n.performEffects()
-	n.mutex.Unlock()
+	n.withLock(func() {
+		n.control.replica.Leave(n.now())
+		n.performEffects()
+	})
 	for range ticker.C {
 		n.tick()
 		if !time.Now().Before(schedule.closeIdleAt) {
