--- a/cmd/petrelhook-router/start_soak_test.go
+++ b/cmd/petrelhook-router/start_soak_test.go
@@ -241,8 +241,13 @@
 			return condition{name: "a connection uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
 		}
 	}
-	user, err := net.Listen("tcp", address)
-	require.NoError(s.t, err)
+	var user net.Listener
+	// A process that a parallel seed forks has the listeners of this one until it executes its program.
+	peertest.Eventually(s.t, address+" is free", func() bool {
+		var err error
+		user, err = net.Listen("tcp", address)
+		return err == nil
+	})
 	return condition{name: "a listener uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
 }
 
