--- a/internal/router/storage/gob.go
+++ b/internal/router/storage/gob.go
@@ -29,21 +29,21 @@
 }
 
 // decodeGob decodes a value and returns what was stored with it as extra. hasChecksum is false for a value that an earlier version wrote. Its
-// error is ErrDamaged.
+// error is ErrDamaged; the caller adds which value it is.
 func decodeGob(key, encoded []byte, value any) (extra []byte, hasChecksum bool, err error) {
 	reader := bytes.NewReader(encoded)
 	if err := gob.NewDecoder(reader).Decode(value); err != nil {
-		return nil, false, damaged("%x: %v", key, err)
+		return nil, false, damaged("%v", err)
 	}
 	if reader.Len() == 0 {
 		return nil, false, nil
 	}
 	if reader.Len() < checksumBytes {
-		return nil, false, damaged("%x: %d bytes follow the value", key, reader.Len())
+		return nil, false, damaged("%d bytes follow the value", reader.Len())
 	}
 	end := len(encoded) - checksumBytes
 	if checksum(key, encoded[:end]) != binary.BigEndian.Uint32(encoded[end:]) {
-		return nil, false, damaged("%x: the checksum does not match", key)
+		return nil, false, damaged("the checksum does not match")
 	}
 	return encoded[len(encoded)-reader.Len() : end], true, nil
 }
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -137,26 +137,29 @@
 	state := &replication.PersistedState{}
 	err := d.database.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
-		if meta == nil || meta.Get(keyID) == nil || tx.Bucket(bucketEntries) == nil {
+		if meta == nil || meta.Get(keyID) == nil {
 			return ErrNoIdentity
 		}
 		state.ID = string(meta.Get(keyID))
 		stored, hasChecksum, err := decodeGob(keyHard, meta.Get(keyHard), &state.Hard)
 		if err != nil {
-			return err
+			return errors.Wrap(err, "hard state")
+		}
+		if tx.Bucket(bucketEntries) == nil {
+			return damaged("there is no log")
 		}
 		if hasChecksum && !bytes.Equal(stored, digest(tx)) {
 			return damaged("the state is not complete")
 		}
 		if encoded := meta.Get(keySnapshot); encoded != nil {
 			if _, _, err := decodeGob(keySnapshot, encoded, &state.Snapshot); err != nil {
-				return err
+				return errors.Wrap(err, "snapshot")
 			}
 		}
 		return tx.Bucket(bucketEntries).ForEach(func(key, encoded []byte) error {
 			var e replication.Entry
 			if _, _, err := decodeGob(key, encoded, &e); err != nil {
-				return err
+				return errors.Wrapf(err, "entry %x", key)
 			}
 			state.Entries = append(state.Entries, e)
 			return nil
