A damaged replica.db neither stops nor ends a coordinator's start

The same cause as in the router, found by playing its damaged files against a coordinator: bbolt builds the list of free pages on a goroutine of its own, which panics, or follows pages in a circle for ever, so that the start takes a processor and never ends. The coordinator's own checks read the file by another way and do not see it.

The check of the structure moves from the router's storage to internal/common/boltfile, and the coordinator makes it too; a structural damage is ErrCorrupted there.

--- a/internal/router/storage/verify.go
+++ b/internal/common/boltfile/boltfile.go
@@ -1,23 +1,33 @@
-package storage
+// Package boltfile checks bbolt files before bbolt opens them. bbolt trusts a file: where its structure is damaged, bbolt panics, also on
+// goroutines of its own, follows pages in a circle for ever, or reads mapped pages that the file does not have, which is a memory fault.
+//
+// The package writes nothing and knows nothing of what a file holds. A process that opens the file after Verify has to expect what another
+// process wrote between the two.
+package boltfile
 
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"os"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// ErrDamaged is returned for a file that is not a complete bbolt file. It stays as it is: a router must not vote with a part of its
-// state.
-var ErrDamaged = errors.New("the file is damaged; move the folder away and start the router again, so that it joins as a new member")
+// The errors of Verify.
+var (
+	// ErrLocked is returned while another process has the file open for writing.
+	ErrLocked = errors.New("another process has the file open")
+	// ErrDamaged is returned for a file that is not a complete bbolt file.
+	ErrDamaged = errors.New("the file is damaged")
+)
 
 // damaged returns an error that is ErrDamaged and says what is wrong.
 func damaged(format string, args ...any) error {
-	return errors.Wrapf(ErrDamaged, format, args...)
+	return fmt.Errorf("%s: %w", fmt.Sprintf(format, args...), ErrDamaged)
 }
 
 // The format of bbolt files, version 2: pages of one size, each with a header. The first two are meta pages, and the one with the higher
@@ -45,10 +55,8 @@
 	freelistPage = 16
 )
 
-// verifyFile checks the structure of a bbolt file, because bbolt panics on goroutines of its own, and reads mapped pages that are not in
-// the file, where the structure is damaged. Its error is ErrLocked if another process has the file open for writing, and ErrDamaged
-// if the file is damaged. It does not check the values.
-func verifyFile(path string) error {
+// Verify checks the structure of a file. It does not check the values. Its error is ErrLocked, ErrDamaged or one of the file system.
+func Verify(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return err
@@ -58,7 +66,7 @@
 		if errors.Is(err, unix.EWOULDBLOCK) {
 			return ErrLocked
 		}
-		return errors.Wrap(err, "lock")
+		return fmt.Errorf("lock: %w", err)
 	}
 	content, err := io.ReadAll(file)
 	if err != nil {
--- a/internal/coordination/replica/disk/disk.go
+++ b/internal/coordination/replica/disk/disk.go
@@ -26,6 +26,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"petrelhook/internal/common/boltfile"
 	"petrelhook/internal/coordination/replica"
 )
 
@@ -154,7 +155,7 @@
 	if info, err := os.Stat(path); err != nil || info.Size() == 0 { // bbolt would make a new file of it
 		return nil, nil, errors.Join(err, fmt.Errorf("%s: offset 0: %w: the file is empty", path, ErrTruncated))
 	}
-	// Read-only first: for writing, bbolt builds the free list, and for that it trusts the content of pages.
+	// Read-only first: for writing, bbolt builds the free list, and for that it trusts the structure of the file.
 	readOnlyOptions := options()
 	readOnlyOptions.ReadOnly = true
 	readOnlyDisk, _, err := open(path, readOnlyOptions)
@@ -164,9 +165,24 @@
 	if err := readOnlyDisk.Close(); err != nil {
 		return nil, nil, err
 	}
+	if err := verify(path); err != nil {
+		return nil, nil, err
+	}
 	return open(path, options())
 }
 
+// verify checks the structure of a file, which bbolt follows on a goroutine of its own when it builds the free list.
+func verify(path string) error {
+	err := boltfile.Verify(path)
+	switch {
+	case errors.Is(err, boltfile.ErrLocked):
+		return fmt.Errorf("%s: %w", path, ErrLocked)
+	case errors.Is(err, boltfile.ErrDamaged):
+		return fmt.Errorf("%s: %w: %v", path, ErrCorrupted, err) //nolint:errorlint // callers match the errors of this package alone
+	}
+	return err
+}
+
 // open opens an existing file and reads the state in it.
 func open(path string, boltOptions *bbolt.Options) (*Disk, *replica.PersistedState, error) {
 	db, err := bbolt.Open(path, 0o600, boltOptions)
--- a/internal/router/storage/damage_test.go
+++ b/internal/router/storage/damage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"flag"
 	"fmt"
@@ -85,18 +86,24 @@
 	return content
 }
 
+// The places of the fields of a bbolt file that the tests damage.
+const (
+	pageHeaderBytes  = 16
+	pageElementBytes = 16
+	metaBytes        = 64
+	transactionStart = pageHeaderBytes + 48 // the transaction number of a meta page
+)
+
 // withoutNewestMeta returns a content of which the newest meta page is damaged: it has the state before the last save.
-func withoutNewestMeta(t testing.TB, content []byte) []byte {
-	t.Helper()
+func withoutNewestMeta(content []byte) []byte {
 	const pageBytes = 4096
-	newest, err := currentMeta(content)
-	require.NoError(t, err)
 	content = bytes.Clone(content)
-	for _, start := range []uint64{0, pageBytes} {
-		if m, _ := readMeta(content, start); m == newest {
-			clear(content[start : start+pageBytes])
-		}
+	transaction := func(page int) uint64 { return binary.LittleEndian.Uint64(content[page*pageBytes+transactionStart:]) }
+	newest := 0
+	if transaction(1) > transaction(0) {
+		newest = 1
 	}
+	clear(content[newest*pageBytes : (newest+1)*pageBytes])
 	return content
 }
 
@@ -112,7 +119,7 @@
 			content = fileWithSaves(t, random)
 		}
 		if seed%100 == 0 {
-			states = []*replication.PersistedState{stateOf(t, content), stateOf(t, withoutNewestMeta(t, content))}
+			states = []*replication.PersistedState{stateOf(t, content), stateOf(t, withoutNewestMeta(content))}
 		}
 		damagedContent := damage(random, content)
 		path := filepath.Join(process.DataDir(t), fileName)
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -77,7 +77,7 @@
 
 // open verifies a file, opens it and reads the state in it. After an error nothing is open.
 func open(path string, openDatabase func(path string) (*bbolt.DB, error)) (*Disk, *replication.PersistedState, error) {
-	if err := verifyFile(path); err != nil {
+	if err := verify(path); err != nil {
 		return nil, nil, errors.Wrapf(err, "storage: open %s", path)
 	}
 	d := &Disk{}
