Tests of starts share their steps and ask for readiness; a forgotten save is known red

A router that waits must not be ready: each test of a start that waits asks its readiness address now.

--- a/cmd/petrelhook-router/start_test.go
+++ b/cmd/petrelhook-router/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -119,7 +120,18 @@
 	require.NoError(t, peertest.Wait(t, ended))
 }
 
-// Each address of a router may still be in use when it starts. It names the address in its log, and serves once the address is free.
+// checkWaits starts a machine, waits until its log says what the start waits for, ends that condition, and checks that the machine serves.
+func (f *fleet) checkWaits(m *machine, end func() error, logged ...string) {
+	f.t.Helper()
+	m.start()
+	m.waitLogged(append(logged, waitingMessage)...)
+	ready, _ := f.call(http.MethodGet, "http://"+f.address(m.ip, readyPort)+"/", "")
+	require.NotEqual(f.t, http.StatusOK, ready, "a router that waits is not ready")
+	require.NoError(f.t, end())
+	f.waitAnswering(m)
+	m.terminate()
+}
+
 func TestAStartWaitsForAnAddressInUse(t *testing.T) {
 	for name, port := range map[string]int{"clients": frontPort, "readiness": readyPort, "control": controlPort, "internal": internalPort} {
 		t.Run(name, func(t *testing.T) {
@@ -128,11 +140,7 @@
 			user, err := net.Listen("tcp", address)
 			require.NoError(t, err)
 			defer user.Close()
-			m.start()
-			m.waitLogged(waitingMessage, address, "address already in use")
-			require.NoError(t, user.Close())
-			f.waitAnswering(m)
-			m.terminate()
+			f.checkWaits(m, user.Close, address, "address already in use")
 		})
 	}
 }
@@ -147,32 +155,20 @@
 	user, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", other.Addr().String())
 	require.NoError(t, err)
 	require.NoError(t, user.(*net.TCPConn).SetLinger(0)) // a reset leaves no TIME_WAIT
-	m.start()
-	m.waitLogged(waitingMessage, local.String())
-	require.NoError(t, user.Close())
-	f.waitAnswering(m)
-	m.terminate()
+	f.checkWaits(m, user.Close, local.String())
 }
 
 func TestAStartWaitsForTheDiskOfItsPredecessor(t *testing.T) {
 	f, m := newStoppedMachine(t, "127.9.6")
 	disk, _, err := storage.Open(m.dataDir(), "predecessor", true)
 	require.NoError(t, err)
-	m.start()
-	m.waitLogged(waitingMessage, m.dataDir())
-	require.NoError(t, disk.Close())
-	f.waitAnswering(m)
-	m.terminate()
+	f.checkWaits(m, disk.Close, m.dataDir())
 }
 
 func TestAStartWaitsForItsFolder(t *testing.T) {
 	f, m := newStoppedMachine(t, "127.9.7")
 	require.NoError(t, os.WriteFile(m.dataDir(), []byte("a file in place of the folder"), 0o600))
-	m.start()
-	m.waitLogged(waitingMessage, m.dataDir(), "not a directory")
-	require.NoError(t, os.Remove(m.dataDir()))
-	f.waitAnswering(m)
-	m.terminate()
+	f.checkWaits(m, func() error { return os.Remove(m.dataDir()) }, m.dataDir(), "not a directory")
 }
 
 func TestAStartThatWaitsEndsWithSigterm(t *testing.T) {
--- a/internal/router/storage/damage_test.go
+++ b/internal/router/storage/damage_test.go
@@ -107,8 +107,7 @@
 	return content
 }
 
-// Damage shows as an error, or as the state after the last save or before it. A panic or a fault in a goroutine of bbolt would end this
-// process.
+// Damage shows as an error, or as the state after the last save or before it; a panic of bbolt would end this process.
 func TestDamageIsReported(t *testing.T) {
 	opened, reported := 0, 0
 	var content []byte
@@ -200,8 +199,7 @@
 	return torn
 }
 
-// bbolt writes pages, syncs, writes a meta page and syncs: a power failure leaves some sectors of the pages with the old meta pages, or
-// all pages with a part of a meta page. Each of these states is the one before the save or the one after it.
+// bbolt syncs its pages before it writes a meta page: a power failure tears either the pages or the meta page.
 func TestAPowerFailureInASaveLeavesOneOfTwoStates(t *testing.T) {
 	const metaPages = 2 * 4096
 	for seed := range uint64(30) {
@@ -260,3 +258,17 @@
 		}
 	}
 }
+
+// A save that was acknowledged must not be forgotten where the meta page of its transaction is damaged later.
+func TestADamagedMetaPageForgetsNoSave(t *testing.T) {
+	content := fileWithSaves(t, rand.New(rand.NewPCG(3, 0)))
+	folder := process.DataDir(t)
+	require.NoError(t, os.WriteFile(filepath.Join(folder, fileName), withoutNewestMeta(content), 0o600))
+	d, state, err := Open(folder, "10.0.0.1:7000", false)
+	if err != nil {
+		require.ErrorIs(t, err, ErrDamaged)
+		return
+	}
+	require.NoError(t, d.Close())
+	require.Equal(t, stateOf(t, content), state)
+}
