A start on a disk that hangs says so and ends with SIGTERM

A start whose disk hangs stayed inside of the system call, without a line in its log, and SIGTERM did not end it. The wait looked at the context between attempts only.

TestAStartOnADiskThatHangsIsReportedAndEndsWithSigterm, with a FIFO in place of replica.db, failed before (no line within 20 s) and passes.

--- a/cmd/petrelhook-coordinator/main.go
+++ b/cmd/petrelhook-coordinator/main.go
@@ -76,7 +76,7 @@
 // and when the context ends.
 func open(ctx context.Context, c *fleet.Config, log *slog.Logger) (s *fleet.Server, ln net.Listener, err error) {
 	passes := func(err error) bool { return errors.Is(err, disk.ErrLocked) || startup.IsSystemError(err) }
-	wait := func(err error) { log.Warn("the start waits", "error", err) }
+	wait := func(err error) { log.Warn("the start waits", "error", err, "data", c.Data) }
 	err = startup.Retry(ctx, passes, wait, func() (err error) {
 		s, err = fleet.Open(c, log)
 		return err
--- a/cmd/petrelhook-router/start_test.go
+++ b/cmd/petrelhook-router/start_test.go
@@ -179,6 +179,15 @@
 	m.terminate()
 }
 
+func TestAStartOnADiskThatHangsIsReportedAndEndsWithSigterm(t *testing.T) {
+	_, m := newStoppedMachine(t, "127.9.10")
+	require.NoError(t, os.MkdirAll(m.dataDir(), 0o755))
+	require.NoError(t, syscall.Mkfifo(filepath.Join(m.dataDir(), "replica.db"), 0o600)) // without a writer, opening it hangs
+	m.start()
+	m.waitLogged(waitingMessage, m.dataDir(), "a disk may hang")
+	m.terminate()
+}
+
 // A damaged disk is not waited for: the process ends with one line that names the file, and the file is left as it is.
 func TestADamagedDiskIsReportedAndKept(t *testing.T) {
 	_, m := newStoppedMachine(t, "127.9.9")
--- a/internal/common/startup/startup_test.go
+++ b/internal/common/startup/startup_test.go
@@ -62,3 +62,32 @@
 		}
 	})
 }
+
+func TestRetryReportsAnAttemptThatHangs(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		reports := 0
+		report := func(err error) {
+			if !errors.Is(err, errSlow) {
+				t.Error(err)
+			}
+			reports++
+		}
+		err := Retry(t.Context(), IsSystemError, report, func() error { time.Sleep(25 * time.Second); return nil })
+		if err != nil || reports != 2 {
+			t.Errorf("%v, %d reports", err, reports)
+		}
+	})
+}
+
+func TestRetryEndsWithItsContextWhileAnAttemptHangs(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began, answer := time.Now(), make(chan error)
+		err := Retry(ctx, IsSystemError, func(error) {}, func() error { return <-answer })
+		if !errors.Is(err, context.DeadlineExceeded) || time.Since(began) != time.Minute {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		close(answer)
+	})
+}
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -74,7 +74,9 @@
 func passes(err error) bool { return errors.Is(err, storage.ErrLocked) || startup.IsSystemError(err) }
 
 // logWait logs what the start waits for.
-func (n *Node) logWait(err error) { n.logger.Warn().Err(err).Msg("the start waits") }
+func (n *Node) logWait(err error) {
+	n.logger.Warn().Err(err).Str("data_dir", n.settings.DataDir).Msg("the start waits")
+}
 
 // createReplica creates the replica and, where this router has a disk, its writer. It loads the servers on the disk.
 func (n *Node) createReplica(r resources) (err error) {
