A test that pauses a process waits until it has stopped

Cause: Process.Pause sends SIGSTOP and returned at once. The kernel takes the signal earlier than the process stops: until one of its threads handles it, all go on. The paused process answered its successor's request.

A successor asks some 20 ms after its start.

Change: Pause returns once no thread of the process runs, in all tests that use it; the test asks for nothing less than before, and its own wait for the second pause, which looked at the main thread alone, goes.

--- a/cmd/petrelhook/upgrade_test.go
+++ b/cmd/petrelhook/upgrade_test.go
@@ -453,7 +453,6 @@
 			current.Signal(syscall.SIGTERM)
 			peertest.Eventually(t, "it stops", func() bool { return current.Log.Has("now=stopping") })
 			current.Pause() // connections that come to its queue now stay there; requests on accepted ones may cross with its close
-			peertest.Eventually(t, "it is stopped", func() bool { return current.State() == "T" })
 			f.queued.Store(true)
 			for i := range 40 {
 				id := fmt.Sprint("beside-", round, "-", i)
--- a/internal/common/await/await.go
+++ b/internal/common/await/await.go
@@ -17,9 +17,17 @@
 // failure message. It is called from the test's goroutine.
 func Eventually(t testing.TB, condition string, ok func() bool) {
 	t.Helper()
+	if !Poll(ok) {
+		t.Fatalf("condition not met within %v: %s", Timeout, condition)
+	}
+}
+
+// Poll polls until ok returns true, and reports whether it did within Timeout. It may be called from any goroutine.
+func Poll(ok func() bool) bool {
 	for deadline := time.Now().Add(Timeout); !ok(); time.Sleep(pollInterval) {
 		if time.Now().After(deadline) {
-			t.Fatalf("condition not met within %v: %s", Timeout, condition)
+			return false
 		}
 	}
+	return true
 }
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,10 +130,30 @@
 	}
 }
 
-// Pause pauses the process with SIGSTOP.
+// Pause pauses the process with SIGSTOP, and returns once all its threads have stopped or it has ended. The kernel takes the signal
+// earlier: until a thread has handled it, the process runs on.
 func (p *Process) Pause() {
 	p.t.Helper()
 	p.mustSignal(syscall.SIGSTOP)
+	if p.inMemory != nil {
+		return
+	}
+	if !await.Poll(p.stopped) {
+		p.t.Errorf("%s has not stopped within %v, state %q", p.name(), await.Timeout, p.State())
+	}
+}
+
+// stopped reports whether no thread of the process runs.
+func (p *Process) stopped() bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Pid)) // the pattern is valid
+	for _, thread := range threads {
+		switch stateIn(thread) {
+		case "", stateStopped, stateZombie, stateDead:
+		default:
+			return false
+		}
+	}
+	return true
 }
 
 // Resume resumes a paused process.
@@ -149,9 +170,20 @@
 	}
 }
 
-// State is the state of the process in /proc, such as T for a paused one and Z for one whose end was not waited for; "" once it is gone.
-func (p *Process) State() string {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
+// The states of a thread in /proc in which it executes nothing any more, or not until it is resumed.
+const (
+	stateStopped = "T"
+	stateZombie  = "Z"
+	stateDead    = "X"
+)
+
+// State is the state of the process's main thread in /proc, such as T for a paused one and Z for one whose end was not waited for; ""
+// once it is gone.
+func (p *Process) State() string { return stateIn(fmt.Sprintf("/proc/%d/stat", p.Pid)) }
+
+// stateIn returns the state of a process or thread from its stat file, or "" if it is gone.
+func stateIn(path string) string {
+	text, _ := os.ReadFile(path)
 	_, rest, _ := strings.Cut(string(text), ") ")
 	return rest[:min(1, len(rest))]
 }
