A damaged meta page of replica.db forgets no acknowledged save

What callers saw: a core member whose newest meta page of replica.db was damaged started with the state before its last save, which it may have acknowledged or promised. Coordinators did the same, a vote included.

Cause: bbolt takes an invalid meta page for a save that a power failure interrupted, and opens the file with the transaction before.

Why this fix works: bbolt syncs the pages of a transaction before it writes the meta page. So the transaction is complete in the file, whether the meta page was torn (not acknowledged yet: it may be there or not) or damaged later (it must be there). Every transaction now has its number in the root page, as the sequence of a bucket: no further sync, and earlier versions pass it over. A start that finds a meta page missing looks for a complete transaction with the next number, reads the state in a copy of the file with its checksums, and writes the meta page under an exclusive lock. A next transaction that is there and not complete is damage. Routers log "last save restored". boltfile is three files now, with named offsets.

Tests: the coordinators' TestTornWriteIsUndone demanded that a cleared meta page undoes the last write, which is this fault. In its place are TestADamagedMetaPageForgetsNoWrite (both meta pages, cleared from every byte on) and a TestTornWriteIsUndone that tears the pages of a write in 40 ways. TestDamageIsReported takes the last state alone; the power failure of storage also tears a meta page inside of a sector. Recorded example: testdata/lost-commit.

--- a/internal/common/boltfile/boltfile.go
+++ b/internal/common/boltfile/boltfile.go
@@ -1,16 +1,15 @@
 // Package boltfile checks bbolt files before bbolt opens them. bbolt trusts a file: where its structure is damaged, bbolt panics, also on
-// goroutines of its own, follows pages in a circle for ever, or reads mapped pages that the file does not have, which is a memory fault.
+// goroutines of its own, follows pages in a circle for ever, or reads mapped pages that the file does not have, which is a memory fault. Where
+// the meta page of the last transaction is damaged, bbolt opens the file with the state before that transaction.
 //
-// The package writes nothing and knows nothing of what a file holds. A process that opens the file after Verify has to expect what another
-// process wrote between the two.
+// The package finds such a transaction (LostCommit) if its writer has numbered it: in each transaction, the sequence of one of the buckets
+// in the root bucket is set to the number of the transaction. It knows nothing else of what a file holds. A process that opens the file after
+// Verify has to expect what another process wrote between the two.
 package boltfile
 
 import (
-	"bytes"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"os"
 
@@ -30,309 +29,59 @@
 	return fmt.Errorf("%s: %w", fmt.Sprintf(format, args...), ErrDamaged)
 }
 
-// The format of bbolt files, version 2: pages of one size, each with a header. The first two are meta pages, and the one with the higher
-// transaction number is in force. All numbers are little-endian on the processors that the router is built for.
-const (
-	pageHeaderBytes  = 16
-	pageElementBytes = 16
-	bucketBytes      = 16 // root page and sequence
-	metaBytes        = 64
-	metaSumBytes     = 56 // the part of a meta page that its checksum covers
-
-	boltMagic      = 0xED0CDAED
-	boltVersion    = 2
-	noFreelist     = ^uint64(0) // the list of free pages is not in the file
-	minPageBytes   = 1 << 10
-	maxPageBytes   = 1 << 24
-	bucketLeafFlag = 1
-	manyFreePages  = 0xFFFF // the count of a freelist page that has its real count in the first element
-)
-
-// The types of pages.
-const (
-	branchPage   = 1
-	leafPage     = 2
-	freelistPage = 16
-)
-
-// Verify checks the structure of a file. It does not check the values. Its error is ErrLocked, ErrDamaged or one of the file system.
-func Verify(path string) error {
+// Verify checks the structure of a file. It does not check the values. lost is not nil if the file has the state before its last
+// transaction. The error is ErrLocked, ErrDamaged or one of the file system.
+func Verify(path string) (lost *LostCommit, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = file.Close() }() // opened for reading only
-	if err := unix.Flock(int(file.Fd()), unix.LOCK_SH|unix.LOCK_NB); err != nil {
-		if errors.Is(err, unix.EWOULDBLOCK) {
-			return ErrLocked
-		}
-		return fmt.Errorf("lock: %w", err)
+	if err := lock(file, unix.LOCK_SH); err != nil {
+		return nil, err
 	}
 	content, err := io.ReadAll(file)
 	if err != nil {
-		return err
-	}
-	return verifyContent(content)
-}
-
-// verifyContent checks the structure of the content of a bbolt file.
-func verifyContent(content []byte) error {
-	m, err := currentMeta(content)
-	if err != nil {
-		return err
-	}
-	if m.pages > uint64(len(content))/m.pageBytes {
-		return damaged("%d bytes are fewer than %d pages", len(content), m.pages)
-	}
-	v := verifier{content: content, meta: m, seen: map[uint64]bool{0: true, 1: true}}
-	if m.freelist != noFreelist {
-		if err := v.verifyFreelist(); err != nil {
-			return err
-		}
-	}
-	return v.verifyTree(m.root, keyRange{})
-}
-
-// meta is the content of a meta page.
-type meta struct {
-	pageBytes   uint64
-	root        uint64 // page of the root bucket
-	freelist    uint64
-	pages       uint64 // number of pages
-	transaction uint64
-}
-
-// currentMeta returns the valid meta page with the highest transaction number.
-func currentMeta(content []byte) (current meta, err error) {
-	found := false
-	consider := func(m meta, ok bool) {
-		if ok && (!found || m.transaction > current.transaction) {
-			current, found = m, true
-		}
-	}
-	first, ok := readMeta(content, 0)
-	consider(first, ok)
-	if ok {
-		second, ok := readMeta(content, first.pageBytes)
-		consider(second, ok && second.pageBytes == first.pageBytes)
-	} else {
-		for size := uint64(minPageBytes); size <= maxPageBytes; size *= 2 {
-			second, ok := readMeta(content, size)
-			consider(second, ok && second.pageBytes == size)
-		}
-	}
-	if !found {
-		return meta{}, damaged("no valid meta page in %d bytes", len(content))
-	}
-	return current, nil
-}
-
-// readMeta returns the meta page at an offset. ok is false if it is not valid.
-func readMeta(content []byte, offset uint64) (m meta, ok bool) {
-	start := offset + pageHeaderBytes
-	if start+metaBytes > uint64(len(content)) {
-		return meta{}, false
-	}
-	text := content[start : start+metaBytes]
-	sum := fnv.New64a()
-	_, _ = sum.Write(text[:metaSumBytes]) // a hash returns no error
-	m = meta{
-		pageBytes: uint64(binary.LittleEndian.Uint32(text[8:])), root: binary.LittleEndian.Uint64(text[16:]),
-		freelist: binary.LittleEndian.Uint64(text[32:]), pages: binary.LittleEndian.Uint64(text[40:]),
-		transaction: binary.LittleEndian.Uint64(text[48:]),
-	}
-	ok = binary.LittleEndian.Uint32(text) == boltMagic && binary.LittleEndian.Uint32(text[4:]) == boltVersion &&
-		binary.LittleEndian.Uint64(text[metaSumBytes:]) == sum.Sum64() &&
-		m.pageBytes >= minPageBytes && m.pageBytes <= maxPageBytes && m.pageBytes&(m.pageBytes-1) == 0
-	return m, ok
-}
-
-// verifier checks the pages of a file. All pages that meta counts are in content.
-type verifier struct {
-	content []byte
-	meta    meta
-	seen    map[uint64]bool // pages that something refers to
-}
-
-// page is a page with the pages that continue it. Its content includes the header.
-type page struct {
-	id      uint64
-	kind    uint16
-	count   int
-	content []byte
-}
-
-// readPage returns a page of the file, and marks it as one that something refers to.
-func (v *verifier) readPage(id uint64) (page, error) {
-	if id < 2 || id >= v.meta.pages {
-		return page{}, damaged("page %d is not one of %d", id, v.meta.pages)
-	}
-	p := parsePage(v.content[id*v.meta.pageBytes:])
-	end := id + 1 + uint64(binary.LittleEndian.Uint32(v.content[id*v.meta.pageBytes+12:]))
-	if p.id != id || end > v.meta.pages {
-		return page{}, damaged("page %d has the header of page %d and ends before page %d of %d", id, p.id, end, v.meta.pages)
+		return nil, err
 	}
-	for part := id; part < end; part++ {
-		if v.seen[part] {
-			return page{}, damaged("page %d comes twice", part)
-		}
-		v.seen[part] = true
+	offset, page, err := verifyContent(content)
+	if err != nil || page == nil {
+		return nil, err
 	}
-	p.content = v.content[id*v.meta.pageBytes : end*v.meta.pageBytes]
-	return p, nil
+	return &LostCommit{path: path, offset: offset, metaPage: page}, nil
 }
 
-// parsePage reads the header of a page. content is at least as long as the header.
-func parsePage(content []byte) page {
-	return page{id: binary.LittleEndian.Uint64(content), kind: binary.LittleEndian.Uint16(content[8:]),
-		count: int(binary.LittleEndian.Uint16(content[10:])), content: content}
-}
-
-// verifyFreelist checks the page with the list of free pages. It marks no free page as seen: a page that the tree refers to too would be
-// overwritten, and is found there.
-func (v *verifier) verifyFreelist() error {
-	p, err := v.readPage(v.meta.freelist)
-	if err != nil {
-		return err
-	}
-	const idBytes = 8
-	if p.kind != freelistPage || p.count == manyFreePages || pageHeaderBytes+p.count*idBytes > len(p.content) {
-		return damaged("page %d is no list of free pages", p.id)
-	}
-	last := uint64(1)
-	for i := range p.count {
-		id := binary.LittleEndian.Uint64(p.content[pageHeaderBytes+i*idBytes:])
-		if id <= last || id >= v.meta.pages || v.seen[id] {
-			return damaged("page %d lists page %d as free", p.id, id)
-		}
-		v.seen[id] = true
-		last = id
+// lock locks a file until it is closed. Its error is ErrLocked while another process has a lock that excludes this one.
+func lock(file *os.File, kind int) error {
+	err := unix.Flock(int(file.Fd()), kind|unix.LOCK_NB)
+	switch {
+	case errors.Is(err, unix.EWOULDBLOCK):
+		return ErrLocked
+	case err != nil:
+		return fmt.Errorf("lock: %w", err)
 	}
 	return nil
 }
 
-// keyRange holds the bounds of the keys of a tree: from first, and below end. nil is no bound.
-type keyRange struct{ first, end []byte }
-
-// verifyTree checks the tree of a bucket from its page on.
-func (v *verifier) verifyTree(id uint64, bounds keyRange) error {
-	p, err := v.readPage(id)
+// verifyContent checks the structure of the content of a bbolt file. It returns the meta page of a lost commit with its offset, or nil.
+func verifyContent(content []byte) (offset int64, lostMetaPage []byte, err error) {
+	m, other, err := currentMeta(content)
 	if err != nil {
-		return err
-	}
-	switch p.kind {
-	case branchPage:
-		return v.verifyBranch(p, bounds)
-	case leafPage:
-		return v.verifyLeaf(p, bounds)
+		return 0, nil, err
 	}
-	return damaged("page %d has the type %d", id, p.kind)
-}
-
-// verifyBranch checks a page that refers to pages, and these.
-func (v *verifier) verifyBranch(p page, bounds keyRange) error {
-	if p.count == 0 {
-		return damaged("page %d refers to no page", p.id)
-	}
-	keys := make([][]byte, p.count)
-	children := make([]uint64, p.count)
-	for i := range keys {
-		element, ok := p.element(i)
-		if !ok {
-			return damaged("page %d is shorter than its %d elements", p.id, p.count)
-		}
-		children[i] = binary.LittleEndian.Uint64(element[8:])
-		keys[i], _, ok = cut(element, binary.LittleEndian.Uint32(element), binary.LittleEndian.Uint32(element[4:]), 0)
-		if !ok {
-			return damaged("page %d: element %d lies outside of it", p.id, i)
-		}
-	}
-	if err := verifyOrder(p, keys, bounds); err != nil {
-		return err
-	}
-	for i, child := range children {
-		end := bounds.end
-		if i+1 < len(keys) {
-			end = keys[i+1]
-		}
-		if err := v.verifyTree(child, keyRange{keys[i], end}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// verifyLeaf checks a page with keys and values, and the buckets among the values.
-func (v *verifier) verifyLeaf(p page, bounds keyRange) error {
-	keys := make([][]byte, p.count)
-	for i := range keys {
-		element, ok := p.element(i)
-		if !ok {
-			return damaged("page %d is shorter than its %d elements", p.id, p.count)
-		}
-		var value []byte
-		keys[i], value, ok = cut(element, binary.LittleEndian.Uint32(element[4:]), binary.LittleEndian.Uint32(element[8:]),
-			binary.LittleEndian.Uint32(element[12:]))
-		if !ok || len(keys[i]) == 0 {
-			return damaged("page %d: element %d lies outside of it", p.id, i)
-		}
-		if binary.LittleEndian.Uint32(element)&bucketLeafFlag != 0 {
-			if err := v.verifyBucket(value); err != nil {
-				return err
-			}
-		}
-	}
-	return verifyOrder(p, keys, bounds)
-}
-
-// verifyBucket checks a bucket: its tree, or the page inside of the value.
-func (v *verifier) verifyBucket(value []byte) error {
-	if len(value) < bucketBytes {
-		return damaged("a bucket of %d bytes", len(value))
-	}
-	if root := binary.LittleEndian.Uint64(value); root != 0 {
-		return v.verifyTree(root, keyRange{})
+	if m.pages > uint64(len(content))/m.pageBytes {
+		return 0, nil, damaged("%d bytes are fewer than %d pages", len(content), m.pages)
 	}
-	inline := value[bucketBytes:]
-	if len(inline) < pageHeaderBytes {
-		return damaged("a bucket of %d bytes without a page", len(value))
+	v := newVerifier(content, m)
+	if err := v.verifyFile(); err != nil {
+		return 0, nil, err
 	}
-	p := parsePage(inline)
-	if p.id != 0 || p.kind != leafPage {
-		return damaged("a bucket with a page of the type %d", p.kind)
+	if other == m.transaction-1 {
+		return 0, nil, nil
 	}
-	return v.verifyLeaf(p, keyRange{})
-}
-
-// element returns the content of a page from one of its elements on.
-func (p *page) element(i int) (content []byte, ok bool) {
-	start := pageHeaderBytes + i*pageElementBytes
-	if start+pageElementBytes > len(p.content) {
-		return nil, false
+	lost, err := v.findLostCommit()
+	if err != nil || lost == nil {
+		return 0, nil, err
 	}
-	return p.content[start:], true
-}
-
-// cut returns the key and the value of an element, which lie at a distance from it. ok is false if they are not in the page.
-func cut(element []byte, position, keyBytes, valueBytes uint32) (key, value []byte, ok bool) {
-	start := uint64(position)
-	middle := start + uint64(keyBytes)
-	end := middle + uint64(valueBytes)
-	if end > uint64(len(element)) {
-		return nil, nil, false
-	}
-	return element[start:middle], element[middle:end], true
-}
-
-// verifyOrder checks that the keys of a page ascend and lie within the bounds of its tree.
-func verifyOrder(p page, keys [][]byte, bounds keyRange) error {
-	for i, key := range keys {
-		inOrder := i == 0 || bytes.Compare(keys[i-1], key) < 0
-		afterFirst := bounds.first == nil || bytes.Compare(bounds.first, key) <= 0
-		beforeEnd := bounds.end == nil || bytes.Compare(key, bounds.end) < 0
-		if !inOrder || !afterFirst || !beforeEnd {
-			return damaged("page %d: key %d is out of order", p.id, i)
-		}
-	}
-	return nil
+	return int64(lost.slot() * lost.pageBytes), lost.encode(), nil
 }
--- a/internal/coordination/replica/disk/disk.go
+++ b/internal/coordination/replica/disk/disk.go
@@ -1,6 +1,6 @@
 // Package disk persists the state of one replica: its hard state, its log, its last snapshot and the incarnation of the disk. The
-// state is in a go.etcd.io/bbolt file, whose transactions are atomic: after a torn write the file has its previous state. Every
-// record has a checksum of its own.
+// state is in a go.etcd.io/bbolt file, whose transactions are atomic: after a torn write the file has its previous state, or that of
+// the transaction. Every record has a checksum of its own.
 //
 // Invariants: after Save has returned nil, the state survives a crash of the machine. Open returns only data that is as it was
 // written; otherwise its error names the file and, where it is known, the offset or the record. The incarnation is drawn when the
@@ -31,9 +31,11 @@
 )
 
 const (
-	fileName    = "replica.db"
-	newSuffix   = ".new"      // of a file that is being created
-	lockTimeout = time.Second // how long an open waits for a lock that another process holds
+	fileName  = "replica.db"
+	newSuffix = ".new" // of a file that is being created
+	// restoredSuffix is that of the copy with which the last transaction of a file is read before it is restored.
+	restoredSuffix = ".restored"
+	lockTimeout    = time.Second // how long an open waits for a lock that another process holds
 	// format identifies the files of this package. It contains the name that the program had when the format was introduced, and
 	// must not change: existing files contain it.
 	format = "petrelfleet 1"
@@ -171,9 +173,13 @@
 	return open(path, options())
 }
 
-// verify checks the structure of a file, which bbolt follows on a goroutine of its own when it builds the free list.
+// verify checks the structure of a file, which bbolt follows on a goroutine of its own when it builds the free list, and restores its last
+// transaction if the meta page of that is damaged or torn.
 func verify(path string) error {
-	err := boltfile.Verify(path)
+	lost, err := boltfile.Verify(path)
+	if err == nil && lost != nil {
+		err = restore(lost, path)
+	}
 	switch {
 	case errors.Is(err, boltfile.ErrLocked):
 		return fmt.Errorf("%s: %w", path, ErrLocked)
@@ -183,6 +189,25 @@
 	return err
 }
 
+// restore completes the last transaction of a file, if the state can be read in a copy of the file.
+func restore(lost *boltfile.LostCommit, path string) error {
+	restored := path + restoredSuffix
+	defer func() { _ = os.Remove(restored) }() // one that stays is overwritten the next time
+	if err := lost.WriteCopy(restored); err != nil {
+		return err
+	}
+	readOnlyOptions := options()
+	readOnlyOptions.ReadOnly = true
+	d, _, err := open(restored, readOnlyOptions)
+	if err != nil {
+		return err
+	}
+	if err := d.Close(); err != nil {
+		return err
+	}
+	return lost.Restore()
+}
+
 // open opens an existing file and reads the state in it.
 func open(path string, boltOptions *bbolt.Options) (*Disk, *replica.PersistedState, error) {
 	db, err := bbolt.Open(path, 0o600, boltOptions)
@@ -398,7 +423,13 @@
 }
 
 func (d *Disk) update(f func(meta, log *bbolt.Bucket) error) error {
-	err := d.db.Update(func(tx *bbolt.Tx) error { return f(tx.Bucket(bucketMeta), tx.Bucket(bucketLog)) })
+	err := d.db.Update(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(bucketMeta)
+		if err := meta.SetSequence(uint64(tx.ID())); err != nil { // by that number the transaction is found where its meta page is damaged
+			return err
+		}
+		return f(meta, tx.Bucket(bucketLog))
+	})
 	if err != nil {
 		return fmt.Errorf("%s: %w", d.path, err)
 	}
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -88,6 +88,9 @@
 		n.self.Member = &options.Self
 		n.control.disk = newDiskWriter(r.disk, n.saved)
 		n.control.eligible[options.Self.ID] = options.Self
+		if r.disk.Restored() {
+			n.logger.Warn().Str("data_dir", s.DataDir).Msg("last save restored")
+		}
 		n.loadServers()
 	} else {
 		options.Diskless = true
--- a/internal/router/storage/create.go
+++ b/internal/router/storage/create.go
@@ -52,7 +52,7 @@
 		if err := meta.Put(keyID, []byte(identity)); err != nil {
 			return err
 		}
-		return putHard(tx, replication.HardState{Genesis: genesis})
+		return complete(tx, replication.HardState{Genesis: genesis})
 	})
 	if closeErr := database.Close(); err == nil {
 		err = closeErr
--- a/internal/router/storage/storage.go
+++ b/internal/router/storage/storage.go
@@ -5,8 +5,8 @@
 // The state is one bbolt file, in which a transaction is either complete or absent. The design note says why it is not
 // pebble: pebble terminates the process if its log cannot be written, and a full disk must not terminate a router.
 //
-// Invariants: after any power failure, Open returns the state of all saves for which Save returned nil; after a failed
-// Save, saves without a snapshot are refused until a save with a snapshot succeeds.
+// Invariants: after any power failure, and after damage to a meta page, Open returns the state of all saves for which Save returned
+// nil, or an error; after a failed Save, saves without a snapshot are refused until a save with a snapshot succeeds.
 //
 // A Disk may be used by one goroutine at a time. The router makes all saves on a goroutine of their own, because a disk
 // may hang. The caches have no state in memory, so different files may be written at the same time.
@@ -25,6 +25,7 @@
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 
+	"petrelhook/internal/common/boltfile"
 	"petrelhook/internal/router/replication"
 )
 
@@ -56,8 +57,12 @@
 	database         *bbolt.DB
 	snapshotRequired bool // the last save failed
 	damaged          bool // found in a save: nothing is written any more
+	restored         bool
 }
 
+// Restored reports whether Open has completed the last transaction of the file, whose meta page was damaged or torn.
+func (d *Disk) Restored() bool { return d.restored }
+
 // Open opens the state in a folder, or creates an empty state: address becomes part of the replica's identity, and genesis
 // says that this is the first start of the whole system. Its error is ErrLocked while another process has the file open,
 // ErrDamaged if the file is damaged, and ErrNoIdentity if it does not contain the state of a replica; these leave the file as it is.
@@ -72,14 +77,22 @@
 			return nil, nil, err
 		}
 	}
-	return open(path, openDatabase)
-}
-
-// open verifies a file, opens it and reads the state in it. After an error nothing is open.
-func open(path string, openDatabase func(path string) (*bbolt.DB, error)) (*Disk, *replication.PersistedState, error) {
-	if err := verify(path); err != nil {
+	lost, err := verify(path)
+	if err == nil && lost != nil {
+		err = restore(lost, path)
+	}
+	if err != nil {
 		return nil, nil, errors.Wrapf(err, "storage: open %s", path)
 	}
+	d, state, err := openVerified(path, openDatabase)
+	if err == nil {
+		d.restored = lost != nil
+	}
+	return d, state, err
+}
+
+// openVerified opens a file and reads the state in it. After an error nothing is open.
+func openVerified(path string, openDatabase func(path string) (*bbolt.DB, error)) (*Disk, *replication.PersistedState, error) {
 	d := &Disk{}
 	err := guard(func() (err error) {
 		d.database, err = openDatabase(path)
@@ -107,7 +120,14 @@
 	if _, err := os.Stat(path); err != nil {
 		return nil, errors.Wrap(err, "storage: stat state file")
 	}
-	d, state, err := open(path, openReadOnly)
+	lost, err := verify(path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "storage: open %s", path)
+	}
+	if lost != nil {
+		return inspectCopy(lost)
+	}
+	d, state, err := openVerified(path, openReadOnly)
 	if err != nil {
 		return nil, err
 	}
@@ -115,6 +135,16 @@
 	return state, nil
 }
 
+// inspectCopy returns the state that a start would restore.
+func inspectCopy(lost *boltfile.LostCommit) (*replication.PersistedState, error) {
+	folder, err := os.MkdirTemp("", "petrelhook-inspect-")
+	if err != nil {
+		return nil, errors.Wrap(err, "storage: copy the state file")
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // it only holds the copy
+	return readCopy(lost, filepath.Join(folder, fileName))
+}
+
 func openReadOnly(path string) (*bbolt.DB, error) {
 	return openWith(path, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
 }
@@ -204,16 +234,21 @@
 					return err
 				}
 			}
-			return putHard(tx, saves[len(saves)-1].Hard)
+			return complete(tx, saves[len(saves)-1].Hard)
 		})
 	})
 	d.damaged = errors.Is(err, ErrDamaged)
 	return err
 }
 
-// putHard stores the hard state with the digest of everything else. It is the last step of a transaction.
-func putHard(tx *bbolt.Tx, hard replication.HardState) error {
-	return putGob(tx.Bucket(bucketMeta), keyHard, hard, digest(tx)...)
+// complete stores the hard state with the digest of everything else, and numbers the transaction so that it is found where its meta page is
+// damaged. It is the last step of a transaction.
+func complete(tx *bbolt.Tx, hard replication.HardState) error {
+	meta := tx.Bucket(bucketMeta)
+	if err := meta.SetSequence(uint64(tx.ID())); err != nil { // transactions are counted from 1
+		return err
+	}
+	return putGob(meta, keyHard, hard, digest(tx)...)
 }
 
 // write stores the snapshot or the entry of a save.
