Start soak: conditions begin and end beside no fork, and change in one step

Cause: three steps of the test depended on luck. A process that a parallel seed forks keeps a closed listener of the test until it executes its program. A limit could be raised before the process had set it, and came back. A folder that is removed and put back in two steps could be created by the router in between.

Change: forks and conditions exclude one another; a limit is raised once the process has it; the folder is exchanged in one step. Addresses are taken without retries now.

--- a/cmd/petrelhook-router/start_soak_test.go
+++ b/cmd/petrelhook-router/start_soak_test.go
@@ -70,6 +70,10 @@
 	return nil
 }
 
+// forks is held for writing while a seed starts a process, and for reading while another opens or closes what its router waits for: a process
+// that is forked meanwhile would keep a closed listener or lock until it executes its program.
+var forks sync.RWMutex
+
 // startSoak is one seed: a machine whose process starts several times, each time under other conditions.
 type startSoak struct {
 	*fleet
@@ -87,7 +91,9 @@
 	for seed := *startSoakFirst; seed < *startSoakFirst+*startSoakCount; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
+			forks.RLock()
 			f, m := newStoppedMachine(t, fmt.Sprintf("127.11.%d", seed%250))
+			forks.RUnlock()
 			s := &startSoak{fleet: f, machine: m, t: t, random: rand.New(rand.NewPCG(seed, 3))}
 			t.Cleanup(func() {
 				if t.Failed() {
@@ -129,12 +135,17 @@
 
 // drawConditions draws the conditions of a start, and begins them.
 func (s *startSoak) drawConditions() startConditions {
+	forks.RLock()
+	defer forks.RUnlock()
 	c := startConditions{descriptors: noLimit, fileBytes: noLimit}
 	add := func(passing condition) { c.passing = append(c.passing, passing) }
 	kinds := []func(){
-		func() { add(s.raiseLater("no descriptors", unix.RLIMIT_NOFILE)); c.descriptors = scarceDescriptors },
 		func() {
-			add(s.raiseLater("a full disk", unix.RLIMIT_FSIZE))
+			add(s.raiseLater("no descriptors", unix.RLIMIT_NOFILE, scarceDescriptors))
+			c.descriptors = scarceDescriptors
+		},
+		func() {
+			add(s.raiseLater("a full disk", unix.RLIMIT_FSIZE, noFileBytes))
 			c.fileBytes, c.logIsUnwritable = noFileBytes, true
 		},
 		func() { add(s.lockOrHideDisk()) },
@@ -157,7 +168,9 @@
 	for _, c := range conditions.passing {
 		s.note("start %d: %s", number, c.name)
 	}
+	forks.Lock()
 	s.process = process.Start(s.t, cmd)
+	forks.Unlock()
 	if s.random.IntN(startsPerEarlyEnd) == 0 {
 		s.endEarly(conditions.passing)
 		return
@@ -171,7 +184,7 @@
 	for _, c := range conditions.passing {
 		wait(s.t.Context(), s.within(longestCondition))
 		s.note("ends: %s", c.name)
-		c.end()
+		s.end(c)
 	}
 	s.checkServes()
 	s.endServing()
@@ -188,10 +201,17 @@
 	require.NoError(s.t, s.process.Signal(signal))
 	_ = peertest.Wait(s.t, s.process.Ended) // by the signal, or with exit code 0
 	for _, c := range conditions {
-		c.end()
+		s.end(c)
 	}
 }
 
+// end ends a condition.
+func (s *startSoak) end(c condition) {
+	forks.RLock()
+	defer forks.RUnlock()
+	c.end()
+}
+
 // sendSignals sends signals that must not end the process, once it has logged its start.
 func (s *startSoak) sendSignals() {
 	signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGPIPE, syscall.SIGSTOP}
@@ -241,13 +261,8 @@
 			return condition{name: "a connection uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
 		}
 	}
-	var user net.Listener
-	// A process that a parallel seed forks has the listeners of this one until it executes its program.
-	peertest.Eventually(s.t, address+" is free", func() bool {
-		var err error
-		user, err = net.Listen("tcp", address)
-		return err == nil
-	})
+	user, err := net.Listen("tcp", address)
+	require.NoError(s.t, err)
 	return condition{name: "a listener uses " + address, end: func() { require.NoError(s.t, user.Close()) }}
 }
 
@@ -267,11 +282,16 @@
 	return user, true
 }
 
-// raiseLater returns the condition of a limit with which the process begins.
-func (s *startSoak) raiseLater(name string, resource int) condition {
+// raiseLater returns the condition of a limit, which the process sets as it begins.
+func (s *startSoak) raiseLater(name string, resource int, limit uint64) condition {
 	var own unix.Rlimit
 	require.NoError(s.t, unix.Getrlimit(resource, &own))
 	return condition{name: name, end: func() {
+		var current unix.Rlimit
+		peertest.Eventually(s.t, "the process has the limit", func() bool {
+			err := unix.Prlimit(s.process.Pid, resource, nil, &current)
+			return err != nil || current.Cur == limit
+		})
 		err := unix.Prlimit(s.process.Pid, resource, &own, nil)
 		if err != nil {
 			require.ErrorIs(s.t, err, unix.ESRCH) // it was killed
@@ -285,7 +305,7 @@
 		return s.hideFolder()
 	}
 	var disk *storage.Disk
-	// A process that a parallel seed forks holds the lock of an earlier start until it executes its program.
+	// The lock of a process that was killed outlives it by up to 0.1 s, as its mapping of the file does.
 	peertest.Eventually(s.t, "the disk can be locked", func() (ok bool) {
 		var err error
 		disk, _, err = storage.Open(s.dataDir(), s.ip, true)
@@ -304,7 +324,8 @@
 	require.NoError(s.t, os.Rename(s.dataDir(), hidden))
 	require.NoError(s.t, os.WriteFile(s.dataDir(), nil, 0o600))
 	return condition{name: "a file in place of the folder", end: func() {
-		require.NoError(s.t, os.Remove(s.dataDir()))
-		require.NoError(s.t, os.Rename(hidden, s.dataDir()))
+		// In one step: a router that found no folder would create one.
+		require.NoError(s.t, unix.Renameat2(unix.AT_FDCWD, hidden, unix.AT_FDCWD, s.dataDir(), unix.RENAME_EXCHANGE))
+		require.NoError(s.t, os.Remove(hidden))
 	}}
 }
