Long heads of requests count against the memory limit while they arrive

What callers saw: nothing yet; a router that goes over MemoryMb is killed, and all its requests end.

Cause: net/http reads a head of up to 256 KiB before any of our code runs, and the configuration's MaxHeaderBytes is checked after that. So many connections with long heads take memory that nothing bounds: the class is the one of the bodies, memory that is used before it is counted.

Change: connections of HTTP servers count the bytes of a head as they are read. What is over 16 KiB is reserved twice over from the memory for bodies, as a large body is, until the request ends. A connection for which nothing is left is closed. Heads within the limits of our deployments reserve nothing.

--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -115,9 +115,18 @@
 	}
 }
 
-// BufferedBytes returns the memory that is reserved for the bodies of all requests in progress.
+// BufferedBytes returns the memory that is reserved for the bodies and the long heads of all requests in progress.
 func (g *Gateway) BufferedBytes() int64 { return g.bodyMemory.reserved.Load() }
 
+// ReserveMemory reserves memory for a part of the head of a request and reports whether that was possible. Heads share the memory for
+// bodies, as large ones do.
+func (g *Gateway) ReserveMemory(bytes int64) bool {
+	return g.bodyMemory.reserve(bytes, smallBodyBytes+1)
+}
+
+// ReleaseMemory returns memory that ReserveMemory has reserved.
+func (g *Gateway) ReleaseMemory(bytes int64) { g.bodyMemory.release(bytes) }
+
 // withLock calls a function with the lock held. It releases the lock also where the function panics, because net/http recovers the panics of
 // requests: a lock that stays locked would stop all others.
 func (g *Gateway) withLock(call func()) {
--- /dev/null
+++ b/internal/router/node/head_memory_test.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/common/peertest"
+)
+
+// limitedMemory is memory of which some bytes can be reserved.
+type limitedMemory struct {
+	limit    int64
+	reserved atomic.Int64
+}
+
+func (m *limitedMemory) ReserveMemory(bytes int64) bool {
+	if m.reserved.Add(bytes) > m.limit {
+		m.reserved.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+func (m *limitedMemory) ReleaseMemory(bytes int64) { m.reserved.Add(-bytes) }
+
+// startHeadServer starts a server that answers with the memory which is reserved while it handles a request, and with the length of the body.
+func startHeadServer(t *testing.T, memory *limitedMemory) (address string) {
+	t.Helper()
+	server := &http.Server{MaxHeaderBytes: maxHeaderBytes, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, memory.reserved.Load(), " ", n)
+	})}
+	countHeads(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(headListener{listener, memory}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// dialHeadServer opens a connection and writes a text.
+func dialHeadServer(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, in := peertest.Dial(t, address)
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+	return conn, in
+}
+
+// head returns the start of a request whose head has a field of so many bytes.
+func head(fieldBytes, bodyBytes int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nX-Long: %s", bodyBytes, strings.Repeat("h", fieldBytes))
+}
+
+const endOfHead = "\r\n\r\n"
+
+func TestLongHeadsThatArriveTogetherStayWithinTheMemory(t *testing.T) {
+	const longHead = 100 << 10
+	memory := &limitedMemory{limit: 400 << 10}
+	address := startHeadServer(t, memory)
+	first, in := dialHeadServer(t, address, head(longHead, 0))
+	peertest.Eventually(t, "the first head is counted", func() bool { return memory.reserved.Load() > longHead })
+	for range 3 {
+		_, rejected := dialHeadServer(t, address, head(2*longHead, 0))
+		_, err := rejected.ReadByte()
+		require.Error(t, err, "no memory is left for it")
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.LessOrEqual(t, memory.reserved.Load(), memory.limit)
+	}
+	_, err := io.WriteString(first, endOfHead)
+	require.NoError(t, err)
+	response, body := peertest.ReadResponse(t, in)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.NotEqual(t, "0 0", string(body), "the memory stays reserved while the request is handled")
+	peertest.Eventually(t, "all memory is released", func() bool { return memory.reserved.Load() == 0 })
+}
+
+// A kept connection whose requests have long bodies reserves nothing for these, and its memory is counted anew for each head.
+func TestBodiesAndEarlierRequestsAreNoPartOfAHead(t *testing.T) {
+	const bodyBytes = 1 << 20
+	memory := &limitedMemory{}
+	conn, in := dialHeadServer(t, startHeadServer(t, memory), "")
+	for range 20 {
+		_, err := io.WriteString(conn, head(4<<10, bodyBytes)+endOfHead+strings.Repeat("b", bodyBytes))
+		require.NoError(t, err)
+		response, body := peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, fmt.Sprint("0 ", bodyBytes), string(body))
+	}
+	_, err := io.WriteString(conn, head(100<<10, 0))
+	require.NoError(t, err)
+	_, err = in.ReadByte()
+	require.Error(t, err, "a later head is counted too, and there is no memory")
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// net/http closes one direction of a connection whose request it has not read completely, so that no reset overtakes its response.
+func TestOneDirectionOfACountedConnectionCanBeClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	client, in := peertest.Dial(t, listener.Addr().String())
+	conn, err := headListener{listener, &limitedMemory{}}.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	closer, ok := conn.(interface{ CloseWrite() error })
+	require.True(t, ok)
+	require.NoError(t, closer.CloseWrite())
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.WriteString(client, "x")
+	require.NoError(t, err)
+	n, err := conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+}
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -27,8 +27,10 @@
 )
 
 func (n *Node) newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.logger.Std("", 0)}
+	countHeads(server)
+	return server
 }
 
 const (
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -162,7 +162,7 @@
 			opened.front = server
 		}
 		opened.servers = append(opened.servers, server)
-		go func() { _ = server.Serve(b.listener) }()
+		go func() { _ = server.Serve(headListener{b.listener, n.gateway}) }()
 	}
 	return opened
 }
--- a/internal/router/node/usage.go
+++ b/internal/router/node/usage.go
@@ -23,7 +23,7 @@
 	ResidentMb  float64 // without the pages of the program file and other mapped files
 	Descriptors int     // open ones
 	Goroutines  int
-	BodiesMb    float64 // reserved for the bodies of client requests
+	BodiesMb    float64 // reserved for the bodies and the long heads of requests
 }
 
 // usage returns the present usage. It needs no lock.
