--- a/internal/router/node/head_memory_test.go
+++ b/internal/router/node/head_memory_test.go
@@ -80,7 +80,7 @@
 	require.NoError(t, err)
 	response, body := peertest.ReadResponse(t, in)
 	require.Equal(t, http.StatusOK, response.StatusCode)
-	require.NotEqual(t, "0 0", string(body), "the memory stays reserved while the request is handled")
+	require.NotEqual(t, "0 0", body, "the memory stays reserved while the request is handled")
 	peertest.Eventually(t, "all memory is released", func() bool { return memory.reserved.Load() == 0 })
 }
 
@@ -94,7 +94,7 @@
 		require.NoError(t, err)
 		response, body := peertest.ReadResponse(t, in)
 		require.Equal(t, http.StatusOK, response.StatusCode)
-		require.Equal(t, fmt.Sprint("0 ", bodyBytes), string(body))
+		require.Equal(t, fmt.Sprint("0 ", bodyBytes), body)
 	}
 	_, err := io.WriteString(conn, head(100<<10, 0))
 	require.NoError(t, err)
