A graceful end releases the lock of the disk

What callers saw: a router that was started after another had ended waited for the lock of replica.db ("another process has it open"), in the worst case for more than 20 s.

Cause: a router ended without closing its disk and left the lock to the kernel, which may release a mapped file after the process was waited for.

Change: the goroutine that writes to the disk closes it when the queue is empty; the end waits for that up to 0.3 s, since a disk may hang. Closing unlocks the file explicitly, whatever the kernel does later. The lock of a killed process stays the kernel's, and is waited for.

TestAGracefulEndReleasesTheLockOfTheDisk fails without it. TestADiskThatHangsDelaysNoEnd guards the bound. A seed of the start soak that fails prints the locks of the disk and the descriptors of the process.

--- a/cmd/petrelhook-router/start_soak_test.go
+++ b/cmd/petrelhook-router/start_soak_test.go
@@ -98,6 +98,7 @@
 			t.Cleanup(func() {
 				if t.Failed() {
 					t.Logf("play it again with -startsoak.first %d -startsoak.count 1:\n%s", seed, strings.Join(s.trace, "\n"))
+					t.Logf("locks of the disk, and the descriptors of the last process:\n%s\n%s", s.locks(), s.descriptors())
 				}
 			})
 			for i := range startsPerSeed {
@@ -114,6 +115,35 @@
 	s.trace = append(s.trace, fmt.Sprintf(format, args...))
 }
 
+// locks returns the lines of /proc/locks with the file of the disk. Each names the process that took the lock, also one that has ended.
+func (s *startSoak) locks() string {
+	info, err := os.Stat(filepath.Join(s.dataDir(), "replica.db"))
+	if err != nil {
+		return err.Error()
+	}
+	inode := fmt.Sprintf(":%d ", info.Sys().(*syscall.Stat_t).Ino)
+	text, _ := os.ReadFile("/proc/locks") // a diagnosis alone
+	var found []string
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, inode) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
+// descriptors returns what the descriptors of the last process refer to.
+func (s *startSoak) descriptors() string {
+	folder := fmt.Sprintf("/proc/%d/fd", s.process.Pid)
+	entries, _ := os.ReadDir(folder) // a diagnosis alone
+	var targets []string
+	for _, entry := range entries {
+		target, _ := os.Readlink(filepath.Join(folder, entry.Name()))
+		targets = append(targets, target)
+	}
+	return strings.Join(targets, "\n")
+}
+
 // within returns a random duration.
 func (s *startSoak) within(longest time.Duration) time.Duration {
 	return time.Duration(s.random.Int64N(int64(longest)))
--- a/internal/router/node/disk_writer_test.go
+++ b/internal/router/node/disk_writer_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"petrelhook/internal/rig/process"
 	"petrelhook/internal/router/replication"
+	"petrelhook/internal/router/storage"
 )
 
 // blockingDisk is a disk whose syncs block until the test lets them end.
@@ -25,6 +27,36 @@
 	return errs
 }
 
+func (d *blockingDisk) Close() error { return nil }
+
+// A successor must not wait for the lock of a router that has ended gracefully.
+func TestAGracefulEndReleasesTheLockOfTheDisk(t *testing.T) {
+	folder := process.DataDir(t)
+	const address = "127.0.0.1:7000"
+	disk, _, err := storage.Open(folder, address, true)
+	require.NoError(t, err)
+	saved := make(chan error, 1)
+	w := newDiskWriter(disk, func(_ uint64, err error) { saved <- err })
+	w.save(replication.Save{Number: 1})
+	w.close()
+	require.NoError(t, <-saved)
+	successor, _, err := storage.Open(folder, address, true)
+	require.NoError(t, err)
+	require.NoError(t, successor.Close())
+}
+
+// A disk that hangs must not keep a router from ending.
+func TestADiskThatHangsDelaysNoEnd(t *testing.T) {
+	disk := &blockingDisk{begun: make(chan []replication.Save), end: make(chan error)}
+	w := newDiskWriter(disk, func(uint64, error) {})
+	w.save(replication.Save{Number: 1})
+	<-disk.begun
+	w.close()
+	require.Empty(t, w.ended)
+	disk.end <- nil
+	<-w.ended
+}
+
 // saveResult holds the arguments of a call of diskWriter.saved.
 type saveResult struct {
 	number uint64
