A sidecar's clients that do not read make the kernel hold no more than a share of memory

What operators saw: a process over its memory limit. Cause: nothing bounded what the kernel holds for connections. It lets a buffer grow to megabytes for a client that does not read its response, and takes what a refused client sends on until the connection is closed.

Listeners have kernel buffers of a set size now, which their connections take over, and so have connections to servers: together a sixth of limits.memory_mb. A response that does not fit borrows a larger one, of a sixteenth of the memory; with small ones alone TestARequestHalfWrittenInAnUpgrade failed, whose client reads 300 KB late.

The test of sock fails without the sizes: the kernel takes megabytes of what is not read.

--- a/internal/common/sock/retry_accept.go
+++ b/internal/common/sock/retry_accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +28,14 @@
 	once    sync.Once
 }
 
+// SyscallConn implements syscall.Conn, for options of the socket.
+func (l *retryingListener) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := l.Listener.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Accept implements net.Listener.
 func (l *retryingListener) Accept() (net.Conn, error) {
 	for delay := firstAcceptDelay; ; delay = min(2*delay, maxAcceptDelay) {
--- a/internal/sidecar/config/limits.go
+++ b/internal/sidecar/config/limits.go
@@ -1,6 +1,10 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+
+	"petrelhook/internal/common/sock"
+)
 
 // reservedDescriptors is how many descriptors are kept for discovery, the listener, the runtime and connections that are being
 // rejected.
@@ -43,3 +47,20 @@
 // no limit. Most of the rest is for headers and messages under 4 KiB, of which each connection may have one, for buffers of
 // streamed messages, and for garbage.
 func (l Limits) MessageBytes() int64 { return int64(l.MemoryMB) << 20 / 4 }
+
+// Parts of the memory limit, as divisors, that the kernel's buffers of all connections may take, and the larger ones of long responses.
+const (
+	socketBuffersPart = 6
+	lentBuffersPart   = 16
+)
+
+// SocketBufferBytes returns the size of each of the two buffers that the kernel keeps for a connection, or 0 for no limit. A connection to a
+// server uses one of them at a time.
+func (l Limits) SocketBufferBytes() int {
+	return sock.BufferBytes(int64(l.MemoryMB)<<20/socketBuffersPart, 2*l.ClientConnections()+l.ServerConnections())
+}
+
+// SendBuffers returns the larger buffers for responses that do not fit into those of SocketBufferBytes.
+func (l Limits) SendBuffers() *sock.SendBuffers {
+	return sock.NewSendBuffers(l.SocketBufferBytes(), int64(l.MemoryMB)<<20/lentBuffersPart)
+}
--- a/internal/sidecar/connlimit/client.go
+++ b/internal/sidecar/connlimit/client.go
@@ -24,6 +24,7 @@
 	readAhead    readAhead
 	peerClosed   atomic.Bool // the client has closed its side
 	responseOpen atomic.Bool // see Limiter.SetResponseOpen
+	sendBuffer   sock.SendBuffer
 
 	// Guarded by Limiter.mu:
 	record          admission.Conn
@@ -62,6 +63,12 @@
 	return n, err
 }
 
+// Write implements net.Conn. A long response gets a larger send buffer, if there is one.
+func (c *client) Write(p []byte) (int, error) {
+	c.sendBuffer.Writes(c.Conn, len(p))
+	return c.Conn.Write(p)
+}
+
 // peerGone handles that the client has closed its side: it cancels the client's requests.
 func (c *client) peerGone() {
 	c.peerClosed.Store(true)
@@ -94,6 +101,7 @@
 	now := time.Now()
 	if c.responseOpen.Load() {
 		c.limiter.admission.Closed(&c.record, now)
+		c.sendBuffer.Ends()
 		return sock.Abort(c.Conn)
 	}
 	return c.closeWhenDelivered(now)
@@ -105,6 +113,7 @@
 	half, canHalfClose := c.Conn.(closeWriter)
 	if c.peerClosed.Load() || !canHalfClose || !sock.Unsent(c.Conn) {
 		c.limiter.admission.Closed(&c.record, now)
+		c.sendBuffer.Ends()
 		return c.Conn.Close()
 	}
 	c.limiter.admission.Closing(&c.record, now)
@@ -115,6 +124,7 @@
 		c.limiter.mu.Lock()
 		defer c.limiter.mu.Unlock()
 		c.limiter.admission.Closed(&c.record, time.Now())
+		c.sendBuffer.Ends()
 		c.Conn.Close()
 	}()
 	return nil
--- a/internal/sidecar/connlimit/limiter.go
+++ b/internal/sidecar/connlimit/limiter.go
@@ -41,6 +41,8 @@
 	// ReadAheadBudget bounds the total memory for bytes that clients send before the response to their previous request has
 	// ended; nil means no bound. It is set before the first Accept.
 	ReadAheadBudget *membudget.Budget
+	// SendBuffers lends buffers for long responses; nil: none are needed. It is set before the first Accept.
+	SendBuffers *sock.SendBuffers
 
 	requestTimeout time.Duration // within which a request must arrive completely
 	rejecting      chan struct{} // semaphore: holds a value for each connection that is being rejected
@@ -90,11 +92,13 @@
 	now := time.Now()
 	c := &client{Conn: conn, limiter: l, requestDeadline: now.Add(l.requestTimeout), cancel: func() {}}
 	c.record.Owner = c
+	c.sendBuffer.Init(l.SendBuffers)
 	evictable := func(record *admission.Conn) bool { return record.Owner.(*client).evictable() }
 	evicted, admitted := l.admission.Admit(&c.record, now, evictable)
 	if evicted != nil {
 		other := evicted.Owner.(*client)
 		other.closed = true
+		other.sendBuffer.Ends()
 		other.Conn.Close()
 	}
 	if !admitted {
@@ -158,6 +162,7 @@
 	}
 	if s == http.StateIdle {
 		c.readAhead.startNext()
+		c.sendBuffer.Rests(c.Conn)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/sidecar/front/platform/platform.go
+++ b/internal/sidecar/front/platform/platform.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/sidecar/admission"
 	"petrelhook/internal/sidecar/connlimit"
 	"petrelhook/internal/sidecar/front"
@@ -56,6 +57,7 @@
 	Classes      []front.Class
 	Tenants      []string
 	Admission    admission.Config  // which connections stay open
+	SendBuffers  *sock.SendBuffers // for long responses; nil: none are needed
 	MemoryBudget *membudget.Budget // bytes of request bodies in memory; responses are charged to the same budget
 }
 
@@ -76,7 +78,7 @@
 func New(settings Settings, core front.Core, machine *lifecycle.Machine, log *slog.Logger) *Server {
 	s := &Server{core: core, lifecycle: machine, settings: settings, classes: map[string]int{}, after: time.After}
 	s.limiter = connlimit.New(nil, settings.Admission, bodyTimeout)
-	s.limiter.ReadAheadBudget = settings.MemoryBudget
+	s.limiter.ReadAheadBudget, s.limiter.SendBuffers = settings.MemoryBudget, settings.SendBuffers
 	for i, class := range settings.Classes {
 		s.classes[class.Name] = i
 		s.maxDeadline = max(s.maxDeadline, class.Deadline)
--- a/internal/sidecar/wiring/serve.go
+++ b/internal/sidecar/wiring/serve.go
@@ -28,6 +28,10 @@
 	if err != nil {
 		return err
 	}
+	sock.SetBuffers(start.clients, cfg.Limits.SocketBufferBytes())
+	if start.operators != nil {
+		sock.SetBuffers(start.operators, cfg.Limits.SocketBufferBytes())
+	}
 	sidecar := NewFrom(cfg, start.state, env.Dial, log)
 	sidecar.OnMemoryShared = limit
 	go sidecar.Reload(stop, path, reload)
--- a/internal/sidecar/wiring/wiring.go
+++ b/internal/sidecar/wiring/wiring.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"petrelhook/balance"
+	"petrelhook/internal/common/sock"
 	"petrelhook/internal/sidecar/admin"
 	"petrelhook/internal/sidecar/admission"
 	"petrelhook/internal/sidecar/config"
@@ -104,6 +105,17 @@
 	return s
 }
 
+// withBuffers returns a Dial whose connections have kernel buffers of a size in bytes; 0: the kernel chooses.
+func withBuffers(dial Dial, size int) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err == nil {
+			sock.SetBuffers(conn, size)
+		}
+		return conn, err
+	}
+}
+
 // newServers returns the connections to servers. Their use is counted where the configuration has an address for operators.
 func (s *Sidecar) newServers(cfg *config.Config, budget *membudget.Budget) upstream.Servers {
 	module := &cfg.Profile.Config
@@ -116,12 +128,13 @@
 		LoadReportFields: cfg.Profile.Fields,
 		HealthCheckPath:  healthCheckPath(module),
 	}
+	dial := withBuffers(s.dial, cfg.Limits.SocketBufferBytes())
 	if cfg.Admin == "" {
-		s.upstream = http1.New(settings, http1.Dial(s.dial))
+		s.upstream = http1.New(settings, http1.Dial(dial))
 		return s.upstream
 	}
 	s.serverCounts = &counts.Servers{}
-	s.upstream = http1.New(settings, http1.Dial(s.serverCounts.Dial(s.dial)))
+	s.upstream = http1.New(settings, http1.Dial(s.serverCounts.Dial(dial)))
 	s.serverCounts.Servers = s.upstream
 	return s.serverCounts
 }
@@ -129,7 +142,7 @@
 // frontSettings returns the settings of the front.
 func frontSettings(cfg *config.Config, budget *membudget.Budget) platform.Settings {
 	settings := platform.Settings{
-		Tenants: cfg.Profile.Tenants, MemoryBudget: budget, Admission: admission.Config{MaxConnections: cfg.Limits.ClientConnections()},
+		Tenants: cfg.Profile.Tenants, MemoryBudget: budget, SendBuffers: cfg.Limits.SendBuffers(), Admission: admission.Config{MaxConnections: cfg.Limits.ClientConnections()},
 	}
 	if cfg.Admin != "" && cfg.Limits.Sockets > 0 { // connections of operators count against the clients' limit
 		settings.Admission.MaxConnections = max(1, settings.Admission.MaxConnections-admin.MaxCalls)
