--- a/internal/common/sock/buffers.go
+++ b/internal/common/sock/buffers.go
@@ -32,6 +32,9 @@
 	setBuffer(connOrListener, syscall.SO_SNDBUF, bytes)
 }
 
+// SetSendBuffer sets the size of the buffer for what is sent, as SetBuffers does for both.
+func SetSendBuffer(conn net.Conn, bytes int) { setBuffer(conn, syscall.SO_SNDBUF, bytes) }
+
 // setBuffer sets the size of one buffer.
 func setBuffer(connOrListener any, option, bytes int) {
 	_ = control(connOrListener, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, option, bytes) })
--- a/internal/sidecar/config/limits.go
+++ b/internal/sidecar/config/limits.go
@@ -55,7 +55,7 @@
 )
 
 // SocketBufferBytes returns the size of each of the two buffers that the kernel keeps for a connection, or 0 for no limit. A connection to a
-// server uses one of them at a time.
+// server uses one of them at a time; its buffer for uploads is larger.
 func (l Limits) SocketBufferBytes() int {
 	return sock.BufferBytes(int64(l.MemoryMB)<<20/socketBuffersPart, 2*l.ClientConnections()+l.ServerConnections())
 }
--- a/internal/sidecar/wiring/wiring.go
+++ b/internal/sidecar/wiring/wiring.go
@@ -105,12 +105,20 @@
 	return s
 }
 
+// minSendBuffer is the smallest kernel buffer for what is sent to a server, in bytes. Less than a packet of the loopback interface makes long
+// uploads wait for delayed acknowledgements.
+const minSendBuffer = 64 << 10
+
 // withBuffers returns a Dial whose connections have kernel buffers of a size in bytes; 0: the kernel chooses.
 func withBuffers(dial Dial, size int) Dial {
+	if size == 0 {
+		return dial
+	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err == nil {
 			sock.SetBuffers(conn, size)
+			sock.SetSendBuffer(conn, max(size, minSendBuffer))
 		}
 		return conn, err
 	}
