--- a/cmd/petrelhook-router/commands.go
+++ b/cmd/petrelhook-router/commands.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/node"
 	"petrelhook/internal/router/operatorapi"
 	"petrelhook/internal/router/replication"
@@ -26,10 +27,9 @@
 )
 
 const (
-	memoryLimitFraction = 0.7 // fraction of the machine's memory near which the garbage collector works harder
-	megabyte            = 1 << 20
-	callTimeout         = 3 * time.Second // of an operator's call to a router
-	defaultAdmission    = 10 * time.Minute
+	megabyte         = 1 << 20
+	callTimeout      = 3 * time.Second // of an operator's call to a router
+	defaultAdmission = 10 * time.Minute
 )
 
 // argument returns the command's only argument.
@@ -185,9 +185,7 @@
 	if err != nil {
 		return exitError(err)
 	}
-	if s.Limits.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * megabyte * float64(s.Limits.MemoryMb)))
-	}
+	clientlimit.Limits{MemoryBytes: int64(s.Limits.MemoryMb) * megabyte}.LimitCollector()
 	logger := newLogger(c.Root().ErrWriter)
 	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/common/clientlimit/conn.go
@@ -0,0 +1,373 @@
+package clientlimit
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"petrelhook/internal/common/sock"
+)
+
+const (
+	// uncountedHeadBytes is the size up to which the head of a request takes no reserved memory: nearly all are shorter.
+	uncountedHeadBytes = 8 << 10
+	// memoryPerHeadByte and memoryPerHeadLine are the bytes of memory that a byte and a line of a head take in buffers, strings and maps.
+	memoryPerHeadByte = 2
+	memoryPerHeadLine = 192
+	// headSlackBytes is how much longer than the limit a head may be before its connection is refused: the server refuses the heads below
+	// that itself, and what follows a head may have come in the same read.
+	headSlackBytes = 8 << 10
+	// maxWriteBytes is the largest single write, which a client has to take within writeTimeout.
+	maxWriteBytes = 32 << 10
+	writeTimeout  = 10 * time.Second
+	// deliveryInterval is the time between two looks at whether the last response has arrived.
+	deliveryInterval = 50 * time.Millisecond
+)
+
+// The responses to a head over the limit, and to one that does not arrive in time.
+const (
+	headTooLong = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headTooLate = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// errHeadRefused ends a connection without a further response: it has the type that net/http takes for a broken connection.
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head of the request is refused")}
+
+// state is what a connection is used for.
+type state int32
+
+const (
+	stateNew     state = iota // no byte has arrived
+	stateIdle                 // between two requests
+	stateHead                 // a part of a head has arrived
+	stateBody                 // a part of a body has arrived
+	stateServing              // a request has arrived completely
+	stateClosing              // the last response was written
+)
+
+// usefulness ranks connections: one of a higher rank is closed first.
+type usefulness int
+
+const (
+	useful     usefulness = iota
+	notWaiting            // it has sent far more than a short request before it had its response
+	notReading
+	notSending
+	hasRested
+	neverUsed
+	closing
+)
+
+// Conn is a connection of an HTTP server, which calls its methods. Heads of requests that are too long, or for which no memory is left,
+// end it. A client has to read what is written within writeTimeout.
+type Conn struct {
+	net.Conn
+	listener  *Listener
+	cancel    context.CancelFunc // ends the contexts of its requests
+	readAhead readAhead
+
+	state      atomic.Int32 // a state
+	entered    atomic.Int64 // time at which the state was entered, in nanoseconds
+	received   atomic.Int64 // bytes in stateHead and stateBody
+	refused    atomic.Bool  // the last response was sent by refuseHead
+	writeBegan atomic.Int64 // time at which the write in progress began, in nanoseconds; 0: there is none
+
+	sendBuffer sock.SendBuffer
+	closing    sync.Once
+	mutex      sync.Mutex   // guards the fields below
+	head       *Reservation // of the request in progress; nil: its head is short
+	headBytes  int64
+}
+
+// enter sets the state.
+func (c *Conn) enter(s state) {
+	c.entered.Store(time.Now().UnixNano())
+	c.received.Store(0)
+	c.state.Store(int32(s))
+}
+
+// in reports whether the connection is in one of the states.
+func (c *Conn) in(states ...state) bool {
+	current := state(c.state.Load())
+	for _, s := range states {
+		if s == current {
+			return true
+		}
+	}
+	return false
+}
+
+// usefulness returns the rank of the connection, and the time for which it has had it.
+func (c *Conn) usefulness(now time.Time) (usefulness, time.Duration) {
+	elapsed := now.Sub(time.Unix(0, c.entered.Load()))
+	if began := c.writeBegan.Load(); began != 0 {
+		writing := now.Sub(time.Unix(0, began))
+		if writing > progressGrace {
+			return notReading, writing
+		}
+		return useful, writing
+	}
+	switch state(c.state.Load()) {
+	case stateClosing:
+		return closing, elapsed
+	case stateNew:
+		if elapsed > progressGrace {
+			return neverUsed, elapsed
+		}
+	case stateIdle:
+		if elapsed > idleGrace {
+			return hasRested, elapsed
+		}
+	case stateServing:
+		if elapsed > progressGrace && c.readAhead.hasOverflowed() {
+			return notWaiting, elapsed
+		}
+	case stateHead, stateBody:
+		if stalled(c.received.Load(), elapsed) {
+			return notSending, elapsed
+		}
+	}
+	return useful, elapsed
+}
+
+// displace ends the connection for another one. What a client does not read is dropped, because the kernel would keep it.
+func (c *Conn) displace() {
+	if sock.Unsent(c.Conn) {
+		_ = sock.Abort(c.Conn)
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// Read implements net.Conn. It ends with errHeadRefused if the head that is being read is refused.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	if c.in(stateHead) {
+		c.limitHeadTime()
+	}
+	n, ok, err := c.readAhead.read(buffer)
+	if !ok {
+		n, err = c.Conn.Read(buffer)
+	}
+	if n <= 0 {
+		if c.in(stateHead) && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.refuseHead(headTooLate)
+		}
+		return n, err
+	}
+	if len(buffer) == 1 && c.in(stateBody, stateServing) { // net/http has seen that the next request follows, and reads no further
+		c.startReadAhead()
+	}
+	if c.in(stateNew, stateIdle) {
+		c.enter(stateHead)
+	}
+	if c.in(stateHead) && !c.countHead(buffer[:n]) {
+		return 0, errHeadRefused
+	}
+	return n, err
+}
+
+// limitHeadTime sets the deadline of a head of which a part has arrived. net/http replaces it when the head is complete.
+func (c *Conn) limitHeadTime() {
+	if timeout := c.listener.timeouts().HeadTimeout; timeout > 0 {
+		c.Conn.SetReadDeadline(time.Unix(0, c.entered.Load()).Add(timeout))
+	}
+}
+
+// countHead counts bytes that were read, and reports whether they are within the limit and there is memory for them.
+func (c *Conn) countHead(text []byte) bool {
+	c.received.Add(int64(len(text)))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.headBytes += int64(len(text))
+	if c.headBytes <= uncountedHeadBytes {
+		return true
+	}
+	if limit := c.listener.timeouts().HeadBytes; limit > 0 && c.headBytes > int64(limit+headSlackBytes) {
+		c.refuseHead(headTooLong)
+		return false
+	}
+	if c.head == nil {
+		c.head = c.listener.memory.Reserve(func() { _ = c.Conn.Close() })
+	}
+	c.head.Received(int64(len(text)))
+	bytes := memoryPerHeadByte*int64(len(text)) + memoryPerHeadLine*int64(bytes.Count(text, []byte("\n")))
+	if !c.head.Grow(context.Background(), bytes, smallMessageBytes+1) {
+		c.refuseHead(rejection)
+		return false
+	}
+	return true
+}
+
+// refuseHead sends a response to a head that net/http does not get whole. It would take the part that it has for a request that cannot be
+// read, and its response to that is dropped. No other response is in progress.
+func (c *Conn) refuseHead(response string) {
+	c.listener.unreadable.Add(1)
+	c.refused.Store(true)
+	c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout))
+	io.WriteString(c.Conn, response)
+}
+
+// Write implements net.Conn. A client that does not read ends it.
+func (c *Conn) Write(text []byte) (written int, err error) {
+	if c.refused.Load() {
+		return 0, net.ErrClosed
+	}
+	c.sendBuffer.Writes(c.Conn, len(text))
+	for first := true; first || len(text) > 0; first = false {
+		now := time.Now()
+		c.writeBegan.Store(now.UnixNano())
+		c.Conn.SetWriteDeadline(now.Add(writeTimeout))
+		n, err := c.Conn.Write(text[:min(len(text), maxWriteBytes)])
+		written += n
+		if err != nil {
+			c.writeBegan.Store(0)
+			return written, err
+		}
+		text = text[n:]
+	}
+	c.writeBegan.Store(0)
+	return written, nil
+}
+
+// SetReadDeadline implements net.Conn. A connection between two requests has no later deadline than the limits allow.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	if idle := c.listener.timeouts().IdleTimeout; idle > 0 && c.in(stateIdle) && !deadline.IsZero() {
+		if latest := time.Now().Add(idle); deadline.After(latest) {
+			deadline = latest
+		}
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// CloseWrite closes the direction to the client. net/http does that before it closes a connection whose request it has not read completely,
+// so that the client gets the response.
+func (c *Conn) CloseWrite() error {
+	c.enter(stateClosing)
+	if conn, ok := c.Conn.(closeWriter); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. Where the client has not acknowledged all of the last response, the connection is kept until it has, for
+// writeTimeout at most.
+func (c *Conn) Close() error {
+	c.closing.Do(func() {
+		c.endRequest(stateClosing)
+		c.cancel()
+		c.readAhead.discard()
+		if sock.Unsent(c.Conn) {
+			go c.deliver()
+			return
+		}
+		_ = c.Conn.Close()
+		c.end()
+	})
+	return nil
+}
+
+// deliver waits until the client has acknowledged the last response, and closes the connection. It resets a connection whose client does
+// not, because the kernel would keep what is unsent.
+func (c *Conn) deliver() {
+	defer c.end()
+	if half, ok := c.Conn.(closeWriter); ok {
+		_ = half.CloseWrite() // the connection may have been reset
+	}
+	buffer := make([]byte, 1<<10)
+	for latest := time.Now().Add(writeTimeout); sock.Unsent(c.Conn) && time.Now().Before(latest); {
+		c.Conn.SetReadDeadline(time.Now().Add(deliveryInterval))
+		if _, err := c.Conn.Read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			break // the client has left
+		}
+	}
+	_ = sock.Abort(c.Conn)
+}
+
+// end forgets a connection that is closed.
+func (c *Conn) end() {
+	c.sendBuffer.Ends()
+	c.listener.remove(c)
+}
+
+// endHead begins the body of a request. The memory of the head stays reserved.
+func (c *Conn) endHead(hasBody bool) {
+	next := stateServing
+	if hasBody {
+		next = stateBody
+	}
+	c.enter(next)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.head != nil {
+		c.head.Arrived()
+	}
+}
+
+// endRequest releases the memory of a head. What is read next belongs to another one.
+func (c *Conn) endRequest(next state) {
+	c.stopReadAhead()
+	c.enter(next)
+	if next == stateIdle {
+		c.sendBuffer.Rests(c.Conn)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.head != nil {
+		c.head.Release()
+		c.head = nil
+	}
+	c.headBytes = 0
+}
+
+// connKey is the key of the Conn in the context of its requests.
+type connKey struct{}
+
+// Attach makes a server tell the connections of Listeners where heads, bodies and requests end. It is called before the server serves.
+func Attach(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*Conn); ok {
+			ctx, c.cancel = context.WithCancel(ctx)
+		}
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+			c.endRequest(stateIdle)
+		}
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			hasBody := r.ContentLength != 0
+			c.endHead(hasBody)
+			if hasBody {
+				r.Body = &countedBody{ReadCloser: r.Body, conn: c}
+			}
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// countedBody is a body that tells its connection what has arrived.
+type countedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	b.conn.received.Add(int64(n))
+	if err != nil {
+		b.conn.enter(stateServing)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/common/clientlimit/doc.go
@@ -0,0 +1,28 @@
+// Package clientlimit bounds what the clients of one process can use up, whatever they send: its memory and its descriptors. Limits
+// divides both, a Listener bounds connections, a Memory bounds what messages take, and MessageReader does so for a stream of messages.
+//
+// # The sum
+//
+// A process is killed when its memory, with what the kernel holds for its sockets, exceeds Limits.MemoryBytes (M). For any clients
+//
+//	connections at rest    at most M/6: ClientConnections x connectionBytes (goroutine, its stack, read and write buffers)
+//	connections of peers   at most M/12: PeerConnections x connectionBytes
+//	messages of peers      at most M/12, or one message alone
+//	messages               at most M/4: Memory, with growing buffers and their copies, long heads, bodies and responses
+//	kernel's queues        at most M/6: connections x queues of SocketBufferBytes, two for a client and one at a time for a server
+//	larger send buffers    at most M/16: SendBuffers, for responses that do not fit
+//	the process at rest    the rest, with what the garbage collector has not freed; its limit is set by the program
+//
+// Of the descriptors, reservedDescriptors are left to files, a third to connections to servers, and the listeners share the rest, so
+// that no listener can take those of another.
+//
+// # What happens at a bound
+//
+// A new connection takes the place of another one that is of less use: one that is being closed, the one that has been idle for longest,
+// or one that makes no progress. If there is none it gets 503 and is closed. A message for which no memory is left takes that of another
+// one that makes no progress, if there is one; otherwise it is refused. Connections and messages make progress if they have brought, or
+// taken, minProgressBytesPerSecond on average after progressGrace. Below the bounds nobody is put out, however slow.
+//
+// A client that sends on after a refusal can read the response while net/http keeps the connection; what it sends stays within the
+// kernel's queue.
+package clientlimit
--- /dev/null
+++ b/internal/common/clientlimit/listener_test.go
@@ -0,0 +1,180 @@
+package clientlimit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/common/peertest"
+)
+
+// limitedServer is an HTTP server with a small number of connections. It answers when the test lets it.
+type limitedServer struct {
+	t        *testing.T
+	listener *Listener
+	address  string
+	began    chan *http.Request
+	answer   chan struct{}
+}
+
+func newLimitedServer(t *testing.T, limit int, limits RequestLimits) *limitedServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &limitedServer{t: t, address: ln.Addr().String(), began: make(chan *http.Request, 16), answer: make(chan struct{})}
+	s.listener = NewListener(ln, limit, NewMemory(0), func() RequestLimits { return limits })
+	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.began <- r
+		select {
+		case <-s.answer:
+			io.WriteString(w, "answer")
+		case <-r.Context().Done():
+		}
+	})}
+	Attach(server)
+	go func() { _ = server.Serve(s.listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// open opens a connection and sends a text.
+func (s *limitedServer) open(text string) (net.Conn, *bufio.Reader) {
+	s.t.Helper()
+	conn, in := peertest.Dial(s.t, s.address)
+	_, err := io.WriteString(conn, text)
+	require.NoError(s.t, err)
+	return conn, in
+}
+
+// age makes all open connections that much older.
+func (s *limitedServer) age(d time.Duration) {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	for c := range s.listener.conns {
+		c.entered.Add(-int64(d))
+	}
+}
+
+const (
+	wholeRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+	halfBody     = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo"
+)
+
+// A new connection takes the place of one that is of no use, and is refused with 503 where there is none.
+func TestANewConnectionDisplacesOneWithoutProgress(t *testing.T) {
+	for name, test := range map[string]struct {
+		first     string // what the other connection has sent
+		age       time.Duration
+		displaced bool
+	}{
+		"silent":                       {"", 2 * progressGrace, true},
+		"silent, just opened":          {"", 0, false},
+		"half a head":                  {"POST / HTTP", time.Minute, true},
+		"half a head, just begun":      {"POST / HTTP", 0, false},
+		"half a body":                  {halfBody, time.Minute, true},
+		"a request that is served":     {wholeRequest, time.Hour, false},
+		"bytes behind such a request":  {wholeRequest + "GET", time.Hour, false},
+		"a whole head and body behind": {wholeRequest + wholeRequest, time.Hour, false},
+		"far more than that behind":    {wholeRequest + strings.Repeat("x", 1<<20), time.Hour, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedServer(t, 1, RequestLimits{})
+			_, first := s.open(test.first)
+			if strings.HasPrefix(test.first, wholeRequest) {
+				<-s.began
+			}
+			peertest.Eventually(t, "the first connection has sent", func() bool {
+				s.listener.mutex.Lock()
+				defer s.listener.mutex.Unlock()
+				for c := range s.listener.conns {
+					isLong := len(test.first) > 1<<16
+					return (test.first == "") == c.in(stateNew) && isLong == c.readAhead.hasOverflowed()
+				}
+				return false
+			})
+			s.age(test.age)
+			_, second := s.open(wholeRequest)
+			if test.displaced {
+				close(s.answer)
+				response, _ := peertest.ReadResponse(t, second)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				_, err := first.ReadByte()
+				require.Error(t, err)
+				require.Equal(t, ConnCounts{Displaced: 1}, s.listener.Counts())
+				return
+			}
+			response, _ := peertest.ReadResponse(t, second)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, uint64(1), s.listener.Counts().Refused)
+		})
+	}
+}
+
+// A client that has left is noticed whatever it sent behind its request, and its connection no longer counts.
+func TestAClientThatLeavesBehindOtherBytesIsNoticed(t *testing.T) {
+	for name, behind := range map[string]string{"a byte": "G", "a request": wholeRequest, "more than is kept": strings.Repeat("x", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedServer(t, 8, RequestLimits{})
+			conn, _ := s.open(wholeRequest + behind)
+			r := <-s.began
+			require.NoError(t, conn.Close())
+			peertest.Wait(t, r.Context().Done())
+			peertest.Eventually(t, "the connection is gone", func() bool { return s.listener.Open() == 0 })
+		})
+	}
+}
+
+// Requests that follow one another without a pause are all answered.
+func TestPipelinedRequestsAreAnswered(t *testing.T) {
+	const requests = 20
+	s := newLimitedServer(t, 8, RequestLimits{})
+	close(s.answer)
+	go func() {
+		for range s.began {
+		}
+	}()
+	_, in := s.open(strings.Repeat(wholeRequest, requests))
+	for range requests {
+		response, body := peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, "answer", body)
+	}
+	close(s.began)
+}
+
+// The limits of the configuration end a head that takes too long or is too long, and a connection that rests for too long.
+func TestRequestLimitsEndAConnection(t *testing.T) {
+	const soon = 50 * time.Millisecond
+	t.Run("a slow head", func(t *testing.T) {
+		s := newLimitedServer(t, 8, RequestLimits{HeadTimeout: soon})
+		_, in := s.open("POST / HTTP")
+		response, _ := peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+	t.Run("a long head", func(t *testing.T) {
+		s := newLimitedServer(t, 8, RequestLimits{HeadBytes: 1 << 10})
+		_, in := s.open("POST / HTTP/1.1\r\nX: " + strings.Repeat("x", 4*headSlackBytes))
+		response, _ := peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+		_, err := in.ReadByte()
+		require.Error(t, err)
+	})
+	t.Run("a rest", func(t *testing.T) {
+		s := newLimitedServer(t, 8, RequestLimits{IdleTimeout: soon})
+		close(s.answer)
+		_, in := s.open(wholeRequest)
+		response, _ := peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
--- /dev/null
+++ b/internal/common/clientlimit/memory_test.go
@@ -0,0 +1,117 @@
+package clientlimit
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"petrelhook/internal/rig/bubble"
+)
+
+// What is reserved is released exactly once, whatever is called in whatever order, and the limit holds at all times.
+func TestReservedMemoryIsReleasedExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1 << 20
+		m := NewMemory(limit)
+		var all []*Reservation
+		bytes := rapid.Int64Range(0, limit)
+		pick := func() *Reservation { return all[rapid.IntRange(0, len(all)-1).Draw(t, "which")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(*rapid.T) { all = append(all, m.Reserve(func() {})) },
+			"grow": func(t *rapid.T) {
+				if len(all) > 0 {
+					pick().TryGrow(bytes.Draw(t, "bytes"), bytes.Draw(t, "message"))
+				}
+			},
+			"shrink": func(t *rapid.T) {
+				if len(all) > 0 {
+					r := pick()
+					r.Shrink(rapid.Int64Range(0, r.bytes).Draw(t, "bytes"))
+				}
+			},
+			"arrive": func(*rapid.T) {
+				if len(all) > 0 {
+					pick().Arrived()
+				}
+			},
+			"release": func(*rapid.T) {
+				if len(all) > 0 {
+					pick().Release()
+				}
+			},
+			"": func(t *rapid.T) {
+				sum := int64(0)
+				for _, r := range all {
+					sum += r.bytes
+				}
+				require.Equal(t, sum, m.Reserved())
+				require.LessOrEqual(t, sum, int64(limit))
+			},
+		})
+		for _, r := range all {
+			r.Release()
+		}
+		require.Zero(t, m.Reserved())
+		require.Empty(t, m.arriving)
+	})
+}
+
+// A message that needs memory gets that of one that makes no progress, and never that of one that does or has arrived.
+func TestOnlyMessagesWithoutProgressAreStopped(t *testing.T) {
+	for name, test := range map[string]struct {
+		received int64 // in the time that passes
+		arrived  bool
+		elapsed  time.Duration
+		stopped  bool
+	}{
+		"no progress":             {0, false, 2 * progressGrace, true},
+		"a byte a second":         {60, false, time.Minute, true},
+		"the slowest that is due": {59 * minProgressBytesPerSecond, false, time.Minute, false},
+		"within the grace":        {0, false, progressGrace, false},
+		"arrived":                 {0, true, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				const limit = 1 << 20
+				m := NewMemory(limit)
+				var holder *Reservation
+				stopped := make(chan struct{})
+				holder = m.Reserve(func() { close(stopped) })
+				require.True(t, holder.Grow(t.Context(), smallMessageBytes, smallMessageBytes))
+				holder.Received(test.received)
+				if test.arrived {
+					holder.Arrived()
+				}
+				var tasks sync.WaitGroup
+				if test.stopped {
+					tasks.Go(func() {
+						<-stopped
+						holder.Release()
+					})
+				}
+				<-time.After(test.elapsed)
+				other := m.Reserve(func() {})
+				require.Equal(t, test.stopped, other.Grow(context.Background(), limit, 0))
+				tasks.Wait()
+				require.Equal(t, test.stopped, holder.isStopped)
+			})
+		})
+	}
+}
+
+// A message does not wait for longer than stalledTimeout for a stopped one that keeps its memory.
+func TestAMessageWaitsForStoppedOnesForABoundedTime(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		m := NewMemory(1 << 20)
+		holder := m.Reserve(func() {})
+		require.True(t, holder.Grow(t.Context(), 1<<20, 0))
+		<-time.After(time.Minute)
+		began := time.Now()
+		require.False(t, m.Reserve(func() {}).Grow(context.Background(), 1, 1))
+		require.Equal(t, stalledTimeout, time.Since(began))
+	})
+}
--- a/internal/router/backend/backend_test.go
+++ b/internal/router/backend/backend_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &scriptedServer{t: t, pool: NewPool(listener.Addr().String(), limit), conns: make(chan net.Conn, 16)}
+	s := &scriptedServer{t: t, pool: NewPool(listener.Addr().String(), limit, NewConnections(limit, 0, nil)), conns: make(chan net.Conn, 16)}
 	t.Cleanup(func() { listener.Close(); s.pool.Close() })
 	go func() {
 		for {
@@ -135,7 +135,7 @@
 	require.NoError(t, err)
 	closedAddress := listener.Addr().String()
 	listener.Close()
-	_, err = NewPool(closedAddress, 4).Do(t.Context(), &Request{ID: "x", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
+	_, err = NewPool(closedAddress, 4, NewConnections(4, 0, nil)).Do(t.Context(), &Request{ID: "x", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
 	require.True(t, errors.Is(err, ErrNotSent))
 
 	s := newScriptedServer(t, 4)
--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -85,6 +85,7 @@
 // not, the connection must not be reused, because the server would take the next request for the rest of this one.
 func exchange(c *conn, r *Request) (response *Response, written bool, err error) {
 	head := encodeHead(r)
+	c.sendBuffer.Writes(c.Conn, len(head)+len(r.Body))
 	if len(head)+len(r.Body) >= largeRequestBytes {
 		return exchangeLarge(c, r, head)
 	}
--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -34,7 +34,8 @@
 
 // Pool holds the connections to one server. It is created by NewPool. Its methods may be called from any goroutine.
 type Pool struct {
-	address string
+	address     string
+	connections *Connections // of all pools
 
 	mutex   sync.Mutex    // guards the fields below
 	idle    []*conn       // ordered by the time at which they became idle, the latest at the end
@@ -48,14 +49,16 @@
 // conn is one connection, in use by one exchange or idle.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
-	idleSince time.Time
-	exchanges int // number of completed exchanges; 0 for a new connection
+	pool       *Pool
+	sendBuffer sock.SendBuffer
+	reader     *bufio.Reader
+	idleSince  time.Time
+	exchanges  int // number of completed exchanges; 0 for a new connection
 }
 
-// NewPool returns a pool of at most limit connections to a server's address. It opens none yet.
-func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(1, limit), maxIdle: defaultMaxIdle}
+// NewPool returns a pool of at most limit connections to a server's address, which count among those of all pools. It opens none yet.
+func NewPool(address string, limit int, connections *Connections) *Pool {
+	return &Pool{address: address, connections: connections, limit: max(1, limit), maxIdle: defaultMaxIdle}
 }
 
 // Address returns the server's address, HOST:PORT.
@@ -147,13 +150,21 @@
 
 // dial opens a connection that has been reserved by takeIdleOrReserve.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	if !p.connections.acquire(p) {
+		p.releaseSlot()
+		return nil, ErrNoConnection
+	}
 	dialer := net.Dialer{Timeout: dialTimeout, Control: transport.UserTimeout(tcpUserTimeout), KeepAlive: -1}
 	tcpConn, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
+		p.connections.release(p)
 		p.releaseSlot()
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	return &conn{Conn: tcpConn, reader: bufio.NewReaderSize(tcpConn, readBufferBytes)}, nil
+	sock.SetBuffers(tcpConn, p.connections.bufferBytes)
+	c := &conn{Conn: tcpConn, pool: p, reader: bufio.NewReaderSize(tcpConn, readBufferBytes)}
+	c.sendBuffer.Init(p.connections.sendBuffers)
+	return c, nil
 }
 
 // discard closes a connection that is not among the idle ones.
@@ -169,13 +180,18 @@
 	p.mutex.Unlock()
 }
 
-// close closes a connection. The error does not matter, because its exchange has ended.
-func (c *conn) close() { _ = c.Close() }
+// close closes a connection, once. The error does not matter, because its exchange has ended.
+func (c *conn) close() {
+	_ = c.Close()
+	c.sendBuffer.Ends()
+	c.pool.connections.release(c.pool)
+}
 
 // put makes a connection idle after a complete exchange. It closes the connection instead if the pool is closed or more bytes
 // have arrived than the response had. keepAlive is the timeout that the server sent for idle connections; 0 if it sent none.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	_ = c.SetDeadline(time.Time{}) // if it fails, the next use of the connection fails too
+	c.sendBuffer.Rests(c.Conn)
 	c.idleSince = time.Now()
 	c.exchanges++
 	p.mutex.Lock()
--- a/internal/router/eventstream/eventstream.go
+++ b/internal/router/eventstream/eventstream.go
@@ -22,16 +22,25 @@
 var (
 	ErrPartial = errors.New("the stream ended within an event")
 	ErrTooLong = fmt.Errorf("an event is longer than %d bytes", MaxEvent)
+	ErrMemory  = errors.New("no memory is left for an event")
 )
 
+// unreservedEvent is the size in bytes up to which an event takes no reserved memory.
+const unreservedEvent = 8 << 10
+
 // readBuffer is the size of the read buffer in bytes; a longer line is assembled from several reads.
 const readBuffer = 4 << 10
 
 // Reader reads the events of one stream. Create it with NewReader.
 type Reader struct {
-	source *bufio.Reader
-	event  []byte
-	lastID string
+	// Reserve reserves more bytes of memory for long events and reports whether that was possible; nil: there is no limit. It is set before
+	// the first Next.
+	Reserve func(bytes int64) bool
+
+	source   *bufio.Reader
+	event    []byte
+	reserved int // bytes
+	lastID   string
 }
 
 // NewReader returns a reader of the events in a body. It does not close the body.
@@ -39,12 +48,15 @@
 
 // Next returns the bytes of the next event, which are valid until the next call. The error is io.EOF if the stream
 // ended after a complete event, ErrPartial if it ended within an event, ErrTooLong if an event reaches MaxEvent bytes,
-// or the error of the source. The caller must not use the Reader after an error.
+// ErrMemory, or the error of the source. The caller must not use the Reader after an error.
 func (r *Reader) Next() ([]byte, error) {
 	r.event = r.event[:0]
 	lineStart := true
 	for {
 		chunk, err := r.source.ReadSlice('\n')
+		if !r.reserveFor(len(r.event) + len(chunk)) {
+			return nil, ErrMemory
+		}
 		r.event = append(r.event, chunk...)
 		completeLine := lineStart
 		lineStart = err != bufio.ErrBufferFull //nolint:errorlint // the buffer returns it plain; an error of the source that wraps it is another one
@@ -67,6 +79,19 @@
 	}
 }
 
+// reserveFor reserves memory for an event of a size, whose buffer doubles as it grows and is kept for later events.
+func (r *Reader) reserveFor(size int) bool {
+	if r.Reserve == nil || size <= unreservedEvent || 2*size <= r.reserved {
+		return true
+	}
+	wanted := 4 * size
+	if !r.Reserve(int64(wanted - r.reserved)) {
+		return false
+	}
+	r.reserved = wanted
+	return true
+}
+
 func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
 // Buffered reports whether bytes after the event that Next returned have already been read from the source.
--- a/internal/router/eventstream/eventstream_test.go
+++ b/internal/router/eventstream/eventstream_test.go
@@ -75,3 +75,26 @@
 		require.True(t, strings.HasPrefix(text, got.String()))
 	})
 }
+
+// Long events take reserved memory, which suffices for all later ones of their size, and end the stream without it.
+func TestLongEventsReserveMemory(t *testing.T) {
+	event := "data: " + strings.Repeat("x", 4*unreservedEvent) + "\n\n"
+	reserved := int64(0)
+	r := NewReader(strings.NewReader("data: short\n\n" + event + event + strings.Repeat(event, 4)))
+	r.Reserve = func(bytes int64) bool {
+		reserved += bytes
+		return reserved <= int64(8*len(event))
+	}
+	_, err := r.Next()
+	require.NoError(t, err)
+	require.Zero(t, reserved)
+	for range 2 {
+		_, err = r.Next()
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, reserved, int64(cap(r.event)))
+	r.Reserve = func(int64) bool { return false }
+	r.reserved = 0
+	_, err = r.Next()
+	require.ErrorIs(t, err, ErrMemory)
+}
--- a/internal/router/gateway/body_memory_test.go
+++ b/internal/router/gateway/body_memory_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/peertest"
 )
 
@@ -28,21 +29,24 @@
 
 func (r *rig) waitReserved(bytes int64) {
 	r.t.Helper()
-	peertest.Eventually(r.t, fmt.Sprint(bytes, " bytes are reserved"), func() bool { return r.gateway.BufferedBytes() == bytes })
+	peertest.Eventually(r.t, fmt.Sprint(bytes, " bytes are reserved"), func() bool { return r.gateway.options.Memory.Reserved() == bytes })
 }
 
+// limitMemory limits the memory of requests that begin from now on.
+func (r *rig) limitMemory(bytes int64) { r.gateway.options.Memory = clientlimit.NewMemory(bytes) }
+
 func TestBodiesThatAreBeingReadCountAgainstTheMemoryLimit(t *testing.T) {
 	for name, c := range map[string]struct {
 		head, bodyStart string
 		reserved        int64
 	}{
 		"a known length":    {"Content-Length: 900", "x", 900},
-		"an unknown length": {"Transfer-Encoding: chunked", "1\r\nx\r\n", firstBodyBuffer},
+		"an unknown length": {"Transfer-Encoding: chunked", "1\r\nx\r\n", 512},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.addServer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
-			r.gateway.bodyMemory.limit = c.reserved + 3
+			r.limitMemory(c.reserved + 3)
 			upload := r.startUpload(c.head, c.bodyStart)
 			r.waitReserved(c.reserved)
 			response, text, _ := r.do("/safe/") // 4 bytes
@@ -56,31 +60,6 @@
 	}
 }
 
-func TestABodyOfUnknownLengthReservesWhatItNeeds(t *testing.T) {
-	r := newRig(t)
-	r.gateway.bodyMemory.limit = 1 << 20
-	var reserved int64
-	body, err := r.gateway.readComplete(strings.NewReader(strings.Repeat("x", 40_000)), -1, &reserved)
-	require.NoError(t, err)
-	require.Len(t, body, 40_000)
-	require.Equal(t, int64(cap(body)), reserved)
-	require.Equal(t, reserved, r.gateway.BufferedBytes())
-	r.gateway.bodyMemory.release(reserved)
-	reserved = 0
-	r.gateway.bodyMemory.limit = 60_000
-	_, err = r.gateway.readComplete(strings.NewReader(strings.Repeat("x", 40_000)), -1, &reserved)
-	require.ErrorIs(t, err, errNoBodyMemory)
-	require.Equal(t, reserved, r.gateway.BufferedBytes())
-}
-
-func TestLargeBodiesLeaveMemoryForSmallOnes(t *testing.T) {
-	m := bodyMemory{limit: 1 << 20}
-	require.True(t, m.reserve(700<<10, 700<<10))
-	require.False(t, m.reserve(100<<10, 100<<10))
-	require.True(t, m.reserve(60<<10, 60<<10))
-	require.Equal(t, int64(760<<10), m.reserved.Load())
-}
-
 // responseBytes is the size of a response for which the memory of these tests does not suffice.
 const responseBytes = 100_000
 
@@ -99,7 +78,7 @@
 func TestAResponseForWhichNoMemoryIsLeftIsPassedOn(t *testing.T) {
 	r := newRig(t)
 	r.addLargeServer(responseBytes)
-	r.gateway.bodyMemory.limit = 2000
+	r.limitMemory(2000)
 	response, text, err := r.do("/unsafe/")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
@@ -111,7 +90,7 @@
 	r := newRig(t)
 	calls := r.addLargeServer(responseBytes / 2)
 	otherCalls := r.addLargeServer(responseBytes / 2)
-	r.gateway.bodyMemory.limit = 2000
+	r.limitMemory(2000)
 	_, _, err := r.do("/safe/")
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.Equal(t, int64(1), calls.Load()+otherCalls.Load(), "no other server can complete it")
--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -16,11 +16,13 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/latency"
 	"petrelhook/internal/router/outlier"
@@ -31,13 +33,16 @@
 
 // Options are the parameters of a gateway.
 type Options struct {
-	Zone          string               // of this router
-	Now           func() time.Duration // a monotonic clock that starts with the process; it is called from any goroutine
-	Incarnation   uint64               // random for each process, to discard answers meant for an earlier process of this router
-	Acquirer      Acquirer
-	Retries       quota.RetryBounds
-	PrefixTTL     time.Duration // how long a shared prefix counts as cached after its last use; 0: prefixes are not recorded
-	MaxBodyMemory int64         // limit on the bytes of all buffered request bodies together; 0: unlimited
+	Zone        string               // of this router
+	Now         func() time.Duration // a monotonic clock that starts with the process; it is called from any goroutine
+	Incarnation uint64               // random for each process, to discard answers meant for an earlier process of this router
+	Acquirer    Acquirer
+	Retries     quota.RetryBounds
+	PrefixTTL   time.Duration // how long a shared prefix counts as cached after its last use; 0: prefixes are not recorded
+	// Memory bounds the bodies of requests and the buffered responses; nil: they are not bounded.
+	Memory *clientlimit.Memory
+	// Connections bounds the connections to all servers; nil: they are not bounded.
+	Connections *backend.Connections
 
 	// OnTargetMissed is called for each request that missed its latency target, on the request's goroutine and without a
 	// lock held. It must not retain the trace. It may be nil.
@@ -73,11 +78,10 @@
 
 // Gateway is the http.Handler that serves clients. It is created by New.
 type Gateway struct {
-	options    Options
-	table      atomic.Pointer[routetable.Table]
-	draining   atomic.Pointer[drainPlan] // nil: not draining
-	bodyMemory bodyMemory
-	Counters   Counters
+	options  Options
+	table    atomic.Pointer[routetable.Table]
+	draining atomic.Pointer[drainPlan] // nil: not draining
+	Counters Counters
 
 	mutex       sync.Mutex             // guards the fields below
 	services    map[string]*service    // by name
@@ -100,9 +104,14 @@
 
 // New returns a gateway without configuration and servers. During the router's startup, requests wait for both.
 func New(o Options) *Gateway {
+	if o.Connections == nil {
+		o.Connections = backend.NewConnections(math.MaxInt, 0, nil)
+	}
+	if o.Memory == nil {
+		o.Memory = clientlimit.NewMemory(0)
+	}
 	return &Gateway{
 		options:     o,
-		bodyMemory:  bodyMemory{limit: o.MaxBodyMemory},
 		services:    map[string]*service{},
 		serviceOf:   map[string]string{},
 		routes:      map[string]*routeState{},
@@ -115,18 +124,6 @@
 	}
 }
 
-// BufferedBytes returns the memory that is reserved for the bodies and the long heads of all requests in progress.
-func (g *Gateway) BufferedBytes() int64 { return g.bodyMemory.reserved.Load() }
-
-// ReserveMemory reserves memory for a part of the head of a request and reports whether that was possible. Heads share the memory for
-// bodies, as large ones do.
-func (g *Gateway) ReserveMemory(bytes int64) bool {
-	return g.bodyMemory.reserve(bytes, smallBodyBytes+1)
-}
-
-// ReleaseMemory returns memory that ReserveMemory has reserved.
-func (g *Gateway) ReleaseMemory(bytes int64) { g.bodyMemory.release(bytes) }
-
 // withLock calls a function with the lock held. It releases the lock also where the function panics, because net/http recovers the panics of
 // requests: a lock that stays locked would stop all others.
 func (g *Gateway) withLock(call func()) {
--- a/internal/router/gateway/gateway_test.go
+++ b/internal/router/gateway/gateway_test.go
@@ -371,10 +371,10 @@
 	r.addServer(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "id1") })
 	response, _, _ := r.do("/safe/", "X-Long", strings.Repeat("x", 5000))
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
-	r.gateway.bodyMemory.limit = 3
+	r.limitMemory(3)
 	response, _, _ = r.do("/safe/")
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	r.gateway.bodyMemory.limit = 100
+	r.limitMemory(100)
 	for range 50 {
 		response, _, _ = r.do("/safe/")
 		require.Equal(t, http.StatusOK, response.StatusCode, "bodies of finished requests are not counted")
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/eventstream"
 	"petrelhook/internal/router/placement"
@@ -48,8 +49,8 @@
 // may still be retried. A response for which no memory is left is passed on as it arrives: its server may have run the request, which
 // therefore must not be rejected.
 func (g *Gateway) relayComplete(ctx context.Context, w http.ResponseWriter, req *request, resp *backend.Response) outcome {
-	body, err := g.readComplete(io.LimitReader(resp, maxBufferedResponse), unknownLength, &req.reservedBytes)
-	if errors.Is(err, errNoBodyMemory) || len(body) == maxBufferedResponse {
+	body, err := clientlimit.ReadBody(ctx, io.LimitReader(resp, maxBufferedResponse), unknownLength, maxBufferedResponse, req.memory)
+	if errors.Is(err, clientlimit.ErrNoMemory) || len(body) == maxBufferedResponse {
 		return req.relayLarge(ctx, w, resp, body)
 	}
 	if err != nil {
@@ -113,6 +114,7 @@
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
 	controller := http.NewResponseController(w)
 	events := eventstream.NewReader(upstream.Response)
+	events.Reserve = func(bytes int64) bool { return req.memory.TryGrow(bytes, bytes) }
 	lastEvent := time.Now()
 	for first := true; ; first = false {
 		event, err := events.Next()
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/latency"
 	"petrelhook/internal/router/placement"
 	"petrelhook/internal/router/quota"
@@ -24,8 +25,8 @@
 type request struct {
 	id   string
 	body []byte
-	// reservedBytes is the memory that is reserved for the bodies of the request and its response.
-	reservedBytes int64
+	// memory is reserved for the bodies of the request and its response.
+	memory        *clientlimit.Reservation
 	acceptsChunks bool // the client speaks HTTP/1.1
 	route         *routetable.CompiledRoute
 	tenant        *routetable.Tenant // nil: a request without a tenant
@@ -68,7 +69,8 @@
 	}
 	req := &request{id: r.Header.Get("X-Request-Id"), acceptsChunks: r.ProtoAtLeast(1, 1), times: requestTimes{received: time.Now()}}
 	defer g.recordOutcome(r, req)
-	defer func() { g.bodyMemory.release(req.reservedBytes) }()
+	req.memory = g.options.Memory.Reserve(func() { stopReading(w) })
+	defer req.memory.Release()
 	if !g.readBody(w, r, req) {
 		return
 	}
@@ -113,7 +115,7 @@
 // admit decides whether this router serves a request now: the request must end before a drain does, and its tenant's quota
 // must suffice. It also chooses the service. It returns false after it has rejected the request.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, req *request) bool {
-	req.times.deadline = requestDeadline(r, req)
+	req.times.deadline = requestDeadline(r, req.times.received, req.route)
 	if g.draining.Load().mayOutlast(req) {
 		req.trace.FailureReason = latency.RefusedEnding
 		g.reject(w, http.StatusServiceUnavailable, retryAfterWhileDraining, "this router ends before the answer may")
@@ -192,17 +194,22 @@
 	return placementReq
 }
 
+// stopReading ends the reading of a body, also when it waits for the client.
+func stopReading(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // a connection that has no deadlines is closed by its own timeouts
+}
+
 // requestDeadline returns the time by which a request must be answered: the client's deadline less deadlineMargin or the end
-// of the route's timeout, whichever is earlier.
-func requestDeadline(r *http.Request, req *request) time.Time {
+// of the route's timeout, whichever is earlier. route is nil if there is none for the request.
+func requestDeadline(r *http.Request, received time.Time, route *routetable.CompiledRoute) time.Time {
 	remaining := defaultTimeout
 	if timeout, ok := clientTimeout(r); ok {
 		remaining = timeout - deadlineMargin
 	}
-	if req.route.Timeout > 0 {
-		remaining = min(remaining, req.route.Timeout)
+	if route != nil && route.Timeout > 0 {
+		remaining = min(remaining, route.Timeout)
 	}
-	return req.times.received.Add(remaining)
+	return received.Add(remaining)
 }
 
 // quotaUnits returns the number of units that a request is charged to its tenant's quota.
--- a/internal/router/gateway/servers.go
+++ b/internal/router/gateway/servers.go
@@ -57,7 +57,7 @@
 		g.removeServer(instance.Service, instance.ID)
 	}
 	if s.connections[instance.ID] == nil {
-		s.connections[instance.ID] = backend.NewPool(instance.Address, g.connectionLimit(instance.Service))
+		s.connections[instance.ID] = backend.NewPool(instance.Address, g.connectionLimit(instance.Service), g.options.Connections)
 	}
 	s.pool.Put(placement.Endpoint{ID: instance.ID, Address: instance.Address, Zone: instance.Zone, Slots: instance.Slots})
 	g.serviceOf[instance.ID] = instance.Service
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -22,6 +22,9 @@
 
 	"github.com/phuslu/log"
 
+	"petrelhook/internal/common/clientlimit"
+	"petrelhook/internal/common/sock"
+	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/gateway"
 	"petrelhook/internal/router/membership"
 	"petrelhook/internal/router/outlier"
@@ -44,9 +47,6 @@
 	pruneInterval = 2 * time.Second
 	// forgetInterval is the time between two removals of deregistered and lost servers from the registry, and of tombstones.
 	forgetInterval = 5 * time.Second
-	// bodyMemoryDivisor limits the bodies of client requests and buffered responses to a fraction of the machine's memory: all of
-	// them together may take 1/bodyMemoryDivisor of it. Until the garbage collector runs, they take as much again.
-	bodyMemoryDivisor = 4
 )
 
 // Node is one router. New creates it, and Run serves until its context ends. The exported methods acquire the lock where
@@ -57,8 +57,12 @@
 	start    time.Time         // of the service: of the last call of acquire
 	self     membership.Router // does not change after createReplica
 
+	limits        clientlimit.Limits
+	memory        *clientlimit.Memory // of heads, bodies and buffered responses
 	gateway       *gateway.Gateway
 	transport     *transport.Transport
+	sendBuffers   *sock.SendBuffers       // of connections to clients and servers
+	limited       []*clientlimit.Listener // set by serve, before the first of them accepts
 	missedTargets missedTargetLog
 
 	ready        atomic.Bool // it has received a configuration and the servers; never reset
@@ -90,6 +94,9 @@
 	n := &Node{settings: s, logger: logger, start: time.Now(), seeds: s.SeedAddresses(), registry: registry.New(), fleetSize: 1,
 		self: membership.Router{Address: s.InternalAddress(), Zone: s.Zone, Incarnation: incarnation}, drains: map[uint64]*pendingDrain{},
 		control: newControlPlane(), distributor: newDistributor(), applied: newApplied()}
+	n.limits = clientlimit.Limits{MemoryBytes: int64(s.Limits.MemoryMb) << 20, Descriptors: s.Limits.MaxFds}
+	n.memory = clientlimit.NewMemory(n.limits.MessageBytes())
+	n.sendBuffers = n.limits.SendBuffers()
 	n.lastRequest = rand.Uint64()
 	locality := proximity.Locality{Zone: s.Zone, Region: s.Region, RegionOf: s.Zones}
 	n.subscription = newSubscription(n.self.Address, locality)
@@ -106,7 +113,8 @@
 		Acquirer:       n,
 		OnTargetMissed: n.logMissedTarget,
 		PrefixTTL:      settings.Seconds(b.AgainS),
-		MaxBodyMemory:  int64(s.Limits.MemoryMb) << 20 / bodyMemoryDivisor,
+		Memory:         n.memory,
+		Connections:    backend.NewConnections(n.limits.ServerConnections(), n.limits.SocketBufferBytes(), n.sendBuffers),
 		Retries: quota.RetryBounds{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack,
 			Window: max(time.Second, settings.Seconds(b.BudgetWindowS))},
 	})
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/settings"
 )
 
@@ -24,12 +25,28 @@
 	// idle for four fifths of the configured time.
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 256 << 10
+	// callerReadTimeout bounds the time in which a call of a server, an operator or the platform arrives.
+	callerReadTimeout = 30 * time.Second
 )
 
+// requestLimits returns the limits on requests in the configuration in force; without one, those of the HTTP servers apply.
+func (n *Node) requestLimits() clientlimit.RequestLimits {
+	table := n.gateway.Table()
+	if table == nil {
+		return clientlimit.RequestLimits{}
+	}
+	limits := table.Limits
+	return clientlimit.RequestLimits{HeadBytes: limits.MaxHeaderBytes, HeadTimeout: settings.Milliseconds(limits.HeaderTimeoutMs),
+		IdleTimeout: settings.Milliseconds(limits.IdleTimeoutMs)}
+}
+
+// noRequestLimits are the limits on callers to which no configuration applies: those of the HTTP servers.
+func noRequestLimits() clientlimit.RequestLimits { return clientlimit.RequestLimits{} }
+
 func (n *Node) newHTTPServer(h http.Handler) *http.Server {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.logger.Std("", 0)}
-	countHeads(server)
+	clientlimit.Attach(server)
 	return server
 }
 
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/sock"
 	"petrelhook/internal/common/startup"
 	"petrelhook/internal/router/replication"
@@ -105,9 +106,11 @@
 
 // endpoint is an address that this router listens on.
 type endpoint struct {
-	callers string // who calls it, for the log
-	address string
-	handler http.Handler // nil: the address for other routers
+	callers  string // who calls it, for the log
+	address  string
+	limit    int          // of open connections
+	handler  http.Handler // nil: the address for other routers
+	requests func() clientlimit.RequestLimits
 }
 
 // boundEndpoint is an endpoint whose address this process has.
@@ -118,11 +121,11 @@
 
 // endpoints returns the endpoints of the settings in a fixed order: the one for other routers comes first.
 func (n *Node) endpoints() []endpoint {
-	all := []endpoint{{callers: "other routers", address: n.self.Address}}
+	all := []endpoint{{callers: "other routers", address: n.self.Address, limit: n.limits.PeerConnections()}}
 	for _, e := range []endpoint{
-		{"the platform", n.settings.Listen.Ready, http.HandlerFunc(n.serveReady)},
-		{"model servers and operators", n.settings.Listen.Control, n.controlHandler()},
-		{"clients", n.settings.Listen.Front, n.gateway},
+		{"the platform", n.settings.Listen.Ready, n.limits.ProbeConnections(), http.HandlerFunc(n.serveReady), noRequestLimits},
+		{"model servers and operators", n.settings.Listen.Control, n.limits.CallerConnections(), n.controlHandler(), noRequestLimits},
+		{"clients", n.settings.Listen.Front, n.limits.ClientConnections(), n.gateway, n.requestLimits},
 	} {
 		if e.address != "" {
 			all = append(all, e)
@@ -142,6 +145,9 @@
 			}
 			return nil, errors.Wrapf(err, "listen for %s", e.callers)
 		}
+		if e.handler != nil { // the others are read at all times
+			sock.SetBuffers(listener, n.limits.SocketBufferBytes())
+		}
 		onError := func(err error) { n.logger.Warn().Err(err).Str("address", e.address).Msg("connection not accepted") }
 		bound = append(bound, boundEndpoint{e, sock.RetryAccept(listener, onError)})
 	}
@@ -151,18 +157,27 @@
 // serve serves each endpoint in a goroutine, which ends when gracefulShutdown closes its listener or server.
 func (n *Node) serve(bound []boundEndpoint) *listeners {
 	opened := &listeners{}
+	var start []func()
 	for _, b := range bound {
 		if b.handler == nil {
 			opened.internal = b.listener
-			go func() { _ = n.transport.Serve(b.listener) }()
+			start = append(start, func() { _ = n.transport.Serve(b.listener) })
 			continue
 		}
 		server := n.newHTTPServer(b.handler)
 		if b.address == n.settings.Listen.Front {
 			opened.front = server
+		} else {
+			server.ReadTimeout = callerReadTimeout
 		}
 		opened.servers = append(opened.servers, server)
-		go func() { _ = server.Serve(headListener{b.listener, n.gateway}) }()
+		listener := clientlimit.NewListener(b.listener, b.limit, n.memory, b.requests)
+		listener.SendBuffers = n.sendBuffers
+		n.limited = append(n.limited, listener)
+		start = append(start, func() { _ = server.Serve(listener) })
+	}
+	for _, serve := range start {
+		go serve()
 	}
 	return opened
 }
--- a/internal/router/node/usage.go
+++ b/internal/router/node/usage.go
@@ -31,7 +31,7 @@
 	resident, _ := residentBytes()            // not known where there is no /proc
 	descriptors, _ := os.ReadDir(descriptors) // likewise
 	return Usage{ResidentMb: megabytes(resident), Descriptors: len(descriptors), Goroutines: runtime.NumGoroutine(),
-		BodiesMb: megabytes(n.gateway.BufferedBytes())}
+		BodiesMb: megabytes(n.memory.Reserved())}
 }
 
 func megabytes(count int64) float64 { return float64(count) / (1 << 20) }
