Messages of other routers reserve memory before they are decoded

What was seen: a router over its memory limit by connections to the address for other routers. Cause: gob allocates a buffer of up to 10 MB as soon as it reads a length, and takes messages of up to 1 GB; connections were not bounded.

Connections are bounded; one without a message gives way, then the one whose last message is the oldest.

--- a/internal/router/transport/receiver.go
+++ b/internal/router/transport/receiver.go
@@ -15,6 +15,10 @@
 		if err != nil {
 			return err
 		}
+		if !t.inbound.admit(conn) {
+			_ = conn.Close()
+			continue
+		}
 		if !t.track(conn) {
 			_ = conn.Close()
 			return net.ErrClosed
@@ -25,8 +29,11 @@
 
 // receive passes the messages of a connection to the handler until the connection fails or has been idle for too long.
 func (t *Transport) receive(conn net.Conn) {
+	defer t.inbound.remove(conn)
 	defer t.closeConnection(conn)
-	decoder := gob.NewDecoder(bufio.NewReaderSize(conn, bufferBytes))
+	reader := &messageReader{source: bufio.NewReaderSize(conn, bufferBytes), conn: conn, memory: t.limits.Memory, limit: t.limits.MessageBytes}
+	defer reader.release()
+	decoder := gob.NewDecoder(reader)
 	for {
 		if conn.SetReadDeadline(time.Now().Add(2*idleTimeout)) != nil {
 			return
@@ -35,6 +42,7 @@
 		if decoder.Decode(&e) != nil {
 			return
 		}
+		t.inbound.received(conn)
 		t.handler(e.From, t.codec.FromWire(e.Body))
 	}
 }
--- a/internal/router/transport/transport.go
+++ b/internal/router/transport/transport.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"petrelhook/internal/common/clientlimit"
 )
 
 const (
@@ -57,6 +59,8 @@
 	self      string
 	codec     Codec
 	handler   Handler
+	limits    Limits
+	inbound   inbound
 	sentBytes atomic.Uint64
 
 	mutex       sync.Mutex // guards peers, connections and closed
@@ -68,11 +72,27 @@
 	goroutines sync.WaitGroup
 }
 
+// Limits bound what other processes can make a router use at its internal address. 0 means no limit.
+type Limits struct {
+	Connections  int                 // that are open
+	MessageBytes int64               // of one message
+	Memory       *clientlimit.Memory // of all messages that arrive; nil: unlimited
+}
+
+// unlimitedMessageBytes is the longest message where there is no limit: gob accepts no longer one.
+const unlimitedMessageBytes = 1 << 30
+
 // New returns the transport of the router with internal address self. The handler receives messages of other routers
 // once Serve runs, and those that the router sends to itself immediately.
-func New(self string, codec Codec, handler Handler) *Transport {
-	return &Transport{self: self, codec: codec, handler: handler, peers: map[string]*peer{}, done: make(chan struct{}),
-		connections: map[net.Conn]bool{}}
+func New(self string, codec Codec, handler Handler, limits Limits) *Transport {
+	if limits.Memory == nil {
+		limits.Memory = clientlimit.NewMemory(0)
+	}
+	if limits.MessageBytes == 0 {
+		limits.MessageBytes = unlimitedMessageBytes
+	}
+	return &Transport{self: self, codec: codec, handler: handler, limits: limits, peers: map[string]*peer{}, done: make(chan struct{}),
+		inbound: inbound{limit: limits.Connections, conns: map[net.Conn]*inboundConn{}}, connections: map[net.Conn]bool{}}
 }
 
 // track adds a connection to those that Close closes; it returns false if the transport is closed.
--- a/internal/router/transport/transport_test.go
+++ b/internal/router/transport/transport_test.go
@@ -29,7 +29,7 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		got <- body.(message).Number
-	})
+	}, Limits{})
 	defer router.Close()
 	mutex.Lock()
 	router.Send("127.0.0.1:1", message{7})
@@ -41,11 +41,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	got := make(chan int, 200)
-	to := New(listener.Addr().String(), sameOnWire{}, func(from string, body any) { got <- body.(message).Number })
+	to := New(listener.Addr().String(), sameOnWire{}, func(from string, body any) { got <- body.(message).Number }, Limits{})
 	go to.Serve(listener)
 	defer to.Close()
 	defer listener.Close()
-	from := New("127.0.0.1:2", sameOnWire{}, nil)
+	from := New("127.0.0.1:2", sameOnWire{}, nil, Limits{})
 	defer from.Close()
 	for i := range 100 {
 		from.Send(listener.Addr().String(), message{i})
@@ -59,7 +59,7 @@
 
 // Messages to a peer that does not listen are lost, and the sender does not block.
 func TestAnAbsentPeer(t *testing.T) {
-	from := New("127.0.0.1:2", sameOnWire{}, nil)
+	from := New("127.0.0.1:2", sameOnWire{}, nil, Limits{})
 	defer from.Close()
 	began := time.Now()
 	for i := range 10 * queueLength {
@@ -78,7 +78,7 @@
 		require.NoError(t, gob.NewDecoder(c).Decode(&e))
 		return e.Body.(message).Number
 	}
-	from := New("127.0.0.1:2", sameOnWire{}, nil)
+	from := New("127.0.0.1:2", sameOnWire{}, nil, Limits{})
 	defer from.Close()
 	to := listener.Addr().String()
 	from.Send(to, message{1})
@@ -111,7 +111,7 @@
 	require.NoError(t, err)
 	to := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	from := New("127.0.0.1:2", sameOnWire{}, nil)
+	from := New("127.0.0.1:2", sameOnWire{}, nil, Limits{})
 	defer from.Close()
 	from.Send(to, message{1})
 	for len(from.peers[to].queue) > 0 {
