Orders reserve memory while they are read

What was seen: a router over its memory limit by orders that stop short of their end. Cause: each was read up to 16 MB, however many there were and for as long as they took. They share the memory of clients' messages now and get 503 without it, 413 over 16 MB (400 before) and 408 if they do not arrive in 30 s.

--- a/internal/router/node/operator_http.go
+++ b/internal/router/node/operator_http.go
@@ -1,11 +1,14 @@
 package node
 
 import (
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/router/operatorapi"
 	"petrelhook/internal/router/routetable"
 )
@@ -53,11 +56,14 @@
 		http.Error(w, "header X-Base-Version: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+	reserved := n.memory.Reserve(func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer reserved.Release()
+	body, err := clientlimit.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, maxOrderBytes), r.ContentLength, maxOrderBytes, reserved)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), orderErrorStatus(err))
 		return
 	}
+	reserved.Arrived()
 	order := operatorapi.Order{Kind: kind, Base: base, Body: body}
 	d := n.decide(orderTimeout, func(request uint64) { n.control.replica.Propose(request, order.Encode(), n.now()) })
 	n.logger.Info().Int64("base_version", base).Int("size_bytes", len(body)).Int("status", d.Status).
@@ -69,6 +75,20 @@
 	http.Error(w, d.Reason, d.Status)
 }
 
+// orderErrorStatus returns the status of the response to an order that could not be read.
+func orderErrorStatus(err error) int {
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, clientlimit.ErrNoMemory):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 // serveRead answers with the newest configuration after a majority has confirmed that this router is still the primary,
 // or redirects the caller to the primary.
 func (n *Node) serveRead(w http.ResponseWriter, r *http.Request) {
