Routers say how many clients were refused or put out, in status and once in 10 s in the log

At a bound clients are refused or displaced. Operators see it as Clients in status, and as the line clients refused, which says what happened since the last one and from how many addresses; never a line a client.

--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -76,6 +76,7 @@
 	control     controlPlane
 	// nearMemoryLimit says that the process was near its memory limit at the last look.
 	nearMemoryLimit bool
+	loggedClients   ClientCounts // of the last line about refused clients
 	subscription    subscription
 	distributor     distributor
 	drains          map[uint64]*pendingDrain // by request number
--- a/internal/router/node/periodic_timer.go
+++ b/internal/router/node/periodic_timer.go
@@ -30,4 +30,5 @@
 	judgement, expireServers, storeServers periodicTimer // used by core members
 	pruneConnections, forgetServers        periodicTimer
 	expireTombstones, checkUsage           periodicTimer
+	checkClients                           periodicTimer
 }
--- a/internal/router/node/status.go
+++ b/internal/router/node/status.go
@@ -41,11 +41,12 @@
 	Latency      []latency.Report  // outcomes and waiting times of requests, by route
 	Tombstones   *TombstoneStatus  `json:",omitempty"` // only at a router with a disk
 	Usage        *Usage            `json:",omitempty"` // of the machine, by the process; nil in a status of an earlier version
+	Clients      *ClientCounts     `json:",omitempty"` // those without room; nil in a status of an earlier version
 }
 
 // Status returns the router's present status. It acquires the lock.
 func (n *Node) Status() Status {
-	usage := n.usage() // reads files, so that it comes before the lock
+	usage, clients := n.usage(), n.clientCounts() // these need no lock and may take longer
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.now()
@@ -68,6 +69,7 @@
 		Latency:      n.gateway.LatencyReports(),
 		Tombstones:   n.tombstones.status(now),
 		Usage:        &usage,
+		Clients:      &clients,
 	}
 	if table := n.gateway.Table(); table != nil {
 		s.Generation = table.Generation
--- a/internal/router/node/tick.go
+++ b/internal/router/node/tick.go
@@ -44,6 +44,7 @@
 	n.apply()
 	n.tickTombstones(now)
 	n.tickUsage(now)
+	n.tickClients(now)
 }
 
 // tickCore does the periodic work of core members: it updates the fleet size and, while this router is in contact with
