--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -119,7 +119,10 @@
 		Retries: quota.RetryBounds{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack,
 			Window: max(time.Second, settings.Seconds(b.BudgetWindowS))},
 	})
-	n.transport = transport.New(n.self.Address, wireformat.NewCodec(), n.receive)
+	messageMemory := clientlimit.NewMemory(n.limits.PeerMessageBytes())
+	messageMemory.AdmitsAlone = true // a configuration that does not fit would never arrive
+	n.transport = transport.New(n.self.Address, wireformat.NewCodec(), n.receive, transport.Limits{Connections: n.limits.PeerConnections(),
+		MessageBytes: n.limits.MessageBytes(), Memory: messageMemory})
 	return n
 }
 
