Callers use up no more of a coordinator or an agent than its memory_mb

What was seen: heads of 1 MB and calls of up to 65 MB, many at a time, took both programs to hundreds of megabytes; they had no limit at all. Their listeners are those of package clientlimit now, and a call reserves memory while it arrives and is handled: without it 503, which clients repeat elsewhere. A call with a Content-Encoding gets 415, because its decoded size is not known; no client of the project sends one. The optional setting memory_mb has the default 1024.

The tests fail without the new setting, which the old code does not know.

--- a/cmd/petrelhook-agent/main.go
+++ b/cmd/petrelhook-agent/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/command"
 	"petrelhook/internal/coordination/machine"
 )
@@ -66,6 +67,7 @@
 
 // serve runs the agent until it receives SIGTERM or an interrupt. The sidecars keep running afterwards.
 func serve(c *machine.Config, log *slog.Logger) error {
+	clientlimit.ProcessLimits(c.MemoryMb).LimitCollector()
 	ctx, release := command.Terminated()
 	defer release()
 	ln, err := retryWhileHeld(ctx, syscall.EADDRINUSE, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
--- a/cmd/petrelhook-agent/main_test.go
+++ b/cmd/petrelhook-agent/main_test.go
@@ -32,6 +32,7 @@
 	}
 	path := filepath.Join(t.TempDir(), "a.yaml")
 	for want, replacement := range map[string][2]string{
+		"a.yaml:2:1: memory_mb: -1 is below 0; write a number of MB":         {"releases: /var", "memory_mb: -1\nreleases: /var"},
 		"a.yaml:2:1: app: unknown field":                                     {"application:", "app:"},
 		"a.yaml:2:1: data: missing":                                          {"data: /var/lib/petrelagent\n", ""},
 		"a.yaml:2:1: release: missing":                                       {"release: 0123", "#"},
--- a/cmd/petrelhook-coordinator/faults_test.go
+++ b/cmd/petrelhook-coordinator/faults_test.go
@@ -105,6 +105,7 @@
 		`c.yaml:4:22: replicas[0].address: "x" is no address`:             strings.Replace(good, "127.0.0.1:7001", "x", 1),
 		"replicas[0].address: 10.0.0.1:7001 is not a loopback":            strings.Replace(good, "127.0.0.1", "10.0.0.1", 1),
 		"c.yaml:4:3: replicas: id 7 is not in the list":                   strings.Replace(good, "id: 1\n", "id: 7\n", 1),
+		"memory_mb: -1 is below 0; write a number of MB":                  good + "memory_mb: -1\n",
 		`max_ttl: "1d"; write a time from`:                                good + "max_ttl: 1d\n",
 		"c.yaml: line 1: did not find expected":                           "id: [1\n",
 		"c.yaml:1:1: write fields":                                        "",
--- a/cmd/petrelhook-coordinator/main.go
+++ b/cmd/petrelhook-coordinator/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/command"
 	"petrelhook/internal/common/sock"
 	"petrelhook/internal/common/startup"
@@ -96,6 +97,7 @@
 
 // serve runs the coordinator until it receives SIGTERM or an interrupt.
 func serve(c *fleet.Config, log *slog.Logger) error {
+	clientlimit.ProcessLimits(c.MemoryMb).LimitCollector()
 	ctx, release := command.Terminated()
 	defer release()
 	s, ln, err := open(ctx, c, log)
--- a/internal/coordination/fleet/config.go
+++ b/internal/coordination/fleet/config.go
@@ -9,6 +9,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/yamlfile"
 	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/replica"
@@ -29,6 +30,7 @@
 	DriveInterval time.Duration        // the time between two polls of the agents by the driver
 	Dial          rpc.Dial             // connects to other coordinators; nil: TCP. Dial and Clock cannot be set in the file
 	Clock         func() lease.Instant // nil: monotonic.Now
+	MemoryMb      int                  // limit on the memory of the process; 0: none
 	Warnings      []string             // valid but inadvisable settings, and deprecated field names; the program logs them
 }
 
@@ -62,7 +64,8 @@
 
 // SingleConfig returns the settings of a coordinator that is the only replica of its group, which needs no settings file.
 func SingleConfig(data, addr string) *Config {
-	return &Config{ID: 1, Data: data, Replicas: []replica.Member{{ID: 1, Addr: addr}}, MaxTTL: defaultMaxTTL, Tick: defaultTick}
+	return &Config{ID: 1, Data: data, Replicas: []replica.Member{{ID: 1, Addr: addr}}, MaxTTL: defaultMaxTTL, Tick: defaultTick,
+		MemoryMb: clientlimit.DefaultMemoryMb}
 }
 
 // ReadConfig reads a settings file. A relative data folder is resolved against the folder of the file.
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{MaxTTL: defaultMaxTTL, Tick: defaultTick, DriveInterval: defaultDriveInterval}
+	c := &Config{MaxTTL: defaultMaxTTL, Tick: defaultTick, DriveInterval: defaultDriveInterval, MemoryMb: clientlimit.DefaultMemoryMb}
 	var deprecated yamlfile.DeprecatedNames
 	replicas, err := c.parseFields(file, top, &deprecated)
 	if err != nil {
@@ -96,6 +99,8 @@
 	switch {
 	case c.ID == 0:
 		return nil, yamlfile.NewError(file, top, "id", "missing or 0; write a number from 1 on that no other replica has or had")
+	case c.MemoryMb < 0:
+		return nil, yamlfile.NewError(file, top, "memory_mb", fmt.Sprintf("%d is below 0; write a number of MB, or 0 for no limit", c.MemoryMb))
 	case c.Data == "":
 		return nil, yamlfile.NewError(file, top, "data", "missing; write the folder for the replica's state")
 	case replicas.Kind != yaml.SequenceNode || len(replicas.Content) == 0:
@@ -130,6 +135,7 @@
 		"allow_remote":   yamlfile.Into(&c.AllowRemote, "true or false"),
 		"drive":          yamlfile.Into(&c.Drive, "true or false"),
 		"drive_interval": yamlfile.IntoDuration(&c.DriveInterval, 50*time.Millisecond, time.Minute),
+		"memory_mb":      yamlfile.Into(&c.MemoryMb, "a number of MB, or 0 for no limit"),
 		"max_ttl":        yamlfile.IntoDuration(&c.MaxTTL, lease.MinTTL, lease.MaxTTL),
 		"tick":           yamlfile.IntoDuration(&c.Tick, 5*time.Millisecond, time.Second),
 		"replicas":       yamlfile.Into(&replicas, "a list"),
--- a/internal/coordination/fleet/server.go
+++ b/internal/coordination/fleet/server.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/coordination/distribute"
 	"petrelhook/internal/coordination/lease"
 	"petrelhook/internal/coordination/monotonic"
@@ -95,10 +96,12 @@
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	defer func() { _ = s.disk.Close() }() // saved state is synced already
 	server := s.httpServer()
+	limited, memory := clientlimit.ProcessLimits(s.config.MemoryMb).Limit(server, ln)
+	rpc.LimitMemory(server, memory)
 	var background sync.WaitGroup
 	defer background.Wait()
 	background.Go(func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			s.fail(err)
 		}
 	})
--- a/internal/coordination/machine/config.go
+++ b/internal/coordination/machine/config.go
@@ -24,6 +24,8 @@
 	Coordinators []string // addresses; they send versions of the application's configuration. Empty: no versions are received
 	Member       string   // the name that the agent reports to the coordinators
 
+	MemoryMb int // limit on the memory of the agent's process; 0: none
+
 	Host Host // nil: the operating system; it cannot be set in the file
 
 	Warnings []string // deprecated names in the file, each with its position; the program logs them
--- a/internal/coordination/machine/machine.go
+++ b/internal/coordination/machine/machine.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/coordination/agent"
 	"petrelhook/internal/coordination/distribute"
 	"petrelhook/internal/coordination/release"
@@ -139,8 +140,10 @@
 		m.background.Go(func() { m.subscription.Run(ctx) })
 	}
 	server := m.server()
+	limited, memory := clientlimit.ProcessLimits(m.config.MemoryMb).Limit(server, ln)
+	rpc.LimitMemory(server, memory)
 	serverFailed := make(chan error, 1)
-	m.background.Go(func() { serverFailed <- server.Serve(ln) })
+	m.background.Go(func() { serverFailed <- server.Serve(limited) })
 	defer func() { _ = server.Close() }() // drivers retry the calls that this interrupts
 	ticker := time.NewTicker(m.config.PollInterval)
 	defer ticker.Stop()
--- a/internal/coordination/machine/parse.go
+++ b/internal/coordination/machine/parse.go
@@ -10,6 +10,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/yamlfile"
 	"petrelhook/internal/coordination/distribute"
 )
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &parser{file: file, config: &Config{Listen: DefaultListen, Limits: defaultLimits, ContactTimeout: defaultContactTimeout,
+	p := &parser{file: file, config: &Config{Listen: DefaultListen, MemoryMb: clientlimit.DefaultMemoryMb, Limits: defaultLimits, ContactTimeout: defaultContactTimeout,
 		PollInterval: defaultPollInterval}}
 	if err := p.readTop(top); err != nil {
 		return nil, err
@@ -96,6 +97,7 @@
 		"allow_remote": yamlfile.Into(&p.allowRemote, "true or false"),
 		"data":         yamlfile.Into(&c.Data, "a folder"),
 		"releases":     yamlfile.Into(&c.Releases, "a folder"),
+		"memory_mb":    yamlfile.Into(&c.MemoryMb, "a number of MB, or 0 for no limit"),
 		"release":      yamlfile.Into(&c.Release, "the ID of a release"),
 
 		"limits":        yamlfile.Into(&p.limits, "fields"),
@@ -116,6 +118,9 @@
 			return p.problem(top, f.name, "missing; write "+f.what)
 		}
 	}
+	if c.MemoryMb < 0 {
+		return p.problem(top, "memory_mb", fmt.Sprintf("%d is below 0; write a number of MB, or 0 for no limit", c.MemoryMb))
+	}
 	if !p.reachable(c.Listen) {
 		return p.problem(top, "listen", c.Listen+" is not a loopback address; write allow_remote: true if everyone who can reach it may give orders")
 	}
--- a/internal/coordination/rpc/rpc.go
+++ b/internal/coordination/rpc/rpc.go
@@ -26,11 +26,11 @@
 // Handle registers the handler of one procedure; requests larger than maxBytes are rejected. handle is called for each request,
 // on a separate goroutine. Its error is sent with the error's connect code, or CodeUnknown if it has none.
 func Handle[Req, Res any](mux *http.ServeMux, path string, maxBytes int, handle func(context.Context, *Req) (*Res, error)) {
-	mux.Handle(path, connect.NewUnaryHandler(path, func(ctx context.Context, in *connect.Request[Req]) (*connect.Response[Res], error) {
+	mux.Handle(path, limitBody(int64(maxBytes), connect.NewUnaryHandler(path, func(ctx context.Context, in *connect.Request[Req]) (*connect.Response[Res], error) {
 		out, err := handle(ctx, in.Msg)
 		if err != nil {
 			return nil, err
 		}
 		return connect.NewResponse(out), nil
-	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBytes)))
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBytes))))
 }
