A client that still sends gets to read its refusal; times follow the monotonic clock

A refused connection with unread bytes was closed, which sends a reset that can discard the response: a client that sends its whole body before it reads got no 413, 431 or 503. A connection lingers now: what the client sends is read and dropped for a bounded time. A connection whose response could not be written is reset, and one with a delivered response is closed without a reset. The body that counts what arrives is in a copy of the request, because net/http asks the type of its own one whether the connection may be used again. States of connections were timed by the time of day, which may jump.

--- a/internal/common/clientlimit/conn.go
+++ b/internal/common/clientlimit/conn.go
@@ -28,8 +28,11 @@
 	// maxWriteBytes is the largest single write, which a client has to take within writeTimeout.
 	maxWriteBytes = 32 << 10
 	writeTimeout  = 10 * time.Second
-	// deliveryInterval is the time between two looks at whether the last response has arrived.
-	deliveryInterval = 50 * time.Millisecond
+	// lingerTimeout is how long a client that still sends can read the last response, and maxLingerBytes how much of what it sends is dropped
+	// meanwhile. lingerInterval is the time between two looks at whether the response has arrived.
+	lingerTimeout  = time.Second
+	maxLingerBytes = 32 << 20
+	lingerInterval = 50 * time.Millisecond
 )
 
 // The responses to a head over the limit, and to one that does not arrive in time.
@@ -75,10 +78,12 @@
 	readAhead readAhead
 
 	state      atomic.Int32 // a state
-	entered    atomic.Int64 // time at which the state was entered, in nanoseconds
+	entered    atomic.Int64 // time at which the state was entered, in nanoseconds since epoch
 	received   atomic.Int64 // bytes in stateHead and stateBody
 	refused    atomic.Bool  // the last response was sent by refuseHead
-	writeBegan atomic.Int64 // time at which the write in progress began, in nanoseconds; 0: there is none
+	writeBegan atomic.Int64 // time at which the write in progress began, in nanoseconds since epoch; 0: there is none
+	writeError atomic.Bool  // a write has failed
+	halfClosed atomic.Bool  // the direction to the client is closed, and it may still send
 
 	sendBuffer sock.SendBuffer
 	closing    sync.Once
@@ -87,9 +92,12 @@
 	headBytes  int64
 }
 
+// epoch is the time from which the times of connections are counted, so that they follow the monotonic clock.
+var epoch = time.Now()
+
 // enter sets the state.
 func (c *Conn) enter(s state) {
-	c.entered.Store(time.Now().UnixNano())
+	c.entered.Store(int64(time.Since(epoch)))
 	c.received.Store(0)
 	c.state.Store(int32(s))
 }
@@ -107,9 +115,9 @@
 
 // usefulness returns the rank of the connection, and the time for which it has had it.
 func (c *Conn) usefulness(now time.Time) (usefulness, time.Duration) {
-	elapsed := now.Sub(time.Unix(0, c.entered.Load()))
+	elapsed := now.Sub(epoch) - time.Duration(c.entered.Load())
 	if began := c.writeBegan.Load(); began != 0 {
-		writing := now.Sub(time.Unix(0, began))
+		writing := now.Sub(epoch) - time.Duration(began)
 		if writing > progressGrace {
 			return notReading, writing
 		}
@@ -177,7 +185,7 @@
 // limitHeadTime sets the deadline of a head of which a part has arrived. net/http replaces it when the head is complete.
 func (c *Conn) limitHeadTime() {
 	if timeout := c.listener.timeouts().HeadTimeout; timeout > 0 {
-		c.Conn.SetReadDeadline(time.Unix(0, c.entered.Load()).Add(timeout))
+		c.Conn.SetReadDeadline(epoch.Add(time.Duration(c.entered.Load()) + timeout))
 	}
 }
 
@@ -213,6 +221,7 @@
 	c.refused.Store(true)
 	c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout))
 	io.WriteString(c.Conn, response)
+	_ = c.CloseWrite() // the connection may have been reset
 }
 
 // Write implements net.Conn. A client that does not read ends it.
@@ -223,12 +232,13 @@
 	c.sendBuffer.Writes(c.Conn, len(text))
 	for first := true; first || len(text) > 0; first = false {
 		now := time.Now()
-		c.writeBegan.Store(now.UnixNano())
+		c.writeBegan.Store(int64(now.Sub(epoch)))
 		c.Conn.SetWriteDeadline(now.Add(writeTimeout))
 		n, err := c.Conn.Write(text[:min(len(text), maxWriteBytes)])
 		written += n
 		if err != nil {
 			c.writeBegan.Store(0)
+			c.writeError.Store(true)
 			return written, err
 		}
 		text = text[n:]
@@ -251,44 +261,59 @@
 // so that the client gets the response.
 func (c *Conn) CloseWrite() error {
 	c.enter(stateClosing)
+	c.halfClosed.Store(true)
 	if conn, ok := c.Conn.(closeWriter); ok {
 		return conn.CloseWrite()
 	}
 	return nil
 }
 
-// Close implements net.Conn. Where the client has not acknowledged all of the last response, the connection is kept until it has, for
-// writeTimeout at most.
+// Close implements net.Conn. Where the client has not acknowledged all of the last response, or may not have read it because it still sends,
+// the connection is kept for a bounded time.
 func (c *Conn) Close() error {
 	c.closing.Do(func() {
 		c.endRequest(stateClosing)
 		c.cancel()
 		c.readAhead.discard()
-		if sock.Unsent(c.Conn) {
-			go c.deliver()
-			return
+		switch {
+		case c.writeError.Load(): // what the client has is no whole response
+			_ = sock.Abort(c.Conn)
+			c.end()
+		case c.halfClosed.Load() || sock.Unsent(c.Conn):
+			go c.linger()
+		default:
+			_ = c.Conn.Close()
+			c.end()
 		}
-		_ = c.Conn.Close()
-		c.end()
 	})
 	return nil
 }
 
-// deliver waits until the client has acknowledged the last response, and closes the connection. It resets a connection whose client does
-// not, because the kernel would keep what is unsent.
-func (c *Conn) deliver() {
+// linger reads and drops what the client sends until it ends, because closing a connection with unread bytes sends a reset, which can discard
+// the response. It gives a client writeTimeout to acknowledge the response, and lingerTimeout from then on, and resets a connection whose
+// client has not, because the kernel would keep what is unsent.
+func (c *Conn) linger() {
 	defer c.end()
-	if half, ok := c.Conn.(closeWriter); ok {
-		_ = half.CloseWrite() // the connection may have been reset
-	}
-	buffer := make([]byte, 1<<10)
-	for latest := time.Now().Add(writeTimeout); sock.Unsent(c.Conn) && time.Now().Before(latest); {
-		c.Conn.SetReadDeadline(time.Now().Add(deliveryInterval))
-		if _, err := c.Conn.Read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	_ = c.CloseWrite() // the connection may have been reset
+	buffer := make([]byte, 4<<10)
+	began, dropped := time.Now(), 0
+	for dropped < maxLingerBytes {
+		elapsed := time.Since(began)
+		if elapsed > writeTimeout || (elapsed > lingerTimeout && !sock.Unsent(c.Conn)) {
+			break
+		}
+		c.Conn.SetReadDeadline(time.Now().Add(lingerInterval))
+		n, err := c.Conn.Read(buffer)
+		dropped += n
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			break // the client has left
 		}
 	}
-	_ = sock.Abort(c.Conn)
+	if sock.Unsent(c.Conn) {
+		_ = sock.Abort(c.Conn)
+		return
+	}
+	_ = c.Conn.Close()
 }
 
 // end forgets a connection that is closed.
@@ -348,8 +373,10 @@
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
 			hasBody := r.ContentLength != 0
 			c.endHead(hasBody)
-			if hasBody {
-				r.Body = &countedBody{ReadCloser: r.Body, conn: c}
+			if hasBody { // in a copy: net/http looks at the type of the body to see whether the connection can be used again
+				body := &countedBody{ReadCloser: r.Body, conn: c}
+				r = r.WithContext(r.Context())
+				r.Body = body
 			}
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/common/sock"
 )
 
 // limitedServer is an HTTP server with a small number of connections. It answers when the test lets it.
@@ -71,18 +74,19 @@
 func TestANewConnectionDisplacesOneWithoutProgress(t *testing.T) {
 	for name, test := range map[string]struct {
 		first     string // what the other connection has sent
+		state     state
 		age       time.Duration
 		displaced bool
 	}{
-		"silent":                       {"", 2 * progressGrace, true},
-		"silent, just opened":          {"", 0, false},
-		"half a head":                  {"POST / HTTP", time.Minute, true},
-		"half a head, just begun":      {"POST / HTTP", 0, false},
-		"half a body":                  {halfBody, time.Minute, true},
-		"a request that is served":     {wholeRequest, time.Hour, false},
-		"bytes behind such a request":  {wholeRequest + "GET", time.Hour, false},
-		"a whole head and body behind": {wholeRequest + wholeRequest, time.Hour, false},
-		"far more than that behind":    {wholeRequest + strings.Repeat("x", 1<<20), time.Hour, true},
+		"silent":                       {"", stateNew, 2 * progressGrace, true},
+		"silent, just opened":          {"", stateNew, 0, false},
+		"half a head":                  {"POST / HTTP", stateHead, time.Minute, true},
+		"half a head, just begun":      {"POST / HTTP", stateHead, 0, false},
+		"half a body":                  {halfBody, stateBody, time.Minute, true},
+		"a request that is served":     {wholeRequest, stateServing, time.Hour, false},
+		"bytes behind such a request":  {wholeRequest + "GET", stateServing, time.Hour, false},
+		"a whole head and body behind": {wholeRequest + wholeRequest, stateServing, time.Hour, false},
+		"far more than that behind":    {wholeRequest + strings.Repeat("x", 1<<20), stateServing, time.Hour, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newLimitedServer(t, 1, RequestLimits{})
@@ -95,7 +99,7 @@
 				defer s.listener.mutex.Unlock()
 				for c := range s.listener.conns {
 					isLong := len(test.first) > 1<<16
-					return (test.first == "") == c.in(stateNew) && isLong == c.readAhead.hasOverflowed()
+					return c.in(test.state) && isLong == c.readAhead.hasOverflowed()
 				}
 				return false
 			})
@@ -149,6 +153,33 @@
 	close(s.began)
 }
 
+// What follows a body that was not read is no request.
+func TestTheRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	for name, head := range map[string]string{"a length": "Content-Length: 2000000\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n1e8480\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			var requests atomic.Int64
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				requests.Add(1)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})}
+			Attach(server)
+			go func() { _ = server.Serve(NewListener(ln, 8, NewMemory(0), noLimits)) }()
+			t.Cleanup(func() { _ = server.Close() })
+			conn, in := peertest.Dial(t, ln.Addr().String())
+			go func() {
+				_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\n"+head+strings.Repeat(wholeRequest, 40_000))
+			}()
+			response, _ := peertest.ReadResponse(t, in)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			_, err = in.ReadByte()
+			require.Error(t, err)
+			require.Equal(t, int64(1), requests.Load())
+		})
+	}
+}
+
 // The limits of the configuration end a head that takes too long or is too long, and a connection that rests for too long.
 func TestRequestLimitsEndAConnection(t *testing.T) {
 	const soon = 50 * time.Millisecond
@@ -178,3 +209,31 @@
 		require.ErrorIs(t, err, io.EOF)
 	})
 }
+
+// A client that sends its whole body before it reads gets the response to a body that is refused.
+func TestAClientThatStillSendsGetsTheResponse(t *testing.T) {
+	const bodyBytes = 8 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	sock.SetBuffers(ln, 8<<10)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})}
+	Attach(server)
+	listener := NewListener(ln, 8, NewMemory(0), noLimits)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for _, text := range []string{
+		fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodyBytes) + strings.Repeat("b", bodyBytes),
+		"GET / HTTP/1.1\r\nX: " + strings.Repeat("h", bodyBytes),
+	} {
+		conn, in := peertest.Dial(t, ln.Addr().String())
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+		response, _ := peertest.ReadResponse(t, in)
+		require.GreaterOrEqual(t, response.StatusCode, 400)
+		require.NoError(t, conn.Close())
+	}
+	peertest.Eventually(t, "no connection is kept", func() bool { return listener.Open() == 0 })
+}
--- a/internal/coordination/rpc/limit.go
+++ b/internal/coordination/rpc/limit.go
@@ -48,6 +48,7 @@
 			http.Error(w, err.Error(), bodyErrorStatus(err))
 			return
 		}
+		r = r.WithContext(r.Context()) // a copy: the server looks at the body of its own
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 		handler.ServeHTTP(w, r)
 	})
