--- a/internal/common/clientlimit/conn.go
+++ b/internal/common/clientlimit/conn.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// uncountedHeadBytes is the size up to which the head of a request takes no reserved memory: nearly all are shorter.
-	uncountedHeadBytes = 8 << 10
+	// uncountedHeadMemory is the memory up to which the head of a request takes none that is reserved: nearly all are shorter.
+	uncountedHeadMemory = 16 << 10
 	// memoryPerHeadByte and memoryPerHeadLine are the bytes of memory that a byte and a line of a head take in buffers, strings and maps.
 	memoryPerHeadByte = 2
-	memoryPerHeadLine = 192
+	memoryPerHeadLine = 512
 	// headSlackBytes is how much longer than the limit a head may be before its connection is refused: the server refuses the heads below
 	// that itself, and what follows a head may have come in the same read.
 	headSlackBytes = 8 << 10
@@ -90,6 +90,7 @@
 	mutex      sync.Mutex   // guards the fields below
 	head       *Reservation // of the request in progress; nil: its head is short
 	headBytes  int64
+	headMemory int64 // bytes, those that are not reserved included
 }
 
 // epoch is the time from which the times of connections are counted, so that they follow the monotonic clock.
@@ -195,7 +196,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.headBytes += int64(len(text))
-	if c.headBytes <= uncountedHeadBytes {
+	taken := c.headMemory
+	c.headMemory += headMemory(text)
+	if c.headMemory <= uncountedHeadMemory {
 		return true
 	}
 	if limit := c.listener.timeouts().HeadBytes; limit > 0 && c.headBytes > int64(limit+headSlackBytes) {
@@ -206,14 +209,19 @@
 		c.head = c.listener.memory.Reserve(func() { _ = c.Conn.Close() })
 	}
 	c.head.Received(int64(len(text)))
-	bytes := memoryPerHeadByte*int64(len(text)) + memoryPerHeadLine*int64(bytes.Count(text, []byte("\n")))
-	if !c.head.Grow(context.Background(), bytes, smallMessageBytes+1) {
+	if !c.head.Grow(context.Background(), c.headMemory-max(taken, uncountedHeadMemory), smallMessageBytes+1) {
 		c.refuseHead(rejection)
 		return false
 	}
 	return true
 }
 
+// headMemory returns the memory that a part of a head takes. What follows the head in the same read has no lines.
+func headMemory(text []byte) int64 {
+	head, _, _ := bytes.Cut(text, []byte("\r\n\r\n"))
+	return memoryPerHeadByte*int64(len(text)) + memoryPerHeadLine*int64(bytes.Count(head, []byte("\n")))
+}
+
 // refuseHead sends a response to a head that net/http does not get whole. It would take the part that it has for a request that cannot be
 // read, and its response to that is dropped. No other response is in progress.
 func (c *Conn) refuseHead(response string) {
@@ -349,7 +357,7 @@
 		c.head.Release()
 		c.head = nil
 	}
-	c.headBytes = 0
+	c.headBytes, c.headMemory = 0, 0
 }
 
 // connKey is the key of the Conn in the context of its requests.
--- a/internal/common/clientlimit/doc.go
+++ b/internal/common/clientlimit/doc.go
@@ -6,11 +6,12 @@
 // A process is killed when its memory, with what the kernel holds for its sockets, exceeds Limits.MemoryBytes (M). For any clients
 //
 //	connections at rest    at most M/6: ClientConnections x connectionBytes (goroutine, its stack, read and write buffers)
+//	connections to servers at most M/18: ServerConnections, as many as M/6 has connections at rest, with a read buffer each
 //	connections of peers   at most M/12: PeerConnections x connectionBytes
 //	messages of peers      at most M/12, or one message alone
 //	messages               at most M/4: Memory, with growing buffers and their copies, long heads, bodies and responses
-//	kernel's queues        at most M/6: connections x queues of SocketBufferBytes, two for a client and one at a time for a server
-//	larger send buffers    at most M/16: SendBuffers, for responses that do not fit
+//	kernel's queues        at most M/8: connections x queues of SocketBufferBytes, two for a client and one at a time for a server
+//	larger send buffers    at most M/24: SendBuffers, for responses that do not fit
 //	the process at rest    the rest, with what the garbage collector has not freed; its limit is set by the program
 //
 // Of the descriptors, reservedDescriptors are left to files, a third to connections to servers, and the listeners share the rest, so
--- a/internal/common/clientlimit/limits.go
+++ b/internal/common/clientlimit/limits.go
@@ -23,8 +23,8 @@
 	peerConnectionsPart   = 12
 	messagesPart          = 4
 	peerMessagesPart      = 12
-	socketBuffersPart     = 6
-	lentBuffersPart       = 16
+	socketBuffersPart     = 8
+	lentBuffersPart       = 24
 )
 
 // Parts of the sockets, as divisors.
@@ -42,7 +42,9 @@
 func (l Limits) PeerMessageBytes() int64 { return l.MemoryBytes / peerMessagesPart }
 
 // ServerConnections returns how many connections to servers may be open.
-func (l Limits) ServerConnections() int { return l.sockets(serverSocketsPart) }
+func (l Limits) ServerConnections() int {
+	return min(l.sockets(serverSocketsPart), l.connectionsIn(clientConnectionsPart))
+}
 
 // PeerConnections returns how many connections of other processes of the system may be open.
 func (l Limits) PeerConnections() int {
@@ -69,7 +71,8 @@
 // SocketBufferBytes returns the size of each of the two buffers that the kernel keeps for a connection of a client or a server; 0: the
 // kernel chooses. Connections of peers are read at all times.
 func (l Limits) SocketBufferBytes() int {
-	return l.bufferBytes(l.ClientConnections() + l.CallerConnections() + l.ProbeConnections() + l.ServerConnections()/directions)
+	const buffersOfClient = 2 // a connection to a server uses one of its two at a time
+	return l.bufferBytes(buffersOfClient*(l.ClientConnections()+l.CallerConnections()+l.ProbeConnections()) + l.ServerConnections())
 }
 
 // SendBuffers returns the larger buffers for responses that do not fit into those of SocketBufferBytes.
@@ -77,12 +80,9 @@
 	return sock.NewSendBuffers(l.SocketBufferBytes(), l.MemoryBytes/lentBuffersPart)
 }
 
-// directions is the number of buffers of a connection. A connection to a server uses one at a time.
-const directions = 2
-
-// bufferBytes returns the size of each buffer of so many connections.
-func (l Limits) bufferBytes(connections int) int {
-	return sock.BufferBytes(l.MemoryBytes/socketBuffersPart, directions*connections)
+// bufferBytes returns the size of each of so many buffers.
+func (l Limits) bufferBytes(buffers int) int {
+	return sock.BufferBytes(l.MemoryBytes/socketBuffersPart, buffers)
 }
 
 // sockets returns a part of the descriptors that are left to sockets.
--- a/internal/common/clientlimit/process.go
+++ b/internal/common/clientlimit/process.go
@@ -23,7 +23,7 @@
 }
 
 // collectorFraction is the fraction of the memory near which the garbage collector works harder.
-const collectorFraction = 0.7
+const collectorFraction = 0.6
 
 // LimitCollector sets the memory limit of the garbage collector of this process.
 func (l Limits) LimitCollector() {
@@ -32,11 +32,17 @@
 	}
 }
 
+// maxCallHeadBytes is the size of the longest head of a call.
+const maxCallHeadBytes = 64 << 10
+
+// CallLimits are those of requests to which no configuration applies: calls of other processes of the system and of operators.
+func CallLimits() RequestLimits { return RequestLimits{HeadBytes: maxCallHeadBytes} }
+
 // Limit bounds what the callers of a process with a single HTTP server can use up. It returns the listener to serve, and the memory for
 // requests. It is called before the server serves.
 func (l Limits) Limit(server *http.Server, listener net.Listener) (*Listener, *Memory) {
-	sock.SetBuffers(listener, l.bufferBytes(l.ClientConnections()))
+	sock.SetBuffers(listener, l.bufferBytes(2*l.ClientConnections()))
 	memory := NewMemory(l.MessageBytes())
 	Attach(server)
-	return NewListener(listener, l.ClientConnections(), memory, func() RequestLimits { return RequestLimits{} }), memory
+	return NewListener(listener, l.ClientConnections(), memory, CallLimits), memory
 }
--- a/internal/router/node/shutdown.go
+++ b/internal/router/node/shutdown.go
@@ -40,9 +40,6 @@
 		IdleTimeout: settings.Milliseconds(limits.IdleTimeoutMs)}
 }
 
-// noRequestLimits are the limits on callers to which no configuration applies: those of the HTTP servers.
-func noRequestLimits() clientlimit.RequestLimits { return clientlimit.RequestLimits{} }
-
 func (n *Node) newHTTPServer(h http.Handler) *http.Server {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.logger.Std("", 0)}
--- a/internal/router/node/start.go
+++ b/internal/router/node/start.go
@@ -123,8 +123,8 @@
 func (n *Node) endpoints() []endpoint {
 	all := []endpoint{{callers: "other routers", address: n.self.Address, limit: n.limits.PeerConnections()}}
 	for _, e := range []endpoint{
-		{"the platform", n.settings.Listen.Ready, n.limits.ProbeConnections(), http.HandlerFunc(n.serveReady), noRequestLimits},
-		{"model servers and operators", n.settings.Listen.Control, n.limits.CallerConnections(), n.controlHandler(), noRequestLimits},
+		{"the platform", n.settings.Listen.Ready, n.limits.ProbeConnections(), http.HandlerFunc(n.serveReady), clientlimit.CallLimits},
+		{"model servers and operators", n.settings.Listen.Control, n.limits.CallerConnections(), n.controlHandler(), clientlimit.CallLimits},
 		{"clients", n.settings.Listen.Front, n.limits.ClientConnections(), n.gateway, n.requestLimits},
 	} {
 		if e.address != "" {
