A test that stops the leader waits until there is one

Traced: it asks once who leads, after two calls that a leader has answered, and a group whose members get no processor time has none for a moment (Group.Leader returns -1 then). It waits for one now, as at its beginning; what it checks is unchanged.

--- a/cmd/petrelhook-coordinator/faults_test.go
+++ b/cmd/petrelhook-coordinator/faults_test.go
@@ -145,7 +145,7 @@
 	if _, err := g.Call(fleet.Request{Command: &core.Command{Kind: core.Acquire, Session: session, Seq: 1, Name: "task"}}); err != nil {
 		t.Fatal(err)
 	}
-	leader := g.Leader()
+	leader := g.AwaitNewLeader(-1) // a busy machine may have none for a moment
 	g.Members[leader].Pause()
 	next := hold(t, newLongLivedClient(t, g), "task")
 	<-time.After(10 * time.Second)
