A call that is too long keeps its connection, as before

TestTooLarge failed in the complete script: since the rest of a call over the limit was not read, and net/http closed its connection after half a second. connect reads and drops the rest of such a call, up to a bound of its own; it gets the whole body again. The test fails without this change.

--- a/internal/coordination/rpc/limit.go
+++ b/internal/coordination/rpc/limit.go
@@ -28,7 +28,7 @@
 }
 
 // limitBody returns a handler that reads the body of a request before it calls another one. A body without memory gets 503, one that does not
-// arrive 408. A body that is longer than maxBytes is passed on with one byte more, and the other handler refuses it.
+// arrive 408. A body that is longer than maxBytes is passed on as it is, and the other handler refuses it.
 func limitBody(maxBytes int64, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		memory, ok := r.Context().Value(memoryKey{}).(*clientlimit.Memory)
@@ -48,8 +48,12 @@
 			http.Error(w, err.Error(), bodyErrorStatus(err))
 			return
 		}
+		rest := r.Body
 		r = r.WithContext(r.Context()) // a copy: the server looks at the body of its own
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		r.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(body), rest), rest}
 		handler.ServeHTTP(w, r)
 	})
 }
