The test of displaced connections answers only once the connection is displaced

Cause, traced: the test let the first request be answered as soon as the second connection was dialled, so that the answer could come before the listener had accepted the second one: then the first connection is between two requests for a moment, or has ended by itself, and is not displaced.

The test waits until the listener has displaced the connection, and then lets the request be answered.

--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -106,6 +106,7 @@
 			s.age(test.age)
 			_, second := s.open(wholeRequest)
 			if test.displaced {
+				peertest.Eventually(t, "the first connection is displaced", func() bool { return s.listener.Counts().Displaced == 1 })
 				close(s.answer)
 				response, _ := peertest.ReadResponse(t, second)
 				require.Equal(t, http.StatusOK, response.StatusCode)
