Tests with crowds: callers that come meanwhile, slow clients, starts and take-overs

An ordinary caller was answered on a connection from before the crowd (0 connections displaced, 57 of 57 answered), so that nothing said whether one that comes meanwhile finds room: each call opens a connection now, and at the control and the ready port their own calls are made too. Clients that send a byte a second ended after 3 s, at the deadline of their first write; it is set for each write now.

All other crowds and all bounds are as they were. The test with all crowds at once keeps its check on a kept connection, and also has callers from another address.

--- a/cmd/petrelhook-agent/crowd_test.go
+++ b/cmd/petrelhook-agent/crowd_test.go
@@ -23,6 +23,9 @@
 	"petrelhook/internal/rig/process"
 )
 
+// slowBytesPerSecond is a little more than the 4 KiB a second below which a client counts as one without progress.
+const slowBytesPerSecond = 6 << 10
+
 // The memory limit of the agent that the crowds meet, and the size of the crowds.
 const (
 	loadedMemoryMb = 96
@@ -61,5 +64,5 @@
 	}
 	peertest.Eventually(t, "the agent answers", answers)
 	target := abuse.Target{Address: address, PID: p.Pid, Ended: p.Ended, MemoryMb: loadedMemoryMb, Answers: answers}
-	target.BearInTurn(t, crowdOfCallers, abuse.Of(abuse.Call(machine.PathOrder), abuse.Limits{HeadBytes: 1 << 20, BodyBytes: 64 << 10}))
+	target.BearInTurn(t, crowdOfCallers, abuse.Of(abuse.Call(machine.PathOrder), abuse.Limits{HeadBytes: 1 << 20, BodyBytes: 64 << 10, SlowBytesPerSecond: slowBytesPerSecond}))
 }
--- a/cmd/petrelhook-router/crowd_test.go
+++ b/cmd/petrelhook-router/crowd_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +18,7 @@
 	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/abuse"
 	"petrelhook/internal/rig/process"
+	"petrelhook/internal/router/node"
 )
 
 // The limits of the router that the crowds meet. The bounds of all tests in this file are these.
@@ -29,6 +31,12 @@
 	loadedGraceSeconds = 4 // of startFleet's settings
 )
 
+// slowBytesPerSecond is a little more than the 4 KiB a second below which a client counts as one without progress.
+const slowBytesPerSecond = 6 << 10
+
+// otherAddress is an IP address from which no crowd comes.
+const otherAddress = "127.9.77.200"
+
 // Sizes of the crowds.
 const (
 	crowdOfSenders = 500
@@ -36,6 +44,9 @@
 	crowdOfSilent  = 1000 // more than there are descriptors
 )
 
+// longPath is a path whose requests may take longer than the waits of tests.
+const longPath = "/hold/1"
+
 const loadedConfiguration = `{"Generation":1,"Routes":[
 {"Name":"ordinary","Host":"a.example","PathPrefix":"/x/","RouteType":"unsafe","TimeoutMs":15000,"Service":"s","MaxAttempts":1},
 {"Name":"held","Host":"a.example","PathPrefix":"/hold/","RouteType":"unsafe","TimeoutMs":60000,"Service":"s","MaxAttempts":1},
@@ -55,27 +66,44 @@
 func startLoadedRouter(t *testing.T) *loadedRouter {
 	t.Helper()
 	f := startFleet(t, fleetOptions{coreMembers: 3, network: "127.9.77", heartbeatInterval: time.Second, stopped: true})
+	f.client.Transport = newcomers("")
 	m := f.machines[0]
 	text, err := os.ReadFile(m.settingsPath)
 	require.NoError(t, err)
 	limits := fmt.Sprintf("[Limits]\nMemoryMb = %d\nMaxFds = %d\n[Listen]", loadedMemoryMb, loadedDescriptors)
 	require.NoError(t, os.WriteFile(m.settingsPath, []byte(strings.Replace(string(text), "[Listen]", limits, 1)), 0o600))
-	cmd := m.command()
-	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", limitsVariable, loadedDescriptors, noLimit))
-	m.process = process.Start(t, cmd)
+	r := &loadedRouter{fleet: f, machine: m, t: t}
+	r.startProcess()
 	for _, other := range f.machines[1:] {
 		other.start()
 	}
-	r := &loadedRouter{fleet: f, machine: m, t: t}
 	require.Equal(t, http.StatusOK, f.sendOrder("/-/config/replace", 0, loadedConfiguration))
 	r.startServer()
 	f.waitReady(m)
 	peertest.Eventually(t, "the router serves", r.serves)
-	r.meter = abuse.Watch(t, m.process.Pid, f.address(m.ip, frontPort), f.address(m.ip, readyPort), f.address(m.ip, controlPort),
-		f.address(m.ip, internalPort))
 	return r
 }
 
+// newcomers returns a transport that opens a connection for each call, which has to find room beside a crowd, from an IP address; empty: the
+// address from which crowds come.
+func newcomers(ip string) *http.Transport {
+	dialer := &net.Dialer{}
+	if ip != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
+	}
+	return &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+}
+
+// startProcess starts the router's process and watches it.
+func (r *loadedRouter) startProcess() {
+	r.t.Helper()
+	cmd := r.command()
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", limitsVariable, loadedDescriptors, noLimit))
+	r.process = process.Start(r.t, cmd)
+	r.meter = abuse.Watch(r.t, r.process.Pid, r.address(r.ip, frontPort), r.address(r.ip, readyPort), r.address(r.ip, controlPort),
+		r.address(r.ip, internalPort))
+}
+
 // startServer starts a server, which sends heartbeats until the test ends.
 func (r *loadedRouter) startServer() {
 	server := newRecordedServer(r.t, r.fleet, "i1")
@@ -145,6 +173,17 @@
 	return true
 }
 
+// answers reports whether ordinary requests are answered, those at a port included.
+func (r *loadedRouter) answers(port int) bool {
+	paths := map[int]string{readyPort: "/-/readiness", controlPort: node.StatusPath}
+	if path, ok := paths[port]; ok {
+		if code, _ := r.call(http.MethodGet, "http://"+r.address(r.ip, port)+path, ""); code != http.StatusOK {
+			return false
+		}
+	}
+	return r.serves()
+}
+
 // loadedHead returns the function that makes heads of requests with a path.
 func loadedHead(path string) abuse.Head {
 	return func(framing string) string {
@@ -154,7 +193,7 @@
 
 // loadedBehaviours returns the behaviours that each HTTP listener has to bear.
 func loadedBehaviours(path string) abuse.Behaviours {
-	return abuse.Of(loadedHead(path), abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedBodyBytes})
+	return abuse.Of(loadedHead(path), abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedBodyBytes, SlowBytesPerSecond: slowBytesPerSecond})
 }
 
 // bear checks that the router bears a crowd at one of its ports: it lives, stays within its limits, answers an ordinary request beside
@@ -163,16 +202,16 @@
 	r.t.Helper()
 	c := abuse.Start(r.t, r.address(r.ip, port), clients, behaviour)
 	c.WaitSent()
-	besideCrowd := r.answersInTime()
+	besideCrowd := r.answersInTime(port)
 	r.t.Logf("with the crowd: %v, an ordinary request is answered: %t", r.meter.Peak(), besideCrowd)
 	c.Leave()
 	r.check(besideCrowd)
 }
 
-// answersInTime reports whether an ordinary request is answered before the waits of tests end.
-func (r *loadedRouter) answersInTime() bool {
+// answersInTime reports whether ordinary requests, those at a port included, are answered before the waits of tests end.
+func (r *loadedRouter) answersInTime(port int) bool {
 	for deadline := time.Now().Add(peertest.EventTimeout); time.Now().Before(deadline) && len(r.process.Ended) == 0; {
-		if r.serves() {
+		if r.answers(port) {
 			return true
 		}
 	}
@@ -195,8 +234,11 @@
 }
 
 // bearFront checks that a router bears clients that behave in one way.
-func bearFront(t *testing.T, name string) {
-	behaviour, known := loadedBehaviours("/x/1")[name]
+func bearFront(t *testing.T, name string) { bearFrontAt(t, "/x/1", name) }
+
+// bearFrontAt checks that a router bears clients that send requests with a path in one way.
+func bearFrontAt(t *testing.T, path, name string) {
+	behaviour, known := loadedBehaviours(path)[name]
 	require.True(t, known, name)
 	clients := crowdOfSenders
 	if len(behaviour.Texts) == 0 {
@@ -212,17 +254,21 @@
 func TestRouterCrowdChunkExtensions(t *testing.T)        { bearFront(t, "chunk extensions") }
 func TestRouterCrowdTrailerWithoutEnd(t *testing.T)      { bearFront(t, "a trailer without end") }
 func TestRouterCrowdBodiesStoppedShort(t *testing.T)     { bearFront(t, "a length, stopped short") }
-func TestRouterCrowdBodiesNeverSent(t *testing.T)        { bearFront(t, "a length, never sent") }
-func TestRouterCrowdSlowBodies(t *testing.T)             { bearFront(t, "a length, a byte a second") }
-func TestRouterCrowdLengthOverTheLimit(t *testing.T)     { bearFront(t, "a length over the limit") }
-func TestRouterCrowdChunksOverTheLimit(t *testing.T)     { bearFront(t, "over the limit, in chunks") }
-func TestRouterCrowdLengthAndChunks(t *testing.T)        { bearFront(t, "a length and chunks") }
-func TestRouterCrowdExpectContinue(t *testing.T)         { bearFront(t, "an expected 100-continue") }
-func TestRouterCrowdHeadsBelowTheLimit(t *testing.T)     { bearFront(t, "a head below the limit") }
-func TestRouterCrowdFieldWithoutEnd(t *testing.T)        { bearFront(t, "one field without end") }
-func TestRouterCrowdTinyFieldsWithoutEnd(t *testing.T)   { bearFront(t, "tiny fields without end") }
-func TestRouterCrowdRequestLineWithoutEnd(t *testing.T)  { bearFront(t, "a request line without end") }
-func TestRouterCrowdSlowHeads(t *testing.T)              { bearFront(t, "a head, a byte a second") }
+func TestRouterCrowdMiddlingBodiesStoppedShort(t *testing.T) {
+	bearFrontAt(t, longPath, "a middling length, stopped short")
+}
+func TestRouterCrowdBodiesNeverSent(t *testing.T)       { bearFront(t, "a length, never sent") }
+func TestRouterCrowdSlowBodies(t *testing.T)            { bearFront(t, "a length, a byte a second") }
+func TestRouterCrowdLongBodiesSlowly(t *testing.T)      { bearFrontAt(t, longPath, "a length, slowly") }
+func TestRouterCrowdLengthOverTheLimit(t *testing.T)    { bearFront(t, "a length over the limit") }
+func TestRouterCrowdChunksOverTheLimit(t *testing.T)    { bearFront(t, "over the limit, in chunks") }
+func TestRouterCrowdLengthAndChunks(t *testing.T)       { bearFront(t, "a length and chunks") }
+func TestRouterCrowdExpectContinue(t *testing.T)        { bearFront(t, "an expected 100-continue") }
+func TestRouterCrowdHeadsBelowTheLimit(t *testing.T)    { bearFront(t, "a head below the limit") }
+func TestRouterCrowdFieldWithoutEnd(t *testing.T)       { bearFront(t, "one field without end") }
+func TestRouterCrowdTinyFieldsWithoutEnd(t *testing.T)  { bearFront(t, "tiny fields without end") }
+func TestRouterCrowdRequestLineWithoutEnd(t *testing.T) { bearFront(t, "a request line without end") }
+func TestRouterCrowdSlowHeads(t *testing.T)             { bearFront(t, "a head, a byte a second") }
 func TestRouterCrowdEmptyLinesBeforeARequest(t *testing.T) {
 	bearFront(t, "empty lines before a request")
 }
@@ -234,6 +280,15 @@
 func TestRouterCrowdHalfClosedConnections(t *testing.T) { bearFront(t, "half closed connections") }
 func TestRouterCrowdResetConnections(t *testing.T)      { bearFront(t, "reset connections") }
 
+// A crowd whose clients make progress, and come again when they are put out, comes from one address. Callers from another one are answered.
+func TestRouterCrowdOfOneAddress(t *testing.T) {
+	r := startLoadedRouter(t)
+	r.client.Transport = newcomers(otherAddress)
+	behaviour := loadedBehaviours(longPath)["a length, slowly"]
+	behaviour.Returns, behaviour.RedialDelay = true, 100*time.Millisecond
+	r.bear(frontPort, crowdOfSenders, behaviour)
+}
+
 // wholeRequest returns a whole request with a path.
 func wholeRequest(path string) string {
 	return loadedHead(path)("Content-Length: 4") + "\r\n\r\nbody"
@@ -243,6 +298,11 @@
 	startLoadedRouter(t).bear(frontPort, crowdOfReaders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest("/long/1"), Times: 1}}})
 }
 
+func TestRouterCrowdLongResponsesReadSlowly(t *testing.T) {
+	startLoadedRouter(t).bear(frontPort, crowdOfReaders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest("/long/1"), Times: 1}},
+		ReadsSlowly: true})
+}
+
 func TestRouterCrowdPipelinedResponsesNotRead(t *testing.T) {
 	startLoadedRouter(t).bear(frontPort, crowdOfReaders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest("/long/1"), Times: 20_000}}})
 }
@@ -252,7 +312,7 @@
 }
 
 func TestRouterCrowdBytesBehindAHeldRequest(t *testing.T) {
-	startLoadedRouter(t).bear(frontPort, crowdOfSenders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest("/hold/1"), Times: 1},
+	startLoadedRouter(t).bear(frontPort, crowdOfSenders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest(longPath), Times: 1},
 		{Content: strings.Repeat("x", 64<<10), Times: 256}}})
 }
 
@@ -284,7 +344,7 @@
 
 func TestRouterCrowdAtTheControlPortWithOrders(t *testing.T) {
 	head := func(framing string) string { return loadedHead("/-/config/replace")("X-Base-Version: 1\r\n" + framing) }
-	bearInTurn(t, controlPort, abuse.Of(head, abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: 16 << 20}))
+	bearInTurn(t, controlPort, abuse.Of(head, abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: 16 << 20, SlowBytesPerSecond: slowBytesPerSecond}))
 }
 
 func TestRouterCrowdAtTheInternalPort(t *testing.T) {
@@ -300,7 +360,13 @@
 // Crowds of several kinds at once, which come again when they are put out.
 func TestRouterCrowdTogether(t *testing.T) {
 	r := startLoadedRouter(t)
-	besideCrowd := r.withMixedCrowd(r.answersInTime)
+	r.client.Transport = &http.Transport{}
+	require.True(t, r.serves())
+	besideCrowd := r.withMixedCrowd(func() bool {
+		kept := r.answersInTime(frontPort) // on the connection from before, if there is still room for it
+		r.client.Transport = newcomers(otherAddress)
+		return kept && r.answersInTime(frontPort)
+	})
 	r.check(besideCrowd)
 }
 
@@ -342,6 +408,18 @@
 	require.True(t, ended, "the router ends within GraceS")
 }
 
+// A router that is killed and starts again beside a crowd serves, and stays within its limits.
+func TestRouterCrowdDuringAStart(t *testing.T) {
+	r := startLoadedRouter(t)
+	besideCrowd := r.withMixedCrowd(func() bool {
+		r.process.KillAndWait()
+		r.startProcess()
+		r.client.Transport = newcomers(otherAddress)
+		return r.answersInTime(frontPort)
+	})
+	r.check(besideCrowd)
+}
+
 // A single request inside the limits is served in calm, however it is sent.
 func TestRouterServesTheLargestBodyAlone(t *testing.T) {
 	r := startLoadedRouter(t)
--- a/cmd/petrelhook/crowd_test.go
+++ b/cmd/petrelhook/crowd_test.go
@@ -26,6 +26,9 @@
 	loadedFirstBodies = 4 << 20 // what the crowds send of bodies that stop short
 )
 
+// slowBytesPerSecond is a little more than the 16 KiB a second that a sidecar demands of a body.
+const slowBytesPerSecond = 20 << 10
+
 // Sizes of the crowds.
 const (
 	crowdOfSenders = 400
@@ -56,10 +59,15 @@
 	f.config = strings.Replace(f.config, `"memory_mb":64,"sockets":384`, fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, loadedMemoryMB, loadedSockets), 1)
 	s := &loadedSidecar{sidecar: f.start(), t: t}
 	peertest.Eventually(t, "the sidecar serves", s.serves)
-	s.meter = abuse.Watch(t, s.Process.Process.Pid, f.listen, s.admin)
+	s.watch()
 	return s
 }
 
+// watch begins to measure the process.
+func (s *loadedSidecar) watch() {
+	s.meter = abuse.Watch(s.t, s.Process.Process.Pid, s.f.listen, s.admin)
+}
+
 // serveLoad answers as the server of the tests: at once, or with a long body.
 func serveLoad(w http.ResponseWriter, r *http.Request) {
 	const longResponseBytes = 8 << 20
@@ -108,10 +116,11 @@
 
 // loadedBehaviours returns the behaviours that the listener for clients has to bear. A body over the limit would be 40 MB.
 func loadedBehaviours() abuse.Behaviours {
-	behaviours := abuse.Of(loadedHead, abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedFirstBodies})
+	behaviours := abuse.Of(loadedHead, abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedFirstBodies, SlowBytesPerSecond: slowBytesPerSecond})
 	behaviours["a length over the limit"] = abuse.Behaviour{Texts: []abuse.Text{
 		{Content: loadedHead(fmt.Sprintf("Content-Length: %d", 4*loadedBodyBytes)) + "\r\n\r\n", Times: 1}, {Content: strings.Repeat("x", 64<<10), Times: 256}}}
 	behaviours["long responses, not read"] = abuse.Behaviour{Texts: []abuse.Text{{Content: request("GET", "look", "long-"+abuse.Number, "", 0), Times: 1}}}
+	behaviours["long responses, read slowly"] = abuse.Behaviour{Texts: behaviours["long responses, not read"].Texts, ReadsSlowly: true}
 	behaviours["pipelined responses, not read"] = abuse.Behaviour{Texts: []abuse.Text{{Content: request("GET", "look", "long-"+abuse.Number, "", 0), Times: 20_000}}}
 	return behaviours
 }
@@ -179,17 +188,21 @@
 func TestSidecarCrowdChunkExtensions(t *testing.T)        { bearFront(t, "chunk extensions") }
 func TestSidecarCrowdTrailerWithoutEnd(t *testing.T)      { bearFront(t, "a trailer without end") }
 func TestSidecarCrowdBodiesStoppedShort(t *testing.T)     { bearFront(t, "a length, stopped short") }
-func TestSidecarCrowdBodiesNeverSent(t *testing.T)        { bearFront(t, "a length, never sent") }
-func TestSidecarCrowdSlowBodies(t *testing.T)             { bearFront(t, "a length, a byte a second") }
-func TestSidecarCrowdLengthOverTheLimit(t *testing.T)     { bearFront(t, "a length over the limit") }
-func TestSidecarCrowdChunksOverTheLimit(t *testing.T)     { bearFront(t, "over the limit, in chunks") }
-func TestSidecarCrowdLengthAndChunks(t *testing.T)        { bearFront(t, "a length and chunks") }
-func TestSidecarCrowdExpectContinue(t *testing.T)         { bearFront(t, "an expected 100-continue") }
-func TestSidecarCrowdHeadsBelowTheLimit(t *testing.T)     { bearFront(t, "a head below the limit") }
-func TestSidecarCrowdFieldWithoutEnd(t *testing.T)        { bearFront(t, "one field without end") }
-func TestSidecarCrowdTinyFieldsWithoutEnd(t *testing.T)   { bearFront(t, "tiny fields without end") }
-func TestSidecarCrowdRequestLineWithoutEnd(t *testing.T)  { bearFront(t, "a request line without end") }
-func TestSidecarCrowdSlowHeads(t *testing.T)              { bearFront(t, "a head, a byte a second") }
+func TestSidecarCrowdMiddlingBodiesStoppedShort(t *testing.T) {
+	bearFront(t, "a middling length, stopped short")
+}
+func TestSidecarCrowdBodiesNeverSent(t *testing.T)       { bearFront(t, "a length, never sent") }
+func TestSidecarCrowdSlowBodies(t *testing.T)            { bearFront(t, "a length, a byte a second") }
+func TestSidecarCrowdLongBodiesSlowly(t *testing.T)      { bearFront(t, "a length, slowly") }
+func TestSidecarCrowdLengthOverTheLimit(t *testing.T)    { bearFront(t, "a length over the limit") }
+func TestSidecarCrowdChunksOverTheLimit(t *testing.T)    { bearFront(t, "over the limit, in chunks") }
+func TestSidecarCrowdLengthAndChunks(t *testing.T)       { bearFront(t, "a length and chunks") }
+func TestSidecarCrowdExpectContinue(t *testing.T)        { bearFront(t, "an expected 100-continue") }
+func TestSidecarCrowdHeadsBelowTheLimit(t *testing.T)    { bearFront(t, "a head below the limit") }
+func TestSidecarCrowdFieldWithoutEnd(t *testing.T)       { bearFront(t, "one field without end") }
+func TestSidecarCrowdTinyFieldsWithoutEnd(t *testing.T)  { bearFront(t, "tiny fields without end") }
+func TestSidecarCrowdRequestLineWithoutEnd(t *testing.T) { bearFront(t, "a request line without end") }
+func TestSidecarCrowdSlowHeads(t *testing.T)             { bearFront(t, "a head, a byte a second") }
 func TestSidecarCrowdEmptyLinesBeforeARequest(t *testing.T) {
 	bearFront(t, "empty lines before a request")
 }
@@ -201,6 +214,9 @@
 func TestSidecarCrowdHalfClosedConnections(t *testing.T) { bearFront(t, "half closed connections") }
 func TestSidecarCrowdResetConnections(t *testing.T)      { bearFront(t, "reset connections") }
 func TestSidecarCrowdLongResponsesNotRead(t *testing.T)  { bearFront(t, "long responses, not read") }
+func TestSidecarCrowdLongResponsesReadSlowly(t *testing.T) {
+	bearFront(t, "long responses, read slowly")
+}
 func TestSidecarCrowdPipelinedResponsesNotRead(t *testing.T) {
 	bearFront(t, "pipelined responses, not read")
 }
@@ -208,7 +224,7 @@
 func TestSidecarCrowdAtTheOperatorsPort(t *testing.T) {
 	s := startLoadedSidecar(t)
 	behaviours := abuse.Of(func(framing string) string { return "POST /api/ready HTTP/1.1\r\nHost: x\r\n" + framing },
-		abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedFirstBodies})
+		abuse.Limits{HeadBytes: loadedHeadBytes, BodyBytes: loadedFirstBodies, SlowBytesPerSecond: slowBytesPerSecond})
 	for _, name := range behaviours.Names() {
 		if !t.Run(name, func(t *testing.T) {
 			of := *s
@@ -220,28 +236,60 @@
 	}
 }
 
-// Crowds of several kinds at once, which come again when they are put out, and a SIGTERM meanwhile.
-func TestSidecarCrowdTogetherAndAShutdown(t *testing.T) {
+// withMixedCrowd calls a function beside a crowd of all behaviours, whose clients come again when they are put out.
+func (s *loadedSidecar) withMixedCrowd(call func()) {
 	const clientsOfEach = 30
-	s := startLoadedSidecar(t)
 	behaviours := loadedBehaviours()
 	var crowds []*abuse.Crowd
 	for _, name := range behaviours.Names() {
 		behaviour := behaviours[name]
 		behaviour.Returns = true
-		crowds = append(crowds, abuse.Start(t, s.f.listen, clientsOfEach, behaviour))
+		crowds = append(crowds, abuse.Start(s.t, s.f.listen, clientsOfEach, behaviour))
 	}
 	for _, c := range crowds {
 		c.WaitSent()
 	}
-	besideCrowd := s.answersInTime()
-	t.Logf("with the crowds: %v", s.meter.Peak())
-	peak := s.meter.Peak()
-	if peak.ResidentMb+peak.QueuedMb >= loadedMemoryMB || peak.Sockets > loadedSockets || !besideCrowd {
-		t.Errorf("%v; an ordinary request is answered: %t", peak, besideCrowd)
-	}
-	s.Signal(syscall.SIGTERM)
-	if err := peertest.Wait(t, s.Ended); err != nil {
-		t.Error(err)
+	call()
+	for _, c := range crowds {
+		c.Leave()
 	}
 }
+
+// Crowds of several kinds at once, and a SIGTERM meanwhile.
+func TestSidecarCrowdTogetherAndAShutdown(t *testing.T) {
+	s := startLoadedSidecar(t)
+	s.withMixedCrowd(func() {
+		besideCrowd := s.answersInTime()
+		t.Logf("with the crowds: %v", s.meter.Peak())
+		peak := s.meter.Peak()
+		if peak.ResidentMb+peak.QueuedMb >= loadedMemoryMB || peak.Sockets > loadedSockets || !besideCrowd {
+			t.Errorf("%v; an ordinary request is answered: %t", peak, besideCrowd)
+		}
+		s.Signal(syscall.SIGTERM)
+		if err := peertest.Wait(t, s.Ended); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A successor takes over beside a crowd: both processes stay within their limits, and the first one ends.
+func TestSidecarCrowdDuringATakeOver(t *testing.T) {
+	first := startLoadedSidecar(t)
+	next := &loadedSidecar{t: t, requests: 1_000_000} // whose requests have other numbers
+	besideCrowd := false
+	first.withMixedCrowd(func() {
+		next.sidecar = first.f.start()
+		next.watch()
+		first.Signal(syscall.SIGTERM)
+		if err := peertest.Wait(t, first.Ended); err != nil {
+			t.Error(err)
+		}
+		peak := first.meter.Peak()
+		if peak.ResidentMb+peak.QueuedMb >= loadedMemoryMB || peak.Sockets > loadedSockets {
+			t.Errorf("the first process: %v", peak)
+		}
+		besideCrowd = next.answersInTime()
+		t.Logf("with the crowds: the first process %v, the next %v", peak, next.meter.Peak())
+	})
+	next.check(besideCrowd)
+}
--- a/internal/rig/abuse/crowd.go
+++ b/internal/rig/abuse/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"strconv"
@@ -16,20 +17,24 @@
 	writeTimeout = 3 * time.Second
 	// maxConnections bounds the connections that one client opens, one after the other.
 	maxConnections = 200
-	// redialDelay is the time between the end of a connection and the client's next one.
-	redialDelay = 5 * time.Millisecond
+	// defaultRedialDelay is that of a Behaviour without one.
+	defaultRedialDelay = 5 * time.Millisecond
 )
 
 // Behaviour is what a client does on a connection.
 type Behaviour struct {
 	// Texts are sent one after the other. A client whose connection ends stops sending.
 	Texts []Text
-	// Trickle is sent after them, repeatedly, a byte in each trickleInterval, until the crowd leaves; 0: nothing is.
-	Trickle byte
+	// Trickle is sent after them, once in each trickleInterval, until the crowd leaves; empty: nothing is.
+	Trickle string
 	// Reads says that the client reads what it is sent. The others leave it to the kernel until the crowd leaves.
 	Reads bool
+	// ReadsSlowly says that the client reads a byte in each trickleInterval.
+	ReadsSlowly bool
 	// Returns says that the client opens a new connection when its connection has ended. Such a client reads.
 	Returns bool
+	// RedialDelay is the time between the end of a connection and the client's next one; 0: 5 ms.
+	RedialDelay time.Duration
 	// Resets says that the client resets its connection after the texts.
 	Resets bool
 	// Halves says that the client closes its direction of the connection after the texts.
@@ -45,7 +50,7 @@
 	Times   int
 }
 
-// trickleInterval is the time between two bytes of Behaviour.Trickle.
+// trickleInterval is the time between two texts of Behaviour.Trickle, and between two bytes that a client reads slowly.
 const trickleInterval = time.Second
 
 // Crowd is a number of clients with the same behaviour.
@@ -105,7 +110,7 @@
 		select {
 		case <-c.leaving:
 			return
-		case <-time.After(redialDelay):
+		case <-time.After(cmp.Or(c.behaviour.RedialDelay, defaultRedialDelay)):
 		}
 	}
 }
@@ -137,8 +142,15 @@
 		return
 	case c.behaviour.Halves:
 		_ = conn.(*net.TCPConn).CloseWrite()
-	case c.behaviour.Trickle != 0:
-		c.trickle(conn, ended)
+	case c.behaviour.Trickle != "":
+		trickle := []byte(c.behaviour.Trickle)
+		c.eachInterval(ended, func() error { return write(conn, trickle) })
+		return
+	case c.behaviour.ReadsSlowly:
+		c.eachInterval(ended, func() error {
+			_, err := conn.Read(make([]byte, 1))
+			return err
+		})
 		return
 	}
 	c.hold(ended)
@@ -175,10 +187,7 @@
 			content = bytes.ReplaceAll(content, []byte(Number), number)
 		}
 		for range text.Times {
-			if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-				return err
-			}
-			if _, err := conn.Write(content); err != nil {
+			if err := write(conn, content); err != nil {
 				return err
 			}
 		}
@@ -186,6 +195,15 @@
 	return nil
 }
 
+// write writes a text within writeTimeout.
+func write(conn net.Conn, text []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := conn.Write(text)
+	return err
+}
+
 // hold keeps a connection until it ends, where that is noticed, or the crowd leaves.
 func (c *Crowd) hold(ended <-chan struct{}) {
 	select {
@@ -194,8 +212,8 @@
 	}
 }
 
-// trickle sends a byte now and then until the connection ends or the crowd leaves.
-func (c *Crowd) trickle(conn net.Conn, ended <-chan struct{}) {
+// eachInterval calls a function now and then until it fails, the connection ends or the crowd leaves.
+func (c *Crowd) eachInterval(ended <-chan struct{}, call func() error) {
 	ticker := time.NewTicker(trickleInterval)
 	defer ticker.Stop()
 	for {
@@ -205,7 +223,7 @@
 		case <-c.leaving:
 			return
 		case <-ticker.C:
-			if _, err := conn.Write([]byte{c.behaviour.Trickle}); err != nil {
+			if call() != nil {
 				return
 			}
 		}
