Parts of a limited connection are in files of their own; progress is common

Package progress moves from the sidecar to common, for its next user. No change of behaviour; the tests of both packages and of the imports pass.

--- /dev/null
+++ b/internal/common/clientlimit/usefulness.go
@@ -0,0 +1,62 @@
+package clientlimit
+
+import (
+	"time"
+
+	"petrelhook/internal/common/sock"
+)
+
+// usefulness ranks connections: one of a higher rank is closed first.
+type usefulness int
+
+const (
+	useful     usefulness = iota
+	notWaiting            // it has sent far more than a short request before it had its response
+	notReading
+	notSending
+	hasRested
+	neverUsed
+	closing
+)
+
+// usefulness returns the rank of the connection, and the time for which it has had it.
+func (c *Conn) usefulness(now time.Time) (usefulness, time.Duration) {
+	elapsed := now.Sub(epoch) - time.Duration(c.entered.Load())
+	if began := c.writeBegan.Load(); began != 0 {
+		writing := now.Sub(epoch) - time.Duration(began)
+		if writing > progressGrace {
+			return notReading, writing
+		}
+		return useful, writing
+	}
+	switch state(c.state.Load()) {
+	case stateClosing:
+		return closing, elapsed
+	case stateNew:
+		if elapsed > progressGrace {
+			return neverUsed, elapsed
+		}
+	case stateIdle:
+		if elapsed > idleGrace {
+			return hasRested, elapsed
+		}
+	case stateServing:
+		if elapsed > progressGrace && c.readAhead.hasOverflowed() {
+			return notWaiting, elapsed
+		}
+	case stateHead, stateBody:
+		if stalled(c.received.Load(), elapsed) {
+			return notSending, elapsed
+		}
+	}
+	return useful, elapsed
+}
+
+// displace ends the connection for another one. What a client does not read is dropped, because the kernel would keep it.
+func (c *Conn) displace() {
+	if sock.Unsent(c.Conn) {
+		_ = sock.Abort(c.Conn)
+		return
+	}
+	_ = c.Conn.Close()
+}
--- a/internal/sidecar/front/platform/body.go
+++ b/internal/sidecar/front/platform/body.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"petrelhook/internal/common/progress"
 	"petrelhook/internal/sidecar/membudget"
 	"petrelhook/internal/sidecar/message"
-	"petrelhook/internal/sidecar/progress"
 )
 
 const (
