A client that stopped sending, or is slow, makes room at a bound

What callers saw: beside clients that behave at first, no answers. 90 bodies of 256 KiB that came at once and stopped short by a byte kept the memory for bodies until their route's deadline, and 175 that arrive at 6 KiB/s kept all connections; so did orders at the control port.

Cause: who makes progress was decided by the average since the beginning alone. A body that came at once has a good average for minutes after its last byte, and a crowd just above 4 KiB/s is never due.

A message also counts as stalled if it has brought less than 4 KiB in the last 2 s (package progress, which the sidecar uses for the same), and at a bound where all make progress the slow ones go, below 32 KiB/s after 3 s: from memory the slowest first, from connections the oldest. A body of up to 64 KiB, which may use all of the memory, is complete by then. Below the bounds nobody is put out. Messages of other routers, orders and calls use the same rule.

TestOnlyMessagesWithoutProgressAreStopped had a row in which a message that brought a minute's share at once and then nothing for a minute was not stopped: that is the fault. Its rows say now what comes in each second; the one that is due every second stays, and five are new.

--- a/internal/common/clientlimit/attach.go
+++ b/internal/common/clientlimit/attach.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // connKey is the key of the Conn in the context of its requests.
@@ -47,7 +48,7 @@
 // Read implements io.Reader.
 func (b *countedBody) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
-	b.conn.received.Add(int64(n))
+	b.conn.transfer.received(int64(n), time.Now())
 	if err != nil {
 		b.conn.enter(stateServing)
 	}
--- a/internal/common/clientlimit/conn.go
+++ b/internal/common/clientlimit/conn.go
@@ -39,9 +39,9 @@
 	cancel    context.CancelFunc // ends the contexts of its requests
 	readAhead readAhead
 
+	transfer   transfer     // of the message that arrives in stateHead and stateBody
 	state      atomic.Int32 // a state
 	entered    atomic.Int64 // time at which the state was entered, in nanoseconds since epoch
-	received   atomic.Int64 // bytes in stateHead and stateBody
 	refused    atomic.Bool  // the last response was sent by refuseHead
 	writeBegan atomic.Int64 // time at which the write in progress began, in nanoseconds since epoch; 0: there is none
 	writeError atomic.Bool  // a write has failed
@@ -60,8 +60,9 @@
 
 // enter sets the state.
 func (c *Conn) enter(s state) {
-	c.entered.Store(int64(time.Since(epoch)))
-	c.received.Store(0)
+	now := time.Now()
+	c.entered.Store(int64(now.Sub(epoch)))
+	c.transfer.start(now)
 	c.state.Store(int32(s))
 }
 
--- a/internal/common/clientlimit/head.go
+++ b/internal/common/clientlimit/head.go
@@ -32,7 +32,7 @@
 
 // countHead counts bytes that were read, and reports whether they are within the limit and there is memory for them.
 func (c *Conn) countHead(text []byte) bool {
-	c.received.Add(int64(len(text)))
+	c.transfer.received(int64(len(text)), time.Now())
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.headBytes += int64(len(text))
--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -56,12 +56,21 @@
 	return conn, in
 }
 
+// age makes a message that much older.
+func (t *transfer) age(d time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.began = t.began.Add(-d)
+	t.recent.Start(t.began)
+}
+
 // age makes all open connections that much older.
 func (s *limitedServer) age(d time.Duration) {
 	s.listener.mutex.Lock()
 	defer s.listener.mutex.Unlock()
 	for c := range s.listener.conns {
 		c.entered.Add(-int64(d))
+		c.transfer.age(d)
 	}
 }
 
--- a/internal/common/clientlimit/memory.go
+++ b/internal/common/clientlimit/memory.go
@@ -1,23 +1,21 @@
 package clientlimit
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// minProgressBytesPerSecond is the rate at which a client has to send or read, on average, to be safe at a bound.
-	minProgressBytesPerSecond = 4 << 10
-	// progressGrace is the time in which a client need not have made any progress.
-	progressGrace = time.Second
 	// smallMessageBytes is the size up to which a message may use all of the memory.
 	smallMessageBytes = 64 << 10
 	// largeMessagesFraction is the fraction of the memory which larger messages may use, so that a few of them do not keep all others
 	// out.
 	largeMessagesFraction = 0.75
-	// stalledTimeout bounds the wait for the memory of a message that was stopped.
-	stalledTimeout = 500 * time.Millisecond
+	// stoppedTimeout bounds the wait for the memory of a message that was stopped.
+	stoppedTimeout = 500 * time.Millisecond
 )
 
 // Memory bounds the memory of messages. Memory is reserved before it is used, so that messages that arrive at the same time count from
@@ -57,33 +55,34 @@
 
 // Reservation is the memory of one message. Its methods may be called from any goroutine, and after Release they do nothing.
 type Reservation struct {
-	memory *Memory
-	stop   func() // ends the arrival of the message
+	memory   *Memory
+	stop     func() // ends the arrival of the message
+	transfer transfer
 
 	// Guarded by memory.mutex:
 	bytes     int64
-	received  int64
-	began     time.Time
 	arrived   bool // Arrived was called
 	ended     bool // Release was called
 	isStopped bool
 }
 
 // Reserve returns an empty reservation for a message that begins to arrive. stop is called, at most once and not after Arrived, if the
-// message makes no progress and its memory is needed for another one: it ends the arrival, after which the caller releases the
+// message is stalled or slow and its memory is needed for another one: it ends the arrival, after which the caller releases the
 // reservation. It must not block, nor call the Memory.
 func (m *Memory) Reserve(stop func()) *Reservation {
-	return &Reservation{memory: m, stop: stop, began: time.Now()}
+	r := &Reservation{memory: m, stop: stop}
+	r.transfer.start(time.Now())
+	return r
 }
 
 // Grow reserves more bytes for a message that takes messageBytes with them, and reports whether they were available. It may stop messages
-// that make no progress, and waits then until their memory is released, for a bounded time and not longer than the context.
+// that are stalled or slow, and waits then until their memory is released, for a bounded time and not longer than the context.
 func (r *Reservation) Grow(ctx context.Context, bytes, messageBytes int64) bool {
 	ok, released := r.tryGrow(bytes, messageBytes)
 	if released == nil {
 		return ok
 	}
-	ctx, cancel := context.WithTimeout(ctx, stalledTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stoppedTimeout)
 	defer cancel()
 	for {
 		select {
@@ -110,8 +109,8 @@
 	return true
 }
 
-// tryGrow reserves memory if that is possible. Otherwise it stops messages that make no progress; if there are any, released is closed when
-// memory is released.
+// tryGrow reserves memory if that is possible. Otherwise it stops messages that are stalled or slow; if there are any, released is closed
+// when memory is released.
 func (r *Reservation) tryGrow(bytes, messageBytes int64) (ok bool, released <-chan struct{}) {
 	m := r.memory
 	m.mutex.Lock()
@@ -122,7 +121,7 @@
 	case m.fits(r, bytes, messageBytes):
 		r.add(bytes)
 		return true, nil
-	case !m.stopStalled(bytes, r):
+	case !m.stopOthers(bytes, r):
 		m.refused++
 		return false, nil
 	}
@@ -144,23 +143,19 @@
 	return m.limit <= 0 || m.reserved+bytes <= limit
 }
 
-// stopStalled stops messages that make no progress, until those that are stopped hold enough bytes. It reports whether any message is
-// stopped and will release its memory. The caller holds the mutex.
-func (m *Memory) stopStalled(bytes int64, but *Reservation) (waits bool) {
-	now := time.Now()
+// stopOthers stops messages until those that are stopped hold enough bytes: first the stalled ones and then, the slowest first, the slow
+// ones. It reports whether any message is stopped and will release its memory. The caller holds the mutex.
+func (m *Memory) stopOthers(bytes int64, but *Reservation) (waits bool) {
 	for r := range m.arriving {
 		if r.isStopped {
 			bytes -= r.bytes
 			waits = true
 		}
 	}
-	for r := range m.arriving {
+	for _, r := range m.stoppable(but) {
 		if bytes <= 0 {
 			break
 		}
-		if r == but || r.isStopped || r.bytes == 0 || !stalled(r.received, now.Sub(r.began)) {
-			continue
-		}
 		r.isStopped = true
 		m.stopped++
 		bytes -= r.bytes
@@ -170,10 +165,31 @@
 	return waits
 }
 
-// stalled reports whether a client makes no progress that has transferred so many bytes in so long a time.
-func stalled(bytes int64, elapsed time.Duration) bool {
-	due := (elapsed - progressGrace).Seconds() * minProgressBytesPerSecond
-	return elapsed > progressGrace && float64(bytes) < due
+// stoppable returns the messages that may be stopped for another one, in the order in which they are. The caller holds the mutex.
+func (m *Memory) stoppable(but *Reservation) []*Reservation {
+	type candidate struct {
+		*Reservation
+		pace pace
+		rate float64 // bytes per second
+	}
+	now := time.Now()
+	var candidates []candidate
+	for r := range m.arriving {
+		if r == but || r.isStopped || r.bytes == 0 {
+			continue
+		}
+		if pace, rate := r.transfer.paceAt(now); pace != paceFast {
+			candidates = append(candidates, candidate{r, pace, rate})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.pace, a.pace), cmp.Compare(a.rate, b.rate))
+	})
+	ordered := make([]*Reservation, len(candidates))
+	for i, c := range candidates {
+		ordered[i] = c.Reservation
+	}
+	return ordered
 }
 
 // add adds reserved bytes. The caller holds the mutex.
@@ -198,9 +214,7 @@
 
 // Received records that bytes of the message have arrived.
 func (r *Reservation) Received(bytes int64) {
-	r.memory.mutex.Lock()
-	defer r.memory.mutex.Unlock()
-	r.received += bytes
+	r.transfer.received(bytes, time.Now())
 }
 
 // Arrived records that the message has arrived. Its memory stays reserved, and it is not stopped any more.
--- a/internal/common/clientlimit/memory_test.go
+++ b/internal/common/clientlimit/memory_test.go
@@ -60,19 +60,24 @@
 	})
 }
 
-// A message that needs memory gets that of one that makes no progress, and never that of one that does or has arrived.
-func TestOnlyMessagesWithoutProgressAreStopped(t *testing.T) {
+// A message that needs memory gets that of one that is stalled or slow, and never that of one that is neither or has arrived.
+func TestOnlyStalledAndSlowMessagesAreStopped(t *testing.T) {
 	for name, test := range map[string]struct {
-		received int64 // in the time that passes
-		arrived  bool
-		elapsed  time.Duration
-		stopped  bool
+		first, perSecond int64 // bytes received at once, and in each second from then on
+		arrived          bool
+		elapsed          time.Duration
+		stopped          bool
 	}{
-		"no progress":             {0, false, 2 * progressGrace, true},
-		"a byte a second":         {60, false, time.Minute, true},
-		"the slowest that is due": {59 * minProgressBytesPerSecond, false, time.Minute, false},
-		"within the grace":        {0, false, progressGrace, false},
-		"arrived":                 {0, true, time.Minute, false},
+		"no progress":               {0, 0, false, 2 * progressGrace, true},
+		"a byte a second":           {0, 1, false, time.Minute, true},
+		"fast, and then nothing":    {1 << 20, 0, false, 2 * recentInterval, true},
+		"fast, and a short pause":   {1 << 20, 0, false, recentInterval, false},
+		"less than is due":          {0, minProgressBytesPerSecond / 2, false, slowGrace, true},
+		"as much as is due, slowly": {0, minProgressBytesPerSecond, false, slowGrace, false},
+		"slowly for a while":        {0, minProgressBytesPerSecond, false, time.Minute, true},
+		"an honest upload":          {0, slowBytesPerSecond, false, time.Minute, false},
+		"within the grace":          {0, 0, false, progressGrace, false},
+		"arrived":                   {0, 0, true, time.Minute, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
@@ -82,7 +87,7 @@
 				stopped := make(chan struct{})
 				holder = m.Reserve(func() { close(stopped) })
 				require.True(t, holder.Grow(t.Context(), smallMessageBytes, smallMessageBytes))
-				holder.Received(test.received)
+				holder.Received(test.first)
 				if test.arrived {
 					holder.Arrived()
 				}
@@ -93,7 +98,10 @@
 						holder.Release()
 					})
 				}
-				<-time.After(test.elapsed)
+				for range test.elapsed / time.Second {
+					<-time.After(time.Second)
+					holder.Received(test.perSecond)
+				}
 				other := m.Reserve(func() {})
 				require.Equal(t, test.stopped, other.Grow(context.Background(), limit, 0))
 				tasks.Wait()
@@ -103,7 +111,7 @@
 	}
 }
 
-// A message does not wait for longer than stalledTimeout for a stopped one that keeps its memory.
+// A message does not wait for longer than stoppedTimeout for a stopped one that keeps its memory.
 func TestAMessageWaitsForStoppedOnesForABoundedTime(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		m := NewMemory(1 << 20)
@@ -112,6 +120,34 @@
 		<-time.After(time.Minute)
 		began := time.Now()
 		require.False(t, m.Reserve(func() {}).Grow(context.Background(), 1, 1))
-		require.Equal(t, stalledTimeout, time.Since(began))
+		require.Equal(t, stoppedTimeout, time.Since(began))
+	})
+}
+
+// Of the messages that may be stopped the stalled ones are stopped first, and then the slowest.
+func TestTheSlowestMessageIsStoppedFirst(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		const size = 100 << 10
+		m := NewMemory(4 * size)
+		var order []string
+		begin := func(name string) *Reservation {
+			r := m.Reserve(func() { order = append(order, name) })
+			require.True(t, r.Grow(t.Context(), size, 0))
+			return r
+		}
+		fast, slow, slowest, stalled := begin("fast"), begin("slow"), begin("slowest"), begin("stalled")
+		for range 10 {
+			<-time.After(time.Second)
+			fast.Received(2 * slowBytesPerSecond)
+			slow.Received(slowBytesPerSecond / 2)
+			slowest.Received(slowBytesPerSecond / 4)
+		}
+		for _, r := range []*Reservation{stalled, slowest, slow} {
+			require.False(t, m.Reserve(func() {}).Grow(context.Background(), size, 0))
+			r.Release()
+			require.True(t, m.Reserve(func() {}).TryGrow(size, 0))
+		}
+		require.False(t, m.Reserve(func() {}).Grow(context.Background(), size, 0))
+		require.Equal(t, []string{"stalled", "slowest", "slow"}, order)
 	})
 }
--- a/internal/common/clientlimit/usefulness.go
+++ b/internal/common/clientlimit/usefulness.go
@@ -10,8 +10,9 @@
 type usefulness int
 
 const (
-	useful     usefulness = iota
-	notWaiting            // it has sent far more than a short request before it had its response
+	useful      usefulness = iota
+	slowSending            // its message arrives slowly
+	notWaiting             // it has sent far more than a short request before it had its response
 	notReading
 	notSending
 	hasRested
@@ -45,8 +46,11 @@
 			return notWaiting, elapsed
 		}
 	case stateHead, stateBody:
-		if stalled(c.received.Load(), elapsed) {
+		switch pace, _ := c.transfer.paceAt(now); pace {
+		case paceStalled:
 			return notSending, elapsed
+		case paceSlow:
+			return slowSending, elapsed
 		}
 	}
 	return useful, elapsed
