At the limit on connections no address keeps out one that has fewer

What callers saw: no answers beside a crowd of all kinds that comes again as soon as it is put out. Cause: a place that becomes free goes to whoever dials next, and the crowd dials a hundred times as often.

If no connection is idle, stalled or slow, a new one takes the place of the address that has the most connections, at least two more than its own: the one whose request has been arriving for longest. Requests that are served are never closed for another. An address that has more than half of all connections puts out no other's that is idle or slow. Callers behind one proxy have one address; for them nothing changes.

--- a/internal/common/clientlimit/conn.go
+++ b/internal/common/clientlimit/conn.go
@@ -36,6 +36,7 @@
 type Conn struct {
 	net.Conn
 	listener  *Listener
+	host      string             // IP address of the client
 	cancel    context.CancelFunc // ends the contexts of its requests
 	readAhead readAhead
 
--- a/internal/common/clientlimit/listener.go
+++ b/internal/common/clientlimit/listener.go
@@ -43,6 +43,7 @@
 
 	mutex     sync.Mutex
 	conns     map[*Conn]bool
+	byHost    map[string]int  // open connections by the IP address of the client
 	addresses map[string]bool // of refused and displaced connections, at most maxAddresses, since the last TakeAddresses
 
 	refused, displaced, unreadable atomic.Uint64
@@ -59,7 +60,7 @@
 // returns the limits in force; it is called from the goroutines of the connections, often.
 func NewListener(listener net.Listener, limit int, memory *Memory, limits func() RequestLimits) *Listener {
 	return &Listener{Listener: listener, limit: limit, memory: memory, timeouts: limits, rejecting: make(chan struct{}, maxRejecting),
-		conns: map[*Conn]bool{}, addresses: map[string]bool{}}
+		conns: map[*Conn]bool{}, byHost: map[string]int{}, addresses: map[string]bool{}}
 }
 
 // Counts returns the totals.
@@ -80,12 +81,21 @@
 }
 
 // noteAddress counts the address of a connection that is refused or displaced. The caller holds the mutex.
-func (l *Listener) noteAddress(conn net.Conn) {
-	if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil && len(l.addresses) < maxAddresses {
+func (l *Listener) noteAddress(host string) {
+	if len(l.addresses) < maxAddresses {
 		l.addresses[host] = true
 	}
 }
 
+// hostOf returns the IP address of a client; empty if it has none.
+func hostOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // Open returns how many connections are open.
 func (l *Listener) Open() int {
 	l.mutex.Lock()
@@ -100,7 +110,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: conn, listener: l, cancel: func() {}}
+		c := &Conn{Conn: conn, listener: l, host: hostOf(conn), cancel: func() {}}
 		c.sendBuffer.Init(l.SendBuffers)
 		c.enter(stateNew)
 		if l.admit(c) {
@@ -124,22 +134,61 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if len(l.conns) >= l.limit {
-		other := l.leastUseful()
+		other := l.leastUseful(c.host)
 		if other == nil {
-			l.noteAddress(c.Conn)
+			other = l.oldestOfLargestShare(c.host)
+		}
+		if other == nil {
+			l.noteAddress(c.host)
 			return false
 		}
-		l.noteAddress(other.Conn)
-		delete(l.conns, other)
+		l.noteAddress(other.host)
+		l.forget(other)
 		l.displaced.Add(1)
 		other.displace() // net/http notices that, and calls Conn.Close
 	}
 	l.conns[c] = true
+	l.byHost[c.host]++
 	return true
 }
 
-// leastUseful returns the connection that may be closed for a new one, or nil. The caller holds the mutex.
-func (l *Listener) leastUseful() (worst *Conn) {
+// forget removes a connection from the open ones. The caller holds the mutex.
+func (l *Listener) forget(c *Conn) {
+	if !l.conns[c] {
+		return
+	}
+	delete(l.conns, c)
+	if l.byHost[c.host]--; l.byHost[c.host] == 0 {
+		delete(l.byHost, c.host)
+	}
+}
+
+// oldestOfLargestShare returns the connection that may be closed for a new one of a host though it makes progress: of the host with the most
+// connections, if it has at least two more than the other one, that one whose request has been arriving for longest. It returns nil if there
+// is none. The caller holds the mutex.
+func (l *Listener) oldestOfLargestShare(newHost string) (oldest *Conn) {
+	largest := l.byHost[newHost] + 1
+	host := ""
+	for h, count := range l.byHost {
+		if count > largest {
+			host, largest = h, count
+		}
+	}
+	if largest == l.byHost[newHost]+1 {
+		return nil
+	}
+	for c := range l.conns {
+		if c.host == host && c.isArriving() && (oldest == nil || c.entered.Load() < oldest.entered.Load()) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// leastUseful returns the connection that may be closed for a new one of a host, or nil. A host that has more than half of all connections
+// takes the place of no one else's that rests or is slow. The caller holds the mutex.
+func (l *Listener) leastUseful(newHost string) (worst *Conn) {
+	hasMost := l.byHost[newHost] > l.limit/2
 	now := time.Now()
 	var worstRank usefulness
 	var worstTime time.Duration
@@ -148,6 +197,9 @@
 		if rank == useful || rank < worstRank || (rank == worstRank && elapsed <= worstTime) {
 			continue
 		}
+		if hasMost && c.host != newHost && (rank == hasRested || rank == slowSending) {
+			continue
+		}
 		if (rank == hasRested || rank == neverUsed) && !sock.Quiet(c.Conn) {
 			continue // a request has arrived
 		}
@@ -160,7 +212,7 @@
 func (l *Listener) remove(c *Conn) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	delete(l.conns, c)
+	l.forget(c)
 }
 
 // reject answers that there is no room and closes the connection. Before that it reads what the client sends, for a bounded time, because
--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -24,20 +24,21 @@
 	address  string
 	began    chan *http.Request
 	answer   chan struct{}
+	response string
 }
 
 func newLimitedServer(t *testing.T, limit int, limits RequestLimits) *limitedServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &limitedServer{t: t, address: ln.Addr().String(), began: make(chan *http.Request, 16), answer: make(chan struct{})}
+	s := &limitedServer{t: t, address: ln.Addr().String(), began: make(chan *http.Request, 16), answer: make(chan struct{}), response: "answer"}
 	s.listener = NewListener(ln, limit, NewMemory(0), func() RequestLimits { return limits })
 	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.began <- r
 		select {
 		case <-s.answer:
-			io.WriteString(w, "answer")
+			io.WriteString(w, s.response)
 		case <-r.Context().Done():
 		}
 	})}
@@ -47,6 +48,31 @@
 	return s
 }
 
+// count returns how many connections are in a state.
+func (s *limitedServer) count(state state) (count int) {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	for c := range s.listener.conns {
+		if c.in(state) {
+			count++
+		}
+	}
+	return count
+}
+
+// openFrom opens a connection from an IP address and sends a text.
+func (s *limitedServer) openFrom(ip, text string) *bufio.Reader {
+	s.t.Helper()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	conn, err := dialer.Dial("tcp", s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(s.t, conn.SetDeadline(time.Now().Add(peertest.EventTimeout)))
+	_, err = io.WriteString(conn, text)
+	require.NoError(s.t, err)
+	return bufio.NewReader(conn)
+}
+
 // open opens a connection and sends a text.
 func (s *limitedServer) open(text string) (net.Conn, *bufio.Reader) {
 	s.t.Helper()
@@ -131,6 +157,60 @@
 	}
 }
 
+// A new connection takes the place of one of the address that has the most connections, but not of a request that is served, nor of one of an
+// address that has hardly more than its own.
+func TestANewConnectionTakesThePlaceOfOneOfTheLargestShare(t *testing.T) {
+	s := newLimitedServer(t, 4, RequestLimits{})
+	served := s.openFrom("127.0.0.1", wholeRequest)
+	<-s.began
+	for range 3 {
+		s.openFrom("127.0.0.1", halfBody)
+	}
+	peertest.Eventually(t, "three bodies arrive", func() bool { return s.count(stateBody) == 3 })
+	same := s.openFrom("127.0.0.1", wholeRequest)
+	response, _ := peertest.ReadResponse(t, same)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "of the same address")
+	var others []*bufio.Reader
+	for range 2 {
+		other := s.openFrom("127.0.0.2", wholeRequest)
+		others = append(others, other)
+		<-s.began
+	}
+	third := s.openFrom("127.0.0.2", wholeRequest)
+	response, _ = peertest.ReadResponse(t, third)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "both have two connections")
+	close(s.answer)
+	for _, in := range append(others, served) {
+		response, _ = peertest.ReadResponse(t, in)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Equal(t, uint64(2), s.listener.Counts().Displaced)
+	require.Len(t, s.listener.byHost, 2)
+}
+
+// An address that has more than half of all connections takes no place of another address's connection that rests; others do.
+func TestAConnectionThatRestsIsKeptFromTheAddressWithMost(t *testing.T) {
+	s := newLimitedServer(t, 4, RequestLimits{})
+	resting := s.openFrom("127.0.0.2", wholeRequest)
+	<-s.began
+	s.answer <- struct{}{}
+	peertest.ReadResponse(t, resting)
+	for range 3 {
+		s.openFrom("127.0.0.1", wholeRequest)
+		<-s.began
+	}
+	s.age(time.Hour)
+	refused, _ := peertest.ReadResponse(t, s.openFrom("127.0.0.1", wholeRequest))
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+	admitted := s.openFrom("127.0.0.3", wholeRequest)
+	<-s.began
+	close(s.answer)
+	response, _ := peertest.ReadResponse(t, admitted)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_, err := resting.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // A client that has left is noticed whatever it sent behind its request, and its connection no longer counts.
 func TestAClientThatLeavesBehindOtherBytesIsNoticed(t *testing.T) {
 	for name, behind := range map[string]string{"a byte": "G", "a request": wholeRequest, "more than is kept": strings.Repeat("x", 1<<20)} {
--- a/internal/common/clientlimit/usefulness.go
+++ b/internal/common/clientlimit/usefulness.go
@@ -56,6 +56,11 @@
 	return useful, elapsed
 }
 
+// isArriving reports whether no complete request is in progress on the connection, and no response.
+func (c *Conn) isArriving() bool {
+	return c.in(stateNew, stateHead, stateBody) && c.writeBegan.Load() == 0
+}
+
 // displace ends the connection for another one. What a client does not read is dropped, because the kernel would keep it.
 func (c *Conn) displace() {
 	if sock.Unsent(c.Conn) {
