A response that is being delivered is not cut for a new connection

What a caller could see, found by reading: at the limit on connections the one whose last response was just written was closed first, and reset where its client had not acknowledged all of it. A client that is some milliseconds away lost the end of a complete response of a request that has run.

One that lost bytes behind its request counts as being closed as soon as its response is written; it counted as resting for a moment, and a new connection got 503 meanwhile.

TestAResponseThatIsBeingDeliveredIsNotCutForANewConnection fails without the change.

--- a/internal/common/clientlimit/attach.go
+++ b/internal/common/clientlimit/attach.go
@@ -21,7 +21,7 @@
 	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
-			c.endRequest(stateIdle)
+			c.endResponse()
 		}
 	}
 	handler := server.Handler
@@ -69,6 +69,15 @@
 	}
 }
 
+// endResponse ends a request whose response was written. A connection with a lost part of the next request is about to be closed.
+func (c *Conn) endResponse() {
+	next := stateIdle
+	if c.readAhead.hasOverflowed() {
+		next = stateClosing
+	}
+	c.endRequest(next)
+}
+
 // endRequest releases the memory of a head. What is read next belongs to another one.
 func (c *Conn) endRequest(next state) {
 	c.stopReadAhead()
--- a/internal/common/clientlimit/listener.go
+++ b/internal/common/clientlimit/listener.go
@@ -200,8 +200,8 @@
 		if hasMost && c.host != newHost && (rank == hasRested || rank == slowSending) {
 			continue
 		}
-		if (rank == hasRested || rank == neverUsed) && !sock.Quiet(c.Conn) {
-			continue // a request has arrived
+		if !c.mayBeDisplaced(rank, elapsed) {
+			continue
 		}
 		worst, worstRank, worstTime = c, rank, elapsed
 	}
--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -211,6 +211,38 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// A client that is receiving the last response of its connection gets all of it, though others want the connection's place. One that does
+// not take it gives way.
+func TestAResponseThatIsBeingDeliveredIsNotCutForANewConnection(t *testing.T) {
+	const responseBytes = 64 << 10
+	s := newLimitedServer(t, 1, RequestLimits{})
+	s.response = strings.Repeat("r", responseBytes)
+	close(s.answer)
+	for _, isPatient := range []bool{true, false} {
+		conn, in := peertest.Dial(t, s.address)
+		sock.SetBuffers(conn, 4<<10) // the response stays on the server's side
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+		peertest.Eventually(t, "the response is written", func() bool { return s.count(stateClosing) == 1 })
+		if isPatient {
+			s.age(-time.Hour) // it has just been written
+			_, second := s.open(wholeRequest)
+			refused, _ := peertest.ReadResponse(t, second)
+			require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+			response, body := peertest.ReadResponse(t, in)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Len(t, body, responseBytes)
+			require.NoError(t, conn.Close())
+			peertest.Eventually(t, "the connection is gone", func() bool { return s.listener.Open() == 0 })
+			continue
+		}
+		s.age(time.Hour)
+		_, second := s.open(wholeRequest)
+		response, _ := peertest.ReadResponse(t, second)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
+
 // A client that has left is noticed whatever it sent behind its request, and its connection no longer counts.
 func TestAClientThatLeavesBehindOtherBytesIsNoticed(t *testing.T) {
 	for name, behind := range map[string]string{"a byte": "G", "a request": wholeRequest, "more than is kept": strings.Repeat("x", 1<<20)} {
--- a/internal/common/clientlimit/usefulness.go
+++ b/internal/common/clientlimit/usefulness.go
@@ -61,6 +61,18 @@
 	return c.in(stateNew, stateHead, stateBody) && c.writeBegan.Load() == 0
 }
 
+// mayBeDisplaced reports whether the connection, which has had a rank for some time, is as the rank says: no request has just arrived, and its
+// client has had some time to receive the last response.
+func (c *Conn) mayBeDisplaced(rank usefulness, elapsed time.Duration) bool {
+	switch rank {
+	case hasRested, neverUsed:
+		return sock.Quiet(c.Conn)
+	case closing:
+		return elapsed > progressGrace || !sock.Unsent(c.Conn)
+	}
+	return true
+}
+
 // displace ends the connection for another one. What a client does not read is dropped, because the kernel would keep it.
 func (c *Conn) displace() {
 	if sock.Unsent(c.Conn) {
