A message that is alone at a coordinator may take half of its memory

What an operator would see: a replica that is far behind never follows.

A message that is alone may use Memory.AloneLimit instead. It is M/2 for calls of coordinators and agents, which have no peers or servers whose parts of the memory it would be; and M/2 for messages between routers, which are bounded by M/4 bytes as before and had no bound here.

--- a/internal/common/clientlimit/limits.go
+++ b/internal/common/clientlimit/limits.go
@@ -23,6 +23,7 @@
 	peerConnectionsPart   = 12
 	messagesPart          = 4
 	peerMessagesPart      = 12
+	aloneMessagePart      = 2
 	socketBuffersPart     = 8
 	lentBuffersPart       = 24
 )
@@ -38,6 +39,9 @@
 // MessageBytes returns the memory for messages: heads, bodies and buffered responses; 0: no limit.
 func (l Limits) MessageBytes() int64 { return l.MemoryBytes / messagesPart }
 
+// AloneMessageBytes returns the memory for a message of another process of the system that is alone, with its copies; 0: no limit.
+func (l Limits) AloneMessageBytes() int64 { return l.MemoryBytes / aloneMessagePart }
+
 // PeerMessageBytes returns the memory for messages of other processes of the system; 0: no limit.
 func (l Limits) PeerMessageBytes() int64 { return l.MemoryBytes / peerMessagesPart }
 
--- a/internal/common/clientlimit/memory.go
+++ b/internal/common/clientlimit/memory.go
@@ -21,8 +21,9 @@
 // Memory bounds the memory of messages. Memory is reserved before it is used, so that messages that arrive at the same time count from
 // their first byte on. Its methods may be called from any goroutine.
 type Memory struct {
-	// AdmitsAlone says that a message which is alone may exceed the limit. It is set before the first reservation.
-	AdmitsAlone bool
+	// AloneLimit is how many bytes a message may take that is alone, where that is more than the limit. It is set before the first
+	// reservation.
+	AloneLimit int64
 
 	limit int64 // bytes; 0: unlimited
 
@@ -133,7 +134,7 @@
 
 // fits reports whether a message of a size may reserve more bytes. The caller holds the mutex.
 func (m *Memory) fits(r *Reservation, bytes, messageBytes int64) bool {
-	if m.AdmitsAlone && m.reserved == r.bytes {
+	if m.reserved == r.bytes && r.bytes+bytes <= m.AloneLimit {
 		return true
 	}
 	limit := m.limit
--- a/internal/common/clientlimit/memory_test.go
+++ b/internal/common/clientlimit/memory_test.go
@@ -151,3 +151,18 @@
 		require.Equal(t, []string{"stalled", "slowest", "slow"}, order)
 	})
 }
+
+// A message that is alone may take more than the limit, up to a limit of its own.
+func TestAMessageThatIsAloneMayExceedTheLimit(t *testing.T) {
+	m := NewMemory(1 << 20)
+	m.AloneLimit = 3 << 20
+	alone := m.Reserve(func() {})
+	require.True(t, alone.TryGrow(2<<20, 2<<20))
+	require.True(t, alone.TryGrow(1<<20, 3<<20))
+	require.False(t, alone.TryGrow(1, 3<<20))
+	require.False(t, m.Reserve(func() {}).TryGrow(1, 1))
+	alone.Release()
+	first, second := m.Reserve(func() {}), m.Reserve(func() {})
+	require.True(t, first.TryGrow(1, 1))
+	require.False(t, second.TryGrow(2<<20, 2<<20))
+}
--- a/internal/common/clientlimit/process.go
+++ b/internal/common/clientlimit/process.go
@@ -43,6 +43,7 @@
 func (l Limits) Limit(server *http.Server, listener net.Listener) (*Listener, *Memory) {
 	sock.SetBuffers(listener, l.bufferBytes(2*l.ClientConnections()))
 	memory := NewMemory(l.MessageBytes())
+	memory.AloneLimit = l.AloneMessageBytes()
 	Attach(server)
 	return NewListener(listener, l.ClientConnections(), memory, CallLimits), memory
 }
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -120,7 +120,7 @@
 			Window: max(time.Second, settings.Seconds(b.BudgetWindowS))},
 	})
 	messageMemory := clientlimit.NewMemory(n.limits.PeerMessageBytes())
-	messageMemory.AdmitsAlone = true // a configuration that does not fit would never arrive
+	messageMemory.AloneLimit = n.limits.AloneMessageBytes() // a configuration that does not fit would never arrive
 	n.transport = transport.New(n.self.Address, wireformat.NewCodec(), n.receive, transport.Limits{Connections: n.limits.PeerConnections(),
 		MessageBytes: n.limits.MessageBytes(), Memory: messageMemory})
 	return n
