No single address gets all connections of a listener

An address gets seven eighths of a listener's connections at most now, and at that bound only its own make room, so that another address always finds some. Callers behind one proxy share these seven eighths.

Evidence: TestRouterCrowdOfHeldRequests, with callers from another address, fails without this (20 s without an answer) and passes, as TestRouterCrowdOfOneAddress does; TestOneAddressDoesNotGetAllConnections is the fast test of the same.

--- a/cmd/petrelhook-router/crowd_test.go
+++ b/cmd/petrelhook-router/crowd_test.go
@@ -289,6 +289,14 @@
 	r.bear(frontPort, crowdOfSenders, behaviour)
 }
 
+// A crowd from one address holds complete requests. Callers from another one are answered.
+func TestRouterCrowdOfHeldRequests(t *testing.T) {
+	r := startLoadedRouter(t)
+	r.client.Transport = newcomers(otherAddress)
+	r.bear(frontPort, crowdOfSenders, abuse.Behaviour{Texts: []abuse.Text{{Content: wholeRequest(longPath), Times: 1}}, Returns: true,
+		RedialDelay: 100 * time.Millisecond})
+}
+
 // wholeRequest returns a whole request with a path.
 func wholeRequest(path string) string {
 	return loadedHead(path)("Content-Length: 4") + "\r\n\r\nbody"
--- a/internal/common/clientlimit/doc.go
+++ b/internal/common/clientlimit/doc.go
@@ -23,7 +23,7 @@
 // A new connection takes the place of another one that is of less use: one that is being closed, the one that has been idle for longest, or
 // one that is stalled or slow. If there is none, it takes that of the IP address with the most connections whose request has been arriving
 // for longest. If there is none either it gets 503 and is closed. An address that has more than half of all connections puts out no others
-// that are idle or slow.
+// that are idle or slow, and none gets more than seven eighths of all.
 //
 // A message for which no memory is left takes that of others that are stalled and then of the slowest; if there are none it is refused.
 //
--- a/internal/common/clientlimit/listener.go
+++ b/internal/common/clientlimit/listener.go
@@ -16,6 +16,8 @@
 	// rejectTimeout bounds the rejection of one connection, and maxRejectedBytes what is read of it meanwhile.
 	rejectTimeout    = 500 * time.Millisecond
 	maxRejectedBytes = 64 << 10
+	// otherHostsPart is the part of the connections, as a divisor, that no single IP address gets.
+	otherHostsPart = 8
 	// idleGrace is the time in which a connection whose response has ended is not closed for a new one.
 	idleGrace = 200 * time.Millisecond
 )
@@ -133,7 +135,7 @@
 func (l *Listener) admit(c *Conn) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(l.conns) >= l.limit {
+	if l.isFullFor(c.host) {
 		other := l.leastUseful(c.host)
 		if other == nil {
 			other = l.oldestOfLargestShare(c.host)
@@ -152,6 +154,14 @@
 	return true
 }
 
+// isFullFor reports whether there is no room for a connection of a host, which others have to leave. The caller holds the mutex.
+func (l *Listener) isFullFor(host string) bool {
+	return len(l.conns) >= l.limit || l.byHost[host] >= l.hostLimit()
+}
+
+// hostLimit returns how many connections one host may have, so that there is room for other hosts whatever it does with them.
+func (l *Listener) hostLimit() int { return l.limit - l.limit/otherHostsPart }
+
 // forget removes a connection from the open ones. The caller holds the mutex.
 func (l *Listener) forget(c *Conn) {
 	if !l.conns[c] {
@@ -186,9 +196,11 @@
 }
 
 // leastUseful returns the connection that may be closed for a new one of a host, or nil. A host that has more than half of all connections
-// takes the place of no one else's that rests or is slow. The caller holds the mutex.
+// takes the place of no one else's that rests or is slow, and one that has all that a host may have takes that of its own. The caller holds
+// the mutex.
 func (l *Listener) leastUseful(newHost string) (worst *Conn) {
 	hasMost := l.byHost[newHost] > l.limit/2
+	hasAll := l.byHost[newHost] >= l.hostLimit()
 	now := time.Now()
 	var worstRank usefulness
 	var worstTime time.Duration
@@ -197,7 +209,7 @@
 		if rank == useful || rank < worstRank || (rank == worstRank && elapsed <= worstTime) {
 			continue
 		}
-		if hasMost && c.host != newHost && (rank == hasRested || rank == slowSending) {
+		if c.host != newHost && (hasAll || hasMost && (rank == hasRested || rank == slowSending)) {
 			continue
 		}
 		if !c.mayBeDisplaced(rank, elapsed) {
--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -211,6 +211,23 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// However many requests of one address are served, there is room for another address.
+func TestOneAddressDoesNotGetAllConnections(t *testing.T) {
+	const limit = otherHostsPart
+	s := newLimitedServer(t, limit, RequestLimits{})
+	for range limit - 1 {
+		s.openFrom("127.0.0.1", wholeRequest)
+		<-s.began
+	}
+	refused, _ := peertest.ReadResponse(t, s.openFrom("127.0.0.1", wholeRequest))
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+	other := s.openFrom("127.0.0.2", wholeRequest)
+	<-s.began
+	close(s.answer)
+	response, _ := peertest.ReadResponse(t, other)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
 // A client that is receiving the last response of its connection gets all of it, though others want the connection's place. One that does
 // not take it gives way.
 func TestAResponseThatIsBeingDeliveredIsNotCutForANewConnection(t *testing.T) {
