Router tests can run another build, and crowds at a deployment's own limits

-router.binary names the program that runs as router: an earlier version, or one with the race detector. -crowd.memory and -crowd.descriptors set the limits that the crowds meet; without them the tests are as before.

--- a/cmd/petrelhook-router/crowd_test.go
+++ b/cmd/petrelhook-router/crowd_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -21,10 +22,14 @@
 	"petrelhook/internal/router/node"
 )
 
-// The limits of the router that the crowds meet. The bounds of all tests in this file are these.
+// The limits of the router that the crowds meet. The bounds of all tests in this file are these. By hand, with those of a deployment:
+// go test -tags load ./cmd/petrelhook-router -run TestRouterCrowd -crowd.memory 244 -crowd.descriptors 4100
+var (
+	loadedMemoryMb    = flag.Int("crowd.memory", 128, "MemoryMb of the router that crowds meet")
+	loadedDescriptors = flag.Int("crowd.descriptors", 800, "MaxFds of that router")
+)
+
 const (
-	loadedMemoryMb     = 128
-	loadedDescriptors  = 800
 	loadedFileReserve  = 200 // of the descriptors, for files
 	loadedHeadBytes    = 16384
 	loadedBodyBytes    = 4 << 20
@@ -70,7 +75,7 @@
 	m := f.machines[0]
 	text, err := os.ReadFile(m.settingsPath)
 	require.NoError(t, err)
-	limits := fmt.Sprintf("[Limits]\nMemoryMb = %d\nMaxFds = %d\n[Listen]", loadedMemoryMb, loadedDescriptors)
+	limits := fmt.Sprintf("[Limits]\nMemoryMb = %d\nMaxFds = %d\n[Listen]", *loadedMemoryMb, *loadedDescriptors)
 	require.NoError(t, os.WriteFile(m.settingsPath, []byte(strings.Replace(string(text), "[Listen]", limits, 1)), 0o600))
 	r := &loadedRouter{fleet: f, machine: m, t: t}
 	r.startProcess()
@@ -98,7 +103,7 @@
 func (r *loadedRouter) startProcess() {
 	r.t.Helper()
 	cmd := r.command()
-	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", limitsVariable, loadedDescriptors, noLimit))
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", limitsVariable, *loadedDescriptors, noLimit))
 	r.process = process.Start(r.t, cmd)
 	r.meter = abuse.Watch(r.t, r.process.Pid, r.address(r.ip, frontPort), r.address(r.ip, readyPort), r.address(r.ip, controlPort),
 		r.address(r.ip, internalPort))
@@ -225,11 +230,11 @@
 	peertest.Eventually(r.t, "an ordinary request is answered after the crowd", r.serves)
 	peertest.Eventually(r.t, "nothing of the crowd is kept", func() bool {
 		usage := r.status(r.machine).Usage
-		return usage != nil && usage.Goroutines > 0 && usage.BodiesMb == 0 && usage.Descriptors < loadedDescriptors/4
+		return usage != nil && usage.Goroutines > 0 && usage.BodiesMb == 0 && usage.Descriptors < *loadedDescriptors/4
 	})
 	peak := r.meter.Peak()
-	require.Less(r.t, peak.ResidentMb+peak.QueuedMb, loadedMemoryMb, "MB")
-	require.LessOrEqual(r.t, peak.Descriptors, loadedDescriptors-loadedFileReserve)
+	require.Less(r.t, peak.ResidentMb+peak.QueuedMb, *loadedMemoryMb, "MB")
+	require.LessOrEqual(r.t, peak.Descriptors, *loadedDescriptors-loadedFileReserve)
 	require.True(r.t, besideCrowd, "an ordinary request is answered beside the crowd")
 }
 
--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +27,9 @@
 // roleVariable is set in the environment of the processes that run as routers.
 const roleVariable = "PETRELROUTER_TEST"
 
+// binaryVariable names the program that such a process executes; empty: none.
+const binaryVariable = "PETRELROUTER_TEST_BINARY"
+
 // TestMain runs the tests, or a router if the test binary was started as one by machine.start.
 func TestMain(m *testing.M) {
 	if os.Getenv(roleVariable) != "" {
@@ -33,11 +38,17 @@
 				panic(err)
 			}
 		}
+		if binary := os.Getenv(binaryVariable); binary != "" {
+			panic(syscall.Exec(binary, []string{binary, "router"}, os.Environ()))
+		}
 		os.Exit(runProcess([]string{"petrelhook-router", "router"}, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
+// routerBinary is another build of the router, such as an earlier version or one with the race detector.
+var routerBinary = flag.String("router.binary", "", "the absolute path of the program that runs as router; empty: this test's own code")
+
 // machine is a machine of the fleet: one router process on a loopback address of its own.
 type machine struct {
 	t            *testing.T
@@ -135,7 +146,7 @@
 // command returns the command of the machine's router process.
 func (m *machine) command() *exec.Cmd {
 	cmd := process.Self(roleVariable, "router")
-	cmd.Env = append(cmd.Env, "PETRELHOOK_SETTINGS="+m.settingsPath)
+	cmd.Env = append(cmd.Env, "PETRELHOOK_SETTINGS="+m.settingsPath, binaryVariable+"="+*routerBinary)
 	return cmd
 }
 
