Streams out of order are counted in status and named in the log; processor time in status

Neither the log nor status told the hypotheses of the incident apart: a stream that goes out of order at a server was passed on without a trace, and status had no processor time. eventstream.Sequence follows the ids of a response over all its servers; so far the router only reports what it does not accept (log line 'stream out of order', Misordered in status). Usage has CPUSeconds. The limit on log lines about single requests is a type of its own, used twice.

--- a/internal/router/eventstream/eventstream.go
+++ b/internal/router/eventstream/eventstream.go
@@ -1,5 +1,5 @@
-// Package eventstream splits a stream of server-sent events into complete events as they arrive. It does not interpret
-// the events, except for their id.
+// Package eventstream splits a stream of server-sent events into complete events as they arrive, and checks that events from several servers
+// continue one stream. It does not interpret the events, except for their id.
 //
 // Invariant: the bytes that Next returns end with the blank line that ends an event; a truncated event is never
 // returned.
@@ -40,22 +40,28 @@
 	source   *bufio.Reader
 	event    []byte
 	reserved int // bytes
-	lastID   string
+}
+
+// Event is one event of a stream.
+type Event struct {
+	Bytes   []byte // the complete event, valid until the next call of Next
+	ID      string // the value of its last id field; "" if it has none
+	HasData bool   // it has a data field; an event without one is a comment, or sets the id alone
 }
 
 // NewReader returns a reader of the events in a body. It does not close the body.
 func NewReader(r io.Reader) *Reader { return &Reader{source: bufio.NewReaderSize(r, readBuffer)} }
 
-// Next returns the bytes of the next event, which are valid until the next call. The error is io.EOF if the stream
-// ended after a complete event, ErrPartial if it ended within an event, ErrTooLong if an event reaches MaxEvent bytes,
-// ErrMemory, or the error of the source. The caller must not use the Reader after an error.
-func (r *Reader) Next() ([]byte, error) {
+// Next returns the next event. The error is io.EOF if the stream ended after a complete event, ErrPartial if it ended within an
+// event, ErrTooLong if an event reaches MaxEvent bytes, ErrMemory, or the error of the source. The caller must not use the Reader
+// after an error.
+func (r *Reader) Next() (Event, error) {
 	r.event = r.event[:0]
 	lineStart := true
 	for {
 		chunk, err := r.source.ReadSlice('\n')
 		if !r.reserveFor(len(r.event) + len(chunk)) {
-			return nil, ErrMemory
+			return Event{}, ErrMemory
 		}
 		r.event = append(r.event, chunk...)
 		completeLine := lineStart
@@ -64,17 +70,16 @@
 			continue
 		}
 		if len(r.event) >= MaxEvent {
-			return nil, ErrTooLong
+			return Event{}, ErrTooLong
 		}
 		if err == io.EOF && len(r.event) > 0 {
-			return nil, ErrPartial
+			return Event{}, ErrPartial
 		}
 		if err != nil {
-			return nil, err
+			return Event{}, err
 		}
 		if completeLine && blank(chunk) && len(r.event) > len(chunk) {
-			r.recordID()
-			return r.event, nil
+			return parse(r.event), nil
 		}
 	}
 }
@@ -97,16 +102,16 @@
 // Buffered reports whether bytes after the event that Next returned have already been read from the source.
 func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
 
-// LastID returns the id of the last event that had one, or "" if none had. A resumed stream continues after that event.
-func (r *Reader) LastID() string { return r.lastID }
-
-// recordID sets lastID to the value of the last id field of the event, if it has one.
-func (r *Reader) recordID() {
-	for rest := r.event; len(rest) > 0; {
+// parse returns the event that has these bytes.
+func parse(text []byte) Event {
+	event := Event{Bytes: text}
+	for rest := text; len(rest) > 0; {
 		line, more, _ := bytes.Cut(rest, []byte{'\n'})
 		rest = more
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			r.lastID = string(bytes.TrimSpace(value))
+			event.ID = string(bytes.TrimSpace(value))
 		}
+		event.HasData = event.HasData || bytes.HasPrefix(line, []byte("data"))
 	}
+	return event
 }
--- a/internal/router/eventstream/eventstream_test.go
+++ b/internal/router/eventstream/eventstream_test.go
@@ -17,15 +17,16 @@
 		r := NewReader(wrap(strings.NewReader("id: 1\ndata: a\n\nversions: 7\nid: 2\ndata: b\r\n\r\nid: 3\ndata: cut")))
 		event, err := r.Next()
 		require.NoError(t, err, name)
-		require.Equal(t, "id: 1\ndata: a\n\n", string(event))
-		require.Equal(t, "1", r.LastID())
+		require.Equal(t, "id: 1\ndata: a\n\n", string(event.Bytes))
+		require.Equal(t, "1", event.ID)
+		require.True(t, event.HasData)
 		event, err = r.Next()
 		require.NoError(t, err, name)
-		require.Equal(t, "versions: 7\nid: 2\ndata: b\r\n\r\n", string(event))
-		require.Equal(t, "2", r.LastID())
-		_, err = r.Next()
+		require.Equal(t, "versions: 7\nid: 2\ndata: b\r\n\r\n", string(event.Bytes))
+		require.Equal(t, "2", event.ID)
+		event, err = r.Next()
 		require.Equal(t, ErrPartial, err)
-		require.Equal(t, "2", r.LastID(), "the id of a truncated event is ignored")
+		require.Empty(t, event.ID, "the id of a truncated event is ignored")
 	}
 }
 
@@ -34,7 +35,7 @@
 	r := NewReader(strings.NewReader(long))
 	event, err := r.Next()
 	require.NoError(t, err)
-	require.Equal(t, long, string(event))
+	require.Equal(t, long, string(event.Bytes))
 	_, err = r.Next()
 	require.Equal(t, io.EOF, err)
 }
@@ -70,7 +71,7 @@
 			if err != nil {
 				break
 			}
-			got.Write(event)
+			got.Write(event.Bytes)
 		}
 		require.True(t, strings.HasPrefix(text, got.String()))
 	})
--- a/internal/router/gateway/gateway.go
+++ b/internal/router/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// OnTargetMissed is called for each request that missed its latency target, on the request's goroutine and without a
 	// lock held. It must not retain the trace. It may be nil.
 	OnTargetMissed func(route string, t *latency.Trace, reason latency.Reason)
+	// OnMisordered is called for each attempt whose server sent an event that does not follow the one before it, on the request's
+	// goroutine and without a lock held. It may be nil.
+	OnMisordered func(Misordered)
 }
 
 // Source is the origin of acquired quota units.
@@ -97,9 +100,10 @@
 
 // Counters are totals since the start of the process. Rejected counts requests that got a rejection, which guarantees that they
 // did not run; Failed counts error responses without that guarantee. Retried counts retries that used a permit of the retry
-// budget. Migrated counts stalled streams that were continued at another server.
+// budget. Migrated counts stalled streams that were continued at another server. Misordered counts attempts whose server sent an
+// event that does not follow the one before it.
 type Counters struct {
-	Requests, Served, Rejected, Failed, Retried, Migrated atomic.Int64
+	Requests, Served, Rejected, Failed, Retried, Migrated, Misordered atomic.Int64
 }
 
 // New returns a gateway without configuration and servers. During the router's startup, requests wait for both.
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -114,6 +114,9 @@
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
 	controller := http.NewResponseController(w)
 	events := eventstream.NewReader(upstream.Response)
+	if req.response.headerSent {
+		req.response.sequence.Continue()
+	}
 	events.Reserve = func(bytes int64) bool { return req.memory.TryGrow(bytes, bytes) }
 	lastEvent := time.Now()
 	for first := true; ; first = false {
@@ -132,11 +135,14 @@
 		}
 		lastEvent = time.Now()
 		upstream.watchdog.eventReceived()
-		if _, err := w.Write(event); err != nil {
+		if err := req.response.sequence.Accept(event); err != nil {
+			g.recordMisordered(req, upstream.server, event.ID, err)
+		}
+		if _, err := w.Write(event.Bytes); err != nil {
 			return abandoned // the client has disconnected
 		}
-		if id := events.LastID(); id != "" {
-			req.response.lastEventID = id
+		if event.ID != "" {
+			req.response.lastEventID = event.ID
 		}
 		if !events.Buffered() && controller.Flush() != nil {
 			return abandoned
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"petrelhook/internal/common/clientlimit"
+	"petrelhook/internal/router/eventstream"
 	"petrelhook/internal/router/latency"
 	"petrelhook/internal/router/placement"
 	"petrelhook/internal/router/quota"
@@ -58,7 +59,8 @@
 // responseState describes which part of the response the client has been sent.
 type responseState struct {
 	headerSent  bool
-	lastEventID string // id of the last event sent, after which a resumed stream continues
+	lastEventID string               // id of the last event sent, after which a resumed stream continues
+	sequence    eventstream.Sequence // of the events sent
 }
 
 // ServeHTTP implements http.Handler. It serves one request, including all attempts at servers.
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -63,7 +63,8 @@
 	transport     *transport.Transport
 	sendBuffers   *sock.SendBuffers       // of connections to clients and servers
 	limited       []*clientlimit.Listener // set by serve, before the first of them accepts
-	missedTargets missedTargetLog
+	missedTargets lineLimit
+	misordered    lineLimit
 
 	ready        atomic.Bool // it has received a configuration and the servers; never reset
 	shuttingDown atomic.Bool
@@ -113,6 +114,7 @@
 		Incarnation:    incarnation,
 		Acquirer:       n,
 		OnTargetMissed: n.logMissedTarget,
+		OnMisordered:   n.logMisordered,
 		PrefixTTL:      settings.Seconds(b.AgainS),
 		Memory:         n.memory,
 		Connections:    backend.NewConnections(n.limits.ServerConnections(), n.limits.SocketBufferBytes(), n.sendBuffers),
--- a/internal/router/node/status.go
+++ b/internal/router/node/status.go
@@ -37,7 +37,8 @@
 	LacksPrimary bool              `json:"Silent"`  // it has no contact with a primary
 	PoolHost     string            `json:"Pool"`    // host of the pool that holds its share of tenants' limits meanwhile
 	Deposits     int               // number of deposits in the pool hosted here
-	Migrated     int64             `json:"Moved"` // stalled streams that were continued at another server
+	Migrated     int64             `json:"Moved"`      // stalled streams that were continued at another server
+	Misordered   int64             `json:",omitempty"` // streams whose server sent an event that does not follow the one before it
 	Latency      []latency.Report  // outcomes and waiting times of requests, by route
 	Tombstones   *TombstoneStatus  `json:",omitempty"` // only at a router with a disk
 	Usage        *Usage            `json:",omitempty"` // of the machine, by the process; nil in a status of an earlier version
@@ -83,6 +84,7 @@
 	c := &n.gateway.Counters
 	s.Requests, s.Served, s.Rejected = c.Requests.Load(), c.Served.Load(), c.Rejected.Load()
 	s.Failed, s.Retried, s.Migrated = c.Failed.Load(), c.Retried.Load(), c.Migrated.Load()
+	s.Misordered = c.Misordered.Load()
 	return s
 }
 
--- a/internal/router/node/status_test.go
+++ b/internal/router/node/status_test.go
@@ -18,7 +18,7 @@
 // Operators' programs parse the status, so its field names must not change: each field of a recorded status is decoded and
 // encoded again under the same name.
 func TestStatusFieldsKeepTheirNames(t *testing.T) {
-	for _, path := range []string{"testdata/cfdfdec/status.json", "testdata/50f73710/status.json"} {
+	for _, path := range []string{"testdata/cfdfdec/status.json", "testdata/50f73710/status.json", "testdata/ff265b38/status.json"} {
 		recorded, err := os.ReadFile(path)
 		require.NoError(t, err)
 		decoder := json.NewDecoder(bytes.NewReader(recorded))
--- a/internal/router/node/usage.go
+++ b/internal/router/node/usage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -24,6 +25,7 @@
 	Descriptors int     // open ones
 	Goroutines  int
 	BodiesMb    float64 // reserved for the bodies and the long heads of requests
+	CPUSeconds  float64 `json:",omitempty"` // processor time since the start, of the process and of the kernel for it
 }
 
 // usage returns the present usage. It needs no lock.
@@ -31,7 +33,16 @@
 	resident, _ := residentBytes()            // not known where there is no /proc
 	descriptors, _ := os.ReadDir(descriptors) // likewise
 	return Usage{ResidentMb: megabytes(resident), Descriptors: len(descriptors), Goroutines: runtime.NumGoroutine(),
-		BodiesMb: megabytes(n.memory.Reserved())}
+		BodiesMb: megabytes(n.memory.Reserved()), CPUSeconds: cpuTime().Seconds()}
+}
+
+// cpuTime returns the processor time that the process has used, or 0 if it is not known.
+func cpuTime() time.Duration {
+	var usage unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 func megabytes(count int64) float64 { return float64(count) / (1 << 20) }
