A stream is continued only by events that follow the last one sent

Callers saw a stream whose ids went back, events twice, or events missing: after an attempt broke off, the router passed on whatever the next server sent, also from one that ignores Last-Event-Id (restarted, another version of its software), repeats an event or goes on too late; and within one attempt it passed on ids that go back. A stream whose events have no numbers was begun anew behind the events already sent.

Cause: the relay trusted a server to go on where it was asked to. Now each event has to follow the last one sent (eventstream.Sequence): its id rises, and the first event of another server is no further away than the largest step of the server before. One that does not follow ends the attempt; another server may go on at the last good event where the route allows it, else the response is aborted. A stream whose position is not known is not continued.

--- a/internal/router/eventstream/sequence.go
+++ b/internal/router/eventstream/sequence.go
@@ -18,8 +18,9 @@
 //
 // A Sequence may be used by one goroutine at a time.
 type Sequence struct {
-	position   uint64 // the id of the last event
-	positioned bool   // position is known
+	position   uint64 // the id of the last event, as a number
+	id         string // the same as it was sent
+	positioned bool   // they are known
 	firstStep  uint64 // from 0, or from the client's position, to the first event; 0: there is none
 	maxStep    uint64 // the largest difference between the ids of two events of one server; 0: there were no two
 	uncovered  bool   // an event with data but without a number was sent after position
@@ -30,7 +31,7 @@
 // called before the first event.
 func (s *Sequence) StartAfter(lastEventID string) {
 	position, err := strconv.ParseUint(lastEventID, 10, 64)
-	s.position, s.positioned = position, err == nil
+	s.position, s.id, s.positioned = position, lastEventID, err == nil
 }
 
 // Continue says that the next event comes from another server, which was asked to go on after the last event.
@@ -41,7 +42,7 @@
 	if !s.positioned {
 		return "", false
 	}
-	return strconv.FormatUint(s.position, 10), true
+	return s.id, true
 }
 
 // CanContinue reports whether another server can go on without sending an event twice.
@@ -66,7 +67,8 @@
 	default:
 		s.maxStep = max(s.maxStep, step)
 	}
-	s.position, s.positioned, s.uncovered, s.continued = number, true, false, false
+	s.position, s.id, s.positioned = number, e.ID, true
+	s.uncovered, s.continued = false, false
 	return nil
 }
 
--- a/internal/router/eventstream/sequence_test.go
+++ b/internal/router/eventstream/sequence_test.go
@@ -44,6 +44,7 @@
 		"the client's position, before any":   {"7", []string{nextServer, "8"}, nil, "8", true},
 		"the client's position, and no ids":   {"7", []string{""}, nil, "7", false},
 		"a number over all bounds":            {"", []string{"1", "18446744073709551616"}, nil, "1", false},
+		"a number as it was sent":             {"", []string{"01", "02"}, nil, "02", true},
 		"a signed number":                     {"", []string{"1", "-2"}, nil, "1", false},
 		"the largest number, then a gap":      {"", []string{"1", "2", nextServer, "18446744073709551615"}, ErrGap, "2", true},
 		"a gap of the client's position":      {"7", []string{"8", nextServer, "10"}, ErrGap, "8", true},
--- a/internal/router/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -92,7 +92,7 @@
 	if result != notExecuted && !req.route.Idempotent() {
 		return false
 	}
-	if result == brokenMidStream && req.route.Kind != routetable.Streaming {
+	if result == brokenMidStream && (req.route.Kind != routetable.Streaming || !req.response.sequence.CanContinue()) {
 		return false // the client has a part of a response, which no other server can complete
 	}
 	if req.attempts.retryAcquired {
@@ -185,8 +185,6 @@
 		return abandoned
 	case unsent:
 		return notSent
-	case req.response.headerSent:
-		return brokenMidStream
 	}
-	return mayHaveRun
+	return req.brokenOff()
 }
--- a/internal/router/gateway/headers.go
+++ b/internal/router/gateway/headers.go
@@ -11,6 +11,9 @@
 	"petrelhook/internal/router/routetable"
 )
 
+// lastEventIDHeader names the event after which a stream is to go on.
+const lastEventIDHeader = "Last-Event-Id"
+
 // connectionHeaders are the hop-by-hop headers, which concern a single connection and are not forwarded.
 var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
@@ -43,8 +46,8 @@
 	if req.route.Kind == routetable.Streaming {
 		header.Set("Priority", strconv.Itoa(urgency(req)))
 	}
-	if req.response.lastEventID != "" {
-		header.Set("Last-Event-Id", req.response.lastEventID)
+	if position, ok := req.response.sequence.Position(); ok && req.response.headerSent {
+		header.Set(lastEventIDHeader, position)
 	}
 	return &backend.Request{ID: req.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.body}
 }
--- a/internal/router/gateway/misordered.go
+++ b/internal/router/gateway/misordered.go
@@ -1,8 +1,6 @@
 package gateway
 
-import (
-	"petrelhook/internal/router/placement"
-)
+import "petrelhook/internal/router/placement"
 
 // Misordered describes an event that does not follow the one before it in a response.
 type Misordered struct {
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -109,13 +109,15 @@
 	return n, err
 }
 
-// relayStream forwards complete events as they arrive. The header is sent with the first event: if the server fails before that,
-// the client has no part of a response, and the request can be retried at another server.
+// relayStream forwards complete events as they arrive, as long as each follows the one before it: the attempt ends as broken at one that does
+// not. The header is sent with the first event: if the server fails before that, the client has no part of a response, and the request can
+// be retried at another server.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
 	controller := http.NewResponseController(w)
 	events := eventstream.NewReader(upstream.Response)
+	sequence := &req.response.sequence
 	if req.response.headerSent {
-		req.response.sequence.Continue()
+		sequence.Continue()
 	}
 	events.Reserve = func(bytes int64) bool { return req.memory.TryGrow(bytes, bytes) }
 	lastEvent := time.Now()
@@ -124,6 +126,10 @@
 		if err != nil {
 			return streamOutcome(ctx, w, req, upstream, err)
 		}
+		if err := sequence.Accept(event); err != nil {
+			g.recordMisordered(req, upstream.server, event.ID, err)
+			return req.brokenOff()
+		}
 		if first {
 			g.recordPrefill(req, upstream)
 		}
@@ -134,16 +140,10 @@
 			req.trace.MaxGap = max(req.trace.MaxGap, time.Since(lastEvent))
 		}
 		lastEvent = time.Now()
-		upstream.watchdog.eventReceived()
-		if err := req.response.sequence.Accept(event); err != nil {
-			g.recordMisordered(req, upstream.server, event.ID, err)
-		}
+		upstream.watchdog.eventReceived(sequence.CanContinue())
 		if _, err := w.Write(event.Bytes); err != nil {
 			return abandoned // the client has disconnected
 		}
-		if event.ID != "" {
-			req.response.lastEventID = event.ID
-		}
 		if !events.Buffered() && controller.Flush() != nil {
 			return abandoned
 		}
@@ -168,7 +168,13 @@
 		return completed
 	case ctx.Err() != nil:
 		return abandoned
-	case req.response.headerSent:
+	}
+	return req.brokenOff()
+}
+
+// brokenOff returns the outcome of an attempt whose server has sent a part of a response.
+func (r *request) brokenOff() outcome {
+	if r.response.headerSent {
 		return brokenMidStream
 	}
 	return mayHaveRun
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -58,9 +58,8 @@
 
 // responseState describes which part of the response the client has been sent.
 type responseState struct {
-	headerSent  bool
-	lastEventID string               // id of the last event sent, after which a resumed stream continues
-	sequence    eventstream.Sequence // of the events sent
+	headerSent bool
+	sequence   eventstream.Sequence // of the events sent
 }
 
 // ServeHTTP implements http.Handler. It serves one request, including all attempts at servers.
@@ -87,6 +86,9 @@
 	if !g.authorize(w, r, table, req) || !g.admit(w, r, req) {
 		return
 	}
+	if req.route.Kind == routetable.Streaming && req.route.Idempotent() {
+		req.response.sequence.StartAfter(r.Header.Get(lastEventIDHeader))
+	}
 	admitted := time.Now()
 	g.waitForStartup(r.Context(), req.times.startupDeadline, func() bool { return g.ServerCount(req.service) > 0 })
 	req.addPhaseTime(latency.Start, admitted)
--- a/internal/router/gateway/stall.go
+++ b/internal/router/gateway/stall.go
@@ -71,10 +71,15 @@
 	return max(time.Duration(minTimeoutFraction*float64(target)), target-firstEventMultiple*typicalFirstEvent)
 }
 
-// eventReceived restarts the timer. It is called for each event of the stream.
-func (w *stallWatchdog) eventReceived() {
-	if w.timer != nil {
+// eventReceived restarts the timer. It is called for each event of the stream. The attempt is not monitored until the next event if no
+// other server could continue the stream after this one.
+func (w *stallWatchdog) eventReceived(canContinue bool) {
+	switch {
+	case w.timer == nil:
+	case canContinue:
 		w.timer.Reset(w.gapTimeout)
+	default:
+		w.timer.Stop()
 	}
 }
 
