A complete event is flushed although a part of the next one has arrived

Callers got an event only once the next one was complete, if a part of that came with it: a server that stalls within an event, or breaks off there, kept the events before it from the client, or lost them. Cause: the relay left out the flush while anything was buffered. Now it leaves it out only where the next event is there completely, and flushes before it aborts.

--- a/internal/router/eventstream/eventstream.go
+++ b/internal/router/eventstream/eventstream.go
@@ -99,8 +99,11 @@
 
 func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
-// Buffered reports whether bytes after the event that Next returned have already been read from the source.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
+// Buffered reports whether the complete event after the one that Next returned has already been read from the source.
+func (r *Reader) Buffered() bool {
+	buffered, _ := r.source.Peek(r.source.Buffered()) // reads nothing
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // parse returns the event that has these bytes.
 func parse(text []byte) Event {
--- a/internal/router/eventstream/eventstream_test.go
+++ b/internal/router/eventstream/eventstream_test.go
@@ -99,3 +99,13 @@
 	_, err = r.Next()
 	require.ErrorIs(t, err, ErrMemory)
 }
+
+// Only a complete event is worth waiting for: its bytes are there already.
+func TestBufferedIsACompleteEvent(t *testing.T) {
+	for rest, buffered := range map[string]bool{"": false, "id: 2\n": false, "id: 2\n\n": true, "id: 2\r\n\r\n": true, "id: 2\r\n\r": false} {
+		r := NewReader(strings.NewReader("id: 1\n\n" + rest))
+		_, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, buffered, r.Buffered(), "%q", rest)
+	}
+}
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -114,6 +114,11 @@
 // be retried at another server.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
 	controller := http.NewResponseController(w)
+	defer func() {
+		if req.response.headerSent {
+			_ = controller.Flush() // of events before a failure; a client that has disconnected changes nothing
+		}
+	}()
 	events := eventstream.NewReader(upstream.Response)
 	sequence := &req.response.sequence
 	if req.response.headerSent {
