A stream without length whose connection ends before its first event is not complete

Callers saw an empty stream that looked complete, and a stream that another server should have continued ended as complete: where a response has neither a length nor chunks, the end of the connection is its end, also that of a server that was killed. The relay took it for the end of a whole stream before any event had come. Now it counts as broken off: the request goes to another server where the route allows it.

--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -28,7 +28,9 @@
 	Status   int
 	Header   http.Header
 	DialTime time.Duration // time taken to open the connection; 0 for a reused one
-	body     io.ReadCloser
+	// EndsWithConnection says that the body has no length: its end is that of the connection, also where the server has crashed.
+	EndsWithConnection bool
+	body               io.ReadCloser
 
 	pool     *Pool
 	conn     *conn       // nil: the response is closed
@@ -152,10 +154,11 @@
 
 func newResponse(response *http.Response) *Response {
 	return &Response{
-		Status:   response.StatusCode,
-		Header:   response.Header,
-		body:     response.Body,
-		reusable: !response.Close && response.ProtoAtLeast(1, 1),
+		Status:             response.StatusCode,
+		Header:             response.Header,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		body:               response.Body,
+		reusable:           !response.Close && response.ProtoAtLeast(1, 1),
 	}
 }
 
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -128,6 +128,9 @@
 	lastEvent := time.Now()
 	for first := true; ; first = false {
 		event, err := events.Next()
+		if err == io.EOF && first && upstream.EndsWithConnection { //nolint:errorlint // the plain io.EOF alone is an end
+			return req.brokenOff() // a server that ends before its first event has crashed
+		}
 		if err != nil {
 			return streamOutcome(ctx, w, req, upstream, err)
 		}
