A response that is no stream is not continued by a stream

Callers saw a part of one response with the events of another behind it: on a streaming route that may be resumed, a response of another type for which no memory is left, or which is longer than 16 MB, is passed on as it arrives; when its server broke off, the request went to the next server, and its stream was appended. Cause: whether a retry may follow was decided by the kind of the route, not by what had been sent. Now it depends on the part that the client has.

--- a/internal/router/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"petrelhook/internal/router/backend"
 	"petrelhook/internal/router/latency"
 	"petrelhook/internal/router/placement"
-	"petrelhook/internal/router/routetable"
 )
 
 // outcome is the result of one attempt.
@@ -92,7 +91,7 @@
 	if result != notExecuted && !req.route.Idempotent() {
 		return false
 	}
-	if result == brokenMidStream && (req.route.Kind != routetable.Streaming || !req.response.sequence.CanContinue()) {
+	if result == brokenMidStream && !req.response.canContinue() {
 		return false // the client has a part of a response, which no other server can complete
 	}
 	if req.attempts.retryAcquired {
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -162,7 +162,7 @@
 func (r *request) sendHeader(w http.ResponseWriter, resp *backend.Response) {
 	copyHeader(w, resp)
 	w.WriteHeader(resp.Status)
-	r.response.headerSent = true
+	r.response.headerSent, r.response.isStream = true, true
 }
 
 // streamOutcome returns the outcome of a stream whose reader returned err. Only an unwrapped io.EOF marks the end of a complete
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -59,9 +59,13 @@
 // responseState describes which part of the response the client has been sent.
 type responseState struct {
 	headerSent bool
+	isStream   bool                 // the header was that of a stream of events
 	sequence   eventstream.Sequence // of the events sent
 }
 
+// canContinue reports whether another server can continue the response after the part that the client has been sent.
+func (r *responseState) canContinue() bool { return r.isStream && r.sequence.CanContinue() }
+
 // ServeHTTP implements http.Handler. It serves one request, including all attempts at servers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.Counters.Requests.Add(1)
