A stream that breaks off is reset for a client without chunks

To a client of HTTP/1.0 the end of the connection is the end of the stream. A router that aborted a stream closed the connection with FIN, and a router that was killed left that to the kernel: the stream looked complete. Now the connection ends with a reset from the first byte of such a stream until it is complete (SO_LINGER 0), whoever closes it.

--- a/internal/common/clientlimit/close.go
+++ b/internal/common/clientlimit/close.go
@@ -36,7 +36,7 @@
 		c.cancel()
 		c.readAhead.discard()
 		switch {
-		case c.writeError.Load(): // what the client has is no whole response
+		case c.writeError.Load() || c.unframed.Load(): // what the client has is no whole response
 			_ = sock.Abort(c.Conn)
 			c.end()
 		case c.halfClosed.Load() || sock.Unsent(c.Conn):
--- a/internal/common/clientlimit/conn.go
+++ b/internal/common/clientlimit/conn.go
@@ -46,6 +46,7 @@
 	refused    atomic.Bool  // the last response was sent by refuseHead
 	writeBegan atomic.Int64 // time at which the write in progress began, in nanoseconds since epoch; 0: there is none
 	writeError atomic.Bool  // a write has failed
+	unframed   atomic.Bool  // a response is being written whose end is that of the connection
 	halfClosed atomic.Bool  // the direction to the client is closed, and it may still send
 
 	sendBuffer sock.SendBuffer
--- a/internal/common/sock/sock.go
+++ b/internal/common/sock/sock.go
@@ -131,11 +131,26 @@
 	return err
 }
 
+// lingerer is a connection that can be closed with a reset.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// ResetOnClose makes the close of a connection send a reset, or, where it is false, an ordinary end again; the end of the process closes
+// connections too. It does nothing for a connection whose type has no method SetLinger.
+func ResetOnClose(c net.Conn, reset bool) error {
+	conn, ok := c.(lingerer)
+	if !ok {
+		return nil
+	}
+	seconds := 0
+	if !reset {
+		seconds = -1 // the default of the operating system
+	}
+	return conn.SetLinger(seconds)
+}
+
 // Abort closes a connection with a reset, if its type has a method SetLinger. Unread and unsent bytes are dropped. The error is
 // that of Close.
 func Abort(c net.Conn) error {
-	if conn, ok := c.(interface{ SetLinger(int) error }); ok {
-		conn.SetLinger(0)
-	}
+	_ = ResetOnClose(c, true) // Close fails too
 	return c.Close()
 }
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -142,7 +142,7 @@
 			g.recordPrefill(req, upstream)
 		}
 		if !req.response.headerSent {
-			req.sendHeader(w, upstream.Response)
+			req.sendHeader(ctx, w, upstream.Response)
 			req.recordFirstByte(upstream.DialTime)
 		} else {
 			req.trace.MaxGap = max(req.trace.MaxGap, time.Since(lastEvent))
@@ -158,8 +158,11 @@
 	}
 }
 
-// sendHeader sends the header of a stream to the client.
-func (r *request) sendHeader(w http.ResponseWriter, resp *backend.Response) {
+// sendHeader sends the header of a stream to the client. To a client without chunks the end of the connection is the end of the stream.
+func (r *request) sendHeader(ctx context.Context, w http.ResponseWriter, resp *backend.Response) {
+	if !r.acceptsChunks {
+		r.response.markComplete = clientlimit.Unframed(ctx)
+	}
 	copyHeader(w, resp)
 	w.WriteHeader(resp.Status)
 	r.response.headerSent, r.response.isStream = true, true
@@ -171,7 +174,10 @@
 	switch {
 	case err == io.EOF: //nolint:errorlint // the plain io.EOF alone is the end of a complete answer; one that wraps it was cut off
 		if !req.response.headerSent {
-			req.sendHeader(w, upstream.Response)
+			req.sendHeader(ctx, w, upstream.Response)
+		}
+		if req.response.markComplete != nil {
+			req.response.markComplete()
 		}
 		return completed
 	case ctx.Err() != nil:
--- a/internal/router/gateway/request.go
+++ b/internal/router/gateway/request.go
@@ -61,6 +61,8 @@
 	headerSent bool
 	isStream   bool                 // the header was that of a stream of events
 	sequence   eventstream.Sequence // of the events sent
+	// markComplete is called once a stream is complete; nil: its framing says so.
+	markComplete func()
 }
 
 // canContinue reports whether another server can continue the response after the part that the client has been sent.
--- a/internal/router/gateway/stream_order_test.go
+++ b/internal/router/gateway/stream_order_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -159,7 +160,12 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.addScriptedServers(script{{Text: numbered(1, 2), End: c.end}})
-			conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+			front := httptest.NewUnstartedServer(r.gateway)
+			front.Listener = clientlimit.NewListener(front.Listener, 10, clientlimit.NewMemory(0), func() clientlimit.RequestLimits { return clientlimit.RequestLimits{} })
+			clientlimit.Attach(front.Config)
+			front.Start()
+			defer front.Close()
+			conn, err := net.Dial("tcp", front.Listener.Addr().String())
 			require.NoError(t, err)
 			defer conn.Close()
 			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
