--- a/cmd/petrelhook-router/crowd_test.go
+++ b/cmd/petrelhook-router/crowd_test.go
@@ -404,6 +404,31 @@
 	return ok
 }
 
+// An operator replaces a configuration of hundreds of routes again and again beside crowds.
+func TestRouterCrowdBesideConfigurations(t *testing.T) {
+	const routes, replacements = 600, 30
+	r := startLoadedRouter(t)
+	r.client.Transport = newcomers(otherAddress)
+	besideCrowd := r.withMixedCrowd(func() bool {
+		for generation := 1; generation <= replacements; generation++ {
+			require.Equal(t, http.StatusOK, r.sendOrder("/-/config/replace", generation, grownConfiguration(generation+1, routes)))
+		}
+		return r.answersInTime(frontPort)
+	})
+	r.check(besideCrowd)
+}
+
+// grownConfiguration returns loadedConfiguration with a generation and more routes.
+func grownConfiguration(generation, routes int) string {
+	var added strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&added, `{"Name":"added-%d","Host":"a.example","PathPrefix":"/added-%d/","RouteType":"streaming","TimeoutMs":15000,`+
+			`"TargetLatencyMs":200,"Service":"s","MaxAttempts":2,"StreamResume":true,"gap_aim_ms":250},`, i, i)
+	}
+	text := strings.Replace(loadedConfiguration, `"Generation":1`, fmt.Sprintf(`"Generation":%d`, generation), 1)
+	return strings.Replace(text, `"Routes":[`, `"Routes":[`+added.String(), 1)
+}
+
 // A router that shuts down beside a crowd ends by itself within its grace period, whatever the crowd holds.
 func TestRouterCrowdDuringAShutdown(t *testing.T) {
 	r := startLoadedRouter(t)
