--- a/internal/router/replication/disk.go
+++ b/internal/router/replication/disk.go
@@ -13,6 +13,7 @@
 	failed               bool // the last completed save failed
 	lastRetryAt          time.Duration
 	entriesSinceSnapshot int
+	bytesSinceSnapshot   int // of their data
 	durablePosition      Position // of the state on the disk
 }
 
@@ -33,7 +34,12 @@
 
 // saveEntry is like saveHardState, but also saves the entry that was applied last, or a snapshot where one is due.
 func (r *Replica) saveEntry(entry *Entry, onDurable func()) {
-	r.save(entry, r.disk.needsSnapshot || r.disk.entriesSinceSnapshot >= entriesPerSnapshot, onDurable)
+	r.save(entry, r.disk.needsSnapshot || !r.disk.hasRoomFor(entry), onDurable)
+}
+
+// hasRoomFor reports whether an entry may be saved behind those since the last snapshot.
+func (d *diskState) hasRoomFor(entry *Entry) bool {
+	return d.entriesSinceSnapshot < entriesPerSnapshot && d.bytesSinceSnapshot+len(entry.Data) <= bytesPerSnapshot
 }
 
 // saveSnapshot is like saveHardState, but also saves the machine's complete state.
@@ -55,11 +61,12 @@
 	case asSnapshot:
 		save.Snapshot = &SnapshotRecord{Position: r.state.position, Data: r.state.machine.Snapshot()}
 		pending.position = &save.Snapshot.Position
-		r.disk.entriesSinceSnapshot = 0
+		r.disk.entriesSinceSnapshot, r.disk.bytesSinceSnapshot = 0, 0
 	case entry != nil:
 		save.Entry = entry
 		pending.position = &entry.Position
 		r.disk.entriesSinceSnapshot++
+		r.disk.bytesSinceSnapshot += len(entry.Data)
 	}
 	r.disk.pendingSaves = append(r.disk.pendingSaves, pending)
 	r.effects = append(r.effects, save)
--- a/internal/router/replication/replica.go
+++ b/internal/router/replication/replica.go
@@ -80,6 +80,7 @@
 	r.state.history.restart(r.state.position)
 	for _, e := range persisted.Entries {
 		r.state.apply(e)
+		r.disk.bytesSinceSnapshot += len(e.Data)
 	}
 	r.disk.durablePosition = r.state.position
 	r.disk.entriesSinceSnapshot = len(persisted.Entries)
--- a/internal/router/replication/replication_test.go
+++ b/internal/router/replication/replication_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,23 @@
 	require.Equal(t, http.StatusOK, writeNow(s, "b").status)
 }
 
+// Large entries that were kept until a number of them was reached filled the disk.
+func TestLargeEntriesDoNotFillTheDisk(t *testing.T) {
+	const entryBytes, entries = 400 << 10, 12
+	s := newSimulation(t, 1, 3, 1)
+	s.run(4 * time.Second)
+	for i := range entries {
+		require.Equal(t, http.StatusOK, writeNow(s, largeValuePrefix+strings.Repeat(string(rune('a'+i)), entryBytes)).status)
+		for _, h := range s.hosts {
+			onDisk := 0
+			for _, e := range h.disk.Entries {
+				onDisk += len(e.Data)
+			}
+			require.LessOrEqual(t, onDisk, 1<<20, "bytes of entries on a disk")
+		}
+	}
+}
+
 // A machine that lost its disk returns as another member, which replaces its previous one.
 func TestALostDiskRejoins(t *testing.T) {
 	for seed := range int64(20) {
--- a/internal/router/replication/timing.go
+++ b/internal/router/replication/timing.go
@@ -66,6 +66,7 @@
 	diskStallTimeout = 500 * time.Millisecond
 	// diskRetryInterval is how often a save is retried on a disk that failed.
 	diskRetryInterval = 300 * time.Millisecond
-	// entriesPerSnapshot is the number of entries that are saved between two snapshots.
+	// entriesPerSnapshot and bytesPerSnapshot bound the entries that are saved between two snapshots.
 	entriesPerSnapshot = 32
+	bytesPerSnapshot   = 1 << 20
 )
