--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -113,12 +113,16 @@
 // not. The header is sent with the first event: if the server fails before that, the client has no part of a response, and the request can
 // be retried at another server.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
+	result := g.relayEvents(ctx, w, req, upstream)
+	if result == brokenMidStream {
+		_ = http.NewResponseController(w).Flush() // of the events before; a client that has disconnected changes nothing
+	}
+	return result
+}
+
+// relayEvents does what relayStream says, and may leave complete events unflushed.
+func (g *Gateway) relayEvents(ctx context.Context, w http.ResponseWriter, req *request, upstream *upstreamResponse) outcome {
 	controller := http.NewResponseController(w)
-	defer func() {
-		if req.response.headerSent {
-			_ = controller.Flush() // of events before a failure; a client that has disconnected changes nothing
-		}
-	}()
 	events := eventstream.NewReader(upstream.Response)
 	sequence := &req.response.sequence
 	if req.response.headerSent {
--- a/internal/router/replication/disk.go
+++ b/internal/router/replication/disk.go
@@ -13,7 +13,7 @@
 	failed               bool // the last completed save failed
 	lastRetryAt          time.Duration
 	entriesSinceSnapshot int
-	bytesSinceSnapshot   int // of their data
+	bytesSinceSnapshot   int      // of their data
 	durablePosition      Position // of the state on the disk
 }
 
