--- a/cmd/petrelhook-router/soak_operator_test.go
+++ b/cmd/petrelhook-router/soak_operator_test.go
@@ -30,6 +30,29 @@
 			return
 		}
 		r.record.generation = base + 1
+		r.acknowledged.Store(int64(base + 1))
+	}
+}
+
+// readInterval is the time between two reads of the configuration by one operator.
+const readInterval = 20 * time.Millisecond
+
+// readConfigurations plays an operator who reads the configuration at one machine after the other until the context ends: no read returns an
+// older one than a read or an acknowledgement before it.
+func (r *soakRun) readConfigurations(ctx context.Context) {
+	newest := int64(firstGeneration)
+	for i := 0; wait(ctx, readInterval); i++ {
+		newest = max(newest, r.acknowledged.Load())
+		m := r.machines[i%len(r.machines)]
+		status, text := r.call(http.MethodGet, "http://"+r.address(m.ip, controlPort)+"/-/config/read", "")
+		var read struct{ Generation int64 }
+		if status != http.StatusOK || json.Unmarshal([]byte(text), &read) != nil {
+			continue
+		}
+		if read.Generation < newest {
+			r.t.Errorf("CONFIG: %s reads generation %d after %d", m.ip, read.Generation, newest)
+		}
+		newest = max(newest, read.Generation)
 	}
 }
 
