A sidecar that is killed resets a response without length; guards of streams are tested

The same cause elsewhere: a sidecar resets the connection of a client of HTTP/1.0 when it breaks off a response of unknown length, but a sidecar that was killed left the close to the kernel, which sent FIN: the response looked complete. Now SO_LINGER is 0 while such a response is open, as in routers. TestAnAnswerOfAKilledProcessIsNotComplete failed before. The router's test has the same case.

--- a/internal/router/gateway/stream_order_test.go
+++ b/internal/router/gateway/stream_order_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"petrelhook/internal/common/clientlimit"
+	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/eventscript"
 )
 
@@ -154,14 +155,16 @@
 // To a client of HTTP/1.0 the end of the connection is the end of the stream: a stream that breaks off ended like a complete one.
 func TestABrokenStreamIsResetForAClientWithoutChunks(t *testing.T) {
 	for name, c := range map[string]struct {
-		end   eventscript.End
-		reset bool
-	}{"broken": {eventscript.Reset, true}, "complete": {eventscript.Complete, false}} {
+		end    eventscript.End
+		killed bool // the process ends: the kernel closes the connection
+		reset  bool
+	}{"broken": {eventscript.Reset, false, true}, "complete": {eventscript.Complete, false, false}, "killed": {eventscript.Hold, true, true}} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.addScriptedServers(script{{Text: numbered(1, 2), End: c.end}})
 			front := httptest.NewUnstartedServer(r.gateway)
-			front.Listener = clientlimit.NewListener(front.Listener, 10, clientlimit.NewMemory(0), func() clientlimit.RequestLimits { return clientlimit.RequestLimits{} })
+			accepted := &peertest.AcceptedConns{Listener: front.Listener}
+			front.Listener = clientlimit.NewListener(accepted, 10, clientlimit.NewMemory(0), func() clientlimit.RequestLimits { return clientlimit.RequestLimits{} })
 			clientlimit.Attach(front.Config)
 			front.Start()
 			defer front.Close()
@@ -174,6 +177,11 @@
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			require.NoError(t, err)
 			defer response.Body.Close()
+			_, err = io.ReadFull(response.Body, make([]byte, len(numbered(1, 2))))
+			require.NoError(t, err)
+			if c.killed {
+				accepted.CloseConns(t)
+			}
 			_, err = io.ReadAll(response.Body)
 			require.Equal(t, c.reset, err != nil, "%v", err)
 		})
--- a/internal/sidecar/connlimit/limiter.go
+++ b/internal/sidecar/connlimit/limiter.go
@@ -209,10 +209,10 @@
 
 // SetResponseOpen sets whether a client would now take the end of the connection for the end of the response to a handler's
 // request. While it is set, closing the connection sends a reset, so that no client takes a response that breaks off for a
-// complete one.
+// complete one; so does the end of the process.
 func (l *Limiter) SetResponseOpen(ctx context.Context, open bool) {
-	if c, ok := clientOf(ctx); ok {
-		c.responseOpen.Store(open)
+	if c, ok := clientOf(ctx); ok && c.responseOpen.Swap(open) != open {
+		_ = sock.ResetOnClose(c.Conn, open) // fails only on a closed connection
 	}
 }
 
--- a/internal/sidecar/front/platform/disconnect_test.go
+++ b/internal/sidecar/front/platform/disconnect_test.go
@@ -103,6 +103,37 @@
 	}
 }
 
+// A client of HTTP/1.0 does not mistake a response for a complete one whose process was killed.
+func TestAnAnswerOfAKilledProcessIsNotComplete(t *testing.T) {
+	released := make(chan struct{})
+	r := newRig(t, func(context.Context, front.Request) (front.Answer, error) {
+		return front.Answer{Verdict: front.Served, Reply: message.Reply{Body: []byte("hi"), Remainder: heldRemainder(released), Size: -1}}, nil
+	})
+	defer close(released)
+	c, in := peertest.Dial(t, r.addr)
+	io.WriteString(c, strings.Replace(lookRequest("t"), "HTTP/1.1", "HTTP/1.0", 1))
+	for got := ""; !strings.HasSuffix(got, "hi"); {
+		next, err := in.ReadByte()
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got += string(next)
+	}
+	r.accepted.CloseConns(t)
+	if rest, err := io.ReadAll(in); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%q, %v", rest, err)
+	}
+}
+
+// heldRemainder is a remainder of a response that does not come until the channel is closed, and then is empty.
+type heldRemainder chan struct{}
+
+func (r heldRemainder) Read([]byte) (int, error) {
+	<-r
+	return 0, io.EOF
+}
+func (r heldRemainder) Close() error { return nil }
+
 // failingRemainder is an empty remainder of a response that ends with err.
 type failingRemainder struct{ err error }
 
--- a/internal/sidecar/front/platform/platform_test.go
+++ b/internal/sidecar/front/platform/platform_test.go
@@ -47,6 +47,7 @@
 	lifecycle     *lifecycle.Machine
 	memory        *membudget.Budget
 	ended         chan error
+	accepted      *peertest.AcceptedConns
 }
 
 func newRig(t *testing.T, answer func(context.Context, front.Request) (front.Answer, error)) *rig {
@@ -55,7 +56,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, core: &fakeCore{answer: answer}, closeListener: make(chan time.Time, 1), addr: ln.Addr().String(), lifecycle: lifecycle.New(), memory: membudget.New(testMemory), ended: make(chan error, 1)}
+	accepted := &peertest.AcceptedConns{Listener: ln}
+	r := &rig{t: t, accepted: accepted, core: &fakeCore{answer: answer}, closeListener: make(chan time.Time, 1), addr: ln.Addr().String(), lifecycle: lifecycle.New(), memory: membudget.New(testMemory), ended: make(chan error, 1)}
 	maxDeadline := 10 * time.Second
 	server := New(Settings{MemoryBudget: r.memory, Admission: admission.Config{MaxConnections: 100, Horizon: time.Second}, Tenants: []string{"acme"}, Classes: []front.Class{
 		{Name: "look", Effect: front.Safe, Deadline: maxDeadline}, {Name: "book", Effect: front.Keyed, Deadline: maxDeadline}, {Name: "once", Effect: front.Unsafe, Deadline: maxDeadline},
@@ -70,7 +72,7 @@
 		return r.closeListener
 	}
 	r.lifecycle.Apply(lifecycle.ServersKnown)
-	go func() { r.ended <- server.Serve(ln) }()
+	go func() { r.ended <- server.Serve(accepted) }()
 	t.Cleanup(r.stop)
 	return r
 }
