A response without length whose server is gone at its end is not complete

Callers saw a stream that ended as complete before its last event, and other responses that were cut short: where a response has neither a length nor chunks, the end of the connection is its end, and the kernel ends the connections of a killed process as the server would.

Now the router opens a connection to the server at such an end, which the next request uses. Where none is accepted and the server has not announced its end, the response was not ended by its server: it counts as broken off, and another server continues where the route allows it. TestAResponseOfAKilledServerIsNotComplete failed before in three of its four rows.

--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -28,12 +28,13 @@
 	Status   int
 	Header   http.Header
 	DialTime time.Duration // time taken to open the connection; 0 for a reused one
-	// EndsWithConnection says that the body has no length: its end is that of the connection, also where the server has crashed.
+	// EndsWithConnection says that the body has no length: its end is that of the connection.
 	EndsWithConnection bool
 	body               io.ReadCloser
 
 	pool     *Pool
 	conn     *conn       // nil: the response is closed
+	gone     func() bool // reports whether the server has gone without an announcement
 	detach   func() bool // ends the connection's dependence on the context; false: the context has ended already
 	reusable bool        // whether the connection may be reused once the body has been read completely
 	complete bool        // the body has been read to its end
@@ -79,6 +80,7 @@
 		return nil, fail(err)
 	}
 	response.DialTime, response.pool, response.conn, response.detach = dialTime, p, c, detach
+	response.gone = func() bool { return p.serverGone(ctx) }
 	response.reusable = response.reusable && written
 	return response, nil
 }
@@ -156,7 +158,7 @@
 	return &Response{
 		Status:             response.StatusCode,
 		Header:             response.Header,
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		EndsWithConnection: response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		body:               response.Body,
 		reusable:           !response.Close && response.ProtoAtLeast(1, 1),
 	}
@@ -171,13 +173,21 @@
 	return response.Header.Get("X-Not-Executed") != ""
 }
 
+// errServerGone is the error of a body without length whose server accepts no connections any more: the server did not end the body, the
+// kernel has closed the connection of a process that was killed.
+var errServerGone = errors.New("the server was gone at the end of a response without length")
+
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a complete body, and another error for a truncated
 // one.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF || r.complete {
+		return n, err
+	}
+	if r.EndsWithConnection && r.gone() {
+		return n, errServerGone
 	}
+	r.complete = true
 	return n, err
 }
 
--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// serverGone reports whether the server accepts no connections, although its end was not announced. Idle connections say nothing: the kernel
+// may not have closed them yet. The connection that is opened to find out is kept for later requests.
+func (p *Pool) serverGone(ctx context.Context) bool {
+	p.mutex.Lock()
+	unknown := p.closed || p.open >= p.limit
+	if !unknown {
+		p.open++
+		p.opened++
+	}
+	p.mutex.Unlock()
+	if unknown {
+		return false
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return !errors.Is(err, ErrNoConnection)
+	}
+	p.makeIdle(c, 0)
+	return false
+}
+
 // takeIdleOrReserve removes and returns the connection that became idle last, and how long it may have been idle to be reused. If
 // there is none, it returns a nil connection after it has reserved a new one, which the caller must dial, or ErrNoConnection.
 func (p *Pool) takeIdleOrReserve() (*conn, time.Duration, error) {
@@ -192,8 +213,13 @@
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	_ = c.SetDeadline(time.Time{}) // if it fails, the next use of the connection fails too
 	c.sendBuffer.Rests(c.Conn)
-	c.idleSince = time.Now()
 	c.exchanges++
+	p.makeIdle(c, keepAlive)
+}
+
+// makeIdle adds a connection to the idle ones, or closes it as put says.
+func (p *Pool) makeIdle(c *conn, keepAlive time.Duration) {
+	c.idleSince = time.Now()
 	p.mutex.Lock()
 	if keepAlive > 0 {
 		p.maxIdle = min(p.maxIdle, max(keepAlive-idleMargin, keepAlive/2))
--- a/internal/router/gateway/mutation_test.go
+++ b/internal/router/gateway/mutation_test.go
@@ -28,6 +28,8 @@
 		"a position is known":            guard(sequence, "return !s.uncovered", "return true", inOrder),
 		"the client's position":          guard(request, "req.response.sequence.StartAfter(", "_ = (", inOrder),
 		"an end before the first event":  guard(relay, "first && upstream.EndsWithConnection", "false", inOrder),
+		"an end of a killed server":      guard("internal/router/backend/exchange.go", "r.EndsWithConnection && r.gone()", "false", "TestAResponseOfAKilledServerIsNotComplete"),
+		"an announced end":               guard("internal/router/backend/pool.go", "unknown := p.closed || ", "unknown := ", "TestAResponseOfAKilledServerIsNotComplete"),
 		"events before a failure":        guard(relay, "if result == brokenMidStream {", "if false {", inOrder),
 		"a part of the next event":       guard(events, "buffered, _ := r.source.Peek(r.source.Buffered())", "if r.source.Buffered() > 0 {\n		return true\n	}\n	buffered, _ := r.source.Peek(0)", "TestAnEventDoesNotWaitForTheNextOne"),
 		"a response of another kind":     guard(request, "return r.isStream && ", "return ", "TestAStreamIsNotJoinedToAResponseOfAnotherKind"),
--- a/internal/router/gateway/stream_order_test.go
+++ b/internal/router/gateway/stream_order_test.go
@@ -17,6 +17,7 @@
 	"petrelhook/internal/common/clientlimit"
 	"petrelhook/internal/common/peertest"
 	"petrelhook/internal/rig/eventscript"
+	"petrelhook/internal/router/registry"
 )
 
 // script is what the servers of a test send: the first attempt of a request gets the first answer, the second attempt the second one.
@@ -127,6 +128,44 @@
 	}
 }
 
+// The kernel ends the connections of a killed server as the server would: a response without length looked complete.
+func TestAResponseOfAKilledServerIsNotComplete(t *testing.T) {
+	events := numbered(1, 2)
+	for name, c := range map[string]struct {
+		path      string
+		announced bool // the server has announced its end
+		next      script
+		status    int
+		body      string
+		complete  bool
+	}{
+		"a stream":                          {"/once/", false, nil, http.StatusOK, events, false},
+		"a stream that another one goes on": {"/stream/", false, script{{Text: numbered(3, 4)}}, http.StatusOK, numbered(1, 4), true},
+		"a response":                        {"/unsafe/", false, nil, http.StatusBadGateway, "the server broke off\n", true},
+		"a stream of a server that leaves":  {"/once/", true, nil, http.StatusOK, events, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			var killed *httptest.Server
+			killed = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, got *http.Request) {
+				_, _ = io.Copy(io.Discard, got.Body)
+				if c.announced {
+					r.gateway.UpdateServers([]*registry.Entry{{Instance: registry.Instance{ID: "i0", Service: "s", State: registry.Draining}}})
+				}
+				r.addScriptedServers(c.next)
+				killed.Listener.Close()
+				eventscript.Answer{Text: events, Framing: eventscript.UntilClose}.Send(w, got)
+			}))
+			defer killed.Close()
+			r.addAddress(killed.Listener.Addr().String())
+			response, body, err := r.do(c.path)
+			require.Equal(t, c.status, response.StatusCode)
+			require.Equal(t, c.body, body)
+			require.Equal(t, c.complete, err == nil, "%v", err)
+		})
+	}
+}
+
 // A response that is no stream was passed on in part, and a stream of the next server was appended to it.
 func TestAStreamIsNotJoinedToAResponseOfAnotherKind(t *testing.T) {
 	r := newRig(t)
