The connection that shows whether a server is gone takes the place of the one that ended

At the limit on connections to a server, which many streams on it reach, could not look and believed the end. Now the ended connection is closed first, and its place is used.

--- a/internal/router/backend/backend_test.go
+++ b/internal/router/backend/backend_test.go
@@ -16,9 +16,10 @@
 
 // scriptedServer is a server whose connections the test itself reads and writes.
 type scriptedServer struct {
-	t     *testing.T
-	pool  *Pool
-	conns chan net.Conn
+	t        *testing.T
+	pool     *Pool
+	conns    chan net.Conn
+	listener net.Listener
 }
 
 // newScriptedServer returns a server, and a pool of at most limit connections to it.
@@ -26,7 +27,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &scriptedServer{t: t, pool: NewPool(listener.Addr().String(), limit, NewConnections(limit, 0, nil)), conns: make(chan net.Conn, 16)}
+	s := &scriptedServer{t: t, pool: NewPool(listener.Addr().String(), limit, NewConnections(limit, 0, nil)), conns: make(chan net.Conn, 16), listener: listener}
 	t.Cleanup(func() { listener.Close(); s.pool.Close() })
 	go func() {
 		for {
--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -32,12 +32,13 @@
 	EndsWithConnection bool
 	body               io.ReadCloser
 
-	pool     *Pool
-	conn     *conn       // nil: the response is closed
-	gone     func() bool // reports whether the server has gone without an announcement
-	detach   func() bool // ends the connection's dependence on the context; false: the context has ended already
-	reusable bool        // whether the connection may be reused once the body has been read completely
-	complete bool        // the body has been read to its end
+	pool *Pool
+	conn *conn // nil: the response is closed
+	// serverGone ends the connection and reports whether the server has gone without an announcement.
+	serverGone func() bool
+	detach     func() bool // ends the connection's dependence on the context; false: the context has ended already
+	reusable   bool        // whether the connection may be reused once the body has been read completely
+	end        error       // of the body, once it has been reached: io.EOF if it is complete
 }
 
 const maxStaleResponses = 2 // responses to earlier requests that are skipped before an exchange fails
@@ -80,7 +81,7 @@
 		return nil, fail(err)
 	}
 	response.DialTime, response.pool, response.conn, response.detach = dialTime, p, c, detach
-	response.gone = func() bool { return p.serverGone(ctx) }
+	response.serverGone = func() bool { return p.serverGone(ctx, c) }
 	response.reusable = response.reusable && written
 	return response, nil
 }
@@ -180,15 +181,22 @@
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a complete body, and another error for a truncated
 // one.
 func (r *Response) Read(b []byte) (int, error) {
+	if r.end != nil {
+		return 0, r.end
+	}
 	n, err := r.body.Read(b)
-	if err != io.EOF || r.complete {
+	if err != io.EOF {
 		return n, err
 	}
-	if r.EndsWithConnection && r.gone() {
-		return n, errServerGone
+	r.end = io.EOF
+	if r.EndsWithConnection && r.conn != nil {
+		r.detach()
+		r.conn = nil
+		if r.serverGone() {
+			r.end = errServerGone
+		}
 	}
-	r.complete = true
-	return n, err
+	return n, r.end
 }
 
 // Close ends the exchange. The connection becomes idle if the body was read to its end and the connection may be reused;
@@ -199,7 +207,7 @@
 	}
 	c := r.conn
 	r.conn = nil
-	if !r.detach() || !r.complete || !r.reusable {
+	if !r.detach() || r.end == nil || !r.reusable {
 		r.pool.discard(c)
 		return
 	}
--- a/internal/router/backend/exchange_model_test.go
+++ b/internal/router/backend/exchange_model_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// At the limit on connections the one that has ended makes room for the one that shows whether the server is still there.
+func TestAConnectionThatEndedIsReplacedAtTheLimit(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		s := newScriptedServer(t, 1)
+		b := behaviour{withoutLength, func(id string) string { return responseHead("200 OK", id, "") + "mine" }, closes, complete, complete, false}
+		expected := complete
+		if gone {
+			expected = broken
+			write := b.write
+			b.write = func(id string) string {
+				s.listener.Close()
+				return write(id)
+			}
+		}
+		_, got := s.exchange(nil, &b, "1")
+		require.Equal(t, expected, got)
+		require.Equal(t, gone, s.pool.HasCapacity() && len(s.pool.idle) == 0)
+		require.LessOrEqual(t, s.pool.open, 1)
+	}
+}
+
 // exchange carries out one exchange, for which the pool is expected to use the connection c, or a new one if c is nil. It returns
 // the connection, or nil if the server has closed it.
 func (s *scriptedServer) exchange(c net.Conn, b *behaviour, id string) (net.Conn, outcome) {
--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -130,17 +130,19 @@
 	}
 }
 
-// serverGone reports whether the server accepts no connections, although its end was not announced. Idle connections say nothing: the kernel
-// may not have closed them yet. The connection that is opened to find out is kept for later requests.
-func (p *Pool) serverGone(ctx context.Context) bool {
+// serverGone reports whether the server accepts no connections, although its end was not announced. It is called for a connection that the
+// server, or the kernel for it, has ended, and opens another one in its place, which is kept for later requests. Idle connections say nothing:
+// the kernel may not have ended them yet.
+func (p *Pool) serverGone(ctx context.Context, ended *conn) bool {
+	ended.close()
 	p.mutex.Lock()
-	unknown := p.closed || p.open >= p.limit
-	if !unknown {
-		p.open++
+	announced := p.closed
+	if !announced {
 		p.opened++
 	}
 	p.mutex.Unlock()
-	if unknown {
+	if announced {
+		p.releaseSlot()
 		return false
 	}
 	c, err := p.dial(ctx)
