--- a/internal/router/backend/exchange_model_test.go
+++ b/internal/router/backend/exchange_model_test.go
@@ -178,22 +178,27 @@
 
 // At the limit on connections the one that has ended makes room for the one that shows whether the server is still there.
 func TestAConnectionThatEndedIsReplacedAtTheLimit(t *testing.T) {
-	for _, gone := range []bool{false, true} {
-		s := newScriptedServer(t, 1)
-		b := behaviour{withoutLength, func(id string) string { return responseHead("200 OK", id, "") + "mine" }, closes, complete, complete, false}
-		expected := complete
-		if gone {
-			expected = broken
-			write := b.write
-			b.write = func(id string) string {
-				s.listener.Close()
-				return write(id)
-			}
-		}
-		_, got := s.exchange(nil, &b, "1")
-		require.Equal(t, expected, got)
-		require.Equal(t, gone, s.pool.HasCapacity() && len(s.pool.idle) == 0)
-		require.LessOrEqual(t, s.pool.open, 1)
+	for name, c := range map[string]struct {
+		serverEnds func(*scriptedServer)
+		outcome    outcome
+		kept       int // connections
+	}{
+		"the server is there":                {func(*scriptedServer) {}, complete, 1},
+		"the server is gone":                 {func(s *scriptedServer) { s.listener.Close() }, broken, 0},
+		"the kernel ends its listener later": {func(s *scriptedServer) { go func() { (<-s.conns).Close() }() }, broken, 0},
+		"it sends what nobody asked for":     {func(s *scriptedServer) { go func() { io.WriteString(<-s.conns, "x") }() }, complete, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, 1)
+			b := behaviour{withoutLength, func(id string) string {
+				c.serverEnds(s)
+				return responseHead("200 OK", id, "") + "mine"
+			}, closes, c.outcome, c.outcome, false}
+			_, got := s.exchange(nil, &b, "1")
+			require.Equal(t, c.outcome, got)
+			require.Len(t, s.pool.idle, c.kept)
+			require.Equal(t, c.kept, s.pool.open)
+		})
 	}
 }
 
