A sidecar does not serve a response without length whose server was killed

The same cause elsewhere: what a killed server has sent of a response without length was served to the sidecar's client as complete. Now the sidecar opens a connection to the server at such an end, in place of the one that ended; where none is accepted, or it ends within 20 ms, and the server has not announced its end, the exchange counts as reset. The look at a new connection is shared with the router (sock.Watch).

--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,8 +30,6 @@
 	minMaxIdle      = 500 * time.Millisecond
 	idleMargin      = 400 * time.Millisecond // subtracted from the server's Keep-Alive timeout
 	readBufferBytes = 4 << 10
-	// exitTime is how long the kernel may take to end all sockets of a process: it may end the listener after the connections.
-	exitTime = 20 * time.Millisecond
 )
 
 // Pool holds the connections to one server. It is created by NewPool. Its methods may be called from any goroutine.
@@ -152,15 +149,13 @@
 	if err != nil {
 		return !errors.Is(err, ErrNoConnection)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(exitTime)) // if it fails, so does reading
-	_, err = c.reader.Peek(1)
-	_ = c.SetReadDeadline(time.Time{}) // if it fails, the next use of the connection fails too
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	fate := sock.Watch(c.Conn)
+	if fate == sock.StaysOpen {
 		p.makeIdle(c, 0)
 		return false
 	}
 	p.discard(c)
-	return err != nil // bytes that nobody asked for come from a server that is there
+	return fate == sock.Ends
 }
 
 // takeIdleOrReserve removes and returns the connection that became idle last, and how long it may have been idle to be reused. If
--- a/internal/router/gateway/mutation_test.go
+++ b/internal/router/gateway/mutation_test.go
@@ -29,7 +29,7 @@
 		"the client's position":          guard(request, "req.response.sequence.StartAfter(", "_ = (", inOrder),
 		"an end before the first event":  guard(relay, "first && upstream.EndsWithConnection", "false", inOrder),
 		"an end of a killed server":      guard("internal/router/backend/exchange.go", "if r.serverGone() {", "if false {", "TestAResponseOfAKilledServerIsNotComplete"),
-		"a listener that ends later":     {File: "internal/router/backend/pool.go", Text: "return err != nil //", Replacement: "return false //", Package: "./internal/router/backend", Test: "TestAConnectionThatEndedIsReplacedAtTheLimit"},
+		"a listener that ends later":     {File: "internal/router/backend/pool.go", Text: "return fate == sock.Ends", Replacement: "return false", Package: "./internal/router/backend", Test: "TestAConnectionThatEndedIsReplacedAtTheLimit"},
 		"an announced end":               guard("internal/router/backend/pool.go", "announced := p.closed", "announced := false", "TestAResponseOfAKilledServerIsNotComplete"),
 		"events before a failure":        guard(relay, "if result == brokenMidStream {", "if false {", inOrder),
 		"a part of the next event":       guard(events, "buffered, _ := r.source.Peek(r.source.Buffered())", "if r.source.Buffered() > 0 {\n		return true\n	}\n	buffered, _ := r.source.Peek(0)", "TestAnEventDoesNotWaitForTheNextOne"),
--- a/internal/sidecar/upstream/http1/exchange.go
+++ b/internal/sidecar/upstream/http1/exchange.go
@@ -90,7 +90,7 @@
 		}
 	}
 	// The reader starts empty, because connect has checked that nothing had arrived before the request was sent.
-	in := newResponseReader(c)
+	in := p.newResponseReader(c)
 	defer in.release()
 	out, reusable = in.read(call.Message.Method, p.LoadReportFields, p.ResponseBudget, call.OnReplyStarted)
 	return out, reusable && in.Buffered() == 0, out.Result == upstream.Reset
--- a/internal/sidecar/upstream/http1/pool.go
+++ b/internal/sidecar/upstream/http1/pool.go
@@ -184,6 +184,23 @@
 	return e.addr, evicted, nil
 }
 
+// serverGone closes a connection that the server, or the kernel for it, has ended, and reports whether the server accepts no connections any
+// more, although its end was not announced.
+func (p *Pool) serverGone(c *conn) bool {
+	_ = c.Close() // closeConn follows
+	if c.endpoint.notAcceptingSince.Load() > 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), p.ConnectTimeout)
+	defer cancel()
+	opened, err := p.dial(ctx, "tcp", c.addr)
+	if err != nil {
+		return true
+	}
+	defer func() { _ = opened.Close() }() // nothing was sent on it
+	return sock.Watch(opened) == sock.Ends
+}
+
 // closeConn closes a connection that is not in the pool.
 func (p *Pool) closeConn(c *conn) {
 	_ = c.Close() // its exchange has ended, or will get an error from the connection
--- a/internal/sidecar/upstream/http1/request_writer.go
+++ b/internal/sidecar/upstream/http1/request_writer.go
@@ -45,7 +45,7 @@
 			_ = c.Close()
 		}
 	}()
-	in := newResponseReader(c)
+	in := p.newResponseReader(c)
 	defer in.release()
 	out, reusable = in.read(call.Message.Method, p.LoadReportFields, p.ResponseBudget, call.OnReplyStarted)
 	close(stop)
--- a/internal/sidecar/upstream/http1/response_reader.go
+++ b/internal/sidecar/upstream/http1/response_reader.go
@@ -24,6 +24,7 @@
 	*bufio.Reader
 	limit  *io.LimitedReader
 	source timedConn
+	gone   func() bool // see Pool.serverGone
 }
 
 // timedConn is a connection with a read deadline. The first time that a read exceeds the deadline while onDeadline is set, it calls
@@ -60,16 +61,17 @@
 }}
 
 // newResponseReader returns a reader of a connection from the pool. The caller calls release when it is done.
-func newResponseReader(c net.Conn) *responseReader {
+func (p *Pool) newResponseReader(c *conn) *responseReader {
 	r := readerPool.Get().(*responseReader)
 	r.source, r.limit.N = timedConn{Conn: c}, 0
+	r.gone = func() bool { return p.serverGone(c) }
 	r.Reset(r.limit)
 	return r
 }
 
 // release returns the reader to the pool. The reader must not be used afterwards.
 func (r *responseReader) release() {
-	r.source = timedConn{}
+	r.source, r.gone = timedConn{}, nil
 	readerPool.Put(r)
 }
 
@@ -103,7 +105,12 @@
 		return r.readError(err), false
 	}
 	// A body without a length ends with the connection, which cannot be used again.
-	reusable = (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && !resp.Close
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	reusable = !endsWithConnection && !resp.Close
+	if endsWithConnection && resp.StatusCode == http.StatusOK && r.gone() {
+		body.abandon(errServerGone)
+		return upstream.Outcome{Result: upstream.Reset, Err: errServerGone}, false
+	}
 	if resp.StatusCode == http.StatusOK {
 		return body.complete(), reusable
 	}
@@ -115,6 +122,10 @@
 	return out, reusable
 }
 
+// errServerGone is the error of a body without length whose server did not end it: the kernel has closed the connection of a process that was
+// killed.
+var errServerGone = errors.New("the server was gone at the end of a response without length")
+
 // StatusError is the error of a request that a server answered with another status than 200 OK.
 type StatusError struct{ Status string } // for example "503 Service Unavailable"
 
--- a/internal/sidecar/upstream/http1/truncated_test.go
+++ b/internal/sidecar/upstream/http1/truncated_test.go
@@ -55,6 +55,43 @@
 	}
 }
 
+// The kernel ends the connections of a killed server as the server would: a response without length looked complete.
+func TestAResponseOfAKilledServerIsNotServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		killed, announced bool
+		result            upstream.Result
+	}{"killed": {true, false, upstream.Reset}, "left": {true, true, upstream.Served}, "there": {false, false, upstream.Served}} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			e := testPool(1).endpointAt(listener.Addr().String())
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					t.Error(err)
+				}
+				if c.announced {
+					e.Update("", false)
+				}
+				if c.killed {
+					listener.Close()
+				}
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: 1\r\n\r\nhello")
+			}()
+			if got := e.Send(context.Background(), newCall()); got.Result != c.result {
+				t.Errorf("%v, %v", got.Result, got.Err)
+			}
+		})
+	}
+}
+
 // wrappedEnd is a connection whose end is reported as an error that wraps io.EOF.
 type wrappedEnd struct{ net.Conn }
 
