--- a/internal/common/clientlimit/listener_test.go
+++ b/internal/common/clientlimit/listener_test.go
@@ -209,6 +209,7 @@
 	<-s.began
 	s.answer <- struct{}{}
 	peertest.ReadResponse(t, resting)
+	peertest.Eventually(t, "net/http has ended the response", func() bool { return s.count(stateIdle) == 1 })
 	for range 3 {
 		s.openFrom("127.0.0.1", wholeRequest)
 		<-s.began
