A sidecar's successor is limited to its share before it accepts its first client

Cause: a successor began to accept clients in one goroutine and was limited to its share in another. Clients that were waiting in the shared accept queue went beyond the share meanwhile. On the other side a predecessor counted its connections, wrote its state and only then limited itself; what was opened in between was in no share.

The share is now set before the first Accept, and a predecessor limits itself to half before it counts. The limits are in one type, resourceLimits, which also counts the other processes: a predecessor whose state could not be sent gets its limits back (it kept half of its connections and memory until the next upgrade), a second successor gets a part of what is left, and the end of one of two others does not lift the limits.

Tests: TestConnectionsOpenedDuringAHandOverAreInAShare, TestASuccessorIsLimitedBeforeItAccepts, three mutants in TestGuardsOfRareMoments; TestMalformedRequests counts states that were not sent.

--- a/cmd/petrelhook/recorded_test.go
+++ b/cmd/petrelhook/recorded_test.go
@@ -153,7 +153,8 @@
 				}
 			})
 		},
-		OnError: func(err error) { f.t.Error(err) },
+		OnNotSent: func() {}, // OnError follows
+		OnError:   func(err error) { f.t.Error(err) },
 	}
 	if err := predecessor.Start(handover.NewRendezvous(f.dir, "n0", f.listen)); err != nil {
 		f.t.Fatal(err)
--- a/internal/rig/simhost/rendezvous.go
+++ b/internal/rig/simhost/rendezvous.go
@@ -80,7 +80,9 @@
 	}
 	state, err := o.State()
 	if err == nil {
-		err = ctx.Err()
+		if err = ctx.Err(); err != nil {
+			o.OnNotSent()
+		}
 	}
 	if err != nil {
 		o.OnError(err)
@@ -88,6 +90,7 @@
 	}
 	link, err := o.link(successor)
 	if err != nil {
+		o.OnNotSent()
 		return nil, errors.Join(err, listener.Close())
 	}
 	return &handover.Handover{Listener: listener, State: state, Link: link}, nil
--- a/internal/sidecar/handover/handover_test.go
+++ b/internal/sidecar/handover/handover_test.go
@@ -33,12 +33,13 @@
 	ln        *net.TCPListener
 	successor chan *Link
 	linkEnded chan struct{}
+	notSent   chan struct{}
 	failed    chan error
 }
 
 func startServing(t *testing.T, r Rendezvous, ln *net.TCPListener, state string) *serviceProcess {
 	t.Helper()
-	s := &serviceProcess{ln: ln, successor: make(chan *Link, 9), linkEnded: make(chan struct{}, 9), failed: make(chan error, 9)}
+	s := &serviceProcess{ln: ln, successor: make(chan *Link, 9), linkEnded: make(chan struct{}, 9), notSent: make(chan struct{}, 9), failed: make(chan error, 9)}
 	s.Server = &Server{
 		Snapshot: func() (*os.File, []byte, error) { f, err := ln.File(); return f, []byte(state), err },
 		OnSuccessor: func(l *Link) {
@@ -46,7 +47,8 @@
 			l.ReadLines(func(line string) { l.Send("you said " + line) })
 			s.linkEnded <- struct{}{}
 		},
-		OnError: func(err error) { s.failed <- err },
+		OnNotSent: func() { s.notSent <- struct{}{} },
+		OnError:   func(err error) { s.failed <- err },
 	}
 	if err := s.Start(r); err != nil {
 		t.Fatal(err)
@@ -245,6 +247,9 @@
 		conn.Close()
 		wait(t, s.failed)
 	}
+	if n := len(s.notSent); n != 1 {
+		t.Errorf("%d states were not sent, of 1", n)
+	}
 	received, err := r.Request(eventTimeout)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/handover/server.go
+++ b/internal/sidecar/handover/server.go
@@ -23,6 +23,8 @@
 	// OnSuccessor is called with the link to a successor once the socket and the state are sent. The link is closed when it
 	// returns.
 	OnSuccessor func(*Link)
+	// OnNotSent is called when the socket and the state that Snapshot returned could not be sent to the successor.
+	OnNotSent func()
 	// OnError is called with the error of a failed request. The server goes on to answer later requests.
 	OnError func(error)
 
@@ -103,6 +105,7 @@
 	}
 	defer func() { _ = socket.Close() }() // a copy of the listener's descriptor
 	if err := sendState(conn, socket, state); err != nil {
+		s.OnNotSent()
 		return err
 	}
 	_ = conn.SetDeadline(time.Time{}) // fails only after Close, which ends ReadLines too
--- a/internal/sidecar/wiring/environment.go
+++ b/internal/sidecar/wiring/environment.go
@@ -43,6 +43,8 @@
 	State func() ([]byte, error)
 	// OnSuccessor is called with the link to a successor that was sent the socket and the state. The link is closed when it returns.
 	OnSuccessor func(*handover.Link)
+	// OnNotSent is called when a state that State returned has not reached a successor; OnSuccessor is not called for it.
+	OnNotSent func()
 	// OnError is called when a request failed. Later requests are still answered.
 	OnError func(error)
 }
@@ -87,7 +89,7 @@
 	if !ok {
 		return nil, errNoSocket
 	}
-	server := &handover.Server{OnSuccessor: o.OnSuccessor, OnError: o.OnError, Snapshot: func() (*os.File, []byte, error) {
+	server := &handover.Server{OnSuccessor: o.OnSuccessor, OnNotSent: o.OnNotSent, OnError: o.OnError, Snapshot: func() (*os.File, []byte, error) {
 		socket, err := listener.File()
 		if err != nil {
 			return nil, nil, err
--- a/internal/sidecar/wiring/mutation_test.go
+++ b/internal/sidecar/wiring/mutation_test.go
@@ -11,6 +11,7 @@
 // Each mutant removes, from a copy of the source, a guard against a rare interleaving. The test that forces the interleaving must fail then.
 func TestGuardsOfRareMoments(t *testing.T) {
 	const (
+		limits    = "internal/sidecar/wiring/resource_limits.go"
 		client    = "internal/sidecar/connlimit/client.go"
 		limiter   = "internal/sidecar/connlimit/limiter.go"
 		request   = "internal/sidecar/core/request.go"
@@ -27,6 +28,9 @@
 		"an answer without length":      {File: limiter, Text: "c.responseOpen.Swap(open) != open", Replacement: "c.responseOpen.Swap(false)", Package: "./internal/sidecar/front/platform", Test: "TestATruncatedAnswerIsNotComplete"},
 		"an answer of a killed process": {File: limiter, Text: "_ = sock.ResetOnClose(c.Conn, open)", Replacement: "_ = sock.ResetOnClose(c.Conn, false)", Package: "./internal/sidecar/front/platform", Test: "TestAnAnswerOfAKilledProcessIsNotComplete"},
 		"an end of a killed server":     {File: "internal/sidecar/upstream/http1/response_reader.go", Text: "resp.StatusCode == http.StatusOK && r.gone()", Replacement: "false", Package: "./internal/sidecar/upstream/http1", Test: "TestAResponseOfAKilledServerIsNotServed"},
+		"opened in a hand-over":         {File: limits, Text: "	l.set(half) //", Replacement: "	_ = half //", Package: "./internal/sidecar/wiring", Test: "TestConnectionsOpenedDuringAHandOverAreInAShare"},
+		"a process beside two":          {File: limits, Text: "l.others > 0", Replacement: "false", Package: "./internal/sidecar/wiring", Test: "TestConnectionsOpenedDuringAHandOverAreInAShare"},
+		"a share before the first":      {File: "internal/sidecar/wiring/run.go", Text: "			s.limits.joinPredecessor(*succession.Share)\n", Replacement: "			go s.limits.joinPredecessor(*succession.Share)\n", Package: "./internal/sidecar/wiring", Test: "TestASuccessorIsLimitedBeforeItAccepts"},
 		"late in the end":               {File: front, Text: "request.Wait = window.ClampWait(request.Arrived, request.Wait)", Replacement: "", Package: "./internal/sidecar/wiring", Test: "TestARequestReadLateInTheEndIsAnswered"},
 		"what has not begun":            {File: request, Text: "if !a.ended && a.call.Claim() {", Replacement: "if false {", Package: "./internal/sidecar/core", Test: "TestNothingBeginsOnceTheClientHasGone"},
 		"a queue before a hang-up":      {File: request, Text: "ctx.Err() != nil || in.ClientGone", Replacement: "in.ClientGone", Package: "./internal/sidecar/core", Test: "TestADisconnectBehindALongQueue"},
--- a/internal/sidecar/wiring/run.go
+++ b/internal/sidecar/wiring/run.go
@@ -27,6 +27,9 @@
 	defer cancel()
 	tasks.Go(func() { s.logStates(ctx) })
 	if succession != nil {
+		if succession.Predecessor != nil { // before the first client is accepted
+			s.limits.joinPredecessor(*succession.Share)
+		}
 		tasks.Go(func() { s.serveHandovers(ctx, succession, clients) })
 	}
 	tasks.Go(func() { s.becomeReady(ctx, succession) })
--- a/internal/sidecar/wiring/service_test.go
+++ b/internal/sidecar/wiring/service_test.go
@@ -180,12 +180,12 @@
 			c.Close()
 		}
 	}()
-	for i := range r.sidecar.limits.Clients {
+	for i := range r.sidecar.limits.total.Clients {
 		c, _ := r.open()
 		io.WriteString(c, lookRequest(fmt.Sprint(i)))
 		connections = append(connections, c)
 	}
-	peertest.Eventually(t, "all connections are open", func() bool { return r.sidecar.front.OpenConnections() == r.sidecar.limits.Clients })
+	peertest.Eventually(t, "all connections are open", func() bool { return r.sidecar.front.OpenConnections() == r.sidecar.limits.total.Clients })
 	if resp, _ := r.ask(health); resp.StatusCode != 503 {
 		t.Errorf("a connection was left: %d", resp.StatusCode)
 	}
--- a/internal/sidecar/wiring/succession.go
+++ b/internal/sidecar/wiring/succession.go
@@ -99,7 +99,6 @@
 	var links sync.WaitGroup
 	defer links.Wait()
 	if succession.Predecessor != nil {
-		s.limitToShare(*succession.Share)
 		links.Go(func() { s.followPredecessor(ctx, succession) })
 	}
 	offered := sync.OnceFunc(func() { close(s.handover.offered) })
@@ -112,7 +111,8 @@
 	for { // offers again after a successor has ended, because it may have replaced this process at the rendezvous
 		end, err := succession.Rendezvous.Offer(Offer{
 			Listener: listener, State: s.stateForSuccessor, OnSuccessor: s.followSuccessor,
-			OnError: func(err error) { s.log.Warn("hand-over to a successor failed", "err", err) },
+			OnNotSent: s.limits.otherEnded,
+			OnError:   func(err error) { s.log.Warn("hand-over to a successor failed", "err", err) },
 		})
 		if err != nil {
 			s.log.Warn("cannot listen for successors", "err", err)
@@ -133,14 +133,14 @@
 	link := succession.Predecessor
 	defer context.AfterFunc(ctx, func() { _ = link.Close() })()
 	(&peer{sidecar: s, link: link, reportedEvacuation: succession.EvacuationRequested}).serve()
-	s.restoreLimits()
+	s.limits.otherEnded()
 }
 
 // followSuccessor serves the link to a successor until that process has ended. Then this process is the only one of the sidecar again.
 func (s *Sidecar) followSuccessor(link *handover.Link) {
 	(&peer{sidecar: s, link: link, isSuccessor: true, reportedEvacuation: s.handover.evacuationSent.Load()}).serve()
 	s.relay.PeerGone()
-	s.restoreLimits()
+	s.limits.otherEnded()
 	if status, _ := s.lifecycle.Apply(lifecycle.SuccessorLost); status.State() != lifecycle.Stopping {
 		select {
 		case s.handover.successorLost <- struct{}{}:
@@ -149,14 +149,14 @@
 	}
 }
 
-// stateForSuccessor returns the encoded state for a successor, and limits this process to its own share of the connections.
+// stateForSuccessor returns the encoded state for a successor, and limits this process to its own share of the connections. After an error
+// it has its previous share.
 func (s *Sidecar) stateForSuccessor() ([]byte, error) {
 	state := HandoverState{EvacuationRequested: s.lifecycle.Status().EvacuationRequested()}
 	s.handover.evacuationSent.Store(state.EvacuationRequested)
 	var encoded []byte
 	var err error
-	own, remaining := s.limits.Divide(lifecycle.ConnectionShare{Clients: s.front.OpenConnections(), Servers: s.upstream.Open()})
-	state.Share = remaining
+	state.Share = s.limits.shareWithSuccessor()
 	if !s.core.Snapshot(func(snapshot core.Snapshot) { // runs on the core's goroutine; the snapshot must not be kept
 		state.Core = snapshot
 		encoded, err = json.Marshal(state)
@@ -164,9 +164,9 @@
 		err = errCoreEnded
 	}
 	if err != nil {
+		s.limits.otherEnded()
 		return nil, err
 	}
-	s.limitToShare(own)
 	return encoded, nil
 }
 
@@ -185,21 +185,3 @@
 	}
 	s.lifecycle.Apply(lifecycle.ServersKnown)
 }
-
-// limitToShare limits the connections and the memory of this process while the sidecar has two processes.
-func (s *Sidecar) limitToShare(share lifecycle.ConnectionShare) {
-	s.front.SetMaxConnections(max(1, share.Clients))
-	s.upstream.SetMaxConnections(max(1, share.Servers))
-	if s.OnMemoryShared != nil {
-		s.OnMemoryShared(true)
-	}
-}
-
-// restoreLimits reverts limitToShare once this process is the only one of the sidecar.
-func (s *Sidecar) restoreLimits() {
-	s.front.SetMaxConnections(s.limits.Clients)
-	s.upstream.SetMaxConnections(s.limits.Servers)
-	if s.OnMemoryShared != nil {
-		s.OnMemoryShared(false)
-	}
-}
--- a/internal/sidecar/wiring/wiring.go
+++ b/internal/sidecar/wiring/wiring.go
@@ -53,7 +53,7 @@
 	name      string
 	log       *slog.Logger
 	dial      Dial
-	limits    lifecycle.ConnectionShare // on connections, while this is the only process of the sidecar
+	limits    resourceLimits
 	lifecycle *lifecycle.Machine
 	core      *core.Loop
 	front     *platform.Server
@@ -101,10 +101,27 @@
 		frontCore = s.requestCounts
 	}
 	s.front = platform.New(settings, frontCore, s.lifecycle, log)
-	s.limits = lifecycle.ConnectionShare{Clients: settings.Admission.MaxConnections, Servers: cfg.Limits.ServerConnections()}
+	s.initLimits(lifecycle.ConnectionShare{Clients: settings.Admission.MaxConnections, Servers: cfg.Limits.ServerConnections()})
 	return s
 }
 
+// initLimits sets the limits of a process that is the only one of its sidecar.
+func (s *Sidecar) initLimits(total lifecycle.ConnectionShare) {
+	s.limits.total, s.limits.current = total, total
+	s.limits.inUse = func() lifecycle.ConnectionShare {
+		return lifecycle.ConnectionShare{Clients: s.front.OpenConnections(), Servers: s.upstream.Open()}
+	}
+	s.limits.setConnections = func(share lifecycle.ConnectionShare) {
+		s.front.SetMaxConnections(max(1, share.Clients))
+		s.upstream.SetMaxConnections(max(1, share.Servers))
+	}
+	s.limits.setMemoryShared = func(shared bool) {
+		if s.OnMemoryShared != nil {
+			s.OnMemoryShared(shared)
+		}
+	}
+}
+
 // minSendBuffer is the smallest kernel buffer for what is sent to a server, in bytes. Less than a packet of the loopback interface makes long
 // uploads wait for delayed acknowledgements.
 const minSendBuffer = 64 << 10
