A server without room for a new connection is not taken for a killed one

Callers of a server that ends new connections at its limit got a complete response without length broken off, from routers and from sidecars; so did they where this process had no descriptor left. Cause: at the end of such a response the server is asked for a new connection, and each one that ended, and each dial that failed, counted as the end of the server.

A dial that fails for want of something here says nothing. A dial without any answer still counts as the end.

--- a/internal/common/sock/sock.go
+++ b/internal/common/sock/sock.go
@@ -8,9 +8,7 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"syscall"
-	"time"
 	"unsafe"
 )
 
@@ -133,34 +131,6 @@
 	return err
 }
 
-// exitTime is how long the kernel may take to end all sockets of a process: it may end a listener after the connections.
-const exitTime = 20 * time.Millisecond
-
-// Fate is what becomes of a new connection to a server.
-type Fate int
-
-// The fates.
-const (
-	StaysOpen    Fate = iota
-	Ends              // its process has ended
-	SendsUnasked      // the server sends bytes before a request
-)
-
-// Watch waits until a new connection ends, or a process that had ended before would have ended it. The caller must not use the connection
-// meanwhile, and discards it unless it stays open.
-func Watch(c net.Conn) Fate {
-	_ = c.SetReadDeadline(time.Now().Add(exitTime)) // if it fails, so does reading
-	n, err := c.Read(make([]byte, 1))
-	_ = c.SetReadDeadline(time.Time{}) // if it fails, the next use of the connection fails too
-	switch {
-	case n > 0:
-		return SendsUnasked
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return StaysOpen
-	}
-	return Ends
-}
-
 // lingerer is a connection that can be closed with a reset.
 type lingerer interface{ SetLinger(seconds int) error }
 
--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -121,7 +121,10 @@
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx)
+			if c, err = p.dial(ctx); err != nil {
+				p.releaseSlot()
+			}
+			return c, err
 		}
 		if time.Since(c.idleSince) < maxIdle && sock.Quiet(c.Conn) {
 			return c, nil
@@ -145,17 +148,13 @@
 		p.releaseSlot()
 		return false
 	}
-	c, err := p.dial(ctx)
-	if err != nil {
-		return !errors.Is(err, ErrNoConnection)
-	}
-	fate := sock.Watch(c.Conn)
-	if fate == sock.StaysOpen {
+	c, usable, presence := sock.Probe(func() (*conn, error) { return p.dial(ctx) }, (*conn).close)
+	if usable {
 		p.makeIdle(c, 0)
-		return false
+	} else {
+		p.releaseSlot()
 	}
-	p.discard(c)
-	return fate == sock.Ends
+	return presence == sock.Gone
 }
 
 // takeIdleOrReserve removes and returns the connection that became idle last, and how long it may have been idle to be reused. If
@@ -176,17 +175,15 @@
 	return nil, 0, nil
 }
 
-// dial opens a connection that has been reserved by takeIdleOrReserve.
+// dial opens a connection that has been reserved by takeIdleOrReserve. If it fails, the caller must release the slot.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	if !p.connections.acquire(p) {
-		p.releaseSlot()
 		return nil, ErrNoConnection
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, Control: transport.UserTimeout(tcpUserTimeout), KeepAlive: -1}
 	tcpConn, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.connections.release(p)
-		p.releaseSlot()
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	sock.SetBuffers(tcpConn, p.connections.bufferBytes)
--- a/internal/sidecar/upstream/http1/pool.go
+++ b/internal/sidecar/upstream/http1/pool.go
@@ -191,14 +191,15 @@
 	if c.endpoint.notAcceptingSince.Load() > 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), p.ConnectTimeout)
-	defer cancel()
-	opened, err := p.dial(ctx, "tcp", c.addr)
-	if err != nil {
-		return true
-	}
-	defer func() { _ = opened.Close() }() // nothing was sent on it
-	return sock.Watch(opened) == sock.Ends
+	opened, usable, presence := sock.Probe(func() (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), p.ConnectTimeout)
+		defer cancel()
+		return p.dial(ctx, "tcp", c.addr)
+	}, func(opened net.Conn) { _ = opened.Close() }) // nothing was sent on it
+	if usable {
+		_ = opened.Close() // the same
+	}
+	return presence == sock.Gone
 }
 
 // closeConn closes a connection that is not in the pool.
--- a/internal/sidecar/upstream/http1/truncated_test.go
+++ b/internal/sidecar/upstream/http1/truncated_test.go
@@ -58,9 +58,14 @@
 // The kernel ends the connections of a killed server as the server would: a response without length looked complete.
 func TestAResponseOfAKilledServerIsNotServed(t *testing.T) {
 	for name, c := range map[string]struct {
-		killed, announced bool
-		result            upstream.Result
-	}{"killed": {true, false, upstream.Reset}, "left": {true, true, upstream.Served}, "there": {false, false, upstream.Served}} {
+		killed, announced, full bool
+		result                  upstream.Result
+	}{
+		"killed":                      {true, false, false, upstream.Reset},
+		"left":                        {true, true, false, upstream.Served},
+		"there":                       {false, false, false, upstream.Served},
+		"there, ends new connections": {false, false, true, upstream.Served},
+	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -84,6 +89,14 @@
 					listener.Close()
 				}
 				io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: 1\r\n\r\nhello")
+				conn.Close()
+				for c.full {
+					refused, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					refused.Close()
+				}
 			}()
 			if got := e.Send(context.Background(), newCall()); got.Result != c.result {
 				t.Errorf("%v, %v", got.Result, got.Err)
