A sidecar keeps the connection of a response to HEAD that has no length

Such a response was taken for one whose body ends with the connection: it was closed, and the server was asked for another one to find out whether it had been killed, 4 connections for two requests. A response without a body doesn't end with its connection.

TestAResponseToHEADDoesNotEndItsConnection failed before.

--- a/internal/sidecar/upstream/http1/pool_test.go
+++ b/internal/sidecar/upstream/http1/pool_test.go
@@ -91,6 +91,26 @@
 	}
 }
 
+// Guards against a response to HEAD that is taken for one whose body ends with the connection.
+func TestAResponseToHEADDoesNotEndItsConnection(t *testing.T) {
+	p := peertest.NewPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n")
+		return true
+	})
+	pool := testPool(9)
+	e := pool.endpointAt(p.Addr)
+	for range 2 {
+		call := newCall()
+		call.Message.Method = http.MethodHead
+		if r := e.Send(context.Background(), call); r.Result != upstream.Served {
+			t.Fatalf("result %v (%v)", r.Result, r.Err)
+		}
+	}
+	if n := p.Conns.Load(); n != 1 || pool.Open() != 1 {
+		t.Errorf("%d connections for two requests, %d open", n, pool.Open())
+	}
+}
+
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	pool := testPool(9)
 	if r := pool.endpointAt(peertest.DeadAddr(t)).Send(context.Background(), newCall()); r.Result != upstream.ConnectFailed {
--- a/internal/sidecar/upstream/http1/response_reader.go
+++ b/internal/sidecar/upstream/http1/response_reader.go
@@ -105,7 +105,7 @@
 		return r.readError(err), false
 	}
 	// A body without a length ends with the connection, which cannot be used again.
-	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	endsWithConnection := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	reusable = !endsWithConnection && !resp.Close
 	if endsWithConnection && resp.StatusCode == http.StatusOK && r.gone() {
 		body.abandon(errServerGone)
