A server does not count as failed because the router has no memory for its event

A stream that a router broke off for want of memory counted as a failure of its server: beside clients with large bodies its servers were ejected. It gives no signal now, as an attempt that the router ends because of a stall.

TestAnEventForWhichNoMemoryIsLeftIsNoFailureOfItsServer failed before.

--- a/internal/router/gateway/attempt.go
+++ b/internal/router/gateway/attempt.go
@@ -155,10 +155,11 @@
 		return notExecuted
 	}
 	req.attempts.mayHaveRun = true
-	result := g.relay(ctx, w, req, &upstreamResponse{Response: resp, server: server, watchdog: watchdog, sentAt: sentAt})
+	upstream := &upstreamResponse{Response: resp, server: server, watchdog: watchdog, sentAt: sentAt}
+	result := g.relay(ctx, w, req, upstream)
 	signal := signalOfResponse(result, resp.Status)
-	if endedByStall(attemptCtx) && signal == failure {
-		signal = noSignal // the attempt was cancelled because the server is slow; it has not failed
+	if signal == failure && (endedByStall(attemptCtx) || upstream.outOfMemory) {
+		signal = noSignal // the router has ended the attempt because the server is slow, or for want of memory; the server has not failed
 	}
 	g.recordAttemptEnd(req, server, signal)
 	return result
--- a/internal/router/gateway/body_memory_test.go
+++ b/internal/router/gateway/body_memory_test.go
@@ -86,6 +86,18 @@
 	r.waitReserved(0)
 }
 
+// Guards against a server that counts as failed because this router has no memory for its events.
+func TestAnEventForWhichNoMemoryIsLeftIsNoFailureOfItsServer(t *testing.T) {
+	r := newRig(t)
+	r.addScriptedServers(script{{Text: numbered(1, 1) + "id: 2\ndata: " + strings.Repeat("x", responseBytes) + "\n\n"}})
+	r.limitMemory(2000)
+	_, text, err := r.do("/once/")
+	require.Error(t, err)
+	require.Equal(t, numbered(1, 1), text)
+	_, reported := r.gateway.TakeOutcomeReport()
+	require.False(t, reported)
+}
+
 func TestATruncatedResponseThatIsPassedOnLooksTruncated(t *testing.T) {
 	r := newRig(t)
 	calls := r.addLargeServer(responseBytes / 2)
--- a/internal/router/gateway/relay.go
+++ b/internal/router/gateway/relay.go
@@ -29,6 +29,8 @@
 	server   *placement.Server
 	watchdog *stallWatchdog
 	sentAt   time.Time // start of the attempt
+
+	outOfMemory bool // the response was broken off because this router has no memory left for an event
 }
 
 // relay sends a server's response to the client. ctx is the context of the request, not of the attempt.
@@ -136,6 +138,7 @@
 			return req.brokenOff() // a server that ends before its first event has crashed
 		}
 		if err != nil {
+			upstream.outOfMemory = errors.Is(err, eventstream.ErrMemory)
 			return streamOutcome(ctx, w, req, upstream, err)
 		}
 		if err := sequence.Accept(event); err != nil {
