A test notices a broken response without length that ends like a complete one

The guard in Conn.Close, which resets a connection whose response has neither a length nor chunks, had no test that noticed its removal: the kernel resets such a connection too, unless a part of the response is on its way. One mutant more in TestGuardsOfStreams.

--- a/internal/router/gateway/mutation_test.go
+++ b/internal/router/gateway/mutation_test.go
@@ -36,6 +36,7 @@
 		"a part of the next event":       guard(events, "buffered, _ := r.source.Peek(r.source.Buffered())", "if r.source.Buffered() > 0 {\n		return true\n	}\n	buffered, _ := r.source.Peek(0)", "TestAnEventDoesNotWaitForTheNextOne"),
 		"a response of another kind":     guard(request, "return r.isStream && ", "return ", "TestAStreamIsNotJoinedToAResponseOfAnotherKind"),
 		"a reset by the kernel":          guard(unframed, "sock.ResetOnClose(c.Conn, true)", "sock.ResetOnClose(c.Conn, false)", "TestABrokenStreamIsResetForAClientWithoutChunks"),
+		"a reset of what is on its way":  {File: "internal/common/clientlimit/close.go", Text: " || c.unframed.Load()", Replacement: "", Package: "./internal/common/clientlimit", Test: "TestAnUnframedResponseThatIsStillOnItsWayIsReset"},
 		"an ordinary end after the last": guard(unframed, "c.unframed.Store(false)", "c.unframed.Store(true)", "TestABrokenStreamIsResetForAClientWithoutChunks"),
 	})
 }
