The soak of streams kills servers

Servers of TestStreamSoak now crash too, three in a row in each run: all connections are closed, then the listener.

--- a/cmd/petrelhook-router/recorded_server_test.go
+++ b/cmd/petrelhook-router/recorded_server_test.go
@@ -17,9 +17,10 @@
 // request that is meant for another instance.
 type recordedServer struct {
 	*httptest.Server
-	f      *fleet
-	id     string
-	stream func(http.ResponseWriter) // answers requests below /stream/; set before the first one
+	f        *fleet
+	id       string
+	accepted *peertest.AcceptedConns
+	stream   func(http.ResponseWriter) // answers requests below /stream/; set before the first one
 
 	mutex    sync.Mutex
 	sequence int
@@ -35,7 +36,10 @@
 func newRecordedServer(t *testing.T, f *fleet, id string) *recordedServer {
 	t.Helper()
 	s := &recordedServer{f: f, id: id}
-	s.Server = httptest.NewServer(s)
+	s.Server = httptest.NewUnstartedServer(s)
+	s.accepted = &peertest.AcceptedConns{Listener: s.Listener}
+	s.Listener = s.accepted
+	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
--- a/cmd/petrelhook-router/soak_run_test.go
+++ b/cmd/petrelhook-router/soak_run_test.go
@@ -20,6 +20,7 @@
 	configuration string                                             // the first one
 	handler       func(id string) http.Handler                       // of a server; nil: it records requests
 	traffic       func(ctx context.Context, machine int, client int) // plays a client until the context ends
+	crashes       []scheduledCrash
 
 	schedule   soakSchedule
 	record     soakRecord
@@ -82,6 +83,7 @@
 	for _, d := range r.schedule.signals {
 		r.tasks.Go(func() { r.signalMachines(ctx, d) })
 	}
+	r.tasks.Go(func() { r.crashServers(ctx) })
 	r.tasks.Go(func() { r.sendUpdates(ctx) })
 	r.tasks.Go(func() { r.readConfigurations(ctx) })
 	wait(ctx, runTime)
@@ -159,6 +161,18 @@
 	}
 }
 
+// crashServers plays servers that crash, one after the other.
+func (r *soakRun) crashServers(ctx context.Context) {
+	for i, crash := range r.crashes {
+		s := r.newServer(fmt.Sprintf("i-crashes-%d", i))
+		untilCrash, cancel := context.WithTimeout(ctx, crash.at)
+		r.sendHeartbeats(untilCrash, s, "ready", crash.machine)
+		cancel()
+		s.accepted.EndProcess(r.t)
+		wait(ctx, crash.downtime)
+	}
+}
+
 // signalMachines plays a signal.
 func (r *soakRun) signalMachines(ctx context.Context, d scheduledSignal) {
 	if d.afterEnd >= 0 {
--- a/cmd/petrelhook-router/soak_schedule_test.go
+++ b/cmd/petrelhook-router/soak_schedule_test.go
@@ -52,6 +52,25 @@
 	losesDisk bool
 }
 
+// scheduledCrash is the crash of one server, after which a server with another id takes its place.
+type scheduledCrash struct {
+	machine  int           // to which its heartbeats go
+	at       time.Duration // after its start
+	downtime time.Duration
+}
+
+const crashesInARow = 3
+
+// drawCrashes draws the crashes of servers that take each other's place, for a fleet of so many machines.
+func drawCrashes(seed uint64, machines int) (crashes [crashesInARow]scheduledCrash) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for i := range crashes {
+		crashes[i] = scheduledCrash{machine: random.IntN(machines), at: firstDisturbance + time.Duration(random.Int64N(int64(firstDisturbance))),
+			downtime: time.Duration(random.Int64N(int64(longestDowntime)))}
+	}
+	return crashes
+}
+
 // drawSchedule draws the schedule of a seed.
 func drawSchedule(seed uint64) soakSchedule {
 	random := rand.New(rand.NewPCG(seed, 0))
--- a/cmd/petrelhook-router/stream_soak_test.go
+++ b/cmd/petrelhook-router/stream_soak_test.go
@@ -45,8 +45,8 @@
 	broken  []error
 }
 
-// Clients read streams beside everything that TestDrainSoak does to the fleet, while servers break off, stall, begin anew, leave out or
-// repeat events, and send more than was asked for. No stream is joined from parts that do not continue each other, has an event twice or
+// Clients read streams beside everything that TestDrainSoak does to the fleet, while servers crash, break off, stall, begin anew, leave out
+// or repeat events, and send more than was asked for. No stream is joined from parts that do not continue each other, has an event twice or
 // leaves one out, and none looks complete that is not.
 func TestStreamSoak(t *testing.T) {
 	for seed := *streamSoakFirst; seed < *streamSoakFirst+*streamSoakCount; seed++ {
@@ -54,6 +54,8 @@
 			t.Parallel()
 			s := &streamSoak{soakRun: newSoakRun(t, seed, fmt.Sprintf("127.12.%d", seed%250)), seed: seed, results: map[streams.Result]int{}}
 			s.configuration, s.traffic = streamSoakConfiguration, s.readStreams
+			crashes := drawCrashes(seed, len(s.machines))
+			s.crashes = crashes[:]
 			s.handler = func(id string) http.Handler { return streams.NewServer(id, seed) }
 			s.play()
 			s.check()
--- a/internal/common/peertest/accepted.go
+++ b/internal/common/peertest/accepted.go
@@ -1,6 +1,7 @@
 package peertest
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"testing"
@@ -13,26 +14,44 @@
 
 	mutex sync.Mutex
 	conns []net.Conn
+	ended bool // see EndProcess
 }
 
 // Accept implements net.Listener.
 func (a *AcceptedConns) Accept() (net.Conn, error) {
 	conn, err := a.Listener.Accept()
-	if err == nil {
-		a.mutex.Lock()
-		a.conns = append(a.conns, conn)
-		a.mutex.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.ended {
+		return nil, errors.Join(net.ErrClosed, conn.Close())
+	}
+	a.conns = append(a.conns, conn)
+	return conn, nil
+}
+
+// EndProcess closes the accepted connections and then the listener, as the kernel does when the process is killed. No connection that is
+// accepted meanwhile stays open.
+func (a *AcceptedConns) EndProcess(t testing.TB) {
+	t.Helper()
+	a.mutex.Lock()
+	a.ended = true
+	a.mutex.Unlock()
+	a.CloseConns(t)
+	if err := a.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
 	}
-	return conn, err
 }
 
-// CloseConns closes the accepted connections.
+// CloseConns closes the accepted connections that are still open.
 func (a *AcceptedConns) CloseConns(t testing.TB) {
 	t.Helper()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, conn := range a.conns {
-		if err := conn.Close(); err != nil {
+		if err := conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			t.Error(err)
 		}
 	}
