Requests whose body has not begun take half of a sidecar's connections to servers at most

Cause: each such request took a connection to a server and held it for 5 s, until its body was given up, and the next one took what became free.

Half of the connections are for them now. A further one waits for its first byte and then takes a connection like any other. Not all of them wait, because a server may reject a request by its head, and another one gets the whole body then (TestALongBodyIsRetriedAtAnotherServer; it failed with a trial in which all waited).

--- a/internal/sidecar/message/upload.go
+++ b/internal/sidecar/message/upload.go
@@ -16,7 +16,8 @@
 	chunks    chan chunk
 	closed    chan struct{}
 	closeOnce func()
-	finalErr  error // the error with which the body ended, once Next has returned it; used only by the goroutine that calls Next
+	pending   *chunk // received by Await, and not yet returned by Next; used only by the goroutine that calls them
+	finalErr  error  // the error with which the body ended, once Next has returned it; used only by the goroutine that calls Next
 	consumed  atomic.Bool
 }
 
@@ -67,10 +68,35 @@
 // Consumed reports whether a chunk was read by Next, after which the body cannot be sent again. It is safe for concurrent use.
 func (u *Upload) Consumed() bool { return u.consumed.Load() }
 
+// Begun reports whether a chunk has arrived, or the end of the body. It must not be called beside Next or Await.
+func (u *Upload) Begun() bool { return u.pending != nil || u.Consumed() }
+
 // Close makes Next return at once, and Pump as soon as its reader returns. It may be called more than once and from any
 // goroutine.
 func (u *Upload) Close() { u.closeOnce() }
 
+// Await waits until Next can return a chunk or the end of the body, and consumes nothing. It returns the error of a body that was cut short
+// before its next byte, ErrStopped if stop was closed, or ErrClosed if the upload was. It must not be called beside Next.
+func (u *Upload) Await(stop <-chan struct{}) error {
+	if u.finalErr != nil {
+		return nil
+	}
+	if u.pending == nil {
+		select {
+		case next := <-u.chunks:
+			u.pending = &next
+		case <-stop:
+			return ErrStopped
+		case <-u.closed:
+			return ErrClosed
+		}
+	}
+	if len(u.pending.data) == 0 && u.pending.err != io.EOF { //nolint:errorlint // a wrapped one is a body that was cut short
+		return u.pending.err
+	}
+	return nil
+}
+
 // Next returns the next chunk, which is valid until the next call. The error that ends the body comes with the last chunk or
 // after it: io.EOF if the body is complete, otherwise the error of Pump's reader. ErrStopped means that stop was closed and no
 // chunk was read. ErrClosed means that the upload was closed.
@@ -83,14 +109,23 @@
 		return nil, ErrStopped
 	default:
 	}
+	if next := u.pending; next != nil {
+		u.pending = nil
+		return u.consume(*next)
+	}
 	select {
 	case next := <-u.chunks:
-		u.consumed.Store(true)
-		u.finalErr = next.err
-		return next.data, next.err
+		return u.consume(next)
 	case <-stop:
 		return nil, ErrStopped
 	case <-u.closed:
 		return nil, ErrClosed
 	}
 }
+
+// consume returns a chunk to the caller of Next.
+func (u *Upload) consume(next chunk) ([]byte, error) {
+	u.consumed.Store(true)
+	u.finalErr = next.err
+	return next.data, next.err
+}
--- a/internal/sidecar/upstream/http1/exchange.go
+++ b/internal/sidecar/upstream/http1/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"petrelhook/internal/sidecar/message"
@@ -20,6 +21,14 @@
 
 // send carries out a call; see upstream.Endpoint.
 func (p *Pool) send(ctx context.Context, e *endpoint, call *upstream.Call) upstream.Outcome {
+	bodyBegun, err := p.admitBody(ctx, &call.Message)
+	if err != nil {
+		if ctx.Err() != nil {
+			return upstream.Outcome{Result: upstream.Cancelled, Err: ctx.Err()}
+		}
+		return upstream.Outcome{Result: upstream.NotSent, Err: bodyError(err)}
+	}
+	defer bodyBegun()
 	c, err := p.connect(ctx, e)
 	if errors.Is(err, errConnectionLimit) {
 		return upstream.Outcome{Result: upstream.NotSent, Err: err}
@@ -37,7 +46,7 @@
 	if c.used {
 		idleFor = now.Sub(c.idleSince)
 	}
-	out, reusable, broke := p.exchange(c, call, now)
+	out, reusable, broke := p.exchange(c, call, now, bodyBegun)
 	if ctx.Err() == nil {
 		p.mu.Lock()
 		p.idleEstimator.Record(now, idleFor, broke)
@@ -54,6 +63,32 @@
 	return out
 }
 
+// admitBody admits a call whose streamed body has not begun. Its server may reject it by the head alone, so that another server gets the body.
+// But only half of the connections are for such calls: one beyond that waits until its body begins. bodyBegun must be called once it has, or
+// when the call has ended; more calls do nothing.
+func (p *Pool) admitBody(ctx context.Context, m *message.Request) (bodyBegun func(), err error) {
+	if m.Remainder == nil || m.Remainder.Begun() || len(m.Body) > 0 {
+		return func() {}, nil
+	}
+	p.mu.Lock()
+	admitted := p.callsBeforeBody < p.MaxConnections/2
+	if admitted {
+		p.callsBeforeBody++
+	}
+	p.mu.Unlock()
+	if !admitted {
+		return func() {}, m.Remainder.Await(ctx.Done())
+	}
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.callsBeforeBody--
+	}), nil
+}
+
+// bodyError returns the error of a call whose client has not sent the complete body.
+func bodyError(err error) error { return fmt.Errorf("request body from the client: %w", err) }
+
 // claimCall claims a call whose connection is open, and returns the time at which it is sent. Opening a connection may take long;
 // meanwhile the client may have gone, the server's drain grace period may have ended, or the time limit of the request or of its
 // idempotency key may have passed. An error means that nothing is sent, so nothing is executed.
@@ -69,13 +104,14 @@
 	return now, nil
 }
 
-// exchange writes the request and reads the response. It returns whether the connection can be used again, and whether it broke.
-func (p *Pool) exchange(c *conn, call *upstream.Call, now time.Time) (out upstream.Outcome, reusable, broke bool) {
+// exchange writes the request and reads the response. It calls bodyBegun when a streamed body begins. It returns whether the connection can be
+// used again, and whether it broke.
+func (p *Pool) exchange(c *conn, call *upstream.Call, now time.Time, bodyBegun func()) (out upstream.Outcome, reusable, broke bool) {
 	if call.Message.Remainder != nil {
 		if call.Message.Remainder.Consumed() { // the rest of the body alone would be another request
 			return upstream.Outcome{Result: upstream.NotSent, Err: errBodyConsumed}, true, false
 		}
-		return p.exchangeStreamed(c, call)
+		return p.exchangeStreamed(c, call, bodyBegun)
 	}
 	_ = c.SetWriteDeadline(call.Expires) // fails only if the connection is closed, like Write then; reading ends with ctx
 	text := encode(&call.Message, c.addr, call.Expires.Sub(now))
--- a/internal/sidecar/upstream/http1/pool.go
+++ b/internal/sidecar/upstream/http1/pool.go
@@ -44,6 +44,7 @@
 	mu                sync.Mutex
 	idleEstimator     reuse.Estimator
 	openConnections   int
+	callsBeforeBody   int                    // calls in progress whose streamed body has not begun
 	endpointsWithIdle map[*endpoint]struct{} // the endpoints with idle connections
 }
 
--- a/internal/sidecar/upstream/http1/request_writer.go
+++ b/internal/sidecar/upstream/http1/request_writer.go
@@ -20,8 +20,9 @@
 // requestWriter writes a request whose body is streamed from the client. One goroutine calls run while another reads the
 // response; that one reads complete, clientErr and serverErr only after run has returned.
 type requestWriter struct {
-	conn *conn
-	call *upstream.Call
+	conn      *conn
+	call      *upstream.Call
+	bodyBegun func() // see Pool.admitBody
 
 	complete     bool  // the last byte was sent
 	clientErr    error // why the client's part of the body ended early
@@ -32,8 +33,8 @@
 
 // exchangeStreamed carries out a call whose body is streamed. It reads the response at the same time, because a server may
 // respond before it has the complete body; the rest of the body is not sent then. The results are those of exchange.
-func (p *Pool) exchangeStreamed(c *conn, call *upstream.Call) (out upstream.Outcome, reusable, broke bool) {
-	w := &requestWriter{conn: c, call: call, hasLength: call.Message.Remainder.Size >= 0}
+func (p *Pool) exchangeStreamed(c *conn, call *upstream.Call, bodyBegun func()) (out upstream.Outcome, reusable, broke bool) {
+	w := &requestWriter{conn: c, call: call, bodyBegun: bodyBegun, hasLength: call.Message.Remainder.Size >= 0}
 	written, stop := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(written)
@@ -59,7 +60,7 @@
 	// A server executes a request only after its last byte has arrived, which was not sent.
 	switch {
 	case w.clientErr != nil:
-		return upstream.Outcome{Result: upstream.NotSent, Err: fmt.Errorf("request body from the client: %w", w.clientErr)}, false, false
+		return upstream.Outcome{Result: upstream.NotSent, Err: bodyError(w.clientErr)}, false, false
 	case c.used && !call.Message.Remainder.Consumed():
 		return upstream.Outcome{Result: upstream.NotSent, Err: out.Err}, false, true
 	}
@@ -81,6 +82,7 @@
 		text, err := m.Remainder.Next(stop)
 		n := len(text)
 		if n > 0 {
+			w.bodyBegun()
 			if !w.hasLength {
 				text = encodeChunk(text)
 			}
--- a/internal/sidecar/upstream/http1/request_writer_test.go
+++ b/internal/sidecar/upstream/http1/request_writer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -202,6 +203,53 @@
 	})
 }
 
+// Guards against clients that announce a body and send none, and so hold all connections to servers.
+func TestBodiesThatHaveNotBegunLeaveConnections(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		const connections, uploads = 6, 20
+		n := memnet.New(time.Millisecond)
+		listener, err := n.Listen("127.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var heads atomic.Int64
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			heads.Add(1)
+			if _, err := io.Copy(io.Discard, req.Body); err == nil {
+				io.WriteString(w, "hi")
+			}
+		})}
+		go server.Serve(listener)
+		defer server.Close()
+		pool := New(Settings{MaxConnections: connections, ConnectTimeout: time.Second, IdleTimeout: time.Second, ResponseBudget: membudget.New(0)}, n.Dial)
+		e := pool.endpointAt("127.0.0.1:80")
+		outcomes := make(chan upstream.Outcome, uploads)
+		clients := make([]*client, uploads)
+		for i := range clients {
+			clients[i] = newClient(t, 4)
+			call := &upstream.Call{Message: message.Request{Method: "POST", Target: "/once", Remainder: clients[i].upload}, Wait: time.Minute}
+			go func() { outcomes <- e.Send(t.Context(), call) }()
+		}
+		time.Sleep(time.Second) // of virtual time: all calls wait for their bodies
+		if got := heads.Load(); got != connections/2 {
+			t.Errorf("%d servers wait for a body, of %d connections", got, connections)
+		}
+		if r := e.Send(t.Context(), newCall()); r.Result != upstream.Served {
+			t.Errorf("an ordinary call: %v (%v)", r.Result, r.Err)
+		}
+		for _, c := range clients[:uploads-1] {
+			io.WriteString(c, "body")
+			if r := <-outcomes; r.Result != upstream.Served {
+				t.Errorf("a body that begins: %v (%v)", r.Result, r.Err)
+			}
+		}
+		clients[uploads-1].CloseWithError(io.ErrUnexpectedEOF)
+		if r := <-outcomes; r.Result != upstream.NotSent || pool.callsBeforeBody != 0 {
+			t.Errorf("a body that never begins: %v (%v), %d calls wait", r.Result, r.Err, pool.callsBeforeBody)
+		}
+	})
+}
+
 type neverEnding struct{}
 
 func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
