--- a/internal/rig/coordinator/coordinator.go
+++ b/internal/rig/coordinator/coordinator.go
@@ -11,11 +11,12 @@
 	"testing"
 
 	"petrelhook/internal/coordination/fleet"
+	"petrelhook/internal/rig/process"
 )
 
 // Start starts a coordinator in this process. stop ends it and removes its data; it may be called more than once.
 func Start() (addr string, stop func(), err error) {
-	dir, err := os.MkdirTemp("", "coordinator")
+	dir, err := os.MkdirTemp(os.Getenv(process.FolderVariable), "coordinator") // its syncs would wait for what builds and other tests write
 	if err != nil {
 		return "", nil, err
 	}
