--- a/internal/common/clientlimit/unframed_test.go
+++ b/internal/common/clientlimit/unframed_test.go
@@ -19,7 +19,7 @@
 func TestAnUnframedResponseThatIsStillOnItsWayIsReset(t *testing.T) {
 	for name, complete := range map[string]bool{"broken": false, "complete": true} {
 		t.Run(name, func(t *testing.T) {
-			const bufferBytes, responseBytes = 1 << 20, 256 << 10 // the server's, and more than the client's
+			const bufferBytes, responseBytes = 256 << 10, 64 << 10 // less than the server's, more than the client's
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			sock.SetBuffers(inner, bufferBytes)
