A router finds out whether a server is there although its exchange is cancelled meanwhile

What clients saw: the stream of a killed server, without length or chunks, looked complete. Cause: the look at the server at the end of such a response was a dial with the context of the exchange. A watchdog that takes the pause for a stall cancels it within the time of the look, and since a dial that fails on this side says nothing, so the response counted as complete.

The look no longer has the context of the exchange; dialTimeout bounds it. Row "gone, the exchange is cancelled" failed before ("complete"); row "there, the exchange is cancelled" holds that a complete response is not broken off for it.

--- a/internal/router/backend/backend_test.go
+++ b/internal/router/backend/backend_test.go
@@ -17,6 +17,8 @@
 // scriptedServer is a server whose connections the test itself reads and writes.
 type scriptedServer struct {
 	t        *testing.T
+	ctx      context.Context // of the exchanges
+	cancel   context.CancelFunc
 	pool     *Pool
 	conns    chan net.Conn
 	listener net.Listener
@@ -28,7 +30,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &scriptedServer{t: t, pool: NewPool(listener.Addr().String(), limit, NewConnections(limit, 0, nil)), conns: make(chan net.Conn, 16), listener: listener}
-	t.Cleanup(func() { listener.Close(); s.pool.Close() })
+	s.ctx, s.cancel = context.WithCancel(t.Context())
+	t.Cleanup(func() { listener.Close(); s.pool.Close(); s.cancel() })
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -66,7 +69,7 @@
 func (s *scriptedServer) send(id string) <-chan result {
 	done := make(chan result, 1)
 	go func() {
-		response, err := s.pool.Do(s.t.Context(), &Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "a.example", Header: http.Header{}, Body: []byte("body")})
+		response, err := s.pool.Do(s.ctx, &Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "a.example", Header: http.Header{}, Body: []byte("body")})
 		done <- result{response, err}
 	}()
 	return done
--- a/internal/router/backend/exchange.go
+++ b/internal/router/backend/exchange.go
@@ -81,7 +81,7 @@
 		return nil, fail(err)
 	}
 	response.DialTime, response.pool, response.conn, response.detach = dialTime, p, c, detach
-	response.serverGone = func() bool { return p.serverGone(ctx, c) }
+	response.serverGone = func() bool { return p.serverGone(c) }
 	response.reusable = response.reusable && written
 	return response, nil
 }
--- a/internal/router/backend/exchange_model_test.go
+++ b/internal/router/backend/exchange_model_test.go
@@ -187,6 +187,8 @@
 		"the server is gone":                 {func(s *scriptedServer) { s.listener.Close() }, broken, 0},
 		"the kernel ends its listener later": {func(s *scriptedServer) { go func() { c := <-s.conns; s.listener.Close(); c.Close() }() }, broken, 0},
 		"it ends new connections":            {func(s *scriptedServer) { go func() { (<-s.conns).Close(); (<-s.conns).Close() }() }, complete, 0},
+		"gone, the exchange is cancelled":    {func(s *scriptedServer) { go func() { c := <-s.conns; s.cancel(); s.listener.Close(); c.Close() }() }, broken, 0},
+		"there, the exchange is cancelled":   {func(s *scriptedServer) { go func() { c := <-s.conns; s.cancel(); c.Close(); (<-s.conns).Close() }() }, complete, 0},
 		"it sends what nobody asked for":     {func(s *scriptedServer) { go func() { io.WriteString(<-s.conns, "x") }() }, complete, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/router/backend/pool.go
+++ b/internal/router/backend/pool.go
@@ -135,8 +135,8 @@
 
 // serverGone reports whether the server accepts no connections, although its end was not announced. It is called for a connection that the
 // server, or the kernel for it, has ended, and opens another one in its place, which is kept for later requests. Idle connections say nothing:
-// the kernel may not have ended them yet.
-func (p *Pool) serverGone(ctx context.Context, ended *conn) bool {
+// the kernel may not have ended them yet. The end of the exchange's context does not end it, because the response has arrived by then.
+func (p *Pool) serverGone(ended *conn) bool {
 	ended.close()
 	p.mutex.Lock()
 	announced := p.closed
@@ -148,7 +148,7 @@
 		p.releaseSlot()
 		return false
 	}
-	c, usable, presence := sock.Probe(func() (*conn, error) { return p.dial(ctx) }, (*conn).close)
+	c, usable, presence := sock.Probe(func() (*conn, error) { return p.dial(context.Background()) }, (*conn).close)
 	if usable {
 		p.makeIdle(c, 0)
 	} else {
