A killed server has 100 ms to lose its sockets before it counts as there

What clients saw, on a busy machine: a stream without length or chunks whose server was killed looked complete. Cause: the kernel ends the listener of a killed process up to 18 ms after the first connection there (100 kills), and up to 80 ms at a load of 53 (720 kills; one more took a time-out of 1 s), not within 20 ms.

The look at the server takes 100 ms now. Responses without length or chunks end that much later; all others are as before.

--- a/internal/common/sock/probe.go
+++ b/internal/common/sock/probe.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// exitTime is how long the kernel may take to end all sockets of a process: it may end a listener after the connections.
-const exitTime = 20 * time.Millisecond
+// exitTime is how long the kernel may take to end all sockets of a process: it may end a listener after the connections, and on a busy machine
+// it is interrupted meanwhile.
+const exitTime = 100 * time.Millisecond
 
 // Presence is what a probe found out about a server.
 type Presence int
@@ -23,7 +24,7 @@
 
 // Probe finds out whether a server whose connection has ended is still there: the kernel ends the connections of a process that was killed as
 // the process itself would. It opens up to two connections by dial, one after the other, and passes those that it does not return to discard.
-// If usable is true the server keeps connection open, and the caller owns it. Probe takes up to 20 ms, and the time that dial takes.
+// If usable is true the server keeps connection open, and the caller owns it. Probe takes up to 100 ms, and the time that dial takes.
 func Probe[C net.Conn](dial func() (C, error), discard func(C)) (connection C, usable bool, presence Presence) {
 	began := time.Now()
 	connection, err := dial()
