Servers that the stream soak kills are processes of their own

The kernel decides then which of their sockets end when. Before, the test closed them itself, in one order, for as long as its goroutine took.

--- a/cmd/petrelhook-router/fleet_test.go
+++ b/cmd/petrelhook-router/fleet_test.go
@@ -32,7 +32,12 @@
 
 // TestMain runs the tests, or a router if the test binary was started as one by machine.start.
 func TestMain(m *testing.M) {
-	if os.Getenv(roleVariable) != "" {
+	switch os.Getenv(roleVariable) {
+	case "":
+		os.Exit(m.Run())
+	case streamServerRole:
+		panic(serveStreams(os.Args[1:]))
+	default:
 		if limits := os.Getenv(limitsVariable); limits != "" {
 			if err := setLimits(limits); err != nil {
 				panic(err)
@@ -43,7 +48,6 @@
 		}
 		os.Exit(runProcess([]string{"petrelhook-router", "router"}, os.Stdout, os.Stderr))
 	}
-	os.Exit(m.Run())
 }
 
 // routerBinary is another build of the router, such as an earlier version or one with the race detector.
--- a/cmd/petrelhook-router/recorded_server_test.go
+++ b/cmd/petrelhook-router/recorded_server_test.go
@@ -17,10 +17,10 @@
 // request that is meant for another instance.
 type recordedServer struct {
 	*httptest.Server
-	f        *fleet
-	id       string
-	accepted *peertest.AcceptedConns
-	stream   func(http.ResponseWriter) // answers requests below /stream/; set before the first one
+	f       *fleet
+	id      string
+	address string
+	stream  func(http.ResponseWriter) // answers requests below /stream/; set before the first one
 
 	mutex    sync.Mutex
 	sequence int
@@ -36,10 +36,8 @@
 func newRecordedServer(t *testing.T, f *fleet, id string) *recordedServer {
 	t.Helper()
 	s := &recordedServer{f: f, id: id}
-	s.Server = httptest.NewUnstartedServer(s)
-	s.accepted = &peertest.AcceptedConns{Listener: s.Listener}
-	s.Listener = s.accepted
-	s.Start()
+	s.Server = httptest.NewServer(s)
+	s.address = s.Listener.Addr().String()
 	t.Cleanup(s.Close)
 	return s
 }
@@ -74,7 +72,7 @@
 	defer s.mutex.Unlock()
 	s.sequence++
 	return fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"zone-0","Slots":4,"State":%q,"Sequence":%d}`,
-		s.Listener.Addr().String(), state, s.sequence)
+		s.address, state, s.sequence)
 }
 
 // send makes a call of the server to a machine and returns its status. The call is heartbeat or deregister.
--- a/cmd/petrelhook-router/soak_run_test.go
+++ b/cmd/petrelhook-router/soak_run_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"petrelhook/internal/common/peertest"
+	"petrelhook/internal/rig/process"
 )
 
 // soakRun is one run: a fleet of router processes, servers and clients.
@@ -161,14 +164,15 @@
 	}
 }
 
-// crashServers plays servers that crash, one after the other.
+// crashServers plays servers that are processes of their own and are killed, one after the other.
 func (r *soakRun) crashServers(ctx context.Context) {
 	for i, crash := range r.crashes {
-		s := r.newServer(fmt.Sprintf("i-crashes-%d", i))
+		s := &recordedServer{f: r.fleet, id: fmt.Sprintf("i-crashes-%d", i), address: peertest.ReserveAddr(r.t)}
+		server := process.Start(r.t, process.Self(roleVariable, streamServerRole, s.id, s.address, fmt.Sprint(crash.seed)))
 		untilCrash, cancel := context.WithTimeout(ctx, crash.at)
 		r.sendHeartbeats(untilCrash, s, "ready", crash.machine)
 		cancel()
-		s.accepted.EndProcess(r.t)
+		server.KillAndWait()
 		wait(ctx, crash.downtime)
 	}
 }
--- a/cmd/petrelhook-router/soak_schedule_test.go
+++ b/cmd/petrelhook-router/soak_schedule_test.go
@@ -54,6 +54,7 @@
 
 // scheduledCrash is the crash of one server, after which a server with another id takes its place.
 type scheduledCrash struct {
+	seed     uint64        // from which it draws its behaviour
 	machine  int           // to which its heartbeats go
 	at       time.Duration // after its start
 	downtime time.Duration
@@ -65,7 +66,7 @@
 func drawCrashes(seed uint64, machines int) (crashes [crashesInARow]scheduledCrash) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	for i := range crashes {
-		crashes[i] = scheduledCrash{machine: random.IntN(machines), at: firstDisturbance + time.Duration(random.Int64N(int64(firstDisturbance))),
+		crashes[i] = scheduledCrash{seed: seed, machine: random.IntN(machines), at: firstDisturbance + time.Duration(random.Int64N(int64(firstDisturbance))),
 			downtime: time.Duration(random.Int64N(int64(longestDowntime)))}
 	}
 	return crashes
--- a/cmd/petrelhook-router/stream_soak_test.go
+++ b/cmd/petrelhook-router/stream_soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -63,6 +64,18 @@
 	}
 }
 
+// streamServerRole is the role of a process that is a server of streams, with its ID, its address and the seed of its behaviour as arguments.
+const streamServerRole = "stream-server"
+
+// serveStreams runs a process in streamServerRole. It returns only with an error.
+func serveStreams(args []string) error {
+	seed, err := strconv.ParseUint(args[2], 10, 64)
+	if err != nil {
+		return err
+	}
+	return http.ListenAndServe(args[1], streams.NewServer(args[0], seed)) //nolint:gosec // the callers are the routers of this test
+}
+
 // readStreams plays the readers of a client.
 func (s *streamSoak) readStreams(ctx context.Context, machine, client int) {
 	var readers sync.WaitGroup
--- a/internal/common/peertest/accepted.go
+++ b/internal/common/peertest/accepted.go
@@ -14,7 +14,6 @@
 
 	mutex sync.Mutex
 	conns []net.Conn
-	ended bool // see EndProcess
 }
 
 // Accept implements net.Listener.
@@ -25,26 +24,10 @@
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.ended {
-		return nil, errors.Join(net.ErrClosed, conn.Close())
-	}
 	a.conns = append(a.conns, conn)
 	return conn, nil
 }
 
-// EndProcess closes the accepted connections and then the listener, as the kernel does when the process is killed. No connection that is
-// accepted meanwhile stays open.
-func (a *AcceptedConns) EndProcess(t testing.TB) {
-	t.Helper()
-	a.mutex.Lock()
-	a.ended = true
-	a.mutex.Unlock()
-	a.CloseConns(t)
-	if err := a.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		t.Error(err)
-	}
-}
-
 // CloseConns closes the accepted connections that are still open.
 func (a *AcceptedConns) CloseConns(t testing.TB) {
 	t.Helper()
